--- /dev/null
+++ b/jackdawchute-admission/src/fifo.rs
@@ -0,0 +1,84 @@
+//! The simplest baseline: one queue, first in, first out.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use jackdawchute_types::{ClassId, Refusal, RefusalReason};
+
+use crate::{AdmissionPolicy, Limits, Ticket, TicketId};
+
+/// One queue for all classes, bounded by the sum of their bounds.
+#[derive(Debug, Default)]
+pub struct Fifo {
+    limits: Limits,
+    capacity_units: u32,
+    used_units: u32,
+    queue: VecDeque<Ticket>,
+}
+
+impl Fifo {
+    fn queue_max(&self) -> usize {
+        self.limits
+            .classes
+            .values()
+            .map(|class| class.queue_max)
+            .sum()
+    }
+}
+
+impl AdmissionPolicy for Fifo {
+    fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    fn set_capacity(&mut self, units: u32) {
+        self.capacity_units = units;
+    }
+
+    fn offer(&mut self, ticket: Ticket, _now: Instant) -> Result<(), Refusal> {
+        if self.queue.len() >= self.queue_max() {
+            return Err(Refusal::not_run(
+                RefusalReason::QueueFull,
+                "the queue of all classes",
+            ));
+        }
+        self.queue.push_back(ticket);
+        Ok(())
+    }
+
+    fn next(&mut self, _now: Instant) -> Option<Ticket> {
+        let cost = self.queue.front()?.cost;
+        if self.used_units + cost > self.capacity_units {
+            return None;
+        }
+        self.used_units += cost;
+        self.queue.pop_front()
+    }
+
+    fn expire(&mut self, now: Instant) -> Vec<(Ticket, Refusal)> {
+        let expired = |ticket: &Ticket| ticket.deadline.is_some_and(|deadline| deadline <= now);
+        let (gone, kept) = self.queue.drain(..).partition::<VecDeque<_>, _>(expired);
+        self.queue = kept;
+        let refusal = || Refusal::not_run(RefusalReason::DeadlineExpired, "waited too long");
+        gone.into_iter().map(|ticket| (ticket, refusal())).collect()
+    }
+
+    fn cancel(&mut self, id: TicketId) -> Option<Ticket> {
+        let index = self.queue.iter().position(|ticket| ticket.id == id)?;
+        self.queue.remove(index)
+    }
+
+    fn release(&mut self, ticket: &Ticket, _service_time: Duration) {
+        self.used_units = self.used_units.saturating_sub(ticket.cost);
+    }
+
+    fn queued(&self) -> BTreeMap<ClassId, usize> {
+        let mut counts = BTreeMap::new();
+        for ticket in &self.queue {
+            *counts.entry(ticket.class.clone()).or_default() += 1;
+        }
+        counts
+    }
+}
--- /dev/null
+++ b/jackdawchute-platform/src/http_client.rs
@@ -0,0 +1,237 @@
+//! The ports over HTTP.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_trait::async_trait;
+use jackdawchute_types::TaskId;
+use reqwest::{Client, RequestBuilder};
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+
+use crate::{
+    Commit, CommitOutcome, Error, Lease, MembershipList, MembershipSource, Result, Row, RowVersion,
+    Scan, StartOutcome, StartTask, Table, WorkerPort, WorkerReport,
+};
+
+/// How long any call to the platform may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// One HTTP server of the platform and the connections to it.
+#[derive(Clone, Debug)]
+struct Server {
+    client: Client,
+    address: SocketAddr,
+}
+
+impl Server {
+    fn new(address: SocketAddr) -> Self {
+        let client = Client::builder().timeout(CALL_TIMEOUT).no_proxy().build();
+        Self {
+            client: client.unwrap_or_default(),
+            address,
+        }
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        request: RequestBuilder,
+    ) -> Result<T> {
+        let response = request
+            .send()
+            .await
+            .map_err(|error| self.transport_error(step, &error))?;
+        let status = response.status();
+        if status == reqwest::StatusCode::SERVICE_UNAVAILABLE {
+            return Err(Error::Unavailable(
+                step,
+                self.address.to_string(),
+                status.to_string(),
+            ));
+        }
+        if !status.is_success() {
+            return Err(Error::Protocol(
+                step,
+                self.address.to_string(),
+                status.to_string(),
+            ));
+        }
+        response
+            .json()
+            .await
+            .map_err(|error| self.transport_error(step, &error))
+    }
+
+    fn transport_error(&self, step: &'static str, error: &reqwest::Error) -> Error {
+        let peer = self.address.to_string();
+        if error.is_connect() {
+            Error::Unavailable(step, peer, error.to_string())
+        } else if error.is_decode() {
+            Error::Protocol(step, peer, error.to_string())
+        } else {
+            Error::Unknown(step, peer, error.to_string())
+        }
+    }
+}
+
+/// The table service at an address.
+#[derive(Clone, Debug)]
+pub struct HttpTable {
+    server: Server,
+}
+
+impl HttpTable {
+    /// Uses the table service at `address`; connects on the first call.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            server: Server::new(address),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct ScanQuery<'a> {
+    prefix: &'a str,
+    changed_after: RowVersion,
+}
+
+#[async_trait]
+impl Table for HttpTable {
+    async fn read(&self, key: &str) -> Result<Option<Row>> {
+        let request = self
+            .server
+            .client
+            .post(self.server.url("/v1/read"))
+            .json(key);
+        self.server.call("read row", request).await
+    }
+
+    async fn scan(&self, prefix: &str, changed_after: RowVersion) -> Result<Scan> {
+        let query = ScanQuery {
+            prefix,
+            changed_after,
+        };
+        let request = self
+            .server
+            .client
+            .post(self.server.url("/v1/scan"))
+            .json(&query);
+        self.server.call("scan rows", request).await
+    }
+
+    async fn commit(&self, commit: Commit) -> Result<CommitOutcome> {
+        let request = self
+            .server
+            .client
+            .post(self.server.url("/v1/commit"))
+            .json(&commit);
+        self.server.call("commit", request).await
+    }
+}
+
+/// The membership list at an address.
+#[derive(Clone, Debug)]
+pub struct HttpMembership {
+    server: Server,
+}
+
+impl HttpMembership {
+    /// Uses the membership list at `address`; connects on the first call.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            server: Server::new(address),
+        }
+    }
+}
+
+#[async_trait]
+impl MembershipSource for HttpMembership {
+    async fn changed_since(&self, known_version: u64) -> Result<Option<MembershipList>> {
+        let url = self
+            .server
+            .url(&format!("/v1/members?known_version={known_version}"));
+        self.server
+            .call("read membership", self.server.client.get(url))
+            .await
+    }
+}
+
+/// A worker at an address.
+#[derive(Clone, Debug)]
+pub struct HttpWorker {
+    server: Server,
+}
+
+impl HttpWorker {
+    /// Uses the worker at `address`; connects on the first call.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            server: Server::new(address),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct RenewBody {
+    tasks: Vec<TaskId>,
+    lease: Lease,
+}
+
+#[derive(Serialize)]
+struct StopBody {
+    task: TaskId,
+    attempt: u32,
+}
+
+#[derive(Deserialize)]
+struct Empty {}
+
+#[async_trait]
+impl WorkerPort for HttpWorker {
+    async fn start(&self, start: StartTask) -> Result<StartOutcome> {
+        let request = self
+            .server
+            .client
+            .post(self.server.url("/v1/start"))
+            .json(&start);
+        self.server.call("start task", request).await
+    }
+
+    async fn renew(&self, tasks: Vec<TaskId>, lease: Lease) -> Result<()> {
+        let body = RenewBody { tasks, lease };
+        let request = self
+            .server
+            .client
+            .post(self.server.url("/v1/renew"))
+            .json(&body);
+        self.server
+            .call::<Empty>("renew leases", request)
+            .await
+            .map(|_| ())
+    }
+
+    async fn stop(&self, task: TaskId, attempt: u32) -> Result<()> {
+        let body = StopBody { task, attempt };
+        let request = self
+            .server
+            .client
+            .post(self.server.url("/v1/stop"))
+            .json(&body);
+        self.server
+            .call::<Empty>("stop task", request)
+            .await
+            .map(|_| ())
+    }
+
+    async fn report(&self) -> Result<WorkerReport> {
+        self.server
+            .call(
+                "read report",
+                self.server.client.get(self.server.url("/v1/report")),
+            )
+            .await
+    }
+}
--- /dev/null
+++ b/jackdawchute-platform/src/lib.rs
@@ -0,0 +1,23 @@
+//! Ports to the platform: table service, membership list and workers.
+//!
+//! Each port is a trait object at the border of this crate, with an HTTP client
+//! and an in-memory implementation. Nothing here decides anything.
+#![deny(missing_docs, unsafe_code, rust_2018_idioms)]
+
+mod error;
+mod http_client;
+mod membership;
+mod memory_table;
+mod table;
+mod worker;
+
+pub use error::{Error, Result};
+pub use http_client::{HttpMembership, HttpTable, HttpWorker};
+pub use membership::{Member, MemberRole, MemberState, MembershipList, MembershipSource};
+pub use memory_table::MemoryTable;
+pub use table::{
+    Commit, CommitOutcome, Condition, Row, RowKey, RowVersion, Scan, Table, Write, WriteId,
+};
+pub use worker::{
+    Lease, StartOutcome, StartTask, TaskEnd, TaskReport, WorkerClock, WorkerPort, WorkerReport,
+};
--- /dev/null
+++ b/jackdawchute-types/src/resources.rs
@@ -0,0 +1,90 @@
+//! Amounts of processor, memory and accelerators.
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of each resource that a worker has or a task needs.
+///
+/// ```
+/// use jackdawchute_types::Resources;
+///
+/// let worker = Resources::new(32_000, 131_072, 2);
+/// let task = Resources::new(4_000, 8_192, 1);
+/// assert!(task.fits_in(&worker));
+/// assert_eq!(worker.saturating_sub(&task), Resources::new(28_000, 122_880, 1));
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Resources {
+    /// Processor time in thousandths of a core.
+    #[serde(default)]
+    pub processor_millicores: u64,
+    /// Memory in MiB.
+    #[serde(default)]
+    pub memory_mib: u64,
+    /// Whole accelerators.
+    #[serde(default)]
+    pub accelerators: u32,
+}
+
+impl Resources {
+    /// Nothing of any resource.
+    pub const ZERO: Self = Self::new(0, 0, 0);
+
+    /// Gives the amounts in thousandths of a core, MiB and whole accelerators.
+    pub const fn new(processor_millicores: u64, memory_mib: u64, accelerators: u32) -> Self {
+        Self {
+            processor_millicores,
+            memory_mib,
+            accelerators,
+        }
+    }
+
+    /// Whether each amount is at most that of `available`.
+    pub fn fits_in(&self, available: &Self) -> bool {
+        self.processor_millicores <= available.processor_millicores
+            && self.memory_mib <= available.memory_mib
+            && self.accelerators <= available.accelerators
+    }
+
+    /// Adds each amount, stopping at the type's largest value.
+    #[must_use]
+    pub fn saturating_add(&self, other: &Self) -> Self {
+        Self::new(
+            self.processor_millicores
+                .saturating_add(other.processor_millicores),
+            self.memory_mib.saturating_add(other.memory_mib),
+            self.accelerators.saturating_add(other.accelerators),
+        )
+    }
+
+    /// Subtracts each amount, stopping at zero.
+    #[must_use]
+    pub fn saturating_sub(&self, other: &Self) -> Self {
+        Self::new(
+            self.processor_millicores
+                .saturating_sub(other.processor_millicores),
+            self.memory_mib.saturating_sub(other.memory_mib),
+            self.accelerators.saturating_sub(other.accelerators),
+        )
+    }
+
+    /// Multiplies each amount, stopping at the type's largest value.
+    #[must_use]
+    pub fn saturating_mul(&self, count: u32) -> Self {
+        Self::new(
+            self.processor_millicores.saturating_mul(u64::from(count)),
+            self.memory_mib.saturating_mul(u64::from(count)),
+            self.accelerators.saturating_mul(count),
+        )
+    }
+
+    /// The larger of both for each resource, for declared against reported use.
+    #[must_use]
+    pub fn max(&self, other: &Self) -> Self {
+        Self::new(
+            self.processor_millicores.max(other.processor_millicores),
+            self.memory_mib.max(other.memory_mib),
+            self.accelerators.max(other.accelerators),
+        )
+    }
+}
--- /dev/null
+++ b/jackdawchute-types/src/serde_duration.rs
@@ -0,0 +1,43 @@
+//! Durations as whole milliseconds in YAML and JSON; the key carries the suffix `_ms`.
+
+/// For fields of type `Duration`: `#[serde(with = "duration_ms", rename = "timeout_ms")]`.
+pub mod duration_ms {
+    use std::time::Duration;
+
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    /// Writes whole milliseconds.
+    pub fn serialize<S: Serializer>(value: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_u64(u64::try_from(value.as_millis()).unwrap_or(u64::MAX))
+    }
+
+    /// Reads whole milliseconds.
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+        u64::deserialize(deserializer).map(Duration::from_millis)
+    }
+}
+
+/// For fields of type `Option<Duration>`, together with `#[serde(default)]`.
+pub mod optional_duration_ms {
+    use std::time::Duration;
+
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    /// Writes whole milliseconds or null.
+    pub fn serialize<S: Serializer>(
+        value: &Option<Duration>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        match value {
+            Some(duration) => super::duration_ms::serialize(duration, serializer),
+            None => serializer.serialize_none(),
+        }
+    }
+
+    /// Reads whole milliseconds or null.
+    pub fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Option<Duration>, D::Error> {
+        Ok(Option::<u64>::deserialize(deserializer)?.map(Duration::from_millis))
+    }
+}
