--- a/jackdawchute-peer/src/lib.rs
+++ b/jackdawchute-peer/src/lib.rs
@@ -1,2 +1,17 @@
 //! Remote calls between entry instances.
+//!
+//! The transport only: it carries the typed calls of any slice as JSON-RPC over a WebSocket and
+//! knows none of them. One task for each peer owns the connection to it.
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
+
+mod error;
+mod link;
+mod messages;
+mod network;
+mod rpc;
+mod server;
+
+pub use error::{Error, Result};
+pub use messages::{CallPeer, PeerService, Slice, Token};
+pub use network::{spawn, NetworkTask, Peers};
+pub use server::{serve, Options, RunningServer, Services};
