--- /dev/null
+++ b/jackdawchute-trial/src/worker/state.rs
@@ -0,0 +1,239 @@
+//! The state of a worker; each operation takes the time on the worker's clock.
+
+use std::collections::HashMap;
+
+use jackdawchute_platform::{
+    Lease, StartOutcome, StartTask, TaskEnd, TaskReport, WorkerClock, WorkerReport,
+};
+use jackdawchute_types::{Epoch, Resources, TaskId};
+use smol_str::SmolStr;
+
+use super::{command::Run, Command};
+
+/// How long the report still lists an ended task.
+const ENDED_RETENTION: WorkerClock = WorkerClock::from_secs(180);
+
+/// One attempt at a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Attempt {
+    pub(super) task: TaskId,
+    pub(super) number: u32,
+    pub(super) resources: Resources,
+    pub(super) used: Resources,
+    pub(super) started: WorkerClock,
+    pub(super) ended: Option<(WorkerClock, TaskEnd)>,
+    run: Run,
+    lease_until: WorkerClock,
+}
+
+impl Attempt {
+    /// When and how it ends unless it is stopped or its lease is renewed.
+    fn next_end(&self) -> (WorkerClock, TaskEnd) {
+        let lapse = (self.lease_until, TaskEnd::LeaseLapsed);
+        let own = match self.run {
+            Run::For(time) => (self.started + time, TaskEnd::Succeeded),
+            Run::FailsAfter(time) => (self.started + time, TaskEnd::Failed),
+            Run::Forever => return lapse,
+        };
+        if own.0 <= lapse.0 {
+            own
+        } else {
+            lapse
+        }
+    }
+}
+
+/// What a worker knows: its tasks, the highest epoch it has seen and the attempts it must not
+/// start.
+///
+/// It starts what it is given, whether that fits or not.
+///
+/// ```
+/// use std::time::Duration;
+/// use jackdawchute_platform::{Lease, StartOutcome, StartTask};
+/// use jackdawchute_trial::worker::WorkerState;
+/// use jackdawchute_types::Resources;
+///
+/// let mut worker = WorkerState::new("boot-1".into());
+/// let start = StartTask {
+///     task: "j1-0".into(),
+///     attempt: 1,
+///     resources: Resources::new(1_000, 1_024, 0),
+///     lease: Lease { epoch: 1, until: Duration::from_secs(5) },
+///     command: "run_ms=200".into(),
+/// };
+/// assert_eq!(worker.start(Duration::from_secs(1), start.clone()), StartOutcome::Started);
+///
+/// let late = StartTask { task: "j1-1".into(), ..start };
+/// assert_eq!(worker.start(Duration::from_secs(6), late), StartOutcome::LeaseLapsed);
+/// ```
+#[derive(Clone, Debug)]
+pub struct WorkerState {
+    boot: SmolStr,
+    epoch: Epoch,
+    failing: bool,
+    attempts: Vec<Attempt>,
+    running: Vec<usize>,
+    tombstones: HashMap<TaskId, u32>,
+}
+
+impl WorkerState {
+    /// A worker that has just started under the name `boot`.
+    pub fn new(boot: SmolStr) -> Self {
+        Self {
+            boot,
+            epoch: 0,
+            failing: false,
+            attempts: Vec::new(),
+            running: Vec::new(),
+            tombstones: HashMap::new(),
+        }
+    }
+
+    /// Makes each task started from now on fail at once, or no longer.
+    pub fn set_failing(&mut self, failing: bool) {
+        self.failing = failing;
+    }
+
+    /// Starts a task, unless the start is late, outdated or forbidden by an earlier stop.
+    pub fn start(&mut self, now: WorkerClock, start: StartTask) -> StartOutcome {
+        self.advance(now);
+        if self.has_seen(&start.task, start.attempt) {
+            return StartOutcome::Started;
+        }
+        if start.lease.until <= now || !self.admits_epoch(start.lease.epoch) {
+            return StartOutcome::LeaseLapsed;
+        }
+        if self.is_forbidden(&start.task, start.attempt) {
+            return StartOutcome::LeaseLapsed;
+        }
+        self.run(now, start);
+        self.advance(now);
+        StartOutcome::Started
+    }
+
+    /// Extends the leases of running tasks, unless the renewal is late or outdated.
+    pub fn renew(&mut self, now: WorkerClock, tasks: &[TaskId], lease: Lease) {
+        self.advance(now);
+        if lease.until <= now || !self.admits_epoch(lease.epoch) {
+            return;
+        }
+        for &index in &self.running {
+            let attempt = &mut self.attempts[index];
+            if tasks.contains(&attempt.task) {
+                attempt.lease_until = attempt.lease_until.max(lease.until);
+            }
+        }
+    }
+
+    /// Stops a task and forbids each later start at this or a lower attempt.
+    pub fn stop(&mut self, now: WorkerClock, task: &TaskId, attempt: u32) {
+        self.advance(now);
+        let forbidden = self.tombstones.entry(task.clone()).or_default();
+        *forbidden = attempt.max(*forbidden);
+        for &index in &self.running {
+            let running = &mut self.attempts[index];
+            if running.task == *task && running.number <= attempt {
+                running.ended = Some((now, TaskEnd::Stopped));
+            }
+        }
+        self.drop_ended();
+    }
+
+    /// What runs, and what ended in the last minutes.
+    pub fn report(&mut self, now: WorkerClock) -> WorkerReport {
+        self.advance(now);
+        WorkerReport {
+            clock: now,
+            boot: self.boot.clone(),
+            tasks: self
+                .attempts
+                .iter()
+                .filter(|attempt| is_listed(attempt, now))
+                .map(task_report)
+                .collect(),
+        }
+    }
+
+    /// Every attempt since the start, in order.
+    pub(super) fn attempts(&mut self, now: WorkerClock) -> &[Attempt] {
+        self.advance(now);
+        &self.attempts
+    }
+
+    fn has_seen(&self, task: &TaskId, number: u32) -> bool {
+        self.attempts
+            .iter()
+            .any(|attempt| attempt.task == *task && attempt.number == number)
+    }
+
+    fn is_forbidden(&self, task: &TaskId, number: u32) -> bool {
+        self.tombstones
+            .get(task)
+            .is_some_and(|forbidden| number <= *forbidden)
+    }
+
+    fn admits_epoch(&mut self, epoch: Epoch) -> bool {
+        let admitted = epoch >= self.epoch;
+        self.epoch = self.epoch.max(epoch);
+        admitted
+    }
+
+    fn run(&mut self, now: WorkerClock, start: StartTask) {
+        let command = Command::parse(&start.command);
+        let run = if self.failing {
+            Run::FailsAfter(WorkerClock::ZERO)
+        } else {
+            command.run
+        };
+        self.running.push(self.attempts.len());
+        self.attempts.push(Attempt {
+            task: start.task,
+            number: start.attempt,
+            resources: start.resources,
+            used: command.used(&start.resources),
+            started: now,
+            ended: None,
+            run,
+            lease_until: start.lease.until,
+        });
+    }
+
+    /// Ends what has ended by `now`, each at its own instant.
+    fn advance(&mut self, now: WorkerClock) {
+        for &index in &self.running {
+            let attempt = &mut self.attempts[index];
+            let end = attempt.next_end();
+            if end.0 <= now {
+                attempt.ended = Some(end);
+            }
+        }
+        self.drop_ended();
+    }
+
+    fn drop_ended(&mut self) {
+        let attempts = &self.attempts;
+        self.running
+            .retain(|&index| attempts[index].ended.is_none());
+    }
+}
+
+fn is_listed(attempt: &Attempt, now: WorkerClock) -> bool {
+    match attempt.ended {
+        Some((ended, _)) => now.saturating_sub(ended) <= ENDED_RETENTION,
+        None => true,
+    }
+}
+
+fn task_report(attempt: &Attempt) -> TaskReport {
+    let end = attempt.ended.map(|(_, end)| end);
+    TaskReport {
+        task: attempt.task.clone(),
+        attempt: attempt.number,
+        end,
+        used: match end {
+            Some(_) => Resources::ZERO,
+            None => attempt.used,
+        },
+    }
+}
--- /dev/null
+++ b/jackdawchute-trial/tests/worker_listener.rs
@@ -0,0 +1,58 @@
+//! The worker behind the platform's own client.
+
+use std::time::Duration;
+
+use jackdawchute_platform::{HttpWorker, Lease, StartOutcome, StartTask, TaskEnd, WorkerPort};
+use jackdawchute_trial::{spawn_worker, RunningWorker, WorkerOptions};
+use jackdawchute_types::Resources;
+
+async fn worker() -> RunningWorker {
+    spawn_worker(WorkerOptions::new("w1", Resources::new(4_000, 4_096, 0)))
+        .await
+        .expect("a loopback port is free")
+}
+
+fn start(task: &str, until: Duration) -> StartTask {
+    StartTask {
+        task: task.into(),
+        attempt: 1,
+        resources: Resources::new(3_000, 1_024, 0),
+        lease: Lease { epoch: 1, until },
+        command: "forever".into(),
+    }
+}
+
+#[tokio::test]
+async fn a_task_is_started_renewed_stopped_and_recorded() {
+    let worker = worker().await;
+    let client = HttpWorker::new(worker.address);
+    let clock = client.report().await.unwrap().clock;
+    let until = clock + Duration::from_secs(60);
+
+    let outcome = client.start(start("j-0", until)).await.unwrap();
+    let lease = Lease { epoch: 1, until };
+    client.renew(vec!["j-0".into()], lease).await.unwrap();
+    client.stop("j-0".into(), 1).await.unwrap();
+
+    let report = client.report().await.unwrap();
+    assert_eq!(outcome, StartOutcome::Started);
+    assert_eq!(report.tasks[0].end, Some(TaskEnd::Stopped));
+    assert!(report.clock >= clock);
+    assert_eq!(worker.record().await.unwrap().runs_of("j-0").count(), 1);
+}
+
+#[tokio::test]
+async fn the_record_shows_a_worker_given_more_than_it_has() {
+    let worker = worker().await;
+    let client = HttpWorker::new(worker.address);
+    let until = client.report().await.unwrap().clock + Duration::from_secs(60);
+
+    client.start(start("j-0", until)).await.unwrap();
+    let alone = worker.record().await.unwrap();
+    client.start(start("j-1", until)).await.unwrap();
+    let both = worker.record().await.unwrap();
+
+    assert!(alone.is_within_size());
+    assert!(!both.is_within_size());
+    assert_eq!(both.max_charge(), Resources::new(6_000, 2_048, 0));
+}
--- /dev/null
+++ b/jackdawchute-trial/tests/worker_state.rs
@@ -0,0 +1,161 @@
+//! What a worker starts, refuses, renews and ends.
+
+use std::time::Duration;
+
+use jackdawchute_platform::{Lease, StartOutcome, StartTask, TaskEnd};
+use jackdawchute_trial::worker::WorkerState;
+use jackdawchute_types::Resources;
+
+fn worker() -> WorkerState {
+    WorkerState::new("boot-1".into())
+}
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn start(task: &str, attempt: u32, epoch: u64, until: Duration, command: &str) -> StartTask {
+    StartTask {
+        task: task.into(),
+        attempt,
+        resources: Resources::new(1_000, 1_024, 0),
+        lease: Lease { epoch, until },
+        command: command.into(),
+    }
+}
+
+fn end_of(worker: &mut WorkerState, now: Duration, task: &str) -> Option<TaskEnd> {
+    let report = worker.report(now);
+    let listed = report.tasks.into_iter().find(|listed| listed.task == task);
+    listed.and_then(|listed| listed.end)
+}
+
+#[test]
+fn a_start_whose_lease_has_lapsed_is_refused() {
+    let mut worker = worker();
+
+    let outcome = worker.start(seconds(5), start("j-0", 1, 1, seconds(5), "forever"));
+
+    assert_eq!(outcome, StartOutcome::LeaseLapsed);
+    assert!(worker.report(seconds(6)).tasks.is_empty());
+}
+
+#[test]
+fn a_start_of_a_lower_epoch_is_refused() {
+    let mut worker = worker();
+    worker.start(seconds(1), start("j-0", 1, 7, seconds(9), "forever"));
+
+    let outcome = worker.start(seconds(2), start("j-1", 1, 6, seconds(9), "forever"));
+
+    assert_eq!(outcome, StartOutcome::LeaseLapsed);
+    assert_eq!(worker.report(seconds(3)).tasks.len(), 1);
+}
+
+#[test]
+fn a_repeated_start_runs_once() {
+    let mut worker = worker();
+    let first = start("j-0", 1, 1, seconds(9), "run_ms=200");
+    worker.start(seconds(1), first.clone());
+
+    let outcome = worker.start(seconds(2), first);
+
+    assert_eq!(outcome, StartOutcome::Started);
+    assert_eq!(worker.report(seconds(3)).tasks.len(), 1);
+}
+
+#[test]
+fn a_stop_forbids_a_start_that_arrives_later() {
+    let mut worker = worker();
+    worker.stop(seconds(1), &"j-0".into(), 2);
+
+    let late = worker.start(seconds(2), start("j-0", 2, 1, seconds(9), "forever"));
+    let next = worker.start(seconds(2), start("j-0", 3, 1, seconds(9), "forever"));
+
+    assert_eq!(late, StartOutcome::LeaseLapsed);
+    assert_eq!(next, StartOutcome::Started);
+}
+
+#[test]
+fn a_task_ends_with_its_lease_unless_renewed() {
+    let mut worker = worker();
+    worker.start(seconds(1), start("j-0", 1, 1, seconds(4), "forever"));
+    worker.start(seconds(1), start("j-1", 1, 1, seconds(4), "forever"));
+    let renewed = Lease {
+        epoch: 1,
+        until: seconds(9),
+    };
+
+    worker.renew(seconds(3), &["j-0".into()], renewed);
+
+    assert_eq!(end_of(&mut worker, seconds(5), "j-0"), None);
+    assert_eq!(
+        end_of(&mut worker, seconds(5), "j-1"),
+        Some(TaskEnd::LeaseLapsed)
+    );
+}
+
+#[test]
+fn a_late_renewal_does_not_revive_a_lapsed_lease() {
+    let mut worker = worker();
+    worker.start(seconds(1), start("j-0", 1, 1, seconds(4), "forever"));
+    let late = Lease {
+        epoch: 1,
+        until: seconds(9),
+    };
+
+    worker.renew(seconds(5), &["j-0".into()], late);
+
+    assert_eq!(
+        end_of(&mut worker, seconds(6), "j-0"),
+        Some(TaskEnd::LeaseLapsed)
+    );
+}
+
+#[test]
+fn a_renewal_of_a_lower_epoch_is_passed_over() {
+    let mut worker = worker();
+    worker.start(seconds(1), start("j-0", 1, 2, seconds(4), "forever"));
+    let outdated = Lease {
+        epoch: 1,
+        until: seconds(9),
+    };
+
+    worker.renew(seconds(3), &["j-0".into()], outdated);
+
+    assert_eq!(
+        end_of(&mut worker, seconds(5), "j-0"),
+        Some(TaskEnd::LeaseLapsed)
+    );
+}
+
+#[test]
+fn tasks_end_as_their_command_says() {
+    let mut worker = worker();
+    worker.start(seconds(1), start("ok-0", 1, 1, seconds(9), "run_ms=500"));
+    worker.start(seconds(1), start("bad-0", 1, 1, seconds(9), "fail"));
+
+    let early = end_of(&mut worker, Duration::from_millis(1_400), "ok-0");
+
+    assert_eq!(early, None);
+    assert_eq!(
+        end_of(&mut worker, seconds(2), "ok-0"),
+        Some(TaskEnd::Succeeded)
+    );
+    assert_eq!(
+        end_of(&mut worker, seconds(2), "bad-0"),
+        Some(TaskEnd::Failed)
+    );
+}
+
+#[test]
+fn a_task_uses_what_its_command_says() {
+    let mut worker = worker();
+    worker.start(
+        seconds(1),
+        start("j-0", 1, 1, seconds(9), "forever used_memory_mib=9000"),
+    );
+
+    let report = worker.report(seconds(2));
+
+    assert_eq!(report.tasks[0].used, Resources::new(1_000, 9_000, 0));
+}
