--- /dev/null
+++ b/jackdawchute-requests/src/grant.rs
@@ -0,0 +1,338 @@
+//! Grants slots to calls that wait.
+
+use std::time::{Duration, Instant};
+
+use jackdawchute_admission::Ticket;
+use jackdawchute_types::{IncarnationId, MinionId, Refusal, RefusalReason, RequestKey};
+
+use crate::{
+    group::{GrantPhase, GrantRef, Group, OpenGrant, ParkedFor, Waiting},
+    keys::{Phase, Saved},
+    AppendOutcome, AppendStep, Effect, Grant, JournaledKey, JournaledState, Reply,
+};
+
+impl Group {
+    /// Grants free slots in the order of the admission policy.
+    pub(crate) fn pump(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        if !self.may_grant {
+            return;
+        }
+        loop {
+            self.unpark(now, effects);
+            if !self.grant_queued(now, effects) {
+                return;
+            }
+        }
+    }
+
+    /// Grants until no slot is free or nothing waits; `true` if it granted anything.
+    fn grant_queued(&mut self, now: Instant, effects: &mut Vec<Effect>) -> bool {
+        let mut granted = false;
+        loop {
+            self.admission
+                .set_capacity(self.used_units + self.free_slots(now));
+            let Some(ticket) = self.admission.next(now) else {
+                return granted;
+            };
+            self.used_units += ticket.cost;
+            let Some(waiting) = self.waiting.remove(&ticket.id) else {
+                self.put_down(&ticket);
+                continue;
+            };
+            granted |= self.start(ticket, waiting, now, effects);
+        }
+    }
+
+    /// Returns a ticket that did not start.
+    fn put_down(&mut self, ticket: &Ticket) {
+        self.used_units = self.used_units.saturating_sub(ticket.cost);
+        self.admission.release(ticket, Duration::ZERO);
+    }
+
+    /// Queues the first parked call of each reason that does not hold any more.
+    fn unpark(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let reasons: Vec<ParkedFor> = self.parked.keys().cloned().collect();
+        for reason in reasons {
+            let clear = match &reason {
+                ParkedFor::Journal => self.journal_takes_intents(),
+                ParkedFor::Holder(holder) => self.choose_minion(holder, false, now).is_some(),
+            };
+            let Some(queue) = self.parked.get_mut(&reason).filter(|_| clear) else {
+                continue;
+            };
+            let first = queue.pop_front();
+            if queue.is_empty() {
+                self.parked.remove(&reason);
+            }
+            if let Some(waiting) = first {
+                self.enqueue(waiting, now, effects);
+            }
+        }
+    }
+
+    fn journal_takes_intents(&self) -> bool {
+        let slots: u32 = self.minions.values().map(|minion| minion.slots).sum();
+        let max = slots * self.settings.grants.intents_max_percent / 100;
+        !self.journal_down && self.intents < max.max(1) as usize
+    }
+
+    fn start(
+        &mut self,
+        ticket: Ticket,
+        waiting: Waiting,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let key = waiting.acquire.journaled_key().cloned();
+        if key.is_some() && !self.journal_takes_intents() {
+            self.put_down(&ticket);
+            self.park(ParkedFor::Journal, waiting, now, effects);
+            return false;
+        }
+        let holder = waiting.acquire.holder.clone();
+        let Some(minion) = self.choose_minion(&holder, key.is_some(), now) else {
+            self.put_down(&ticket);
+            self.park(ParkedFor::Holder(holder), waiting, now, effects);
+            return false;
+        };
+        let grant = self.open_grant(ticket, minion, holder, key.clone(), now);
+        match key {
+            Some(key) => self.journal_intent(grant, &key, waiting, effects),
+            None => self.give(grant, &waiting, now, effects),
+        }
+        true
+    }
+
+    /// The minion with the largest free share; equal ones take turns.
+    fn choose_minion(
+        &self,
+        holder: &IncarnationId,
+        journaled: bool,
+        now: Instant,
+    ) -> Option<MinionId> {
+        let held_back = self.held_back();
+        let holder_max = self.settings.grants.hold_back_slots;
+        let count = self.minions.len().max(1);
+        self.minions
+            .iter()
+            .enumerate()
+            .filter(|(_, (_, minion))| journaled || minion.held_by(holder) < holder_max)
+            .map(|(index, (id, minion))| (minion.free(held_back, now), index, id))
+            .filter(|(free, _, _)| *free > 0)
+            .max_by_key(|(free, index, _)| (*free, (index + self.rotation) % count))
+            .map(|(_, _, id)| id.clone())
+    }
+
+    fn open_grant(
+        &mut self,
+        ticket: Ticket,
+        minion: MinionId,
+        holder: IncarnationId,
+        key: Option<RequestKey>,
+        now: Instant,
+    ) -> GrantRef {
+        self.rotation = self.rotation.wrapping_add(1);
+        if let Some(minion) = self.minions.get_mut(&minion) {
+            minion.take(&holder, key.is_some());
+        }
+        let grant = GrantRef {
+            epoch: self.epoch,
+            id: self.next_id(),
+        };
+        if let Some(key) = &key {
+            self.keys.set_grant(key, grant, holder.clone());
+        }
+        let open = OpenGrant {
+            minion,
+            holder,
+            key,
+            ticket: Some(ticket),
+            since: now,
+            ends: now + self.settings.grants.ended_after(),
+            phase: GrantPhase::Given,
+            missing: false,
+        };
+        self.open.insert(grant, open);
+        grant
+    }
+
+    fn journal_intent(
+        &mut self,
+        grant: GrantRef,
+        key: &RequestKey,
+        waiting: Waiting,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(open) = self.open.get_mut(&grant) else {
+            return;
+        };
+        let intent = JournaledKey {
+            digest: waiting.acquire.digest,
+            epoch: grant.epoch,
+            grant: grant.id,
+            holder: open.holder.clone(),
+            state: JournaledState::Intent {
+                minion: open.minion.clone(),
+                ended_after: self.settings.grants.ended_after(),
+            },
+        };
+        open.phase = GrantPhase::Journaling(Some(Box::new(waiting)));
+        if let Some(record) = self.keys.get_mut(key) {
+            record.phase = Phase::Journaling;
+            record.in_journal = true;
+        }
+        self.intents += 1;
+        effects.push(Effect::Append {
+            purpose: self.purpose(AppendStep::Intent, key),
+            records: vec![(key.clone(), Some(intent))],
+        });
+    }
+
+    /// Gives a grant to its holder.
+    fn give(
+        &mut self,
+        grant: GrantRef,
+        waiting: &Waiting,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(open) = self.open.get_mut(&grant) else {
+            return;
+        };
+        let Some(minion) = self.minions.get(&open.minion) else {
+            return;
+        };
+        let settings = &self.settings.grants;
+        open.phase = GrantPhase::Given;
+        open.since = now;
+        open.ends = now + settings.ended_after();
+        let waited = now.saturating_duration_since(waiting.received);
+        effects.push(Effect::Placed {
+            class: waiting.acquire.class.clone(),
+            waited,
+        });
+        effects.push(Effect::Reply {
+            call: waiting.call,
+            result: Ok(Reply::Granted(Grant {
+                id: grant.id,
+                group: self.id.clone(),
+                epoch: grant.epoch,
+                minion: open.minion.clone(),
+                address: minion.address,
+                send_within: settings.send_within,
+                life: settings.life,
+                waited,
+                transit_max: settings.transit_max,
+            })),
+        });
+    }
+
+    /// Goes on after an intent was journaled or was not.
+    pub(crate) fn intent_appended(
+        &mut self,
+        key: &RequestKey,
+        outcome: AppendOutcome,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.intents = self.intents.saturating_sub(1);
+        let Some(grant) = self.keys.get(key).and_then(|record| record.grant.clone()) else {
+            return;
+        };
+        let grant = grant.0;
+        let waiting = match self.open.get_mut(&grant).map(|open| &mut open.phase) {
+            Some(GrantPhase::Journaling(waiting)) => waiting.take().map(|waiting| *waiting),
+            _ => return,
+        };
+        match (outcome, waiting) {
+            (AppendOutcome::Kept, Some(waiting)) if !self.takes_work(grant) => {
+                self.free_grant(grant, now);
+                self.requeue(key, waiting, now, effects);
+            }
+            (AppendOutcome::Kept, Some(waiting)) => {
+                if let Some(record) = self.keys.get_mut(key) {
+                    record.phase = Phase::Open;
+                }
+                self.give(grant, &waiting, now, effects);
+            }
+            (AppendOutcome::Kept, None) => {
+                self.free_grant(grant, now);
+                self.close_unsent(key, None, effects);
+            }
+            (AppendOutcome::NotKept { store_down }, waiting) => {
+                self.free_grant(grant, now);
+                self.intent_not_kept(key, store_down, waiting, now, effects);
+            }
+            (AppendOutcome::Unknown, waiting) => {
+                self.free_grant(grant, now);
+                self.intent_unknown(key, waiting, now, effects);
+            }
+        }
+        self.pump(now, effects);
+    }
+
+    /// Whether the minion of a grant that was not given yet may still get work.
+    fn takes_work(&self, grant: GrantRef) -> bool {
+        let minion = self.open.get(&grant).map(|open| &open.minion);
+        minion
+            .and_then(|minion| self.minions.get(minion))
+            .is_some_and(|minion| minion.live)
+    }
+
+    /// Queues a call again whose intent was never given; the next intent replaces it.
+    fn requeue(
+        &mut self,
+        key: &RequestKey,
+        waiting: Waiting,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(record) = self.keys.get_mut(key) {
+            record.phase = Phase::Queued;
+        }
+        self.enqueue(waiting, now, effects);
+    }
+
+    fn intent_not_kept(
+        &mut self,
+        key: &RequestKey,
+        store_down: bool,
+        waiting: Option<Waiting>,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.journal_down |= store_down;
+        if let Some(record) = self.keys.get_mut(key) {
+            record.in_journal = false;
+        }
+        let Some(waiting) = waiting else {
+            self.forget_key(key, now, effects);
+            return;
+        };
+        if store_down {
+            if let Some(record) = self.keys.get_mut(key) {
+                record.phase = Phase::Queued;
+            }
+            self.park(ParkedFor::Journal, waiting, now, effects);
+            return;
+        }
+        let refusal = Refusal::not_run(RefusalReason::OwnerUnavailable, "the owner was replaced");
+        self.refuse(waiting, refusal, now, effects);
+    }
+
+    /// The intent may be journaled, but it is never given: it does not run, and its key is spent.
+    fn intent_unknown(
+        &mut self,
+        key: &RequestKey,
+        waiting: Option<Waiting>,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(waiting) = waiting {
+            let refusal = Refusal::not_run(RefusalReason::StoreUnavailable, "no journal answer");
+            effects.extend(crate::group::refusal_effects(&waiting, refusal));
+        }
+        self.settle(key, Phase::Unknown, now, effects);
+        self.keys.set_saved(key, Saved::No);
+    }
+}
--- a/jackdawchute-requests/src/lib.rs
+++ b/jackdawchute-requests/src/lib.rs
@@ -4,8 +4,33 @@
 //! connection sends the request itself, so no body crosses the owner.
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
+mod acquire;
+mod adopt;
+mod complete;
+mod error;
+mod expire;
+mod grant;
+mod group;
+mod groups;
+mod holder;
+mod journal;
+mod keys;
 mod messages;
+mod minion;
+mod settings;
+mod state;
+mod status;
+mod task;
 
+pub use error::{Error, Result};
+pub use groups::{home_group, service_group};
+pub use holder::Holder;
+pub use journal::{JournaledKey, JournaledState};
 pub use messages::{
-    Acquire, Call, Complete, Grant, GrantId, GrantOutcome, Incoming, Remote, Reply, StoredAnswer,
+    Acquire, Call, ChangeSettings, Complete, Explain, Grant, GrantId, GrantOutcome, Held, Incoming,
+    Remote, Reply, Returned, Status, StoredAnswer,
 };
+pub use settings::{EjectionSettings, GrantSettings, RetentionSettings, Settings};
+pub use state::{AppendOutcome, AppendPurpose, AppendStep, CallId, Effect, State};
+pub use status::{Explanation, GroupStatus, MinionStatus, RequestsStatus};
+pub use task::{spawn, Options, RequestsTask};
--- a/jackdawchute-requests/src/messages.rs
+++ b/jackdawchute-requests/src/messages.rs
@@ -1,6 +1,6 @@
 //! What the requests task takes and sends.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use jackdawchute_ownership::Owner;
@@ -12,6 +12,8 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
+use crate::Settings;
+
 /// A grant, unique in its group's epoch.
 pub type GrantId = u64;
 
@@ -58,6 +60,12 @@
     /// The answer must be whole within this time of the grant's arrival.
     #[serde(with = "duration_ms", rename = "life_ms")]
     pub life: Duration,
+    /// How long the call waited at the owner, so that the holder can tell the time in transit.
+    #[serde(with = "duration_ms", rename = "waited_ms")]
+    pub waited: Duration,
+    /// A grant that was longer in transit must be given back unsent.
+    #[serde(with = "duration_ms", rename = "transit_max_ms")]
+    pub transit_max: Duration,
 }
 
 /// The answer to a keyed request, kept for repeated calls.
@@ -116,6 +124,8 @@
     Holdings {
         /// The group.
         group: GroupId,
+        /// The new owner's epoch; from now on the callee uses no grant of an earlier one.
+        epoch: Epoch,
     },
 }
 
@@ -145,6 +155,44 @@
     pub reply: oneshot::Sender<Result<Reply, Refusal>>,
 }
 
+/// Registers a grant before its request is sent; answered with whether it may be sent.
+///
+/// A grant that may not be sent is given back with [`GrantOutcome::NotSent`].
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// The grant that arrived.
+    pub grant: Grant,
+    /// The time from the sending of the call to the arrival of the grant.
+    pub elapsed: Duration,
+}
+
+/// Forgets a held grant, right before its [`Complete`] is sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Returned {
+    /// The grant.
+    pub grant: GrantId,
+    /// The group that granted it.
+    pub group: GroupId,
+    /// The epoch of the grant.
+    pub epoch: Epoch,
+}
+
+/// Replaces the settings of every group.
+#[derive(Clone, Debug)]
+pub struct ChangeSettings(pub Arc<Settings>);
+
+/// Asks for the [`RequestsStatus`](crate::RequestsStatus).
+#[derive(Clone, Copy, Debug)]
+pub struct Status;
+
+/// Asks what is known of an idempotency key; answered with an
+/// [`Explanation`](crate::Explanation) if its group is owned here and knows the key.
+#[derive(Clone, Debug)]
+pub struct Explain {
+    /// The key.
+    pub key: RequestKey,
+}
+
 /// Carries calls to the owner in another process.
 #[async_trait]
 pub trait Remote: Send + Sync + 'static {
--- /dev/null
+++ b/jackdawchute-requests/src/state.rs
@@ -0,0 +1,490 @@
+//! Every decision of this slice: inputs and the time in, effects out.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration, time::Instant};
+
+use jackdawchute_admission::AdmissionPolicy;
+use jackdawchute_ownership::{Directory, GroupEvent, Owner, Standing};
+use jackdawchute_platform::{MemberRole, MemberState, MembershipList};
+use jackdawchute_types::{
+    ClassId, Epoch, GroupId, IncarnationId, MinionId, Refusal, RefusalReason, RequestKey,
+};
+
+use crate::{
+    adopt::is_listed, group::Group, minion::Minion, service_group, Call, Complete, Explanation,
+    Grant, GrantOutcome, Holder, JournaledKey, Reply, RequestsStatus, Returned, Settings,
+};
+
+/// Names a call whose reply is owed.
+pub type CallId = u64;
+
+/// A longer time between two ticks means that the process stood still.
+const TICK_GAP_MAX: Duration = Duration::from_secs(1);
+/// After standing still nothing is granted for this time, so that a lost lease is heard of first.
+const SETTLE_TIME: Duration = Duration::from_millis(250);
+
+/// Why entries are journaled, given back with the result.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AppendPurpose {
+    /// The group.
+    pub group: GroupId,
+    /// This owner's epoch.
+    pub epoch: Epoch,
+    /// The key; empty for a cleanup of several.
+    pub key: RequestKey,
+    /// What the entries are for.
+    pub step: AppendStep,
+}
+
+/// What entries are journaled for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendStep {
+    /// Before a non-idempotent request is granted.
+    Intent,
+    /// After its outcome is known.
+    Outcome {
+        /// The call that waits for it.
+        call: Option<CallId>,
+        /// Tells a later outcome of the same key from an earlier one.
+        revision: u64,
+    },
+    /// Retention; a failure only leaves more in the journal until the next takeover.
+    Cleanup,
+}
+
+/// The result of an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendOutcome {
+    /// The entries are in the journal.
+    Kept,
+    /// They are not and never will be.
+    NotKept {
+        /// The store is down; otherwise the group has another owner.
+        store_down: bool,
+    },
+    /// The journal's task ended without an answer.
+    Unknown,
+}
+
+/// What the task does for the state.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Answers a call.
+    Reply {
+        /// The call.
+        call: CallId,
+        /// Its answer.
+        result: Result<Reply, Refusal>,
+    },
+    /// Journals records, `None` forgetting a key; the result comes back with the purpose.
+    Append {
+        /// Comes back with the result.
+        purpose: AppendPurpose,
+        /// All or none.
+        records: Vec<(RequestKey, Option<JournaledKey>)>,
+    },
+    /// Asks another incarnation what it holds of a group.
+    Ask {
+        /// The group.
+        group: GroupId,
+        /// The incarnation, with this owner's epoch.
+        incarnation: Owner,
+    },
+    /// Counts a refusal.
+    Refused {
+        /// The class.
+        class: ClassId,
+        /// The reason.
+        reason: RefusalReason,
+    },
+    /// Counts a grant.
+    Placed {
+        /// The class.
+        class: ClassId,
+        /// The time from the call to the grant.
+        waited: Duration,
+    },
+}
+
+type PolicyFactory = Box<dyn Fn() -> Box<dyn AdmissionPolicy> + Send>;
+type Listed = BTreeMap<MinionId, Minion>;
+
+/// The state of the requests slice in one instance.
+pub struct State {
+    incarnation: IncarnationId,
+    settings: Arc<Settings>,
+    policy: PolicyFactory,
+    standing: Standing,
+    directory: Arc<Directory>,
+    fleet: BTreeMap<GroupId, Listed>,
+    groups: BTreeMap<GroupId, Group>,
+    /// Groups that were lost while intents or outcomes were on their way to the journal.
+    lost: Vec<Group>,
+    holder: Holder,
+    last_tick: Option<Instant>,
+    settled: Option<Instant>,
+}
+
+impl State {
+    /// A state that owns no group yet.
+    pub fn new(incarnation: IncarnationId, settings: Arc<Settings>, policy: PolicyFactory) -> Self {
+        Self {
+            incarnation,
+            settings,
+            policy,
+            standing: Standing::Confirmed,
+            directory: Arc::default(),
+            fleet: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            lost: Vec::new(),
+            holder: Holder::default(),
+            last_tick: None,
+            settled: None,
+        }
+    }
+
+    /// Takes a group over or lets it go.
+    pub fn group_event(&mut self, event: GroupEvent, now: Instant) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        match event {
+            GroupEvent::Adopted {
+                group,
+                epoch,
+                entries,
+                fenced,
+            } => self.adopt(group, epoch, &entries, fenced, now, &mut effects),
+            GroupEvent::Lost { group } => self.lose_group(&group, &mut effects),
+        }
+        self.settle_asks(now, &mut effects);
+        effects
+    }
+
+    fn adopt(
+        &mut self,
+        id: GroupId,
+        epoch: Epoch,
+        entries: &[(smol_str::SmolStr, String)],
+        fenced: Option<IncarnationId>,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self
+            .groups
+            .get(&id)
+            .is_some_and(|group| group.epoch >= epoch)
+        {
+            return;
+        }
+        self.lose_group(&id, effects);
+        let settings = Arc::clone(&self.settings);
+        let mut group = Group::new(id.clone(), epoch, settings, (self.policy)(), now);
+        group.may_grant = self.may_grant(now);
+        if let Some(listed) = self.fleet.get(&id) {
+            group.set_minions(listed);
+        }
+        let others = self.directory.incarnations.keys().cloned();
+        for incarnation in others
+            .chain(fenced.clone())
+            .chain([self.incarnation.clone()])
+        {
+            group.hold_back_for(incarnation, now);
+        }
+        let is_live = |holder: &IncarnationId| {
+            Some(holder) != fenced.as_ref()
+                && (*holder == self.incarnation || is_listed(&self.directory, holder))
+        };
+        group.adopt_journal(entries, is_live, now, effects);
+        self.groups.insert(id, group);
+    }
+
+    fn lose_group(&mut self, id: &GroupId, effects: &mut Vec<Effect>) {
+        if let Some(mut group) = self.groups.remove(id) {
+            group.refuse_all(effects);
+            self.lost.push(group);
+        }
+    }
+
+    /// Learns who is unfenced.
+    pub fn directory(&mut self, directory: Arc<Directory>, now: Instant) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let old = std::mem::replace(&mut self.directory, directory);
+        for group in self.groups.values_mut() {
+            let new = &self.directory;
+            group.holders_changed(&old, new, now, &mut effects);
+            if !group.unaccounted.is_empty() {
+                // This instance's list lagged: the former owner may have granted to them.
+                let appeared = new.incarnations.keys().filter(|id| !is_listed(&old, id));
+                for incarnation in appeared {
+                    group.hold_back_for(incarnation.clone(), now);
+                }
+            }
+            group.pump(now, &mut effects);
+        }
+        self.settle_asks(now, &mut effects);
+        effects
+    }
+
+    /// Learns whether this incarnation may act as an owner.
+    pub fn standing(&mut self, standing: Standing, now: Instant) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.standing = standing;
+        if standing == Standing::Fenced {
+            let owned: Vec<GroupId> = self.groups.keys().cloned().collect();
+            for id in owned {
+                self.lose_group(&id, &mut effects);
+            }
+        }
+        for group in self.groups.values_mut() {
+            match standing {
+                Standing::Confirmed => group.journal_probe = now,
+                Standing::StoreDown => group.journal_down = true,
+                Standing::CutOff | Standing::Fenced => {}
+            }
+        }
+        self.update_may_grant(now);
+        effects
+    }
+
+    /// Learns the minions; leaving ones get nothing new.
+    pub fn membership(&mut self, list: &MembershipList, now: Instant) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.fleet = minions_by_group(list);
+        for (id, group) in &mut self.groups {
+            group.set_minions(self.fleet.get(id).unwrap_or(&Listed::new()));
+            group.pump(now, &mut effects);
+        }
+        effects
+    }
+
+    /// Ends what is over.
+    pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.notice_gap(now);
+        self.last_tick = Some(now);
+        self.update_may_grant(now);
+        for group in self.groups.values_mut() {
+            group.expire(now, &mut effects);
+        }
+        self.lost.retain(|group| !group.is_drained());
+        self.settle_asks(now, &mut effects);
+        effects
+    }
+
+    /// Takes a call.
+    pub fn incoming(&mut self, id: CallId, call: Call, now: Instant) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.notice_gap(now);
+        self.update_may_grant(now);
+        match call {
+            Call::Holdings { group, epoch } => effects.push(Effect::Reply {
+                call: id,
+                result: Ok(Reply::Holdings {
+                    grants: self.holder.tell(&group, epoch),
+                }),
+            }),
+            Call::Acquire(acquire) => {
+                let known = self.is_known(&acquire.holder);
+                match self.groups.get_mut(&acquire.group).filter(|_| known) {
+                    Some(group) => group.acquire(id, acquire, now, &mut effects),
+                    None => effects.extend(not_here(id, &acquire.group, known)),
+                }
+            }
+            Call::Complete(complete) => match self.groups.get_mut(&complete.group) {
+                Some(group) => group.complete(Some(id), complete, now, &mut effects),
+                None => effects.push(Effect::Reply {
+                    call: id,
+                    result: Err(Refusal::unknown(
+                        RefusalReason::OwnerUnavailable,
+                        format!("group {} has another owner", complete.group),
+                    )),
+                }),
+            },
+        }
+        effects
+    }
+
+    /// Only listed incarnations are granted to: a successor asks those what they hold.
+    fn is_known(&self, holder: &IncarnationId) -> bool {
+        *holder == self.incarnation || is_listed(&self.directory, holder)
+    }
+
+    /// Goes on after an append.
+    pub fn appended(
+        &mut self,
+        purpose: &AppendPurpose,
+        outcome: AppendOutcome,
+        now: Instant,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let same = |group: &&mut Group| group.id == purpose.group && group.epoch == purpose.epoch;
+        let mut groups = self.groups.values_mut().chain(&mut self.lost);
+        let Some(group) = groups.find(same) else {
+            return effects;
+        };
+        let key = &purpose.key;
+        match purpose.step {
+            AppendStep::Intent => group.intent_appended(key, outcome, now, &mut effects),
+            AppendStep::Outcome { call, revision } => {
+                group.outcome_appended(key, (call, revision), outcome, now, &mut effects);
+            }
+            AppendStep::Cleanup => {}
+        }
+        effects
+    }
+
+    /// Learns what another incarnation holds of a group.
+    pub fn told(
+        &mut self,
+        id: &GroupId,
+        epoch: Epoch,
+        incarnation: &IncarnationId,
+        grants: &[Grant],
+        now: Instant,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let group = self.groups.get_mut(id);
+        if let Some(group) = group.filter(|group| group.epoch == epoch) {
+            group.told(incarnation, grants, now, &mut effects);
+        }
+        effects
+    }
+
+    /// Drops a call whose caller went away.
+    pub fn cancel(&mut self, call: CallId, now: Instant) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for group in self.groups.values_mut() {
+            group.cancel(|waiting| waiting.call == call, now, &mut effects);
+        }
+        effects
+    }
+
+    /// Takes a grant back whose reply could not be delivered.
+    pub fn undelivered(&mut self, grant: &Grant, now: Instant) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if let Some(group) = self.groups.get_mut(&grant.group) {
+            if let Some(holder) = group.holder_of(grant) {
+                let complete = Complete {
+                    group: grant.group.clone(),
+                    grant: grant.id,
+                    epoch: grant.epoch,
+                    holder,
+                    outcome: GrantOutcome::NotSent {
+                        connection_refused: false,
+                    },
+                };
+                group.complete(None, complete, now, &mut effects);
+            }
+        }
+        effects
+    }
+
+    /// Replaces the settings.
+    pub fn change_settings(&mut self, settings: Arc<Settings>, now: Instant) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for group in self.groups.values_mut() {
+            group.change_settings(Arc::clone(&settings));
+            group.pump(now, &mut effects);
+        }
+        self.settings = settings;
+        effects
+    }
+
+    /// Registers a grant that this instance holds; `false` if it must be given back unsent.
+    pub fn hold(&mut self, grant: Grant, elapsed: Duration) -> bool {
+        self.holder.hold(grant, elapsed)
+    }
+
+    /// Forgets a grant that this instance held.
+    pub fn give_back(&mut self, returned: &Returned) {
+        self.holder.give_back(returned);
+    }
+
+    /// Queues and slots of every owned group.
+    pub fn status(&self, now: Instant) -> RequestsStatus {
+        RequestsStatus {
+            groups: self
+                .groups
+                .values()
+                .map(|group| group.status(now))
+                .collect(),
+        }
+    }
+
+    /// What is known of an idempotency key in an owned group.
+    pub fn explain(&self, key: &RequestKey, now: Instant) -> Option<Explanation> {
+        self.groups
+            .values()
+            .find_map(|group| group.explain(key, now))
+    }
+
+    /// Asks those that are listed; itself at once; gives up on those that are not.
+    fn settle_asks(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        for group in self.groups.values_mut() {
+            for incarnation in std::mem::take(&mut group.asks) {
+                if incarnation == self.incarnation {
+                    let grants = self.holder.tell(&group.id, group.epoch);
+                    group.told(&incarnation, &grants, now, effects);
+                    continue;
+                }
+                match self.directory.incarnations.get(&incarnation) {
+                    Some(address) => effects.push(Effect::Ask {
+                        group: group.id.clone(),
+                        incarnation: Owner {
+                            incarnation,
+                            epoch: group.epoch,
+                            peer_address: *address,
+                        },
+                    }),
+                    None => group.lose_overdue(&incarnation, now, effects),
+                }
+            }
+        }
+    }
+
+    fn notice_gap(&mut self, now: Instant) {
+        let gap = self
+            .last_tick
+            .map(|last| now.saturating_duration_since(last));
+        if gap.is_some_and(|gap| gap > TICK_GAP_MAX) {
+            self.settled = Some(now + SETTLE_TIME);
+            self.last_tick = Some(now);
+        }
+    }
+
+    fn may_grant(&self, now: Instant) -> bool {
+        let settled = self.settled.is_none_or(|settled| settled <= now);
+        settled && matches!(self.standing, Standing::Confirmed | Standing::StoreDown)
+    }
+
+    fn update_may_grant(&mut self, now: Instant) {
+        let may_grant = self.may_grant(now);
+        for group in self.groups.values_mut() {
+            group.may_grant = may_grant;
+        }
+    }
+}
+
+fn not_here(call: CallId, group: &GroupId, known: bool) -> [Effect; 1] {
+    let detail = if known {
+        format!("group {group} has another owner")
+    } else {
+        "the holder is not in the directory yet".to_owned()
+    };
+    let result = Err(Refusal::not_run(RefusalReason::OwnerUnavailable, detail));
+    [Effect::Reply { call, result }]
+}
+
+fn minions_by_group(list: &MembershipList) -> BTreeMap<GroupId, Listed> {
+    let mut fleet: BTreeMap<GroupId, Listed> = BTreeMap::new();
+    for member in &list.members {
+        let MemberRole::Minion { service, slots, .. } = &member.role else {
+            continue;
+        };
+        let mut minion = Minion::new(member.address, *slots);
+        minion.live = member.state == MemberState::Live;
+        fleet
+            .entry(service_group(service, &member.failure_domain))
+            .or_default()
+            .insert(member.id.clone(), minion);
+    }
+    fleet
+}
