feat: settings of one process, with all their problems at once

Cause: a process learns its addresses and failure domain from its settings, and a refused file should name every line and field in one go.

Ruled out: stopping at the first error of the YAML library.

--- /dev/null
+++ b/jackdawchute-settings/src/document.rs
@@ -0,0 +1,105 @@
+//! Settings as the file gives them, before they are checked.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use jackdawchute_types::{FailureDomainId, MemberId};
+use serde::Deserialize;
+
+use crate::{check, Limits, Listen, LogLevel, Platform, Problem, Settings, Timing};
+
+/// The threads that run tasks unless the file states it.
+const WORKER_THREADS: usize = 2;
+
+/// The file; what is required is optional here, so that all the problems are found together.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(crate) struct Document {
+    instance: Option<MemberId>,
+    failure_domain: Option<FailureDomainId>,
+    listen: ListenDocument,
+    advertised_peer_address: Option<SocketAddr>,
+    platform: PlatformDocument,
+    operator_token_file: Option<PathBuf>,
+    peer_token_file: Option<PathBuf>,
+    log_level: LogLevel,
+    worker_threads: Option<usize>,
+    timing: Timing,
+    limits: Limits,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct ListenDocument {
+    callers: Option<SocketAddr>,
+    operators: Option<SocketAddr>,
+    peers: Option<SocketAddr>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct PlatformDocument {
+    table: Option<SocketAddr>,
+    membership: Option<SocketAddr>,
+}
+
+impl Document {
+    /// Gives settings only if every required field is there; adds what is wrong to `problems`.
+    pub(crate) fn into_settings(self, problems: &mut Vec<Problem>) -> Option<Settings> {
+        let mut required = Required { problems };
+        let instance = required.take("instance", self.instance);
+        let failure_domain = required.take("failure_domain", self.failure_domain);
+        let callers = required.take("listen.callers", self.listen.callers);
+        let operators = required.take("listen.operators", self.listen.operators);
+        let peers = required.take("listen.peers", self.listen.peers);
+        let table = required.take("platform.table", self.platform.table);
+        let membership = required.take("platform.membership", self.platform.membership);
+        let worker_threads = self.worker_threads.unwrap_or(WORKER_THREADS);
+        check::timing(&self.timing, problems);
+        check::limits(&self.limits, problems);
+        check::worker_threads(worker_threads, problems);
+        check::advertised(self.advertised_peer_address, problems);
+        let settings = Settings {
+            instance: instance?,
+            failure_domain: failure_domain?,
+            listen: Listen {
+                callers: callers?,
+                operators: operators?,
+                peers: peers?,
+            },
+            advertised_peer_address: self.advertised_peer_address,
+            platform: Platform {
+                table: table?,
+                membership: membership?,
+            },
+            operator_token_file: self.operator_token_file,
+            peer_token_file: self.peer_token_file,
+            log_level: self.log_level,
+            worker_threads,
+            timing: self.timing,
+            limits: self.limits,
+        };
+        check::names(&settings, problems);
+        check::listeners(&settings, problems);
+        Some(settings)
+    }
+}
+
+struct Required<'a> {
+    problems: &'a mut Vec<Problem>,
+}
+
+impl Required<'_> {
+    /// Reports a field that is missing, unless its value was already refused.
+    fn take<T>(&mut self, field: &str, value: Option<T>) -> Option<T> {
+        if value.is_none() && !self.already_refused(field) {
+            self.problems.push(Problem::new(field, "is required"));
+        }
+        value
+    }
+
+    fn already_refused(&self, field: &str) -> bool {
+        self.problems.iter().any(|problem| {
+            field == problem.field || field.starts_with(&format!("{}.", problem.field))
+        })
+    }
+}
