feat: membership task that reads the list by version

Cause: every slice that picks workers, minions or peers needs the platform's list without asking for it itself.

Change: a task polls by version, keeps the newest list and publishes changes; an older answer never replaces a newer one.

--- /dev/null
+++ b/jackdawchute-membership/src/messages.rs
@@ -0,0 +1,17 @@
+//! What the membership task takes and sends.
+
+use std::sync::Arc;
+
+use jackdawchute_platform::MembershipList;
+use xtra::{prelude::MessageChannel, refcount::Weak};
+
+/// Asks for the list, now if one is known and at each change.
+#[derive(Debug)]
+pub struct Subscribe {
+    /// Where it goes.
+    pub subscriber: MessageChannel<Arc<MembershipList>, (), Weak>,
+}
+
+/// Asks for the last list that was read, if any.
+#[derive(Clone, Copy, Debug)]
+pub struct Current;
--- /dev/null
+++ b/jackdawchute-membership/src/state.rs
@@ -0,0 +1,81 @@
+//! What is known of the list, and what a newer one changes.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use jackdawchute_platform::{Member, MemberState, MembershipList};
+use jackdawchute_types::MemberId;
+
+/// What happened to one member between two lists.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// It may get new work now.
+    Live(MemberId),
+    /// It must not get new work any more.
+    Leaving(MemberId),
+    /// It is not listed any more.
+    Gone(MemberId),
+}
+
+/// The newest list that was read.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    list: Option<Arc<MembershipList>>,
+}
+
+impl State {
+    /// The newest list, if one was read.
+    pub fn list(&self) -> Option<Arc<MembershipList>> {
+        self.list.clone()
+    }
+
+    /// The version to ask for newer ones than; 0 if no list was read.
+    pub fn version(&self) -> u64 {
+        self.list.as_ref().map_or(0, |list| list.version)
+    }
+
+    /// Takes a list that was read and gives what it changes; `None` if it is not newer.
+    ///
+    /// ```
+    /// use jackdawchute_membership::State;
+    /// use jackdawchute_platform::MembershipList;
+    ///
+    /// let mut state = State::default();
+    /// let list = |version| MembershipList { version, members: vec![] };
+    /// assert!(state.learn(list(2)).is_some());
+    /// assert!(state.learn(list(1)).is_none());
+    /// assert_eq!(state.version(), 2);
+    /// ```
+    pub fn learn(&mut self, list: MembershipList) -> Option<Vec<Change>> {
+        if self.list.is_some() && list.version <= self.version() {
+            return None;
+        }
+        let old = self.list.replace(Arc::new(list));
+        let old = old.as_ref().map_or(&[][..], |list| &list.members);
+        let new = self.list.as_ref().map_or(&[][..], |list| &list.members);
+        Some(changes(old, new))
+    }
+}
+
+fn changes(old: &[Member], new: &[Member]) -> Vec<Change> {
+    let old = states_by_id(old);
+    let new = states_by_id(new);
+    let listed = new
+        .iter()
+        .filter(|(id, state)| old.get(*id) != Some(*state))
+        .map(|(id, state)| match state {
+            MemberState::Live => Change::Live((*id).clone()),
+            MemberState::Leaving => Change::Leaving((*id).clone()),
+        });
+    let gone = old
+        .keys()
+        .filter(|id| !new.contains_key(*id))
+        .map(|id| Change::Gone((*id).clone()));
+    listed.chain(gone).collect()
+}
+
+fn states_by_id(members: &[Member]) -> BTreeMap<&MemberId, MemberState> {
+    members
+        .iter()
+        .map(|member| (&member.id, member.state))
+        .collect()
+}
--- /dev/null
+++ b/jackdawchute-membership/src/task.rs
@@ -0,0 +1,172 @@
+//! The task that reads the list.
+
+use std::{sync::Arc, time::Duration};
+
+use jackdawchute_platform::{MembershipList, MembershipSource, Result};
+use jackdawchute_publish::Subscribers;
+use jackdawchute_timer::{Tick, TimerTask};
+use spdlog::prelude::*;
+use xtra::{prelude::*, refcount::Weak};
+
+use crate::{Current, State, Subscribe};
+
+/// What the task needs.
+pub struct Options {
+    /// Where the list is read from.
+    pub source: Arc<dyn MembershipSource>,
+    /// Tells it when to read.
+    pub timer: Address<TimerTask>,
+    /// The time between two reads.
+    pub poll_interval: Duration,
+}
+
+/// Reads the list by version and sends each newer one to its subscribers.
+#[derive(xtra::Actor)]
+pub struct MembershipTask {
+    source: Arc<dyn MembershipSource>,
+    state: State,
+    subscribers: Subscribers<Arc<MembershipList>>,
+    reading: bool,
+    source_answers: bool,
+}
+
+/// The result of one read, sent by the call to the task itself.
+struct ReadDone(Result<Option<MembershipList>>);
+
+/// Starts the task on the current tokio runtime; it reads the list at once.
+///
+/// ```
+/// use std::{sync::Arc, time::Duration};
+///
+/// use jackdawchute_membership::{spawn, Options};
+/// use jackdawchute_platform::{MembershipList, MembershipSource, Result};
+///
+/// struct Empty;
+///
+/// #[async_trait::async_trait]
+/// impl MembershipSource for Empty {
+///     async fn changed_since(&self, _known_version: u64) -> Result<Option<MembershipList>> {
+///         Ok(Some(MembershipList::default()))
+///     }
+/// }
+///
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() {
+/// let membership = spawn(Options {
+///     source: Arc::new(Empty),
+///     timer: jackdawchute_timer::spawn(),
+///     poll_interval: Duration::from_secs(1),
+/// });
+/// assert!(membership.is_connected());
+/// # }
+/// ```
+pub fn spawn(options: Options) -> Address<MembershipTask> {
+    let task = MembershipTask {
+        source: options.source,
+        state: State::default(),
+        subscribers: Subscribers::default(),
+        reading: false,
+        source_answers: true,
+    };
+    let address = xtra::spawn_tokio(task, Mailbox::unbounded());
+    tokio::spawn(start(
+        address.downgrade(),
+        options.timer,
+        options.poll_interval,
+    ));
+    address
+}
+
+async fn start(task: Address<MembershipTask, Weak>, timer: Address<TimerTask>, period: Duration) {
+    let subscription = jackdawchute_timer::Subscribe {
+        period,
+        subscriber: MessageChannel::new(task.clone()),
+    };
+    let first = Tick {
+        now: std::time::Instant::now(),
+    };
+    let _ = task.send(first).await;
+    let _ = timer.send(subscription).await;
+}
+
+impl Handler<Subscribe> for MembershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, message: Subscribe, _context: &mut Context<Self>) {
+        if let Some(list) = self.state.list() {
+            let _ = message.subscriber.send(list).detach().await;
+        }
+        self.subscribers.add(message.subscriber);
+    }
+}
+
+impl Handler<Current> for MembershipTask {
+    type Return = Option<Arc<MembershipList>>;
+
+    async fn handle(&mut self, _message: Current, _context: &mut Context<Self>) -> Self::Return {
+        self.state.list()
+    }
+}
+
+impl Handler<Tick> for MembershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, _tick: Tick, context: &mut Context<Self>) {
+        if self.reading {
+            return;
+        }
+        self.reading = true;
+        let source = Arc::clone(&self.source);
+        let known_version = self.state.version();
+        let task = context.mailbox().address();
+        tokio::spawn(async move {
+            let result = source.changed_since(known_version).await;
+            let _ = task.send(ReadDone(result)).await;
+        });
+    }
+}
+
+impl Handler<ReadDone> for MembershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, ReadDone(result): ReadDone, _context: &mut Context<Self>) {
+        self.reading = false;
+        match result {
+            Ok(list) => {
+                self.log_answer();
+                self.learn(list).await;
+            }
+            Err(error) => self.log_failure(&error),
+        }
+    }
+}
+
+impl MembershipTask {
+    async fn learn(&mut self, list: Option<MembershipList>) {
+        let Some(changes) = list.and_then(|list| self.state.learn(list)) else {
+            return;
+        };
+        info!("membership list read", kv: { version = self.state.version(), changes = changes.len() });
+        if let Some(list) = self.state.list() {
+            self.subscribers.publish(list).await;
+        }
+    }
+
+    fn log_answer(&mut self) {
+        if !self.source_answers {
+            info!("membership service answers again");
+            self.source_answers = true;
+        }
+    }
+
+    /// Logs the first failure of a row only, as an outage can last for hours.
+    fn log_failure(&mut self, error: &jackdawchute_platform::Error) {
+        if self.source_answers {
+            warn!(
+                "membership list not read; the last one stays in use: {}",
+                error
+            );
+            self.source_answers = false;
+        }
+    }
+}
