--- a/jackdawchute-settings/src/timing.rs
+++ b/jackdawchute-settings/src/timing.rs
@@ -43,7 +43,7 @@
             takeover: Duration::from_millis(6_000),
             membership_poll: Duration::from_millis(1_000),
             configuration_poll: Duration::from_millis(1_000),
-            configuration_confirm: Duration::from_millis(4_000),
+            configuration_confirm: Duration::from_millis(10_000),
             peer_call_timeout: Duration::from_millis(1_000),
             shutdown_timeout: Duration::from_millis(120_000),
         }
