--- /dev/null
+++ b/jackdawchute-ownership/src/adopt.rs
@@ -0,0 +1,73 @@
+//! Rebuilds a group's state from the journals of its earlier owners.
+
+use std::collections::BTreeMap;
+
+use jackdawchute_platform::Scan;
+use jackdawchute_types::IncarnationId;
+
+use crate::{
+    rows::{decode, journal_prefix, GroupRow, Segments, Source},
+    EntryKey,
+};
+
+/// The journals that were read, by incarnation.
+pub type Journals = BTreeMap<IncarnationId, Segments>;
+
+/// Reads the segments out of a scan of one journal; `None` if one of them is damaged.
+pub fn segments(incarnation: &str, scan: &Scan) -> Option<Segments> {
+    let prefix = journal_prefix(incarnation);
+    scan.rows
+        .iter()
+        .filter_map(|row| Some((row.key.strip_prefix(&prefix)?, row.value.as_ref()?)))
+        .map(|(number, value)| Some((number.parse().ok()?, decode(value)?)))
+        .collect()
+}
+
+/// The row of a group after `me` takes it over.
+///
+/// ```
+/// use jackdawchute_ownership::{adopt::adopted, rows::GroupRow};
+///
+/// let old = GroupRow { owner: Some("a".into()), epoch: 3, inherited: Vec::new() };
+/// let new = adopted(&old, "b");
+/// assert_eq!((new.epoch, new.inherited[0].incarnation.as_str()), (4, "a"));
+/// ```
+pub fn adopted(old: &GroupRow, me: &str) -> GroupRow {
+    let released = released(old);
+    GroupRow {
+        owner: Some(me.into()),
+        epoch: old.epoch + 1,
+        inherited: released.inherited,
+    }
+}
+
+/// The row of a group after its owner gave it up; the owner's journal still holds its state.
+pub fn released(old: &GroupRow) -> GroupRow {
+    let last = old.owner.clone().map(|incarnation| Source {
+        incarnation,
+        epoch: old.epoch,
+    });
+    GroupRow {
+        owner: None,
+        epoch: old.epoch,
+        inherited: old.inherited.iter().cloned().chain(last).collect(),
+    }
+}
+
+/// The live state of a group: what each source wrote in its epoch, later ones over earlier ones.
+pub fn replay(group: &str, sources: &[Source], journals: &Journals) -> BTreeMap<EntryKey, String> {
+    let mut live = BTreeMap::new();
+    for source in sources {
+        let Some(segments) = journals.get(&source.incarnation) else {
+            continue;
+        };
+        let entries = segments.values().flatten();
+        for entry in entries.filter(|e| e.group == group && e.epoch == source.epoch) {
+            match &entry.value {
+                Some(value) => live.insert(entry.key.clone(), value.clone()),
+                None => live.remove(&entry.key),
+            };
+        }
+    }
+    live
+}
--- /dev/null
+++ b/jackdawchute-ownership/src/calls.rs
@@ -0,0 +1,175 @@
+//! The calls to the table and to peers, run outside of the task.
+
+use std::{sync::Arc, time::Instant};
+
+use jackdawchute_platform::{
+    Commit, CommitOutcome, Error as TableError, Result as TableResult, Row, RowKey, RowVersion,
+    Table, WriteId,
+};
+use jackdawchute_types::{CallError, GroupId, IncarnationId};
+use tokio::sync::oneshot;
+use xtra::WeakAddress;
+
+use crate::{
+    adopt::{segments, Journals},
+    effect::Effect,
+    messages::{Call, Peers, Reply},
+    rows::{
+        decode, incarnation_key, journal_prefix, IncarnationRow, GROUP_PREFIX, INCARNATION_PREFIX,
+    },
+    task::OwnershipTask,
+    view::{Changes, Versioned},
+};
+
+/// The result of a call, as a message to the task.
+#[derive(Debug)]
+pub(crate) enum Finished {
+    /// Of a commit.
+    Commit(WriteId, TableResult<CommitOutcome>),
+    /// The own row.
+    OwnRow(WriteId, TableResult<Option<Versioned<IncarnationRow>>>),
+    /// The changed rows.
+    Scan(Option<Changes>),
+    /// The journals for these groups.
+    Load(Vec<GroupId>, Option<Journals>),
+    /// The rows of a journal.
+    List(IncarnationId, Option<Vec<RowKey>>),
+    /// A peer's answer about a commit.
+    Ask {
+        /// The peer.
+        peer: IncarnationId,
+        /// The commit.
+        write_id: WriteId,
+        /// When it was asked.
+        asked: Instant,
+        /// What it answered.
+        answer: Result<Reply, CallError>,
+    },
+}
+
+/// Asks the task for a promise not to fence a holder.
+#[derive(Debug)]
+pub(crate) struct AskHoldOff {
+    /// The holder.
+    pub holder: IncarnationId,
+    /// Whether its commit may have taken effect.
+    pub in_doubt: bool,
+    /// Whom to answer.
+    pub reply: oneshot::Sender<Reply>,
+}
+
+/// Runs one call; `None` if nothing waits for its result.
+pub(crate) async fn run(
+    effect: Effect,
+    me: &IncarnationId,
+    table: Arc<dyn Table>,
+    peers: Arc<dyn Peers>,
+) -> Option<Finished> {
+    match effect {
+        Effect::Commit(commit) => {
+            let write_id = commit.write_id.clone();
+            Some(Finished::Commit(write_id, table.commit(commit).await))
+        }
+        Effect::ReadOwn(write_id) => {
+            let row = table.read(&incarnation_key(me)).await;
+            Some(Finished::OwnRow(write_id, row.and_then(own_row)))
+        }
+        Effect::Scan {
+            incarnations_after,
+            groups_after,
+        } => {
+            let changes = scan(table, incarnations_after, groups_after).await;
+            Some(Finished::Scan(changes.ok()))
+        }
+        Effect::Load { groups, sources } => {
+            Some(Finished::Load(groups, load(table, sources).await))
+        }
+        Effect::List(incarnation) => {
+            let scan = table.scan(&journal_prefix(&incarnation), 0).await.ok();
+            let keys = scan.map(|scan| scan.rows.into_iter().map(|row| row.key).collect());
+            Some(Finished::List(incarnation, keys))
+        }
+        Effect::Ask {
+            peer,
+            address,
+            call,
+        } => {
+            let write_id = match &call {
+                Call::Carry { commit, .. } => Some(commit.write_id.clone()),
+                Call::Look => None,
+            };
+            let asked = Instant::now();
+            let answer = peers.call(address, call).await;
+            write_id.map(|write_id| Finished::Ask {
+                peer,
+                write_id,
+                asked,
+                answer,
+            })
+        }
+        Effect::Answer(..) | Effect::Publish(..) | Effect::HandedOver(..) => None,
+    }
+}
+
+fn own_row(row: Option<Row>) -> TableResult<Option<Versioned<IncarnationRow>>> {
+    let Some(row) = row else {
+        return Ok(None);
+    };
+    let content = row.value.as_deref().and_then(decode::<IncarnationRow>);
+    let damaged = || TableError::Protocol("read own row", row.key.to_string(), "not a row".into());
+    Ok(Some(Versioned {
+        version: row.version,
+        row: Some(content.ok_or_else(damaged)?),
+    }))
+}
+
+/// Reads incarnations before groups, so that a group's new owner is known with it or before it.
+async fn scan(
+    table: Arc<dyn Table>,
+    incarnations_after: RowVersion,
+    groups_after: RowVersion,
+) -> TableResult<Changes> {
+    Ok(Changes {
+        incarnations: table.scan(INCARNATION_PREFIX, incarnations_after).await?,
+        groups: table.scan(GROUP_PREFIX, groups_after).await?,
+    })
+}
+
+async fn load(table: Arc<dyn Table>, sources: Vec<IncarnationId>) -> Option<Journals> {
+    let mut journals = Journals::new();
+    for incarnation in sources {
+        let scan = table.scan(&journal_prefix(&incarnation), 0).await.ok()?;
+        let segments = segments(&incarnation, &scan)?;
+        journals.insert(incarnation, segments);
+    }
+    Some(journals)
+}
+
+/// Brings a peer's commit to the table; without the table, answers with a promise.
+pub(crate) async fn carry(
+    table: Arc<dyn Table>,
+    task: WeakAddress<OwnershipTask>,
+    holder: IncarnationId,
+    commit: Commit,
+    reply: oneshot::Sender<Reply>,
+) {
+    let result = table.commit(commit).await;
+    match result {
+        Ok(outcome @ CommitOutcome::Committed { .. }) => {
+            let _ = reply.send(Reply::Carried { outcome, row: None });
+        }
+        Ok(outcome) => {
+            let row = table.read(&incarnation_key(&holder)).await.ok().flatten();
+            let _ = reply.send(Reply::Carried { outcome, row });
+        }
+        Err(error) => {
+            let in_doubt = !matches!(error, TableError::Unavailable(..));
+            let ask = AskHoldOff {
+                holder,
+                in_doubt,
+                reply,
+            };
+            let _ = task.send(ask).detach().await;
+        }
+    }
+}
--- /dev/null
+++ b/jackdawchute-ownership/src/carry.rs
@@ -0,0 +1,140 @@
+//! Asks peers to carry a commit, and answers when they ask.
+
+use std::time::{Duration, Instant};
+
+use jackdawchute_platform::WriteId;
+use jackdawchute_types::{CallError, IncarnationId};
+
+use crate::{
+    effect::Effect,
+    messages::{Call, Reply},
+    outcome::Step,
+    rows::{decode, IncarnationRow},
+    state::State,
+    view::Versioned,
+};
+
+impl State {
+    /// The table does not answer: every peer is asked to bring the commit, or to promise that it
+    /// does not fence this incarnation.
+    pub(crate) fn ask_peers(&mut self, effects: &mut Vec<Effect>) {
+        let peers: Vec<_> = self
+            .peers()
+            .map(|(id, row)| (id.clone(), row.peer_address))
+            .collect();
+        let Some(pending) = &mut self.pending else {
+            return;
+        };
+        pending.step = match peers.len() {
+            0 => Step::Resting,
+            asked => Step::Asking(asked),
+        };
+        for (peer, address) in peers {
+            let call = Call::Carry {
+                holder: self.identity.incarnation.clone(),
+                commit: pending.commit.clone(),
+            };
+            effects.push(Effect::Ask {
+                peer,
+                address,
+                call,
+            });
+        }
+    }
+
+    /// A peer answered, or did not, a call about the commit `write_id` that was sent at `asked`.
+    pub fn peer_answered(
+        &mut self,
+        peer: &IncarnationId,
+        write_id: &WriteId,
+        asked: Instant,
+        answer: Result<Reply, CallError>,
+        now: Instant,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if let Ok(Reply::NotCarried {
+            incarnation,
+            hold_off,
+            ..
+        }) = &answer
+        {
+            if incarnation == peer && !hold_off.is_zero() {
+                self.promised(peer, asked + *hold_off);
+            }
+        }
+        if self.is_pending(write_id) {
+            self.peer_answered_pending(answer, &mut effects);
+        }
+        self.pump(now, &mut effects);
+        effects
+    }
+
+    fn promised(&mut self, peer: &IncarnationId, until: Instant) {
+        let promise = self
+            .confirmation
+            .promises
+            .entry(peer.clone())
+            .or_insert(until);
+        *promise = until.max(*promise);
+    }
+
+    fn peer_answered_pending(
+        &mut self,
+        answer: Result<Reply, CallError>,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(pending) = &mut self.pending {
+            pending.in_doubt |= leaves_doubt(&answer);
+            if let Step::Asking(left) = &mut pending.step {
+                *left -= 1;
+                match *left {
+                    0 => pending.step = Step::Resting,
+                    // The calls that are still under way may bring the commit after this answer.
+                    _ => pending.in_doubt |= matches!(answer, Ok(Reply::Carried { .. })),
+                }
+            }
+        }
+        if let Ok(Reply::Carried { outcome, row }) = answer {
+            match row {
+                Some(row) => self.settle(own_row(&row).as_ref(), effects),
+                None => self.answered(outcome, effects),
+            }
+        }
+    }
+
+    /// How long this instance promises not to fence a holder, zero if it cannot promise.
+    pub fn hold_off(&mut self, holder: &IncarnationId, now: Instant) -> Duration {
+        let fences = |plan: &crate::plan::Plan| {
+            plan.fence
+                .as_ref()
+                .is_some_and(|fence| fence.incarnation == *holder)
+        };
+        if self
+            .pending
+            .as_ref()
+            .is_some_and(|pending| fences(&pending.plan))
+        {
+            return Duration::ZERO;
+        }
+        self.held_off.retain(|_, until| *until > now);
+        self.held_off
+            .insert(holder.clone(), now + self.timing.hold_off);
+        self.timing.hold_off
+    }
+}
+
+/// Whether the commit may have taken effect although the peer brought no answer of the table.
+fn leaves_doubt(answer: &Result<Reply, CallError>) -> bool {
+    match answer {
+        Ok(Reply::NotCarried { in_doubt, .. }) => *in_doubt,
+        Ok(Reply::Carried { .. }) | Err(CallError::NotDelivered(..)) => false,
+        Ok(Reply::Looking) | Err(CallError::Unknown(..)) => true,
+    }
+}
+
+fn own_row(row: &jackdawchute_platform::Row) -> Option<Versioned<IncarnationRow>> {
+    Some(Versioned {
+        version: row.version,
+        row: Some(decode(row.value.as_ref()?)?),
+    })
+}
--- /dev/null
+++ b/jackdawchute-ownership/src/journal.rs
@@ -0,0 +1,180 @@
+//! The index of an incarnation's own journal, and what to trim from it.
+
+use std::collections::BTreeMap;
+
+use jackdawchute_types::{Epoch, GroupId};
+
+use crate::{
+    rows::{Segment, SegmentEntry, SegmentNumber},
+    EntryKey,
+};
+
+/// How many entries beyond twice the live ones the journal may hold before it is trimmed.
+const SLACK_ENTRIES: usize = 256;
+/// The most entries that one commit appends again.
+const TRIMMED_ENTRIES_MAX: usize = 512;
+/// The most segments that one commit deletes.
+const TRIMMED_SEGMENTS_MAX: usize = 32;
+
+/// What a group's owner wrote in one epoch.
+pub type Place = (GroupId, Epoch);
+
+/// The last value of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Live {
+    /// `None` marks a forgotten key that hides an inherited one.
+    value: Option<String>,
+    /// Where it stands, or `None` if it only stands in an inherited journal.
+    segment: Option<SegmentNumber>,
+}
+
+/// The oldest segments, and the entries in them that still count.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Trim {
+    /// To append again.
+    pub entries: Segment,
+    /// To delete in the same transaction.
+    pub segments: Vec<SegmentNumber>,
+}
+
+/// The journal as its holder remembers it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Journal {
+    segments: BTreeMap<SegmentNumber, Vec<(Place, EntryKey)>>,
+    places: BTreeMap<Place, BTreeMap<EntryKey, Live>>,
+    entries_len: usize,
+}
+
+impl Journal {
+    /// Begins a group's epoch with inherited state, which is not in this journal yet.
+    pub fn inherit(&mut self, place: Place, state: &BTreeMap<EntryKey, String>) {
+        let inherited = state.iter().map(|(key, value)| {
+            let live = Live {
+                value: Some(value.clone()),
+                segment: None,
+            };
+            (key.clone(), live)
+        });
+        self.places.insert(place, inherited.collect());
+    }
+
+    /// Up to `max` inherited entries that this journal does not hold yet.
+    pub fn unjournaled(&self, place: &Place, max: usize) -> Segment {
+        let live = self.places.get(place).into_iter().flatten();
+        live.filter(|(_, live)| live.segment.is_none())
+            .take(max)
+            .map(|(key, live)| entry(place, key, live))
+            .collect()
+    }
+
+    /// Takes in a segment that the table has.
+    ///
+    /// A forgotten key is kept as a mark only in places that are not `settled`, where it hides an
+    /// inherited value. Within one journal it needs no mark, since the oldest segments go first.
+    pub fn landed(
+        &mut self,
+        number: SegmentNumber,
+        segment: Segment,
+        settled: impl Fn(&Place) -> bool,
+    ) {
+        let mut index = Vec::with_capacity(segment.len());
+        self.entries_len += segment.len();
+        for entry in segment {
+            let place = (entry.group, entry.epoch);
+            index.push((place.clone(), entry.key.clone()));
+            let is_settled = settled(&place);
+            let live = self.places.entry(place).or_default();
+            if entry.value.is_none() && is_settled {
+                live.remove(&entry.key);
+                continue;
+            }
+            let value = entry.value;
+            let segment = Some(number);
+            live.insert(entry.key, Live { value, segment });
+        }
+        self.segments.insert(number, index);
+    }
+
+    /// Takes in that segments were deleted.
+    pub fn deleted(&mut self, numbers: &[SegmentNumber]) {
+        for number in numbers {
+            let index = self.segments.remove(number).unwrap_or_default();
+            self.entries_len -= index.len();
+        }
+    }
+
+    /// No inherited journal counts for this place any more, so forgotten keys need no mark.
+    pub fn settle(&mut self, place: &Place) {
+        if let Some(live) = self.places.get_mut(place) {
+            live.retain(|_, live| live.value.is_some());
+        }
+    }
+
+    /// Nothing needs what was written in this place any more.
+    pub fn forget(&mut self, place: &Place) {
+        self.places.remove(place);
+    }
+
+    /// The places that the journal remembers.
+    pub fn places(&self) -> impl Iterator<Item = &Place> {
+        self.places.keys()
+    }
+
+    /// Whether a place has no live entry.
+    pub fn is_empty(&self, place: &Place) -> bool {
+        let live = self.places.get(place).into_iter().flatten();
+        live.filter(|(_, live)| live.value.is_some()).count() == 0
+    }
+
+    /// The live state of a place.
+    pub fn state(&self, place: &Place) -> Vec<(EntryKey, String)> {
+        let live = self.places.get(place).into_iter().flatten();
+        live.filter_map(|(key, live)| Some((key.clone(), live.value.clone()?)))
+            .collect()
+    }
+
+    /// How many entries the segments hold together.
+    pub fn entries_len(&self) -> usize {
+        self.entries_len
+    }
+
+    /// What the next commit removes: nothing while the journal is within its bound, which is
+    /// twice its live entries and a fixed number more.
+    pub fn trim(&self) -> Trim {
+        let live: usize = self.places.values().map(BTreeMap::len).sum();
+        let bound = 2 * live + SLACK_ENTRIES;
+        let mut trim = Trim::default();
+        if self.entries_len <= bound {
+            return trim;
+        }
+        for (number, index) in self.segments.iter().take(TRIMMED_SEGMENTS_MAX) {
+            let kept = self.still_live(*number, index);
+            if !trim.segments.is_empty() && trim.entries.len() + kept.len() > TRIMMED_ENTRIES_MAX {
+                break;
+            }
+            trim.entries.extend(kept);
+            trim.segments.push(*number);
+        }
+        trim
+    }
+
+    fn still_live(&self, number: SegmentNumber, index: &[(Place, EntryKey)]) -> Segment {
+        let mut kept: BTreeMap<(&Place, &EntryKey), SegmentEntry> = BTreeMap::new();
+        for (place, key) in index {
+            let live = self.places.get(place).and_then(|live| live.get(key));
+            if let Some(live) = live.filter(|live| live.segment == Some(number)) {
+                kept.insert((place, key), entry(place, key, live));
+            }
+        }
+        kept.into_values().collect()
+    }
+}
+
+fn entry((group, epoch): &Place, key: &EntryKey, live: &Live) -> SegmentEntry {
+    SegmentEntry {
+        group: group.clone(),
+        epoch: *epoch,
+        key: key.clone(),
+        value: live.value.clone(),
+    }
+}
--- a/jackdawchute-ownership/src/lib.rs
+++ b/jackdawchute-ownership/src/lib.rs
@@ -1,13 +1,41 @@
 //! One owner per group and one fenced journal per owner.
+//!
+//! [`spawn`] starts the task of one incarnation. It keeps a row of its own in the table, claims
+//! the groups that fall to it, journals entries before their effects are sent, and takes over
+//! from incarnations that stand still.
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
+pub mod adopt;
+mod append;
+pub mod assign;
+mod calls;
+mod carry;
+mod claim;
+mod collect;
 mod directory;
+pub mod effect;
 mod error;
+mod hand_over;
+pub mod journal;
 mod messages;
+pub mod outcome;
+pub mod plan;
+mod renew;
+pub mod rows;
+pub mod settle;
+pub mod standing;
+pub mod state;
+pub mod takeover;
+mod task;
+mod timing;
+pub mod view;
 
 pub use directory::{Directory, Owner};
 pub use error::{Error, Result};
 pub use messages::{
-    Append, DesiredGroups, EntryKey, GroupEvent, HandOver, JournalEntry, ReportConfiguration,
-    Standing, SubscribeDirectory, SubscribeGroups, SubscribeStanding,
+    Append, Call, DesiredGroups, EntryKey, GroupEvent, HandOver, Incoming, JournalEntry,
+    LeaseUntil, NoPeers, Peers, Reply, ReportConfiguration, Standing, SubscribeDirectory,
+    SubscribeGroups, SubscribeLease, SubscribeStanding,
 };
+pub use task::{spawn, Options, OwnershipTask};
+pub use timing::Timing;
--- a/jackdawchute-ownership/src/messages.rs
+++ b/jackdawchute-ownership/src/messages.rs
@@ -1,8 +1,17 @@
 //! What the ownership task takes and sends.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use jackdawchute_types::{ConfigurationVersion, Epoch, GroupId, IncarnationId};
+use async_trait::async_trait;
+use jackdawchute_platform::{Commit, CommitOutcome, Row};
+use jackdawchute_types::{
+    duration_ms, CallError, ConfigurationVersion, Epoch, GroupId, IncarnationId,
+};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
@@ -108,3 +117,93 @@
     /// Gets `Ok` when nothing is owned any more.
     pub reply: oneshot::Sender<Result<()>>,
 }
+
+/// What one instance asks of the ownership task of another one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "call")]
+pub enum Call {
+    /// Asks to bring a holder's commit to the table, which the holder does not reach itself.
+    Carry {
+        /// The holder.
+        holder: IncarnationId,
+        /// Its commit; whoever brings it, it takes effect at most once.
+        commit: Commit,
+    },
+    /// Tells that groups were given up: the callee reads the changed rows at once.
+    Look,
+}
+
+/// The answer to a [`Call`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "reply")]
+pub enum Reply {
+    /// The table answered.
+    Carried {
+        /// What it answered.
+        outcome: CommitOutcome,
+        /// The holder's row, read after a conflict.
+        row: Option<Row>,
+    },
+    /// The callee does not reach the table either.
+    NotCarried {
+        /// Who answers.
+        incarnation: IncarnationId,
+        /// How long it promises not to fence the holder, counted from its answer; zero for no
+        /// promise.
+        #[serde(with = "duration_ms", rename = "hold_off_ms")]
+        hold_off: Duration,
+        /// Whether the commit may have taken effect all the same.
+        in_doubt: bool,
+    },
+    /// The callee looks at the table.
+    Looking,
+}
+
+/// A call that arrived from a peer.
+#[derive(Debug)]
+pub struct Incoming {
+    /// The call.
+    pub call: Call,
+    /// Gets the answer; dropped without one if the table's answer cannot be used.
+    pub reply: oneshot::Sender<Reply>,
+}
+
+/// Carries calls to the ownership tasks of other instances.
+#[async_trait]
+pub trait Peers: Send + Sync + 'static {
+    /// Calls the instance that listens at `peer`.
+    ///
+    /// # Errors
+    /// Tells whether the peer may have acted on the call.
+    async fn call(&self, peer: SocketAddr, call: Call) -> std::result::Result<Reply, CallError>;
+}
+
+/// No peers: for an instance that runs alone.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoPeers;
+
+#[async_trait]
+impl Peers for NoPeers {
+    async fn call(&self, peer: SocketAddr, _call: Call) -> std::result::Result<Reply, CallError> {
+        let cause = "this instance runs alone".to_owned();
+        Err(CallError::NotDelivered(
+            "call a peer",
+            peer.to_string(),
+            cause,
+        ))
+    }
+}
+
+/// Until when this incarnation may act as an owner; sent with each change.
+///
+/// Compare it with the clock right before each send: a standing that arrived as a message may be
+/// old when its receiver was paused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseUntil(pub Instant);
+
+/// Asks for the end of the lease, now and at each change.
+#[derive(Debug)]
+pub struct SubscribeLease {
+    /// Where it goes.
+    pub subscriber: MessageChannel<LeaseUntil, (), Weak>,
+}
--- /dev/null
+++ b/jackdawchute-ownership/src/renew.rs
@@ -0,0 +1,105 @@
+//! Puts together the next commit: one transaction renews the own row, appends a segment, reports
+//! the configuration version and changes what else is due.
+
+use std::time::Instant;
+
+use jackdawchute_platform::WriteId;
+
+use crate::{
+    effect::Effect,
+    outcome::{Pending, Step},
+    plan::{Fence, Plan},
+    rows::IncarnationRow,
+    state::State,
+    Standing,
+};
+
+impl State {
+    /// Sends the next commit if none is on its way and there is something to write.
+    pub(crate) fn pump(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        if self.pending.is_some() || self.is_fenced() {
+            return;
+        }
+        let mut plan = Plan::default();
+        if self.own_version > 0 {
+            self.plan_work(&mut plan, now, effects);
+        }
+        if plan.is_empty() && !self.must_renew(now) {
+            return;
+        }
+        self.send(plan, now, effects);
+    }
+
+    fn plan_work(&mut self, plan: &mut Plan, now: Instant, effects: &mut Vec<Effect>) {
+        if self.standing(now) == Standing::Confirmed && !self.must_look && !self.is_scanning {
+            self.plan_fence(plan, now);
+            self.plan_claims(plan);
+            self.plan_garbage(plan);
+        }
+        self.plan_releases(plan);
+        let trim = self.journal.trim();
+        plan.segment.extend(trim.entries);
+        plan.trimmed = trim.segments;
+        self.plan_adoption(plan);
+        self.plan_appends(plan, effects);
+    }
+
+    fn plan_fence(&self, plan: &mut Plan, now: Instant) {
+        let me = &self.identity.incarnation;
+        let expired = self
+            .watches
+            .expired(&self.view, me, self.joined, &self.timing, now);
+        let is_free = |id: &_| self.held_off.get(id).is_none_or(|until| now >= *until);
+        let target = expired.into_iter().find(|(id, _)| is_free(id));
+        plan.fence = target.and_then(|(incarnation, expected)| {
+            let row = self.view.incarnation(&incarnation)?.clone();
+            let row = IncarnationRow {
+                fenced_by: Some(me.clone()),
+                ..row
+            };
+            Some(Fence {
+                incarnation,
+                expected,
+                row,
+            })
+        });
+    }
+
+    fn must_renew(&self, now: Instant) -> bool {
+        let due = self
+            .last_commit
+            .is_none_or(|last| now.saturating_duration_since(last) >= self.timing.renewal_period);
+        let reports = self.configuration_version > self.own_row.configuration_version;
+        let leaves = self.is_leaving && !self.own_row.leaving;
+        due || reports || leaves
+    }
+
+    fn send(&mut self, plan: Plan, now: Instant, effects: &mut Vec<Effect>) {
+        self.next_write += 1;
+        let write_id = WriteId::from(format!("{}/{}", self.identity.incarnation, self.next_write));
+        let row = self.next_row(&plan, &write_id);
+        let commit = plan.commit(&self.identity.incarnation, self.own_version, &row, write_id);
+        effects.push(Effect::Commit(commit.clone()));
+        self.last_commit = Some(now);
+        self.pending = Some(Pending {
+            commit,
+            row,
+            plan,
+            started: now,
+            in_doubt: false,
+            step: Step::Sent,
+        });
+    }
+
+    fn next_row(&self, plan: &Plan, write_id: &str) -> IncarnationRow {
+        IncarnationRow {
+            counter: self.own_row.counter + 1,
+            head: self.own_row.head + u64::from(!plan.segment.is_empty()),
+            write_id: write_id.into(),
+            configuration_version: self.configuration_version,
+            seen_version: self.view.incarnations_version,
+            leaving: self.is_leaving,
+            ..self.own_row.clone()
+        }
+    }
+}
--- /dev/null
+++ b/jackdawchute-ownership/src/takeover.rs
@@ -0,0 +1,118 @@
+//! Decides when an incarnation counts as gone and may be fenced.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use jackdawchute_platform::RowVersion;
+use jackdawchute_types::IncarnationId;
+
+use crate::{view::View, Timing};
+
+/// How long one incarnation's row has stood still, on the challenger's monotonic clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Watch {
+    /// The row version that was seen.
+    pub version: RowVersion,
+    /// When the first answer that showed it arrived.
+    pub since: Instant,
+}
+
+/// The watches of a challenger.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Watches {
+    watches: BTreeMap<IncarnationId, Watch>,
+    last_answer: Option<Instant>,
+}
+
+/// Continues a watch with an answered read, or begins it anew if the row has changed.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use jackdawchute_ownership::takeover::{observe, Watch};
+///
+/// let now = Instant::now();
+/// let watch = Watch { version: 4, since: now };
+/// let later = now + Duration::from_secs(9);
+/// assert_eq!(observe(Some(watch), 4, later).since, now);
+/// assert_eq!(observe(Some(watch), 5, later).since, later);
+/// ```
+pub fn observe(watch: Option<Watch>, version: RowVersion, now: Instant) -> Watch {
+    match watch {
+        Some(watch) if watch.version == version => watch,
+        _ => Watch {
+            version,
+            since: now,
+        },
+    }
+}
+
+/// Whether a row that stood still for the whole `watch` may be fenced.
+pub fn has_expired(watch: Watch, takeover: Duration, now: Instant) -> bool {
+    now.saturating_duration_since(watch.since) >= takeover
+}
+
+impl Watches {
+    /// Takes in an answered scan. A long gap between two answers restarts all watches, since the
+    /// table may have been down in between.
+    pub fn answered(&mut self, view: &View, gap_max: Duration, now: Instant) {
+        if self
+            .last_answer
+            .is_some_and(|last| now.saturating_duration_since(last) > gap_max)
+        {
+            self.watches.clear();
+        }
+        self.last_answer = Some(now);
+        let unfenced = view.incarnations.iter().filter(|(_, known)| {
+            known
+                .row
+                .as_ref()
+                .is_some_and(|row| row.fenced_by.is_none())
+        });
+        self.watches = unfenced
+            .map(|(id, known)| {
+                (
+                    id.clone(),
+                    observe(self.watches.get(id).copied(), known.version, now),
+                )
+            })
+            .collect();
+    }
+
+    /// A read brought no answer: every watch begins anew.
+    pub fn failed(&mut self) {
+        self.watches.clear();
+    }
+
+    /// The incarnations that may be fenced, with the row version that the fence depends on.
+    ///
+    /// A holder that cannot know of the challenger (its row says that it last looked before the
+    /// challenger joined at `joined`) does not ask it for a promise; it gets the longer
+    /// `newcomer_takeover`.
+    pub fn expired(
+        &self,
+        view: &View,
+        me: &str,
+        joined: RowVersion,
+        timing: &Timing,
+        now: Instant,
+    ) -> Vec<(IncarnationId, RowVersion)> {
+        self.watches
+            .iter()
+            .filter(|(id, _)| id.as_str() != me)
+            .filter(|(id, watch)| {
+                let knows_me = view
+                    .incarnation(id)
+                    .is_some_and(|row| row.seen_version >= joined);
+                let takeover = if knows_me {
+                    timing.takeover
+                } else {
+                    timing.newcomer_takeover
+                };
+                has_expired(**watch, takeover, now)
+            })
+            .map(|(id, watch)| (id.clone(), watch.version))
+            .collect()
+    }
+}
--- /dev/null
+++ b/jackdawchute-ownership/src/task.rs
@@ -0,0 +1,385 @@
+//! The actor: it owns the state and performs what the state decides.
+
+use std::{collections::HashMap, sync::Arc, time::Instant};
+
+use jackdawchute_platform::Table;
+use jackdawchute_publish::Subscribers;
+use jackdawchute_timer::{Subscribe, Tick, TimerTask};
+use jackdawchute_types::{FailureDomainId, IncarnationId};
+use smol_str::SmolStr;
+use spdlog::{info, warn};
+use std::net::SocketAddr;
+use tokio::sync::oneshot;
+use xtra::{prelude::*, refcount::Weak, WeakAddress};
+
+use crate::{
+    calls::{self, Finished},
+    effect::{AppendId, Effect},
+    messages::{Call, Incoming, LeaseUntil, Peers, Reply, SubscribeLease},
+    state::{Identity, State},
+    Append, DesiredGroups, Directory, GroupEvent, HandOver, ReportConfiguration, Result, Standing,
+    SubscribeDirectory, SubscribeGroups, SubscribeStanding, Timing,
+};
+
+/// What an ownership task needs.
+#[derive(Clone)]
+pub struct Options {
+    /// This start of the instance; never used before.
+    pub incarnation: IncarnationId,
+    /// Where its peer listener is.
+    pub peer_address: SocketAddr,
+    /// Where it runs.
+    pub failure_domain: FailureDomainId,
+    /// The platform's table.
+    pub table: Arc<dyn Table>,
+    /// The way to other instances.
+    pub peers: Arc<dyn Peers>,
+    /// The clock.
+    pub timer: Address<TimerTask>,
+    /// Periods and limits.
+    pub timing: Timing,
+}
+
+/// Owns groups for one incarnation; made by [`spawn`].
+#[derive(xtra::Actor)]
+pub struct OwnershipTask {
+    state: State,
+    table: Arc<dyn Table>,
+    peers: Arc<dyn Peers>,
+    appends: HashMap<AppendId, oneshot::Sender<Result<()>>>,
+    next_append: AppendId,
+    hand_overs: Vec<oneshot::Sender<Result<()>>>,
+    groups: Vec<(SmolStr, MessageChannel<GroupEvent, (), Weak>)>,
+    directories: Subscribers<Arc<Directory>>,
+    directory: Arc<Directory>,
+    standings: Subscribers<Standing>,
+    standing: Standing,
+    leases: Subscribers<LeaseUntil>,
+    lease: Option<Instant>,
+    incarnation: IncarnationId,
+}
+
+/// Starts an ownership task on the current tokio runtime.
+///
+/// ```
+/// use std::sync::Arc;
+/// use jackdawchute_ownership::{spawn, NoPeers, Options, Timing};
+/// use jackdawchute_platform::MemoryTable;
+///
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() {
+/// let ownership = spawn(Options {
+///     incarnation: "entry-1/1".into(),
+///     peer_address: "127.0.0.1:7000".parse().unwrap(),
+///     failure_domain: "ala-1".into(),
+///     table: Arc::new(MemoryTable::default()),
+///     peers: Arc::new(NoPeers),
+///     timer: jackdawchute_timer::spawn(),
+///     timing: Timing::default(),
+/// });
+/// assert!(ownership.is_connected());
+/// # }
+/// ```
+pub fn spawn(options: Options) -> Address<OwnershipTask> {
+    let identity = Identity {
+        incarnation: options.incarnation.clone(),
+        peer_address: options.peer_address,
+        failure_domain: options.failure_domain,
+    };
+    let task = OwnershipTask {
+        state: State::new(identity, options.timing),
+        table: options.table,
+        peers: options.peers,
+        appends: HashMap::new(),
+        next_append: 0,
+        hand_overs: Vec::new(),
+        groups: Vec::new(),
+        directories: Subscribers::default(),
+        directory: Arc::default(),
+        standings: Subscribers::default(),
+        standing: Standing::CutOff,
+        leases: Subscribers::default(),
+        lease: None,
+        incarnation: options.incarnation,
+    };
+    let address = xtra::spawn_tokio(task, Mailbox::unbounded());
+    let subscription = Subscribe {
+        period: options.timing.tick_period,
+        subscriber: MessageChannel::new(address.downgrade()),
+    };
+    let weak = address.downgrade();
+    tokio::spawn(begin(options.timer, subscription, weak));
+    address
+}
+
+async fn begin(
+    timer: Address<TimerTask>,
+    subscription: Subscribe,
+    task: WeakAddress<OwnershipTask>,
+) {
+    let now = Instant::now();
+    let _ = task.send(Tick { now }).detach().await;
+    let _ = timer.send(subscription).await;
+}
+
+impl OwnershipTask {
+    /// Performs effects, then publishes what they changed.
+    async fn perform(&mut self, effects: Vec<Effect>, context: &Context<Self>) {
+        for effect in effects {
+            match effect {
+                Effect::Answer(append, result) => self.answer(append, result),
+                Effect::Publish(event) => self.publish(event).await,
+                Effect::HandedOver(result) => self.handed_over(&result),
+                Effect::Ask { .. }
+                | Effect::Commit(..)
+                | Effect::ReadOwn(..)
+                | Effect::Scan { .. }
+                | Effect::Load { .. }
+                | Effect::List(..) => {
+                    self.start(effect, context);
+                }
+            }
+        }
+        self.publish_changes().await;
+    }
+
+    /// Runs a call outside of the task; its result comes back as a message.
+    fn start(&self, effect: Effect, context: &Context<Self>) {
+        let table = Arc::clone(&self.table);
+        let peers = Arc::clone(&self.peers);
+        let incarnation = self.incarnation.clone();
+        let address = context.mailbox().address();
+        tokio::spawn(async move {
+            let finished = calls::run(effect, &incarnation, table, peers).await;
+            if let Some(finished) = finished {
+                let _ = address.send(finished).detach().await;
+            }
+        });
+    }
+
+    fn answer(&mut self, append: AppendId, result: Result<()>) {
+        if let Some(reply) = self.appends.remove(&append) {
+            let _ = reply.send(result);
+        }
+    }
+
+    fn handed_over(&mut self, result: &Result<()>) {
+        for reply in self.hand_overs.drain(..) {
+            let _ = reply.send(result.clone());
+        }
+    }
+
+    async fn publish(&mut self, event: GroupEvent) {
+        let group = match &event {
+            GroupEvent::Adopted {
+                group,
+                epoch,
+                entries,
+                fenced,
+            } => {
+                info!(
+                    "adopted group {} at epoch {} with {} entries, fenced {:?}",
+                    group,
+                    epoch,
+                    entries.len(),
+                    fenced
+                );
+                group
+            }
+            GroupEvent::Lost { group } => {
+                info!("gave up group {}", group);
+                group
+            }
+        };
+        self.groups.retain(|(_, channel)| channel.is_connected());
+        for (prefix, channel) in &self.groups {
+            if group.starts_with(prefix.as_str()) {
+                let _ = channel.send(event.clone()).detach().await;
+            }
+        }
+    }
+
+    async fn publish_changes(&mut self) {
+        let now = Instant::now();
+        let standing = self.state.standing(now);
+        if standing != self.standing {
+            warn!(
+                "standing of {} changed from {:?} to {:?}",
+                self.incarnation, self.standing, standing
+            );
+            self.standing = standing;
+            self.standings.publish(standing).await;
+        }
+        let lease = self.state.lease_until(now);
+        if lease != self.lease {
+            self.lease = lease;
+            self.leases.publish(LeaseUntil(lease.unwrap_or(now))).await;
+        }
+        let directory = self.state.directory();
+        if directory != *self.directory {
+            self.directory = Arc::new(directory);
+            self.directories.publish(Arc::clone(&self.directory)).await;
+        }
+    }
+}
+
+impl Handler<Tick> for OwnershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, _tick: Tick, context: &mut Context<Self>) {
+        // The tick may have waited in the mailbox while the process was paused.
+        let effects = self.state.tick(Instant::now());
+        self.perform(effects, context).await;
+    }
+}
+
+impl Handler<Finished> for OwnershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, finished: Finished, context: &mut Context<Self>) {
+        let now = Instant::now();
+        let state = &mut self.state;
+        let effects = match finished {
+            Finished::Commit(write_id, result) => state.committed(&write_id, result, now),
+            Finished::OwnRow(write_id, row) => state.own_row_read(&write_id, row, now),
+            Finished::Scan(changes) => state.scanned(changes, now),
+            Finished::Load(groups, journals) => state.loaded(&groups, journals, now),
+            Finished::List(incarnation, rows) => state.listed(incarnation, rows, now),
+            Finished::Ask {
+                peer,
+                write_id,
+                asked,
+                answer,
+            } => state.peer_answered(&peer, &write_id, asked, answer, now),
+        };
+        self.perform(effects, context).await;
+    }
+}
+
+impl Handler<Append> for OwnershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, append: Append, context: &mut Context<Self>) {
+        self.next_append += 1;
+        self.appends.insert(self.next_append, append.reply);
+        let effects = self
+            .state
+            .append(self.next_append, append.entries, Instant::now());
+        self.perform(effects, context).await;
+    }
+}
+
+impl Handler<DesiredGroups> for OwnershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, desired: DesiredGroups, context: &mut Context<Self>) {
+        let effects = self.state.desire(desired.0, Instant::now());
+        self.perform(effects, context).await;
+    }
+}
+
+impl Handler<ReportConfiguration> for OwnershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, report: ReportConfiguration, context: &mut Context<Self>) {
+        let effects = self.state.report(report.0, Instant::now());
+        self.perform(effects, context).await;
+    }
+}
+
+impl Handler<HandOver> for OwnershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, hand_over: HandOver, context: &mut Context<Self>) {
+        self.hand_overs.push(hand_over.reply);
+        let effects = self.state.hand_over(Instant::now());
+        self.perform(effects, context).await;
+    }
+}
+
+impl Handler<Incoming> for OwnershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, incoming: Incoming, context: &mut Context<Self>) {
+        match incoming.call {
+            Call::Look => {
+                let _ = incoming.reply.send(Reply::Looking);
+                let effects = self.state.look(Instant::now());
+                self.perform(effects, context).await;
+            }
+            Call::Carry { holder, commit } => {
+                let table = Arc::clone(&self.table);
+                let address = context.mailbox().address();
+                tokio::spawn(calls::carry(table, address, holder, commit, incoming.reply));
+            }
+        }
+    }
+}
+
+impl Handler<calls::AskHoldOff> for OwnershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, ask: calls::AskHoldOff, _context: &mut Context<Self>) {
+        let reply = Reply::NotCarried {
+            incarnation: self.incarnation.clone(),
+            hold_off: self.state.hold_off(&ask.holder, Instant::now()),
+            in_doubt: ask.in_doubt,
+        };
+        let _ = ask.reply.send(reply);
+    }
+}
+
+impl Handler<SubscribeGroups> for OwnershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, subscription: SubscribeGroups, _context: &mut Context<Self>) {
+        let channel = subscription.subscriber;
+        let prefix = subscription.prefix;
+        let served = self
+            .state
+            .served()
+            .filter(|(group, _)| group.starts_with(prefix.as_str()));
+        for (group, owned) in served {
+            let event = GroupEvent::Adopted {
+                group: group.clone(),
+                epoch: owned.epoch,
+                entries: Arc::new(self.state.entries(group)),
+                fenced: owned.fenced.clone(),
+            };
+            let _ = channel.send(event).detach().await;
+        }
+        self.groups.push((prefix, channel));
+    }
+}
+
+impl Handler<SubscribeDirectory> for OwnershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, subscription: SubscribeDirectory, _context: &mut Context<Self>) {
+        let channel = subscription.subscriber;
+        let _ = channel.send(Arc::clone(&self.directory)).detach().await;
+        self.directories.add(channel);
+    }
+}
+
+impl Handler<SubscribeStanding> for OwnershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, subscription: SubscribeStanding, _context: &mut Context<Self>) {
+        let channel = subscription.subscriber;
+        let _ = channel.send(self.standing).detach().await;
+        self.standings.add(channel);
+    }
+}
+
+impl Handler<SubscribeLease> for OwnershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, subscription: SubscribeLease, _context: &mut Context<Self>) {
+        let channel = subscription.subscriber;
+        if let Some(until) = self.lease {
+            let _ = channel.send(LeaseUntil(until)).detach().await;
+        }
+        self.leases.add(channel);
+    }
+}
--- /dev/null
+++ b/jackdawchute-ownership/tests/support/node.rs
@@ -0,0 +1,254 @@
+//! One instance and what it publishes.
+
+use std::{
+    collections::BTreeMap,
+    future::Future,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use jackdawchute_ownership::{
+    spawn, Append, DesiredGroups, Directory, EntryKey, GroupEvent, HandOver, JournalEntry, Options,
+    OwnershipTask, Result, Standing, SubscribeDirectory, SubscribeGroups, SubscribeStanding,
+    Timing,
+};
+use jackdawchute_platform::MemoryTable;
+use jackdawchute_timer::TimerTask;
+use jackdawchute_types::{GroupId, IncarnationId};
+use tokio::sync::oneshot;
+use xtra::prelude::*;
+
+use super::{FaultyTable, LocalPeers};
+
+/// The longest wait for an event.
+const DEADLINE: Duration = Duration::from_secs(20);
+
+/// A table, the ways between instances and a clock.
+pub struct Cell {
+    pub table: Arc<MemoryTable>,
+    pub peers: Arc<LocalPeers>,
+    pub timer: Address<TimerTask>,
+    pub timing: Timing,
+}
+
+impl Cell {
+    /// A cell whose takeover takes half a second.
+    pub fn new() -> Self {
+        Self {
+            table: Arc::default(),
+            peers: Arc::default(),
+            timer: jackdawchute_timer::spawn(),
+            timing: Timing::default().scaled(0.1),
+        }
+    }
+}
+
+/// What the subscribers of one instance saw.
+#[derive(Default)]
+pub struct Seen {
+    pub groups: BTreeMap<GroupId, Adoption>,
+    pub lost: Vec<GroupId>,
+    pub directory: Arc<Directory>,
+    pub standing: Option<Standing>,
+    pub standings: Vec<Standing>,
+}
+
+/// The last adoption of a group.
+#[derive(Clone)]
+pub struct Adoption {
+    pub epoch: u64,
+    pub entries: Arc<Vec<(EntryKey, String)>>,
+    pub fenced: Option<IncarnationId>,
+    pub at: Instant,
+}
+
+#[derive(xtra::Actor)]
+struct Observer {
+    seen: Arc<Mutex<Seen>>,
+}
+
+impl Handler<GroupEvent> for Observer {
+    type Return = ();
+
+    async fn handle(&mut self, event: GroupEvent, _context: &mut Context<Self>) {
+        let mut seen = self.seen.lock().unwrap();
+        match event {
+            GroupEvent::Adopted {
+                group,
+                epoch,
+                entries,
+                fenced,
+            } => {
+                let at = Instant::now();
+                seen.groups.insert(
+                    group,
+                    Adoption {
+                        epoch,
+                        entries,
+                        fenced,
+                        at,
+                    },
+                );
+            }
+            GroupEvent::Lost { group } => {
+                seen.groups.remove(&group);
+                seen.lost.push(group);
+            }
+        }
+    }
+}
+
+impl Handler<Arc<Directory>> for Observer {
+    type Return = ();
+
+    async fn handle(&mut self, directory: Arc<Directory>, _context: &mut Context<Self>) {
+        self.seen.lock().unwrap().directory = directory;
+    }
+}
+
+impl Handler<Standing> for Observer {
+    type Return = ();
+
+    async fn handle(&mut self, standing: Standing, _context: &mut Context<Self>) {
+        let mut seen = self.seen.lock().unwrap();
+        seen.standing = Some(standing);
+        seen.standings.push(standing);
+    }
+}
+
+/// A running instance.
+pub struct Node {
+    pub incarnation: IncarnationId,
+    pub address: SocketAddr,
+    pub task: Address<OwnershipTask>,
+    pub table: Arc<FaultyTable>,
+    pub seen: Arc<Mutex<Seen>>,
+    _observer: Address<Observer>,
+}
+
+/// Starts an instance that desires `groups`.
+pub async fn start(cell: &Cell, number: u16, groups: &[&str]) -> Node {
+    let address = SocketAddr::from(([127, 0, 0, 1], number));
+    let incarnation = IncarnationId::from(format!("entry-{number}"));
+    let table = Arc::new(FaultyTable::new(Arc::clone(&cell.table)));
+    let task = spawn(Options {
+        incarnation: incarnation.clone(),
+        peer_address: address,
+        failure_domain: "ala-1".into(),
+        table: table.clone(),
+        peers: cell.peers.clone(),
+        timer: cell.timer.clone(),
+        timing: cell.timing,
+    });
+    cell.peers.add(address, task.downgrade());
+    let seen = Arc::new(Mutex::new(Seen::default()));
+    let observer = xtra::spawn_tokio(Observer { seen: seen.clone() }, Mailbox::unbounded());
+    let node = Node {
+        incarnation,
+        address,
+        task,
+        table,
+        seen,
+        _observer: observer,
+    };
+    node.subscribe().await;
+    node.desire(groups).await;
+    node
+}
+
+impl Node {
+    async fn subscribe(&self) {
+        let observer = &self._observer;
+        let groups = SubscribeGroups {
+            prefix: "".into(),
+            subscriber: MessageChannel::new(observer.downgrade()),
+        };
+        let directory = SubscribeDirectory {
+            subscriber: MessageChannel::new(observer.downgrade()),
+        };
+        let standing = SubscribeStanding {
+            subscriber: MessageChannel::new(observer.downgrade()),
+        };
+        self.task.send(groups).await.unwrap();
+        self.task.send(directory).await.unwrap();
+        self.task.send(standing).await.unwrap();
+    }
+
+    pub async fn desire(&self, groups: &[&str]) {
+        let groups = groups.iter().map(GroupId::new).collect();
+        self.task
+            .send(DesiredGroups(Arc::new(groups)))
+            .await
+            .unwrap();
+    }
+
+    pub async fn append(&self, group: &str, key: &str, value: Option<&str>) -> Result<()> {
+        self.append_all(vec![entry(group, key, value)]).await
+    }
+
+    pub async fn append_all(&self, entries: Vec<JournalEntry>) -> Result<()> {
+        let (reply, answer) = oneshot::channel();
+        self.task.send(Append { entries, reply }).await.unwrap();
+        answer.await.expect("every append is answered")
+    }
+
+    pub async fn hand_over(&self) -> Result<()> {
+        let (reply, answer) = oneshot::channel();
+        self.task.send(HandOver { reply }).await.unwrap();
+        answer.await.expect("a hand over is answered")
+    }
+
+    pub fn owns(&self, group: &str) -> bool {
+        self.seen.lock().unwrap().groups.contains_key(group)
+    }
+
+    pub fn owned(&self) -> usize {
+        self.seen.lock().unwrap().groups.len()
+    }
+
+    pub fn adoption(&self, group: &str) -> Adoption {
+        self.seen.lock().unwrap().groups[group].clone()
+    }
+
+    pub fn standing(&self) -> Option<Standing> {
+        self.seen.lock().unwrap().standing
+    }
+
+    /// The process dies: nothing of it runs any more.
+    pub fn kill(&self) {
+        self.table.set(super::Fault::Hang);
+    }
+
+    pub async fn until_owns(&self, group: &str) {
+        eventually(&format!("{} owns {group}", self.incarnation), || {
+            self.owns(group)
+        })
+        .await;
+    }
+}
+
+pub fn entry(group: &str, key: &str, value: Option<&str>) -> JournalEntry {
+    JournalEntry {
+        group: group.into(),
+        key: key.into(),
+        value: value.map(str::to_owned),
+    }
+}
+
+/// Waits until `condition` holds, at most the deadline.
+pub async fn eventually(what: &str, condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    within(what, wait).await;
+}
+
+/// Waits for a future, at most the deadline.
+pub async fn within<T>(what: &str, future: impl Future<Output = T>) -> T {
+    tokio::time::timeout(DEADLINE, future)
+        .await
+        .unwrap_or_else(|_| panic!("not within {DEADLINE:?}: {what}"))
+}
