feat: the whole path, from callers to minions and workers and back

Cause: the slices existed without a process that connects them.

Change: jackdawchute-entry assembles one instance: listeners for callers, operators and peers, routing by directory and configuration, requests over grants, jobs over their home groups, metrics, readiness and graceful shutdown. The program has serve, submit and try.

--- /dev/null
+++ b/jackdawchute-entry/src/authority.rs
@@ -0,0 +1,68 @@
+//! Calls to the owner of a group, in this process or another.
+
+use std::sync::Arc;
+
+use jackdawchute_jobs as jobs;
+use jackdawchute_ownership::Owner;
+use jackdawchute_requests as requests;
+use jackdawchute_types::{CallError, IncarnationId, Refusal};
+use tokio::sync::oneshot;
+use xtra::prelude::MessageChannel;
+
+/// Calls the owners of service groups.
+#[derive(Clone)]
+pub(crate) struct RequestsAuthority {
+    pub(crate) incarnation: IncarnationId,
+    pub(crate) local: MessageChannel<requests::Incoming, ()>,
+    pub(crate) remote: Arc<dyn requests::Remote>,
+}
+
+impl RequestsAuthority {
+    /// Calls `owner` and waits for its answer.
+    pub(crate) async fn call(
+        &self,
+        owner: &Owner,
+        call: requests::Call,
+    ) -> Result<Result<requests::Reply, Refusal>, CallError> {
+        if owner.incarnation != self.incarnation {
+            return self.remote.call(owner, call).await;
+        }
+        let (reply, answer) = oneshot::channel();
+        deliver(&self.local, requests::Incoming { call, reply }, answer).await
+    }
+}
+
+/// Calls the owners of jobs' home groups.
+#[derive(Clone)]
+pub(crate) struct JobsAuthority {
+    pub(crate) incarnation: IncarnationId,
+    pub(crate) local: MessageChannel<jobs::Incoming, ()>,
+    pub(crate) remote: Arc<dyn jobs::Remote>,
+}
+
+impl JobsAuthority {
+    /// Calls `owner` and waits for its answer.
+    pub(crate) async fn call(
+        &self,
+        owner: &Owner,
+        call: jobs::Call,
+    ) -> Result<Result<jobs::Reply, Refusal>, CallError> {
+        if owner.incarnation != self.incarnation {
+            return self.remote.call(owner, call).await;
+        }
+        let (reply, answer) = oneshot::channel();
+        deliver(&self.local, jobs::Incoming { call, reply }, answer).await
+    }
+}
+
+async fn deliver<M: Send + 'static, R>(
+    task: &MessageChannel<M, ()>,
+    message: M,
+    answer: oneshot::Receiver<R>,
+) -> Result<R, CallError> {
+    let stopped = |cause: &str| cause.to_owned();
+    let undelivered = |_| CallError::NotDelivered("call task", "self".into(), stopped("ended"));
+    let _handled = task.send(message).detach().await.map_err(undelivered)?;
+    let unknown = |_| CallError::Unknown("call task", "self".into(), stopped("no answer"));
+    answer.await.map_err(unknown)
+}
--- /dev/null
+++ b/jackdawchute-entry/src/callers/complete.rs
@@ -0,0 +1,188 @@
+//! Gives grants back, together with the answer where it is kept.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{header, HeaderMap, StatusCode};
+use jackdawchute_dispatch::{Answer, Chunk, Result as SendResult};
+use jackdawchute_requests::{
+    Call, Complete, Grant, GrantOutcome, RequestsTask, Returned, StoredAnswer,
+};
+use jackdawchute_types::IncarnationId;
+use tokio::sync::{mpsc, oneshot};
+use xtra::prelude::*;
+
+use super::requests::InFlight;
+use crate::{
+    authority::RequestsAuthority,
+    routing::{Finished, LocateGroup, RoutingTask},
+};
+
+/// How long the caller of a keyed request waits for its answer to be kept.
+const KEEP_TIMEOUT: Duration = Duration::from_secs(1);
+/// The delay between two tries to give a grant back.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// How long giving back is tried; then the owner counts the grant until its life has passed.
+const RETRY_TIME: Duration = Duration::from_secs(60);
+
+/// A grant that is to be given back.
+pub(crate) struct Completion {
+    pub(crate) grant: Grant,
+    pub(crate) incarnation: IncarnationId,
+    pub(crate) routing: Address<RoutingTask>,
+    pub(crate) authority: RequestsAuthority,
+    pub(crate) holder: Address<RequestsTask>,
+}
+
+impl Completion {
+    /// Gives the grant back, waiting a short while for the owner to keep the outcome; the rest
+    /// goes on in the background.
+    pub(crate) async fn finish(self, outcome: GrantOutcome) {
+        let background = tokio::spawn(self.give_back(outcome));
+        let _ = tokio::time::timeout(KEEP_TIMEOUT, background).await;
+    }
+
+    /// Gives the grant back once the minion is done.
+    pub(crate) fn finish_later(
+        self,
+        done: oneshot::Receiver<SendResult<()>>,
+        answer: Option<StoredAnswer>,
+        in_flight: InFlight,
+    ) {
+        tokio::spawn(async move {
+            let outcome = match done.await {
+                Ok(Ok(())) => GrantOutcome::Answered { answer },
+                _ => GrantOutcome::AnswerLost,
+            };
+            drop(in_flight);
+            let _counted = self
+                .routing
+                .send(Finished(self.grant.group.clone()))
+                .detach()
+                .await;
+            self.give_back(outcome).await;
+        });
+    }
+
+    async fn give_back(self, outcome: GrantOutcome) {
+        let grant = &self.grant;
+        let (group, epoch) = (grant.group.clone(), grant.epoch);
+        let returned = Returned {
+            grant: grant.id,
+            group: group.clone(),
+            epoch,
+        };
+        let _ = self.holder.send(returned).await;
+        let holder = self.incarnation.clone();
+        let complete = Complete {
+            group,
+            grant: grant.id,
+            epoch,
+            holder,
+            outcome,
+        };
+        let give_up_at = Instant::now() + RETRY_TIME;
+        while !self.tell_owner(complete.clone()).await && Instant::now() < give_up_at {
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+    }
+
+    async fn tell_owner(&self, complete: Complete) -> bool {
+        let locate = LocateGroup(complete.group.clone());
+        let Ok(Ok(located)) = self.routing.send(locate).await else {
+            return false;
+        };
+        let answer = self
+            .authority
+            .call(&located.owner, Call::Complete(complete))
+            .await;
+        matches!(answer, Ok(Ok(_)))
+    }
+}
+
+/// Reads an answer that is kept for repeated calls.
+pub(crate) struct KeepAnswer {
+    /// The largest body that is kept.
+    pub(crate) bytes_max: usize,
+}
+
+/// An answer whose first part was read; the rest follows.
+pub(crate) struct Kept {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) first: Vec<Bytes>,
+    pub(crate) rest: mpsc::Receiver<Chunk>,
+}
+
+impl KeepAnswer {
+    /// Reads the body up to the bound. A whole body is kept by the owner before the caller gets
+    /// it; of a larger one only the status is kept, once the minion is done.
+    ///
+    /// # Errors
+    /// The answer broke off; the owner was told.
+    pub(crate) async fn read(
+        self,
+        answer: Answer,
+        completion: Completion,
+        in_flight: InFlight,
+    ) -> SendResult<Kept> {
+        let Answer {
+            status,
+            headers,
+            body: mut rest,
+            done,
+        } = answer;
+        let mut first = Vec::new();
+        let mut length_bytes = 0;
+        while let Some(chunk) = rest.recv().await {
+            let bytes = match chunk {
+                Ok(bytes) => bytes,
+                Err(error) => {
+                    completion.finish_later(done, None, in_flight);
+                    return Err(error);
+                }
+            };
+            length_bytes += bytes.len();
+            first.push(bytes);
+            if length_bytes > self.bytes_max {
+                let stored = stored(status, &headers, None);
+                completion.finish_later(done, Some(stored), in_flight);
+                return Ok(Kept {
+                    status,
+                    headers,
+                    first,
+                    rest,
+                });
+            }
+        }
+        drop(in_flight);
+        let _counted = completion
+            .routing
+            .send(Finished(completion.grant.group.clone()))
+            .detach()
+            .await;
+        let stored = stored(status, &headers, Some(first.concat()));
+        completion
+            .finish(GrantOutcome::Answered {
+                answer: Some(stored),
+            })
+            .await;
+        Ok(Kept {
+            status,
+            headers,
+            first,
+            rest,
+        })
+    }
+}
+
+fn stored(status: StatusCode, headers: &HeaderMap, body: Option<Vec<u8>>) -> StoredAnswer {
+    let content_type = headers
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
+    StoredAnswer {
+        status: status.as_u16(),
+        content_type: content_type.map(Into::into),
+        body,
+    }
+}
--- /dev/null
+++ b/jackdawchute-entry/src/callers/mod.rs
@@ -0,0 +1,13 @@
+//! The listener towards callers.
+
+mod body;
+mod complete;
+mod inbound;
+mod jobs;
+mod listener;
+mod problem;
+mod requests;
+
+pub(crate) use jobs::JobsFront;
+pub(crate) use listener::{serve, CallersOptions};
+pub(crate) use requests::RequestsFront;
--- a/jackdawchute-entry/src/lib.rs
+++ b/jackdawchute-entry/src/lib.rs
@@ -1,2 +1,23 @@
 //! HTTP listeners towards callers and operators, and the assembly of one entry instance.
+//!
+//! This crate connects the tasks of all slices; it decides only which owner a call goes to.
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
+
+mod authority;
+mod callers;
+mod counted_table;
+mod error;
+mod instance;
+mod listener;
+mod metrics;
+mod operators;
+mod remotes;
+mod routing;
+mod terms;
+mod wiring;
+mod workers;
+
+pub use error::{Error, Result};
+pub use instance::{Addresses, Instance, Platform};
+pub use metrics::Metrics;
+pub use workers::HttpWorkerPorts;
--- /dev/null
+++ b/jackdawchute-entry/src/metrics.rs
@@ -0,0 +1,213 @@
+//! What the instance counts, in the OpenMetrics text format.
+
+use std::{sync::Arc, time::Duration};
+
+use jackdawchute_ownership::Standing;
+use jackdawchute_types::{ClassId, Recorder, RefusalReason, RetryReason};
+use prometheus_client::{
+    encoding::{text::encode, EncodeLabelSet},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{exponential_buckets, Histogram},
+    },
+    registry::{Registry, Unit},
+};
+
+/// The upper bound of the first waiting time bucket.
+const WAITING_BUCKET_FIRST_SECONDS: f64 = 0.001;
+/// How much each bucket is wider than the one before.
+const WAITING_BUCKET_FACTOR: f64 = 2.0;
+/// The number of waiting time buckets; the last bound is 65 s.
+const WAITING_BUCKETS: u16 = 17;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ReasonLabels {
+    class: String,
+    reason: String,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ClassLabels {
+    class: String,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct CallLabels {
+    call: &'static str,
+    outcome: &'static str,
+}
+
+/// The instance's metrics; clones share their values.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Arc<Registry>,
+    refusals: Family<ReasonLabels, Counter>,
+    retries: Family<ReasonLabels, Counter>,
+    waiting: Family<ClassLabels, Histogram, fn() -> Histogram>,
+    answers: Family<ClassLabels, Counter>,
+    table_calls: Family<CallLabels, Counter>,
+    requests_in_flight: Gauge,
+    standing: Gauge,
+    configuration_version: Gauge,
+}
+
+fn waiting_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(
+        WAITING_BUCKET_FIRST_SECONDS,
+        WAITING_BUCKET_FACTOR,
+        WAITING_BUCKETS,
+    ))
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Arc::default(),
+            refusals: Family::default(),
+            retries: Family::default(),
+            waiting: Family::new_with_constructor(waiting_histogram),
+            answers: Family::default(),
+            table_calls: Family::default(),
+            requests_in_flight: Gauge::default(),
+            standing: Gauge::default(),
+            configuration_version: Gauge::default(),
+        };
+        metrics.registry = Arc::new(metrics.register());
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&self) -> Registry {
+        let mut registry = Registry::with_prefix("jackdawchute");
+        registry.register("refusals", "Refused work by reason", self.refusals.clone());
+        registry.register(
+            "retries",
+            "Repeated attempts by reason",
+            self.retries.clone(),
+        );
+        let help = "Time from arrival to placement";
+        registry.register_with_unit("waiting", help, Unit::Seconds, self.waiting.clone());
+        registry.register(
+            "answers",
+            "Requests answered by a minion",
+            self.answers.clone(),
+        );
+        let help = "Calls to the platform's table service by outcome";
+        registry.register("table_calls", help, self.table_calls.clone());
+        let help = "Requests that were sent to a minion and are not done";
+        registry.register("requests_in_flight", help, self.requests_in_flight.clone());
+        let help = "0 confirmed, 1 store down, 2 cut off, 3 fenced";
+        registry.register("standing", help, self.standing.clone());
+        let help = "The configuration version in force here";
+        registry.register(
+            "configuration_version",
+            help,
+            self.configuration_version.clone(),
+        );
+        registry
+    }
+
+    /// Writes the OpenMetrics text.
+    ///
+    /// ```
+    /// let metrics = jackdawchute_entry::Metrics::default();
+    /// assert!(metrics.text().ends_with("# EOF\n"));
+    /// ```
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail; an error would mean a bug in an encoder.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    /// Counts an answer of a minion.
+    pub fn answered(&self, class: &ClassId) {
+        self.answers
+            .get_or_create(&ClassLabels {
+                class: class.to_string(),
+            })
+            .inc();
+    }
+
+    /// Counts a call to the table.
+    pub(crate) fn table_call(&self, call: &'static str, outcome: &'static str) {
+        self.table_calls
+            .get_or_create(&CallLabels { call, outcome })
+            .inc();
+    }
+
+    /// The requests under way.
+    pub(crate) fn in_flight(&self) -> &Gauge {
+        &self.requests_in_flight
+    }
+
+    /// The standing as a number.
+    pub(crate) fn set_standing(&self, standing: Standing) {
+        let value = match standing {
+            Standing::Confirmed => 0,
+            Standing::StoreDown => 1,
+            Standing::CutOff => 2,
+            Standing::Fenced => 3,
+        };
+        self.standing.set(value);
+    }
+
+    /// The configuration version in force here.
+    pub(crate) fn set_configuration_version(&self, version: u64) {
+        self.configuration_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// The refusals so far by class and reason, for the status page.
+    pub fn count_refusals(&self, class: &ClassId, reason: RefusalReason) -> u64 {
+        let labels = ReasonLabels {
+            class: class.to_string(),
+            reason: reason.to_string(),
+        };
+        self.refusals.get_or_create(&labels).get()
+    }
+}
+
+fn retry_name(reason: RetryReason) -> &'static str {
+    match reason {
+        RetryReason::ConnectFailed => "connect-failed",
+        RetryReason::AnswerLost => "answer-lost",
+        RetryReason::OwnerChanged => "owner-changed",
+        RetryReason::StoreUnavailable => "store-unavailable",
+        RetryReason::NoCapacity => "no-capacity",
+        RetryReason::TaskFailed => "task-failed",
+        RetryReason::LeaseLapsed => "lease-lapsed",
+    }
+}
+
+impl Recorder for Metrics {
+    fn refused(&self, class: &ClassId, reason: RefusalReason) {
+        let labels = ReasonLabels {
+            class: class.to_string(),
+            reason: reason.to_string(),
+        };
+        self.refusals.get_or_create(&labels).inc();
+    }
+
+    fn retried(&self, class: &ClassId, reason: RetryReason) {
+        let reason = retry_name(reason).to_owned();
+        self.retries
+            .get_or_create(&ReasonLabels {
+                class: class.to_string(),
+                reason,
+            })
+            .inc();
+    }
+
+    fn placed(&self, class: &ClassId, waited: Duration) {
+        let labels = ClassLabels {
+            class: class.to_string(),
+        };
+        self.waiting
+            .get_or_create(&labels)
+            .observe(waited.as_secs_f64());
+    }
+}
--- /dev/null
+++ b/jackdawchute-entry/src/operators/listener.rs
@@ -0,0 +1,114 @@
+//! The HTTP server towards operators.
+
+use std::net::SocketAddr;
+
+use futures_util::Future;
+use http::{header, HeaderMap, HeaderValue, Method, StatusCode};
+use smol_str::SmolStr;
+use subtle::ConstantTimeEq;
+use tokio::task::JoinHandle;
+use warp::{path::FullPath, reply::Response, Filter, Reply};
+
+use super::status::StatusSources;
+use crate::{
+    listener::{self, Bounds},
+    routing::IsReady,
+    Metrics, Result,
+};
+
+/// The content type of the metrics.
+const METRICS_TYPE: HeaderValue =
+    HeaderValue::from_static("application/openmetrics-text; version=1.0.0; charset=utf-8");
+
+/// What the listener needs.
+#[derive(Clone)]
+pub(crate) struct OperatorsOptions {
+    pub(crate) status: StatusSources,
+    pub(crate) metrics: Metrics,
+    /// The secret that operators present; `None` leaves the calls open.
+    pub(crate) token: Option<SmolStr>,
+    pub(crate) bounds: Bounds,
+}
+
+/// Starts the server; it ends once `stop` resolves.
+///
+/// # Errors
+/// The address could not be bound.
+pub(crate) async fn serve(
+    address: SocketAddr,
+    options: OperatorsOptions,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> Result<(SocketAddr, JoinHandle<()>)> {
+    let (listener, address) = listener::bind("operators", address).await?;
+    let bounds = options.bounds;
+    let filter = warp::any()
+        .and(warp::method())
+        .and(warp::path::full())
+        .and(warp::header::headers_cloned())
+        .then(move |method, path: FullPath, headers| {
+            let options = options.clone();
+            async move { answer(&options, &method, path.as_str(), &headers).await }
+        })
+        .boxed();
+    Ok((
+        address,
+        tokio::spawn(listener::run(listener, filter, bounds, stop)),
+    ))
+}
+
+/// Health checks and metrics need no token.
+async fn answer(
+    options: &OperatorsOptions,
+    method: &Method,
+    path: &str,
+    headers: &HeaderMap,
+) -> Response {
+    match (method, path) {
+        (&Method::GET, "/healthz") => "ok\n".into_response(),
+        (&Method::GET, "/readyz") => ready(options).await,
+        (&Method::GET, "/metrics") => metrics(options),
+        _ if !is_authorized(options, headers) => StatusCode::UNAUTHORIZED.into_response(),
+        (&Method::GET, "/v1/status") => status(options).await,
+        _ => StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
+fn is_authorized(options: &OperatorsOptions, headers: &HeaderMap) -> bool {
+    let Some(token) = &options.token else {
+        return true;
+    };
+    let presented = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok());
+    let presented = presented
+        .and_then(|text| text.strip_prefix("Bearer "))
+        .unwrap_or_default();
+    bool::from(presented.as_bytes().ct_eq(token.as_bytes()))
+}
+
+async fn ready(options: &OperatorsOptions) -> Response {
+    let Ok(readiness) = options.status.routing.send(IsReady).await else {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    };
+    let status = if readiness.ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    warp::reply::with_status(warp::reply::json(&readiness), status).into_response()
+}
+
+fn metrics(options: &OperatorsOptions) -> Response {
+    let mut response = options.metrics.text().into_response();
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, METRICS_TYPE);
+    response
+}
+
+async fn status(options: &OperatorsOptions) -> Response {
+    match options.status.collect().await {
+        Ok(status) => warp::reply::json(&status).into_response(),
+        Err(_) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+    }
+}
--- /dev/null
+++ b/jackdawchute-entry/src/operators/mod.rs
@@ -0,0 +1,7 @@
+//! The listener towards operators, metrics and health checks.
+
+mod listener;
+mod status;
+
+pub(crate) use listener::{serve, OperatorsOptions};
+pub(crate) use status::StatusSources;
--- /dev/null
+++ b/jackdawchute-entry/src/operators/status.rs
@@ -0,0 +1,84 @@
+//! What one instance knows and does, for the status page.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use jackdawchute_jobs as jobs;
+use jackdawchute_requests as requests;
+use jackdawchute_types::{ConfigurationVersion, GroupId, IncarnationId, Refusal, RefusalReason};
+use serde::Serialize;
+use xtra::prelude::*;
+
+use crate::routing::{IsReady, View};
+use crate::routing::{Readiness, RoutingTask};
+
+/// The tasks that are asked.
+#[derive(Clone)]
+pub(crate) struct StatusSources {
+    pub(crate) incarnation: IncarnationId,
+    pub(crate) routing: Address<RoutingTask>,
+    pub(crate) requests: Address<requests::RequestsTask>,
+    pub(crate) jobs: Address<jobs::JobsTask>,
+}
+
+/// What one instance knows and does.
+#[derive(Debug, Serialize)]
+pub(crate) struct InstanceStatus {
+    incarnation: IncarnationId,
+    standing: String,
+    draining: bool,
+    readiness: Readiness,
+    configuration_version: Option<ConfigurationVersion>,
+    incarnations: BTreeMap<IncarnationId, IncarnationStatus>,
+    owners: BTreeMap<GroupId, IncarnationId>,
+    members: usize,
+    requests: requests::RequestsStatus,
+    jobs: jobs::Counts,
+}
+
+/// What the table says of an incarnation.
+#[derive(Debug, Serialize)]
+pub(crate) struct IncarnationStatus {
+    peer_address: SocketAddr,
+    configuration_version: Option<ConfigurationVersion>,
+}
+
+impl StatusSources {
+    /// Collects the status of this instance.
+    ///
+    /// # Errors
+    /// The instance is shutting down.
+    pub(crate) async fn collect(&self) -> Result<InstanceStatus, Refusal> {
+        let ended = |_| Refusal::not_run(RefusalReason::Draining, "the instance is shutting down");
+        let known = self.routing.send(View).await.map_err(ended)?;
+        let readiness = self.routing.send(IsReady).await.map_err(ended)?;
+        let requests = self.requests.send(requests::Status).await.map_err(ended)?;
+        let jobs = self.jobs.send(jobs::Status).await.map_err(ended)?;
+        let directory = &known.directory;
+        let versions = &directory.configuration;
+        let incarnations = directory.incarnations.iter().map(|(id, peer_address)| {
+            let configuration_version = versions.get(id).copied();
+            (
+                id.clone(),
+                IncarnationStatus {
+                    peer_address: *peer_address,
+                    configuration_version,
+                },
+            )
+        });
+        let owners = directory.owners.iter();
+        Ok(InstanceStatus {
+            incarnation: self.incarnation.clone(),
+            standing: format!("{:?}", known.standing).to_lowercase(),
+            draining: known.draining,
+            readiness,
+            configuration_version: known.configuration_version,
+            incarnations: incarnations.collect(),
+            owners: owners
+                .map(|(id, owner)| (id.clone(), owner.incarnation.clone()))
+                .collect(),
+            members: known.members.members.len(),
+            requests,
+            jobs,
+        })
+    }
+}
--- /dev/null
+++ b/jackdawchute-entry/src/remotes.rs
@@ -0,0 +1,229 @@
+//! Typed calls of each slice over the peer transport.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use futures_util::future::join_all;
+use jackdawchute_configuration as configuration;
+use jackdawchute_jobs as jobs;
+use jackdawchute_ownership::{self as ownership, Owner};
+use jackdawchute_peer::{PeerService, Peers, Services, Slice};
+use jackdawchute_requests as requests;
+use jackdawchute_types::{CallError, IncarnationId, Refusal};
+use serde::{de::DeserializeOwned, Serialize};
+use serde_json::Value;
+use tokio::sync::oneshot;
+use xtra::prelude::*;
+
+use crate::routing::{RoutingTask, View};
+
+const REQUESTS: Slice = "requests";
+const JOBS: Slice = "jobs";
+const OWNERSHIP: Slice = "ownership";
+const CONFIGURATION: Slice = "configuration";
+
+/// What a call may take beyond the time it asks for.
+const CALL_MARGIN: Duration = Duration::from_secs(1);
+/// How long a call that waits for nothing may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a call that waits for a journal append may take.
+const JOURNAL_CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a call about a peer's standing may take.
+const STANDING_CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Carries the calls of every slice.
+#[derive(Clone, Debug)]
+pub(crate) struct Remotes {
+    peers: Peers,
+}
+
+impl Remotes {
+    pub(crate) fn new(peers: Peers) -> Self {
+        Self { peers }
+    }
+}
+
+#[async_trait]
+impl requests::Remote for Remotes {
+    async fn call(
+        &self,
+        owner: &Owner,
+        call: requests::Call,
+    ) -> Result<Result<requests::Reply, Refusal>, CallError> {
+        let timeout = match &call {
+            requests::Call::Acquire(acquire) => acquire.deadline + CALL_MARGIN,
+            requests::Call::Complete(_) => JOURNAL_CALL_TIMEOUT,
+            requests::Call::Holdings { .. } => CALL_TIMEOUT,
+        };
+        self.peers
+            .call(owner.peer_address, REQUESTS, &call, timeout)
+            .await
+    }
+}
+
+#[async_trait]
+impl jobs::Remote for Remotes {
+    async fn call(
+        &self,
+        owner: &Owner,
+        call: jobs::Call,
+    ) -> Result<Result<jobs::Reply, Refusal>, CallError> {
+        self.peers
+            .call(owner.peer_address, JOBS, &call, JOURNAL_CALL_TIMEOUT)
+            .await
+    }
+}
+
+#[async_trait]
+impl ownership::Peers for Remotes {
+    async fn call(
+        &self,
+        peer: SocketAddr,
+        call: ownership::Call,
+    ) -> Result<ownership::Reply, CallError> {
+        self.peers
+            .call(peer, OWNERSHIP, &call, STANDING_CALL_TIMEOUT)
+            .await
+    }
+}
+
+/// Asks every unfenced incarnation that the directory names.
+pub(crate) struct ConfigurationPeers {
+    pub(crate) incarnation: IncarnationId,
+    pub(crate) routing: Address<RoutingTask>,
+    pub(crate) remotes: Remotes,
+}
+
+impl ConfigurationPeers {
+    async fn ask_one(
+        &self,
+        peer: IncarnationId,
+        address: SocketAddr,
+        call: &configuration::Call,
+    ) -> configuration::Answer {
+        let reply = self
+            .remotes
+            .peers
+            .call(address, CONFIGURATION, call, STANDING_CALL_TIMEOUT);
+        let failure = |error: CallError| match error {
+            CallError::ConnectionRefused(..) => configuration::PeerFailure::Gone,
+            _ => configuration::PeerFailure::Unreachable,
+        };
+        configuration::Answer {
+            peer,
+            result: reply.await.map_err(failure),
+        }
+    }
+}
+
+#[async_trait]
+impl configuration::Peers for ConfigurationPeers {
+    async fn ask(&self, call: configuration::Call) -> configuration::Answers {
+        let Ok(known) = self.routing.send(View).await else {
+            return configuration::Answers::default();
+        };
+        let others = known
+            .directory
+            .incarnations
+            .iter()
+            .filter(|(id, _)| **id != self.incarnation);
+        let asked = others.map(|(id, address)| self.ask_one(id.clone(), *address, &call));
+        let complete = known.directory.incarnations.contains_key(&self.incarnation);
+        configuration::Answers {
+            complete,
+            answers: join_all(asked).await,
+        }
+    }
+}
+
+/// Hands the calls of peers to the task of a slice.
+struct Incoming<M> {
+    task: MessageChannel<M, ()>,
+}
+
+/// A message that carries a call and where its answer goes.
+trait FromCall: Send + 'static {
+    type Call: DeserializeOwned + Send;
+    type Answer: Serialize + Send;
+
+    fn from_call(call: Self::Call, reply: oneshot::Sender<Self::Answer>) -> Self;
+}
+
+#[async_trait]
+impl<M: FromCall> PeerService for Incoming<M> {
+    async fn serve(&self, call: Value) -> Option<Value> {
+        let call = serde_json::from_value(call).ok()?;
+        let (reply, answer) = oneshot::channel();
+        let _handled = self
+            .task
+            .send(M::from_call(call, reply))
+            .detach()
+            .await
+            .ok()?;
+        serde_json::to_value(answer.await.ok()?).ok()
+    }
+}
+
+impl FromCall for requests::Incoming {
+    type Call = requests::Call;
+    type Answer = Result<requests::Reply, Refusal>;
+
+    fn from_call(call: Self::Call, reply: oneshot::Sender<Self::Answer>) -> Self {
+        Self { call, reply }
+    }
+}
+
+impl FromCall for jobs::Incoming {
+    type Call = jobs::Call;
+    type Answer = Result<jobs::Reply, Refusal>;
+
+    fn from_call(call: Self::Call, reply: oneshot::Sender<Self::Answer>) -> Self {
+        Self { call, reply }
+    }
+}
+
+impl FromCall for ownership::Incoming {
+    type Call = ownership::Call;
+    type Answer = ownership::Reply;
+
+    fn from_call(call: Self::Call, reply: oneshot::Sender<Self::Answer>) -> Self {
+        Self { call, reply }
+    }
+}
+
+impl FromCall for configuration::Incoming {
+    type Call = configuration::Call;
+    type Answer = configuration::Reply;
+
+    fn from_call(call: Self::Call, reply: oneshot::Sender<Self::Answer>) -> Self {
+        Self { call, reply }
+    }
+}
+
+/// The tasks that answer peers.
+pub(crate) struct Tasks {
+    pub(crate) requests: MessageChannel<requests::Incoming, ()>,
+    pub(crate) jobs: MessageChannel<jobs::Incoming, ()>,
+    pub(crate) ownership: MessageChannel<ownership::Incoming, ()>,
+    pub(crate) configuration: MessageChannel<configuration::Incoming, ()>,
+}
+
+/// The services of the peer listener.
+pub(crate) fn services(tasks: Tasks) -> Services {
+    let requests: Arc<dyn PeerService> = Arc::new(Incoming {
+        task: tasks.requests,
+    });
+    let jobs: Arc<dyn PeerService> = Arc::new(Incoming { task: tasks.jobs });
+    let ownership: Arc<dyn PeerService> = Arc::new(Incoming {
+        task: tasks.ownership,
+    });
+    let configuration: Arc<dyn PeerService> = Arc::new(Incoming {
+        task: tasks.configuration,
+    });
+    Services::from([
+        (REQUESTS, requests),
+        (JOBS, jobs),
+        (OWNERSHIP, ownership),
+        (CONFIGURATION, configuration),
+    ])
+}
--- /dev/null
+++ b/jackdawchute-entry/src/routing/mod.rs
@@ -0,0 +1,13 @@
+//! Which group and owner answers a call, as far as this instance knows.
+
+mod messages;
+mod retries;
+mod routes;
+mod state;
+mod task;
+
+pub(crate) use messages::{
+    AskRetry, BeginDrain, Finished, IsReady, LocateGroup, LocateJob, MatchRoute, OwnerMissing,
+    PickGroup, Readiness, RouteMatch, Sent, Succeeded, View,
+};
+pub(crate) use task::{spawn, RoutingTask};
--- /dev/null
+++ b/jackdawchute-entry/src/routing/routes.rs
@@ -0,0 +1,28 @@
+//! What the configuration says of a request.
+
+use http::Method;
+use jackdawchute_configuration::Configuration;
+
+use super::messages::RouteMatch;
+
+/// Finds the most precise route and resolves its terms.
+pub(super) fn find(
+    configuration: &Configuration,
+    method: &Method,
+    host: Option<&str>,
+    path: &str,
+) -> Option<RouteMatch> {
+    let route = configuration.route(host.unwrap_or_default(), path)?;
+    let terms = configuration.service_terms(&route.service);
+    let bytes = |value: u64| usize::try_from(value).unwrap_or(usize::MAX);
+    Some(RouteMatch {
+        service: route.service.clone(),
+        class: route.class.clone(),
+        team: route.team.clone(),
+        idempotent: route.is_idempotent(method.as_str()),
+        deadline: configuration.deadline(route, None),
+        deadline_max: terms.deadline_max,
+        body_bytes_max: bytes(configuration.body_bytes(route)),
+        retained_body_bytes_max: bytes(terms.answer_bytes_max),
+    })
+}
--- /dev/null
+++ b/jackdawchute-entry/src/terms.rs
@@ -0,0 +1,60 @@
+//! What the configuration means for each slice.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use jackdawchute_configuration::Configuration;
+use jackdawchute_jobs as jobs;
+use jackdawchute_platform::{MemberRole, MembershipList};
+use jackdawchute_requests as requests;
+use jackdawchute_types::{FailureDomainId, GroupId};
+use smol_str::format_smolstr;
+
+/// The settings of the requests slice.
+pub(crate) fn requests_settings(configuration: &Configuration) -> requests::Settings {
+    let defaults = &configuration.defaults;
+    let count = |value: u64| usize::try_from(value).unwrap_or(usize::MAX);
+    let mut settings = requests::Settings {
+        limits: configuration.limits(),
+        ..Default::default()
+    };
+    settings.grants.life = defaults.grant_life;
+    settings.grants.send_within = defaults.grant_send_within;
+    settings.retention.answer_time = defaults.answer_retention;
+    settings.retention.answers_max = count(defaults.answer_count_max);
+    settings.retention.body_max_bytes = count(defaults.answer_bytes_max);
+    settings
+}
+
+/// The settings of the jobs slice for the workers of `failure_domain`.
+pub(crate) fn jobs_settings(
+    configuration: &Configuration,
+    failure_domain: &FailureDomainId,
+) -> jobs::Settings {
+    let terms = configuration.worker_terms(failure_domain);
+    jobs::Settings {
+        limits: configuration.limits(),
+        partitions: configuration.job_partitions,
+        lease: terms.task_lease,
+        quarantine_max_percent: terms.quarantine_share_percent,
+        ..Default::default()
+    }
+}
+
+/// The groups that should have an owner.
+pub(crate) fn desired_groups(
+    configuration: &Configuration,
+    members: &MembershipList,
+) -> Arc<BTreeSet<GroupId>> {
+    let homes = (0..configuration.job_partitions).map(|number| format_smolstr!("jobs/{number}"));
+    let members = members
+        .members
+        .iter()
+        .filter_map(|member| match &member.role {
+            MemberRole::Entry => None,
+            MemberRole::Worker { rack, .. } => Some(jobs::rack_group(rack)),
+            MemberRole::Minion { service, .. } => {
+                Some(requests::service_group(service, &member.failure_domain))
+            }
+        });
+    Arc::new(homes.chain(members).collect())
+}
--- /dev/null
+++ b/jackdawchute-entry/src/wiring.rs
@@ -0,0 +1,106 @@
+//! The task that passes changes of configuration and membership on, in the words of each slice.
+
+use std::sync::Arc;
+
+use jackdawchute_configuration::Configuration;
+use jackdawchute_dispatch::{DispatchTask, SetIdleConnections};
+use jackdawchute_jobs as jobs;
+use jackdawchute_ownership::{
+    self as ownership, DesiredGroups, Directory, OwnershipTask, ReportConfiguration,
+};
+use jackdawchute_platform::MembershipList;
+use jackdawchute_requests as requests;
+use jackdawchute_types::{FailureDomainId, IncarnationId};
+use xtra::prelude::*;
+
+use crate::terms;
+
+/// The idle connections to one minion that all instances together may keep, which leaves room for
+/// a connection for each slot.
+const IDLE_CONNECTIONS_TOTAL: usize = 48;
+
+/// Passes changes on.
+#[derive(xtra::Actor)]
+pub(crate) struct WiringTask {
+    pub(crate) incarnation: IncarnationId,
+    pub(crate) failure_domain: FailureDomainId,
+    pub(crate) peers: Arc<dyn ownership::Peers>,
+    pub(crate) ownership: Address<OwnershipTask>,
+    pub(crate) requests: Address<requests::RequestsTask>,
+    pub(crate) jobs: Address<jobs::JobsTask>,
+    pub(crate) dispatch: Address<DispatchTask>,
+    pub(crate) configuration: Option<Arc<Configuration>>,
+    pub(crate) members: Arc<MembershipList>,
+    /// Whether the other incarnations were told of this one.
+    pub(crate) introduced: bool,
+}
+
+impl WiringTask {
+    /// Lets the others read the directory at once: an owner grants nothing to an incarnation that
+    /// it does not know.
+    fn introduce(&self, directory: &Directory) {
+        let others = directory
+            .incarnations
+            .iter()
+            .filter(|(id, _)| **id != self.incarnation);
+        for (_, address) in others {
+            let (peers, address) = (self.peers.clone(), *address);
+            tokio::spawn(async move { peers.call(address, ownership::Call::Look).await });
+        }
+    }
+
+    async fn name_groups(&self) {
+        if let Some(configuration) = &self.configuration {
+            if self.members.version > 0 {
+                let groups = terms::desired_groups(configuration, &self.members);
+                let _handled = self.ownership.send(DesiredGroups(groups)).detach().await;
+            }
+        }
+    }
+}
+
+impl Handler<Arc<Configuration>> for WiringTask {
+    type Return = ();
+
+    async fn handle(&mut self, configuration: Arc<Configuration>, _: &mut Context<Self>) {
+        let settings = Arc::new(terms::requests_settings(&configuration));
+        let _handled = self
+            .requests
+            .send(requests::ChangeSettings(settings))
+            .detach()
+            .await;
+        let settings = Arc::new(terms::jobs_settings(&configuration, &self.failure_domain));
+        let _handled = self
+            .jobs
+            .send(jobs::ChangeSettings(settings))
+            .detach()
+            .await;
+        let report = ReportConfiguration(configuration.version);
+        let _handled = self.ownership.send(report).detach().await;
+        self.configuration = Some(configuration);
+        self.name_groups().await;
+    }
+}
+
+impl Handler<Arc<MembershipList>> for WiringTask {
+    type Return = ();
+
+    async fn handle(&mut self, members: Arc<MembershipList>, _: &mut Context<Self>) {
+        self.members = members;
+        self.name_groups().await;
+    }
+}
+
+impl Handler<Arc<Directory>> for WiringTask {
+    type Return = ();
+
+    async fn handle(&mut self, directory: Arc<Directory>, _: &mut Context<Self>) {
+        let instances = directory.incarnations.len().max(1);
+        let idle = SetIdleConnections(IDLE_CONNECTIONS_TOTAL / instances);
+        let _handled = self.dispatch.send(idle).detach().await;
+        if !self.introduced && directory.incarnations.contains_key(&self.incarnation) {
+            self.introduced = true;
+            self.introduce(&directory);
+        }
+    }
+}
--- a/jackdawchute-ownership/src/carry.rs
+++ b/jackdawchute-ownership/src/carry.rs
@@ -127,8 +127,9 @@
 fn leaves_doubt(answer: &Result<Reply, CallError>) -> bool {
     match answer {
         Ok(Reply::NotCarried { in_doubt, .. }) => *in_doubt,
-        Ok(Reply::Carried { .. }) | Err(CallError::NotDelivered(..)) => false,
-        Ok(Reply::Looking) | Err(CallError::Unknown(..)) => true,
+        Ok(Reply::Carried { .. }) => false,
+        Ok(Reply::Looking) => true,
+        Err(error) => !error.is_undelivered(),
     }
 }
 
--- a/jackdawchute-peer/src/lib.rs
+++ b/jackdawchute-peer/src/lib.rs
@@ -14,4 +14,4 @@
 pub use error::{Error, Result};
 pub use messages::{CallPeer, PeerService, Slice, Token};
 pub use network::{spawn, NetworkTask, Peers};
-pub use server::{serve, Options, RunningServer, Services};
+pub use server::{bind, BoundServer, Options, RunningServer, Services};
--- a/jackdawchute-peer/src/link.rs
+++ b/jackdawchute-peer/src/link.rs
@@ -1,6 +1,7 @@
 //! The task that owns the connection to one peer.
 
 use std::{
+    io::ErrorKind,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -12,6 +13,7 @@
     ws_client::{PingConfig, WsClient, WsClientBuilder},
 };
 use serde_json::Value;
+use tokio::net::TcpStream;
 use xtra::prelude::*;
 
 use crate::{rpc::PeerRpcClient, CallPeer, Token};
@@ -33,7 +35,20 @@
     peer: SocketAddr,
     token: Token,
     client: Option<Arc<WsClient>>,
-    failed_at: Option<Instant>,
+    failure: Option<Failure>,
+}
+
+/// Why and when the last connection attempt failed.
+#[derive(Clone, Debug)]
+struct Failure {
+    at: Instant,
+    cause: ConnectError,
+}
+
+#[derive(Clone, Debug)]
+enum ConnectError {
+    Refused,
+    Other(String),
 }
 
 impl LinkTask {
@@ -42,19 +57,20 @@
             peer,
             token,
             client: None,
-            failed_at: None,
+            failure: None,
         }
     }
 
-    async fn connected(&mut self) -> Result<Arc<WsClient>, String> {
+    async fn connected(&mut self) -> Result<Arc<WsClient>, ConnectError> {
         if let Some(client) = self.client.as_ref().filter(|client| client.is_connected()) {
             return Ok(client.clone());
         }
-        if self
-            .failed_at
-            .is_some_and(|instant| instant.elapsed() < RECONNECT_DELAY)
-        {
-            return Err("the last connection attempt failed just now".to_owned());
+        let recent = self
+            .failure
+            .as_ref()
+            .filter(|it| it.at.elapsed() < RECONNECT_DELAY);
+        if let Some(failure) = recent {
+            return Err(failure.cause.clone());
         }
         match connect(self.peer).await {
             Ok(client) => {
@@ -62,15 +78,29 @@
                 self.client = Some(client.clone());
                 Ok(client)
             }
-            Err(error) => {
-                self.failed_at = Some(Instant::now());
-                Err(error.to_string())
+            Err(cause) => {
+                self.failure = Some(Failure {
+                    at: Instant::now(),
+                    cause: cause.clone(),
+                });
+                Err(cause)
             }
         }
     }
 }
 
-async fn connect(peer: SocketAddr) -> Result<WsClient, ClientError> {
+async fn connect(peer: SocketAddr) -> Result<WsClient, ConnectError> {
+    let other = |cause: String| ConnectError::Other(cause);
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
+    let stream = match stream {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            return Err(ConnectError::Refused)
+        }
+        Ok(Err(error)) => return Err(other(error.to_string())),
+        Err(_) => return Err(other("no connection in time".to_owned())),
+    };
+    let _ = stream.set_nodelay(true);
     WsClientBuilder::default()
         .connection_timeout(CONNECT_TIMEOUT)
         .request_timeout(CALL_TIMEOUT_MAX)
@@ -78,8 +108,9 @@
         .max_request_size(MESSAGE_BYTES_MAX)
         .max_response_size(MESSAGE_BYTES_MAX)
         .enable_ws_ping(ping_config())
-        .build(format!("ws://{peer}"))
+        .build_with_stream(format!("ws://{peer}"), stream)
         .await
+        .map_err(|error| other(error.to_string()))
 }
 
 /// Closes the connection to a peer that stopped answering.
@@ -99,7 +130,11 @@
                 tokio::spawn(exchange(client, self.token.clone(), call));
             }
             Err(cause) => {
-                let error = CallError::NotDelivered(call.slice, call.peer.to_string(), cause);
+                let peer = call.peer.to_string();
+                let error = match cause {
+                    ConnectError::Refused => CallError::ConnectionRefused(call.slice, peer),
+                    ConnectError::Other(cause) => CallError::NotDelivered(call.slice, peer, cause),
+                };
                 let _ = call.reply.send(Err(error));
             }
         }
--- a/jackdawchute-peer/src/server.rs
+++ b/jackdawchute-peer/src/server.rs
@@ -26,7 +26,8 @@
 /// The services by slice.
 pub type Services = HashMap<Slice, Arc<dyn PeerService>>;
 
-/// What the listener needs.
+/// How the listener is bound.
+#[derive(Clone, Debug)]
 pub struct Options {
     /// Where to listen; port 0 lets the system choose.
     pub address: SocketAddr,
@@ -34,30 +35,41 @@
     pub token: Token,
     /// The most connections at a time.
     pub connections_max: u32,
-    /// Who answers.
-    pub services: Services,
 }
 
-/// A listener that runs until it is stopped or dropped.
+/// A listener that is bound and does not answer yet.
 #[derive(Debug)]
-pub struct RunningServer {
+pub struct BoundServer {
     /// Where it listens.
     pub address: SocketAddr,
-    handle: ServerHandle,
+    server: Server,
+    token: Token,
 }
 
-impl RunningServer {
-    /// Stops taking calls.
-    pub fn stop(&self) {
-        let _ = self.handle.stop();
-    }
+/// A listener that runs until it is stopped or dropped.
+#[derive(Debug)]
+pub struct RunningServer {
+    handle: ServerHandle,
 }
 
-/// Starts the listener on the current tokio runtime.
+/// Binds the listener.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() {
+/// use jackdawchute_peer::{bind, Options, Services};
+///
+/// let address = "127.0.0.1:0".parse().expect("an address");
+/// let options = Options { address, token: Default::default(), connections_max: 8 };
+/// let bound = bind(options).await.expect("a free port");
+/// assert_ne!(bound.address.port(), 0);
+/// bound.start(Services::new()).stop();
+/// # }
+/// ```
 ///
 /// # Errors
 /// The address could not be bound.
-pub async fn serve(options: Options) -> Result<RunningServer> {
+pub async fn bind(options: Options) -> Result<BoundServer> {
     let bind_error =
         |error: std::io::Error| Error::Bind(options.address.to_string(), error.to_string());
     let config = ServerConfig::builder()
@@ -72,16 +84,33 @@
         .await
         .map_err(bind_error)?;
     let address = server.local_addr().map_err(bind_error)?;
-    let rpc = Rpc {
-        token: options.token,
-        services: options.services,
-    };
-    Ok(RunningServer {
+    Ok(BoundServer {
         address,
-        handle: server.start(rpc.into_rpc()),
+        server,
+        token: options.token,
     })
 }
 
+impl BoundServer {
+    /// Begins to answer calls.
+    pub fn start(self, services: Services) -> RunningServer {
+        let rpc = Rpc {
+            token: self.token,
+            services,
+        };
+        RunningServer {
+            handle: self.server.start(rpc.into_rpc()),
+        }
+    }
+}
+
+impl RunningServer {
+    /// Stops taking calls.
+    pub fn stop(&self) {
+        let _ = self.handle.stop();
+    }
+}
+
 struct Rpc {
     token: Token,
     services: Services,
--- /dev/null
+++ b/src/command_line.rs
@@ -0,0 +1,43 @@
+//! Subcommands over `getopts`.
+
+use getopts::{Matches, Options};
+
+use crate::{Error, Result};
+
+/// A subcommand.
+pub(crate) struct Command {
+    /// The first line of its help.
+    pub(crate) brief: &'static str,
+    /// Adds its options.
+    pub(crate) options: fn(&mut Options),
+    /// Runs it.
+    pub(crate) action: fn(&Matches) -> Result<()>,
+}
+
+impl Command {
+    /// Parses `arguments` and runs the command, or prints its help.
+    pub(crate) fn run(&self, arguments: &[String]) -> Result<()> {
+        let mut options = Options::new();
+        (self.options)(&mut options);
+        options.optflag("h", "help", "print this help");
+        let usage = || options.usage(self.brief);
+        let matches = options
+            .parse(arguments)
+            .map_err(|error| Error::Usage(format!("{error}\n\n{}", usage())))?;
+        if matches.opt_present("help") {
+            print!("{}", usage());
+            return Ok(());
+        }
+        match (self.action)(&matches) {
+            Err(Error::Usage(problem)) => Err(Error::Usage(format!("{problem}\n\n{}", usage()))),
+            outcome => outcome,
+        }
+    }
+}
+
+/// The value of an option that must be given.
+pub(crate) fn required(matches: &Matches, name: &str) -> Result<String> {
+    matches
+        .opt_str(name)
+        .ok_or_else(|| Error::Usage(format!("option `--{name}` is missing")))
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,59 @@
-//! The `jackdawchute` program.
+//! The `jackdawchute` program: a thin command line over the crates.
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
-fn main() {}
+mod command_line;
+mod error;
+mod http_api;
+mod logging;
+mod serve;
+mod submit;
+mod trial;
+
+use std::process::ExitCode;
+
+use command_line::Command;
+use error::{Error, Result};
+
+const USAGE: &str = "\
+jackdawchute: a cluster scheduler for services, batch jobs and gangs
+
+Usage: jackdawchute COMMAND [OPTIONS]
+
+Commands:
+  serve    run an entry instance
+  try      run a small embedded cell and the example input through it
+  submit   submit, watch or cancel a job
+
+`jackdawchute COMMAND --help` tells more. Exit codes: 0 success, 1 failure, 2 usage.
+";
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match run(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("jackdawchute: {error}");
+            error.exit_code()
+        }
+    }
+}
+
+fn run(arguments: &[String]) -> Result<()> {
+    let Some((name, rest)) = arguments.split_first() else {
+        return Err(Error::Usage(USAGE.to_owned()));
+    };
+    match name.as_str() {
+        "serve" => serve::COMMAND.run(rest),
+        "try" => trial::COMMAND.run(rest),
+        "submit" => submit::COMMAND.run(rest),
+        "--help" | "-h" | "help" => {
+            print!("{USAGE}");
+            Ok(())
+        }
+        "--version" | "-V" => {
+            println!("jackdawchute {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        _ => Err(Error::Usage(format!("unknown command `{name}`\n\n{USAGE}"))),
+    }
+}
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,74 @@
+//! `jackdawchute serve`: runs an entry instance.
+
+use std::sync::Arc;
+
+use getopts::{Matches, Options};
+use jackdawchute_entry::{Addresses, HttpWorkerPorts, Instance, Platform};
+use jackdawchute_platform::{HttpMembership, HttpTable};
+use jackdawchute_settings::Settings;
+use serde::Serialize;
+use tokio::signal::unix::{signal, SignalKind};
+
+use crate::{command_line::required, logging, Command, Error, Result};
+
+/// The command.
+pub(crate) const COMMAND: Command = Command {
+    brief: "Runs an entry instance until SIGTERM or SIGINT.\n\n\
+            Usage: jackdawchute serve --settings FILE",
+    options: add_options,
+    action: serve,
+};
+
+fn add_options(options: &mut Options) {
+    options.optopt("s", "settings", "the YAML settings of this process", "FILE");
+}
+
+/// The line on standard output that tells the chosen ports.
+#[derive(Serialize)]
+struct ListeningEvent {
+    event: &'static str,
+    #[serde(flatten)]
+    addresses: Addresses,
+}
+
+fn serve(matches: &Matches) -> Result<()> {
+    let settings = Settings::load(required(matches, "settings")?)?;
+    logging::start(settings.log_level);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.worker_threads)
+        .enable_all()
+        .build()
+        .map_err(|cause| Error::Process("start runtime", cause))?;
+    runtime.block_on(run(settings))
+}
+
+async fn run(settings: Settings) -> Result<()> {
+    let mut terminate = listen_for(SignalKind::terminate())?;
+    let mut interrupt = listen_for(SignalKind::interrupt())?;
+    let platform = Platform {
+        table: Arc::new(HttpTable::new(settings.platform.table)),
+        membership: Arc::new(HttpMembership::new(settings.platform.membership)),
+        workers: Arc::new(HttpWorkerPorts),
+    };
+    let instance = Instance::start(settings, platform).await?;
+    announce(instance.addresses);
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = instance.fenced() => return Err(Error::Fenced),
+    }
+    instance.shut_down().await;
+    Ok(())
+}
+
+fn listen_for(kind: SignalKind) -> Result<tokio::signal::unix::Signal> {
+    signal(kind).map_err(|cause| Error::Process("listen for signals", cause))
+}
+
+fn announce(addresses: Addresses) {
+    let event = ListeningEvent {
+        event: "listening",
+        addresses,
+    };
+    println!("{}", serde_json::to_string(&event).unwrap_or_default());
+}
