test: takeover, lost answers, table outages, handover and trimming

Cause: the paths of failure had no tests, and a call that never returned left its commit pending for ever.

Change: instances run over a table in memory that loses answers, delays commits, hangs or refuses, with peers that can be cut. Each call to the table or a peer is bounded; an answer out of time counts as lost.

--- a/jackdawchute-ownership/src/calls.rs
+++ b/jackdawchute-ownership/src/calls.rs
@@ -1,6 +1,10 @@
 //! The calls to the table and to peers, run outside of the task.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    future::Future,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_platform::{
     Commit, CommitOutcome, Error as TableError, Result as TableResult, Row, RowKey, RowVersion,
@@ -58,35 +62,59 @@
     pub reply: oneshot::Sender<Reply>,
 }
 
+/// How many times a call that reads a whole journal may take as long as another one.
+const JOURNAL_TIMEOUT_FACTOR: u32 = 10;
+
+/// An answer that does not come in time counts as lost.
+async fn bounded<T>(
+    step: &'static str,
+    timeout: Duration,
+    call: impl Future<Output = TableResult<T>>,
+) -> TableResult<T> {
+    let lost = || TableError::Unknown(step, "table".into(), "no answer in time".into());
+    tokio::time::timeout(timeout, call)
+        .await
+        .unwrap_or_else(|_| Err(lost()))
+}
+
 /// Runs one call; `None` if nothing waits for its result.
 pub(crate) async fn run(
     effect: Effect,
     me: &IncarnationId,
     table: Arc<dyn Table>,
     peers: Arc<dyn Peers>,
+    timeout: Duration,
 ) -> Option<Finished> {
     match effect {
         Effect::Commit(commit) => {
             let write_id = commit.write_id.clone();
-            Some(Finished::Commit(write_id, table.commit(commit).await))
+            let result = bounded("commit", timeout, table.commit(commit)).await;
+            Some(Finished::Commit(write_id, result))
         }
         Effect::ReadOwn(write_id) => {
-            let row = table.read(&incarnation_key(me)).await;
+            let row = bounded("read own row", timeout, table.read(&incarnation_key(me))).await;
             Some(Finished::OwnRow(write_id, row.and_then(own_row)))
         }
         Effect::Scan {
             incarnations_after,
             groups_after,
         } => {
-            let changes = scan(table, incarnations_after, groups_after).await;
+            let scan = scan(table, incarnations_after, groups_after);
+            let changes = bounded("scan", timeout, scan).await;
             Some(Finished::Scan(changes.ok()))
         }
         Effect::Load { groups, sources } => {
-            Some(Finished::Load(groups, load(table, sources).await))
+            let load = load(table, sources);
+            let journals = bounded("read journals", timeout * JOURNAL_TIMEOUT_FACTOR, load).await;
+            Some(Finished::Load(groups, journals.ok()))
         }
         Effect::List(incarnation) => {
-            let scan = table.scan(&journal_prefix(&incarnation), 0).await.ok();
-            let keys = scan.map(|scan| scan.rows.into_iter().map(|row| row.key).collect());
+            let prefix = journal_prefix(&incarnation);
+            let scan = table.scan(&prefix, 0);
+            let scan = bounded("list journal", timeout * JOURNAL_TIMEOUT_FACTOR, scan).await;
+            let keys = scan
+                .ok()
+                .map(|scan| scan.rows.into_iter().map(|row| row.key).collect());
             Some(Finished::List(incarnation, keys))
         }
         Effect::Ask {
@@ -99,7 +127,11 @@
                 Call::Look => None,
             };
             let asked = Instant::now();
-            let answer = peers.call(address, call).await;
+            let lost =
+                || CallError::Unknown("call", address.to_string(), "no answer in time".into());
+            // The peer waits for the table as long as this instance would.
+            let answer = tokio::time::timeout(timeout * 2, peers.call(address, call)).await;
+            let answer = answer.unwrap_or_else(|_| Err(lost()));
             write_id.map(|write_id| Finished::Ask {
                 peer,
                 write_id,
@@ -135,14 +167,18 @@
     })
 }
 
-async fn load(table: Arc<dyn Table>, sources: Vec<IncarnationId>) -> Option<Journals> {
+async fn load(table: Arc<dyn Table>, sources: Vec<IncarnationId>) -> TableResult<Journals> {
     let mut journals = Journals::new();
     for incarnation in sources {
-        let scan = table.scan(&journal_prefix(&incarnation), 0).await.ok()?;
-        let segments = segments(&incarnation, &scan)?;
+        let scan = table.scan(&journal_prefix(&incarnation), 0).await?;
+        let damaged = || {
+            let journal = incarnation.to_string();
+            TableError::Protocol("read journal", journal, "not a segment".into())
+        };
+        let segments = segments(&incarnation, &scan).ok_or_else(damaged)?;
         journals.insert(incarnation, segments);
     }
-    Some(journals)
+    Ok(journals)
 }
 
 /// Brings a peer's commit to the table; without the table, answers with a promise.
@@ -152,8 +188,9 @@
     holder: IncarnationId,
     commit: Commit,
     reply: oneshot::Sender<Reply>,
+    timeout: Duration,
 ) {
-    let result = table.commit(commit).await;
+    let result = bounded("carry commit", timeout, table.commit(commit)).await;
     match result {
         Ok(outcome @ CommitOutcome::Committed { .. }) => {
             let _ = reply.send(Reply::Carried { outcome, row: None });
--- a/jackdawchute-ownership/src/task.rs
+++ b/jackdawchute-ownership/src/task.rs
@@ -1,6 +1,11 @@
 //! The actor: it owns the state and performs what the state decides.
 
-use std::{collections::HashMap, sync::Arc, time::Instant};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_platform::Table;
 use jackdawchute_publish::Subscribers;
@@ -8,7 +13,6 @@
 use jackdawchute_types::{FailureDomainId, IncarnationId};
 use smol_str::SmolStr;
 use spdlog::{info, warn};
-use std::net::SocketAddr;
 use tokio::sync::oneshot;
 use xtra::{prelude::*, refcount::Weak, WeakAddress};
 
@@ -57,6 +61,7 @@
     leases: Subscribers<LeaseUntil>,
     lease: Option<Instant>,
     incarnation: IncarnationId,
+    timeout: Duration,
 }
 
 /// Starts an ownership task on the current tokio runtime.
@@ -101,6 +106,7 @@
         leases: Subscribers::default(),
         lease: None,
         incarnation: options.incarnation,
+        timeout: options.timing.call_timeout,
     };
     let address = xtra::spawn_tokio(task, Mailbox::unbounded());
     let subscription = Subscribe {
@@ -148,9 +154,10 @@
         let table = Arc::clone(&self.table);
         let peers = Arc::clone(&self.peers);
         let incarnation = self.incarnation.clone();
+        let timeout = self.timeout;
         let address = context.mailbox().address();
         tokio::spawn(async move {
-            let finished = calls::run(effect, &incarnation, table, peers).await;
+            let finished = calls::run(effect, &incarnation, table, peers, timeout).await;
             if let Some(finished) = finished {
                 let _ = address.send(finished).detach().await;
             }
@@ -310,7 +317,9 @@
             Call::Carry { holder, commit } => {
                 let table = Arc::clone(&self.table);
                 let address = context.mailbox().address();
-                tokio::spawn(calls::carry(table, address, holder, commit, incoming.reply));
+                let timeout = self.timeout;
+                let carry = calls::carry(table, address, holder, commit, incoming.reply, timeout);
+                tokio::spawn(carry);
             }
         }
     }
--- a/jackdawchute-ownership/src/timing.rs
+++ b/jackdawchute-ownership/src/timing.rs
@@ -22,6 +22,8 @@
     pub newcomer_takeover: Duration,
     /// How long a peer without the table promises not to fence.
     pub hold_off: Duration,
+    /// How long a call to the table or to a peer may take before its answer counts as lost.
+    pub call_timeout: Duration,
     /// The time between two groups that are handed over for balance.
     pub rebalance_period: Duration,
 }
@@ -36,6 +38,7 @@
             takeover: Duration::from_millis(5_000),
             newcomer_takeover: Duration::from_millis(20_000),
             hold_off: Duration::from_millis(3_000),
+            call_timeout: Duration::from_millis(1_000),
             rebalance_period: Duration::from_millis(1_000),
         }
     }
@@ -59,6 +62,7 @@
             takeover: self.takeover.mul_f64(factor),
             newcomer_takeover: self.newcomer_takeover.mul_f64(factor),
             hold_off: self.hold_off.mul_f64(factor),
+            call_timeout: self.call_timeout.mul_f64(factor),
             rebalance_period: self.rebalance_period.mul_f64(factor),
         }
     }
--- a/jackdawchute-ownership/tests/support/mod.rs
+++ b/jackdawchute-ownership/tests/support/mod.rs
@@ -6,5 +6,5 @@
 mod node;
 
 pub use faulty_table::{Fault, FaultyTable};
-pub use local_peers::LocalPeers;
+pub use local_peers::{LocalPeers, PeersOf};
 pub use node::{entry, eventually, start, within, Cell, Node};
--- a/jackdawchute-ownership/tests/support/node.rs
+++ b/jackdawchute-ownership/tests/support/node.rs
@@ -19,7 +19,7 @@
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 
-use super::{FaultyTable, LocalPeers};
+use super::{Fault, FaultyTable, LocalPeers, PeersOf};
 
 /// The longest wait for an event.
 const DEADLINE: Duration = Duration::from_secs(20);
@@ -137,7 +137,10 @@
         peer_address: address,
         failure_domain: "ala-1".into(),
         table: table.clone(),
-        peers: cell.peers.clone(),
+        peers: Arc::new(PeersOf {
+            me: address,
+            all: cell.peers.clone(),
+        }),
         timer: cell.timer.clone(),
         timing: cell.timing,
     });
@@ -215,9 +218,20 @@
         self.seen.lock().unwrap().standing
     }
 
-    /// The process dies: nothing of it runs any more.
-    pub fn kill(&self) {
-        self.table.set(super::Fault::Hang);
+    /// Neither the table nor a peer can be reached.
+    pub fn isolate(&self, cell: &Cell) {
+        cell.peers.cut(self.address);
+        self.table.set(Fault::Down);
+    }
+
+    /// Everything can be reached again.
+    pub fn heal(&self, cell: &Cell) {
+        cell.peers.heal(self.address);
+        self.table.set(Fault::None);
+    }
+
+    pub fn last_standings(&self) -> Vec<Standing> {
+        self.seen.lock().unwrap().standings.clone()
     }
 
     pub async fn until_owns(&self, group: &str) {
