feat: faulting TCP proxy and checks over the records

Failure tests need a network that delays, holds one direction or both and cuts, and checks that rest on what truly ran.

A held direction keeps its bytes until it is lifted, as a cut network does; dropping them was ruled out, because TCP never loses bytes in the middle.

--- /dev/null
+++ b/jackdawchute-standins/src/checker/mod.rs
@@ -0,0 +1,11 @@
+//! Checks over the records of what truly ran.
+//!
+//! Each check returns what it found wrong, in order; nothing wrong is an empty list.
+
+mod minions;
+mod violation;
+mod workers;
+
+pub use minions::{each_key_at_most_once, never_ran, ran_once, within_connections, within_slots};
+pub use violation::Violation;
+pub use workers::{one_place_at_a_time, within_size};
--- /dev/null
+++ b/jackdawchute-standins/src/proxy/pump.rs
@@ -0,0 +1,98 @@
+//! The task of one connection: it owns both sockets and passes bytes between them.
+
+use std::{io, net::SocketAddr};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+        TcpStream,
+    },
+    sync::watch,
+};
+use xtra::prelude::*;
+
+use super::{
+    messages::{Closed, Forwarded},
+    Direction, DirectionFaults, ProxyFaults, ProxyTask,
+};
+
+/// The most bytes that are passed on at a time.
+const CHUNK_BYTES: usize = 64 << 10;
+
+/// What every connection of a proxy sees.
+#[derive(Clone, Debug)]
+pub(super) struct Shared {
+    pub(super) faults: watch::Receiver<ProxyFaults>,
+    pub(super) cuts: watch::Receiver<u64>,
+    pub(super) proxy: Address<ProxyTask>,
+}
+
+/// Serves a connection until it ends or is cut, then tells the proxy.
+pub(super) async fn serve(client: TcpStream, target: Option<SocketAddr>, mut shared: Shared) {
+    let proxy = shared.proxy.clone();
+    let cuts = &mut shared.cuts.clone();
+    tokio::select! {
+        _ = connect_and_pump(client, target, &mut shared) => {}
+        _ = cuts.changed() => {}
+    }
+    let _ = proxy.send(Closed).await;
+}
+
+async fn connect_and_pump(
+    client: TcpStream,
+    target: Option<SocketAddr>,
+    shared: &mut Shared,
+) -> io::Result<()> {
+    wait_while(&mut shared.faults, |faults| faults.to_server.hold).await;
+    let target = target.ok_or(io::ErrorKind::NotConnected)?;
+    let server = TcpStream::connect(target).await?;
+    client.set_nodelay(true)?;
+    server.set_nodelay(true)?;
+    let (from_client, to_client) = client.into_split();
+    let (from_server, to_server) = server.into_split();
+    let requests = pump(Direction::ToServer, from_client, to_server, shared.clone());
+    let answers = pump(Direction::ToClient, from_server, to_client, shared.clone());
+    tokio::try_join!(requests, answers).map(|_| ())
+}
+
+async fn pump(
+    direction: Direction,
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut shared: Shared,
+) -> io::Result<()> {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    loop {
+        let bytes = from.read(&mut chunk).await?;
+        let delay = faults_of(direction, &shared.faults.borrow()).delay;
+        tokio::time::sleep(delay).await;
+        wait_while(&mut shared.faults, |faults| {
+            faults_of(direction, faults).hold
+        })
+        .await;
+        if bytes == 0 {
+            return to.shutdown().await;
+        }
+        let forwarded = Forwarded {
+            direction,
+            bytes: bytes as u64,
+        };
+        let _ = shared.proxy.send(forwarded).await;
+        to.write_all(&chunk[..bytes]).await?;
+    }
+}
+
+fn faults_of(direction: Direction, faults: &ProxyFaults) -> DirectionFaults {
+    match direction {
+        Direction::ToServer => faults.to_server,
+        Direction::ToClient => faults.to_client,
+    }
+}
+
+async fn wait_while(
+    faults: &mut watch::Receiver<ProxyFaults>,
+    is_held: impl Fn(&ProxyFaults) -> bool,
+) {
+    let _ = faults.wait_for(|faults| !is_held(faults)).await;
+}
--- /dev/null
+++ b/jackdawchute-standins/src/proxy/task.rs
@@ -0,0 +1,113 @@
+//! The task that owns a proxy's faults and counts.
+
+use std::net::SocketAddr;
+
+use tokio::sync::watch;
+use xtra::prelude::*;
+
+use super::{
+    messages::{Accepted, Closed, Forwarded},
+    pump::{serve, Shared},
+    CutConnections, Direction, ProxyCounts, ProxyFaults, ReadCounts, SetFaults, SetTarget,
+};
+
+/// Owns what all the connections of one proxy share.
+#[derive(Debug, xtra::Actor)]
+pub struct ProxyTask {
+    target: Option<SocketAddr>,
+    faults: watch::Sender<ProxyFaults>,
+    cuts: watch::Sender<u64>,
+    counts: ProxyCounts,
+}
+
+impl ProxyTask {
+    /// A proxy without faults.
+    pub fn new(target: Option<SocketAddr>) -> Self {
+        Self {
+            target,
+            faults: watch::Sender::default(),
+            cuts: watch::Sender::default(),
+            counts: ProxyCounts::default(),
+        }
+    }
+
+    fn cut(&mut self) {
+        self.cuts.send_modify(|cuts| *cuts += 1);
+    }
+}
+
+impl Handler<Accepted> for ProxyTask {
+    type Return = ();
+
+    async fn handle(&mut self, accepted: Accepted, context: &mut Context<Self>) {
+        if self.faults.borrow().refuse {
+            return;
+        }
+        self.counts.accepted += 1;
+        self.counts.open += 1;
+        self.counts.max_open = self.counts.max_open.max(self.counts.open);
+        let Some(proxy) = context.mailbox().address().try_upgrade() else {
+            return;
+        };
+        let shared = Shared {
+            faults: self.faults.subscribe(),
+            cuts: self.cuts.subscribe(),
+            proxy,
+        };
+        tokio::spawn(serve(accepted.0, self.target, shared));
+    }
+}
+
+impl Handler<Closed> for ProxyTask {
+    type Return = ();
+
+    async fn handle(&mut self, _closed: Closed, _context: &mut Context<Self>) {
+        self.counts.open -= 1;
+    }
+}
+
+impl Handler<Forwarded> for ProxyTask {
+    type Return = ();
+
+    async fn handle(&mut self, forwarded: Forwarded, _context: &mut Context<Self>) {
+        match forwarded.direction {
+            Direction::ToServer => self.counts.to_server_bytes += forwarded.bytes,
+            Direction::ToClient => self.counts.to_client_bytes += forwarded.bytes,
+        }
+    }
+}
+
+impl Handler<SetTarget> for ProxyTask {
+    type Return = ();
+
+    async fn handle(&mut self, set: SetTarget, _context: &mut Context<Self>) {
+        self.target = Some(set.0);
+    }
+}
+
+impl Handler<SetFaults> for ProxyTask {
+    type Return = ();
+
+    async fn handle(&mut self, set: SetFaults, _context: &mut Context<Self>) {
+        self.faults.send_replace(set.0);
+        if set.0.refuse {
+            self.cut();
+        }
+    }
+}
+
+impl Handler<CutConnections> for ProxyTask {
+    type Return = ();
+
+    async fn handle(&mut self, _cut: CutConnections, _context: &mut Context<Self>) {
+        self.cut();
+    }
+}
+
+impl Handler<ReadCounts> for ProxyTask {
+    type Return = ProxyCounts;
+
+    async fn handle(&mut self, _read: ReadCounts, _context: &mut Context<Self>) -> ProxyCounts {
+        self.counts
+    }
+}
--- a/jackdawchute-trial/src/worker/record.rs
+++ b/jackdawchute-trial/src/worker/record.rs
@@ -42,10 +42,16 @@
 
     /// The most of each resource that running tasks declared at one time.
     pub fn max_charge(&self) -> Resources {
-        self.runs
-            .iter()
-            .map(|run| self.charge_at(run.started))
-            .fold(Resources::ZERO, |most, charge| most.max(&charge))
+        let mut charge = Resources::ZERO;
+        let mut most = Resources::ZERO;
+        for (_, change) in self.changes() {
+            match change {
+                Change::End(resources) => charge = charge.saturating_sub(&resources),
+                Change::Start(resources) => charge = charge.saturating_add(&resources),
+            }
+            most = most.max(&charge);
+        }
+        most
     }
 
     /// Whether running tasks never declared more than the worker has.
@@ -53,24 +59,29 @@
         self.max_charge().fits_in(&self.resources)
     }
 
-    /// What the tasks that run at `instant` declare together.
-    pub fn charge_at(&self, instant: SystemTime) -> Resources {
-        self.runs
-            .iter()
-            .filter(|run| run.is_running_at(instant))
-            .fold(Resources::ZERO, |sum, run| {
-                sum.saturating_add(&run.resources)
-            })
+    /// Starts and ends in the order of time; at one instant, ends come first.
+    fn changes(&self) -> Vec<(SystemTime, Change)> {
+        let lasting = || {
+            self.runs
+                .iter()
+                .filter(|run| run.ended.is_none_or(|(ended, _)| ended > run.started))
+        };
+        let starts = lasting().map(|run| (run.started, Change::Start(run.resources)));
+        let ends = lasting().filter_map(|run| Some((run.ended?.0, Change::End(run.resources))));
+        let mut changes: Vec<_> = ends.chain(starts).collect();
+        changes.sort_by_key(|(instant, _)| *instant);
+        changes
     }
 }
 
-impl TaskRun {
-    /// Whether it runs at `instant`; its end does not count.
-    pub fn is_running_at(&self, instant: SystemTime) -> bool {
-        let is_over = self.ended.is_some_and(|(ended, _)| ended <= instant);
-        self.started <= instant && !is_over
-    }
+/// A change of what runs.
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    Start(Resources),
+    End(Resources),
+}
 
+impl TaskRun {
     /// Whether both run at some instant.
     pub fn overlaps(&self, other: &Self) -> bool {
         let ends_before = |first: &Self, second: &Self| {
