feat: cells of processes, an open-loop load and the stand-ins as programs

Failure tests need whole cells: entry instances as processes of the shipped binary, with everything around them in the test's own process, so that the record of what truly ran is at hand.

The load sends at its intended times whether earlier requests were answered or not, and takes only instances that a balancer found ready.

--- /dev/null
+++ b/jackdawchute-standins/src/bin/fault-proxy.rs
@@ -0,0 +1,38 @@
+//! The faulting TCP proxy as a program.
+
+use jackdawchute_standins::{
+    program::{announce, wait_for_end, ProgramOption, ProgramOptions},
+    proxy::{control_routes, spawn_proxy},
+    Result,
+};
+use jackdawchute_trial::Listening;
+
+const OPTIONS: &[ProgramOption] = &[
+    ProgramOption {
+        name: "target",
+        help: "the server's address",
+        default: None,
+    },
+    ProgramOption {
+        name: "listen",
+        help: "where clients connect",
+        default: Some("127.0.0.1:0"),
+    },
+    ProgramOption {
+        name: "control",
+        help: "where faults are set",
+        default: Some("127.0.0.1:0"),
+    },
+];
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let Some(options) = ProgramOptions::parse(OPTIONS)? else {
+        return Ok(());
+    };
+    let proxy = spawn_proxy(options.get("listen")?, Some(options.get("target")?)).await?;
+    let control = options.get("control")?;
+    let control = Listening::bind(control, control_routes(proxy.task.clone())).await?;
+    announce(&[("proxy", proxy.address), ("control", control.address())]);
+    wait_for_end().await
+}
--- /dev/null
+++ b/jackdawchute-standins/src/bin/load.rs
@@ -0,0 +1,91 @@
+//! An open-loop load on entry instances; prints one line of JSON for each class.
+
+use std::{net::SocketAddr, time::Duration};
+
+use jackdawchute_standins::{
+    balancer::{self, Pick, Target},
+    caller::Caller,
+    harness::wait_until,
+    load::{start, summarize, Plan},
+    program::{ProgramOption, ProgramOptions},
+    Error, Result,
+};
+
+const OPTIONS: &[ProgramOption] = &[
+    ProgramOption {
+        name: "plan",
+        help: "a YAML file with the classes, rates and paths",
+        default: None,
+    },
+    ProgramOption {
+        name: "entry",
+        help: "an instance as CALLERS,OPERATORS; may be repeated",
+        default: None,
+    },
+    ProgramOption {
+        name: "duration-ms",
+        help: "in place of the plan's duration",
+        default: Some("0"),
+    },
+    ProgramOption {
+        name: "seed",
+        help: "in place of the plan's seed",
+        default: Some(""),
+    },
+];
+
+#[tokio::main]
+async fn main() -> Result<()> {
+    let Some(options) = ProgramOptions::parse(OPTIONS)? else {
+        return Ok(());
+    };
+    let plan = plan(&options)?;
+    let entries = options.all("entry");
+    let targets: Vec<Target> = entries
+        .iter()
+        .map(|entry| target(entry))
+        .collect::<Result<_>>()?;
+    let balancer = balancer::spawn(targets);
+    wait_until("ready instance", || async {
+        balancer.send(Pick).await.ok().flatten()
+    })
+    .await?;
+    let finished = start(&plan, Caller::new()?, balancer).finish().await;
+    for summary in summarize(&finished) {
+        println!("{}", serde_json::to_string(&summary).unwrap_or_default());
+    }
+    Ok(())
+}
+
+fn plan(options: &ProgramOptions) -> Result<Plan> {
+    let path: String = options.get("plan")?;
+    let text = std::fs::read_to_string(&path)
+        .map_err(|cause| Error::Io("read load plan", path.clone(), cause))?;
+    let mut plan = Plan::parse(&text)?;
+    let duration = Duration::from_millis(options.get("duration-ms")?);
+    if !duration.is_zero() {
+        plan.duration = duration;
+    }
+    if !options.get::<String>("seed")?.is_empty() {
+        plan.seed = options.get("seed")?;
+    }
+    Ok(plan)
+}
+
+fn target(text: &str) -> Result<Target> {
+    let address = |text: &str| -> Option<SocketAddr> { text.parse().ok() };
+    let target = text.split_once(',').and_then(|(callers, operators)| {
+        Some(Target {
+            callers: address(callers)?,
+            operators: address(operators)?,
+        })
+    });
+    let problem = || {
+        Error::Invalid(
+            "read command line",
+            text.into(),
+            "no CALLERS,OPERATORS".into(),
+        )
+    };
+    target.ok_or_else(problem)
+}
--- /dev/null
+++ b/jackdawchute-standins/src/caller/jobs.rs
@@ -0,0 +1,60 @@
+//! Jobs as a caller submits them.
+
+use std::net::SocketAddr;
+
+use jackdawchute_jobs::JobStatus;
+use jackdawchute_types::JobSpec;
+use reqwest::RequestBuilder;
+
+use super::{
+    client::{describe, refusal},
+    Caller, Outcome,
+};
+
+impl Caller {
+    /// Submits a job.
+    ///
+    /// # Errors
+    /// What came in place of the job's status.
+    pub async fn submit(&self, entry: SocketAddr, job: &JobSpec) -> Result<JobStatus, Outcome> {
+        let url = format!("http://{entry}/v1/jobs");
+        job_status(self.client.post(url).json(job)).await
+    }
+
+    /// Asks for a job.
+    ///
+    /// # Errors
+    /// What came in place of the job's status.
+    pub async fn job(&self, entry: SocketAddr, id: &str) -> Result<JobStatus, Outcome> {
+        let url = format!("http://{entry}/v1/jobs/{id}");
+        job_status(self.client.get(url)).await
+    }
+
+    /// Cancels a job.
+    ///
+    /// # Errors
+    /// What came in place of the job's status.
+    pub async fn cancel(&self, entry: SocketAddr, id: &str) -> Result<JobStatus, Outcome> {
+        let url = format!("http://{entry}/v1/jobs/{id}");
+        job_status(self.client.delete(url)).await
+    }
+}
+
+async fn job_status(request: RequestBuilder) -> Result<JobStatus, Outcome> {
+    let response = request.send().await.map_err(|error| {
+        if error.is_connect() {
+            Outcome::NotDelivered(describe(&error))
+        } else {
+            Outcome::Lost(describe(&error))
+        }
+    })?;
+    let status = response.status();
+    let body = response
+        .bytes()
+        .await
+        .map_err(|error| Outcome::Lost(describe(&error)))?;
+    if !status.is_success() {
+        return Err(refusal(status, &body));
+    }
+    serde_json::from_slice(&body).map_err(|error| Outcome::Wrong(error.to_string()))
+}
--- /dev/null
+++ b/jackdawchute-standins/src/caller/mod.rs
@@ -0,0 +1,10 @@
+//! A caller that checks whether each answer is whole and its own.
+
+mod call;
+mod client;
+mod jobs;
+mod outcome;
+
+pub use call::Call;
+pub use client::Caller;
+pub use outcome::{Outcome, Problem};
--- /dev/null
+++ b/jackdawchute-standins/src/harness/cell.rs
@@ -0,0 +1,173 @@
+//! A whole cell.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::SystemTime,
+};
+
+use jackdawchute_configuration::{apply, Configuration};
+use jackdawchute_platform::{HttpTable, Member, MemberState};
+use smol_str::{format_smolstr, SmolStr};
+use xtra::prelude::*;
+
+use super::{
+    entry::PlatformAddresses,
+    members::{spread, start_minions, start_workers},
+    CellEntry, CellMinion, CellOptions, CellWorker, TemporaryDirectory,
+};
+use crate::{
+    balancer::{self, BalancerTask, SetTargets},
+    membership::{spawn_membership, RunningMembership},
+    table::{spawn_table, RunningTable},
+    Error, Result,
+};
+
+/// The listener of the table that the tests themselves use.
+const OPERATOR: &str = "operator";
+/// How many more instances than at the start a cell may get.
+const SPARE_ENTRIES: usize = 4;
+
+/// A whole cell; dropping it ends its processes and listeners.
+#[derive(Debug)]
+pub struct Cell {
+    /// The entry instances.
+    pub entries: Vec<CellEntry>,
+    /// The minions.
+    pub minions: Vec<CellMinion>,
+    /// The workers.
+    pub workers: Vec<CellWorker>,
+    /// The table, with a listener for each entry instance by its name.
+    pub table: RunningTable,
+    /// The membership list.
+    pub membership: RunningMembership,
+    /// The balancer in front of the entry instances.
+    pub balancer: Address<BalancerTask>,
+    options: CellOptions,
+    directory: TemporaryDirectory,
+}
+
+impl Cell {
+    /// Starts a cell and waits until each instance is ready.
+    ///
+    /// # Errors
+    /// A part did not start, or was not ready before the deadline.
+    pub async fn start(options: CellOptions) -> Result<Self> {
+        let clients: Vec<SmolStr> = (0..options.entries + SPARE_ENTRIES)
+            .map(entry_name)
+            .chain([OPERATOR.into()])
+            .collect();
+        let listen = SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 0);
+        let mut cell = Self {
+            entries: Vec::new(),
+            minions: start_minions(&options).await?,
+            workers: start_workers(&options).await?,
+            table: spawn_table(&clients).await?,
+            membership: spawn_membership(listen, options.membership_lag).await?,
+            balancer: balancer::spawn(Vec::new()),
+            directory: TemporaryDirectory::new()?,
+            options,
+        };
+        cell.apply_configuration().await?;
+        for _ in 0..cell.options.entries {
+            cell.add_entry().await?;
+        }
+        cell.publish_members().await?;
+        cell.wait_until_ready().await?;
+        Ok(cell)
+    }
+
+    /// A client of the table with a listener of its own.
+    ///
+    /// # Errors
+    /// Never after a start.
+    pub fn operator_table(&self) -> Result<HttpTable> {
+        self.table_address(OPERATOR).map(HttpTable::new)
+    }
+
+    /// Starts one more entry instance, which is not in the membership list yet.
+    ///
+    /// # Errors
+    /// It did not start.
+    pub async fn add_entry(&mut self) -> Result<&mut CellEntry> {
+        let index = self.entries.len();
+        let name = entry_name(index);
+        let platform = PlatformAddresses {
+            table: self.table_address(&name)?,
+            membership: self.membership.address,
+        };
+        let failure_domain = spread(&self.options.failure_domains, index);
+        let entry = CellEntry::start(
+            &self.options,
+            &self.directory,
+            name,
+            failure_domain,
+            platform,
+        )
+        .await?;
+        self.entries.push(entry);
+        Ok(&mut self.entries[index])
+    }
+
+    /// Lists every minion, worker and entry instance, and tells the balancer.
+    ///
+    /// # Errors
+    /// A stand-in's task has ended.
+    pub async fn publish_members(&self) -> Result<()> {
+        let minions = self.minions.iter().map(|minion| minion.member.clone());
+        let workers = self.workers.iter().map(|worker| worker.member.clone());
+        let entries = self.entries.iter().map(CellEntry::member);
+        let members: Vec<Member> = minions.chain(workers).chain(entries).collect();
+        self.membership.set(members).await?;
+        let targets = self.entries.iter().map(CellEntry::target).collect();
+        self.balancer
+            .send(SetTargets(targets))
+            .await
+            .map_err(|_| Error::Ended("set targets", "balancer".into()))
+    }
+
+    /// Lists a minion as leaving.
+    ///
+    /// # Errors
+    /// A stand-in's task has ended.
+    pub async fn set_minion_leaving(&mut self, index: usize) -> Result<()> {
+        self.minions[index].member.state = MemberState::Leaving;
+        self.publish_members().await
+    }
+
+    /// Waits until every entry instance is ready.
+    ///
+    /// # Errors
+    /// One was not ready before the deadline.
+    pub async fn wait_until_ready(&self) -> Result<()> {
+        for entry in &self.entries {
+            entry.wait_until_ready().await?;
+        }
+        Ok(())
+    }
+
+    fn table_address(&self, client: &str) -> Result<SocketAddr> {
+        let unknown = || Error::Invalid("find listener", client.into(), "no such client".into());
+        self.table.address(client).ok_or_else(unknown)
+    }
+
+    async fn apply_configuration(&self) -> Result<()> {
+        let refused = |cause: jackdawchute_configuration::Error| {
+            Error::Invalid("apply configuration", "table".into(), cause.to_string())
+        };
+        let candidate = Configuration::parse(&self.options.configuration).map_err(refused)?;
+        let options = apply::Options {
+            author: candidate.author.clone(),
+            reason: candidate.reason.clone(),
+            candidate,
+            write_id: "first-configuration".into(),
+            written: SystemTime::now(),
+        };
+        let table = self.operator_table()?;
+        apply::apply(&table, options).await.map_err(refused)?;
+        Ok(())
+    }
+}
+
+fn entry_name(index: usize) -> SmolStr {
+    format_smolstr!("entry-{index}")
+}
--- /dev/null
+++ b/jackdawchute-standins/src/harness/records.rs
@@ -0,0 +1,59 @@
+//! What truly ran in a cell.
+
+use jackdawchute_trial::{minion::MinionRecord, worker::WorkerRecord};
+
+use super::Cell;
+use crate::{
+    checker::{
+        each_key_at_most_once, one_place_at_a_time, within_connections, within_size, within_slots,
+        Violation,
+    },
+    Result,
+};
+
+impl Cell {
+    /// The record of each minion.
+    ///
+    /// # Errors
+    /// A minion's task has ended.
+    pub async fn minion_records(&self) -> Result<Vec<MinionRecord>> {
+        let mut records = Vec::new();
+        for minion in &self.minions {
+            records.push(minion.minion.record().await?);
+        }
+        Ok(records)
+    }
+
+    /// The record of each worker.
+    ///
+    /// # Errors
+    /// A worker's task has ended.
+    pub async fn worker_records(&self) -> Result<Vec<WorkerRecord>> {
+        let mut records = Vec::new();
+        for worker in &self.workers {
+            records.push(worker.worker.record().await?);
+        }
+        Ok(records)
+    }
+
+    /// What went against slots, connections, sizes, one place at a time and one run for each key.
+    ///
+    /// Tests give keys to non-idempotent requests only, so that each key may run but once.
+    ///
+    /// # Errors
+    /// A stand-in's task has ended.
+    pub async fn violations(&self) -> Result<Vec<Violation>> {
+        let minions = self.minion_records().await?;
+        let workers = self.worker_records().await?;
+        let mut violations = within_slots(&minions);
+        violations.extend(each_key_at_most_once(&minions));
+        violations.extend(within_size(&workers));
+        violations.extend(one_place_at_a_time(&workers));
+        for minion in &self.minions {
+            let counts = minion.proxy.counts().await?;
+            let counts = (minion.member.id.clone(), counts);
+            violations.extend(within_connections(&[counts], minion.connections));
+        }
+        Ok(violations)
+    }
+}
--- a/jackdawchute-standins/src/lib.rs
+++ b/jackdawchute-standins/src/lib.rs
@@ -4,10 +4,15 @@
 //! as a program, a second listener that sets its faults.
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
+pub mod balancer;
+pub mod caller;
 pub mod checker;
 mod error;
+pub mod harness;
 mod hold;
+pub mod load;
 pub mod membership;
+pub mod program;
 pub mod proxy;
 pub mod table;
 
--- /dev/null
+++ b/jackdawchute-standins/src/load/mod.rs
@@ -0,0 +1,14 @@
+//! An open-loop load with seeded Poisson arrivals.
+//!
+//! Requests are sent at their intended times whether earlier ones were answered or not, and
+//! latency counts from the intended time, so a stall of the product is measured in full.
+
+mod arrivals;
+mod plan;
+mod run;
+mod summary;
+
+pub use arrivals::Arrivals;
+pub use plan::{ClassPlan, Plan};
+pub use run::{start, Finished, RunningLoad};
+pub use summary::{summarize, Summary};
--- a/jackdawchute-trial/src/listener.rs
+++ b/jackdawchute-trial/src/listener.rs
@@ -6,7 +6,7 @@
 };
 
 use tokio::{net::TcpListener, sync::oneshot, task::JoinHandle};
-use warp::{Filter, Reply};
+use warp::{Filter, Rejection, Reply};
 
 use crate::{Error, Result};
 
@@ -41,10 +41,8 @@
     /// ```
     pub async fn bind<F>(address: SocketAddr, routes: F) -> Result<Self>
     where
-        F: Filter + Clone + Send + Sync + 'static,
+        F: Filter<Error = Rejection> + Clone + Send + Sync + 'static,
         F::Extract: Reply,
-        F::Error: Into<warp::Rejection>,
-        F: Filter<Error = warp::Rejection>,
     {
         let listener = TcpListener::bind(address)
             .await
