--- a/jackdawchute-ownership/src/carry.rs
+++ b/jackdawchute-ownership/src/carry.rs
@@ -11,6 +11,7 @@
     outcome::Step,
     rows::{decode, IncarnationRow},
     state::State,
+    takeover::promise,
     view::Versioned,
 };
 
@@ -104,22 +105,17 @@
 
     /// How long this instance promises not to fence a holder, zero if it cannot promise.
     pub fn hold_off(&mut self, holder: &IncarnationId, now: Instant) -> Duration {
-        let fences = |plan: &crate::plan::Plan| {
-            plan.fence
-                .as_ref()
-                .is_some_and(|fence| fence.incarnation == *holder)
-        };
-        if self
+        let fence = self
             .pending
             .as_ref()
-            .is_some_and(|pending| fences(&pending.plan))
-        {
-            return Duration::ZERO;
-        }
+            .and_then(|pending| pending.plan.fence.as_ref());
+        let is_fencing = fence.is_some_and(|fence| fence.incarnation == *holder);
+        let promised = promise(is_fencing, self.timing.hold_off);
         self.held_off.retain(|_, until| *until > now);
-        self.held_off
-            .insert(holder.clone(), now + self.timing.hold_off);
-        self.timing.hold_off
+        if !promised.is_zero() {
+            self.held_off.insert(holder.clone(), now + promised);
+        }
+        promised
     }
 }
 
--- a/jackdawchute-ownership/src/lib.rs
+++ b/jackdawchute-ownership/src/lib.rs
@@ -18,6 +18,7 @@
 mod hand_over;
 pub mod journal;
 mod messages;
+pub mod model;
 pub mod outcome;
 pub mod plan;
 mod renew;
--- a/jackdawchute-ownership/src/renew.rs
+++ b/jackdawchute-ownership/src/renew.rs
@@ -46,11 +46,15 @@
 
     fn plan_fence(&self, plan: &mut Plan, now: Instant) {
         let me = &self.identity.incarnation;
-        let expired = self
-            .watches
-            .expired(&self.view, me, self.joined, &self.timing, now);
-        let is_free = |id: &_| self.held_off.get(id).is_none_or(|until| now >= *until);
-        let target = expired.into_iter().find(|(id, _)| is_free(id));
+        let expired = self.watches.expired(
+            &self.view,
+            me,
+            self.joined,
+            &self.held_off,
+            &self.timing,
+            now,
+        );
+        let target = expired.into_iter().next();
         plan.fence = target.and_then(|(incarnation, expected)| {
             let row = self.view.incarnation(&incarnation)?.clone();
             let row = IncarnationRow {
--- a/jackdawchute-ownership/src/takeover.rs
+++ b/jackdawchute-ownership/src/takeover.rs
@@ -53,6 +53,25 @@
     now.saturating_duration_since(watch.since) >= takeover
 }
 
+/// Whether a row may be fenced: it has stood still, and no promise to its holder is running.
+pub fn may_fence(
+    watch: Watch,
+    takeover: Duration,
+    held_off: Option<Instant>,
+    now: Instant,
+) -> bool {
+    has_expired(watch, takeover, now) && held_off.is_none_or(|until| now >= until)
+}
+
+/// How long a challenger may promise not to fence a holder: not at all while a fence of it is
+/// under way, since that can take effect at any moment.
+pub fn promise(is_fencing: bool, hold_off: Duration) -> Duration {
+    match is_fencing {
+        true => Duration::ZERO,
+        false => hold_off,
+    }
+}
+
 impl Watches {
     /// Takes in an answered scan. A long gap between two answers restarts all watches, since the
     /// table may have been down in between.
@@ -95,6 +114,7 @@
         view: &View,
         me: &str,
         joined: RowVersion,
+        held_off: &BTreeMap<IncarnationId, Instant>,
         timing: &Timing,
         now: Instant,
     ) -> Vec<(IncarnationId, RowVersion)> {
@@ -110,7 +130,7 @@
                 } else {
                     timing.newcomer_takeover
                 };
-                has_expired(**watch, takeover, now)
+                may_fence(**watch, takeover, held_off.get(*id).copied(), now)
             })
             .map(|(id, watch)| (id.clone(), watch.version))
             .collect()
--- /dev/null
+++ b/jackdawchute-ownership/tests/lease_model.rs
@@ -0,0 +1,156 @@
+//! The specification of leases and promises, explored breadth first to exhaustion.
+
+use std::{cell::Cell, time::Instant};
+
+use jackdawchute_ownership::model::lease_spec::{Guards, LeaseSpec, LeaseWorld, Violation};
+use pathfinding::prelude::bfs;
+
+fn standing_spec(guards: Guards) -> LeaseSpec {
+    LeaseSpec {
+        guards,
+        promises: true,
+        tasks: false,
+        requests: false,
+        start: Instant::now(),
+    }
+}
+
+fn task_spec(guards: Guards) -> LeaseSpec {
+    LeaseSpec {
+        promises: false,
+        tasks: true,
+        ..standing_spec(guards)
+    }
+}
+
+fn request_spec(guards: Guards) -> LeaseSpec {
+    LeaseSpec {
+        promises: false,
+        requests: true,
+        ..standing_spec(guards)
+    }
+}
+
+/// The violation at the end of a shortest counterexample, if there is one.
+fn explore(name: &str, spec: &LeaseSpec) -> Option<Violation> {
+    let explored = Cell::new(0_u64);
+    let begun = Instant::now();
+    let next = |world: &LeaseWorld| {
+        explored.set(explored.get() + 1);
+        spec.next(world)
+    };
+    let path = bfs(&spec.initial(), next, |world| {
+        spec.violation(world).is_some()
+    });
+    let steps = path.as_ref().map_or(0, |path| path.len() - 1);
+    let violation = path.and_then(|path| spec.violation(path.last()?));
+    let (explored, taken) = (explored.get(), begun.elapsed());
+    println!("{name}: {explored} states, {violation:?} after {steps} steps, {taken:?}");
+    violation
+}
+
+/// What the search finds with one guard switched off.
+fn without(name: &str, spec: fn(Guards) -> LeaseSpec, off: fn(&mut Guards)) -> Option<Violation> {
+    let mut guards = Guards::ALL;
+    off(&mut guards);
+    explore(name, &spec(guards))
+}
+
+#[test]
+fn a_holder_acts_only_while_nobody_has_fenced_it() {
+    let spec = standing_spec(Guards::ALL);
+
+    let violation = explore("standing", &spec);
+
+    assert_eq!(violation, None);
+}
+
+#[test]
+fn a_task_runs_in_one_place_across_a_takeover() {
+    let spec = task_spec(Guards::ALL);
+
+    let violation = explore("task lease", &spec);
+
+    assert_eq!(violation, None);
+}
+
+#[test]
+fn no_slot_is_taken_twice_across_a_takeover() {
+    let spec = request_spec(Guards::ALL);
+
+    let violation = explore("slots", &spec);
+
+    assert_eq!(violation, None);
+}
+
+#[test]
+fn a_lease_longer_than_the_takeover_is_found() {
+    let violation = without("long lease", standing_spec, |g| g.short_lease = false);
+
+    assert_eq!(violation, Some(Violation::ActsWhileFenced));
+}
+
+#[test]
+fn a_renewal_counted_from_its_answer_is_found() {
+    let violation = without("from answer", standing_spec, |g| g.counts_from_send = false);
+
+    assert_eq!(violation, Some(Violation::ActsWhileFenced));
+}
+
+#[test]
+fn acting_without_a_promise_is_found() {
+    let violation = without("no promise", standing_spec, |g| g.needs_promise = false);
+
+    assert_eq!(violation, Some(Violation::ActsWhileFenced));
+}
+
+#[test]
+fn a_promise_counted_from_its_answer_is_found() {
+    let violation = without("from reply", standing_spec, |g| g.counts_from_ask = false);
+
+    assert_eq!(violation, Some(Violation::ActsWhileFenced));
+}
+
+#[test]
+fn a_broken_promise_is_found() {
+    let violation = without("broken promise", standing_spec, |g| g.keeps_promise = false);
+
+    assert_eq!(violation, Some(Violation::ActsWhileFenced));
+}
+
+#[test]
+fn a_promise_while_a_fence_is_under_way_is_found() {
+    let violation = without("fence under way", standing_spec, |g| {
+        g.no_promise_while_fencing = false;
+    });
+
+    assert_eq!(violation, Some(Violation::ActsWhileFenced));
+}
+
+#[test]
+fn a_late_renewal_for_a_time_from_receipt_is_found() {
+    let violation = without("from receipt", task_spec, |g| g.absolute_renewal = false);
+
+    assert_eq!(violation, Some(Violation::TwoPlaces));
+}
+
+#[test]
+fn a_holder_that_does_not_check_its_standing_is_found() {
+    let violation = without("no check", task_spec, |g| g.checks_standing = false);
+
+    assert!(violation.is_some());
+}
+
+#[test]
+fn a_successor_that_keeps_no_slot_back_is_found() {
+    let violation = without("no slot back", request_spec, |g| g.keeps_slots = false);
+
+    assert_eq!(violation, Some(Violation::Overloaded));
+}
+
+#[test]
+fn a_successor_that_does_not_wait_for_the_end_is_found() {
+    let violation = without("no wait", request_spec, |g| g.waits_for_end = false);
+
+    assert!(violation.is_some());
+}
