feat: jobs slice with home and rack owners

Cause: jobs need an owner that journals them and one per rack that alone charges workers. A row per worker was ruled out for its write rate, and choosing within a rack only for its packing: the home owner chooses on a lagging view of the fleet, the rack owner decides.

Change: pure state machines for both sides with effects as values, one actor that carries them out, gangs by holds in the order of racks, leases on the worker's own clock, intents that a successor adopts, quarantine, retries within a budget, retention.

--- /dev/null
+++ b/jackdawchute-jobs/src/home/cancel.rs
@@ -0,0 +1,101 @@
+//! Cancellation: one journal entry for the job, none for its queued tasks.
+
+use jackdawchute_ownership::Error as JournalError;
+use jackdawchute_types::{JobId, Refusal, RefusalReason};
+
+use crate::{
+    effect::{AfterAppend, CallerId, Effect, Now},
+    home::{
+        accept::refuse,
+        job::{Acceptance, TaskPhase},
+        state::Homes,
+    },
+    record::{job_key, put},
+};
+
+impl Homes {
+    /// Cancels a job. Its queued tasks are passed over at once; the caller is answered once the
+    /// journal has it.
+    pub fn cancel(&mut self, caller: CallerId, id: &JobId) -> Vec<Effect> {
+        if let Err(refusal) = self.check_known(id) {
+            let result = Err(refusal);
+            return vec![Effect::Answer { caller, result }];
+        }
+        let confirmed = self.is_confirmed();
+        let Some(job) = self.jobs.get_mut(id) else {
+            return Vec::new();
+        };
+        let class = job.spec().class.clone();
+        if job.acceptance != Acceptance::Accepted {
+            let detail = "the job is not accepted yet";
+            let refusal = Refusal::not_run(RefusalReason::KeyInProgress, detail);
+            return refuse(caller, class, refusal);
+        }
+        if job.finished || job.record.cancelled {
+            return self.answer_status(id, vec![caller]);
+        }
+        if !confirmed {
+            let detail = "the cancellation cannot be journaled";
+            let refusal = Refusal::not_run(RefusalReason::StoreUnavailable, detail);
+            return refuse(caller, class, refusal);
+        }
+        job.cancelling.push(caller);
+        if job.cancelling.len() > 1 {
+            return Vec::new();
+        }
+        let mut record = job.record.clone();
+        record.cancelled = true;
+        let entries = vec![put(&job.group, job_key(id), &record)];
+        let after = AfterAppend::Cancelled(id.clone());
+        vec![Effect::Append { entries, after }]
+    }
+
+    /// Ends what is queued and has running tasks stopped, or goes on as before.
+    pub fn cancelled(
+        &mut self,
+        id: &JobId,
+        result: Result<(), JournalError>,
+        now: Now,
+    ) -> Vec<Effect> {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return Vec::new();
+        };
+        let callers = std::mem::take(&mut job.cancelling);
+        if let Err(error) = result {
+            let class = job.spec().class.clone();
+            let refusal = Refusal::not_run(RefusalReason::StoreUnavailable, error.to_string());
+            let refusals = callers.into_iter();
+            return refusals
+                .flat_map(|caller| refuse(caller, class.clone(), refusal.clone()))
+                .collect();
+        }
+        job.record.cancelled = true;
+        job.note("cancelled");
+        let mut effects = self.abort_round(id, now.instant);
+        self.end_job(id, now);
+        effects.extend(self.answer_status(id, callers));
+        effects.extend(self.ask_racks(now.instant));
+        effects
+    }
+
+    /// Ends the queued tasks of a job and has the others stopped.
+    pub(crate) fn end_job(&mut self, id: &JobId, now: Now) {
+        self.drop_units(id);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        for (index, task) in (0_u32..).zip(&mut job.tasks) {
+            match task.phase {
+                TaskPhase::Waiting => task.phase = TaskPhase::Cancelled,
+                TaskPhase::Assigning { .. } => task.stopping = true,
+                TaskPhase::Assigned { .. } => {
+                    task.stopping = true;
+                    self.to_ask.insert((id.clone(), index), None);
+                }
+                TaskPhase::Succeeded | TaskPhase::Failed | TaskPhase::Cancelled => {}
+            }
+        }
+        self.requeue_gang(id, now.instant);
+        self.finish_if_over(id, now.instant);
+    }
+}
--- /dev/null
+++ b/jackdawchute-jobs/src/home/dispatch.rs
@@ -0,0 +1,113 @@
+//! Placement of admitted units, in the order of their urgency.
+
+use std::{collections::BTreeMap, time::Instant};
+
+use jackdawchute_admission::Ticket;
+use jackdawchute_ownership::JournalEntry;
+use jackdawchute_placement::Ask;
+use jackdawchute_types::{JobId, JobKind, Resources, WorkerId};
+
+use crate::{
+    effect::{AfterAppend, Effect, Now},
+    home::state::{Homes, ReadyKey, Unit},
+};
+
+/// The most units that are looked at before other messages get their turn.
+const UNITS_PER_ROUND_MAX: usize = 500;
+
+/// Entries and task indices of one job, journaled together.
+pub(crate) type Assignments = BTreeMap<JobId, (Vec<JournalEntry>, Vec<u32>)>;
+
+impl Homes {
+    /// Places what is admitted, as far as workers have room.
+    pub fn dispatch(&mut self, now: Now) -> Vec<Effect> {
+        self.admit(now.instant);
+        if !self.is_confirmed() {
+            return Vec::new();
+        }
+        let mut assignments = Assignments::new();
+        let mut refused: Vec<(JobKind, Resources, u32)> = Vec::new();
+        let mut effects = Vec::new();
+        let keys: Vec<ReadyKey> = self
+            .ready
+            .keys()
+            .take(UNITS_PER_ROUND_MAX)
+            .copied()
+            .collect();
+        for key in keys {
+            let Some((unit, _)) = self.ready.get(&key) else {
+                continue;
+            };
+            let Some(ask) = self.ask_of(&unit.clone()) else {
+                continue;
+            };
+            let shape = (ask.kind, ask.resources, ask.count);
+            if refused.contains(&shape) {
+                continue;
+            }
+            let workers = self.policy.place(&self.view, &ask);
+            if workers.is_empty() {
+                refused.push(shape);
+                continue;
+            }
+            if let Some((unit, ticket)) = self.ready.remove(&key) {
+                self.set_queue(&unit, None);
+                let placed = self.place(&unit, ticket, &workers, now.instant, &mut assignments);
+                effects.extend(placed);
+            }
+        }
+        effects.extend(append_assignments(assignments));
+        effects
+    }
+
+    /// What a unit needs, unless its job may not start.
+    fn ask_of(&self, unit: &Unit) -> Option<Ask> {
+        let job = self.jobs.get(&unit.job).filter(|job| job.may_start())?;
+        let spec = job.spec();
+        let waiting = |task: &crate::home::Task| task.phase == crate::home::TaskPhase::Waiting;
+        let count = match unit.index {
+            Some(_) => 1,
+            None => u32::try_from(job.indices(waiting).len()).unwrap_or(u32::MAX),
+        };
+        let placed = if spec.kind == JobKind::Service {
+            job.workers()
+        } else {
+            Vec::new()
+        };
+        Some(Ask {
+            kind: spec.kind,
+            count,
+            resources: spec.resources,
+            placed,
+        })
+    }
+
+    fn place(
+        &mut self,
+        unit: &Unit,
+        ticket: Ticket,
+        workers: &[WorkerId],
+        now: Instant,
+        assignments: &mut Assignments,
+    ) -> Vec<Effect> {
+        match unit.index {
+            None => self.begin_round(&unit.job, ticket, workers, now),
+            Some(index) => {
+                if let Some(worker) = workers.first() {
+                    let chosen = [(index, worker.clone())];
+                    self.assign(&unit.job, &chosen, Some(ticket), now, assignments);
+                }
+                Vec::new()
+            }
+        }
+    }
+}
+
+pub(crate) fn append_assignments(assignments: Assignments) -> impl Iterator<Item = Effect> {
+    assignments
+        .into_iter()
+        .map(|(job, (entries, indices))| Effect::Append {
+            entries,
+            after: AfterAppend::Assigned(job, indices),
+        })
+}
--- /dev/null
+++ b/jackdawchute-jobs/src/home/mod.rs
@@ -0,0 +1,22 @@
+//! The home owner: journals jobs, queues their tasks and assigns them to racks.
+
+mod accept;
+mod adopt;
+mod ask;
+mod assign;
+mod cancel;
+mod dispatch;
+mod expire;
+mod explain;
+mod finish;
+mod gang;
+mod job;
+mod queue;
+mod report;
+mod state;
+mod status;
+mod view;
+
+pub use explain::Explanation;
+pub use job::{Job, Task, TaskPhase};
+pub use state::Homes;
--- /dev/null
+++ b/jackdawchute-jobs/src/home/queue.rs
@@ -0,0 +1,157 @@
+//! Units between acceptance and placement: queued, admitted, delayed.
+
+use std::time::{Duration, Instant};
+
+use jackdawchute_admission::Ticket;
+use jackdawchute_types::{JobId, Refusal, Resources};
+use rand::Rng;
+
+use crate::home::{
+    job::QueueKey,
+    state::{Homes, ReadyKey, Unit},
+};
+
+/// One unit of capacity is a tenth of a core, or the equal share of memory or accelerators.
+const MILLICORES_PER_UNIT: u64 = 100;
+/// Urgency of a class that the configuration does not name.
+const PRIORITY_LAST: u32 = u32::MAX;
+
+impl Homes {
+    /// Queues a unit with the admission policy.
+    pub(crate) fn offer(&mut self, unit: Unit, now: Instant) -> Result<(), Refusal> {
+        let id = self.next_sequence();
+        let Some(job) = self.jobs.get(&unit.job) else {
+            return Ok(());
+        };
+        let spec = job.spec();
+        let tasks = if unit.index.is_some() { 1 } else { spec.tasks };
+        let ticket = Ticket {
+            id,
+            class: spec.class.clone(),
+            team: spec.team.clone(),
+            arrived: job.accepted,
+            deadline: job.deadline,
+            cost: self.units(&spec.resources.saturating_mul(tasks)),
+        };
+        self.admission.offer(ticket, now)?;
+        self.set_queue(&unit, Some(QueueKey::Queued(id)));
+        self.queued.insert(id, unit);
+        Ok(())
+    }
+
+    /// Puts a unit of an accepted job back in the queue, later if the queue is full.
+    pub(crate) fn offer_again(&mut self, unit: Unit, now: Instant) {
+        if self.offer(unit.clone(), now).is_err() {
+            self.delay(unit, None, now, 0);
+        }
+    }
+
+    /// Has a unit wait before it is tried again; longer after each failure, with jitter.
+    pub(crate) fn delay(
+        &mut self,
+        unit: Unit,
+        ticket: Option<Ticket>,
+        now: Instant,
+        failures: u32,
+    ) {
+        let due = now + self.retry_delay(failures);
+        let key = (due, self.next_sequence());
+        self.set_queue(&unit, Some(QueueKey::Delayed(key)));
+        self.delayed.insert(key, (unit, ticket));
+    }
+
+    fn retry_delay(&mut self, failures: u32) -> Duration {
+        let factor = 2_u32.saturating_pow(failures.min(16));
+        let longest = self.settings.retry_delay.saturating_mul(factor);
+        let longest = longest.min(self.settings.retry_delay_max);
+        longest.mul_f64(self.random.random_range(0.5..1.0))
+    }
+
+    /// Takes delayed units back whose time has come.
+    pub(crate) fn resume_delayed(&mut self, now: Instant) {
+        while let Some(entry) = self.delayed.first_entry() {
+            if entry.key().0 > now {
+                return;
+            }
+            match entry.remove() {
+                (unit, Some(ticket)) => self.make_ready(unit, ticket),
+                (unit, None) => self.offer_again(unit, now),
+            }
+        }
+    }
+
+    /// Takes what admission lets in.
+    pub(crate) fn admit(&mut self, now: Instant) {
+        while let Some(ticket) = self.admission.next(now) {
+            match self.queued.remove(&ticket.id) {
+                Some(unit) => self.make_ready(unit, ticket),
+                None => self.admission.release(&ticket, Duration::ZERO),
+            }
+        }
+    }
+
+    pub(crate) fn make_ready(&mut self, unit: Unit, ticket: Ticket) {
+        let class = self.settings.limits.classes.get(&ticket.class);
+        let priority = class.map_or(PRIORITY_LAST, |class| class.priority);
+        let key: ReadyKey = (priority, ticket.id);
+        self.set_queue(&unit, Some(QueueKey::Ready(key)));
+        self.ready.insert(key, (unit, ticket));
+    }
+
+    /// Takes every waiting unit of a job out of the queues.
+    pub(crate) fn drop_units(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let mut keys: Vec<QueueKey> = job.gang_queue.take().into_iter().collect();
+        keys.extend(job.tasks.iter_mut().filter_map(|task| task.queue.take()));
+        for key in keys {
+            self.drop_unit(&key);
+        }
+    }
+
+    fn drop_unit(&mut self, key: &QueueKey) {
+        let ticket = match key {
+            QueueKey::Queued(ticket) => {
+                self.queued.remove(ticket);
+                self.admission.cancel(*ticket);
+                None
+            }
+            QueueKey::Ready(key) => self.ready.remove(key).map(|(_, ticket)| ticket),
+            QueueKey::Delayed(key) => self.delayed.remove(key).and_then(|(_, ticket)| ticket),
+        };
+        if let Some(ticket) = ticket {
+            self.admission.release(&ticket, Duration::ZERO);
+        }
+    }
+
+    pub(crate) fn set_queue(&mut self, unit: &Unit, key: Option<QueueKey>) {
+        let Some(job) = self.jobs.get_mut(&unit.job) else {
+            return;
+        };
+        match unit.index {
+            None => job.gang_queue = key,
+            Some(index) => {
+                if let Some(task) = job.task_mut(index) {
+                    task.queue = key;
+                }
+            }
+        }
+    }
+
+    /// Units of capacity: the larger of the shares of each resource, at least one.
+    pub(crate) fn units(&self, amount: &Resources) -> u32 {
+        let scaled = |part: u64, whole: u64| {
+            let share = u128::from(part) * u128::from(self.total.processor_millicores);
+            share.checked_div(u128::from(whole)).unwrap_or(0)
+        };
+        let millicores = u128::from(amount.processor_millicores)
+            .max(scaled(amount.memory_mib, self.total.memory_mib))
+            .max(scaled(
+                amount.accelerators.into(),
+                self.total.accelerators.into(),
+            ));
+        let units = millicores.div_ceil(MILLICORES_PER_UNIT.into());
+        u32::try_from(units).unwrap_or(u32::MAX).max(1)
+    }
+}
--- /dev/null
+++ b/jackdawchute-jobs/src/home/report.rs
@@ -0,0 +1,32 @@
+//! Reports of rack owners: acknowledged once the journal holds what they end.
+
+use jackdawchute_types::{GroupId, Refusal, RefusalReason};
+
+use crate::{
+    effect::{CallerId, Effect, Now},
+    home::state::Homes,
+    TaskEvent,
+};
+
+impl Homes {
+    /// Takes in what a rack owner reports.
+    pub fn report(
+        &mut self,
+        caller: CallerId,
+        home: &GroupId,
+        events: &[TaskEvent],
+        now: Now,
+    ) -> Vec<Effect> {
+        if !self.owns(home) {
+            let detail = format!("{home} has another owner");
+            let result = Err(Refusal::not_run(RefusalReason::OwnerUnavailable, detail));
+            return vec![Effect::Answer { caller, result }];
+        }
+        for event in events {
+            self.note_state(&event.id, event.state, now.instant);
+        }
+        let mut effects = self.flush(Some(caller));
+        effects.extend(self.dispatch(now));
+        effects
+    }
+}
--- a/jackdawchute-jobs/src/messages.rs
+++ b/jackdawchute-jobs/src/messages.rs
@@ -1,13 +1,19 @@
 //! What the jobs task takes and sends.
 
+use std::{collections::BTreeMap, sync::Arc};
+
 use async_trait::async_trait;
 use jackdawchute_ownership::Owner;
 use jackdawchute_types::{
-    CallError, JobId, JobSpec, JobState, Refusal, RefusalReason, TaskId, TaskState,
+    CallError, ClassId, Epoch, GroupId, JobId, JobSpec, JobState, Refusal, RefusalReason,
+    Resources, TaskId, TaskState, WorkerId,
 };
 use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
+use crate::Settings;
+
 /// A task as callers see it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskStatus {
@@ -34,6 +40,113 @@
     pub tasks: Vec<TaskStatus>,
 }
 
+/// A group at one epoch of its ownership.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupEpoch {
+    /// The group.
+    pub group: GroupId,
+    /// The epoch.
+    pub epoch: Epoch,
+}
+
+/// One placement of a task.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TaskAttempt {
+    /// The task.
+    pub task: TaskId,
+    /// Ascends with each placement.
+    pub attempt: u32,
+}
+
+/// A task that is to start on a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskStart {
+    /// The task and its attempt.
+    pub id: TaskAttempt,
+    /// Its job.
+    pub job: JobId,
+    /// The chosen worker.
+    pub worker: WorkerId,
+    /// What it declares to need.
+    pub resources: Resources,
+    /// What to run.
+    pub command: SmolStr,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AttemptEnd {
+    /// It never ran and never will.
+    NotStarted(NotStarted),
+    /// By itself, with success.
+    Succeeded,
+    /// By itself, with failure.
+    Failed,
+    /// Because it was told to.
+    Stopped,
+    /// Its lease lapsed, or its worker was restarted or lost; it runs no more.
+    Lost,
+}
+
+/// Why an attempt never ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum NotStarted {
+    /// The worker has no room.
+    NoRoom,
+    /// The worker takes no new work, or its clock is not known well enough.
+    NotAccepting,
+    /// The start could not be journaled.
+    StoreUnavailable,
+    /// The attempt was closed before.
+    Closed,
+    /// The worker did not get the start in time.
+    NotDelivered,
+}
+
+/// Where an attempt is at its rack owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AttemptState {
+    /// Its start is journaled; the rack owner reports what becomes of it.
+    Taken,
+    /// It was seen running.
+    Running,
+    /// It ended.
+    Ended(AttemptEnd),
+}
+
+/// The rack owner's answer for one task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskAnswer {
+    /// The task and its attempt.
+    pub id: TaskAttempt,
+    /// Where it is.
+    pub state: AttemptState,
+}
+
+/// What became of a task, as its rack owner reports it.
+pub type TaskEvent = TaskAnswer;
+
+/// What is charged to the workers of a rack.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RackView {
+    /// Each worker of the rack.
+    pub workers: Vec<WorkerView>,
+}
+
+/// What is charged to a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerView {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Running and possibly running tasks and holds, at the larger of declared and reported use.
+    pub charged: Resources,
+    /// Whether it takes new tasks.
+    pub accepting: bool,
+}
+
 /// What one instance asks of the owner of a job's home group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "call")]
@@ -55,6 +168,50 @@
         /// The job.
         id: JobId,
     },
+    /// A home owner asks a rack owner to hold capacity for the tasks of a gang.
+    Hold {
+        /// The rack's group and its owner's epoch, as the sender knows it.
+        rack: GroupEpoch,
+        /// The tasks, all held or none.
+        tasks: Vec<TaskStart>,
+    },
+    /// A home owner asks a rack owner to start tasks that it assigned to the rack.
+    Start {
+        /// The rack's group and its owner's epoch, as the sender knows it.
+        rack: GroupEpoch,
+        /// The home group and the sender's epoch.
+        home: GroupEpoch,
+        /// The tasks; each gets an answer of its own.
+        tasks: Vec<TaskStart>,
+    },
+    /// A home owner gives the holds of a gang back.
+    Release {
+        /// The rack's group and its owner's epoch.
+        rack: GroupEpoch,
+        /// The held tasks.
+        tasks: Vec<TaskAttempt>,
+    },
+    /// A home owner asks that tasks end, or never start.
+    Stop {
+        /// The rack's group and its owner's epoch.
+        rack: GroupEpoch,
+        /// The home group and the sender's epoch.
+        home: GroupEpoch,
+        /// The tasks.
+        tasks: Vec<TaskAttempt>,
+    },
+    /// Asks a rack owner what is charged to its workers.
+    View {
+        /// The rack's group and its owner's epoch.
+        rack: GroupEpoch,
+    },
+    /// A rack owner tells a home owner what became of tasks.
+    Report {
+        /// The home group.
+        home: GroupId,
+        /// What became of them.
+        events: Vec<TaskEvent>,
+    },
 }
 
 /// The owner's answer.
@@ -63,6 +220,17 @@
 pub enum Reply {
     /// The job after the call.
     Job(JobStatus),
+    /// What the rack owner decided.
+    Rack {
+        /// An answer for each task of a start or stop; empty for other calls.
+        answers: Vec<TaskAnswer>,
+        /// Whether every hold was granted.
+        held: bool,
+        /// The state of the rack after the call.
+        view: RackView,
+    },
+    /// The events are journaled where that is needed.
+    Acknowledged,
 }
 
 /// A call that arrived, from this process or a peer.
@@ -83,3 +251,46 @@
     /// Tells whether the owner may have acted on the call.
     async fn call(&self, owner: &Owner, call: Call) -> Result<Result<Reply, Refusal>, CallError>;
 }
+
+/// Replaces the settings.
+#[derive(Clone, Debug)]
+pub struct ChangeSettings(pub Arc<Settings>);
+
+/// Asks for [`Counts`].
+#[derive(Clone, Copy, Debug)]
+pub struct Status;
+
+/// What the jobs task has to do.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Queued tasks and gangs by class.
+    pub queued: BTreeMap<ClassId, usize>,
+    /// Tasks of the owned home groups that run.
+    pub running: usize,
+    /// Starts on the owned racks that are not surely over.
+    pub open_intents: usize,
+    /// Workers of the owned racks that get nothing, or probes.
+    pub quarantined: Vec<WorkerId>,
+    /// What is charged to each worker of the owned racks.
+    pub workers: Vec<WorkerCharge>,
+}
+
+/// What is charged to a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerCharge {
+    /// The worker.
+    pub worker: WorkerId,
+    /// What it has.
+    pub capacity: Resources,
+    /// What is charged to it.
+    pub charged: Resources,
+    /// Whether it takes new tasks.
+    pub accepting: bool,
+}
+
+/// Asks what happened to a job and why; answered with `None` if it is not known here.
+#[derive(Clone, Debug)]
+pub struct Explain {
+    /// The job.
+    pub id: JobId,
+}
--- /dev/null
+++ b/jackdawchute-jobs/src/rack/lease.rs
@@ -0,0 +1,120 @@
+//! Leases: renewed from a worker's own clock, and given up for a worker that is silent.
+
+use std::time::Instant;
+
+use jackdawchute_ownership::Standing;
+use jackdawchute_platform::Lease;
+use jackdawchute_types::WorkerId;
+
+use crate::{
+    effect::{Effect, WorkerCall},
+    rack::state::{Phase, Racks},
+    AttemptEnd, TaskAttempt,
+};
+
+/// Leases are renewed this many times within their length.
+const RENEWALS_PER_LEASE: u32 = 3;
+
+impl Racks {
+    /// Asks workers for reports, gives up silent ones, drops what lapsed and tells home owners.
+    pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
+        self.lapse_holds(now);
+        self.forget_closed(now);
+        self.refresh_accepting(now);
+        self.end_on_silent_workers(now);
+        let mut effects = self.ask_for_reports(now);
+        effects.extend(self.tell(now));
+        effects
+    }
+
+    fn ask_for_reports(&mut self, now: Instant) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for (id, worker) in &mut self.workers {
+            let due = worker.due.is_none_or(|due| due <= now);
+            if !due || worker.asked.is_some() {
+                continue;
+            }
+            worker.asked = Some(now);
+            effects.push(Effect::Worker {
+                worker: id.clone(),
+                call: WorkerCall::Report,
+            });
+        }
+        effects
+    }
+
+    /// The leases on a worker lapse at the latest one lease after its last report: none is
+    /// granted beyond that report's clock plus the lease, and a former owner has stopped by
+    /// `former_until`.
+    fn end_on_silent_workers(&mut self, now: Instant) {
+        let silent: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| {
+                let former = self.owned.get(&worker.group).map(|rack| rack.former_until);
+                let base = worker.seen.max(former);
+                let lapsed = self.settings.lease + self.settings.clock_margin;
+                base.is_some_and(|base| now.saturating_duration_since(base) > lapsed)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for worker in silent {
+            self.end_all_on(&worker, now);
+        }
+    }
+
+    fn end_all_on(&mut self, worker: &WorkerId, now: Instant) {
+        for id in self.on_worker(worker) {
+            let open = self.intents.get(&id).map(|intent| intent.phase);
+            if open.is_some_and(|phase| phase != Phase::Journaling) {
+                self.end(&id, AttemptEnd::Lost, now);
+            }
+        }
+    }
+
+    /// The attempts on a worker that are not ended.
+    pub(crate) fn on_worker(&self, worker: &WorkerId) -> Vec<TaskAttempt> {
+        let mut ids: Vec<TaskAttempt> = self
+            .intents
+            .iter()
+            .filter(|(_, intent)| intent.record.worker == *worker)
+            .filter(|(_, intent)| !matches!(intent.phase, Phase::Ended(_)))
+            .map(|(id, _)| id.clone())
+            .collect();
+        ids.sort();
+        ids
+    }
+
+    /// Renews what runs on a worker up to one lease after the clock it just reported.
+    ///
+    /// Nothing is renewed while a successor may exist.
+    pub(crate) fn renew(&mut self, worker: &WorkerId, now: Instant) -> Option<Effect> {
+        if !matches!(self.standing, Standing::Confirmed | Standing::StoreDown) {
+            return None;
+        }
+        let state = self.workers.get_mut(worker)?;
+        let period = self.settings.lease / RENEWALS_PER_LEASE;
+        let due = |at: Instant| now.saturating_duration_since(at) >= period;
+        if !state.renewed.is_none_or(due) {
+            return None;
+        }
+        let epoch = self.owned.get(&state.group)?.epoch;
+        let until = state.clock + self.settings.lease;
+        let mut tasks = Vec::new();
+        for (id, intent) in &mut self.intents {
+            if intent.record.worker == *worker && intent.phase == Phase::Running {
+                intent.until = intent.until.max(until);
+                tasks.push(id.clone());
+            }
+        }
+        if tasks.is_empty() {
+            return None;
+        }
+        state.renewed = Some(now);
+        tasks.sort();
+        Some(Effect::Worker {
+            worker: worker.clone(),
+            call: WorkerCall::Renew(tasks, Lease { epoch, until }),
+        })
+    }
+}
--- /dev/null
+++ b/jackdawchute-jobs/src/rack/start.rs
@@ -0,0 +1,251 @@
+//! Starts: charged, journaled, and only then sent.
+
+use std::time::Instant;
+
+use jackdawchute_ownership::{JournalEntry, Standing};
+use jackdawchute_platform::{Error as PlatformError, Lease, StartOutcome, StartTask};
+use jackdawchute_types::{GroupId, WorkerId};
+
+use crate::{
+    effect::{AfterAppend, CallerId, Effect, WorkerCall},
+    rack::state::{charge_key, Intent, Phase, Racks},
+    record::{intent_key, put, IntentRecord},
+    AttemptEnd, AttemptState, GroupEpoch, NotStarted, TaskAnswer, TaskAttempt, TaskStart,
+};
+
+impl Racks {
+    /// Takes the tasks that have room and journals an intent for each; the caller is answered
+    /// once the journal holds them.
+    pub fn start(
+        &mut self,
+        caller: CallerId,
+        rack: &GroupEpoch,
+        home: &GroupEpoch,
+        tasks: Vec<TaskStart>,
+        now: Instant,
+    ) -> Vec<Effect> {
+        let checked = self.check_epoch(rack).and_then(|()| self.check_home(home));
+        if let Err(refusal) = checked {
+            return vec![Effect::Answer {
+                caller,
+                result: Err(refusal),
+            }];
+        }
+        let mut answers = Vec::new();
+        let mut entries = Vec::new();
+        for task in tasks {
+            if let Some(state) = self.start_one(rack, home, &task, &mut entries, now) {
+                let id = task.id;
+                answers.push(TaskAnswer { id, state });
+            }
+        }
+        if entries.is_empty() {
+            let result = Ok(self.answer(rack, answers, false));
+            return vec![Effect::Answer { caller, result }];
+        }
+        let after = AfterAppend::Intents {
+            caller,
+            rack: rack.group.clone(),
+            answers,
+        };
+        vec![Effect::Append { entries, after }]
+    }
+
+    /// No state while an earlier call for the same attempt waits for the journal.
+    fn start_one(
+        &mut self,
+        rack: &GroupEpoch,
+        home: &GroupEpoch,
+        task: &TaskStart,
+        entries: &mut Vec<JournalEntry>,
+        now: Instant,
+    ) -> Option<AttemptState> {
+        if let Some(intent) = self.intents.get(&task.id) {
+            return known_state(intent.phase);
+        }
+        if self.is_closed(&task.id) {
+            return Some(not_started(NotStarted::Closed));
+        }
+        match self.take(rack, home, task) {
+            Ok(entry) => {
+                entries.push(entry);
+                Some(AttemptState::Taken)
+            }
+            Err(reason) => {
+                self.close(&task.id, now);
+                Some(not_started(reason))
+            }
+        }
+    }
+
+    fn take(
+        &mut self,
+        rack: &GroupEpoch,
+        home: &GroupEpoch,
+        task: &TaskStart,
+    ) -> Result<JournalEntry, NotStarted> {
+        self.release_hold(&task.id);
+        if self.standing != Standing::Confirmed {
+            return Err(NotStarted::StoreUnavailable);
+        }
+        let accepting = self
+            .fleet
+            .get(&task.worker)
+            .is_some_and(|slot| slot.accepting);
+        let Some(worker) = self.workers.get(&task.worker).filter(|_| accepting) else {
+            return Err(NotStarted::NotAccepting);
+        };
+        if worker.group != rack.group {
+            return Err(NotStarted::NotAccepting);
+        }
+        let until = worker.clock + self.settings.lease;
+        let boot = worker.boot.clone();
+        if !self.has_room(task) {
+            return Err(NotStarted::NoRoom);
+        }
+        self.fleet
+            .charge(&task.worker, &charge_key(&task.id), task.resources);
+        let record = IntentRecord {
+            id: task.id.clone(),
+            job: task.job.clone(),
+            home: home.group.clone(),
+            worker: task.worker.clone(),
+            boot,
+            until,
+            resources: task.resources,
+            command: task.command.clone(),
+        };
+        let entry = put(&rack.group, intent_key(&task.id), &record);
+        let intent = Intent {
+            record,
+            group: rack.group.clone(),
+            phase: Phase::Journaling,
+            until,
+        };
+        self.intents.insert(task.id.clone(), intent);
+        Ok(entry)
+    }
+
+    /// Sends the starts whose intents are journaled, or gives their capacity back.
+    pub fn journaled(
+        &mut self,
+        caller: CallerId,
+        rack: &GroupId,
+        mut answers: Vec<TaskAnswer>,
+        in_journal: bool,
+        now: Instant,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for answer in &mut answers {
+            if answer.state != AttemptState::Taken {
+                continue;
+            }
+            if in_journal {
+                effects.extend(self.send(&answer.id, now));
+            } else {
+                self.abandon(&answer.id, now);
+                answer.state = not_started(NotStarted::StoreUnavailable);
+            }
+        }
+        let rack = GroupEpoch {
+            group: rack.clone(),
+            epoch: self.epoch_of(rack),
+        };
+        let result = Ok(self.answer(&rack, answers, false));
+        effects.push(Effect::Answer { caller, result });
+        effects
+    }
+
+    /// The start of a journaled intent, unless the group was lost or the worker restarted.
+    fn send(&mut self, id: &TaskAttempt, now: Instant) -> Option<Effect> {
+        let intent = self.intents.get_mut(id)?;
+        if intent.phase != Phase::Journaling {
+            return None;
+        }
+        let worker = self.workers.get(&intent.record.worker);
+        if worker.map(|worker| &worker.boot) != Some(&intent.record.boot) {
+            let end = AttemptEnd::NotStarted(NotStarted::NotDelivered);
+            self.end(id, end, now);
+            return None;
+        }
+        intent.phase = Phase::Sent;
+        let epoch = self.owned.get(&intent.group)?.epoch;
+        let start = StartTask {
+            task: id.task.clone(),
+            attempt: id.attempt,
+            resources: intent.record.resources,
+            lease: Lease {
+                epoch,
+                until: intent.until,
+            },
+            command: intent.record.command.clone(),
+        };
+        Some(Effect::Worker {
+            worker: intent.record.worker.clone(),
+            call: WorkerCall::Start(start),
+        })
+    }
+
+    /// Drops an intent that is surely not in the journal and never will be.
+    fn abandon(&mut self, id: &TaskAttempt, now: Instant) {
+        if self.intents.remove(id).is_some() {
+            self.fleet.release(&charge_key(id));
+            self.close(id, now);
+        }
+    }
+
+    /// Takes in a worker's answer to a start.
+    pub fn started(
+        &mut self,
+        worker: &WorkerId,
+        id: &TaskAttempt,
+        result: Result<StartOutcome, PlatformError>,
+        now: Instant,
+    ) {
+        let Some(intent) = self.intents.get_mut(id) else {
+            return;
+        };
+        if intent.phase != Phase::Sent {
+            return;
+        }
+        match result {
+            Ok(StartOutcome::Started) => {
+                intent.phase = Phase::Running;
+                self.untold.insert(id.clone(), None);
+            }
+            Ok(StartOutcome::LeaseLapsed) => self.end_not_started(id, now),
+            Err(PlatformError::Unavailable(..)) => {
+                self.end_not_started(id, now);
+                self.distrust(worker, now);
+            }
+            Err(_) => self.distrust(worker, now),
+        }
+    }
+
+    fn end_not_started(&mut self, id: &TaskAttempt, now: Instant) {
+        let end = AttemptEnd::NotStarted(NotStarted::NotDelivered);
+        self.end(id, end, now);
+    }
+
+    /// A worker gets no new tasks until its next report.
+    fn distrust(&mut self, worker: &WorkerId, now: Instant) {
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.trusted = false;
+            state.due = Some(now);
+        }
+        self.refresh_accepting(now);
+    }
+}
+
+fn known_state(phase: Phase) -> Option<AttemptState> {
+    match phase {
+        Phase::Journaling => None,
+        Phase::Sent | Phase::Stopping(_) => Some(AttemptState::Taken),
+        Phase::Running => Some(AttemptState::Running),
+        Phase::Ended(end) => Some(AttemptState::Ended(end)),
+    }
+}
+
+fn not_started(reason: NotStarted) -> AttemptState {
+    AttemptState::Ended(AttemptEnd::NotStarted(reason))
+}
--- /dev/null
+++ b/jackdawchute-jobs/src/rack/stop.rs
@@ -0,0 +1,82 @@
+//! Stops: of running tasks at their worker, of others by closing the attempt.
+
+use std::time::Instant;
+
+use jackdawchute_types::{Refusal, WorkerId};
+
+use crate::{
+    effect::Effect,
+    rack::{
+        report::stop_call,
+        state::{Phase, Racks},
+    },
+    AttemptEnd, AttemptState, GroupEpoch, NotStarted, Reply, TaskAnswer, TaskAttempt,
+};
+
+impl Racks {
+    /// Has attempts ended; one that is not known never starts.
+    ///
+    /// # Errors
+    /// Refuses calls for another epoch or from a former home owner.
+    pub fn stop(
+        &mut self,
+        rack: &GroupEpoch,
+        home: &GroupEpoch,
+        tasks: Vec<TaskAttempt>,
+        now: Instant,
+    ) -> Result<(Reply, Vec<Effect>), Refusal> {
+        self.check_epoch(rack)?;
+        self.check_home(home)?;
+        let mut effects = Vec::new();
+        let mut answers = Vec::new();
+        for id in tasks {
+            if let Some(state) = self.stop_one(&id, &mut effects, now) {
+                answers.push(TaskAnswer { id, state });
+            }
+        }
+        Ok((self.answer(rack, answers, false), effects))
+    }
+
+    fn stop_one(
+        &mut self,
+        id: &TaskAttempt,
+        effects: &mut Vec<Effect>,
+        now: Instant,
+    ) -> Option<AttemptState> {
+        let Some(intent) = self.intents.get_mut(id) else {
+            self.release_hold(id);
+            self.close(id, now);
+            let end = AttemptEnd::NotStarted(NotStarted::Closed);
+            return Some(AttemptState::Ended(end));
+        };
+        match intent.phase {
+            Phase::Journaling => None,
+            Phase::Ended(end) => Some(AttemptState::Ended(end)),
+            Phase::Stopping(_) => Some(AttemptState::Taken),
+            Phase::Sent | Phase::Running => {
+                intent.phase = Phase::Stopping(false);
+                effects.push(stop_call(&intent.record.worker, id));
+                Some(AttemptState::Taken)
+            }
+        }
+    }
+
+    /// Takes in a worker's answer to a stop; after a failure the next report repeats it.
+    pub fn stopped(&mut self, worker: &WorkerId, id: &TaskAttempt, done: bool, now: Instant) {
+        let Some(intent) = self.intents.get(id) else {
+            return;
+        };
+        let Phase::Stopping(lost) = intent.phase else {
+            return;
+        };
+        if !done || intent.record.worker != *worker {
+            return;
+        }
+        let end = if lost {
+            AttemptEnd::Lost
+        } else {
+            AttemptEnd::Stopped
+        };
+        self.end(id, end, now);
+    }
+}
--- /dev/null
+++ b/jackdawchute-jobs/src/task.rs
@@ -0,0 +1,357 @@
+//! The task that carries out what the decisions ask for.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime},
+};
+
+use jackdawchute_admission::AdmissionPolicy;
+use jackdawchute_ownership::{Append, Directory, GroupEvent, Standing};
+use jackdawchute_placement::PlacementPolicy;
+use jackdawchute_platform::{MemberRole, MembershipList, WorkerPort};
+use jackdawchute_timer::{Subscribe, Tick, TimerTask};
+use jackdawchute_types::{IncarnationId, Recorder, Refusal, WorkerId};
+use tokio::sync::{mpsc, oneshot};
+use xtra::prelude::*;
+
+use crate::{
+    effect::{CallerId, Count, Effect, Now},
+    home::Homes,
+    names::HOME_PREFIX,
+    outbound::{self, Answered, Appended, Outbound, PendingAppend, WorkerAnswer},
+    rack::Racks,
+    Call, ChangeSettings, Counts, Explain, Explanation, Incoming, Remote, Reply, Settings, Status,
+    WorkerCharge,
+};
+
+/// How often the task looks for what is due.
+const TICK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Gives ports to workers.
+pub trait WorkerPorts: Send + Sync + 'static {
+    /// The port to a worker at an address.
+    fn port(&self, worker: &WorkerId, address: SocketAddr) -> Arc<dyn WorkerPort>;
+}
+
+/// What the jobs task works with.
+pub struct Options {
+    /// This start of the entry instance.
+    pub incarnation: IncarnationId,
+    /// The journal.
+    pub append: MessageChannel<Append, ()>,
+    /// The timer service.
+    pub timer: Address<TimerTask>,
+    /// Calls to other owners.
+    pub remote: Arc<dyn Remote>,
+    /// Ports to workers.
+    pub workers: Arc<dyn WorkerPorts>,
+    /// The metrics.
+    pub recorder: Arc<dyn Recorder>,
+    /// Chooses workers.
+    pub policy: Box<dyn PlacementPolicy>,
+    /// Chooses what goes first.
+    pub admission: Box<dyn AdmissionPolicy>,
+    /// The bounds.
+    pub settings: Arc<Settings>,
+}
+
+/// Owns the jobs and racks of this instance.
+#[derive(xtra::Actor)]
+pub struct JobsTask {
+    homes: Homes,
+    racks: Racks,
+    outbound: Arc<Outbound>,
+    appends: mpsc::UnboundedSender<PendingAppend>,
+    workers: Arc<dyn WorkerPorts>,
+    ports: HashMap<WorkerId, (SocketAddr, Arc<dyn WorkerPort>)>,
+    recorder: Arc<dyn Recorder>,
+    members: Arc<MembershipList>,
+    callers: HashMap<CallerId, oneshot::Sender<Result<Reply, Refusal>>>,
+    next_caller: CallerId,
+}
+
+/// Starts the jobs task on the current tokio runtime.
+///
+/// It decides nothing before it was told its standing, the directory and the membership list.
+pub fn spawn(options: Options) -> Address<JobsTask> {
+    let (address, mailbox) = Mailbox::unbounded();
+    let (appends, queue) = mpsc::unbounded_channel();
+    tokio::spawn(outbound::forward_appends(options.append, queue));
+    let settings = options.settings;
+    let seed = rand::random();
+    let task = JobsTask {
+        homes: Homes::new(settings.clone(), options.policy, options.admission, seed),
+        racks: Racks::new(settings),
+        outbound: Arc::new(Outbound {
+            incarnation: options.incarnation,
+            remote: options.remote,
+            task: address.downgrade(),
+        }),
+        appends,
+        workers: options.workers,
+        ports: HashMap::new(),
+        recorder: options.recorder,
+        members: Arc::default(),
+        callers: HashMap::new(),
+        next_caller: 0,
+    };
+    tokio::spawn(xtra::run(mailbox, task));
+    let subscribe = Subscribe {
+        period: TICK_PERIOD,
+        subscriber: MessageChannel::new(address.downgrade()),
+    };
+    let timer = options.timer;
+    tokio::spawn(async move { timer.send(subscribe).await });
+    address
+}
+
+fn now_at(instant: Instant) -> Now {
+    let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    Now {
+        instant,
+        unix: unix.unwrap_or_default(),
+    }
+}
+
+fn now() -> Now {
+    now_at(Instant::now())
+}
+
+impl JobsTask {
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        let late = self.homes.take_late_effects();
+        for effect in effects.into_iter().chain(late) {
+            self.carry_out_one(effect);
+        }
+    }
+
+    fn carry_out_one(&mut self, effect: Effect) {
+        match effect {
+            Effect::Append { entries, after } => {
+                let task = self.outbound.task.clone();
+                let _ = self.appends.send(PendingAppend {
+                    entries,
+                    after,
+                    task,
+                });
+            }
+            Effect::Call { owner, call, after } => {
+                let outbound = Arc::clone(&self.outbound);
+                tokio::spawn(async move { outbound.call(owner, call, after).await });
+            }
+            Effect::Worker { worker, call } => {
+                if let Some((_, port)) = self.ports.get(&worker) {
+                    let (outbound, port) = (Arc::clone(&self.outbound), Arc::clone(port));
+                    tokio::spawn(async move { outbound.call_worker(worker, port, call).await });
+                }
+            }
+            Effect::Answer { caller, result } => {
+                if let Some(reply) = self.callers.remove(&caller) {
+                    let _ = reply.send(result);
+                }
+            }
+            Effect::Count(Count::Refused(class, reason)) => self.recorder.refused(&class, reason),
+            Effect::Count(Count::Retried(class, reason)) => self.recorder.retried(&class, reason),
+            Effect::Count(Count::Placed(class, waited)) => self.recorder.placed(&class, waited),
+        }
+    }
+
+    fn set_ports(&mut self) {
+        let members = Arc::clone(&self.members);
+        for member in &members.members {
+            if !matches!(member.role, MemberRole::Worker { .. }) {
+                continue;
+            }
+            let known = self.ports.get(&member.id).map(|(address, _)| *address);
+            if known != Some(member.address) {
+                let port = self.workers.port(&member.id, member.address);
+                self.ports.insert(member.id.clone(), (member.address, port));
+            }
+        }
+    }
+
+    fn route(&mut self, caller: CallerId, call: Call) -> Vec<Effect> {
+        let now = now();
+        let answer = |result| vec![Effect::Answer { caller, result }];
+        match call {
+            Call::Submit { id, spec } => self.homes.submit(caller, &id, spec, now),
+            Call::Status { id } => answer(self.homes.status(&id)),
+            Call::Cancel { id } => self.homes.cancel(caller, &id),
+            Call::Report { home, events } => self.homes.report(caller, &home, &events, now),
+            Call::Hold { rack, tasks } => answer(self.racks.hold(&rack, &tasks, now.instant)),
+            Call::Release { rack, tasks } => answer(self.racks.release(&rack, &tasks)),
+            Call::View { rack } => answer(self.racks.release(&rack, &[])),
+            Call::Start { rack, home, tasks } => {
+                self.racks.start(caller, &rack, &home, tasks, now.instant)
+            }
+            Call::Stop { rack, home, tasks } => {
+                match self.racks.stop(&rack, &home, tasks, now.instant) {
+                    Err(refusal) => answer(Err(refusal)),
+                    Ok((reply, mut effects)) => {
+                        effects.extend(answer(Ok(reply)));
+                        effects
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Handler<Tick> for JobsTask {
+    type Return = ();
+
+    async fn handle(&mut self, tick: Tick, _context: &mut Context<Self>) {
+        let mut effects = self.racks.tick(tick.now);
+        effects.extend(self.homes.tick(now_at(tick.now)));
+        self.carry_out(effects);
+    }
+}
+
+impl Handler<Incoming> for JobsTask {
+    type Return = ();
+
+    async fn handle(&mut self, incoming: Incoming, _context: &mut Context<Self>) {
+        self.next_caller += 1;
+        self.callers.insert(self.next_caller, incoming.reply);
+        let effects = self.route(self.next_caller, incoming.call);
+        self.carry_out(effects);
+    }
+}
+
+impl Handler<GroupEvent> for JobsTask {
+    type Return = ();
+
+    async fn handle(&mut self, event: GroupEvent, _context: &mut Context<Self>) {
+        let errors = match event {
+            GroupEvent::Lost { group } if group.starts_with(HOME_PREFIX) => {
+                self.homes.lost(&group);
+                Vec::new()
+            }
+            GroupEvent::Lost { group } => {
+                self.racks.lost(&group);
+                Vec::new()
+            }
+            GroupEvent::Adopted {
+                group,
+                epoch,
+                entries,
+                ..
+            } if group.starts_with(HOME_PREFIX) => {
+                self.homes.adopted(&group, epoch, &entries, now())
+            }
+            GroupEvent::Adopted {
+                group,
+                epoch,
+                entries,
+                fenced,
+            } => {
+                let members = Arc::clone(&self.members);
+                let fenced = fenced.is_some();
+                let at = Instant::now();
+                self.racks
+                    .adopted(&group, epoch, &entries, fenced, &members, at)
+            }
+        };
+        for error in errors {
+            spdlog::error!("{}", error);
+        }
+        self.carry_out(Vec::new());
+    }
+}
+
+impl Handler<Arc<Directory>> for JobsTask {
+    type Return = ();
+
+    async fn handle(&mut self, directory: Arc<Directory>, _context: &mut Context<Self>) {
+        self.homes.set_directory(Arc::clone(&directory));
+        self.racks.set_directory(directory);
+    }
+}
+
+impl Handler<Standing> for JobsTask {
+    type Return = ();
+
+    async fn handle(&mut self, standing: Standing, _context: &mut Context<Self>) {
+        self.homes.set_standing(standing);
+        self.racks.set_standing(standing);
+    }
+}
+
+impl Handler<Arc<MembershipList>> for JobsTask {
+    type Return = ();
+
+    async fn handle(&mut self, members: Arc<MembershipList>, _context: &mut Context<Self>) {
+        self.members = Arc::clone(&members);
+        self.set_ports();
+        self.racks.set_members(&members, Instant::now());
+        self.homes.set_members(members);
+    }
+}
+
+impl Handler<ChangeSettings> for JobsTask {
+    type Return = ();
+
+    async fn handle(&mut self, change: ChangeSettings, _context: &mut Context<Self>) {
+        self.homes.set_settings(Arc::clone(&change.0));
+        self.racks.set_settings(change.0);
+    }
+}
+
+impl Handler<Status> for JobsTask {
+    type Return = Counts;
+
+    async fn handle(&mut self, _status: Status, _context: &mut Context<Self>) -> Counts {
+        let slots = self.racks.fleet().workers();
+        Counts {
+            queued: self.homes.queued(),
+            running: self.homes.running(),
+            open_intents: self.racks.open_intents(),
+            quarantined: self.racks.quarantined(),
+            workers: slots
+                .map(|slot| WorkerCharge {
+                    worker: slot.id.clone(),
+                    capacity: slot.capacity,
+                    charged: slot.charged,
+                    accepting: slot.accepting,
+                })
+                .collect(),
+        }
+    }
+}
+
+impl Handler<Explain> for JobsTask {
+    type Return = Option<Explanation>;
+
+    async fn handle(&mut self, explain: Explain, _context: &mut Context<Self>) -> Self::Return {
+        self.homes.explain(&explain.id)
+    }
+}
+
+impl Handler<Appended> for JobsTask {
+    type Return = ();
+
+    async fn handle(&mut self, appended: Appended, _context: &mut Context<Self>) {
+        let effects = appended.apply(&mut self.homes, &mut self.racks, now());
+        self.carry_out(effects);
+    }
+}
+
+impl Handler<Answered> for JobsTask {
+    type Return = ();
+
+    async fn handle(&mut self, answered: Answered, _context: &mut Context<Self>) {
+        let effects = answered.apply(&mut self.homes, &mut self.racks, now());
+        self.carry_out(effects);
+    }
+}
+
+impl Handler<WorkerAnswer> for JobsTask {
+    type Return = ();
+
+    async fn handle(&mut self, answer: WorkerAnswer, _context: &mut Context<Self>) {
+        let effects = answer.apply(&mut self.racks, Instant::now());
+        self.carry_out(effects);
+    }
+}
--- a/jackdawchute-placement/src/fleet.rs
+++ b/jackdawchute-placement/src/fleet.rs
@@ -55,6 +55,18 @@
         self.workers.values()
     }
 
+    /// A worker by its id.
+    pub fn get(&self, worker: &WorkerId) -> Option<&WorkerSlot> {
+        self.workers.get(worker)
+    }
+
+    /// Changes whether a worker may get new tasks.
+    pub fn set_accepting(&mut self, worker: &WorkerId, accepting: bool) {
+        if let Some(slot) = self.workers.get_mut(worker) {
+            slot.accepting = accepting;
+        }
+    }
+
     /// Charges the declared or, once larger, the reported use of a task to its worker.
     pub fn charge(&mut self, worker: &WorkerId, task: &TaskId, amount: Resources) {
         self.release(task);
