--- /dev/null
+++ b/jackdawchute-admission/examples/embedding.rs
@@ -0,0 +1,124 @@
+//! Admission in front of a plain function: `cargo run -p jackdawchute-admission --example embedding`.
+//!
+//! Three threads share a policy behind a mutex; each takes the ticket that goes next, calls the
+//! function and gives the unit back. A thread without a ticket sleeps on a condition variable.
+
+use std::{
+    process::ExitCode,
+    sync::{Condvar, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use jackdawchute_admission::{AdmissionPolicy, ClassLimits, FairShare, Limits, Ticket};
+
+const THREADS: u32 = 3;
+const CALLS: u64 = 60;
+const QUEUE_MAX: usize = 40;
+const DEADLINE: Duration = Duration::from_secs(5);
+
+/// The function that must not run more than [`THREADS`] times at once.
+fn quote(order: u64) -> u64 {
+    (0..200_000).fold(order, |hash, step| hash.wrapping_mul(31).wrapping_add(step))
+}
+
+struct Gate {
+    policy: Mutex<(FairShare, bool)>,
+    changed: Condvar,
+}
+
+impl Gate {
+    fn new() -> Self {
+        let class = |priority, floor_percent| ClassLimits {
+            priority,
+            queue_max: QUEUE_MAX,
+            floor_percent,
+            deadline: DEADLINE,
+        };
+        let mut policy = FairShare::default();
+        policy.set_limits(Limits {
+            classes: [
+                ("counter".into(), class(0, 60)),
+                ("overnight".into(), class(1, 40)),
+            ]
+            .into(),
+            ..Limits::default()
+        });
+        policy.set_capacity(THREADS);
+        Self {
+            policy: Mutex::new((policy, false)),
+            changed: Condvar::new(),
+        }
+    }
+
+    /// Changes the policy and wakes the threads that wait.
+    fn change<T>(&self, change: impl FnOnce(&mut FairShare, &mut bool) -> T) -> T {
+        let mut guard = self.policy.lock().unwrap_or_else(PoisonError::into_inner);
+        let (policy, closed) = &mut *guard;
+        let result = change(policy, closed);
+        self.changed.notify_all();
+        result
+    }
+
+    /// Waits for the ticket that goes next; `None` when the gate is closed and empty.
+    fn take(&self) -> Option<Ticket> {
+        let mut guard = self.policy.lock().unwrap_or_else(PoisonError::into_inner);
+        loop {
+            if let Some(ticket) = guard.0.next(Instant::now()) {
+                return Some(ticket);
+            }
+            if guard.1 && guard.0.queued().is_empty() {
+                return None;
+            }
+            guard = self
+                .changed
+                .wait(guard)
+                .unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+
+    /// Calls the function for each ticket; returns how many it called.
+    fn work(&self) -> u64 {
+        let mut calls = 0;
+        while let Some(ticket) = self.take() {
+            let begin = Instant::now();
+            std::hint::black_box(quote(ticket.id));
+            self.change(|policy, _| policy.release(&ticket, begin.elapsed()));
+            calls += 1;
+        }
+        calls
+    }
+}
+
+fn main() -> ExitCode {
+    let gate = Gate::new();
+    let mut refused = 0;
+    let answered: u64 = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS).map(|_| scope.spawn(|| gate.work())).collect();
+        for id in 0..CALLS {
+            let now = Instant::now();
+            let ticket = Ticket {
+                id,
+                class: if id % 2 == 0 { "counter" } else { "overnight" }.into(),
+                team: "almaty".into(),
+                arrived: now,
+                deadline: Some(now + DEADLINE),
+                cost: 1,
+            };
+            if let Err(refusal) = gate.change(|policy, _| policy.offer(ticket, now)) {
+                println!("call {id}: refused, {}: {}", refusal.reason, refusal.detail);
+                refused += 1;
+            }
+        }
+        gate.change(|_, closed| *closed = true);
+        threads
+            .into_iter()
+            .filter_map(|thread| thread.join().ok())
+            .sum()
+    });
+    println!("answered {answered}, refused {refused} of {CALLS}");
+    if answered + refused == CALLS {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/jackdawchute-admission/src/estimate.rs
@@ -0,0 +1,54 @@
+//! Measured service times.
+
+use std::time::Duration;
+
+/// The weight of a new measurement, as one part in this many.
+const WEIGHT_DIVISOR: u32 = 16;
+
+/// An exponentially weighted mean of service times.
+///
+/// ```
+/// use std::time::Duration;
+/// use jackdawchute_admission::ServiceTime;
+///
+/// let mut service_time = ServiceTime::default();
+/// assert_eq!(service_time.mean(), None);
+/// service_time.record(Duration::from_millis(20));
+/// assert_eq!(service_time.mean(), Some(Duration::from_millis(20)));
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServiceTime {
+    mean: Option<Duration>,
+}
+
+impl ServiceTime {
+    /// Takes a measurement in; zero is none.
+    pub fn record(&mut self, service_time: Duration) {
+        if service_time.is_zero() {
+            return;
+        }
+        self.mean = Some(match self.mean {
+            None => service_time,
+            Some(mean) => (mean * (WEIGHT_DIVISOR - 1) + service_time) / WEIGHT_DIVISOR,
+        });
+    }
+
+    /// The mean, once anything was measured.
+    pub fn mean(&self) -> Option<Duration> {
+        self.mean
+    }
+
+    /// How long `ahead` units take to leave when `units` run at a time.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_admission::ServiceTime;
+    ///
+    /// let mut service_time = ServiceTime::default();
+    /// service_time.record(Duration::from_millis(100));
+    /// assert_eq!(service_time.drain_time(50, 10), Some(Duration::from_millis(500)));
+    /// ```
+    pub fn drain_time(&self, ahead: u32, units: u32) -> Option<Duration> {
+        Some(self.mean? * ahead / units.max(1))
+    }
+}
--- a/jackdawchute-admission/src/policy.rs
+++ b/jackdawchute-admission/src/policy.rs
@@ -76,6 +76,8 @@
     fn cancel(&mut self, id: TicketId) -> Option<Ticket>;
 
     /// Gives the capacity of a ticket back after it ran for `service_time`.
+    ///
+    /// A time of zero means that it never ran; it is not measured.
     fn release(&mut self, ticket: &Ticket, service_time: Duration);
 
     /// The queued tickets by class.
--- /dev/null
+++ b/jackdawchute-admission/src/strict_priority.rs
@@ -0,0 +1,114 @@
+//! A baseline: the most urgent class first, whatever it takes from the others.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use jackdawchute_types::{ClassId, Refusal, RefusalReason};
+
+use crate::{AdmissionPolicy, Limits, Ticket, TicketId};
+
+/// One bounded queue for each class, served by priority.
+///
+/// ```
+/// use jackdawchute_admission::{AdmissionPolicy, StrictPriority};
+///
+/// assert!(StrictPriority::default().queued().is_empty());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct StrictPriority {
+    limits: Limits,
+    capacity_units: u32,
+    used_units: u32,
+    queues: BTreeMap<(u32, ClassId), VecDeque<Ticket>>,
+}
+
+impl StrictPriority {
+    fn priority(&self, class: &ClassId) -> u32 {
+        self.limits
+            .classes
+            .get(class)
+            .map_or(u32::MAX, |l| l.priority)
+    }
+}
+
+impl AdmissionPolicy for StrictPriority {
+    fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+        let queues = std::mem::take(&mut self.queues);
+        for ((_, class), tickets) in queues {
+            let priority = self.priority(&class);
+            self.queues.insert((priority, class), tickets);
+        }
+    }
+
+    fn set_capacity(&mut self, units: u32) {
+        self.capacity_units = units;
+    }
+
+    fn offer(&mut self, ticket: Ticket, _now: Instant) -> Result<(), Refusal> {
+        let priority = self.priority(&ticket.class);
+        let limits = self.limits.classes.get(&ticket.class);
+        let queue_max = limits.map_or(0, |limits| limits.queue_max);
+        let queue = self
+            .queues
+            .entry((priority, ticket.class.clone()))
+            .or_default();
+        if queue.len() >= queue_max {
+            let detail = format!("queue of class {}", ticket.class);
+            return Err(Refusal::not_run(RefusalReason::QueueFull, detail));
+        }
+        queue.push_back(ticket);
+        Ok(())
+    }
+
+    fn next(&mut self, now: Instant) -> Option<Ticket> {
+        let alive = |ticket: &Ticket| ticket.deadline.is_none_or(|deadline| deadline > now);
+        let free = self.capacity_units.saturating_sub(self.used_units);
+        let queue = self
+            .queues
+            .values_mut()
+            .find(|queue| queue.iter().any(alive))?;
+        let index = queue.iter().position(alive)?;
+        if queue.get(index)?.cost > free {
+            return None;
+        }
+        let ticket = queue.remove(index)?;
+        self.used_units += ticket.cost;
+        Some(ticket)
+    }
+
+    fn expire(&mut self, now: Instant) -> Vec<(Ticket, Refusal)> {
+        let is_expired = |ticket: &Ticket| ticket.deadline.is_some_and(|deadline| deadline <= now);
+        let mut expired = Vec::new();
+        for queue in self.queues.values_mut() {
+            let (gone, kept) = queue.drain(..).partition::<VecDeque<_>, _>(is_expired);
+            *queue = kept;
+            expired.extend(gone);
+        }
+        let refusal = || Refusal::not_run(RefusalReason::DeadlineExpired, "waited too long");
+        expired
+            .into_iter()
+            .map(|ticket| (ticket, refusal()))
+            .collect()
+    }
+
+    fn cancel(&mut self, id: TicketId) -> Option<Ticket> {
+        self.queues.values_mut().find_map(|queue| {
+            let index = queue.iter().position(|ticket| ticket.id == id)?;
+            queue.remove(index)
+        })
+    }
+
+    fn release(&mut self, ticket: &Ticket, _service_time: Duration) {
+        self.used_units = self.used_units.saturating_sub(ticket.cost);
+    }
+
+    fn queued(&self) -> BTreeMap<ClassId, usize> {
+        let queues = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
+        queues
+            .map(|((_, class), queue)| (class.clone(), queue.len()))
+            .collect()
+    }
+}
--- /dev/null
+++ b/jackdawchute-admission/src/token_bucket.rs
@@ -0,0 +1,125 @@
+//! A baseline: a fixed rate for each class at the entrance of another policy.
+//!
+//! This is the ingress regulator of the paper on MASTH Proxy (multi-class admission-controlled
+//! self-tuning HTTP proxy), which puts a token bucket before each class's queue.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use jackdawchute_types::{ClassId, Refusal, RefusalReason};
+
+use crate::{AdmissionPolicy, Limits, Ticket, TicketId};
+
+/// What a class may send in.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rate {
+    /// Units in a second, in the long run.
+    pub units_per_second: f64,
+    /// Units at once.
+    pub burst_units: f64,
+}
+
+/// Refuses what exceeds its class's rate; the rest goes to an inner policy.
+///
+/// Classes without a rate are not regulated.
+///
+/// ```
+/// use std::collections::BTreeMap;
+///
+/// use jackdawchute_admission::{AdmissionPolicy, Fifo, TokenBucket};
+///
+/// let policy = TokenBucket::new(Box::new(Fifo::default()), BTreeMap::new());
+/// assert!(policy.queued().is_empty());
+/// ```
+pub struct TokenBucket {
+    inner: Box<dyn AdmissionPolicy>,
+    buckets: BTreeMap<ClassId, Bucket>,
+}
+
+struct Bucket {
+    rate: Rate,
+    units: f64,
+    filled: Option<Instant>,
+}
+
+impl Bucket {
+    /// Takes `cost` units, or tells how long it takes until there are as many.
+    fn take(&mut self, cost: f64, now: Instant) -> Result<(), Duration> {
+        let since = self
+            .filled
+            .map(|filled| now.saturating_duration_since(filled));
+        let gained = since.unwrap_or_default().as_secs_f64() * self.rate.units_per_second;
+        self.units = (self.units + gained).min(self.rate.burst_units);
+        self.filled = Some(now);
+        if self.units < cost {
+            let missing = (cost - self.units) / self.rate.units_per_second;
+            return Err(Duration::try_from_secs_f64(missing).unwrap_or(Duration::MAX));
+        }
+        self.units -= cost;
+        Ok(())
+    }
+}
+
+impl TokenBucket {
+    /// Puts a full bucket before `inner` for each class in `rates`.
+    pub fn new(inner: Box<dyn AdmissionPolicy>, rates: BTreeMap<ClassId, Rate>) -> Self {
+        let bucket = |(class, rate): (ClassId, Rate)| {
+            let bucket = Bucket {
+                rate,
+                units: rate.burst_units,
+                filled: None,
+            };
+            (class, bucket)
+        };
+        Self {
+            inner,
+            buckets: rates.into_iter().map(bucket).collect(),
+        }
+    }
+}
+
+impl AdmissionPolicy for TokenBucket {
+    fn set_limits(&mut self, limits: Limits) {
+        self.inner.set_limits(limits);
+    }
+
+    fn set_capacity(&mut self, units: u32) {
+        self.inner.set_capacity(units);
+    }
+
+    fn offer(&mut self, ticket: Ticket, now: Instant) -> Result<(), Refusal> {
+        if let Some(bucket) = self.buckets.get_mut(&ticket.class) {
+            if let Err(retry_after) = bucket.take(f64::from(ticket.cost), now) {
+                let detail = format!("rate of class {}", ticket.class);
+                let refusal = Refusal::not_run(RefusalReason::QuotaExceeded, detail);
+                return Err(Refusal {
+                    retry_after,
+                    ..refusal
+                });
+            }
+        }
+        self.inner.offer(ticket, now)
+    }
+
+    fn next(&mut self, now: Instant) -> Option<Ticket> {
+        self.inner.next(now)
+    }
+
+    fn expire(&mut self, now: Instant) -> Vec<(Ticket, Refusal)> {
+        self.inner.expire(now)
+    }
+
+    fn cancel(&mut self, id: TicketId) -> Option<Ticket> {
+        self.inner.cancel(id)
+    }
+
+    fn release(&mut self, ticket: &Ticket, service_time: Duration) {
+        self.inner.release(ticket, service_time);
+    }
+
+    fn queued(&self) -> BTreeMap<ClassId, usize> {
+        self.inner.queued()
+    }
+}
