feat: retry budget per class, jittered backoff and the idle connection bound

Retries must not multiply an overload, and a non-idempotent request that may have run must not be repeated. RetryBudget decides as a pure value: a token bucket per class filled by a share of its successes.

--- a/jackdawchute-requests/src/lib.rs
+++ b/jackdawchute-requests/src/lib.rs
@@ -7,6 +7,7 @@
 mod acquire;
 mod adopt;
 mod complete;
+mod connections;
 mod error;
 mod expire;
 mod grant;
@@ -17,11 +18,13 @@
 mod keys;
 mod messages;
 mod minion;
+mod retry;
 mod settings;
 mod state;
 mod status;
 mod task;
 
+pub use connections::idle_connections_max;
 pub use error::{Error, Result};
 pub use groups::{home_group, service_group};
 pub use holder::Holder;
@@ -30,6 +33,7 @@
     Acquire, Call, ChangeSettings, Complete, Explain, Grant, GrantId, GrantOutcome, Held, Incoming,
     Remote, Reply, Returned, Status, StoredAnswer,
 };
+pub use retry::{Backoff, FailedAttempt, RetryBudget, RetrySettings};
 pub use settings::{EjectionSettings, GrantSettings, RetentionSettings, Settings};
 pub use state::{AppendOutcome, AppendPurpose, AppendStep, CallId, Effect, State};
 pub use status::{Explanation, GroupStatus, MinionStatus, RequestsStatus};
--- a/jackdawchute-requests/src/settings.rs
+++ b/jackdawchute-requests/src/settings.rs
@@ -4,6 +4,8 @@
 
 use jackdawchute_admission::Limits;
 
+use crate::RetrySettings;
+
 /// The settings of every service group.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Settings {
@@ -15,6 +17,8 @@
     pub retention: RetentionSettings,
     /// When a minion that refuses connections gets no work.
     pub ejection: EjectionSettings,
+    /// When a failed attempt is repeated.
+    pub retries: RetrySettings,
 }
 
 /// Times and counts of grants.
--- /dev/null
+++ b/jackdawchute-requests/tests/retries.rs
@@ -0,0 +1,108 @@
+//! Retries stay within a share of the successes, and only what may run again is repeated.
+
+use std::{
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
+
+use jackdawchute_requests::{FailedAttempt, RetryBudget, RetrySettings};
+use jackdawchute_types::{ClassId, Execution, NoRecorder, Recorder, RefusalReason, RetryReason};
+
+const RANDOM: u32 = u32::MAX / 2;
+
+fn failed(idempotent: bool, sent: bool) -> FailedAttempt {
+    FailedAttempt {
+        class: "counter".into(),
+        idempotent,
+        sent,
+        attempts: 1,
+        reason: RetryReason::ConnectFailed,
+        remaining: Duration::from_secs(2),
+    }
+}
+
+fn budget() -> RetryBudget {
+    RetryBudget::new(RetrySettings {
+        budget_percent: 10,
+        budget_max: 5,
+        ..RetrySettings::default()
+    })
+}
+
+#[derive(Default)]
+struct Counts {
+    retried: AtomicU32,
+    refused: AtomicU32,
+}
+
+impl Recorder for Counts {
+    fn refused(&self, _: &ClassId, _: RefusalReason) {
+        self.refused.fetch_add(1, Ordering::Relaxed);
+    }
+    fn retried(&self, _: &ClassId, _: RetryReason) {
+        self.retried.fetch_add(1, Ordering::Relaxed);
+    }
+    fn placed(&self, _: &ClassId, _: Duration) {}
+}
+
+#[test]
+fn retries_end_with_the_budget_and_come_back_with_successes() {
+    let mut budget = budget();
+    let counts = Counts::default();
+
+    let at_first = (0..20).filter(|_| budget.retry(&failed(true, true), RANDOM, &counts).is_ok());
+    let at_first = at_first.count();
+    (0..20).for_each(|_| budget.succeeded(&"counter".into()));
+    let afterwards = (0..20).filter(|_| budget.retry(&failed(true, true), RANDOM, &counts).is_ok());
+
+    assert_eq!((at_first, afterwards.count()), (5, 2));
+    assert_eq!(counts.retried.into_inner(), 7);
+    assert_eq!(counts.refused.into_inner(), 33);
+}
+
+#[test]
+fn a_class_without_budget_takes_none_from_another() {
+    let mut budget = budget();
+    let other = FailedAttempt {
+        class: "overnight".into(),
+        ..failed(true, false)
+    };
+
+    while budget.retry(&other, RANDOM, &NoRecorder).is_ok() {}
+    let result = budget.retry(&failed(true, false), RANDOM, &NoRecorder);
+
+    assert!(result.is_ok());
+}
+
+#[test]
+fn a_non_idempotent_request_is_repeated_only_if_nothing_was_sent() {
+    let mut budget = budget();
+
+    let unsent = budget.retry(&failed(false, false), RANDOM, &NoRecorder);
+    let sent = budget.retry(&failed(false, true), RANDOM, &NoRecorder);
+
+    assert!(unsent.is_ok());
+    let refusal = sent.unwrap_err();
+    assert_eq!(refusal.reason, RefusalReason::AnswerLost);
+    assert_eq!(refusal.execution, Execution::Unknown);
+}
+
+#[test]
+fn attempts_and_time_are_bounded() {
+    let mut budget = budget();
+    let third = FailedAttempt {
+        attempts: 3,
+        ..failed(true, false)
+    };
+    let late = FailedAttempt {
+        remaining: Duration::ZERO,
+        ..failed(true, false)
+    };
+
+    let after_third = budget.retry(&third, RANDOM, &NoRecorder).unwrap_err();
+    let too_late = budget.retry(&late, RANDOM, &NoRecorder).unwrap_err();
+
+    assert_eq!(after_third.reason, RefusalReason::ConnectFailed);
+    assert_eq!(after_third.execution, Execution::NotRun);
+    assert_eq!(too_late.reason, RefusalReason::DeadlineExpired);
+}
