--- /dev/null
+++ b/jackdawchute-requests/tests/takeover.rs
@@ -0,0 +1,349 @@
+//! A new owner counts what the former one may have granted, and never grants an open intent again.
+
+mod fixtures;
+
+use std::time::{Duration, Instant};
+
+use fixtures::*;
+use jackdawchute_requests::{
+    AppendOutcome, Call, Effect, Grant, GrantSettings, JournaledKey, JournaledState, Reply,
+    Settings, State,
+};
+use jackdawchute_types::{Epoch, Execution};
+
+const FORMER: &str = "former";
+const HOLD_BACK: u32 = 3;
+
+fn split_settings() -> Settings {
+    Settings {
+        grants: GrantSettings {
+            hold_back_slots: HOLD_BACK,
+            ..settings().grants
+        },
+        ..settings()
+    }
+}
+
+fn ended_after() -> Duration {
+    settings().grants.ended_after()
+}
+
+fn record(epoch: Epoch, holder: &str, state: JournaledState) -> JournaledKey {
+    JournaledKey {
+        digest: 1,
+        epoch,
+        grant: 5,
+        holder: holder.into(),
+        state,
+    }
+}
+
+fn intent(holder: &str) -> JournaledKey {
+    let state = JournaledState::Intent {
+        minion: "m0".into(),
+        ended_after: ended_after(),
+    };
+    record(1, holder, state)
+}
+
+/// The second owner, with one journaled key and a live peer that told that it holds nothing.
+fn successor(settings: Settings, key: &JournaledKey, now: Instant) -> State {
+    let mut state = bystander(settings, &minions(1, SLOTS), now);
+    state.directory(directory(&[OWNER, PEER]), now);
+    state.group_event(adopted(2, journal(&[("k", key)]), None), now);
+    state.told(&group(), 2, &PEER.into(), &[], now);
+    state
+}
+
+fn held_grant(id: u64) -> Grant {
+    Grant {
+        id,
+        group: group(),
+        epoch: 1,
+        minion: "m0".into(),
+        address: address(9_000),
+        send_within: Duration::from_secs(1),
+        life: Duration::from_secs(30),
+        waited: Duration::ZERO,
+        transit_max: Duration::from_secs(2),
+    }
+}
+
+/// How many more plain requests are granted now.
+fn grantable(state: &mut State, now: Instant) -> usize {
+    let calls = 1_000..1_020;
+    let granted = calls.filter(|call| {
+        let effects = state.incoming(*call, Call::Acquire(acquire(OWNER)), now);
+        granted(&effects, *call).is_some()
+    });
+    granted.count()
+}
+
+#[test]
+fn an_open_intent_is_counted_and_never_granted_again() {
+    let now = Instant::now();
+    let mut state = successor(settings(), &intent(PEER), now);
+
+    let again = state.incoming(1, Call::Acquire(order(OWNER, "k")), now);
+    let others = grantable(&mut state, now);
+
+    assert!(appends(&again).is_empty());
+    assert_eq!(reply(&again, 1), None);
+    assert_eq!(others, SLOTS as usize - 1);
+}
+
+#[test]
+fn a_live_holder_completes_an_earlier_epochs_grant_at_the_new_owner() {
+    let now = Instant::now();
+    let mut state = successor(settings(), &intent(PEER), now);
+    let grant = held_grant(5);
+    state.incoming(1, Call::Acquire(order(OWNER, "k")), now);
+
+    let effects = state.incoming(2, complete(&grant, PEER, answered("done")), now);
+    let effects = journaled(&mut state, effects, AppendOutcome::Kept, now);
+
+    assert_eq!(
+        reply(&effects, 1),
+        Some(Ok(Reply::Answered(answer("done"))))
+    );
+    assert_eq!(reply(&effects, 2), Some(Ok(Reply::Completed)));
+    assert_eq!(grantable(&mut state, now), SLOTS as usize);
+}
+
+#[test]
+fn an_answer_survives_the_takeover() {
+    let now = Instant::now();
+    let kept = JournaledState::Answered {
+        answer: Some(answer("done")),
+    };
+    let mut state = successor(settings(), &record(1, PEER, kept), now);
+
+    let effects = state.incoming(1, Call::Acquire(order(OWNER, "k")), now);
+
+    assert_eq!(
+        reply(&effects, 1),
+        Some(Ok(Reply::Answered(answer("done"))))
+    );
+}
+
+#[test]
+fn the_intent_of_a_fenced_holder_becomes_unknown_and_keeps_its_slot_until_it_surely_ended() {
+    let now = Instant::now();
+    let mut state = bystander(settings(), &minions(1, SLOTS), now);
+    let entries = journal(&[("k", &intent(FORMER))]);
+
+    let adopting = state.group_event(adopted(2, entries, Some(FORMER)), now);
+    journaled(&mut state, adopting.clone(), AppendOutcome::Kept, now);
+    let again = state.incoming(1, Call::Acquire(order(OWNER, "k")), now);
+    let slots = state.status(now).groups[0].minions["m0"].in_use_slots;
+    state.tick(now + ended_after());
+    let later = state.status(now).groups[0].minions["m0"].in_use_slots;
+
+    let journaled_state = appends(&adopting)[0].1[0].1.clone().map(|r| r.state);
+    assert_eq!(journaled_state, Some(JournaledState::Unknown));
+    let refusal = refused(&again, 1).expect("an unknown outcome");
+    assert_eq!(refusal.execution, Execution::Unknown);
+    assert_eq!((slots, later), (1, 0));
+}
+
+#[test]
+fn slots_are_held_back_for_an_incarnation_until_it_tells_what_it_holds() {
+    let now = Instant::now();
+    let mut state = bystander(split_settings(), &minions(1, SLOTS), now);
+    state.directory(directory(&[OWNER, PEER]), now);
+
+    let effects = state.group_event(adopted(2, Vec::new(), None), now);
+    let held_back = state.status(now).groups[0].held_back_slots;
+    state.told(
+        &group(),
+        2,
+        &PEER.into(),
+        &[held_grant(5), held_grant(6)],
+        now,
+    );
+    let status = state.status(now).groups[0].clone();
+
+    let asked = effects
+        .iter()
+        .any(|effect| matches!(effect, Effect::Ask { .. }));
+    assert!(asked);
+    assert_eq!(held_back, HOLD_BACK);
+    assert_eq!(
+        (status.held_back_slots, status.minions["m0"].in_use_slots),
+        (0, 2)
+    );
+}
+
+#[test]
+fn slots_are_held_back_for_a_fenced_owner_until_its_grants_surely_ended() {
+    let now = Instant::now();
+    let mut state = bystander(split_settings(), &minions(1, 4), now);
+    state.group_event(adopted(2, Vec::new(), Some(FORMER)), now);
+
+    let at_first = grantable(&mut state, now);
+    let effects = state.tick(now + ended_after());
+
+    let afterwards = effects
+        .iter()
+        .filter(|effect| matches!(effect, Effect::Placed { .. }));
+    assert_eq!(at_first, 1);
+    assert_eq!(afterwards.count(), 0, "the calls expired before");
+    assert_eq!(state.status(now).groups[0].held_back_slots, 0);
+}
+
+#[test]
+fn one_holder_gets_no_more_of_a_minion_than_a_successor_holds_back_for_it() {
+    let now = Instant::now();
+    let mut state = owner_with_peer(split_settings(), &minions(1, SLOTS), now);
+
+    let of_one = grantable(&mut state, now);
+    let effects = state.incoming(1, Call::Acquire(acquire(PEER)), now);
+
+    assert_eq!(of_one, HOLD_BACK as usize);
+    assert!(granted(&effects, 1).is_some());
+}
+
+#[test]
+fn a_grant_given_back_before_its_holder_told_of_it_is_not_counted() {
+    let now = Instant::now();
+    let mut state = bystander(settings(), &minions(1, SLOTS), now);
+    state.directory(directory(&[OWNER, PEER]), now);
+    state.group_event(adopted(2, Vec::new(), None), now);
+
+    state.incoming(1, complete(&held_grant(5), PEER, answered("done")), now);
+    state.told(&group(), 2, &PEER.into(), &[held_grant(5)], now);
+
+    assert_eq!(state.status(now).groups[0].minions["m0"].in_use_slots, 0);
+}
+
+#[test]
+fn a_holder_that_told_a_new_owner_uses_no_grant_of_the_former_one() {
+    let now = Instant::now();
+    let mut state = bystander(settings(), &minions(1, SLOTS), now);
+    let before = state.hold(held_grant(5), Duration::ZERO);
+
+    let call = Call::Holdings {
+        group: group(),
+        epoch: 2,
+    };
+    let effects = state.incoming(1, call, now);
+    let after = state.hold(held_grant(6), Duration::ZERO);
+
+    let grants = vec![held_grant(5)];
+    assert_eq!(reply(&effects, 1), Some(Ok(Reply::Holdings { grants })));
+    assert_eq!((before, after), (true, false));
+}
+
+#[test]
+fn a_grant_that_was_too_long_on_its_way_is_not_used() {
+    let mut state = bystander(settings(), &minions(1, SLOTS), Instant::now());
+    let mut waited = held_grant(5);
+    waited.waited = Duration::from_secs(10);
+
+    let in_time = state.hold(waited.clone(), Duration::from_secs(12));
+    let late = state.hold(waited, Duration::from_millis(12_001));
+
+    assert_eq!((in_time, late), (true, false));
+}
+
+#[test]
+fn the_orders_of_a_holder_that_vanishes_become_unknown() {
+    let now = Instant::now();
+    let mut state = owner_with_peer(settings(), &minions(1, SLOTS), now);
+    granted_order(&mut state, 1, PEER, "k", now);
+    granted_plain(&mut state, 2, PEER, now);
+
+    let effects = state.directory(directory(&[OWNER]), now);
+    journaled(&mut state, effects, AppendOutcome::Kept, now);
+    let again = state.incoming(3, Call::Acquire(order(OWNER, "k")), now);
+    let slots = state.status(now).groups[0].minions["m0"].in_use_slots;
+    state.tick(now + ended_after());
+
+    assert_eq!(
+        refused(&again, 3).map(|r| r.execution),
+        Some(Execution::Unknown)
+    );
+    assert_eq!(slots, 2);
+    assert_eq!(state.status(now).groups[0].minions["m0"].in_use_slots, 0);
+}
+
+#[test]
+fn a_late_answer_replaces_an_unknown_outcome() {
+    let now = Instant::now();
+    let mut state = owner_with_peer(settings(), &minions(1, SLOTS), now);
+    let grant = granted_order(&mut state, 1, PEER, "k", now);
+    let effects = state.directory(directory(&[OWNER]), now);
+    journaled(&mut state, effects, AppendOutcome::Kept, now);
+
+    let effects = state.incoming(2, complete(&grant, PEER, answered("done")), now);
+    journaled(&mut state, effects, AppendOutcome::Kept, now);
+    let again = state.incoming(3, Call::Acquire(order(OWNER, "k")), now);
+
+    assert_eq!(reply(&again, 3), Some(Ok(Reply::Answered(answer("done")))));
+}
+
+#[test]
+fn only_its_holder_completes_a_grant() {
+    let now = Instant::now();
+    let mut state = owner_with_peer(settings(), &minions(1, SLOTS), now);
+    let grant = granted_order(&mut state, 1, PEER, "k", now);
+
+    let effects = state.incoming(2, complete(&grant, OWNER, answered("forged")), now);
+
+    assert!(refused(&effects, 2).is_some());
+    assert_eq!(state.status(now).groups[0].minions["m0"].in_use_slots, 1);
+}
+
+#[test]
+fn an_overdue_grant_is_given_up_when_its_holder_told_twice_not_to_hold_it() {
+    let start = Instant::now();
+    let mut state = owner_with_peer(settings(), &minions(1, SLOTS), start);
+    granted_plain(&mut state, 1, PEER, start);
+    let overdue = start + ended_after();
+
+    let asking = state.tick(overdue);
+    state.told(&group(), 1, &PEER.into(), &[], overdue);
+    state.tick(overdue);
+    let once = state.status(overdue).groups[0].minions["m0"].in_use_slots;
+    state.told(&group(), 1, &PEER.into(), &[], overdue);
+    state.tick(overdue);
+    let twice = state.status(overdue).groups[0].minions["m0"].in_use_slots;
+
+    assert!(asking
+        .iter()
+        .any(|effect| matches!(effect, Effect::Ask { .. })));
+    assert_eq!((once, twice), (1, 0));
+}
+
+#[test]
+fn an_unreadable_journal_entry_keeps_its_key_taken() {
+    let now = Instant::now();
+    let mut state = bystander(settings(), &minions(1, SLOTS), now);
+    let entries = vec![("key/k".into(), "{".to_owned())];
+    state.group_event(adopted(2, entries, None), now);
+
+    let effects = state.incoming(1, Call::Acquire(order(OWNER, "k")), now);
+
+    assert_eq!(
+        refused(&effects, 1).map(|r| r.execution),
+        Some(Execution::Unknown)
+    );
+}
+
+#[test]
+fn a_lost_group_refuses_what_waits_and_still_gives_what_is_journaled() {
+    let now = Instant::now();
+    let mut state = owner(settings(), &minions(1, 1), now);
+    let journaling = state.incoming(1, Call::Acquire(order(OWNER, "k")), now);
+    state.incoming(2, Call::Acquire(acquire(OWNER)), now);
+
+    let lost = jackdawchute_ownership::GroupEvent::Lost { group: group() };
+    let losing = state.group_event(lost, now);
+    let after = journaled(&mut state, journaling, AppendOutcome::Kept, now);
+
+    assert_eq!(
+        refused(&losing, 2).map(|r| r.execution),
+        Some(Execution::NotRun)
+    );
+    assert!(granted(&after, 1).is_some());
+}
