feat: grants end with the lease; slots held back also for the vanished

A takeover counted only the incarnations listed at that time. One that was fenced shortly before may still run a grant of the former owner: slots are held back for it too, and by a new incarnation for those it never knew. The first owner of a group holds nothing back.

The lease's end is compared with the clock before each decision, also when the process stood still before.

--- a/jackdawchute-requests/src/adopt.rs
+++ b/jackdawchute-requests/src/adopt.rs
@@ -124,13 +124,15 @@
         self.open.insert(grant, open);
     }
 
-    /// Holds slots back for an incarnation that may hold grants of an earlier epoch.
-    pub(crate) fn hold_back_for(&mut self, incarnation: IncarnationId, now: Instant) {
+    /// Holds slots back until `until` for an incarnation that may hold grants of an earlier epoch.
+    pub(crate) fn hold_back_for(
+        &mut self,
+        incarnation: IncarnationId,
+        until: Instant,
+        now: Instant,
+    ) {
         self.asks.insert(incarnation.clone());
-        let unaccounted = Unaccounted {
-            until: now + self.settings.grants.ended_after(),
-            asked: now,
-        };
+        let unaccounted = Unaccounted { until, asked: now };
         self.unaccounted.insert(incarnation, unaccounted);
     }
 
--- a/jackdawchute-requests/src/settings.rs
+++ b/jackdawchute-requests/src/settings.rs
@@ -70,7 +70,7 @@
             life: Duration::from_secs(30),
             transit_max: Duration::from_secs(2),
             pause_allowance: Duration::from_secs(5),
-            hold_back_slots: 4,
+            hold_back_slots: 3,
             intents_max_percent: 50,
             parked_max: 1_000,
         }
--- a/jackdawchute-requests/src/state.rs
+++ b/jackdawchute-requests/src/state.rs
@@ -17,6 +17,10 @@
 /// Names a call whose reply is owed.
 pub type CallId = u64;
 
+/// The epoch of a group's first owner.
+const FIRST_EPOCH: Epoch = 1;
+/// Stands for the incarnations that vanished before this one could know of them.
+const BEFORE_START: IncarnationId = IncarnationId::new_static("(before this start)");
 /// A longer time between two ticks means that the process stood still.
 const TICK_GAP_MAX: Duration = Duration::from_secs(1);
 /// After standing still nothing is granted for this time, so that a lost lease is heard of first.
@@ -120,6 +124,11 @@
     /// Groups that were lost while intents or outcomes were on their way to the journal.
     lost: Vec<Group>,
     holder: Holder,
+    /// When this incarnation began to know who vanishes.
+    started: Option<Instant>,
+    /// Incarnations that are not listed any more, while grants of theirs may run.
+    vanished: BTreeMap<IncarnationId, Instant>,
+    lease_until: Option<Instant>,
     last_tick: Option<Instant>,
     settled: Option<Instant>,
 }
@@ -137,6 +146,9 @@
             groups: BTreeMap::new(),
             lost: Vec::new(),
             holder: Holder::default(),
+            started: None,
+            vanished: BTreeMap::new(),
+            lease_until: None,
             last_tick: None,
             settled: None,
         }
@@ -145,6 +157,7 @@
     /// Takes a group over or lets it go.
     pub fn group_event(&mut self, event: GroupEvent, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.begin(now);
         match event {
             GroupEvent::Adopted {
                 group,
@@ -181,12 +194,8 @@
         if let Some(listed) = self.fleet.get(&id) {
             group.set_minions(listed);
         }
-        let others = self.directory.incarnations.keys().cloned();
-        for incarnation in others
-            .chain(fenced.clone())
-            .chain([self.incarnation.clone()])
-        {
-            group.hold_back_for(incarnation, now);
+        if epoch > FIRST_EPOCH {
+            self.hold_back(&mut group, fenced.clone(), now);
         }
         let is_live = |holder: &IncarnationId| {
             Some(holder) != fenced.as_ref()
@@ -196,6 +205,24 @@
         self.groups.insert(id, group);
     }
 
+    /// Holds slots back for everyone that the former owners may have granted to.
+    fn hold_back(&self, group: &mut Group, fenced: Option<IncarnationId>, now: Instant) {
+        let ended_after = self.settings.grants.ended_after();
+        let listed = self
+            .directory
+            .incarnations
+            .keys()
+            .chain([&self.incarnation]);
+        let others = listed.chain(&fenced).chain(self.vanished.keys());
+        for incarnation in others {
+            group.hold_back_for(incarnation.clone(), now + ended_after, now);
+        }
+        let known_since = self.started.unwrap_or(now) + ended_after;
+        if now < known_since {
+            group.hold_back_for(BEFORE_START, known_since, now);
+        }
+    }
+
     fn lose_group(&mut self, id: &GroupId, effects: &mut Vec<Effect>) {
         if let Some(mut group) = self.groups.remove(id) {
             group.refuse_all(effects);
@@ -206,15 +233,19 @@
     /// Learns who is unfenced.
     pub fn directory(&mut self, directory: Arc<Directory>, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.begin(now);
+        let ended = now + self.settings.grants.ended_after();
         let old = std::mem::replace(&mut self.directory, directory);
+        let new = &self.directory;
+        let gone = old.incarnations.keys().filter(|id| !is_listed(new, id));
+        self.vanished.extend(gone.map(|id| (id.clone(), ended)));
         for group in self.groups.values_mut() {
-            let new = &self.directory;
             group.holders_changed(&old, new, now, &mut effects);
             if !group.unaccounted.is_empty() {
                 // This instance's list lagged: the former owner may have granted to them.
                 let appeared = new.incarnations.keys().filter(|id| !is_listed(&old, id));
                 for incarnation in appeared {
-                    group.hold_back_for(incarnation.clone(), now);
+                    group.hold_back_for(incarnation.clone(), ended, now);
                 }
             }
             group.pump(now, &mut effects);
@@ -223,10 +254,16 @@
         effects
     }
 
+    /// Learns until when this incarnation may act as an owner.
+    pub fn lease_until(&mut self, until: Instant) {
+        self.lease_until = Some(until);
+    }
+
     /// Learns whether this incarnation may act as an owner.
     pub fn standing(&mut self, standing: Standing, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
         self.standing = standing;
+        self.begin(now);
         if standing == Standing::Fenced {
             let owned: Vec<GroupId> = self.groups.keys().cloned().collect();
             for id in owned {
@@ -240,13 +277,13 @@
                 Standing::CutOff | Standing::Fenced => {}
             }
         }
-        self.update_may_grant(now);
         effects
     }
 
     /// Learns the minions; leaving ones get nothing new.
     pub fn membership(&mut self, list: &MembershipList, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.begin(now);
         self.fleet = minions_by_group(list);
         for (id, group) in &mut self.groups {
             group.set_minions(self.fleet.get(id).unwrap_or(&Listed::new()));
@@ -258,9 +295,9 @@
     /// Ends what is over.
     pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
-        self.notice_gap(now);
+        self.begin(now);
         self.last_tick = Some(now);
-        self.update_may_grant(now);
+        self.vanished.retain(|_, ended| now < *ended);
         for group in self.groups.values_mut() {
             group.expire(now, &mut effects);
         }
@@ -272,8 +309,7 @@
     /// Takes a call.
     pub fn incoming(&mut self, id: CallId, call: Call, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
-        self.notice_gap(now);
-        self.update_may_grant(now);
+        self.begin(now);
         match call {
             Call::Holdings { group, epoch } => effects.push(Effect::Reply {
                 call: id,
@@ -315,6 +351,7 @@
         now: Instant,
     ) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.begin(now);
         let same = |group: &&mut Group| group.id == purpose.group && group.epoch == purpose.epoch;
         let mut groups = self.groups.values_mut().chain(&mut self.lost);
         let Some(group) = groups.find(same) else {
@@ -341,6 +378,7 @@
         now: Instant,
     ) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.begin(now);
         let group = self.groups.get_mut(id);
         if let Some(group) = group.filter(|group| group.epoch == epoch) {
             group.told(incarnation, grants, now, &mut effects);
@@ -351,6 +389,7 @@
     /// Drops a call whose caller went away.
     pub fn cancel(&mut self, call: CallId, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.begin(now);
         for group in self.groups.values_mut() {
             group.cancel(|waiting| waiting.call == call, now, &mut effects);
         }
@@ -360,6 +399,7 @@
     /// Takes a grant back whose reply could not be delivered.
     pub fn undelivered(&mut self, grant: &Grant, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.begin(now);
         if let Some(group) = self.groups.get_mut(&grant.group) {
             if let Some(holder) = group.holder_of(grant) {
                 let complete = Complete {
@@ -380,6 +420,7 @@
     /// Replaces the settings.
     pub fn change_settings(&mut self, settings: Arc<Settings>, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.begin(now);
         for group in self.groups.values_mut() {
             group.change_settings(Arc::clone(&settings));
             group.pump(now, &mut effects);
@@ -440,7 +481,9 @@
         }
     }
 
-    fn notice_gap(&mut self, now: Instant) {
+    /// Looks at the clock before any decision: this incarnation may have stood still meanwhile.
+    fn begin(&mut self, now: Instant) {
+        self.started.get_or_insert(now);
         let gap = self
             .last_tick
             .map(|last| now.saturating_duration_since(last));
@@ -448,19 +491,18 @@
             self.settled = Some(now + SETTLE_TIME);
             self.last_tick = Some(now);
         }
-    }
-
-    fn may_grant(&self, now: Instant) -> bool {
-        let settled = self.settled.is_none_or(|settled| settled <= now);
-        settled && matches!(self.standing, Standing::Confirmed | Standing::StoreDown)
-    }
-
-    fn update_may_grant(&mut self, now: Instant) {
         let may_grant = self.may_grant(now);
         for group in self.groups.values_mut() {
             group.may_grant = may_grant;
         }
     }
+
+    fn may_grant(&self, now: Instant) -> bool {
+        let settled = self.settled.is_none_or(|settled| settled <= now);
+        let leased = self.lease_until.is_none_or(|until| now < until);
+        let confirmed = matches!(self.standing, Standing::Confirmed | Standing::StoreDown);
+        settled && leased && confirmed
+    }
 }
 
 fn not_here(call: CallId, group: &GroupId, known: bool) -> [Effect; 1] {
--- a/jackdawchute-requests/src/task.rs
+++ b/jackdawchute-requests/src/task.rs
@@ -3,7 +3,9 @@
 use std::{collections::HashMap, sync::Arc, time::Duration, time::Instant};
 
 use jackdawchute_admission::AdmissionPolicy;
-use jackdawchute_ownership::{Append, Directory, Error, GroupEvent, JournalEntry, Owner, Standing};
+use jackdawchute_ownership::{
+    Append, Directory, Error, GroupEvent, JournalEntry, LeaseUntil, Owner, Standing,
+};
 use jackdawchute_platform::MembershipList;
 use jackdawchute_timer::{Subscribe, Tick, TimerTask};
 use jackdawchute_types::{GroupId, IncarnationId, Recorder, Refusal, RequestKey};
@@ -261,6 +263,14 @@
     }
 }
 
+impl Handler<LeaseUntil> for RequestsTask {
+    type Return = ();
+
+    async fn handle(&mut self, lease: LeaseUntil, _context: &mut Context<Self>) {
+        self.state.lease_until(lease.0);
+    }
+}
+
 impl Handler<Arc<MembershipList>> for RequestsTask {
     type Return = ();
 
--- a/jackdawchute-requests/tests/outages.rs
+++ b/jackdawchute-requests/tests/outages.rs
@@ -155,6 +155,23 @@
     assert!(granted(&afterwards, 1).is_some());
 }
 
+#[test]
+fn nothing_is_granted_after_the_end_of_the_lease() {
+    let now = Instant::now();
+    let mut state = owner(settings(), &minions(1, SLOTS), now);
+    state.lease_until(now + Duration::from_millis(300));
+
+    let before = state.incoming(1, Call::Acquire(acquire(OWNER)), now);
+    let end = now + Duration::from_millis(300);
+    let after = state.incoming(2, Call::Acquire(acquire(OWNER)), end);
+    state.lease_until(end + Duration::from_secs(1));
+    let renewed = state.tick(end);
+
+    assert!(granted(&before, 1).is_some());
+    assert_eq!(reply(&after, 2), None);
+    assert!(granted(&renewed, 2).is_some());
+}
+
 #[test]
 fn nothing_is_granted_right_after_the_process_stood_still() {
     let start = Instant::now();
--- a/jackdawchute-requests/tests/takeover.rs
+++ b/jackdawchute-requests/tests/takeover.rs
@@ -48,8 +48,7 @@
 
 /// The second owner, with one journaled key and a live peer that told that it holds nothing.
 fn successor(settings: Settings, key: &JournaledKey, now: Instant) -> State {
-    let mut state = bystander(settings, &minions(1, SLOTS), now);
-    state.directory(directory(&[OWNER, PEER]), now);
+    let mut state = long_running(settings, SLOTS, now);
     state.group_event(adopted(2, journal(&[("k", key)]), None), now);
     state.told(&group(), 2, &PEER.into(), &[], now);
     state
@@ -69,6 +68,13 @@
     }
 }
 
+/// A state that has been there long enough to know of every incarnation that may hold grants.
+fn long_running(settings: Settings, slots: u32, now: Instant) -> State {
+    let mut state = bystander(settings, &minions(1, slots), now - ended_after());
+    state.directory(directory(&[OWNER, PEER]), now);
+    state
+}
+
 /// How many more plain requests are granted now.
 fn grantable(state: &mut State, now: Instant) -> usize {
     let calls = 1_000..1_020;
@@ -149,8 +155,7 @@
 #[test]
 fn slots_are_held_back_for_an_incarnation_until_it_tells_what_it_holds() {
     let now = Instant::now();
-    let mut state = bystander(split_settings(), &minions(1, SLOTS), now);
-    state.directory(directory(&[OWNER, PEER]), now);
+    let mut state = long_running(split_settings(), SLOTS, now);
 
     let effects = state.group_event(adopted(2, Vec::new(), None), now);
     let held_back = state.status(now).groups[0].held_back_slots;
@@ -177,8 +182,9 @@
 #[test]
 fn slots_are_held_back_for_a_fenced_owner_until_its_grants_surely_ended() {
     let now = Instant::now();
-    let mut state = bystander(split_settings(), &minions(1, 4), now);
+    let mut state = long_running(split_settings(), 4, now);
     state.group_event(adopted(2, Vec::new(), Some(FORMER)), now);
+    state.told(&group(), 2, &PEER.into(), &[], now);
 
     let at_first = grantable(&mut state, now);
     let effects = state.tick(now + ended_after());
@@ -191,6 +197,41 @@
     assert_eq!(state.status(now).groups[0].held_back_slots, 0);
 }
 
+#[test]
+fn the_first_owner_of_a_group_holds_nothing_back() {
+    let now = Instant::now();
+    let mut state = bystander(split_settings(), &minions(1, SLOTS), now);
+    state.directory(directory(&[OWNER, PEER]), now);
+
+    state.group_event(adopted(1, Vec::new(), None), now);
+
+    assert_eq!(state.status(now).groups[0].held_back_slots, 0);
+}
+
+#[test]
+fn slots_are_held_back_for_incarnations_that_vanished_before_the_takeover() {
+    let now = Instant::now();
+    let mut state = long_running(split_settings(), SLOTS, now);
+    state.directory(directory(&[OWNER]), now);
+
+    state.group_event(adopted(2, Vec::new(), None), now);
+
+    assert_eq!(state.status(now).groups[0].unaccounted, [PEER]);
+}
+
+#[test]
+fn a_new_incarnation_holds_slots_back_for_those_that_it_never_knew() {
+    let start = Instant::now();
+    let mut state = bystander(split_settings(), &minions(1, SLOTS), start);
+
+    state.group_event(adopted(2, Vec::new(), None), start);
+    let at_first = state.status(start).groups[0].held_back_slots;
+    state.tick(start + ended_after());
+
+    assert_eq!(at_first, HOLD_BACK);
+    assert_eq!(state.status(start).groups[0].held_back_slots, 0);
+}
+
 #[test]
 fn one_holder_gets_no_more_of_a_minion_than_a_successor_holds_back_for_it() {
     let now = Instant::now();
