--- a/jackdawchute-requests/tests/takeover.rs
+++ b/jackdawchute-requests/tests/takeover.rs
@@ -335,6 +335,38 @@
     assert_eq!(state.status(now).groups[0].minions["m0"].in_use_slots, 1);
 }
 
+#[test]
+fn a_request_without_answer_keeps_its_slot_until_it_surely_ended() {
+    let start = Instant::now();
+    let mut state = owner(settings(), &minions(1, SLOTS), start);
+    let grant = granted_plain(&mut state, 1, OWNER, start);
+
+    let lost = complete(
+        &grant,
+        OWNER,
+        jackdawchute_requests::GrantOutcome::AnswerLost,
+    );
+    state.incoming(2, lost, start);
+    let at_first = state.status(start).groups[0].minions["m0"].in_use_slots;
+    state.tick(start + ended_after());
+    let later = state.status(start).groups[0].minions["m0"].in_use_slots;
+
+    assert_eq!((at_first, later), (1, 0));
+}
+
+#[test]
+fn a_holder_that_is_not_listed_gets_nothing() {
+    let now = Instant::now();
+    let mut state = owner(settings(), &minions(1, SLOTS), now);
+
+    let effects = state.incoming(1, Call::Acquire(acquire(PEER)), now);
+
+    assert_eq!(
+        refused(&effects, 1).map(|r| r.execution),
+        Some(Execution::NotRun)
+    );
+}
+
 #[test]
 fn an_overdue_grant_is_given_up_when_its_holder_told_twice_not_to_hold_it() {
     let start = Instant::now();
