--- a/jackdawchute-requests/src/settings.rs
+++ b/jackdawchute-requests/src/settings.rs
@@ -4,6 +4,8 @@
 
 use jackdawchute_admission::Limits;
 
+use crate::RetrySettings;
+
 /// The settings of every service group.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Settings {
@@ -15,6 +17,8 @@
     pub retention: RetentionSettings,
     /// When a minion that refuses connections gets no work.
     pub ejection: EjectionSettings,
+    /// When a failed attempt is repeated.
+    pub retries: RetrySettings,
 }
 
 /// Times and counts of grants.
@@ -66,7 +70,7 @@
             life: Duration::from_secs(30),
             transit_max: Duration::from_secs(2),
             pause_allowance: Duration::from_secs(5),
-            hold_back_slots: 4,
+            hold_back_slots: 3,
             intents_max_percent: 50,
             parked_max: 1_000,
         }
