--- a/jackdawchute-configuration/src/messages.rs
+++ b/jackdawchute-configuration/src/messages.rs
@@ -63,8 +63,16 @@
 
 /// Tells that [`apply`](crate::apply::apply) accepted a version at this instance; it is put in
 /// use at once and offered to the peers.
+///
+/// The operator is told of the acceptance after the reply: should the table and this instance
+/// fail together right then, the peers that were reached still have the version.
 #[derive(Debug)]
-pub struct Accepted(pub Configuration);
+pub struct Accepted {
+    /// The accepted version.
+    pub configuration: Configuration,
+    /// Told once each peer has answered or cannot be reached.
+    pub reply: oneshot::Sender<()>,
+}
 
 /// What one instance asks of another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -136,8 +144,8 @@
 /// The answers of all peers to one call.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Answers {
-    /// Whether these are all the unfenced incarnations besides the caller, as the table last
-    /// named them; false if the table was never read.
+    /// Whether these are all the other entry instances: the unfenced incarnations that the table
+    /// last named, and the live ones of the membership list; false if the table was never read.
     pub complete: bool,
     /// One answer for each peer that was asked.
     pub answers: Vec<Answer>,
--- a/jackdawchute-configuration/src/task.rs
+++ b/jackdawchute-configuration/src/task.rs
@@ -174,13 +174,16 @@
 impl Handler<Accepted> for ConfigurationTask {
     type Return = ();
 
-    async fn handle(&mut self, Accepted(configuration): Accepted, _context: &mut Context<Self>) {
+    async fn handle(&mut self, message: Accepted, _context: &mut Context<Self>) {
         let call = Call::Offer {
-            configuration: Box::new(configuration.clone()),
+            configuration: Box::new(message.configuration.clone()),
         };
         let peers = Arc::clone(&self.peers);
-        tokio::spawn(async move { peers.ask(call).await });
-        let newer = self.state.learn(configuration);
+        tokio::spawn(async move {
+            peers.ask(call).await;
+            let _ = message.reply.send(());
+        });
+        let newer = self.state.learn(message.configuration);
         self.publish(newer).await;
     }
 }
--- a/jackdawchute-yaml/src/parse.rs
+++ b/jackdawchute-yaml/src/parse.rs
@@ -9,6 +9,10 @@
 pub const TEXT_BYTES_MAX: usize = 1024 * 1024;
 /// The most problems that one document reports.
 const PROBLEMS_MAX: usize = 50;
+/// The most bytes that are read for one document, all readings together.
+const READ_BYTES_MAX: usize = 2 * TEXT_BYTES_MAX;
+/// The deepest nesting of brackets; the YAML library's time grows with its square.
+const BRACKETS_DEPTH_MAX: usize = 32;
 
 /// Reads `text`, with all the problems of its fields.
 ///
@@ -31,6 +35,10 @@
         let problem = Problem::new("", format!("is longer than {TEXT_BYTES_MAX} bytes"));
         return (None, vec![problem]);
     }
+    if brackets_depth(text) > BRACKETS_DEPTH_MAX {
+        let problem = format!("has more than {BRACKETS_DEPTH_MAX} brackets open at a time");
+        return (None, vec![Problem::new("", problem)]);
+    }
     // The untyped reading finds what a map type would pass over, such as a key given twice.
     if let Err(error) = serde_yaml_ng::from_str::<Value>(text) {
         return (None, vec![describe(&error)]);
@@ -42,6 +50,7 @@
     mut text: String,
 ) -> (Option<T>, Vec<Problem>) {
     let mut problems = Vec::new();
+    let readings_max = READ_BYTES_MAX / text.len().max(1);
     loop {
         let error = match serde_yaml_ng::from_str::<T>(&text) {
             Ok(value) => return (Some(value), problems),
@@ -53,12 +62,27 @@
         }
         let rest = line.and_then(|line| without_field_at(&text, line));
         match rest {
-            Some(rest) if problems.len() < PROBLEMS_MAX => text = rest,
+            Some(rest) if problems.len() < PROBLEMS_MAX.min(readings_max) => text = rest,
             _ => return (None, problems),
         }
     }
 }
 
+/// Counts brackets in quoted text and comments too, so it may say more than there are.
+fn brackets_depth(text: &str) -> usize {
+    let mut depth: usize = 0;
+    let mut deepest = 0;
+    for character in text.chars() {
+        match character {
+            '[' | '{' => depth += 1,
+            ']' | '}' => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        deepest = deepest.max(depth);
+    }
+    deepest
+}
+
 /// The library writes `PATH: CAUSE at line L column C`.
 fn describe(error: &Error) -> Problem {
     let mut message = error.to_string();
