test: settings and membership; example files of both users

Cause: the example files of both users must stay valid, and a lagging, late or failing list must never bring an older one back.

--- a/jackdawchute-configuration/tests/behaviour/checks.rs
+++ b/jackdawchute-configuration/tests/behaviour/checks.rs
@@ -27,6 +27,18 @@
     assert_eq!(Configuration::parse(&yaml), Ok(embedded));
 }
 
+#[test]
+fn the_example_configurations_are_valid() {
+    for user in ["tasbih-usta", "micdejun"] {
+        let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../etc");
+        let text = std::fs::read_to_string(format!("{root}/{user}/configuration.yaml"));
+
+        let text = text.unwrap_or_else(|error| panic!("{user}: {error}"));
+
+        assert_eq!(problems(&text), [], "{user}");
+    }
+}
+
 #[test]
 fn every_problem_is_reported_at_once_with_its_line() {
     let yaml = "\
--- /dev/null
+++ b/jackdawchute-membership/tests/membership.rs
@@ -0,0 +1,186 @@
+//! The list lags, comes late and fails; a newer one always wins.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use jackdawchute_membership::{spawn, Change, Current, MembershipTask, Options, State, Subscribe};
+use jackdawchute_platform::{
+    Error, Member, MemberRole, MemberState, MembershipList, MembershipSource, Result,
+};
+use quickcheck::{Gen, QuickCheck};
+use tokio::sync::{mpsc, Notify};
+use xtra::prelude::*;
+
+const POLL: Duration = Duration::from_millis(10);
+const DEADLINE: Duration = Duration::from_secs(20);
+
+fn member(id: &str, state: MemberState) -> Member {
+    Member {
+        id: id.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: "ala-1".into(),
+        state,
+        role: MemberRole::Entry,
+    }
+}
+
+fn list(version: u64, members: &[(&str, MemberState)]) -> MembershipList {
+    let members = members.iter().map(|(id, state)| member(id, *state));
+    MembershipList {
+        version,
+        members: members.collect(),
+    }
+}
+
+/// A list that is down, or lags by the lists that are not shown yet.
+#[derive(Default)]
+struct FakeSource {
+    shown: Mutex<Option<MembershipList>>,
+    read: Notify,
+}
+
+impl FakeSource {
+    fn show(&self, list: Option<MembershipList>) {
+        *self.shown.lock().unwrap_or_else(PoisonError::into_inner) = list;
+    }
+}
+
+#[async_trait]
+impl MembershipSource for FakeSource {
+    async fn changed_since(&self, known_version: u64) -> Result<Option<MembershipList>> {
+        self.read.notify_one();
+        let shown = self.shown.lock().unwrap_or_else(PoisonError::into_inner);
+        match &*shown {
+            Some(list) => Ok(Some(list.clone()).filter(|list| list.version > known_version)),
+            None => Err(Error::Unavailable(
+                "read list",
+                "membership".into(),
+                "down".into(),
+            )),
+        }
+    }
+}
+
+#[derive(xtra::Actor)]
+struct Listener {
+    lists: mpsc::UnboundedSender<Arc<MembershipList>>,
+}
+
+impl Handler<Arc<MembershipList>> for Listener {
+    type Return = ();
+
+    async fn handle(&mut self, message: Arc<MembershipList>, _context: &mut Context<Self>) {
+        let _ = self.lists.send(message);
+    }
+}
+
+struct Fixture {
+    source: Arc<FakeSource>,
+    task: Address<MembershipTask>,
+    lists: mpsc::UnboundedReceiver<Arc<MembershipList>>,
+    _listener: Address<Listener>,
+}
+
+async fn fixture(shown: Option<MembershipList>) -> Fixture {
+    let source = Arc::new(FakeSource::default());
+    source.show(shown);
+    let task = spawn(Options {
+        source: Arc::clone(&source) as _,
+        timer: jackdawchute_timer::spawn(),
+        poll_interval: POLL,
+    });
+    let (sender, lists) = mpsc::unbounded_channel();
+    let listener = xtra::spawn_tokio(Listener { lists: sender }, Mailbox::unbounded());
+    let subscriber = MessageChannel::new(listener.downgrade());
+    let subscribed = task.send(Subscribe { subscriber }).await;
+    subscribed.expect("the task runs");
+    Fixture {
+        source,
+        task,
+        lists,
+        _listener: listener,
+    }
+}
+
+impl Fixture {
+    async fn next_version(&mut self) -> u64 {
+        let list = tokio::time::timeout(DEADLINE, self.lists.recv()).await;
+        list.ok().flatten().expect("a list is published").version
+    }
+}
+
+#[test]
+fn leaving_and_gone_members_are_told_apart() {
+    use MemberState::{Leaving, Live};
+    let mut state = State::default();
+
+    let first = state.learn(list(1, &[("a", Live), ("b", Live), ("c", Live)]));
+    let second = state.learn(list(2, &[("a", Live), ("b", Leaving), ("d", Live)]));
+
+    let live = |id: &str| Change::Live(id.into());
+    assert_eq!(first, Some(vec![live("a"), live("b"), live("c")]));
+    let expected = vec![
+        Change::Leaving("b".into()),
+        live("d"),
+        Change::Gone("c".into()),
+    ];
+    assert_eq!(second, Some(expected));
+}
+
+#[test]
+fn no_order_of_answers_brings_an_older_list_back() {
+    fn holds(versions: Vec<u8>) -> bool {
+        let mut state = State::default();
+        let mut highest = 0;
+        versions.into_iter().all(|version| {
+            state.learn(list(version.into(), &[]));
+            highest = highest.max(u64::from(version));
+            state.version() == highest
+        })
+    }
+    let mut check = QuickCheck::new().rng(Gen::from_size_and_seed(50, 3));
+
+    check.quickcheck(holds as fn(Vec<u8>) -> bool);
+}
+
+#[tokio::test]
+async fn a_lagging_list_is_published_as_it_catches_up() {
+    let mut fixture = fixture(Some(list(1, &[("a", MemberState::Live)]))).await;
+    let first = fixture.next_version().await;
+
+    fixture
+        .source
+        .show(Some(list(2, &[("a", MemberState::Leaving)])));
+
+    assert_eq!((first, fixture.next_version().await), (1, 2));
+}
+
+#[tokio::test]
+async fn the_last_list_stays_in_use_while_the_service_is_down() {
+    const FAILED_READS: usize = 4;
+    let mut fixture = fixture(Some(list(3, &[("a", MemberState::Live)]))).await;
+    fixture.next_version().await;
+
+    fixture.source.show(None);
+    for _ in 0..FAILED_READS {
+        fixture.source.read.notified().await;
+    }
+    let during = fixture.task.send(Current).await;
+    fixture.source.show(Some(list(4, &[])));
+
+    let during = during.ok().flatten().map(|list| list.version);
+    assert_eq!(during, Some(3));
+    assert_eq!(fixture.next_version().await, 4);
+}
+
+#[tokio::test]
+async fn an_instance_that_starts_before_the_service_gets_the_list_later() {
+    let mut fixture = fixture(None).await;
+
+    fixture.source.show(Some(list(7, &[])));
+
+    assert_eq!(fixture.next_version().await, 7);
+}
