change: exceptions only where the slices can keep them

Cause: services could have grant times and answer retentions of their own, and failure domains a lease of their own, but each owner keeps one set of these for all its groups: such an exception would have been accepted and not in force.

Ruled out: refusing the load of wiring them per group; the takeover arithmetic needs one grant life for the fleet.

Change: these are defaults only. A failure domain can be taken out of use by an exception: its workers and minions are shown as leaving. The retention of idempotency keys is stated, and an answer is kept no longer than its key.

--- a/jackdawchute-configuration/src/bounds.rs
+++ b/jackdawchute-configuration/src/bounds.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{Class, Override, Target};
+use crate::{Class, Defaults, Override, Target};
 
 /// The kind of target whose exceptions may set a value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,10 +34,9 @@
 }
 
 /// One value that is set, with its bounds.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Value {
     pub(crate) field: &'static str,
-    pub(crate) kind: TargetKind,
     pub(crate) value: u64,
     pub(crate) least: u64,
     pub(crate) most: u64,
@@ -48,106 +47,84 @@
 /// The largest body, in bytes.
 const BODY_BYTES_MAX: u64 = 1_073_741_824;
 
-impl Override {
-    /// The values that are set, with their bounds.
+impl Defaults {
+    /// The values, with their bounds.
     pub(crate) fn values(&self) -> Vec<Value> {
-        let class = self.class_values();
-        let service = self.service_values();
-        let rest = [
+        let own = [
             value(
-                "quota",
-                TargetKind::Team,
-                self.quota.map(u64::from),
-                0,
-                u32::MAX.into(),
-            ),
-            value(
-                "task_lease_ms",
-                TargetKind::FailureDomain,
-                ms(self.task_lease),
+                "key_retention_ms",
+                ms(self.key_retention),
                 1_000,
-                600_000,
-            ),
-            value(
-                "quarantine_share_percent",
-                TargetKind::FailureDomain,
-                self.quarantine_share_percent.map(u64::from),
-                0,
-                100,
-            ),
-        ];
-        class
-            .into_iter()
-            .chain(service)
-            .chain(rest)
-            .flatten()
-            .collect()
-    }
-
-    fn class_values(&self) -> [Option<Value>; 5] {
-        let kind = TargetKind::Class;
-        [
-            value("priority", kind, self.priority.map(u64::from), 0, 1_000),
-            value(
-                "queue_max",
-                kind,
-                self.queue_max.map(u64::from),
-                1,
-                1_000_000,
-            ),
-            value(
-                "floor_percent",
-                kind,
-                self.floor_percent.map(u64::from),
-                0,
-                100,
-            ),
-            value("deadline_ms", kind, ms(self.deadline), 1, DAY_MS),
-            value(
-                "retry_budget_percent",
-                kind,
-                self.retry_budget_percent.map(u64::from),
-                0,
-                100,
+                7 * DAY_MS,
             ),
-        ]
-    }
-
-    fn service_values(&self) -> [Option<Value>; 7] {
-        let kind = TargetKind::Service;
-        [
-            value("body_bytes", kind, self.body_bytes, 0, BODY_BYTES_MAX),
-            value("deadline_max_ms", kind, ms(self.deadline_max), 1, DAY_MS),
             value(
                 "answer_retention_ms",
-                kind,
                 ms(self.answer_retention),
                 1_000,
                 7 * DAY_MS,
             ),
-            value(
-                "answer_count_max",
-                kind,
-                self.answer_count_max,
-                1,
-                1_000_000,
-            ),
-            value(
-                "answer_bytes_max",
-                kind,
-                self.answer_bytes_max,
-                0,
-                1_048_576,
-            ),
-            value("grant_life_ms", kind, ms(self.grant_life), 10, 3_600_000),
+            value("answer_count_max", self.answer_count_max, 1, 1_000_000),
+            value("answer_bytes_max", self.answer_bytes_max, 0, 1_048_576),
+            value("grant_life_ms", ms(self.grant_life), 10, 3_600_000),
             value(
                 "grant_send_within_ms",
-                kind,
                 ms(self.grant_send_within),
                 1,
                 60_000,
             ),
-        ]
+            value("task_lease_ms", ms(self.task_lease), 1_000, 600_000),
+            value(
+                "quarantine_share_percent",
+                self.quarantine_share_percent.into(),
+                0,
+                100,
+            ),
+        ];
+        let shared = Override {
+            body_bytes: Some(self.body_bytes),
+            deadline_max: Some(self.deadline_max),
+            retry_budget_percent: Some(self.retry_budget_percent),
+            ..Override::default()
+        };
+        let shared = shared.values().into_iter().map(|(_, value)| value);
+        own.into_iter().chain(shared).collect()
+    }
+}
+
+impl Override {
+    /// The values that are set, with their bounds and the kind of target that each is for.
+    pub(crate) fn values(&self) -> Vec<(TargetKind, Value)> {
+        let class = [
+            self.priority
+                .map(|it| value("priority", it.into(), 0, 1_000)),
+            self.queue_max
+                .map(|it| value("queue_max", it.into(), 1, 1_000_000)),
+            self.floor_percent
+                .map(|it| value("floor_percent", it.into(), 0, 100)),
+            self.deadline
+                .map(|it| value("deadline_ms", ms(it), 1, DAY_MS)),
+            self.retry_budget_percent
+                .map(|it| value("retry_budget_percent", it.into(), 0, 100)),
+        ];
+        let service = [
+            self.body_bytes
+                .map(|it| value("body_bytes", it, 0, BODY_BYTES_MAX)),
+            self.deadline_max
+                .map(|it| value("deadline_max_ms", ms(it), 1, DAY_MS)),
+        ];
+        let team = self
+            .quota
+            .map(|it| value("quota", it.into(), 0, u32::MAX.into()));
+        let domain = self.leaving.map(|it| value("leaving", it.into(), 0, 1));
+        let of = |kind: TargetKind| move |value| (kind, value);
+        class
+            .into_iter()
+            .flatten()
+            .map(of(TargetKind::Class))
+            .chain(service.into_iter().flatten().map(of(TargetKind::Service)))
+            .chain(team.map(of(TargetKind::Team)))
+            .chain(domain.map(of(TargetKind::FailureDomain)))
+            .collect()
     }
 }
 
@@ -164,22 +141,15 @@
     }
 }
 
-fn value(
-    field: &'static str,
-    kind: TargetKind,
-    value: Option<u64>,
-    least: u64,
-    most: u64,
-) -> Option<Value> {
-    value.map(|value| Value {
+fn value(field: &'static str, value: u64, least: u64, most: u64) -> Value {
+    Value {
         field,
-        kind,
         value,
         least,
         most,
-    })
+    }
 }
 
-fn ms(duration: Option<Duration>) -> Option<u64> {
-    duration.map(|duration| u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
+fn ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/jackdawchute-configuration/src/check.rs
+++ b/jackdawchute-configuration/src/check.rs
@@ -4,7 +4,10 @@
 
 use jackdawchute_yaml::Problem;
 
-use crate::{bounds::TargetKind, Configuration, Exception, Override, Route, Target};
+use crate::{
+    bounds::{TargetKind, Value},
+    Configuration, Defaults, Exception, Override, Route, Target,
+};
 
 /// The longest name in bytes.
 const NAME_BYTES_MAX: usize = 100;
@@ -30,13 +33,13 @@
         let mut checker = Checker::default();
         checker.names(self);
         checker.partitions(self.job_partitions);
-        checker.values("defaults", &self.defaults.as_override());
+        checker.bounds("defaults", self.defaults.values());
         for (id, class) in &self.classes {
             checker.values(&format!("classes.{id}"), &class.as_override());
         }
         checker.routes(self);
         checker.exceptions(self);
-        checker.grants(self);
+        checker.times(&self.defaults);
         checker.floors(self);
         checker.problems
     }
@@ -106,7 +109,11 @@
     }
 
     fn values(&mut self, path: &str, set: &Override) {
-        for value in set.values() {
+        self.bounds(path, set.values().into_iter().map(|(_, value)| value));
+    }
+
+    fn bounds(&mut self, path: &str, values: impl IntoIterator<Item = Value>) {
+        for value in values {
             if value.value < value.least || value.value > value.most {
                 let rule = format!("must be {} to {}", value.least, value.most);
                 self.refuse(format!("{path}.{}", value.field), rule);
@@ -189,8 +196,8 @@
                 continue;
             };
             self.target(&path, &target, configuration);
-            for value in exception.set.values() {
-                self.kind(&path, value.field, value.kind, &target);
+            for (kind, value) in exception.set.values() {
+                self.kind(&path, value.field, kind, &target);
                 if !seen.insert((target.clone(), value.field)) {
                     let field = format!("{path}.set.{}", value.field);
                     self.refuse(field, "is set by an earlier exception");
@@ -231,22 +238,18 @@
         }
     }
 
-    fn grants(&mut self, configuration: &Configuration) {
-        let defaults = &configuration.defaults;
+    fn times(&mut self, defaults: &Defaults) {
         if defaults.grant_send_within >= defaults.grant_life {
             self.refuse(
                 "defaults.grant_send_within_ms",
                 "must be below grant_life_ms",
             );
-            return;
         }
-        for service in &configuration.services {
-            let terms = configuration.service_terms(service);
-            if terms.grant_send_within >= terms.grant_life {
-                let rule =
-                    format!("grant_send_within_ms of `{service}` must be below grant_life_ms");
-                self.refuse("exceptions", rule);
-            }
+        if defaults.answer_retention > defaults.key_retention {
+            self.refuse(
+                "defaults.answer_retention_ms",
+                "must be at most key_retention_ms",
+            );
         }
     }
 
--- a/jackdawchute-configuration/src/defaults.rs
+++ b/jackdawchute-configuration/src/defaults.rs
@@ -5,8 +5,6 @@
 use jackdawchute_types::duration_ms;
 use serde::{Deserialize, Serialize};
 
-use crate::Override;
-
 /// What holds wherever no exception says otherwise.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -18,7 +16,11 @@
     pub deadline_max: Duration,
     /// Retries in per cent of the requests of a class.
     pub retry_budget_percent: u32,
-    /// How long the answer to a keyed request is kept.
+    /// How long an idempotency key is known after its outcome; its request runs at most once in
+    /// this time.
+    #[serde(with = "duration_ms", rename = "key_retention_ms")]
+    pub key_retention: Duration,
+    /// How long the answer to a keyed request is kept, at most as long as its key.
     #[serde(with = "duration_ms", rename = "answer_retention_ms")]
     pub answer_retention: Duration,
     /// The most answers that one group keeps.
@@ -44,6 +46,7 @@
             body_bytes: 1024 * 1024,
             deadline_max: Duration::from_secs(300),
             retry_budget_percent: 10,
+            key_retention: Duration::from_secs(3_600),
             answer_retention: Duration::from_secs(3_600),
             answer_count_max: 10_000,
             answer_bytes_max: 64 * 1024,
@@ -54,22 +57,3 @@
         }
     }
 }
-
-impl Defaults {
-    /// The defaults in the form of an override, so that one check serves both.
-    pub(crate) fn as_override(&self) -> Override {
-        Override {
-            body_bytes: Some(self.body_bytes),
-            deadline_max: Some(self.deadline_max),
-            retry_budget_percent: Some(self.retry_budget_percent),
-            answer_retention: Some(self.answer_retention),
-            answer_count_max: Some(self.answer_count_max),
-            answer_bytes_max: Some(self.answer_bytes_max),
-            grant_life: Some(self.grant_life),
-            grant_send_within: Some(self.grant_send_within),
-            task_lease: Some(self.task_lease),
-            quarantine_share_percent: Some(self.quarantine_share_percent),
-            ..Override::default()
-        }
-    }
-}
--- a/jackdawchute-configuration/src/exception.rs
+++ b/jackdawchute-configuration/src/exception.rs
@@ -14,7 +14,7 @@
     Class(ClassId),
     /// One team.
     Team(TeamId),
-    /// The workers of one failure domain.
+    /// The workers and minions of one failure domain.
     FailureDomain(FailureDomainId),
 }
 
@@ -102,41 +102,8 @@
         skip_serializing_if = "Option::is_none"
     )]
     pub deadline_max: Option<Duration>,
-    /// For a service: how long the answer to a keyed request is kept.
-    #[serde(
-        with = "optional_duration_ms",
-        rename = "answer_retention_ms",
-        skip_serializing_if = "Option::is_none"
-    )]
-    pub answer_retention: Option<Duration>,
-    /// For a service: the most answers that one group keeps.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub answer_count_max: Option<u64>,
-    /// For a service: the largest answer that is kept, in bytes.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub answer_bytes_max: Option<u64>,
-    /// For a service: how long a granted request may take.
-    #[serde(
-        with = "optional_duration_ms",
-        rename = "grant_life_ms",
-        skip_serializing_if = "Option::is_none"
-    )]
-    pub grant_life: Option<Duration>,
-    /// For a service: how soon after its arrival a grant must be used.
-    #[serde(
-        with = "optional_duration_ms",
-        rename = "grant_send_within_ms",
-        skip_serializing_if = "Option::is_none"
-    )]
-    pub grant_send_within: Option<Duration>,
-    /// For a failure domain: the lease under which its workers run tasks.
-    #[serde(
-        with = "optional_duration_ms",
-        rename = "task_lease_ms",
-        skip_serializing_if = "Option::is_none"
-    )]
-    pub task_lease: Option<Duration>,
-    /// For a failure domain: the most workers in quarantine, in per cent of a group.
+    /// For a failure domain: whether its workers and minions get no new work, as if they were
+    /// leaving.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub quarantine_share_percent: Option<u32>,
+    pub leaving: Option<bool>,
 }
--- a/jackdawchute-configuration/src/resolve.rs
+++ b/jackdawchute-configuration/src/resolve.rs
@@ -1,6 +1,6 @@
 //! The values in force: defaults, changed by the exceptions that apply.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use jackdawchute_admission::Limits;
 use jackdawchute_types::{ClassId, FailureDomainId, ServiceId};
@@ -14,16 +14,8 @@
     pub body_bytes: u64,
     /// The longest deadline that a caller may ask for.
     pub deadline_max: Duration,
-    /// How long the answer to a keyed request is kept.
-    pub answer_retention: Duration,
-    /// The most answers that one group keeps.
-    pub answer_count_max: u64,
     /// The largest answer that is kept, in bytes.
     pub answer_bytes_max: u64,
-    /// How long a granted request may take until its whole answer is there.
-    pub grant_life: Duration,
-    /// How soon after its arrival a grant must be used.
-    pub grant_send_within: Duration,
 }
 
 /// What holds for the workers of one failure domain.
@@ -33,6 +25,8 @@
     pub task_lease: Duration,
     /// The most workers in quarantine, in per cent of a group.
     pub quarantine_share_percent: u32,
+    /// Whether they get no new work.
+    pub leaving: bool,
 }
 
 impl Configuration {
@@ -99,7 +93,7 @@
     /// let configuration = jackdawchute_configuration::Configuration::embedded()?;
     ///
     /// let terms = configuration.service_terms(&"forecast".into());
-    /// assert!(terms.grant_send_within < terms.grant_life);
+    /// assert_eq!(terms.body_bytes, configuration.defaults.body_bytes);
     /// # Ok::<(), jackdawchute_configuration::Error>(())
     /// ```
     pub fn service_terms(&self, service: &ServiceId) -> ServiceTerms {
@@ -107,20 +101,11 @@
         let mut terms = ServiceTerms {
             body_bytes: defaults.body_bytes,
             deadline_max: defaults.deadline_max,
-            answer_retention: defaults.answer_retention,
-            answer_count_max: defaults.answer_count_max,
             answer_bytes_max: defaults.answer_bytes_max,
-            grant_life: defaults.grant_life,
-            grant_send_within: defaults.grant_send_within,
         };
         for set in self.overrides(&Target::Service(service.clone())) {
             replace(&mut terms.body_bytes, set.body_bytes);
             replace(&mut terms.deadline_max, set.deadline_max);
-            replace(&mut terms.answer_retention, set.answer_retention);
-            replace(&mut terms.answer_count_max, set.answer_count_max);
-            replace(&mut terms.answer_bytes_max, set.answer_bytes_max);
-            replace(&mut terms.grant_life, set.grant_life);
-            replace(&mut terms.grant_send_within, set.grant_send_within);
         }
         terms
     }
@@ -130,17 +115,25 @@
         let mut terms = WorkerTerms {
             task_lease: self.defaults.task_lease,
             quarantine_share_percent: self.defaults.quarantine_share_percent,
+            leaving: false,
         };
         for set in self.overrides(&Target::FailureDomain(failure_domain.clone())) {
-            replace(&mut terms.task_lease, set.task_lease);
-            replace(
-                &mut terms.quarantine_share_percent,
-                set.quarantine_share_percent,
-            );
+            replace(&mut terms.leaving, set.leaving);
         }
         terms
     }
 
+    /// The failure domains whose workers and minions get no new work.
+    pub fn leaving_domains(&self) -> BTreeSet<FailureDomainId> {
+        let domains = self
+            .exceptions
+            .iter()
+            .filter_map(|it| it.failure_domain.clone());
+        domains
+            .filter(|domain| self.worker_terms(domain).leaving)
+            .collect()
+    }
+
     /// The deadline of a request on `route` that asked for `asked`.
     pub fn deadline(&self, route: &Route, asked: Option<Duration>) -> Duration {
         let class = self.class(&route.class).unwrap_or_default();
--- a/jackdawchute-configuration/tests/behaviour/checks.rs
+++ b/jackdawchute-configuration/tests/behaviour/checks.rs
@@ -152,6 +152,21 @@
     assert_eq!(fields(&found), ["classes"]);
 }
 
+#[test]
+fn an_answer_is_kept_no_longer_than_its_key_and_a_grant_is_used_within_its_life() {
+    let mut candidate = configuration(1);
+    candidate.defaults.answer_retention = candidate.defaults.key_retention * 2;
+    candidate.defaults.grant_send_within = candidate.defaults.grant_life;
+
+    let found = candidate.check();
+
+    let expected = [
+        "defaults.grant_send_within_ms",
+        "defaults.answer_retention_ms",
+    ];
+    assert_eq!(fields(&found), expected);
+}
+
 #[test]
 fn values_in_force_are_defaults_changed_by_exceptions() {
     let mut candidate = configuration(1);
@@ -164,7 +179,16 @@
         deadline_max: Some(Duration::from_secs(2)),
         ..Override::default()
     };
+    let domain = Override {
+        leaving: Some(true),
+        ..Override::default()
+    };
     candidate.exceptions = vec![
+        Exception {
+            failure_domain: Some("ala-2".into()),
+            class: None,
+            ..class_exception("", domain)
+        },
         class_exception("counter", class),
         Exception {
             service: Some("repair-desk".into()),
@@ -176,6 +200,8 @@
     let limits = candidate.limits();
     let route = candidate.route("shop.example:80", "/repair-desk/orders");
 
+    assert_eq!(candidate.check(), []);
+    assert_eq!(candidate.leaving_domains(), ["ala-2".into()].into());
     assert_eq!(limits.classes["counter"].queue_max, 7);
     assert_eq!(limits.classes["quote"].queue_max, 2000);
     assert_eq!(candidate.retry_budget_percent(&"counter".into()), 1);
--- a/jackdawchute-membership/src/lib.rs
+++ b/jackdawchute-membership/src/lib.rs
@@ -7,6 +7,6 @@
 mod state;
 mod task;
 
-pub use messages::{Current, Subscribe};
+pub use messages::{Current, SetLeavingDomains, Subscribe};
 pub use state::{Change, State};
 pub use task::{spawn, MembershipTask, Options};
--- a/jackdawchute-membership/src/messages.rs
+++ b/jackdawchute-membership/src/messages.rs
@@ -1,8 +1,9 @@
 //! What the membership task takes and sends.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use jackdawchute_platform::MembershipList;
+use jackdawchute_types::FailureDomainId;
 use xtra::{prelude::MessageChannel, refcount::Weak};
 
 /// Asks for the list, now if one is known and at each change.
@@ -15,3 +16,7 @@
 /// Asks for the last list that was read, if any.
 #[derive(Clone, Copy, Debug)]
 pub struct Current;
+
+/// Has the workers and minions of these failure domains shown as leaving, whatever the list says.
+#[derive(Clone, Debug)]
+pub struct SetLeavingDomains(pub BTreeSet<FailureDomainId>);
--- a/jackdawchute-membership/src/state.rs
+++ b/jackdawchute-membership/src/state.rs
@@ -1,9 +1,12 @@
 //! What is known of the list, and what a newer one changes.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
-use jackdawchute_platform::{Member, MemberState, MembershipList};
-use jackdawchute_types::MemberId;
+use jackdawchute_platform::{Member, MemberRole, MemberState, MembershipList};
+use jackdawchute_types::{FailureDomainId, MemberId};
 
 /// What happened to one member between two lists.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,21 +19,23 @@
     Gone(MemberId),
 }
 
-/// The newest list that was read.
+/// The newest list that was read, and the failure domains that are leaving as a whole.
 #[derive(Clone, Debug, Default)]
 pub struct State {
-    list: Option<Arc<MembershipList>>,
+    read: Option<MembershipList>,
+    leaving_domains: BTreeSet<FailureDomainId>,
+    shown: Option<Arc<MembershipList>>,
 }
 
 impl State {
-    /// The newest list, if one was read.
+    /// The newest list, if one was read, with the members of leaving domains marked so.
     pub fn list(&self) -> Option<Arc<MembershipList>> {
-        self.list.clone()
+        self.shown.clone()
     }
 
     /// The version to ask for newer ones than; 0 if no list was read.
     pub fn version(&self) -> u64 {
-        self.list.as_ref().map_or(0, |list| list.version)
+        self.read.as_ref().map_or(0, |list| list.version)
     }
 
     /// Takes a list that was read and gives what it changes; `None` if it is not newer.
@@ -46,12 +51,37 @@
     /// assert_eq!(state.version(), 2);
     /// ```
     pub fn learn(&mut self, list: MembershipList) -> Option<Vec<Change>> {
-        if self.list.is_some() && list.version <= self.version() {
+        if self.read.is_some() && list.version <= self.version() {
             return None;
         }
-        let old = self.list.replace(Arc::new(list));
+        self.read = Some(list);
+        self.show()
+    }
+
+    /// Marks the workers and minions of these failure domains as leaving, and those of no others;
+    /// gives what that changes, `None` if nothing.
+    pub fn set_leaving_domains(
+        &mut self,
+        domains: BTreeSet<FailureDomainId>,
+    ) -> Option<Vec<Change>> {
+        if self.leaving_domains == domains {
+            return None;
+        }
+        self.leaving_domains = domains;
+        self.show()
+    }
+
+    fn show(&mut self) -> Option<Vec<Change>> {
+        let mut list = self.read.clone()?;
+        for member in &mut list.members {
+            let is_entry = member.role == MemberRole::Entry;
+            if !is_entry && self.leaving_domains.contains(&member.failure_domain) {
+                member.state = MemberState::Leaving;
+            }
+        }
+        let old = self.shown.replace(Arc::new(list));
         let old = old.as_ref().map_or(&[][..], |list| &list.members);
-        let new = self.list.as_ref().map_or(&[][..], |list| &list.members);
+        let new = self.shown.as_ref().map_or(&[][..], |list| &list.members);
         Some(changes(old, new))
     }
 }
--- a/jackdawchute-membership/src/task.rs
+++ b/jackdawchute-membership/src/task.rs
@@ -8,7 +8,7 @@
 use spdlog::prelude::*;
 use xtra::{prelude::*, refcount::Weak};
 
-use crate::{Current, State, Subscribe};
+use crate::{state::Change, Current, SetLeavingDomains, State, Subscribe};
 
 /// What the task needs.
 pub struct Options {
@@ -108,6 +108,16 @@
     }
 }
 
+impl Handler<SetLeavingDomains> for MembershipTask {
+    type Return = ();
+
+    async fn handle(&mut self, message: SetLeavingDomains, _context: &mut Context<Self>) {
+        let SetLeavingDomains(domains) = message;
+        let changes = self.state.set_leaving_domains(domains);
+        self.publish(changes).await;
+    }
+}
+
 impl Handler<Tick> for MembershipTask {
     type Return = ();
 
@@ -134,7 +144,8 @@
         match result {
             Ok(list) => {
                 self.log_answer();
-                self.learn(list).await;
+                let changes = list.and_then(|list| self.state.learn(list));
+                self.publish(changes).await;
             }
             Err(error) => self.log_failure(&error),
         }
@@ -142,8 +153,8 @@
 }
 
 impl MembershipTask {
-    async fn learn(&mut self, list: Option<MembershipList>) {
-        let Some(changes) = list.and_then(|list| self.state.learn(list)) else {
+    async fn publish(&mut self, changes: Option<Vec<Change>>) {
+        let Some(changes) = changes else {
             return;
         };
         info!("membership list read", kv: { version = self.state.version(), changes = changes.len() });
--- a/jackdawchute-membership/tests/membership.rs
+++ b/jackdawchute-membership/tests/membership.rs
@@ -10,6 +10,7 @@
 use jackdawchute_platform::{
     Error, Member, MemberRole, MemberState, MembershipList, MembershipSource, Result,
 };
+use jackdawchute_types::Resources;
 use quickcheck::{Gen, QuickCheck};
 use tokio::sync::{mpsc, Notify};
 use xtra::prelude::*;
@@ -130,6 +131,37 @@
     assert_eq!(second, Some(expected));
 }
 
+#[test]
+fn a_leaving_failure_domain_takes_its_workers_out_of_use_and_back() {
+    let domains = |names: &[&str]| names.iter().map(|name| (*name).into()).collect();
+    let worker = Member {
+        role: MemberRole::Worker {
+            rack: "r1".into(),
+            resources: Resources::new(1_000, 1_024, 0),
+        },
+        ..member("worker", MemberState::Live)
+    };
+    let members = vec![member("entry", MemberState::Live), worker];
+    let mut state = State::default();
+    let first = MembershipList {
+        version: 1,
+        members: members.clone(),
+    };
+    let second = MembershipList {
+        version: 2,
+        members,
+    };
+    state.learn(first);
+
+    let out = state.set_leaving_domains(domains(&["ala-1"]));
+    let read_again = state.learn(second);
+    let back = state.set_leaving_domains(domains(&["ala-2"]));
+
+    assert_eq!(out, Some(vec![Change::Leaving("worker".into())]));
+    assert_eq!(read_again, Some(vec![]));
+    assert_eq!(back, Some(vec![Change::Live("worker".into())]));
+}
+
 #[test]
 fn no_order_of_answers_brings_an_older_list_back() {
     fn holds(versions: Vec<u8>) -> bool {
