--- /dev/null
+++ b/jackdawchute-peer/src/link.rs
@@ -0,0 +1,165 @@
+//! The task that owns the connection to one peer.
+
+use std::{
+    io::ErrorKind,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use jackdawchute_types::CallError;
+use jsonrpsee::{
+    core::client::Error as ClientError,
+    ws_client::{PingConfig, WsClient, WsClientBuilder},
+};
+use serde_json::Value;
+use tokio::net::TcpStream;
+use xtra::prelude::*;
+
+use crate::{rpc::PeerRpcClient, CallPeer, Token};
+
+/// How long a connection attempt may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long calls fail at once after a failed attempt.
+const RECONNECT_DELAY: Duration = Duration::from_millis(200);
+/// The upper bound on any call's own timeout.
+const CALL_TIMEOUT_MAX: Duration = Duration::from_secs(300);
+/// How many calls may be under way at a time.
+const CONCURRENT_CALLS_MAX: usize = 16_384;
+/// The largest message in bytes.
+pub(crate) const MESSAGE_BYTES_MAX: u32 = 64 * 1024 * 1024;
+
+/// Owns the connection to one peer.
+#[derive(Debug, xtra::Actor)]
+pub(crate) struct LinkTask {
+    peer: SocketAddr,
+    token: Token,
+    client: Option<Arc<WsClient>>,
+    failure: Option<Failure>,
+}
+
+/// Why and when the last connection attempt failed.
+#[derive(Clone, Debug)]
+struct Failure {
+    at: Instant,
+    cause: ConnectError,
+}
+
+#[derive(Clone, Debug)]
+enum ConnectError {
+    Refused,
+    Other(String),
+}
+
+impl LinkTask {
+    pub(crate) fn new(peer: SocketAddr, token: Token) -> Self {
+        Self {
+            peer,
+            token,
+            client: None,
+            failure: None,
+        }
+    }
+
+    async fn connected(&mut self) -> Result<Arc<WsClient>, ConnectError> {
+        if let Some(client) = self.client.as_ref().filter(|client| client.is_connected()) {
+            return Ok(client.clone());
+        }
+        let recent = self
+            .failure
+            .as_ref()
+            .filter(|it| it.at.elapsed() < RECONNECT_DELAY);
+        if let Some(failure) = recent {
+            return Err(failure.cause.clone());
+        }
+        match connect(self.peer).await {
+            Ok(client) => {
+                let client = Arc::new(client);
+                self.client = Some(client.clone());
+                Ok(client)
+            }
+            Err(cause) => {
+                self.failure = Some(Failure {
+                    at: Instant::now(),
+                    cause: cause.clone(),
+                });
+                Err(cause)
+            }
+        }
+    }
+}
+
+async fn connect(peer: SocketAddr) -> Result<WsClient, ConnectError> {
+    let other = |cause: String| ConnectError::Other(cause);
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
+    let stream = match stream {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            return Err(ConnectError::Refused)
+        }
+        Ok(Err(error)) => return Err(other(error.to_string())),
+        Err(_) => return Err(other("no connection in time".to_owned())),
+    };
+    let _ = stream.set_nodelay(true);
+    WsClientBuilder::default()
+        .connection_timeout(CONNECT_TIMEOUT)
+        .request_timeout(CALL_TIMEOUT_MAX)
+        .max_concurrent_requests(CONCURRENT_CALLS_MAX)
+        .max_request_size(MESSAGE_BYTES_MAX)
+        .max_response_size(MESSAGE_BYTES_MAX)
+        .enable_ws_ping(ping_config())
+        .build_with_stream(format!("ws://{peer}"), stream)
+        .await
+        .map_err(|error| other(error.to_string()))
+}
+
+/// Closes the connection to a peer that stopped answering.
+fn ping_config() -> PingConfig {
+    PingConfig::new()
+        .ping_interval(Duration::from_secs(5))
+        .inactive_limit(Duration::from_secs(10))
+        .max_failures(1)
+}
+
+impl Handler<CallPeer> for LinkTask {
+    type Return = ();
+
+    async fn handle(&mut self, call: CallPeer, _context: &mut Context<Self>) {
+        match self.connected().await {
+            Ok(client) => {
+                tokio::spawn(exchange(client, self.token.clone(), call));
+            }
+            Err(cause) => {
+                let peer = call.peer.to_string();
+                let error = match cause {
+                    ConnectError::Refused => CallError::ConnectionRefused(call.slice, peer),
+                    ConnectError::Other(cause) => CallError::NotDelivered(call.slice, peer, cause),
+                };
+                let _ = call.reply.send(Err(error));
+            }
+        }
+    }
+}
+
+async fn exchange(client: Arc<WsClient>, token: Token, call: CallPeer) {
+    let CallPeer {
+        peer,
+        slice,
+        call,
+        timeout,
+        reply,
+    } = call;
+    let answer = client.call((*token).clone(), slice.into(), call);
+    let unknown = |cause: String| CallError::Unknown(slice, peer.to_string(), cause);
+    let outcome: Result<Value, CallError> = match tokio::time::timeout(timeout, answer).await {
+        Ok(Ok(value)) => Ok(value),
+        Ok(Err(ClientError::Call(error))) => Err(CallError::NotDelivered(
+            slice,
+            peer.to_string(),
+            error.to_string(),
+        )),
+        Ok(Err(error)) => Err(unknown(error.to_string())),
+        Err(_) => Err(unknown("no answer in time".to_owned())),
+    };
+    let _ = reply.send(outcome);
+}
