feat: config, check and status commands and the operators' calls behind them

Cause: operators change the fleet only through its configuration, and need to see where a version is in force, what is queued and what was refused and why.

Change: the operators' listener offers show, apply, history and the version in use; commands for people call it. A version is above the one in use also if the table lost its rows. Peers are found in the membership list too: at a start with the table down only that names any. Key retention, retry budget and leaving failure domains reach the slices.

--- a/jackdawchute-configuration/src/apply.rs
+++ b/jackdawchute-configuration/src/apply.rs
@@ -69,32 +69,47 @@
 /// # Errors
 /// All but [`Error::OutcomeUnknown`] mean that nothing changed.
 pub async fn apply(table: &dyn Table, options: Options) -> Result<Outcome> {
+    apply_above(table, options, 0).await
+}
+
+/// As [`apply`], for an instance that uses `known_version`: the new version is above that, even if
+/// the table lost its rows or was restored from an older copy.
+///
+/// # Errors
+/// As those of [`apply`].
+pub async fn apply_above(
+    table: &dyn Table,
+    options: Options,
+    known_version: ConfigurationVersion,
+) -> Result<Outcome> {
     let row = read(table, "read accepted configuration", CURRENT_KEY).await?;
     let current = row.as_ref().map(stored).transpose()?.flatten();
     let base = options.candidate.version;
-    if current
-        .as_ref()
-        .is_some_and(|it| it.configuration.version > base)
-    {
+    let accepted_version = current.as_ref().map_or(0, |it| it.configuration.version);
+    if accepted_version > base {
         return fate_of_earlier_write(table, &options, base + 1).await;
     }
     let row_version = row.map_or(0, |row| row.version);
-    let accepted = accept(current.as_ref(), &options)?;
+    let newest = accepted_version.max(known_version);
+    let accepted = accept(current.as_ref(), &options, newest)?;
     let commit = commit(&accepted, row_version)?;
     commit_until_known(table, commit, accepted, &options).await
 }
 
-/// Decides whether the candidate may follow `current`, and gives it with its new version.
-fn accept(current: Option<&Stored>, options: &Options) -> Result<Stored> {
+/// Decides whether the candidate may follow `current`, and gives it with the version after
+/// `newest`.
+fn accept(
+    current: Option<&Stored>,
+    options: &Options,
+    newest: ConfigurationVersion,
+) -> Result<Stored> {
     let none = Configuration::default();
     let old = current.map_or(&none, |stored| &stored.configuration);
     let mut problems = options.candidate.check();
     problems.extend(options.candidate.check_change(old));
-    if options.candidate.version > old.version {
-        problems.push(Problem::new(
-            "version",
-            format!("must be {}, the accepted one", old.version),
-        ));
+    if options.candidate.version != newest {
+        let rule = format!("must be {newest}, the newest one");
+        problems.push(Problem::new("version", rule));
     }
     if options.author.trim().is_empty() {
         problems.push(Problem::new("author", "is required"));
@@ -103,7 +118,7 @@
         problems.push(Problem::new("reason", "is required"));
     }
     let configuration = Configuration {
-        version: old.version + 1,
+        version: newest + 1,
         author: options.author.clone(),
         reason: options.reason.clone(),
         written: options.written,
--- a/jackdawchute-configuration/src/messages.rs
+++ b/jackdawchute-configuration/src/messages.rs
@@ -145,7 +145,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Answers {
     /// Whether these are all the other entry instances: the unfenced incarnations that the table
-    /// last named, and the live ones of the membership list; false if the table was never read.
+    /// last named, and those that the membership list names; false if the table was never read.
     pub complete: bool,
     /// One answer for each peer that was asked.
     pub answers: Vec<Answer>,
--- a/jackdawchute-configuration/tests/behaviour/acceptance.rs
+++ b/jackdawchute-configuration/tests/behaviour/acceptance.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use jackdawchute_configuration::{
-    apply::{apply, Options, HISTORY_VERSIONS_MAX},
+    apply::{apply, apply_above, Options, HISTORY_VERSIONS_MAX},
     history, Configuration, Error,
 };
 use jackdawchute_platform::Table;
@@ -187,3 +187,14 @@
     assert_eq!(second, Err(Error::Superseded(1, "ana".into())));
     assert_eq!(accepted(&table).await.routes, configuration(1).routes);
 }
+
+#[tokio::test]
+async fn a_table_that_lost_its_rows_gets_a_version_above_the_one_in_use() {
+    let table = FaultyTable::default();
+
+    let too_low = apply_above(&table, change(0, "ana"), 7).await;
+    let accepted = apply_above(&table, change(7, "ana"), 7).await;
+
+    assert!(matches!(too_low, Err(Error::Refused(_))));
+    assert_eq!(accepted.map(|it| it.configuration.version), Ok(8));
+}
--- a/jackdawchute-entry/src/callers/listener.rs
+++ b/jackdawchute-entry/src/callers/listener.rs
@@ -9,17 +9,17 @@
 use tokio::task::JoinHandle;
 use warp::{path::FullPath, reply::Response, Filter};
 
-use super::{body, inbound::Inbound, jobs::JobsFront, problem, requests::RequestsFront};
+use super::{inbound::Inbound, jobs::JobsFront, problem, requests::RequestsFront};
 use crate::{
+    body,
     listener::{self, Bounds},
+    metrics::NO_CLASS,
     routing::MatchRoute,
     Result,
 };
 
 /// The path of the jobs API.
 const JOBS_PATH: &str = "/v1/jobs";
-/// The class under which refusals without a route are counted.
-const NO_CLASS: &str = "none";
 
 /// What the listener needs.
 #[derive(Clone)]
--- a/jackdawchute-entry/src/callers/mod.rs
+++ b/jackdawchute-entry/src/callers/mod.rs
@@ -1,6 +1,5 @@
 //! The listener towards callers.
 
-mod body;
 mod complete;
 mod inbound;
 mod jobs;
--- a/jackdawchute-entry/src/instance.rs
+++ b/jackdawchute-entry/src/instance.rs
@@ -28,7 +28,7 @@
     callers::{self, CallersOptions, JobsFront, RequestsFront},
     counted_table::CountedTable,
     listener::Bounds,
-    operators::{self, OperatorsOptions, StatusSources},
+    operators::{self, ConfigurationFront, OperatorsOptions, StatusSources},
     remotes::{self, ConfigurationPeers, Remotes},
     routing::{self, BeginDrain, RoutingTask},
     wiring::WiringTask,
@@ -115,6 +115,7 @@
         let remotes = Remotes::new(peer::spawn(token));
         let table = Arc::new(CountedTable::new(platform.table.clone(), metrics.clone()));
         let platform = Platform { table, ..platform };
+        let table = platform.table.clone();
         let tasks = Parts {
             settings: &settings,
             platform,
@@ -129,6 +130,7 @@
             settings: &settings,
             tasks: &tasks,
             remotes: &remotes,
+            table,
             metrics,
         };
         let (callers_address, callers) = fronts.serve_callers(&incarnation).await?;
@@ -255,8 +257,10 @@
         let jobs = self.jobs(incarnation, &ownership, &timer);
         let dispatch = dispatch::spawn(dispatch::Options::default());
         let routing = routing::spawn(self.metrics.clone(), MessageChannel::new(ownership.clone()));
+        let membership = self.membership(&timer);
         let wiring = WiringTask {
             incarnation: incarnation.clone(),
+            membership: membership.clone(),
             peers: Arc::new(self.remotes.clone()),
             introduced: false,
             failure_domain: self.settings.failure_domain.clone(),
@@ -268,8 +272,8 @@
             members: Arc::default(),
         };
         Tasks {
-            membership: self.membership(&timer),
-            configuration: self.configuration(incarnation, &routing, &timer),
+            membership,
+            configuration: self.configuration(incarnation, peer_address, &routing, &timer),
             routing,
             wiring: xtra::spawn_tokio(wiring, Mailbox::unbounded()),
             _timer: timer,
@@ -350,6 +354,7 @@
     fn configuration(
         &self,
         incarnation: &IncarnationId,
+        peer_address: SocketAddr,
         routing: &Address<RoutingTask>,
         timer: &Address<TimerTask>,
     ) -> Address<configuration::ConfigurationTask> {
@@ -357,6 +362,7 @@
             table: self.platform.table.clone(),
             peers: Arc::new(ConfigurationPeers {
                 incarnation: incarnation.clone(),
+                peer_address,
                 routing: routing.clone(),
                 remotes: self.remotes.clone(),
             }),
@@ -463,6 +469,7 @@
     settings: &'a Settings,
     tasks: &'a Tasks,
     remotes: &'a Remotes,
+    table: Arc<dyn Table>,
     metrics: Metrics,
 }
 
@@ -516,14 +523,21 @@
     async fn serve_operators(&self, incarnation: &IncarnationId) -> Result<(SocketAddr, Server)> {
         let status = StatusSources {
             incarnation: incarnation.clone(),
+            metrics: self.metrics.clone(),
+            configuration: self.tasks.configuration.clone(),
             routing: self.tasks.routing.clone(),
             requests: self.tasks.requests.clone(),
             jobs: self.tasks.jobs.clone(),
         };
         let header_bytes_max =
             usize::try_from(self.settings.limits.header_bytes).unwrap_or(usize::MAX);
+        let configuration = ConfigurationFront {
+            table: self.table.clone(),
+            task: self.tasks.configuration.clone(),
+        };
         let options = OperatorsOptions {
             status,
+            configuration,
             metrics: self.metrics.clone(),
             token: read_token(self.settings.operator_token_file.as_deref())?,
             bounds: Bounds {
--- a/jackdawchute-entry/src/lib.rs
+++ b/jackdawchute-entry/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
 mod authority;
+mod body;
 mod callers;
 mod counted_table;
 mod error;
@@ -20,4 +21,5 @@
 pub use error::{Error, Result};
 pub use instance::{Addresses, Instance, Platform};
 pub use metrics::Metrics;
+pub use operators::{ApplyRequest, ConfigurationProblem};
 pub use workers::HttpWorkerPorts;
--- a/jackdawchute-entry/src/metrics.rs
+++ b/jackdawchute-entry/src/metrics.rs
@@ -1,6 +1,6 @@
 //! What the instance counts, in the OpenMetrics text format.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use jackdawchute_ownership::Standing;
 use jackdawchute_types::{ClassId, Recorder, RefusalReason, RetryReason};
@@ -22,6 +22,9 @@
 /// The number of waiting time buckets; the last bound is 65 s.
 const WAITING_BUCKETS: u16 = 17;
 
+/// The class under which refusals without a route are counted.
+pub(crate) const NO_CLASS: &str = "none";
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ReasonLabels {
     class: String,
@@ -161,13 +164,27 @@
             .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
-    /// The refusals so far by class and reason, for the status page.
-    pub fn count_refusals(&self, class: &ClassId, reason: RefusalReason) -> u64 {
-        let labels = ReasonLabels {
-            class: class.to_string(),
-            reason: reason.to_string(),
+    /// The refusals of a class so far by reason, for the status page; reasons without any are left
+    /// out.
+    ///
+    /// ```
+    /// use jackdawchute_types::{Recorder, RefusalReason};
+    ///
+    /// let metrics = jackdawchute_entry::Metrics::default();
+    /// metrics.refused(&"counter".into(), RefusalReason::QueueFull);
+    /// let counts = metrics.refusals(&"counter".into());
+    /// assert_eq!(counts.get(&RefusalReason::QueueFull), Some(&1));
+    /// ```
+    pub fn refusals(&self, class: &ClassId) -> BTreeMap<RefusalReason, u64> {
+        let count = |reason: RefusalReason| {
+            let labels = ReasonLabels {
+                class: class.to_string(),
+                reason: reason.to_string(),
+            };
+            let counter = self.refusals.get(&labels)?;
+            Some((reason, counter.get()))
         };
-        self.refusals.get_or_create(&labels).get()
+        RefusalReason::ALL.into_iter().filter_map(count).collect()
     }
 }
 
--- a/jackdawchute-entry/src/operators/listener.rs
+++ b/jackdawchute-entry/src/operators/listener.rs
@@ -2,15 +2,20 @@
 
 use std::net::SocketAddr;
 
-use futures_util::Future;
+use bytes::Buf;
+use futures_util::{Future, Stream};
 use http::{header, HeaderMap, HeaderValue, Method, StatusCode};
 use smol_str::SmolStr;
 use subtle::ConstantTimeEq;
 use tokio::task::JoinHandle;
 use warp::{path::FullPath, reply::Response, Filter, Reply};
 
-use super::status::StatusSources;
+use super::{
+    configuration::{self, ConfigurationFront, ConfigurationProblem},
+    status::StatusSources,
+};
 use crate::{
+    body,
     listener::{self, Bounds},
     routing::IsReady,
     Metrics, Result,
@@ -20,10 +25,14 @@
 const METRICS_TYPE: HeaderValue =
     HeaderValue::from_static("application/openmetrics-text; version=1.0.0; charset=utf-8");
 
+/// The largest body of a call in bytes; a configuration as JSON.
+const BODY_BYTES_MAX: usize = 2 * 1024 * 1024;
+
 /// What the listener needs.
 #[derive(Clone)]
 pub(crate) struct OperatorsOptions {
     pub(crate) status: StatusSources,
+    pub(crate) configuration: ConfigurationFront,
     pub(crate) metrics: Metrics,
     /// The secret that operators present; `None` leaves the calls open.
     pub(crate) token: Option<SmolStr>,
@@ -45,9 +54,10 @@
         .and(warp::method())
         .and(warp::path::full())
         .and(warp::header::headers_cloned())
-        .then(move |method, path: FullPath, headers| {
+        .and(warp::body::stream())
+        .then(move |method, path: FullPath, headers, body| {
             let options = options.clone();
-            async move { answer(&options, &method, path.as_str(), &headers).await }
+            async move { answer(&options, &method, path.as_str(), &headers, body).await }
         })
         .boxed();
     Ok((
@@ -57,11 +67,12 @@
 }
 
 /// Health checks and metrics need no token.
-async fn answer(
+async fn answer<B: Buf + Send>(
     options: &OperatorsOptions,
     method: &Method,
     path: &str,
     headers: &HeaderMap,
+    body: impl Stream<Item = std::result::Result<B, warp::Error>> + Send,
 ) -> Response {
     match (method, path) {
         (&Method::GET, "/healthz") => "ok\n".into_response(),
@@ -69,6 +80,15 @@
         (&Method::GET, "/metrics") => metrics(options),
         _ if !is_authorized(options, headers) => StatusCode::UNAUTHORIZED.into_response(),
         (&Method::GET, "/v1/status") => status(options).await,
+        _ if path.starts_with(configuration::PATH) => {
+            match body::collect(body, BODY_BYTES_MAX).await {
+                Ok(body) => options.configuration.answer(method, path, &body).await,
+                Err(refusal) => ConfigurationProblem::Invalid {
+                    detail: refusal.detail,
+                }
+                .response(),
+            }
+        }
         _ => StatusCode::NOT_FOUND.into_response(),
     }
 }
--- a/jackdawchute-entry/src/operators/mod.rs
+++ b/jackdawchute-entry/src/operators/mod.rs
@@ -1,7 +1,11 @@
 //! The listener towards operators, metrics and health checks.
 
+mod configuration;
 mod listener;
 mod status;
 
+pub use configuration::{ApplyRequest, ConfigurationProblem};
+
+pub(crate) use configuration::ConfigurationFront;
 pub(crate) use listener::{serve, OperatorsOptions};
 pub(crate) use status::StatusSources;
--- a/jackdawchute-entry/src/operators/status.rs
+++ b/jackdawchute-entry/src/operators/status.rs
@@ -2,19 +2,30 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
+use jackdawchute_configuration::{ConfigurationTask, Current};
 use jackdawchute_jobs as jobs;
 use jackdawchute_requests as requests;
-use jackdawchute_types::{ConfigurationVersion, GroupId, IncarnationId, Refusal, RefusalReason};
+use jackdawchute_types::{
+    ClassId, ConfigurationVersion, GroupId, IncarnationId, Refusal, RefusalReason,
+};
 use serde::Serialize;
 use xtra::prelude::*;
 
-use crate::routing::{IsReady, View};
-use crate::routing::{Readiness, RoutingTask};
+use crate::{
+    metrics::NO_CLASS,
+    routing::{IsReady, Readiness, RoutingTask, View},
+    Metrics,
+};
+
+type RefusalCounts =
+    std::result::Result<BTreeMap<ClassId, BTreeMap<RefusalReason, u64>>, xtra::Error>;
 
 /// The tasks that are asked.
 #[derive(Clone)]
 pub(crate) struct StatusSources {
     pub(crate) incarnation: IncarnationId,
+    pub(crate) metrics: Metrics,
+    pub(crate) configuration: Address<ConfigurationTask>,
     pub(crate) routing: Address<RoutingTask>,
     pub(crate) requests: Address<requests::RequestsTask>,
     pub(crate) jobs: Address<jobs::JobsTask>,
@@ -31,6 +42,7 @@
     incarnations: BTreeMap<IncarnationId, IncarnationStatus>,
     owners: BTreeMap<GroupId, IncarnationId>,
     members: usize,
+    refusals: BTreeMap<ClassId, BTreeMap<RefusalReason, u64>>,
     requests: requests::RequestsStatus,
     jobs: jobs::Counts,
 }
@@ -53,6 +65,7 @@
         let readiness = self.routing.send(IsReady).await.map_err(ended)?;
         let requests = self.requests.send(requests::Status).await.map_err(ended)?;
         let jobs = self.jobs.send(jobs::Status).await.map_err(ended)?;
+        let refusals = self.refusals().await.map_err(ended)?;
         let directory = &known.directory;
         let versions = &directory.configuration;
         let incarnations = directory.incarnations.iter().map(|(id, peer_address)| {
@@ -77,8 +90,22 @@
                 .map(|(id, owner)| (id.clone(), owner.incarnation.clone()))
                 .collect(),
             members: known.members.members.len(),
+            refusals,
             requests,
             jobs,
         })
     }
+
+    /// Counts by the classes in use, and for work that had none.
+    async fn refusals(&self) -> RefusalCounts {
+        let current = self.configuration.send(Current).await?;
+        let classes = current
+            .iter()
+            .flat_map(|known| known.classes.keys().cloned());
+        let counted = classes
+            .chain([ClassId::new(NO_CLASS)])
+            .map(|class| (class.clone(), self.metrics.refusals(&class)))
+            .filter(|(_, counts)| !counts.is_empty());
+        Ok(counted.collect())
+    }
 }
--- a/jackdawchute-entry/src/remotes.rs
+++ b/jackdawchute-entry/src/remotes.rs
@@ -8,6 +8,7 @@
 use jackdawchute_jobs as jobs;
 use jackdawchute_ownership::{self as ownership, Owner};
 use jackdawchute_peer::{PeerService, Peers, Services, Slice};
+use jackdawchute_platform::MemberRole;
 use jackdawchute_requests as requests;
 use jackdawchute_types::{CallError, IncarnationId, Refusal};
 use serde::{de::DeserializeOwned, Serialize};
@@ -15,7 +16,7 @@
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 
-use crate::routing::{RoutingTask, View};
+use crate::routing::{Known, RoutingTask, View};
 
 const REQUESTS: Slice = "requests";
 const JOBS: Slice = "jobs";
@@ -87,14 +88,34 @@
     }
 }
 
-/// Asks every unfenced incarnation that the directory names.
+/// Asks every unfenced incarnation that the directory names, and every other entry instance of
+/// the membership list: at a start without the table, only that names any.
 pub(crate) struct ConfigurationPeers {
     pub(crate) incarnation: IncarnationId,
+    pub(crate) peer_address: SocketAddr,
     pub(crate) routing: Address<RoutingTask>,
     pub(crate) remotes: Remotes,
 }
 
 impl ConfigurationPeers {
+    fn others(&self, known: &Known) -> Vec<(IncarnationId, SocketAddr)> {
+        let incarnations = &known.directory.incarnations;
+        let unfenced = incarnations
+            .iter()
+            .filter(|(id, _)| **id != self.incarnation)
+            .map(|(id, address)| (id.clone(), *address));
+        let is_new = |address: &SocketAddr| {
+            *address != self.peer_address && incarnations.values().all(|known| known != address)
+        };
+        let listed = known
+            .members
+            .members
+            .iter()
+            .filter(|member| member.role == MemberRole::Entry && is_new(&member.address))
+            .map(|member| (member.id.clone(), member.address));
+        unfenced.chain(listed).collect()
+    }
+
     async fn ask_one(
         &self,
         peer: IncarnationId,
@@ -122,12 +143,10 @@
         let Ok(known) = self.routing.send(View).await else {
             return configuration::Answers::default();
         };
-        let others = known
-            .directory
-            .incarnations
+        let others = self.others(&known);
+        let asked = others
             .iter()
-            .filter(|(id, _)| **id != self.incarnation);
-        let asked = others.map(|(id, address)| self.ask_one(id.clone(), *address, &call));
+            .map(|(id, address)| self.ask_one(id.clone(), *address, &call));
         let complete = known.directory.incarnations.contains_key(&self.incarnation);
         configuration::Answers {
             complete,
--- a/jackdawchute-entry/src/terms.rs
+++ b/jackdawchute-entry/src/terms.rs
@@ -19,6 +19,7 @@
     };
     settings.grants.life = defaults.grant_life;
     settings.grants.send_within = defaults.grant_send_within;
+    settings.retention.key_time = defaults.key_retention;
     settings.retention.answer_time = defaults.answer_retention;
     settings.retention.answers_max = count(defaults.answer_count_max);
     settings.retention.body_max_bytes = count(defaults.answer_bytes_max);
@@ -35,6 +36,7 @@
         limits: configuration.limits(),
         partitions: configuration.job_partitions,
         lease: terms.task_lease,
+        retry_budget_percent: configuration.defaults.retry_budget_percent,
         quarantine_max_percent: terms.quarantine_share_percent,
         ..Default::default()
     }
--- a/jackdawchute-entry/src/wiring.rs
+++ b/jackdawchute-entry/src/wiring.rs
@@ -5,6 +5,7 @@
 use jackdawchute_configuration::Configuration;
 use jackdawchute_dispatch::{DispatchTask, SetIdleConnections};
 use jackdawchute_jobs as jobs;
+use jackdawchute_membership::{MembershipTask, SetLeavingDomains};
 use jackdawchute_ownership::{
     self as ownership, DesiredGroups, Directory, OwnershipTask, ReportConfiguration,
 };
@@ -25,6 +26,7 @@
     pub(crate) incarnation: IncarnationId,
     pub(crate) failure_domain: FailureDomainId,
     pub(crate) peers: Arc<dyn ownership::Peers>,
+    pub(crate) membership: Address<MembershipTask>,
     pub(crate) ownership: Address<OwnershipTask>,
     pub(crate) requests: Address<requests::RequestsTask>,
     pub(crate) jobs: Address<jobs::JobsTask>,
@@ -63,6 +65,8 @@
     type Return = ();
 
     async fn handle(&mut self, configuration: Arc<Configuration>, _: &mut Context<Self>) {
+        let leaving = SetLeavingDomains(configuration.leaving_domains());
+        let _handled = self.membership.send(leaving).detach().await;
         let settings = Arc::new(terms::requests_settings(&configuration));
         let _handled = self
             .requests
--- /dev/null
+++ b/src/check.rs
@@ -0,0 +1,58 @@
+//! `jackdawchute check`: checks files without starting anything.
+
+use getopts::{Matches, Options};
+use jackdawchute_settings::Settings;
+
+use crate::{config::read_file, Command, Error, Result};
+
+/// The command.
+pub(crate) const COMMAND: Command = Command {
+    brief: "Checks settings and configuration files and prints all their problems.\n\n\
+            Usage: jackdawchute check [--settings FILE]... [--configuration FILE]...",
+    options: add_options,
+    action: check,
+};
+
+fn add_options(options: &mut Options) {
+    options.optmulti("s", "settings", "the settings of a process", "FILE");
+    options.optmulti(
+        "c",
+        "configuration",
+        "the configuration of the fleet",
+        "FILE",
+    );
+}
+
+fn check(matches: &Matches) -> Result<()> {
+    let settings = matches.opt_strs("settings");
+    let configurations = matches.opt_strs("configuration");
+    if settings.is_empty() && configurations.is_empty() || !matches.free.is_empty() {
+        let problem = "give files with `--settings` and `--configuration`";
+        return Err(Error::Usage(problem.to_owned()));
+    }
+    let settings = settings
+        .iter()
+        .map(|path| report(path, Settings::load(path).map(drop).map_err(Error::from)));
+    let configurations = configurations
+        .iter()
+        .map(|path| report(path, read_file(path).map(drop)));
+    let refused = settings
+        .chain(configurations)
+        .filter(|valid| !valid)
+        .count();
+    match refused {
+        0 => Ok(()),
+        refused => Err(Error::Refused(
+            "check",
+            format!("{refused} files have problems"),
+        )),
+    }
+}
+
+fn report(path: &str, result: Result<()>) -> bool {
+    match &result {
+        Ok(()) => println!("{path}: no problems"),
+        Err(error) => println!("{path}: {error}"),
+    }
+    result.is_ok()
+}
--- /dev/null
+++ b/src/config/history.rs
@@ -0,0 +1,64 @@
+//! `jackdawchute config history`.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use getopts::{Matches, Options};
+use jackdawchute_configuration::history::Entry;
+
+use super::number;
+use crate::{
+    operators_api, operators_api::OperatorsApi, runtime::block_on, text_table::TextTable, Command,
+    Result,
+};
+
+/// The entries that are listed unless the command line says otherwise.
+const ENTRIES: u64 = 20;
+
+/// The command.
+pub(super) const COMMAND: Command = Command {
+    brief: "Lists the newest versions: who changed the configuration, when and why.\n\n\
+            Usage: jackdawchute config history [--address IP:PORT] [--count N] [--json]",
+    options: add_options,
+    action: history,
+};
+
+fn add_options(options: &mut Options) {
+    operators_api::add_options(options);
+    options.optopt("c", "count", "the most versions (20)", "N");
+    options.optflag("j", "json", "for programs");
+}
+
+fn history(matches: &Matches) -> Result<()> {
+    let api = OperatorsApi::from_matches(matches)?;
+    let count = matches.opt_str("count");
+    let count = count.map(|text| number("--count", &text)).transpose()?;
+    let outcome = block_on(api.history(count.unwrap_or(ENTRIES)))?;
+    if matches.opt_present("json") {
+        let json = serde_json::to_string_pretty(&outcome).unwrap_or_default();
+        println!("{json}");
+        return Ok(());
+    }
+    let mut table = TextTable::new(["VERSION", "SECONDS AGO", "AUTHOR", "WRITE ID", "REASON"]);
+    for entry in &outcome.entries {
+        table.add(row(entry));
+    }
+    print!("{table}");
+    Ok(())
+}
+
+fn row(entry: &Entry) -> [String; 5] {
+    let age = SystemTime::now().duration_since(entry.written);
+    let age = age.unwrap_or_default().as_secs();
+    let ago = if entry.written == UNIX_EPOCH {
+        "unknown".to_owned()
+    } else {
+        age.to_string()
+    };
+    [
+        entry.version.to_string(),
+        ago,
+        entry.author.to_string(),
+        entry.write_id.to_string(),
+        entry.reason.clone(),
+    ]
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,12 +1,18 @@
 //! The `jackdawchute` program: a thin command line over the crates.
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
+mod check;
 mod command_line;
+mod config;
 mod error;
 mod http_api;
 mod logging;
+mod operators_api;
+mod runtime;
 mod serve;
+mod status;
 mod submit;
+mod text_table;
 mod trial;
 
 use std::process::ExitCode;
@@ -23,6 +29,9 @@
   serve    run an entry instance
   try      run a small embedded cell and the example input through it
   submit   submit, watch or cancel a job
+  config   look at the fleet's configuration and change it
+  check    check settings and configuration files
+  status   show what instances know and do
 
 `jackdawchute COMMAND --help` tells more. Exit codes: 0 success, 1 failure, 2 usage.
 ";
@@ -46,6 +55,9 @@
         "serve" => serve::COMMAND.run(rest),
         "try" => trial::COMMAND.run(rest),
         "submit" => submit::COMMAND.run(rest),
+        "config" => config::run(rest),
+        "check" => check::COMMAND.run(rest),
+        "status" => status::COMMAND.run(rest),
         "--help" | "-h" | "help" => {
             print!("{USAGE}");
             Ok(())
--- a/src/submit.rs
+++ b/src/submit.rs
@@ -6,7 +6,7 @@
 use jackdawchute_jobs::JobStatus;
 use jackdawchute_types::{JobId, JobKind, JobSpec, JobState};
 
-use crate::{http_api::CallersApi, Command, Error, Result};
+use crate::{http_api::CallersApi, runtime::block_on, Command, Error, Result};
 
 /// Where the callers' listener of a local instance is by convention.
 const DEFAULT_ADDRESS: &str = "127.0.0.1:7080";
@@ -44,11 +44,7 @@
     let address: SocketAddr = address
         .parse()
         .map_err(|_| Error::Usage(format!("`--address {address}` is no IP:PORT")))?;
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|cause| Error::Process("start runtime", cause))?;
-    runtime.block_on(run(matches, &CallersApi::new(address)))
+    block_on(run(matches, &CallersApi::new(address)))
 }
 
 async fn run(matches: &Matches, api: &CallersApi) -> Result<()> {
