--- a/jackdawchute-standins/src/harness/mod.rs
+++ b/jackdawchute-standins/src/harness/mod.rs
@@ -10,6 +10,8 @@
 mod process;
 mod records;
 mod settings_text;
+mod status;
+mod truth;
 mod wait;
 
 pub use cell::Cell;
@@ -19,4 +21,5 @@
 pub use options::{CellOptions, ServicePlan, Timing, WorkerPlan};
 pub use process::{EntryProcess, Signal};
 pub use settings_text::{settings_text, SettingsValues};
+pub use status::InstanceStatus;
 pub use wait::{wait_until, DEADLINE};
