fix: early refusals pass over a short loss of capacity; retries in entry

Cause: with process tests in parallel on a busy machine, 19 quotes with a deadline of 10 s were refused as unreachable right after a handover. A new owner holds slots back until it knows which are in use, and the estimate of the wait counted on those few slots, and on the floor alone as soon as one more urgent ticket waited. Ruled out: a full queue, and expired deadlines.

Change: estimates use the most capacity of the last 10 s, and the better of the floor and what the floors leave after the more urgent queues. The entry takes its retries from the budget of the requests slice, and a refusal says that nothing ran only if no attempt was sent. Entry instances run the fair policy in place of the single queue.

Before and after: the new test fails without the change (refused as unreachable).

--- a/jackdawchute-admission/src/fair_share.rs
+++ b/jackdawchute-admission/src/fair_share.rs
@@ -18,6 +18,8 @@
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(60);
 /// The shortest advice to wait before a retry.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
+/// How long estimates count on capacity that was there.
+const PEAK_TIME: Duration = Duration::from_secs(10);
 /// The share of capacity, in per cent, that classes above their floor leave free for more urgent
 /// classes below theirs.
 const HEADROOM_PERCENT: u32 = 2;
@@ -71,6 +73,14 @@
     capacity_units: u32,
     capacity_units_max: u32,
     used_units: u32,
+    peak: Peak,
+}
+
+/// The most capacity of the last while.
+#[derive(Clone, Copy, Debug, Default)]
+struct Peak {
+    units: u32,
+    until: Option<Instant>,
 }
 
 #[derive(Clone, Debug)]
@@ -141,6 +151,7 @@
             headroom_percent,
             capacity_units: 0,
             capacity_units_max: 0,
+            peak: Peak::default(),
             used_units: 0,
         }
     }
@@ -253,34 +264,65 @@
         u32::try_from(headroom).unwrap_or(u32::MAX)
     }
 
-    /// The units that a class gets when it has more work than that.
+    /// The units that a class gets when it and every class that is active now has work enough.
     fn entitled_units(&self, index: usize) -> u32 {
         let class = &self.classes[index];
-        let more_urgent_waits = self
-            .classes
-            .iter()
-            .any(|other| other.priority() < class.priority() && other.queues.len() > 0);
-        let own = class.floor_units.max(class.used_units);
-        if more_urgent_waits {
-            return own;
-        }
         let others = self.classes.iter().filter(|other| other.id != class.id);
         let reserved: u32 = others
             .filter(|other| other.is_active())
-            .map(|other| other.floor_units)
+            .map(|other| self.floor_of(other, self.peak.units))
             .sum();
-        own.max(self.capacity_units.saturating_sub(reserved))
+        class
+            .used_units
+            .max(self.peak.units.saturating_sub(reserved))
     }
 
     /// How long a new ticket of a team would wait, from measured service times.
+    ///
+    /// The class gets at least its floor; as long as it shares what the floors leave, what more
+    /// urgent classes have queued goes first.
     fn expected_wait(&self, index: usize, team: &TeamId) -> Option<Duration> {
-        let queues = &self.classes[index].queues;
-        let own = queues.team_len(team) + 1;
+        let class = &self.classes[index];
+        let own = class.queues.team_len(team) + 1;
         // The other teams go at most once for each of this team's own tickets.
-        let ahead = queues.len().min(own * queues.team_count().max(1));
-        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        let service_time = &self.classes[index].service_time;
-        service_time.drain_time(ahead, self.entitled_units(index))
+        let ahead = class
+            .queues
+            .len()
+            .min(own * class.queues.team_count().max(1));
+        let urgent = self
+            .classes
+            .iter()
+            .filter(|other| other.priority() < class.priority());
+        let urgent: usize = urgent.map(|other| other.queues.len()).sum();
+        let count = |tickets: usize| u32::try_from(tickets).unwrap_or(u32::MAX);
+        let floor = self.floor_of(class, self.peak.units).max(class.used_units);
+        let by_floor = class.service_time.drain_time(count(ahead), floor)?;
+        let entitled = self.entitled_units(index);
+        let shared = class
+            .service_time
+            .drain_time(count(ahead + urgent), entitled)?;
+        Some(by_floor.min(shared))
+    }
+
+    fn floor_of(&self, class: &Class, capacity_units: u32) -> u32 {
+        let percent = class
+            .limits
+            .as_ref()
+            .map_or(0, |limits| limits.floor_percent);
+        capacity_units.saturating_mul(percent) / 100
+    }
+
+    /// Remembers the most capacity of the last while: estimates pass over a short loss of it, such
+    /// as while a new owner learns which slots are in use.
+    fn note_capacity(&mut self, now: Instant) {
+        if self.capacity_units >= self.peak.units
+            || self.peak.until.is_none_or(|until| until <= now)
+        {
+            self.peak = Peak {
+                units: self.capacity_units,
+                until: Some(now + PEAK_TIME),
+            };
+        }
     }
 
     fn check(&self, index: usize, ticket: &Ticket, now: Instant) -> Result<(), Refusal> {
@@ -381,6 +423,7 @@
 
     fn offer(&mut self, ticket: Ticket, now: Instant) -> Result<(), Refusal> {
         self.sweep(now);
+        self.note_capacity(now);
         let index = self
             .class_index(&ticket.class)
             .ok_or_else(|| unknown_class(&ticket))?;
--- a/jackdawchute-admission/tests/fair_share.rs
+++ b/jackdawchute-admission/tests/fair_share.rs
@@ -176,6 +176,26 @@
     assert_eq!(in_time, Ok(()));
 }
 
+#[test]
+fn a_short_loss_of_capacity_refuses_nothing_early() {
+    let now = Instant::now();
+    let mut policy = fair_share(limits([10, 10, 0]), CAPACITY_UNITS);
+    policy.offer(ticket(0, "normal", "a", now), now).unwrap();
+    let first = policy.next(now).expect("a free unit");
+    policy.release(&first, Duration::from_millis(500));
+    policy.set_capacity(1);
+    offer_many(&mut policy, 1..5, "urgent", now);
+    offer_many(&mut policy, 5..35, "normal", now);
+    let with_deadline = Ticket {
+        deadline: Some(now + Duration::from_secs(10)),
+        ..ticket(100, "normal", "a", now)
+    };
+
+    let offered = policy.offer(with_deadline, now);
+
+    assert_eq!(offered, Ok(()));
+}
+
 #[test]
 fn a_full_queue_refuses_as_not_run() {
     let now = Instant::now();
--- a/jackdawchute-entry/src/callers/requests.rs
+++ b/jackdawchute-entry/src/callers/requests.rs
@@ -7,10 +7,10 @@
 use http::HeaderMap;
 use jackdawchute_dispatch::{Answer, Chunk, DispatchTask, Error as SendError, Outgoing, Send};
 use jackdawchute_requests::{
-    Acquire, Call, Grant, GrantOutcome, Held, Reply, RequestsTask, StoredAnswer,
+    Acquire, Call, FailedAttempt, Grant, GrantOutcome, Held, Reply, RequestsTask, StoredAnswer,
 };
 use jackdawchute_types::{
-    GroupId, IncarnationId, Recorder, Refusal, RefusalReason, RequestKey, RetryReason,
+    Execution, GroupId, IncarnationId, Recorder, Refusal, RefusalReason, RequestKey, RetryReason,
 };
 use rand::Rng;
 use smol_str::format_smolstr;
@@ -59,6 +59,8 @@
     tried: Vec<GroupId>,
     attempt: u32,
     waited: Duration,
+    /// Whether a byte of any attempt may have reached a minion.
+    sent: bool,
 }
 
 /// What one attempt led to.
@@ -117,42 +119,68 @@
             tried,
             attempt: 0,
             waited: Duration::ZERO,
+            sent: false,
         })
     }
 
-    /// Makes attempts until one is final.
+    /// Makes attempts until one is final. A refusal says that nothing ran only if no attempt was
+    /// sent.
     async fn travel(&self, mut journey: Journey) -> Result<Response, Refusal> {
+        let outcome = self.attempt_until_final(&mut journey).await;
+        outcome.map_err(|refusal| match journey.sent {
+            true => Refusal {
+                execution: Execution::Unknown,
+                ..refusal
+            },
+            false => refusal,
+        })
+    }
+
+    async fn attempt_until_final(&self, journey: &mut Journey) -> Result<Response, Refusal> {
         loop {
-            let (delay, refusal) = match self.attempt(&mut journey).await {
+            let (delay, refusal) = match self.attempt(journey).await {
                 Attempt::Answered(response) => return Ok(response),
                 Attempt::Refused(refusal) => return Err(refusal),
                 Attempt::NoOwner(refusal) => {
                     let _handled = self.routing.send(OwnerMissing).detach().await;
-                    (Some(OWNER_RETRY_DELAY), refusal)
+                    (OWNER_RETRY_DELAY, refusal)
                 }
                 Attempt::Failed(reason, refusal) => {
-                    (self.retry_delay(&mut journey, reason).await, refusal)
+                    (self.retry_delay(journey, reason, &refusal).await?, refusal)
                 }
             };
-            match delay.filter(|delay| Instant::now() + *delay < journey.deadline) {
-                Some(delay) => tokio::time::sleep(delay).await,
-                None => return Err(refusal),
+            if Instant::now() + delay >= journey.deadline {
+                return Err(refusal);
             }
+            tokio::time::sleep(delay).await;
         }
     }
 
-    async fn retry_delay(&self, journey: &mut Journey, reason: RetryReason) -> Option<Duration> {
+    /// The delay before the next attempt; without one, a full group's own refusal says more.
+    async fn retry_delay(
+        &self,
+        journey: &mut Journey,
+        reason: RetryReason,
+        refusal: &Refusal,
+    ) -> Result<Duration, Refusal> {
         journey.attempt += 1;
-        let class = journey.route.class.clone();
-        let ask = AskRetry {
-            class,
-            attempt: journey.attempt,
+        let attempt = FailedAttempt {
+            class: journey.route.class.clone(),
+            idempotent: journey.route.idempotent,
+            sent: journey.sent,
+            attempts: journey.attempt,
+            reason,
+            remaining: journey.deadline.saturating_duration_since(Instant::now()),
         };
-        let delay = self.routing.send(ask).await.ok().flatten();
-        if delay.is_some() {
-            self.metrics.retried(&journey.route.class, reason);
+        match self.routing.send(AskRetry(attempt)).await {
+            Ok(Ok(delay)) => {
+                self.metrics.retried(&journey.route.class, reason);
+                Ok(delay)
+            }
+            Ok(Err(_)) if reason == RetryReason::NoCapacity => Err(refusal.clone()),
+            Ok(Err(denied)) => Err(denied),
+            Err(_) => Err(shutting_down()),
         }
-        delay
     }
 
     async fn attempt(&self, journey: &mut Journey) -> Attempt {
@@ -258,6 +286,7 @@
             let refusal = Refusal::not_run(RefusalReason::ConnectFailed, error.to_string());
             return Attempt::Failed(RetryReason::ConnectFailed, refusal);
         }
+        journey.sent = true;
         completion.finish(GrantOutcome::AnswerLost).await;
         let refusal = Refusal::unknown(RefusalReason::AnswerLost, error.to_string());
         if journey.route.idempotent {
--- a/jackdawchute-entry/src/instance.rs
+++ b/jackdawchute-entry/src/instance.rs
@@ -374,7 +374,7 @@
 }
 
 fn admission_policy() -> Box<dyn AdmissionPolicy> {
-    Box::new(jackdawchute_admission::Fifo::default())
+    Box::new(jackdawchute_admission::FairShare::default())
 }
 
 impl Tasks {
--- a/jackdawchute-entry/src/routing/messages.rs
+++ b/jackdawchute-entry/src/routing/messages.rs
@@ -5,6 +5,7 @@
 use http::Method;
 use jackdawchute_ownership::{Directory, Owner, Standing};
 use jackdawchute_platform::MembershipList;
+use jackdawchute_requests::FailedAttempt;
 use jackdawchute_types::{
     ClassId, ConfigurationVersion, GroupId, JobId, RequestKey, ServiceId, TeamId,
 };
@@ -67,14 +68,7 @@
 
 /// Asks whether an attempt may be repeated and after which delay; takes from the budget.
 #[derive(Clone, Debug)]
-pub(crate) struct AskRetry {
-    pub(crate) class: ClassId,
-    /// The number of attempts made so far.
-    pub(crate) attempt: u32,
-}
-
-/// The answer to [`AskRetry`]: the delay before the next attempt, or `None` for no retry.
-pub(crate) type RetryAfter = Option<Duration>;
+pub(crate) struct AskRetry(pub(crate) FailedAttempt);
 
 /// A call found the owner gone or not known: the directory is read anew, soon.
 #[derive(Clone, Copy, Debug)]
--- a/jackdawchute-entry/src/routing/task.rs
+++ b/jackdawchute-entry/src/routing/task.rs
@@ -15,8 +15,7 @@
 use super::{
     messages::{
         AskRetry, BeginDrain, Finished, IsReady, Known, LocateGroup, LocateJob, Located,
-        MatchRoute, OwnerMissing, PickGroup, Readiness, RetryAfter, RouteMatch, Sent, Succeeded,
-        View,
+        MatchRoute, OwnerMissing, PickGroup, Readiness, RouteMatch, Sent, Succeeded, View,
     },
     retries::Retries,
     state::State,
@@ -196,9 +195,9 @@
 }
 
 impl Handler<AskRetry> for RoutingTask {
-    type Return = RetryAfter;
+    type Return = Result<Duration, Refusal>;
 
-    async fn handle(&mut self, ask: AskRetry, _: &mut Context<Self>) -> RetryAfter {
-        self.retries.ask(&ask)
+    async fn handle(&mut self, ask: AskRetry, _: &mut Context<Self>) -> Self::Return {
+        self.retries.ask(&ask.0)
     }
 }
