--- a/jackdawchute-ownership/tests/support/node.rs
+++ b/jackdawchute-ownership/tests/support/node.rs
@@ -193,13 +193,17 @@
     pub async fn append_all(&self, entries: Vec<JournalEntry>) -> Result<()> {
         let (reply, answer) = oneshot::channel();
         self.task.send(Append { entries, reply }).await.unwrap();
-        answer.await.expect("every append is answered")
+        within("an append is answered", answer)
+            .await
+            .expect("every append is answered")
     }
 
     pub async fn hand_over(&self) -> Result<()> {
         let (reply, answer) = oneshot::channel();
         self.task.send(HandOver { reply }).await.unwrap();
-        answer.await.expect("a hand over is answered")
+        within("a hand over is answered", answer)
+            .await
+            .expect("a hand over is answered")
     }
 
     pub fn owns(&self, group: &str) -> bool {
