fix: an append whose traces were deleted has an unknown outcome

Cause: a holder that was fenced, and whose row was deleted afterwards, told its callers that the entries of its last commit were surely not journaled; they could have landed before the fence.

Ruled out: keeping the rows of fenced incarnations for a fixed time, which only moves the limit.

Change: the reply is dropped, which leaves the outcome unknown. The table of the tests no longer remembers write ids, so that conditions alone decide. The directory and the claims are computed only after a change.

Conclusion: refused means never journaled, also after the collection.

--- a/jackdawchute-ownership/src/calls.rs
+++ b/jackdawchute-ownership/src/calls.rs
@@ -139,7 +139,9 @@
                 answer,
             })
         }
-        Effect::Answer(..) | Effect::Publish(..) | Effect::HandedOver(..) => None,
+        Effect::Answer(..) | Effect::Forget(..) | Effect::Publish(..) | Effect::HandedOver(..) => {
+            None
+        }
     }
 }
 
--- a/jackdawchute-ownership/src/carry.rs
+++ b/jackdawchute-ownership/src/carry.rs
@@ -96,8 +96,8 @@
             }
         }
         if let Ok(Reply::Carried { outcome, row }) = answer {
-            match row {
-                Some(row) => self.settle(own_row(&row).as_ref(), effects),
+            match row.as_ref().and_then(own_row) {
+                Some(row) => self.settle(Some(&row), effects),
                 None => self.answered(outcome, effects),
             }
         }
--- a/jackdawchute-ownership/src/claim.rs
+++ b/jackdawchute-ownership/src/claim.rs
@@ -48,8 +48,10 @@
         (!is_fenced).then_some(owner)
     }
 
-    pub(crate) fn plan_claims(&self, plan: &mut Plan) {
-        if self.is_leaving || self.desired.is_none() || self.last_scan.is_none() {
+    /// Claims what falls to this incarnation, if anything has changed since nothing did.
+    pub(crate) fn plan_claims(&mut self, plan: &mut Plan) {
+        let is_known = self.shared_out == Some(self.view.revision);
+        if is_known || self.is_leaving || self.desired.is_none() || self.last_scan.is_none() {
             return;
         }
         let me = &self.identity.incarnation;
@@ -66,6 +68,9 @@
                 group,
             });
         }
+        if plan.groups.is_empty() {
+            self.shared_out = Some(self.view.revision);
+        }
     }
 
     /// The table names this incarnation as the owner.
--- a/jackdawchute-ownership/src/collect.rs
+++ b/jackdawchute-ownership/src/collect.rs
@@ -71,7 +71,7 @@
         self.garbage.retain(|_, rows| !rows.is_empty());
         for key in deleted {
             if let Some(id) = key.strip_prefix(INCARNATION_PREFIX) {
-                self.view.incarnations.remove(id);
+                self.view.remove_incarnation(id);
             }
         }
     }
--- a/jackdawchute-ownership/src/effect.rs
+++ b/jackdawchute-ownership/src/effect.rs
@@ -44,6 +44,8 @@
     },
     /// Answer an append.
     Answer(AppendId, Result<()>),
+    /// Drop an append without an answer: its outcome cannot be known any more.
+    Forget(AppendId),
     /// Tell the subscribers.
     Publish(GroupEvent),
     /// Answer the requests to hand everything over.
--- a/jackdawchute-ownership/src/messages.rs
+++ b/jackdawchute-ownership/src/messages.rs
@@ -36,7 +36,9 @@
 /// Asks to journal entries together, in one commit with whatever else waits.
 ///
 /// The reply is sent once they surely are in the journal or surely never will be. An effect that
-/// the entries announce may be sent only after `Ok`.
+/// the entries announce may be sent only after `Ok`. A reply that is dropped leaves the outcome
+/// unknown: this incarnation was fenced, and all trace of it deleted, before it learnt the fate of
+/// its last commit.
 #[derive(Debug)]
 pub struct Append {
     /// The entries; all or none.
--- a/jackdawchute-ownership/src/model/learn.rs
+++ b/jackdawchute-ownership/src/model/learn.rs
@@ -90,7 +90,8 @@
                     sending.in_doubt = false;
                 }
             }
-            Fate::Pending => return,
+            // The specification deletes no rows.
+            Fate::Pending | Fate::Forgotten => return,
             Fate::Never { .. } => {
                 self.refused(&mut resolved, number);
                 resolved.instances[number].is_fenced = true;
--- a/jackdawchute-ownership/src/outcome.rs
+++ b/jackdawchute-ownership/src/outcome.rs
@@ -143,6 +143,15 @@
             }
             Fate::Pending => pending.step = Step::Resting,
             Fate::Never { fenced_by } => self.fence_self(fenced_by, effects),
+            Fate::Forgotten => {
+                let queued = std::mem::take(&mut pending.plan.appends);
+                effects.extend(
+                    queued
+                        .into_iter()
+                        .map(|queued| Effect::Forget(queued.append)),
+                );
+                self.fence_self("a successor whose row is gone too".into(), effects);
+            }
         }
     }
 
@@ -176,9 +185,8 @@
             version: self.own_version,
             row: Some(self.own_row.clone()),
         };
-        self.view
-            .incarnations
-            .insert(self.identity.incarnation.clone(), known);
+        let me = self.identity.incarnation.clone();
+        self.view.put_incarnation(me, known);
     }
 
     fn perform(&mut self, plan: Plan, version: RowVersion, effects: &mut Vec<Effect>) {
@@ -200,8 +208,7 @@
         if let Some(fence) = plan.fence {
             let row = Some(fence.row);
             self.view
-                .incarnations
-                .insert(fence.incarnation, Versioned { version, row });
+                .put_incarnation(fence.incarnation, Versioned { version, row });
         }
         for write in plan.groups {
             self.changed(write, version, effects);
@@ -212,9 +219,8 @@
     fn changed(&mut self, write: GroupWrite, version: RowVersion, effects: &mut Vec<Effect>) {
         let before = self.view.group(&write.group).cloned().unwrap_or_default();
         let row = Some(write.row.clone());
-        self.view
-            .groups
-            .insert(write.group.clone(), Versioned { version, row });
+        let group = write.group.clone();
+        self.view.put_group(group, Versioned { version, row });
         match write.change {
             GroupChange::Claim => self.claimed(write.group, write.row, before.owner, effects),
             GroupChange::Release => self.released(&write.group, effects),
--- a/jackdawchute-ownership/src/settle.rs
+++ b/jackdawchute-ownership/src/settle.rs
@@ -22,6 +22,8 @@
         /// The successor.
         fenced_by: IncarnationId,
     },
+    /// The row was deleted after its holder had been fenced: it may have taken effect before.
+    Forgotten,
 }
 
 /// Reads a commit's fate from its holder's row.
@@ -33,9 +35,7 @@
     let found = row.and_then(|known| Some((known.version, known.row.as_ref()?)));
     match found {
         None if expected == 0 => Fate::Pending,
-        None => Fate::Never {
-            fenced_by: "a peer that deleted the row".into(),
-        },
+        None => Fate::Forgotten,
         Some((version, row)) if row.write_id == write_id => Fate::Landed {
             version,
             fenced_by: row.fenced_by.clone(),
--- a/jackdawchute-ownership/src/state.rs
+++ b/jackdawchute-ownership/src/state.rs
@@ -88,6 +88,7 @@
     pub(crate) is_scanning: bool,
     pub(crate) is_loading: bool,
     pub(crate) must_look: bool,
+    pub(crate) shared_out: Option<u64>,
     pub(crate) garbage: BTreeMap<IncarnationId, VecDeque<RowKey>>,
     pub(crate) listing: BTreeSet<IncarnationId>,
     pub(crate) held_off: BTreeMap<IncarnationId, Instant>,
@@ -130,6 +131,7 @@
             is_scanning: false,
             is_loading: false,
             must_look: false,
+            shared_out: None,
             garbage: BTreeMap::new(),
             listing: BTreeSet::new(),
             held_off: BTreeMap::new(),
@@ -201,6 +203,7 @@
     pub fn desire(&mut self, groups: Arc<BTreeSet<GroupId>>, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
         self.desired = Some(groups);
+        self.shared_out = None;
         self.let_go_undesired(&mut effects);
         self.pump(now, &mut effects);
         effects
@@ -248,6 +251,11 @@
         self.view.directory()
     }
 
+    /// Changes whenever the directory may have changed.
+    pub fn revision(&self) -> u64 {
+        self.view.revision
+    }
+
     /// The groups that it serves.
     pub fn served(&self) -> impl Iterator<Item = (&GroupId, &Owned)> {
         self.owned.iter().filter(|(_, owned)| owned.serves())
--- a/jackdawchute-ownership/src/task.rs
+++ b/jackdawchute-ownership/src/task.rs
@@ -56,6 +56,7 @@
     groups: Vec<(SmolStr, MessageChannel<GroupEvent, (), Weak>)>,
     directories: Subscribers<Arc<Directory>>,
     directory: Arc<Directory>,
+    revision: u64,
     standings: Subscribers<Standing>,
     standing: Standing,
     leases: Subscribers<LeaseUntil>,
@@ -101,6 +102,7 @@
         groups: Vec::new(),
         directories: Subscribers::default(),
         directory: Arc::default(),
+        revision: 0,
         standings: Subscribers::default(),
         standing: Standing::CutOff,
         leases: Subscribers::default(),
@@ -134,6 +136,7 @@
         for effect in effects {
             match effect {
                 Effect::Answer(append, result) => self.answer(append, result),
+                Effect::Forget(append) => drop(self.appends.remove(&append)),
                 Effect::Publish(event) => self.publish(event).await,
                 Effect::HandedOver(result) => self.handed_over(&result),
                 Effect::Ask { .. }
@@ -222,6 +225,14 @@
             self.lease = lease;
             self.leases.publish(LeaseUntil(lease.unwrap_or(now))).await;
         }
+        self.publish_directory().await;
+    }
+
+    async fn publish_directory(&mut self) {
+        if self.state.revision() == self.revision {
+            return;
+        }
+        self.revision = self.state.revision();
         let directory = self.state.directory();
         if directory != *self.directory {
             self.directory = Arc::new(directory);
--- a/jackdawchute-ownership/src/view.rs
+++ b/jackdawchute-ownership/src/view.rs
@@ -1,9 +1,11 @@
 //! The rows of incarnations and groups as last read; it may lag behind the table.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use jackdawchute_platform::{Row, RowVersion, Scan};
 use jackdawchute_types::{GroupId, IncarnationId};
+use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
 
 use crate::{
     rows::{decode, GroupRow, IncarnationRow, GROUP_PREFIX, INCARNATION_PREFIX},
@@ -30,6 +32,8 @@
     pub incarnations_version: RowVersion,
     /// The table version of the last scan of groups.
     pub groups_version: RowVersion,
+    /// Grows with each change that matters to the directory or to the sharing out of groups.
+    pub revision: u64,
 }
 
 /// One look at the table: the changed rows of both kinds, incarnations first.
@@ -45,16 +49,47 @@
     /// Takes in changed rows; a row that is known in a later version stays.
     pub fn apply(&mut self, changes: Changes) {
         for row in changes.incarnations.rows {
-            merge(&mut self.incarnations, INCARNATION_PREFIX, row);
+            if let Some((id, known)) = parse(INCARNATION_PREFIX, row) {
+                self.put_incarnation(id, known);
+            }
         }
         for row in changes.groups.rows {
-            merge(&mut self.groups, GROUP_PREFIX, row);
+            if let Some((id, known)) = parse(GROUP_PREFIX, row) {
+                self.put_group(id, known);
+            }
         }
         self.incarnations_version = self.incarnations_version.max(changes.incarnations.version);
         self.groups_version = self.groups_version.max(changes.groups.version);
         self.forget_deleted();
     }
 
+    /// Takes in a row of an incarnation, unless a later version of it is known.
+    pub fn put_incarnation(&mut self, id: IncarnationId, new: Versioned<IncarnationRow>) {
+        let old = self.incarnations.get(&id);
+        if old.is_some_and(|old| old.version >= new.version) {
+            return;
+        }
+        let old = old.and_then(|old| old.row.as_ref()).map(published);
+        if old != new.row.as_ref().map(published) {
+            self.revision += 1;
+        }
+        self.incarnations.insert(id, new);
+    }
+
+    /// Takes in a row of a group, unless a later version of it is known.
+    pub fn put_group(&mut self, id: GroupId, new: Versioned<GroupRow>) {
+        if self.group_version(&id) < new.version {
+            self.revision += 1;
+            self.groups.insert(id, new);
+        }
+    }
+
+    /// Forgets a row that was deleted.
+    pub fn remove_incarnation(&mut self, id: &str) {
+        self.incarnations.remove(id);
+        self.revision += 1;
+    }
+
     fn forget_deleted(&mut self) {
         let limit = self.incarnations_version;
         self.incarnations
@@ -126,29 +161,30 @@
     }
 }
 
-fn merge<T: serde::de::DeserializeOwned>(
-    known: &mut BTreeMap<smol_str::SmolStr, Versioned<T>>,
-    prefix: &str,
-    row: Row,
-) {
-    let Some(id) = row.key.strip_prefix(prefix) else {
-        return;
-    };
-    if known.get(id).is_some_and(|old| old.version >= row.version) {
-        return;
-    }
+/// The part of a row that the directory and the sharing out of groups depend on.
+fn published(row: &IncarnationRow) -> (u64, SocketAddr, bool, bool) {
+    let is_fenced = row.fenced_by.is_some();
+    (
+        row.configuration_version,
+        row.peer_address,
+        row.leaving,
+        is_fenced,
+    )
+}
+
+/// Reads a row; a damaged one is left out.
+fn parse<T: DeserializeOwned>(prefix: &str, row: Row) -> Option<(SmolStr, Versioned<T>)> {
+    let id = SmolStr::new(row.key.strip_prefix(prefix)?);
     let content = match &row.value {
-        Some(value) => match decode(value) {
-            Some(content) => Some(content),
-            None => return,
-        },
+        Some(value) => Some(decode(value)?),
         None => None,
     };
-    known.insert(
-        id.into(),
+    let version = row.version;
+    Some((
+        id,
         Versioned {
-            version: row.version,
+            version,
             row: content,
         },
-    );
+    ))
 }
--- a/jackdawchute-ownership/tests/support/faulty_table.rs
+++ b/jackdawchute-ownership/tests/support/faulty_table.rs
@@ -10,7 +10,7 @@
 
 use async_trait::async_trait;
 use jackdawchute_platform::{
-    Commit, CommitOutcome, Error, MemoryTable, Result, Row, RowVersion, Scan, Table,
+    Commit, CommitOutcome, Error, MemoryTable, Result, Row, RowVersion, Scan, Table, WriteId,
 };
 
 /// What is wrong with the way to the table.
@@ -22,6 +22,8 @@
     Down,
     /// Commits take effect and their answers are lost; reads work.
     AnswersLost,
+    /// Commits take effect and their answers are lost; nothing can be read.
+    Deaf,
     /// Commits have no effect yet and their answers are lost; reads work.
     CommitsLost,
     /// Commits take effect after the delay although their answers are lost; reads work.
@@ -62,6 +64,9 @@
 
     async fn before(&self, step: &'static str) -> Result<()> {
         match self.fault() {
+            Fault::Deaf if step != "commit" => {
+                Err(Error::Unavailable(step, "table".into(), "deaf".into()))
+            }
             Fault::Down => Err(Error::Unavailable(step, "table".into(), "down".into())),
             Fault::Slow(delay) => {
                 tokio::time::sleep(delay).await;
@@ -98,11 +103,13 @@
         Ok(self.table.changes(prefix, changed_after))
     }
 
-    async fn commit(&self, commit: Commit) -> Result<CommitOutcome> {
+    async fn commit(&self, mut commit: Commit) -> Result<CommitOutcome> {
         self.before("commit").await?;
         self.count(&commit);
+        // A table that remembers no write ids is the harder one: its conditions must do.
+        commit.write_id = WriteId::default();
         match self.fault() {
-            Fault::AnswersLost => {
+            Fault::AnswersLost | Fault::Deaf => {
                 self.table.apply(commit);
                 Err(lost())
             }
--- a/jackdawchute-ownership/tests/support/node.rs
+++ b/jackdawchute-ownership/tests/support/node.rs
@@ -16,7 +16,7 @@
 use jackdawchute_platform::MemoryTable;
 use jackdawchute_timer::TimerTask;
 use jackdawchute_types::{GroupId, IncarnationId};
-use tokio::sync::oneshot;
+use tokio::sync::oneshot::{self, Receiver};
 use xtra::prelude::*;
 
 use super::{Fault, FaultyTable, LocalPeers, PeersOf};
@@ -191,13 +191,18 @@
     }
 
     pub async fn append_all(&self, entries: Vec<JournalEntry>) -> Result<()> {
-        let (reply, answer) = oneshot::channel();
-        self.task.send(Append { entries, reply }).await.unwrap();
+        let answer = self.begin_append(entries).await;
         within("an append is answered", answer)
             .await
             .expect("every append is answered")
     }
 
+    pub async fn begin_append(&self, entries: Vec<JournalEntry>) -> Receiver<Result<()>> {
+        let (reply, answer) = oneshot::channel();
+        self.task.send(Append { entries, reply }).await.unwrap();
+        answer
+    }
+
     pub async fn hand_over(&self) -> Result<()> {
         let (reply, answer) = oneshot::channel();
         self.task.send(HandOver { reply }).await.unwrap();
--- a/jackdawchute-ownership/tests/takeover.rs
+++ b/jackdawchute-ownership/tests/takeover.rs
@@ -76,6 +76,25 @@
     assert!(successor.adoption("g1").entries.is_empty());
 }
 
+#[tokio::test]
+async fn an_append_whose_traces_are_deleted_has_an_unknown_outcome() {
+    let cell = Cell::new();
+    let (holder, successor) = pair(&cell).await;
+    cell.peers.cut(holder.address);
+    holder.table.set(Fault::Deaf);
+    let entries = vec![entry("g1", "landed", Some("v"))];
+
+    let answer = holder.begin_append(entries).await;
+    successor.until_owns("g1").await;
+    let row = format!("incarnation/{}", holder.incarnation);
+    eventually("deleted", || cell.table.get(&row).is_none()).await;
+    holder.heal(&cell);
+    let answer = within("the outcome", answer).await;
+
+    assert_eq!(successor.adoption("g1").entries.len(), 1);
+    assert!(answer.is_err(), "neither journaled nor refused: {answer:?}");
+}
+
 #[tokio::test]
 async fn the_groups_of_a_dead_instance_are_shared_out() {
     let cell = Cell::new();
