test: a commit that arrives after the fence

Change: a commit is held back by the network until its sender was fenced.

Conclusion: the fence stops commits that were sent before it.

--- a/jackdawchute-ownership/tests/support/faulty_table.rs
+++ b/jackdawchute-ownership/tests/support/faulty_table.rs
@@ -40,6 +40,7 @@
     fault: Mutex<Fault>,
     pub commits: AtomicU64,
     pub reads: AtomicU64,
+    pub arrived_late: Arc<AtomicU64>,
     pub bytes_written: AtomicU64,
 }
 
@@ -50,6 +51,7 @@
             fault: Mutex::new(Fault::None),
             commits: AtomicU64::new(0),
             reads: AtomicU64::new(0),
+            arrived_late: Arc::default(),
             bytes_written: AtomicU64::new(0),
         }
     }
@@ -116,9 +118,11 @@
             Fault::CommitsLost => Err(lost()),
             Fault::CommitsLate(delay) => {
                 let table = Arc::clone(&self.table);
+                let arrived = Arc::clone(&self.arrived_late);
                 tokio::spawn(async move {
                     tokio::time::sleep(delay).await;
                     table.apply(commit);
+                    arrived.fetch_add(1, Ordering::Relaxed);
                 });
                 Err(lost())
             }
--- a/jackdawchute-ownership/tests/takeover.rs
+++ b/jackdawchute-ownership/tests/takeover.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_ownership::{Error, Standing};
 use support::{entry, eventually, start, within, Cell, Fault, Node};
@@ -76,6 +79,31 @@
     assert!(successor.adoption("g1").entries.is_empty());
 }
 
+#[tokio::test]
+async fn a_commit_that_arrives_after_the_fence_has_no_effect() {
+    let cell = Cell::new();
+    let (holder, successor) = pair(&cell).await;
+    cell.peers.cut(holder.address);
+    holder
+        .table
+        .set(Fault::CommitsLate(cell.timing.takeover * 3));
+
+    let answer = holder
+        .begin_append(vec![entry("g1", "late", Some("v"))])
+        .await;
+    successor.until_owns("g1").await;
+    let arrived = || holder.table.arrived_late.load(Ordering::Relaxed) > 0;
+    eventually("the commit arrives", arrived).await;
+    let result = within("an answer", answer).await.unwrap();
+
+    let journals = format!("journal/{}/", holder.incarnation);
+    assert!(cell.table.changes(&journals, 0).rows.is_empty());
+    assert_eq!(
+        result,
+        Err(Error::Fenced(successor.incarnation.to_string()))
+    );
+}
+
 #[tokio::test]
 async fn an_append_whose_traces_are_deleted_has_an_unknown_outcome() {
     let cell = Cell::new();
