fix: a table slower than the timeout takes appends

Cause: an answer out of time was thrown away, and so was the answer to the read that looks up its commit. A table that always needed longer than the timeout left an append open for ever.

Ruled out: a longer timeout, which delays the carrying by peers.

Change: the answer to a commit counts as lost after the timeout and is taken in all the same when it comes. Subscriptions moved to a module of their own. Properties of sharing out and trimming run over fixed seeds.

Conclusion: slow is not down.

--- a/jackdawchute-ownership/src/calls.rs
+++ b/jackdawchute-ownership/src/calls.rs
@@ -71,28 +71,66 @@
     timeout: Duration,
     call: impl Future<Output = TableResult<T>>,
 ) -> TableResult<T> {
-    let lost = || TableError::Unknown(step, "table".into(), "no answer in time".into());
-    tokio::time::timeout(timeout, call)
-        .await
-        .unwrap_or_else(|_| Err(lost()))
+    let result = tokio::time::timeout(timeout, call).await;
+    result.unwrap_or_else(|_| Err(lost(step)))
 }
 
-/// Runs one call; `None` if nothing waits for its result.
-pub(crate) async fn run(
-    effect: Effect,
-    me: &IncarnationId,
-    table: Arc<dyn Table>,
-    peers: Arc<dyn Peers>,
-    timeout: Duration,
-) -> Option<Finished> {
-    match effect {
-        Effect::Commit(commit) => {
-            let write_id = commit.write_id.clone();
-            let result = bounded("commit", timeout, table.commit(commit)).await;
-            Some(Finished::Commit(write_id, result))
+fn lost(step: &'static str) -> TableError {
+    TableError::Unknown(step, "table".into(), "no answer in time".into())
+}
+
+/// Runs one call and sends its result to the task.
+pub(crate) async fn run(effect: Effect, way: Way, task: WeakAddress<OwnershipTask>) {
+    if let Effect::Commit(commit) = effect {
+        return send_commit(commit, way, task).await;
+    }
+    if let Some(finished) = ask(effect, way).await {
+        let _ = task.send(finished).detach().await;
+    }
+}
+
+/// Where calls go.
+pub(crate) struct Way {
+    /// The own incarnation.
+    pub me: IncarnationId,
+    /// The table.
+    pub table: Arc<dyn Table>,
+    /// The peers.
+    pub peers: Arc<dyn Peers>,
+    /// How long an answer may take.
+    pub timeout: Duration,
+}
+
+/// Sends a commit. An answer out of time counts as lost, and is told all the same when it comes,
+/// so that a table which is slower than the timeout still takes commits.
+async fn send_commit(commit: Commit, way: Way, task: WeakAddress<OwnershipTask>) {
+    let write_id = commit.write_id.clone();
+    let mut call = way.table.commit(commit);
+    let (result, is_lost) = match tokio::time::timeout(way.timeout, &mut call).await {
+        Ok(result) => (result, false),
+        Err(_) => (Err(lost("commit")), true),
+    };
+    let finished = Finished::Commit(write_id.clone(), result);
+    let _ = task.send(finished).detach().await;
+    if is_lost {
+        if let Ok(outcome) = call.await {
+            let finished = Finished::Commit(write_id, Ok(outcome));
+            let _ = task.send(finished).detach().await;
         }
+    }
+}
+
+/// Runs one call that only asks; `None` if nothing waits for its result.
+async fn ask(effect: Effect, way: Way) -> Option<Finished> {
+    let Way {
+        me,
+        table,
+        peers,
+        timeout,
+    } = way;
+    match effect {
         Effect::ReadOwn(write_id) => {
-            let row = bounded("read own row", timeout, table.read(&incarnation_key(me))).await;
+            let row = bounded("read own row", timeout, table.read(&incarnation_key(&me))).await;
             Some(Finished::OwnRow(write_id, row.and_then(own_row)))
         }
         Effect::Scan {
@@ -139,9 +177,11 @@
                 answer,
             })
         }
-        Effect::Answer(..) | Effect::Forget(..) | Effect::Publish(..) | Effect::HandedOver(..) => {
-            None
-        }
+        Effect::Commit(..)
+        | Effect::Answer(..)
+        | Effect::Forget(..)
+        | Effect::Publish(..)
+        | Effect::HandedOver(..) => None,
     }
 }
 
--- a/jackdawchute-ownership/src/lib.rs
+++ b/jackdawchute-ownership/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod settle;
 pub mod standing;
 pub mod state;
+mod subscribe;
 pub mod takeover;
 mod task;
 mod timing;
--- a/jackdawchute-ownership/src/task.rs
+++ b/jackdawchute-ownership/src/task.rs
@@ -17,12 +17,12 @@
 use xtra::{prelude::*, refcount::Weak, WeakAddress};
 
 use crate::{
-    calls::{self, Finished},
+    calls::{self, Finished, Way},
     effect::{AppendId, Effect},
-    messages::{Call, Incoming, LeaseUntil, Peers, Reply, SubscribeLease},
+    messages::{Call, Incoming, LeaseUntil, Peers, Reply},
     state::{Identity, State},
     Append, DesiredGroups, Directory, GroupEvent, HandOver, ReportConfiguration, Result, Standing,
-    SubscribeDirectory, SubscribeGroups, SubscribeStanding, Timing,
+    Timing,
 };
 
 /// What an ownership task needs.
@@ -47,20 +47,20 @@
 /// Owns groups for one incarnation; made by [`spawn`].
 #[derive(xtra::Actor)]
 pub struct OwnershipTask {
-    state: State,
+    pub(crate) state: State,
     table: Arc<dyn Table>,
     peers: Arc<dyn Peers>,
     appends: HashMap<AppendId, oneshot::Sender<Result<()>>>,
     next_append: AppendId,
     hand_overs: Vec<oneshot::Sender<Result<()>>>,
-    groups: Vec<(SmolStr, MessageChannel<GroupEvent, (), Weak>)>,
-    directories: Subscribers<Arc<Directory>>,
-    directory: Arc<Directory>,
+    pub(crate) groups: Vec<(SmolStr, MessageChannel<GroupEvent, (), Weak>)>,
+    pub(crate) directories: Subscribers<Arc<Directory>>,
+    pub(crate) directory: Arc<Directory>,
     revision: u64,
-    standings: Subscribers<Standing>,
-    standing: Standing,
-    leases: Subscribers<LeaseUntil>,
-    lease: Option<Instant>,
+    pub(crate) standings: Subscribers<Standing>,
+    pub(crate) standing: Standing,
+    pub(crate) leases: Subscribers<LeaseUntil>,
+    pub(crate) lease: Option<Instant>,
     incarnation: IncarnationId,
     timeout: Duration,
 }
@@ -154,17 +154,13 @@
 
     /// Runs a call outside of the task; its result comes back as a message.
     fn start(&self, effect: Effect, context: &Context<Self>) {
-        let table = Arc::clone(&self.table);
-        let peers = Arc::clone(&self.peers);
-        let incarnation = self.incarnation.clone();
-        let timeout = self.timeout;
-        let address = context.mailbox().address();
-        tokio::spawn(async move {
-            let finished = calls::run(effect, &incarnation, table, peers, timeout).await;
-            if let Some(finished) = finished {
-                let _ = address.send(finished).detach().await;
-            }
-        });
+        let way = Way {
+            me: self.incarnation.clone(),
+            table: Arc::clone(&self.table),
+            peers: Arc::clone(&self.peers),
+            timeout: self.timeout,
+        };
+        tokio::spawn(calls::run(effect, way, context.mailbox().address()));
     }
 
     fn answer(&mut self, append: AppendId, result: Result<()>) {
@@ -348,58 +344,3 @@
         let _ = ask.reply.send(reply);
     }
 }
-
-impl Handler<SubscribeGroups> for OwnershipTask {
-    type Return = ();
-
-    async fn handle(&mut self, subscription: SubscribeGroups, _context: &mut Context<Self>) {
-        let channel = subscription.subscriber;
-        let prefix = subscription.prefix;
-        let served = self
-            .state
-            .served()
-            .filter(|(group, _)| group.starts_with(prefix.as_str()));
-        for (group, owned) in served {
-            let event = GroupEvent::Adopted {
-                group: group.clone(),
-                epoch: owned.epoch,
-                entries: Arc::new(self.state.entries(group)),
-                fenced: owned.fenced.clone(),
-            };
-            let _ = channel.send(event).detach().await;
-        }
-        self.groups.push((prefix, channel));
-    }
-}
-
-impl Handler<SubscribeDirectory> for OwnershipTask {
-    type Return = ();
-
-    async fn handle(&mut self, subscription: SubscribeDirectory, _context: &mut Context<Self>) {
-        let channel = subscription.subscriber;
-        let _ = channel.send(Arc::clone(&self.directory)).detach().await;
-        self.directories.add(channel);
-    }
-}
-
-impl Handler<SubscribeStanding> for OwnershipTask {
-    type Return = ();
-
-    async fn handle(&mut self, subscription: SubscribeStanding, _context: &mut Context<Self>) {
-        let channel = subscription.subscriber;
-        let _ = channel.send(self.standing).detach().await;
-        self.standings.add(channel);
-    }
-}
-
-impl Handler<SubscribeLease> for OwnershipTask {
-    type Return = ();
-
-    async fn handle(&mut self, subscription: SubscribeLease, _context: &mut Context<Self>) {
-        let channel = subscription.subscriber;
-        if let Some(until) = self.lease {
-            let _ = channel.send(LeaseUntil(until)).detach().await;
-        }
-        self.leases.add(channel);
-    }
-}
--- /dev/null
+++ b/jackdawchute-ownership/tests/properties.rs
@@ -0,0 +1,132 @@
+//! Properties of sharing out and trimming, over random inputs with fixed seeds.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use jackdawchute_ownership::{
+    adopt::{replay, Journals},
+    assign::{claims, excess, Owners},
+    journal::Journal,
+    rows::{Segment, SegmentEntry, Segments, Source},
+};
+use jackdawchute_types::IncarnationId;
+use quickcheck::{Arbitrary, Gen};
+
+const CASES: u64 = 100;
+
+/// Runs a property over cases that are the same in every run.
+fn for_each_case<T: Arbitrary>(property: impl Fn(T)) {
+    for seed in 0..CASES {
+        property(T::arbitrary(&mut Gen::from_size_and_seed(40, seed)));
+    }
+}
+
+fn incarnations(count: u8) -> BTreeSet<IncarnationId> {
+    (0..=count % 8)
+        .map(|n| IncarnationId::from(format!("entry-{n}")))
+        .collect()
+}
+
+/// Groups of which some belong to one of the incarnations, as the numbers say.
+fn owners(numbers: &[Option<u8>], live: &BTreeSet<IncarnationId>) -> Owners {
+    let owner = |n: u8| live.iter().nth(usize::from(n) % live.len()).cloned();
+    let groups = numbers.iter().enumerate();
+    groups
+        .map(|(index, n)| (format!("rack/r{index}").into(), n.and_then(owner)))
+        .collect()
+}
+
+fn loads(owners: &Owners, live: &BTreeSet<IncarnationId>) -> Vec<usize> {
+    let load = |id: &IncarnationId| owners.values().flatten().filter(|o| *o == id).count();
+    live.iter().map(load).collect()
+}
+
+#[test]
+fn every_group_is_claimed_by_exactly_one_incarnation() {
+    for_each_case(|(numbers, count): (Vec<Option<u8>>, u8)| {
+        let live = incarnations(count);
+        let owners = owners(&numbers, &live);
+
+        let claimed: Vec<_> = live
+            .iter()
+            .flat_map(|id| claims(&owners, &live, id))
+            .collect();
+
+        let unowned = owners.iter().filter(|(_, owner)| owner.is_none());
+        let unowned: BTreeSet<_> = unowned.map(|(group, _)| group.clone()).collect();
+        assert_eq!(claimed.len(), unowned.len());
+        assert_eq!(claimed.into_iter().collect::<BTreeSet<_>>(), unowned);
+    });
+}
+
+#[test]
+fn giving_up_and_claiming_ends_with_even_loads() {
+    for_each_case(|(numbers, count): (Vec<Option<u8>>, u8)| {
+        let live = incarnations(count);
+        let mut owners = owners(&numbers, &live);
+
+        for _ in 0..numbers.len() + 1 {
+            for id in &live {
+                for group in claims(&owners, &live, id) {
+                    owners.insert(group, Some(id.clone()));
+                }
+            }
+            let given_up: Vec<_> = live
+                .iter()
+                .filter_map(|id| excess(&owners, &live, id))
+                .collect();
+            for group in given_up {
+                owners.insert(group, None);
+            }
+        }
+
+        let loads = loads(&owners, &live);
+        let spread = loads.iter().max().unwrap() - loads.iter().min().unwrap();
+        assert!(spread <= 1, "{loads:?}");
+    });
+}
+
+fn segment(entries: &[(u8, Option<u8>)]) -> Segment {
+    let entry = |(key, value): &(u8, Option<u8>)| SegmentEntry {
+        group: "g".into(),
+        epoch: 1,
+        key: format!("k{}", key % 32).into(),
+        value: value.map(|value| value.to_string()),
+    };
+    entries.iter().map(entry).collect()
+}
+
+#[test]
+fn a_trimmed_journal_replays_to_the_last_values_within_its_bound() {
+    for_each_case(|commits: Vec<Vec<(u8, Option<u8>)>>| {
+        let mut journal = Journal::default();
+        let mut table = Segments::new();
+        let mut expected = BTreeMap::new();
+
+        let mut longest = 0;
+        for (number, entries) in commits.iter().cycle().take(commits.len() * 8).enumerate() {
+            let trim = journal.trim();
+            let written = [trim.entries.clone(), segment(entries)].concat();
+            let number = number as u64;
+            table.insert(number, written.clone());
+            table.retain(|number, _| !trim.segments.contains(number));
+            journal.landed(number, written, |_| true);
+            journal.deleted(&trim.segments);
+            for entry in segment(entries) {
+                match entry.value {
+                    Some(value) => expected.insert(entry.key, value),
+                    None => expected.remove(&entry.key),
+                };
+            }
+            longest = longest.max(journal.entries_len());
+        }
+
+        let source = Source {
+            incarnation: "a".into(),
+            epoch: 1,
+        };
+        let journals = Journals::from([("a".into(), table)]);
+        assert_eq!(replay("g", &[source], &journals), expected);
+        let largest = commits.iter().map(Vec::len).max().unwrap_or(0);
+        assert!(longest <= 2 * 32 + 256 + 32 + largest, "{longest}");
+    });
+}
--- a/jackdawchute-ownership/tests/store_faults.rs
+++ b/jackdawchute-ownership/tests/store_faults.rs
@@ -127,6 +127,20 @@
     );
 }
 
+#[tokio::test]
+async fn a_table_slower_than_the_timeout_still_takes_appends() {
+    let cell = Cell::new();
+    let node = lone(&cell).await;
+
+    node.table
+        .set(Fault::Slow(cell.timing.call_timeout.mul_f32(1.5)));
+    let first = node.append("g1", "first", Some("v")).await;
+    let second = node.append("g1", "second", Some("v")).await;
+
+    assert_eq!((first, second), (Ok(()), Ok(())));
+    assert_eq!(times_journaled(&cell.table, "first"), 1);
+}
+
 #[tokio::test]
 async fn a_table_that_does_not_answer_counts_as_down() {
     let cell = Cell::new();
