--- a/jackdawchute-ownership/tests/support/node.rs
+++ b/jackdawchute-ownership/tests/support/node.rs
@@ -16,7 +16,7 @@
 use jackdawchute_platform::MemoryTable;
 use jackdawchute_timer::TimerTask;
 use jackdawchute_types::{GroupId, IncarnationId};
-use tokio::sync::oneshot;
+use tokio::sync::oneshot::{self, Receiver};
 use xtra::prelude::*;
 
 use super::{Fault, FaultyTable, LocalPeers, PeersOf};
@@ -191,15 +191,24 @@
     }
 
     pub async fn append_all(&self, entries: Vec<JournalEntry>) -> Result<()> {
+        let answer = self.begin_append(entries).await;
+        within("an append is answered", answer)
+            .await
+            .expect("every append is answered")
+    }
+
+    pub async fn begin_append(&self, entries: Vec<JournalEntry>) -> Receiver<Result<()>> {
         let (reply, answer) = oneshot::channel();
         self.task.send(Append { entries, reply }).await.unwrap();
-        answer.await.expect("every append is answered")
+        answer
     }
 
     pub async fn hand_over(&self) -> Result<()> {
         let (reply, answer) = oneshot::channel();
         self.task.send(HandOver { reply }).await.unwrap();
-        answer.await.expect("a hand over is answered")
+        within("a hand over is answered", answer)
+            .await
+            .expect("a hand over is answered")
     }
 
     pub fn owns(&self, group: &str) -> bool {
