--- /dev/null
+++ b/jackdawchute-placement/examples/decisions.rs
@@ -0,0 +1,358 @@
+//! Measures decisions: `cargo run --release -p jackdawchute-placement --example decisions`.
+//!
+//! For each fleet size and policy it prints a table line and a JSON line: time per decision,
+//! decisions per second on one core, and packing against a best fit with full hindsight on the
+//! same jobs. Seeds are fixed; each part is bounded in the number of decisions and in time.
+
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use jackdawchute_placement::{
+    Ask, ByKind, FirstFit, Fleet, Pack, PlacementPolicy, Random, WorkerSlot,
+};
+use jackdawchute_types::{JobKind, Resources, TaskId, WorkerId};
+use rand::{rngs::SmallRng, Rng, SeedableRng};
+use serde_json::json;
+use smol_str::format_smolstr;
+
+const SEED: u64 = 20;
+/// The job sequences of the packing part; its figures are means over them.
+const PACKING_SEEDS: [u64; 5] = [21, 22, 23, 24, 25];
+const SIZES: [usize; 4] = [50, 400, 2_000, 6_700];
+const WORKERS_PER_RACK: usize = 8;
+const FAILURE_DOMAINS: usize = 17;
+const DECISIONS_MAX: usize = 20_000;
+const TIME_MAX: Duration = Duration::from_secs(4);
+/// The tasks beyond the total free that are passed over before a fill ends.
+const SKIPPED_MAX: usize = 2_000;
+/// How full the fleet is kept while decisions are timed, in per cent.
+const FULL_PERCENT: u64 = 85;
+
+fn main() {
+    // First, while the allocator holds nothing that it could use again.
+    print_state();
+    println!(
+        "{:>7} {:>10} {:>9} {:>9} {:>9} {:>12} {:>22} {:>9} {:>6} {:>18}",
+        "workers",
+        "policy",
+        "p50 us",
+        "p99 us",
+        "max us",
+        "decisions/s",
+        "cpu/mem/acc at refusal",
+        "hindsight",
+        "least",
+        "by resource"
+    );
+    let mut slopes = Vec::new();
+    for workers in SIZES {
+        let bounds = PACKING_SEEDS.map(|seed| hindsight(workers, seed));
+        for policy in [0, 1, 2] {
+            let line = measure(workers, policy, &bounds);
+            slopes.push((workers, policy, line));
+        }
+    }
+    print_slopes(&slopes);
+}
+
+fn policy(number: usize) -> Box<dyn PlacementPolicy> {
+    match number {
+        0 => Box::new(ByKind::default()),
+        1 => Box::new(FirstFit),
+        _ => Box::new(Random::new(SEED)),
+    }
+}
+
+/// Workers of both users' sizes; about a third with accelerators, 14,000 on 6,700.
+fn fleet(workers: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    for number in 0..workers {
+        let capacity = match number % 20 {
+            0..=5 => Resources::new(64_000, 262_144, 7),
+            6..=12 => Resources::new(32_000, 131_072, 0),
+            _ => Resources::new(16_000, 32_768, 0),
+        };
+        let rack = number / WORKERS_PER_RACK;
+        fleet.upsert(WorkerSlot {
+            id: format_smolstr!("w{number:05}"),
+            rack: format_smolstr!("r{rack:04}"),
+            failure_domain: format_smolstr!("d{:02}", rack % FAILURE_DOMAINS),
+            capacity,
+            accepting: true,
+            charged: Resources::ZERO,
+        });
+    }
+    fleet
+}
+
+/// The next task of the mix: a fifth services, some with accelerators, few large.
+fn next_ask(random: &mut SmallRng) -> Ask {
+    let kind = if random.random_ratio(1, 5) {
+        JobKind::Service
+    } else {
+        JobKind::Batch
+    };
+    let resources = match random.random_range(0..100) {
+        0..=14 => {
+            let accelerators = [1, 1, 1, 2, 4][random.random_range(0..5)];
+            let share = u64::from(accelerators);
+            Resources::new(6_000 * share, 24_576 * share, accelerators)
+        }
+        15..=19 => Resources::new(12_000, random.random_range(12..=48) * 1_024, 0),
+        _ => {
+            let cores = [500, 1_000, 1_000, 2_000, 4_000][random.random_range(0..5)];
+            Resources::new(
+                cores,
+                cores * random.random_range(1..=8) / 1_000 * 1_024 + 512,
+                0,
+            )
+        }
+    };
+    Ask {
+        kind,
+        count: 1,
+        resources,
+        placed: Vec::new(),
+    }
+}
+
+struct Line {
+    p50_us: f64,
+}
+
+fn measure(workers: usize, number: usize, bounds: &[Packing]) -> Line {
+    let packings = PACKING_SEEDS.map(|seed| pack(workers, policy(number).as_mut(), seed));
+    let (histogram, per_second) = time_decisions(workers, policy(number).as_mut());
+    let us = |nanos: u64| nanos as f64 / 1_000.0;
+    let (p50, p99) = (
+        us(histogram.value_at_quantile(0.5)),
+        us(histogram.value_at_quantile(0.99)),
+    );
+    let max = us(histogram.max());
+    let name = policy(number).name();
+    let ratios: Vec<f64> = packings
+        .iter()
+        .zip(bounds)
+        .map(|(packing, bound)| packing.mean_percent / bound.mean_percent.max(1e-9))
+        .collect();
+    let mean = |values: &[f64]| values.iter().sum::<f64>() / values.len() as f64;
+    let (ratio, least) = (
+        mean(&ratios),
+        ratios.iter().copied().fold(f64::MAX, f64::min),
+    );
+    let used = |resource: usize| mean(&packings.each_ref().map(|p| p.used_percent[resource]));
+    let [processor, memory, accelerators] = [used(0), used(1), used(2)];
+    let bound = |resource: usize| {
+        let values: Vec<f64> = bounds.iter().map(|p| p.used_percent[resource]).collect();
+        mean(&values)
+    };
+    let by_resource = [0, 1, 2].map(|resource| used(resource) / bound(resource).max(1e-9));
+    println!(
+        "{workers:>7} {name:>10} {p50:>9.1} {p99:>9.1} {max:>9.1} {per_second:>12.0} {:>22} {ratio:>9.3} {least:>6.3} {:>18}",
+        format!("{processor:.1}/{memory:.1}/{accelerators:.1}"),
+        by_resource.map(|ratio| format!("{ratio:.3}")).join("/")
+    );
+    let line = json!({
+        "workers": workers, "policy": name, "p50_us": p50, "p99_us": p99, "max_us": max,
+        "decisions_per_second": per_second, "processor_percent": processor,
+        "memory_percent": memory, "accelerator_percent": accelerators,
+        "hindsight_ratio": ratio, "hindsight_ratio_least": least, "hindsight_ratio_by_resource": by_resource,
+    });
+    println!("{line}");
+    Line { p50_us: p50 }
+}
+
+/// Keeps the fleet about equally full and times each decision, without the charge.
+fn time_decisions(workers: usize, policy: &mut dyn PlacementPolicy) -> (Histogram<u64>, f64) {
+    let mut fleet = fleet(workers);
+    let mut random = SmallRng::seed_from_u64(SEED);
+    let mut running: Vec<(TaskId, Resources)> = Vec::new();
+    let mut used = Resources::ZERO;
+    let mut histogram = Histogram::new(3).expect("three digits are allowed");
+    let full = fleet.total().processor_millicores * FULL_PERCENT / 100;
+    let began = Instant::now();
+    let (mut number, mut timed, mut busy) = (0_u64, 0, Duration::ZERO);
+    while timed < DECISIONS_MAX && began.elapsed() < TIME_MAX {
+        number += 1;
+        while used.processor_millicores > full {
+            let (task, amount) = running.swap_remove(random.random_range(0..running.len()));
+            fleet.release(&task);
+            used = used.saturating_sub(&amount);
+        }
+        let ask = next_ask(&mut random);
+        let at = Instant::now();
+        let chosen = policy.place(&fleet, &ask);
+        let task = format_smolstr!("t{number}");
+        if let Some(worker) = chosen.first() {
+            fleet.charge(worker, &task, ask.resources);
+            running.push((task, ask.resources));
+            used = used.saturating_add(&ask.resources);
+        }
+        let took = at.elapsed();
+        if used.processor_millicores * 10 > full * 9 {
+            timed += 1;
+            busy += took;
+            let _ = histogram.record(u64::try_from(took.as_nanos()).unwrap_or(u64::MAX));
+        }
+    }
+    (histogram, timed as f64 / busy.as_secs_f64().max(1e-9))
+}
+
+struct Packing {
+    /// The mean of the shares of the three resources, in per cent.
+    mean_percent: f64,
+    used_percent: [f64; 3],
+}
+
+fn packing_of(total: &Resources, used: &Resources) -> Packing {
+    let percent = |part: u64, whole: u64| 100.0 * part as f64 / whole.max(1) as f64;
+    let used_percent = [
+        percent(used.processor_millicores, total.processor_millicores),
+        percent(used.memory_mib, total.memory_mib),
+        percent(used.accelerators.into(), total.accelerators.into()),
+    ];
+    let mean_percent = used_percent.iter().sum::<f64>() / used_percent.len() as f64;
+    Packing {
+        mean_percent,
+        used_percent,
+    }
+}
+
+/// Fills the fleet until the first task that would fit the total free is refused.
+fn pack(workers: usize, policy: &mut dyn PlacementPolicy, seed: u64) -> Packing {
+    let mut fleet = fleet(workers);
+    let mut random = SmallRng::seed_from_u64(seed);
+    let (mut used, mut tasks, mut skipped) = (Resources::ZERO, 0, 0);
+    loop {
+        let ask = next_ask(&mut random);
+        if !used.saturating_add(&ask.resources).fits_in(&fleet.total()) {
+            skipped += 1;
+            if skipped > SKIPPED_MAX {
+                break;
+            }
+            continue;
+        }
+        let chosen = policy.place(&fleet, &ask);
+        let Some(worker) = chosen.first() else { break };
+        fleet.charge(worker, &format_smolstr!("t{tasks}"), ask.resources);
+        used = used.saturating_add(&ask.resources);
+        tasks += 1;
+    }
+    packing_of(&fleet.total(), &used)
+}
+
+/// The longest prefix of the same jobs that a best fit packs when it sees them all at once and
+/// takes the largest first.
+fn hindsight(workers: usize, seed: u64) -> Packing {
+    let total = fleet(workers).total();
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut asks: Vec<Ask> = Vec::new();
+    let (mut sum, mut skipped) = (Resources::ZERO, 0);
+    while skipped <= SKIPPED_MAX {
+        let ask = next_ask(&mut random);
+        let with = sum.saturating_add(&ask.resources);
+        if !with.fits_in(&total) {
+            skipped += 1;
+            continue;
+        }
+        sum = with;
+        asks.push(ask);
+    }
+    let (mut packs, mut fails) = (0, asks.len() + 1);
+    while fails - packs > (asks.len() / 500).max(1) {
+        let middle = (packs + fails) / 2;
+        if packs_all(workers, &asks[..middle], &total) {
+            packs = middle;
+        } else {
+            fails = middle;
+        }
+    }
+    let used = asks[..packs].iter().fold(Resources::ZERO, |sum, ask| {
+        sum.saturating_add(&ask.resources)
+    });
+    packing_of(&total, &used)
+}
+
+fn packs_all(workers: usize, asks: &[Ask], total: &Resources) -> bool {
+    let mut fleet = fleet(workers);
+    let mut asks: Vec<&Ask> = asks.iter().collect();
+    let share = |ask: &Ask| {
+        let processor =
+            ask.resources.processor_millicores as f64 / total.processor_millicores as f64;
+        let memory = ask.resources.memory_mib as f64 / total.memory_mib as f64;
+        let accelerators =
+            f64::from(ask.resources.accelerators) / f64::from(total.accelerators.max(1));
+        processor.max(memory).max(accelerators)
+    };
+    asks.sort_by(|left, right| {
+        let key = |ask: &Ask| (ask.resources.accelerators, share(ask));
+        key(right)
+            .partial_cmp(&key(left))
+            .expect("shares are numbers")
+    });
+    let mut policy = Pack;
+    asks.iter().enumerate().all(|(number, ask)| {
+        let ask = Ask {
+            kind: JobKind::Batch,
+            ..(*ask).clone()
+        };
+        let chosen: Vec<WorkerId> = policy.place(&fleet, &ask);
+        let Some(worker) = chosen.first() else {
+            return false;
+        };
+        fleet.charge(worker, &format_smolstr!("t{number}"), ask.resources);
+        true
+    })
+}
+
+/// The growth of the median with the number of workers, as an exponent.
+fn print_slopes(lines: &[(usize, usize, Line)]) {
+    for number in [0, 1, 2] {
+        let of = |workers| {
+            let line = lines.iter().find(|(w, p, _)| *w == workers && *p == number);
+            line.map_or(1.0, |(_, _, line)| line.p50_us.max(0.001))
+        };
+        let (least, most) = (SIZES[0], SIZES[SIZES.len() - 1]);
+        let slope = (of(most) / of(least)).ln() / (most as f64 / least as f64).ln();
+        let name = policy(number).name();
+        println!("{name}: median grows with workers^{slope:.2} from {least} to {most}");
+        println!("{}", json!({"policy": name, "slope_exponent": slope}));
+    }
+}
+
+/// The growth of the resident set by fleets with ten tasks on each worker.
+fn print_state() {
+    let (before, workers) = (resident_bytes(), SIZES[SIZES.len() - 1]);
+    let mut fleet = fleet(workers);
+    let empty = resident_bytes();
+    let ids: Vec<WorkerId> = fleet.workers().map(|slot| slot.id.clone()).collect();
+    for task in 0..workers * 10 {
+        let amount = Resources::new(100, 100, 0);
+        fleet.charge(
+            &ids[task % workers],
+            &format_smolstr!("job{task:08}-0"),
+            amount,
+        );
+    }
+    let full = resident_bytes();
+    let per = |bytes: u64, count: usize| bytes as f64 / count as f64;
+    let (worker, task) = (
+        per(empty - before, workers),
+        per(full - empty, workers * 10),
+    );
+    println!("state: {worker:.0} bytes per worker, {task:.0} bytes per charged task");
+    println!(
+        "{}",
+        json!({"bytes_per_worker": worker, "bytes_per_task": task})
+    );
+}
+
+fn resident_bytes() -> u64 {
+    const PAGE_BYTES: u64 = 4_096;
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
