test: loads begin once the balancer has found every instance ready

A load began before the balancer's first checks were done, so its first requests found no instance; that was a fault of the harness and failed two tests. Failures now list their requests in one line each.

--- a/jackdawchute-standins/src/balancer/messages.rs
+++ b/jackdawchute-standins/src/balancer/messages.rs
@@ -15,6 +15,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Pick;
 
+/// Asks for the instances that are ready.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadReady;
+
 /// Replaces the instances; new ones get work once they are found ready.
 #[derive(Clone, Debug)]
 pub struct SetTargets(pub Vec<Target>);
--- a/jackdawchute-standins/src/balancer/mod.rs
+++ b/jackdawchute-standins/src/balancer/mod.rs
@@ -3,5 +3,5 @@
 mod messages;
 mod task;
 
-pub use messages::{Pick, SetTargets, Target};
+pub use messages::{Pick, ReadReady, SetTargets, Target};
 pub use task::{spawn, BalancerTask};
--- a/jackdawchute-standins/src/balancer/task.rs
+++ b/jackdawchute-standins/src/balancer/task.rs
@@ -6,7 +6,7 @@
 
 use super::{
     messages::{Checked, ReadTargets},
-    Pick, SetTargets, Target,
+    Pick, ReadReady, SetTargets, Target,
 };
 
 /// The time between two checks of an instance.
@@ -76,6 +76,14 @@
     }
 }
 
+impl Handler<ReadReady> for BalancerTask {
+    type Return = Vec<Target>;
+
+    async fn handle(&mut self, _read: ReadReady, _context: &mut Context<Self>) -> Vec<Target> {
+        self.ready.clone()
+    }
+}
+
 impl Handler<SetTargets> for BalancerTask {
     type Return = ();
 
--- a/jackdawchute-standins/src/harness/cell.rs
+++ b/jackdawchute-standins/src/harness/cell.rs
@@ -13,10 +13,10 @@
 use super::{
     entry::PlatformAddresses,
     members::{spread, start_minions, start_workers},
-    CellEntry, CellMinion, CellOptions, CellWorker, TemporaryDirectory,
+    wait_until, CellEntry, CellMinion, CellOptions, CellWorker, TemporaryDirectory,
 };
 use crate::{
-    balancer::{self, BalancerTask, SetTargets},
+    balancer::{self, BalancerTask, ReadReady, SetTargets},
     membership::{spawn_membership, RunningMembership},
     table::{spawn_table, RunningTable},
     Error, Result,
@@ -134,13 +134,19 @@
         self.publish_members().await
     }
 
-    /// Waits until every entry instance is ready.
+    /// Waits until every entry instance is ready and the balancer has found it so.
     ///
     /// # Errors
     /// One was not ready before the deadline.
     pub async fn wait_until_ready(&self) -> Result<()> {
         for entry in &self.entries {
             entry.wait_until_ready().await?;
+            let target = entry.target();
+            wait_until("instance with the balancer", || async {
+                let ready = self.balancer.send(ReadReady).await.ok()?;
+                ready.contains(&target).then_some(())
+            })
+            .await?;
         }
         Ok(())
     }
--- a/jackdawchute-standins/src/load/run.rs
+++ b/jackdawchute-standins/src/load/run.rs
@@ -1,6 +1,6 @@
 //! Sends a load.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use smol_str::{format_smolstr, SmolStr};
 use tokio::{
@@ -30,6 +30,19 @@
     pub outcome: Outcome,
 }
 
+impl fmt::Display for Finished {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{} at {} ms after {} ms: {:?}",
+            self.call.tag,
+            self.intended.as_millis(),
+            self.latency.as_millis(),
+            self.outcome
+        )
+    }
+}
+
 /// A load under way; dropping it stops new requests.
 #[derive(Debug)]
 pub struct RunningLoad {
--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -50,16 +50,15 @@
     load
 }
 
-fn failed(finished: &[Finished]) -> Vec<&Finished> {
+fn failed(finished: &[Finished]) -> Vec<String> {
     let failed = finished.iter().filter(|it| !it.outcome.is_answered());
-    failed.collect()
+    failed.map(ToString::to_string).collect()
 }
 
 async fn assert_no_request_failed(cell: &Cell, finished: &[Finished]) {
-    let failed = failed(finished);
     assert!(finished.len() > 100);
     assert_eq!(cell.untruths(finished).await.unwrap(), Vec::<String>::new());
-    assert!(failed.is_empty(), "{} failed: {failed:?}", failed.len());
+    assert_eq!(failed(finished), Vec::<String>::new());
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/store_failures.rs
+++ b/tests/store_failures.rs
@@ -96,6 +96,10 @@
     matching.filter(|it| !it.outcome.is_answered()).collect()
 }
 
+fn texts(finished: &[&Finished]) -> Vec<String> {
+    finished.iter().map(ToString::to_string).collect()
+}
+
 /// An outage of the table for all, and what callers saw before, during and after it.
 struct Outage {
     finished: Vec<Finished>,
@@ -167,14 +171,22 @@
     let settled = outage.down_from + IN_FLIGHT_TIME;
     let started = orders_started(&cell, settled, outage.down_to).await;
     assert_eq!(cell.untruths(finished).await.unwrap(), Vec::<String>::new());
-    assert!(quotes.is_empty(), "idempotent requests go on: {quotes:?}");
+    assert_eq!(
+        texts(&quotes),
+        Vec::<String>::new(),
+        "idempotent requests go on"
+    );
     assert_eq!(started, 0, "no order runs without its intent");
     assert!(!orders.is_empty());
     assert!(
         untold.len() <= IN_FLIGHT_MAX,
         "refused as not run: {untold:?}"
     );
-    assert!(late_orders.is_empty(), "orders run again: {late_orders:?}");
+    assert_eq!(
+        texts(&late_orders),
+        Vec::<String>::new(),
+        "orders run again"
+    );
     assert_eq!(lapsed_tasks(&cell).await, 0, "running tasks go on");
 }
 
@@ -266,7 +278,7 @@
         cell.untruths(&finished).await.unwrap(),
         Vec::<String>::new()
     );
-    assert!(late.is_empty(), "{late:?}");
+    assert_eq!(texts(&late), Vec::<String>::new());
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -295,8 +307,8 @@
         cell.untruths(&finished).await.unwrap(),
         Vec::<String>::new()
     );
-    assert!(late_orders.is_empty(), "{late_orders:?}");
-    assert!(late_quotes.is_empty(), "{late_quotes:?}");
+    assert_eq!(texts(&late_orders), Vec::<String>::new());
+    assert_eq!(texts(&late_quotes), Vec::<String>::new());
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -325,5 +337,5 @@
         cell.untruths(&finished).await.unwrap(),
         Vec::<String>::new()
     );
-    assert!(failed.is_empty(), "{failed:?}");
+    assert_eq!(texts(&failed), Vec::<String>::new());
 }
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -75,15 +75,13 @@
 }
 
 /// Requests of a class that were to be sent after `since` and got no answer of their own.
-fn unanswered_since<'a>(
-    finished: &'a [Finished],
-    class: &str,
-    since: Duration,
-) -> Vec<&'a Finished> {
+fn unanswered_since(finished: &[Finished], class: &str, since: Duration) -> Vec<String> {
     let late = finished
         .iter()
         .filter(|it| it.intended >= since && it.class == class);
-    late.filter(|it| !it.outcome.is_answered()).collect()
+    late.filter(|it| !it.outcome.is_answered())
+        .map(ToString::to_string)
+        .collect()
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -111,8 +109,8 @@
     assert!(takeover < TAKEOVER_BOUND, "{takeover:?}");
     let late_orders = unanswered_since(&finished, "order", settled);
     let late_quotes = unanswered_since(&finished, "quote", settled);
-    assert!(late_orders.is_empty(), "{late_orders:?}");
-    assert!(late_quotes.is_empty(), "{late_quotes:?}");
+    assert_eq!(late_orders, Vec::<String>::new());
+    assert_eq!(late_quotes, Vec::<String>::new());
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -180,15 +178,14 @@
     tokio::time::sleep(PHASE).await;
     let finished = load.stop().await;
 
-    let failed: Vec<_> = finished
-        .iter()
-        .filter(|it| !it.outcome.is_answered())
-        .collect();
+    let orders = unanswered_since(&finished, "order", Duration::ZERO);
+    let quotes = unanswered_since(&finished, "quote", Duration::ZERO);
     assert_eq!(
         cell.untruths(&finished).await.unwrap(),
         Vec::<String>::new()
     );
-    assert!(failed.is_empty(), "{failed:?}");
+    assert_eq!(orders, Vec::<String>::new());
+    assert_eq!(quotes, Vec::<String>::new());
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -231,5 +228,5 @@
         cell.untruths(&finished).await.unwrap(),
         Vec::<String>::new()
     );
-    assert!(late_orders.is_empty(), "{late_orders:?}");
+    assert_eq!(late_orders, Vec::<String>::new());
 }
