--- /dev/null
+++ b/tests/task_leases.rs
@@ -0,0 +1,77 @@
+//! Running tasks keep their leases while nothing fails.
+
+use std::time::Duration;
+
+use jackdawchute_configuration::Configuration;
+use jackdawchute_platform::TaskEnd;
+use jackdawchute_standins::{
+    caller::Caller,
+    harness::{wait_until, Cell, CellOptions, WorkerPlan},
+};
+use jackdawchute_types::{JobKind, JobSpec, JobState, Resources};
+
+/// How long tasks are watched: several leases.
+const WATCH: Duration = Duration::from_secs(8);
+
+fn options(task_lease_ms: u64) -> CellOptions {
+    let mut options = CellOptions {
+        workers: WorkerPlan {
+            workers: 2,
+            workers_per_rack: 2,
+            resources: Resources::new(4_000, 16_384, 0),
+        },
+        ..CellOptions::new(env!("CARGO_BIN_EXE_jackdawchute"))
+    };
+    let lease = format!("task_lease_ms: {task_lease_ms}");
+    options.configuration = options.configuration.replace("task_lease_ms: 6000", &lease);
+    options
+}
+
+fn service() -> JobSpec {
+    JobSpec {
+        kind: JobKind::Service,
+        class: "service".into(),
+        team: "micdejun".into(),
+        tasks: 4,
+        resources: Resources::new(1_000, 1_024, 0),
+        run_time: Default::default(),
+        deadline: Default::default(),
+        idempotency_key: None,
+        command: "forever".into(),
+    }
+}
+
+async fn lapsed_after_a_while(options: CellOptions) -> usize {
+    let cell = Cell::start(options).await.unwrap();
+    let caller = Caller::new().unwrap();
+    let address = cell.entries[0].process.callers;
+    let job = caller.submit(address, &service()).await.unwrap();
+    wait_until("running job", || async {
+        let status = caller.job(address, &job.id).await.ok()?;
+        (status.state == JobState::Running).then_some(())
+    })
+    .await
+    .unwrap();
+    tokio::time::sleep(WATCH).await;
+    let records = cell.worker_records().await.unwrap();
+    let runs = records.iter().flat_map(|record| &record.runs);
+    runs.filter(|run| matches!(run.ended, Some((_, TaskEnd::LeaseLapsed))))
+        .count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_keep_their_leases() {
+    let lapsed = lapsed_after_a_while(options(6_000)).await;
+
+    assert_eq!(lapsed, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_task_lease_that_is_accepted_is_long_enough_to_be_kept() {
+    for task_lease_ms in [1_000, 3_000] {
+        let options = options(task_lease_ms);
+        if Configuration::parse(&options.configuration).is_ok() {
+            assert_eq!(lapsed_after_a_while(options).await, 0, "{task_lease_ms} ms");
+        }
+    }
+}
