test: operators' commands and cut-off instances against a cell of processes

Cause: the commands, the acceptance and the confirmation must hold with real processes, not only in the state.

--- a/jackdawchute-standins/src/harness/entry.rs
+++ b/jackdawchute-standins/src/harness/entry.rs
@@ -17,7 +17,7 @@
 };
 
 /// The token that operators present.
-pub(super) const OPERATOR_TOKEN: &str = "operator-token-of-the-tests";
+pub const OPERATOR_TOKEN: &str = "operator-token-of-the-tests";
 /// The token that peers present.
 const PEER_TOKEN: &str = "peer-token-of-the-tests";
 
--- a/jackdawchute-standins/src/harness/mod.rs
+++ b/jackdawchute-standins/src/harness/mod.rs
@@ -14,7 +14,7 @@
 
 pub use cell::Cell;
 pub use directory::TemporaryDirectory;
-pub use entry::CellEntry;
+pub use entry::{CellEntry, OPERATOR_TOKEN};
 pub use members::{CellMinion, CellWorker};
 pub use options::{CellOptions, ServicePlan, Timing, WorkerPlan};
 pub use process::{EntryProcess, Signal};
--- /dev/null
+++ b/tests/operators_commands.rs
@@ -0,0 +1,287 @@
+//! The operators' commands against a cell of processes, and what instances do that are cut off.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    process::Output,
+    time::{Duration, Instant},
+};
+
+use jackdawchute_configuration::{Configuration, Exception, Override};
+use jackdawchute_standins::{
+    harness::{wait_until, Cell, CellOptions, TemporaryDirectory, OPERATOR_TOKEN},
+    proxy::ProxyFaults,
+    table::{Availability, TableFaults},
+};
+use tokio::process::Command;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_jackdawchute");
+/// How soon an accepted configuration is in force everywhere.
+const IN_FORCE_MS_MAX: u64 = 4_000;
+
+/// How long the cell's instances need no confirmation of their configuration.
+const CONFIRM: Duration = Duration::from_secs(6);
+/// How soon after a version is in force no new work goes to a leaving failure domain.
+const SETTLE: Duration = Duration::from_secs(2);
+/// The time between two looks at an instance that must stay ready.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A cell, and what the commands need to call it.
+struct Fixture {
+    cell: Cell,
+    files: TemporaryDirectory,
+    token_file: PathBuf,
+}
+
+async fn fixture() -> Fixture {
+    let options = CellOptions {
+        entries: 3,
+        ..CellOptions::new(PROGRAM)
+    };
+    let files = TemporaryDirectory::new().unwrap();
+    let token_file = files.write("operator.token", OPERATOR_TOKEN).unwrap();
+    Fixture {
+        cell: Cell::start(options).await.unwrap(),
+        files,
+        token_file,
+    }
+}
+
+impl Fixture {
+    fn address(&self, entry: usize) -> SocketAddr {
+        self.cell.entries[entry].process.operators
+    }
+
+    /// Runs a command against the first instance.
+    async fn run(&self, arguments: &[&str]) -> Output {
+        self.command(arguments)
+            .arg("--token-file")
+            .arg(&self.token_file)
+            .output()
+            .await
+            .unwrap()
+    }
+
+    fn command(&self, arguments: &[&str]) -> Command {
+        let mut command = Command::new(PROGRAM);
+        command
+            .args(arguments)
+            .arg("--address")
+            .arg(self.address(0).to_string())
+            .kill_on_drop(true);
+        command
+    }
+
+    async fn apply(&self, author: &str, file: &str) -> Output {
+        let options = ["--author", author, "--reason", "a test", file];
+        self.run(&[&["config", "apply"], &options[..]].concat())
+            .await
+    }
+
+    /// Writes the accepted configuration with another retry budget.
+    async fn changed_file(&self, retry_budget_percent: u32) -> String {
+        let shown = self.run(&["config", "show"]).await;
+        let mut configuration = Configuration::parse(&text(&shown.stdout)).unwrap();
+        configuration.defaults.retry_budget_percent = retry_budget_percent;
+        let name = format!("budget-{retry_budget_percent}.yaml");
+        let yaml = configuration.to_yaml().unwrap();
+        let path = self.files.write(&name, &yaml).unwrap();
+        path.display().to_string()
+    }
+
+    /// The requests that the minions of a failure domain ran so far.
+    async fn runs(&self, failure_domain: &str) -> usize {
+        let records = self.cell.minion_records().await.unwrap();
+        let minions = self.cell.minions.iter().zip(records);
+        let there = minions.filter(|(minion, _)| minion.member.failure_domain == failure_domain);
+        there.map(|(_, record)| record.runs.len()).sum()
+    }
+
+    async fn ready(&self, entry: usize) -> (u16, String) {
+        let url = format!("http://{}/readyz", self.address(entry));
+        let response = client().get(url).send().await.unwrap();
+        (response.status().as_u16(), response.text().await.unwrap())
+    }
+}
+
+fn client() -> reqwest::Client {
+    reqwest::Client::builder().no_proxy().build().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+fn down() -> TableFaults {
+    TableFaults {
+        availability: Availability::Refusing,
+        ..TableFaults::default()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_shown_compared_applied_and_in_force() {
+    let fixture = fixture().await;
+    let file = fixture.changed_file(7).await;
+
+    let checked = fixture.command(&["config", "check", &file]).output();
+    let diff = fixture.run(&["config", "diff", &file]).await;
+    let applied = fixture.apply("ana", &file).await;
+    let waited = fixture.run(&["config", "wait", "2"]).await;
+    let history = fixture.run(&["config", "history"]).await;
+    let status = fixture.run(&["status"]).await;
+
+    assert_eq!(checked.await.unwrap().status.code(), Some(2));
+    let expected = "defaults.retry_budget_percent\n  - 10\n  + 7\n";
+    assert_eq!(text(&diff.stdout), expected);
+    assert_eq!(text(&applied.stdout), "version 2 accepted\n");
+    let waited = text(&waited.stdout);
+    println!("{waited}");
+    let words: Vec<&str> = waited.split_whitespace().collect();
+    assert_eq!(words[..7].join(" "), "version 2 in force at 3 instances");
+    assert!(
+        words[8].parse::<u64>().unwrap() < IN_FORCE_MS_MAX,
+        "{waited}"
+    );
+    assert!(text(&history.stdout).contains("ana"), "{history:?}");
+    let status = text(&status.stdout);
+    println!("{status}");
+    assert!(status.contains("service/repair-desk/ala-1"), "{status}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_second_of_two_operators_is_told_who_won() {
+    let fixture = fixture().await;
+    let first = fixture.changed_file(7).await;
+    let second = fixture.changed_file(8).await;
+
+    let won = fixture.apply("ana", &first).await;
+    let lost = fixture.apply("bogdan", &second).await;
+
+    assert_eq!(won.status.code(), Some(0));
+    assert_eq!(lost.status.code(), Some(1));
+    let told = text(&lost.stderr);
+    assert!(
+        told.contains("version 2 by ana was accepted first"),
+        "{told}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_need_the_token_and_usage_errors_have_their_code() {
+    let fixture = fixture().await;
+
+    let without_token = fixture.command(&["config", "show"]).output().await.unwrap();
+    let callers = fixture.cell.entries[0].process.callers;
+    let url = format!("http://{callers}/v1/configuration");
+    let from_callers = client().get(url).bearer_auth(OPERATOR_TOKEN).send().await;
+    let usage = fixture.run(&["config", "wait"]).await;
+
+    assert_eq!(without_token.status.code(), Some(1));
+    assert_eq!(from_callers.unwrap().status().as_u16(), 404);
+    assert_eq!(usage.status.code(), Some(2));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn while_the_table_is_down_the_version_stays_and_none_is_accepted() {
+    let mut fixture = fixture().await;
+    let file = fixture.changed_file(7).await;
+    fixture.cell.table.set_faults(None, down()).await.unwrap();
+
+    let applied = fixture.apply("ana", &file).await;
+    let watched_until = Instant::now() + CONFIRM * 2;
+    let mut unready = Vec::new();
+    while Instant::now() < watched_until {
+        let (status, missing) = fixture.ready(0).await;
+        if status != 200 {
+            unready.push(missing);
+        }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+    let newcomer = fixture.cell.add_entry().await.unwrap().process.operators;
+    let newcomer = newcomer.to_string();
+    let in_use = wait_until("version of the peers", || async {
+        let mut show = Command::new(PROGRAM);
+        show.args(["config", "show", "--in-use", "--address", &newcomer]);
+        show.arg("--token-file").arg(&fixture.token_file);
+        let shown = show.output().await.ok()?;
+        shown.status.success().then(|| text(&shown.stdout))
+    });
+
+    assert_eq!(applied.status.code(), Some(1));
+    assert_eq!(unready, [""; 0]);
+    let in_use = Configuration::parse(&in_use.await.unwrap()).unwrap();
+    assert_eq!(in_use.version, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_cut_from_the_table_and_its_peers_takes_no_new_work() {
+    let fixture = fixture().await;
+    let last = &fixture.cell.entries[2];
+    let refuse = ProxyFaults {
+        refuse: true,
+        ..ProxyFaults::default()
+    };
+    for peer in &fixture.cell.entries[..2] {
+        peer.peer_proxy.set_faults(refuse).await.unwrap();
+        peer.peer_proxy.cut().await.unwrap();
+    }
+
+    let cut = fixture
+        .cell
+        .table
+        .set_faults(Some(last.name.clone()), down());
+    cut.await.unwrap();
+    let refused = wait_until("unconfirmed instance", || async {
+        let (status, missing) = fixture.ready(2).await;
+        (status == 503 && missing.contains("confirmation")).then_some(())
+    });
+    refused.await.unwrap();
+    let url = format!("http://{}/repair-desk/quotes", last.process.callers);
+    let answer = client().get(url).send().await.unwrap();
+
+    assert_eq!(answer.status().as_u16(), 503);
+    let problem = answer.text().await.unwrap();
+    assert!(problem.contains("configuration-unconfirmed"), "{problem}");
+    assert!(problem.contains("not-run"), "{problem}");
+    assert_eq!(fixture.ready(0).await.0, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_failure_domain_gets_no_new_requests() {
+    const REQUESTS: usize = 30;
+    let fixture = fixture().await;
+    let shown = fixture.run(&["config", "show"]).await;
+    let mut configuration = Configuration::parse(&text(&shown.stdout)).unwrap();
+    configuration.exceptions = vec![Exception {
+        failure_domain: Some("ala-1".into()),
+        set: Override {
+            leaving: Some(true),
+            ..Override::default()
+        },
+        reason: "the power feed is replaced".into(),
+        ..Exception::default()
+    }];
+    let yaml = configuration.to_yaml().unwrap();
+    let file = fixture.files.write("leaving.yaml", &yaml).unwrap();
+    let url = format!(
+        "http://{}/repair-desk/quotes",
+        fixture.cell.entries[1].process.callers
+    );
+
+    let applied = fixture.apply("ana", &file.display().to_string()).await;
+    let waited = fixture.run(&["config", "wait", "2"]).await;
+    tokio::time::sleep(SETTLE).await;
+    let before = fixture.runs("ala-1").await;
+    let mut answered = 0;
+    for _ in 0..REQUESTS {
+        let answer = client().get(&url).send().await.unwrap();
+        answered += usize::from(answer.status().is_success());
+    }
+
+    assert_eq!(text(&applied.stdout), "version 2 accepted\n");
+    assert_eq!(waited.status.code(), Some(0));
+    assert_eq!(answered, REQUESTS);
+    assert_eq!(fixture.runs("ala-1").await, before);
+    assert!(fixture.runs("ala-2").await > 0);
+}
