fix: a version counts as in force only after the directory's lag

Ruled out: a slow command; the answer itself named one instance.

Change: the same incarnations must be seen with the version for 2.5 s; the time that is printed is that of the first look.

--- a/src/config/wait.rs
+++ b/src/config/wait.rs
@@ -1,7 +1,7 @@
 //! `jackdawchute config wait`.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -15,6 +15,9 @@
     Error, Result,
 };
 
+/// How long an instance may not know of another that joined; a version must be in force for as
+/// long before it counts as in force everywhere.
+const DIRECTORY_LAG: Duration = Duration::from_millis(2_500);
 /// The time between two looks.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// How long to wait unless the command line says otherwise, in milliseconds.
@@ -54,26 +57,50 @@
     timeout: Duration,
 ) -> Result<()> {
     let start = Instant::now();
+    let mut seen: Option<Seen> = None;
     loop {
         let reported = reported(&api.status().await?);
         let outcome = in_force(WaitOptions {
             version,
             reported: &reported,
         });
-        let waited_ms = start.elapsed().as_millis();
         match outcome {
             Outcome::InForce => {
-                let instances = reported.len();
-                println!(
-                    "version {version} in force at {instances} instances after {waited_ms} ms"
-                );
-                return Ok(());
+                let now = Instant::now();
+                let incarnations: BTreeSet<_> = reported.into_keys().collect();
+                let first = seen
+                    .take()
+                    .filter(|seen| seen.incarnations == incarnations)
+                    .unwrap_or(Seen {
+                        since: now,
+                        incarnations,
+                    });
+                if now - first.since >= DIRECTORY_LAG {
+                    first.print(version, start);
+                    return Ok(());
+                }
+                seen = Some(first);
             }
             Outcome::Lagging { incarnations } if start.elapsed() >= timeout => {
                 return Err(Error::Refused("wait for version", describe(&incarnations)));
             }
-            Outcome::Lagging { .. } => tokio::time::sleep(POLL_INTERVAL).await,
+            Outcome::Lagging { .. } => seen = None,
         }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// The incarnations at which the version was in force, and since when.
+struct Seen {
+    since: Instant,
+    incarnations: BTreeSet<IncarnationId>,
+}
+
+impl Seen {
+    fn print(&self, version: ConfigurationVersion, start: Instant) {
+        let instances = self.incarnations.len();
+        let after_ms = (self.since - start).as_millis();
+        println!("version {version} in force at {instances} instances after {after_ms} ms");
     }
 }
 
