--- a/jackdawchute-entry/src/instance.rs
+++ b/jackdawchute-entry/src/instance.rs
@@ -37,6 +37,9 @@
 
 /// How long new calls are still taken after the instance became unready, for the balancer.
 const BALANCER_NOTICE: Duration = Duration::from_millis(1_500);
+/// How many renewals go by between two reads of the others' rows. Each read carries the row of
+/// every live instance, so this is most of what an idle instance receives.
+const RENEWALS_PER_SCAN: u32 = 2;
 /// The most connections to the operators' and the peers' listener, each.
 const INTERNAL_CONNECTIONS_MAX: u32 = 256;
 /// The largest body of a job in bytes.
@@ -300,6 +303,7 @@
             timer: timer.clone(),
             timing: ownership::Timing {
                 renewal_period: timing.renewal_interval,
+                scan_period: timing.renewal_interval * RENEWALS_PER_SCAN,
                 lease: timing.lease,
                 takeover: timing.takeover,
                 ..Default::default()
--- a/jackdawchute-settings/src/timing.rs
+++ b/jackdawchute-settings/src/timing.rs
@@ -42,7 +42,7 @@
             lease: Duration::from_millis(4_000),
             takeover: Duration::from_millis(6_000),
             membership_poll: Duration::from_millis(1_000),
-            configuration_poll: Duration::from_millis(1_000),
+            configuration_poll: Duration::from_millis(2_000),
             configuration_confirm: Duration::from_millis(10_000),
             peer_call_timeout: Duration::from_millis(1_000),
             shutdown_timeout: Duration::from_millis(120_000),
