feat: explain; callers wait for a new owner; a fenced instance ends gracefully

Cause: nobody could ask what became of a job or a key. A call that broke off because its owner died spent the three attempts of the retry budget within 100 ms and was refused, although nothing had been sent and a successor takes over within the deadline. A fenced instance exited at once and cut off the callers whose requests were at minions.

Change: explain asks every instance that the directory names. A call for a slot that got no answer is repeated until the deadline, like one that found no owner. A fenced instance shuts down like one that is stopped.

Ruled out: that a repeated call doubles a keyed request; its owner asks the holder before it grants the key again.

--- a/jackdawchute-entry/src/callers/requests.rs
+++ b/jackdawchute-entry/src/callers/requests.rs
@@ -208,8 +208,8 @@
             Ok(Ok(Reply::Answered(answer))) => Attempt::Answered(stored_response(answer)),
             Ok(Ok(_)) => Attempt::Refused(unexpected_reply()),
             Ok(Err(refusal)) => journey.refused(located.group, refusal),
-            Err(error) if error.is_undelivered() => Attempt::NoOwner(owner_unavailable()),
-            Err(_) => journey.acquire_unknown(),
+            // Nothing was sent by this instance; a lost grant is asked back from it by its owner.
+            Err(_) => Attempt::NoOwner(owner_unavailable()),
         }
     }
 
@@ -388,11 +388,6 @@
             _ => Attempt::Refused(refusal),
         }
     }
-
-    /// Nothing was sent. A keyed request may be asked for again: its owner knows the key.
-    fn acquire_unknown(&self) -> Attempt {
-        Attempt::Failed(RetryReason::OwnerChanged, owner_unavailable())
-    }
 }
 
 /// Counts a request that a minion works on.
--- a/jackdawchute-entry/src/instance.rs
+++ b/jackdawchute-entry/src/instance.rs
@@ -28,7 +28,7 @@
     callers::{self, CallersOptions, JobsFront, RequestsFront},
     counted_table::CountedTable,
     listener::Bounds,
-    operators::{self, ConfigurationFront, OperatorsOptions, StatusSources},
+    operators::{self, ConfigurationFront, ExplainSources, OperatorsOptions, StatusSources},
     remotes::{self, ConfigurationPeers, Remotes},
     routing::{self, BeginDrain, RoutingTask},
     wiring::WiringTask,
@@ -128,7 +128,8 @@
         .spawn(&incarnation, peer_address);
         tasks.connect().await;
         let peers = peer_server.address;
-        let peer_server = peer_server.start(tasks.peer_services());
+        let explain = tasks.explain_sources(&incarnation, &remotes);
+        let peer_server = peer_server.start(tasks.peer_services(explain));
         let fronts = Fronts {
             settings: &settings,
             tasks: &tasks,
@@ -458,13 +459,24 @@
         let _ = self.configuration.send(subscription).await;
     }
 
-    fn peer_services(&self) -> peer::Services {
-        remotes::services(remotes::Tasks {
+    fn explain_sources(&self, incarnation: &IncarnationId, remotes: &Remotes) -> ExplainSources {
+        ExplainSources {
+            incarnation: incarnation.clone(),
+            routing: self.routing.clone(),
+            requests: self.requests.clone(),
+            jobs: self.jobs.clone(),
+            peers: remotes.peers.clone(),
+        }
+    }
+
+    fn peer_services(&self, explain: ExplainSources) -> peer::Services {
+        let tasks = remotes::Tasks {
             requests: MessageChannel::new(self.requests.clone()),
             jobs: MessageChannel::new(self.jobs.clone()),
             ownership: MessageChannel::new(self.ownership.clone()),
             configuration: MessageChannel::new(self.configuration.clone()),
-        })
+        };
+        remotes::services(tasks, explain)
     }
 }
 
@@ -541,6 +553,7 @@
         };
         let options = OperatorsOptions {
             status,
+            explain: self.tasks.explain_sources(incarnation, self.remotes),
             configuration,
             metrics: self.metrics.clone(),
             token: read_token(self.settings.operator_token_file.as_deref())?,
--- a/jackdawchute-entry/src/operators/listener.rs
+++ b/jackdawchute-entry/src/operators/listener.rs
@@ -12,6 +12,7 @@
 
 use super::{
     configuration::{self, ConfigurationFront, ConfigurationProblem},
+    explain::{self, ExplainSources},
     status::StatusSources,
 };
 use crate::{
@@ -32,6 +33,7 @@
 #[derive(Clone)]
 pub(crate) struct OperatorsOptions {
     pub(crate) status: StatusSources,
+    pub(crate) explain: ExplainSources,
     pub(crate) configuration: ConfigurationFront,
     pub(crate) metrics: Metrics,
     /// The secret that operators present; `None` leaves the calls open.
@@ -80,6 +82,10 @@
         (&Method::GET, "/metrics") => metrics(options),
         _ if !is_authorized(options, headers) => StatusCode::UNAUTHORIZED.into_response(),
         (&Method::GET, "/v1/status") => status(options).await,
+        (&Method::GET, _) if path.starts_with(explain::PATH) => {
+            let id = &path[explain::PATH.len()..];
+            warp::reply::json(&options.explain.explain(id).await).into_response()
+        }
         _ if path.starts_with(configuration::PATH) => {
             match body::collect(body, BODY_BYTES_MAX).await {
                 Ok(body) => options.configuration.answer(method, path, &body).await,
--- a/jackdawchute-entry/src/operators/mod.rs
+++ b/jackdawchute-entry/src/operators/mod.rs
@@ -1,11 +1,13 @@
 //! The listener towards operators, metrics and health checks.
 
 mod configuration;
+mod explain;
 mod listener;
 mod status;
 
 pub use configuration::{ApplyRequest, ConfigurationProblem};
 
 pub(crate) use configuration::ConfigurationFront;
+pub(crate) use explain::{ExplainSources, EXPLAIN};
 pub(crate) use listener::{serve, OperatorsOptions};
 pub(crate) use status::StatusSources;
--- a/jackdawchute-entry/src/remotes.rs
+++ b/jackdawchute-entry/src/remotes.rs
@@ -16,6 +16,7 @@
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 
+use crate::operators::{ExplainSources, EXPLAIN};
 use crate::routing::{Known, RoutingTask, View};
 
 const REQUESTS: Slice = "requests";
@@ -35,7 +36,7 @@
 /// Carries the calls of every slice.
 #[derive(Clone, Debug)]
 pub(crate) struct Remotes {
-    peers: Peers,
+    pub(crate) peers: Peers,
 }
 
 impl Remotes {
@@ -228,7 +229,7 @@
 }
 
 /// The services of the peer listener.
-pub(crate) fn services(tasks: Tasks) -> Services {
+pub(crate) fn services(tasks: Tasks, explain: ExplainSources) -> Services {
     let requests: Arc<dyn PeerService> = Arc::new(Incoming {
         task: tasks.requests,
     });
@@ -244,5 +245,6 @@
         (JOBS, jobs),
         (OWNERSHIP, ownership),
         (CONFIGURATION, configuration),
+        (EXPLAIN, Arc::new(explain)),
     ])
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 mod command_line;
 mod config;
 mod error;
+mod explain;
 mod http_api;
 mod logging;
 mod operators_api;
@@ -32,6 +33,7 @@
   config   look at the fleet's configuration and change it
   check    check settings and configuration files
   status   show what instances know and do
+  explain  tell what happened to a job or a keyed request
 
 `jackdawchute COMMAND --help` tells more. Exit codes: 0 success, 1 failure, 2 usage.
 ";
@@ -58,6 +60,7 @@
         "config" => config::run(rest),
         "check" => check::COMMAND.run(rest),
         "status" => status::COMMAND.run(rest),
+        "explain" => explain::COMMAND.run(rest),
         "--help" | "-h" | "help" => {
             print!("{USAGE}");
             Ok(())
--- a/src/operators_api.rs
+++ b/src/operators_api.rs
@@ -9,7 +9,7 @@
 use reqwest::{Client, RequestBuilder, StatusCode};
 use serde::de::DeserializeOwned;
 
-use crate::{Error, Result};
+use crate::{explain::Explanation, Error, Result};
 
 /// Where the operators' listener of a local instance is by convention.
 pub(crate) const DEFAULT_ADDRESS: &str = "127.0.0.1:7081";
@@ -107,6 +107,11 @@
         self.get("ask for status", "/v1/status").await
     }
 
+    /// What the owners know of a job's id or an idempotency key.
+    pub(crate) async fn explain(&self, id: &str) -> Result<Explanation> {
+        self.get("explain", &format!("/v1/explain/{id}")).await
+    }
+
     async fn get<T: DeserializeOwned>(&self, step: &'static str, path: &str) -> Result<T> {
         self.call(step, self.client.get(self.url(path))).await
     }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -52,12 +52,16 @@
     };
     let instance = Instance::start(settings, platform).await?;
     announce(instance.addresses);
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-        () = instance.fenced() => return Err(Error::Fenced),
-    }
+    let fenced = tokio::select! {
+        _ = terminate.recv() => false,
+        _ = interrupt.recv() => false,
+        () = instance.fenced() => true,
+    };
+    // A fenced instance owns nothing any more, but callers may still wait for their answers.
     instance.shut_down().await;
+    if fenced {
+        return Err(Error::Fenced);
+    }
     Ok(())
 }
 
