fix: a scan of two reads has the time of several calls

Cause: the two reads of a scan shared the timeout of one call, so an instance whose calls took half of it never finished a scan, and never took over.

Change: nothing waits for a scan, so it gets four times the timeout. The wait of a newcomer is 10 s, since an instance that does not live that long never takes over a cell that failed as a whole.

--- a/jackdawchute-ownership/src/calls.rs
+++ b/jackdawchute-ownership/src/calls.rs
@@ -62,6 +62,8 @@
     pub reply: oneshot::Sender<Reply>,
 }
 
+/// How many times a scan of both kinds of rows may take as long as one call; nothing waits for it.
+const SCAN_TIMEOUT_FACTOR: u32 = 4;
 /// How many times a call that reads a whole journal may take as long as another one.
 const JOURNAL_TIMEOUT_FACTOR: u32 = 10;
 
@@ -138,7 +140,7 @@
             groups_after,
         } => {
             let scan = scan(table, incarnations_after, groups_after);
-            let changes = bounded("scan", timeout, scan).await;
+            let changes = bounded("scan", timeout * SCAN_TIMEOUT_FACTOR, scan).await;
             Some(Finished::Scan(changes.ok()))
         }
         Effect::Load { groups, sources } => {
--- a/jackdawchute-ownership/src/timing.rs
+++ b/jackdawchute-ownership/src/timing.rs
@@ -36,7 +36,7 @@
             scan_period: Duration::from_millis(1_000),
             lease: Duration::from_millis(3_000),
             takeover: Duration::from_millis(5_000),
-            newcomer_takeover: Duration::from_millis(20_000),
+            newcomer_takeover: Duration::from_millis(10_000),
             hold_off: Duration::from_millis(3_000),
             call_timeout: Duration::from_millis(1_000),
             rebalance_period: Duration::from_millis(1_000),
