fix: a holder that was paused renews no lease before its standing comes through

Cause: after a pause, a report could be asked for and a lease renewed before the message that the instance was fenced had arrived; a successor waits a stated time for such renewals.

Change: without a tick for one second the rack owner counts as paused, and renews again only one second after the first tick. Calls between owners can lose answers and come twice in the tests.

--- a/jackdawchute-jobs/src/rack/lease.rs
+++ b/jackdawchute-jobs/src/rack/lease.rs
@@ -1,6 +1,6 @@
 //! Leases: renewed from a worker's own clock, and given up for a worker that is silent.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use jackdawchute_ownership::Standing;
 use jackdawchute_platform::{Lease, WorkerClock};
@@ -12,12 +12,16 @@
     AttemptEnd, TaskAttempt,
 };
 
+/// A task without a tick for this long was paused: its standing may be out of date, and it renews
+/// nothing until as much time has passed again.
+const PAUSE_MIN: Duration = Duration::from_secs(1);
 /// Leases are renewed this many times within their length.
 const RENEWALS_PER_LEASE: u32 = 3;
 
 impl Racks {
     /// Asks workers for reports, gives up silent ones, drops what lapsed and tells home owners.
     pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
+        self.note_tick(now);
         self.lapse_holds(now);
         self.forget_closed(now);
         self.refresh_accepting(now);
@@ -78,6 +82,22 @@
         open.into_iter().flatten().cloned().collect()
     }
 
+    fn note_tick(&mut self, now: Instant) {
+        let gap = |at: Instant| now.saturating_duration_since(at) >= PAUSE_MIN;
+        if self.ticked.is_some_and(gap) {
+            self.resumed = Some(now);
+        }
+        self.ticked = Some(now);
+    }
+
+    /// Whether this process stood still so recently that a change of its standing may not have
+    /// come through.
+    fn was_paused(&self, now: Instant) -> bool {
+        let stands_still = |at: Instant| now.saturating_duration_since(at) >= PAUSE_MIN;
+        let just_resumed = |at: Instant| now.saturating_duration_since(at) < PAUSE_MIN;
+        self.ticked.is_some_and(stands_still) || self.resumed.is_some_and(just_resumed)
+    }
+
     /// Renews what runs on a worker up to one lease after the clock it just reported.
     ///
     /// Nothing is renewed while a successor may exist.
@@ -85,6 +105,9 @@
         if !matches!(self.standing, Standing::Confirmed | Standing::StoreDown) {
             return None;
         }
+        if self.was_paused(now) {
+            return None;
+        }
         let state = self.workers.get(worker)?;
         let period = self.settings.lease / RENEWALS_PER_LEASE;
         let due = |at: Instant| now.saturating_duration_since(at) >= period;
--- a/jackdawchute-jobs/src/rack/state.rs
+++ b/jackdawchute-jobs/src/rack/state.rs
@@ -97,6 +97,10 @@
     pub(crate) closed_order: VecDeque<(Instant, TaskAttempt)>,
     pub(crate) home_epochs: HashMap<GroupId, Epoch>,
     pub(crate) health: Health,
+    /// When the last tick came.
+    pub(crate) ticked: Option<Instant>,
+    /// When the first tick after a pause came.
+    pub(crate) resumed: Option<Instant>,
     /// Attempts whose home owner is to be told, and when last tried.
     pub(crate) untold: BTreeMap<TaskAttempt, Option<Instant>>,
 }
@@ -125,6 +129,8 @@
             closed: HashMap::new(),
             closed_order: VecDeque::new(),
             home_epochs: HashMap::new(),
+            ticked: None,
+            resumed: None,
             untold: BTreeMap::new(),
         }
     }
--- a/jackdawchute-jobs/tests/rack_safety.rs
+++ b/jackdawchute-jobs/tests/rack_safety.rs
@@ -13,7 +13,7 @@
 };
 use jackdawchute_jobs::{
     effect::{Effect, WorkerCall},
-    rack::Phase,
+    rack::{Phase, Racks},
     AttemptEnd, AttemptState, NotStarted, Reply,
 };
 use jackdawchute_ownership::Standing;
@@ -222,6 +222,28 @@
     }
 }
 
+#[test]
+fn a_holder_that_was_paused_renews_nothing_before_its_standing_can_come_through() {
+    let now = Instant::now();
+    let seconds = |count| now + Duration::from_secs(count);
+    let mut racks = racks(now);
+    run_start(&mut racks, start("j-0", 1, 1_000), true, now);
+    racks.tick(now);
+    let renewed_at = |racks: &mut Racks, at: Instant, clock_s| {
+        let report = report(clock_s, "b1", vec![running("j-0", 1, 1_000)]);
+        renewals(&racks.reported(&WORKER_ID.into(), Some(report), at))
+    };
+
+    let resumed = renewed_at(&mut racks, seconds(10), 110);
+    racks.tick(seconds(10));
+    let ticked = renewed_at(&mut racks, seconds(10), 110);
+    racks.tick(seconds(10) + Duration::from_millis(900));
+    racks.tick(seconds(11));
+    let later = renewed_at(&mut racks, seconds(11), 111);
+
+    assert_eq!((resumed, ticked, later), (0, 0, 1));
+}
+
 #[test]
 fn a_restarted_worker_is_told_never_to_start_what_was_sent_before() {
     let now = Instant::now();
--- a/jackdawchute-jobs/tests/takeover.rs
+++ b/jackdawchute-jobs/tests/takeover.rs
@@ -198,3 +198,28 @@
     assert!(cell.workers.all().iter().all(fits));
     assert_eq!(starts(&cell), 60);
 }
+
+#[tokio::test]
+async fn lost_answers_and_late_duplicates_between_owners_start_nothing_twice() {
+    let cell = three_instances(2).await;
+    cell.network.lose_answers(2);
+    for number in 0..5 {
+        let id = format!("j{number}");
+        cell.submit("a", &id, job(JobKind::Batch, 8)).await.unwrap();
+    }
+
+    eventually("every job ends", || async {
+        finish_all(&cell);
+        cell.deliver_late().await;
+        for number in 0..5 {
+            let status = cell.status("a", &format!("j{number}")).await.ok()?;
+            (status.state == JobState::Succeeded).then_some(())?;
+        }
+        Some(())
+    })
+    .await;
+    cell.deliver_late().await;
+    cell.status("a", "j0").await.unwrap();
+
+    assert_eq!((starts(&cell), cell.workers.running().len()), (40, 0));
+}
