--- /dev/null
+++ b/jackdawchute-entry/src/callers/mod.rs
@@ -0,0 +1,12 @@
+//! The listener towards callers.
+
+mod complete;
+mod inbound;
+mod jobs;
+mod listener;
+mod problem;
+mod requests;
+
+pub(crate) use jobs::JobsFront;
+pub(crate) use listener::{serve, CallersOptions};
+pub(crate) use requests::RequestsFront;
