feat: team quotas count what other home owners placed

Cause: each home owner kept the whole quota, so a team whose jobs have several home owners could use it several times. A quota row in the table was ruled out, it would cost a round trip for each placement; a split by share was ruled out, most of a team's jobs may have one owner.

Change: starts and intents name the team, a rack owner's answer says what each team is charged there, and a home owner leaves its team the quota less the use by others. Views are asked for while anything is queued. A quota can be exceeded for as long as a view is old (about a second).

--- a/jackdawchute-jobs/src/home/ask.rs
+++ b/jackdawchute-jobs/src/home/ask.rs
@@ -75,6 +75,7 @@
             batch.starts.push(TaskStart {
                 id: attempt,
                 job: id.clone(),
+                team: spec.team,
                 worker: worker.clone(),
                 resources: spec.resources,
                 command: spec.command,
--- a/jackdawchute-jobs/src/home/expire.rs
+++ b/jackdawchute-jobs/src/home/expire.rs
@@ -18,7 +18,7 @@
         self.resume_delayed(now.instant);
         effects.extend(self.dispatch(now));
         effects.extend(self.ask_racks(now.instant));
-        if !self.ready.is_empty() {
+        if !self.ready.is_empty() || !self.queued.is_empty() {
             effects.extend(self.ask_for_views(now.instant));
         }
         self.share_capacity_at(now.instant);
--- a/jackdawchute-jobs/src/home/gang.rs
+++ b/jackdawchute-jobs/src/home/gang.rs
@@ -215,6 +215,7 @@
             .map(|(index, _, worker)| TaskStart {
                 id: self.attempt(*index),
                 job: self.id().clone(),
+                team: self.spec().team.clone(),
                 worker: worker.clone(),
                 resources: self.spec().resources,
                 command: self.spec().command.clone(),
--- a/jackdawchute-jobs/src/home/state.rs
+++ b/jackdawchute-jobs/src/home/state.rs
@@ -6,11 +6,11 @@
     time::Instant,
 };
 
-use jackdawchute_admission::{AdmissionPolicy, Ticket, TicketId};
+use jackdawchute_admission::{AdmissionPolicy, Limits, Ticket, TicketId};
 use jackdawchute_ownership::{Directory, EntryKey, JournalEntry, Standing};
 use jackdawchute_placement::{Fleet, PlacementPolicy};
 use jackdawchute_platform::MembershipList;
-use jackdawchute_types::{ClassId, Epoch, GroupId, JobId, Resources, WorkerId};
+use jackdawchute_types::{ClassId, Epoch, GroupId, JobId, Resources, TeamId, WorkerId};
 use rand::{rngs::SmallRng, SeedableRng};
 
 use crate::{
@@ -44,6 +44,10 @@
     pub(crate) view: Fleet,
     /// What rack owners last said is charged to a worker.
     pub(crate) seen: HashMap<WorkerId, Resources>,
+    /// What rack owners last said is charged to teams, by rack.
+    pub(crate) team_use: BTreeMap<GroupId, BTreeMap<TeamId, Resources>>,
+    /// The bounds that admission keeps now.
+    pub(crate) limits: Limits,
     /// When the capacity was shared last.
     pub(crate) shared: Option<Instant>,
     pub(crate) asked_views: BTreeMap<GroupId, Instant>,
@@ -89,7 +93,8 @@
         mut admission: Box<dyn AdmissionPolicy>,
         seed: u64,
     ) -> Self {
-        admission.set_limits(settings.limits.clone());
+        let limits = settings.limits.clone();
+        admission.set_limits(limits.clone());
         Self {
             settings,
             standing: Standing::CutOff,
@@ -101,6 +106,8 @@
             policy,
             view: Fleet::default(),
             seen: HashMap::new(),
+            team_use: BTreeMap::new(),
+            limits,
             shared: None,
             asked_views: BTreeMap::new(),
             total: Resources::ZERO,
@@ -122,8 +129,8 @@
 
     /// Replaces the bounds.
     pub fn set_settings(&mut self, settings: Arc<Settings>) {
-        self.admission.set_limits(settings.limits.clone());
         self.settings = settings;
+        self.share_quotas();
     }
 
     /// Takes in whether this incarnation may act.
--- a/jackdawchute-jobs/src/home/view.rs
+++ b/jackdawchute-jobs/src/home/view.rs
@@ -67,9 +67,39 @@
         if self.shared.is_none_or(due) {
             self.shared = Some(now);
             self.share_capacity();
+            self.share_quotas();
         }
     }
 
+    /// Leaves each team what its quota has beyond its use by jobs of other home owners.
+    pub(crate) fn share_quotas(&mut self) {
+        let mut limits = self.settings.limits.clone();
+        for (team, quota) in &mut limits.quotas {
+            let own = self.use_where(|job| job.spec().team == *team);
+            let of_team = self.team_use.values().filter_map(|teams| teams.get(team));
+            let all = of_team.fold(Resources::ZERO, |sum, used| sum.saturating_add(used));
+            let others = all.saturating_sub(&own);
+            if others != Resources::ZERO {
+                *quota = quota.saturating_sub(self.units(&others));
+            }
+        }
+        if self.limits != limits {
+            self.limits = limits.clone();
+            self.admission.set_limits(limits);
+        }
+    }
+
+    /// What the placed tasks of some jobs declare.
+    fn use_where(&self, holds: impl Fn(&crate::home::Job) -> bool) -> Resources {
+        let jobs = self.jobs.values().filter(|job| !job.finished && holds(job));
+        let used = jobs.map(|job| {
+            let placed = job.tasks.iter().filter(|task| task.assigned.is_some());
+            let placed = u32::try_from(placed.count()).unwrap_or(u32::MAX);
+            job.spec().resources.saturating_mul(placed)
+        });
+        used.fold(Resources::ZERO, |sum, used| sum.saturating_add(&used))
+    }
+
     /// What this instance may use: its share of the fleet by home groups, or all that the other
     /// instances leave, whichever is more.
     pub(crate) fn share_capacity(&mut self) {
@@ -85,12 +115,7 @@
     fn used_by_others(&self) -> u32 {
         let seen = self.seen.values();
         let seen = seen.fold(Resources::ZERO, |sum, used| sum.saturating_add(used));
-        let own = self.jobs.values().flat_map(|job| {
-            let on_worker = |task: &&crate::home::Task| task.assigned.is_some();
-            let tasks = job.tasks.iter().filter(on_worker);
-            tasks.map(|_| job.spec().resources)
-        });
-        let own = own.fold(Resources::ZERO, |sum, used| sum.saturating_add(&used));
+        let own = self.use_where(|_| true);
         match seen.saturating_sub(&own) {
             Resources::ZERO => 0,
             others => self.units(&others),
@@ -99,6 +124,7 @@
 
     /// Takes in what a rack owner said is charged to its workers.
     pub(crate) fn note_view(&mut self, view: &RackView) {
+        self.team_use.insert(view.group.clone(), view.teams.clone());
         for worker in &view.workers {
             if self.view.get(&worker.worker).is_none() {
                 continue;
--- a/jackdawchute-jobs/src/messages.rs
+++ b/jackdawchute-jobs/src/messages.rs
@@ -6,7 +6,7 @@
 use jackdawchute_ownership::Owner;
 use jackdawchute_types::{
     CallError, ClassId, Epoch, GroupId, JobId, JobSpec, JobState, Refusal, RefusalReason,
-    Resources, TaskId, TaskState, WorkerId,
+    Resources, TaskId, TaskState, TeamId, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -65,6 +65,8 @@
     pub id: TaskAttempt,
     /// Its job.
     pub job: JobId,
+    /// The team that is charged.
+    pub team: TeamId,
     /// The chosen worker.
     pub worker: WorkerId,
     /// What it declares to need.
@@ -132,6 +134,10 @@
 /// What is charged to the workers of a rack.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RackView {
+    /// The rack's group.
+    pub group: GroupId,
+    /// What is charged to each team.
+    pub teams: BTreeMap<TeamId, Resources>,
     /// Each worker of the rack.
     pub workers: Vec<WorkerView>,
 }
--- a/jackdawchute-jobs/src/rack/adopt.rs
+++ b/jackdawchute-jobs/src/rack/adopt.rs
@@ -60,6 +60,7 @@
             until: record.until,
             record,
         };
+        self.charge_team(group, &intent.record.team, &intent.record.resources);
         self.note_open(&intent.record.worker, &intent.record.id);
         self.intents.insert(intent.record.id.clone(), intent);
     }
@@ -95,6 +96,7 @@
             self.intents.remove(&id);
             self.untold.remove(&id);
         }
+        self.teams.remove(group);
         self.held.retain(|_, held| held.group != *group);
         let gone: Vec<WorkerId> = self
             .workers
--- a/jackdawchute-jobs/src/rack/start.rs
+++ b/jackdawchute-jobs/src/rack/start.rs
@@ -109,6 +109,7 @@
         let record = IntentRecord {
             id: task.id.clone(),
             job: task.job.clone(),
+            team: task.team.clone(),
             home: home.group.clone(),
             worker: task.worker.clone(),
             boot,
@@ -124,6 +125,7 @@
             until,
         };
         self.intents.insert(task.id.clone(), intent);
+        self.charge_team(&rack.group, &task.team, &task.resources);
         self.note_open(&task.worker, &task.id);
         // A probed worker takes one task.
         self.refresh_worker(&task.worker, now);
@@ -193,7 +195,9 @@
     /// Drops an intent that is surely not in the journal and never will be.
     fn abandon(&mut self, id: &TaskAttempt, now: Instant) {
         if let Some(intent) = self.intents.remove(id) {
-            self.note_over(&intent.record.worker, id);
+            let record = &intent.record;
+            self.release_team(&intent.group, &record.team, &record.resources);
+            self.note_over(&record.worker, id);
             self.fleet.release(&charge_key(id));
             self.close(id, now);
         }
--- a/jackdawchute-jobs/src/rack/state.rs
+++ b/jackdawchute-jobs/src/rack/state.rs
@@ -9,7 +9,9 @@
 use jackdawchute_ownership::{Directory, Standing};
 use jackdawchute_placement::Fleet;
 use jackdawchute_platform::WorkerClock;
-use jackdawchute_types::{Epoch, GroupId, JobId, RackId, Refusal, RefusalReason, TaskId, WorkerId};
+use jackdawchute_types::{
+    Epoch, GroupId, JobId, RackId, Refusal, RefusalReason, Resources, TaskId, TeamId, WorkerId,
+};
 use smol_str::{format_smolstr, SmolStr};
 
 use crate::{
@@ -91,6 +93,8 @@
     pub(crate) owned: BTreeMap<GroupId, Rack>,
     pub(crate) fleet: Fleet,
     pub(crate) workers: BTreeMap<WorkerId, WorkerState>,
+    /// What open attempts charge to teams, by rack.
+    pub(crate) teams: BTreeMap<GroupId, BTreeMap<TeamId, Resources>>,
     pub(crate) intents: HashMap<TaskAttempt, Intent>,
     pub(crate) held: HashMap<TaskId, Held>,
     pub(crate) closed: HashMap<TaskId, u32>,
@@ -124,6 +128,7 @@
             owned: BTreeMap::new(),
             fleet: Fleet::default(),
             workers: BTreeMap::new(),
+            teams: BTreeMap::new(),
             intents: HashMap::new(),
             held: HashMap::new(),
             closed: HashMap::new(),
@@ -182,6 +187,8 @@
         let of_group = |id: &WorkerId| self.workers.get(id).is_some_and(|w| w.group == *group);
         let workers = self.fleet.workers().filter(|slot| of_group(&slot.id));
         RackView {
+            group: group.clone(),
+            teams: self.teams.get(group).cloned().unwrap_or_default(),
             workers: workers
                 .map(|slot| WorkerView {
                     worker: slot.id.clone(),
@@ -250,12 +257,33 @@
         }
         intent.phase = Phase::Ended(end);
         let (worker, job) = (intent.record.worker.clone(), intent.record.job.clone());
+        let (group, team) = (intent.group.clone(), intent.record.team.clone());
+        let resources = intent.record.resources;
+        self.release_team(&group, &team, &resources);
         self.fleet.release(&charge_key(id));
         self.untold.insert(id.clone(), None);
         self.note_over(&worker, id);
         self.note_health(&worker, &job, end, now);
     }
 
+    pub(crate) fn charge_team(&mut self, group: &GroupId, team: &TeamId, amount: &Resources) {
+        let teams = self.teams.entry(group.clone()).or_default();
+        let charged = teams.entry(team.clone()).or_default();
+        *charged = charged.saturating_add(amount);
+    }
+
+    pub(crate) fn release_team(&mut self, group: &GroupId, team: &TeamId, amount: &Resources) {
+        let Some(teams) = self.teams.get_mut(group) else {
+            return;
+        };
+        if let Some(charged) = teams.get_mut(team) {
+            *charged = charged.saturating_sub(amount);
+            if *charged == Resources::ZERO {
+                teams.remove(team);
+            }
+        }
+    }
+
     pub(crate) fn note_over(&mut self, worker: &WorkerId, id: &TaskAttempt) {
         if let Some(state) = self.workers.get_mut(worker) {
             state.open.remove(id);
--- a/jackdawchute-jobs/src/record.rs
+++ b/jackdawchute-jobs/src/record.rs
@@ -5,7 +5,7 @@
 use jackdawchute_ownership::{EntryKey, JournalEntry};
 use jackdawchute_platform::WorkerClock;
 use jackdawchute_types::{
-    duration_ms, GroupId, JobId, JobSpec, RefusalReason, Resources, WorkerId,
+    duration_ms, GroupId, JobId, JobSpec, RefusalReason, Resources, TeamId, WorkerId,
 };
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use smol_str::{format_smolstr, SmolStr};
@@ -71,6 +71,8 @@
     pub id: TaskAttempt,
     /// Its job.
     pub job: JobId,
+    /// The team that is charged.
+    pub team: TeamId,
     /// The home group that is told how it ends.
     pub home: GroupId,
     /// The worker.
--- a/jackdawchute-jobs/tests/home_safety.rs
+++ b/jackdawchute-jobs/tests/home_safety.rs
@@ -6,14 +6,15 @@
 
 use fixtures::{
     home::{
-        adopted, answered, answers, at, calls, entries, held, homes, journal, now, started, HOME,
+        adopted, answered, answers, at, calls, entries, held, homes, journal, now, started,
+        with_settings, HOME,
     },
     job,
     rack::id,
     settings,
 };
 use jackdawchute_jobs::{
-    home::TaskPhase, AttemptEnd, AttemptState, Call, NotStarted, Reply, TaskAnswer,
+    home::TaskPhase, AttemptEnd, AttemptState, Call, NotStarted, RackView, Reply, TaskAnswer,
 };
 use jackdawchute_ownership::Standing;
 use jackdawchute_types::{
@@ -377,3 +378,30 @@
     assert!(homes.job(&"j".into()).is_none());
     assert_eq!(keys, ["job/j", "task/j/0"]);
 }
+
+#[test]
+fn a_teams_quota_counts_what_other_home_owners_placed() {
+    let now = now();
+    let mut quota = settings();
+    quota.limits.quotas.insert("ovens".into(), 40);
+    let mut homes = with_settings(quota, 1, &[], now);
+    let view = RackView {
+        group: "rack/r1".into(),
+        teams: [("ovens".into(), Resources::new(3_000, 3_072, 0))].into(),
+        workers: Vec::new(),
+    };
+    let reply = Reply::Rack {
+        answers: Vec::new(),
+        held: false,
+        view,
+    };
+
+    homes.asked(&[], Ok(Ok(reply)), now);
+    homes.tick(now);
+    let effects = homes.submit(1, &"j".into(), job(JobKind::Batch, 4), now);
+    journal(&mut homes, effects, true, now);
+
+    // A task takes ten units; the other owners' thirty leave room for one.
+    let tasks = &homes.job(&"j".into()).unwrap().tasks;
+    assert_eq!(tasks.iter().filter(|task| task.attempt > 0).count(), 1);
+}
