--- a/jackdawchute-jobs/src/rack/lease.rs
+++ b/jackdawchute-jobs/src/rack/lease.rs
@@ -1,9 +1,9 @@
 //! Leases: renewed from a worker's own clock, and given up for a worker that is silent.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use jackdawchute_ownership::Standing;
-use jackdawchute_platform::Lease;
+use jackdawchute_platform::{Lease, WorkerClock};
 use jackdawchute_types::WorkerId;
 
 use crate::{
@@ -12,12 +12,16 @@
     AttemptEnd, TaskAttempt,
 };
 
+/// A task without a tick for this long was paused: its standing may be out of date, and it renews
+/// nothing until as much time has passed again.
+const PAUSE_MIN: Duration = Duration::from_secs(1);
 /// Leases are renewed this many times within their length.
 const RENEWALS_PER_LEASE: u32 = 3;
 
 impl Racks {
     /// Asks workers for reports, gives up silent ones, drops what lapsed and tells home owners.
     pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
+        self.note_tick(now);
         self.lapse_holds(now);
         self.forget_closed(now);
         self.refresh_accepting(now);
@@ -74,15 +78,24 @@
 
     /// The attempts on a worker that are not ended.
     pub(crate) fn on_worker(&self, worker: &WorkerId) -> Vec<TaskAttempt> {
-        let mut ids: Vec<TaskAttempt> = self
-            .intents
-            .iter()
-            .filter(|(_, intent)| intent.record.worker == *worker)
-            .filter(|(_, intent)| !matches!(intent.phase, Phase::Ended(_)))
-            .map(|(id, _)| id.clone())
-            .collect();
-        ids.sort();
-        ids
+        let open = self.workers.get(worker).map(|state| &state.open);
+        open.into_iter().flatten().cloned().collect()
+    }
+
+    fn note_tick(&mut self, now: Instant) {
+        let gap = |at: Instant| now.saturating_duration_since(at) >= PAUSE_MIN;
+        if self.ticked.is_some_and(gap) {
+            self.resumed = Some(now);
+        }
+        self.ticked = Some(now);
+    }
+
+    /// Whether this process stood still so recently that a change of its standing may not have
+    /// come through.
+    fn was_paused(&self, now: Instant) -> bool {
+        let stands_still = |at: Instant| now.saturating_duration_since(at) >= PAUSE_MIN;
+        let just_resumed = |at: Instant| now.saturating_duration_since(at) < PAUSE_MIN;
+        self.ticked.is_some_and(stands_still) || self.resumed.is_some_and(just_resumed)
     }
 
     /// Renews what runs on a worker up to one lease after the clock it just reported.
@@ -92,7 +105,10 @@
         if !matches!(self.standing, Standing::Confirmed | Standing::StoreDown) {
             return None;
         }
-        let state = self.workers.get_mut(worker)?;
+        if self.was_paused(now) {
+            return None;
+        }
+        let state = self.workers.get(worker)?;
         let period = self.settings.lease / RENEWALS_PER_LEASE;
         let due = |at: Instant| now.saturating_duration_since(at) >= period;
         if !state.renewed.is_none_or(due) {
@@ -100,21 +116,27 @@
         }
         let epoch = self.owned.get(&state.group)?.epoch;
         let until = state.clock + self.settings.lease;
-        let mut tasks = Vec::new();
-        for (id, intent) in &mut self.intents {
-            if intent.record.worker == *worker && intent.phase == Phase::Running {
-                intent.until = intent.until.max(until);
-                tasks.push(id.clone());
-            }
-        }
+        let mut tasks = self.on_worker(worker);
+        tasks.retain(|id| self.extend(id, until));
         if tasks.is_empty() {
             return None;
         }
-        state.renewed = Some(now);
-        tasks.sort();
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.renewed = Some(now);
+        }
         Some(Effect::Worker {
             worker: worker.clone(),
             call: WorkerCall::Renew(tasks, Lease { epoch, until }),
         })
     }
+
+    /// Notes the lease of a running task, or tells that it does not run.
+    fn extend(&mut self, id: &TaskAttempt, until: WorkerClock) -> bool {
+        let intent = self.intents.get_mut(id);
+        let Some(intent) = intent.filter(|intent| intent.phase == Phase::Running) else {
+            return false;
+        };
+        intent.until = intent.until.max(until);
+        true
+    }
 }
--- a/jackdawchute-jobs/src/rack/state.rs
+++ b/jackdawchute-jobs/src/rack/state.rs
@@ -9,7 +9,9 @@
 use jackdawchute_ownership::{Directory, Standing};
 use jackdawchute_placement::Fleet;
 use jackdawchute_platform::WorkerClock;
-use jackdawchute_types::{Epoch, GroupId, JobId, RackId, Refusal, RefusalReason, TaskId, WorkerId};
+use jackdawchute_types::{
+    Epoch, GroupId, JobId, RackId, Refusal, RefusalReason, Resources, TaskId, TeamId, WorkerId,
+};
 use smol_str::{format_smolstr, SmolStr};
 
 use crate::{
@@ -70,6 +72,8 @@
     /// When the next report is due.
     pub due: Option<Instant>,
     pub renewed: Option<Instant>,
+    /// Attempts on it that are not over.
+    pub open: BTreeSet<TaskAttempt>,
     /// Tasks that it runs and nobody here knows.
     pub unknown: BTreeSet<TaskAttempt>,
 }
@@ -89,12 +93,18 @@
     pub(crate) owned: BTreeMap<GroupId, Rack>,
     pub(crate) fleet: Fleet,
     pub(crate) workers: BTreeMap<WorkerId, WorkerState>,
+    /// What open attempts charge to teams, by rack.
+    pub(crate) teams: BTreeMap<GroupId, BTreeMap<TeamId, Resources>>,
     pub(crate) intents: HashMap<TaskAttempt, Intent>,
     pub(crate) held: HashMap<TaskId, Held>,
     pub(crate) closed: HashMap<TaskId, u32>,
     pub(crate) closed_order: VecDeque<(Instant, TaskAttempt)>,
     pub(crate) home_epochs: HashMap<GroupId, Epoch>,
     pub(crate) health: Health,
+    /// When the last tick came.
+    pub(crate) ticked: Option<Instant>,
+    /// When the first tick after a pause came.
+    pub(crate) resumed: Option<Instant>,
     /// Attempts whose home owner is to be told, and when last tried.
     pub(crate) untold: BTreeMap<TaskAttempt, Option<Instant>>,
 }
@@ -118,11 +128,14 @@
             owned: BTreeMap::new(),
             fleet: Fleet::default(),
             workers: BTreeMap::new(),
+            teams: BTreeMap::new(),
             intents: HashMap::new(),
             held: HashMap::new(),
             closed: HashMap::new(),
             closed_order: VecDeque::new(),
             home_epochs: HashMap::new(),
+            ticked: None,
+            resumed: None,
             untold: BTreeMap::new(),
         }
     }
@@ -174,6 +187,8 @@
         let of_group = |id: &WorkerId| self.workers.get(id).is_some_and(|w| w.group == *group);
         let workers = self.fleet.workers().filter(|slot| of_group(&slot.id));
         RackView {
+            group: group.clone(),
+            teams: self.teams.get(group).cloned().unwrap_or_default(),
             workers: workers
                 .map(|slot| WorkerView {
                     worker: slot.id.clone(),
@@ -242,18 +257,52 @@
         }
         intent.phase = Phase::Ended(end);
         let (worker, job) = (intent.record.worker.clone(), intent.record.job.clone());
+        let (group, team) = (intent.group.clone(), intent.record.team.clone());
+        let resources = intent.record.resources;
+        self.release_team(&group, &team, &resources);
         self.fleet.release(&charge_key(id));
         self.untold.insert(id.clone(), None);
+        self.note_over(&worker, id);
         self.note_health(&worker, &job, end, now);
     }
 
+    pub(crate) fn charge_team(&mut self, group: &GroupId, team: &TeamId, amount: &Resources) {
+        let teams = self.teams.entry(group.clone()).or_default();
+        let charged = teams.entry(team.clone()).or_default();
+        *charged = charged.saturating_add(amount);
+    }
+
+    pub(crate) fn release_team(&mut self, group: &GroupId, team: &TeamId, amount: &Resources) {
+        let Some(teams) = self.teams.get_mut(group) else {
+            return;
+        };
+        if let Some(charged) = teams.get_mut(team) {
+            *charged = charged.saturating_sub(amount);
+            if *charged == Resources::ZERO {
+                teams.remove(team);
+            }
+        }
+    }
+
+    pub(crate) fn note_over(&mut self, worker: &WorkerId, id: &TaskAttempt) {
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.open.remove(id);
+        }
+    }
+
+    pub(crate) fn note_open(&mut self, worker: &WorkerId, id: &TaskAttempt) {
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.open.insert(id.clone());
+        }
+    }
+
     fn note_health(&mut self, worker: &WorkerId, job: &JobId, end: AttemptEnd, now: Instant) {
         match end {
             AttemptEnd::Succeeded => self.health.note(worker, job, true, now),
             AttemptEnd::Failed => self.health.note(worker, job, false, now),
             _ => return,
         }
-        self.refresh_accepting(now);
+        self.refresh_worker(worker, now);
     }
 
     pub(crate) fn epoch_of(&self, group: &GroupId) -> Epoch {
