--- a/jackdawchute-requests/src/acquire.rs
+++ b/jackdawchute-requests/src/acquire.rs
@@ -163,7 +163,7 @@
             return;
         }
         let refusal = match reason {
-            ParkedFor::Journal => Refusal::not_run(
+            ParkedFor::Journal | ParkedFor::Registration(_) => Refusal::not_run(
                 RefusalReason::StoreUnavailable,
                 "too many calls wait for the journal",
             ),
--- a/jackdawchute-requests/src/adopt.rs
+++ b/jackdawchute-requests/src/adopt.rs
@@ -10,6 +10,8 @@
 
 use crate::{
     group::{GrantPhase, GrantRef, Group, OpenGrant, Unaccounted},
+    holders::Registration,
+    journal::registered_holder,
     keys::{KeyRecord, Phase, Saved},
     minion::Minion,
     Effect, Grant, JournaledKey, JournaledState,
@@ -28,6 +30,10 @@
         effects: &mut Vec<Effect>,
     ) {
         for (entry, value) in entries {
+            if let Some(holder) = registered_holder(entry) {
+                self.adopt_holder(holder, now);
+                continue;
+            }
             match JournaledKey::from_entry(entry, value) {
                 Ok((key, journaled)) => self.adopt_key(key, journaled, &is_live, now, effects),
                 Err(error) => {
@@ -76,7 +82,15 @@
             JournaledState::Answered { answer } => {
                 self.keys.finish(&key, Phase::Answered(answer), now);
             }
-            JournaledState::Unknown => self.keys.finish(&key, Phase::Unknown, now),
+            JournaledState::Unknown { minion } => {
+                self.keys.finish(&key, Phase::Unknown, now);
+                if let Some(minion) = minion {
+                    let minion = self.known_minion(minion, None);
+                    let ends = now + self.settings.grants.ended_after();
+                    self.count_adopted(grant, minion, holder, Some(key), ends);
+                    self.linger(grant, now);
+                }
+            }
             JournaledState::Intent {
                 minion,
                 ended_after,
@@ -124,16 +138,19 @@
         self.open.insert(grant, open);
     }
 
-    /// Holds slots back until `until` for an incarnation that may hold grants of an earlier epoch.
-    pub(crate) fn hold_back_for(
-        &mut self,
-        incarnation: IncarnationId,
-        until: Instant,
-        now: Instant,
-    ) {
-        self.asks.insert(incarnation.clone());
-        let unaccounted = Unaccounted { until, asked: now };
-        self.unaccounted.insert(incarnation, unaccounted);
+    /// Holds slots back for a holder of an earlier epoch until it tells what it holds.
+    fn adopt_holder(&mut self, holder: IncarnationId, now: Instant) {
+        let registration = Registration {
+            kept: true,
+            gone: None,
+        };
+        let unaccounted = Unaccounted {
+            until: now + self.settings.grants.ended_after(),
+            asked: now,
+        };
+        self.holders.insert(holder.clone(), registration);
+        self.unaccounted.insert(holder.clone(), unaccounted);
+        self.asks.insert(holder);
     }
 
     /// Counts what an incarnation holds, in place of the slots held back for it.
@@ -165,6 +182,7 @@
         };
         let known = self.open.contains_key(&reference) || self.keys.by_grant(reference).is_some();
         if known || self.returned_early.contains(&reference) {
+            // A journaled request is counted from the journal.
             return;
         }
         let minion = self.known_minion(grant.minion, Some(grant.address));
--- /dev/null
+++ b/jackdawchute-requests/src/carry_out.rs
@@ -0,0 +1,233 @@
+//! Carries the state's effects out and brings the answers back as messages.
+
+use std::{collections::VecDeque, sync::Arc, time::Instant};
+
+use jackdawchute_ownership::{Append, Error, JournalEntry, Owner};
+use jackdawchute_types::{Epoch, GroupId, IncarnationId, Refusal, RequestKey};
+use tokio::sync::oneshot;
+use xtra::prelude::*;
+
+use crate::{
+    journal::{forget_entry, holder_entry},
+    AppendOutcome, AppendPurpose, Call, CallId, Effect, Grant, JournaledKey, Reply, RequestsTask,
+    Result,
+};
+
+/// The journal's answer.
+pub(crate) struct Appended {
+    purpose: AppendPurpose,
+    outcome: AppendOutcome,
+}
+
+/// The journal's answer on holders.
+pub(crate) struct Registered {
+    group: GroupId,
+    epoch: Epoch,
+    holders: Vec<IncarnationId>,
+    outcome: AppendOutcome,
+}
+
+type AppendAnswer = oneshot::Receiver<jackdawchute_ownership::Result<()>>;
+
+/// Another incarnation's answer.
+pub(crate) struct Told {
+    group: GroupId,
+    incarnation: Owner,
+    grants: Vec<Grant>,
+}
+
+impl RequestsTask {
+    pub(crate) async fn carry_out(&mut self, effects: Vec<Effect>, context: &mut Context<Self>) {
+        let mut effects = VecDeque::from(effects);
+        while let Some(effect) = effects.pop_front() {
+            match effect {
+                Effect::Reply { call, result } => {
+                    if let Some(grant) = self.reply(call, result) {
+                        effects.extend(self.state.undelivered(&grant, Instant::now()));
+                    }
+                }
+                Effect::Append { purpose, records } => {
+                    self.append(purpose, records, context).await;
+                }
+                Effect::Register {
+                    group,
+                    epoch,
+                    holders,
+                } => self.register(group, epoch, holders, context).await,
+                Effect::Unregister { group, holders } => {
+                    let entries = holder_entries(&group, &holders, false);
+                    drop(self.send_entries(entries).await);
+                }
+                Effect::Ask { group, incarnation } => self.ask(group, incarnation, context),
+                Effect::Refused { class, reason } => self.recorder.refused(&class, reason),
+                Effect::Placed { class, waited } => self.recorder.placed(&class, waited),
+            }
+        }
+    }
+
+    /// Answers a call; returns a grant that the caller did not wait for.
+    fn reply(
+        &mut self,
+        call: CallId,
+        result: std::result::Result<Reply, Refusal>,
+    ) -> Option<Grant> {
+        let sender = self.calls.remove(&call)?;
+        match sender.send(result) {
+            Err(Ok(Reply::Granted(grant))) => Some(grant),
+            _ => None,
+        }
+    }
+
+    /// Sends entries to the journal in order; the answer comes back as a message.
+    async fn append(
+        &mut self,
+        purpose: AppendPurpose,
+        records: Vec<(RequestKey, Option<JournaledKey>)>,
+        context: &mut Context<Self>,
+    ) {
+        let own = context.mailbox().address();
+        let entries = match encode(&purpose.group, &records) {
+            Ok(entries) => entries,
+            Err(error) => {
+                spdlog::error!("{error}");
+                let outcome = AppendOutcome::NotKept { store_down: false };
+                let _ = own.send(Appended { purpose, outcome }).detach().await;
+                return;
+            }
+        };
+        let answer = self.send_entries(entries).await;
+        tokio::spawn(async move {
+            let outcome = append_outcome(answer.await);
+            let _ = own.send(Appended { purpose, outcome }).await;
+        });
+    }
+
+    async fn register(
+        &mut self,
+        group: GroupId,
+        epoch: Epoch,
+        holders: Vec<IncarnationId>,
+        context: &mut Context<Self>,
+    ) {
+        let own = context.mailbox().address();
+        let answer = self
+            .send_entries(holder_entries(&group, &holders, true))
+            .await;
+        tokio::spawn(async move {
+            let registered = Registered {
+                group,
+                epoch,
+                holders,
+                outcome: append_outcome(answer.await),
+            };
+            let _ = own.send(registered).await;
+        });
+    }
+
+    async fn send_entries(&mut self, entries: Vec<JournalEntry>) -> AppendAnswer {
+        let (reply, answer) = oneshot::channel();
+        let append = Append { entries, reply };
+        let _ = self.append.send(append).detach().await;
+        answer
+    }
+
+    fn ask(&self, group: GroupId, incarnation: Owner, context: &mut Context<Self>) {
+        let own = context.mailbox().address();
+        let remote = Arc::clone(&self.remote);
+        tokio::spawn(async move {
+            let call = Call::Holdings {
+                group: group.clone(),
+                epoch: incarnation.epoch,
+            };
+            match remote.call(&incarnation, call).await {
+                Ok(Ok(Reply::Holdings { grants })) => {
+                    let told = Told {
+                        group,
+                        incarnation,
+                        grants,
+                    };
+                    let _ = own.send(told).await;
+                }
+                Ok(answer) => {
+                    spdlog::warn!("ask {} for holdings: {:?}", incarnation.incarnation, answer);
+                }
+                Err(error) => spdlog::warn!("ask for holdings: {error}"),
+            }
+        });
+    }
+}
+
+fn encode(
+    group: &GroupId,
+    records: &[(RequestKey, Option<JournaledKey>)],
+) -> Result<Vec<JournalEntry>> {
+    let entry = |(key, record): &(RequestKey, Option<JournaledKey>)| match record {
+        Some(record) => record.to_entry(group, key),
+        None => Ok(forget_entry(group, key)),
+    };
+    records.iter().map(entry).collect()
+}
+
+fn holder_entries(
+    group: &GroupId,
+    holders: &[IncarnationId],
+    registered: bool,
+) -> Vec<JournalEntry> {
+    let entry = |holder| holder_entry(group, holder, registered);
+    holders.iter().map(entry).collect()
+}
+
+fn append_outcome(
+    answer: std::result::Result<jackdawchute_ownership::Result<()>, oneshot::error::RecvError>,
+) -> AppendOutcome {
+    match answer {
+        Ok(Ok(())) => AppendOutcome::Kept,
+        Ok(Err(Error::Unavailable(_))) => AppendOutcome::NotKept { store_down: true },
+        Ok(Err(Error::NotOwner(_) | Error::Fenced(_))) => {
+            AppendOutcome::NotKept { store_down: false }
+        }
+        Err(_) => AppendOutcome::Unknown,
+    }
+}
+
+impl Handler<Appended> for RequestsTask {
+    type Return = ();
+
+    async fn handle(&mut self, appended: Appended, context: &mut Context<Self>) {
+        let now = Instant::now();
+        let effects = self
+            .state
+            .appended(&appended.purpose, appended.outcome, now);
+        self.carry_out(effects, context).await;
+    }
+}
+
+impl Handler<Registered> for RequestsTask {
+    type Return = ();
+
+    async fn handle(&mut self, registered: Registered, context: &mut Context<Self>) {
+        let Registered {
+            group,
+            epoch,
+            holders,
+            outcome,
+        } = registered;
+        let now = Instant::now();
+        let effects = self.state.registered(&group, epoch, &holders, outcome, now);
+        self.carry_out(effects, context).await;
+    }
+}
+
+impl Handler<Told> for RequestsTask {
+    type Return = ();
+
+    async fn handle(&mut self, told: Told, context: &mut Context<Self>) {
+        let epoch = told.incarnation.epoch;
+        let incarnation = &told.incarnation.incarnation;
+        let now = Instant::now();
+        let effects = self
+            .state
+            .told(&told.group, epoch, incarnation, &told.grants, now);
+        self.carry_out(effects, context).await;
+    }
+}
--- a/jackdawchute-requests/src/complete.rs
+++ b/jackdawchute-requests/src/complete.rs
@@ -8,7 +8,8 @@
     acquire::{known_outcome, outcome_effects},
     group::{GrantPhase, GrantRef, Group},
     keys::{Phase, Saved},
-    AppendOutcome, AppendStep, CallId, Complete, Effect, GrantOutcome, Reply, StoredAnswer,
+    AppendOutcome, AppendStep, CallId, Complete, Effect, GrantOutcome, JournaledKey, Reply,
+    StoredAnswer,
 };
 
 impl Group {
@@ -33,7 +34,8 @@
             );
             return;
         }
-        if !self.open.contains_key(&grant) && !self.unaccounted.is_empty() {
+        let ended = complete.outcome != GrantOutcome::AnswerLost;
+        if ended && !self.open.contains_key(&grant) && !self.unaccounted.is_empty() {
             self.returned_early.insert(grant);
         }
         self.take_back(grant, &complete.outcome, now);
@@ -170,6 +172,14 @@
         self.save_outcome(key, call, effects);
     }
 
+    /// The outcome of a key as it goes into the journal.
+    pub(crate) fn journaled_outcome(&self, key: &RequestKey) -> Option<JournaledKey> {
+        let record = self.keys.get(key)?;
+        let grant = record.grant.as_ref().map(|(grant, _)| grant);
+        let open = grant.and_then(|grant| self.open.get(grant));
+        record.journaled_outcome(open.map(|open| open.minion.clone()))
+    }
+
     /// Journals the outcome of a key.
     pub(crate) fn save_outcome(
         &mut self,
@@ -177,10 +187,10 @@
         call: Option<CallId>,
         effects: &mut Vec<Effect>,
     ) {
+        let outcome = self.journaled_outcome(key);
         let Some(record) = self.keys.get_mut(key) else {
             return;
         };
-        let outcome = record.journaled_outcome();
         if outcome.is_none() && record.phase != Phase::Closing {
             reply(call, Ok(Reply::Completed), effects);
             return;
--- a/jackdawchute-requests/src/expire.rs
+++ b/jackdawchute-requests/src/expire.rs
@@ -8,6 +8,7 @@
 use crate::{
     adopt::ASK_PERIOD,
     group::{refusal_effects, GrantPhase, GrantRef, Group, OpenGrant, ParkedFor, Waiting},
+    keys::Phase,
     AppendStep, Effect, Grant,
 };
 
@@ -21,7 +22,7 @@
         self.expire_parked(now, effects);
         self.expire_journaling(now, effects);
         self.expire_waiters(now, effects);
-        self.end_grants(now);
+        self.end_grants(now, effects);
         self.end_hold_back(now);
         self.retire_keys(now, effects);
         self.probe_journal(now, effects);
@@ -39,9 +40,9 @@
     fn expire_parked(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         for (reason, waiting) in self.take_parked_if(|waiting| waiting.ends <= now) {
             let refusal = match reason {
-                ParkedFor::Journal => Refusal::not_run(
+                ParkedFor::Journal | ParkedFor::Registration(_) => Refusal::not_run(
                     RefusalReason::StoreUnavailable,
-                    "no intent could be journaled in time",
+                    "nothing could be journaled in time",
                 ),
                 ParkedFor::Holder(_) => {
                     Refusal::not_run(RefusalReason::DeadlineExpired, "waited too long")
@@ -94,7 +95,7 @@
     }
 
     /// Frees the slots of requests that have surely ended.
-    fn end_grants(&mut self, now: Instant) {
+    fn end_grants(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let over: Vec<GrantRef> = self
             .open
             .iter()
@@ -103,6 +104,7 @@
             .collect();
         for grant in over {
             self.free_grant(grant, now);
+            self.save_end(grant, effects);
         }
         let overdue = self.open.values_mut().filter(|open| open.is_overdue(now));
         let mut holders: Vec<IncarnationId> = overdue.map(|open| open.holder.clone()).collect();
@@ -123,6 +125,20 @@
             .retain(|_, at| now < *at + ASK_PERIOD * 2);
     }
 
+    /// Journals that a request without answer runs no more, so that no successor counts it.
+    fn save_end(&mut self, grant: GrantRef, effects: &mut Vec<Effect>) {
+        let Some(key) = self.keys.by_grant(grant).cloned() else {
+            return;
+        };
+        let unknown = self
+            .keys
+            .get(&key)
+            .is_some_and(|r| r.phase == Phase::Unknown);
+        if unknown {
+            self.save_outcome(&key, None, effects);
+        }
+    }
+
     /// Gives overdue grants up that their holder told twice not to hold.
     ///
     /// Once is not enough: the holder forgets a grant right before it gives it back.
@@ -188,7 +204,7 @@
         let retired = self.keys.retire(&self.settings.retention, now);
         let forgotten = retired.keys.into_iter().map(|key| (key, None));
         let trimmed = retired.answers.into_iter().filter_map(|key| {
-            let record = self.keys.get(&key)?.journaled_outcome()?;
+            let record = self.journaled_outcome(&key)?;
             Some((key, Some(record)))
         });
         let records: Vec<_> = forgotten.chain(trimmed).collect();
--- a/jackdawchute-requests/src/grant.rs
+++ b/jackdawchute-requests/src/grant.rs
@@ -55,6 +55,9 @@
         for reason in reasons {
             let clear = match &reason {
                 ParkedFor::Journal => self.journal_takes_intents(),
+                ParkedFor::Registration(holder) => {
+                    self.is_registered(holder) || self.may_register(holder)
+                }
                 ParkedFor::Holder(holder) => self.choose_minion(holder, false, now).is_some(),
             };
             let Some(queue) = self.parked.get_mut(&reason).filter(|_| clear) else {
@@ -90,6 +93,14 @@
             return false;
         }
         let holder = waiting.acquire.holder.clone();
+        if key.is_none() && !self.is_registered(&holder) {
+            self.put_down(&ticket);
+            if self.may_register(&holder) {
+                self.register([&holder].into_iter(), effects);
+            }
+            self.park(ParkedFor::Registration(holder), waiting, now, effects);
+            return false;
+        }
         let Some(minion) = self.choose_minion(&holder, key.is_some(), now) else {
             self.put_down(&ticket);
             self.park(ParkedFor::Holder(holder), waiting, now, effects);
@@ -111,7 +122,11 @@
         now: Instant,
     ) -> Option<MinionId> {
         let held_back = self.held_back();
-        let holder_max = self.settings.grants.hold_back_slots;
+        // Until a holder told what it holds, it may already have as many as it may have.
+        let holder_max = match self.unaccounted.contains_key(holder) {
+            true => 0,
+            false => self.settings.grants.hold_back_slots,
+        };
         let count = self.minions.len().max(1);
         self.minions
             .iter()
--- a/jackdawchute-requests/src/group.rs
+++ b/jackdawchute-requests/src/group.rs
@@ -12,8 +12,8 @@
 };
 
 use crate::{
-    keys::Keys, minion::Minion, Acquire, AppendPurpose, AppendStep, CallId, Effect, Grant, GrantId,
-    Settings,
+    holders::Registration, keys::Keys, minion::Minion, Acquire, AppendPurpose, AppendStep, CallId,
+    Effect, Grant, GrantId, Settings,
 };
 
 /// Names a grant across the epochs of a group.
@@ -37,6 +37,8 @@
 pub(crate) enum ParkedFor {
     /// The journal takes no intent now.
     Journal,
+    /// Its holder is on the way into the journal.
+    Registration(IncarnationId),
     /// Its holder has its share of every minion.
     Holder(IncarnationId),
 }
@@ -95,6 +97,7 @@
     pub(crate) parked: BTreeMap<ParkedFor, VecDeque<Waiting>>,
     pub(crate) open: BTreeMap<GrantRef, OpenGrant>,
     pub(crate) keys: Keys,
+    pub(crate) holders: BTreeMap<IncarnationId, Registration>,
     pub(crate) unaccounted: BTreeMap<IncarnationId, Unaccounted>,
     /// Incarnations to be asked what they hold.
     pub(crate) asks: BTreeSet<IncarnationId>,
@@ -132,6 +135,7 @@
             parked: BTreeMap::new(),
             open: BTreeMap::new(),
             keys: Keys::default(),
+            holders: BTreeMap::new(),
             unaccounted: BTreeMap::new(),
             asks: BTreeSet::new(),
             overdue_asked: BTreeMap::new(),
--- a/jackdawchute-requests/src/holder.rs
+++ b/jackdawchute-requests/src/holder.rs
@@ -1,21 +1,31 @@
 //! What this instance holds of the grants that owners gave it.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_types::{Epoch, GroupId};
 
-use crate::{Grant, GrantId, Returned};
+use crate::{GivenUp, Grant, GrantId, Returned};
 
-/// The grants whose requests are not done, and the earliest epoch that may still be used.
+/// The grants whose requests may run, and the earliest epoch that may still be used.
 ///
 /// Without the epoch a grant of a former owner could arrive after the new owner was told that
 /// nothing is held, and both would give the same slot away.
 #[derive(Clone, Debug, Default)]
 pub struct Holder {
-    held: BTreeMap<(GroupId, Epoch, GrantId), Grant>,
+    held: BTreeMap<(GroupId, Epoch, GrantId), HeldGrant>,
     epochs: BTreeMap<GroupId, Epoch>,
 }
 
+#[derive(Clone, Debug)]
+struct HeldGrant {
+    grant: Grant,
+    /// When the request has surely ended, once its answer was given up.
+    ends: Option<Instant>,
+}
+
 impl Holder {
     /// Registers a grant; `false` if it must be given back unsent.
     ///
@@ -26,15 +36,29 @@
         if grant.epoch < earliest || in_transit > grant.transit_max {
             return false;
         }
-        self.held
-            .insert((grant.group.clone(), grant.epoch, grant.id), grant);
+        let key = (grant.group.clone(), grant.epoch, grant.id);
+        self.held.insert(key, HeldGrant { grant, ends: None });
         true
     }
 
     /// Forgets a grant whose request is done.
     pub fn give_back(&mut self, returned: &Returned) {
+        let key = (returned.group.clone(), returned.epoch, returned.grant);
+        self.held.remove(&key);
+    }
+
+    /// Keeps telling of a grant until `ends`, when its request has surely ended.
+    pub fn give_up(&mut self, given_up: &GivenUp, ends: Instant) {
+        let key = (given_up.group.clone(), given_up.epoch, given_up.grant);
+        if let Some(held) = self.held.get_mut(&key) {
+            held.ends = Some(ends);
+        }
+    }
+
+    /// Forgets the requests that have surely ended.
+    pub fn expire(&mut self, now: Instant) {
         self.held
-            .remove(&(returned.group.clone(), returned.epoch, returned.grant));
+            .retain(|_, held| held.ends.is_none_or(|ends| now < ends));
     }
 
     /// Tells the new owner of `group` what is held, and bars grants of epochs before `epoch`.
@@ -43,9 +67,7 @@
         *earliest = epoch.max(*earliest);
         let first = (group.clone(), Epoch::MIN, GrantId::MIN);
         let last = (group.clone(), Epoch::MAX, GrantId::MAX);
-        self.held
-            .range(first..=last)
-            .map(|(_, grant)| grant.clone())
-            .collect()
+        let held = self.held.range(first..=last);
+        held.map(|(_, held)| held.grant.clone()).collect()
     }
 }
--- /dev/null
+++ b/jackdawchute-requests/src/holders.rs
@@ -0,0 +1,129 @@
+//! Keeps in the journal who may hold grants, so that a successor knows whom to ask or wait for.
+//!
+//! A grant without a journaled intent is given only to a registered holder. One entry for each
+//! holder and group is enough, so that the grants themselves cost no write.
+
+use std::time::Instant;
+
+use jackdawchute_ownership::Directory;
+use jackdawchute_types::IncarnationId;
+
+use crate::{adopt::is_listed, group::Group, AppendOutcome, Effect};
+
+/// A holder's entry in the journal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Registration {
+    /// Whether the journal surely has it.
+    pub(crate) kept: bool,
+    /// Since when the holder is not listed.
+    pub(crate) gone: Option<Instant>,
+}
+
+impl Group {
+    pub(crate) fn is_registered(&self, holder: &IncarnationId) -> bool {
+        self.holders.get(holder).is_some_and(|entry| entry.kept)
+    }
+
+    /// Whether a registration would be tried now.
+    pub(crate) fn may_register(&self, holder: &IncarnationId) -> bool {
+        !self.journal_down && !self.holders.contains_key(holder)
+    }
+
+    /// Journals those of `holders` that are new.
+    pub(crate) fn register<'a>(
+        &mut self,
+        holders: impl Iterator<Item = &'a IncarnationId>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let new: Vec<IncarnationId> = holders
+            .filter(|holder| !self.holders.contains_key(*holder))
+            .cloned()
+            .collect();
+        if new.is_empty() {
+            return;
+        }
+        for holder in &new {
+            let entry = Registration {
+                kept: false,
+                gone: None,
+            };
+            self.holders.insert(holder.clone(), entry);
+        }
+        effects.push(Effect::Register {
+            group: self.id.clone(),
+            epoch: self.epoch,
+            holders: new,
+        });
+    }
+
+    /// Goes on after holders were journaled or were not.
+    pub(crate) fn registered(
+        &mut self,
+        holders: &[IncarnationId],
+        outcome: AppendOutcome,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let AppendOutcome::NotKept { store_down } = outcome {
+            self.journal_down |= store_down;
+        }
+        for holder in holders {
+            if outcome == AppendOutcome::Kept {
+                if let Some(entry) = self.holders.get_mut(holder) {
+                    entry.kept = true;
+                }
+            } else {
+                // It is tried again with the holder's next call.
+                self.holders.remove(holder);
+            }
+        }
+        self.pump(now, effects);
+    }
+
+    /// Registers the holders that appeared and notes those that vanished.
+    pub(crate) fn note_listed(
+        &mut self,
+        directory: &Directory,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        for (holder, entry) in &mut self.holders {
+            let gone = entry.gone.unwrap_or(now);
+            entry.gone = (!is_listed(directory, holder)).then_some(gone);
+        }
+        self.register(directory.incarnations.keys(), effects);
+    }
+
+    /// Forgets the holders that vanished so long ago that all of their grants have surely ended.
+    pub(crate) fn forget_holders(
+        &mut self,
+        this: &IncarnationId,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        let ended_after = self.settings.grants.ended_after();
+        let is_over = |holder: &IncarnationId, entry: &Registration| {
+            let ended = entry.gone.is_some_and(|gone| now >= gone + ended_after);
+            ended && entry.kept && holder != this
+        };
+        let holds_none = |holder: &IncarnationId| {
+            let mut open = self.open.values();
+            !open.any(|grant| grant.holder == *holder) && !self.unaccounted.contains_key(holder)
+        };
+        let holders = self.holders.iter();
+        let over: Vec<IncarnationId> = holders
+            .filter(|(holder, entry)| is_over(holder, entry) && holds_none(holder))
+            .map(|(holder, _)| holder.clone())
+            .collect();
+        if over.is_empty() {
+            return;
+        }
+        for holder in &over {
+            self.holders.remove(holder);
+        }
+        effects.push(Effect::Unregister {
+            group: self.id.clone(),
+            holders: over,
+        });
+    }
+}
--- a/jackdawchute-requests/src/journal.rs
+++ b/jackdawchute-requests/src/journal.rs
@@ -10,6 +10,7 @@
 use crate::{Error, GrantId, Result, StoredAnswer};
 
 const KEY_PREFIX: &str = "key/";
+const HOLDER_PREFIX: &str = "holder/";
 
 /// What the journal keeps of a non-idempotent request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,7 +46,11 @@
         answer: Option<StoredAnswer>,
     },
     /// No answer came and none is expected.
-    Unknown,
+    Unknown {
+        /// The minion that it may still run on; `None` once it has surely ended.
+        #[serde(default)]
+        minion: Option<MinionId>,
+    },
 }
 
 impl JournaledKey {
@@ -74,6 +79,24 @@
     }
 }
 
+/// The entry that registers a holder, or forgets it.
+pub(crate) fn holder_entry(
+    group: &GroupId,
+    holder: &IncarnationId,
+    registered: bool,
+) -> JournalEntry {
+    JournalEntry {
+        group: group.clone(),
+        key: format_smolstr!("{HOLDER_PREFIX}{holder}"),
+        value: registered.then(String::new),
+    }
+}
+
+/// The holder in an entry key, if it is one of a holder.
+pub(crate) fn registered_holder(key: &EntryKey) -> Option<IncarnationId> {
+    key.strip_prefix(HOLDER_PREFIX).map(IncarnationId::new)
+}
+
 /// The entry that forgets `key`.
 pub(crate) fn forget_entry(group: &GroupId, key: &RequestKey) -> JournalEntry {
     JournalEntry {
--- a/jackdawchute-requests/src/keys.rs
+++ b/jackdawchute-requests/src/keys.rs
@@ -5,7 +5,7 @@
     time::Instant,
 };
 
-use jackdawchute_types::{IncarnationId, RequestKey};
+use jackdawchute_types::{IncarnationId, MinionId, RequestKey};
 
 use crate::{
     group::{GrantRef, Waiting},
@@ -71,12 +71,14 @@
     }
 
     /// The outcome as it goes into the journal; `None` if the key is to be forgotten.
-    pub(crate) fn journaled_outcome(&self) -> Option<JournaledKey> {
+    ///
+    /// `minion` is where its request may still run.
+    pub(crate) fn journaled_outcome(&self, minion: Option<MinionId>) -> Option<JournaledKey> {
         let state = match &self.phase {
             Phase::Answered(answer) => JournaledState::Answered {
                 answer: answer.clone(),
             },
-            Phase::Unknown => JournaledState::Unknown,
+            Phase::Unknown => JournaledState::Unknown { minion },
             Phase::Queued | Phase::Journaling | Phase::Open | Phase::Closing => return None,
         };
         let (grant, holder) = self.grant.clone()?;
--- a/jackdawchute-requests/src/lib.rs
+++ b/jackdawchute-requests/src/lib.rs
@@ -6,14 +6,18 @@
 
 mod acquire;
 mod adopt;
+mod carry_out;
 mod complete;
 mod connections;
+mod effect;
 mod error;
 mod expire;
+mod fleet;
 mod grant;
 mod group;
 mod groups;
 mod holder;
+mod holders;
 mod journal;
 mod keys;
 mod messages;
@@ -25,16 +29,17 @@
 mod task;
 
 pub use connections::idle_connections_max;
+pub use effect::{AppendOutcome, AppendPurpose, AppendStep, CallId, Effect};
 pub use error::{Error, Result};
 pub use groups::{home_group, service_group};
 pub use holder::Holder;
 pub use journal::{JournaledKey, JournaledState};
 pub use messages::{
-    Acquire, Call, ChangeSettings, Complete, Explain, Grant, GrantId, GrantOutcome, Held, Incoming,
-    Remote, Reply, Returned, Status, StoredAnswer,
+    Acquire, Call, ChangeSettings, Complete, Explain, GivenUp, Grant, GrantId, GrantOutcome, Held,
+    Incoming, Remote, Reply, Returned, Status, StoredAnswer,
 };
 pub use retry::{Backoff, FailedAttempt, RetryBudget, RetrySettings};
 pub use settings::{EjectionSettings, GrantSettings, RetentionSettings, Settings};
-pub use state::{AppendOutcome, AppendPurpose, AppendStep, CallId, Effect, State};
+pub use state::State;
 pub use status::{Explanation, GroupStatus, MinionStatus, RequestsStatus};
 pub use task::{spawn, Options, RequestsTask};
--- a/jackdawchute-requests/src/messages.rs
+++ b/jackdawchute-requests/src/messages.rs
@@ -177,6 +177,18 @@
     pub epoch: Epoch,
 }
 
+/// Gives up on the answer of a held grant, in place of [`Returned`]: its request may still run, so
+/// a new owner is told of it until it has surely ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GivenUp {
+    /// The grant.
+    pub grant: GrantId,
+    /// The group that granted it.
+    pub group: GroupId,
+    /// The epoch of the grant.
+    pub epoch: Epoch,
+}
+
 /// Replaces the settings of every group.
 #[derive(Clone, Debug)]
 pub struct ChangeSettings(pub Arc<Settings>);
--- a/jackdawchute-requests/src/state.rs
+++ b/jackdawchute-requests/src/state.rs
@@ -1,116 +1,30 @@
 //! Every decision of this slice: inputs and the time in, effects out.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration, time::Instant};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_admission::AdmissionPolicy;
 use jackdawchute_ownership::{Directory, GroupEvent, Owner, Standing};
-use jackdawchute_platform::{MemberRole, MemberState, MembershipList};
-use jackdawchute_types::{
-    ClassId, Epoch, GroupId, IncarnationId, MinionId, Refusal, RefusalReason, RequestKey,
-};
+use jackdawchute_platform::MembershipList;
+use jackdawchute_types::{Epoch, GroupId, IncarnationId, Refusal, RefusalReason, RequestKey};
 
 use crate::{
-    adopt::is_listed, group::Group, minion::Minion, service_group, Call, Complete, Explanation,
-    Grant, GrantOutcome, Holder, JournaledKey, Reply, RequestsStatus, Returned, Settings,
+    adopt::is_listed,
+    fleet::{minions_by_group, Listed},
+    group::Group,
+    AppendOutcome, AppendPurpose, AppendStep, Call, CallId, Complete, Effect, Explanation, GivenUp,
+    Grant, GrantOutcome, Holder, Reply, RequestsStatus, Returned, Settings,
 };
 
-/// Names a call whose reply is owed.
-pub type CallId = u64;
-
-/// The epoch of a group's first owner.
-const FIRST_EPOCH: Epoch = 1;
-/// Stands for the incarnations that vanished before this one could know of them.
-const BEFORE_START: IncarnationId = IncarnationId::new_static("(before this start)");
 /// A longer time between two ticks means that the process stood still.
 const TICK_GAP_MAX: Duration = Duration::from_secs(1);
 /// After standing still nothing is granted for this time, so that a lost lease is heard of first.
 const SETTLE_TIME: Duration = Duration::from_millis(250);
 
-/// Why entries are journaled, given back with the result.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AppendPurpose {
-    /// The group.
-    pub group: GroupId,
-    /// This owner's epoch.
-    pub epoch: Epoch,
-    /// The key; empty for a cleanup of several.
-    pub key: RequestKey,
-    /// What the entries are for.
-    pub step: AppendStep,
-}
-
-/// What entries are journaled for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AppendStep {
-    /// Before a non-idempotent request is granted.
-    Intent,
-    /// After its outcome is known.
-    Outcome {
-        /// The call that waits for it.
-        call: Option<CallId>,
-        /// Tells a later outcome of the same key from an earlier one.
-        revision: u64,
-    },
-    /// Retention; a failure only leaves more in the journal until the next takeover.
-    Cleanup,
-}
-
-/// The result of an append.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AppendOutcome {
-    /// The entries are in the journal.
-    Kept,
-    /// They are not and never will be.
-    NotKept {
-        /// The store is down; otherwise the group has another owner.
-        store_down: bool,
-    },
-    /// The journal's task ended without an answer.
-    Unknown,
-}
-
-/// What the task does for the state.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// Answers a call.
-    Reply {
-        /// The call.
-        call: CallId,
-        /// Its answer.
-        result: Result<Reply, Refusal>,
-    },
-    /// Journals records, `None` forgetting a key; the result comes back with the purpose.
-    Append {
-        /// Comes back with the result.
-        purpose: AppendPurpose,
-        /// All or none.
-        records: Vec<(RequestKey, Option<JournaledKey>)>,
-    },
-    /// Asks another incarnation what it holds of a group.
-    Ask {
-        /// The group.
-        group: GroupId,
-        /// The incarnation, with this owner's epoch.
-        incarnation: Owner,
-    },
-    /// Counts a refusal.
-    Refused {
-        /// The class.
-        class: ClassId,
-        /// The reason.
-        reason: RefusalReason,
-    },
-    /// Counts a grant.
-    Placed {
-        /// The class.
-        class: ClassId,
-        /// The time from the call to the grant.
-        waited: Duration,
-    },
-}
-
 type PolicyFactory = Box<dyn Fn() -> Box<dyn AdmissionPolicy> + Send>;
-type Listed = BTreeMap<MinionId, Minion>;
 
 /// The state of the requests slice in one instance.
 pub struct State {
@@ -124,10 +38,6 @@
     /// Groups that were lost while intents or outcomes were on their way to the journal.
     lost: Vec<Group>,
     holder: Holder,
-    /// When this incarnation began to know who vanishes.
-    started: Option<Instant>,
-    /// Incarnations that are not listed any more, while grants of theirs may run.
-    vanished: BTreeMap<IncarnationId, Instant>,
     lease_until: Option<Instant>,
     last_tick: Option<Instant>,
     settled: Option<Instant>,
@@ -146,8 +56,6 @@
             groups: BTreeMap::new(),
             lost: Vec::new(),
             holder: Holder::default(),
-            started: None,
-            vanished: BTreeMap::new(),
             lease_until: None,
             last_tick: None,
             settled: None,
@@ -194,35 +102,16 @@
         if let Some(listed) = self.fleet.get(&id) {
             group.set_minions(listed);
         }
-        if epoch > FIRST_EPOCH {
-            self.hold_back(&mut group, fenced.clone(), now);
-        }
         let is_live = |holder: &IncarnationId| {
             Some(holder) != fenced.as_ref()
                 && (*holder == self.incarnation || is_listed(&self.directory, holder))
         };
         group.adopt_journal(entries, is_live, now, effects);
+        group.note_listed(&self.directory, now, effects);
+        group.register([&self.incarnation].into_iter(), effects);
         self.groups.insert(id, group);
     }
 
-    /// Holds slots back for everyone that the former owners may have granted to.
-    fn hold_back(&self, group: &mut Group, fenced: Option<IncarnationId>, now: Instant) {
-        let ended_after = self.settings.grants.ended_after();
-        let listed = self
-            .directory
-            .incarnations
-            .keys()
-            .chain([&self.incarnation]);
-        let others = listed.chain(&fenced).chain(self.vanished.keys());
-        for incarnation in others {
-            group.hold_back_for(incarnation.clone(), now + ended_after, now);
-        }
-        let known_since = self.started.unwrap_or(now) + ended_after;
-        if now < known_since {
-            group.hold_back_for(BEFORE_START, known_since, now);
-        }
-    }
-
     fn lose_group(&mut self, id: &GroupId, effects: &mut Vec<Effect>) {
         if let Some(mut group) = self.groups.remove(id) {
             group.refuse_all(effects);
@@ -234,20 +123,10 @@
     pub fn directory(&mut self, directory: Arc<Directory>, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
         self.begin(now);
-        let ended = now + self.settings.grants.ended_after();
         let old = std::mem::replace(&mut self.directory, directory);
-        let new = &self.directory;
-        let gone = old.incarnations.keys().filter(|id| !is_listed(new, id));
-        self.vanished.extend(gone.map(|id| (id.clone(), ended)));
         for group in self.groups.values_mut() {
-            group.holders_changed(&old, new, now, &mut effects);
-            if !group.unaccounted.is_empty() {
-                // This instance's list lagged: the former owner may have granted to them.
-                let appeared = new.incarnations.keys().filter(|id| !is_listed(&old, id));
-                for incarnation in appeared {
-                    group.hold_back_for(incarnation.clone(), ended, now);
-                }
-            }
+            group.holders_changed(&old, &self.directory, now, &mut effects);
+            group.note_listed(&self.directory, now, &mut effects);
             group.pump(now, &mut effects);
         }
         self.settle_asks(now, &mut effects);
@@ -297,9 +176,10 @@
         let mut effects = Vec::new();
         self.begin(now);
         self.last_tick = Some(now);
-        self.vanished.retain(|_, ended| now < *ended);
+        self.holder.expire(now);
         for group in self.groups.values_mut() {
             group.expire(now, &mut effects);
+            group.forget_holders(&self.incarnation, now, &mut effects);
         }
         self.lost.retain(|group| !group.is_drained());
         self.settle_asks(now, &mut effects);
@@ -368,6 +248,24 @@
         effects
     }
 
+    /// Goes on after holders were journaled or were not.
+    pub fn registered(
+        &mut self,
+        id: &GroupId,
+        epoch: Epoch,
+        holders: &[IncarnationId],
+        outcome: AppendOutcome,
+        now: Instant,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.begin(now);
+        let group = self.groups.get_mut(id);
+        if let Some(group) = group.filter(|group| group.epoch == epoch) {
+            group.registered(holders, outcome, now, &mut effects);
+        }
+        effects
+    }
+
     /// Learns what another incarnation holds of a group.
     pub fn told(
         &mut self,
@@ -439,6 +337,12 @@
         self.holder.give_back(returned);
     }
 
+    /// Gives up on the answer of a grant that this instance held; its request may still run.
+    pub fn give_up(&mut self, given_up: &GivenUp, now: Instant) {
+        let ends = now + self.settings.grants.ended_after();
+        self.holder.give_up(given_up, ends);
+    }
+
     /// Queues and slots of every owned group.
     pub fn status(&self, now: Instant) -> RequestsStatus {
         RequestsStatus {
@@ -483,7 +387,6 @@
 
     /// Looks at the clock before any decision: this incarnation may have stood still meanwhile.
     fn begin(&mut self, now: Instant) {
-        self.started.get_or_insert(now);
         let gap = self
             .last_tick
             .map(|last| now.saturating_duration_since(last));
@@ -514,19 +417,3 @@
     let result = Err(Refusal::not_run(RefusalReason::OwnerUnavailable, detail));
     [Effect::Reply { call, result }]
 }
-
-fn minions_by_group(list: &MembershipList) -> BTreeMap<GroupId, Listed> {
-    let mut fleet: BTreeMap<GroupId, Listed> = BTreeMap::new();
-    for member in &list.members {
-        let MemberRole::Minion { service, slots, .. } = &member.role else {
-            continue;
-        };
-        let mut minion = Minion::new(member.address, *slots);
-        minion.live = member.state == MemberState::Live;
-        fleet
-            .entry(service_group(service, &member.failure_domain))
-            .or_default()
-            .insert(member.id.clone(), minion);
-    }
-    fleet
-}
--- a/jackdawchute-requests/src/status.rs
+++ b/jackdawchute-requests/src/status.rs
@@ -89,7 +89,7 @@
         let parked = |for_journal: bool| {
             let queues = self.parked.iter();
             queues
-                .filter(|(reason, _)| (**reason == ParkedFor::Journal) == for_journal)
+                .filter(|(reason, _)| (!matches!(reason, ParkedFor::Holder(_))) == for_journal)
                 .map(|(_, queue)| queue.len())
                 .sum()
         };
--- a/jackdawchute-requests/src/task.rs
+++ b/jackdawchute-requests/src/task.rs
@@ -1,21 +1,22 @@
 //! The actor that carries the state's effects out.
 
-use std::{collections::HashMap, sync::Arc, time::Duration, time::Instant};
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_admission::AdmissionPolicy;
-use jackdawchute_ownership::{
-    Append, Directory, Error, GroupEvent, JournalEntry, LeaseUntil, Owner, Standing,
-};
+use jackdawchute_ownership::{Append, Directory, GroupEvent, LeaseUntil, Standing};
 use jackdawchute_platform::MembershipList;
 use jackdawchute_timer::{Subscribe, Tick, TimerTask};
-use jackdawchute_types::{GroupId, IncarnationId, Recorder, Refusal, RequestKey};
+use jackdawchute_types::{IncarnationId, Recorder, Refusal};
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 
 use crate::{
-    journal::forget_entry, AppendOutcome, AppendPurpose, Call, CallId, ChangeSettings, Effect,
-    Explain, Explanation, Grant, Held, Incoming, JournaledKey, Remote, Reply, RequestsStatus,
-    Result, Returned, Settings, State, Status,
+    CallId, ChangeSettings, Explain, Explanation, GivenUp, Held, Incoming, Remote, Reply,
+    RequestsStatus, Returned, Settings, State, Status,
 };
 
 const TICK_PERIOD: Duration = Duration::from_millis(50);
@@ -41,25 +42,12 @@
 /// Owns the service groups of this instance.
 #[derive(xtra::Actor)]
 pub struct RequestsTask {
-    state: State,
-    append: MessageChannel<Append, ()>,
-    remote: Arc<dyn Remote>,
-    recorder: Arc<dyn Recorder>,
-    calls: HashMap<CallId, oneshot::Sender<std::result::Result<Reply, Refusal>>>,
-    next_call: CallId,
-}
-
-/// The journal's answer.
-struct Appended {
-    purpose: AppendPurpose,
-    outcome: AppendOutcome,
-}
-
-/// Another incarnation's answer.
-struct Told {
-    group: GroupId,
-    incarnation: Owner,
-    grants: Vec<Grant>,
+    pub(crate) state: State,
+    pub(crate) append: MessageChannel<Append, ()>,
+    pub(crate) remote: Arc<dyn Remote>,
+    pub(crate) recorder: Arc<dyn Recorder>,
+    pub(crate) calls: HashMap<CallId, oneshot::Sender<std::result::Result<Reply, Refusal>>>,
+    pub(crate) next_call: CallId,
 }
 
 /// Starts the task on the current tokio runtime; it subscribes itself to the timer only.
@@ -127,115 +115,6 @@
     address
 }
 
-impl RequestsTask {
-    async fn carry_out(&mut self, effects: Vec<Effect>, context: &mut Context<Self>) {
-        let mut effects = std::collections::VecDeque::from(effects);
-        while let Some(effect) = effects.pop_front() {
-            match effect {
-                Effect::Reply { call, result } => {
-                    if let Some(grant) = self.reply(call, result) {
-                        effects.extend(self.state.undelivered(&grant, Instant::now()));
-                    }
-                }
-                Effect::Append { purpose, records } => {
-                    self.append(purpose, records, context).await;
-                }
-                Effect::Ask { group, incarnation } => self.ask(group, incarnation, context),
-                Effect::Refused { class, reason } => self.recorder.refused(&class, reason),
-                Effect::Placed { class, waited } => self.recorder.placed(&class, waited),
-            }
-        }
-    }
-
-    /// Answers a call; returns a grant that the caller did not wait for.
-    fn reply(
-        &mut self,
-        call: CallId,
-        result: std::result::Result<Reply, Refusal>,
-    ) -> Option<Grant> {
-        let sender = self.calls.remove(&call)?;
-        match sender.send(result) {
-            Err(Ok(Reply::Granted(grant))) => Some(grant),
-            _ => None,
-        }
-    }
-
-    /// Sends entries to the journal in order; the answer comes back as a message.
-    async fn append(
-        &mut self,
-        purpose: AppendPurpose,
-        records: Vec<(RequestKey, Option<JournaledKey>)>,
-        context: &mut Context<Self>,
-    ) {
-        let own = context.mailbox().address();
-        let entries = match encode(&purpose.group, &records) {
-            Ok(entries) => entries,
-            Err(error) => {
-                spdlog::error!("{error}");
-                let outcome = AppendOutcome::NotKept { store_down: false };
-                let _ = own.send(Appended { purpose, outcome }).detach().await;
-                return;
-            }
-        };
-        let (reply, answer) = oneshot::channel();
-        let append = Append { entries, reply };
-        let _ = self.append.send(append).detach().await;
-        tokio::spawn(async move {
-            let outcome = append_outcome(answer.await);
-            let _ = own.send(Appended { purpose, outcome }).await;
-        });
-    }
-
-    fn ask(&self, group: GroupId, incarnation: Owner, context: &mut Context<Self>) {
-        let own = context.mailbox().address();
-        let remote = Arc::clone(&self.remote);
-        tokio::spawn(async move {
-            let call = Call::Holdings {
-                group: group.clone(),
-                epoch: incarnation.epoch,
-            };
-            match remote.call(&incarnation, call).await {
-                Ok(Ok(Reply::Holdings { grants })) => {
-                    let told = Told {
-                        group,
-                        incarnation,
-                        grants,
-                    };
-                    let _ = own.send(told).await;
-                }
-                Ok(answer) => {
-                    spdlog::warn!("ask {} for holdings: {:?}", incarnation.incarnation, answer);
-                }
-                Err(error) => spdlog::warn!("ask for holdings: {error}"),
-            }
-        });
-    }
-}
-
-fn encode(
-    group: &GroupId,
-    records: &[(RequestKey, Option<JournaledKey>)],
-) -> Result<Vec<JournalEntry>> {
-    let entry = |(key, record): &(RequestKey, Option<JournaledKey>)| match record {
-        Some(record) => record.to_entry(group, key),
-        None => Ok(forget_entry(group, key)),
-    };
-    records.iter().map(entry).collect()
-}
-
-fn append_outcome(
-    answer: std::result::Result<jackdawchute_ownership::Result<()>, oneshot::error::RecvError>,
-) -> AppendOutcome {
-    match answer {
-        Ok(Ok(())) => AppendOutcome::Kept,
-        Ok(Err(Error::Unavailable(_))) => AppendOutcome::NotKept { store_down: true },
-        Ok(Err(Error::NotOwner(_) | Error::Fenced(_))) => {
-            AppendOutcome::NotKept { store_down: false }
-        }
-        Err(_) => AppendOutcome::Unknown,
-    }
-}
-
 impl Handler<GroupEvent> for RequestsTask {
     type Return = ();
 
@@ -332,6 +211,14 @@
     }
 }
 
+impl Handler<GivenUp> for RequestsTask {
+    type Return = ();
+
+    async fn handle(&mut self, given_up: GivenUp, _context: &mut Context<Self>) {
+        self.state.give_up(&given_up, Instant::now());
+    }
+}
+
 impl Handler<Status> for RequestsTask {
     type Return = RequestsStatus;
 
@@ -351,29 +238,3 @@
         self.state.explain(&explain.key, Instant::now())
     }
 }
-
-impl Handler<Appended> for RequestsTask {
-    type Return = ();
-
-    async fn handle(&mut self, appended: Appended, context: &mut Context<Self>) {
-        let now = Instant::now();
-        let effects = self
-            .state
-            .appended(&appended.purpose, appended.outcome, now);
-        self.carry_out(effects, context).await;
-    }
-}
-
-impl Handler<Told> for RequestsTask {
-    type Return = ();
-
-    async fn handle(&mut self, told: Told, context: &mut Context<Self>) {
-        let epoch = told.incarnation.epoch;
-        let incarnation = &told.incarnation.incarnation;
-        let now = Instant::now();
-        let effects = self
-            .state
-            .told(&told.group, epoch, incarnation, &told.grants, now);
-        self.carry_out(effects, context).await;
-    }
-}
--- a/jackdawchute-requests/tests/outages.rs
+++ b/jackdawchute-requests/tests/outages.rs
@@ -86,6 +86,7 @@
     assert_eq!(refusal.execution, Execution::NotRun);
     assert_eq!(granted(&landed, 1), None);
     assert_eq!(appends(&landed)[0].1, [("k".into(), None)]);
+    assert_eq!(state.status(later).groups[0].minions["m0"].in_use_slots, 0);
 }
 
 #[test]
@@ -107,6 +108,21 @@
     );
 }
 
+#[test]
+fn a_holder_that_the_store_missed_is_registered_again() {
+    let now = Instant::now();
+    let mut state = bystander(settings(), &minions(1, SLOTS), now);
+    let effects = state.group_event(fixtures::adopted(1, Vec::new(), None), now);
+    journaled(&mut state, effects, DOWN, now);
+
+    let waits = state.incoming(1, Call::Acquire(acquire(OWNER)), now);
+    let back = now + Duration::from_secs(1);
+    let effects = ticks(&mut state, now, back, AppendOutcome::Kept);
+
+    assert_eq!(reply(&waits, 1), None);
+    assert!(granted(&effects, 1).is_some());
+}
+
 #[test]
 fn an_outcome_that_the_store_missed_is_saved_again() {
     let now = Instant::now();
--- a/jackdawchute-requests/tests/takeover.rs
+++ b/jackdawchute-requests/tests/takeover.rs
@@ -6,8 +6,8 @@
 
 use fixtures::*;
 use jackdawchute_requests::{
-    AppendOutcome, Call, Effect, Grant, GrantSettings, JournaledKey, JournaledState, Reply,
-    Settings, State,
+    AppendOutcome, Call, Effect, GivenUp, Grant, GrantSettings, JournaledKey, JournaledState,
+    Reply, Settings, State,
 };
 use jackdawchute_types::{Epoch, Execution};
 
@@ -48,8 +48,10 @@
 
 /// The second owner, with one journaled key and a live peer that told that it holds nothing.
 fn successor(settings: Settings, key: &JournaledKey, now: Instant) -> State {
-    let mut state = long_running(settings, SLOTS, now);
-    state.group_event(adopted(2, journal(&[("k", key)]), None), now);
+    let mut state = bystander(settings, &minions(1, SLOTS), now);
+    list(&mut state, &[OWNER, PEER], now);
+    let entries = [journal(&[("k", key)]), holders(&[PEER])].concat();
+    adopt(&mut state, adopted(2, entries, None), now);
     state.told(&group(), 2, &PEER.into(), &[], now);
     state
 }
@@ -68,13 +70,6 @@
     }
 }
 
-/// A state that has been there long enough to know of every incarnation that may hold grants.
-fn long_running(settings: Settings, slots: u32, now: Instant) -> State {
-    let mut state = bystander(settings, &minions(1, slots), now - ended_after());
-    state.directory(directory(&[OWNER, PEER]), now);
-    state
-}
-
 /// How many more plain requests are granted now.
 fn grantable(state: &mut State, now: Instant) -> usize {
     let calls = 1_000..1_020;
@@ -146,18 +141,65 @@
     let later = state.status(now).groups[0].minions["m0"].in_use_slots;
 
     let journaled_state = appends(&adopting)[0].1[0].1.clone().map(|r| r.state);
-    assert_eq!(journaled_state, Some(JournaledState::Unknown));
+    let minion = Some("m0".into());
+    assert_eq!(journaled_state, Some(JournaledState::Unknown { minion }));
     let refusal = refused(&again, 1).expect("an unknown outcome");
     assert_eq!(refusal.execution, Execution::Unknown);
     assert_eq!((slots, later), (1, 0));
 }
 
+#[test]
+fn a_lost_answer_keeps_its_slot_over_a_takeover() {
+    let now = Instant::now();
+    let lost = JournaledState::Unknown {
+        minion: Some("m0".into()),
+    };
+    let mut state = successor(settings(), &record(1, PEER, lost), now);
+
+    let at_first = state.status(now).groups[0].minions["m0"].in_use_slots;
+    let ending = state.tick(now + ended_after());
+
+    let ended = appends(&ending)[0].1[0].1.clone().map(|r| r.state);
+    assert_eq!(at_first, 1);
+    assert_eq!(ended, Some(JournaledState::Unknown { minion: None }));
+    assert_eq!(state.status(now).groups[0].minions["m0"].in_use_slots, 0);
+}
+
+#[test]
+fn a_grant_whose_answer_was_given_up_is_told_of_until_it_surely_ended() {
+    let now = Instant::now();
+    let mut state = bystander(settings(), &minions(1, SLOTS), now);
+    state.hold(held_grant(5), Duration::ZERO);
+    let given_up = GivenUp {
+        grant: 5,
+        group: group(),
+        epoch: 1,
+    };
+    let holdings = Call::Holdings {
+        group: group(),
+        epoch: 2,
+    };
+
+    state.give_up(&given_up, now);
+    let before = state.incoming(1, holdings.clone(), now);
+    state.tick(now + ended_after());
+    let after = state.incoming(2, holdings, now);
+
+    let grants = vec![held_grant(5)];
+    assert_eq!(reply(&before, 1), Some(Ok(Reply::Holdings { grants })));
+    assert_eq!(
+        reply(&after, 2),
+        Some(Ok(Reply::Holdings { grants: vec![] }))
+    );
+}
+
 #[test]
 fn slots_are_held_back_for_an_incarnation_until_it_tells_what_it_holds() {
     let now = Instant::now();
-    let mut state = long_running(split_settings(), SLOTS, now);
+    let mut state = bystander(split_settings(), &minions(1, SLOTS), now);
+    list(&mut state, &[OWNER, PEER], now);
 
-    let effects = state.group_event(adopted(2, Vec::new(), None), now);
+    let effects = adopt(&mut state, adopted(2, holders(&[PEER]), None), now);
     let held_back = state.status(now).groups[0].held_back_slots;
     state.told(
         &group(),
@@ -182,9 +224,12 @@
 #[test]
 fn slots_are_held_back_for_a_fenced_owner_until_its_grants_surely_ended() {
     let now = Instant::now();
-    let mut state = long_running(split_settings(), 4, now);
-    state.group_event(adopted(2, Vec::new(), Some(FORMER)), now);
-    state.told(&group(), 2, &PEER.into(), &[], now);
+    let mut state = bystander(split_settings(), &minions(1, 4), now);
+    adopt(
+        &mut state,
+        adopted(2, holders(&[FORMER]), Some(FORMER)),
+        now,
+    );
 
     let at_first = grantable(&mut state, now);
     let effects = state.tick(now + ended_after());
@@ -201,35 +246,82 @@
 fn the_first_owner_of_a_group_holds_nothing_back() {
     let now = Instant::now();
     let mut state = bystander(split_settings(), &minions(1, SLOTS), now);
-    state.directory(directory(&[OWNER, PEER]), now);
+    list(&mut state, &[OWNER, PEER], now);
 
-    state.group_event(adopted(1, Vec::new(), None), now);
+    adopt(&mut state, adopted(1, Vec::new(), None), now);
 
     assert_eq!(state.status(now).groups[0].held_back_slots, 0);
 }
 
 #[test]
-fn slots_are_held_back_for_incarnations_that_vanished_before_the_takeover() {
+fn slots_are_held_back_for_a_holder_that_this_incarnation_never_knew() {
     let now = Instant::now();
-    let mut state = long_running(split_settings(), SLOTS, now);
-    state.directory(directory(&[OWNER]), now);
+    let mut state = bystander(split_settings(), &minions(1, SLOTS), now);
 
-    state.group_event(adopted(2, Vec::new(), None), now);
+    adopt(&mut state, adopted(2, holders(&["gone"]), None), now);
+    let at_first = state.status(now).groups[0].unaccounted.clone();
+    state.tick(now + ended_after());
 
-    assert_eq!(state.status(now).groups[0].unaccounted, [PEER]);
+    assert_eq!(at_first, ["gone"]);
+    assert_eq!(state.status(now).groups[0].held_back_slots, 0);
 }
 
 #[test]
-fn a_new_incarnation_holds_slots_back_for_those_that_it_never_knew() {
-    let start = Instant::now();
-    let mut state = bystander(split_settings(), &minions(1, SLOTS), start);
+fn a_holder_gets_its_first_grant_only_after_it_is_journaled() {
+    let now = Instant::now();
+    let mut state = bystander(settings(), &minions(1, SLOTS), now);
+    let registering = state.group_event(adopted(1, Vec::new(), None), now);
 
-    state.group_event(adopted(2, Vec::new(), None), start);
-    let at_first = state.status(start).groups[0].held_back_slots;
-    state.tick(start + ended_after());
+    let before = state.incoming(1, Call::Acquire(acquire(OWNER)), now);
+    let after = journaled(&mut state, registering, AppendOutcome::Kept, now);
+
+    assert_eq!(reply(&before, 1), None);
+    assert!(granted(&after, 1).is_some());
+}
+
+#[test]
+fn a_holder_that_told_nothing_yet_gets_nothing() {
+    let now = Instant::now();
+    let mut state = bystander(split_settings(), &minions(1, SLOTS), now);
+    list(&mut state, &[OWNER, PEER], now);
+    adopt(&mut state, adopted(2, holders(&[PEER]), None), now);
+
+    let before = state.incoming(1, Call::Acquire(acquire(PEER)), now);
+    let after = state.told(&group(), 2, &PEER.into(), &[], now);
+
+    assert_eq!(reply(&before, 1), None);
+    assert!(granted(&after, 1).is_some());
+}
+
+#[test]
+fn a_grant_given_up_during_the_takeover_is_still_counted() {
+    let now = Instant::now();
+    let mut state = bystander(settings(), &minions(1, SLOTS), now);
+    list(&mut state, &[OWNER, PEER], now);
+    adopt(&mut state, adopted(2, holders(&[PEER]), None), now);
+
+    let lost = jackdawchute_requests::GrantOutcome::AnswerLost;
+    state.incoming(1, complete(&held_grant(5), PEER, lost), now);
+    state.told(&group(), 2, &PEER.into(), &[held_grant(5)], now);
+
+    assert_eq!(state.status(now).groups[0].minions["m0"].in_use_slots, 1);
+}
+
+#[test]
+fn a_vanished_holder_is_forgotten_once_its_grants_have_ended() {
+    let now = Instant::now();
+    let mut state = owner_with_peer(settings(), &minions(1, SLOTS), now);
+    granted_plain(&mut state, 1, PEER, now);
+    list(&mut state, &[OWNER], now);
+    let unregisters = |effects: &[Effect]| {
+        let mut effects = effects.iter();
+        effects.any(|effect| matches!(effect, Effect::Unregister { .. }))
+    };
+
+    let before = state.tick(now + ended_after() - Duration::from_millis(1));
+    let after = state.tick(now + ended_after());
 
-    assert_eq!(at_first, HOLD_BACK);
-    assert_eq!(state.status(start).groups[0].held_back_slots, 0);
+    assert_eq!((unregisters(&before), unregisters(&after)), (false, true));
 }
 
 #[test]
@@ -248,8 +340,8 @@
 fn a_grant_given_back_before_its_holder_told_of_it_is_not_counted() {
     let now = Instant::now();
     let mut state = bystander(settings(), &minions(1, SLOTS), now);
-    state.directory(directory(&[OWNER, PEER]), now);
-    state.group_event(adopted(2, Vec::new(), None), now);
+    list(&mut state, &[OWNER, PEER], now);
+    adopt(&mut state, adopted(2, holders(&[PEER]), None), now);
 
     state.incoming(1, complete(&held_grant(5), PEER, answered("done")), now);
     state.told(&group(), 2, &PEER.into(), &[held_grant(5)], now);
--- a/jackdawchute-requests/tests/task.rs
+++ b/jackdawchute-requests/tests/task.rs
@@ -106,10 +106,12 @@
     });
     requests.send(Arc::new(minions(1, slots))).await.unwrap();
     requests.send(directory(&[OWNER, PEER])).await.unwrap();
-    requests
-        .send(adopted(epoch, Vec::new(), None))
-        .await
-        .unwrap();
+    let known = if epoch > 1 {
+        holders(&[PEER])
+    } else {
+        Vec::new()
+    };
+    requests.send(adopted(epoch, known, None)).await.unwrap();
     Cell {
         requests,
         mode,
@@ -132,6 +134,15 @@
             .unwrap()
     }
 
+    /// How many changes of keys the journal has.
+    fn journaled_keys(&self) -> usize {
+        let entries = self.entries.lock().unwrap();
+        entries
+            .iter()
+            .filter(|entry| entry.key.starts_with("key/"))
+            .count()
+    }
+
     async fn grant(&self, call: Call) -> Grant {
         match self.answer(call).await {
             Ok(Reply::Granted(grant)) => grant,
@@ -145,7 +156,7 @@
     let cell = cell(Unreachable, 1, 1).await;
 
     let grant = cell.grant(Call::Acquire(order(OWNER, "k"))).await;
-    let journaled = cell.entries.lock().unwrap().len();
+    let journaled = cell.journaled_keys();
     let completed = cell.answer(complete(&grant, OWNER, answered("done"))).await;
     let again = cell.answer(Call::Acquire(order(OWNER, "k"))).await;
 
@@ -166,7 +177,7 @@
 
     assert_eq!(refusal.reason, RefusalReason::StoreUnavailable);
     assert_eq!(refusal.execution, Execution::NotRun);
-    assert!(cell.entries.lock().unwrap().is_empty());
+    assert_eq!(cell.journaled_keys(), 0);
     assert!(matches!(plain, Ok(Reply::Granted(_))));
 }
 
