--- a/tests/configuration_race.rs
+++ b/tests/configuration_race.rs
@@ -1,12 +1,22 @@
 //! Operators change the configuration at the same time.
 
-use std::time::{Duration, Instant, SystemTime};
+use std::{
+    path::Path,
+    time::{Duration, Instant, SystemTime},
+};
 
 use jackdawchute_configuration::{apply, Configuration, Error};
 use jackdawchute_standins::{
-    harness::{Cell, CellOptions},
+    harness::{Cell, CellOptions, TemporaryDirectory, OPERATOR_TOKEN},
     table::TableFaults,
 };
+use tokio::{process::Command, task::JoinHandle};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_jackdawchute");
+/// How many conflicting pairs of changes are made.
+const ROUNDS: u64 = 4;
+/// The time between two looks at the version that an instance applies.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// How soon an accepted configuration is in force everywhere.
 const IN_FORCE_BOUND: Duration = Duration::from_secs(4);
@@ -14,7 +24,7 @@
 async fn cell() -> Cell {
     let options = CellOptions {
         entries: 3,
-        ..CellOptions::new(env!("CARGO_BIN_EXE_jackdawchute"))
+        ..CellOptions::new(PROGRAM)
     };
     Cell::start(options).await.unwrap()
 }
@@ -77,3 +87,71 @@
     cell.wait_until_in_force(2).await.unwrap();
     assert_eq!(outcome.configuration.version, 2);
 }
+
+/// Applies a change through the operators' listener of one instance.
+async fn run_apply(cell: &Cell, files: &TemporaryDirectory, entry: usize, version: u64) -> bool {
+    let author = format!("operator-{entry}");
+    let candidate = Configuration {
+        version,
+        ..change(&author, 100 + version).candidate
+    };
+    let yaml = candidate.to_yaml().unwrap();
+    let file = files.write(&format!("{author}.yaml"), &yaml).unwrap();
+    let token = files.write("operator.token", OPERATOR_TOKEN).unwrap();
+    let status = Command::new(PROGRAM)
+        .args(["config", "apply", "--author", &author, "--reason", "a race"])
+        .args([Path::new("--token-file"), &token])
+        .arg("--address")
+        .arg(cell.entries[entry].process.operators.to_string())
+        .arg(file)
+        .kill_on_drop(true)
+        .status();
+    status.await.unwrap().success()
+}
+
+/// Looks at an instance's version until it is `last`, and returns each version that it saw.
+fn watch_versions(cell: &Cell, entry: usize, last: u64) -> JoinHandle<Vec<u64>> {
+    let url = format!("http://{}/v1/status", cell.entries[entry].process.operators);
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    tokio::spawn(async move {
+        let mut seen = Vec::new();
+        while seen.last() != Some(&last) {
+            let request = client.get(&url).bearer_auth(OPERATOR_TOKEN);
+            let status: serde_json::Value = request.send().await.unwrap().json().await.unwrap();
+            seen.extend(status["configuration_version"].as_u64());
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+        seen
+    })
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_race_through_two_instances_and_no_version_reverts() {
+    let cell = cell().await;
+    let files = TemporaryDirectory::new().unwrap();
+    let watchers: Vec<_> = (0..cell.entries.len())
+        .map(|entry| watch_versions(&cell, entry, 1 + ROUNDS))
+        .collect();
+    let mut accepted = Vec::new();
+
+    for version in 1..=ROUNDS {
+        let lossy = TableFaults {
+            lose_commit_answers: 1,
+            ..TableFaults::default()
+        };
+        let cut = Some("entry-0".into());
+        cell.table.set_faults(cut, lossy).await.unwrap();
+        accepted.push(tokio::join!(
+            run_apply(&cell, &files, 0, version),
+            run_apply(&cell, &files, 1, version),
+        ));
+    }
+
+    for watcher in watchers {
+        let watched = tokio::time::timeout(Duration::from_secs(60), watcher);
+        let seen = watched.await.expect("the last version comes").unwrap();
+        assert!(seen.is_sorted(), "{seen:?}");
+    }
+    let winners = accepted.iter().filter(|(first, second)| first != second);
+    assert_eq!(winners.count() as u64, ROUNDS, "{accepted:?}");
+}
