fix: no job taken without a confirmed configuration, no costly YAML from callers

Cause: only requests asked whether the configuration is confirmed; a job went on to its home group. And a body of 200,000 brackets at the jobs API kept a thread busy for 7.6 s in a debug build, as the YAML library's time grows with the square of the depth.

Change: submissions ask as requests do; the API reads YAML through jackdawchute-yaml, which refuses such a text first.

Figures: the hostile body is now answered within the test's 2 s.

--- a/jackdawchute-entry/src/callers/jobs.rs
+++ b/jackdawchute-entry/src/callers/jobs.rs
@@ -13,7 +13,7 @@
 use super::{inbound::KEY_HEADER, problem};
 use crate::{
     authority::JobsAuthority,
-    routing::{LocateJob, OwnerMissing, RoutingTask},
+    routing::{LocateJob, OwnerMissing, RoutingTask, TakesNewWork},
     Metrics,
 };
 
@@ -40,6 +40,9 @@
             Err(refusal) => return self.refuse(&ClassId::new(NO_CLASS), &refusal),
         };
         let class = spec.class.clone();
+        if let Err(refusal) = self.takes_new_work().await {
+            return self.refuse(&class, &refusal);
+        }
         let id = job_id(&spec);
         let call = Call::Submit {
             id: id.clone(),
@@ -100,6 +103,13 @@
         }
     }
 
+    async fn takes_new_work(&self) -> Result<(), Refusal> {
+        self.routing.send(TakesNewWork).await.unwrap_or_else(|_| {
+            let detail = "the instance is shutting down";
+            Err(Refusal::not_run(RefusalReason::Draining, detail))
+        })
+    }
+
     async fn locate(&self, id: &JobId) -> Result<Owner, Refusal> {
         let located = self.routing.send(LocateJob(id.clone())).await;
         let ended = |_| Refusal::not_run(RefusalReason::Draining, "the instance is shutting down");
@@ -125,7 +135,8 @@
     let mut spec: JobSpec = if content_type.is_some_and(|text| text.contains("json")) {
         serde_json::from_slice(body).map_err(|error| invalid(error.to_string()))?
     } else {
-        serde_yaml_ng::from_slice(body).map_err(|error| invalid(error.to_string()))?
+        let text = std::str::from_utf8(body).map_err(|error| invalid(error.to_string()))?;
+        jackdawchute_yaml::parse_first(text).map_err(|problem| invalid(problem.to_string()))?
     };
     if spec.idempotency_key.is_none() {
         let key = headers
--- a/jackdawchute-entry/src/routing/messages.rs
+++ b/jackdawchute-entry/src/routing/messages.rs
@@ -10,6 +10,10 @@
 };
 use serde::Serialize;
 
+/// Asks whether the instance takes new work; refused without a confirmed configuration.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TakesNewWork;
+
 /// Asks for the route of a request; refused if there is none or the instance takes no new work.
 #[derive(Clone, Debug)]
 pub(crate) struct MatchRoute {
--- a/jackdawchute-entry/src/routing/mod.rs
+++ b/jackdawchute-entry/src/routing/mod.rs
@@ -8,6 +8,6 @@
 
 pub(crate) use messages::{
     AskRetry, BeginDrain, Finished, IsReady, Known, LocateGroup, LocateJob, MatchRoute,
-    OwnerMissing, PickGroup, Readiness, RouteMatch, Sent, Succeeded, View,
+    OwnerMissing, PickGroup, Readiness, RouteMatch, Sent, Succeeded, TakesNewWork, View,
 };
 pub(crate) use task::{spawn, RoutingTask};
--- a/jackdawchute-entry/src/routing/state.rs
+++ b/jackdawchute-entry/src/routing/state.rs
@@ -76,23 +76,26 @@
         }
     }
 
+    /// Gives the configuration that new work is taken with.
+    pub(super) fn takes_new_work(&self, now: Instant) -> Result<&Configuration, Refusal> {
+        let refusal =
+            |detail: &str| Refusal::not_run(RefusalReason::ConfigurationUnconfirmed, detail);
+        let Some(configuration) = &self.configuration else {
+            return Err(refusal("no configuration yet"));
+        };
+        if !self.confirmation.holds(now) {
+            return Err(refusal("the configuration could not be confirmed in time"));
+        }
+        Ok(configuration)
+    }
+
     /// Finds a request's route.
     pub(super) fn match_route(
         &self,
         request: &MatchRoute,
         now: Instant,
     ) -> Result<RouteMatch, Refusal> {
-        let refuse = |reason, detail: &str| Err(Refusal::not_run(reason, detail));
-        let Some(configuration) = &self.configuration else {
-            return refuse(
-                RefusalReason::ConfigurationUnconfirmed,
-                "no configuration yet",
-            );
-        };
-        if !self.confirmation.holds(now) {
-            let detail = "the configuration could not be confirmed in time";
-            return refuse(RefusalReason::ConfigurationUnconfirmed, detail);
-        }
+        let configuration = self.takes_new_work(now)?;
         let host = request.host.as_deref();
         let found = routes::find(configuration, &request.method, host, &request.path);
         found.ok_or_else(|| {
--- a/jackdawchute-entry/src/routing/task.rs
+++ b/jackdawchute-entry/src/routing/task.rs
@@ -16,7 +16,7 @@
     messages::{
         AskRetry, BeginDrain, Finished, IsReady, Known, LocateGroup, LocateJob, Located,
         MatchRoute, OwnerMissing, PickGroup, Readiness, RetryAfter, RouteMatch, Sent, Succeeded,
-        View,
+        TakesNewWork, View,
     },
     retries::Retries,
     state::State,
@@ -139,6 +139,14 @@
     }
 }
 
+impl Handler<TakesNewWork> for RoutingTask {
+    type Return = Result<(), Refusal>;
+
+    async fn handle(&mut self, _: TakesNewWork, _: &mut Context<Self>) -> Self::Return {
+        self.state.takes_new_work(Instant::now()).map(drop)
+    }
+}
+
 impl Handler<MatchRoute> for RoutingTask {
     type Return = Result<RouteMatch, Refusal>;
 
--- a/jackdawchute-standins/examples/control.rs
+++ b/jackdawchute-standins/examples/control.rs
@@ -33,7 +33,10 @@
 async fn main() {
     let mut arguments = std::env::args().skip(1);
     let program = arguments.next().expect("the path of the program");
-    let seconds = arguments.next().and_then(|text| text.parse().ok()).unwrap_or(20);
+    let seconds = arguments
+        .next()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(20);
     println!(
         "{:>7} {:>7} {:>8} {:>9} {:>9} {:>9} {:>9} {:>9}",
         "workers", "minions", "cpu %", "MB", "B/s", "writes/s", "scans/s", "reads/s"
@@ -44,7 +47,9 @@
 }
 
 async fn measure(program: PathBuf, workers: usize, minions: usize, seconds: u64) {
-    let cell = Cell::start(options(program, workers, minions)).await.expect("a cell");
+    let cell = Cell::start(options(program, workers, minions))
+        .await
+        .expect("a cell");
     tokio::time::sleep(SETTLE_TIME).await;
     let calls_before = calls(&cell).await;
     let before: Vec<Sample> = sample(&cell);
@@ -54,17 +59,23 @@
     let period = seconds as f64;
     let mean = |value: &dyn Fn(&Sample, &Sample) -> f64| {
         let pairs = before.iter().zip(&after);
-        pairs.map(|(before, after)| value(before, after)).sum::<f64>() / INSTANCES as f64
+        pairs
+            .map(|(before, after)| value(before, after))
+            .sum::<f64>()
+            / INSTANCES as f64
     };
     let processor =
         mean(&|before, after| (after.processor_seconds - before.processor_seconds) / period);
     let memory = mean(&|_, after| after.resident_bytes);
-    let network = before.iter().all(|sample| sample.network_bytes.is_some()).then(|| {
-        mean(&|before, after| {
-            let bytes = |sample: &Sample| sample.network_bytes.unwrap_or_default();
-            (bytes(after) - bytes(before)) / period
-        })
-    });
+    let network = before
+        .iter()
+        .all(|sample| sample.network_bytes.is_some())
+        .then(|| {
+            mean(&|before, after| {
+                let bytes = |sample: &Sample| sample.network_bytes.unwrap_or_default();
+                (bytes(after) - bytes(before)) / period
+            })
+        });
     let rate = |name: &str| {
         let total = |calls: &BTreeMap<&str, u64>| calls.get(name).copied().unwrap_or(0) as f64;
         (total(&calls_after) - total(&calls_before)) / period / INSTANCES as f64
@@ -122,7 +133,9 @@
     ids.map(|id| Sample {
         processor_seconds: processor_seconds(id),
         resident_bytes: resident_bytes(id),
-        network_bytes: network.as_ref().map(|bytes| bytes.get(&id).copied().unwrap_or(0.0)),
+        network_bytes: network
+            .as_ref()
+            .map(|bytes| bytes.get(&id).copied().unwrap_or(0.0)),
     })
     .collect()
 }
@@ -136,7 +149,10 @@
 
 fn resident_bytes(id: u32) -> f64 {
     let statm = std::fs::read_to_string(format!("/proc/{id}/statm")).expect("a live process");
-    let pages = statm.split(' ').nth(1).and_then(|text| text.parse::<f64>().ok());
+    let pages = statm
+        .split(' ')
+        .nth(1)
+        .and_then(|text| text.parse::<f64>().ok());
     pages.unwrap_or(0.0) * PAGE_BYTES
 }
 
@@ -151,8 +167,12 @@
             owner = rest.split(',').next().and_then(|id| id.parse::<u32>().ok());
         }
         for word in line.split(' ') {
-            let value = word.strip_prefix("bytes_sent:").or(word.strip_prefix("bytes_received:"));
-            if let (Some(id), Some(value)) = (owner, value.and_then(|text| text.parse::<f64>().ok())) {
+            let value = word
+                .strip_prefix("bytes_sent:")
+                .or(word.strip_prefix("bytes_received:"));
+            if let (Some(id), Some(value)) =
+                (owner, value.and_then(|text| text.parse::<f64>().ok()))
+            {
                 *bytes.entry(id).or_insert(0.0) += value;
             }
         }
--- a/jackdawchute-yaml/src/lib.rs
+++ b/jackdawchute-yaml/src/lib.rs
@@ -7,5 +7,5 @@
 mod parse;
 mod problem;
 
-pub use parse::{parse, TEXT_BYTES_MAX};
+pub use parse::{parse, parse_first, TEXT_BYTES_MAX};
 pub use problem::{Problem, Problems};
--- a/jackdawchute-yaml/src/parse.rs
+++ b/jackdawchute-yaml/src/parse.rs
@@ -31,14 +31,9 @@
 /// assert_eq!(problems[0].line, Some(1));
 /// ```
 pub fn parse<T: DeserializeOwned>(text: &str) -> (Option<T>, Vec<Problem>) {
-    if text.len() > TEXT_BYTES_MAX {
-        let problem = Problem::new("", format!("is longer than {TEXT_BYTES_MAX} bytes"));
+    if let Err(problem) = check_cost(text) {
         return (None, vec![problem]);
     }
-    if brackets_depth(text) > BRACKETS_DEPTH_MAX {
-        let problem = format!("has more than {BRACKETS_DEPTH_MAX} brackets open at a time");
-        return (None, vec![Problem::new("", problem)]);
-    }
     // The untyped reading finds what a map type would pass over, such as a key given twice.
     if let Err(error) = serde_yaml_ng::from_str::<Value>(text) {
         return (None, vec![describe(&error)]);
@@ -46,6 +41,33 @@
     parse_without_refused_fields(text.to_owned())
 }
 
+/// Reads `text` as it is, up to its first problem.
+///
+/// ```
+/// let sum: Result<u32, _> = jackdawchute_yaml::parse_first("[1, 2]");
+/// assert_eq!(sum.unwrap_err().line, Some(1));
+/// ```
+///
+/// # Errors
+/// The first problem, also if the text is too costly to read.
+pub fn parse_first<T: DeserializeOwned>(text: &str) -> Result<T, Problem> {
+    check_cost(text)?;
+    serde_yaml_ng::from_str(text).map_err(|error| describe(&error))
+}
+
+/// Refuses what the YAML library takes long to read.
+fn check_cost(text: &str) -> Result<(), Problem> {
+    if text.len() > TEXT_BYTES_MAX {
+        let problem = format!("is longer than {TEXT_BYTES_MAX} bytes");
+        return Err(Problem::new("", problem));
+    }
+    if brackets_depth(text) > BRACKETS_DEPTH_MAX {
+        let problem = format!("has more than {BRACKETS_DEPTH_MAX} brackets open at a time");
+        return Err(Problem::new("", problem));
+    }
+    Ok(())
+}
+
 fn parse_without_refused_fields<T: DeserializeOwned>(
     mut text: String,
 ) -> (Option<T>, Vec<Problem>) {
--- a/jackdawchute-yaml/tests/parse.rs
+++ b/jackdawchute-yaml/tests/parse.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawchute_yaml::{parse, Problem};
+use jackdawchute_yaml::{parse, parse_first, Problem};
 use quickcheck::{Gen, QuickCheck};
 use serde::Deserialize;
 
@@ -134,6 +134,12 @@
         .filter(|text| !parse::<Document>(text).1.is_empty());
     let refused = refused.count();
 
+    let refused_first = documents
+        .iter()
+        .filter(|text| parse_first::<Document>(text).is_err());
+    let refused_first = refused_first.count();
+
     assert_eq!(refused, documents.len());
+    assert_eq!(refused_first, documents.len());
     assert!(start.elapsed() < READING_TIME_MAX, "{:?}", start.elapsed());
 }
--- a/tests/operators_commands.rs
+++ b/tests/operators_commands.rs
@@ -9,7 +9,7 @@
 
 use jackdawchute_configuration::{Configuration, Exception, Override};
 use jackdawchute_standins::{
-    harness::{wait_until, Cell, CellOptions, TemporaryDirectory, OPERATOR_TOKEN},
+    harness::{wait_until, Cell, CellOptions, TemporaryDirectory, Timing, OPERATOR_TOKEN},
     proxy::ProxyFaults,
     table::{Availability, TableFaults},
 };
@@ -23,6 +23,13 @@
 const CONFIRM: Duration = Duration::from_secs(6);
 /// How soon after a version is in force no new work goes to a leaving failure domain.
 const SETTLE: Duration = Duration::from_secs(2);
+/// A job as a caller writes it.
+const JOB: &str = "\
+kind: batch
+class: batch
+team: micdejun
+resources: { processor_millicores: 100, memory_mib: 16 }
+";
 /// The time between two looks at an instance that must stay ready.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -38,6 +45,10 @@
         entries: 3,
         ..CellOptions::new(PROGRAM)
     };
+    fixture_of(options).await
+}
+
+async fn fixture_of(options: CellOptions) -> Fixture {
     let files = TemporaryDirectory::new().unwrap();
     let token_file = files.write("operator.token", OPERATOR_TOKEN).unwrap();
     Fixture {
@@ -238,12 +249,16 @@
     });
     refused.await.unwrap();
     let url = format!("http://{}/repair-desk/quotes", last.process.callers);
-    let answer = client().get(url).send().await.unwrap();
-
-    assert_eq!(answer.status().as_u16(), 503);
-    let problem = answer.text().await.unwrap();
-    assert!(problem.contains("configuration-unconfirmed"), "{problem}");
-    assert!(problem.contains("not-run"), "{problem}");
+    let request = client().get(url).send().await.unwrap();
+    let url = format!("http://{}/v1/jobs", last.process.callers);
+    let job = client().post(url).body(JOB).send().await.unwrap();
+
+    for answer in [request, job] {
+        assert_eq!(answer.status().as_u16(), 503);
+        let problem = answer.text().await.unwrap();
+        assert!(problem.contains("configuration-unconfirmed"), "{problem}");
+        assert!(problem.contains("not-run"), "{problem}");
+    }
     assert_eq!(fixture.ready(0).await.0, 200);
 }
 
@@ -285,3 +300,59 @@
     assert_eq!(fixture.runs("ala-1").await, before);
     assert!(fixture.runs("ala-2").await > 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_costly_document_is_refused_at_once() {
+    const BRACKETS: usize = 200_000;
+    const ANSWER_TIME_MAX: Duration = Duration::from_secs(2);
+    let fixture = fixture().await;
+    let callers = fixture.cell.entries[0].process.callers;
+    let url = format!("http://{callers}/v1/jobs");
+    let body = "[".repeat(BRACKETS);
+
+    let start = Instant::now();
+    let answer = client().post(url).body(body).send().await.unwrap();
+
+    assert_eq!(answer.status().as_u16(), 400);
+    assert!(start.elapsed() < ANSWER_TIME_MAX, "{:?}", start.elapsed());
+}
+
+/// Six instances with the settings that production has.
+#[tokio::test(flavor = "multi_thread")]
+async fn with_the_default_settings_a_change_is_in_force_everywhere_in_time() {
+    const CHANGES: u32 = 5;
+    let defaults = jackdawchute_settings::Timing::default();
+    let options = CellOptions {
+        entries: 6,
+        timing: Timing {
+            renewal_interval: defaults.renewal_interval,
+            lease: defaults.lease,
+            takeover: defaults.takeover,
+            membership_poll: defaults.membership_poll,
+            configuration_poll: defaults.configuration_poll,
+            configuration_confirm: defaults.configuration_confirm,
+        },
+        ..CellOptions::new(PROGRAM)
+    };
+    let fixture = fixture_of(options).await;
+    let mut times_ms = Vec::new();
+
+    for change in 1..=CHANGES {
+        let file = fixture.changed_file(change).await;
+        let start = Instant::now();
+        let applied = fixture.apply("ana", &file).await;
+        let apply_ms = u64::try_from(start.elapsed().as_millis()).unwrap();
+        assert!(applied.status.success(), "{applied:?}");
+        let version = (change + 1).to_string();
+        let waited = fixture.run(&["config", "wait", &version]).await;
+        let waited = text(&waited.stdout);
+        let wait_ms: u64 = waited.split_whitespace().nth(8).unwrap().parse().unwrap();
+        times_ms.push(apply_ms + wait_ms);
+    }
+
+    println!("from the command to in force at six instances, in ms: {times_ms:?}");
+    assert!(
+        times_ms.iter().all(|ms| *ms < IN_FORCE_MS_MAX),
+        "{times_ms:?}"
+    );
+}
