feat: a new incarnation announces itself

Cause: a holder without the table counted only the promises of those that it had read of. One that joined since could fence it while it still acted.

Ruled out: a limit on how long a holder acts without the table, since the table may be down for all for long.

Change: an incarnation tells everyone whose row does not show that it knows the newcomer; the holder then asks it to carry its commits, or to promise. Trimming while state is inherited has a property of its own.

Conclusion: what remains is a newcomer that reaches the table and neither the holder nor anyone whom the holder knows.

--- a/jackdawchute-ownership/src/calls.rs
+++ b/jackdawchute-ownership/src/calls.rs
@@ -164,7 +164,7 @@
         } => {
             let write_id = match &call {
                 Call::Carry { commit, .. } => Some(commit.write_id.clone()),
-                Call::Look => None,
+                Call::Look | Call::Announce { .. } => None,
             };
             let asked = Instant::now();
             let lost =
--- a/jackdawchute-ownership/src/carry.rs
+++ b/jackdawchute-ownership/src/carry.rs
@@ -21,7 +21,7 @@
     pub(crate) fn ask_peers(&mut self, effects: &mut Vec<Effect>) {
         let peers: Vec<_> = self
             .peers()
-            .map(|(id, row)| (id.clone(), row.peer_address))
+            .map(|(id, address)| (id.clone(), address))
             .collect();
         let Some(pending) = &mut self.pending else {
             return;
--- a/jackdawchute-ownership/src/hand_over.rs
+++ b/jackdawchute-ownership/src/hand_over.rs
@@ -114,7 +114,9 @@
     pub(crate) fn released(&mut self, group: &GroupId, effects: &mut Vec<Effect>) {
         self.owned.remove(group);
         self.forget_released();
-        let peers = self.peers().filter(|(_, row)| !row.leaving);
+        let me = &self.identity.incarnation;
+        let others = self.view.unfenced().filter(|(id, _)| *id != me);
+        let peers = others.filter(|(_, row)| !row.leaving);
         for (peer, row) in peers {
             let ask = Effect::Ask {
                 peer: peer.clone(),
--- a/jackdawchute-ownership/src/lib.rs
+++ b/jackdawchute-ownership/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
 pub mod adopt;
+mod announce;
 mod append;
 pub mod assign;
 mod calls;
--- a/jackdawchute-ownership/src/messages.rs
+++ b/jackdawchute-ownership/src/messages.rs
@@ -133,6 +133,13 @@
     },
     /// Tells that groups were given up: the callee reads the changed rows at once.
     Look,
+    /// Tells of an incarnation that has joined, also if the callee does not reach the table.
+    Announce {
+        /// The incarnation.
+        incarnation: IncarnationId,
+        /// Where its peer listener is.
+        peer_address: SocketAddr,
+    },
 }
 
 /// The answer to a [`Call`].
@@ -157,7 +164,7 @@
         /// Whether the commit may have taken effect all the same.
         in_doubt: bool,
     },
-    /// The callee looks at the table.
+    /// The callee has taken notice.
     Looking,
 }
 
--- a/jackdawchute-ownership/src/standing.rs
+++ b/jackdawchute-ownership/src/standing.rs
@@ -20,7 +20,8 @@
 /// of a peer rules this out for that peer: it is given only when the peer has no fence of the
 /// holder under way, and counts from before the holder asked. While the promises of all unfenced
 /// incarnations that the holder knows are running, none of them fences it. An incarnation that
-/// the holder does not know sees in the holder's row that it is unknown and waits longer
+/// has joined since the holder's last scan tells the holder, which then needs its promise too; it
+/// also sees in the holder's row that it is unknown, and waits longer
 /// ([`Timing::newcomer_takeover`](crate::Timing)); what remains is a newcomer that reaches the
 /// table while the holder and all whom it knows reach neither the table nor the newcomer for
 /// longer than that. The journal holds even then: only the plain dispatch relies on the standing.
--- a/jackdawchute-ownership/src/state.rs
+++ b/jackdawchute-ownership/src/state.rs
@@ -14,6 +14,7 @@
 use jackdawchute_types::{ConfigurationVersion, Epoch, FailureDomainId, GroupId, IncarnationId};
 
 use crate::{
+    announce::Announced,
     append::Queue,
     effect::Effect,
     journal::Journal,
@@ -92,6 +93,7 @@
     pub(crate) garbage: BTreeMap<IncarnationId, VecDeque<RowKey>>,
     pub(crate) listing: BTreeSet<IncarnationId>,
     pub(crate) held_off: BTreeMap<IncarnationId, Instant>,
+    pub(crate) announced: BTreeMap<IncarnationId, Announced>,
 }
 
 impl State {
@@ -135,6 +137,7 @@
             garbage: BTreeMap::new(),
             listing: BTreeSet::new(),
             held_off: BTreeMap::new(),
+            announced: BTreeMap::new(),
         }
     }
 
@@ -194,6 +197,8 @@
                 return;
             }
         }
+        self.forget_announced();
+        self.announce(effects);
         self.forget_released();
         self.let_go_undesired(effects);
         self.list_garbage(effects);
@@ -274,9 +279,16 @@
         self.journal.entries_len()
     }
 
-    pub(crate) fn peers(&self) -> impl Iterator<Item = (&IncarnationId, &IncarnationRow)> {
+    /// Everyone who could fence this incarnation, as far as it knows.
+    pub(crate) fn peers(&self) -> impl Iterator<Item = (&IncarnationId, SocketAddr)> {
         let me = &self.identity.incarnation;
-        self.view.unfenced().filter(move |(id, _)| *id != me)
+        let known = self.view.unfenced().map(|(id, row)| (id, row.peer_address));
+        let announced = self
+            .announced
+            .iter()
+            .map(|(id, new)| (id, new.peer_address));
+        let announced = announced.filter(|(id, _)| self.view.incarnation(id).is_none());
+        known.chain(announced).filter(move |(id, _)| *id != me)
     }
 
     /// The unfenced incarnations that take groups.
--- a/jackdawchute-ownership/src/task.rs
+++ b/jackdawchute-ownership/src/task.rs
@@ -321,6 +321,15 @@
                 let effects = self.state.look(Instant::now());
                 self.perform(effects, context).await;
             }
+            Call::Announce {
+                incarnation,
+                peer_address,
+            } => {
+                let _ = incoming.reply.send(Reply::Looking);
+                let now = Instant::now();
+                let effects = self.state.announced(incarnation, peer_address, now);
+                self.perform(effects, context).await;
+            }
             Call::Carry { holder, commit } => {
                 let table = Arc::clone(&self.table);
                 let address = context.mailbox().address();
--- a/jackdawchute-ownership/tests/promises.rs
+++ b/jackdawchute-ownership/tests/promises.rs
@@ -20,8 +20,8 @@
     Timing::default()
 }
 
-/// A challenger at version 2, and when it began.
-fn challenger() -> (State, Instant) {
+/// A holder at version 2 that knows of nobody else, and when it began.
+fn lone_holder() -> (State, Instant) {
     let identity = Identity {
         incarnation: "b".into(),
         peer_address: ([127, 0, 0, 1], 2).into(),
@@ -31,6 +31,12 @@
     let now = Instant::now();
     let effects = state.tick(now);
     commit(&mut state, &effects, 2, now);
+    (state, now)
+}
+
+/// A challenger that has seen a silent peer, and when it began.
+fn challenger() -> (State, Instant) {
+    let (mut state, now) = lone_holder();
     state.desire(Arc::default(), now);
     state.scanned(Some(silent_peer(1)), now);
     (state, now)
@@ -157,3 +163,16 @@
     assert_eq!(before, Standing::Confirmed);
     assert_eq!(after, Standing::CutOff);
 }
+
+#[test]
+fn an_announced_incarnation_has_to_promise_too() {
+    let (mut state, begun) = lone_holder();
+    let lapsed = begun + timing().lease;
+
+    let before = state.standing(lapsed);
+    state.announced("c".into(), ([127, 0, 0, 1], 3).into(), lapsed);
+    let after = state.standing(lapsed);
+
+    assert_eq!(before, Standing::StoreDown);
+    assert_eq!(after, Standing::CutOff);
+}
--- a/jackdawchute-ownership/tests/properties.rs
+++ b/jackdawchute-ownership/tests/properties.rs
@@ -7,6 +7,7 @@
     assign::{claims, excess, Owners},
     journal::Journal,
     rows::{Segment, SegmentEntry, Segments, Source},
+    EntryKey,
 };
 use jackdawchute_types::IncarnationId;
 use quickcheck::{Arbitrary, Gen};
@@ -95,38 +96,86 @@
     entries.iter().map(entry).collect()
 }
 
+/// What an incarnation writes in the course of commits, and what its journal holds at last.
+struct Written {
+    segments: Segments,
+    longest: usize,
+}
+
+/// Commits the entries over and over, trimming as the task does.
+fn write(commits: &[Vec<(u8, Option<u8>)>], is_settled: bool) -> Written {
+    let mut journal = Journal::default();
+    let mut segments = Segments::new();
+    let mut longest = 0;
+    for (number, entries) in rounds(commits).enumerate() {
+        let trim = journal.trim();
+        let written = [trim.entries.clone(), segment(entries)].concat();
+        let number = number as u64;
+        segments.insert(number, written.clone());
+        segments.retain(|number, _| !trim.segments.contains(number));
+        journal.landed(number, written, |_| is_settled);
+        journal.deleted(&trim.segments);
+        longest = longest.max(journal.entries_len());
+    }
+    Written { segments, longest }
+}
+
+fn rounds(commits: &[Vec<(u8, Option<u8>)>]) -> impl Iterator<Item = &Vec<(u8, Option<u8>)>> {
+    commits.iter().cycle().take(commits.len() * 8)
+}
+
+/// The last values, over those that were inherited.
+fn last_values(
+    commits: &[Vec<(u8, Option<u8>)>],
+    inherited: BTreeMap<EntryKey, String>,
+) -> BTreeMap<EntryKey, String> {
+    let mut values = inherited;
+    for entry in rounds(commits).flat_map(|entries| segment(entries)) {
+        match entry.value {
+            Some(value) => values.insert(entry.key, value),
+            None => values.remove(&entry.key),
+        };
+    }
+    values
+}
+
+fn source(incarnation: &str) -> Source {
+    let incarnation = incarnation.into();
+    Source {
+        incarnation,
+        epoch: 1,
+    }
+}
+
 #[test]
 fn a_trimmed_journal_replays_to_the_last_values_within_its_bound() {
     for_each_case(|commits: Vec<Vec<(u8, Option<u8>)>>| {
-        let mut journal = Journal::default();
-        let mut table = Segments::new();
-        let mut expected = BTreeMap::new();
-
-        let mut longest = 0;
-        for (number, entries) in commits.iter().cycle().take(commits.len() * 8).enumerate() {
-            let trim = journal.trim();
-            let written = [trim.entries.clone(), segment(entries)].concat();
-            let number = number as u64;
-            table.insert(number, written.clone());
-            table.retain(|number, _| !trim.segments.contains(number));
-            journal.landed(number, written, |_| true);
-            journal.deleted(&trim.segments);
-            for entry in segment(entries) {
-                match entry.value {
-                    Some(value) => expected.insert(entry.key, value),
-                    None => expected.remove(&entry.key),
-                };
-            }
-            longest = longest.max(journal.entries_len());
-        }
+        let written = write(&commits, true);
+
+        let journals = Journals::from([("a".into(), written.segments)]);
+        let replayed = replay("g", &[source("a")], &journals);
 
-        let source = Source {
-            incarnation: "a".into(),
-            epoch: 1,
-        };
-        let journals = Journals::from([("a".into(), table)]);
-        assert_eq!(replay("g", &[source], &journals), expected);
         let largest = commits.iter().map(Vec::len).max().unwrap_or(0);
-        assert!(longest <= 2 * 32 + 256 + 32 + largest, "{longest}");
+        assert_eq!(replayed, last_values(&commits, BTreeMap::new()));
+        assert!(written.longest <= 2 * 32 + 256 + 32 + largest);
+    });
+}
+
+#[test]
+fn a_journal_that_is_trimmed_while_it_inherits_still_hides_what_was_forgotten() {
+    for_each_case(|commits: Vec<Vec<(u8, Option<u8>)>>| {
+        let all_keys: Vec<_> = (0..32).map(|key| (key, Some(0))).collect();
+        let inherited = Segments::from([(0, segment(&all_keys))]);
+        let written = write(&commits, false);
+
+        let base = replay(
+            "g",
+            &[source("z")],
+            &Journals::from([("z".into(), inherited.clone())]),
+        );
+        let journals = Journals::from([("z".into(), inherited), ("a".into(), written.segments)]);
+        let replayed = replay("g", &[source("z"), source("a")], &journals);
+
+        assert_eq!(replayed, last_values(&commits, base));
     });
 }
--- a/jackdawchute-ownership/tests/store_faults.rs
+++ b/jackdawchute-ownership/tests/store_faults.rs
@@ -96,6 +96,25 @@
     assert_eq!(holder.last_standings(), before, "it stayed confirmed");
 }
 
+#[tokio::test]
+async fn a_newcomer_carries_for_a_holder_that_cannot_read_of_it() {
+    let cell = Cell::new();
+    let holder = lone(&cell).await;
+
+    holder.table.set(Fault::Down);
+    eventually("alone without table", || {
+        holder.standing() == Some(Standing::StoreDown)
+    })
+    .await;
+    let newcomer = start(&cell, 2, &["g1"]).await;
+    eventually("carried", || holder.standing() == Some(Standing::Confirmed)).await;
+    tokio::time::sleep(cell.timing.newcomer_takeover * 2).await;
+    let result = holder.append("g1", "carried", Some("v")).await;
+
+    assert_eq!(result, Ok(()));
+    assert!(!newcomer.owns("g1"));
+}
+
 #[tokio::test]
 async fn while_the_table_is_down_for_all_owners_stay_and_appends_are_refused() {
     let cell = Cell::new();
