change: promises of incarnations that are gone are forgotten

Cause: the map of promises grew with each incarnation that ever gave one.

Change: a scan drops those without a row.

Conclusion: memory depends on the live instances only.

--- a/jackdawchute-ownership/src/announce.rs
+++ b/jackdawchute-ownership/src/announce.rs
@@ -54,8 +54,13 @@
         }
     }
 
-    /// A scan that began after an announcement shows the row, or there is none.
-    pub(crate) fn forget_announced(&mut self) {
+    /// A scan that began after an announcement shows the row, or there is none. The promises of
+    /// those that are gone do not matter any more.
+    pub(crate) fn forget_gone(&mut self) {
+        let view = &self.view;
+        self.confirmation
+            .promises
+            .retain(|id, _| view.incarnation(id).is_some());
         let scanned = self.last_scan;
         self.announced
             .retain(|_, announced| scanned.is_some_and(|began| announced.at >= began));
--- a/jackdawchute-ownership/src/state.rs
+++ b/jackdawchute-ownership/src/state.rs
@@ -197,7 +197,7 @@
                 return;
             }
         }
-        self.forget_announced();
+        self.forget_gone();
         self.announce(effects);
         self.forget_released();
         self.let_go_undesired(effects);
