--- /dev/null
+++ b/jackdawchute-jobs/examples/costs.rs
@@ -0,0 +1,312 @@
+//! Measures the decisions of home and rack owners without any I/O:
+//! `cargo run --release -p jackdawchute-jobs --example costs`.
+//!
+//! Fixed sizes: 6,700 workers of 8 to a rack; 10,000 tasks are submitted, assigned, started,
+//! reported as running and as ended; 10,000 queued jobs are cancelled; a journal with 10,000 open
+//! intents is adopted.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use jackdawchute_admission::{ClassLimits, FairShare, Limits};
+use jackdawchute_jobs::{
+    effect::{AfterAppend, AfterCall, Effect, Now, WorkerCall},
+    home::Homes,
+    rack::Racks,
+    rack_group, Call, Reply, Settings,
+};
+use jackdawchute_ownership::{Directory, EntryKey, Owner, Standing};
+use jackdawchute_placement::ByKind;
+use jackdawchute_platform::{
+    Member, MemberRole, MemberState, MembershipList, StartOutcome, WorkerReport,
+};
+use jackdawchute_types::{JobId, JobKind, JobSpec, Refusal, Resources};
+use serde_json::json;
+use smol_str::format_smolstr;
+
+const WORKERS: usize = 6_700;
+const WORKERS_PER_RACK: usize = 8;
+const TASKS: u32 = 10_000;
+const SEED: u64 = 7;
+
+fn main() {
+    let mut cell = Cell::new();
+    let took = cell.run_job();
+    report("submit, assign and start a task", took, TASKS);
+    let took = cell.adopt_intents();
+    report("adopt an intent", took, TASKS);
+    let took = cell.cancel_wave();
+    report("cancel a queued job", took, TASKS);
+    let took = cell.tick_idle();
+    report("tick with nothing to do", took, 100);
+}
+
+fn report(what: &str, took: Duration, count: u32) {
+    let each_us = took.as_secs_f64() * 1e6 / f64::from(count);
+    println!(
+        "{what}: {each_us:.1} us each, {:.0} a second",
+        1e6 / each_us
+    );
+    println!(
+        "{}",
+        json!({"what": what, "each_us": each_us, "count": count})
+    );
+}
+
+fn settings() -> Settings {
+    let class = ClassLimits {
+        priority: 1,
+        queue_max: 100_000,
+        floor_percent: 0,
+        deadline: Duration::ZERO,
+    };
+    Settings {
+        partitions: 1,
+        limits: Limits {
+            classes: [("overnight".into(), class)].into(),
+            quotas: Default::default(),
+        },
+        ..Settings::default()
+    }
+}
+
+fn spec(tasks: u32, resources: Resources) -> JobSpec {
+    JobSpec {
+        kind: JobKind::Batch,
+        class: "overnight".into(),
+        team: "ovens".into(),
+        tasks,
+        resources,
+        run_time: Duration::ZERO,
+        deadline: Duration::ZERO,
+        idempotency_key: None,
+        command: "".into(),
+    }
+}
+
+fn members() -> MembershipList {
+    let member = |number: usize| Member {
+        id: format_smolstr!("w{number:05}"),
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: "d1".into(),
+        state: MemberState::Live,
+        role: MemberRole::Worker {
+            rack: format_smolstr!("r{:04}", number / WORKERS_PER_RACK),
+            resources: Resources::new(32_000, 131_072, 2),
+        },
+    };
+    MembershipList {
+        version: 1,
+        members: (0..WORKERS).map(member).collect(),
+    }
+}
+
+fn now() -> Now {
+    Now {
+        instant: Instant::now(),
+        unix: Duration::from_secs(1_000),
+    }
+}
+
+struct Cell {
+    homes: Homes,
+    racks: Racks,
+    members: Arc<MembershipList>,
+    intents: Vec<(EntryKey, String)>,
+}
+
+impl Cell {
+    fn new() -> Self {
+        let members = Arc::new(members());
+        let settings = Arc::new(settings());
+        let mut racks = Racks::new(Arc::clone(&settings));
+        let mut owners = std::collections::BTreeMap::new();
+        for rack in 0..WORKERS.div_ceil(WORKERS_PER_RACK) {
+            let group = rack_group(&format_smolstr!("r{rack:04}"));
+            let owner = Owner {
+                incarnation: "a".into(),
+                epoch: 1,
+                peer_address: ([127, 0, 0, 1], 1).into(),
+            };
+            racks.adopted(
+                &group,
+                1,
+                &[],
+                false,
+                &MembershipList::default(),
+                Instant::now(),
+            );
+            owners.insert(group, owner);
+        }
+        racks.set_members(&members, Instant::now());
+        racks.set_standing(Standing::Confirmed);
+        let policy = Box::new(ByKind::default());
+        let admission = Box::new(FairShare::with_headroom(0));
+        let mut homes = Homes::new(settings, policy, admission, SEED);
+        homes.set_standing(Standing::Confirmed);
+        homes.set_directory(Arc::new(Directory {
+            owners,
+            ..Directory::default()
+        }));
+        homes.set_members(Arc::clone(&members));
+        homes.adopted(&"jobs/0".into(), 1, &[], now());
+        let mut cell = Self {
+            homes,
+            racks,
+            members,
+            intents: Vec::new(),
+        };
+        cell.report_all();
+        cell
+    }
+
+    fn report_all(&mut self) {
+        let members = Arc::clone(&self.members);
+        for member in &members.members {
+            let report = WorkerReport {
+                clock: Duration::from_secs(100),
+                boot: "b".into(),
+                tasks: Vec::new(),
+            };
+            self.racks
+                .reported(&member.id, Some(report), Instant::now());
+        }
+    }
+
+    /// Carries effects out at once: the journal takes all, every start succeeds.
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        let mut pending = effects;
+        while let Some(effect) = pending.pop() {
+            let more = match effect {
+                Effect::Append { entries, after } => self.append(entries, after),
+                Effect::Call { call, after, .. } => self.call(call, after),
+                Effect::Worker {
+                    worker,
+                    call: WorkerCall::Start(start),
+                } => {
+                    let id = jackdawchute_jobs::TaskAttempt {
+                        task: start.task,
+                        attempt: start.attempt,
+                    };
+                    let started = Ok(StartOutcome::Started);
+                    self.racks.started(&worker, &id, started, Instant::now());
+                    Vec::new()
+                }
+                _ => Vec::new(),
+            };
+            pending.extend(more);
+        }
+    }
+
+    fn append(
+        &mut self,
+        entries: Vec<jackdawchute_ownership::JournalEntry>,
+        after: AfterAppend,
+    ) -> Vec<Effect> {
+        match after {
+            AfterAppend::Accepted(id) => self.homes.accepted(&id, Ok(()), now()),
+            AfterAppend::Cancelled(id) => self.homes.cancelled(&id, Ok(()), now()),
+            AfterAppend::Assigned(id, tasks) => self.homes.assigned(&id, &tasks, Ok(()), now()),
+            AfterAppend::Ended(caller) => self.homes.flushed(caller, &entries, Ok(())),
+            AfterAppend::Intents { rack, answers, .. } => {
+                let intents = entries.into_iter();
+                let intents = intents.filter_map(|entry| Some((entry.key, entry.value?)));
+                self.intents.extend(intents);
+                let ids = answers.iter().map(|answer| answer.id.clone()).collect();
+                let effects = self
+                    .racks
+                    .journaled(0, &rack, answers, true, Instant::now());
+                self.answered(effects, AfterCall::Asked(ids))
+            }
+            AfterAppend::Nothing => Vec::new(),
+        }
+    }
+
+    /// Hands the rack owner's answer to the home owner.
+    fn answered(&mut self, effects: Vec<Effect>, after: AfterCall) -> Vec<Effect> {
+        let mut rest = Vec::new();
+        for effect in effects {
+            match (effect, &after) {
+                (Effect::Answer { result, .. }, AfterCall::Asked(ids)) => {
+                    rest.extend(self.homes.asked(ids, Ok(result), now()));
+                }
+                (effect, _) => rest.push(effect),
+            }
+        }
+        rest
+    }
+
+    fn call(&mut self, call: Call, after: AfterCall) -> Vec<Effect> {
+        match call {
+            Call::Start { rack, home, tasks } => {
+                self.racks.start(0, &rack, &home, tasks, Instant::now())
+            }
+            Call::View { rack } => {
+                let reply: Result<Reply, Refusal> = self.racks.release(&rack, &[]);
+                let effects = vec![Effect::Answer {
+                    caller: 0,
+                    result: reply,
+                }];
+                self.answered(effects, after)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn run_job(&mut self) -> Duration {
+        let began = Instant::now();
+        let spec = spec(TASKS, Resources::new(2_000, 4_096, 0));
+        let effects = self.homes.submit(1, &"large".into(), spec, now());
+        self.carry_out(effects);
+        while self.racks.open_intents() < TASKS as usize {
+            let effects = self.homes.tick(now());
+            self.carry_out(effects);
+        }
+        began.elapsed()
+    }
+
+    /// A successor of one rack with every intent.
+    fn adopt_intents(&mut self) -> Duration {
+        let began = Instant::now();
+        let mut racks = Racks::new(Arc::new(settings()));
+        let intents = std::mem::take(&mut self.intents);
+        let group = rack_group(&"r0000".into());
+        let errors = racks.adopted(&group, 2, &intents, true, &self.members, Instant::now());
+        assert!(errors.is_empty() && racks.open_intents() == TASKS as usize);
+        began.elapsed()
+    }
+
+    /// Jobs that wait, since the fleet has accelerators for 13,400 of them.
+    fn cancel_wave(&mut self) -> Duration {
+        let ids: Vec<JobId> = (0..TASKS)
+            .map(|number| format_smolstr!("c{number}"))
+            .collect();
+        self.homes.set_standing(Standing::Confirmed);
+        for id in &ids {
+            self.homes
+                .submit(1, id, spec(1, Resources::new(1_000, 1_024, 2)), now());
+        }
+        self.homes.set_standing(Standing::StoreDown);
+        for id in &ids {
+            self.homes.accepted(id, Ok(()), now());
+        }
+        self.homes.set_standing(Standing::Confirmed);
+        let began = Instant::now();
+        for id in &ids {
+            let effects = self.homes.cancel(2, id);
+            self.carry_out(effects);
+        }
+        began.elapsed()
+    }
+
+    fn tick_idle(&mut self) -> Duration {
+        let began = Instant::now();
+        for _ in 0..100 {
+            let _ = self.homes.tick(now());
+            let _ = self.racks.tick(Instant::now());
+        }
+        began.elapsed()
+    }
+}
