--- a/src/config/wait.rs
+++ b/src/config/wait.rs
@@ -17,7 +17,7 @@
 
 /// How long an instance may not know of another that joined; a version must be in force for as
 /// long before it counts as in force everywhere.
-const DIRECTORY_LAG: Duration = Duration::from_millis(2_500);
+const DIRECTORY_LAG: Duration = Duration::from_millis(3_000);
 /// The time between two looks.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// How long to wait unless the command line says otherwise, in milliseconds.
