fix: short leases are reported and renewed in time

Cause: workers reported at most once a second, so tasks with an accepted lease of one second lapsed again and again (24 lapses in 8 s in a_task_lease_that_is_accepted_is_long_enough_to_be_kept). Raising the shortest lease was ruled out, three seconds were at the edge as well.

Change: six reports to a lease at least, and no start on a report older than half a lease.

--- a/jackdawchute-jobs/src/rack/adopt.rs
+++ b/jackdawchute-jobs/src/rack/adopt.rs
@@ -185,7 +185,7 @@
 impl WorkerState {
     /// Whether its clock is known well enough for a start.
     fn accepting(&self, settings: &crate::Settings, now: Instant) -> bool {
-        let fresh = |at: Instant| now.saturating_duration_since(at) <= settings.report_age_max;
+        let fresh = |at: Instant| now.saturating_duration_since(at) <= settings.report_age_limit();
         !self.leaving && self.trusted && self.seen.is_some_and(fresh)
     }
 }
--- a/jackdawchute-jobs/src/rack/report.rs
+++ b/jackdawchute-jobs/src/rack/report.rs
@@ -42,11 +42,7 @@
         now: Instant,
     ) -> bool {
         let busy = !self.on_worker(worker).is_empty();
-        let period = if busy {
-            self.settings.report_period
-        } else {
-            self.settings.idle_report_period
-        };
+        let period = self.settings.report_period_for(busy);
         let Some(state) = self.workers.get_mut(worker) else {
             return false;
         };
--- a/jackdawchute-jobs/src/settings.rs
+++ b/jackdawchute-jobs/src/settings.rs
@@ -6,6 +6,11 @@
 use jackdawchute_types::duration_ms;
 use serde::{Deserialize, Serialize};
 
+/// Workers with tasks report at least this many times within a lease.
+const REPORTS_PER_LEASE: u32 = 6;
+/// A start has at least this part of its lease left, as a divisor, after the age of the report.
+const REPORT_AGE_DIVISOR: u32 = 2;
+
 /// The bounds that the jobs task keeps; replaced as a whole.
 ///
 /// ```
@@ -20,10 +25,10 @@
     /// How long a start or renewal lets a task run, from the worker's last report on.
     #[serde(with = "duration_ms", rename = "lease_ms")]
     pub lease: Duration,
-    /// The time between two reports of a worker that has tasks.
+    /// The longest time between two reports of a worker that has tasks; short leases shorten it.
     #[serde(with = "duration_ms", rename = "report_period_ms")]
     pub report_period: Duration,
-    /// The time between two reports of a worker without tasks.
+    /// The longest time between two reports of a worker without tasks.
     #[serde(with = "duration_ms", rename = "idle_report_period_ms")]
     pub idle_report_period: Duration,
     /// A worker whose last report is older gets no new tasks.
@@ -82,6 +87,23 @@
     pub limits: Limits,
 }
 
+impl Settings {
+    /// The time between two reports of a worker: short leases need more of them.
+    pub(crate) fn report_period_for(&self, busy: bool) -> Duration {
+        let period = if busy {
+            self.report_period
+        } else {
+            self.idle_report_period
+        };
+        period.min(self.lease / REPORTS_PER_LEASE)
+    }
+
+    /// The age of a report beyond which its worker gets no new tasks.
+    pub(crate) fn report_age_limit(&self) -> Duration {
+        self.report_age_max.min(self.lease / REPORT_AGE_DIVISOR)
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
--- a/jackdawchute-jobs/tests/rack_safety.rs
+++ b/jackdawchute-jobs/tests/rack_safety.rs
@@ -2,7 +2,10 @@
 
 mod fixtures;
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use fixtures::{
     rack::{
@@ -14,7 +17,7 @@
 use jackdawchute_jobs::{
     effect::{Effect, WorkerCall},
     rack::{Phase, Racks},
-    AttemptEnd, AttemptState, NotStarted, Reply,
+    AttemptEnd, AttemptState, NotStarted, Reply, Settings,
 };
 use jackdawchute_ownership::Standing;
 use jackdawchute_platform::{Error, StartOutcome};
@@ -328,6 +331,29 @@
     assert_eq!(starts(&effects), 0);
 }
 
+#[test]
+fn a_short_lease_is_reported_and_renewed_in_time() {
+    let now = Instant::now();
+    let lease = Duration::from_secs(1);
+    let mut racks = racks(now);
+    racks.set_settings(Arc::new(Settings {
+        lease,
+        ..Settings::default()
+    }));
+    run_start(&mut racks, start("j-0", 1, 1_000), true, now);
+    let tasks = vec![running("j-0", 1, 1_000)];
+    racks.reported(&WORKER_ID.into(), Some(report(100, "b1", tasks)), now);
+
+    let early = racks.tick(now + lease / 20);
+    let due = racks.tick(now + lease / 5);
+
+    let report = Effect::Worker {
+        worker: WORKER_ID.into(),
+        call: WorkerCall::Report,
+    };
+    assert!(!early.contains(&report) && due.contains(&report));
+}
+
 #[test]
 fn holds_are_whole_count_as_used_and_lapse() {
     let now = Instant::now();
