change: forget a vanished holder once none of its requests may run

The wait since it vanished was a second guard for the same thing: switching it off failed no test, as open grants and untold holders are counted anyway.

--- a/jackdawchute-requests/src/adopt.rs
+++ b/jackdawchute-requests/src/adopt.rs
@@ -142,7 +142,7 @@
     fn adopt_holder(&mut self, holder: IncarnationId, now: Instant) {
         let registration = Registration {
             kept: true,
-            gone: None,
+            gone: false,
         };
         let unaccounted = Unaccounted {
             until: now + self.settings.grants.ended_after(),
--- a/jackdawchute-requests/src/holder.rs
+++ b/jackdawchute-requests/src/holder.rs
@@ -7,7 +7,7 @@
 
 use jackdawchute_types::{Epoch, GroupId};
 
-use crate::{GivenUp, Grant, GrantId, Returned};
+use crate::{GivenUp, Grant, GrantId, Returned, State};
 
 /// The grants whose requests may run, and the earliest epoch that may still be used.
 ///
@@ -71,3 +71,21 @@
         held.map(|(_, held)| held.grant.clone()).collect()
     }
 }
+
+impl State {
+    /// Registers a grant that this instance holds; `false` if it must be given back unsent.
+    pub fn hold(&mut self, grant: Grant, elapsed: Duration) -> bool {
+        self.holder.hold(grant, elapsed)
+    }
+
+    /// Forgets a grant that this instance held.
+    pub fn give_back(&mut self, returned: &Returned) {
+        self.holder.give_back(returned);
+    }
+
+    /// Gives up on the answer of a grant that this instance held; its request may still run.
+    pub fn give_up(&mut self, given_up: &GivenUp, now: Instant) {
+        let ends = now + self.settings.grants.ended_after();
+        self.holder.give_up(given_up, ends);
+    }
+}
--- a/jackdawchute-requests/src/holders.rs
+++ b/jackdawchute-requests/src/holders.rs
@@ -15,8 +15,8 @@
 pub(crate) struct Registration {
     /// Whether the journal surely has it.
     pub(crate) kept: bool,
-    /// Since when the holder is not listed.
-    pub(crate) gone: Option<Instant>,
+    /// The holder is not listed any more.
+    pub(crate) gone: bool,
 }
 
 impl Group {
@@ -45,7 +45,7 @@
         for holder in &new {
             let entry = Registration {
                 kept: false,
-                gone: None,
+                gone: false,
             };
             self.holders.insert(holder.clone(), entry);
         }
@@ -81,39 +81,26 @@
     }
 
     /// Registers the holders that appeared and notes those that vanished.
-    pub(crate) fn note_listed(
-        &mut self,
-        directory: &Directory,
-        now: Instant,
-        effects: &mut Vec<Effect>,
-    ) {
+    pub(crate) fn note_listed(&mut self, directory: &Directory, effects: &mut Vec<Effect>) {
         for (holder, entry) in &mut self.holders {
-            let gone = entry.gone.unwrap_or(now);
-            entry.gone = (!is_listed(directory, holder)).then_some(gone);
+            entry.gone = !is_listed(directory, holder);
         }
         self.register(directory.incarnations.keys(), effects);
     }
 
-    /// Forgets the holders that vanished so long ago that all of their grants have surely ended.
-    pub(crate) fn forget_holders(
-        &mut self,
-        this: &IncarnationId,
-        now: Instant,
-        effects: &mut Vec<Effect>,
-    ) {
-        let ended_after = self.settings.grants.ended_after();
-        let is_over = |holder: &IncarnationId, entry: &Registration| {
-            let ended = entry.gone.is_some_and(|gone| now >= gone + ended_after);
-            ended && entry.kept && holder != this
-        };
+    /// Forgets the holders that vanished and of whom no request may run any more.
+    pub(crate) fn forget_holders(&mut self, this: &IncarnationId, effects: &mut Vec<Effect>) {
         let holds_none = |holder: &IncarnationId| {
             let mut open = self.open.values();
             !open.any(|grant| grant.holder == *holder) && !self.unaccounted.contains_key(holder)
         };
-        let holders = self.holders.iter();
-        let over: Vec<IncarnationId> = holders
-            .filter(|(holder, entry)| is_over(holder, entry) && holds_none(holder))
+        let gone = self
+            .holders
+            .iter()
+            .filter(|(_, entry)| entry.gone && entry.kept);
+        let over: Vec<IncarnationId> = gone
             .map(|(holder, _)| holder.clone())
+            .filter(|holder| holder != this && holds_none(holder))
             .collect();
         if over.is_empty() {
             return;
--- a/jackdawchute-requests/src/state.rs
+++ b/jackdawchute-requests/src/state.rs
@@ -9,14 +9,14 @@
 use jackdawchute_admission::AdmissionPolicy;
 use jackdawchute_ownership::{Directory, GroupEvent, Owner, Standing};
 use jackdawchute_platform::MembershipList;
-use jackdawchute_types::{Epoch, GroupId, IncarnationId, Refusal, RefusalReason, RequestKey};
+use jackdawchute_types::{Epoch, GroupId, IncarnationId, Refusal, RefusalReason};
 
 use crate::{
     adopt::is_listed,
     fleet::{minions_by_group, Listed},
     group::Group,
-    AppendOutcome, AppendPurpose, AppendStep, Call, CallId, Complete, Effect, Explanation, GivenUp,
-    Grant, GrantOutcome, Holder, Reply, RequestsStatus, Returned, Settings,
+    AppendOutcome, AppendPurpose, AppendStep, Call, CallId, Complete, Effect, Grant, GrantOutcome,
+    Holder, Reply, Settings,
 };
 
 /// A longer time between two ticks means that the process stood still.
@@ -29,15 +29,15 @@
 /// The state of the requests slice in one instance.
 pub struct State {
     incarnation: IncarnationId,
-    settings: Arc<Settings>,
+    pub(crate) settings: Arc<Settings>,
     policy: PolicyFactory,
     standing: Standing,
     directory: Arc<Directory>,
     fleet: BTreeMap<GroupId, Listed>,
-    groups: BTreeMap<GroupId, Group>,
+    pub(crate) groups: BTreeMap<GroupId, Group>,
     /// Groups that were lost while intents or outcomes were on their way to the journal.
     lost: Vec<Group>,
-    holder: Holder,
+    pub(crate) holder: Holder,
     lease_until: Option<Instant>,
     last_tick: Option<Instant>,
     settled: Option<Instant>,
@@ -107,7 +107,7 @@
                 && (*holder == self.incarnation || is_listed(&self.directory, holder))
         };
         group.adopt_journal(entries, is_live, now, effects);
-        group.note_listed(&self.directory, now, effects);
+        group.note_listed(&self.directory, effects);
         group.register([&self.incarnation].into_iter(), effects);
         self.groups.insert(id, group);
     }
@@ -126,7 +126,7 @@
         let old = std::mem::replace(&mut self.directory, directory);
         for group in self.groups.values_mut() {
             group.holders_changed(&old, &self.directory, now, &mut effects);
-            group.note_listed(&self.directory, now, &mut effects);
+            group.note_listed(&self.directory, &mut effects);
             group.pump(now, &mut effects);
         }
         self.settle_asks(now, &mut effects);
@@ -179,7 +179,7 @@
         self.holder.expire(now);
         for group in self.groups.values_mut() {
             group.expire(now, &mut effects);
-            group.forget_holders(&self.incarnation, now, &mut effects);
+            group.forget_holders(&self.incarnation, &mut effects);
         }
         self.lost.retain(|group| !group.is_drained());
         self.settle_asks(now, &mut effects);
@@ -327,40 +327,6 @@
         effects
     }
 
-    /// Registers a grant that this instance holds; `false` if it must be given back unsent.
-    pub fn hold(&mut self, grant: Grant, elapsed: Duration) -> bool {
-        self.holder.hold(grant, elapsed)
-    }
-
-    /// Forgets a grant that this instance held.
-    pub fn give_back(&mut self, returned: &Returned) {
-        self.holder.give_back(returned);
-    }
-
-    /// Gives up on the answer of a grant that this instance held; its request may still run.
-    pub fn give_up(&mut self, given_up: &GivenUp, now: Instant) {
-        let ends = now + self.settings.grants.ended_after();
-        self.holder.give_up(given_up, ends);
-    }
-
-    /// Queues and slots of every owned group.
-    pub fn status(&self, now: Instant) -> RequestsStatus {
-        RequestsStatus {
-            groups: self
-                .groups
-                .values()
-                .map(|group| group.status(now))
-                .collect(),
-        }
-    }
-
-    /// What is known of an idempotency key in an owned group.
-    pub fn explain(&self, key: &RequestKey, now: Instant) -> Option<Explanation> {
-        self.groups
-            .values()
-            .find_map(|group| group.explain(key, now))
-    }
-
     /// Asks those that are listed; itself at once; gives up on those that are not.
     fn settle_asks(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         for group in self.groups.values_mut() {
--- a/jackdawchute-requests/src/status.rs
+++ b/jackdawchute-requests/src/status.rs
@@ -13,6 +13,7 @@
 use crate::{
     group::{Group, ParkedFor},
     keys::{KeyRecord, Phase, Saved},
+    State,
 };
 
 /// Every owned service group.
@@ -138,6 +139,26 @@
     }
 }
 
+impl State {
+    /// Queues and slots of every owned group.
+    pub fn status(&self, now: Instant) -> RequestsStatus {
+        RequestsStatus {
+            groups: self
+                .groups
+                .values()
+                .map(|group| group.status(now))
+                .collect(),
+        }
+    }
+
+    /// What is known of an idempotency key in an owned group.
+    pub fn explain(&self, key: &RequestKey, now: Instant) -> Option<Explanation> {
+        self.groups
+            .values()
+            .find_map(|group| group.explain(key, now))
+    }
+}
+
 fn state_name(record: &KeyRecord) -> &'static str {
     match &record.phase {
         Phase::Queued => "queued",
