--- a/jackdawchute-entry/src/instance.rs
+++ b/jackdawchute-entry/src/instance.rs
@@ -28,7 +28,7 @@
     callers::{self, CallersOptions, JobsFront, RequestsFront},
     counted_table::CountedTable,
     listener::Bounds,
-    operators::{self, OperatorsOptions, StatusSources},
+    operators::{self, ConfigurationFront, ExplainSources, OperatorsOptions, StatusSources},
     remotes::{self, ConfigurationPeers, Remotes},
     routing::{self, BeginDrain, RoutingTask},
     wiring::WiringTask,
@@ -37,6 +37,9 @@
 
 /// How long new calls are still taken after the instance became unready, for the balancer.
 const BALANCER_NOTICE: Duration = Duration::from_millis(1_500);
+/// How many renewals go by between two reads of the others' rows. Each read carries the row of
+/// every live instance, so this is most of what an idle instance receives.
+const RENEWALS_PER_SCAN: u32 = 2;
 /// The most connections to the operators' and the peers' listener, each.
 const INTERNAL_CONNECTIONS_MAX: u32 = 256;
 /// The largest body of a job in bytes.
@@ -115,6 +118,7 @@
         let remotes = Remotes::new(peer::spawn(token));
         let table = Arc::new(CountedTable::new(platform.table.clone(), metrics.clone()));
         let platform = Platform { table, ..platform };
+        let table = platform.table.clone();
         let tasks = Parts {
             settings: &settings,
             platform,
@@ -124,11 +128,13 @@
         .spawn(&incarnation, peer_address);
         tasks.connect().await;
         let peers = peer_server.address;
-        let peer_server = peer_server.start(tasks.peer_services());
+        let explain = tasks.explain_sources(&incarnation, &remotes);
+        let peer_server = peer_server.start(tasks.peer_services(explain));
         let fronts = Fronts {
             settings: &settings,
             tasks: &tasks,
             remotes: &remotes,
+            table,
             metrics,
         };
         let (callers_address, callers) = fronts.serve_callers(&incarnation).await?;
@@ -255,8 +261,10 @@
         let jobs = self.jobs(incarnation, &ownership, &timer);
         let dispatch = dispatch::spawn(dispatch::Options::default());
         let routing = routing::spawn(self.metrics.clone(), MessageChannel::new(ownership.clone()));
+        let membership = self.membership(&timer);
         let wiring = WiringTask {
             incarnation: incarnation.clone(),
+            membership: membership.clone(),
             peers: Arc::new(self.remotes.clone()),
             introduced: false,
             failure_domain: self.settings.failure_domain.clone(),
@@ -268,8 +276,8 @@
             members: Arc::default(),
         };
         Tasks {
-            membership: self.membership(&timer),
-            configuration: self.configuration(incarnation, &routing, &timer),
+            membership,
+            configuration: self.configuration(incarnation, peer_address, &routing, &timer),
             routing,
             wiring: xtra::spawn_tokio(wiring, Mailbox::unbounded()),
             _timer: timer,
@@ -296,6 +304,7 @@
             timer: timer.clone(),
             timing: ownership::Timing {
                 renewal_period: timing.renewal_interval,
+                scan_period: timing.renewal_interval * RENEWALS_PER_SCAN,
                 lease: timing.lease,
                 takeover: timing.takeover,
                 ..Default::default()
@@ -350,6 +359,7 @@
     fn configuration(
         &self,
         incarnation: &IncarnationId,
+        peer_address: SocketAddr,
         routing: &Address<RoutingTask>,
         timer: &Address<TimerTask>,
     ) -> Address<configuration::ConfigurationTask> {
@@ -357,6 +367,7 @@
             table: self.platform.table.clone(),
             peers: Arc::new(ConfigurationPeers {
                 incarnation: incarnation.clone(),
+                peer_address,
                 routing: routing.clone(),
                 remotes: self.remotes.clone(),
             }),
@@ -368,7 +379,7 @@
 }
 
 fn admission_policy() -> Box<dyn AdmissionPolicy> {
-    Box::new(jackdawchute_admission::Fifo::default())
+    Box::new(jackdawchute_admission::FairShare::default())
 }
 
 impl Tasks {
@@ -448,13 +459,24 @@
         let _ = self.configuration.send(subscription).await;
     }
 
-    fn peer_services(&self) -> peer::Services {
-        remotes::services(remotes::Tasks {
+    fn explain_sources(&self, incarnation: &IncarnationId, remotes: &Remotes) -> ExplainSources {
+        ExplainSources {
+            incarnation: incarnation.clone(),
+            routing: self.routing.clone(),
+            requests: self.requests.clone(),
+            jobs: self.jobs.clone(),
+            peers: remotes.peers.clone(),
+        }
+    }
+
+    fn peer_services(&self, explain: ExplainSources) -> peer::Services {
+        let tasks = remotes::Tasks {
             requests: MessageChannel::new(self.requests.clone()),
             jobs: MessageChannel::new(self.jobs.clone()),
             ownership: MessageChannel::new(self.ownership.clone()),
             configuration: MessageChannel::new(self.configuration.clone()),
-        })
+        };
+        remotes::services(tasks, explain)
     }
 }
 
@@ -463,6 +485,7 @@
     settings: &'a Settings,
     tasks: &'a Tasks,
     remotes: &'a Remotes,
+    table: Arc<dyn Table>,
     metrics: Metrics,
 }
 
@@ -516,14 +539,22 @@
     async fn serve_operators(&self, incarnation: &IncarnationId) -> Result<(SocketAddr, Server)> {
         let status = StatusSources {
             incarnation: incarnation.clone(),
+            metrics: self.metrics.clone(),
+            configuration: self.tasks.configuration.clone(),
             routing: self.tasks.routing.clone(),
             requests: self.tasks.requests.clone(),
             jobs: self.tasks.jobs.clone(),
         };
         let header_bytes_max =
             usize::try_from(self.settings.limits.header_bytes).unwrap_or(usize::MAX);
+        let configuration = ConfigurationFront {
+            table: self.table.clone(),
+            task: self.tasks.configuration.clone(),
+        };
         let options = OperatorsOptions {
             status,
+            explain: self.tasks.explain_sources(incarnation, self.remotes),
+            configuration,
             metrics: self.metrics.clone(),
             token: read_token(self.settings.operator_token_file.as_deref())?,
             bounds: Bounds {
--- a/jackdawchute-entry/src/routing/task.rs
+++ b/jackdawchute-entry/src/routing/task.rs
@@ -15,7 +15,7 @@
 use super::{
     messages::{
         AskRetry, BeginDrain, Finished, IsReady, Known, LocateGroup, LocateJob, Located,
-        MatchRoute, OwnerMissing, PickGroup, Readiness, RetryAfter, RouteMatch, Sent, Succeeded,
+        MatchRoute, OwnerMissing, PickGroup, Readiness, RouteMatch, Sent, Succeeded, TakesNewWork,
         View,
     },
     retries::Retries,
@@ -139,6 +139,14 @@
     }
 }
 
+impl Handler<TakesNewWork> for RoutingTask {
+    type Return = Result<(), Refusal>;
+
+    async fn handle(&mut self, _: TakesNewWork, _: &mut Context<Self>) -> Self::Return {
+        self.state.takes_new_work(Instant::now()).map(drop)
+    }
+}
+
 impl Handler<MatchRoute> for RoutingTask {
     type Return = Result<RouteMatch, Refusal>;
 
@@ -196,9 +204,9 @@
 }
 
 impl Handler<AskRetry> for RoutingTask {
-    type Return = RetryAfter;
+    type Return = Result<Duration, Refusal>;
 
-    async fn handle(&mut self, ask: AskRetry, _: &mut Context<Self>) -> RetryAfter {
-        self.retries.ask(&ask)
+    async fn handle(&mut self, ask: AskRetry, _: &mut Context<Self>) -> Self::Return {
+        self.retries.ask(&ask.0)
     }
 }
--- a/jackdawchute-ownership/tests/takeover.rs
+++ b/jackdawchute-ownership/tests/takeover.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_ownership::{Error, Standing};
 use support::{entry, eventually, start, within, Cell, Fault, Node};
@@ -76,6 +79,50 @@
     assert!(successor.adoption("g1").entries.is_empty());
 }
 
+#[tokio::test]
+async fn a_commit_that_arrives_after_the_fence_has_no_effect() {
+    let cell = Cell::new();
+    let (holder, successor) = pair(&cell).await;
+    cell.peers.cut(holder.address);
+    holder
+        .table
+        .set(Fault::CommitsLate(cell.timing.takeover * 3));
+
+    let answer = holder
+        .begin_append(vec![entry("g1", "late", Some("v"))])
+        .await;
+    successor.until_owns("g1").await;
+    let arrived = || holder.table.arrived_late.load(Ordering::Relaxed) > 0;
+    eventually("the commit arrives", arrived).await;
+    let result = within("an answer", answer).await.unwrap();
+
+    let journals = format!("journal/{}/", holder.incarnation);
+    assert!(cell.table.changes(&journals, 0).rows.is_empty());
+    assert_eq!(
+        result,
+        Err(Error::Fenced(successor.incarnation.to_string()))
+    );
+}
+
+#[tokio::test]
+async fn an_append_whose_traces_are_deleted_has_an_unknown_outcome() {
+    let cell = Cell::new();
+    let (holder, successor) = pair(&cell).await;
+    cell.peers.cut(holder.address);
+    holder.table.set(Fault::Deaf);
+    let entries = vec![entry("g1", "landed", Some("v"))];
+
+    let answer = holder.begin_append(entries).await;
+    successor.until_owns("g1").await;
+    let row = format!("incarnation/{}", holder.incarnation);
+    eventually("deleted", || cell.table.get(&row).is_none()).await;
+    holder.heal(&cell);
+    let answer = within("the outcome", answer).await;
+
+    assert_eq!(successor.adoption("g1").entries.len(), 1);
+    assert!(answer.is_err(), "neither journaled nor refused: {answer:?}");
+}
+
 #[tokio::test]
 async fn the_groups_of_a_dead_instance_are_shared_out() {
     let cell = Cell::new();
@@ -96,27 +143,31 @@
     let cell = Cell::new();
     let first = start(&cell, 1, &["g1"]).await;
     first.until_owns("g1").await;
-    let entries = (0..5_000).map(|i| entry("g1", &format!("k{i}"), Some("value")));
+    let entries = (0..10_000).map(|i| entry("g1", &format!("k{i}"), Some("value")));
     first.append_all(entries.collect()).await.unwrap();
     let second = start(&cell, 2, &["g1"]).await;
     eventually("known", || second.standing() == Some(Standing::Confirmed)).await;
-    second.table.set(Fault::Slow(cell.timing.call_timeout / 4));
+    second.table.set(Fault::Slow(cell.timing.call_timeout / 2));
 
     drop(first);
     second.until_owns("g1").await;
-    second.append("g1", "k7", None).await.unwrap();
-    second.append("g1", "new", Some("value")).await.unwrap();
-    let inherits = cell.table.get("group/g1").unwrap().value.unwrap();
+    let (forgot, added) = tokio::join!(
+        second.append("g1", "k7", None),
+        second.append("g1", "new", Some("value"))
+    );
     drop(second);
     let third = start(&cell, 3, &["g1"]).await;
+    eventually("confirmed", || {
+        third.standing() == Some(Standing::Confirmed)
+    })
+    .await;
+    let amid = cell.table.get("group/g1").unwrap().value.unwrap();
     third.until_owns("g1").await;
 
     let adopted = third.adoption("g1").entries;
-    assert!(
-        inherits.contains("entry-1"),
-        "the adoption was over too early"
-    );
-    assert_eq!(adopted.len(), 5_000);
+    assert_eq!((forgot, added), (Ok(()), Ok(())));
+    assert!(amid.contains("entry-1"), "the adoption was over too early");
+    assert_eq!(adopted.len(), 10_000);
     assert!(!adopted.iter().any(|(key, _)| key == "k7"));
     assert!(adopted.iter().any(|(key, _)| key == "new"));
 }
--- a/jackdawchute-standins/src/harness/mod.rs
+++ b/jackdawchute-standins/src/harness/mod.rs
@@ -10,13 +10,16 @@
 mod process;
 mod records;
 mod settings_text;
+mod status;
+mod truth;
 mod wait;
 
 pub use cell::Cell;
 pub use directory::TemporaryDirectory;
-pub use entry::CellEntry;
+pub use entry::{CellEntry, OPERATOR_TOKEN};
 pub use members::{CellMinion, CellWorker};
 pub use options::{CellOptions, ServicePlan, Timing, WorkerPlan};
 pub use process::{EntryProcess, Signal};
 pub use settings_text::{settings_text, SettingsValues};
+pub use status::InstanceStatus;
 pub use wait::{wait_until, DEADLINE};
--- a/jackdawchute-yaml/src/parse.rs
+++ b/jackdawchute-yaml/src/parse.rs
@@ -9,6 +9,10 @@
 pub const TEXT_BYTES_MAX: usize = 1024 * 1024;
 /// The most problems that one document reports.
 const PROBLEMS_MAX: usize = 50;
+/// The most bytes that are read for one document, all readings together.
+const READ_BYTES_MAX: usize = 2 * TEXT_BYTES_MAX;
+/// The deepest nesting of brackets; the YAML library's time grows with its square.
+const BRACKETS_DEPTH_MAX: usize = 32;
 
 /// Reads `text`, with all the problems of its fields.
 ///
@@ -27,8 +31,7 @@
 /// assert_eq!(problems[0].line, Some(1));
 /// ```
 pub fn parse<T: DeserializeOwned>(text: &str) -> (Option<T>, Vec<Problem>) {
-    if text.len() > TEXT_BYTES_MAX {
-        let problem = Problem::new("", format!("is longer than {TEXT_BYTES_MAX} bytes"));
+    if let Err(problem) = check_cost(text) {
         return (None, vec![problem]);
     }
     // The untyped reading finds what a map type would pass over, such as a key given twice.
@@ -38,10 +41,38 @@
     parse_without_refused_fields(text.to_owned())
 }
 
+/// Reads `text` as it is, up to its first problem.
+///
+/// ```
+/// let sum: Result<u32, _> = jackdawchute_yaml::parse_first("[1, 2]");
+/// assert_eq!(sum.unwrap_err().line, Some(1));
+/// ```
+///
+/// # Errors
+/// The first problem, also if the text is too costly to read.
+pub fn parse_first<T: DeserializeOwned>(text: &str) -> Result<T, Problem> {
+    check_cost(text)?;
+    serde_yaml_ng::from_str(text).map_err(|error| describe(&error))
+}
+
+/// Refuses what the YAML library takes long to read.
+fn check_cost(text: &str) -> Result<(), Problem> {
+    if text.len() > TEXT_BYTES_MAX {
+        let problem = format!("is longer than {TEXT_BYTES_MAX} bytes");
+        return Err(Problem::new("", problem));
+    }
+    if brackets_depth(text) > BRACKETS_DEPTH_MAX {
+        let problem = format!("has more than {BRACKETS_DEPTH_MAX} brackets open at a time");
+        return Err(Problem::new("", problem));
+    }
+    Ok(())
+}
+
 fn parse_without_refused_fields<T: DeserializeOwned>(
     mut text: String,
 ) -> (Option<T>, Vec<Problem>) {
     let mut problems = Vec::new();
+    let readings_max = READ_BYTES_MAX / text.len().max(1);
     loop {
         let error = match serde_yaml_ng::from_str::<T>(&text) {
             Ok(value) => return (Some(value), problems),
@@ -53,12 +84,27 @@
         }
         let rest = line.and_then(|line| without_field_at(&text, line));
         match rest {
-            Some(rest) if problems.len() < PROBLEMS_MAX => text = rest,
+            Some(rest) if problems.len() < PROBLEMS_MAX.min(readings_max) => text = rest,
             _ => return (None, problems),
         }
     }
 }
 
+/// Counts brackets in quoted text and comments too, so it may say more than there are.
+fn brackets_depth(text: &str) -> usize {
+    let mut depth: usize = 0;
+    let mut deepest = 0;
+    for character in text.chars() {
+        match character {
+            '[' | '{' => depth += 1,
+            ']' | '}' => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        deepest = deepest.max(depth);
+    }
+    deepest
+}
+
 /// The library writes `PATH: CAUSE at line L column C`.
 fn describe(error: &Error) -> Problem {
     let mut message = error.to_string();
