--- a/jackdawchute-configuration/src/error.rs
+++ b/jackdawchute-configuration/src/error.rs
@@ -35,6 +35,10 @@
         Row(step: &'static str, key: SmolStr, cause: String) {
             display("{}: row {}: {}", step, key, cause)
         }
+        /// No version was accepted yet.
+        NoneAccepted {
+            display("read configuration: no version was accepted yet")
+        }
         /// No version of that number is kept.
         NoVersion(version: ConfigurationVersion) {
             display("read configuration: version {} is not kept", version)
--- a/jackdawchute-configuration/src/history.rs
+++ b/jackdawchute-configuration/src/history.rs
@@ -81,7 +81,7 @@
     let stored = read(table, &key).await?;
     stored
         .map(|stored| stored.configuration)
-        .ok_or(Error::NoVersion(version.unwrap_or_default()))
+        .ok_or_else(|| version.map_or(Error::NoneAccepted, Error::NoVersion))
 }
 
 fn entry(stored: Stored) -> Entry {
--- a/jackdawchute-configuration/tests/behaviour/operations.rs
+++ b/jackdawchute-configuration/tests/behaviour/operations.rs
@@ -9,7 +9,7 @@
 };
 use jackdawchute_types::IncarnationId;
 
-use crate::fixtures::{class_exception, configuration, table_at};
+use crate::fixtures::{class_exception, configuration, table_at, FaultyTable};
 
 #[test]
 fn a_difference_names_each_field_and_not_the_versions_own() {
@@ -71,7 +71,9 @@
 
     let second = jackdawchute_configuration::history::version(&table, Some(2)).await;
     let missing = jackdawchute_configuration::history::version(&table, Some(9)).await;
+    let none = jackdawchute_configuration::history::version(&FaultyTable::default(), None).await;
 
     assert_eq!(second.map(|it| it.version), Ok(2));
     assert_eq!(missing, Err(Error::NoVersion(9)));
+    assert_eq!(none, Err(Error::NoneAccepted));
 }
--- a/jackdawchute-entry/src/operators/configuration.rs
+++ b/jackdawchute-entry/src/operators/configuration.rs
@@ -188,7 +188,9 @@
             configuration::Error::OutcomeUnknown(write_id, _) => {
                 Self::OutcomeUnknown { write_id, detail }
             }
-            configuration::Error::NoVersion(_) => Self::NotFound { detail },
+            configuration::Error::NoneAccepted | configuration::Error::NoVersion(_) => {
+                Self::NotFound { detail }
+            }
             configuration::Error::Table(..) | configuration::Error::Row(..) => {
                 Self::Unavailable { detail }
             }
