change: an offered version is not read from the table again

Cause: each change went to every instance twice, once offered and once read from the table after the next poll.

Ruled out: sending differences, as the whole is small once it goes only once.

Change: an offer names the table's version at its commit, and the next read asks for later changes only. A table whose version went back is read whole again, and confirms nothing before that. The instance that accepted a version reads at once.

--- a/jackdawchute-configuration/src/apply.rs
+++ b/jackdawchute-configuration/src/apply.rs
@@ -41,6 +41,8 @@
 pub struct Outcome {
     /// The accepted version.
     pub configuration: Configuration,
+    /// The table's version at the commit that brought it.
+    pub table_version: RowVersion,
 }
 
 /// Checks the candidate and makes it the accepted version, unless another one was accepted since.
@@ -181,9 +183,10 @@
     let mut lost = None;
     for _ in 0..COMMIT_ATTEMPTS_MAX {
         match table.commit(commit.clone()).await {
-            Ok(CommitOutcome::Committed { .. }) => {
+            Ok(CommitOutcome::Committed { version }) => {
                 return Ok(Outcome {
                     configuration: accepted.configuration,
+                    table_version: version,
                 })
             }
             Ok(CommitOutcome::Conflict { .. }) => {
@@ -213,11 +216,12 @@
     options: &Options,
     version: ConfigurationVersion,
 ) -> Result<Outcome> {
-    let kept = read(table, "read winning version", &history_key(version)).await?;
-    let kept = kept.as_ref().map(stored).transpose()?.flatten();
+    let row = read(table, "read winning version", &history_key(version)).await?;
+    let kept = row.as_ref().map(stored).transpose()?.flatten();
     if let Some(own) = kept.filter(|kept| kept.write_id == options.write_id) {
         return Ok(Outcome {
             configuration: own.configuration,
+            table_version: row.map_or(0, |row| row.version),
         });
     }
     let row = read(table, "read winning version", CURRENT_KEY).await?;
--- a/jackdawchute-configuration/src/messages.rs
+++ b/jackdawchute-configuration/src/messages.rs
@@ -6,6 +6,7 @@
 };
 
 use async_trait::async_trait;
+use jackdawchute_platform::RowVersion;
 use jackdawchute_types::{optional_duration_ms, ConfigurationVersion, IncarnationId};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -70,6 +71,8 @@
 pub struct Accepted {
     /// The accepted version.
     pub configuration: Configuration,
+    /// The table's version at the commit that brought it.
+    pub table_version: RowVersion,
     /// Told once each peer has answered or cannot be reached.
     pub reply: oneshot::Sender<()>,
 }
@@ -87,6 +90,8 @@
     Offer {
         /// The accepted configuration.
         configuration: Box<Configuration>,
+        /// The table's version at the commit that brought it, so that it is not read again.
+        table_version: RowVersion,
     },
 }
 
--- a/jackdawchute-configuration/src/state.rs
+++ b/jackdawchute-configuration/src/state.rs
@@ -128,6 +128,19 @@
         newer
     }
 
+    /// Takes a configuration that a peer accepted with the commit at `table_version`; gives whether
+    /// it is put in use. What the table had up to then need not be read any more.
+    pub fn learn_committed(
+        &mut self,
+        configuration: Configuration,
+        table_version: RowVersion,
+    ) -> bool {
+        if configuration.version >= self.version() {
+            self.table_version = self.table_version.max(table_version);
+        }
+        self.learn(configuration)
+    }
+
     /// Takes the result of a read of the table that was sent at `sent`; gives whether another
     /// version is in use.
     pub fn on_table(&mut self, sent: Instant, read: TableRead) -> bool {
@@ -139,6 +152,12 @@
                 table_version,
             } => {
                 self.answered_since_plan = true;
+                if table_version < self.table_version {
+                    // The read is older than what is known, or the table was restored from a copy:
+                    // the next read takes everything.
+                    self.table_version = 0;
+                    return false;
+                }
                 self.table_version = table_version;
                 let newer = configuration.is_some_and(|it| self.learn(*it));
                 self.confirm(sent);
--- a/jackdawchute-configuration/src/task.rs
+++ b/jackdawchute-configuration/src/task.rs
@@ -174,16 +174,21 @@
 impl Handler<Accepted> for ConfigurationTask {
     type Return = ();
 
-    async fn handle(&mut self, message: Accepted, _context: &mut Context<Self>) {
+    async fn handle(&mut self, message: Accepted, context: &mut Context<Self>) {
         let call = Call::Offer {
             configuration: Box::new(message.configuration.clone()),
+            table_version: message.table_version,
         };
         let peers = Arc::clone(&self.peers);
         tokio::spawn(async move {
             peers.ask(call).await;
             let _ = message.reply.send(());
         });
-        let newer = self.state.learn(message.configuration);
+        let newer = self
+            .state
+            .learn_committed(message.configuration, message.table_version);
+        let plan = self.state.plan();
+        self.carry_out(plan, context);
         self.publish(newer).await;
     }
 }
@@ -197,8 +202,11 @@
                 let held = self.state.held(known_version, Instant::now());
                 let _ = message.reply.send(Reply::Held(held));
             }
-            Call::Offer { configuration } => {
-                let newer = self.state.learn(*configuration);
+            Call::Offer {
+                configuration,
+                table_version,
+            } => {
+                let newer = self.state.learn_committed(*configuration, table_version);
                 self.publish(newer).await;
                 let _ = message.reply.send(Reply::Offered);
             }
--- a/jackdawchute-configuration/tests/behaviour/state.rs
+++ b/jackdawchute-configuration/tests/behaviour/state.rs
@@ -211,6 +211,35 @@
     assert_eq!((state.version(), state.table_version()), (3, 1));
 }
 
+#[test]
+fn a_table_that_went_back_is_read_whole_and_confirms_nothing_before() {
+    let start = Instant::now();
+    let mut state = State::new(CONFIRM);
+    state.learn_committed(configuration(3), 9);
+
+    let went_back = state.on_table(start, read(None));
+    let confirmation = state.confirmation(start);
+    let read_from = state.table_version();
+    state.on_table(start, read(Some(2)));
+
+    assert!(!went_back);
+    assert_eq!(confirmation, Confirmation::Unconfirmed);
+    assert_eq!(read_from, 0);
+    assert_eq!((state.version(), state.table_version()), (3, 1));
+}
+
+#[test]
+fn an_offer_older_than_the_version_in_use_does_not_skip_rows() {
+    let start = Instant::now();
+    let mut state = State::new(CONFIRM);
+    state.on_table(start, read(Some(3)));
+
+    let newer = state.learn_committed(configuration(2), 9);
+
+    assert!(!newer);
+    assert_eq!(state.table_version(), 1);
+}
+
 #[test]
 fn peers_are_asked_only_while_the_table_keeps_silent() {
     let start = Instant::now();
--- a/jackdawchute-configuration/tests/behaviour/task.rs
+++ b/jackdawchute-configuration/tests/behaviour/task.rs
@@ -57,7 +57,7 @@
 #[async_trait]
 impl Peers for FakePeers {
     async fn ask(&self, call: Call) -> Answers {
-        if let Call::Offer { configuration } = &call {
+        if let Call::Offer { configuration, .. } = &call {
             let mut offers = self.offers.lock().unwrap_or_else(PoisonError::into_inner);
             offers.push(configuration.version);
         } else {
@@ -216,6 +216,7 @@
 
     let accepted = Accepted {
         configuration: configuration(2),
+        table_version: 2,
         reply,
     };
     fixture.task.send(accepted).await.expect("the task runs");
@@ -230,12 +231,35 @@
     assert_eq!(*offers, [2]);
 }
 
+#[tokio::test]
+async fn an_offered_version_is_not_read_again_and_confirmed_by_the_next_read() {
+    let mut fixture = fixture(table_at(1).await, None).await;
+    fixture.next_version().await;
+    fixture.table.set_down(true);
+    fixture.until_confirmed(false).await;
+    let accepted = apply(&fixture.table.inner, change(1, "bogdan")).await;
+    let accepted = accepted.expect("nothing hinders the change");
+
+    let offer = Call::Offer {
+        configuration: Box::new(accepted.configuration),
+        table_version: accepted.table_version,
+    };
+    let offered = call(&fixture.task, offer).await;
+    let version = fixture.next_version().await;
+    fixture.table.set_down(false);
+    fixture.until_confirmed(true).await;
+
+    assert_eq!((offered, version), (Reply::Offered, 2));
+    assert_eq!(fixture.table.rows_read.load(Ordering::SeqCst), 1);
+}
+
 #[tokio::test]
 async fn peers_are_told_the_version_and_an_older_offer_changes_nothing() {
     let mut fixture = fixture(table_at(2).await, None).await;
     fixture.next_version().await;
     let offer = Call::Offer {
         configuration: Box::new(configuration(1)),
+        table_version: 1,
     };
 
     let offered = call(&fixture.task, offer).await;
--- a/jackdawchute-entry/src/operators/configuration.rs
+++ b/jackdawchute-entry/src/operators/configuration.rs
@@ -130,6 +130,7 @@
         let (reply, offered) = oneshot::channel();
         let accepted = configuration::Accepted {
             configuration: outcome.configuration.clone(),
+            table_version: outcome.table_version,
             reply,
         };
         if self.task.send(accepted).await.is_ok() {
