fix: instances learn in time that a silent table is down for all

Each instance became CutOff: a peer that is asked to carry a commit first waits two seconds for the silent table, and the asking instance gave the call one second, so no promise ever arrived.

Change: a call to the table takes at most one renewal interval, and a call to a peer that makes a table call takes half a second more. Peer calls from memory use the setting peer_call_timeout_ms, which nothing read before. Entry instances place jobs with the policies by kind in place of first fit.

--- a/jackdawchute-entry/src/instance.rs
+++ b/jackdawchute-entry/src/instance.rs
@@ -115,7 +115,7 @@
         let peer_address = settings
             .advertised_peer_address
             .unwrap_or(peer_server.address);
-        let remotes = Remotes::new(peer::spawn(token));
+        let remotes = Remotes::new(peer::spawn(token), &settings.timing);
         let table = Arc::new(CountedTable::new(platform.table.clone(), metrics.clone()));
         let platform = Platform { table, ..platform };
         let table = platform.table.clone();
@@ -342,7 +342,7 @@
             remote: Arc::new(self.remotes.clone()),
             workers: self.platform.workers.clone(),
             recorder: Arc::new(self.metrics.clone()),
-            policy: Box::new(jackdawchute_placement::FirstFit),
+            policy: Box::new(jackdawchute_placement::ByKind::default()),
             admission: admission_policy(),
             settings: Arc::default(),
         })
--- a/jackdawchute-entry/src/remotes.rs
+++ b/jackdawchute-entry/src/remotes.rs
@@ -10,6 +10,7 @@
 use jackdawchute_peer::{PeerService, Peers, Services, Slice};
 use jackdawchute_platform::MemberRole;
 use jackdawchute_requests as requests;
+use jackdawchute_settings::Timing;
 use jackdawchute_types::{CallError, IncarnationId, Refusal};
 use serde::{de::DeserializeOwned, Serialize};
 use serde_json::Value;
@@ -30,18 +31,26 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long a call that waits for a journal append may take.
 const JOURNAL_CALL_TIMEOUT: Duration = Duration::from_secs(10);
-/// How long a call about a peer's standing may take.
-const STANDING_CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// What a peer's answer may take beyond the table call that it makes for the caller.
+const CARRY_MARGIN: Duration = Duration::from_millis(500);
 
 /// Carries the calls of every slice.
 #[derive(Clone, Debug)]
 pub(crate) struct Remotes {
     pub(crate) peers: Peers,
+    /// How long a peer may take that answers from memory.
+    peer_timeout: Duration,
+    /// How long a peer may take that calls the table for this instance.
+    carry_timeout: Duration,
 }
 
 impl Remotes {
-    pub(crate) fn new(peers: Peers) -> Self {
-        Self { peers }
+    pub(crate) fn new(peers: Peers, timing: &Timing) -> Self {
+        Self {
+            peers,
+            peer_timeout: timing.peer_call_timeout,
+            carry_timeout: timing.table_call_timeout() + CARRY_MARGIN,
+        }
     }
 }
 
@@ -84,7 +93,7 @@
         call: ownership::Call,
     ) -> Result<ownership::Reply, CallError> {
         self.peers
-            .call(peer, OWNERSHIP, &call, STANDING_CALL_TIMEOUT)
+            .call(peer, OWNERSHIP, &call, self.carry_timeout)
             .await
     }
 }
@@ -123,10 +132,10 @@
         address: SocketAddr,
         call: &configuration::Call,
     ) -> configuration::Answer {
-        let reply = self
-            .remotes
-            .peers
-            .call(address, CONFIGURATION, call, STANDING_CALL_TIMEOUT);
+        let reply =
+            self.remotes
+                .peers
+                .call(address, CONFIGURATION, call, self.remotes.peer_timeout);
         let failure = |error: CallError| match error {
             CallError::ConnectionRefused(..) => configuration::PeerFailure::Gone,
             _ => configuration::PeerFailure::Unreachable,
--- a/jackdawchute-platform/src/http_client.rs
+++ b/jackdawchute-platform/src/http_client.rs
@@ -12,7 +12,7 @@
     Scan, StartOutcome, StartTask, Table, WorkerPort, WorkerReport,
 };
 
-/// How long any call to the platform may take.
+/// How long a call may take whose caller names no time.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// One HTTP server of the platform and the connections to it.
@@ -23,8 +23,8 @@
 }
 
 impl Server {
-    fn new(address: SocketAddr) -> Self {
-        let client = Client::builder().timeout(CALL_TIMEOUT).no_proxy().build();
+    fn new(address: SocketAddr, timeout: Duration) -> Self {
+        let client = Client::builder().timeout(timeout).no_proxy().build();
         Self {
             client: client.unwrap_or_default(),
             address,
@@ -87,7 +87,22 @@
     /// Uses the table service at `address`; connects on the first call.
     pub fn new(address: SocketAddr) -> Self {
         Self {
-            server: Server::new(address),
+            server: Server::new(address, CALL_TIMEOUT),
+        }
+    }
+
+    /// The same, with calls that may take at most `timeout`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// let address = "127.0.0.1:7001".parse()?;
+    /// let table = jackdawchute_platform::HttpTable::with_timeout(address, Duration::from_secs(1));
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    pub fn with_timeout(address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            server: Server::new(address, timeout),
         }
     }
 }
@@ -142,7 +157,7 @@
     /// Uses the membership list at `address`; connects on the first call.
     pub fn new(address: SocketAddr) -> Self {
         Self {
-            server: Server::new(address),
+            server: Server::new(address, CALL_TIMEOUT),
         }
     }
 }
@@ -169,7 +184,7 @@
     /// Uses the worker at `address`; connects on the first call.
     pub fn new(address: SocketAddr) -> Self {
         Self {
-            server: Server::new(address),
+            server: Server::new(address, CALL_TIMEOUT),
         }
     }
 }
--- a/jackdawchute-settings/src/timing.rs
+++ b/jackdawchute-settings/src/timing.rs
@@ -49,3 +49,21 @@
         }
     }
 }
+
+/// The shortest time that a call to the table is given.
+const TABLE_CALL_TIMEOUT_MIN: Duration = Duration::from_millis(500);
+
+impl Timing {
+    /// How long a call to the table may take: one renewal interval, so that an instance that gets
+    /// no answer has asked its peers before its lease runs out.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// let timing = jackdawchute_settings::Timing::default();
+    /// assert_eq!(timing.table_call_timeout(), Duration::from_secs(1));
+    /// ```
+    pub fn table_call_timeout(&self) -> Duration {
+        self.renewal_interval.max(TABLE_CALL_TIMEOUT_MIN)
+    }
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -46,7 +46,10 @@
     let mut terminate = listen_for(SignalKind::terminate())?;
     let mut interrupt = listen_for(SignalKind::interrupt())?;
     let platform = Platform {
-        table: Arc::new(HttpTable::new(settings.platform.table)),
+        table: Arc::new(HttpTable::with_timeout(
+            settings.platform.table,
+            settings.timing.table_call_timeout(),
+        )),
         membership: Arc::new(HttpMembership::new(settings.platform.membership)),
         workers: Arc::new(HttpWorkerPorts),
     };
