test: a repeated key runs once, across a takeover and a new failure domain

Both fail, for one fault of the product, each time they ran: - a_repeated_key_gets_its_first_answer_after_a_takeover: 40 orders answered, the owner killed, the same 40 repeated while its groups find new owners: keys ran twice. - a_repeated_key_runs_once_although_a_failure_domain_appears: 40 orders answered, a minion of a third failure domain is listed, the same 40 repeated: keys ran twice.

Cause: State::pick_group of the entry's routing hashes a key over the groups whose owner the instance knows at that moment. While a group has no owner, or once a new group exists, the key's home is another group, whose owner knows nothing of the first run. The set that is hashed has to be the same for every instance and all time of the retention, and a home without an owner has to wait.

--- a/jackdawchute-standins/src/harness/cell.rs
+++ b/jackdawchute-standins/src/harness/cell.rs
@@ -108,12 +108,24 @@
         Ok(&mut self.entries[index])
     }
 
+    /// Lists the minions that were not in the membership list at the start.
+    ///
+    /// # Errors
+    /// A stand-in's task has ended.
+    pub async fn list_every_minion(&mut self) -> Result<()> {
+        for minion in &mut self.minions {
+            minion.is_listed = true;
+        }
+        self.publish_members().await
+    }
+
     /// Lists every minion, worker and entry instance, and tells the balancer.
     ///
     /// # Errors
     /// A stand-in's task has ended.
     pub async fn publish_members(&self) -> Result<()> {
-        let minions = self.minions.iter().map(|minion| minion.member.clone());
+        let minions = self.minions.iter().filter(|minion| minion.is_listed);
+        let minions = minions.map(|minion| minion.member.clone());
         let workers = self.workers.iter().map(|worker| worker.member.clone());
         let entries = self.entries.iter().map(CellEntry::member);
         let members: Vec<Member> = minions.chain(workers).chain(entries).collect();
--- a/jackdawchute-standins/src/harness/members.rs
+++ b/jackdawchute-standins/src/harness/members.rs
@@ -24,6 +24,8 @@
     pub minion: RunningMinion,
     /// The most connections that it may have.
     pub connections: u32,
+    /// Whether it is in the membership list.
+    pub is_listed: bool,
 }
 
 /// A worker behind a proxy.
@@ -47,6 +49,8 @@
             minions.push(start_minion(plan, id, failure_domain).await?);
         }
     }
+    let unlisted = minions.iter_mut().rev().take(options.unlisted_minions);
+    unlisted.for_each(|minion| minion.is_listed = false);
     Ok(minions)
 }
 
@@ -73,6 +77,7 @@
         proxy,
         minion,
         connections: plan.connections,
+        is_listed: true,
     })
 }
 
--- a/jackdawchute-standins/src/harness/options.rs
+++ b/jackdawchute-standins/src/harness/options.rs
@@ -70,6 +70,8 @@
     pub entries: usize,
     /// The services.
     pub services: Vec<ServicePlan>,
+    /// How many minions, from the last one on, are not in the membership list at the start.
+    pub unlisted_minions: usize,
     /// The workers.
     pub workers: WorkerPlan,
     /// The failure domains, over which everything is spread.
@@ -101,6 +103,7 @@
                 slots: 8,
                 connections: 64,
             }],
+            unlisted_minions: 0,
             workers: WorkerPlan {
                 workers: 0,
                 workers_per_rack: 4,
