--- a/tests/idempotency_keys.rs
+++ b/tests/idempotency_keys.rs
@@ -2,7 +2,7 @@
 
 use jackdawchute_standins::{
     caller::{Call, Caller, Outcome},
-    harness::{wait_until, Cell, CellOptions, ServicePlan},
+    harness::{wait_until, Cell, CellEntry, CellOptions, ServicePlan},
 };
 
 /// The orders of each test.
@@ -36,8 +36,8 @@
     outcomes
 }
 
-async fn wait_for_groups(cell: &Cell, count: usize) {
-    for entry in &cell.entries {
+async fn wait_for_groups(entries: &[CellEntry], count: usize) {
+    for entry in entries {
         wait_until("owners of the service's groups", || async {
             let owners = entry.status().await.ok()?.owners;
             let groups = owners.keys().filter(|group| group.starts_with("service/"));
@@ -51,11 +51,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_repeated_key_runs_once_although_a_failure_domain_appears() {
     let mut cell = Cell::start(options(1)).await.unwrap();
-    wait_for_groups(&cell, 2).await;
+    wait_for_groups(&cell.entries, 2).await;
     let first = call_all(&cell, 0).await;
 
     cell.list_every_minion().await.unwrap();
-    wait_for_groups(&cell, 3).await;
+    wait_for_groups(&cell.entries, 3).await;
     let repeated = call_all(&cell, 1).await;
 
     assert!(first.iter().all(Outcome::is_answered), "{first:?}");
@@ -64,9 +64,27 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_repeated_key_gets_its_first_answer_after_a_takeover() {
+async fn a_repeated_key_gets_its_first_answer_once_every_group_is_owned_again() {
     let mut cell = Cell::start(options(0)).await.unwrap();
-    wait_for_groups(&cell, 3).await;
+    wait_for_groups(&cell.entries, 3).await;
+    let dead = cell.entries[0].status().await.unwrap().incarnation;
+    let first = call_all(&cell, 1).await;
+
+    cell.entries[0].kill().await.unwrap();
+    cell.wait_until_succeeded(1, &dead).await.unwrap();
+    cell.wait_until_succeeded(2, &dead).await.unwrap();
+    wait_for_groups(&cell.entries[1..], 3).await;
+    let repeated = call_all(&cell, 2).await;
+
+    assert!(first.iter().all(Outcome::is_answered), "{first:?}");
+    assert_eq!(cell.violations().await.unwrap(), []);
+    assert_eq!(repeated, first);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_key_gets_its_first_answer_during_a_takeover() {
+    let mut cell = Cell::start(options(0)).await.unwrap();
+    wait_for_groups(&cell.entries, 3).await;
     let dead = cell.entries[0].status().await.unwrap().incarnation;
     let first = call_all(&cell, 1).await;
 
