--- a/jackdawchute-entry/src/operators/configuration.rs
+++ b/jackdawchute-entry/src/operators/configuration.rs
@@ -130,6 +130,7 @@
         let (reply, offered) = oneshot::channel();
         let accepted = configuration::Accepted {
             configuration: outcome.configuration.clone(),
+            table_version: outcome.table_version,
             reply,
         };
         if self.task.send(accepted).await.is_ok() {
@@ -188,7 +189,9 @@
             configuration::Error::OutcomeUnknown(write_id, _) => {
                 Self::OutcomeUnknown { write_id, detail }
             }
-            configuration::Error::NoVersion(_) => Self::NotFound { detail },
+            configuration::Error::NoneAccepted | configuration::Error::NoVersion(_) => {
+                Self::NotFound { detail }
+            }
             configuration::Error::Table(..) | configuration::Error::Row(..) => {
                 Self::Unavailable { detail }
             }
