fix: an owner takes a new key only as its home among the listed groups

tests/whole_path.rs a_repeated_order_gets_the_first_answer_from_any_instance failed in two of six runs here (with the whole workspace under test, and with its file alone): an order ran once at the first instance's choice of group and once more at that of all others. The front end hashes the key over the groups whose owners it knows, which are few while instances start.

The owner now compares with the groups that its membership list names, and refuses as not run, so that the caller asks again. This narrows the fault: a group that leaves every list within the retention still moves its keys. The whole cure is a set of groups that does not depend on any lagging list.

With the check off the new test fails: the owner takes a key whose home is elsewhere.

--- a/jackdawchute-requests/src/state.rs
+++ b/jackdawchute-requests/src/state.rs
@@ -9,14 +9,15 @@
 use jackdawchute_admission::AdmissionPolicy;
 use jackdawchute_ownership::{Directory, GroupEvent, Owner, Standing};
 use jackdawchute_platform::MembershipList;
-use jackdawchute_types::{Epoch, GroupId, IncarnationId, Refusal, RefusalReason};
+use jackdawchute_types::{Epoch, FailureDomainId, GroupId, IncarnationId, Refusal, RefusalReason};
 
 use crate::{
     adopt::is_listed,
     fleet::{minions_by_group, Listed},
     group::Group,
-    AppendOutcome, AppendPurpose, AppendStep, Call, CallId, Complete, Effect, Grant, GrantOutcome,
-    Holder, Reply, Settings,
+    groups::{home_group, service_group},
+    Acquire, AppendOutcome, AppendPurpose, AppendStep, Call, CallId, Complete, Effect, Grant,
+    GrantOutcome, Holder, Reply, Settings,
 };
 
 /// A longer time between two ticks means that the process stood still.
@@ -197,6 +198,13 @@
                     grants: self.holder.tell(&group, epoch),
                 }),
             }),
+            Call::Acquire(acquire) if !self.is_home(&acquire) => effects.push(Effect::Reply {
+                call: id,
+                result: Err(Refusal::not_run(
+                    RefusalReason::OwnerUnavailable,
+                    format!("group {} is not the home of the key", acquire.group),
+                )),
+            }),
             Call::Acquire(acquire) => {
                 let known = self.is_known(&acquire.holder);
                 match self.groups.get_mut(&acquire.group).filter(|_| known) {
@@ -218,6 +226,25 @@
         effects
     }
 
+    /// Whether the group decides for the call's key: it knows the key, or is its home among the
+    /// listed groups. A caller that saw only some of the groups may have chosen another one.
+    fn is_home(&self, acquire: &Acquire) -> bool {
+        let Some(key) = acquire.journaled_key() else {
+            return true;
+        };
+        let group = self.groups.get(&acquire.group);
+        if group.is_none_or(|group| group.keys.get(key).is_some()) {
+            return true;
+        }
+        let prefix = service_group(&acquire.service, &FailureDomainId::default());
+        let listed = self
+            .fleet
+            .keys()
+            .filter(|group| group.starts_with(prefix.as_str()));
+        let listed: Vec<GroupId> = listed.cloned().collect();
+        listed.is_empty() || home_group(key, &listed) == acquire.group
+    }
+
     /// Only listed incarnations are granted to: a successor asks those what they hold.
     fn is_known(&self, holder: &IncarnationId) -> bool {
         *holder == self.incarnation || is_listed(&self.directory, holder)
--- a/jackdawchute-requests/tests/keys.rs
+++ b/jackdawchute-requests/tests/keys.rs
@@ -57,6 +57,26 @@
     assert_eq!(reply(&after, 2), Some(Ok(Reply::Completed)));
 }
 
+#[test]
+fn a_key_is_taken_only_by_its_home_among_the_listed_groups() {
+    let now = Instant::now();
+    let mut list = minions(1, SLOTS);
+    let mut elsewhere = minion(1, SLOTS, jackdawchute_platform::MemberState::Live);
+    elsewhere.failure_domain = "ala-2".into();
+    list.members.push(elsewhere);
+    let groups = [group(), "service/repair-desk/ala-2".into()];
+    let mut state = owner(settings(), &list, now);
+
+    for call in 0..20 {
+        let key = format!("k{call}");
+        let effects = state.incoming(call, Call::Acquire(order(OWNER, &key)), now);
+
+        let is_home = jackdawchute_requests::home_group(&key.into(), &groups) == group();
+        let refusal = refused(&effects, call).map(|refusal| refusal.execution);
+        assert_eq!(refusal, (!is_home).then_some(Execution::NotRun));
+    }
+}
+
 #[test]
 fn another_request_with_the_same_key_is_refused() {
     let now = Instant::now();
