fix: keys have their home among the listed groups; unanswered grants are told

A grant whose answer was lost was returned like an answered one, so a new owner did not count its request.

Change: the home is chosen among the groups of the membership list, with which the owner compares. A request without a key goes to the least used group and gets a key whose home that is. Lost answers are told as given up, the requests task knows the end of the lease, and idle connections follow from the smallest minion.

--- a/jackdawchute-entry/src/callers/complete.rs
+++ b/jackdawchute-entry/src/callers/complete.rs
@@ -6,7 +6,7 @@
 use http::{header, HeaderMap, StatusCode};
 use jackdawchute_dispatch::{Answer, Chunk, Result as SendResult};
 use jackdawchute_requests::{
-    Call, Complete, Grant, GrantOutcome, RequestsTask, Returned, StoredAnswer,
+    Call, Complete, GivenUp, Grant, GrantOutcome, RequestsTask, Returned, StoredAnswer,
 };
 use jackdawchute_types::IncarnationId;
 use tokio::sync::{mpsc, oneshot};
@@ -67,12 +67,7 @@
     async fn give_back(self, outcome: GrantOutcome) {
         let grant = &self.grant;
         let (group, epoch) = (grant.group.clone(), grant.epoch);
-        let returned = Returned {
-            grant: grant.id,
-            group: group.clone(),
-            epoch,
-        };
-        let _ = self.holder.send(returned).await;
+        self.tell_holder(&outcome).await;
         let holder = self.incarnation.clone();
         let complete = Complete {
             group,
@@ -87,6 +82,35 @@
         }
     }
 
+    /// A request whose answer was lost may still run, which a new owner must be told.
+    async fn tell_holder(&self, outcome: &GrantOutcome) {
+        let Grant {
+            id: grant,
+            group,
+            epoch,
+            ..
+        } = self.grant.clone();
+        if matches!(outcome, GrantOutcome::AnswerLost) {
+            let _ = self
+                .holder
+                .send(GivenUp {
+                    grant,
+                    group,
+                    epoch,
+                })
+                .await;
+        } else {
+            let _ = self
+                .holder
+                .send(Returned {
+                    grant,
+                    group,
+                    epoch,
+                })
+                .await;
+        }
+    }
+
     async fn tell_owner(&self, complete: Complete) -> bool {
         let locate = LocateGroup(complete.group.clone());
         let Ok(Ok(located)) = self.routing.send(locate).await else {
--- a/jackdawchute-entry/src/callers/requests.rs
+++ b/jackdawchute-entry/src/callers/requests.rs
@@ -12,8 +12,6 @@
 use jackdawchute_types::{
     Execution, GroupId, IncarnationId, Recorder, Refusal, RefusalReason, RequestKey, RetryReason,
 };
-use rand::Rng;
-use smol_str::format_smolstr;
 use tokio::sync::oneshot;
 use warp::reply::Response;
 use xtra::prelude::*;
@@ -26,8 +24,8 @@
 use crate::{
     authority::RequestsAuthority,
     routing::{
-        AskRetry, Finished, MatchRoute, OwnerMissing, PickGroup, RouteMatch, RoutingTask, Sent,
-        Succeeded,
+        AskRetry, Finished, KeyChoice, MatchRoute, OwnerMissing, PickGroup, RouteMatch,
+        RoutingTask, Sent, Succeeded,
     },
     Metrics,
 };
@@ -52,7 +50,10 @@
 struct Journey {
     inbound: Inbound,
     route: RouteMatch,
+    /// The caller's own key.
     key: Option<RequestKey>,
+    /// The key of a non-idempotent request whose caller gave none.
+    generated_key: Option<RequestKey>,
     digest: u64,
     arrived: Instant,
     deadline: Instant,
@@ -101,18 +102,14 @@
             .deadline()?
             .map(|asked| asked.min(route.deadline_max));
         let deadline = arrived + asked.unwrap_or(route.deadline);
-        let key = match inbound.key()? {
-            None if !route.idempotent => {
-                Some(format_smolstr!("{:032x}", rand::rng().random::<u128>()))
-            }
-            key => key,
-        };
+        let key = inbound.key()?;
         let digest = inbound.digest();
         let tried = Vec::new();
         Ok(Journey {
             inbound,
             route,
             key,
+            generated_key: None,
             digest,
             arrived,
             deadline,
@@ -186,17 +183,19 @@
     async fn attempt(&self, journey: &mut Journey) -> Attempt {
         let pick = PickGroup {
             service: journey.route.service.clone(),
-            key: journey.home_key(),
+            key: journey.key_choice(),
             tried: journey.tried.clone(),
         };
-        let located = match self.routing.send(pick).await {
-            Ok(Ok(located)) => located,
+        let picked = match self.routing.send(pick).await {
+            Ok(Ok(picked)) => picked,
             Ok(Err(refusal)) if refusal.reason == RefusalReason::OwnerUnavailable => {
                 return Attempt::NoOwner(refusal)
             }
             Ok(Err(refusal)) => return Attempt::Refused(refusal),
             Err(_) => return Attempt::Refused(shutting_down()),
         };
+        let located = picked.located;
+        journey.generated_key = picked.generated.or(journey.generated_key.take());
         let asked_at = Instant::now();
         let acquire = journey.acquire(located.group.clone(), self.incarnation.clone());
         let reply = self
@@ -321,7 +320,7 @@
         let keep = KeepAnswer {
             bytes_max: journey.route.retained_body_bytes_max,
         };
-        let key = journey.key.clone();
+        let key = journey.key();
         match keep.read(answer, completion, in_flight).await {
             Ok(kept) => {
                 let mut response = stream_response(
@@ -345,7 +344,19 @@
 impl Journey {
     /// The key that decides the home group; a key on an idempotent route changes nothing.
     fn home_key(&self) -> Option<RequestKey> {
-        self.key.clone().filter(|_| !self.route.idempotent)
+        self.key().filter(|_| !self.route.idempotent)
+    }
+
+    fn key(&self) -> Option<RequestKey> {
+        self.key.clone().or_else(|| self.generated_key.clone())
+    }
+
+    fn key_choice(&self) -> KeyChoice {
+        match self.home_key() {
+            Some(key) => KeyChoice::Home(key),
+            None if self.route.idempotent => KeyChoice::Unkeyed,
+            None => KeyChoice::Generate,
+        }
     }
 
     fn acquire(&self, group: GroupId, holder: IncarnationId) -> Acquire {
@@ -373,15 +384,18 @@
 
     fn inbound_headers(&self) -> HeaderMap {
         let mut headers = jackdawchute_dispatch::end_to_end(&self.inbound.headers);
-        insert_key(&mut headers, self.key.clone());
+        insert_key(&mut headers, self.key());
         headers
     }
 
-    /// Another group may still have room; a keyed request has only the one.
+    /// Another group may still have room; a request under the caller's own key has only the one.
     fn refused(&mut self, group: GroupId, refusal: Refusal) -> Attempt {
         match refusal.reason {
             RefusalReason::OwnerUnavailable => Attempt::NoOwner(refusal),
-            RefusalReason::QueueFull | RefusalReason::NoMinion if self.home_key().is_none() => {
+            RefusalReason::QueueFull | RefusalReason::NoMinion
+                if self.key.is_none() || self.route.idempotent =>
+            {
+                self.generated_key = None;
                 self.tried.push(group);
                 Attempt::Failed(RetryReason::NoCapacity, refusal)
             }
--- a/jackdawchute-entry/src/instance.rs
+++ b/jackdawchute-entry/src/instance.rs
@@ -426,6 +426,11 @@
                 .send(ownership::SubscribeStanding { subscriber })
                 .await;
         }
+        let subscriber = MessageChannel::new(self.requests.downgrade());
+        let _ = self
+            .ownership
+            .send(ownership::SubscribeLease { subscriber })
+            .await;
     }
 
     async fn connect_membership(&self) {
--- a/jackdawchute-entry/src/routing/state.rs
+++ b/jackdawchute-entry/src/routing/state.rs
@@ -1,16 +1,20 @@
 //! Decisions about routes and owners; no clock or socket.
 
-use std::{collections::BTreeMap, sync::Arc, time::Instant};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Instant,
+};
 
 use jackdawchute_configuration::{Configuration, Confirmation};
 use jackdawchute_jobs::home_group as job_home_group;
 use jackdawchute_ownership::{Directory, Standing};
 use jackdawchute_platform::{MemberRole, MemberState, MembershipList};
-use jackdawchute_requests::home_group as key_home_group;
-use jackdawchute_types::{GroupId, JobId, Refusal, RefusalReason};
+use jackdawchute_requests::{home_group as key_home_group, service_group};
+use jackdawchute_types::{GroupId, JobId, Refusal, RefusalReason, RequestKey, ServiceId};
 
 use super::{
-    messages::{Known, Located, MatchRoute, PickGroup, Readiness, RouteMatch},
+    messages::{KeyChoice, Known, Located, MatchRoute, PickGroup, Picked, Readiness, RouteMatch},
     routes,
 };
 
@@ -105,24 +109,46 @@
     }
 
     /// Picks the home group of a key, or the least used group that was not tried.
-    pub(super) fn pick_group(&mut self, pick: &PickGroup) -> Result<Located, Refusal> {
-        let prefix = format!("service/{}/", pick.service);
-        let groups: Vec<GroupId> = self
-            .directory
-            .owners
-            .range(GroupId::new(&prefix)..)
-            .map(|(group, _)| group)
-            .take_while(|group| group.starts_with(&prefix))
-            .cloned()
-            .collect();
-        if groups.is_empty() {
-            let detail = format!("no owner of service {} is known", pick.service);
-            return Err(Refusal::not_run(RefusalReason::OwnerUnavailable, detail));
-        }
-        match &pick.key {
-            Some(key) => self.locate(&key_home_group(key, &groups)),
-            None => self.least_used(&groups, &pick.tried),
+    ///
+    /// A key's home is chosen among the groups that the membership list names, whether they have
+    /// an owner now or not: the owner compares with the same list.
+    pub(super) fn pick_group(
+        &mut self,
+        pick: &PickGroup,
+        random_key: impl Fn() -> RequestKey,
+    ) -> Result<Picked, Refusal> {
+        let listed = self.listed_groups(&pick.service);
+        if listed.is_empty() {
+            let detail = format!("no minion of service {} is listed", pick.service);
+            return Err(Refusal::not_run(RefusalReason::NoMinion, detail));
         }
+        let (located, generated) = match &pick.key {
+            KeyChoice::Home(key) => (self.locate(&key_home_group(key, &listed))?, None),
+            KeyChoice::Unkeyed => (self.least_used(&listed, &pick.tried)?, None),
+            KeyChoice::Generate => {
+                let located = self.least_used(&listed, &pick.tried)?;
+                let keys = std::iter::repeat_with(random_key).take(GENERATED_KEYS_MAX);
+                let mut homes = keys.map(|key| (key_home_group(&key, &listed), key));
+                let generated = homes.find(|(home, _)| *home == located.group);
+                (located, generated.map(|(_, key)| key))
+            }
+        };
+        Ok(Picked { located, generated })
+    }
+
+    /// The groups of a service, also those whose minions are all leaving.
+    fn listed_groups(&self, service: &ServiceId) -> Vec<GroupId> {
+        let groups = self
+            .members
+            .members
+            .iter()
+            .filter_map(|member| match &member.role {
+                MemberRole::Minion { service: of, .. } if of == service => {
+                    Some(service_group(service, &member.failure_domain))
+                }
+                _ => None,
+            });
+        groups.collect::<BTreeSet<_>>().into_iter().collect()
     }
 
     fn least_used(&mut self, groups: &[GroupId], tried: &[GroupId]) -> Result<Located, Refusal> {
@@ -136,6 +162,7 @@
             let in_flight = self.in_flight.get(*group).copied().unwrap_or(0);
             let slots = slots.get(*group).copied().unwrap_or(0).max(1);
             (
+                !self.directory.owners.contains_key(*group),
                 slots == 1,
                 u64::from(in_flight) * LOAD_SCALE / u64::from(slots),
             )
@@ -161,7 +188,7 @@
                 MemberState::Live,
             ) = (&member.role, member.state)
             {
-                let group = jackdawchute_requests::service_group(service, &member.failure_domain);
+                let group = service_group(service, &member.failure_domain);
                 *slots.entry(group).or_insert(0) += more;
             }
         }
@@ -202,5 +229,8 @@
     }
 }
 
+/// How many keys are tried until one has the wanted home; about as many as a service has groups are
+/// needed.
+const GENERATED_KEYS_MAX: usize = 1_000;
 /// Keeps the fraction when loads are compared as whole numbers.
 const LOAD_SCALE: u64 = 1_000;
--- a/jackdawchute-entry/src/wiring.rs
+++ b/jackdawchute-entry/src/wiring.rs
@@ -9,17 +9,13 @@
 use jackdawchute_ownership::{
     self as ownership, DesiredGroups, Directory, OwnershipTask, ReportConfiguration,
 };
-use jackdawchute_platform::MembershipList;
+use jackdawchute_platform::{MemberRole, MembershipList};
 use jackdawchute_requests as requests;
 use jackdawchute_types::{FailureDomainId, IncarnationId};
 use xtra::prelude::*;
 
 use crate::terms;
 
-/// The idle connections to one minion that all instances together may keep, which leaves room for
-/// a connection for each slot.
-const IDLE_CONNECTIONS_TOTAL: usize = 48;
-
 /// Passes changes on.
 #[derive(xtra::Actor)]
 pub(crate) struct WiringTask {
@@ -38,6 +34,25 @@
 }
 
 impl WiringTask {
+    /// The idle connections to each minion that this instance may keep, by the smallest minion.
+    fn idle_connections(&self, instances: u32) -> usize {
+        let minions = self
+            .members
+            .members
+            .iter()
+            .filter_map(|member| match member.role {
+                MemberRole::Minion {
+                    slots, connections, ..
+                } => Some(requests::idle_connections_max(
+                    connections,
+                    slots,
+                    instances,
+                )),
+                _ => None,
+            });
+        minions.min().unwrap_or(0) as usize
+    }
+
     /// Lets the others read the directory at once: an owner grants nothing to an incarnation that
     /// it does not know.
     fn introduce(&self, directory: &Directory) {
@@ -99,8 +114,8 @@
     type Return = ();
 
     async fn handle(&mut self, directory: Arc<Directory>, _: &mut Context<Self>) {
-        let instances = directory.incarnations.len().max(1);
-        let idle = SetIdleConnections(IDLE_CONNECTIONS_TOTAL / instances);
+        let instances = u32::try_from(directory.incarnations.len()).unwrap_or(u32::MAX);
+        let idle = SetIdleConnections(self.idle_connections(instances));
         let _handled = self.dispatch.send(idle).detach().await;
         if !self.introduced && directory.incarnations.contains_key(&self.incarnation) {
             self.introduced = true;
