fix: idempotency keys have groups of their own, so no key ever moves

Cause: a key had its home among the groups that own minions. A failure domain that was lost left its keys without minions.

Change: each service has eight groups for keys, a number that never changes. The entry reserves the key there, where the intent is journaled, then takes a slot from any group of the service. The fixture of idempotency_keys counts these groups too; what the tests demand is unchanged.

--- a/jackdawchute-entry/src/callers/complete.rs
+++ b/jackdawchute-entry/src/callers/complete.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{header, HeaderMap, StatusCode};
-use jackdawchute_dispatch::{Answer, Chunk, Result as SendResult};
+use jackdawchute_dispatch::{Chunk, Result as SendResult};
 use jackdawchute_requests::{
     Call, Complete, GivenUp, Grant, GrantOutcome, RequestsTask, Returned, StoredAnswer,
 };
@@ -42,24 +42,16 @@
         let _ = tokio::time::timeout(KEEP_TIMEOUT, background).await;
     }
 
-    /// Gives the grant back once the minion is done.
-    pub(crate) fn finish_later(
-        self,
-        done: oneshot::Receiver<SendResult<()>>,
-        answer: Option<StoredAnswer>,
-        in_flight: InFlight,
-    ) {
+    /// Gives a slot back once the minion is done.
+    pub(crate) fn finish_later(self, done: oneshot::Receiver<SendResult<()>>, in_flight: InFlight) {
         tokio::spawn(async move {
             let outcome = match done.await {
-                Ok(Ok(())) => GrantOutcome::Answered { answer },
+                Ok(Ok(())) => GrantOutcome::Answered { answer: None },
                 _ => GrantOutcome::AnswerLost,
             };
             drop(in_flight);
-            let _counted = self
-                .routing
-                .send(Finished(self.grant.group.clone()))
-                .detach()
-                .await;
+            let finished = Finished(self.grant.group.clone());
+            let _counted = self.routing.send(finished).detach().await;
             self.give_back(outcome).await;
         });
     }
@@ -130,73 +122,40 @@
     pub(crate) bytes_max: usize,
 }
 
-/// An answer whose first part was read; the rest follows.
-pub(crate) struct Kept {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) first: Vec<Bytes>,
-    pub(crate) rest: mpsc::Receiver<Chunk>,
-}
-
 impl KeepAnswer {
-    /// Reads the body up to the bound. A whole body is kept by the owner before the caller gets
-    /// it; of a larger one only the status is kept, once the minion is done.
+    /// Reads the body up to the bound and lets the key's owner keep the answer before the caller
+    /// gets it; of a larger one only the status is kept. Returns what was read and the rest.
     ///
     /// # Errors
     /// The answer broke off; the owner was told.
     pub(crate) async fn read(
         self,
-        answer: Answer,
-        completion: Completion,
-        in_flight: InFlight,
-    ) -> SendResult<Kept> {
-        let Answer {
-            status,
-            headers,
-            body: mut rest,
-            done,
-        } = answer;
+        status: StatusCode,
+        headers: &HeaderMap,
+        mut body: mpsc::Receiver<Chunk>,
+        reserved: Completion,
+    ) -> SendResult<(Vec<Bytes>, mpsc::Receiver<Chunk>)> {
         let mut first = Vec::new();
         let mut length_bytes = 0;
-        while let Some(chunk) = rest.recv().await {
-            let bytes = match chunk {
-                Ok(bytes) => bytes,
+        while let Some(chunk) = body.recv().await {
+            match chunk {
+                Ok(bytes) => {
+                    length_bytes += bytes.len();
+                    first.push(bytes);
+                }
                 Err(error) => {
-                    completion.finish_later(done, None, in_flight);
+                    reserved.finish(GrantOutcome::AnswerLost).await;
                     return Err(error);
                 }
-            };
-            length_bytes += bytes.len();
-            first.push(bytes);
+            }
             if length_bytes > self.bytes_max {
-                let stored = stored(status, &headers, None);
-                completion.finish_later(done, Some(stored), in_flight);
-                return Ok(Kept {
-                    status,
-                    headers,
-                    first,
-                    rest,
-                });
+                break;
             }
         }
-        drop(in_flight);
-        let _counted = completion
-            .routing
-            .send(Finished(completion.grant.group.clone()))
-            .detach()
-            .await;
-        let stored = stored(status, &headers, Some(first.concat()));
-        completion
-            .finish(GrantOutcome::Answered {
-                answer: Some(stored),
-            })
-            .await;
-        Ok(Kept {
-            status,
-            headers,
-            first,
-            rest,
-        })
+        let whole = (length_bytes <= self.bytes_max).then(|| first.concat());
+        let answer = Some(stored(status, headers, whole));
+        reserved.finish(GrantOutcome::Answered { answer }).await;
+        Ok((first, body))
     }
 }
 
--- a/jackdawchute-entry/src/callers/requests.rs
+++ b/jackdawchute-entry/src/callers/requests.rs
@@ -7,11 +7,14 @@
 use http::HeaderMap;
 use jackdawchute_dispatch::{Answer, Chunk, DispatchTask, Error as SendError, Outgoing, Send};
 use jackdawchute_requests::{
-    Acquire, Call, FailedAttempt, Grant, GrantOutcome, Held, Reply, RequestsTask, StoredAnswer,
+    key_group, Acquire, Call, FailedAttempt, Grant, GrantOutcome, Held, Reply, RequestsTask,
+    StoredAnswer,
 };
 use jackdawchute_types::{
     Execution, GroupId, IncarnationId, Recorder, Refusal, RefusalReason, RequestKey, RetryReason,
 };
+use rand::Rng;
+use smol_str::format_smolstr;
 use tokio::sync::oneshot;
 use warp::reply::Response;
 use xtra::prelude::*;
@@ -24,7 +27,7 @@
 use crate::{
     authority::RequestsAuthority,
     routing::{
-        AskRetry, Finished, KeyChoice, MatchRoute, OwnerMissing, PickGroup, RouteMatch,
+        AskRetry, Finished, LocateGroup, Located, MatchRoute, OwnerMissing, PickGroup, RouteMatch,
         RoutingTask, Sent, Succeeded,
     },
     Metrics,
@@ -50,10 +53,11 @@
 struct Journey {
     inbound: Inbound,
     route: RouteMatch,
-    /// The caller's own key.
+    /// The key of a non-idempotent request, generated if the caller gave none; a key on an
+    /// idempotent route changes nothing.
     key: Option<RequestKey>,
-    /// The key of a non-idempotent request whose caller gave none.
-    generated_key: Option<RequestKey>,
+    /// The grant of the key's group, while its outcome is open.
+    reserved: Option<Completion>,
     digest: u64,
     arrived: Instant,
     deadline: Instant,
@@ -64,9 +68,20 @@
     sent: bool,
 }
 
+/// The outcome of a grant that was not used.
+const NOT_SENT: GrantOutcome = GrantOutcome::NotSent {
+    connection_refused: false,
+};
+
+/// What an owner gave.
+enum Acquired {
+    Held(Completion),
+    Answered(StoredAnswer),
+}
+
 /// What one attempt led to.
 enum Attempt {
-    Answered(Response),
+    Answered(Box<Response>),
     /// The owner is not known or does not answer, and nothing was sent.
     NoOwner(Refusal),
     /// Another attempt may be made.
@@ -102,14 +117,18 @@
             .deadline()?
             .map(|asked| asked.min(route.deadline_max));
         let deadline = arrived + asked.unwrap_or(route.deadline);
-        let key = inbound.key()?;
+        let key = match inbound.key()? {
+            _ if route.idempotent => None,
+            Some(key) => Some(key),
+            None => Some(format_smolstr!("{:032x}", rand::rng().random::<u128>())),
+        };
         let digest = inbound.digest();
         let tried = Vec::new();
         Ok(Journey {
             inbound,
             route,
             key,
-            generated_key: None,
+            reserved: None,
             digest,
             arrived,
             deadline,
@@ -121,9 +140,12 @@
     }
 
     /// Makes attempts until one is final. A refusal says that nothing ran only if no attempt was
-    /// sent.
+    /// sent; a key that is still reserved then may be used again.
     async fn travel(&self, mut journey: Journey) -> Result<Response, Refusal> {
         let outcome = self.attempt_until_final(&mut journey).await;
+        if let Some(reserved) = journey.reserved.take() {
+            reserved.finish(NOT_SENT).await;
+        }
         outcome.map_err(|refusal| match journey.sent {
             true => Refusal {
                 execution: Execution::Unknown,
@@ -136,7 +158,7 @@
     async fn attempt_until_final(&self, journey: &mut Journey) -> Result<Response, Refusal> {
         loop {
             let (delay, refusal) = match self.attempt(journey).await {
-                Attempt::Answered(response) => return Ok(response),
+                Attempt::Answered(response) => return Ok(*response),
                 Attempt::Refused(refusal) => return Err(refusal),
                 Attempt::NoOwner(refusal) => {
                     let _handled = self.routing.send(OwnerMissing).detach().await;
@@ -181,57 +203,78 @@
     }
 
     async fn attempt(&self, journey: &mut Journey) -> Attempt {
+        if let Some(key) = journey.key.clone().filter(|_| journey.reserved.is_none()) {
+            match self.reserve_key(journey, key).await {
+                Ok(reserved) => journey.reserved = Some(reserved),
+                Err(attempt) => return attempt,
+            }
+        }
         let pick = PickGroup {
             service: journey.route.service.clone(),
-            key: journey.key_choice(),
             tried: journey.tried.clone(),
         };
-        let picked = match self.routing.send(pick).await {
-            Ok(Ok(picked)) => picked,
-            Ok(Err(refusal)) if refusal.reason == RefusalReason::OwnerUnavailable => {
-                return Attempt::NoOwner(refusal)
-            }
-            Ok(Err(refusal)) => return Attempt::Refused(refusal),
-            Err(_) => return Attempt::Refused(shutting_down()),
+        let located = match located(self.routing.send(pick).await) {
+            Ok(located) => located,
+            Err(attempt) => return attempt,
         };
-        let located = picked.located;
-        journey.generated_key = picked.generated.or(journey.generated_key.take());
+        let group = located.group.clone();
+        let acquire = journey.acquire(group.clone(), None, self.incarnation.clone());
+        match self.acquire(&located, acquire).await {
+            Ok(Acquired::Held(completion)) => self.use_slot(journey, completion).await,
+            Ok(Acquired::Answered(_)) => Attempt::Refused(unexpected_reply()),
+            Err(Attempt::Refused(refusal)) => journey.slot_refused(group, refusal),
+            Err(attempt) => attempt,
+        }
+    }
+
+    /// Has the key's group journal the intent, or answer as it did before.
+    async fn reserve_key(&self, journey: &Journey, key: RequestKey) -> Result<Completion, Attempt> {
+        let group = key_group(&key, &journey.route.service);
+        let located = located(self.routing.send(LocateGroup(group.clone())).await)?;
+        let acquire = journey.acquire(group, Some(key), self.incarnation.clone());
+        match self.acquire(&located, acquire).await? {
+            Acquired::Held(completion) => Ok(completion),
+            Acquired::Answered(answer) => Err(Attempt::Answered(Box::new(stored_response(answer)))),
+        }
+    }
+
+    async fn acquire(&self, located: &Located, acquire: Acquire) -> Result<Acquired, Attempt> {
         let asked_at = Instant::now();
-        let acquire = journey.acquire(located.group.clone(), self.incarnation.clone());
         let reply = self
             .authority
             .call(&located.owner, Call::Acquire(acquire))
             .await;
         match reply {
-            Ok(Ok(Reply::Granted(grant))) => self.use_grant(journey, grant, asked_at).await,
-            Ok(Ok(Reply::Answered(answer))) => Attempt::Answered(stored_response(answer)),
-            Ok(Ok(_)) => Attempt::Refused(unexpected_reply()),
-            Ok(Err(refusal)) => journey.refused(located.group, refusal),
+            Ok(Ok(Reply::Granted(grant))) => self.hold(grant, asked_at).await,
+            Ok(Ok(Reply::Answered(answer))) => Ok(Acquired::Answered(answer)),
+            Ok(Ok(_)) => Err(Attempt::Refused(unexpected_reply())),
+            Ok(Err(refusal)) => Err(refused(refusal)),
             // Nothing was sent by this instance; a lost grant is asked back from it by its owner.
-            Err(_) => Attempt::NoOwner(owner_unavailable()),
+            Err(_) => Err(Attempt::NoOwner(owner_unavailable())),
         }
     }
 
-    async fn use_grant(&self, journey: &mut Journey, grant: Grant, asked_at: Instant) -> Attempt {
+    async fn hold(&self, grant: Grant, asked_at: Instant) -> Result<Acquired, Attempt> {
         let held = Held {
             grant: grant.clone(),
             elapsed: asked_at.elapsed(),
         };
-        let may_send = self.holder.send(held).await.unwrap_or(false);
+        let may_use = self.holder.send(held).await.unwrap_or(false);
         let completion = self.completion(&grant);
-        if !may_send {
-            completion
-                .finish(GrantOutcome::NotSent {
-                    connection_refused: false,
-                })
-                .await;
-            let refusal = Refusal::not_run(RefusalReason::OwnerUnavailable, "the grant came late");
-            return Attempt::Failed(RetryReason::OwnerChanged, refusal);
+        if may_use {
+            return Ok(Acquired::Held(completion));
         }
+        completion.finish(NOT_SENT).await;
+        let refusal = Refusal::not_run(RefusalReason::OwnerUnavailable, "the grant came late");
+        Err(Attempt::Failed(RetryReason::OwnerChanged, refusal))
+    }
+
+    async fn use_slot(&self, journey: &mut Journey, completion: Completion) -> Attempt {
         journey.waited = journey.arrived.elapsed();
         self.metrics.placed(&journey.route.class, journey.waited);
+        let grant = &completion.grant;
         let _counted = self.routing.send(Sent(grant.group.clone())).detach().await;
-        let answer = self.send(journey, &grant).await;
+        let answer = self.send(journey, grant).await;
         match answer {
             Ok(answer) => self.forward(journey, answer, completion).await,
             Err(error) => self.send_failed(journey, error, completion).await,
@@ -287,6 +330,9 @@
         }
         journey.sent = true;
         completion.finish(GrantOutcome::AnswerLost).await;
+        if let Some(reserved) = journey.reserved.take() {
+            reserved.finish(GrantOutcome::AnswerLost).await;
+        }
         let refusal = Refusal::unknown(RefusalReason::AnswerLost, error.to_string());
         if journey.route.idempotent {
             Attempt::Failed(RetryReason::AnswerLost, refusal)
@@ -295,78 +341,46 @@
         }
     }
 
-    /// Passes the answer on; a keyed one is first kept by the owner, if it is small enough.
-    async fn forward(&self, journey: &Journey, answer: Answer, completion: Completion) -> Attempt {
+    /// Passes the answer on; a keyed one is first kept by the key's owner, if it is small enough.
+    async fn forward(&self, journey: &mut Journey, answer: Answer, slot: Completion) -> Attempt {
         self.metrics.answered(&journey.route.class);
         let succeeded = Succeeded(journey.route.class.clone());
         let _counted = self.routing.send(succeeded).detach().await;
-        let in_flight = InFlight::begin(&self.metrics);
-        if journey.home_key().is_none() {
-            let Answer {
-                status,
-                headers,
-                body,
-                done,
-            } = answer;
-            completion.finish_later(done, None, in_flight);
-            return Attempt::Answered(stream_response(
-                status,
-                headers,
-                journey.waited,
-                Vec::new(),
-                body,
-            ));
-        }
+        let (status, headers) = (answer.status, answer.headers.clone());
+        slot.finish_later(answer.done, InFlight::begin(&self.metrics));
+        let waited = journey.waited;
+        let Some(reserved) = journey.reserved.take() else {
+            let response = stream_response(status, headers, waited, Vec::new(), answer.body);
+            return Attempt::Answered(Box::new(response));
+        };
+        journey.sent = true;
         let keep = KeepAnswer {
             bytes_max: journey.route.retained_body_bytes_max,
         };
-        let key = journey.key();
-        match keep.read(answer, completion, in_flight).await {
-            Ok(kept) => {
-                let mut response = stream_response(
-                    kept.status,
-                    kept.headers,
-                    journey.waited,
-                    kept.first,
-                    kept.rest,
-                );
-                insert_key(response.headers_mut(), key);
-                Attempt::Answered(response)
+        match keep.read(status, &headers, answer.body, reserved).await {
+            Ok((first, rest)) => {
+                let mut response = stream_response(status, headers, waited, first, rest);
+                insert_key(response.headers_mut(), journey.key.clone());
+                Attempt::Answered(Box::new(response))
+            }
+            Err(error) => {
+                let reason = RefusalReason::AnswerLost;
+                Attempt::Refused(Refusal::unknown(reason, error.to_string()))
             }
-            Err(error) => Attempt::Refused(Refusal::unknown(
-                RefusalReason::AnswerLost,
-                error.to_string(),
-            )),
         }
     }
 }
 
 impl Journey {
-    /// The key that decides the home group; a key on an idempotent route changes nothing.
-    fn home_key(&self) -> Option<RequestKey> {
-        self.key().filter(|_| !self.route.idempotent)
-    }
-
-    fn key(&self) -> Option<RequestKey> {
-        self.key.clone().or_else(|| self.generated_key.clone())
-    }
-
-    fn key_choice(&self) -> KeyChoice {
-        match self.home_key() {
-            Some(key) => KeyChoice::Home(key),
-            None if self.route.idempotent => KeyChoice::Unkeyed,
-            None => KeyChoice::Generate,
-        }
-    }
-
-    fn acquire(&self, group: GroupId, holder: IncarnationId) -> Acquire {
+    /// A call for the key's reservation, or without a key for a slot.
+    fn acquire(&self, group: GroupId, key: Option<RequestKey>, holder: IncarnationId) -> Acquire {
         Acquire {
             group,
             service: self.route.service.clone(),
             class: self.route.class.clone(),
             team: self.route.team.clone(),
-            idempotent: self.route.idempotent,
-            key: self.home_key(),
+            idempotent: key.is_none(),
+            key,
             digest: self.digest,
             deadline: self.deadline.saturating_duration_since(Instant::now()),
             holder,
@@ -384,18 +398,14 @@
 
     fn inbound_headers(&self) -> HeaderMap {
         let mut headers = jackdawchute_dispatch::end_to_end(&self.inbound.headers);
-        insert_key(&mut headers, self.key());
+        insert_key(&mut headers, self.key.clone());
         headers
     }
 
-    /// Another group may still have room; a request under the caller's own key has only the one.
-    fn refused(&mut self, group: GroupId, refusal: Refusal) -> Attempt {
+    /// Another group may still have room.
+    fn slot_refused(&mut self, group: GroupId, refusal: Refusal) -> Attempt {
         match refusal.reason {
-            RefusalReason::OwnerUnavailable => Attempt::NoOwner(refusal),
-            RefusalReason::QueueFull | RefusalReason::NoMinion
-                if self.key.is_none() || self.route.idempotent =>
-            {
-                self.generated_key = None;
+            RefusalReason::QueueFull | RefusalReason::NoMinion => {
                 self.tried.push(group);
                 Attempt::Failed(RetryReason::NoCapacity, refusal)
             }
@@ -430,6 +440,23 @@
     }
 }
 
+/// The group and its owner, or what their absence means.
+fn located(answer: Result<Result<Located, Refusal>, xtra::Error>) -> Result<Located, Attempt> {
+    match answer {
+        Ok(Ok(located)) => Ok(located),
+        Ok(Err(refusal)) => Err(refused(refusal)),
+        Err(_) => Err(Attempt::Refused(shutting_down())),
+    }
+}
+
+/// Another owner may be found within the deadline; other refusals are final.
+fn refused(refusal: Refusal) -> Attempt {
+    match refusal.reason {
+        RefusalReason::OwnerUnavailable => Attempt::NoOwner(refusal),
+        _ => Attempt::Refused(refusal),
+    }
+}
+
 fn shutting_down() -> Refusal {
     Refusal::not_run(RefusalReason::Draining, "the instance is shutting down")
 }
--- a/jackdawchute-entry/src/routing/messages.rs
+++ b/jackdawchute-entry/src/routing/messages.rs
@@ -6,9 +6,7 @@
 use jackdawchute_ownership::{Directory, Owner, Standing};
 use jackdawchute_platform::MembershipList;
 use jackdawchute_requests::FailedAttempt;
-use jackdawchute_types::{
-    ClassId, ConfigurationVersion, GroupId, JobId, RequestKey, ServiceId, TeamId,
-};
+use jackdawchute_types::{ClassId, ConfigurationVersion, GroupId, JobId, ServiceId, TeamId};
 use serde::Serialize;
 
 /// Asks whether the instance takes new work; refused without a confirmed configuration.
@@ -40,34 +38,14 @@
     pub(crate) retained_body_bytes_max: usize,
 }
 
-/// How the group of a request is chosen.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum KeyChoice {
-    /// Any group; the least used one is best.
-    Unkeyed,
-    /// The one home group of a key.
-    Home(RequestKey),
-    /// The least used group, with a new key whose home it is.
-    Generate,
-}
-
-/// Asks for the group that should serve a request next, with its owner.
+/// Asks for the group that should give a request its slot, with its owner: the least used one
+/// that is not in `tried`.
 #[derive(Clone, Debug)]
 pub(crate) struct PickGroup {
     pub(crate) service: ServiceId,
-    pub(crate) key: KeyChoice,
-    /// The groups that refused the request; they are passed over where there is a choice.
     pub(crate) tried: Vec<GroupId>,
 }
 
-/// The chosen group.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Picked {
-    pub(crate) located: Located,
-    /// The key, if one was generated.
-    pub(crate) generated: Option<RequestKey>,
-}
-
 /// Asks for the owner of a group.
 #[derive(Clone, Debug)]
 pub(crate) struct LocateGroup(pub(crate) GroupId);
--- a/jackdawchute-entry/src/routing/mod.rs
+++ b/jackdawchute-entry/src/routing/mod.rs
@@ -7,7 +7,7 @@
 mod task;
 
 pub(crate) use messages::{
-    AskRetry, BeginDrain, Finished, IsReady, KeyChoice, Known, LocateGroup, LocateJob, MatchRoute,
+    AskRetry, BeginDrain, Finished, IsReady, Known, LocateGroup, LocateJob, Located, MatchRoute,
     OwnerMissing, PickGroup, Readiness, RouteMatch, Sent, Succeeded, TakesNewWork, View,
 };
 pub(crate) use task::{spawn, RoutingTask};
--- a/jackdawchute-entry/src/routing/state.rs
+++ b/jackdawchute-entry/src/routing/state.rs
@@ -10,11 +10,11 @@
 use jackdawchute_jobs::home_group as job_home_group;
 use jackdawchute_ownership::{Directory, Standing};
 use jackdawchute_platform::{MemberRole, MemberState, MembershipList};
-use jackdawchute_requests::{home_group as key_home_group, service_group};
-use jackdawchute_types::{GroupId, JobId, Refusal, RefusalReason, RequestKey, ServiceId};
+use jackdawchute_requests::service_group;
+use jackdawchute_types::{GroupId, JobId, Refusal, RefusalReason, ServiceId};
 
 use super::{
-    messages::{KeyChoice, Known, Located, MatchRoute, PickGroup, Picked, Readiness, RouteMatch},
+    messages::{Known, Located, MatchRoute, PickGroup, Readiness, RouteMatch},
     routes,
 };
 
@@ -108,46 +108,25 @@
         })
     }
 
-    /// Picks the home group of a key, or the least used group that was not tried.
-    ///
-    /// A key's home is chosen among the groups that the membership list names, whether they have
-    /// an owner now or not: the owner compares with the same list.
-    pub(super) fn pick_group(
-        &mut self,
-        pick: &PickGroup,
-        random_key: impl Fn() -> RequestKey,
-    ) -> Result<Picked, Refusal> {
+    /// Picks the least used group of the service that was not tried.
+    pub(super) fn pick_group(&mut self, pick: &PickGroup) -> Result<Located, Refusal> {
         let listed = self.listed_groups(&pick.service);
         if listed.is_empty() {
             let detail = format!("no minion of service {} is listed", pick.service);
             return Err(Refusal::not_run(RefusalReason::NoMinion, detail));
         }
-        let (located, generated) = match &pick.key {
-            KeyChoice::Home(key) => (self.locate(&key_home_group(key, &listed))?, None),
-            KeyChoice::Unkeyed => (self.least_used(&listed, &pick.tried)?, None),
-            KeyChoice::Generate => {
-                let located = self.least_used(&listed, &pick.tried)?;
-                let keys = std::iter::repeat_with(random_key).take(GENERATED_KEYS_MAX);
-                let mut homes = keys.map(|key| (key_home_group(&key, &listed), key));
-                let generated = homes.find(|(home, _)| *home == located.group);
-                (located, generated.map(|(_, key)| key))
-            }
-        };
-        Ok(Picked { located, generated })
+        self.least_used(&listed, &pick.tried)
     }
 
-    /// The groups of a service, also those whose minions are all leaving.
+    /// The groups of a service that own minions, also those whose minions are all leaving.
     fn listed_groups(&self, service: &ServiceId) -> Vec<GroupId> {
-        let groups = self
-            .members
-            .members
-            .iter()
-            .filter_map(|member| match &member.role {
-                MemberRole::Minion { service: of, .. } if of == service => {
-                    Some(service_group(service, &member.failure_domain))
-                }
-                _ => None,
-            });
+        let members = self.members.members.iter();
+        let groups = members.filter_map(|member| match &member.role {
+            MemberRole::Minion { service: of, .. } if of == service => {
+                Some(service_group(service, &member.failure_domain))
+            }
+            _ => None,
+        });
         groups.collect::<BTreeSet<_>>().into_iter().collect()
     }
 
@@ -229,8 +208,5 @@
     }
 }
 
-/// How many keys are tried until one has the wanted home; about as many as a service has groups are
-/// needed.
-const GENERATED_KEYS_MAX: usize = 1_000;
 /// Keeps the fraction when loads are compared as whole numbers.
 const LOAD_SCALE: u64 = 1_000;
--- a/jackdawchute-entry/src/routing/task.rs
+++ b/jackdawchute-entry/src/routing/task.rs
@@ -9,16 +9,14 @@
 use jackdawchute_ownership::{self as ownership, Directory, Standing};
 use jackdawchute_platform::MembershipList;
 use jackdawchute_types::Refusal;
-use rand::Rng;
-use smol_str::format_smolstr;
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 
 use super::{
     messages::{
         AskRetry, BeginDrain, Finished, IsReady, Known, LocateGroup, LocateJob, Located,
-        MatchRoute, OwnerMissing, PickGroup, Picked, Readiness, RouteMatch, Sent, Succeeded,
-        TakesNewWork, View,
+        MatchRoute, OwnerMissing, PickGroup, Readiness, RouteMatch, Sent, Succeeded, TakesNewWork,
+        View,
     },
     retries::Retries,
     state::State,
@@ -158,11 +156,10 @@
 }
 
 impl Handler<PickGroup> for RoutingTask {
-    type Return = Result<Picked, Refusal>;
+    type Return = Result<Located, Refusal>;
 
     async fn handle(&mut self, pick: PickGroup, _: &mut Context<Self>) -> Self::Return {
-        let random_key = || format_smolstr!("{:032x}", rand::rng().random::<u128>());
-        self.state.pick_group(&pick, random_key)
+        self.state.pick_group(&pick)
     }
 }
 
--- a/jackdawchute-entry/src/terms.rs
+++ b/jackdawchute-entry/src/terms.rs
@@ -58,5 +58,6 @@
                 Some(requests::service_group(service, &member.failure_domain))
             }
         });
-    Arc::new(homes.chain(members).collect())
+    let keys = configuration.services.iter().flat_map(requests::key_groups);
+    Arc::new(homes.chain(members).chain(keys).collect())
 }
--- a/jackdawchute-requests/src/groups.rs
+++ b/jackdawchute-requests/src/groups.rs
@@ -48,3 +48,45 @@
     hasher.write(group.as_bytes());
     hasher.finish()
 }
+
+/// The groups of each service that decide for idempotency keys. The number is the same everywhere
+/// and for ever: a key that moved would be forgotten.
+const KEY_GROUPS: u32 = 8;
+/// Stands in a group's id where other groups have their failure domain; no domain's name has a
+/// colon.
+const KEY_GROUP_MARK: &str = "keys:";
+
+/// The groups of a service that decide for idempotency keys.
+///
+/// They own no minion: a request is first granted by its key's group, which journals the intent,
+/// and then takes a slot from any other group of the service. So neither a failure domain that
+/// appears nor one that is lost moves a key.
+///
+/// ```
+/// let groups = jackdawchute_requests::key_groups(&"forecast".into());
+/// assert_eq!(groups[0], "service/forecast/keys:0");
+/// ```
+pub fn key_groups(service: &ServiceId) -> Vec<GroupId> {
+    let domains = (0..KEY_GROUPS).map(|number| format_smolstr!("{KEY_GROUP_MARK}{number}"));
+    domains
+        .map(|domain| service_group(service, &domain))
+        .collect()
+}
+
+/// The group of a service that decides for a key.
+///
+/// ```
+/// use jackdawchute_requests::{key_group, key_groups};
+///
+/// let service = "forecast".into();
+/// assert!(key_groups(&service).contains(&key_group(&"order-7".into(), &service)));
+/// ```
+pub fn key_group(key: &RequestKey, service: &ServiceId) -> GroupId {
+    home_group(key, &key_groups(service))
+}
+
+/// Whether a group decides for idempotency keys and owns no minion.
+pub(crate) fn is_key_group(group: &GroupId) -> bool {
+    let last = group.rsplit('/').next();
+    last.is_some_and(|domain| domain.starts_with(KEY_GROUP_MARK))
+}
--- a/jackdawchute-requests/src/lib.rs
+++ b/jackdawchute-requests/src/lib.rs
@@ -31,7 +31,7 @@
 pub use connections::idle_connections_max;
 pub use effect::{AppendOutcome, AppendPurpose, AppendStep, CallId, Effect};
 pub use error::{Error, Result};
-pub use groups::{home_group, service_group};
+pub use groups::{home_group, key_group, key_groups, service_group};
 pub use holder::Holder;
 pub use journal::{JournaledKey, JournaledState};
 pub use messages::{
--- a/jackdawchute-requests/src/state.rs
+++ b/jackdawchute-requests/src/state.rs
@@ -13,9 +13,9 @@
 
 use crate::{
     adopt::is_listed,
-    fleet::{minions_by_group, Listed},
+    fleet::{key_place, minions_by_group, Listed},
     group::Group,
-    groups::{home_group, service_group},
+    groups::{home_group, is_key_group, key_group, service_group},
     Acquire, AppendOutcome, AppendPurpose, AppendStep, Call, CallId, Complete, Effect, Grant,
     GrantOutcome, Holder, Reply, Settings,
 };
@@ -100,8 +100,8 @@
         let settings = Arc::clone(&self.settings);
         let mut group = Group::new(id.clone(), epoch, settings, (self.policy)(), now);
         group.may_grant = self.may_grant(now);
-        if let Some(listed) = self.fleet.get(&id) {
-            group.set_minions(listed);
+        if let Some(listed) = self.listed(&id) {
+            group.set_minions(&listed);
         }
         let is_live = |holder: &IncarnationId| {
             Some(holder) != fenced.as_ref()
@@ -166,12 +166,22 @@
         self.begin(now);
         self.fleet = minions_by_group(list);
         for (id, group) in &mut self.groups {
-            group.set_minions(self.fleet.get(id).unwrap_or(&Listed::new()));
+            if !is_key_group(id) {
+                group.set_minions(self.fleet.get(id).unwrap_or(&Listed::new()));
+            }
             group.pump(now, &mut effects);
         }
         effects
     }
 
+    /// The minions of a group; a key group has its place whatever the membership list says.
+    fn listed(&self, group: &GroupId) -> Option<Listed> {
+        if is_key_group(group) {
+            return Some(key_place());
+        }
+        self.fleet.get(group).cloned()
+    }
+
     /// Ends what is over.
     pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
@@ -236,11 +246,14 @@
         if group.is_none_or(|group| group.keys.get(key).is_some()) {
             return true;
         }
+        if is_key_group(&acquire.group) {
+            return key_group(key, &acquire.service) == acquire.group;
+        }
         let prefix = service_group(&acquire.service, &FailureDomainId::default());
         let listed = self
             .fleet
             .keys()
-            .filter(|group| group.starts_with(prefix.as_str()));
+            .filter(|group| group.starts_with(prefix.as_str()) && !is_key_group(group));
         let listed: Vec<GroupId> = listed.cloned().collect();
         listed.is_empty() || home_group(key, &listed) == acquire.group
     }
--- a/jackdawchute-requests/tests/keys.rs
+++ b/jackdawchute-requests/tests/keys.rs
@@ -5,10 +5,12 @@
 use std::time::{Duration, Instant};
 
 use fixtures::*;
+use jackdawchute_ownership::GroupEvent;
 use jackdawchute_requests::{
-    AppendOutcome, Call, GrantOutcome, JournaledState, Reply, RetentionSettings, Settings, State,
+    Acquire, AppendOutcome, Call, GrantOutcome, JournaledState, Reply, RetentionSettings, Settings,
+    State,
 };
-use jackdawchute_types::{Execution, RefusalReason};
+use jackdawchute_types::{Execution, GroupId, RefusalReason};
 
 fn settings_with(retention: RetentionSettings) -> Settings {
     Settings {
@@ -24,6 +26,15 @@
     journaled(state, effects, AppendOutcome::Kept, now);
 }
 
+fn adopted_group(group: &GroupId) -> GroupEvent {
+    GroupEvent::Adopted {
+        group: group.clone(),
+        epoch: 1,
+        entries: Default::default(),
+        fenced: None,
+    }
+}
+
 fn again(state: &mut State, key: &str, now: Instant) -> Vec<jackdawchute_requests::Effect> {
     state.incoming(990, Call::Acquire(order(OWNER, key)), now)
 }
@@ -77,6 +88,30 @@
     }
 }
 
+#[test]
+fn a_key_group_takes_its_own_keys_whatever_minions_are_listed() {
+    let now = Instant::now();
+    let service = "repair-desk".into();
+    let own = jackdawchute_requests::key_groups(&service)[3].clone();
+    let mut state = bystander(settings(), &minions(0, SLOTS), now);
+    adopt(&mut state, adopted_group(&own), now);
+
+    for call in 0..40 {
+        let key = format!("k{call}");
+        let acquire = Acquire {
+            group: own.clone(),
+            ..order(OWNER, &key)
+        };
+        let effects = state.incoming(call, Call::Acquire(acquire), now);
+        let effects = journaled(&mut state, effects, AppendOutcome::Kept, now);
+
+        let is_own = jackdawchute_requests::key_group(&key.into(), &service) == own;
+        let refusal = refused(&effects, call).map(|refusal| refusal.execution);
+        assert_eq!(granted(&effects, call).is_some(), is_own);
+        assert_eq!(refusal, (!is_own).then_some(Execution::NotRun));
+    }
+}
+
 #[test]
 fn another_request_with_the_same_key_is_refused() {
     let now = Instant::now();
--- a/tests/idempotency_keys.rs
+++ b/tests/idempotency_keys.rs
@@ -7,6 +7,8 @@
 
 /// The orders of each test.
 const ORDERS: usize = 40;
+/// The groups of a service that decide for keys, beside one for each failure domain.
+const KEY_GROUPS: usize = 8;
 
 fn options(unlisted_minions: usize) -> CellOptions {
     CellOptions {
@@ -36,12 +38,14 @@
     outcomes
 }
 
-async fn wait_for_groups(entries: &[CellEntry], count: usize) {
+async fn wait_for_groups(entries: &[CellEntry], domains: usize) {
     for entry in entries {
         wait_until("owners of the service's groups", || async {
             let owners = entry.status().await.ok()?.owners;
-            let groups = owners.keys().filter(|group| group.starts_with("service/"));
-            (groups.count() == count).then_some(())
+            let groups = owners
+                .keys()
+                .filter(|group| group.starts_with("service/repair-desk/"));
+            (groups.count() == domains + KEY_GROUPS).then_some(())
         })
         .await
         .unwrap();
