change: slots are asked of other groups while an owner is silent

Cause: a request whose group's owner had died asked the same group again until the takeover, although other groups of the service had free slots.

Change: the group whose owner did not answer is passed over for the next attempt; once no other is left it is asked again. A late slot is given back unsent. The tasks and the listeners of an instance, the journey of a request and the answers have modules of their own.

--- a/jackdawchute-entry/src/callers/mod.rs
+++ b/jackdawchute-entry/src/callers/mod.rs
@@ -3,9 +3,11 @@
 mod complete;
 mod inbound;
 mod jobs;
+mod journey;
 mod listener;
 mod problem;
 mod requests;
+mod responses;
 
 pub(crate) use jobs::JobsFront;
 pub(crate) use listener::{serve, CallersOptions};
--- a/jackdawchute-entry/src/callers/requests.rs
+++ b/jackdawchute-entry/src/callers/requests.rs
@@ -2,16 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use futures_util::{stream, Stream};
-use http::HeaderMap;
-use jackdawchute_dispatch::{Answer, Chunk, DispatchTask, Error as SendError, Outgoing, Send};
+use jackdawchute_dispatch::{Answer, DispatchTask, Error as SendError, Send};
 use jackdawchute_requests::{
     key_group, Acquire, Call, FailedAttempt, Grant, GrantOutcome, Held, Reply, RequestsTask,
     StoredAnswer,
 };
 use jackdawchute_types::{
-    Execution, GroupId, IncarnationId, Recorder, Refusal, RefusalReason, RequestKey, RetryReason,
+    Execution, IncarnationId, Recorder, Refusal, RefusalReason, RequestKey, RetryReason,
 };
 use rand::Rng;
 use smol_str::format_smolstr;
@@ -21,8 +18,10 @@
 
 use super::{
     complete::{Completion, KeepAnswer},
-    inbound::{Inbound, KEY_HEADER},
+    inbound::Inbound,
+    journey::{Attempt, Journey},
     problem,
+    responses::{insert_key, stored_response, stream_response},
 };
 use crate::{
     authority::RequestsAuthority,
@@ -33,8 +32,6 @@
     Metrics,
 };
 
-/// The header that says how long a request waited for its slot, in milliseconds.
-const WAITED_HEADER: &str = "jackdawchute-waited-ms";
 /// How long to wait before asking again for an owner that is not known yet.
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -49,25 +46,6 @@
     pub(crate) metrics: Metrics,
 }
 
-/// One request on its way, over all its attempts.
-struct Journey {
-    inbound: Inbound,
-    route: RouteMatch,
-    /// The key of a non-idempotent request, generated if the caller gave none; a key on an
-    /// idempotent route changes nothing.
-    key: Option<RequestKey>,
-    /// The grant of the key's group, while its outcome is open.
-    reserved: Option<Completion>,
-    digest: u64,
-    arrived: Instant,
-    deadline: Instant,
-    tried: Vec<GroupId>,
-    attempt: u32,
-    waited: Duration,
-    /// Whether a byte of any attempt may have reached a minion.
-    sent: bool,
-}
-
 /// The outcome of a grant that was not used.
 const NOT_SENT: GrantOutcome = GrantOutcome::NotSent {
     connection_refused: false,
@@ -79,16 +57,6 @@
     Answered(StoredAnswer),
 }
 
-/// What one attempt led to.
-enum Attempt {
-    Answered(Box<Response>),
-    /// The owner is not known or does not answer, and nothing was sent.
-    NoOwner(Refusal),
-    /// Another attempt may be made.
-    Failed(RetryReason, Refusal),
-    Refused(Refusal),
-}
-
 impl RequestsFront {
     /// Finds the route of a request before its body is read.
     pub(crate) async fn match_route(&self, route: MatchRoute) -> Result<RouteMatch, Refusal> {
@@ -133,6 +101,7 @@
             arrived,
             deadline,
             tried,
+            unreachable: None,
             attempt: 0,
             waited: Duration::ZERO,
             sent: false,
@@ -211,10 +180,16 @@
         }
         let pick = PickGroup {
             service: journey.route.service.clone(),
-            tried: journey.tried.clone(),
+            tried: journey.passed_over(),
         };
         let located = match located(self.routing.send(pick).await) {
             Ok(located) => located,
+            Err(Attempt::Refused(refusal))
+                if refusal.reason == RefusalReason::QueueFull
+                    && journey.unreachable.take().is_some() =>
+            {
+                return Attempt::NoOwner(owner_unavailable())
+            }
             Err(attempt) => return attempt,
         };
         let group = located.group.clone();
@@ -223,7 +198,10 @@
             Ok(Acquired::Held(completion)) => self.use_slot(journey, completion).await,
             Ok(Acquired::Answered(_)) => Attempt::Refused(unexpected_reply()),
             Err(Attempt::Refused(refusal)) => journey.slot_refused(group, refusal),
-            Err(attempt) => attempt,
+            Err(attempt) => {
+                journey.unreachable = Some(group);
+                attempt
+            }
         }
     }
 
@@ -270,6 +248,11 @@
     }
 
     async fn use_slot(&self, journey: &mut Journey, completion: Completion) -> Attempt {
+        if journey.is_late() {
+            completion.finish(NOT_SENT).await;
+            let refusal = Refusal::not_run(RefusalReason::DeadlineExpired, "the slot came late");
+            return Attempt::Refused(refusal);
+        }
         journey.waited = journey.arrived.elapsed();
         self.metrics.placed(&journey.route.class, journey.waited);
         let grant = &completion.grant;
@@ -371,49 +354,6 @@
     }
 }
 
-impl Journey {
-    /// A call for the key's reservation, or without a key for a slot.
-    fn acquire(&self, group: GroupId, key: Option<RequestKey>, holder: IncarnationId) -> Acquire {
-        Acquire {
-            group,
-            service: self.route.service.clone(),
-            class: self.route.class.clone(),
-            team: self.route.team.clone(),
-            idempotent: key.is_none(),
-            key,
-            digest: self.digest,
-            deadline: self.deadline.saturating_duration_since(Instant::now()),
-            holder,
-        }
-    }
-
-    fn outgoing(&self) -> Outgoing {
-        Outgoing {
-            method: self.inbound.method.clone(),
-            path_and_query: self.inbound.path_and_query(),
-            headers: self.inbound_headers(),
-            body: self.inbound.body.clone(),
-        }
-    }
-
-    fn inbound_headers(&self) -> HeaderMap {
-        let mut headers = jackdawchute_dispatch::end_to_end(&self.inbound.headers);
-        insert_key(&mut headers, self.key.clone());
-        headers
-    }
-
-    /// Another group may still have room.
-    fn slot_refused(&mut self, group: GroupId, refusal: Refusal) -> Attempt {
-        match refusal.reason {
-            RefusalReason::QueueFull | RefusalReason::NoMinion => {
-                self.tried.push(group);
-                Attempt::Failed(RetryReason::NoCapacity, refusal)
-            }
-            _ => Attempt::Refused(refusal),
-        }
-    }
-}
-
 /// Counts a request that a minion works on.
 pub(crate) struct InFlight {
     metrics: Metrics,
@@ -434,12 +374,6 @@
     }
 }
 
-fn insert_key(headers: &mut HeaderMap, key: Option<RequestKey>) {
-    if let Some(value) = key.and_then(|key| key.parse().ok()) {
-        headers.insert(KEY_HEADER, value);
-    }
-}
-
 /// The group and its owner, or what their absence means.
 fn located(answer: Result<Result<Located, Refusal>, xtra::Error>) -> Result<Located, Attempt> {
     match answer {
@@ -474,51 +408,3 @@
         "the owner answered another call",
     )
 }
-
-fn stored_response(answer: StoredAnswer) -> Response {
-    let Some(body) = answer.body else {
-        let detail = "answered before; the answer was too large to keep";
-        return problem::response(&Refusal::unknown(RefusalReason::AnswerNotRetained, detail));
-    };
-    let mut response = Response::new(body.into());
-    *response.status_mut() = answer.status.try_into().unwrap_or_default();
-    let content_type = answer.content_type.and_then(|text| text.parse().ok());
-    if let Some(value) = content_type {
-        response
-            .headers_mut()
-            .insert(http::header::CONTENT_TYPE, value);
-    }
-    response
-}
-
-fn stream_response(
-    status: http::StatusCode,
-    headers: HeaderMap,
-    waited: Duration,
-    first: Vec<Bytes>,
-    rest: tokio::sync::mpsc::Receiver<Chunk>,
-) -> Response {
-    let body = body_stream(first, rest);
-    let mut response = warp::Reply::into_response(warp::reply::stream(body));
-    *response.status_mut() = status;
-    response.headers_mut().extend(headers);
-    response
-        .headers_mut()
-        .insert(WAITED_HEADER, http::HeaderValue::from(millis(waited)));
-    response
-}
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
-fn body_stream(
-    first: Vec<Bytes>,
-    rest: tokio::sync::mpsc::Receiver<Chunk>,
-) -> impl Stream<Item = Chunk> {
-    let rest = stream::unfold(rest, |mut rest| async move {
-        let chunk = rest.recv().await?;
-        Some((chunk, rest))
-    });
-    futures_util::StreamExt::chain(stream::iter(first.into_iter().map(Ok)), rest)
-}
--- /dev/null
+++ b/jackdawchute-entry/src/fronts.rs
@@ -0,0 +1,164 @@
+//! The listeners of one instance.
+
+use std::{net::SocketAddr, path::Path, sync::Arc};
+
+use jackdawchute_peer as peer;
+use jackdawchute_platform::Table;
+use jackdawchute_settings::Settings;
+use jackdawchute_types::IncarnationId;
+use smol_str::SmolStr;
+use tokio::{sync::watch, task::JoinHandle};
+use xtra::prelude::*;
+
+use crate::{
+    authority::{JobsAuthority, RequestsAuthority},
+    callers::{self, CallersOptions, JobsFront, RequestsFront},
+    listener::Bounds,
+    operators::{self, ConfigurationFront, OperatorsOptions, StatusSources},
+    remotes::Remotes,
+    tasks::Tasks,
+    Error, Metrics, Result,
+};
+
+/// The most connections to the operators' and the peers' listener, each.
+const INTERNAL_CONNECTIONS_MAX: u32 = 256;
+/// The largest body of a job in bytes.
+const JOB_BYTES_MAX: usize = 256 * 1024;
+
+/// A listener that ends gracefully when told to.
+pub(crate) struct Server {
+    stop: watch::Sender<bool>,
+    ended: JoinHandle<()>,
+}
+
+impl Server {
+    pub(crate) async fn end(self, deadline: tokio::time::Instant) {
+        let _ = self.stop.send(true);
+        if tokio::time::timeout_at(deadline, self.ended).await.is_err() {
+            spdlog::warn!("shutdown: a listener still had connections at the timeout");
+        }
+    }
+}
+
+/// What the listeners are made of.
+pub(crate) struct Fronts<'a> {
+    pub(crate) settings: &'a Settings,
+    pub(crate) tasks: &'a Tasks,
+    pub(crate) remotes: &'a Remotes,
+    pub(crate) table: Arc<dyn Table>,
+    pub(crate) metrics: Metrics,
+}
+
+impl Fronts<'_> {
+    pub(crate) async fn serve_callers(
+        &self,
+        incarnation: &IncarnationId,
+    ) -> Result<(SocketAddr, Server)> {
+        let limits = &self.settings.limits;
+        let bytes = |value: u64| usize::try_from(value).unwrap_or(usize::MAX);
+        let options = CallersOptions {
+            requests: self.requests_front(incarnation),
+            jobs: self.jobs_front(incarnation),
+            job_bytes_max: JOB_BYTES_MAX,
+            body_bytes_max: bytes(limits.body_bytes),
+            bounds: Bounds {
+                connections_max: limits.connections as usize,
+                header_bytes_max: bytes(limits.header_bytes),
+            },
+        };
+        let (stop, stopped) = watch::channel(false);
+        let address = self.settings.listen.callers;
+        let (address, ended) = callers::serve(address, options, told(stopped)).await?;
+        Ok((address, Server { stop, ended }))
+    }
+
+    fn requests_front(&self, incarnation: &IncarnationId) -> RequestsFront {
+        RequestsFront {
+            incarnation: incarnation.clone(),
+            routing: self.tasks.routing.clone(),
+            authority: RequestsAuthority {
+                incarnation: incarnation.clone(),
+                local: MessageChannel::new(self.tasks.requests.clone()),
+                remote: Arc::new(self.remotes.clone()),
+            },
+            holder: self.tasks.requests.clone(),
+            dispatch: self.tasks.dispatch.clone(),
+            metrics: self.metrics.clone(),
+        }
+    }
+
+    fn jobs_front(&self, incarnation: &IncarnationId) -> JobsFront {
+        JobsFront {
+            routing: self.tasks.routing.clone(),
+            authority: JobsAuthority {
+                incarnation: incarnation.clone(),
+                local: MessageChannel::new(self.tasks.jobs.clone()),
+                remote: Arc::new(self.remotes.clone()),
+            },
+            metrics: self.metrics.clone(),
+        }
+    }
+
+    pub(crate) async fn serve_operators(
+        &self,
+        incarnation: &IncarnationId,
+    ) -> Result<(SocketAddr, Server)> {
+        let status = StatusSources {
+            incarnation: incarnation.clone(),
+            metrics: self.metrics.clone(),
+            configuration: self.tasks.configuration.clone(),
+            routing: self.tasks.routing.clone(),
+            requests: self.tasks.requests.clone(),
+            jobs: self.tasks.jobs.clone(),
+        };
+        let header_bytes_max =
+            usize::try_from(self.settings.limits.header_bytes).unwrap_or(usize::MAX);
+        let configuration = ConfigurationFront {
+            table: self.table.clone(),
+            task: self.tasks.configuration.clone(),
+        };
+        let options = OperatorsOptions {
+            status,
+            explain: self.tasks.explain_sources(incarnation, self.remotes),
+            configuration,
+            metrics: self.metrics.clone(),
+            token: read_token(self.settings.operator_token_file.as_deref())?,
+            bounds: Bounds {
+                connections_max: INTERNAL_CONNECTIONS_MAX as usize,
+                header_bytes_max,
+            },
+        };
+        let (stop, stopped) = watch::channel(false);
+        let address = self.settings.listen.operators;
+        let (address, ended) = operators::serve(address, options, told(stopped)).await?;
+        Ok((address, Server { stop, ended }))
+    }
+}
+
+async fn told(mut stopped: watch::Receiver<bool>) {
+    // An error means that the instance was dropped, which stops the listener as well.
+    let _ = stopped.wait_for(|stopped| *stopped).await;
+}
+
+pub(crate) fn read_token(path: Option<&Path>) -> Result<Option<SmolStr>> {
+    let Some(path) = path else { return Ok(None) };
+    match std::fs::read_to_string(path) {
+        Ok(text) => Ok(Some(text.trim().into())),
+        Err(cause) => Err(Error::Token(path.display().to_string(), cause.to_string())),
+    }
+}
+
+pub(crate) async fn bind_peers(
+    settings: &Settings,
+    token: peer::Token,
+) -> Result<peer::BoundServer> {
+    let address = settings.listen.peers;
+    let options = peer::Options {
+        address,
+        token,
+        connections_max: INTERNAL_CONNECTIONS_MAX,
+    };
+    let bind_error =
+        |error: peer::Error| Error::Bind("peers", address.to_string(), error.to_string());
+    peer::bind(options).await.map_err(bind_error)
+}
