--- a/jackdawchute-entry/src/callers/jobs.rs
+++ b/jackdawchute-entry/src/callers/jobs.rs
@@ -13,7 +13,7 @@
 use super::{inbound::KEY_HEADER, problem};
 use crate::{
     authority::JobsAuthority,
-    routing::{LocateJob, OwnerMissing, RoutingTask, TakesNewWork},
+    routing::{shutting_down, LocateJob, OwnerMissing, RoutingTask, TakesNewWork},
     Metrics,
 };
 
@@ -104,16 +104,13 @@
     }
 
     async fn takes_new_work(&self) -> Result<(), Refusal> {
-        self.routing.send(TakesNewWork).await.unwrap_or_else(|_| {
-            let detail = "the instance is shutting down";
-            Err(Refusal::not_run(RefusalReason::Draining, detail))
-        })
+        let answer = self.routing.send(TakesNewWork).await;
+        answer.unwrap_or_else(|_| Err(shutting_down()))
     }
 
     async fn locate(&self, id: &JobId) -> Result<Owner, Refusal> {
         let located = self.routing.send(LocateJob(id.clone())).await;
-        let ended = |_| Refusal::not_run(RefusalReason::Draining, "the instance is shutting down");
-        Ok(located.map_err(ended)??.owner)
+        Ok(located.map_err(|_| shutting_down())??.owner)
     }
 }
 
--- a/jackdawchute-entry/src/callers/requests.rs
+++ b/jackdawchute-entry/src/callers/requests.rs
@@ -26,8 +26,8 @@
 use crate::{
     authority::RequestsAuthority,
     routing::{
-        AskRetry, Finished, LocateGroup, Located, MatchRoute, OwnerMissing, PickGroup, RouteMatch,
-        RoutingTask, Sent, Succeeded,
+        shutting_down, AskRetry, Finished, LocateGroup, Located, MatchRoute, OwnerMissing,
+        PickGroup, RouteMatch, RoutingTask, Sent, Succeeded,
     },
     Metrics,
 };
@@ -402,10 +402,6 @@
     }
 }
 
-fn shutting_down() -> Refusal {
-    Refusal::not_run(RefusalReason::Draining, "the instance is shutting down")
-}
-
 fn owner_unavailable() -> Refusal {
     Refusal::not_run(
         RefusalReason::OwnerUnavailable,
--- a/jackdawchute-entry/src/operators/status.rs
+++ b/jackdawchute-entry/src/operators/status.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     metrics::NO_CLASS,
-    routing::{IsReady, Readiness, RoutingTask, View},
+    routing::{shutting_down, IsReady, Readiness, RoutingTask, View},
     Metrics,
 };
 
@@ -60,7 +60,7 @@
     /// # Errors
     /// The instance is shutting down.
     pub(crate) async fn collect(&self) -> Result<InstanceStatus, Refusal> {
-        let ended = |_| Refusal::not_run(RefusalReason::Draining, "the instance is shutting down");
+        let ended = |_| shutting_down();
         let known = self.routing.send(View).await.map_err(ended)?;
         let readiness = self.routing.send(IsReady).await.map_err(ended)?;
         let requests = self.requests.send(requests::Status).await.map_err(ended)?;
--- a/jackdawchute-entry/src/routing/mod.rs
+++ b/jackdawchute-entry/src/routing/mod.rs
@@ -11,3 +11,10 @@
     OwnerMissing, PickGroup, Readiness, RouteMatch, Sent, Succeeded, TakesNewWork, View,
 };
 pub(crate) use task::{spawn, RoutingTask};
+
+use jackdawchute_types::{Refusal, RefusalReason};
+
+/// What a call gets whose task has ended.
+pub(crate) fn shutting_down() -> Refusal {
+    Refusal::not_run(RefusalReason::Draining, "the instance is shutting down")
+}
