--- /dev/null
+++ b/jackdawchute-cell/src/claim.rs
@@ -0,0 +1,76 @@
+//! Takes the cell's epoch.
+
+use jackdawchute_types::Epoch;
+
+use crate::{
+    rows::{encode, HeadRecord, LeaderRecord, HEAD_TABLE, LEADER_TABLE, PART, SOLE_KEY},
+    Transacted, Transaction, Write,
+};
+
+/// The leader row as last read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct LeaderRow {
+    pub(crate) record: LeaderRecord,
+    pub(crate) version: u64,
+}
+
+/// What became of a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Claimed {
+    /// This instance holds the epoch; the chain goes on from the version.
+    Won { epoch: Epoch, version: u64 },
+    /// Another instance was faster.
+    Lost(Option<LeaderRow>),
+}
+
+/// The transaction that claims the epoch after `known`.
+///
+/// It writes the chain's head without expecting a version of it, so that a holder that goes on
+/// committing can neither prevent it nor commit after it.
+pub(crate) fn transaction(known: Option<&LeaderRow>, claim: &LeaderRecord) -> Transaction {
+    let head = HeadRecord {
+        epoch: claim.epoch,
+        commits: 0,
+    };
+    let write = |table: &str, value| Write {
+        table: table.into(),
+        key: SOLE_KEY.into(),
+        value: Some(value),
+    };
+    let version = known.map_or(0, |row| row.version);
+    Transaction {
+        part: PART.into(),
+        expected: vec![(LEADER_TABLE.into(), SOLE_KEY.into(), version)],
+        writes: vec![
+            write(LEADER_TABLE, encode(claim)),
+            write(HEAD_TABLE, encode(&head)),
+        ],
+    }
+}
+
+/// Reads the outcome of a claim; a conflict may show that an earlier try of it took effect.
+pub(crate) fn outcome(claim: &LeaderRecord, transacted: Transacted) -> Claimed {
+    match transacted {
+        Transacted::Committed { version } => Claimed::Won {
+            epoch: claim.epoch,
+            version,
+        },
+        Transacted::Conflict { rows } => {
+            let row = rows.into_iter().find(|row| row.table == LEADER_TABLE);
+            let row = row.and_then(|row| {
+                let record = serde_json::from_slice(row.value.as_deref()?).ok()?;
+                Some(LeaderRow {
+                    record,
+                    version: row.version,
+                })
+            });
+            match row {
+                Some(row) if row.record == *claim => Claimed::Won {
+                    epoch: claim.epoch,
+                    version: row.version,
+                },
+                other => Claimed::Lost(other),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/jackdawchute-cell/src/commit.rs
@@ -0,0 +1,117 @@
+//! Extends the cell's chain of commits, one at a time.
+
+use std::{sync::Arc, time::Instant};
+
+use jackdawchute_scheduler::Batch;
+use jackdawchute_types::Epoch;
+use spdlog::warn;
+use tokio::sync::watch;
+
+use crate::{
+    rows::{encode, table, HeadRecord, HEAD_TABLE, PART, SOLE_KEY},
+    settings::COMMIT_PAUSE,
+    Metrics, Store, Transacted, Transaction, Write,
+};
+
+/// Where the chain ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Head {
+    pub(crate) epoch: Epoch,
+    pub(crate) commits: u64,
+    pub(crate) version: u64,
+}
+
+/// Another instance has taken the chain over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Fenced;
+
+/// The transaction that appends a batch after `head`.
+pub(crate) fn transaction(head: Head, batch: &Batch) -> Transaction {
+    let record = HeadRecord {
+        epoch: head.epoch,
+        commits: head.commits + 1,
+    };
+    let mut writes = vec![Write {
+        table: HEAD_TABLE.into(),
+        key: SOLE_KEY.into(),
+        value: Some(encode(&record)),
+    }];
+    writes.extend(batch.changes.iter().map(|change| Write {
+        table: table(change.table).into(),
+        key: change.key.clone(),
+        value: change.value.clone(),
+    }));
+    Transaction {
+        part: PART.into(),
+        expected: vec![(HEAD_TABLE.into(), SOLE_KEY.into(), head.version)],
+        writes,
+    }
+}
+
+/// Reads where the chain ends after a try to append to `head`.
+pub(crate) fn outcome(head: Head, transacted: Transacted) -> Result<Head, Fenced> {
+    let next = Head {
+        commits: head.commits + 1,
+        ..head
+    };
+    match transacted {
+        Transacted::Committed { version } => Ok(Head { version, ..next }),
+        Transacted::Conflict { rows } => {
+            let row = rows.into_iter().find(|row| row.table == HEAD_TABLE);
+            let row = row.ok_or(Fenced)?;
+            let record: Option<HeadRecord> = row
+                .value
+                .as_deref()
+                .and_then(|value| serde_json::from_slice(value).ok());
+            let own = HeadRecord {
+                epoch: next.epoch,
+                commits: next.commits,
+            };
+            // An earlier try took effect, and its answer was lost.
+            if record == Some(own) {
+                return Ok(Head {
+                    version: row.version,
+                    ..next
+                });
+            }
+            Err(Fenced)
+        }
+    }
+}
+
+/// Appends a batch, however long the store takes to tell its fate.
+///
+/// The same transaction is repeated: its condition lets it take effect once at most.
+pub(crate) async fn append(
+    store: Arc<dyn Store>,
+    head: Head,
+    batch: &Batch,
+    trouble: &watch::Sender<Option<Instant>>,
+    metrics: &Metrics,
+) -> Result<Head, Fenced> {
+    let transaction = transaction(head, batch);
+    let mut tries: u32 = 0;
+    loop {
+        let asked_at = Instant::now();
+        match store.transact(&transaction).await {
+            Ok(transacted) => {
+                metrics.committed(asked_at.elapsed(), transaction.writes.len());
+                if trouble.send_replace(None).is_some() {
+                    warn!("store answers again", kv: { tries = tries });
+                }
+                return outcome(head, transacted);
+            }
+            Err(error) => {
+                metrics.commit_failed();
+                if trouble.borrow().is_none() {
+                    warn!("commit failed", kv: {
+                        epoch = head.epoch, commits = head.commits, cause: = error
+                    });
+                    trouble.send_replace(Some(asked_at));
+                }
+                tries += 1;
+                tokio::time::sleep(COMMIT_PAUSE * tries.min(4)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/jackdawchute-cell/src/instance.rs
@@ -0,0 +1,146 @@
+//! Wires the tasks of one instance.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use jackdawchute_peer::{self as peer, Peers, RunningServer, Services};
+use spdlog::{info, warn};
+use tokio::sync::watch;
+use xtra::prelude::*;
+
+use crate::{
+    leader::Ports,
+    member::{self, LeaderView, Leave, MemberParts, MemberTask},
+    messages::SLICE,
+    peers::CellService,
+    settings::{FOLLOW_PAUSE, FOLLOW_WAIT},
+    Advisor, ConfigurationUpdate, Directory, Error, Gateway, Metrics, Result, Routes, Settings,
+    Store, Workers,
+};
+
+/// The most connections of peers at a time.
+const PEER_CONNECTIONS_MAX: u32 = 512;
+
+/// What the instance needs of the platform.
+#[derive(Clone)]
+pub struct Parts {
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// The workers.
+    pub workers: Arc<dyn Workers>,
+    /// The advisor.
+    pub advisor: Arc<dyn Advisor>,
+    /// The lists.
+    pub directory: Arc<dyn Directory>,
+}
+
+/// A running instance.
+pub struct Instance {
+    /// Answers callers.
+    pub gateway: Gateway,
+    member: Address<MemberTask>,
+    _peer_server: RunningServer,
+}
+
+impl Instance {
+    /// Starts the tasks of an instance on the current tokio runtime.
+    ///
+    /// # Errors
+    /// The listener for peers cannot be bound.
+    pub async fn start(settings: Settings, parts: Parts, metrics: Metrics) -> Result<Self> {
+        let address = settings.peer_address;
+        let bound = bind_peers(address).await?;
+        let peers: Peers = peer::spawn(Default::default());
+        let (routes_sender, routes) = watch::channel(Routes::default());
+        tokio::spawn(follow_configuration(
+            parts.directory.clone(),
+            routes_sender,
+            metrics.clone(),
+        ));
+        let (view_sender, view) = watch::channel(LeaderView::default());
+        let advisor = parts.advisor.clone();
+        let member = member::spawn(MemberParts {
+            settings,
+            ports: Ports {
+                store: parts.store,
+                workers: parts.workers,
+                advisor: parts.advisor,
+                directory: parts.directory,
+                peers: peers.clone(),
+            },
+            routes: routes.clone(),
+            metrics: metrics.clone(),
+            timer: jackdawchute_timer::spawn(),
+            view: view_sender,
+        })
+        .await;
+        let service = CellService {
+            view: view.clone(),
+            member: member.clone(),
+            advisor,
+        };
+        let services = Services::from([(SLICE, Arc::new(service) as Arc<dyn peer::PeerService>)]);
+        Ok(Self {
+            gateway: Gateway {
+                view,
+                routes,
+                peers,
+                metrics,
+            },
+            member,
+            _peer_server: bound.start(services),
+        })
+    }
+
+    /// Begins to leave: callers are sent elsewhere, and another instance schedules.
+    pub async fn leave(&self) {
+        if self.member.send(Leave).await.is_err() {
+            warn!("member task is gone");
+        }
+    }
+}
+
+async fn bind_peers(address: SocketAddr) -> Result<peer::BoundServer> {
+    let options = peer::Options {
+        address,
+        token: Default::default(),
+        connections_max: PEER_CONNECTIONS_MAX,
+    };
+    let bound = peer::bind(options).await;
+    bound.map_err(|error| Error::Bind("peers", address.to_string(), error.to_string()))
+}
+
+/// Applies each higher version of the configuration.
+async fn follow_configuration(
+    directory: Arc<dyn Directory>,
+    routes: watch::Sender<Routes>,
+    metrics: Metrics,
+) {
+    let mut after = None;
+    let mut failing = false;
+    while !routes.is_closed() {
+        let update = directory.configuration(after, FOLLOW_WAIT).await;
+        if failing == update.is_ok() {
+            failing = update.is_err();
+            warn!("configuration", kv: { reachable = update.is_ok() });
+        }
+        match update {
+            Ok(ConfigurationUpdate::Current(newest, version)) => {
+                after = Some(version);
+                if newest.version > routes.borrow().version {
+                    info!("configuration applied", kv: {
+                        version = newest.version, queues = newest.queues.len()
+                    });
+                    metrics.set_configuration_version(newest.version);
+                    routes.send_replace(newest);
+                }
+            }
+            Ok(ConfigurationUpdate::Unchanged(version)) => after = Some(version),
+            Ok(ConfigurationUpdate::HistoryLost) => after = None,
+            Err(_) => {
+                // A change may have been missed; the whole configuration tells.
+                after = None;
+                tokio::time::sleep(FOLLOW_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/jackdawchute-cell/src/leader.rs
@@ -0,0 +1,601 @@
+//! The task that schedules while this instance holds the cell's epoch.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use jackdawchute_peer::Peers;
+use jackdawchute_scheduler::{
+    AdviceAnswer, AdviceRequest, Batch, Effect, HoldAnswer, HoldOrder, JobStatus, Scheduler,
+    StartAnswer, StartOrder, StopOrder, Submission,
+};
+use jackdawchute_timer::{Subscribe, Tick, TimerTask};
+use jackdawchute_types::{Epoch, JobId, QueueId};
+use spdlog::{info, warn};
+use tokio::sync::{mpsc, oneshot, watch};
+use xtra::{prelude::*, refcount::Weak};
+
+use crate::{
+    commit::{append, Fenced, Head},
+    messages::{CellAnswer, CellCall, SubmitJob, SLICE},
+    settings::{
+        ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, ADVISOR_MEMORY, COMMIT_BYTES_MAX, COMMIT_PATIENCE,
+        COMMIT_ROWS_MAX, FOLLOW_PAUSE, FOLLOW_WAIT, SETTLE_PERIOD, TICK_PERIOD,
+    },
+    Advisor, Directory, Metrics, Routes, Store, Workers, WorkersUpdate,
+};
+
+/// The calls that the scheduling task makes.
+#[derive(Clone)]
+pub(crate) struct Ports {
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) workers: Arc<dyn Workers>,
+    pub(crate) advisor: Arc<dyn Advisor>,
+    pub(crate) directory: Arc<dyn Directory>,
+    pub(crate) peers: Peers,
+}
+
+/// What the scheduling task is made of.
+pub(crate) struct LeaderParts {
+    pub(crate) scheduler: Scheduler,
+    pub(crate) head: Head,
+    pub(crate) own_address: SocketAddr,
+    pub(crate) ports: Ports,
+    pub(crate) routes: watch::Receiver<Routes>,
+    pub(crate) metrics: Metrics,
+    /// Told once when another instance has taken over.
+    pub(crate) deposed: mpsc::UnboundedSender<Epoch>,
+}
+
+/// How busy an instance is with questions to its advisor.
+#[derive(Clone, Copy, Debug)]
+struct AdvisorLoad {
+    heard_at: Instant,
+    free_at: Instant,
+    leaving: bool,
+}
+
+/// Owns the scheduler and the chain of commits of one epoch.
+#[derive(xtra::Actor)]
+pub(crate) struct LeaderTask {
+    scheduler: Scheduler,
+    head: Head,
+    committing: bool,
+    trouble: watch::Sender<Option<Instant>>,
+    submitters: HashMap<JobId, Vec<oneshot::Sender<CellAnswer>>>,
+    cancellers: HashMap<JobId, Vec<oneshot::Sender<CellAnswer>>>,
+    advisors: BTreeMap<SocketAddr, AdvisorLoad>,
+    own_address: SocketAddr,
+    ports: Ports,
+    routes: watch::Receiver<Routes>,
+    metrics: Metrics,
+    deposed: mpsc::UnboundedSender<Epoch>,
+    settled_at: Instant,
+    fenced: bool,
+}
+
+/// Starts the scheduling task.
+pub(crate) async fn spawn(parts: LeaderParts, timer: &Address<TimerTask>) -> Address<LeaderTask> {
+    let now = Instant::now();
+    let directory = parts.ports.directory.clone();
+    let mut task = LeaderTask {
+        scheduler: parts.scheduler,
+        head: parts.head,
+        committing: false,
+        trouble: watch::channel(None).0,
+        submitters: HashMap::new(),
+        cancellers: HashMap::new(),
+        advisors: BTreeMap::new(),
+        own_address: parts.own_address,
+        ports: parts.ports,
+        routes: parts.routes,
+        metrics: parts.metrics,
+        deposed: parts.deposed,
+        settled_at: now,
+        fenced: false,
+    };
+    task.metrics.set_epoch(task.head.epoch);
+    task.note_advisor(task.own_address, false, now);
+    let address = xtra::spawn_tokio(task, Mailbox::unbounded());
+    let subscribe = Subscribe {
+        period: TICK_PERIOD,
+        subscriber: MessageChannel::new(address.downgrade()),
+    };
+    if timer.send(subscribe).await.is_err() {
+        warn!("timer is gone; nothing will be scheduled", kv: { epoch = parts.head.epoch });
+    }
+    tokio::spawn(follow_workers(directory, address.downgrade()));
+    address
+}
+
+/// Passes news of the listed workers on for as long as the task lives.
+async fn follow_workers(directory: Arc<dyn Directory>, task: Address<LeaderTask, Weak>) {
+    let mut after = None;
+    let mut failing = false;
+    while task.is_connected() {
+        let update = directory.workers(after, FOLLOW_WAIT).await;
+        if failing == update.is_ok() {
+            failing = update.is_err();
+            warn!("list of workers", kv: { reachable = update.is_ok() });
+        }
+        match update {
+            Ok(WorkersUpdate::HistoryLost) => after = None,
+            Ok(update) => {
+                after = match &update {
+                    WorkersUpdate::All(_, version) | WorkersUpdate::Changed(_, version) => {
+                        Some(*version)
+                    }
+                    WorkersUpdate::HistoryLost => None,
+                };
+                if task.send(WorkersNews(update)).await.is_err() {
+                    return;
+                }
+            }
+            Err(_) => tokio::time::sleep(FOLLOW_PAUSE).await,
+        }
+    }
+}
+
+fn unix_now() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
+impl LeaderTask {
+    fn note_advisor(&mut self, address: SocketAddr, leaving: bool, now: Instant) {
+        let load = self.advisors.entry(address).or_insert(AdvisorLoad {
+            heard_at: now,
+            free_at: now,
+            leaving,
+        });
+        load.heard_at = now;
+        load.leaving = leaving;
+    }
+
+    /// How long nothing could be committed.
+    fn store_trouble(&self, now: Instant) -> Duration {
+        let since = *self.trouble.borrow();
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
+    /// Carries out what the scheduler has decided and commits what is due.
+    fn pump(&mut self, context: &Context<Self>, force: bool) {
+        if self.fenced {
+            return;
+        }
+        let now = Instant::now();
+        if force || now.saturating_duration_since(self.settled_at) >= SETTLE_PERIOD {
+            self.settled_at = now;
+            self.scheduler.settle(now);
+        }
+        let own = context.mailbox().address();
+        for effect in self.scheduler.take_effects() {
+            self.carry_out(effect, &own, now);
+        }
+        self.commit(&own, now);
+    }
+
+    fn carry_out(&mut self, effect: Effect, own: &Address<Self, Weak>, now: Instant) {
+        let own = own.clone();
+        let workers = self.ports.workers.clone();
+        match effect {
+            Effect::Start(order) => {
+                tokio::spawn(async move {
+                    let answer = workers.start(&order).await;
+                    let _ = own.send(StartAnswered(order, answer)).await;
+                });
+            }
+            Effect::Stop(order) => {
+                tokio::spawn(async move {
+                    let clock = workers.stop(&order).await.ok();
+                    let _ = own.send(StopAnswered(order, clock)).await;
+                });
+            }
+            Effect::Hold(order) => {
+                tokio::spawn(async move {
+                    let asked_at = Instant::now();
+                    let answer = workers.hold(&order).await.ok();
+                    let _ = own.send(HoldAnswered(order, asked_at, answer)).await;
+                });
+            }
+            Effect::Advise(request) => self.ask_advisor(request, own, now),
+            Effect::Deposed { worker } => {
+                info!("a worker obeys a later epoch", kv: {
+                    worker = worker.as_str(), epoch = self.head.epoch
+                });
+                self.fence();
+            }
+        }
+    }
+
+    /// Asks through the instance whose advisor is free first.
+    fn ask_advisor(&mut self, request: AdviceRequest, own: Address<Self, Weak>, now: Instant) {
+        let usable = |load: &AdvisorLoad| {
+            !load.leaving && now.saturating_duration_since(load.heard_at) < ADVISOR_MEMORY
+        };
+        let own_address = self.own_address;
+        let least = self
+            .advisors
+            .iter_mut()
+            .filter(|(address, load)| **address == own_address || usable(load))
+            .min_by_key(|(_, load)| load.free_at);
+        let Some((address, load)) = least else {
+            return;
+        };
+        let queued = load.free_at.saturating_duration_since(now);
+        if queued > ADVISOR_BACKLOG_MAX {
+            // The step asks again once its patience is over.
+            return;
+        }
+        load.free_at = load.free_at.max(now) + request.expected;
+        let timeout = queued + request.expected + ADVICE_MARGIN;
+        let address = *address;
+        let ports = self.ports.clone();
+        let metrics = self.metrics.clone();
+        tokio::spawn(async move {
+            let asked_at = Instant::now();
+            let answer = if address == own_address {
+                ports.advisor.advise(&request, timeout).await.ok()
+            } else {
+                ask_peer(&ports.peers, address, &request, timeout).await
+            };
+            let outcome = if answer.is_some() {
+                "answered"
+            } else {
+                "failed"
+            };
+            metrics.call("advise", outcome, asked_at.elapsed());
+            let _ = own.send(AdviceAnswered(request, answer)).await;
+        });
+    }
+
+    fn commit(&mut self, own: &Address<Self, Weak>, now: Instant) {
+        if self.committing || self.fenced {
+            return;
+        }
+        let unix_ms = u64::try_from(unix_now().as_millis()).unwrap_or(u64::MAX);
+        let batch = self
+            .scheduler
+            .take_batch(COMMIT_ROWS_MAX, COMMIT_BYTES_MAX, unix_ms);
+        let Some(mut batch) = batch else {
+            return;
+        };
+        let left = COMMIT_ROWS_MAX.saturating_sub(batch.changes.len());
+        batch
+            .changes
+            .extend(self.scheduler.take_expired_rows(left, now));
+        if batch.changes.is_empty() {
+            // Ends that change nothing need no row before they are forgotten.
+            self.scheduler.committed(&batch, now);
+            return;
+        }
+        self.committing = true;
+        let store = self.ports.store.clone();
+        let (own, trouble, metrics) = (own.clone(), self.trouble.clone(), self.metrics.clone());
+        let head = self.head;
+        tokio::spawn(async move {
+            let appended = append(store, head, &batch, &trouble, &metrics).await;
+            let _ = own.send(Appended(batch, appended)).await;
+        });
+    }
+
+    /// Refuses jobs that are in no commit yet while none succeeds.
+    fn refuse_unsaved(&mut self, now: Instant) {
+        if self.store_trouble(now) < COMMIT_PATIENCE {
+            return;
+        }
+        for job in self.scheduler.withdraw_unsaved() {
+            info!("job refused", kv: { job = job.as_str(), reason = "nothing can be saved" });
+            answer_all(self.submitters.remove(&job), &CellAnswer::Unavailable);
+        }
+    }
+
+    fn fence(&mut self) {
+        if !std::mem::replace(&mut self.fenced, true) {
+            self.metrics.set_epoch(0);
+            for (_, waiting) in self.submitters.drain().chain(self.cancellers.drain()) {
+                answer_all(Some(waiting), &CellAnswer::Unknown);
+            }
+            // The receiver is gone only when the instance ends.
+            let _ = self.deposed.send(self.head.epoch);
+        }
+    }
+}
+
+async fn ask_peer(
+    peers: &Peers,
+    address: SocketAddr,
+    request: &AdviceRequest,
+    timeout: Duration,
+) -> Option<AdviceAnswer> {
+    let call = CellCall::Advise {
+        request: request.clone(),
+    };
+    match peers.call(address, SLICE, &call, timeout).await {
+        Ok(CellAnswer::Advice { answer }) => Some(answer),
+        Ok(_) => None,
+        Err(error) => {
+            warn!("advice through a peer failed", kv: {
+                job = request.step.job.as_str(), peer: = address, cause: = error
+            });
+            None
+        }
+    }
+}
+
+fn answer_all(waiting: Option<Vec<oneshot::Sender<CellAnswer>>>, answer: &CellAnswer) {
+    for waiter in waiting.into_iter().flatten() {
+        // A caller that went away needs no answer.
+        let _ = waiter.send(answer.clone());
+    }
+}
+
+/// An answered [`Effect::Start`].
+struct StartAnswered(StartOrder, StartAnswer);
+/// An answered [`Effect::Stop`].
+struct StopAnswered(StopOrder, Option<Duration>);
+/// An answered [`Effect::Hold`].
+struct HoldAnswered(HoldOrder, Instant, Option<HoldAnswer>);
+/// An answered [`Effect::Advise`].
+struct AdviceAnswered(AdviceRequest, Option<AdviceAnswer>);
+/// A commit whose fate is known.
+struct Appended(Batch, Result<Head, Fenced>);
+/// News of the listed workers.
+struct WorkersNews(WorkersUpdate);
+/// A peer is there.
+pub(crate) struct PeerHello {
+    pub(crate) address: SocketAddr,
+    pub(crate) leaving: bool,
+}
+/// A caller's job.
+pub(crate) struct Submit(pub(crate) SubmitJob, pub(crate) oneshot::Sender<CellAnswer>);
+/// A caller's wish to cancel a job.
+pub(crate) struct Cancel(pub(crate) JobId, pub(crate) oneshot::Sender<CellAnswer>);
+/// A caller's question about a job.
+pub(crate) struct AskStatus(pub(crate) JobId);
+/// A caller's question about a queue.
+pub(crate) struct AskPending(pub(crate) QueueId);
+/// Asks for an instance that can take over.
+pub(crate) struct FindSuccessor;
+
+impl Handler<Tick> for LeaderTask {
+    type Return = ();
+
+    async fn handle(&mut self, _tick: Tick, context: &mut Context<Self>) {
+        let now = Instant::now();
+        self.scheduler.tick(now, unix_now());
+        self.refuse_unsaved(now);
+        self.metrics.set_jobs(self.scheduler.jobs_count());
+        self.pump(context, true);
+    }
+}
+
+impl Handler<StartAnswered> for LeaderTask {
+    type Return = ();
+
+    async fn handle(&mut self, message: StartAnswered, context: &mut Context<Self>) {
+        let StartAnswered(order, answer) = message;
+        let now = Instant::now();
+        self.scheduler
+            .start_answered(&order.worker, &order.task, order.run, answer, now);
+        self.pump(context, false);
+    }
+}
+
+impl Handler<StopAnswered> for LeaderTask {
+    type Return = ();
+
+    async fn handle(&mut self, message: StopAnswered, context: &mut Context<Self>) {
+        let StopAnswered(order, clock) = message;
+        let now = Instant::now();
+        self.scheduler
+            .stop_answered(&order.worker, &order.task, order.run, clock, now);
+        self.pump(context, false);
+    }
+}
+
+impl Handler<HoldAnswered> for LeaderTask {
+    type Return = ();
+
+    async fn handle(&mut self, message: HoldAnswered, context: &mut Context<Self>) {
+        let HoldAnswered(order, asked_at, answer) = message;
+        let now = Instant::now();
+        match answer {
+            Some(answer) => self.scheduler.hold_answered(&order, asked_at, answer, now),
+            None => self.scheduler.hold_failed(&order.worker, now),
+        }
+        self.scheduler.issue_due_holds(now);
+        self.pump(context, false);
+    }
+}
+
+impl Handler<AdviceAnswered> for LeaderTask {
+    type Return = ();
+
+    async fn handle(&mut self, message: AdviceAnswered, context: &mut Context<Self>) {
+        let AdviceAnswered(request, answer) = message;
+        let now = Instant::now();
+        self.scheduler.advice_answered(&request, answer, now);
+        self.pump(context, true);
+    }
+}
+
+impl Handler<Appended> for LeaderTask {
+    type Return = ();
+
+    async fn handle(&mut self, message: Appended, context: &mut Context<Self>) {
+        let Appended(batch, appended) = message;
+        self.committing = false;
+        let now = Instant::now();
+        match appended {
+            Ok(head) => {
+                self.head = head;
+                self.scheduler.committed(&batch, now);
+                for job in batch.accepted() {
+                    answer_all(self.submitters.remove(job), &CellAnswer::Accepted);
+                }
+                for job in batch.ended() {
+                    let status = self.scheduler.status(job);
+                    let answer = CellAnswer::Status { status };
+                    answer_all(self.cancellers.remove(job), &answer);
+                }
+                self.scheduler.issue_due_holds(now);
+                self.pump(context, true);
+            }
+            Err(Fenced) => {
+                warn!("another instance has taken over", kv: { epoch = self.head.epoch });
+                self.fence();
+            }
+        }
+    }
+}
+
+impl Handler<WorkersNews> for LeaderTask {
+    type Return = ();
+
+    async fn handle(&mut self, news: WorkersNews, context: &mut Context<Self>) {
+        let now = Instant::now();
+        match news.0 {
+            WorkersUpdate::All(entries, _) => self.scheduler.workers_listed(entries, now),
+            WorkersUpdate::Changed(changes, _) => {
+                for (worker, entry) in changes {
+                    match entry {
+                        Some(entry) => self.scheduler.worker_listed(entry, now),
+                        None => self.scheduler.worker_unlisted(&worker, now),
+                    }
+                }
+            }
+            WorkersUpdate::HistoryLost => {}
+        }
+        self.scheduler.issue_due_holds(now);
+        self.pump(context, false);
+    }
+}
+
+impl Handler<PeerHello> for LeaderTask {
+    type Return = CellAnswer;
+
+    async fn handle(&mut self, hello: PeerHello, _context: &mut Context<Self>) -> CellAnswer {
+        if self.fenced {
+            return CellAnswer::NotScheduling;
+        }
+        let now = Instant::now();
+        self.note_advisor(hello.address, hello.leaving, now);
+        let trouble = self.store_trouble(now).as_millis();
+        CellAnswer::Here {
+            epoch: self.head.epoch,
+            store_trouble_ms: u64::try_from(trouble).unwrap_or(u64::MAX),
+            configuration: self.routes.borrow().version,
+        }
+    }
+}
+
+impl Handler<Submit> for LeaderTask {
+    type Return = ();
+
+    async fn handle(&mut self, message: Submit, context: &mut Context<Self>) {
+        let Submit(submit, reply) = message;
+        let now = Instant::now();
+        if self.fenced {
+            let _ = reply.send(CellAnswer::NotScheduling);
+            return;
+        }
+        let removed = {
+            let routes = self.routes.borrow();
+            routes.version > submit.configuration && !routes.has_queue(&submit.policy.queue)
+        };
+        let known = self.scheduler.status(&submit.job) != JobStatus::Unknown;
+        if removed && !known {
+            let _ = reply.send(CellAnswer::NoQueue);
+            return;
+        }
+        if !known && self.store_trouble(now) >= COMMIT_PATIENCE {
+            let _ = reply.send(CellAnswer::Unavailable);
+            return;
+        }
+        let submission = self
+            .scheduler
+            .submit(&submit.job, submit.graph, submit.policy, now);
+        let answer = match submission {
+            Submission::Pending => {
+                self.submitters.entry(submit.job).or_default().push(reply);
+                self.pump(context, false);
+                return;
+            }
+            Submission::Accepted => CellAnswer::Accepted,
+            Submission::Refused { retry_after } => CellAnswer::Refused {
+                retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+            },
+        };
+        let _ = reply.send(answer);
+    }
+}
+
+impl Handler<Cancel> for LeaderTask {
+    type Return = ();
+
+    async fn handle(&mut self, message: Cancel, context: &mut Context<Self>) {
+        let Cancel(job, reply) = message;
+        if self.fenced {
+            let _ = reply.send(CellAnswer::NotScheduling);
+            return;
+        }
+        let status = self.scheduler.cancel(&job, Instant::now());
+        match status {
+            JobStatus::Queued | JobStatus::Running => {
+                self.cancellers.entry(job).or_default().push(reply);
+                self.pump(context, false);
+            }
+            status => {
+                let _ = reply.send(CellAnswer::Status { status });
+            }
+        }
+    }
+}
+
+impl Handler<AskStatus> for LeaderTask {
+    type Return = CellAnswer;
+
+    async fn handle(&mut self, ask: AskStatus, _context: &mut Context<Self>) -> CellAnswer {
+        if self.fenced {
+            return CellAnswer::NotScheduling;
+        }
+        CellAnswer::Status {
+            status: self.scheduler.status(&ask.0),
+        }
+    }
+}
+
+impl Handler<AskPending> for LeaderTask {
+    type Return = CellAnswer;
+
+    async fn handle(&mut self, ask: AskPending, _context: &mut Context<Self>) -> CellAnswer {
+        if self.fenced {
+            return CellAnswer::NotScheduling;
+        }
+        CellAnswer::Pending {
+            jobs: self.scheduler.pending_jobs(&ask.0),
+        }
+    }
+}
+
+impl Handler<FindSuccessor> for LeaderTask {
+    type Return = Option<SocketAddr>;
+
+    async fn handle(&mut self, _ask: FindSuccessor, _context: &mut Context<Self>) -> Self::Return {
+        let own = self.own_address;
+        let now = Instant::now();
+        self.advisors
+            .iter()
+            .filter(|(address, load)| {
+                let heard = now.saturating_duration_since(load.heard_at) < ADVISOR_MEMORY;
+                **address != own && !load.leaving && heard
+            })
+            .max_by_key(|(_, load)| load.heard_at)
+            .map(|(address, _)| *address)
+    }
+}
--- /dev/null
+++ b/jackdawchute-cell/src/messages.rs
@@ -0,0 +1,77 @@
+//! What instances of a cell say to each other.
+
+use std::net::SocketAddr;
+
+use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest, JobGraph, JobStatus, QueuePolicy};
+use jackdawchute_types::{ConfigurationVersion, Epoch, JobId, QueueId};
+use serde::{Deserialize, Serialize};
+
+/// The slice's name in calls between peers.
+pub(crate) const SLICE: jackdawchute_peer::Slice = "cell";
+
+/// A call from one instance to another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "call")]
+pub(crate) enum CellCall {
+    /// Asks the scheduling instance whether it is there.
+    Hello {
+        address: SocketAddr,
+        epoch: Epoch,
+        leaving: bool,
+    },
+    /// Passes a caller's job on.
+    Submit(Box<SubmitJob>),
+    /// Asks for a job's status.
+    Status { job: JobId },
+    /// Cancels a job.
+    Cancel { job: JobId },
+    /// Asks how many jobs of a queue have not begun.
+    Pending { queue: QueueId },
+    /// Asks an advisor in the scheduling instance's stead.
+    Advise { request: AdviceRequest },
+    /// Asks an instance to take the place of one that leaves.
+    TakeOver { epoch: Epoch },
+}
+
+/// A caller's job.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct SubmitJob {
+    pub(crate) job: JobId,
+    pub(crate) graph: JobGraph,
+    pub(crate) policy: QueuePolicy,
+    /// The version of the configuration that has the queue.
+    pub(crate) configuration: ConfigurationVersion,
+}
+
+/// The answer to a [`CellCall`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "kind")]
+pub(crate) enum CellAnswer {
+    /// The instance does not schedule, or not yet; nothing was done.
+    NotScheduling,
+    /// The scheduling instance is there.
+    Here {
+        epoch: Epoch,
+        /// For how long nothing could be saved.
+        store_trouble_ms: u64,
+        configuration: ConfigurationVersion,
+    },
+    /// The job is accepted.
+    Accepted,
+    /// The job is refused and will never run.
+    Refused { retry_after_ms: u64 },
+    /// Nothing can be saved; nothing was done.
+    Unavailable,
+    /// The configuration no longer has the queue.
+    NoQueue,
+    /// A job's status.
+    Status { status: JobStatus },
+    /// A queue's jobs that have not begun.
+    Pending { jobs: usize },
+    /// An advisor's answer.
+    Advice { answer: AdviceAnswer },
+    /// It may or may not have been done.
+    Unknown,
+    /// The instance was told.
+    Noted,
+}
--- /dev/null
+++ b/jackdawchute-cell/src/metrics.rs
@@ -0,0 +1,126 @@
+//! What the instance counts, in the OpenMetrics text format.
+
+use std::{sync::Arc, time::Duration};
+
+use prometheus_client::{
+    encoding::{text::encode, EncodeLabelSet},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{exponential_buckets, Histogram},
+    },
+    registry::{Registry, Unit},
+};
+use spdlog::error;
+
+/// The upper bound of the first latency bucket.
+const LATENCY_BUCKET_FIRST_SECONDS: f64 = 0.001;
+/// How much each bucket is wider than the one before.
+const LATENCY_BUCKET_FACTOR: f64 = 2.0;
+/// The number of latency buckets; the last bound is 8 s.
+const LATENCY_BUCKETS: u16 = 14;
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct CallLabels {
+    call: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct StepLabels {
+    call: &'static str,
+}
+
+/// The instance's metrics; clones share their values.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Arc<Registry>,
+    calls: Family<CallLabels, Counter>,
+    latency: Family<StepLabels, Histogram, fn() -> Histogram>,
+    rows: Counter,
+    jobs: Gauge,
+    epoch: Gauge,
+    configuration_version: Gauge,
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(
+        LATENCY_BUCKET_FIRST_SECONDS,
+        LATENCY_BUCKET_FACTOR,
+        LATENCY_BUCKETS,
+    ))
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Arc::default(),
+            calls: Family::default(),
+            latency: Family::new_with_constructor(latency_histogram),
+            rows: Counter::default(),
+            jobs: Gauge::default(),
+            epoch: Gauge::default(),
+            configuration_version: Gauge::default(),
+        };
+        let mut registry = Registry::with_prefix("jackdawchute_cell");
+        registry.register("calls", "Calls by outcome", metrics.calls.clone());
+        let help = "Time that a call takes";
+        registry.register_with_unit("latency", help, Unit::Seconds, metrics.latency.clone());
+        registry.register("committed_rows", "Rows written", metrics.rows.clone());
+        registry.register("jobs", "Jobs that have not ended", metrics.jobs.clone());
+        registry.register("epoch", "The epoch held here, or 0", metrics.epoch.clone());
+        let help = "The configuration version in force here";
+        let version = metrics.configuration_version.clone();
+        registry.register("configuration_version", help, version);
+        metrics.registry = Arc::new(registry);
+        metrics
+    }
+}
+
+impl Metrics {
+    /// Writes the OpenMetrics text.
+    ///
+    /// ```
+    /// assert!(jackdawchute_cell::Metrics::default().text().ends_with("# EOF\n"));
+    /// ```
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if let Err(cause) = encode(&mut text, &self.registry) {
+            error!("metrics do not encode", kv: { cause: = cause });
+        }
+        text
+    }
+
+    /// Counts a call that was answered, refused or left open.
+    pub fn call(&self, call: &'static str, outcome: &'static str, took: Duration) {
+        self.calls
+            .get_or_create(&CallLabels { call, outcome })
+            .inc();
+        self.latency
+            .get_or_create(&StepLabels { call })
+            .observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn committed(&self, took: Duration, rows: usize) {
+        self.call("commit", "answered", took);
+        self.rows.inc_by(rows as u64);
+    }
+
+    pub(crate) fn commit_failed(&self) {
+        self.call("commit", "failed", Duration::ZERO);
+    }
+
+    pub(crate) fn set_epoch(&self, epoch: u64) {
+        self.epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
+    }
+
+    pub(crate) fn set_jobs(&self, jobs: usize) {
+        self.jobs.set(i64::try_from(jobs).unwrap_or(i64::MAX));
+    }
+
+    pub(crate) fn set_configuration_version(&self, version: u64) {
+        let version = i64::try_from(version).unwrap_or(i64::MAX);
+        self.configuration_version.set(version);
+    }
+}
--- /dev/null
+++ b/jackdawchute-cell/src/peers.rs
@@ -0,0 +1,109 @@
+//! Answers what other instances of the cell ask.
+
+use std::{sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use jackdawchute_peer::PeerService;
+use jackdawchute_scheduler::AdviceRequest;
+use serde_json::Value;
+use spdlog::warn;
+use tokio::sync::{oneshot, watch};
+use xtra::prelude::*;
+
+use crate::{
+    leader::{AskPending, AskStatus, Cancel, LeaderTask, PeerHello, Submit},
+    member::{LeaderView, MemberTask, TakeOver},
+    messages::{CellAnswer, CellCall},
+    settings::ADVICE_MARGIN,
+    Advisor,
+};
+
+/// The calls of this slice.
+pub(crate) struct CellService {
+    pub(crate) view: watch::Receiver<LeaderView>,
+    pub(crate) member: Address<MemberTask>,
+    pub(crate) advisor: Arc<dyn Advisor>,
+}
+
+#[async_trait]
+impl PeerService for CellService {
+    async fn serve(&self, call: Value) -> Option<Value> {
+        let call = match serde_json::from_value(call) {
+            Ok(call) => call,
+            Err(cause) => {
+                warn!("call of a peer does not decode", kv: { cause: = cause });
+                return None;
+            }
+        };
+        let answer = self.answer(call).await;
+        serde_json::to_value(answer).ok()
+    }
+}
+
+impl CellService {
+    async fn answer(&self, call: CellCall) -> CellAnswer {
+        match call {
+            CellCall::Advise { request } => self.advise(request).await,
+            CellCall::TakeOver { epoch } => match self.member.send(TakeOver(epoch)).await {
+                Ok(()) => CellAnswer::Noted,
+                Err(_) => CellAnswer::NotScheduling,
+            },
+            call => {
+                let local = self.view.borrow().local.clone();
+                match local {
+                    Some(leader) => ask_leader(&leader, call).await,
+                    None => CellAnswer::NotScheduling,
+                }
+            }
+        }
+    }
+
+    async fn advise(&self, request: AdviceRequest) -> CellAnswer {
+        let timeout: Duration = request.expected + ADVICE_MARGIN;
+        match self.advisor.advise(&request, timeout).await {
+            Ok(answer) => CellAnswer::Advice { answer },
+            Err(error) => {
+                warn!("advisor did not answer", kv: {
+                    job = request.step.job.as_str(), cause: = error
+                });
+                CellAnswer::Unknown
+            }
+        }
+    }
+}
+
+/// Asks the local scheduling task.
+pub(crate) async fn ask_leader(leader: &Address<LeaderTask>, call: CellCall) -> CellAnswer {
+    // A scheduling task that ends meanwhile may have done what was asked.
+    match call {
+        CellCall::Hello {
+            address, leaving, ..
+        } => leader
+            .send(PeerHello { address, leaving })
+            .await
+            .unwrap_or(CellAnswer::NotScheduling),
+        CellCall::Status { job } => leader
+            .send(AskStatus(job))
+            .await
+            .unwrap_or(CellAnswer::NotScheduling),
+        CellCall::Pending { queue } => leader
+            .send(AskPending(queue))
+            .await
+            .unwrap_or(CellAnswer::NotScheduling),
+        CellCall::Submit(submit) => {
+            let (reply, answer) = oneshot::channel();
+            if leader.send(Submit(*submit, reply)).await.is_err() {
+                return CellAnswer::Unknown;
+            }
+            answer.await.unwrap_or(CellAnswer::Unknown)
+        }
+        CellCall::Cancel { job } => {
+            let (reply, answer) = oneshot::channel();
+            if leader.send(Cancel(job, reply)).await.is_err() {
+                return CellAnswer::Unknown;
+            }
+            answer.await.unwrap_or(CellAnswer::Unknown)
+        }
+        CellCall::Advise { .. } | CellCall::TakeOver { .. } => CellAnswer::NotScheduling,
+    }
+}
--- /dev/null
+++ b/jackdawchute-cell/src/settings.rs
@@ -0,0 +1,60 @@
+//! Periods and timeouts of the instance.
+
+use std::{net::SocketAddr, time::Duration};
+
+use jackdawchute_types::MemberId;
+
+/// What an instance is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The instance's name.
+    pub instance: MemberId,
+    /// Where its peers reach it.
+    pub peer_address: SocketAddr,
+    /// Bounds of the scheduler's decisions.
+    pub scheduler: jackdawchute_scheduler::Settings,
+}
+
+/// How often an instance asks the scheduling one whether it is there.
+pub(crate) const HELLO_PERIOD: Duration = Duration::from_millis(250);
+/// How long an instance waits for an answer to that.
+pub(crate) const HELLO_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long the scheduling instance may be silent before another one takes its place.
+pub(crate) const LEADER_SILENCE: Duration = Duration::from_millis(1_100);
+/// How long the scheduling instance may fail to commit before another one tries to.
+pub(crate) const LEADER_STORE_TROUBLE: Duration = Duration::from_millis(900);
+/// The longest wait before a claim, so that instances do not all claim at once.
+pub(crate) const CLAIM_JITTER: Duration = Duration::from_millis(60);
+/// The pause after a claim that failed.
+pub(crate) const CLAIM_PAUSE: Duration = Duration::from_millis(300);
+/// How often time passes for the scheduler.
+pub(crate) const TICK_PERIOD: Duration = Duration::from_millis(40);
+/// The shortest time between two rounds of placement.
+pub(crate) const SETTLE_PERIOD: Duration = Duration::from_millis(6);
+/// How long the store may hold back its answer while nothing changes; bounds how long a connection
+/// that fell silent goes unnoticed.
+pub(crate) const FOLLOW_WAIT: Duration = Duration::from_secs(2);
+/// The pause after a failed read of the store.
+pub(crate) const FOLLOW_PAUSE: Duration = Duration::from_millis(250);
+/// The pause before a commit without an answer is tried again.
+pub(crate) const COMMIT_PAUSE: Duration = Duration::from_millis(60);
+/// How long commits may fail before jobs that are not part of one are refused.
+pub(crate) const COMMIT_PATIENCE: Duration = Duration::from_millis(400);
+/// The most rows of a commit, two below the store's limit of entries for the chain's own.
+pub(crate) const COMMIT_ROWS_MAX: usize = 97;
+/// The most bytes of a commit before their encoding, which adds a third; the limit is 1 MB.
+pub(crate) const COMMIT_BYTES_MAX: usize = 500_000;
+/// How long a peer's answer to a caller's job may take.
+pub(crate) const PASS_ON_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a call waits for a scheduling instance before it is refused.
+pub(crate) const NO_LEADER_PATIENCE: Duration = Duration::from_millis(350);
+/// When a refused caller may come back while no instance schedules or nothing can be saved.
+pub(crate) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// The part of a caller's deadline kept for the answer itself.
+pub(crate) const DEADLINE_MARGIN: Duration = Duration::from_millis(80);
+/// How long an instance counts as an advisor after it was last heard.
+pub(crate) const ADVISOR_MEMORY: Duration = Duration::from_millis(900);
+/// How long beyond its expected time an advisor may take.
+pub(crate) const ADVICE_MARGIN: Duration = Duration::from_millis(1_200);
+/// The time of questions under way at one instance beyond which it gets no further ones.
+pub(crate) const ADVISOR_BACKLOG_MAX: Duration = Duration::from_millis(1_200);
--- a/jackdawchute-configuration/src/apply.rs
+++ b/jackdawchute-configuration/src/apply.rs
@@ -2,7 +2,7 @@
 
 use std::time::SystemTime;
 
-use jackdawchute_platform::{
+use jackdawchute_ports::{
     Commit, CommitOutcome, Condition, Error as PlatformError, Row, RowVersion, Table, Write,
     WriteId,
 };
@@ -51,7 +51,7 @@
 /// use std::time::SystemTime;
 ///
 /// use jackdawchute_configuration::{apply::{apply, Options}, Configuration};
-/// use jackdawchute_platform::MemoryTable;
+/// use jackdawchute_ports::MemoryTable;
 ///
 /// # #[tokio::main(flavor = "current_thread")]
 /// # async fn main() -> Result<(), jackdawchute_configuration::Error> {
--- a/jackdawchute-configuration/src/error.rs
+++ b/jackdawchute-configuration/src/error.rs
@@ -22,12 +22,12 @@
         }
         /// Whether the change took effect could not be found out; look the write id up in the
         /// history, or apply again with the same write id.
-        OutcomeUnknown(write_id: SmolStr, cause: jackdawchute_platform::Error) {
+        OutcomeUnknown(write_id: SmolStr, cause: jackdawchute_ports::Error) {
             display("apply configuration with write id {}: outcome unknown: {}", write_id, cause)
             source(cause)
         }
         /// The table did not answer; nothing changed.
-        Table(step: &'static str, cause: jackdawchute_platform::Error) {
+        Table(step: &'static str, cause: jackdawchute_ports::Error) {
             display("{}: {}", step, cause)
             source(cause)
         }
--- a/jackdawchute-configuration/src/history.rs
+++ b/jackdawchute-configuration/src/history.rs
@@ -2,7 +2,7 @@
 
 use std::time::SystemTime;
 
-use jackdawchute_platform::Table;
+use jackdawchute_ports::Table;
 use jackdawchute_types::ConfigurationVersion;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
--- a/jackdawchute-configuration/src/messages.rs
+++ b/jackdawchute-configuration/src/messages.rs
@@ -6,7 +6,7 @@
 };
 
 use async_trait::async_trait;
-use jackdawchute_platform::RowVersion;
+use jackdawchute_ports::RowVersion;
 use jackdawchute_types::{optional_duration_ms, ConfigurationVersion, IncarnationId};
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
--- a/jackdawchute-configuration/src/rows.rs
+++ b/jackdawchute-configuration/src/rows.rs
@@ -1,6 +1,6 @@
 //! The rows that hold the configuration in the platform's table.
 
-use jackdawchute_platform::{Row, RowKey, WriteId};
+use jackdawchute_ports::{Row, RowKey, WriteId};
 use jackdawchute_types::ConfigurationVersion;
 use serde::{Deserialize, Serialize};
 use smol_str::format_smolstr;
--- a/jackdawchute-configuration/src/state.rs
+++ b/jackdawchute-configuration/src/state.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use jackdawchute_platform::RowVersion;
+use jackdawchute_ports::RowVersion;
 use jackdawchute_types::ConfigurationVersion;
 
 use crate::{Answers, Configuration, Confirmation, Held, PeerFailure, Reply};
--- a/jackdawchute-configuration/src/task.rs
+++ b/jackdawchute-configuration/src/task.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use jackdawchute_platform::{Scan, Table};
+use jackdawchute_ports::{Scan, Table};
 use jackdawchute_publish::Subscribers;
 use jackdawchute_timer::{Tick, TimerTask};
 use spdlog::prelude::*;
@@ -46,7 +46,7 @@
 /// The result of one read of the table, sent by the call to the task itself.
 struct TableDone {
     sent: Instant,
-    result: jackdawchute_platform::Result<Scan>,
+    result: jackdawchute_ports::Result<Scan>,
 }
 
 /// The answers of one round of calls, sent by the calls to the task itself.
@@ -61,7 +61,7 @@
 /// use std::{sync::Arc, time::Duration};
 ///
 /// use jackdawchute_configuration::{spawn, Current, NoPeers, Options};
-/// use jackdawchute_platform::MemoryTable;
+/// use jackdawchute_ports::MemoryTable;
 ///
 /// # #[tokio::main(flavor = "current_thread")]
 /// # async fn main() -> Result<(), xtra::Error> {
@@ -229,7 +229,7 @@
         }
     }
 
-    fn decode(&mut self, result: jackdawchute_platform::Result<Scan>) -> TableRead {
+    fn decode(&mut self, result: jackdawchute_ports::Result<Scan>) -> TableRead {
         let scan = match result {
             Ok(scan) => scan,
             Err(error) => {
@@ -278,7 +278,7 @@
     }
 
     /// Logs the first failure of a row of failures only, as an outage can last for hours.
-    fn log_failure(&mut self, error: &jackdawchute_platform::Error) {
+    fn log_failure(&mut self, error: &jackdawchute_ports::Error) {
         if !self.failure_logged {
             warn!("configuration not read; peers are asked: {}", error);
         }
--- a/jackdawchute-configuration/tests/behaviour/acceptance.rs
+++ b/jackdawchute-configuration/tests/behaviour/acceptance.rs
@@ -6,7 +6,7 @@
     apply::{apply, apply_above, Options, HISTORY_VERSIONS_MAX},
     history, Configuration, Error,
 };
-use jackdawchute_platform::Table;
+use jackdawchute_ports::Table;
 use tokio::task::JoinSet;
 
 use crate::fixtures::{change, configuration, table_at, Fault, FaultyTable};
--- a/jackdawchute-configuration/tests/behaviour/fixtures.rs
+++ b/jackdawchute-configuration/tests/behaviour/fixtures.rs
@@ -10,7 +10,7 @@
 
 use async_trait::async_trait;
 use jackdawchute_configuration::{apply, Configuration, Exception, Override};
-use jackdawchute_platform::{
+use jackdawchute_ports::{
     Commit, CommitOutcome, Error, MemoryTable, Result, Row, RowVersion, Scan, Table,
 };
 
--- a/jackdawchute-entry/src/counted_table.rs
+++ b/jackdawchute-entry/src/counted_table.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use jackdawchute_platform::{Commit, CommitOutcome, Error, Result, Row, RowVersion, Scan, Table};
+use jackdawchute_ports::{Commit, CommitOutcome, Error, Result, Row, RowVersion, Scan, Table};
 
 use crate::Metrics;
 
--- a/jackdawchute-entry/src/fronts.rs
+++ b/jackdawchute-entry/src/fronts.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, path::Path, sync::Arc};
 
 use jackdawchute_peer as peer;
-use jackdawchute_platform::Table;
+use jackdawchute_ports::Table;
 use jackdawchute_settings::Settings;
 use jackdawchute_types::IncarnationId;
 use smol_str::SmolStr;
--- a/jackdawchute-entry/src/instance.rs
+++ b/jackdawchute-entry/src/instance.rs
@@ -5,7 +5,7 @@
 use jackdawchute_jobs as jobs;
 use jackdawchute_ownership as ownership;
 use jackdawchute_peer as peer;
-use jackdawchute_platform::{MembershipSource, Table};
+use jackdawchute_ports::{MembershipSource, Table};
 use jackdawchute_settings::Settings;
 use jackdawchute_types::IncarnationId;
 use rand::Rng;
--- a/jackdawchute-entry/src/lib.rs
+++ b/jackdawchute-entry/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub use error::{Error, Result};
 pub use instance::{Addresses, Instance, Platform};
+pub use listener::{bind, run, Bounds};
 pub use metrics::Metrics;
 pub use operators::{ApplyRequest, ConfigurationProblem};
 pub use workers::HttpWorkerPorts;
--- a/jackdawchute-entry/src/listener.rs
+++ b/jackdawchute-entry/src/listener.rs
@@ -26,21 +26,18 @@
 
 /// The bounds of one listener.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Bounds {
+pub struct Bounds {
     /// The most connections at a time; further ones wait to be accepted.
-    pub(crate) connections_max: usize,
+    pub connections_max: usize,
     /// The largest request header in bytes.
-    pub(crate) header_bytes_max: usize,
+    pub header_bytes_max: usize,
 }
 
 /// Binds `address`, where port 0 lets the system choose.
 ///
 /// # Errors
 /// The address could not be bound.
-pub(crate) async fn bind(
-    name: &'static str,
-    address: SocketAddr,
-) -> Result<(TcpListener, SocketAddr)> {
+pub async fn bind(name: &'static str, address: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
     let error = |cause: std::io::Error| Error::Bind(name, address.to_string(), cause.to_string());
     let listener = TcpListener::bind(address).await.map_err(error)?;
     let bound = listener.local_addr().map_err(error)?;
@@ -48,7 +45,7 @@
 }
 
 /// Serves until `stop` resolves, then answers what is in flight and returns.
-pub(crate) async fn run(
+pub async fn run(
     listener: TcpListener,
     filter: BoxedFilter<(Response,)>,
     bounds: Bounds,
--- a/jackdawchute-entry/src/operators/configuration.rs
+++ b/jackdawchute-entry/src/operators/configuration.rs
@@ -6,7 +6,7 @@
 use jackdawchute_configuration::{
     self as configuration, apply, history, Configuration, ConfigurationTask, Problems,
 };
-use jackdawchute_platform::Table;
+use jackdawchute_ports::Table;
 use jackdawchute_types::ConfigurationVersion;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
--- a/jackdawchute-entry/src/remotes.rs
+++ b/jackdawchute-entry/src/remotes.rs
@@ -8,7 +8,7 @@
 use jackdawchute_jobs as jobs;
 use jackdawchute_ownership::{self as ownership, Owner};
 use jackdawchute_peer::{PeerService, Peers, Services, Slice};
-use jackdawchute_platform::MemberRole;
+use jackdawchute_ports::MemberRole;
 use jackdawchute_requests as requests;
 use jackdawchute_settings::Timing;
 use jackdawchute_types::{CallError, IncarnationId, Refusal};
--- a/jackdawchute-entry/src/routing/messages.rs
+++ b/jackdawchute-entry/src/routing/messages.rs
@@ -4,7 +4,7 @@
 
 use http::Method;
 use jackdawchute_ownership::{Directory, Owner, Standing};
-use jackdawchute_platform::MembershipList;
+use jackdawchute_ports::MembershipList;
 use jackdawchute_requests::FailedAttempt;
 use jackdawchute_types::{ClassId, ConfigurationVersion, GroupId, JobId, ServiceId, TeamId};
 use serde::Serialize;
--- a/jackdawchute-entry/src/routing/state.rs
+++ b/jackdawchute-entry/src/routing/state.rs
@@ -9,7 +9,7 @@
 use jackdawchute_configuration::{Configuration, Confirmation};
 use jackdawchute_jobs::home_group as job_home_group;
 use jackdawchute_ownership::{Directory, Standing};
-use jackdawchute_platform::{MemberRole, MemberState, MembershipList};
+use jackdawchute_ports::{MemberRole, MemberState, MembershipList};
 use jackdawchute_requests::service_group;
 use jackdawchute_types::{GroupId, JobId, Refusal, RefusalReason, ServiceId};
 
--- a/jackdawchute-entry/src/routing/task.rs
+++ b/jackdawchute-entry/src/routing/task.rs
@@ -7,7 +7,7 @@
 
 use jackdawchute_configuration::{Configuration, Confirmation};
 use jackdawchute_ownership::{self as ownership, Directory, Standing};
-use jackdawchute_platform::MembershipList;
+use jackdawchute_ports::MembershipList;
 use jackdawchute_types::Refusal;
 use tokio::sync::oneshot;
 use xtra::prelude::*;
--- a/jackdawchute-entry/src/terms.rs
+++ b/jackdawchute-entry/src/terms.rs
@@ -4,7 +4,7 @@
 
 use jackdawchute_configuration::Configuration;
 use jackdawchute_jobs as jobs;
-use jackdawchute_platform::{MemberRole, MembershipList};
+use jackdawchute_ports::{MemberRole, MembershipList};
 use jackdawchute_requests as requests;
 use jackdawchute_types::{FailureDomainId, GroupId};
 use smol_str::format_smolstr;
--- a/jackdawchute-entry/src/wiring.rs
+++ b/jackdawchute-entry/src/wiring.rs
@@ -7,7 +7,7 @@
 use jackdawchute_jobs as jobs;
 use jackdawchute_membership::{MembershipTask, SetLeavingDomains};
 use jackdawchute_ownership::{DesiredGroups, Directory, OwnershipTask, ReportConfiguration};
-use jackdawchute_platform::{MemberRole, MembershipList};
+use jackdawchute_ports::{MemberRole, MembershipList};
 use jackdawchute_requests as requests;
 use jackdawchute_types::FailureDomainId;
 use xtra::prelude::*;
--- a/jackdawchute-entry/src/workers.rs
+++ b/jackdawchute-entry/src/workers.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use jackdawchute_jobs::WorkerPorts;
-use jackdawchute_platform::{HttpWorker, WorkerPort};
+use jackdawchute_ports::{HttpWorker, WorkerPort};
 use jackdawchute_types::WorkerId;
 
 /// Reaches each worker over HTTP, with connections of its own.
--- a/jackdawchute-entry/tests/hostile_input.rs
+++ b/jackdawchute-entry/tests/hostile_input.rs
@@ -8,7 +8,7 @@
 
 use jackdawchute_configuration::{apply, Configuration};
 use jackdawchute_entry::{HttpWorkerPorts, Instance, Platform};
-use jackdawchute_platform::{Member, MemberRole, MemberState, MemoryTable};
+use jackdawchute_ports::{Member, MemberRole, MemberState, MemoryTable};
 use jackdawchute_settings::Settings;
 use jackdawchute_trial::{spawn_minion, MemoryMembership, MinionOptions, RunningMinion};
 use quickcheck::{Arbitrary, Gen};
--- a/jackdawchute-jobs/examples/costs.rs
+++ b/jackdawchute-jobs/examples/costs.rs
@@ -19,7 +19,7 @@
 };
 use jackdawchute_ownership::{Directory, EntryKey, Owner, Standing};
 use jackdawchute_placement::ByKind;
-use jackdawchute_platform::{
+use jackdawchute_ports::{
     Member, MemberRole, MemberState, MembershipList, StartOutcome, WorkerReport,
 };
 use jackdawchute_types::{JobId, JobKind, JobSpec, Refusal, Resources};
--- a/jackdawchute-jobs/src/effect.rs
+++ b/jackdawchute-jobs/src/effect.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use jackdawchute_ownership::{JournalEntry, Owner};
-use jackdawchute_platform::{Lease, StartTask};
+use jackdawchute_ports::{Lease, StartTask};
 use jackdawchute_types::{ClassId, JobId, Refusal, RefusalReason, RetryReason, WorkerId};
 
 use crate::{Call, Reply, TaskAttempt};
--- a/jackdawchute-jobs/src/home/state.rs
+++ b/jackdawchute-jobs/src/home/state.rs
@@ -9,7 +9,7 @@
 use jackdawchute_admission::{AdmissionPolicy, Limits, Ticket, TicketId};
 use jackdawchute_ownership::{Directory, EntryKey, JournalEntry, Standing};
 use jackdawchute_placement::{Fleet, PlacementPolicy};
-use jackdawchute_platform::MembershipList;
+use jackdawchute_ports::MembershipList;
 use jackdawchute_types::{ClassId, Epoch, GroupId, JobId, Resources, TeamId, WorkerId};
 use rand::{rngs::SmallRng, SeedableRng};
 
--- a/jackdawchute-jobs/src/home/view.rs
+++ b/jackdawchute-jobs/src/home/view.rs
@@ -6,7 +6,7 @@
 };
 
 use jackdawchute_placement::WorkerSlot;
-use jackdawchute_platform::{Member, MemberRole, MemberState, MembershipList};
+use jackdawchute_ports::{Member, MemberRole, MemberState, MembershipList};
 use jackdawchute_types::{
     GroupId, JobKind, JobSpec, Refusal, RefusalReason, Resources, TaskId, WorkerId,
 };
--- a/jackdawchute-jobs/src/outbound.rs
+++ b/jackdawchute-jobs/src/outbound.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Instant};
 
 use jackdawchute_ownership::{Append, Error as JournalError, JournalEntry, Owner};
-use jackdawchute_platform::{Error as PlatformError, StartOutcome, WorkerPort, WorkerReport};
+use jackdawchute_ports::{Error as PlatformError, StartOutcome, WorkerPort, WorkerReport};
 use jackdawchute_types::{CallError, IncarnationId, Refusal, WorkerId};
 use tokio::sync::{mpsc, oneshot};
 use xtra::{prelude::*, WeakAddress};
--- a/jackdawchute-jobs/src/rack/adopt.rs
+++ b/jackdawchute-jobs/src/rack/adopt.rs
@@ -4,7 +4,7 @@
 
 use jackdawchute_ownership::EntryKey;
 use jackdawchute_placement::WorkerSlot;
-use jackdawchute_platform::{Member, MemberRole, MemberState, MembershipList};
+use jackdawchute_ports::{Member, MemberRole, MemberState, MembershipList};
 use jackdawchute_types::{Epoch, GroupId, Resources, WorkerId};
 
 use crate::{
--- a/jackdawchute-jobs/src/rack/lease.rs
+++ b/jackdawchute-jobs/src/rack/lease.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use jackdawchute_ownership::Standing;
-use jackdawchute_platform::{Lease, WorkerClock};
+use jackdawchute_ports::{Lease, WorkerClock};
 use jackdawchute_types::WorkerId;
 
 use crate::{
--- a/jackdawchute-jobs/src/rack/report.rs
+++ b/jackdawchute-jobs/src/rack/report.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Instant};
 
-use jackdawchute_platform::{TaskEnd, TaskReport, WorkerReport};
+use jackdawchute_ports::{TaskEnd, TaskReport, WorkerReport};
 use jackdawchute_types::{Resources, TaskId, WorkerId};
 use smol_str::format_smolstr;
 
--- a/jackdawchute-jobs/src/rack/start.rs
+++ b/jackdawchute-jobs/src/rack/start.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use jackdawchute_ownership::{JournalEntry, Standing};
-use jackdawchute_platform::{Error as PlatformError, Lease, StartOutcome, StartTask};
+use jackdawchute_ports::{Error as PlatformError, Lease, StartOutcome, StartTask};
 use jackdawchute_types::{GroupId, WorkerId};
 
 use crate::{
--- a/jackdawchute-jobs/src/rack/state.rs
+++ b/jackdawchute-jobs/src/rack/state.rs
@@ -8,7 +8,7 @@
 
 use jackdawchute_ownership::{Directory, Standing};
 use jackdawchute_placement::Fleet;
-use jackdawchute_platform::WorkerClock;
+use jackdawchute_ports::WorkerClock;
 use jackdawchute_types::{
     Epoch, GroupId, JobId, RackId, Refusal, RefusalReason, Resources, TaskId, TeamId, WorkerId,
 };
--- a/jackdawchute-jobs/src/record.rs
+++ b/jackdawchute-jobs/src/record.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jackdawchute_ownership::{EntryKey, JournalEntry};
-use jackdawchute_platform::WorkerClock;
+use jackdawchute_ports::WorkerClock;
 use jackdawchute_types::{
     duration_ms, GroupId, JobId, JobSpec, RefusalReason, Resources, TeamId, WorkerId,
 };
--- a/jackdawchute-jobs/src/task.rs
+++ b/jackdawchute-jobs/src/task.rs
@@ -10,7 +10,7 @@
 use jackdawchute_admission::AdmissionPolicy;
 use jackdawchute_ownership::{Append, Directory, GroupEvent, Standing};
 use jackdawchute_placement::PlacementPolicy;
-use jackdawchute_platform::{MemberRole, MembershipList, WorkerPort};
+use jackdawchute_ports::{MemberRole, MembershipList, WorkerPort};
 use jackdawchute_timer::{Subscribe, Tick, TimerTask};
 use jackdawchute_types::{IncarnationId, Recorder, Refusal, WorkerId};
 use tokio::sync::{mpsc, oneshot};
--- a/jackdawchute-jobs/tests/path.rs
+++ b/jackdawchute-jobs/tests/path.rs
@@ -6,7 +6,7 @@
     cell::{eventually, Cell},
     job, members, settings,
 };
-use jackdawchute_platform::TaskEnd;
+use jackdawchute_ports::TaskEnd;
 use jackdawchute_types::{JobKind, JobState};
 
 async fn one_instance() -> Cell {
--- a/jackdawchute-jobs/tests/rack_safety.rs
+++ b/jackdawchute-jobs/tests/rack_safety.rs
@@ -20,7 +20,7 @@
     AttemptEnd, AttemptState, NotStarted, Reply, Settings,
 };
 use jackdawchute_ownership::Standing;
-use jackdawchute_platform::{Error, StartOutcome};
+use jackdawchute_ports::{Error, StartOutcome};
 use jackdawchute_types::Resources;
 
 const NEVER: AttemptState = AttemptState::Ended(AttemptEnd::NotStarted(NotStarted::Closed));
--- a/jackdawchute-jobs/tests/takeover.rs
+++ b/jackdawchute-jobs/tests/takeover.rs
@@ -11,7 +11,7 @@
     WORKER,
 };
 use jackdawchute_jobs::Settings;
-use jackdawchute_platform::TaskEnd;
+use jackdawchute_ports::TaskEnd;
 use jackdawchute_types::{JobKind, JobState};
 
 /// Short leases, so that a test sees them lapse.
--- a/jackdawchute-membership/src/messages.rs
+++ b/jackdawchute-membership/src/messages.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use jackdawchute_platform::MembershipList;
+use jackdawchute_ports::MembershipList;
 use jackdawchute_types::FailureDomainId;
 use xtra::{prelude::MessageChannel, refcount::Weak};
 
--- a/jackdawchute-membership/src/state.rs
+++ b/jackdawchute-membership/src/state.rs
@@ -5,7 +5,7 @@
     sync::Arc,
 };
 
-use jackdawchute_platform::{Member, MemberRole, MemberState, MembershipList};
+use jackdawchute_ports::{Member, MemberRole, MemberState, MembershipList};
 use jackdawchute_types::{FailureDomainId, MemberId};
 
 /// What happened to one member between two lists.
@@ -42,7 +42,7 @@
     ///
     /// ```
     /// use jackdawchute_membership::State;
-    /// use jackdawchute_platform::MembershipList;
+    /// use jackdawchute_ports::MembershipList;
     ///
     /// let mut state = State::default();
     /// let list = |version| MembershipList { version, members: vec![] };
--- a/jackdawchute-membership/src/task.rs
+++ b/jackdawchute-membership/src/task.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use jackdawchute_platform::{MembershipList, MembershipSource, Result};
+use jackdawchute_ports::{MembershipList, MembershipSource, Result};
 use jackdawchute_publish::Subscribers;
 use jackdawchute_timer::{Tick, TimerTask};
 use spdlog::prelude::*;
@@ -39,7 +39,7 @@
 /// use std::{sync::Arc, time::Duration};
 ///
 /// use jackdawchute_membership::{spawn, Options};
-/// use jackdawchute_platform::{MembershipList, MembershipSource, Result};
+/// use jackdawchute_ports::{MembershipList, MembershipSource, Result};
 ///
 /// struct Empty;
 ///
@@ -171,7 +171,7 @@
     }
 
     /// Logs the first failure of a row only, as an outage can last for hours.
-    fn log_failure(&mut self, error: &jackdawchute_platform::Error) {
+    fn log_failure(&mut self, error: &jackdawchute_ports::Error) {
         if self.source_answers {
             warn!(
                 "membership list not read; the last one stays in use: {}",
--- a/jackdawchute-membership/tests/membership.rs
+++ b/jackdawchute-membership/tests/membership.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use jackdawchute_membership::{spawn, Change, Current, MembershipTask, Options, State, Subscribe};
-use jackdawchute_platform::{
+use jackdawchute_ports::{
     Error, Member, MemberRole, MemberState, MembershipList, MembershipSource, Result,
 };
 use jackdawchute_types::Resources;
--- a/jackdawchute-ownership/examples/embedding.rs
+++ b/jackdawchute-ownership/examples/embedding.rs
@@ -15,7 +15,7 @@
     spawn, Append, DesiredGroups, GroupEvent, HandOver, JournalEntry, NoPeers, Options,
     OwnershipTask, SubscribeGroups, Timing,
 };
-use jackdawchute_platform::{
+use jackdawchute_ports::{
     Commit, CommitOutcome, Result as TableResult, Row, RowKey, RowVersion, Scan, Table,
 };
 use tokio::sync::{mpsc, oneshot};
--- a/jackdawchute-ownership/examples/measure.rs
+++ b/jackdawchute-ownership/examples/measure.rs
@@ -17,7 +17,7 @@
     spawn, Append, DesiredGroups, GroupEvent, JournalEntry, NoPeers, Options, OwnershipTask,
     SubscribeGroups, Timing,
 };
-use jackdawchute_platform::{
+use jackdawchute_ports::{
     Commit, CommitOutcome, MemoryTable, Result as TableResult, Row, RowVersion, Scan, Table,
 };
 use tokio::sync::{mpsc, oneshot};
--- a/jackdawchute-ownership/src/adopt.rs
+++ b/jackdawchute-ownership/src/adopt.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use jackdawchute_platform::Scan;
+use jackdawchute_ports::Scan;
 use jackdawchute_types::IncarnationId;
 
 use crate::{
--- a/jackdawchute-ownership/src/calls.rs
+++ b/jackdawchute-ownership/src/calls.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use jackdawchute_platform::{
+use jackdawchute_ports::{
     Commit, CommitOutcome, Error as TableError, Result as TableResult, Row, RowKey, RowVersion,
     Table, WriteId,
 };
--- a/jackdawchute-ownership/src/carry.rs
+++ b/jackdawchute-ownership/src/carry.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawchute_platform::WriteId;
+use jackdawchute_ports::WriteId;
 use jackdawchute_types::{CallError, IncarnationId};
 
 use crate::{
@@ -129,7 +129,7 @@
     }
 }
 
-fn own_row(row: &jackdawchute_platform::Row) -> Option<Versioned<IncarnationRow>> {
+fn own_row(row: &jackdawchute_ports::Row) -> Option<Versioned<IncarnationRow>> {
     Some(Versioned {
         version: row.version,
         row: Some(decode(row.value.as_ref()?)?),
--- a/jackdawchute-ownership/src/claim.rs
+++ b/jackdawchute-ownership/src/claim.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Instant};
 
-use jackdawchute_platform::RowVersion;
+use jackdawchute_ports::RowVersion;
 use jackdawchute_types::{GroupId, IncarnationId};
 
 use crate::{
--- a/jackdawchute-ownership/src/collect.rs
+++ b/jackdawchute-ownership/src/collect.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use jackdawchute_platform::RowKey;
+use jackdawchute_ports::RowKey;
 use jackdawchute_types::IncarnationId;
 
 use crate::{
--- a/jackdawchute-ownership/src/effect.rs
+++ b/jackdawchute-ownership/src/effect.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use jackdawchute_platform::{Commit, RowVersion, WriteId};
+use jackdawchute_ports::{Commit, RowVersion, WriteId};
 use jackdawchute_types::{GroupId, IncarnationId};
 
 use crate::{messages::Call, GroupEvent, Result};
--- a/jackdawchute-ownership/src/messages.rs
+++ b/jackdawchute-ownership/src/messages.rs
@@ -8,7 +8,7 @@
 };
 
 use async_trait::async_trait;
-use jackdawchute_platform::{Commit, CommitOutcome, Row};
+use jackdawchute_ports::{Commit, CommitOutcome, Row};
 use jackdawchute_types::{
     duration_ms, CallError, ConfigurationVersion, Epoch, GroupId, IncarnationId,
 };
--- a/jackdawchute-ownership/src/model/instance.rs
+++ b/jackdawchute-ownership/src/model/instance.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use jackdawchute_platform::{Commit, RowVersion, WriteId};
+use jackdawchute_ports::{Commit, RowVersion, WriteId};
 use jackdawchute_types::{Epoch, IncarnationId};
 
 use crate::{
--- a/jackdawchute-ownership/src/model/network.rs
+++ b/jackdawchute-ownership/src/model/network.rs
@@ -1,6 +1,6 @@
 //! What the network of the specification does.
 
-use jackdawchute_platform::{Commit, CommitOutcome};
+use jackdawchute_ports::{Commit, CommitOutcome};
 
 use super::{
     instance::Intent,
--- a/jackdawchute-ownership/src/model/table.rs
+++ b/jackdawchute-ownership/src/model/table.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use jackdawchute_platform::{Commit, CommitOutcome, Row, RowKey, RowVersion, Scan};
+use jackdawchute_ports::{Commit, CommitOutcome, Row, RowKey, RowVersion, Scan};
 use jackdawchute_types::IncarnationId;
 use serde::de::DeserializeOwned;
 
--- a/jackdawchute-ownership/src/model/world.rs
+++ b/jackdawchute-ownership/src/model/world.rs
@@ -1,6 +1,6 @@
 //! Everything that the specification of the journal knows at one moment.
 
-use jackdawchute_platform::CommitOutcome;
+use jackdawchute_ports::CommitOutcome;
 
 use super::{
     instance::{Holding, Instance, Intent, Message, Work},
--- a/jackdawchute-ownership/src/outcome.rs
+++ b/jackdawchute-ownership/src/outcome.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use jackdawchute_platform::{
+use jackdawchute_ports::{
     Commit, CommitOutcome, Error as TableError, Result as TableResult, RowVersion, WriteId,
 };
 use jackdawchute_types::IncarnationId;
--- a/jackdawchute-ownership/src/plan.rs
+++ b/jackdawchute-ownership/src/plan.rs
@@ -1,6 +1,6 @@
 //! The content of one commit, before it is encoded.
 
-use jackdawchute_platform::{Commit, Condition, RowKey, RowVersion, Write, WriteId};
+use jackdawchute_ports::{Commit, Condition, RowKey, RowVersion, Write, WriteId};
 use jackdawchute_types::{GroupId, IncarnationId};
 
 use crate::{
--- a/jackdawchute-ownership/src/renew.rs
+++ b/jackdawchute-ownership/src/renew.rs
@@ -3,7 +3,7 @@
 
 use std::time::Instant;
 
-use jackdawchute_platform::WriteId;
+use jackdawchute_ports::WriteId;
 
 use crate::{
     effect::Effect,
--- a/jackdawchute-ownership/src/rows.rs
+++ b/jackdawchute-ownership/src/rows.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use jackdawchute_platform::{RowKey, WriteId};
+use jackdawchute_ports::{RowKey, WriteId};
 use jackdawchute_types::{ConfigurationVersion, Epoch, FailureDomainId, GroupId, IncarnationId};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 
--- a/jackdawchute-ownership/src/settle.rs
+++ b/jackdawchute-ownership/src/settle.rs
@@ -1,6 +1,6 @@
 //! Decides the fate of a commit whose answer was lost, from the holder's row.
 
-use jackdawchute_platform::RowVersion;
+use jackdawchute_ports::RowVersion;
 use jackdawchute_types::IncarnationId;
 
 use crate::{rows::IncarnationRow, view::Versioned};
--- a/jackdawchute-ownership/src/state.rs
+++ b/jackdawchute-ownership/src/state.rs
@@ -10,7 +10,7 @@
     time::Instant,
 };
 
-use jackdawchute_platform::{RowKey, RowVersion};
+use jackdawchute_ports::{RowKey, RowVersion};
 use jackdawchute_types::{ConfigurationVersion, Epoch, FailureDomainId, GroupId, IncarnationId};
 
 use crate::{
--- a/jackdawchute-ownership/src/task.rs
+++ b/jackdawchute-ownership/src/task.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use jackdawchute_platform::Table;
+use jackdawchute_ports::Table;
 use jackdawchute_publish::Subscribers;
 use jackdawchute_timer::{Subscribe, Tick, TimerTask};
 use jackdawchute_types::{FailureDomainId, IncarnationId};
@@ -70,7 +70,7 @@
 /// ```
 /// use std::sync::Arc;
 /// use jackdawchute_ownership::{spawn, NoPeers, Options, Timing};
-/// use jackdawchute_platform::MemoryTable;
+/// use jackdawchute_ports::MemoryTable;
 ///
 /// # #[tokio::main(flavor = "current_thread")]
 /// # async fn main() {
--- a/jackdawchute-ownership/src/view.rs
+++ b/jackdawchute-ownership/src/view.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use jackdawchute_platform::{Row, RowVersion, Scan};
+use jackdawchute_ports::{Row, RowVersion, Scan};
 use jackdawchute_types::{GroupId, IncarnationId};
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
--- a/jackdawchute-ownership/tests/promises.rs
+++ b/jackdawchute-ownership/tests/promises.rs
@@ -12,7 +12,7 @@
     view::Changes,
     Standing, Timing,
 };
-use jackdawchute_platform::{CommitOutcome, Row, Scan};
+use jackdawchute_ports::{CommitOutcome, Row, Scan};
 
 const MS: Duration = Duration::from_millis(1);
 
--- a/jackdawchute-ownership/tests/store_faults.rs
+++ b/jackdawchute-ownership/tests/store_faults.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use jackdawchute_ownership::{Error, Standing};
-use jackdawchute_platform::MemoryTable;
+use jackdawchute_ports::MemoryTable;
 use support::{eventually, start, within, Cell, Fault, Node};
 
 async fn lone(cell: &Cell) -> Node {
--- a/jackdawchute-ownership/tests/support/faulty_table.rs
+++ b/jackdawchute-ownership/tests/support/faulty_table.rs
@@ -9,7 +9,7 @@
 };
 
 use async_trait::async_trait;
-use jackdawchute_platform::{
+use jackdawchute_ports::{
     Commit, CommitOutcome, Error, MemoryTable, Result, Row, RowVersion, Scan, Table, WriteId,
 };
 
--- a/jackdawchute-ownership/tests/support/node.rs
+++ b/jackdawchute-ownership/tests/support/node.rs
@@ -13,7 +13,7 @@
     OwnershipTask, Result, Standing, SubscribeDirectory, SubscribeGroups, SubscribeStanding,
     Timing,
 };
-use jackdawchute_platform::MemoryTable;
+use jackdawchute_ports::MemoryTable;
 use jackdawchute_timer::TimerTask;
 use jackdawchute_types::{GroupId, IncarnationId};
 use tokio::sync::oneshot::{self, Receiver};
--- a/jackdawchute-platform/src/http_client.rs
+++ b/jackdawchute-ports/src/http_client.rs
@@ -97,7 +97,7 @@
     /// use std::time::Duration;
     ///
     /// let address = "127.0.0.1:7001".parse()?;
-    /// let table = jackdawchute_platform::HttpTable::with_timeout(address, Duration::from_secs(1));
+    /// let table = jackdawchute_ports::HttpTable::with_timeout(address, Duration::from_secs(1));
     /// # Ok::<(), std::net::AddrParseError>(())
     /// ```
     pub fn with_timeout(address: SocketAddr, timeout: Duration) -> Self {
--- a/jackdawchute-platform/src/memory_table.rs
+++ b/jackdawchute-ports/src/memory_table.rs
@@ -17,7 +17,7 @@
 /// A transactional table that lives as long as its process.
 ///
 /// ```
-/// use jackdawchute_platform::{Commit, CommitOutcome, MemoryTable, Write};
+/// use jackdawchute_ports::{Commit, CommitOutcome, MemoryTable, Write};
 ///
 /// let table = MemoryTable::default();
 /// let write = Write { key: "a".into(), value: Some("1".into()) };
--- a/jackdawchute-requests/examples/grant_cost.rs
+++ b/jackdawchute-requests/examples/grant_cost.rs
@@ -13,7 +13,7 @@
 
 use jackdawchute_admission::{ClassLimits, FairShare};
 use jackdawchute_ownership::{Directory, GroupEvent};
-use jackdawchute_platform::{Member, MemberRole, MemberState, MembershipList};
+use jackdawchute_ports::{Member, MemberRole, MemberState, MembershipList};
 use jackdawchute_requests::{
     service_group, Acquire, AppendOutcome, Call, Complete, Effect, Grant, GrantOutcome, Reply,
     Settings, State,
--- a/jackdawchute-requests/src/fleet.rs
+++ b/jackdawchute-requests/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use jackdawchute_platform::{MemberRole, MemberState, MembershipList};
+use jackdawchute_ports::{MemberRole, MemberState, MembershipList};
 use jackdawchute_types::{GroupId, MinionId};
 
 use crate::{minion::Minion, service_group};
--- a/jackdawchute-requests/src/state.rs
+++ b/jackdawchute-requests/src/state.rs
@@ -8,7 +8,7 @@
 
 use jackdawchute_admission::AdmissionPolicy;
 use jackdawchute_ownership::{Directory, GroupEvent, Owner, Standing};
-use jackdawchute_platform::MembershipList;
+use jackdawchute_ports::MembershipList;
 use jackdawchute_types::{Epoch, FailureDomainId, GroupId, IncarnationId, Refusal, RefusalReason};
 
 use crate::{
--- a/jackdawchute-requests/src/task.rs
+++ b/jackdawchute-requests/src/task.rs
@@ -8,7 +8,7 @@
 
 use jackdawchute_admission::AdmissionPolicy;
 use jackdawchute_ownership::{Append, Directory, GroupEvent, LeaseUntil, Standing};
-use jackdawchute_platform::MembershipList;
+use jackdawchute_ports::MembershipList;
 use jackdawchute_timer::{Subscribe, Tick, TimerTask};
 use jackdawchute_types::{IncarnationId, Recorder, Refusal};
 use tokio::sync::oneshot;
--- a/jackdawchute-requests/tests/keys.rs
+++ b/jackdawchute-requests/tests/keys.rs
@@ -72,7 +72,7 @@
 fn a_key_is_taken_only_by_its_home_among_the_listed_groups() {
     let now = Instant::now();
     let mut list = minions(1, SLOTS);
-    let mut elsewhere = minion(1, SLOTS, jackdawchute_platform::MemberState::Live);
+    let mut elsewhere = minion(1, SLOTS, jackdawchute_ports::MemberState::Live);
     elsewhere.failure_domain = "ala-2".into();
     list.members.push(elsewhere);
     let groups = [group(), "service/repair-desk/ala-2".into()];
--- a/jackdawchute-requests/tests/outages.rs
+++ b/jackdawchute-requests/tests/outages.rs
@@ -6,7 +6,7 @@
 
 use fixtures::*;
 use jackdawchute_ownership::Standing;
-use jackdawchute_platform::{MemberState, MembershipList};
+use jackdawchute_ports::{MemberState, MembershipList};
 use jackdawchute_requests::{AppendOutcome, Call, GrantOutcome, State};
 use jackdawchute_types::{Execution, RefusalReason};
 
--- /dev/null
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -0,0 +1,40 @@
+//! The decisions of the instance that schedules a cell's jobs.
+//!
+//! A [`Scheduler`] takes what happened and the time, and returns [`Effect`]s: orders to workers,
+//! questions to advisors and rows to commit. It holds no clock, socket or codec.
+#![deny(missing_docs, unsafe_code, rust_2018_idioms)]
+
+mod admit;
+mod advise;
+mod cancel;
+mod error;
+mod graph;
+mod job;
+mod learned;
+mod messages;
+mod names;
+mod observe;
+mod orders;
+mod place;
+mod queue;
+mod rank;
+mod records;
+mod recover;
+mod settings;
+mod state;
+mod submit;
+mod worker;
+
+pub use error::{Error, Result};
+pub use graph::{JobGraph, Repeat, StepSpec};
+pub use job::{JobPhase, JobStatus, Outcome};
+pub use messages::{
+    AdviceAnswer, AdviceRequest, Batch, Effect, EndReason, EndedRun, HoldAnswer, HoldOrder,
+    RefusedStart, RowChange, RowTable, RunningTask, StartAnswer, StartOrder, StopOrder, Submission,
+    WorkerEntry,
+};
+pub use names::{StepName, TaskName};
+pub use queue::{AdviceCost, QueuePolicy};
+pub use recover::Saved;
+pub use settings::Settings;
+pub use state::Scheduler;
--- /dev/null
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -0,0 +1,554 @@
+//! What workers report, and what the platform lists.
+
+use std::time::{Duration, Instant};
+
+use jackdawchute_types::{Checkpoint, JobId, RunNumber, WorkerId};
+use spdlog::{info, warn};
+
+use crate::{
+    job::JobPhase,
+    worker::{Life, Run, RunPhase, Worker},
+    EndReason, EndedRun, HoldAnswer, HoldOrder, Outcome, RunningTask, Scheduler, TaskName,
+    WorkerEntry,
+};
+
+/// How long after an answer the next look may wait for a commit of what it told.
+const COMMIT_PATIENCE: Duration = Duration::from_millis(400);
+/// Failures of different jobs in a row after which a worker gets no new tasks for a while.
+const QUARANTINE_FAILURES: usize = 3;
+/// How long a worker is left alone before it is tried again.
+const QUARANTINE: Duration = Duration::from_millis(3_000);
+/// The weight of a new measurement of a worker's speed.
+const SLOWNESS_GAIN: f64 = 0.2;
+/// How long a worker that is not listed any more is remembered without runs.
+const UNLISTED_MEMORY: Duration = Duration::from_secs(15);
+
+impl Scheduler {
+    /// Takes the platform's whole list of workers.
+    pub fn workers_listed(&mut self, entries: Vec<WorkerEntry>, now: Instant) {
+        let mut listed = std::collections::BTreeSet::new();
+        for entry in entries {
+            listed.insert(entry.worker.clone());
+            self.worker_listed(entry, now);
+        }
+        let gone: Vec<WorkerId> = self
+            .workers
+            .values()
+            .filter(|worker| worker.listed && !listed.contains(worker.id()))
+            .map(|worker| worker.id().clone())
+            .collect();
+        for worker in gone {
+            self.worker_unlisted(&worker, now);
+        }
+    }
+
+    /// Takes a new or changed entry of the platform's list.
+    pub fn worker_listed(&mut self, entry: WorkerEntry, now: Instant) {
+        self.place_needed = true;
+        let id = entry.worker.clone();
+        let leaving_at = entry.leaving_in.map(|left| now + left);
+        let Some(worker) = self.workers.get_mut(&id) else {
+            info!("worker joined", kv: {
+                worker = id.as_str(), service = entry.service.as_str(),
+                leaving = leaving_at.is_some()
+            });
+            let mut worker = Worker::new(entry, now);
+            worker.leaving_at = leaving_at;
+            self.workers.insert(id, worker);
+            self.workers_unsaved = true;
+            return;
+        };
+        if worker.leaving_at.is_none() && leaving_at.is_some() {
+            info!("worker is leaving", kv: {
+                worker = id.as_str(), runs = worker.runs.len(),
+                left_ms = entry.leaving_in.unwrap_or_default().as_millis() as u64
+            });
+        }
+        if worker.entry.address != entry.address || !worker.listed {
+            self.workers_unsaved = true;
+        }
+        // A later report may allow less time than the first; only a new life takes it back.
+        let new_life = worker.entry.born_unix_ms != entry.born_unix_ms;
+        worker.leaving_at = match (worker.leaving_at, leaving_at) {
+            (Some(old), Some(new)) if !new_life => Some(old.min(new)),
+            (_, new) => new,
+        };
+        worker.entry = entry;
+        worker.listed = true;
+        worker.unlisted_at = None;
+        if new_life {
+            worker.hold_next_at = now;
+        }
+    }
+
+    /// Takes note that the platform no longer lists a worker.
+    pub fn worker_unlisted(&mut self, worker: &WorkerId, now: Instant) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            if worker.listed {
+                info!("worker is not listed any more", kv: {
+                    worker = worker.entry.worker.as_str(), runs = worker.runs.len()
+                });
+                worker.listed = false;
+                worker.unlisted_at = Some(now);
+            }
+        }
+    }
+
+    /// Takes a worker's answer to a look.
+    pub fn hold_answered(
+        &mut self,
+        order: &HoldOrder,
+        asked_at: Instant,
+        answer: HoldAnswer,
+        now: Instant,
+    ) {
+        let base = self.token_base;
+        let Some(worker) = self.workers.get_mut(&order.worker) else {
+            return;
+        };
+        worker.hold_under_way = None;
+        worker.answered_at = Some(now);
+        if worker.unanswered_since.take().is_some() {
+            info!("worker answers again", kv: { worker = order.worker.as_str() });
+        }
+        let current = worker.token(base) == order.token;
+        if let Some(life) = worker
+            .life
+            .filter(|life| life.born_unix_ms != answer.born_unix_ms)
+        {
+            if !current || answer.born_unix_ms < life.born_unix_ms {
+                worker.hold_next_at = now;
+                return;
+            }
+            // Orders to the old life may reach the new one late: a higher token bars them.
+            warn!("worker started anew", kv: {
+                worker = order.worker.as_str(), runs = worker.runs.len(),
+                born_unix_ms = answer.born_unix_ms
+            });
+            worker.lives += 1;
+            worker.life = None;
+            worker.fenced = false;
+            worker.ends_noted = 0;
+            worker.ends_saved = 0;
+            worker.lease_sent = Duration::ZERO;
+            worker.hold_next_at = now;
+            worker.health.failed_jobs.clear();
+            self.place_needed = true;
+            return;
+        }
+        let newer = worker.life.is_none_or(|life| life.clock <= answer.clock);
+        if newer {
+            worker.life = Some(Life {
+                born_unix_ms: answer.born_unix_ms,
+                clock: answer.clock,
+                clock_asked_at: asked_at,
+                clock_read_at: now,
+            });
+        }
+        let first = current && !worker.fenced;
+        worker.hold_next_at = now;
+        if !current {
+            return;
+        }
+        worker.fenced = true;
+        for end in &answer.ended {
+            self.run_ended(&order.worker, end, now);
+        }
+        if newer {
+            self.reconcile(&order.worker, &answer, first, now);
+        }
+        if let Some(worker) = self.workers.get_mut(&order.worker) {
+            if worker.ends_noted > worker.ends_saved {
+                worker.hold_next_at = now + COMMIT_PATIENCE;
+            }
+        }
+        self.place_needed = true;
+    }
+
+    fn run_ended(&mut self, id: &WorkerId, end: &EndedRun, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if end.number <= worker.ends_noted {
+            return;
+        }
+        worker.ends_noted = end.number;
+        self.ends_unsaved.insert(id.clone());
+        let run = worker.runs.get(&end.task).filter(|run| run.run <= end.run);
+        let started = run.map(|run| (run.since, run.phase));
+        self.note_health(id, end);
+        self.note_duration(id, end, started.map(|it| it.0), now);
+        self.apply_end(id, end, now);
+        if started.is_some() {
+            self.remove_run(id, &end.task, now);
+        }
+    }
+
+    /// Applies an end to the task's job.
+    fn apply_end(&mut self, worker: &WorkerId, end: &EndedRun, now: Instant) {
+        let id = &end.task.step.job;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        info!("task ended", kv: {
+            job = id.as_str(), step = end.task.step.step, task = end.task.index, run = end.run,
+            worker = worker.as_str(), reason:? = end.reason
+        });
+        job.begun = true;
+        let attempts_max = job.queue.attempts_max.max(1);
+        let spec = job.graph.steps.get(end.task.step.step as usize);
+        let long_running = spec.is_some_and(|spec| spec.long_running);
+        let Some(unit) = job.unit_mut(&end.task.step, end.task.index) else {
+            return;
+        };
+        unit.last_run = unit.last_run.max(end.run);
+        let mut failed = false;
+        match end.reason {
+            EndReason::Succeeded if !long_running => {
+                if !unit.done {
+                    unit.done = true;
+                    if let Some(step) = job.step_mut(&end.task.step) {
+                        step.open = step.open.saturating_sub(1);
+                    }
+                    self.after_success(&end.task, now);
+                }
+            }
+            EndReason::Failed => {
+                if end.run > unit.failed_run && !unit.done {
+                    unit.failed_run = end.run;
+                    unit.failures += 1;
+                    unit.failed_on = Some(worker.clone());
+                    failed = unit.failures >= attempts_max && !long_running;
+                }
+            }
+            _ => {}
+        }
+        self.keep_checkpoint(&end.task, end.run, &end.checkpoint);
+        self.unsaved.insert(id.clone());
+        if failed {
+            info!("job failed", kv: {
+                job = id.as_str(), step = end.task.step.step, task = end.task.index,
+                failures = attempts_max
+            });
+            self.end_job(&id.clone(), Outcome::Failed, now);
+        }
+    }
+
+    fn keep_checkpoint(&mut self, task: &TaskName, run: RunNumber, checkpoint: &Checkpoint) {
+        let unit = self
+            .jobs
+            .get_mut(&task.step.job)
+            .and_then(|job| job.unit_mut(&task.step, task.index));
+        if let Some(unit) = unit {
+            if run >= unit.last_run && !checkpoint.is_empty() {
+                unit.checkpoint = checkpoint.clone();
+            }
+        }
+    }
+
+    fn after_success(&mut self, task: &TaskName, now: Instant) {
+        let id = &task.step.job;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let occurrence = task.step.occurrence;
+        let complete = |steps: &[crate::job::StepRun]| steps.iter().all(|step| step.open == 0);
+        if job
+            .occurrence(occurrence)
+            .is_some_and(|it| complete(&it.steps))
+        {
+            if job.graph.repeat.is_some() {
+                job.occurrences.retain(|it| it.occurrence != occurrence);
+            }
+            job.occurrences_done += 1;
+            if job.occurrences_done >= job.occurrences_total() && job.phase == JobPhase::Live {
+                let took = now.saturating_duration_since(job.accepted_at);
+                info!("job completed", kv: {
+                    job = id.as_str(), queue = job.queue.queue.as_str(),
+                    took_ms = took.as_millis() as u64,
+                    objective_ms = job.objective.as_millis() as u64
+                });
+                self.end_job(&id.clone(), Outcome::Completed, now);
+                return;
+            }
+        }
+        if let Some(job) = self.jobs.get(id) {
+            if job.phase == JobPhase::Live {
+                self.placeable.insert(id.clone());
+            }
+        }
+    }
+
+    /// Brings what this instance believes to run in line with a worker's own list.
+    fn reconcile(&mut self, id: &WorkerId, answer: &HoldAnswer, first: bool, now: Instant) {
+        for running in &answer.running {
+            self.run_listed(id, running, now);
+        }
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let listed = |task: &TaskName, run: RunNumber| {
+            answer
+                .running
+                .iter()
+                .any(|it| it.task == *task && it.run == run)
+        };
+        let settled = |run: &Run| match run.settled_clock {
+            Some(clock) => clock < answer.clock,
+            None => false,
+        };
+        let vanished: Vec<TaskName> = worker
+            .runs
+            .iter()
+            .filter(|(task, run)| !listed(task, run.run) && (first || settled(run)))
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in vanished {
+            info!("run is not on its worker", kv: {
+                job = task.step.job.as_str(), step = task.step.step, task = task.index,
+                worker = id.as_str(), first_look = first
+            });
+            self.remove_run(id, &task, now);
+            self.stop_rest_of_gang(&task, now);
+        }
+    }
+
+    /// Takes note of a run that a worker lists.
+    fn run_listed(&mut self, id: &WorkerId, running: &RunningTask, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let known = worker.runs.get_mut(&running.task);
+        if let Some(run) = known.filter(|run| run.run == running.run) {
+            run.percent = running.percent;
+            if run.phase == RunPhase::Starting {
+                run.phase = RunPhase::Running;
+                run.loose = false;
+                run.settled_clock = Some(Duration::ZERO);
+            }
+            self.note_progress(running);
+            return;
+        }
+        self.adopt_run(id, running, now);
+    }
+
+    fn note_progress(&mut self, running: &RunningTask) {
+        let job = self.jobs.get_mut(&running.task.step.job);
+        if let Some(job) = job {
+            job.begun = true;
+            let unit = job.unit_mut(&running.task.step, running.task.index);
+            if let Some(unit) = unit.filter(|unit| unit.last_run == running.run) {
+                if !running.checkpoint.is_empty() && unit.checkpoint != running.checkpoint {
+                    unit.checkpoint = running.checkpoint.clone();
+                }
+            }
+        }
+    }
+
+    /// Takes over a run that another instance ordered, or stops it if nobody wants it.
+    fn adopt_run(&mut self, id: &WorkerId, running: &RunningTask, now: Instant) {
+        let task = &running.task;
+        let mut reserved = None;
+        let mut wanted = false;
+        let mut expected = now;
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            if job.phase == JobPhase::Live {
+                job.begun = true;
+            }
+            let live = job.phase == JobPhase::Live;
+            let spec = job.graph.steps.get(task.step.step as usize).cloned();
+            if let Some(spec) = spec {
+                reserved = Some(spec.reserved());
+                expected = now + spec.estimate;
+            }
+            if let Some(unit) = job.unit_mut(&task.step, task.index) {
+                let current = unit.placed.is_empty() || unit.last_run == running.run;
+                let single = !unit.placed.iter().any(|(index, _)| *index == task.index);
+                wanted = live && !unit.done && current && single && running.run >= unit.last_run;
+                unit.last_run = unit.last_run.max(running.run);
+                unit.placed.push((task.index, id.clone()));
+                unit.started_at = Some(now);
+                if !running.checkpoint.is_empty() && wanted {
+                    unit.checkpoint = running.checkpoint.clone();
+                }
+            }
+        }
+        info!("run taken over", kv: {
+            job = task.step.job.as_str(), step = task.step.step, task = task.index,
+            run = running.run, worker = id.as_str(), wanted = wanted
+        });
+        let run = Run {
+            run: running.run,
+            reserved,
+            phase: RunPhase::Running,
+            loose: false,
+            settled_clock: Some(Duration::ZERO),
+            since: now,
+            expected_end: expected,
+            order_under_way: false,
+            retry_at: None,
+            start: None,
+            percent: running.percent,
+        };
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.runs.insert(task.clone(), run);
+        }
+        if !wanted {
+            self.bar(id, task, now);
+        }
+    }
+
+    /// Forgets a run that surely does not run any more.
+    pub(crate) fn remove_run(&mut self, worker: &WorkerId, task: &TaskName, _now: Instant) {
+        self.place_needed = true;
+        let removed = self
+            .workers
+            .get_mut(worker)
+            .and_then(|worker| worker.runs.remove(task));
+        if removed.is_none() {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        if let Some(unit) = job.unit_mut(&task.step, task.index) {
+            unit.placed
+                .retain(|(index, at)| *index != task.index || at != worker);
+            if unit.placed.is_empty() {
+                unit.stopping = false;
+                if !unit.done && job.phase == JobPhase::Live {
+                    self.placeable.insert(task.step.job.clone());
+                }
+            }
+        }
+    }
+
+    /// Drops the runs of workers whose leases have surely lapsed.
+    pub(crate) fn forget_lost_workers(&mut self, now: Instant) {
+        let lease_max = self.settings.lease_max;
+        let silence = self.settings.silence;
+        let lost: Vec<(WorkerId, Vec<TaskName>)> = self
+            .workers
+            .values()
+            .filter(|worker| {
+                let silent = worker
+                    .unanswered_since
+                    .is_some_and(|since| now.saturating_duration_since(since) > silence);
+                !worker.runs.is_empty() && silent && worker.lease_lapsed(now, lease_max)
+            })
+            .map(|worker| {
+                // A start that may still be carried out comes with a lease that has lapsed too.
+                let runs = worker.runs.keys().cloned().collect();
+                (worker.id().clone(), runs)
+            })
+            .collect();
+        for (worker, tasks) in lost {
+            warn!("leases of a silent worker have lapsed", kv: {
+                worker = worker.as_str(), runs = tasks.len()
+            });
+            for task in tasks {
+                self.remove_run(&worker, &task, now);
+                self.stop_rest_of_gang(&task, now);
+            }
+        }
+        let before = self.workers.len();
+        self.workers.retain(|_, worker| {
+            let old = worker
+                .unlisted_at
+                .is_some_and(|at| now.saturating_duration_since(at) > UNLISTED_MEMORY);
+            worker.listed || !worker.runs.is_empty() || !old
+        });
+        if self.workers.len() != before {
+            self.workers_unsaved = true;
+        }
+    }
+
+    /// Learns from an end whether its worker fails what it starts.
+    fn note_health(&mut self, id: &WorkerId, end: &EndedRun) {
+        let job: JobId = end.task.step.job.clone();
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        match end.reason {
+            EndReason::Succeeded => {
+                worker.health.failed_jobs.clear();
+                worker.health.quarantined_until = None;
+            }
+            EndReason::Failed if !worker.health.failed_jobs.contains(&job) => {
+                worker.health.failed_jobs.push(job);
+            }
+            _ => {}
+        }
+    }
+
+    /// Learns from an end how long tasks take, and quarantines a worker that fails them all.
+    fn note_duration(
+        &mut self,
+        id: &WorkerId,
+        end: &EndedRun,
+        since: Option<Instant>,
+        now: Instant,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let health = &mut worker.health;
+        if end.reason == EndReason::Failed
+            && health.failed_jobs.len() >= QUARANTINE_FAILURES
+            && health.quarantined_until.is_none_or(|until| until < now)
+        {
+            warn!("worker quarantined", kv: {
+                worker = id.as_str(), failed_jobs = health.failed_jobs.len()
+            });
+            health.quarantined_until = Some(now + QUARANTINE);
+        }
+        let (Some(since), EndReason::Succeeded) = (since, end.reason) else {
+            return;
+        };
+        let Some(job) = self.jobs.get(&end.task.step.job) else {
+            return;
+        };
+        let Some(spec) = job.graph.steps.get(end.task.step.step as usize) else {
+            return;
+        };
+        let measured = now.saturating_duration_since(since);
+        let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
+        if !expected.is_zero() {
+            let ratio = (measured.as_secs_f64() / expected.as_secs_f64()).clamp(0.1, 20.0);
+            health.slowness += SLOWNESS_GAIN * (ratio - health.slowness);
+            health.measured += 1;
+        }
+        let queue = job.queue.queue.clone();
+        self.run_times.record(&queue, spec.estimate, measured);
+    }
+
+    /// Moves tasks away from workers that are about to leave.
+    pub(crate) fn move_from_leaving_workers(&mut self, now: Instant) {
+        let stop = self.settings.stop;
+        let mut stops = Vec::new();
+        for worker in self.workers.values_mut() {
+            let Some(leaving_at) = worker.leaving_at else {
+                continue;
+            };
+            // Once the guaranteed time is nearly over, what cannot end by itself is stopped, so
+            // that its progress is saved.
+            let soon = now + stop + LEAVE_MARGIN >= leaving_at;
+            for (task, run) in &mut worker.runs {
+                if run.phase == RunPhase::Running && soon && run.expected_end > leaving_at {
+                    run.phase = RunPhase::Stopping;
+                    stops.push((worker.entry.worker.clone(), task.clone()));
+                }
+            }
+        }
+        for (worker, task) in stops {
+            info!("task stopped on a leaving worker", kv: {
+                job = task.step.job.as_str(), step = task.step.step, task = task.index,
+                worker = worker.as_str()
+            });
+            self.bar(&worker, &task, now);
+        }
+    }
+}
+
+/// How long before the latest moment a task on a leaving worker is stopped.
+const LEAVE_MARGIN: Duration = Duration::from_millis(200);
--- /dev/null
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -0,0 +1,317 @@
+//! Orders to workers and what their answers mean.
+
+use std::time::{Duration, Instant};
+
+use jackdawchute_types::{RunNumber, WorkerId};
+use spdlog::{info, warn};
+
+use crate::{
+    worker::RunPhase, Effect, HoldOrder, RefusedStart, Scheduler, StartAnswer, StopOrder, TaskName,
+};
+
+/// How long to wait before an order that got no answer is sent again.
+const ORDER_RETRY: Duration = Duration::from_millis(150);
+/// How long to wait before the next look at a worker that did not answer.
+const HOLD_RETRY: Duration = Duration::from_millis(250);
+/// How long a start without an answer is repeated before it is given up and barred.
+const START_PATIENCE: Duration = Duration::from_millis(2_000);
+/// The pause between two looks, so that several ends share one.
+const HOLD_PAUSE: Duration = Duration::from_millis(15);
+
+impl Scheduler {
+    /// Takes the answer to an order to start.
+    pub fn start_answered(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskName,
+        number: RunNumber,
+        answer: StartAnswer,
+        now: Instant,
+    ) {
+        let Some(run) = self
+            .workers
+            .get_mut(worker)
+            .and_then(|it| it.runs.get_mut(task))
+            .filter(|run| run.run == number)
+        else {
+            return;
+        };
+        run.order_under_way = false;
+        match answer {
+            StartAnswer::Started { clock } => {
+                run.settled_clock = Some(clock);
+                run.loose = false;
+                if run.phase == RunPhase::Starting {
+                    run.phase = RunPhase::Running;
+                } else {
+                    self.send_stop(worker, task, now);
+                }
+            }
+            StartAnswer::Refused { reason, clock } => {
+                let loose = run.loose;
+                info!("start refused", kv: {
+                    job = task.step.job.as_str(), step = task.step.step, task = task.index,
+                    run = number, worker = worker.as_str(), reason:? = reason, loose = loose
+                });
+                if reason == RefusedStart::Fenced {
+                    self.effects.push(Effect::Deposed {
+                        worker: worker.clone(),
+                    });
+                    return;
+                }
+                if reason == RefusedStart::Ticket {
+                    self.drop_ticket(&task.step, worker);
+                }
+                // `Superseded`: its end is listed, or it was barred by an order of ours.
+                if loose || reason == RefusedStart::Superseded {
+                    run_settled(self, worker, task, clock);
+                    self.bar(worker, task, now);
+                } else {
+                    self.remove_run(worker, task, now);
+                    self.stop_rest_of_gang(task, now);
+                }
+            }
+            StartAnswer::OtherLife => {
+                // The next look tells which life it is; what the old one ran is gone.
+                run.retry_at = Some(now + ORDER_RETRY);
+            }
+            StartAnswer::Unreached if !run.loose => {
+                info!("worker did not accept the connection", kv: {
+                    job = task.step.job.as_str(), task = task.index, run = number,
+                    worker = worker.as_str()
+                });
+                self.note_silence(worker, now);
+                self.remove_run(worker, task, now);
+                self.stop_rest_of_gang(task, now);
+            }
+            StartAnswer::Unknown | StartAnswer::Unreached => {
+                if answer == StartAnswer::Unknown {
+                    run.loose = true;
+                }
+                warn!("start without an answer", kv: {
+                    job = task.step.job.as_str(), task = task.index, run = number,
+                    worker = worker.as_str()
+                });
+                run.retry_at = Some(now + ORDER_RETRY);
+            }
+        }
+        self.place_needed = true;
+    }
+
+    /// Takes the answer to an order to stop; `None` if there was none.
+    pub fn stop_answered(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskName,
+        number: RunNumber,
+        clock: Option<Duration>,
+        now: Instant,
+    ) {
+        let Some(run) = self
+            .workers
+            .get_mut(worker)
+            .and_then(|it| it.runs.get_mut(task))
+            .filter(|run| run.run == number)
+        else {
+            return;
+        };
+        run.order_under_way = false;
+        match clock {
+            Some(clock) => {
+                run.loose = false;
+                run.settled_clock = Some(clock);
+                run.retry_at = None;
+                self.look_soon(worker, now);
+            }
+            None => run.retry_at = Some(now + ORDER_RETRY),
+        }
+    }
+
+    /// Makes sure that a run never starts, or ends, at its worker.
+    pub(crate) fn bar(&mut self, worker: &WorkerId, task: &TaskName, now: Instant) {
+        let run = self
+            .workers
+            .get_mut(worker)
+            .and_then(|it| it.runs.get_mut(task));
+        if let Some(run) = run {
+            run.phase = RunPhase::Stopping;
+            self.send_stop(worker, task, now);
+        }
+        self.stop_rest_of_gang(task, now);
+    }
+
+    /// Stops the members of a gang of which one will not run, before they wait in vain.
+    pub(crate) fn stop_rest_of_gang(&mut self, task: &TaskName, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let spec = job.graph.steps.get(task.step.step as usize);
+        if !spec.is_some_and(|spec| spec.gang) {
+            return;
+        }
+        let Some(unit) = job.unit_mut(&task.step, task.index) else {
+            return;
+        };
+        if unit.done || std::mem::replace(&mut unit.stopping, true) {
+            return;
+        }
+        info!("gang stopped for want of a member", kv: {
+            job = task.step.job.as_str(), step = task.step.step, task = task.index
+        });
+        for (index, worker) in unit.placed.clone() {
+            let member = task.step.task(index);
+            let target = self.workers.get_mut(&worker);
+            if let Some(run) = target.and_then(|it| it.runs.get_mut(&member)) {
+                run.phase = RunPhase::Stopping;
+                self.send_stop(&worker, &member, now);
+            }
+        }
+    }
+
+    pub(crate) fn send_stop(&mut self, worker: &WorkerId, task: &TaskName, _now: Instant) {
+        let base = self.token_base;
+        let Some(target) = self.workers.get_mut(worker) else {
+            return;
+        };
+        let token = target.token(base);
+        let address = target.entry.address;
+        let Some(run) = target.runs.get_mut(task) else {
+            return;
+        };
+        if run.order_under_way {
+            return;
+        }
+        run.order_under_way = true;
+        run.retry_at = None;
+        self.effects.push(Effect::Stop(StopOrder {
+            worker: worker.clone(),
+            address,
+            task: task.clone(),
+            run: run.run,
+            token,
+        }));
+    }
+
+    /// Sends again what got no answer.
+    pub(crate) fn retry_orders(&mut self, now: Instant) {
+        let mut stops = Vec::new();
+        let base = self.token_base;
+        let lease = self.settings.lease;
+        for worker in self.workers.values_mut() {
+            let Some(clock) = worker.clock_latest(now).filter(|_| worker.fenced) else {
+                continue;
+            };
+            let token = worker.token(base);
+            for (task, run) in &mut worker.runs {
+                if run.order_under_way || run.retry_at.is_none_or(|at| at > now) {
+                    continue;
+                }
+                let patient = now.saturating_duration_since(run.since) < START_PATIENCE;
+                match (&run.phase, &run.start) {
+                    (RunPhase::Starting, Some(start)) if patient && worker.listed => {
+                        let mut start = start.clone();
+                        start.token = token;
+                        start.lease_until = clock + lease;
+                        worker.lease_sent = worker.lease_sent.max(start.lease_until);
+                        run.order_under_way = true;
+                        run.retry_at = None;
+                        self.effects.push(Effect::Start(*start));
+                    }
+                    (RunPhase::Running, _) => run.retry_at = None,
+                    _ => {
+                        run.phase = RunPhase::Stopping;
+                        stops.push((worker.entry.worker.clone(), task.clone()));
+                    }
+                }
+            }
+        }
+        for (worker, task) in stops {
+            self.bar(&worker, &task, now);
+        }
+    }
+
+    /// Asks each worker for a look whose turn it is.
+    pub fn issue_due_holds(&mut self, now: Instant) {
+        let base = self.token_base;
+        let Self {
+            workers,
+            effects,
+            settings,
+            ..
+        } = self;
+        for worker in workers.values_mut() {
+            if worker.hold_under_way.is_some() || worker.hold_next_at > now {
+                continue;
+            }
+            // Without anything to save or to wait for, the worker answers at its leisure.
+            let saved = worker.ends_noted == worker.ends_saved;
+            let settled = !worker
+                .runs
+                .values()
+                .any(|run| run.phase == RunPhase::Stopping);
+            let wait = if worker.fenced && saved && settled {
+                settings.hold_wait
+            } else {
+                Duration::ZERO
+            };
+            let lease_until = worker
+                .clock_latest(now)
+                .filter(|_| worker.fenced)
+                .map(|clock| clock + settings.lease);
+            if let Some(until) = lease_until {
+                worker.lease_sent = worker.lease_sent.max(until);
+            }
+            worker.hold_under_way = Some(now);
+            effects.push(Effect::Hold(HoldOrder {
+                worker: worker.entry.worker.clone(),
+                address: worker.entry.address,
+                lease_until,
+                ends_saved: worker.ends_saved,
+                wait,
+                token: worker.token(base),
+            }));
+        }
+    }
+
+    /// Takes note that a look got no answer.
+    pub fn hold_failed(&mut self, worker: &WorkerId, now: Instant) {
+        if let Some(target) = self.workers.get_mut(worker) {
+            target.hold_under_way = None;
+            target.hold_next_at = now + HOLD_RETRY;
+        }
+        self.note_silence(worker, now);
+    }
+
+    pub(crate) fn note_silence(&mut self, worker: &WorkerId, now: Instant) {
+        if let Some(target) = self.workers.get_mut(worker) {
+            if target.unanswered_since.is_none() {
+                warn!("worker does not answer", kv: {
+                    worker = worker.as_str(), runs = target.runs.len(), listed = target.listed
+                });
+                target.unanswered_since = Some(now);
+            }
+        }
+    }
+
+    /// Schedules the next look at a worker.
+    pub(crate) fn look_soon(&mut self, worker: &WorkerId, now: Instant) {
+        if let Some(target) = self.workers.get_mut(worker) {
+            target.hold_next_at = target.hold_next_at.min(now + HOLD_PAUSE);
+        }
+    }
+}
+
+fn run_settled(
+    scheduler: &mut Scheduler,
+    worker: &WorkerId,
+    task: &TaskName,
+    clock: Option<Duration>,
+) {
+    let run = scheduler
+        .workers
+        .get_mut(worker)
+        .and_then(|it| it.runs.get_mut(task));
+    if let (Some(run), Some(clock)) = (run, clock) {
+        run.settled_clock = Some(clock);
+    }
+}
--- /dev/null
+++ b/jackdawchute-scheduler/src/place.rs
@@ -0,0 +1,428 @@
+//! Which worker runs which task.
+//!
+//! Answers a cell that is nearly full: small tasks go to the fullest worker that still has room,
+//! so that gangs find large gaps; a gang that does not fit reserves the places that become free
+//! first, and others use them only while they end before that.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use jackdawchute_types::{Resources, Ticket, WorkerId};
+use spdlog::info;
+
+use crate::{
+    job::{Advice, Job, Unit},
+    worker::{Run, RunPhase, Worker},
+    Effect, Scheduler, StartOrder, StepName, StepSpec,
+};
+
+/// The most gangs that hold a reservation at a time.
+const RESERVATIONS_MAX: usize = 3;
+/// The longest time ahead that a gang's places are reserved for.
+const RESERVATION_HORIZON: Duration = Duration::from_secs(8);
+
+/// Room that is kept for a gang until it can start.
+#[derive(Clone, Copy, Debug)]
+struct Reservation {
+    room: Resources,
+    starts_at: Instant,
+}
+
+/// What is free while one round of placement lasts.
+#[derive(Debug, Default)]
+struct Room {
+    free: HashMap<WorkerId, Resources>,
+    reserved: HashMap<WorkerId, Vec<Reservation>>,
+}
+
+impl Room {
+    /// What a task that ends at `ends_at` may use of a worker.
+    fn usable(&self, worker: &WorkerId, ends_at: Instant) -> Option<Resources> {
+        let mut free = *self.free.get(worker)?;
+        for reservation in self.reserved.get(worker).into_iter().flatten() {
+            if ends_at > reservation.starts_at {
+                free = free.saturating_sub(&reservation.room);
+            }
+        }
+        Some(free)
+    }
+
+    fn take(&mut self, worker: &WorkerId, size: &Resources) {
+        if let Some(free) = self.free.get_mut(worker) {
+            *free = free.saturating_sub(size);
+        }
+    }
+}
+
+/// A worker that may run a step now.
+#[derive(Clone, Debug)]
+struct Candidate {
+    worker: WorkerId,
+    ticket: Option<Ticket>,
+    near_data: bool,
+    slowness_tenths: u32,
+    /// How many more tasks of the step it may run.
+    allowed: u32,
+}
+
+impl Scheduler {
+    /// Places as many units as fit, best rank first.
+    pub(crate) fn place(&mut self, now: Instant) {
+        let silence = self.settings.silence;
+        let mut room = Room::default();
+        for worker in self.workers.values() {
+            if let Some(free) = worker.free().filter(|_| worker.takes_tasks(now, silence)) {
+                room.free.insert(worker.id().clone(), free);
+            }
+        }
+        let mut reservations = 0;
+        for ranked in self.ranked_steps(now, false) {
+            let Some(job) = self.jobs.get(&ranked.name.job) else {
+                continue;
+            };
+            if job.uncertain {
+                continue;
+            }
+            let Some((spec, _)) = job.step(&ranked.name) else {
+                continue;
+            };
+            let spec = spec.clone();
+            if spec.gang {
+                let placed = self.place_gang(&ranked.name, &spec, &mut room, now);
+                if !placed && !ranked.late && reservations < RESERVATIONS_MAX {
+                    reservations += 1;
+                    self.reserve(&ranked.name, &spec, &mut room, now);
+                }
+            } else {
+                self.place_tasks(&ranked.name, &spec, &mut room, now);
+            }
+        }
+    }
+
+    /// The workers that may run a step now, best first.
+    fn candidates(
+        &self,
+        job: &Job,
+        name: &StepName,
+        spec: &StepSpec,
+        now: Instant,
+    ) -> Vec<Candidate> {
+        let Some((_, step)) = job.step(name) else {
+            return Vec::new();
+        };
+        let mut here: HashMap<&WorkerId, u32> = HashMap::new();
+        if spec.per_worker_max.is_some() {
+            for (_, worker) in step.units.iter().flat_map(|unit| &unit.placed) {
+                *here.entry(worker).or_default() += 1;
+            }
+        }
+        let silence = self.settings.silence;
+        let mut candidates = Vec::new();
+        for worker in self.workers.values() {
+            if worker.entry.service != job.queue.service || !worker.takes_tasks(now, silence) {
+                continue;
+            }
+            let labels = &worker.entry.labels;
+            if spec
+                .required_label
+                .as_ref()
+                .is_some_and(|it| !labels.contains(it))
+            {
+                continue;
+            }
+            let ticket = match (job.queue.advice, step.advice.get(worker.id())) {
+                (None, _) => None,
+                (
+                    Some(_),
+                    Some(Advice::Allowed {
+                        ticket,
+                        until,
+                        born_unix_ms,
+                    }),
+                ) if *until > now && worker.entry.born_unix_ms == *born_unix_ms => {
+                    Some(ticket.clone())
+                }
+                (Some(_), _) => continue,
+            };
+            let max = spec.per_worker_max.unwrap_or(u32::MAX);
+            let allowed = max.saturating_sub(here.get(worker.id()).copied().unwrap_or(0));
+            if allowed > 0 {
+                candidates.push(Candidate {
+                    worker: worker.id().clone(),
+                    ticket,
+                    near_data: spec.data_rack.is_none() || spec.data_rack == worker.entry.rack,
+                    slowness_tenths: (worker.health.slowness * 10.0) as u32,
+                    allowed,
+                });
+            }
+        }
+        candidates
+    }
+
+    fn place_tasks(&mut self, name: &StepName, spec: &StepSpec, room: &mut Room, now: Instant) {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return;
+        };
+        let mut candidates = self.candidates(job, name, spec, now);
+        if candidates.is_empty() {
+            return;
+        }
+        let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
+        let Some((_, step)) = job.step(name) else {
+            return;
+        };
+        let waiting: Vec<(u32, Option<WorkerId>)> = (0u32..)
+            .zip(&step.units)
+            .filter(|(_, unit)| unit.waiting())
+            .map(|(index, unit)| (index, unit.failed_on.clone()))
+            .collect();
+        let size = spec.reserved();
+        for (index, failed_on) in waiting {
+            let best = candidates
+                .iter_mut()
+                .filter(|it| it.allowed > 0)
+                .filter_map(|it| {
+                    let free = room.usable(&it.worker, now + expected)?;
+                    let fits = size.fits_in(&free);
+                    let failed_here = failed_on.as_ref() == Some(&it.worker);
+                    // Far from its data or on a slow worker a task takes longer; next best is
+                    // the tightest fit.
+                    let cost = (
+                        failed_here,
+                        !it.near_data,
+                        it.slowness_tenths.max(11),
+                        free.processor_millicores,
+                    );
+                    fits.then_some((cost, it))
+                })
+                .min_by(|left, right| left.0.cmp(&right.0));
+            let Some((_, candidate)) = best else {
+                return;
+            };
+            candidate.allowed -= 1;
+            let (worker, ticket) = (candidate.worker.clone(), candidate.ticket.clone());
+            room.take(&worker, &size);
+            self.start_unit(name, spec, index as usize, &[(index, worker, ticket)], now);
+        }
+    }
+
+    fn place_gang(
+        &mut self,
+        name: &StepName,
+        spec: &StepSpec,
+        room: &mut Room,
+        now: Instant,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return true;
+        };
+        let mut candidates = self.candidates(job, name, spec, now);
+        let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
+        let size = spec.reserved();
+        let fitting = |it: &Candidate| -> u32 {
+            let Some(free) = room.usable(&it.worker, now + expected) else {
+                return 0;
+            };
+            times_fitting(&size, free).min(it.allowed)
+        };
+        let mut counts: Vec<(u32, Candidate)> = candidates
+            .drain(..)
+            .map(|it| (fitting(&it), it))
+            .filter(|(count, _)| *count > 0)
+            .collect();
+        if spec.rack_local {
+            self.keep_one_rack(&mut counts, spec.tasks);
+        }
+        let total: u32 = counts.iter().map(|(count, _)| count).sum();
+        if total < spec.tasks {
+            return false;
+        }
+        counts.sort_by_key(|(count, it)| {
+            (
+                !it.near_data,
+                it.slowness_tenths.max(11),
+                std::cmp::Reverse(*count),
+            )
+        });
+        let mut places = Vec::with_capacity(spec.tasks as usize);
+        for (count, candidate) in counts {
+            for _ in 0..count {
+                let index = places.len() as u32;
+                if index == spec.tasks {
+                    break;
+                }
+                room.take(&candidate.worker, &size);
+                places.push((index, candidate.worker.clone(), candidate.ticket.clone()));
+            }
+        }
+        self.start_unit(name, spec, 0, &places, now);
+        true
+    }
+
+    /// Keeps the candidates of one rack if that rack alone can take the gang.
+    fn keep_one_rack(&self, counts: &mut Vec<(u32, Candidate)>, tasks: u32) {
+        let rack_of = |it: &Candidate| {
+            let worker = self.workers.get(&it.worker);
+            worker.and_then(|worker| worker.entry.rack.clone())
+        };
+        let mut by_rack: HashMap<_, u32> = HashMap::new();
+        for (count, candidate) in counts.iter() {
+            if let Some(rack) = rack_of(candidate) {
+                *by_rack.entry(rack).or_default() += count;
+            }
+        }
+        let enough = by_rack.into_iter().filter(|(_, count)| *count >= tasks);
+        if let Some((rack, _)) = enough.min_by(|a, b| (a.1, &a.0).cmp(&(b.1, &b.0))) {
+            counts.retain(|(_, it)| rack_of(it).as_ref() == Some(&rack));
+        }
+    }
+
+    /// Keeps the places for a gang that become free first.
+    fn reserve(&self, name: &StepName, spec: &StepSpec, room: &mut Room, now: Instant) {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return;
+        };
+        let Some((_, step)) = job.step(name) else {
+            return;
+        };
+        let size = spec.reserved();
+        let mut places: Vec<(Instant, WorkerId)> = Vec::new();
+        for worker in self.workers.values() {
+            // A ticket that lapsed is renewed once there is room.
+            let allowed = job.queue.advice.is_none()
+                || matches!(step.advice.get(worker.id()), Some(Advice::Allowed { .. }));
+            let Some(free) = room.usable(worker.id(), now + RESERVATION_HORIZON) else {
+                continue;
+            };
+            if allowed && worker.entry.service == job.queue.service {
+                let max = spec.per_worker_max.unwrap_or(u32::MAX);
+                let times = free_times(worker, &size, free, now);
+                let within = times.into_iter().take(max.min(spec.tasks) as usize);
+                places.extend(within.map(|at| (at, worker.id().clone())));
+            }
+        }
+        places.sort();
+        if places.len() < spec.tasks as usize {
+            return;
+        }
+        places.truncate(spec.tasks as usize);
+        let Some(starts_at) = places.last().map(|(at, _)| *at) else {
+            return;
+        };
+        if starts_at > now + RESERVATION_HORIZON {
+            return;
+        }
+        let mut per_worker: HashMap<WorkerId, u32> = HashMap::new();
+        for (_, worker) in places {
+            *per_worker.entry(worker).or_default() += 1;
+        }
+        for (worker, count) in per_worker {
+            let reservation = Reservation {
+                room: size.saturating_mul(count),
+                starts_at,
+            };
+            room.reserved.entry(worker).or_default().push(reservation);
+        }
+    }
+
+    /// Orders the start of a unit's tasks.
+    fn start_unit(
+        &mut self,
+        name: &StepName,
+        spec: &StepSpec,
+        unit: usize,
+        places: &[(u32, WorkerId, Option<Ticket>)],
+        now: Instant,
+    ) {
+        let Some(job) = self.jobs.get_mut(&name.job) else {
+            return;
+        };
+        job.begun = true;
+        let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
+        let payload = job.graph.payload.clone();
+        let Some(unit) = job.step_mut(name).and_then(|step| step.units.get_mut(unit)) else {
+            return;
+        };
+        begin_run(unit, places, now);
+        let (run, checkpoint) = (unit.last_run, unit.checkpoint.clone());
+        for (index, worker, ticket) in places {
+            let Some(worker) = self.workers.get_mut(worker) else {
+                continue;
+            };
+            let Some(clock) = worker.clock_latest(now) else {
+                continue;
+            };
+            let order = StartOrder {
+                worker: worker.id().clone(),
+                address: worker.entry.address,
+                task: name.task(*index),
+                run,
+                payload: payload.clone(),
+                checkpoint: checkpoint.clone(),
+                ticket: ticket.clone(),
+                lease_until: clock + self.settings.lease,
+                token: worker.token(self.token_base),
+            };
+            info!("task placed", kv: {
+                job = name.job.as_str(), step = name.step, task = *index, run = run,
+                worker = worker.id().as_str(), resumed = !checkpoint.is_empty()
+            });
+            worker.lease_sent = worker.lease_sent.max(order.lease_until);
+            let record = Run {
+                run,
+                reserved: Some(spec.reserved()),
+                phase: RunPhase::Starting,
+                loose: false,
+                settled_clock: None,
+                since: now,
+                expected_end: now + expected.mul_f64(worker.health.slowness.max(0.5)),
+                order_under_way: true,
+                retry_at: None,
+                start: Some(Box::new(order.clone())),
+                percent: 0,
+            };
+            worker.runs.insert(order.task.clone(), record);
+            self.effects.push(Effect::Start(order));
+        }
+    }
+}
+
+fn begin_run(unit: &mut Unit, places: &[(u32, WorkerId, Option<Ticket>)], now: Instant) {
+    unit.last_run += 1;
+    unit.started_at = Some(now);
+    unit.stopping = false;
+    unit.placed = places
+        .iter()
+        .map(|(index, worker, _)| (*index, worker.clone()))
+        .collect();
+}
+
+/// How many tasks of a size fit into some room.
+fn times_fitting(size: &Resources, free: Resources) -> u32 {
+    let ratio = |free: u64, size: u64| free.checked_div(size).unwrap_or(u64::from(u32::MAX));
+    let times = ratio(free.processor_millicores, size.processor_millicores)
+        .min(ratio(free.memory_mib, size.memory_mib))
+        .min(ratio(
+            u64::from(free.accelerators),
+            u64::from(size.accelerators),
+        ));
+    u32::try_from(times).unwrap_or(u32::MAX)
+}
+
+/// When the first, second and further task of a size fit on a worker, as its runs end.
+fn free_times(worker: &Worker, size: &Resources, free: Resources, now: Instant) -> Vec<Instant> {
+    let mut times = vec![now; times_fitting(size, free).min(64) as usize];
+    let mut runs: Vec<&Run> = worker.runs.values().collect();
+    runs.sort_by_key(|run| run.expected_end);
+    let mut free = free;
+    for run in runs {
+        free = free.saturating_add(&run.reserved.unwrap_or(Resources::ZERO));
+        let count = times_fitting(size, free).min(64) as usize;
+        while times.len() < count {
+            times.push(run.expected_end.max(now));
+        }
+    }
+    times
+}
--- /dev/null
+++ b/jackdawchute-scheduler/src/rank.rs
@@ -0,0 +1,94 @@
+//! The order in which steps are placed.
+//!
+//! Answers load above the cell's capacity: what can still be on time goes first, the most urgent
+//! queue before all others, the rest by slack, and what is late already takes what is left.
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    job::{Job, JobPhase, OccurrenceRun},
+    Scheduler, StepName,
+};
+
+/// The urgency of the queue that goes before all others.
+const MOST_URGENT: u32 = 0;
+
+/// A step that waits for workers, in the order of its turn.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Ranked {
+    pub(crate) late: bool,
+    less_urgent: bool,
+    /// The time until it must start to be on time; for late steps, the time since acceptance,
+    /// negated so that the oldest goes first.
+    slack_ms: i64,
+    pub(crate) name: StepName,
+}
+
+impl Scheduler {
+    /// The ready steps with something to place, best first.
+    pub(crate) fn ranked_steps(&mut self, now: Instant, accepting: bool) -> Vec<Ranked> {
+        let mut ranked = Vec::new();
+        let mut idle = Vec::new();
+        for id in &self.placeable {
+            let Some(job) = self.jobs.get(id) else {
+                idle.push(id.clone());
+                continue;
+            };
+            let eligible = match job.phase {
+                JobPhase::Live => true,
+                JobPhase::Accepting => accepting,
+                JobPhase::Ending(_) => false,
+            };
+            let before = ranked.len();
+            for run in &job.occurrences {
+                for (step, step_run) in (0u32..).zip(&run.steps) {
+                    let waiting = step_run.units.iter().any(|unit| unit.waiting());
+                    if waiting && job.ready(run, step) {
+                        let name = StepName {
+                            job: id.clone(),
+                            occurrence: run.occurrence,
+                            step,
+                        };
+                        ranked.push(self.rank(job, run, name, now));
+                    }
+                }
+            }
+            if ranked.len() == before && job.phase != JobPhase::Accepting {
+                idle.push(id.clone());
+            }
+            if !eligible {
+                ranked.truncate(before);
+            }
+        }
+        for id in idle {
+            self.placeable.remove(&id);
+        }
+        ranked.sort_unstable();
+        ranked
+    }
+
+    fn rank(&self, job: &Job, run: &OccurrenceRun, name: StepName, now: Instant) -> Ranked {
+        let slack = self.slack(job, run, now);
+        let late = slack.is_none() || job.graph.long_running();
+        let age = now.saturating_duration_since(job.accepted_at);
+        let slack_ms = match slack {
+            Some(slack) => slack.as_millis() as i64,
+            None => -(age.as_millis() as i64),
+        };
+        Ranked {
+            late: late && !job.graph.long_running(),
+            less_urgent: job.queue.priority != MOST_URGENT,
+            slack_ms,
+            name,
+        }
+    }
+
+    /// How long a job's remaining steps can wait and still end in time; `None` if they can't.
+    pub(crate) fn slack(&self, job: &Job, run: &OccurrenceRun, now: Instant) -> Option<Duration> {
+        let remaining = self
+            .run_times
+            .expected(&job.queue.queue, job.remaining_chain(run));
+        let age = now.saturating_duration_since(job.accepted_at);
+        job.objective.checked_sub(age + remaining)
+    }
+}
--- /dev/null
+++ b/jackdawchute-scheduler/src/records.rs
@@ -0,0 +1,279 @@
+//! The rows in which accepted jobs and their progress are saved.
+
+use std::time::Instant;
+
+use jackdawchute_types::{Checkpoint, JobId, Occurrence, RunNumber, StepIndex, WorkerId};
+use serde::{Deserialize, Serialize};
+use smol_str::{format_smolstr, SmolStr};
+use spdlog::error;
+
+use crate::{
+    job::{Job, JobPhase},
+    Batch, JobGraph, Outcome, QueuePolicy, RowChange, RowTable, Scheduler,
+};
+
+/// The key of the row that names the workers.
+pub(crate) const WORKERS_KEY: &str = "workers";
+
+/// An accepted job as saved.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct JobRecord {
+    pub(crate) graph: JobGraph,
+    pub(crate) queue: QueuePolicy,
+    /// When it was accepted, in Unix milliseconds; tells its age to a later owner.
+    pub(crate) accepted_unix_ms: u64,
+}
+
+/// What is done of a job.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(crate) struct ProgressRecord {
+    pub(crate) occurrences_done: u32,
+    pub(crate) occurrences: Vec<Occurrence>,
+    pub(crate) units: Vec<UnitRecord>,
+}
+
+/// What is known of one unit that has run.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct UnitRecord {
+    #[serde(rename = "o")]
+    pub(crate) occurrence: Occurrence,
+    #[serde(rename = "s")]
+    pub(crate) step: StepIndex,
+    #[serde(rename = "u")]
+    pub(crate) unit: u32,
+    #[serde(rename = "d")]
+    pub(crate) done: bool,
+    #[serde(rename = "f")]
+    pub(crate) failures: u32,
+    #[serde(rename = "r")]
+    pub(crate) last_run: RunNumber,
+    #[serde(rename = "x")]
+    pub(crate) failed_run: RunNumber,
+    #[serde(rename = "c")]
+    pub(crate) checkpoint: Checkpoint,
+}
+
+/// A job that ended.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct EndedRecord {
+    pub(crate) job: JobId,
+    pub(crate) outcome: Outcome,
+}
+
+/// A worker that may run tasks.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WorkerRecord {
+    pub(crate) worker: WorkerId,
+    pub(crate) address: std::net::SocketAddr,
+    pub(crate) service: SmolStr,
+}
+
+impl Scheduler {
+    /// Whether anything waits to be committed.
+    pub fn has_unsaved(&self) -> bool {
+        !self.accepting.is_empty()
+            || !self.ending.is_empty()
+            || !self.unsaved.is_empty()
+            || !self.ends_unsaved.is_empty()
+            || self.workers_unsaved
+    }
+
+    /// Takes what is to be committed next, of at most `rows_max` rows and about `bytes_max` bytes.
+    ///
+    /// Ends are taken note of only in a batch that holds all that followed from them.
+    pub fn take_batch(&mut self, rows_max: usize, bytes_max: usize, unix_ms: u64) -> Option<Batch> {
+        if !self.has_unsaved() {
+            return None;
+        }
+        let mut batch = Batch::default();
+        let mut bytes = 0;
+        if std::mem::take(&mut self.workers_unsaved) {
+            push(&mut batch, &mut bytes, self.workers_row());
+        }
+        let room =
+            |batch: &Batch, bytes: usize| batch.changes.len() + 4 <= rows_max && bytes < bytes_max;
+        let mut ended = Vec::new();
+        while room(&batch, bytes) {
+            let Some(id) = self.ending.pop() else { break };
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let JobPhase::Ending(outcome) = job.phase else {
+                continue;
+            };
+            self.unsaved.remove(&id);
+            push(&mut batch, &mut bytes, remove(RowTable::Jobs, &id));
+            if job.progress_saved {
+                push(&mut batch, &mut bytes, remove(RowTable::Progress, &id));
+            }
+            ended.push(EndedRecord {
+                job: id.clone(),
+                outcome,
+            });
+            batch.ended.push(id);
+        }
+        if !ended.is_empty() {
+            self.ended_rows_counter += 1;
+            let key = format_smolstr!("{:016x}-{:08x}", self.epoch, self.ended_rows_counter);
+            push(
+                &mut batch,
+                &mut bytes,
+                encode(RowTable::Ended, key.clone(), &ended),
+            );
+            batch.ended_row = Some(key);
+        }
+        while room(&batch, bytes) {
+            let Some(id) = self.unsaved.pop_first() else {
+                break;
+            };
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            if job.phase == JobPhase::Live {
+                job.progress_saved = true;
+                push(
+                    &mut batch,
+                    &mut bytes,
+                    encode(RowTable::Progress, id, &progress(job)),
+                );
+            }
+        }
+        let all = self.unsaved.is_empty() && self.ending.is_empty();
+        if all {
+            for id in std::mem::take(&mut self.ends_unsaved) {
+                if let Some(worker) = self.workers.get(&id) {
+                    batch.ends_noted.push((id, worker.lives, worker.ends_noted));
+                }
+            }
+        }
+        while room(&batch, bytes) {
+            let Some(id) = self.accepting.pop_front() else {
+                break;
+            };
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let record = JobRecord {
+                graph: job.graph.clone(),
+                queue: job.queue.clone(),
+                accepted_unix_ms: unix_ms,
+            };
+            push(
+                &mut batch,
+                &mut bytes,
+                encode(RowTable::Jobs, id.clone(), &record),
+            );
+            batch.accepted.push(id);
+        }
+        Some(batch)
+    }
+
+    /// Takes note that a batch is committed.
+    pub fn committed(&mut self, batch: &Batch, now: Instant) {
+        for id in &batch.accepted {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.phase = JobPhase::Live;
+            }
+        }
+        for id in &batch.ended {
+            if let Some(job) = self.jobs.remove(id) {
+                self.placeable.remove(id);
+                if let JobPhase::Ending(outcome) = job.phase {
+                    let ended = crate::state::Ended { outcome, at: now };
+                    self.ended.insert(id.clone(), ended);
+                }
+            }
+        }
+        if let Some(key) = &batch.ended_row {
+            self.ended_rows.push_back((now, key.clone()));
+        }
+        for (id, lives, number) in &batch.ends_noted {
+            let worker = self.workers.get_mut(id);
+            if let Some(worker) = worker.filter(|worker| worker.lives == *lives) {
+                worker.ends_saved = worker.ends_saved.max(*number);
+                worker.hold_next_at = now;
+            }
+        }
+        self.place_needed = true;
+    }
+
+    /// The saved rows of ended jobs that are no longer asked for.
+    pub fn take_expired_rows(&mut self, rows_max: usize, now: Instant) -> Vec<RowChange> {
+        let mut expired = Vec::new();
+        while expired.len() < rows_max {
+            match self.ended_rows.front() {
+                Some((at, _))
+                    if now.saturating_duration_since(*at) > self.settings.ended_retention =>
+                {
+                    if let Some((_, key)) = self.ended_rows.pop_front() {
+                        expired.push(remove(RowTable::Ended, &key));
+                    }
+                }
+                _ => break,
+            }
+        }
+        expired
+    }
+
+    fn workers_row(&self) -> RowChange {
+        let record = |worker: &crate::worker::Worker| WorkerRecord {
+            worker: worker.entry.worker.clone(),
+            address: worker.entry.address,
+            service: worker.entry.service.clone(),
+        };
+        let records: Vec<WorkerRecord> = self.workers.values().map(record).collect();
+        encode(RowTable::Workers, WORKERS_KEY.into(), &records)
+    }
+}
+
+fn push(batch: &mut Batch, bytes: &mut usize, change: RowChange) {
+    *bytes += change.value.as_ref().map_or(0, Vec::len);
+    batch.changes.push(change);
+}
+
+fn remove(table: RowTable, key: &SmolStr) -> RowChange {
+    RowChange {
+        table,
+        key: key.clone(),
+        value: None,
+    }
+}
+
+fn encode<T: Serialize>(table: RowTable, key: SmolStr, record: &T) -> RowChange {
+    let value = serde_json::to_vec(record).unwrap_or_else(|cause| {
+        error!("record does not encode", kv: { key = key.as_str(), cause: = cause });
+        Vec::new()
+    });
+    RowChange {
+        table,
+        key,
+        value: Some(value),
+    }
+}
+
+fn progress(job: &Job) -> ProgressRecord {
+    let mut record = ProgressRecord {
+        occurrences_done: job.occurrences_done,
+        ..ProgressRecord::default()
+    };
+    for run in &job.occurrences {
+        record.occurrences.push(run.occurrence);
+        for (step, step_run) in (0u32..).zip(&run.steps) {
+            for (index, unit) in (0u32..).zip(&step_run.units) {
+                if unit.done || unit.failures > 0 || !unit.checkpoint.is_empty() {
+                    record.units.push(UnitRecord {
+                        occurrence: run.occurrence,
+                        step,
+                        unit: index,
+                        done: unit.done,
+                        failures: unit.failures,
+                        last_run: unit.last_run,
+                        failed_run: unit.failed_run,
+                        checkpoint: unit.checkpoint.clone(),
+                    });
+                }
+            }
+        }
+    }
+    record
+}
--- /dev/null
+++ b/jackdawchute-scheduler/src/state.rs
@@ -0,0 +1,185 @@
+//! What the scheduling instance knows.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use jackdawchute_types::{Epoch, FencingToken, JobId, WorkerId};
+use smol_str::SmolStr;
+
+use crate::{
+    job::{Job, JobPhase},
+    learned::RunTimes,
+    recover::Recovery,
+    worker::Worker,
+    Effect, JobStatus, Outcome, Settings,
+};
+
+/// The tokens of one epoch: one for each life of a worker that the epoch's owner meets.
+const TOKENS_PER_EPOCH: FencingToken = 1 << 16;
+
+/// An ended job.
+#[derive(Clone, Debug)]
+pub(crate) struct Ended {
+    pub(crate) outcome: Outcome,
+    pub(crate) at: Instant,
+}
+
+/// Decides for all workers and jobs of a cell during one epoch.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(crate) settings: Settings,
+    pub(crate) token_base: FencingToken,
+    pub(crate) jobs: HashMap<JobId, Job>,
+    /// The jobs that may have something to place, in the order of their ids.
+    pub(crate) placeable: BTreeSet<JobId>,
+    pub(crate) ended: HashMap<JobId, Ended>,
+    /// Saved rows of ended jobs, oldest first.
+    pub(crate) ended_rows: VecDeque<(Instant, SmolStr)>,
+    pub(crate) ended_rows_counter: u64,
+    pub(crate) workers: BTreeMap<WorkerId, Worker>,
+    pub(crate) run_times: RunTimes,
+    pub(crate) recovery: Recovery,
+    /// Jobs whose rows are to be saved.
+    pub(crate) unsaved: BTreeSet<JobId>,
+    /// Jobs in the order of their acceptance that is not committed yet.
+    pub(crate) accepting: VecDeque<JobId>,
+    /// Jobs that are ending and not committed yet.
+    pub(crate) ending: Vec<JobId>,
+    /// The set of workers has changed since it was last saved.
+    pub(crate) workers_unsaved: bool,
+    pub(crate) ends_unsaved: BTreeSet<WorkerId>,
+    pub(crate) effects: Vec<Effect>,
+    pub(crate) place_needed: bool,
+    pub(crate) epoch: Epoch,
+}
+
+impl Scheduler {
+    /// Starts an epoch that knows no jobs and no workers.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use jackdawchute_scheduler::{JobStatus, Scheduler, Settings};
+    ///
+    /// let scheduler = Scheduler::new(Settings::default(), 1, Instant::now());
+    /// assert_eq!(scheduler.status(&"none".into()), JobStatus::Unknown);
+    /// ```
+    pub fn new(settings: Settings, epoch: Epoch, now: Instant) -> Self {
+        Self {
+            settings,
+            token_base: epoch.saturating_mul(TOKENS_PER_EPOCH),
+            jobs: HashMap::new(),
+            placeable: BTreeSet::new(),
+            ended: HashMap::new(),
+            ended_rows: VecDeque::new(),
+            ended_rows_counter: 0,
+            workers: BTreeMap::new(),
+            run_times: RunTimes::default(),
+            recovery: Recovery::new(now),
+            unsaved: BTreeSet::new(),
+            accepting: VecDeque::new(),
+            ending: Vec::new(),
+            workers_unsaved: false,
+            ends_unsaved: BTreeSet::new(),
+            effects: Vec::new(),
+            place_needed: false,
+            epoch,
+        }
+    }
+
+    /// The epoch that this scheduler decides in.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Takes what is to be done since the last call.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// What callers are told of a job.
+    pub fn status(&self, job: &JobId) -> JobStatus {
+        if let Some(ended) = self.ended.get(job) {
+            return JobStatus::Ended(ended.outcome);
+        }
+        let Some(job) = self.jobs.get(job) else {
+            return JobStatus::Unknown;
+        };
+        match job.phase {
+            JobPhase::Accepting => JobStatus::Undecided,
+            JobPhase::Live | JobPhase::Ending(_) if job.begun => JobStatus::Running,
+            JobPhase::Live | JobPhase::Ending(_) => JobStatus::Queued,
+        }
+    }
+
+    /// The jobs of a queue that are accepted and have not begun.
+    pub fn pending_jobs(&self, queue: &str) -> usize {
+        let pending =
+            |job: &&Job| job.queue.queue == queue && !job.begun && job.phase == JobPhase::Live;
+        self.jobs.values().filter(pending).count()
+    }
+
+    /// The number of jobs that have not ended.
+    pub fn jobs_count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Drops the jobs that are in no batch yet; they will never run.
+    pub fn withdraw_unsaved(&mut self) -> Vec<JobId> {
+        let withdrawn: Vec<JobId> = self.accepting.drain(..).collect();
+        for job in &withdrawn {
+            self.jobs.remove(job);
+            self.placeable.remove(job);
+        }
+        withdrawn
+    }
+
+    /// Lets time pass: retries, lapsed leases, holds that are due, placement.
+    pub fn tick(&mut self, now: Instant, unix_now: Duration) {
+        self.begin_due_occurrences(unix_now);
+        self.retry_orders(now);
+        self.forget_lost_workers(now);
+        self.finish_recovery(now);
+        self.move_from_leaving_workers(now);
+        self.issue_due_holds(now);
+        self.forget_ended_jobs(now);
+        self.place_needed = true;
+    }
+
+    /// Places what can be placed, if anything has changed since the last call.
+    pub fn settle(&mut self, now: Instant) {
+        if std::mem::take(&mut self.place_needed) {
+            self.ask_for_advice(now);
+            self.place(now);
+        }
+    }
+
+    fn begin_due_occurrences(&mut self, unix_now: Duration) {
+        let early = self.settings.early;
+        for job in self.jobs.values_mut() {
+            let Some(repeat) = job.graph.repeat else {
+                continue;
+            };
+            if job.phase != JobPhase::Live {
+                continue;
+            }
+            let begun = job.occurrences_done + job.occurrences.len() as u32;
+            for occurrence in begun..repeat.occurrences {
+                let due = Duration::from_millis(repeat.first_due_unix_ms)
+                    + repeat.interval.saturating_mul(occurrence);
+                if due > unix_now + early {
+                    break;
+                }
+                job.add_occurrence(occurrence);
+                self.placeable.insert(job.id.clone());
+            }
+        }
+    }
+
+    fn forget_ended_jobs(&mut self, now: Instant) {
+        let retention = self.settings.ended_retention;
+        self.ended
+            .retain(|_, ended| now.saturating_duration_since(ended.at) < retention);
+    }
+}
--- /dev/null
+++ b/jackdawchute-scheduler/src/submit.rs
@@ -0,0 +1,56 @@
+//! Takes jobs in.
+
+use std::time::Instant;
+
+use jackdawchute_types::JobId;
+use spdlog::info;
+
+use crate::{
+    job::{Job, JobPhase},
+    JobGraph, QueuePolicy, Scheduler, Submission,
+};
+
+impl Scheduler {
+    /// Takes a job in, or refuses it for good.
+    ///
+    /// A pending job is accepted by [`Scheduler::committed`].
+    pub fn submit(
+        &mut self,
+        id: &JobId,
+        graph: JobGraph,
+        queue: QueuePolicy,
+        now: Instant,
+    ) -> Submission {
+        if self.ended.contains_key(id) {
+            return Submission::Accepted;
+        }
+        if let Some(job) = self.jobs.get(id) {
+            return match job.phase {
+                JobPhase::Accepting => Submission::Pending,
+                JobPhase::Live | JobPhase::Ending(_) => Submission::Accepted,
+            };
+        }
+        let job = Job::new(id.clone(), graph, queue, now);
+        if let Some(refusal) = self.refusal(&job, now) {
+            info!("job refused", kv: {
+                job = id.as_str(), queue = job.queue.queue.as_str(), reason = refusal.reason,
+                expected_ms = refusal.expected.as_millis() as u64,
+                objective_ms = job.objective.as_millis() as u64,
+                retry_after_ms = refusal.retry_after.as_millis() as u64
+            });
+            return Submission::Refused {
+                retry_after: refusal.retry_after,
+            };
+        }
+        info!("job taken in", kv: {
+            job = id.as_str(), queue = job.queue.queue.as_str(),
+            objective_ms = job.objective.as_millis() as u64,
+            jobs = self.jobs.len()
+        });
+        self.jobs.insert(id.clone(), job);
+        self.accepting.push_back(id.clone());
+        self.placeable.insert(id.clone());
+        self.place_needed = true;
+        Submission::Pending
+    }
+}
--- /dev/null
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -0,0 +1,180 @@
+//! A worker and what runs or may run on it.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use jackdawchute_types::{FencingToken, JobId, Resources, RunNumber, WorkerId};
+
+use crate::{StartOrder, TaskName, WorkerEntry};
+
+/// The slowest rate of a worker's clock against ours.
+const CLOCK_RATE_MIN: f64 = 0.98;
+/// How long a worker may take to end its tasks once their lease has lapsed.
+const LAPSE_MARGIN: Duration = Duration::from_millis(400);
+
+/// Where a run on a worker stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunPhase {
+    /// The order to start has no answer yet.
+    Starting,
+    /// It runs.
+    Running,
+    /// It is to stop; nothing follows from its end but room.
+    Stopping,
+}
+
+/// A run that takes, or may take, room on a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) run: RunNumber,
+    /// `None` while it is not known what the task needs.
+    pub(crate) reserved: Option<Resources>,
+    pub(crate) phase: RunPhase,
+    /// An order to start got no answer, and may be carried out later.
+    pub(crate) loose: bool,
+    /// The worker's clock when it answered the last order for this run.
+    pub(crate) settled_clock: Option<Duration>,
+    pub(crate) since: Instant,
+    pub(crate) expected_end: Instant,
+    /// An order for it is under way.
+    pub(crate) order_under_way: bool,
+    /// When to send the next order for it, where the last one got no answer.
+    pub(crate) retry_at: Option<Instant>,
+    pub(crate) start: Option<Box<StartOrder>>,
+    pub(crate) percent: u32,
+}
+
+/// One life of a worker, as it told itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Life {
+    pub(crate) born_unix_ms: u64,
+    /// A clock reading and the earliest time of ours at which it may have been taken.
+    pub(crate) clock: Duration,
+    pub(crate) clock_asked_at: Instant,
+    pub(crate) clock_read_at: Instant,
+}
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub(crate) entry: WorkerEntry,
+    /// Whether the platform lists it.
+    pub(crate) listed: bool,
+    pub(crate) unlisted_at: Option<Instant>,
+    pub(crate) leaving_at: Option<Instant>,
+    pub(crate) life: Option<Life>,
+    /// Which of the lives that this instance has met; raises the token.
+    pub(crate) lives: u64,
+    /// The worker has answered to the current token.
+    pub(crate) fenced: bool,
+    pub(crate) runs: HashMap<TaskName, Run>,
+    /// Ends up to this number were taken into account.
+    pub(crate) ends_noted: u64,
+    /// Ends up to this number are saved.
+    pub(crate) ends_saved: u64,
+    /// The latest lease end that was sent, on the worker's clock.
+    pub(crate) lease_sent: Duration,
+    pub(crate) hold_under_way: Option<Instant>,
+    pub(crate) hold_next_at: Instant,
+    pub(crate) answered_at: Option<Instant>,
+    pub(crate) unanswered_since: Option<Instant>,
+    pub(crate) first_met_at: Instant,
+    /// What ended of late: failures and successes, by job, for the quarantine.
+    pub(crate) health: Health,
+}
+
+/// What a worker's tasks came to of late.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Health {
+    /// Failures of different jobs since the last success.
+    pub(crate) failed_jobs: Vec<JobId>,
+    pub(crate) quarantined_until: Option<Instant>,
+    /// How much longer tasks take than expected, smoothed.
+    pub(crate) slowness: f64,
+    pub(crate) measured: u32,
+}
+
+impl Worker {
+    pub(crate) fn new(entry: WorkerEntry, now: Instant) -> Self {
+        Self {
+            entry,
+            listed: true,
+            unlisted_at: None,
+            leaving_at: None,
+            life: None,
+            lives: 0,
+            fenced: false,
+            runs: HashMap::new(),
+            ends_noted: 0,
+            ends_saved: 0,
+            lease_sent: Duration::ZERO,
+            hold_under_way: None,
+            hold_next_at: now,
+            answered_at: None,
+            unanswered_since: None,
+            first_met_at: now,
+            health: Health {
+                slowness: 1.0,
+                ..Health::default()
+            },
+        }
+    }
+
+    pub(crate) fn id(&self) -> &WorkerId {
+        &self.entry.worker
+    }
+
+    /// What is free, or `None` while something of unknown size runs there.
+    pub(crate) fn free(&self) -> Option<Resources> {
+        let mut free = self.entry.capacity;
+        for run in self.runs.values() {
+            free = free.saturating_sub(&run.reserved?);
+        }
+        Some(free)
+    }
+
+    /// The worker's clock at `now` at the latest, if it does not run fast.
+    pub(crate) fn clock_latest(&self, now: Instant) -> Option<Duration> {
+        let life = self.life?;
+        Some(life.clock + now.saturating_duration_since(life.clock_asked_at))
+    }
+
+    /// The worker's clock at `now` at the earliest.
+    pub(crate) fn clock_earliest(&self, now: Instant) -> Option<Duration> {
+        let life = self.life?;
+        let since = now.saturating_duration_since(life.clock_read_at);
+        Some(life.clock + since.mul_f64(CLOCK_RATE_MIN))
+    }
+
+    /// Whether no lease that this instance knows of can still hold there.
+    pub(crate) fn lease_lapsed(&self, now: Instant, lease_max: Duration) -> bool {
+        let clock = self.clock_earliest(now);
+        match clock {
+            Some(clock) if self.fenced => clock > self.lease_sent + LAPSE_MARGIN,
+            _ => {
+                let since = now.saturating_duration_since(self.first_met_at);
+                since.mul_f64(CLOCK_RATE_MIN) > lease_max + LAPSE_MARGIN
+            }
+        }
+    }
+
+    pub(crate) fn token(&self, base: FencingToken) -> FencingToken {
+        base + self.lives
+    }
+
+    /// Whether new tasks may go there.
+    pub(crate) fn takes_tasks(&self, now: Instant, silence: Duration) -> bool {
+        let silent = |since: Instant| now.saturating_duration_since(since) > silence;
+        self.listed
+            && self.fenced
+            && self.life.is_some()
+            && self.leaving_at.is_none()
+            && !self.unanswered_since.is_some_and(silent)
+            && !self
+                .health
+                .quarantined_until
+                .is_some_and(|until| now < until)
+    }
+}
--- a/jackdawchute-settings/src/lib.rs
+++ b/jackdawchute-settings/src/lib.rs
@@ -4,6 +4,7 @@
 //! its configuration, in `jackdawchute-configuration`.
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
+mod cell;
 mod check;
 mod document;
 mod error;
@@ -12,6 +13,7 @@
 mod settings;
 mod timing;
 
+pub use cell::{CellBounds, CellListen, CellPlatform, CellSettings};
 pub use error::{Error, Result};
 pub use jackdawchute_yaml::{Problem, Problems};
 pub use limits::Limits;
--- a/jackdawchute-standins/src/bin/standin-membership.rs
+++ b/jackdawchute-standins/src/bin/standin-membership.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jackdawchute_platform::Member;
+use jackdawchute_ports::Member;
 use jackdawchute_standins::{
     membership::{control_routes, spawn_membership},
     program::{announce, wait_for_end, ProgramOption, ProgramOptions},
--- a/jackdawchute-standins/src/harness/cell.rs
+++ b/jackdawchute-standins/src/harness/cell.rs
@@ -6,7 +6,7 @@
 };
 
 use jackdawchute_configuration::{apply, Configuration};
-use jackdawchute_platform::{HttpTable, Member, MemberState};
+use jackdawchute_ports::{HttpTable, Member, MemberState};
 use smol_str::{format_smolstr, SmolStr};
 use xtra::prelude::*;
 
--- a/jackdawchute-standins/src/harness/entry.rs
+++ b/jackdawchute-standins/src/harness/entry.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use jackdawchute_platform::{Member, MemberRole, MemberState};
+use jackdawchute_ports::{Member, MemberRole, MemberState};
 use jackdawchute_types::FailureDomainId;
 use smol_str::SmolStr;
 
--- a/jackdawchute-standins/src/harness/members.rs
+++ b/jackdawchute-standins/src/harness/members.rs
@@ -1,6 +1,6 @@
 //! The minions and workers of a cell.
 
-use jackdawchute_platform::{Member, MemberRole, MemberState};
+use jackdawchute_ports::{Member, MemberRole, MemberState};
 use jackdawchute_trial::{
     spawn_minion, spawn_worker, MinionOptions, RunningMinion, RunningWorker, WorkerOptions,
 };
--- a/jackdawchute-standins/src/membership/listener.rs
+++ b/jackdawchute-standins/src/membership/listener.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use jackdawchute_platform::Member;
+use jackdawchute_ports::Member;
 use jackdawchute_trial::Listening;
 use serde::Deserialize;
 use warp::{http::StatusCode, reply::Response, Filter, Rejection, Reply};
@@ -43,7 +43,7 @@
 /// # #[tokio::main(flavor = "current_thread")]
 /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
 /// use std::time::Duration;
-/// use jackdawchute_platform::{HttpMembership, MembershipSource};
+/// use jackdawchute_ports::{HttpMembership, MembershipSource};
 /// use jackdawchute_standins::membership::spawn_membership;
 ///
 /// let membership = spawn_membership(([127, 0, 0, 1], 0).into(), Duration::ZERO).await?;
--- a/jackdawchute-standins/src/membership/messages.rs
+++ b/jackdawchute-standins/src/membership/messages.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jackdawchute_platform::Member;
+use jackdawchute_ports::Member;
 
 /// Replaces the members; this shows after the lag.
 #[derive(Clone, Debug)]
--- a/jackdawchute-standins/src/membership/state.rs
+++ b/jackdawchute-standins/src/membership/state.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use jackdawchute_platform::{Member, MembershipList};
+use jackdawchute_ports::{Member, MembershipList};
 
 /// The list as it shows, and the changes that do not show yet.
 ///
--- a/jackdawchute-standins/src/membership/task.rs
+++ b/jackdawchute-standins/src/membership/task.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawchute_platform::MembershipList;
+use jackdawchute_ports::MembershipList;
 use xtra::prelude::*;
 
 use super::{ChangedSince, LaggingList, SetAvailability, SetLag, SetMembers};
--- a/jackdawchute-standins/src/table/listener.rs
+++ b/jackdawchute-standins/src/table/listener.rs
@@ -6,7 +6,7 @@
     net::{Ipv4Addr, SocketAddr},
 };
 
-use jackdawchute_platform::RowVersion;
+use jackdawchute_ports::RowVersion;
 use jackdawchute_trial::Listening;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use warp::{http::StatusCode, hyper::body::Bytes, reply::Response, Filter, Rejection, Reply};
@@ -66,7 +66,7 @@
 /// ```
 /// # #[tokio::main(flavor = "current_thread")]
 /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
-/// use jackdawchute_platform::{HttpTable, Table};
+/// use jackdawchute_ports::{HttpTable, Table};
 /// use jackdawchute_standins::table::spawn_table;
 ///
 /// let table = spawn_table(&["entry-1".into()]).await?;
--- a/jackdawchute-standins/src/table/messages.rs
+++ b/jackdawchute-standins/src/table/messages.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jackdawchute_platform::{Commit, RowKey, RowVersion};
+use jackdawchute_ports::{Commit, RowKey, RowVersion};
 use smol_str::SmolStr;
 
 use super::{Availability, TableFaults};
--- a/jackdawchute-standins/src/table/task.rs
+++ b/jackdawchute-standins/src/table/task.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use jackdawchute_platform::{CommitOutcome, MemoryTable, Row, Scan};
+use jackdawchute_ports::{CommitOutcome, MemoryTable, Row, Scan};
 use xtra::prelude::*;
 
 use super::{
--- a/jackdawchute-standins/tests/checker.rs
+++ b/jackdawchute-standins/tests/checker.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, SystemTime};
 
-use jackdawchute_platform::TaskEnd;
+use jackdawchute_ports::TaskEnd;
 use jackdawchute_standins::{
     checker::{
         each_key_at_most_once, never_ran, one_place_at_a_time, ran_once, within_connections,
--- a/jackdawchute-standins/tests/membership.rs
+++ b/jackdawchute-standins/tests/membership.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawchute_platform::{
+use jackdawchute_ports::{
     HttpMembership, Member, MemberRole, MemberState, MembershipList, MembershipSource,
 };
 use jackdawchute_standins::membership::{spawn_membership, LaggingList};
--- a/jackdawchute-standins/tests/programs.rs
+++ b/jackdawchute-standins/tests/programs.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, process::Stdio, time::Duration};
 
-use jackdawchute_platform::{
+use jackdawchute_ports::{
     HttpMembership, HttpTable, HttpWorker, MembershipSource, Table, WorkerPort,
 };
 use jackdawchute_standins::caller::{Call, Caller};
--- a/jackdawchute-standins/tests/table.rs
+++ b/jackdawchute-standins/tests/table.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jackdawchute_platform::{Commit, CommitOutcome, Condition, Error, HttpTable, Table, Write};
+use jackdawchute_ports::{Commit, CommitOutcome, Condition, Error, HttpTable, Table, Write};
 use jackdawchute_standins::table::{spawn_table, Availability, RunningTable, TableFaults};
 
 async fn table() -> RunningTable {
--- a/jackdawchute-trial/src/membership.rs
+++ b/jackdawchute-trial/src/membership.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use async_trait::async_trait;
-use jackdawchute_platform::{Member, MembershipList, MembershipSource, Result};
+use jackdawchute_ports::{Member, MembershipList, MembershipSource, Result};
 
 /// A membership list that lives as long as its process.
 ///
--- a/jackdawchute-trial/src/worker/listener.rs
+++ b/jackdawchute-trial/src/worker/listener.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use jackdawchute_platform::StartTask;
+use jackdawchute_ports::StartTask;
 use jackdawchute_types::{Resources, WorkerId};
 use serde::Serialize;
 use warp::{http::StatusCode, Filter, Rejection, Reply};
--- a/jackdawchute-trial/src/worker/messages.rs
+++ b/jackdawchute-trial/src/worker/messages.rs
@@ -1,6 +1,6 @@
 //! What the worker task takes.
 
-use jackdawchute_platform::{Lease, StartTask};
+use jackdawchute_ports::{Lease, StartTask};
 use jackdawchute_types::TaskId;
 use serde::{Deserialize, Serialize};
 
--- a/jackdawchute-trial/src/worker/record.rs
+++ b/jackdawchute-trial/src/worker/record.rs
@@ -2,7 +2,7 @@
 
 use std::time::SystemTime;
 
-use jackdawchute_platform::TaskEnd;
+use jackdawchute_ports::TaskEnd;
 use jackdawchute_types::{Resources, TaskId, WorkerId};
 use serde::{Deserialize, Serialize};
 
--- a/jackdawchute-trial/src/worker/state.rs
+++ b/jackdawchute-trial/src/worker/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use jackdawchute_platform::{
+use jackdawchute_ports::{
     Lease, StartOutcome, StartTask, TaskEnd, TaskReport, WorkerClock, WorkerReport,
 };
 use jackdawchute_types::{Epoch, Resources, TaskId};
@@ -50,7 +50,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use jackdawchute_platform::{Lease, StartOutcome, StartTask};
+/// use jackdawchute_ports::{Lease, StartOutcome, StartTask};
 /// use jackdawchute_trial::worker::WorkerState;
 /// use jackdawchute_types::Resources;
 ///
--- a/jackdawchute-trial/src/worker/task.rs
+++ b/jackdawchute-trial/src/worker/task.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Instant, SystemTime};
 
-use jackdawchute_platform::{StartOutcome, WorkerClock, WorkerReport};
+use jackdawchute_ports::{StartOutcome, WorkerClock, WorkerReport};
 use jackdawchute_types::{Resources, WorkerId};
 use smol_str::format_smolstr;
 use xtra::prelude::*;
--- a/jackdawchute-trial/tests/worker_listener.rs
+++ b/jackdawchute-trial/tests/worker_listener.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jackdawchute_platform::{HttpWorker, Lease, StartOutcome, StartTask, TaskEnd, WorkerPort};
+use jackdawchute_ports::{HttpWorker, Lease, StartOutcome, StartTask, TaskEnd, WorkerPort};
 use jackdawchute_trial::{spawn_worker, RunningWorker, WorkerOptions};
 use jackdawchute_types::Resources;
 
--- a/jackdawchute-trial/tests/worker_state.rs
+++ b/jackdawchute-trial/tests/worker_state.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jackdawchute_platform::{Lease, StartOutcome, StartTask, TaskEnd};
+use jackdawchute_ports::{Lease, StartOutcome, StartTask, TaskEnd};
 use jackdawchute_trial::worker::WorkerState;
 use jackdawchute_types::Resources;
 
--- a/jackdawchute-types/src/ids.rs
+++ b/jackdawchute-types/src/ids.rs
@@ -32,3 +32,21 @@
 pub type TeamId = SmolStr;
 /// A worker.
 pub type WorkerId = SmolStr;
+/// What a worker saved of a task's progress; empty for none.
+pub type Checkpoint = SmolStr;
+/// Orders a worker's controllers; a worker ignores orders below the highest it has seen.
+pub type FencingToken = u64;
+/// A label that workers carry and tasks may require.
+pub type Label = SmolStr;
+/// One run of a job's steps; 0 for a job that runs once.
+pub type Occurrence = u32;
+/// A queue that jobs are submitted to.
+pub type QueueId = SmolStr;
+/// Numbers the starts of a task, ascending from 1.
+pub type RunNumber = u64;
+/// A step of a job, counted from 0.
+pub type StepIndex = u32;
+/// A task within its step, counted from 0.
+pub type TaskIndex = u32;
+/// The proof that a worker may run a step.
+pub type Ticket = SmolStr;
--- a/src/error.rs
+++ b/src/error.rs
@@ -39,6 +39,11 @@
             display("{}", cause)
             from()
         }
+        /// The instance of a cell could not start.
+        Cell(cause: jackdawchute_cell::Error) {
+            display("{}", cause)
+            from()
+        }
         /// A part of the embedded platform could not start.
         Trial(cause: jackdawchute_trial::Error) {
             display("{}", cause)
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,31 +1,79 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines.
 
-use std::sync::Arc;
+use std::{
+    num::NonZeroUsize,
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc,
+    },
+};
 
 use jackdawchute_settings::LogLevel;
 use spdlog::{
     formatter::JsonFormatter,
-    sink::{StdStream, StdStreamSink},
-    Level, LevelFilter, Logger,
+    sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink},
+    Level, LevelFilter, Logger, ThreadPool,
 };
 
+/// The lines that may wait for the output; about a second of a busy instance.
+const QUEUE_LINES: NonZeroUsize = NonZeroUsize::new(4_096).expect("a positive number");
+
+/// The lines that were dropped and not yet reported.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
 /// Directs the log to standard error from now on; on failure the library's own default stays.
 pub(crate) fn start(level: LogLevel) {
+    let sink = StdStreamSink::builder()
+        .std_stream(StdStream::Stderr)
+        .formatter(JsonFormatter::new())
+        .build_arc();
+    let Ok(sink) = sink else { return };
+    install(sink, level, LevelFilter::All);
+}
+
+/// Directs the log to standard output from now on, without ever waiting for it.
+///
+/// A line that finds the queue full is dropped; [`report_drops`] tells how many.
+pub(crate) fn start_bounded(level: LogLevel) {
+    let output = StdStreamSink::builder()
+        .std_stream(StdStream::Stdout)
+        .formatter(JsonFormatter::new())
+        .build_arc();
+    let pool = ThreadPool::builder().capacity(QUEUE_LINES).build_arc();
+    let (Ok(output), Ok(pool)) = (output, pool) else {
+        return;
+    };
+    let sink = AsyncPoolSink::builder()
+        .sink(output)
+        .thread_pool(pool)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(|_: spdlog::Error| {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        })
+        .build_arc();
+    let Ok(sink) = sink else { return };
+    install(sink, level, LevelFilter::MoreSevereEqual(Level::Warn));
+}
+
+/// Writes how many lines were dropped since the last call, if any were.
+pub(crate) fn report_drops() {
+    let dropped = DROPPED.swap(0, Ordering::Relaxed);
+    if dropped > 0 {
+        spdlog::warn!("log lines dropped", kv: { lines = dropped });
+    }
+}
+
+fn install(sink: Arc<dyn Sink>, level: LogLevel, flush: LevelFilter) {
     let level = match level {
         LogLevel::Error => Level::Error,
         LogLevel::Warn => Level::Warn,
         LogLevel::Info => Level::Info,
         LogLevel::Debug => Level::Debug,
     };
-    let sink = StdStreamSink::builder()
-        .std_stream(StdStream::Stderr)
-        .formatter(JsonFormatter::new())
-        .build_arc();
-    let Ok(sink) = sink else { return };
     let logger = Logger::builder()
         .sink(sink)
         .level_filter(LevelFilter::MoreSevereEqual(level))
-        .flush_level_filter(LevelFilter::All)
+        .flush_level_filter(flush)
         .build();
     if let Ok(logger) = logger {
         spdlog::set_default_logger(Arc::new(logger));
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! The `jackdawchute` program: a thin command line over the crates.
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
+mod cell;
 mod check;
 mod command_line;
 mod config;
@@ -28,6 +29,7 @@
 
 Commands:
   serve    run an entry instance
+  cell     run an instance that schedules a cell on the users' platform
   try      run a small embedded cell and the example input through it
   submit   submit, watch or cancel a job
   config   look at the fleet's configuration and change it
@@ -55,6 +57,7 @@
     };
     match name.as_str() {
         "serve" => serve::COMMAND.run(rest),
+        "cell" => cell::COMMAND.run(rest),
         "try" => trial::COMMAND.run(rest),
         "submit" => submit::COMMAND.run(rest),
         "config" => config::run(rest),
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -4,7 +4,7 @@
 
 use getopts::{Matches, Options};
 use jackdawchute_entry::{Addresses, HttpWorkerPorts, Instance, Platform};
-use jackdawchute_platform::{HttpMembership, HttpTable};
+use jackdawchute_ports::{HttpMembership, HttpTable};
 use jackdawchute_settings::Settings;
 use serde::Serialize;
 use tokio::signal::unix::{signal, SignalKind};
--- a/src/trial/cell.rs
+++ b/src/trial/cell.rs
@@ -4,7 +4,7 @@
 
 use jackdawchute_configuration::{apply, Configuration};
 use jackdawchute_entry::{HttpWorkerPorts, Instance, Platform};
-use jackdawchute_platform::{Member, MemberRole, MemberState, MemoryTable};
+use jackdawchute_ports::{Member, MemberRole, MemberState, MemoryTable};
 use jackdawchute_settings::Settings;
 use jackdawchute_trial::{
     spawn_minion, spawn_worker, MemoryMembership, MinionOptions, RunningMinion, RunningWorker,
--- a/tests/store_failures.rs
+++ b/tests/store_failures.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant, SystemTime};
 
-use jackdawchute_platform::TaskEnd;
+use jackdawchute_ports::TaskEnd;
 use jackdawchute_standins::{
     caller::Caller,
     harness::{wait_until, Cell, CellOptions, WorkerPlan},
--- a/tests/task_leases.rs
+++ b/tests/task_leases.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jackdawchute_configuration::Configuration;
-use jackdawchute_platform::TaskEnd;
+use jackdawchute_ports::TaskEnd;
 use jackdawchute_standins::{
     caller::Caller,
     harness::{wait_until, Cell, CellOptions, WorkerPlan},
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -1,7 +1,7 @@
 //! The whole path through six entry instances, judged by the records of what truly ran.
 
 use jackdawchute_jobs::JobStatus;
-use jackdawchute_platform::TaskEnd;
+use jackdawchute_ports::TaskEnd;
 use jackdawchute_standins::{
     caller::{Call, Caller, Outcome},
     harness::{wait_until, Cell, CellOptions, ServicePlan, WorkerPlan},
