fix: count failed runs one by one; unknown jobs are told only with the epoch confirmed

Failed runs are kept as a set. A job is unknown only once the store has confirmed the epoch, and a successor tells its predecessor.

--- a/jackdawchute-cell/src/claim.rs
+++ b/jackdawchute-cell/src/claim.rs
@@ -1,6 +1,7 @@
 //! Takes the cell's epoch.
 
 use jackdawchute_types::Epoch;
+use serde::{Deserialize, Serialize};
 
 use crate::{
     rows::{encode, HeadRecord, LeaderRecord, HEAD_TABLE, LEADER_TABLE, PART, SOLE_KEY},
@@ -8,7 +9,7 @@
 };
 
 /// The leader row as last read.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct LeaderRow {
     pub(crate) record: LeaderRecord,
     pub(crate) version: u64,
--- a/jackdawchute-cell/src/leader.rs
+++ b/jackdawchute-cell/src/leader.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     commit::{append, Fenced, Head},
+    rows::{HeadRecord, HEAD_TABLE, PART},
     messages::{CellAnswer, CellCall, SubmitJob, SLICE},
     settings::{
         ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, ADVISOR_MEMORY, COMMIT_BYTES_MAX, COMMIT_PATIENCE,
@@ -67,6 +68,10 @@
     trouble: watch::Sender<Option<Instant>>,
     submitters: HashMap<JobId, Vec<oneshot::Sender<CellAnswer>>>,
     cancellers: HashMap<JobId, Vec<oneshot::Sender<CellAnswer>>>,
+    /// Callers that asked for unknown jobs since the last question to the store began.
+    unconfirmed: Vec<oneshot::Sender<CellAnswer>>,
+    /// Callers whose answer waits for the question to the store that is under way.
+    confirming: Vec<oneshot::Sender<CellAnswer>>,
     advisors: BTreeMap<SocketAddr, AdvisorLoad>,
     own_address: SocketAddr,
     ports: Ports,
@@ -88,6 +93,8 @@
         trouble: watch::channel(None).0,
         submitters: HashMap::new(),
         cancellers: HashMap::new(),
+        unconfirmed: Vec::new(),
+        confirming: Vec::new(),
         advisors: BTreeMap::new(),
         own_address: parts.own_address,
         ports: parts.ports,
@@ -294,9 +301,48 @@
         }
     }
 
+    /// Answers what a job's status is.
+    ///
+    /// An instance that was replaced unawares may not know a job that its successor accepted, so
+    /// that a job is unknown is told only once the store has confirmed the epoch.
+    fn answer_status(
+        &mut self,
+        status: JobStatus,
+        reply: oneshot::Sender<CellAnswer>,
+        context: &Context<Self>,
+    ) {
+        if status == JobStatus::Unknown {
+            self.unconfirmed.push(reply);
+            self.confirm_epoch(context);
+            return;
+        }
+        // A caller that went away needs no answer.
+        let _ = reply.send(CellAnswer::Status { status });
+    }
+
+    /// Asks the store whether this instance holds the epoch, for all that wait for it.
+    fn confirm_epoch(&mut self, context: &Context<Self>) {
+        if !self.confirming.is_empty() || self.unconfirmed.is_empty() {
+            return;
+        }
+        self.confirming = std::mem::take(&mut self.unconfirmed);
+        let store = self.ports.store.clone();
+        let own = context.mailbox().address();
+        let epoch = self.head.epoch;
+        tokio::spawn(async move {
+            let confirmed = holds_epoch(store.as_ref(), epoch).await;
+            let _ = own.send(EpochConfirmed(confirmed)).await;
+        });
+    }
+
     fn fence(&mut self) {
         if !std::mem::replace(&mut self.fenced, true) {
             self.metrics.set_epoch(0);
+            self.unconfirmed.append(&mut self.confirming);
+            answer_all(
+                Some(std::mem::take(&mut self.unconfirmed)),
+                &CellAnswer::NotScheduling,
+            );
             for (_, waiting) in self.submitters.drain().chain(self.cancellers.drain()) {
                 answer_all(Some(waiting), &CellAnswer::Unknown);
             }
@@ -306,6 +352,20 @@
     }
 }
 
+/// Whether the chain's head belongs to an epoch; `None` if the store did not tell.
+async fn holds_epoch(store: &dyn Store, epoch: Epoch) -> Option<bool> {
+    let page = match store.read(HEAD_TABLE, PART, None).await {
+        Ok(page) => page,
+        Err(error) => {
+            warn!("epoch could not be confirmed", kv: { epoch = epoch, cause: = error });
+            return None;
+        }
+    };
+    let value = page.rows.into_iter().next()?.value?;
+    let head: HeadRecord = serde_json::from_slice(&value).ok()?;
+    Some(head.epoch == epoch)
+}
+
 async fn ask_peer(
     peers: &Peers,
     address: SocketAddr,
@@ -356,7 +416,9 @@
 /// A caller's wish to cancel a job.
 pub(crate) struct Cancel(pub(crate) JobId, pub(crate) oneshot::Sender<CellAnswer>);
 /// A caller's question about a job.
-pub(crate) struct AskStatus(pub(crate) JobId);
+pub(crate) struct AskStatus(pub(crate) JobId, pub(crate) oneshot::Sender<CellAnswer>);
+/// Whether this instance still held the epoch when it was asked; `None` if the store did not tell.
+struct EpochConfirmed(Option<bool>);
 /// A caller's question about a queue.
 pub(crate) struct AskPending(pub(crate) QueueId);
 /// Asks for an instance that can take over.
@@ -550,23 +612,41 @@
                 self.cancellers.entry(job).or_default().push(reply);
                 self.pump(context, false);
             }
-            status => {
-                let _ = reply.send(CellAnswer::Status { status });
-            }
+            status => self.answer_status(status, reply, context),
         }
     }
 }
 
 impl Handler<AskStatus> for LeaderTask {
-    type Return = CellAnswer;
+    type Return = ();
 
-    async fn handle(&mut self, ask: AskStatus, _context: &mut Context<Self>) -> CellAnswer {
+    async fn handle(&mut self, ask: AskStatus, context: &mut Context<Self>) {
+        let AskStatus(job, reply) = ask;
         if self.fenced {
-            return CellAnswer::NotScheduling;
+            let _ = reply.send(CellAnswer::NotScheduling);
+            return;
         }
-        CellAnswer::Status {
-            status: self.scheduler.status(&ask.0),
+        self.answer_status(self.scheduler.status(&job), reply, context);
+    }
+}
+
+impl Handler<EpochConfirmed> for LeaderTask {
+    type Return = ();
+
+    async fn handle(&mut self, confirmed: EpochConfirmed, context: &mut Context<Self>) {
+        let answer = match confirmed.0 {
+            Some(true) => CellAnswer::Status {
+                status: JobStatus::Unknown,
+            },
+            Some(false) => CellAnswer::NotScheduling,
+            None => CellAnswer::Unavailable,
+        };
+        answer_all(Some(std::mem::take(&mut self.confirming)), &answer);
+        if confirmed.0 == Some(false) {
+            warn!("another instance has taken over", kv: { epoch = self.head.epoch });
+            self.fence();
         }
+        self.confirm_epoch(context);
     }
 }
 
--- a/jackdawchute-cell/src/member.rs
+++ b/jackdawchute-cell/src/member.rs
@@ -221,6 +221,25 @@
         });
     }
 
+    /// Tells the instance that held the epoch before, which may be cut off from the store.
+    fn tell_predecessor(&self, row: &LeaderRow) {
+        let Some(predecessor) = self.row.as_ref().map(|row| row.record.address) else {
+            return;
+        };
+        if predecessor == self.parts.settings.peer_address {
+            return;
+        }
+        let call = CellCall::Superseded { row: row.clone() };
+        let peers = self.parts.ports.peers.clone();
+        tokio::spawn(async move {
+            let answer: std::result::Result<CellAnswer, CallError> =
+                peers.call(predecessor, SLICE, &call, HELLO_TIMEOUT).await;
+            info!("predecessor told", kv: {
+                predecessor: = predecessor, reached = answer.is_ok()
+            });
+        });
+    }
+
     fn note_row(&mut self, row: LeaderRow) {
         let known = self.row.as_ref().map_or(0, |row| row.version);
         if row.version < known {
@@ -243,7 +262,7 @@
 }
 
 /// The leader row as read; `None` if nothing new is known.
-struct LeaderSeen(Option<LeaderRow>);
+pub(crate) struct LeaderSeen(pub(crate) Option<LeaderRow>);
 /// A claim's fate.
 struct ClaimAnswered(LeaderRecord, Result<Claimed>);
 /// The scheduling instance's answer to a hello.
@@ -349,7 +368,9 @@
         let now = Instant::now();
         match claimed {
             Ok(Claimed::Won { epoch, version }) => {
-                self.note_row(LeaderRow { record, version });
+                let row = LeaderRow { record, version };
+                self.tell_predecessor(&row);
+                self.note_row(row);
                 let head = Head {
                     epoch,
                     commits: 0,
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -6,6 +6,8 @@
 use jackdawchute_types::{ConfigurationVersion, Epoch, JobId, QueueId};
 use serde::{Deserialize, Serialize};
 
+use crate::claim::LeaderRow;
+
 /// The slice's name in calls between peers.
 pub(crate) const SLICE: jackdawchute_peer::Slice = "cell";
 
@@ -31,6 +33,8 @@
     Advise { request: AdviceRequest },
     /// Asks an instance to take the place of one that leaves.
     TakeOver { epoch: Epoch },
+    /// Tells an instance that it no longer schedules, in case it cannot read that in the store.
+    Superseded { row: LeaderRow },
 }
 
 /// A caller's job.
--- a/jackdawchute-cell/src/peers.rs
+++ b/jackdawchute-cell/src/peers.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     leader::{AskPending, AskStatus, Cancel, LeaderTask, PeerHello, Submit},
-    member::{LeaderView, MemberTask, TakeOver},
+    member::{LeaderSeen, LeaderView, MemberTask, TakeOver},
     messages::{CellAnswer, CellCall},
     settings::ADVICE_MARGIN,
     Advisor,
@@ -48,6 +48,10 @@
                 Ok(()) => CellAnswer::Noted,
                 Err(_) => CellAnswer::NotScheduling,
             },
+            CellCall::Superseded { row } => match self.member.send(LeaderSeen(Some(row))).await {
+                Ok(()) => CellAnswer::Noted,
+                Err(_) => CellAnswer::NotScheduling,
+            },
             call => {
                 let local = self.view.borrow().local.clone();
                 match local {
@@ -82,10 +86,13 @@
             .send(PeerHello { address, leaving })
             .await
             .unwrap_or(CellAnswer::NotScheduling),
-        CellCall::Status { job } => leader
-            .send(AskStatus(job))
-            .await
-            .unwrap_or(CellAnswer::NotScheduling),
+        CellCall::Status { job } => {
+            let (reply, answer) = oneshot::channel();
+            if leader.send(AskStatus(job, reply)).await.is_err() {
+                return CellAnswer::NotScheduling;
+            }
+            answer.await.unwrap_or(CellAnswer::NotScheduling)
+        }
         CellCall::Pending { queue } => leader
             .send(AskPending(queue))
             .await
@@ -104,6 +111,8 @@
             }
             answer.await.unwrap_or(CellAnswer::Unknown)
         }
-        CellCall::Advise { .. } | CellCall::TakeOver { .. } => CellAnswer::NotScheduling,
+        CellCall::Advise { .. } | CellCall::TakeOver { .. } | CellCall::Superseded { .. } => {
+            CellAnswer::NotScheduling
+        },
     }
 }
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -54,11 +54,10 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Unit {
     pub(crate) done: bool,
-    pub(crate) failures: u32,
     /// The highest run that may have been ordered.
     pub(crate) last_run: RunNumber,
-    /// The highest run whose failure is counted.
-    pub(crate) failed_run: RunNumber,
+    /// The runs that failed; their ends may be told again, and in any order.
+    pub(crate) failed_runs: Vec<RunNumber>,
     pub(crate) checkpoint: Checkpoint,
     /// Where its tasks run or may run.
     pub(crate) placed: Vec<(TaskIndex, WorkerId)>,
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -214,11 +214,10 @@
                 }
             }
             EndReason::Failed => {
-                if end.run > unit.failed_run && !unit.done {
-                    unit.failed_run = end.run;
-                    unit.failures += 1;
+                if !unit.failed_runs.contains(&end.run) && !unit.done && !long_running {
+                    unit.failed_runs.push(end.run);
                     unit.failed_on = Some(worker.clone());
-                    failed = unit.failures >= attempts_max && !long_running;
+                    failed = unit.failed_runs.len() >= attempts_max as usize;
                 }
             }
             _ => {}
--- a/jackdawchute-scheduler/src/records.rs
+++ b/jackdawchute-scheduler/src/records.rs
@@ -43,12 +43,10 @@
     pub(crate) unit: u32,
     #[serde(rename = "d")]
     pub(crate) done: bool,
-    #[serde(rename = "f")]
-    pub(crate) failures: u32,
     #[serde(rename = "r")]
     pub(crate) last_run: RunNumber,
-    #[serde(rename = "x")]
-    pub(crate) failed_run: RunNumber,
+    #[serde(rename = "f")]
+    pub(crate) failed_runs: Vec<RunNumber>,
     #[serde(rename = "c")]
     pub(crate) checkpoint: Checkpoint,
 }
@@ -260,15 +258,14 @@
         record.occurrences.push(run.occurrence);
         for (step, step_run) in (0u32..).zip(&run.steps) {
             for (index, unit) in (0u32..).zip(&step_run.units) {
-                if unit.done || unit.failures > 0 || !unit.checkpoint.is_empty() {
+                if unit.done || !unit.failed_runs.is_empty() || !unit.checkpoint.is_empty() {
                     record.units.push(UnitRecord {
                         occurrence: run.occurrence,
                         step,
                         unit: index,
                         done: unit.done,
-                        failures: unit.failures,
                         last_run: unit.last_run,
-                        failed_run: unit.failed_run,
+                        failed_runs: unit.failed_runs.clone(),
                         checkpoint: unit.checkpoint.clone(),
                     });
                 }
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -108,9 +108,8 @@
                 continue;
             };
             if let Some(unit) = units.get_mut(saved.unit as usize) {
-                unit.failures = saved.failures;
                 unit.last_run = saved.last_run;
-                unit.failed_run = saved.failed_run;
+                unit.failed_runs = saved.failed_runs;
                 unit.checkpoint = saved.checkpoint;
                 if saved.done && !unit.done {
                     unit.done = true;
