change: lateness follows from time waited, run times from sums

Cause: tickets were called late, ranked behind other work and refused: the mean of ratios swung between 0.7 and 6 (declarations of single tasks are far off), and what a job may take was computed from its declaration while what it takes was scaled. Ruled out: lack of room (500 of 1536 cores free while 46 of 50 tickets counted as late).

--- a/jackdawchute-cell/src/leader.rs
+++ b/jackdawchute-cell/src/leader.rs
@@ -20,11 +20,11 @@
 
 use crate::{
     commit::{append, Fenced, Head},
-    rows::{HeadRecord, HEAD_TABLE, PART},
     messages::{CellAnswer, CellCall, SubmitJob, SLICE},
+    rows::{HeadRecord, HEAD_TABLE, PART},
     settings::{
         ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, ADVISOR_MEMORY, COMMIT_BYTES_MAX, COMMIT_PATIENCE,
-        COMMIT_ROWS_MAX, FOLLOW_PAUSE, FOLLOW_WAIT, SETTLE_PERIOD, TICK_PERIOD,
+        COMMIT_ROWS_MAX, FOLLOW_PAUSE, FOLLOW_WAIT, LOAD_LOG_PERIOD, SETTLE_PERIOD, TICK_PERIOD,
     },
     Advisor, Directory, Metrics, Routes, Store, Workers, WorkersUpdate,
 };
@@ -79,6 +79,7 @@
     metrics: Metrics,
     deposed: mpsc::UnboundedSender<Epoch>,
     settled_at: Instant,
+    load_logged_at: Instant,
     fenced: bool,
 }
 
@@ -102,6 +103,7 @@
         metrics: parts.metrics,
         deposed: parts.deposed,
         settled_at: now,
+        load_logged_at: now,
         fenced: false,
     };
     task.metrics.set_epoch(task.head.epoch);
@@ -432,6 +434,10 @@
         self.scheduler.tick(now, unix_now());
         self.refuse_unsaved(now);
         self.metrics.set_jobs(self.scheduler.jobs_count());
+        if now.saturating_duration_since(self.load_logged_at) >= LOAD_LOG_PERIOD {
+            self.load_logged_at = now;
+            self.scheduler.log_load(now);
+        }
         self.pump(context, true);
     }
 }
--- a/jackdawchute-cell/src/peers.rs
+++ b/jackdawchute-cell/src/peers.rs
@@ -113,6 +113,6 @@
         }
         CellCall::Advise { .. } | CellCall::TakeOver { .. } | CellCall::Superseded { .. } => {
             CellAnswer::NotScheduling
-        },
+        }
     }
 }
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -58,3 +58,5 @@
 pub(crate) const ADVICE_MARGIN: Duration = Duration::from_millis(1_200);
 /// The time of questions under way at one instance beyond which it gets no further ones.
 pub(crate) const ADVISOR_BACKLOG_MAX: Duration = Duration::from_millis(1_200);
+/// How often the load of the cell is logged.
+pub(crate) const LOAD_LOG_PERIOD: Duration = Duration::from_secs(1);
--- a/jackdawchute-scheduler/src/admit.rs
+++ b/jackdawchute-scheduler/src/admit.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     job::{Job, JobPhase},
+    rank::MOST_URGENT,
     Scheduler,
 };
 
@@ -14,6 +15,8 @@
 const JOBS_MAX: usize = 5_000;
 /// The share of the cell's processors that can be in use, for what does not fit into gaps.
 const USABLE_SHARE: f64 = 0.88;
+/// The share of the usable processors that less urgent queues are taken to get at least.
+const LESS_URGENT_SHARE_MIN: f64 = 0.3;
 /// The longest time after which a refused caller is asked to come back.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(5);
 /// The shortest such time.
@@ -23,7 +26,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Refusal {
     pub(crate) reason: &'static str,
-    /// How long the job would take.
+    /// How long the job would wait.
     pub(crate) expected: Duration,
     pub(crate) retry_after: Duration,
 }
@@ -49,11 +52,10 @@
         let wait = Duration::from_secs_f64(self.backlog_core_ms(job, now) / cores / 1_000.0);
         let queue = &job.queue.queue;
         let chain = self.run_times.expected(queue, job.graph.longest_chain());
-        let expected = wait + chain;
-        let over = expected.checked_sub(job.objective)?;
+        let over = wait.checked_sub(job.queue.wait_allowance(chain))?;
         Some(Refusal {
             reason: "backlog",
-            expected,
+            expected: wait,
             retry_after: over.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX),
         })
     }
@@ -67,7 +69,25 @@
             .filter(|worker| worker.listed && worker.leaving_at.is_none())
             .map(|worker| worker.entry.capacity.processor_millicores)
             .sum();
-        millicores as f64 / 1_000.0 * USABLE_SHARE
+        let cores = millicores as f64 / 1_000.0 * USABLE_SHARE;
+        if job.queue.priority == MOST_URGENT {
+            return cores;
+        }
+        (cores - self.urgent_cores(job)).max(cores * LESS_URGENT_SHARE_MIN)
+    }
+
+    /// The processors that run tasks of more urgent queues, in cores.
+    fn urgent_cores(&self, job: &Job) -> f64 {
+        let urgent = |other: &&Job| {
+            other.queue.priority == MOST_URGENT && other.queue.service == job.queue.service
+        };
+        let millicores: u64 = self
+            .jobs
+            .values()
+            .filter(urgent)
+            .map(|other| other.placed_millicores())
+            .sum();
+        millicores as f64 / 1_000.0
     }
 
     /// The work that goes before the job, in core-milliseconds: what waits and is not late, of the
@@ -76,7 +96,7 @@
         let ahead = |other: &&Job| {
             other.phase != JobPhase::Ending(crate::Outcome::Cancelled)
                 && other.queue.service == job.queue.service
-                && (job.queue.priority > 0 || other.queue.priority == 0)
+                && (job.queue.priority != MOST_URGENT || other.queue.priority == MOST_URGENT)
         };
         self.jobs
             .values()
@@ -87,10 +107,10 @@
 
     fn waiting_core_ms(&self, job: &Job, now: Instant) -> f64 {
         let mut core_ms = 0.0;
+        if self.slack(job, now).is_none() {
+            return core_ms;
+        }
         for run in &job.occurrences {
-            if self.slack(job, run, now).is_none() {
-                continue;
-            }
             for (spec, step) in job.graph.steps.iter().zip(&run.steps) {
                 let waiting = step.units.iter().filter(|unit| unit.waiting()).count() as f64;
                 let cores = spec.resources.processor_millicores as f64 / 1_000.0;
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -126,8 +126,9 @@
     pub(crate) queue: QueuePolicy,
     pub(crate) phase: JobPhase,
     pub(crate) accepted_at: Instant,
-    /// The objective, from the acceptance.
-    pub(crate) objective: Duration,
+    /// How long some of its tasks have waited for workers, up to `waiting_since`.
+    pub(crate) waited: Duration,
+    pub(crate) waiting_since: Option<Instant>,
     pub(crate) occurrences: Vec<OccurrenceRun>,
     /// The occurrences that are complete.
     pub(crate) occurrences_done: u32,
@@ -139,14 +140,14 @@
 
 impl Job {
     pub(crate) fn new(id: JobId, graph: JobGraph, queue: QueuePolicy, now: Instant) -> Self {
-        let objective = queue.objective(graph.longest_chain());
         let mut job = Self {
             id,
             graph,
             queue,
             phase: JobPhase::Accepting,
             accepted_at: now,
-            objective,
+            waited: Duration::ZERO,
+            waiting_since: Some(now),
             occurrences: Vec::new(),
             occurrences_done: 0,
             begun: false,
@@ -215,20 +216,37 @@
         self.graph.repeat.map_or(1, |repeat| repeat.occurrences)
     }
 
-    /// The declared time of the longest chain of what is not done.
-    pub(crate) fn remaining_chain(&self, run: &OccurrenceRun) -> Duration {
-        let mut ends: Vec<Duration> = Vec::with_capacity(run.steps.len());
-        for (spec, step) in self.graph.steps.iter().zip(&run.steps) {
-            let starts = spec.after.iter().filter_map(|it| ends.get(*it as usize));
-            let start = starts.max().copied().unwrap_or_default();
-            let own = if step.open == 0 {
-                Duration::ZERO
-            } else {
-                spec.estimate
-            };
-            ends.push(start + own);
+    /// The processors of its tasks that run or may run, in thousandths of a core.
+    pub(crate) fn placed_millicores(&self) -> u64 {
+        let step = |(spec, run): (&StepSpec, &StepRun)| {
+            let placed: usize = run.units.iter().map(|unit| unit.placed.len()).sum();
+            spec.resources.processor_millicores * placed as u64
+        };
+        let steps = |run: &OccurrenceRun| {
+            self.graph
+                .steps
+                .iter()
+                .zip(&run.steps)
+                .map(step)
+                .sum::<u64>()
+        };
+        self.occurrences.iter().map(steps).sum()
+    }
+
+    /// How long some of its tasks have waited for workers.
+    pub(crate) fn waited(&self, now: Instant) -> Duration {
+        let open = self.waiting_since;
+        self.waited + open.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
+    /// Takes note of whether some of its tasks wait for workers.
+    pub(crate) fn set_waiting(&mut self, waiting: bool, now: Instant) {
+        if waiting {
+            self.waiting_since.get_or_insert(now);
+        } else {
+            self.waited = self.waited(now);
+            self.waiting_since = None;
         }
-        ends.into_iter().max().unwrap_or_default()
     }
 }
 
--- a/jackdawchute-scheduler/src/learned.rs
+++ b/jackdawchute-scheduler/src/learned.rs
@@ -4,13 +4,25 @@
 
 use jackdawchute_types::QueueId;
 
-/// The weight of a new measurement.
-const GAIN: f64 = 0.05;
+/// How much of what was learnt is kept with each further task; a few hundred tasks count.
+const RETENTION: f64 = 0.995;
+/// The declared seconds that a queue's declarations are believed for before anything is measured.
+const PRIOR_SECONDS: f64 = 30.0;
+
+/// Declared and measured seconds, the latest counting most.
+#[derive(Clone, Copy, Debug)]
+struct Sums {
+    declared_seconds: f64,
+    measured_seconds: f64,
+}
 
 /// How long tasks really take against their declared time, by queue.
+///
+/// Declarations of single tasks are far off in both directions; the ratio of sums, unlike a mean
+/// of ratios, is not carried away by a few that are declared much too short.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RunTimes {
-    ratios: HashMap<QueueId, f64>,
+    sums: HashMap<QueueId, Sums>,
 }
 
 impl RunTimes {
@@ -18,12 +30,25 @@
         if declared.is_zero() {
             return;
         }
-        let ratio = measured.as_secs_f64() / declared.as_secs_f64();
-        let known = self.ratios.entry(queue.clone()).or_insert(1.0);
-        *known += GAIN * (ratio - *known);
+        let sums = self.sums.entry(queue.clone()).or_insert(Sums {
+            declared_seconds: PRIOR_SECONDS,
+            measured_seconds: PRIOR_SECONDS,
+        });
+        sums.declared_seconds = sums.declared_seconds * RETENTION + declared.as_secs_f64();
+        sums.measured_seconds = sums.measured_seconds * RETENTION + measured.as_secs_f64();
+    }
+
+    fn ratio(&self, queue: &QueueId) -> f64 {
+        let sums = self.sums.get(queue);
+        sums.map_or(1.0, |sums| sums.measured_seconds / sums.declared_seconds)
+    }
+
+    /// The measured time as a share of the declared one.
+    pub(crate) fn percent(&self, queue: &QueueId) -> u64 {
+        (self.ratio(queue) * 100.0) as u64
     }
 
     pub(crate) fn expected(&self, queue: &QueueId, declared: Duration) -> Duration {
-        declared.mul_f64(self.ratios.get(queue).copied().unwrap_or(1.0).max(0.1))
+        declared.mul_f64(self.ratio(queue).max(0.1))
     }
 }
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -20,6 +20,7 @@
 mod rank;
 mod records;
 mod recover;
+mod report;
 mod settings;
 mod state;
 mod submit;
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -265,7 +265,7 @@
                 info!("job completed", kv: {
                     job = id.as_str(), queue = job.queue.queue.as_str(),
                     took_ms = took.as_millis() as u64,
-                    objective_ms = job.objective.as_millis() as u64
+                    waited_ms = job.waited(now).as_millis() as u64
                 });
                 self.end_job(&id.clone(), Outcome::Completed, now);
                 return;
@@ -273,7 +273,7 @@
         }
         if let Some(job) = self.jobs.get(id) {
             if job.phase == JobPhase::Live {
-                self.placeable.insert(id.clone());
+                self.make_placeable(&id.clone(), now);
             }
         }
     }
@@ -351,8 +351,10 @@
         let mut wanted = false;
         let mut expected = now;
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
-            if job.phase == JobPhase::Live {
+            if job.phase == JobPhase::Live && !job.begun {
+                // How long it waited before it was taken over is not known.
                 job.begun = true;
+                job.waiting_since = Some(now);
             }
             let live = job.phase == JobPhase::Live;
             let spec = job.graph.steps.get(task.step.step as usize).cloned();
@@ -398,7 +400,7 @@
     }
 
     /// Forgets a run that surely does not run any more.
-    pub(crate) fn remove_run(&mut self, worker: &WorkerId, task: &TaskName, _now: Instant) {
+    pub(crate) fn remove_run(&mut self, worker: &WorkerId, task: &TaskName, now: Instant) {
         self.place_needed = true;
         let removed = self
             .workers
@@ -416,7 +418,7 @@
             if unit.placed.is_empty() {
                 unit.stopping = false;
                 if !unit.done && job.phase == JobPhase::Live {
-                    self.placeable.insert(task.step.job.clone());
+                    self.make_placeable(&task.step.job, now);
                 }
             }
         }
--- a/jackdawchute-scheduler/src/queue.rs
+++ b/jackdawchute-scheduler/src/queue.rs
@@ -53,17 +53,17 @@
 }
 
 impl QueuePolicy {
-    /// How long a job may take to be on time, for the declared time of its longest chain.
+    /// How long a job may wait and still be on time, if its longest chain takes `chain`.
     ///
     /// ```
     /// use std::time::Duration;
     /// # use jackdawchute_scheduler::QueuePolicy;
     /// # let queue = QueuePolicy { queue: "q".into(), service: "s".into(), priority: 0,
     /// #     attempts_max: 3, stretch: 1.5, target: Duration::from_millis(250), advice: None };
-    /// let objective = queue.objective(Duration::from_secs(1));
-    /// assert_eq!(objective, Duration::from_millis(1_750));
+    /// let allowance = queue.wait_allowance(Duration::from_secs(1));
+    /// assert_eq!(allowance, Duration::from_millis(750));
     /// ```
-    pub fn objective(&self, chain: Duration) -> Duration {
-        chain.mul_f64(self.stretch.max(0.0)) + self.target
+    pub fn wait_allowance(&self, chain: Duration) -> Duration {
+        chain.mul_f64((self.stretch - 1.0).max(0.0)) + self.target
     }
 }
--- a/jackdawchute-scheduler/src/rank.rs
+++ b/jackdawchute-scheduler/src/rank.rs
@@ -6,12 +6,15 @@
 use std::time::{Duration, Instant};
 
 use crate::{
-    job::{Job, JobPhase, OccurrenceRun},
+    job::{Job, JobPhase},
     Scheduler, StepName,
 };
 
 /// The urgency of the queue that goes before all others.
-const MOST_URGENT: u32 = 0;
+pub(crate) const MOST_URGENT: u32 = 0;
+
+/// What acceptance, orders and the report of ends take besides the tasks themselves.
+const ORDER_OVERHEAD: Duration = Duration::from_millis(120);
 
 /// A step that waits for workers, in the order of its turn.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -49,7 +52,7 @@
                             occurrence: run.occurrence,
                             step,
                         };
-                        ranked.push(self.rank(job, run, name, now));
+                        ranked.push(self.rank(job, name, now));
                     }
                 }
             }
@@ -62,33 +65,38 @@
         }
         for id in idle {
             self.placeable.remove(&id);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.set_waiting(false, now);
+            }
         }
         ranked.sort_unstable();
         ranked
     }
 
-    fn rank(&self, job: &Job, run: &OccurrenceRun, name: StepName, now: Instant) -> Ranked {
-        let slack = self.slack(job, run, now);
-        let late = slack.is_none() || job.graph.long_running();
+    fn rank(&self, job: &Job, name: StepName, now: Instant) -> Ranked {
+        let slack = self.slack(job, now);
         let age = now.saturating_duration_since(job.accepted_at);
         let slack_ms = match slack {
             Some(slack) => slack.as_millis() as i64,
             None => -(age.as_millis() as i64),
         };
         Ranked {
-            late: late && !job.graph.long_running(),
+            late: slack.is_none() && !job.graph.long_running(),
             less_urgent: job.queue.priority != MOST_URGENT,
             slack_ms,
             name,
         }
     }
 
-    /// How long a job's remaining steps can wait and still end in time; `None` if they can't.
-    pub(crate) fn slack(&self, job: &Job, run: &OccurrenceRun, now: Instant) -> Option<Duration> {
-        let remaining = self
+    /// How much longer a job can wait and still end in time; `None` if it can't.
+    ///
+    /// What a job may take follows from what its tasks really take, so that only the time that it
+    /// waits counts against it.
+    pub(crate) fn slack(&self, job: &Job, now: Instant) -> Option<Duration> {
+        let chain = self
             .run_times
-            .expected(&job.queue.queue, job.remaining_chain(run));
-        let age = now.saturating_duration_since(job.accepted_at);
-        job.objective.checked_sub(age + remaining)
+            .expected(&job.queue.queue, job.graph.longest_chain());
+        let allowance = job.queue.wait_allowance(chain);
+        allowance.checked_sub(job.waited(now) + ORDER_OVERHEAD)
     }
 }
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -50,7 +50,7 @@
             for (key, value) in &kind.rows {
                 match kind.table {
                     RowTable::Jobs => self.load_job(key, decode(key, value)?, unix_now, now),
-                    RowTable::Progress => self.load_progress(key, decode(key, value)?),
+                    RowTable::Progress => self.load_progress(key, decode(key, value)?, now),
                     RowTable::Ended => self.load_ended(key, decode(key, value)?, now),
                     RowTable::Workers => self.load_workers(decode(key, value)?, now),
                 }
@@ -86,13 +86,14 @@
         self.jobs.insert(id.clone(), job);
     }
 
-    fn load_progress(&mut self, id: &JobId, record: ProgressRecord) {
+    fn load_progress(&mut self, id: &JobId, record: ProgressRecord, now: Instant) {
         let Some(job) = self.jobs.get_mut(id) else {
             warn!("progress without its job", kv: { job = id.as_str() });
             return;
         };
         job.progress_saved = true;
         job.begun = true;
+        job.waiting_since = Some(now);
         job.occurrences_done = record.occurrences_done;
         if job.graph.repeat.is_some() {
             job.occurrences.clear();
--- /dev/null
+++ b/jackdawchute-scheduler/src/report.rs
@@ -0,0 +1,74 @@
+//! What the cell does at a moment, for the log.
+
+use std::{collections::BTreeMap, time::Instant};
+
+use jackdawchute_types::QueueId;
+use spdlog::info;
+
+use crate::{job::JobPhase, worker::RunPhase, Scheduler};
+
+/// What a queue has running and waiting.
+#[derive(Debug, Default)]
+struct QueueLoad {
+    running_millicores: u64,
+    waiting_millicores: u64,
+    jobs: usize,
+    late_jobs: usize,
+}
+
+impl Scheduler {
+    /// Logs how full the cell is and what waits, by queue.
+    pub fn log_load(&self, now: Instant) {
+        let mut queues: BTreeMap<&QueueId, QueueLoad> = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| job.phase == JobPhase::Live) {
+            let load = queues.entry(&job.queue.queue).or_default();
+            load.jobs += 1;
+            load.late_jobs += usize::from(self.slack(job, now).is_none());
+            for run in &job.occurrences {
+                for (step, (spec, step_run)) in (0u32..).zip(job.graph.steps.iter().zip(&run.steps))
+                {
+                    if !job.ready(run, step) {
+                        continue;
+                    }
+                    let size = spec.resources.processor_millicores;
+                    for unit in &step_run.units {
+                        load.running_millicores += size * unit.placed.len() as u64;
+                        if unit.waiting() {
+                            load.waiting_millicores += size * u64::from(spec.unit_size());
+                        }
+                    }
+                }
+            }
+        }
+        let mut capacity_millicores = 0;
+        let mut free_millicores = 0;
+        let mut usable = 0;
+        for worker in self.workers.values() {
+            if worker.takes_tasks(now, self.settings.silence) {
+                usable += 1;
+                capacity_millicores += worker.entry.capacity.processor_millicores;
+                let free = worker.free().unwrap_or_default();
+                free_millicores += free.processor_millicores;
+            }
+        }
+        let orders_open = self
+            .workers
+            .values()
+            .flat_map(|worker| worker.runs.values())
+            .filter(|run| run.phase != RunPhase::Running)
+            .count();
+        info!("cell load", kv: {
+            epoch = self.epoch, workers = self.workers.len(), usable_workers = usable,
+            capacity_cores = capacity_millicores / 1_000, free_cores = free_millicores / 1_000,
+            orders_open = orders_open
+        });
+        for (queue, load) in queues {
+            info!("queue load", kv: {
+                queue = queue.as_str(), jobs = load.jobs, late_jobs = load.late_jobs,
+                running_cores = load.running_millicores / 1_000,
+                waiting_cores = load.waiting_millicores / 1_000,
+                run_time_percent = self.run_times.percent(queue)
+            });
+        }
+    }
+}
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -120,6 +120,14 @@
         self.jobs.values().filter(pending).count()
     }
 
+    /// Considers a job's waiting tasks in the next placement.
+    pub(crate) fn make_placeable(&mut self, id: &JobId, now: Instant) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.set_waiting(true, now);
+            self.placeable.insert(id.clone());
+        }
+    }
+
     /// The number of jobs that have not ended.
     pub fn jobs_count(&self) -> usize {
         self.jobs.len()
@@ -137,7 +145,7 @@
 
     /// Lets time pass: retries, lapsed leases, holds that are due, placement.
     pub fn tick(&mut self, now: Instant, unix_now: Duration) {
-        self.begin_due_occurrences(unix_now);
+        self.begin_due_occurrences(unix_now, now);
         self.retry_orders(now);
         self.forget_lost_workers(now);
         self.finish_recovery(now);
@@ -155,7 +163,7 @@
         }
     }
 
-    fn begin_due_occurrences(&mut self, unix_now: Duration) {
+    fn begin_due_occurrences(&mut self, unix_now: Duration, now: Instant) {
         let early = self.settings.early;
         for job in self.jobs.values_mut() {
             let Some(repeat) = job.graph.repeat else {
@@ -172,6 +180,7 @@
                     break;
                 }
                 job.add_occurrence(occurrence);
+                job.set_waiting(true, now);
                 self.placeable.insert(job.id.clone());
             }
         }
--- a/jackdawchute-scheduler/src/submit.rs
+++ b/jackdawchute-scheduler/src/submit.rs
@@ -34,8 +34,7 @@
         if let Some(refusal) = self.refusal(&job, now) {
             info!("job refused", kv: {
                 job = id.as_str(), queue = job.queue.queue.as_str(), reason = refusal.reason,
-                expected_ms = refusal.expected.as_millis() as u64,
-                objective_ms = job.objective.as_millis() as u64,
+                expected_wait_ms = refusal.expected.as_millis() as u64,
                 retry_after_ms = refusal.retry_after.as_millis() as u64
             });
             return Submission::Refused {
@@ -44,7 +43,6 @@
         }
         info!("job taken in", kv: {
             job = id.as_str(), queue = job.queue.queue.as_str(),
-            objective_ms = job.objective.as_millis() as u64,
             jobs = self.jobs.len()
         });
         self.jobs.insert(id.clone(), job);
