--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -254,9 +254,11 @@
             } else {
                 Duration::ZERO
             };
+            // A worker that does not answer gets no longer lease, so that it lapses at last.
+            let renewed = worker.fenced && worker.unanswered_since.is_none();
             let lease_until = worker
                 .clock_latest(now)
-                .filter(|_| worker.fenced)
+                .filter(|_| renewed)
                 .map(|clock| clock + settings.lease);
             if let Some(until) = lease_until {
                 worker.lease_sent = worker.lease_sent.max(until);
--- a/jackdawchute-scheduler/src/settings.rs
+++ b/jackdawchute-scheduler/src/settings.rs
@@ -25,7 +25,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            lease: Duration::from_secs(5),
+            lease: Duration::from_secs(4),
             lease_max: Duration::from_secs(10),
             hold_wait: Duration::from_millis(1_500),
             silence: Duration::from_millis(700),
--- /dev/null
+++ b/jackdawchute-scheduler/tests/lateness.rs
@@ -0,0 +1,76 @@
+//! When a job counts as late, and what is refused.
+
+mod fixtures;
+
+use fixtures::*;
+use jackdawchute_scheduler::{EndReason, Submission};
+
+/// Runs jobs whose declarations are far off in both directions.
+fn learn_wild_declarations(cell: &mut Cell) {
+    let declared_ms = [100, 3_000, 100, 2_000, 100, 1_500, 100, 2_500];
+    for (index, declared_ms) in declared_ms.into_iter().enumerate() {
+        let mut spec = step(1, 1);
+        spec.estimate = ms(declared_ms);
+        cell.accept(&format!("learn-{index}"), vec![spec], queue(0));
+        let start = cell.take_starts().remove(0);
+        cell.confirm(&start);
+        cell.tick(1_000);
+        let hold = cell.hold_of("w1");
+        let end = ended(index as u64 + 1, &start, EndReason::Succeeded);
+        cell.answer_hold(&hold, Vec::new(), vec![end]);
+        cell.commit();
+        cell.tick(1);
+    }
+}
+
+#[test]
+fn an_empty_cell_refuses_nothing_however_wrong_declarations_were() {
+    let mut cell = settled_cell(1, &[entry("w1", 8)]);
+    learn_wild_declarations(&mut cell);
+
+    let submission =
+        cell.scheduler
+            .submit(&"next".into(), graph(vec![step(1, 1)]), queue(0), cell.now);
+
+    assert_eq!(submission, Submission::Pending);
+}
+
+#[test]
+fn urgent_jobs_in_time_go_before_less_urgent_ones_after_wrong_declarations() {
+    let mut cell = settled_cell(1, &[entry("w1", 4)]);
+    learn_wild_declarations(&mut cell);
+    cell.accept("filler", vec![step(1, 4)], queue(2));
+    let filler = cell.take_starts().remove(0);
+    cell.confirm(&filler);
+    cell.accept("less-urgent", vec![step(1, 4)], queue(2));
+    cell.accept("urgent", vec![step(1, 4)], queue(0));
+
+    cell.tick(300);
+    let hold = cell.hold_of("w1");
+    let end = ended(9, &filler, EndReason::Succeeded);
+    cell.answer_hold(&hold, Vec::new(), vec![end]);
+    cell.tick(1);
+
+    let starts = cell.take_starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].task.step.job, "urgent");
+}
+
+#[test]
+fn a_job_that_would_wait_too_long_is_refused_at_once_with_a_time() {
+    let mut cell = settled_cell(1, &[entry("w1", 4)]);
+    for index in 0..8 {
+        let id = format!("job-{index}").into();
+        let steps = graph(vec![step(4, 4)]);
+        cell.scheduler.submit(&id, steps, queue(0), cell.now);
+    }
+
+    let submission =
+        cell.scheduler
+            .submit(&"next".into(), graph(vec![step(1, 1)]), queue(0), cell.now);
+
+    let Submission::Refused { retry_after } = submission else {
+        panic!("{submission:?}");
+    };
+    assert!(retry_after >= ms(200));
+}
--- /dev/null
+++ b/jackdawchute-scheduler/tests/lost_workers.rs
@@ -0,0 +1,102 @@
+//! What happens to tasks whose worker does not answer, or started anew.
+
+mod fixtures;
+
+use fixtures::*;
+use jackdawchute_scheduler::{RefusedStart, StartAnswer};
+
+#[test]
+fn tasks_of_a_silent_worker_run_elsewhere_once_its_lease_has_lapsed() {
+    let mut cell = settled_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.confirm(&start);
+    cell.scheduler.worker_listed(entry("w2", 4), cell.now);
+    cell.tick(1);
+    let hold = cell.hold_of("w2");
+    cell.answer_hold(&hold, Vec::new(), Vec::new());
+
+    let mut restarted_after_ms = None;
+    for elapsed_ms in (0..12_000).step_by(100) {
+        for hold in std::mem::take(&mut cell.holds) {
+            if hold.worker == "w1" {
+                cell.scheduler.hold_failed(&hold.worker, cell.now);
+            } else {
+                cell.answer_hold(&hold, Vec::new(), Vec::new());
+            }
+        }
+        cell.tick(100);
+        if let Some(restart) = cell.take_starts().pop() {
+            restarted_after_ms = Some((elapsed_ms, restart));
+            break;
+        }
+    }
+
+    let (elapsed_ms, restart) = restarted_after_ms.expect("the task runs again");
+    assert_eq!(restart.worker, "w2");
+    assert!(restart.run > start.run);
+    assert!(
+        elapsed_ms >= 3_900,
+        "the lease may still hold: {elapsed_ms} ms"
+    );
+    assert!(elapsed_ms <= 6_000, "{elapsed_ms} ms");
+}
+
+#[test]
+fn an_order_to_an_earlier_life_is_barred_by_a_higher_token_before_the_task_runs_again() {
+    let mut cell = settled_cell(1, &[entry("w1", 4)]);
+    cell.tick(5);
+    let first_hold = cell.hold_of("w1");
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.answer_start(&start, StartAnswer::Unknown);
+
+    cell.answer_hold_of_life(&first_hold, 2, Vec::new(), Vec::new());
+    cell.tick(5);
+    let second_hold = cell.hold_of("w1");
+    let before_fence = cell.take_starts();
+    cell.answer_hold_of_life(&second_hold, 2, Vec::new(), Vec::new());
+    cell.tick(5);
+    let after_fence = cell.take_starts();
+
+    assert!(before_fence.is_empty(), "{before_fence:?}");
+    assert!(second_hold.token > start.token);
+    assert_eq!(after_fence.len(), 1);
+    assert_eq!(after_fence[0].token, second_hold.token);
+}
+
+#[test]
+fn a_start_without_an_answer_is_repeated_as_it_was() {
+    let mut cell = settled_cell(1, &[entry("w1", 4), entry("w2", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+
+    cell.answer_start(&start, StartAnswer::Unknown);
+    cell.tick(200);
+
+    let again = cell.take_starts();
+    assert_eq!(again.len(), 1);
+    assert_eq!((&again[0].worker, again[0].run), (&start.worker, start.run));
+}
+
+#[test]
+fn a_refused_start_after_an_unanswered_one_is_barred_before_the_task_runs_elsewhere() {
+    let mut cell = settled_cell(1, &[entry("w1", 4), entry("w2", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.answer_start(&start, StartAnswer::Unknown);
+    cell.tick(200);
+    cell.take_starts();
+
+    let refused = StartAnswer::Refused {
+        reason: RefusedStart::NoRoom,
+        clock: Some(cell.clock()),
+    };
+    cell.answer_start(&start, refused);
+    cell.tick(1);
+
+    assert!(cell.take_starts().is_empty());
+    let stops = cell.take_stops();
+    assert_eq!(stops.len(), 1);
+    assert_eq!((&stops[0].worker, stops[0].run), (&start.worker, start.run));
+}
--- /dev/null
+++ b/jackdawchute-scheduler/tests/takeover.rs
@@ -0,0 +1,192 @@
+//! What a new owner makes of saved rows and of what workers tell.
+
+mod fixtures;
+
+use std::collections::BTreeMap;
+
+use fixtures::*;
+use jackdawchute_scheduler::{
+    EndReason, JobStatus, Outcome, RowChange, RowTable, Saved, StartOrder,
+};
+
+/// The rows that remain after some changes, by kind.
+fn saved(changes: Vec<RowChange>) -> Vec<Saved> {
+    let kinds = [
+        RowTable::Workers,
+        RowTable::Jobs,
+        RowTable::Progress,
+        RowTable::Ended,
+    ];
+    let rows_of = |kind: RowTable| {
+        let mut rows = BTreeMap::new();
+        for change in changes.iter().filter(|change| change.table == kind) {
+            match &change.value {
+                Some(value) => rows.insert(change.key.clone(), value.clone()),
+                None => rows.remove(&change.key),
+            };
+        }
+        rows.into_iter().collect()
+    };
+    kinds
+        .into_iter()
+        .map(|table| Saved {
+            table,
+            rows: rows_of(table),
+        })
+        .collect()
+}
+
+fn successor(rows: Vec<RowChange>, workers: &[&str]) -> Cell {
+    let mut cell = cell(2, &[]);
+    cell.scheduler
+        .take_over(&saved(rows), UNIX_START, cell.now)
+        .expect("rows decode");
+    let entries = workers.iter().map(|worker| entry(worker, 4)).collect();
+    cell.scheduler.workers_listed(entries, cell.now);
+    cell.tick(1);
+    cell
+}
+
+/// A cell with one job of one task that has started; returns its rows and the order.
+fn predecessor() -> (Vec<RowChange>, StartOrder) {
+    let mut cell = settled_cell(1, &[entry("w1", 4), entry("w2", 4)]);
+    let id = "job".into();
+    cell.scheduler
+        .submit(&id, graph(vec![step(1, 2)]), queue(0), cell.now);
+    let rows = cell.commit();
+    cell.settle();
+    let start = cell.take_starts().remove(0);
+    (rows, start)
+}
+
+#[test]
+fn running_tasks_are_taken_over_and_not_restarted() {
+    let (rows, start) = predecessor();
+    let mut cell = successor(rows, &["w1", "w2"]);
+
+    for hold in std::mem::take(&mut cell.holds) {
+        let here = hold.worker == start.worker;
+        let listed = here.then(|| running(&start)).into_iter().collect();
+        cell.answer_hold(&hold, listed, Vec::new());
+    }
+    cell.tick(50);
+
+    assert!(cell.take_starts().is_empty());
+    assert!(cell.take_stops().is_empty());
+    assert_eq!(cell.scheduler.status(&"job".into()), JobStatus::Running);
+}
+
+#[test]
+fn a_task_waits_while_a_worker_that_may_run_it_has_not_answered() {
+    let (rows, start) = predecessor();
+    let mut cell = successor(rows, &["w1", "w2"]);
+
+    for hold in std::mem::take(&mut cell.holds) {
+        if hold.worker != start.worker {
+            cell.answer_hold(&hold, Vec::new(), Vec::new());
+        }
+    }
+    cell.tick(3_000);
+
+    assert!(cell.take_starts().is_empty());
+}
+
+#[test]
+fn a_task_that_no_worker_lists_runs_again_with_a_higher_number() {
+    let (rows, start) = predecessor();
+    let mut cell = successor(rows, &["w1", "w2"]);
+
+    for hold in std::mem::take(&mut cell.holds) {
+        cell.answer_hold(&hold, Vec::new(), Vec::new());
+    }
+    cell.tick(50);
+
+    let starts = cell.take_starts();
+    assert_eq!(starts.len(), 1);
+    assert!(starts[0].run > start.run);
+    assert!(starts[0].token > start.token);
+}
+
+#[test]
+fn failures_count_whatever_the_order_in_which_workers_tell_them() {
+    let (rows, first) = predecessor();
+    let mut cell = successor(rows, &["w1", "w2", "w3"]);
+    let run = |number| StartOrder {
+        run: number,
+        ..first.clone()
+    };
+
+    // The third run's end is told first.
+    for (worker, number) in [("w3", 3), ("w1", 1), ("w2", 2)] {
+        let hold = cell.hold_of(worker);
+        let end = ended(1, &run(number), EndReason::Failed);
+        cell.answer_hold(&hold, Vec::new(), vec![end]);
+    }
+    cell.commit();
+    cell.tick(50);
+
+    let failed = JobStatus::Ended(Outcome::Failed);
+    assert_eq!(cell.scheduler.status(&"job".into()), failed);
+    assert!(cell.take_starts().is_empty());
+}
+
+#[test]
+fn an_end_that_is_told_again_counts_once() {
+    let (rows, first) = predecessor();
+    let mut cell = successor(rows, &["w1", "w2"]);
+    let end = ended(1, &first, EndReason::Failed);
+
+    for _ in 0..3 {
+        let hold = cell.hold_of("w1");
+        cell.answer_hold(&hold, Vec::new(), vec![end.clone()]);
+        cell.tick(500);
+    }
+    cell.commit();
+
+    assert_eq!(cell.scheduler.status(&"job".into()), JobStatus::Running);
+}
+
+#[test]
+fn ends_may_be_forgotten_only_once_what_followed_is_committed() {
+    let mut cell = settled_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.confirm(&start);
+    cell.tick(1_000);
+
+    let hold = cell.hold_of("w1");
+    let end = ended(1, &start, EndReason::Succeeded);
+    cell.answer_hold(&hold, Vec::new(), vec![end]);
+    cell.tick(500);
+    let before = cell.hold_of("w1").ends_saved;
+    let hold = cell.hold_of("w1");
+    cell.answer_hold(&hold, Vec::new(), Vec::new());
+    cell.commit();
+    cell.tick(500);
+    let after = cell.hold_of("w1").ends_saved;
+
+    assert_eq!((before, after), (0, 1));
+}
+
+#[test]
+fn a_gang_of_which_a_part_never_started_is_stopped_and_started_whole() {
+    let mut old = settled_cell(1, &[entry("w1", 4), entry("w2", 4)]);
+    let id = "job".into();
+    let steps = graph(vec![gang(2, 3)]);
+    old.scheduler.submit(&id, steps, queue(0), old.now);
+    let rows = old.commit();
+    old.settle();
+    let starts = old.take_starts();
+    let mut cell = successor(rows, &["w1", "w2"]);
+
+    for hold in std::mem::take(&mut cell.holds) {
+        let here = hold.worker == starts[0].worker;
+        let listed = here.then(|| running(&starts[0])).into_iter().collect();
+        cell.answer_hold(&hold, listed, Vec::new());
+    }
+    cell.tick(50);
+
+    assert_eq!(starts.len(), 2);
+    assert!(cell.take_starts().is_empty());
+    assert_eq!(cell.take_stops().len(), 1);
+}
