--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -320,6 +320,7 @@
         let known = worker.runs.get_mut(&running.task);
         if let Some(run) = known.filter(|run| run.run == running.run) {
             run.percent = running.percent;
+            run.seen_running = true;
             if run.phase == RunPhase::Starting {
                 run.phase = RunPhase::Running;
                 run.loose = false;
@@ -383,6 +384,7 @@
             reserved,
             phase: RunPhase::Running,
             loose: false,
+            seen_running: true,
             settled_clock: Some(Duration::ZERO),
             since: now,
             expected_end: expected,
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -41,6 +41,7 @@
             StartAnswer::Started { clock } => {
                 run.settled_clock = Some(clock);
                 run.loose = false;
+                run.seen_running = true;
                 if run.phase == RunPhase::Starting {
                     run.phase = RunPhase::Running;
                 } else {
@@ -243,13 +244,7 @@
             if worker.hold_under_way.is_some() || worker.hold_next_at > now {
                 continue;
             }
-            // Without anything to save or to wait for, the worker answers at its leisure.
-            let saved = worker.ends_noted == worker.ends_saved;
-            let settled = !worker
-                .runs
-                .values()
-                .any(|run| run.phase == RunPhase::Stopping);
-            let wait = if worker.fenced && saved && settled {
+            let wait = if worker.fenced && !worker.awaits_bar() {
                 settings.hold_wait
             } else {
                 Duration::ZERO
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -375,6 +375,7 @@
                 reserved: Some(spec.reserved()),
                 phase: RunPhase::Starting,
                 loose: false,
+                seen_running: false,
                 settled_clock: None,
                 since: now,
                 expected_end: now + expected.mul_f64(worker.health.slowness.max(0.5)),
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -34,6 +34,8 @@
     pub(crate) phase: RunPhase,
     /// An order to start got no answer, and may be carried out later.
     pub(crate) loose: bool,
+    /// The worker has said that it started.
+    pub(crate) seen_running: bool,
     /// The worker's clock when it answered the last order for this run.
     pub(crate) settled_clock: Option<Duration>,
     pub(crate) since: Instant,
@@ -160,6 +162,13 @@
         }
     }
 
+    /// Whether only a further look tells that a run which may never have started is barred.
+    pub(crate) fn awaits_bar(&self) -> bool {
+        self.runs.values().any(|run| {
+            run.phase == RunPhase::Stopping && !run.seen_running && run.settled_clock.is_some()
+        })
+    }
+
     pub(crate) fn token(&self, base: FencingToken) -> FencingToken {
         base + self.lives
     }
