change: instances that the store turns away learn the scheduling one from their peers

Change: an instance that does not schedule tells which one does, the holder names others to ask, errors count after 450 ms, and Retry-After grows with the outage.

--- a/jackdawchute-cell/src/gateway.rs
+++ b/jackdawchute-cell/src/gateway.rs
@@ -14,8 +14,7 @@
     peers::ask_leader,
     routes::QueueRoute,
     settings::{
-        DEADLINE_MARGIN, LEADER_SILENCE, NO_LEADER_PATIENCE, PASS_ON_TIMEOUT,
-        UNAVAILABLE_RETRY_AFTER,
+        outage_retry_after, DEADLINE_MARGIN, LEADER_SILENCE, NO_LEADER_PATIENCE, PASS_ON_TIMEOUT,
     },
     Metrics, Routes,
 };
@@ -101,9 +100,7 @@
     /// Asks for a job's status.
     pub async fn status(&self, job: JobId, deadline: Duration) -> Answer {
         match self.ask("status", CellCall::Status { job }, deadline).await {
-            Answer::Status(JobStatus::Undecided) => Answer::Unavailable {
-                retry_after: UNAVAILABLE_RETRY_AFTER,
-            },
+            Answer::Status(JobStatus::Undecided) => self.unavailable(),
             answer => answer,
         }
     }
@@ -143,10 +140,14 @@
             }
             let waited = began_at.elapsed();
             if Instant::now() + RETRY_PAUSE >= until {
-                break if open { Answer::Unknown } else { unavailable() };
+                break if open {
+                    Answer::Unknown
+                } else {
+                    self.unavailable()
+                };
             }
             if !open && waited > NO_LEADER_PATIENCE {
-                break unavailable();
+                break self.unavailable();
             }
             tokio::time::sleep(RETRY_PAUSE).await;
         };
@@ -165,6 +166,15 @@
         }
     }
 
+    /// The answer while no scheduling instance is found.
+    fn unavailable(&self) -> Answer {
+        let heard_at = self.view.borrow().heard_at;
+        let lasted = heard_at.map_or(Duration::ZERO, |at| at.elapsed());
+        Answer::Unavailable {
+            retry_after: outage_retry_after(lasted),
+        }
+    }
+
     /// Asks once; `None` if the call surely had no effect.
     async fn try_once(&self, call: &CellCall, left: Duration) -> Option<Answer> {
         let (local, row) = {
@@ -180,7 +190,10 @@
                     .unwrap_or(CellAnswer::Unknown)
             }
             (None, Some(row)) => {
-                let answer = self.peers.call(row.address, SLICE, call, timeout).await;
+                let answer = self
+                    .peers
+                    .call(row.record.address, SLICE, call, timeout)
+                    .await;
                 match answer {
                     Ok(answer) => answer,
                     Err(CallError::Unknown(slice, peer, cause)) => {
@@ -199,21 +212,18 @@
             CellAnswer::Refused { retry_after_ms } => Some(Answer::Refused {
                 retry_after: Duration::from_millis(retry_after_ms),
             }),
-            CellAnswer::Unavailable => Some(unavailable()),
+            CellAnswer::Unavailable { retry_after_ms } => Some(Answer::Unavailable {
+                retry_after: Duration::from_millis(retry_after_ms),
+            }),
             CellAnswer::NoQueue => Some(Answer::NoQueue),
             CellAnswer::Status { status } => Some(Answer::Status(status)),
             CellAnswer::Pending { jobs } => Some(Answer::Pending(jobs)),
             CellAnswer::Unknown => Some(Answer::Unknown),
             CellAnswer::NotScheduling
+            | CellAnswer::Elsewhere { .. }
             | CellAnswer::Here { .. }
             | CellAnswer::Advice { .. }
             | CellAnswer::Noted => None,
         }
     }
 }
-
-fn unavailable() -> Answer {
-    Answer::Unavailable {
-        retry_after: UNAVAILABLE_RETRY_AFTER,
-    }
-}
--- a/jackdawchute-cell/src/leader.rs
+++ b/jackdawchute-cell/src/leader.rs
@@ -23,8 +23,9 @@
     messages::{CellAnswer, CellCall, SubmitJob, SLICE},
     rows::{HeadRecord, HEAD_TABLE, PART},
     settings::{
-        ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, ADVISOR_MEMORY, COMMIT_BYTES_MAX, COMMIT_PATIENCE,
-        COMMIT_ROWS_MAX, FOLLOW_PAUSE, FOLLOW_WAIT, LOAD_LOG_PERIOD, SETTLE_PERIOD, TICK_PERIOD,
+        outage_retry_after, ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, ADVISOR_MEMORY, COMMIT_BYTES_MAX,
+        COMMIT_PATIENCE, COMMIT_ROWS_MAX, COMMIT_SLOW, FOLLOW_PAUSE, FOLLOW_WAIT, LOAD_LOG_PERIOD,
+        OTHERS_TOLD, SETTLE_PERIOD, TICK_PERIOD,
     },
     Advisor, Directory, Metrics, Routes, Store, Workers, WorkersUpdate,
 };
@@ -64,7 +65,8 @@
 pub(crate) struct LeaderTask {
     scheduler: Scheduler,
     head: Head,
-    committing: bool,
+    /// When the commit that is under way was begun.
+    commit_asked_at: Option<Instant>,
     trouble: watch::Sender<Option<Instant>>,
     submitters: HashMap<JobId, Vec<oneshot::Sender<CellAnswer>>>,
     cancellers: HashMap<JobId, Vec<oneshot::Sender<CellAnswer>>>,
@@ -90,7 +92,7 @@
     let mut task = LeaderTask {
         scheduler: parts.scheduler,
         head: parts.head,
-        committing: false,
+        commit_asked_at: None,
         trouble: watch::channel(None).0,
         submitters: HashMap::new(),
         cancellers: HashMap::new(),
@@ -165,10 +167,35 @@
         load.leaving = leaving;
     }
 
+    /// Some instances that were heard of late, other than the one that asks.
+    fn some_others(&self, asking: SocketAddr, now: Instant) -> Vec<SocketAddr> {
+        self.advisors
+            .iter()
+            .filter(|(address, load)| {
+                let heard = now.saturating_duration_since(load.heard_at) < ADVISOR_MEMORY;
+                **address != asking && **address != self.own_address && heard && !load.leaving
+            })
+            .map(|(address, _)| *address)
+            .take(OTHERS_TOLD)
+            .collect()
+    }
+
     /// How long nothing could be committed.
     fn store_trouble(&self, now: Instant) -> Duration {
-        let since = *self.trouble.borrow();
-        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+        let since =
+            |at: Option<Instant>| at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        // A call without an answer may be slow; only what a slow store would exceed counts.
+        let silent = since(self.commit_asked_at).saturating_sub(COMMIT_SLOW);
+        since(*self.trouble.borrow()).max(silent)
+    }
+
+    /// The answer while nothing can be saved.
+    fn unavailable(&self, now: Instant) -> CellAnswer {
+        let trouble = self.store_trouble(now);
+        let retry_after_ms = outage_retry_after(trouble).as_millis();
+        CellAnswer::Unavailable {
+            retry_after_ms: u64::try_from(retry_after_ms).unwrap_or(u64::MAX),
+        }
     }
 
     /// Carries out what the scheduler has decided and commits what is due.
@@ -263,7 +290,7 @@
     }
 
     fn commit(&mut self, own: &Address<Self, Weak>, now: Instant) {
-        if self.committing || self.fenced {
+        if self.commit_asked_at.is_some() || self.fenced {
             return;
         }
         let unix_ms = u64::try_from(unix_now().as_millis()).unwrap_or(u64::MAX);
@@ -282,7 +309,7 @@
             self.scheduler.committed(&batch, now);
             return;
         }
-        self.committing = true;
+        self.commit_asked_at = Some(now);
         let store = self.ports.store.clone();
         let (own, trouble, metrics) = (own.clone(), self.trouble.clone(), self.metrics.clone());
         let head = self.head;
@@ -299,7 +326,8 @@
         }
         for job in self.scheduler.withdraw_unsaved() {
             info!("job refused", kv: { job = job.as_str(), reason = "nothing can be saved" });
-            answer_all(self.submitters.remove(&job), &CellAnswer::Unavailable);
+            let answer = self.unavailable(now);
+            answer_all(self.submitters.remove(&job), &answer);
         }
     }
 
@@ -497,7 +525,7 @@
 
     async fn handle(&mut self, message: Appended, context: &mut Context<Self>) {
         let Appended(batch, appended) = message;
-        self.committing = false;
+        self.commit_asked_at = None;
         let now = Instant::now();
         match appended {
             Ok(head) => {
@@ -558,6 +586,7 @@
             epoch: self.head.epoch,
             store_trouble_ms: u64::try_from(trouble).unwrap_or(u64::MAX),
             configuration: self.routes.borrow().version,
+            others: self.some_others(hello.address, now),
         }
     }
 }
@@ -582,7 +611,7 @@
             return;
         }
         if !known && self.store_trouble(now) >= COMMIT_PATIENCE {
-            let _ = reply.send(CellAnswer::Unavailable);
+            let _ = reply.send(self.unavailable(now));
             return;
         }
         let submission = self
@@ -645,7 +674,7 @@
                 status: JobStatus::Unknown,
             },
             Some(false) => CellAnswer::NotScheduling,
-            None => CellAnswer::Unavailable,
+            None => self.unavailable(Instant::now()),
         };
         answer_all(Some(std::mem::take(&mut self.confirming)), &answer);
         if confirmed.0 == Some(false) {
--- a/jackdawchute-cell/src/member.rs
+++ b/jackdawchute-cell/src/member.rs
@@ -1,6 +1,7 @@
 //! The task that knows which instance schedules, and takes its place when it is gone.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -30,7 +31,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LeaderView {
     /// The leader row as last read.
-    pub(crate) row: Option<LeaderRecord>,
+    pub(crate) row: Option<LeaderRow>,
     /// The scheduling task, while this instance holds the epoch.
     pub(crate) local: Option<Address<LeaderTask>>,
     /// When the scheduling instance was last heard.
@@ -59,6 +60,8 @@
     row_read: bool,
     saying_hello: bool,
     claiming: bool,
+    /// Other instances that the scheduling one told of.
+    others: Vec<SocketAddr>,
     claim_after: Instant,
     /// When the holder was last heard, or when this instance began to listen for it.
     heard_at: Instant,
@@ -79,6 +82,7 @@
         row_read: false,
         saying_hello: false,
         claiming: false,
+        others: Vec::new(),
         claim_after: now,
         heard_at: now,
         deposed,
@@ -221,6 +225,30 @@
         });
     }
 
+    /// Asks other instances which one schedules; the store may be out of reach for this one alone.
+    fn ask_others(&self, context: &Context<Self>) {
+        let hello = self.hello();
+        for address in self.others.clone() {
+            let peers = self.parts.ports.peers.clone();
+            let own = context.mailbox().address();
+            let hello = hello.clone();
+            tokio::spawn(async move {
+                let answer = peers.call(address, SLICE, &hello, HELLO_TIMEOUT).await;
+                if let Ok(CellAnswer::Elsewhere { row }) = answer {
+                    let _ = own.send(LeaderSeen(Some(row))).await;
+                }
+            });
+        }
+    }
+
+    fn hello(&self) -> CellCall {
+        CellCall::Hello {
+            address: self.parts.settings.peer_address,
+            epoch: self.row.as_ref().map_or(0, |row| row.record.epoch),
+            leaving: self.leaving(),
+        }
+    }
+
     /// Tells the instance that held the epoch before, which may be cut off from the store.
     fn tell_predecessor(&self, row: &LeaderRow) {
         let Some(predecessor) = self.row.as_ref().map(|row| row.record.address) else {
@@ -251,8 +279,8 @@
                 version = row.version
             });
             self.heard_at = Instant::now();
-            let record = row.record.clone();
-            self.publish(|view| view.row = Some(record));
+            let known = row.clone();
+            self.publish(|view| view.row = Some(known));
         }
         if row.record.incarnation != self.incarnation {
             self.step_down("another instance holds the epoch");
@@ -306,6 +334,7 @@
         }
         if self.heard_at.elapsed() > LEADER_SILENCE {
             self.claim("the scheduling instance is silent", context);
+            self.ask_others(context);
         }
         let Some(row) = self.row.as_ref().filter(|_| !self.saying_hello) else {
             return;
@@ -315,11 +344,7 @@
             return;
         }
         self.saying_hello = true;
-        let hello = CellCall::Hello {
-            address: self.parts.settings.peer_address,
-            epoch,
-            leaving: self.leaving(),
-        };
+        let hello = self.hello();
         let peers = self.parts.ports.peers.clone();
         let own = context.mailbox().address();
         tokio::spawn(async move {
@@ -340,8 +365,11 @@
         }
         match answer {
             Ok(CellAnswer::Here {
-                store_trouble_ms, ..
+                store_trouble_ms,
+                others,
+                ..
             }) => {
+                self.others = others;
                 self.heard_at = Instant::now();
                 let now = self.heard_at;
                 self.publish(|view| view.heard_at = Some(now));
@@ -349,6 +377,7 @@
                     self.claim("the scheduling instance cannot save anything", context);
                 }
             }
+            Ok(CellAnswer::Elsewhere { row }) => self.note_row(row),
             Ok(CellAnswer::NotScheduling) => {
                 // It holds the epoch and is loading, or has just lost it.
             }
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -53,19 +53,23 @@
 pub(crate) enum CellAnswer {
     /// The instance does not schedule, or not yet; nothing was done.
     NotScheduling,
+    /// The instance does not schedule and tells which one does, as far as it knows.
+    Elsewhere { row: LeaderRow },
     /// The scheduling instance is there.
     Here {
         epoch: Epoch,
         /// For how long nothing could be saved.
         store_trouble_ms: u64,
         configuration: ConfigurationVersion,
+        /// Some other instances, to ask for the next scheduling one.
+        others: Vec<SocketAddr>,
     },
     /// The job is accepted.
     Accepted,
     /// The job is refused and will never run.
     Refused { retry_after_ms: u64 },
     /// Nothing can be saved; nothing was done.
-    Unavailable,
+    Unavailable { retry_after_ms: u64 },
     /// The configuration no longer has the queue.
     NoQueue,
     /// A job's status.
--- a/jackdawchute-cell/src/peers.rs
+++ b/jackdawchute-cell/src/peers.rs
@@ -53,15 +53,30 @@
                 Err(_) => CellAnswer::NotScheduling,
             },
             call => {
-                let local = self.view.borrow().local.clone();
+                let (local, epoch) = {
+                    let view = self.view.borrow();
+                    let epoch = view.row.as_ref().map(|row| row.record.epoch);
+                    (view.local.clone(), epoch)
+                };
+                if matches!(&call, CellCall::Hello { epoch: asked, .. } if Some(*asked) < epoch) {
+                    return self.elsewhere();
+                }
                 match local {
                     Some(leader) => ask_leader(&leader, call).await,
-                    None => CellAnswer::NotScheduling,
+                    None => self.elsewhere(),
                 }
             }
         }
     }
 
+    /// Tells which instance schedules, as far as this one knows.
+    fn elsewhere(&self) -> CellAnswer {
+        let row = self.view.borrow().row.clone();
+        row.map_or(CellAnswer::NotScheduling, |row| CellAnswer::Elsewhere {
+            row,
+        })
+    }
+
     async fn advise(&self, request: AdviceRequest) -> CellAnswer {
         let timeout: Duration = request.expected + ADVICE_MARGIN;
         match self.advisor.advise(&request, timeout).await {
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -22,7 +22,7 @@
 /// How long the scheduling instance may be silent before another one takes its place.
 pub(crate) const LEADER_SILENCE: Duration = Duration::from_millis(1_100);
 /// How long the scheduling instance may fail to commit before another one tries to.
-pub(crate) const LEADER_STORE_TROUBLE: Duration = Duration::from_millis(900);
+pub(crate) const LEADER_STORE_TROUBLE: Duration = Duration::from_millis(450);
 /// The longest wait before a claim, so that instances do not all claim at once.
 pub(crate) const CLAIM_JITTER: Duration = Duration::from_millis(60);
 /// The pause after a claim that failed.
@@ -48,8 +48,21 @@
 pub(crate) const PASS_ON_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long a call waits for a scheduling instance before it is refused.
 pub(crate) const NO_LEADER_PATIENCE: Duration = Duration::from_millis(350);
-/// When a refused caller may come back while no instance schedules or nothing can be saved.
-pub(crate) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// The shortest time after which a caller may come back while no instance schedules or nothing can
+/// be saved.
+pub(crate) const OUTAGE_RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
+/// The longest such time.
+pub(crate) const OUTAGE_RETRY_AFTER_MAX: Duration = Duration::from_secs(5);
+/// How long a commit takes at a store that is slow and not cut off: 90 times its usual time.
+pub(crate) const COMMIT_SLOW: Duration = Duration::from_millis(900);
+/// How many other instances a peer is told of.
+pub(crate) const OTHERS_TOLD: usize = 3;
+
+/// When a caller may come back in an outage that has lasted for some time: nothing tells its end,
+/// and the best guess is that it lasts as long again.
+pub(crate) fn outage_retry_after(lasted: Duration) -> Duration {
+    lasted.clamp(OUTAGE_RETRY_AFTER_MIN, OUTAGE_RETRY_AFTER_MAX)
+}
 /// The part of a caller's deadline kept for the answer itself.
 pub(crate) const DEADLINE_MARGIN: Duration = Duration::from_millis(80);
 /// How long an instance counts as an advisor after it was last heard.
