change: a slow scheduling instance offers its place to a faster one

Change: instances measure how late their ticks are; the holder offers the epoch when that exceeds 30 ms (below 4 ms when healthy).

--- a/jackdawchute-cell/src/leader.rs
+++ b/jackdawchute-cell/src/leader.rs
@@ -13,7 +13,7 @@
     StartAnswer, StartOrder, StopOrder, Submission,
 };
 use jackdawchute_timer::{Subscribe, Tick, TimerTask};
-use jackdawchute_types::{Epoch, JobId, QueueId};
+use jackdawchute_types::{CallError, Epoch, JobId, QueueId};
 use spdlog::{info, warn};
 use tokio::sync::{mpsc, oneshot, watch};
 use xtra::{prelude::*, refcount::Weak};
@@ -23,9 +23,9 @@
     messages::{CellAnswer, CellCall, SubmitJob, SLICE},
     rows::{HeadRecord, HEAD_TABLE, PART},
     settings::{
-        outage_retry_after, ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, ADVISOR_MEMORY, COMMIT_BYTES_MAX,
-        COMMIT_PATIENCE, COMMIT_ROWS_MAX, COMMIT_SLOW, FOLLOW_PAUSE, FOLLOW_WAIT, LOAD_LOG_PERIOD,
-        OTHERS_TOLD, SETTLE_PERIOD, TICK_PERIOD,
+        outage_retry_after, ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, COMMIT_BYTES_MAX, COMMIT_PATIENCE,
+        COMMIT_ROWS_MAX, COMMIT_SLOW, FOLLOW_PAUSE, FOLLOW_WAIT, HELLO_TIMEOUT, LAG_GAIN, LAG_MAX,
+        LOAD_LOG_PERIOD, OFFER_PAUSE, OTHERS_TOLD, PEER_MEMORY, SETTLE_PERIOD, TICK_PERIOD,
     },
     Advisor, Directory, Metrics, Routes, Store, Workers, WorkersUpdate,
 };
@@ -52,12 +52,21 @@
     pub(crate) deposed: mpsc::UnboundedSender<Epoch>,
 }
 
-/// How busy an instance is with questions to its advisor.
+/// What is known of another instance, or of this one.
 #[derive(Clone, Copy, Debug)]
-struct AdvisorLoad {
+struct PeerLoad {
     heard_at: Instant,
-    free_at: Instant,
+    /// When its advisor has answered all questions that were asked through it.
+    advisor_free_at: Instant,
     leaving: bool,
+    lag: Duration,
+}
+
+impl PeerLoad {
+    /// Whether it was heard of late and stays.
+    fn usable(&self, now: Instant) -> bool {
+        !self.leaving && now.saturating_duration_since(self.heard_at) < PEER_MEMORY
+    }
 }
 
 /// Owns the scheduler and the chain of commits of one epoch.
@@ -74,7 +83,7 @@
     unconfirmed: Vec<oneshot::Sender<CellAnswer>>,
     /// Callers whose answer waits for the question to the store that is under way.
     confirming: Vec<oneshot::Sender<CellAnswer>>,
-    advisors: BTreeMap<SocketAddr, AdvisorLoad>,
+    peers: BTreeMap<SocketAddr, PeerLoad>,
     own_address: SocketAddr,
     ports: Ports,
     routes: watch::Receiver<Routes>,
@@ -82,6 +91,11 @@
     deposed: mpsc::UnboundedSender<Epoch>,
     settled_at: Instant,
     load_logged_at: Instant,
+    ticked_at: Instant,
+    /// How late this instance gets to its work, smoothed.
+    lag: Duration,
+    /// When another instance was last asked to take over.
+    offered_at: Option<Instant>,
     fenced: bool,
 }
 
@@ -98,7 +112,8 @@
         cancellers: HashMap::new(),
         unconfirmed: Vec::new(),
         confirming: Vec::new(),
-        advisors: BTreeMap::new(),
+        peers: BTreeMap::new(),
+        offered_at: None,
         own_address: parts.own_address,
         ports: parts.ports,
         routes: parts.routes,
@@ -106,10 +121,12 @@
         deposed: parts.deposed,
         settled_at: now,
         load_logged_at: now,
+        ticked_at: now,
+        lag: Duration::ZERO,
         fenced: false,
     };
     task.metrics.set_epoch(task.head.epoch);
-    task.note_advisor(task.own_address, false, now);
+    task.note_peer(task.own_address, false, Duration::ZERO, now);
     let address = xtra::spawn_tokio(task, Mailbox::unbounded());
     let subscribe = Subscribe {
         period: TICK_PERIOD,
@@ -157,29 +174,82 @@
 }
 
 impl LeaderTask {
-    fn note_advisor(&mut self, address: SocketAddr, leaving: bool, now: Instant) {
-        let load = self.advisors.entry(address).or_insert(AdvisorLoad {
+    fn note_peer(&mut self, address: SocketAddr, leaving: bool, lag: Duration, now: Instant) {
+        let load = self.peers.entry(address).or_insert(PeerLoad {
             heard_at: now,
-            free_at: now,
+            advisor_free_at: now,
             leaving,
+            lag,
         });
+        load.lag = lag;
         load.heard_at = now;
         load.leaving = leaving;
     }
 
     /// Some instances that were heard of late, other than the one that asks.
     fn some_others(&self, asking: SocketAddr, now: Instant) -> Vec<SocketAddr> {
-        self.advisors
+        self.peers
             .iter()
             .filter(|(address, load)| {
-                let heard = now.saturating_duration_since(load.heard_at) < ADVISOR_MEMORY;
-                **address != asking && **address != self.own_address && heard && !load.leaving
+                **address != asking && **address != self.own_address && load.usable(now)
             })
             .map(|(address, _)| *address)
             .take(OTHERS_TOLD)
             .collect()
     }
 
+    /// The instance that could best take over.
+    fn successor(&self, now: Instant) -> Option<SocketAddr> {
+        let usable = |(address, load): &(&SocketAddr, &PeerLoad)| {
+            **address != self.own_address && load.usable(now)
+        };
+        let best = self.peers.iter().filter(usable);
+        let best = best.min_by_key(|(_, load)| (load.lag, std::cmp::Reverse(load.heard_at)));
+        best.map(|(address, _)| *address)
+    }
+
+    /// Offers the epoch to a faster instance when this one does not keep up.
+    fn offer_when_slow(&mut self, now: Instant) {
+        let recent = |at: Instant| now.saturating_duration_since(at) < OFFER_PAUSE;
+        if self.lag < LAG_MAX || self.offered_at.is_some_and(recent) {
+            return;
+        }
+        let Some(successor) = self.successor(now) else {
+            return;
+        };
+        if self
+            .peers
+            .get(&successor)
+            .is_some_and(|load| load.lag * 2 > self.lag)
+        {
+            return;
+        }
+        self.offered_at = Some(now);
+        info!("this instance is slow; epoch offered", kv: {
+            epoch = self.head.epoch, lag_ms = self.lag.as_millis() as u64, successor: = successor
+        });
+        let call = CellCall::TakeOver {
+            epoch: self.head.epoch,
+        };
+        let peers = self.ports.peers.clone();
+        tokio::spawn(async move {
+            let answer: Result<CellAnswer, CallError> =
+                peers.call(successor, SLICE, &call, HELLO_TIMEOUT).await;
+            if let Err(error) = answer {
+                warn!("successor did not answer", kv: { successor: = successor, cause: = error });
+            }
+        });
+    }
+
+    /// Measures how late ticks are handled, which tells how much this instance's processor lacks.
+    fn note_lag(&mut self, now: Instant) {
+        let late = now
+            .saturating_duration_since(self.ticked_at)
+            .saturating_sub(TICK_PERIOD);
+        self.ticked_at = now;
+        self.lag = self.lag.mul_f64(1.0 - LAG_GAIN) + late.mul_f64(LAG_GAIN);
+    }
+
     /// How long nothing could be committed.
     fn store_trouble(&self, now: Instant) -> Duration {
         let since =
@@ -250,24 +320,21 @@
 
     /// Asks through the instance whose advisor is free first.
     fn ask_advisor(&mut self, request: AdviceRequest, own: Address<Self, Weak>, now: Instant) {
-        let usable = |load: &AdvisorLoad| {
-            !load.leaving && now.saturating_duration_since(load.heard_at) < ADVISOR_MEMORY
-        };
         let own_address = self.own_address;
         let least = self
-            .advisors
+            .peers
             .iter_mut()
-            .filter(|(address, load)| **address == own_address || usable(load))
-            .min_by_key(|(_, load)| load.free_at);
+            .filter(|(address, load)| **address == own_address || load.usable(now))
+            .min_by_key(|(_, load)| load.advisor_free_at);
         let Some((address, load)) = least else {
             return;
         };
-        let queued = load.free_at.saturating_duration_since(now);
+        let queued = load.advisor_free_at.saturating_duration_since(now);
         if queued > ADVISOR_BACKLOG_MAX {
             // The step asks again once its patience is over.
             return;
         }
-        load.free_at = load.free_at.max(now) + request.expected;
+        load.advisor_free_at = load.advisor_free_at.max(now) + request.expected;
         let timeout = queued + request.expected + ADVICE_MARGIN;
         let address = *address;
         let ports = self.ports.clone();
@@ -440,6 +507,7 @@
 pub(crate) struct PeerHello {
     pub(crate) address: SocketAddr,
     pub(crate) leaving: bool,
+    pub(crate) lag: Duration,
 }
 /// A caller's job.
 pub(crate) struct Submit(pub(crate) SubmitJob, pub(crate) oneshot::Sender<CellAnswer>);
@@ -459,12 +527,15 @@
 
     async fn handle(&mut self, _tick: Tick, context: &mut Context<Self>) {
         let now = Instant::now();
+        self.note_lag(now);
+        self.offer_when_slow(now);
         self.scheduler.tick(now, unix_now());
         self.refuse_unsaved(now);
         self.metrics.set_jobs(self.scheduler.jobs_count());
         if now.saturating_duration_since(self.load_logged_at) >= LOAD_LOG_PERIOD {
             self.load_logged_at = now;
             self.scheduler.log_load(now);
+            info!("scheduling lag", kv: { lag_ms = self.lag.as_millis() as u64 });
         }
         self.pump(context, true);
     }
@@ -580,7 +651,7 @@
             return CellAnswer::NotScheduling;
         }
         let now = Instant::now();
-        self.note_advisor(hello.address, hello.leaving, now);
+        self.note_peer(hello.address, hello.leaving, hello.lag, now);
         let trouble = self.store_trouble(now).as_millis();
         CellAnswer::Here {
             epoch: self.head.epoch,
@@ -702,15 +773,6 @@
     type Return = Option<SocketAddr>;
 
     async fn handle(&mut self, _ask: FindSuccessor, _context: &mut Context<Self>) -> Self::Return {
-        let own = self.own_address;
-        let now = Instant::now();
-        self.advisors
-            .iter()
-            .filter(|(address, load)| {
-                let heard = now.saturating_duration_since(load.heard_at) < ADVISOR_MEMORY;
-                **address != own && !load.leaving && heard
-            })
-            .max_by_key(|(_, load)| load.heard_at)
-            .map(|(address, _)| *address)
+        self.successor(Instant::now())
     }
 }
--- a/jackdawchute-cell/src/member.rs
+++ b/jackdawchute-cell/src/member.rs
@@ -59,6 +59,9 @@
     /// Whether the leader row was read at all.
     row_read: bool,
     saying_hello: bool,
+    ticked_at: Instant,
+    /// How late this instance gets to its work, smoothed.
+    lag: Duration,
     claiming: bool,
     /// Other instances that the scheduling one told of.
     others: Vec<SocketAddr>,
@@ -81,6 +84,8 @@
         row: None,
         row_read: false,
         saying_hello: false,
+        ticked_at: now,
+        lag: Duration::ZERO,
         claiming: false,
         others: Vec::new(),
         claim_after: now,
@@ -241,11 +246,19 @@
         }
     }
 
+    /// Measures how late ticks are handled.
+    fn note_lag(&mut self) {
+        let late = self.ticked_at.elapsed().saturating_sub(HELLO_PERIOD);
+        self.ticked_at = Instant::now();
+        self.lag = self.lag / 2 + late / 2;
+    }
+
     fn hello(&self) -> CellCall {
         CellCall::Hello {
             address: self.parts.settings.peer_address,
             epoch: self.row.as_ref().map_or(0, |row| row.record.epoch),
             leaving: self.leaving(),
+            lag_ms: u64::try_from(self.lag.as_millis()).unwrap_or(u64::MAX),
         }
     }
 
@@ -326,6 +339,7 @@
     type Return = ();
 
     async fn handle(&mut self, _tick: Tick, context: &mut Context<Self>) {
+        self.note_lag();
         if self.leading() {
             self.heard_at = Instant::now();
             let now = self.heard_at;
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -20,6 +20,8 @@
         address: SocketAddr,
         epoch: Epoch,
         leaving: bool,
+        /// How late the instance gets to its work.
+        lag_ms: u64,
     },
     /// Passes a caller's job on.
     Submit(Box<SubmitJob>),
--- a/jackdawchute-cell/src/peers.rs
+++ b/jackdawchute-cell/src/peers.rs
@@ -96,9 +96,16 @@
     // A scheduling task that ends meanwhile may have done what was asked.
     match call {
         CellCall::Hello {
-            address, leaving, ..
+            address,
+            leaving,
+            lag_ms,
+            ..
         } => leader
-            .send(PeerHello { address, leaving })
+            .send(PeerHello {
+                address,
+                leaving,
+                lag: Duration::from_millis(lag_ms),
+            })
             .await
             .unwrap_or(CellAnswer::NotScheduling),
         CellCall::Status { job } => {
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -65,11 +65,18 @@
 }
 /// The part of a caller's deadline kept for the answer itself.
 pub(crate) const DEADLINE_MARGIN: Duration = Duration::from_millis(80);
-/// How long an instance counts as an advisor after it was last heard.
-pub(crate) const ADVISOR_MEMORY: Duration = Duration::from_millis(900);
+/// How long an instance counts as there after it was last heard.
+pub(crate) const PEER_MEMORY: Duration = Duration::from_millis(900);
 /// How long beyond its expected time an advisor may take.
 pub(crate) const ADVICE_MARGIN: Duration = Duration::from_millis(1_200);
 /// The time of questions under way at one instance beyond which it gets no further ones.
 pub(crate) const ADVISOR_BACKLOG_MAX: Duration = Duration::from_millis(1_200);
 /// How often the load of the cell is logged.
 pub(crate) const LOAD_LOG_PERIOD: Duration = Duration::from_secs(1);
+/// The weight of a new measurement of an instance's lag; about ten ticks count.
+pub(crate) const LAG_GAIN: f64 = 0.1;
+/// The lag beyond which the scheduling instance offers its place; in a healthy one it stays below a
+/// tenth of that.
+pub(crate) const LAG_MAX: Duration = Duration::from_millis(30);
+/// The pause between two such offers.
+pub(crate) const OFFER_PAUSE: Duration = Duration::from_secs(1);
