change: refused commits are taken back; runs that were taken over teach no durations

Change: a batch that every try was refused for is taken back and its jobs refused; adopted runs are not measured; claims that fail back off; commits are at least 25 ms apart.

--- a/jackdawchute-cell/src/commit.rs
+++ b/jackdawchute-cell/src/commit.rs
@@ -1,6 +1,9 @@
 //! Extends the cell's chain of commits, one at a time.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_scheduler::Batch;
 use jackdawchute_types::Epoch;
@@ -10,7 +13,7 @@
 use crate::{
     rows::{encode, table, HeadRecord, HEAD_TABLE, PART, SOLE_KEY},
     settings::COMMIT_PAUSE,
-    Metrics, Store, Transacted, Transaction, Write,
+    Error, Metrics, Store, Transacted, Transaction, Write,
 };
 
 /// Where the chain ends.
@@ -79,17 +82,31 @@
     }
 }
 
-/// Appends a batch, however long the store takes to tell its fate.
+/// Why a batch was not appended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NotAppended {
+    /// Another instance has taken the chain over.
+    Fenced,
+    /// No try had an effect, and none will have one later.
+    Refused,
+}
+
+/// Appends a batch.
 ///
-/// The same transaction is repeated: its condition lets it take effect once at most.
+/// The same transaction is repeated, as its condition lets it take effect once at most. It is given
+/// up only if the store has refused every try for `patience`: a try without an answer may take
+/// effect later.
 pub(crate) async fn append(
     store: Arc<dyn Store>,
     head: Head,
     batch: &Batch,
+    patience: Duration,
     trouble: &watch::Sender<Option<Instant>>,
     metrics: &Metrics,
-) -> Result<Head, Fenced> {
+) -> Result<Head, NotAppended> {
     let transaction = transaction(head, batch);
+    let began_at = Instant::now();
+    let mut open = false;
     let mut tries: u32 = 0;
     loop {
         let asked_at = Instant::now();
@@ -99,10 +116,11 @@
                 if trouble.send_replace(None).is_some() {
                     warn!("store answers again", kv: { tries = tries });
                 }
-                return outcome(head, transacted);
+                return outcome(head, transacted).map_err(|Fenced| NotAppended::Fenced);
             }
             Err(error) => {
                 metrics.commit_failed();
+                open |= !matches!(error, Error::Unavailable(..));
                 if trouble.borrow().is_none() {
                     warn!("commit failed", kv: {
                         epoch = head.epoch, commits = head.commits, cause: = error
@@ -110,6 +128,9 @@
                     trouble.send_replace(Some(asked_at));
                 }
                 tries += 1;
+                if !open && began_at.elapsed() >= patience {
+                    return Err(NotAppended::Refused);
+                }
                 tokio::time::sleep(COMMIT_PAUSE * tries.min(4)).await;
             }
         }
--- a/jackdawchute-cell/src/leader.rs
+++ b/jackdawchute-cell/src/leader.rs
@@ -19,13 +19,14 @@
 use xtra::{prelude::*, refcount::Weak};
 
 use crate::{
-    commit::{append, Fenced, Head},
+    commit::{append, Head, NotAppended},
     messages::{CellAnswer, CellCall, SubmitJob, SLICE},
     rows::{HeadRecord, HEAD_TABLE, PART},
     settings::{
         outage_retry_after, ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, COMMIT_BYTES_MAX, COMMIT_PATIENCE,
-        COMMIT_ROWS_MAX, COMMIT_SLOW, FOLLOW_PAUSE, FOLLOW_WAIT, HELLO_TIMEOUT, LAG_GAIN, LAG_MAX,
-        LOAD_LOG_PERIOD, OFFER_PAUSE, OTHERS_TOLD, PEER_MEMORY, SETTLE_PERIOD, TICK_PERIOD,
+        COMMIT_PAUSE, COMMIT_PERIOD, COMMIT_ROWS_MAX, COMMIT_SLOW, FOLLOW_PAUSE, FOLLOW_WAIT,
+        HELLO_TIMEOUT, LAG_GAIN, LAG_MAX, LOAD_LOG_PERIOD, OFFER_PAUSE, OTHERS_TOLD, PEER_MEMORY,
+        SETTLE_PERIOD, TICK_PERIOD,
     },
     Advisor, Directory, Metrics, Routes, Store, Workers, WorkersUpdate,
 };
@@ -76,6 +77,7 @@
     head: Head,
     /// When the commit that is under way was begun.
     commit_asked_at: Option<Instant>,
+    commit_after: Instant,
     trouble: watch::Sender<Option<Instant>>,
     submitters: HashMap<JobId, Vec<oneshot::Sender<CellAnswer>>>,
     cancellers: HashMap<JobId, Vec<oneshot::Sender<CellAnswer>>>,
@@ -107,6 +109,7 @@
         scheduler: parts.scheduler,
         head: parts.head,
         commit_asked_at: None,
+        commit_after: now,
         trouble: watch::channel(None).0,
         submitters: HashMap::new(),
         cancellers: HashMap::new(),
@@ -357,7 +360,7 @@
     }
 
     fn commit(&mut self, own: &Address<Self, Weak>, now: Instant) {
-        if self.commit_asked_at.is_some() || self.fenced {
+        if self.commit_asked_at.is_some() || self.fenced || now < self.commit_after {
             return;
         }
         let unix_ms = u64::try_from(unix_now().as_millis()).unwrap_or(u64::MAX);
@@ -377,11 +380,12 @@
             return;
         }
         self.commit_asked_at = Some(now);
+        self.commit_after = now + COMMIT_PERIOD;
         let store = self.ports.store.clone();
         let (own, trouble, metrics) = (own.clone(), self.trouble.clone(), self.metrics.clone());
         let head = self.head;
         tokio::spawn(async move {
-            let appended = append(store, head, &batch, &trouble, &metrics).await;
+            let appended = append(store, head, &batch, COMMIT_PATIENCE, &trouble, &metrics).await;
             let _ = own.send(Appended(batch, appended)).await;
         });
     }
@@ -500,7 +504,7 @@
 /// An answered [`Effect::Advise`].
 struct AdviceAnswered(AdviceRequest, Option<AdviceAnswer>);
 /// A commit whose fate is known.
-struct Appended(Batch, Result<Head, Fenced>);
+struct Appended(Batch, Result<Head, NotAppended>);
 /// News of the listed workers.
 struct WorkersNews(WorkersUpdate);
 /// A peer is there.
@@ -613,7 +617,17 @@
                 self.scheduler.issue_due_holds(now);
                 self.pump(context, true);
             }
-            Err(Fenced) => {
+            Err(NotAppended::Refused) => {
+                for job in self.scheduler.not_committed(&batch) {
+                    info!("job refused", kv: {
+                        job = job.as_str(), reason = "its acceptance could not be saved"
+                    });
+                    let answer = self.unavailable(now);
+                    answer_all(self.submitters.remove(&job), &answer);
+                }
+                self.commit_after = now + COMMIT_PAUSE;
+            }
+            Err(NotAppended::Fenced) => {
                 warn!("another instance has taken over", kv: { epoch = self.head.epoch });
                 self.fence();
             }
--- a/jackdawchute-cell/src/member.rs
+++ b/jackdawchute-cell/src/member.rs
@@ -21,8 +21,8 @@
     messages::{CellAnswer, CellCall, SLICE},
     rows::{table, LeaderRecord, KINDS, LEADER_TABLE, PART, SOLE_KEY},
     settings::{
-        CLAIM_JITTER, CLAIM_PAUSE, FOLLOW_PAUSE, FOLLOW_WAIT, HELLO_PERIOD, HELLO_TIMEOUT,
-        LEADER_SILENCE, LEADER_STORE_TROUBLE,
+        CLAIM_JITTER, CLAIM_PAUSE, CLAIM_PAUSE_MAX, FOLLOW_PAUSE, FOLLOW_WAIT, HELLO_PERIOD,
+        HELLO_TIMEOUT, LEADER_SILENCE, LEADER_STORE_TROUBLE,
     },
     Changes, Metrics, Result, Routes, Settings, Store,
 };
@@ -66,6 +66,8 @@
     /// Other instances that the scheduling one told of.
     others: Vec<SocketAddr>,
     claim_after: Instant,
+    /// The pause after the next claim that fails.
+    claim_pause: Duration,
     /// When the holder was last heard, or when this instance began to listen for it.
     heard_at: Instant,
     deposed: mpsc::UnboundedSender<Epoch>,
@@ -89,6 +91,7 @@
         claiming: false,
         others: Vec::new(),
         claim_after: now,
+        claim_pause: CLAIM_PAUSE,
         heard_at: now,
         deposed,
     };
@@ -411,6 +414,7 @@
         let now = Instant::now();
         match claimed {
             Ok(Claimed::Won { epoch, version }) => {
+                self.claim_pause = CLAIM_PAUSE;
                 let row = LeaderRow { record, version };
                 self.tell_predecessor(&row);
                 self.note_row(row);
@@ -429,6 +433,7 @@
                 });
             }
             Ok(Claimed::Lost(row)) => {
+                self.claim_pause = CLAIM_PAUSE;
                 self.claiming = false;
                 self.claim_after = now + CLAIM_PAUSE;
                 if let Some(row) = row {
@@ -438,7 +443,8 @@
             Err(error) => {
                 warn!("claim failed", kv: { epoch = record.epoch, cause: = error });
                 self.claiming = false;
-                self.claim_after = now + CLAIM_PAUSE;
+                self.claim_after = now + self.claim_pause;
+                self.claim_pause = (self.claim_pause * 2).min(CLAIM_PAUSE_MAX);
             }
         }
     }
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -25,8 +25,12 @@
 pub(crate) const LEADER_STORE_TROUBLE: Duration = Duration::from_millis(450);
 /// The longest wait before a claim, so that instances do not all claim at once.
 pub(crate) const CLAIM_JITTER: Duration = Duration::from_millis(60);
-/// The pause after a claim that failed.
+/// The pause after a claim that failed; doubles with each further one.
 pub(crate) const CLAIM_PAUSE: Duration = Duration::from_millis(300);
+/// The longest such pause.
+pub(crate) const CLAIM_PAUSE_MAX: Duration = Duration::from_millis(1_200);
+/// The shortest time between two commits, so that more shares one; each call to the store is paid.
+pub(crate) const COMMIT_PERIOD: Duration = Duration::from_millis(25);
 /// How often time passes for the scheduler.
 pub(crate) const TICK_PERIOD: Duration = Duration::from_millis(40);
 /// The shortest time between two rounds of placement.
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -175,11 +175,13 @@
         worker.ends_noted = end.number;
         self.ends_unsaved.insert(id.clone());
         let run = worker.runs.get(&end.task).filter(|run| run.run <= end.run);
-        let started = run.map(|run| (run.since, run.phase));
+        let known = run.is_some();
+        // Of a run that was taken over nobody knows when it started.
+        let started_at = run.filter(|run| run.start.is_some()).map(|run| run.since);
         self.note_health(id, end);
-        self.note_duration(id, end, started.map(|it| it.0), now);
+        self.note_duration(id, end, started_at, now);
         self.apply_end(id, end, now);
-        if started.is_some() {
+        if known {
             self.remove_run(id, &end.task, now);
         }
     }
--- a/jackdawchute-scheduler/src/records.rs
+++ b/jackdawchute-scheduler/src/records.rs
@@ -195,6 +195,33 @@
         self.place_needed = true;
     }
 
+    /// Takes back a batch that surely has not been and will not be committed.
+    ///
+    /// Returns the jobs whose acceptance was part of it; they will never run.
+    pub fn not_committed(&mut self, batch: &Batch) -> Vec<JobId> {
+        for change in &batch.changes {
+            match change.table {
+                RowTable::Progress if change.value.is_some() => {
+                    self.unsaved.insert(change.key.clone());
+                }
+                RowTable::Workers => self.workers_unsaved = true,
+                RowTable::Ended if change.value.is_none() => {
+                    self.ended_rows
+                        .push_front((self.began_at, change.key.clone()));
+                }
+                _ => {}
+            }
+        }
+        self.ending.extend(batch.ended.iter().cloned());
+        let workers = batch.ends_noted.iter().map(|(worker, _, _)| worker.clone());
+        self.ends_unsaved.extend(workers);
+        for job in &batch.accepted {
+            self.jobs.remove(job);
+            self.placeable.remove(job);
+        }
+        batch.accepted.clone()
+    }
+
     /// The saved rows of ended jobs that are no longer asked for.
     pub fn take_expired_rows(&mut self, rows_max: usize, now: Instant) -> Vec<RowChange> {
         let mut expired = Vec::new();
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -53,6 +53,7 @@
     pub(crate) effects: Vec<Effect>,
     pub(crate) place_needed: bool,
     pub(crate) epoch: Epoch,
+    pub(crate) began_at: Instant,
 }
 
 impl Scheduler {
@@ -85,6 +86,7 @@
             effects: Vec::new(),
             place_needed: false,
             epoch,
+            began_at: now,
         }
     }
 
