change: a holder's later life, or its own, is evidence that the holder has ended

Change: an instance tells its life when asked for the holder; the epoch of a past life is claimed at once.

--- a/jackdawchute-cell/src/instance.rs
+++ b/jackdawchute-cell/src/instance.rs
@@ -58,8 +58,10 @@
         ));
         let (view_sender, view) = watch::channel(LeaderView::default());
         let advisor = parts.advisor.clone();
+        let incarnation = member::incarnation(&settings);
         let member = member::spawn(MemberParts {
             settings,
+            incarnation: incarnation.clone(),
             ports: Ports {
                 store: parts.store,
                 workers: parts.workers,
@@ -77,6 +79,7 @@
             view: view.clone(),
             member: member.clone(),
             advisor,
+            incarnation,
         };
         let services = Services::from([(SLICE, Arc::new(service) as Arc<dyn peer::PeerService>)]);
         Ok(Self {
--- a/jackdawchute-cell/src/member.rs
+++ b/jackdawchute-cell/src/member.rs
@@ -43,6 +43,7 @@
 /// What the member task is made of.
 pub(crate) struct MemberParts {
     pub(crate) settings: Settings,
+    pub(crate) incarnation: IncarnationId,
     pub(crate) ports: Ports,
     pub(crate) routes: watch::Receiver<Routes>,
     pub(crate) metrics: Metrics,
@@ -76,13 +77,12 @@
 /// Starts the member task.
 pub(crate) async fn spawn(parts: MemberParts) -> Address<MemberTask> {
     let now = Instant::now();
-    let incarnation = incarnation(&parts.settings);
     let (deposed, mut depositions) = mpsc::unbounded_channel();
     let timer = parts.timer.clone();
     let store = parts.ports.store.clone();
     let task = MemberTask {
+        incarnation: parts.incarnation.clone(),
         parts,
-        incarnation,
         row: None,
         row_read: false,
         saying_hello: false,
@@ -115,7 +115,8 @@
     address
 }
 
-fn incarnation(settings: &Settings) -> IncarnationId {
+/// A name for this life of the instance.
+pub(crate) fn incarnation(settings: &Settings) -> IncarnationId {
     let number: u64 = rand::rng().random();
     smol_str::format_smolstr!("{}-{number:016x}", settings.instance)
 }
@@ -233,6 +234,15 @@
         });
     }
 
+    /// Claims the epoch if the instance that answers in the holder's place is a later life of it.
+    fn claim_from_ended(&mut self, answering: &IncarnationId, context: &Context<Self>) {
+        let holder = self.row.as_ref().map(|row| &row.record.incarnation);
+        // The holder itself answers like that while it still loads what was saved.
+        if holder.is_some_and(|holder| holder != answering) {
+            self.claim("the scheduling instance's process has ended", context);
+        }
+    }
+
     /// Asks other instances which one schedules; the store may be out of reach for this one alone.
     fn ask_others(&self, context: &Context<Self>) {
         let hello = self.hello();
@@ -242,7 +252,7 @@
             let hello = hello.clone();
             tokio::spawn(async move {
                 let answer = peers.call(address, SLICE, &hello, HELLO_TIMEOUT).await;
-                if let Ok(CellAnswer::Elsewhere { row }) = answer {
+                if let Ok(CellAnswer::Elsewhere { row, .. }) = answer {
                     let _ = own.send(LeaderSeen(Some(row))).await;
                 }
             });
@@ -333,6 +343,9 @@
             None => self.claim("no instance schedules yet", context),
             // A claim without an answer took effect after all.
             Some(row) if held_here(row) => self.claim("an earlier claim took effect", context),
+            Some(row) if row.record.address == self.parts.settings.peer_address => {
+                self.claim("an earlier life of this instance holds the epoch", context);
+            }
             Some(_) => {}
         }
     }
@@ -394,7 +407,10 @@
                     self.claim("the scheduling instance cannot save anything", context);
                 }
             }
-            Ok(CellAnswer::Elsewhere { row }) => self.note_row(row),
+            Ok(CellAnswer::Elsewhere { row, incarnation }) => {
+                self.note_row(row);
+                self.claim_from_ended(&incarnation, context);
+            }
             Ok(CellAnswer::NotScheduling) => {
                 // It holds the epoch and is loading, or has just lost it.
             }
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest, JobGraph, JobStatus, QueuePolicy};
-use jackdawchute_types::{ConfigurationVersion, Epoch, JobId, QueueId};
+use jackdawchute_types::{ConfigurationVersion, Epoch, IncarnationId, JobId, QueueId};
 use serde::{Deserialize, Serialize};
 
 use crate::claim::LeaderRow;
@@ -56,7 +56,11 @@
     /// The instance does not schedule, or not yet; nothing was done.
     NotScheduling,
     /// The instance does not schedule and tells which one does, as far as it knows.
-    Elsewhere { row: LeaderRow },
+    Elsewhere {
+        row: LeaderRow,
+        /// The life of the instance that answers.
+        incarnation: IncarnationId,
+    },
     /// The scheduling instance is there.
     Here {
         epoch: Epoch,
--- a/jackdawchute-cell/src/peers.rs
+++ b/jackdawchute-cell/src/peers.rs
@@ -5,6 +5,7 @@
 use async_trait::async_trait;
 use jackdawchute_peer::PeerService;
 use jackdawchute_scheduler::AdviceRequest;
+use jackdawchute_types::IncarnationId;
 use serde_json::Value;
 use spdlog::warn;
 use tokio::sync::{oneshot, watch};
@@ -23,6 +24,7 @@
     pub(crate) view: watch::Receiver<LeaderView>,
     pub(crate) member: Address<MemberTask>,
     pub(crate) advisor: Arc<dyn Advisor>,
+    pub(crate) incarnation: IncarnationId,
 }
 
 #[async_trait]
@@ -72,8 +74,10 @@
     /// Tells which instance schedules, as far as this one knows.
     fn elsewhere(&self) -> CellAnswer {
         let row = self.view.borrow().row.clone();
+        let incarnation = self.incarnation.clone();
         row.map_or(CellAnswer::NotScheduling, |row| CellAnswer::Elsewhere {
             row,
+            incarnation,
         })
     }
 
