change: gangs keep places that become free first, with tickets asked for ahead

Ruled out: too little capacity (300 of 1440 cores free while 200 waited). Change: a plan of places for each of the first gangs, question shortly before its start; workers with such places come last for others; a third of the advisors answers short questions only; workers that run nothing and left are not waited for.

--- a/jackdawchute-cell/src/leader.rs
+++ b/jackdawchute-cell/src/leader.rs
@@ -26,7 +26,7 @@
         outage_retry_after, ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, COMMIT_BYTES_MAX, COMMIT_PATIENCE,
         COMMIT_PAUSE, COMMIT_PERIOD, COMMIT_ROWS_MAX, COMMIT_SLOW, FOLLOW_PAUSE, FOLLOW_WAIT,
         HELLO_TIMEOUT, LAG_GAIN, LAG_MAX, LOAD_LOG_PERIOD, OFFER_PAUSE, OTHERS_TOLD, PEER_MEMORY,
-        SETTLE_PERIOD, TICK_PERIOD,
+        SETTLE_PERIOD, SHORT_ONLY_DIVISOR, SHORT_QUESTION, TICK_PERIOD,
     },
     Advisor, Directory, Metrics, Routes, Store, Workers, WorkersUpdate,
 };
@@ -324,10 +324,18 @@
     /// Asks through the instance whose advisor is free first.
     fn ask_advisor(&mut self, request: AdviceRequest, own: Address<Self, Weak>, now: Instant) {
         let own_address = self.own_address;
+        // Some advisors answer short questions only, so that those never wait behind long ones.
+        let advisors = self.peers.values().filter(|load| load.usable(now)).count();
+        let short_only = if request.expected > SHORT_QUESTION {
+            advisors / SHORT_ONLY_DIVISOR
+        } else {
+            0
+        };
         let least = self
             .peers
             .iter_mut()
             .filter(|(address, load)| **address == own_address || load.usable(now))
+            .skip(short_only)
             .min_by_key(|(_, load)| load.advisor_free_at);
         let Some((address, load)) = least else {
             return;
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -84,3 +84,7 @@
 pub(crate) const LAG_MAX: Duration = Duration::from_millis(30);
 /// The pause between two such offers.
 pub(crate) const OFFER_PAUSE: Duration = Duration::from_secs(1);
+/// A question to an advisor that takes longer is a long one; urgent jobs have a second to spare.
+pub(crate) const SHORT_QUESTION: Duration = Duration::from_millis(120);
+/// One advisor in so many is kept for short questions.
+pub(crate) const SHORT_ONLY_DIVISOR: usize = 3;
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -6,15 +6,20 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawchute_types::{Resources, WorkerId};
+use jackdawchute_types::WorkerId;
 use spdlog::info;
 
-use crate::{job::Advice, AdviceAnswer, AdviceCost, AdviceRequest, Effect, Scheduler, StepName};
+use crate::{
+    job::{Advice, GangPlan, Job, StepRun},
+    AdviceAnswer, AdviceCost, AdviceRequest, Effect, Scheduler, StepName, StepSpec,
+};
 
 /// The most workers that one question may name, a limit of the advisor's protocol.
 const WORKERS_MAX: usize = 100;
 /// How much of a ticket's validity is left unused, for orders that take long.
 const TICKET_MARGIN: Duration = Duration::from_millis(250);
+/// How long before a gang's expected start its tickets are asked for, beyond the advisor's time.
+const ASK_AHEAD: Duration = Duration::from_millis(300);
 /// How long to wait for an advisor before the question is asked again, beyond its expected time.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(2_500);
 /// The time that an advisor may spend on the named workers, as a multiple of the fixed time;
@@ -39,31 +44,61 @@
     }
 
     fn question(&mut self, name: &StepName, now: Instant) -> Option<AdviceRequest> {
-        let silence = self.settings.silence;
         let job = self.jobs.get(&name.job)?;
         let cost = job.queue.advice?;
         let (spec, step) = job.step(name)?;
-        if step
-            .advice_asked_at
-            .is_some_and(|at| now < at + ANSWER_PATIENCE)
-        {
+        let asking = |at: Instant| now < at + ANSWER_PATIENCE;
+        if job.uncertain || step.advice_asked_at.is_some_and(asking) {
+            return None;
+        }
+        let known = self.known_advice(job, spec, step, now);
+        let candidates = if step.advice.is_empty() {
+            known.unknown
+        } else if spec.gang {
+            gang_candidates(known, step.plan.as_ref(), &cost, now)
+        } else {
+            known.fitting_without_ticket()
+        };
+        if candidates.is_empty() {
             return None;
         }
-        let size = spec.reserved();
         let first = step.advice.is_empty();
-        let mut fresh: u32 = 0;
-        let mut candidates: Vec<(WorkerId, Resources)> = Vec::new();
+        let waiting = step.units.iter().filter(|unit| unit.waiting()).count();
+        let members = waiting * spec.unit_size() as usize;
+        let workers = most_room(candidates, named(&cost, members, first || spec.gang));
+        let expected = cost.duration(workers.len());
+        self.jobs
+            .get_mut(&name.job)?
+            .step_mut(name)?
+            .advice_asked_at = Some(now);
+        Some(AdviceRequest {
+            step: name.clone(),
+            workers,
+            expected,
+        })
+    }
+
+    /// Sorts the workers that could run a step by what is known of them.
+    fn known_advice(&self, job: &Job, spec: &StepSpec, step: &StepRun, now: Instant) -> Known {
+        let silence = self.settings.silence;
+        let size = spec.reserved();
+        let mut known = Known::default();
         for worker in self.workers.values() {
+            let labels = &worker.entry.labels;
             let usable = worker.entry.service == job.queue.service
                 && worker.takes_tasks(now, silence)
                 && spec
                     .required_label
                     .as_ref()
-                    .is_none_or(|label| worker.entry.labels.contains(label));
+                    .is_none_or(|it| labels.contains(it));
             let Some(free) = worker.free().filter(|_| usable) else {
                 continue;
             };
-            let fits = size.fits_in(&free);
+            let candidate = Candidate {
+                worker: worker.id().clone(),
+                free_millicores: free.processor_millicores,
+                fits: size.fits_in(&free),
+            };
             match step.advice.get(worker.id()) {
                 Some(Advice::Denied) => {}
                 Some(Advice::Allowed {
@@ -71,35 +106,13 @@
                     born_unix_ms,
                     ..
                 }) if *until > now && worker.entry.born_unix_ms == *born_unix_ms => {
-                    fresh += u32::from(fits);
+                    known.fresh_fits |= candidate.fits;
                 }
-                _ if fits || first => candidates.push((worker.id().clone(), free)),
-                _ => {}
+                Some(Advice::Allowed { .. }) => known.stale.push(candidate),
+                None => known.unknown.push(candidate),
             }
         }
-        let wanted = step.units.iter().filter(|unit| unit.waiting()).count() as u32;
-        let enough = if spec.gang {
-            fresh * 3 >= spec.tasks
-        } else {
-            fresh >= 1
-        };
-        if candidates.is_empty() || (!first && enough) {
-            return None;
-        }
-        candidates.sort_by_key(|(_, free)| std::cmp::Reverse(free.processor_millicores));
-        let members = wanted * spec.unit_size();
-        candidates.truncate(named(&cost, members as usize, first));
-        let workers: Vec<WorkerId> = candidates.into_iter().map(|(id, _)| id).collect();
-        let expected = cost.duration(workers.len());
-        self.jobs
-            .get_mut(&name.job)?
-            .step_mut(name)?
-            .advice_asked_at = Some(now);
-        Some(AdviceRequest {
-            step: name.clone(),
-            workers,
-            expected,
-        })
+        known
     }
 
     /// Takes an advisor's answer; `None` if there was none.
@@ -153,6 +166,61 @@
     }
 }
 
+/// A worker that a question may name.
+#[derive(Debug)]
+struct Candidate {
+    worker: WorkerId,
+    free_millicores: u64,
+    fits: bool,
+}
+
+/// The workers that could run a step, without those that may not.
+#[derive(Debug, Default)]
+struct Known {
+    /// A task fits on a worker with a valid ticket.
+    fresh_fits: bool,
+    /// They may run it, and their tickets have lapsed.
+    stale: Vec<Candidate>,
+    /// Nobody was asked about them.
+    unknown: Vec<Candidate>,
+}
+
+impl Known {
+    /// The workers where a task fits and only the ticket is missing.
+    fn fitting_without_ticket(self) -> Vec<Candidate> {
+        if self.fresh_fits {
+            return Vec::new();
+        }
+        let both = self.stale.into_iter().chain(self.unknown);
+        both.filter(|it| it.fits).collect()
+    }
+}
+
+/// Whom to ask about for a gang: the places kept for it shortly before it can start, and workers
+/// that nobody was asked about as long as there are no such places.
+fn gang_candidates(
+    known: Known,
+    plan: Option<&GangPlan>,
+    cost: &AdviceCost,
+    now: Instant,
+) -> Vec<Candidate> {
+    let Some(plan) = plan else {
+        return known.unknown;
+    };
+    let ahead = cost.duration(plan.workers.len()) + ASK_AHEAD;
+    if plan.starts_at > now + ahead {
+        return Vec::new();
+    }
+    let planned = |it: &Candidate| plan.workers.contains(&it.worker);
+    known.stale.into_iter().filter(planned).collect()
+}
+
+fn most_room(mut candidates: Vec<Candidate>, count: usize) -> Vec<WorkerId> {
+    candidates.sort_by_key(|it| std::cmp::Reverse(it.free_millicores));
+    candidates.truncate(count);
+    candidates.into_iter().map(|it| it.worker).collect()
+}
+
 /// How many workers a question names.
 fn named(cost: &AdviceCost, members: usize, first: bool) -> usize {
     let affordable = if cost.per_worker_ms > 0.0 {
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -89,6 +89,13 @@
     Denied,
 }
 
+/// The places that are kept for a gang until it starts.
+#[derive(Clone, Debug)]
+pub(crate) struct GangPlan {
+    pub(crate) workers: Vec<WorkerId>,
+    pub(crate) starts_at: Instant,
+}
+
 /// One step of one occurrence.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepRun {
@@ -96,6 +103,8 @@
     /// The units that are not done.
     pub(crate) open: usize,
     pub(crate) advice: HashMap<WorkerId, Advice>,
+    /// The places that are kept for a gang, and when it is expected to start.
+    pub(crate) plan: Option<GangPlan>,
     /// When the question under way was asked.
     pub(crate) advice_asked_at: Option<Instant>,
 }
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -53,6 +53,7 @@
                 leaving = leaving_at.is_some()
             });
             let mut worker = Worker::new(entry, now);
+            worker.lives = self.lives.get(&id).copied().unwrap_or(0);
             worker.leaving_at = leaving_at;
             self.workers.insert(id, worker);
             self.workers_unsaved = true;
@@ -90,6 +91,7 @@
                 });
                 worker.listed = false;
                 worker.unlisted_at = Some(now);
+                self.workers_unsaved = true;
             }
         }
     }
@@ -413,6 +415,8 @@
         if removed.is_none() {
             return;
         }
+        let unlisted = |worker: &Worker| !worker.listed && worker.runs.is_empty();
+        self.workers_unsaved |= self.workers.get(worker).is_some_and(unlisted);
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
@@ -430,7 +434,7 @@
 
     /// Drops the runs of workers whose leases have surely lapsed.
     pub(crate) fn forget_lost_workers(&mut self, now: Instant) {
-        let lease_max = self.settings.lease_max;
+        let lease = self.settings.lease;
         let silence = self.settings.silence;
         let lost: Vec<(WorkerId, Vec<TaskName>)> = self
             .workers
@@ -439,7 +443,7 @@
                 let silent = worker
                     .unanswered_since
                     .is_some_and(|since| now.saturating_duration_since(since) > silence);
-                !worker.runs.is_empty() && silent && worker.lease_lapsed(now, lease_max)
+                !worker.runs.is_empty() && silent && worker.lease_lapsed(now, lease)
             })
             .map(|worker| {
                 // A start that may still be carried out comes with a lease that has lapsed too.
@@ -457,11 +461,16 @@
             }
         }
         let before = self.workers.len();
-        self.workers.retain(|_, worker| {
+        let lives = &mut self.lives;
+        self.workers.retain(|id, worker| {
             let old = worker
                 .unlisted_at
                 .is_some_and(|at| now.saturating_duration_since(at) > UNLISTED_MEMORY);
-            worker.listed || !worker.runs.is_empty() || !old
+            let kept = worker.listed || !worker.runs.is_empty() || !old;
+            if !kept && worker.lives > 0 {
+                lives.insert(id.clone(), worker.lives);
+            }
+            kept
         });
         if self.workers.len() != before {
             self.workers_unsaved = true;
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -13,7 +13,7 @@
 use spdlog::info;
 
 use crate::{
-    job::{Advice, Job, Unit},
+    job::{Advice, GangPlan, Job, Unit},
     worker::{Run, RunPhase, Worker},
     Effect, Scheduler, StartOrder, StepName, StepSpec,
 };
@@ -77,6 +77,7 @@
                 room.free.insert(worker.id().clone(), free);
             }
         }
+        self.planned = std::mem::take(&mut self.planning);
         let mut reservations = 0;
         for ranked in self.ranked_steps(now, false) {
             let Some(job) = self.jobs.get(&ranked.name.job) else {
@@ -91,9 +92,14 @@
             let spec = spec.clone();
             if spec.gang {
                 let placed = self.place_gang(&ranked.name, &spec, &mut room, now);
-                if !placed && !ranked.late && reservations < RESERVATIONS_MAX {
-                    reservations += 1;
-                    self.reserve(&ranked.name, &spec, &mut room, now);
+                if !placed {
+                    let plan = if reservations < RESERVATIONS_MAX {
+                        reservations += 1;
+                        self.reserve(&ranked.name, &spec, &mut room, now)
+                    } else {
+                        None
+                    };
+                    self.set_plan(&ranked.name, plan);
                 }
             } else {
                 self.place_tasks(&ranked.name, &spec, &mut room, now);
@@ -193,6 +199,7 @@
                         failed_here,
                         !it.near_data,
                         it.slowness_tenths.max(11),
+                        self.planned.contains(&it.worker),
                         free.processor_millicores,
                     );
                     fits.then_some((cost, it))
@@ -280,13 +287,15 @@
     }
 
     /// Keeps the places for a gang that become free first.
-    fn reserve(&self, name: &StepName, spec: &StepSpec, room: &mut Room, now: Instant) {
-        let Some(job) = self.jobs.get(&name.job) else {
-            return;
-        };
-        let Some((_, step)) = job.step(name) else {
-            return;
-        };
+    fn reserve(
+        &mut self,
+        name: &StepName,
+        spec: &StepSpec,
+        room: &mut Room,
+        now: Instant,
+    ) -> Option<GangPlan> {
+        let job = self.jobs.get(&name.job)?;
+        let (_, step) = job.step(name)?;
         let size = spec.reserved();
         let mut places: Vec<(Instant, WorkerId)> = Vec::new();
         for worker in self.workers.values() {
@@ -305,26 +314,37 @@
         }
         places.sort();
         if places.len() < spec.tasks as usize {
-            return;
+            return None;
         }
         places.truncate(spec.tasks as usize);
-        let Some(starts_at) = places.last().map(|(at, _)| *at) else {
-            return;
-        };
+        let starts_at = places.last().map(|(at, _)| *at)?;
         if starts_at > now + RESERVATION_HORIZON {
-            return;
+            return None;
         }
         let mut per_worker: HashMap<WorkerId, u32> = HashMap::new();
         for (_, worker) in places {
             *per_worker.entry(worker).or_default() += 1;
         }
+        let plan = GangPlan {
+            workers: per_worker.keys().cloned().collect(),
+            starts_at,
+        };
         for (worker, count) in per_worker {
             let reservation = Reservation {
                 room: size.saturating_mul(count),
                 starts_at,
             };
+            self.planning.insert(worker.clone());
             room.reserved.entry(worker).or_default().push(reservation);
         }
+        Some(plan)
+    }
+
+    fn set_plan(&mut self, name: &StepName, plan: Option<GangPlan>) {
+        let job = self.jobs.get_mut(&name.job);
+        if let Some(step) = job.and_then(|job| job.step_mut(name)) {
+            step.plan = plan;
+        }
     }
 
     /// Orders the start of a unit's tasks.
--- a/jackdawchute-scheduler/src/records.rs
+++ b/jackdawchute-scheduler/src/records.rs
@@ -246,7 +246,10 @@
             address: worker.entry.address,
             service: worker.entry.service.clone(),
         };
-        let records: Vec<WorkerRecord> = self.workers.values().map(record).collect();
+        // What is not listed and runs nothing cannot run anything later.
+        let matters = |worker: &&crate::worker::Worker| worker.listed || !worker.runs.is_empty();
+        let records: Vec<WorkerRecord> =
+            self.workers.values().filter(matters).map(record).collect();
         encode(RowTable::Workers, WORKERS_KEY.into(), &records)
     }
 }
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -159,8 +159,8 @@
         if self.recovery.over {
             return;
         }
-        let lease_max = self.settings.lease_max;
-        let settled = |worker: &Worker| worker.fenced || worker.lease_lapsed(now, lease_max);
+        let lease = self.settings.lease;
+        let settled = |worker: &Worker| worker.fenced || worker.lease_lapsed(now, lease);
         let waiting = self
             .workers
             .values()
--- a/jackdawchute-scheduler/src/settings.rs
+++ b/jackdawchute-scheduler/src/settings.rs
@@ -5,11 +5,9 @@
 /// Periods and bounds of the scheduler's decisions.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// How far ahead leases are granted; longer than a takeover, short enough that the tasks of a
-    /// worker that is cut off can soon run elsewhere.
+    /// How far ahead leases are granted, by every instance of the cell; longer than a takeover, short
+    /// enough that the tasks of a worker that is cut off can soon run elsewhere.
     pub lease: Duration,
-    /// The longest lease that a worker accepts; what another instance may have granted.
-    pub lease_max: Duration,
     /// How long a worker may hold back its answer while nothing ends.
     pub hold_wait: Duration,
     /// How long a worker may be silent before it gets no new tasks.
@@ -26,7 +24,6 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_secs(4),
-            lease_max: Duration::from_secs(10),
             hold_wait: Duration::from_millis(1_500),
             silence: Duration::from_millis(700),
             ended_retention: Duration::from_secs(130),
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -1,7 +1,7 @@
 //! What the scheduling instance knows.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
     time::{Duration, Instant},
 };
 
@@ -39,6 +39,8 @@
     pub(crate) ended_rows: VecDeque<(Instant, SmolStr)>,
     pub(crate) ended_rows_counter: u64,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
+    /// Which life of a worker was met last, for workers that are forgotten.
+    pub(crate) lives: HashMap<WorkerId, u64>,
     pub(crate) run_times: RunTimes,
     pub(crate) recovery: Recovery,
     /// Jobs whose rows are to be saved.
@@ -50,6 +52,9 @@
     /// The set of workers has changed since it was last saved.
     pub(crate) workers_unsaved: bool,
     pub(crate) ends_unsaved: BTreeSet<WorkerId>,
+    /// Workers with places that are kept for gangs, as of the last placement and of this one.
+    pub(crate) planned: HashSet<WorkerId>,
+    pub(crate) planning: HashSet<WorkerId>,
     pub(crate) effects: Vec<Effect>,
     pub(crate) place_needed: bool,
     pub(crate) epoch: Epoch,
@@ -76,6 +81,7 @@
             ended_rows: VecDeque::new(),
             ended_rows_counter: 0,
             workers: BTreeMap::new(),
+            lives: HashMap::new(),
             run_times: RunTimes::default(),
             recovery: Recovery::new(now),
             unsaved: BTreeSet::new(),
@@ -83,6 +89,8 @@
             ending: Vec::new(),
             workers_unsaved: false,
             ends_unsaved: BTreeSet::new(),
+            planned: HashSet::new(),
+            planning: HashSet::new(),
             effects: Vec::new(),
             place_needed: false,
             epoch,
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -11,6 +11,8 @@
 
 /// The slowest rate of a worker's clock against ours.
 const CLOCK_RATE_MIN: f64 = 0.98;
+/// How long an earlier instance may go on granting leases after it was replaced.
+const STEP_DOWN: Duration = Duration::from_secs(1);
 /// How long a worker may take to end its tasks once their lease has lapsed.
 const LAPSE_MARGIN: Duration = Duration::from_millis(400);
 
@@ -150,14 +152,15 @@
         Some(life.clock + since.mul_f64(CLOCK_RATE_MIN))
     }
 
-    /// Whether no lease that this instance knows of can still hold there.
-    pub(crate) fn lease_lapsed(&self, now: Instant, lease_max: Duration) -> bool {
+    /// Whether no lease can still hold there, granted by this instance or by an earlier one, which
+    /// granted leases of `lease_before`.
+    pub(crate) fn lease_lapsed(&self, now: Instant, lease_before: Duration) -> bool {
         let clock = self.clock_earliest(now);
         match clock {
             Some(clock) if self.fenced => clock > self.lease_sent + LAPSE_MARGIN,
             _ => {
                 let since = now.saturating_duration_since(self.first_met_at);
-                since.mul_f64(CLOCK_RATE_MIN) > lease_max + LAPSE_MARGIN
+                since.mul_f64(CLOCK_RATE_MIN) > lease_before + STEP_DOWN + LAPSE_MARGIN
             }
         }
     }
--- a/src/cell.rs
+++ b/src/cell.rs
@@ -158,14 +158,15 @@
 }
 
 fn cell_settings(settings: &CellSettings) -> Settings {
+    let defaults = jackdawchute_scheduler::Settings::default();
     Settings {
         instance: settings.instance.clone(),
         peer_address: settings.listen.peers,
         scheduler: jackdawchute_scheduler::Settings {
-            lease_max: settings.bounds.lease_max,
+            lease: defaults.lease.min(settings.bounds.lease_max),
             stop: settings.bounds.task_stop,
             ended_retention: settings.bounds.ended_retention,
-            ..jackdawchute_scheduler::Settings::default()
+            ..defaults
         },
     }
 }
