change: place before asking for advice

Cause: a gang asked about further workers in the very round in which its first answer let it start; short questions waited 250 ms behind such ones.

--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -168,8 +168,9 @@
     /// Places what can be placed, if anything has changed since the last call.
     pub fn settle(&mut self, now: Instant) {
         if std::mem::take(&mut self.place_needed) {
-            self.ask_for_advice(now);
+            // Only what could not be placed with the advice at hand needs more.
             self.place(now);
+            self.ask_for_advice(now);
         }
     }
 
