fix: a replaced holder is told even when the row is read before the claim's answer

Change: the claim remembers the row that it replaces; a holder in trouble asks peers for a later epoch; the configuration is read from the holder while the store cannot be reached.

--- a/jackdawchute-cell/src/gateway.rs
+++ b/jackdawchute-cell/src/gateway.rs
@@ -223,6 +223,7 @@
             | CellAnswer::Elsewhere { .. }
             | CellAnswer::Here { .. }
             | CellAnswer::Advice { .. }
+            | CellAnswer::Configuration { .. }
             | CellAnswer::Noted => None,
         }
     }
--- a/jackdawchute-cell/src/instance.rs
+++ b/jackdawchute-cell/src/instance.rs
@@ -10,9 +10,9 @@
 use crate::{
     leader::Ports,
     member::{self, LeaderView, Leave, MemberParts, MemberTask},
-    messages::SLICE,
+    messages::{CellAnswer, CellCall, SLICE},
     peers::CellService,
-    settings::{FOLLOW_PAUSE, FOLLOW_WAIT},
+    settings::{FOLLOW_PAUSE, FOLLOW_WAIT, HELLO_TIMEOUT},
     Advisor, ConfigurationUpdate, Directory, Error, Gateway, Metrics, Result, Routes, Settings,
     Store, Workers,
 };
@@ -51,12 +51,14 @@
         let bound = bind_peers(address).await?;
         let peers: Peers = peer::spawn(Default::default());
         let (routes_sender, routes) = watch::channel(Routes::default());
-        tokio::spawn(follow_configuration(
-            parts.directory.clone(),
-            routes_sender,
-            metrics.clone(),
-        ));
         let (view_sender, view) = watch::channel(LeaderView::default());
+        tokio::spawn(follow_configuration(ConfigurationSources {
+            directory: parts.directory.clone(),
+            peers: peers.clone(),
+            view: view.clone(),
+            routes: routes_sender,
+            metrics: metrics.clone(),
+        }));
         let advisor = parts.advisor.clone();
         let incarnation = member::incarnation(&settings);
         let member = member::spawn(MemberParts {
@@ -80,6 +82,7 @@
             member: member.clone(),
             advisor,
             incarnation,
+            routes: routes.clone(),
         };
         let services = Services::from([(SLICE, Arc::new(service) as Arc<dyn peer::PeerService>)]);
         Ok(Self {
@@ -112,16 +115,49 @@
     bound.map_err(|error| Error::Bind("peers", address.to_string(), error.to_string()))
 }
 
-/// Applies each higher version of the configuration.
-async fn follow_configuration(
+/// Where the configuration comes from and goes to.
+struct ConfigurationSources {
     directory: Arc<dyn Directory>,
+    peers: Peers,
+    view: watch::Receiver<LeaderView>,
     routes: watch::Sender<Routes>,
     metrics: Metrics,
-) {
+}
+
+impl ConfigurationSources {
+    /// Applies a configuration if its version is higher.
+    fn apply(&self, newest: Routes, source: &'static str) {
+        if newest.version > self.routes.borrow().version {
+            info!("configuration applied", kv: {
+                version = newest.version, queues = newest.queues.len(), source = source
+            });
+            self.metrics.set_configuration_version(newest.version);
+            self.routes.send_replace(newest);
+        }
+    }
+
+    /// Asks the scheduling instance, for as long as the lists cannot be read from here.
+    async fn ask_peer(&self) {
+        let row = self.view.borrow().row.clone();
+        let Some(address) = row.map(|row| row.record.address) else {
+            return;
+        };
+        let call = CellCall::Configuration;
+        let answer = self.peers.call(address, SLICE, &call, HELLO_TIMEOUT).await;
+        match answer {
+            Ok(CellAnswer::Configuration { routes }) => self.apply(routes, "peer"),
+            Ok(_) => {}
+            Err(error) => warn!("configuration of a peer", kv: { peer: = address, cause: = error }),
+        }
+    }
+}
+
+/// Applies each higher version of the configuration.
+async fn follow_configuration(sources: ConfigurationSources) {
     let mut after = None;
     let mut failing = false;
-    while !routes.is_closed() {
-        let update = directory.configuration(after, FOLLOW_WAIT).await;
+    while !sources.routes.is_closed() {
+        let update = sources.directory.configuration(after, FOLLOW_WAIT).await;
         if failing == update.is_ok() {
             failing = update.is_err();
             warn!("configuration", kv: { reachable = update.is_ok() });
@@ -129,19 +165,14 @@
         match update {
             Ok(ConfigurationUpdate::Current(newest, version)) => {
                 after = Some(version);
-                if newest.version > routes.borrow().version {
-                    info!("configuration applied", kv: {
-                        version = newest.version, queues = newest.queues.len()
-                    });
-                    metrics.set_configuration_version(newest.version);
-                    routes.send_replace(newest);
-                }
+                sources.apply(newest, "store");
             }
             Ok(ConfigurationUpdate::Unchanged(version)) => after = Some(version),
             Ok(ConfigurationUpdate::HistoryLost) => after = None,
             Err(_) => {
                 // A change may have been missed; the whole configuration tells.
                 after = None;
+                sources.ask_peer().await;
                 tokio::time::sleep(FOLLOW_PAUSE).await;
             }
         }
--- a/jackdawchute-cell/src/leader.rs
+++ b/jackdawchute-cell/src/leader.rs
@@ -20,13 +20,15 @@
 
 use crate::{
     commit::{append, Head, NotAppended},
+    member::Deposed,
     messages::{CellAnswer, CellCall, SubmitJob, SLICE},
     rows::{HeadRecord, HEAD_TABLE, PART},
     settings::{
         outage_retry_after, ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, COMMIT_BYTES_MAX, COMMIT_PATIENCE,
         COMMIT_PAUSE, COMMIT_PERIOD, COMMIT_ROWS_MAX, COMMIT_SLOW, FOLLOW_PAUSE, FOLLOW_WAIT,
-        HELLO_TIMEOUT, LAG_GAIN, LAG_MAX, LOAD_LOG_PERIOD, OFFER_PAUSE, OTHERS_TOLD, PEER_MEMORY,
-        SETTLE_PERIOD, SHORT_ONLY_DIVISOR, SHORT_QUESTION, TICK_PERIOD,
+        HELLO_TIMEOUT, LAG_GAIN, LAG_MAX, LEADER_STORE_TROUBLE, LOAD_LOG_PERIOD, OFFER_PAUSE,
+        OTHERS_TOLD, PEERS_ASK_PERIOD, PEER_MEMORY, SETTLE_PERIOD, SHORT_ONLY_DIVISOR,
+        SHORT_QUESTION, TICK_PERIOD,
     },
     Advisor, Directory, Metrics, Routes, Store, Workers, WorkersUpdate,
 };
@@ -50,7 +52,7 @@
     pub(crate) routes: watch::Receiver<Routes>,
     pub(crate) metrics: Metrics,
     /// Told once when another instance has taken over.
-    pub(crate) deposed: mpsc::UnboundedSender<Epoch>,
+    pub(crate) deposed: mpsc::UnboundedSender<Deposed>,
 }
 
 /// What is known of another instance, or of this one.
@@ -90,7 +92,9 @@
     ports: Ports,
     routes: watch::Receiver<Routes>,
     metrics: Metrics,
-    deposed: mpsc::UnboundedSender<Epoch>,
+    deposed: mpsc::UnboundedSender<Deposed>,
+    /// When peers were last asked whether another instance has taken over.
+    peers_asked_at: Instant,
     settled_at: Instant,
     load_logged_at: Instant,
     ticked_at: Instant,
@@ -122,6 +126,7 @@
         routes: parts.routes,
         metrics: parts.metrics,
         deposed: parts.deposed,
+        peers_asked_at: now,
         settled_at: now,
         load_logged_at: now,
         ticked_at: now,
@@ -244,6 +249,43 @@
         });
     }
 
+    /// Asks peers whether another instance has taken over, which the store would tell if it could
+    /// be reached from here.
+    fn ask_peers_in_trouble(&mut self, now: Instant) {
+        let recent = now.saturating_duration_since(self.peers_asked_at) < PEERS_ASK_PERIOD;
+        if recent || self.store_trouble(now) < LEADER_STORE_TROUBLE {
+            return;
+        }
+        self.peers_asked_at = now;
+        let hello = CellCall::Hello {
+            address: self.own_address,
+            epoch: self.head.epoch,
+            leaving: false,
+            lag_ms: 0,
+        };
+        let others = self
+            .peers
+            .keys()
+            .copied()
+            .filter(|it| *it != self.own_address);
+        for address in others.take(OTHERS_TOLD) {
+            let (peers, hello) = (self.ports.peers.clone(), hello.clone());
+            let (deposed, epoch) = (self.deposed.clone(), self.head.epoch);
+            tokio::spawn(async move {
+                let answer = peers.call(address, SLICE, &hello, HELLO_TIMEOUT).await;
+                if let Ok(CellAnswer::Elsewhere { row, .. }) = answer {
+                    if row.record.epoch > epoch {
+                        // The receiver is gone only when the instance ends.
+                        let _ = deposed.send(Deposed {
+                            epoch,
+                            row: Some(row),
+                        });
+                    }
+                }
+            });
+        }
+    }
+
     /// Measures how late ticks are handled, which tells how much this instance's processor lacks.
     fn note_lag(&mut self, now: Instant) {
         let late = now
@@ -456,7 +498,10 @@
                 answer_all(Some(waiting), &CellAnswer::Unknown);
             }
             // The receiver is gone only when the instance ends.
-            let _ = self.deposed.send(self.head.epoch);
+            let _ = self.deposed.send(Deposed {
+                epoch: self.head.epoch,
+                row: None,
+            });
         }
     }
 }
@@ -541,6 +586,7 @@
         let now = Instant::now();
         self.note_lag(now);
         self.offer_when_slow(now);
+        self.ask_peers_in_trouble(now);
         self.scheduler.tick(now, unix_now());
         self.refuse_unsaved(now);
         self.metrics.set_jobs(self.scheduler.jobs_count());
--- a/jackdawchute-cell/src/member.rs
+++ b/jackdawchute-cell/src/member.rs
@@ -71,7 +71,7 @@
     claim_pause: Duration,
     /// When the holder was last heard, or when this instance began to listen for it.
     heard_at: Instant,
-    deposed: mpsc::UnboundedSender<Epoch>,
+    deposed: mpsc::UnboundedSender<Deposed>,
 }
 
 /// Starts the member task.
@@ -105,8 +105,8 @@
     }
     let own = address.downgrade();
     tokio::spawn(async move {
-        while let Some(epoch) = depositions.recv().await {
-            if own.send(Deposed(epoch)).await.is_err() {
+        while let Some(deposed) = depositions.recv().await {
+            if own.send(deposed).await.is_err() {
                 return;
             }
         }
@@ -230,7 +230,12 @@
             let transaction = claim::transaction(known.as_ref(), &record);
             let claimed = store.transact(&transaction).await;
             let claimed = claimed.map(|transacted| claim::outcome(&record, transacted));
-            let _ = own.send(ClaimAnswered(record, claimed)).await;
+            let answered = ClaimAnswered {
+                record,
+                known,
+                claimed,
+            };
+            let _ = own.send(answered).await;
         });
     }
 
@@ -276,8 +281,8 @@
     }
 
     /// Tells the instance that held the epoch before, which may be cut off from the store.
-    fn tell_predecessor(&self, row: &LeaderRow) {
-        let Some(predecessor) = self.row.as_ref().map(|row| row.record.address) else {
+    fn tell_predecessor(&self, known: Option<LeaderRow>, row: &LeaderRow) {
+        let Some(predecessor) = known.map(|row| row.record.address) else {
             return;
         };
         if predecessor == self.parts.settings.peer_address {
@@ -318,13 +323,24 @@
 /// The leader row as read; `None` if nothing new is known.
 pub(crate) struct LeaderSeen(pub(crate) Option<LeaderRow>);
 /// A claim's fate.
-struct ClaimAnswered(LeaderRecord, Result<Claimed>);
+struct ClaimAnswered {
+    record: LeaderRecord,
+    /// The row that the claim was to replace.
+    known: Option<LeaderRow>,
+    claimed: Result<Claimed>,
+}
 /// The scheduling instance's answer to a hello.
 struct HelloAnswered(Epoch, std::result::Result<CellAnswer, CallError>);
 /// All saved rows of an epoch that this instance holds.
 struct Loaded(Head, Option<Box<Scheduler>>);
 /// Another instance has taken over from the local scheduling task.
-struct Deposed(Epoch);
+#[derive(Debug)]
+pub(crate) struct Deposed {
+    /// The epoch that was lost.
+    pub(crate) epoch: Epoch,
+    /// The row of the instance that took over, where a peer told it.
+    pub(crate) row: Option<LeaderRow>,
+}
 /// This instance is about to end.
 pub(crate) struct Leave;
 /// The scheduling instance leaves and asks this one to take its place.
@@ -426,13 +442,17 @@
     type Return = ();
 
     async fn handle(&mut self, message: ClaimAnswered, context: &mut Context<Self>) {
-        let ClaimAnswered(record, claimed) = message;
+        let ClaimAnswered {
+            record,
+            known,
+            claimed,
+        } = message;
         let now = Instant::now();
         match claimed {
             Ok(Claimed::Won { epoch, version }) => {
                 self.claim_pause = CLAIM_PAUSE;
                 let row = LeaderRow { record, version };
-                self.tell_predecessor(&row);
+                self.tell_predecessor(known, &row);
                 self.note_row(row);
                 let head = Head {
                     epoch,
@@ -546,7 +566,10 @@
     type Return = ();
 
     async fn handle(&mut self, message: Deposed, _context: &mut Context<Self>) {
-        if self.row.as_ref().map(|row| row.record.epoch) == Some(message.0) {
+        if let Some(row) = message.row {
+            self.note_row(row);
+        }
+        if self.row.as_ref().map(|row| row.record.epoch) == Some(message.epoch) {
             self.step_down("deposed");
             // Whoever took over is in the row; until it is read there is nobody to ask.
             self.heard_at = Instant::now();
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -6,7 +6,7 @@
 use jackdawchute_types::{ConfigurationVersion, Epoch, IncarnationId, JobId, QueueId};
 use serde::{Deserialize, Serialize};
 
-use crate::claim::LeaderRow;
+use crate::{claim::LeaderRow, Routes};
 
 /// The slice's name in calls between peers.
 pub(crate) const SLICE: jackdawchute_peer::Slice = "cell";
@@ -35,6 +35,8 @@
     Advise { request: AdviceRequest },
     /// Asks an instance to take the place of one that leaves.
     TakeOver { epoch: Epoch },
+    /// Asks for the configuration in force, for an instance that cannot read it.
+    Configuration,
     /// Tells an instance that it no longer schedules, in case it cannot read that in the store.
     Superseded { row: LeaderRow },
 }
@@ -86,6 +88,8 @@
     Advice { answer: AdviceAnswer },
     /// It may or may not have been done.
     Unknown,
+    /// The configuration in force.
+    Configuration { routes: Routes },
     /// The instance was told.
     Noted,
 }
--- a/jackdawchute-cell/src/peers.rs
+++ b/jackdawchute-cell/src/peers.rs
@@ -16,7 +16,7 @@
     member::{LeaderSeen, LeaderView, MemberTask, TakeOver},
     messages::{CellAnswer, CellCall},
     settings::ADVICE_MARGIN,
-    Advisor,
+    Advisor, Routes,
 };
 
 /// The calls of this slice.
@@ -25,6 +25,7 @@
     pub(crate) member: Address<MemberTask>,
     pub(crate) advisor: Arc<dyn Advisor>,
     pub(crate) incarnation: IncarnationId,
+    pub(crate) routes: watch::Receiver<Routes>,
 }
 
 #[async_trait]
@@ -50,6 +51,9 @@
                 Ok(()) => CellAnswer::Noted,
                 Err(_) => CellAnswer::NotScheduling,
             },
+            CellCall::Configuration => CellAnswer::Configuration {
+                routes: self.routes.borrow().clone(),
+            },
             CellCall::Superseded { row } => match self.member.send(LeaderSeen(Some(row))).await {
                 Ok(()) => CellAnswer::Noted,
                 Err(_) => CellAnswer::NotScheduling,
@@ -137,8 +141,9 @@
             }
             answer.await.unwrap_or(CellAnswer::Unknown)
         }
-        CellCall::Advise { .. } | CellCall::TakeOver { .. } | CellCall::Superseded { .. } => {
-            CellAnswer::NotScheduling
-        }
+        CellCall::Advise { .. }
+        | CellCall::TakeOver { .. }
+        | CellCall::Configuration
+        | CellCall::Superseded { .. } => CellAnswer::NotScheduling,
     }
 }
--- a/jackdawchute-cell/src/routes.rs
+++ b/jackdawchute-cell/src/routes.rs
@@ -2,10 +2,11 @@
 
 use jackdawchute_scheduler::QueuePolicy;
 use jackdawchute_types::ConfigurationVersion;
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 /// Where callers reach a queue.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct QueueRoute {
     /// The host that callers name.
     pub host: SmolStr,
@@ -16,7 +17,7 @@
 }
 
 /// The queues of one version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Routes {
     /// The version.
     pub version: ConfigurationVersion,
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -88,3 +88,5 @@
 pub(crate) const SHORT_QUESTION: Duration = Duration::from_millis(120);
 /// One advisor in so many is kept for short questions.
 pub(crate) const SHORT_ONLY_DIVISOR: usize = 3;
+/// How often peers are asked for a later epoch while nothing can be saved.
+pub(crate) const PEERS_ASK_PERIOD: Duration = Duration::from_millis(500);
