fix: a leaving instance offers its epoch until it is taken over

Cause (test a_leaving_instance_hands_over_without_a_pause, failed first): the one offer went to an instance that still paused after a claim it had lost, and was dropped. Change: an invitation ends that pause, and the offer is repeated. Stand-ins for store, workers, advisor and lists in memory, and tests of whole cells over them.

--- a/jackdawchute-cell/src/member.rs
+++ b/jackdawchute-cell/src/member.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+use jackdawchute_peer::Peers;
 use jackdawchute_scheduler::{RowTable, Saved, Scheduler};
 use jackdawchute_timer::{Subscribe, Tick, TimerTask};
 use jackdawchute_types::{CallError, Epoch, IncarnationId};
@@ -21,8 +22,8 @@
     messages::{CellAnswer, CellCall, SLICE},
     rows::{table, LeaderRecord, KINDS, LEADER_TABLE, PART, SOLE_KEY},
     settings::{
-        CLAIM_JITTER, CLAIM_PAUSE, CLAIM_PAUSE_MAX, FOLLOW_PAUSE, FOLLOW_WAIT, HELLO_PERIOD,
-        HELLO_TIMEOUT, LEADER_SILENCE, LEADER_STORE_TROUBLE,
+        CLAIM_JITTER, CLAIM_PAUSE, CLAIM_PAUSE_MAX, FOLLOW_PAUSE, FOLLOW_WAIT, HANDOVER_PERIOD,
+        HELLO_PERIOD, HELLO_TIMEOUT, LEADER_SILENCE, LEADER_STORE_TROUBLE,
     },
     Changes, Metrics, Result, Routes, Settings, Store,
 };
@@ -584,7 +585,9 @@
 
     async fn handle(&mut self, message: TakeOver, context: &mut Context<Self>) {
         if self.row.as_ref().map(|row| row.record.epoch) == Some(message.0) {
-            self.claim("the scheduling instance leaves", context);
+            // An invitation ends the pause after an earlier claim.
+            self.claim_after = Instant::now();
+            self.claim("the scheduling instance offers its place", context);
         }
     }
 }
@@ -602,17 +605,27 @@
             return;
         };
         let peers = self.parts.ports.peers.clone();
+        let view = self.parts.view.subscribe();
         tokio::spawn(async move {
-            let Ok(Some(successor)) = local.send(FindSuccessor).await else {
-                info!("no instance to hand the epoch to");
-                return;
-            };
-            let call = CellCall::TakeOver { epoch };
-            let answer: std::result::Result<CellAnswer, CallError> =
-                peers.call(successor, SLICE, &call, HELLO_TIMEOUT).await;
-            info!("epoch offered to a successor", kv: {
-                epoch = epoch, successor: = successor, taken = answer.is_ok()
-            });
+            // The view goes on to hold the local task until the epoch is taken over.
+            while view.borrow().local.is_some() {
+                offer_epoch(&local, &peers, epoch).await;
+                tokio::time::sleep(HANDOVER_PERIOD).await;
+            }
         });
     }
 }
+
+/// Asks the instance that could best take over to do so.
+async fn offer_epoch(local: &Address<LeaderTask>, peers: &Peers, epoch: Epoch) {
+    let Ok(Some(successor)) = local.send(FindSuccessor).await else {
+        info!("no instance to hand the epoch to", kv: { epoch = epoch });
+        return;
+    };
+    let call = CellCall::TakeOver { epoch };
+    let answer: std::result::Result<CellAnswer, CallError> =
+        peers.call(successor, SLICE, &call, HELLO_TIMEOUT).await;
+    info!("epoch offered to a successor", kv: {
+        epoch = epoch, successor: = successor, reached = answer.is_ok()
+    });
+}
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -90,3 +90,5 @@
 pub(crate) const SHORT_ONLY_DIVISOR: usize = 3;
 /// How often peers are asked for a later epoch while nothing can be saved.
 pub(crate) const PEERS_ASK_PERIOD: Duration = Duration::from_millis(500);
+/// How often a leaving instance offers its epoch until it is taken over.
+pub(crate) const HANDOVER_PERIOD: Duration = Duration::from_millis(300);
--- /dev/null
+++ b/jackdawchute-cell/tests/cell.rs
@@ -0,0 +1,333 @@
+//! Several instances, with connections of their own, on a platform in memory.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use jackdawchute_cell::{Answer, Instance, Metrics, Parts, QueueRoute, Routes, Settings, Store};
+use jackdawchute_scheduler::{JobGraph, JobStatus, Outcome, QueuePolicy, StepSpec};
+use jackdawchute_standins::cell::{
+    MemoryAdvisor, MemoryDirectory, MemoryStore, MemoryWorkers, StoreHandle,
+};
+use jackdawchute_types::{JobId, Resources};
+use tokio::sync::watch;
+
+/// How long a caller waits for an answer.
+const DEADLINE: Duration = Duration::from_secs(3);
+/// How long a test waits for what must come about.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// How long each task runs.
+const TASK_TIME: Duration = Duration::from_millis(150);
+
+struct Member {
+    instance: Instance,
+    store: StoreHandle,
+    directory: MemoryDirectory,
+    address: SocketAddr,
+}
+
+struct Cell {
+    members: Vec<Member>,
+    workers: MemoryWorkers,
+    store: MemoryStore,
+    routes: watch::Sender<Routes>,
+}
+
+fn route() -> QueueRoute {
+    QueueRoute {
+        host: "host".into(),
+        path_prefix: "/queue/".into(),
+        policy: QueuePolicy {
+            queue: "queue".into(),
+            service: "service".into(),
+            priority: 0,
+            attempts_max: 3,
+            stretch: 10.0,
+            target: Duration::from_secs(20),
+            advice: None,
+        },
+    }
+}
+
+fn routes(version: u64) -> Routes {
+    Routes {
+        version,
+        queues: vec![route()],
+        body_bytes_max: 1_000_000,
+    }
+}
+
+fn graph(tasks: u32) -> JobGraph {
+    JobGraph {
+        payload: "payload".into(),
+        steps: vec![StepSpec {
+            tasks,
+            resources: Resources::new(1_000, 10, 0),
+            estimate: TASK_TIME,
+            ..StepSpec::default()
+        }],
+        repeat: None,
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("its address")
+}
+
+async fn cell(instances: usize) -> Cell {
+    let store = MemoryStore::default();
+    let workers = MemoryWorkers::new(4, TASK_TIME);
+    let (routes_sender, routes_receiver) = watch::channel(routes(1));
+    let mut members = Vec::new();
+    for index in 0..instances {
+        let handle = store.handle();
+        let directory = MemoryDirectory::new(workers.entries(), routes_receiver.clone());
+        let address = free_address();
+        let settings = Settings {
+            instance: smol_str::format_smolstr!("entry-{index}"),
+            peer_address: address,
+            scheduler: jackdawchute_scheduler::Settings::default(),
+        };
+        let parts = Parts {
+            store: Arc::new(handle.clone()),
+            workers: Arc::new(workers.clone()),
+            advisor: Arc::new(MemoryAdvisor),
+            directory: Arc::new(directory.clone()),
+        };
+        let instance = Instance::start(settings, parts, Metrics::default());
+        members.push(Member {
+            instance: instance.await.expect("the port is still free"),
+            store: handle,
+            directory,
+            address,
+        });
+    }
+    let cell = Cell {
+        members,
+        workers,
+        store,
+        routes: routes_sender,
+    };
+    for member in &cell.members {
+        wait_for("instance is ready", || member.instance.gateway.ready()).await;
+    }
+    cell
+}
+
+async fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < deadline, "{what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+impl Cell {
+    /// The index of the instance that the store names as the scheduling one.
+    async fn leader(&self) -> usize {
+        let page = self.store.handle().read("leader", "cell", None).await;
+        let row = page.expect("nobody is denied here").rows.remove(0);
+        let text = String::from_utf8(row.value.expect("a row")).expect("text");
+        let named = |member: &Member| text.contains(&member.address.to_string());
+        self.members.iter().position(named).expect("an instance")
+    }
+
+    async fn submit(&self, through: usize, job: &str, tasks: u32) -> Answer {
+        let gateway = &self.members[through].instance.gateway;
+        gateway
+            .submit(job.into(), graph(tasks), &route(), DEADLINE)
+            .await
+    }
+
+    /// Submits again, as callers do, until the job is accepted.
+    async fn submit_until_accepted(&self, through: usize, job: &str, tasks: u32) {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            let answer = self.submit(through, job, tasks).await;
+            if answer == Answer::Accepted {
+                return;
+            }
+            assert!(Instant::now() < deadline, "{job}: {answer:?}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    async fn status(&self, through: usize, job: &str) -> Answer {
+        let gateway = &self.members[through].instance.gateway;
+        gateway.status(job.into(), DEADLINE).await
+    }
+
+    async fn wait_until_completed(&self, through: usize, job: &str) {
+        let completed = Answer::Status(JobStatus::Ended(Outcome::Completed));
+        let deadline = Instant::now() + PATIENCE;
+        while self.status(through, job).await != completed {
+            assert!(Instant::now() < deadline, "{job} has not completed");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Asserts that no task ran twice at once, nor again after it had succeeded.
+    fn assert_nothing_ran_twice(&self) {
+        let mut by_task: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for record in self.workers.records() {
+            by_task.entry(record.task.clone()).or_default().push(record);
+        }
+        for (task, runs) in by_task {
+            assert_eq!(runs.len(), 1, "{task:?}: {runs:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_job_runs_whichever_instance_its_caller_reaches() {
+    let cell = cell(3).await;
+
+    for through in 0..3 {
+        let job = format!("job-{through}");
+        assert_eq!(cell.submit(through, &job, 3).await, Answer::Accepted);
+        cell.wait_until_completed((through + 1) % 3, &job).await;
+    }
+
+    assert_eq!(cell.workers.records().len(), 9);
+    cell.assert_nothing_ran_twice();
+}
+
+#[tokio::test]
+async fn the_same_job_is_accepted_once() {
+    let cell = cell(3).await;
+
+    for through in [0, 1, 2, 0] {
+        assert_eq!(cell.submit(through, "job", 2).await, Answer::Accepted);
+    }
+    cell.wait_until_completed(0, "job").await;
+    assert_eq!(cell.submit(1, "job", 2).await, Answer::Accepted);
+    tokio::time::sleep(TASK_TIME).await;
+
+    assert_eq!(cell.workers.records().len(), 2);
+}
+
+#[tokio::test]
+async fn another_instance_schedules_when_the_store_turns_the_scheduling_one_away() {
+    let cell = cell(3).await;
+    let leader = cell.leader().await;
+    cell.submit_until_accepted(leader, "before", 4).await;
+
+    cell.members[leader].store.deny(true);
+    cell.members[leader].directory.deny(true);
+    let other = (leader + 1) % 3;
+    cell.submit_until_accepted(other, "after", 4).await;
+    // The replaced instance serves its callers through the new one.
+    cell.submit_until_accepted(leader, "through-the-replaced", 2)
+        .await;
+
+    for job in ["before", "after", "through-the-replaced"] {
+        cell.wait_until_completed(leader, job).await;
+    }
+    assert_ne!(cell.leader().await, leader);
+    cell.assert_nothing_ran_twice();
+}
+
+#[tokio::test]
+async fn a_replaced_instance_never_denies_a_job_that_its_successor_accepted() {
+    let cell = cell(3).await;
+    let leader = cell.leader().await;
+    let other = (leader + 1) % 3;
+    cell.members[leader].store.deny(true);
+
+    cell.submit_until_accepted(other, "job", 1).await;
+    let gateway = &cell.members[leader].instance.gateway;
+    let job: JobId = "job".into();
+    let status = gateway.status(job.clone(), DEADLINE).await;
+    let cancelled = gateway.cancel(job, DEADLINE).await;
+
+    let unknown = Answer::Status(JobStatus::Unknown);
+    assert_ne!(status, unknown);
+    assert_ne!(cancelled, unknown);
+}
+
+#[tokio::test]
+async fn lost_answers_of_the_store_neither_lose_nor_double_a_job() {
+    let cell = cell(2).await;
+    for member in &cell.members {
+        member.store.lose_answers(3);
+    }
+
+    for index in 0..20 {
+        let job = format!("job-{index}");
+        cell.submit_until_accepted(index % 2, &job, 1).await;
+    }
+    for index in 0..20 {
+        cell.wait_until_completed(0, &format!("job-{index}")).await;
+    }
+
+    assert_eq!(cell.workers.records().len(), 20);
+    cell.assert_nothing_ran_twice();
+}
+
+#[tokio::test]
+async fn nothing_is_accepted_while_the_store_is_away_and_what_runs_goes_on() {
+    let cell = cell(2).await;
+    cell.submit_until_accepted(0, "before", 8).await;
+    for member in &cell.members {
+        member.store.deny(true);
+    }
+    tokio::time::sleep(Duration::from_millis(600)).await;
+
+    let asked_at = Instant::now();
+    let answer = cell.submit(1, "refused", 1).await;
+    let took = asked_at.elapsed();
+    let started_meanwhile = cell.workers.records().len();
+    for member in &cell.members {
+        member.store.deny(false);
+    }
+    cell.wait_until_completed(1, "before").await;
+
+    let Answer::Unavailable { retry_after } = answer else {
+        panic!("{answer:?}");
+    };
+    assert!(retry_after >= Duration::from_secs(1));
+    assert!(took < Duration::from_secs(1), "{took:?}");
+    assert_eq!(started_meanwhile, 8);
+    cell.assert_nothing_ran_twice();
+}
+
+#[tokio::test]
+async fn a_leaving_instance_hands_over_without_a_pause() {
+    let cell = cell(3).await;
+    let leader = cell.leader().await;
+
+    cell.members[leader].instance.leave().await;
+    let asked_at = Instant::now();
+    cell.submit_until_accepted((leader + 1) % 3, "job", 2).await;
+    let took = asked_at.elapsed();
+    cell.wait_until_completed((leader + 2) % 3, "job").await;
+
+    assert!(!cell.members[leader].instance.gateway.ready());
+    assert!(took < Duration::from_secs(1), "{took:?}");
+    wait_for_leader_other_than(&cell, leader).await;
+}
+
+async fn wait_for_leader_other_than(cell: &Cell, old: usize) {
+    let deadline = Instant::now() + PATIENCE;
+    while cell.leader().await == old {
+        assert!(Instant::now() < deadline, "the epoch is not handed over");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test]
+async fn an_instance_without_the_store_applies_the_configuration_of_a_peer() {
+    let cell = cell(3).await;
+    let denied = (cell.leader().await + 1) % 3;
+    cell.members[denied].store.deny(true);
+    cell.members[denied].directory.deny(true);
+
+    cell.routes.send_replace(routes(5));
+
+    let version = || cell.members[denied].instance.gateway.routes().version;
+    wait_for("the version is applied", || version() == 5).await;
+}
--- a/jackdawchute-standins/src/lib.rs
+++ b/jackdawchute-standins/src/lib.rs
@@ -6,11 +6,13 @@
 
 pub mod balancer;
 pub mod caller;
+pub mod cell;
 pub mod checker;
 mod error;
 pub mod harness;
 mod hold;
 pub mod load;
+mod lock;
 pub mod membership;
 pub mod program;
 pub mod proxy;
