--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -16,6 +16,7 @@
 mod observe;
 mod orders;
 mod place;
+mod progress;
 mod queue;
 mod rank;
 mod records;
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     job::JobPhase,
+    progress::Progress,
     worker::{Life, Run, RunPhase, Worker},
     EndReason, EndedRun, HoldAnswer, HoldOrder, Outcome, RunningTask, Scheduler, TaskName,
     WorkerEntry,
@@ -158,6 +159,7 @@
         }
         if newer {
             self.reconcile(&order.worker, &answer, first, now);
+            self.judge_progress(&order.worker, now);
         }
         if let Some(worker) = self.workers.get_mut(&order.worker) {
             if worker.ends_noted > worker.ends_saved {
@@ -323,7 +325,9 @@
         };
         let known = worker.runs.get_mut(&running.task);
         if let Some(run) = known.filter(|run| run.run == running.run) {
-            run.percent = running.percent;
+            run.progress
+                .get_or_insert(Progress::new(running.percent, now))
+                .update(running.percent);
             run.seen_running = true;
             if run.phase == RunPhase::Starting {
                 run.phase = RunPhase::Running;
@@ -395,7 +399,7 @@
             order_under_way: false,
             retry_at: None,
             start: None,
-            percent: running.percent,
+            progress: Some(Progress::new(running.percent, now)),
         };
         if let Some(worker) = self.workers.get_mut(id) {
             worker.runs.insert(task.clone(), run);
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -402,7 +402,7 @@
                 order_under_way: true,
                 retry_at: None,
                 start: Some(Box::new(order.clone())),
-                percent: 0,
+                progress: None,
             };
             worker.runs.insert(order.task.clone(), record);
             self.effects.push(Effect::Start(order));
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -7,7 +7,7 @@
 
 use jackdawchute_types::{FencingToken, JobId, Resources, RunNumber, WorkerId};
 
-use crate::{StartOrder, TaskName, WorkerEntry};
+use crate::{progress::Progress, StartOrder, TaskName, WorkerEntry};
 
 /// The slowest rate of a worker's clock against ours.
 const CLOCK_RATE_MIN: f64 = 0.98;
@@ -47,7 +47,7 @@
     /// When to send the next order for it, where the last one got no answer.
     pub(crate) retry_at: Option<Instant>,
     pub(crate) start: Option<Box<StartOrder>>,
-    pub(crate) percent: u32,
+    pub(crate) progress: Option<Progress>,
 }
 
 /// One life of a worker, as it told itself.
--- a/jackdawchute-scheduler/tests/lost_workers.rs
+++ b/jackdawchute-scheduler/tests/lost_workers.rs
@@ -100,3 +100,45 @@
     assert_eq!(stops.len(), 1);
     assert_eq!((&stops[0].worker, stops[0].run), (&start.worker, start.run));
 }
+
+/// Lets two tasks run on a worker while it answers looks with some progress a second.
+fn tasks_with_progress(percent_a_second: u32) -> (Cell, Vec<jackdawchute_scheduler::StartOrder>) {
+    let mut cell = settled_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(2, 2)], queue(0));
+    let starts = cell.take_starts();
+    for start in &starts {
+        cell.confirm(start);
+    }
+    for second in 0..4 {
+        cell.tick(1_000);
+        let percent = (second * percent_a_second).min(99);
+        let listed = starts.iter().map(|start| {
+            let mut task = running(start);
+            task.percent = percent;
+            task
+        });
+        let listed = listed.collect();
+        let hold = cell.hold_of("w1");
+        cell.answer_hold(&hold, listed, Vec::new());
+        cell.settle();
+    }
+    (cell, starts)
+}
+
+#[test]
+fn tasks_are_moved_from_a_worker_on_which_they_stand_still() {
+    let (mut cell, starts) = tasks_with_progress(0);
+
+    let stops = cell.take_stops();
+
+    assert_eq!(stops.len(), starts.len());
+    cell.accept("next", vec![step(1, 1)], queue(0));
+    assert!(cell.take_starts().is_empty(), "the worker gets new tasks");
+}
+
+#[test]
+fn tasks_that_take_half_as_long_again_stay_where_they_are() {
+    let (mut cell, _) = tasks_with_progress(66);
+
+    assert!(cell.take_stops().is_empty());
+}
