--- a/jackdawchute-cell/src/gateway.rs
+++ b/jackdawchute-cell/src/gateway.rs
@@ -21,6 +21,8 @@
 
 /// The pause between two tries to find the scheduling instance.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
+/// The least time in which an answer of a peer can come; several times the longest way to it.
+const CALL_TIME_MIN: Duration = Duration::from_millis(15);
 /// How long past a silent leader an instance still takes callers' calls.
 const READY_SILENCE: Duration = LEADER_SILENCE;
 
@@ -132,6 +134,14 @@
         let mut open = false;
         let answer = loop {
             let left = until.saturating_duration_since(Instant::now());
+            if left < CALL_TIME_MIN {
+                // Too little time for an answer: what is not sent surely has no effect.
+                break if open {
+                    Answer::Unknown
+                } else {
+                    self.unavailable()
+                };
+            }
             let answer = self.try_once(&call, left).await;
             match answer {
                 Some(answer) if answer != Answer::Unknown => break answer,
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -68,7 +68,7 @@
     lasted.clamp(OUTAGE_RETRY_AFTER_MIN, OUTAGE_RETRY_AFTER_MAX)
 }
 /// The part of a caller's deadline kept for the answer itself.
-pub(crate) const DEADLINE_MARGIN: Duration = Duration::from_millis(80);
+pub(crate) const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
 /// How long an instance counts as there after it was last heard.
 pub(crate) const PEER_MEMORY: Duration = Duration::from_millis(900);
 /// How long beyond its expected time an advisor may take.
