--- /dev/null
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -0,0 +1,233 @@
+//! What the scheduling task knows of other instances: advisors, successors, a later epoch.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use jackdawchute_peer::Peers;
+use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest};
+use jackdawchute_types::CallError;
+use spdlog::{info, warn};
+use xtra::{prelude::*, refcount::Weak};
+
+use super::{handlers::AdviceAnswered, LeaderTask};
+use crate::{
+    member::Deposed,
+    messages::{CellAnswer, CellCall, SLICE},
+    settings::{
+        ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, HELLO_TIMEOUT, LAG_GAIN, LAG_MAX, LEADER_STORE_TROUBLE,
+        OFFER_PAUSE, OTHERS_TOLD, PEERS_ASK_PERIOD, PEER_MEMORY, SHORT_ONLY_DIVISOR,
+        SHORT_QUESTION, TICK_PERIOD,
+    },
+};
+
+/// What is known of another instance, or of this one.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PeerLoad {
+    pub(super) heard_at: Instant,
+    /// When its advisor has answered all questions that were asked through it.
+    pub(super) advisor_free_at: Instant,
+    pub(super) leaving: bool,
+    pub(super) lag: Duration,
+}
+
+impl PeerLoad {
+    /// Whether it was heard of late and stays.
+    fn usable(&self, now: Instant) -> bool {
+        !self.leaving && now.saturating_duration_since(self.heard_at) < PEER_MEMORY
+    }
+}
+
+impl LeaderTask {
+    pub(super) fn note_peer(
+        &mut self,
+        address: SocketAddr,
+        leaving: bool,
+        lag: Duration,
+        now: Instant,
+    ) {
+        let load = self.peers.entry(address).or_insert(PeerLoad {
+            heard_at: now,
+            advisor_free_at: now,
+            leaving,
+            lag,
+        });
+        load.lag = lag;
+        load.heard_at = now;
+        load.leaving = leaving;
+    }
+
+    /// Some instances that were heard of late, other than the one that asks.
+    pub(super) fn some_others(&self, asking: SocketAddr, now: Instant) -> Vec<SocketAddr> {
+        self.peers
+            .iter()
+            .filter(|(address, load)| {
+                **address != asking && **address != self.own_address && load.usable(now)
+            })
+            .map(|(address, _)| *address)
+            .take(OTHERS_TOLD)
+            .collect()
+    }
+
+    /// The instance that could best take over.
+    pub(super) fn successor(&self, now: Instant) -> Option<SocketAddr> {
+        let usable = |(address, load): &(&SocketAddr, &PeerLoad)| {
+            **address != self.own_address && load.usable(now)
+        };
+        let best = self.peers.iter().filter(usable);
+        let best = best.min_by_key(|(_, load)| (load.lag, std::cmp::Reverse(load.heard_at)));
+        best.map(|(address, _)| *address)
+    }
+
+    /// Offers the epoch to a faster instance when this one does not keep up.
+    pub(super) fn offer_when_slow(&mut self, now: Instant) {
+        let recent = |at: Instant| now.saturating_duration_since(at) < OFFER_PAUSE;
+        if self.lag < LAG_MAX || self.offered_at.is_some_and(recent) {
+            return;
+        }
+        let Some(successor) = self.successor(now) else {
+            return;
+        };
+        if self
+            .peers
+            .get(&successor)
+            .is_some_and(|load| load.lag * 2 > self.lag)
+        {
+            return;
+        }
+        self.offered_at = Some(now);
+        info!("this instance is slow; epoch offered", kv: {
+            epoch = self.head.epoch, lag_ms = self.lag.as_millis() as u64, successor: = successor
+        });
+        let call = CellCall::TakeOver {
+            epoch: self.head.epoch,
+        };
+        let peers = self.ports.peers.clone();
+        tokio::spawn(async move {
+            let answer: Result<CellAnswer, CallError> =
+                peers.call(successor, SLICE, &call, HELLO_TIMEOUT).await;
+            if let Err(error) = answer {
+                warn!("successor did not answer", kv: { successor: = successor, cause: = error });
+            }
+        });
+    }
+
+    /// Asks peers whether another instance has taken over, which the store would tell if it could
+    /// be reached from here.
+    pub(super) fn ask_peers_in_trouble(&mut self, now: Instant) {
+        let recent = now.saturating_duration_since(self.peers_asked_at) < PEERS_ASK_PERIOD;
+        if recent || self.store_trouble(now) < LEADER_STORE_TROUBLE {
+            return;
+        }
+        self.peers_asked_at = now;
+        let hello = CellCall::Hello {
+            address: self.own_address,
+            epoch: self.head.epoch,
+            leaving: false,
+            lag_ms: 0,
+        };
+        let others = self
+            .peers
+            .keys()
+            .copied()
+            .filter(|it| *it != self.own_address);
+        for address in others.take(OTHERS_TOLD) {
+            let (peers, hello) = (self.ports.peers.clone(), hello.clone());
+            let (deposed, epoch) = (self.deposed.clone(), self.head.epoch);
+            tokio::spawn(async move {
+                let answer = peers.call(address, SLICE, &hello, HELLO_TIMEOUT).await;
+                if let Ok(CellAnswer::Elsewhere { row, .. }) = answer {
+                    if row.record.epoch > epoch {
+                        // The receiver is gone only when the instance ends.
+                        let _ = deposed.send(Deposed {
+                            epoch,
+                            row: Some(row),
+                        });
+                    }
+                }
+            });
+        }
+    }
+
+    /// Measures how late ticks are handled, which tells how much this instance's processor lacks.
+    pub(super) fn note_lag(&mut self, now: Instant) {
+        let late = now
+            .saturating_duration_since(self.ticked_at)
+            .saturating_sub(TICK_PERIOD);
+        self.ticked_at = now;
+        self.lag = self.lag.mul_f64(1.0 - LAG_GAIN) + late.mul_f64(LAG_GAIN);
+    }
+
+    /// Asks through the instance whose advisor is free first.
+    pub(super) fn ask_advisor(
+        &mut self,
+        request: AdviceRequest,
+        own: Address<Self, Weak>,
+        now: Instant,
+    ) {
+        let own_address = self.own_address;
+        // Some advisors answer short questions only, so that those never wait behind long ones.
+        let advisors = self.peers.values().filter(|load| load.usable(now)).count();
+        let short_only = if request.expected > SHORT_QUESTION {
+            advisors / SHORT_ONLY_DIVISOR
+        } else {
+            0
+        };
+        let least = self
+            .peers
+            .iter_mut()
+            .filter(|(address, load)| **address == own_address || load.usable(now))
+            .skip(short_only)
+            .min_by_key(|(_, load)| load.advisor_free_at);
+        let Some((address, load)) = least else {
+            return;
+        };
+        let queued = load.advisor_free_at.saturating_duration_since(now);
+        if queued > ADVISOR_BACKLOG_MAX {
+            // The step asks again once its patience is over.
+            return;
+        }
+        load.advisor_free_at = load.advisor_free_at.max(now) + request.expected;
+        let timeout = queued + request.expected + ADVICE_MARGIN;
+        let address = *address;
+        let ports = self.ports.clone();
+        let metrics = self.metrics.clone();
+        tokio::spawn(async move {
+            let asked_at = Instant::now();
+            let answer = if address == own_address {
+                ports.advisor.advise(&request, timeout).await.ok()
+            } else {
+                ask_peer(&ports.peers, address, &request, timeout).await
+            };
+            let outcome = if answer.is_some() {
+                "answered"
+            } else {
+                "failed"
+            };
+            metrics.call("advise", outcome, asked_at.elapsed());
+            let _ = own.send(AdviceAnswered(request, answer)).await;
+        });
+    }
+}
+
+async fn ask_peer(
+    peers: &Peers,
+    address: SocketAddr,
+    request: &AdviceRequest,
+    timeout: Duration,
+) -> Option<AdviceAnswer> {
+    let call = CellCall::Advise {
+        request: request.clone(),
+    };
+    match peers.call(address, SLICE, &call, timeout).await {
+        Ok(CellAnswer::Advice { answer }) => Some(answer),
+        Ok(_) => None,
+        Err(error) => {
+            warn!("advice through a peer failed", kv: {
+                job = request.step.job.as_str(), peer: = address, cause: = error
+            });
+            None
+        }
+    }
+}
--- a/jackdawchute-peer/src/link.rs
+++ b/jackdawchute-peer/src/link.rs
@@ -3,7 +3,10 @@
 use std::{
     io::ErrorKind,
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
     time::{Duration, Instant},
 };
 
@@ -34,10 +37,24 @@
 pub(crate) struct LinkTask {
     peer: SocketAddr,
     token: Token,
-    client: Option<Arc<WsClient>>,
+    connection: Option<Arc<Connection>>,
     failure: Option<Failure>,
 }
 
+/// A connection, and whether a call on it got no answer in time.
+#[derive(Debug)]
+struct Connection {
+    client: WsClient,
+    /// It may have fallen silent; later calls take a new one.
+    suspect: AtomicBool,
+}
+
+impl Connection {
+    fn usable(&self) -> bool {
+        self.client.is_connected() && !self.suspect.load(Ordering::Relaxed)
+    }
+}
+
 /// Why and when the last connection attempt failed.
 #[derive(Clone, Debug)]
 struct Failure {
@@ -56,14 +73,14 @@
         Self {
             peer,
             token,
-            client: None,
+            connection: None,
             failure: None,
         }
     }
 
-    async fn connected(&mut self) -> Result<Arc<WsClient>, ConnectError> {
-        if let Some(client) = self.client.as_ref().filter(|client| client.is_connected()) {
-            return Ok(client.clone());
+    async fn connected(&mut self) -> Result<Arc<Connection>, ConnectError> {
+        if let Some(connection) = self.connection.as_ref().filter(|it| it.usable()) {
+            return Ok(connection.clone());
         }
         let recent = self
             .failure
@@ -74,9 +91,12 @@
         }
         match connect(self.peer).await {
             Ok(client) => {
-                let client = Arc::new(client);
-                self.client = Some(client.clone());
-                Ok(client)
+                let connection = Arc::new(Connection {
+                    client,
+                    suspect: AtomicBool::new(false),
+                });
+                self.connection = Some(connection.clone());
+                Ok(connection)
             }
             Err(cause) => {
                 self.failure = Some(Failure {
@@ -126,8 +146,8 @@
 
     async fn handle(&mut self, call: CallPeer, _context: &mut Context<Self>) {
         match self.connected().await {
-            Ok(client) => {
-                tokio::spawn(exchange(client, self.token.clone(), call));
+            Ok(connection) => {
+                tokio::spawn(exchange(connection, self.token.clone(), call));
             }
             Err(cause) => {
                 let peer = call.peer.to_string();
@@ -141,7 +161,7 @@
     }
 }
 
-async fn exchange(client: Arc<WsClient>, token: Token, call: CallPeer) {
+async fn exchange(connection: Arc<Connection>, token: Token, call: CallPeer) {
     let CallPeer {
         peer,
         slice,
@@ -149,7 +169,7 @@
         timeout,
         reply,
     } = call;
-    let answer = client.call((*token).clone(), slice.into(), call);
+    let answer = connection.client.call((*token).clone(), slice.into(), call);
     let unknown = |cause: String| CallError::Unknown(slice, peer.to_string(), cause);
     let outcome: Result<Value, CallError> = match tokio::time::timeout(timeout, answer).await {
         Ok(Ok(value)) => Ok(value),
@@ -159,7 +179,10 @@
             error.to_string(),
         )),
         Ok(Err(error)) => Err(unknown(error.to_string())),
-        Err(_) => Err(unknown("no answer in time".to_owned())),
+        Err(_) => {
+            connection.suspect.store(true, Ordering::Relaxed);
+            Err(unknown("no answer in time".to_owned()))
+        }
     };
     let _ = reply.send(outcome);
 }
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod advise;
 mod cancel;
+mod ends;
 mod error;
 mod graph;
 mod job;
