refactor: one look-up of a run, one check of who may run a step; state that nothing reads dropped

The look-up of a run stood five times in orders, the check of service, health and label twice, the validity of a ticket twice. Unit::started_at, Worker::answered_at and Health::measured were written only; parameters for the time that nothing used are gone. Behaviour and tests are unchanged.

--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -259,7 +259,7 @@
             let _ = reply.send(CellAnswer::NotScheduling);
             return;
         }
-        let status = self.scheduler.cancel(&job, Instant::now());
+        let status = self.scheduler.cancel(&job);
         match status {
             JobStatus::Queued | JobStatus::Running => {
                 self.cancellers.entry(job).or_default().push(reply);
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -80,17 +80,10 @@
 
     /// Sorts the workers that could run a step by what is known of them.
     fn known_advice(&self, job: &Job, spec: &StepSpec, step: &StepRun, now: Instant) -> Known {
-        let silence = self.settings.silence;
         let size = spec.reserved();
         let mut known = Known::default();
         for worker in self.workers.values() {
-            let labels = &worker.entry.labels;
-            let usable = worker.entry.service == job.queue.service
-                && worker.takes_tasks(now, silence)
-                && spec
-                    .required_label
-                    .as_ref()
-                    .is_none_or(|it| labels.contains(it));
+            let usable = self.can_run(worker, job, spec, now);
             let Some(free) = worker.free().filter(|_| usable) else {
                 continue;
             };
@@ -101,11 +94,7 @@
             };
             match step.advice.get(worker.id()) {
                 Some(Advice::Denied) => {}
-                Some(Advice::Allowed {
-                    until,
-                    born_unix_ms,
-                    ..
-                }) if *until > now && worker.entry.born_unix_ms == *born_unix_ms => {
+                Some(advice) if advice.ticket(worker.entry.born_unix_ms, now).is_some() => {
                     known.fresh_fits |= candidate.fits;
                 }
                 Some(Advice::Allowed { .. }) => known.stale.push(candidate),
--- a/jackdawchute-scheduler/src/cancel.rs
+++ b/jackdawchute-scheduler/src/cancel.rs
@@ -1,7 +1,5 @@
 //! Cancels jobs and ends failed ones.
 
-use std::time::Instant;
-
 use jackdawchute_types::JobId;
 use spdlog::info;
 
@@ -9,20 +7,20 @@
 
 impl Scheduler {
     /// Cancels a job and stops its tasks; returns whether its end is still to be committed.
-    pub fn cancel(&mut self, id: &JobId, now: Instant) -> JobStatus {
+    pub fn cancel(&mut self, id: &JobId) -> JobStatus {
         let status = self.status(id);
         let Some(job) = self.jobs.get_mut(id) else {
             return status;
         };
         if job.phase == JobPhase::Live {
             info!("job cancelled", kv: { job = id.as_str(), begun = job.begun });
-            self.end_job(id, Outcome::Cancelled, now);
+            self.end_job(id, Outcome::Cancelled);
         }
         status
     }
 
     /// Decides a job's end; it takes effect for callers once it is committed.
-    pub(crate) fn end_job(&mut self, id: &JobId, outcome: Outcome, now: Instant) {
+    pub(crate) fn end_job(&mut self, id: &JobId, outcome: Outcome) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -32,11 +30,11 @@
         job.phase = JobPhase::Ending(outcome);
         self.ending.push(id.clone());
         self.placeable.remove(id);
-        self.stop_runs_of(id, now);
+        self.stop_runs_of(id);
     }
 
     /// Stops all that runs for a job.
-    pub(crate) fn stop_runs_of(&mut self, id: &JobId, now: Instant) {
+    fn stop_runs_of(&mut self, id: &JobId) {
         let mut stops = Vec::new();
         for worker in self.workers.values_mut() {
             for (task, run) in &mut worker.runs {
@@ -47,7 +45,7 @@
             }
         }
         for (worker, task) in stops {
-            self.send_stop(&worker, &task, now);
+            self.send_stop(&worker, &task);
         }
     }
 }
--- a/jackdawchute-scheduler/src/ends.rs
+++ b/jackdawchute-scheduler/src/ends.rs
@@ -82,7 +82,7 @@
                 job = id.as_str(), step = end.task.step.step, task = end.task.index,
                 failures = attempts_max
             });
-            self.end_job(&id.clone(), Outcome::Failed, now);
+            self.end_job(&id.clone(), Outcome::Failed);
         }
     }
 
@@ -120,7 +120,7 @@
                     took_ms = took.as_millis() as u64,
                     waited_ms = job.waited(now).as_millis() as u64
                 });
-                self.end_job(&id.clone(), Outcome::Completed, now);
+                self.end_job(&id.clone(), Outcome::Completed);
                 return;
             }
         }
@@ -184,7 +184,6 @@
         if !expected.is_zero() {
             let ratio = (measured.as_secs_f64() / expected.as_secs_f64()).clamp(0.1, 20.0);
             health.slowness += SLOWNESS_GAIN * (ratio - health.slowness);
-            health.measured += 1;
         }
         let queue = job.queue.queue.clone();
         self.run_times.record(&queue, spec.estimate, measured);
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -61,8 +61,6 @@
     pub(crate) checkpoint: Checkpoint,
     /// Where its tasks run or may run.
     pub(crate) placed: Vec<(TaskIndex, WorkerId)>,
-    /// When the current run was ordered.
-    pub(crate) started_at: Option<Instant>,
     /// The worker on which it failed last.
     pub(crate) failed_on: Option<WorkerId>,
     /// Whether the current run is to be stopped once all of it is known.
@@ -89,6 +87,20 @@
     Denied,
 }
 
+impl Advice {
+    /// The ticket, if it is still valid for a worker's life.
+    pub(crate) fn ticket(&self, worker_born_unix_ms: u64, now: Instant) -> Option<&Ticket> {
+        match self {
+            Self::Allowed {
+                ticket,
+                until,
+                born_unix_ms,
+            } if *until > now && *born_unix_ms == worker_born_unix_ms => Some(ticket),
+            _ => None,
+        }
+    }
+}
+
 /// The places that are kept for a gang until it starts.
 #[derive(Clone, Debug)]
 pub(crate) struct GangPlan {
@@ -260,7 +272,7 @@
 }
 
 /// The index of the unit that a task belongs to.
-pub(crate) fn unit_index(spec: &StepSpec, index: TaskIndex) -> usize {
+fn unit_index(spec: &StepSpec, index: TaskIndex) -> usize {
     if spec.gang {
         0
     } else {
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -104,8 +104,7 @@
         let Some(worker) = self.workers.get_mut(&order.worker) else {
             return;
         };
-        worker.hold_under_way = None;
-        worker.answered_at = Some(now);
+        worker.hold_under_way = false;
         if worker.unanswered_since.take().is_some() {
             info!("worker answers again", kv: { worker = order.worker.as_str() });
         }
@@ -194,7 +193,7 @@
                 worker = id.as_str(), first_look = first
             });
             self.remove_run(id, &task, now);
-            self.stop_rest_of_gang(&task, now);
+            self.stop_rest_of_gang(&task);
         }
     }
 
@@ -257,7 +256,6 @@
                 wanted = live && !unit.done && current && single && running.run >= unit.last_run;
                 unit.last_run = unit.last_run.max(running.run);
                 unit.placed.push((task.index, id.clone()));
-                unit.started_at = Some(now);
                 if !running.checkpoint.is_empty() && wanted {
                     unit.checkpoint = running.checkpoint.clone();
                 }
@@ -285,7 +283,7 @@
             worker.runs.insert(task.clone(), run);
         }
         if !wanted {
-            self.bar(id, task, now);
+            self.bar(id, task);
         }
     }
 
@@ -341,7 +339,7 @@
             });
             for task in tasks {
                 self.remove_run(&worker, &task, now);
-                self.stop_rest_of_gang(&task, now);
+                self.stop_rest_of_gang(&task);
             }
         }
         let before = self.workers.len();
@@ -384,7 +382,7 @@
                 job = task.step.job.as_str(), step = task.step.step, task = task.index,
                 worker = worker.as_str()
             });
-            self.bar(&worker, &task, now);
+            self.bar(&worker, &task);
         }
     }
 }
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -6,7 +6,8 @@
 use spdlog::{info, warn};
 
 use crate::{
-    worker::RunPhase, Effect, HoldOrder, RefusedStart, Scheduler, StartAnswer, StopOrder, TaskName,
+    worker::{Run, RunPhase},
+    Effect, HoldOrder, RefusedStart, Scheduler, StartAnswer, StopOrder, TaskName,
 };
 
 /// How long to wait before an order that got no answer is sent again.
@@ -28,12 +29,7 @@
         answer: StartAnswer,
         now: Instant,
     ) {
-        let Some(run) = self
-            .workers
-            .get_mut(worker)
-            .and_then(|it| it.runs.get_mut(task))
-            .filter(|run| run.run == number)
-        else {
+        let Some(run) = self.run_mut(worker, task).filter(|run| run.run == number) else {
             return;
         };
         run.order_under_way = false;
@@ -45,7 +41,7 @@
                 if run.phase == RunPhase::Starting {
                     run.phase = RunPhase::Running;
                 } else {
-                    self.send_stop(worker, task, now);
+                    self.send_stop(worker, task);
                 }
             }
             StartAnswer::Refused { reason, clock } => {
@@ -60,16 +56,19 @@
                     });
                     return;
                 }
+                // `Superseded`: its end is listed, or it was barred by an order of ours.
+                let to_bar = loose || reason == RefusedStart::Superseded;
+                if to_bar && clock.is_some() {
+                    run.settled_clock = clock;
+                }
                 if reason == RefusedStart::Ticket {
                     self.drop_ticket(&task.step, worker);
                 }
-                // `Superseded`: its end is listed, or it was barred by an order of ours.
-                if loose || reason == RefusedStart::Superseded {
-                    run_settled(self, worker, task, clock);
-                    self.bar(worker, task, now);
+                if to_bar {
+                    self.bar(worker, task);
                 } else {
                     self.remove_run(worker, task, now);
-                    self.stop_rest_of_gang(task, now);
+                    self.stop_rest_of_gang(task);
                 }
             }
             StartAnswer::OtherLife => {
@@ -83,7 +82,7 @@
                 });
                 self.note_silence(worker, now);
                 self.remove_run(worker, task, now);
-                self.stop_rest_of_gang(task, now);
+                self.stop_rest_of_gang(task);
             }
             StartAnswer::Unknown | StartAnswer::Unreached => {
                 if answer == StartAnswer::Unknown {
@@ -108,12 +107,7 @@
         clock: Option<Duration>,
         now: Instant,
     ) {
-        let Some(run) = self
-            .workers
-            .get_mut(worker)
-            .and_then(|it| it.runs.get_mut(task))
-            .filter(|run| run.run == number)
-        else {
+        let Some(run) = self.run_mut(worker, task).filter(|run| run.run == number) else {
             return;
         };
         run.order_under_way = false;
@@ -128,21 +122,25 @@
         }
     }
 
-    /// Makes sure that a run never starts, or ends, at its worker.
-    pub(crate) fn bar(&mut self, worker: &WorkerId, task: &TaskName, now: Instant) {
-        let run = self
-            .workers
-            .get_mut(worker)
-            .and_then(|it| it.runs.get_mut(task));
-        if let Some(run) = run {
+    fn run_mut(&mut self, worker: &WorkerId, task: &TaskName) -> Option<&mut Run> {
+        self.workers.get_mut(worker)?.runs.get_mut(task)
+    }
+
+    fn stop_run(&mut self, worker: &WorkerId, task: &TaskName) {
+        if let Some(run) = self.run_mut(worker, task) {
             run.phase = RunPhase::Stopping;
-            self.send_stop(worker, task, now);
+            self.send_stop(worker, task);
         }
-        self.stop_rest_of_gang(task, now);
+    }
+
+    /// Makes sure that a run never starts, or ends, at its worker.
+    pub(crate) fn bar(&mut self, worker: &WorkerId, task: &TaskName) {
+        self.stop_run(worker, task);
+        self.stop_rest_of_gang(task);
     }
 
     /// Stops the members of a gang of which one will not run, before they wait in vain.
-    pub(crate) fn stop_rest_of_gang(&mut self, task: &TaskName, now: Instant) {
+    pub(crate) fn stop_rest_of_gang(&mut self, task: &TaskName) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
@@ -161,15 +159,11 @@
         });
         for (index, worker) in unit.placed.clone() {
             let member = task.step.task(index);
-            let target = self.workers.get_mut(&worker);
-            if let Some(run) = target.and_then(|it| it.runs.get_mut(&member)) {
-                run.phase = RunPhase::Stopping;
-                self.send_stop(&worker, &member, now);
-            }
+            self.stop_run(&worker, &member);
         }
     }
 
-    pub(crate) fn send_stop(&mut self, worker: &WorkerId, task: &TaskName, _now: Instant) {
+    pub(crate) fn send_stop(&mut self, worker: &WorkerId, task: &TaskName) {
         let base = self.token_base;
         let Some(target) = self.workers.get_mut(worker) else {
             return;
@@ -227,7 +221,7 @@
             }
         }
         for (worker, task) in stops {
-            self.bar(&worker, &task, now);
+            self.bar(&worker, &task);
         }
     }
 
@@ -241,7 +235,7 @@
             ..
         } = self;
         for worker in workers.values_mut() {
-            if worker.hold_under_way.is_some() || worker.hold_next_at > now {
+            if worker.hold_under_way || worker.hold_next_at > now {
                 continue;
             }
             let wait = if worker.fenced && !worker.awaits_bar() {
@@ -258,7 +252,7 @@
             if let Some(until) = lease_until {
                 worker.lease_sent = worker.lease_sent.max(until);
             }
-            worker.hold_under_way = Some(now);
+            worker.hold_under_way = true;
             effects.push(Effect::Hold(HoldOrder {
                 worker: worker.entry.worker.clone(),
                 address: worker.entry.address,
@@ -273,7 +267,7 @@
     /// Takes note that a look got no answer.
     pub fn hold_failed(&mut self, worker: &WorkerId, now: Instant) {
         if let Some(target) = self.workers.get_mut(worker) {
-            target.hold_under_way = None;
+            target.hold_under_way = false;
             target.hold_next_at = now + HOLD_RETRY;
         }
         self.note_silence(worker, now);
@@ -297,18 +291,3 @@
         }
     }
 }
-
-fn run_settled(
-    scheduler: &mut Scheduler,
-    worker: &WorkerId,
-    task: &TaskName,
-    clock: Option<Duration>,
-) {
-    let run = scheduler
-        .workers
-        .get_mut(worker)
-        .and_then(|it| it.runs.get_mut(task));
-    if let (Some(run), Some(clock)) = (run, clock) {
-        run.settled_clock = Some(clock);
-    }
-}
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -107,7 +107,24 @@
         }
     }
 
-    /// The workers that may run a step now, best first.
+    /// Whether a worker takes tasks of a job's step, apart from advice and room.
+    pub(crate) fn can_run(
+        &self,
+        worker: &Worker,
+        job: &Job,
+        spec: &StepSpec,
+        now: Instant,
+    ) -> bool {
+        let labels = &worker.entry.labels;
+        worker.entry.service == job.queue.service
+            && worker.takes_tasks(now, self.settings.silence)
+            && spec
+                .required_label
+                .as_ref()
+                .is_none_or(|it| labels.contains(it))
+    }
+
+    /// The workers that may run a step now.
     fn candidates(
         &self,
         job: &Job,
@@ -124,40 +141,22 @@
                 *here.entry(worker).or_default() += 1;
             }
         }
-        let silence = self.settings.silence;
         let mut candidates = Vec::new();
         for worker in self.workers.values() {
-            if worker.entry.service != job.queue.service || !worker.takes_tasks(now, silence) {
+            if !self.can_run(worker, job, spec, now) {
                 continue;
             }
-            let labels = &worker.entry.labels;
-            if spec
-                .required_label
-                .as_ref()
-                .is_some_and(|it| !labels.contains(it))
-            {
+            let advice = step.advice.get(worker.id());
+            let ticket = advice.and_then(|it| it.ticket(worker.entry.born_unix_ms, now));
+            if job.queue.advice.is_some() && ticket.is_none() {
                 continue;
             }
-            let ticket = match (job.queue.advice, step.advice.get(worker.id())) {
-                (None, _) => None,
-                (
-                    Some(_),
-                    Some(Advice::Allowed {
-                        ticket,
-                        until,
-                        born_unix_ms,
-                    }),
-                ) if *until > now && worker.entry.born_unix_ms == *born_unix_ms => {
-                    Some(ticket.clone())
-                }
-                (Some(_), _) => continue,
-            };
             let max = spec.per_worker_max.unwrap_or(u32::MAX);
             let allowed = max.saturating_sub(here.get(worker.id()).copied().unwrap_or(0));
             if allowed > 0 {
                 candidates.push(Candidate {
                     worker: worker.id().clone(),
-                    ticket,
+                    ticket: ticket.cloned(),
                     near_data: spec.data_rack.is_none() || spec.data_rack == worker.entry.rack,
                     slowness_tenths: (worker.health.slowness * 10.0) as u32,
                     allowed,
@@ -365,7 +364,7 @@
         let Some(unit) = job.step_mut(name).and_then(|step| step.units.get_mut(unit)) else {
             return;
         };
-        begin_run(unit, places, now);
+        begin_run(unit, places);
         let (run, checkpoint) = (unit.last_run, unit.checkpoint.clone());
         for (index, worker, ticket) in places {
             let Some(worker) = self.workers.get_mut(worker) else {
@@ -410,9 +409,8 @@
     }
 }
 
-fn begin_run(unit: &mut Unit, places: &[(u32, WorkerId, Option<Ticket>)], now: Instant) {
+fn begin_run(unit: &mut Unit, places: &[(u32, WorkerId, Option<Ticket>)]) {
     unit.last_run += 1;
-    unit.started_at = Some(now);
     unit.stopping = false;
     unit.placed = places
         .iter()
--- a/jackdawchute-scheduler/src/progress.rs
+++ b/jackdawchute-scheduler/src/progress.rs
@@ -73,7 +73,7 @@
                 job = task.step.job.as_str(), step = task.step.step, task = task.index,
                 worker = id.as_str()
             });
-            self.bar(id, &task, now);
+            self.bar(id, &task);
         }
     }
 
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -65,7 +65,7 @@
             .map(|job| job.id.clone())
             .collect();
         for job in complete {
-            self.end_job(&job, Outcome::Completed, now);
+            self.end_job(&job, Outcome::Completed);
         }
         info!("state taken over", kv: {
             epoch = self.epoch, jobs = self.jobs.len(), ended = self.ended.len(),
@@ -185,12 +185,12 @@
                 unit.last_run = (unit.last_run + 1).max(self.epoch * RUN_NUMBERS_PER_EPOCH);
             }
         }
-        self.stop_incomplete_gangs(now);
+        self.stop_incomplete_gangs();
         self.place_needed = true;
     }
 
     /// Stops gangs of which a part never started.
-    fn stop_incomplete_gangs(&mut self, now: Instant) {
+    fn stop_incomplete_gangs(&mut self) {
         let mut stops = Vec::new();
         for job in self.jobs.values().filter(|job| job.phase == JobPhase::Live) {
             for run in &job.occurrences {
@@ -215,7 +215,7 @@
             info!("member of an incomplete gang stopped", kv: {
                 job = task.step.job.as_str(), task = task.index, worker = worker.as_str()
             });
-            self.bar(&worker, &task, now);
+            self.bar(&worker, &task);
         }
     }
 }
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -80,9 +80,8 @@
     pub(crate) ends_saved: u64,
     /// The latest lease end that was sent, on the worker's clock.
     pub(crate) lease_sent: Duration,
-    pub(crate) hold_under_way: Option<Instant>,
+    pub(crate) hold_under_way: bool,
     pub(crate) hold_next_at: Instant,
-    pub(crate) answered_at: Option<Instant>,
     pub(crate) unanswered_since: Option<Instant>,
     pub(crate) first_met_at: Instant,
     /// What ended of late: failures and successes, by job, for the quarantine.
@@ -97,7 +96,6 @@
     pub(crate) quarantined_until: Option<Instant>,
     /// How much longer tasks take than expected, smoothed.
     pub(crate) slowness: f64,
-    pub(crate) measured: u32,
 }
 
 impl Worker {
@@ -114,9 +112,8 @@
             ends_noted: 0,
             ends_saved: 0,
             lease_sent: Duration::ZERO,
-            hold_under_way: None,
+            hold_under_way: false,
             hold_next_at: now,
-            answered_at: None,
             unanswered_since: None,
             first_met_at: now,
             health: Health {
