--- a/jackdawchute-cell/src/gateway.rs
+++ b/jackdawchute-cell/src/gateway.rs
@@ -136,11 +136,7 @@
             let left = until.saturating_duration_since(Instant::now());
             if left < CALL_TIME_MIN {
                 // Too little time for an answer: what is not sent surely has no effect.
-                break if open {
-                    Answer::Unknown
-                } else {
-                    self.unavailable()
-                };
+                break self.unavailable();
             }
             let answer = self.try_once(&call, left).await;
             match answer {
@@ -150,17 +146,19 @@
             }
             let waited = began_at.elapsed();
             if Instant::now() + RETRY_PAUSE >= until {
-                break if open {
-                    Answer::Unknown
-                } else {
-                    self.unavailable()
-                };
+                break self.unavailable();
             }
             if !open && waited > NO_LEADER_PATIENCE {
                 break self.unavailable();
             }
             tokio::time::sleep(RETRY_PAUSE).await;
         };
+        // After a try without an answer only the scheduling instance's own word excludes that
+        // the call took effect.
+        let answer = match answer {
+            Answer::Unavailable { .. } if open => Answer::Unknown,
+            answer => answer,
+        };
         let outcome = match &answer {
             Answer::Refused { .. } => "refused",
             Answer::Unavailable { .. } => "unavailable",
@@ -168,12 +166,7 @@
             _ => "answered",
         };
         self.metrics.call(step, outcome, began_at.elapsed());
-        // After a try without an answer only the scheduling instance's own word excludes that
-        // the call took effect.
-        match answer {
-            Answer::Unavailable { .. } if open => Answer::Unknown,
-            answer => answer,
-        }
+        answer
     }
 
     /// The answer while no scheduling instance is found.
--- a/jackdawchute-cell/src/instance.rs
+++ b/jackdawchute-cell/src/instance.rs
@@ -1,6 +1,6 @@
 //! Wires the tasks of one instance.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
 use jackdawchute_peer::{self as peer, Peers, RunningServer, Services};
 use spdlog::{info, warn};
@@ -12,9 +12,9 @@
     member::{self, LeaderView, Leave, MemberParts, MemberTask},
     messages::{CellAnswer, CellCall, SLICE},
     peers::CellService,
+    reach::Reach,
     settings::{FOLLOW_PAUSE, FOLLOW_WAIT, HELLO_TIMEOUT},
-    Advisor, ConfigurationUpdate, Directory, Error, Gateway, Metrics, Result, Routes, Settings,
-    Store, Workers,
+    Advisor, ConfigurationUpdate, Directory, Gateway, Metrics, Routes, Settings, Store, Workers,
 };
 
 /// The most connections of peers at a time.
@@ -46,9 +46,13 @@
     ///
     /// # Errors
     /// The listener for peers cannot be bound.
-    pub async fn start(settings: Settings, parts: Parts, metrics: Metrics) -> Result<Self> {
-        let address = settings.peer_address;
-        let bound = bind_peers(address).await?;
+    pub async fn start(settings: Settings, parts: Parts, metrics: Metrics) -> peer::Result<Self> {
+        let bound = peer::bind(peer::Options {
+            address: settings.peer_address,
+            token: Default::default(),
+            connections_max: PEER_CONNECTIONS_MAX,
+        })
+        .await?;
         let peers: Peers = peer::spawn(Default::default());
         let (routes_sender, routes) = watch::channel(Routes::default());
         let (view_sender, view) = watch::channel(LeaderView::default());
@@ -105,16 +109,6 @@
     }
 }
 
-async fn bind_peers(address: SocketAddr) -> Result<peer::BoundServer> {
-    let options = peer::Options {
-        address,
-        token: Default::default(),
-        connections_max: PEER_CONNECTIONS_MAX,
-    };
-    let bound = peer::bind(options).await;
-    bound.map_err(|error| Error::Bind("peers", address.to_string(), error.to_string()))
-}
-
 /// Where the configuration comes from and goes to.
 struct ConfigurationSources {
     directory: Arc<dyn Directory>,
@@ -155,13 +149,10 @@
 /// Applies each higher version of the configuration.
 async fn follow_configuration(sources: ConfigurationSources) {
     let mut after = None;
-    let mut failing = false;
+    let mut reach = Reach::new("configuration");
     while !sources.routes.is_closed() {
         let update = sources.directory.configuration(after, FOLLOW_WAIT).await;
-        if failing == update.is_ok() {
-            failing = update.is_err();
-            warn!("configuration", kv: { reachable = update.is_ok() });
-        }
+        reach.note(update.is_ok());
         match update {
             Ok(ConfigurationUpdate::Current(newest, version)) => {
                 after = Some(version);
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -10,14 +10,15 @@
     StopOrder, Submission,
 };
 use jackdawchute_timer::Tick;
-use jackdawchute_types::{JobId, QueueId};
+use jackdawchute_types::{whole_ms, JobId, QueueId};
 use spdlog::{info, warn};
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 
-use super::{answer_all, unix_now, LeaderTask};
+use super::{answer_all, LeaderTask};
 use crate::{
     commit::{Head, NotAppended},
+    load::unix_now,
     messages::{CellAnswer, SubmitJob},
     settings::{COMMIT_PATIENCE, COMMIT_PAUSE, LOAD_LOG_PERIOD},
     WorkersUpdate,
@@ -199,11 +200,8 @@
         }
         let now = Instant::now();
         self.note_peer(hello.address, hello.leaving, hello.lag, now);
-        let trouble = self.store_trouble(now).as_millis();
         CellAnswer::Here {
-            epoch: self.head.epoch,
-            store_trouble_ms: u64::try_from(trouble).unwrap_or(u64::MAX),
-            configuration: self.routes.borrow().version,
+            store_trouble_ms: whole_ms(self.store_trouble(now)),
             others: self.some_others(hello.address, now),
         }
     }
@@ -243,7 +241,7 @@
             }
             Submission::Accepted => CellAnswer::Accepted,
             Submission::Refused { retry_after } => CellAnswer::Refused {
-                retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+                retry_after_ms: whole_ms(retry_after),
             },
         };
         let _ = reply.send(answer);
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -8,7 +8,7 @@
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::Arc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 use jackdawchute_peer::Peers;
@@ -28,6 +28,7 @@
     commit::Head,
     member::Deposed,
     messages::CellAnswer,
+    reach::Reach,
     settings::{FOLLOW_PAUSE, FOLLOW_WAIT, SETTLE_PERIOD, TICK_PERIOD},
     Advisor, Directory, Metrics, Routes, Store, Workers, WorkersUpdate,
 };
@@ -132,13 +133,10 @@
 /// Passes news of the listed workers on for as long as the task lives.
 async fn follow_workers(directory: Arc<dyn Directory>, task: Address<LeaderTask, Weak>) {
     let mut after = None;
-    let mut failing = false;
+    let mut reach = Reach::new("list of workers");
     while task.is_connected() {
         let update = directory.workers(after, FOLLOW_WAIT).await;
-        if failing == update.is_ok() {
-            failing = update.is_err();
-            warn!("list of workers", kv: { reachable = update.is_ok() });
-        }
+        reach.note(update.is_ok());
         match update {
             Ok(WorkersUpdate::HistoryLost) => after = None,
             Ok(update) => {
@@ -157,12 +155,6 @@
     }
 }
 
-fn unix_now() -> Duration {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-}
-
 impl LeaderTask {
     /// Carries out what the scheduler has decided and commits what is due.
     fn pump(&mut self, context: &Context<Self>, force: bool) {
--- a/jackdawchute-cell/src/leader/peers.rs
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -7,18 +7,18 @@
 
 use jackdawchute_peer::Peers;
 use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest};
-use jackdawchute_types::CallError;
 use spdlog::{info, warn};
 use xtra::{prelude::*, refcount::Weak};
 
 use super::{handlers::AdviceAnswered, LeaderTask};
 use crate::{
+    calls::{ask_for_row, offer_epoch},
     member::Deposed,
     messages::{CellAnswer, CellCall, SLICE},
     settings::{
-        ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, HELLO_TIMEOUT, LAG_GAIN, LAG_MAX, LEADER_STORE_TROUBLE,
-        OFFER_PAUSE, OTHERS_TOLD, PEERS_ASK_PERIOD, PEER_MEMORY, SHORT_ONLY_DIVISOR,
-        SHORT_QUESTION, TICK_PERIOD,
+        ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, LAG_GAIN, LAG_MAX, LEADER_STORE_TROUBLE, OFFER_PAUSE,
+        OTHERS_TOLD, PEERS_ASK_PERIOD, PEER_MEMORY, SHORT_ONLY_DIVISOR, SHORT_QUESTION,
+        TICK_PERIOD,
     },
 };
 
@@ -97,20 +97,11 @@
             return;
         }
         self.offered_at = Some(now);
-        info!("this instance is slow; epoch offered", kv: {
-            epoch = self.head.epoch, lag_ms = self.lag.as_millis() as u64, successor: = successor
-        });
-        let call = CellCall::TakeOver {
-            epoch: self.head.epoch,
-        };
-        let peers = self.ports.peers.clone();
-        tokio::spawn(async move {
-            let answer: Result<CellAnswer, CallError> =
-                peers.call(successor, SLICE, &call, HELLO_TIMEOUT).await;
-            if let Err(error) = answer {
-                warn!("successor did not answer", kv: { successor: = successor, cause: = error });
-            }
+        info!("this instance is slow", kv: {
+            epoch = self.head.epoch, lag_ms = self.lag.as_millis() as u64
         });
+        let (peers, epoch) = (self.ports.peers.clone(), self.head.epoch);
+        tokio::spawn(async move { offer_epoch(&peers, successor, epoch).await });
     }
 
     /// Asks peers whether another instance has taken over, which the store would tell if it could
@@ -136,15 +127,13 @@
             let (peers, hello) = (self.ports.peers.clone(), hello.clone());
             let (deposed, epoch) = (self.deposed.clone(), self.head.epoch);
             tokio::spawn(async move {
-                let answer = peers.call(address, SLICE, &hello, HELLO_TIMEOUT).await;
-                if let Ok(CellAnswer::Elsewhere { row, .. }) = answer {
-                    if row.record.epoch > epoch {
-                        // The receiver is gone only when the instance ends.
-                        let _ = deposed.send(Deposed {
-                            epoch,
-                            row: Some(row),
-                        });
-                    }
+                let row = ask_for_row(&peers, address, &hello).await;
+                if let Some(row) = row.filter(|row| row.record.epoch > epoch) {
+                    // The receiver is gone only when the instance ends.
+                    let _ = deposed.send(Deposed {
+                        epoch,
+                        row: Some(row),
+                    });
                 }
             });
         }
--- a/jackdawchute-cell/src/leader/saving.rs
+++ b/jackdawchute-cell/src/leader/saving.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use jackdawchute_scheduler::JobStatus;
-use jackdawchute_types::Epoch;
+use jackdawchute_types::{whole_ms, Epoch};
 use spdlog::{info, warn};
 use tokio::sync::oneshot;
 use xtra::{prelude::*, refcount::Weak};
@@ -11,10 +11,11 @@
 use super::{
     answer_all,
     handlers::{Appended, EpochConfirmed},
-    unix_now, LeaderTask,
+    LeaderTask,
 };
 use crate::{
     commit::append,
+    load::unix_now,
     messages::CellAnswer,
     rows::{HeadRecord, HEAD_TABLE, PART},
     settings::{
@@ -37,9 +38,8 @@
     /// The answer while nothing can be saved.
     pub(super) fn unavailable(&self, now: Instant) -> CellAnswer {
         let trouble = self.store_trouble(now);
-        let retry_after_ms = outage_retry_after(trouble).as_millis();
         CellAnswer::Unavailable {
-            retry_after_ms: u64::try_from(retry_after_ms).unwrap_or(u64::MAX),
+            retry_after_ms: whole_ms(outage_retry_after(trouble)),
         }
     }
 
@@ -47,7 +47,7 @@
         if self.commit_asked_at.is_some() || self.fenced || now < self.commit_after {
             return;
         }
-        let unix_ms = u64::try_from(unix_now().as_millis()).unwrap_or(u64::MAX);
+        let unix_ms = whole_ms(unix_now());
         let batch = self
             .scheduler
             .take_batch(COMMIT_ROWS_MAX, COMMIT_BYTES_MAX, unix_ms);
--- a/jackdawchute-cell/src/lib.rs
+++ b/jackdawchute-cell/src/lib.rs
@@ -5,27 +5,29 @@
 //! commit extends one chain of versions, so an instance that was replaced cannot commit any more.
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
+mod calls;
 mod claim;
 mod commit;
-mod error;
 mod gateway;
 mod instance;
 mod leader;
+mod load;
 mod member;
 mod messages;
 mod metrics;
 mod peers;
 mod ports;
+mod reach;
 mod routes;
 mod rows;
 mod settings;
 
-pub use error::{Error, Result};
 pub use gateway::{Answer, Gateway};
 pub use instance::{Instance, Parts};
+pub use jackdawchute_ports::{Error, Result};
 pub use metrics::Metrics;
 pub use ports::{
-    Advisor, Changes, ConfigurationUpdate, Directory, Page, Store, StoreRow, Transacted,
+    read_all, Advisor, Changes, ConfigurationUpdate, Directory, Page, Store, StoreRow, Transacted,
     Transaction, Workers, WorkersUpdate, Write,
 };
 pub use routes::{QueueRoute, Routes};
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -65,10 +65,8 @@
     },
     /// The scheduling instance is there.
     Here {
-        epoch: Epoch,
         /// For how long nothing could be saved.
         store_trouble_ms: u64,
-        configuration: ConfigurationVersion,
         /// Some other instances, to ask for the next scheduling one.
         others: Vec<SocketAddr>,
     },
--- a/jackdawchute-cell/src/ports.rs
+++ b/jackdawchute-cell/src/ports.rs
@@ -104,6 +104,33 @@
     async fn follow(&self, table: &str, after: u64, wait: Duration) -> Result<Changes>;
 }
 
+/// Reads all rows of a table and part, page by page; the version is that of the first page.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() {
+/// let store = jackdawchute_standins::cell::MemoryStore::default().handle();
+/// let page = jackdawchute_cell::read_all(&store, "jobs", "cell").await;
+/// assert!(page.expect("nobody is turned away").rows.is_empty());
+/// # }
+/// ```
+///
+/// # Errors
+/// Any error means that nothing was learnt.
+pub async fn read_all(store: &dyn Store, table: &str, part: &str) -> Result<Page> {
+    let mut all = store.read(table, part, None).await?;
+    while all.has_more {
+        let last = all.rows.last().map(|row| row.key.clone());
+        let page = store.read(table, part, last.as_deref()).await?;
+        let before = all.rows.len();
+        let new = page.rows.into_iter();
+        all.rows
+            .extend(new.filter(|row| Some(&row.key) != last.as_ref()));
+        all.has_more = page.has_more && all.rows.len() > before;
+    }
+    Ok(all)
+}
+
 /// News of the listed workers.
 #[derive(Clone, Debug)]
 pub enum WorkersUpdate {
--- a/jackdawchute-configuration/src/bounds.rs
+++ b/jackdawchute-configuration/src/bounds.rs
@@ -1,6 +1,6 @@
 //! The bounds of each value, the same in defaults and exceptions.
 
-use std::time::Duration;
+use jackdawchute_types::whole_ms;
 
 use crate::{Class, Defaults, Override, Target};
 
@@ -53,26 +53,26 @@
         let own = [
             value(
                 "key_retention_ms",
-                ms(self.key_retention),
+                whole_ms(self.key_retention),
                 1_000,
                 7 * DAY_MS,
             ),
             value(
                 "answer_retention_ms",
-                ms(self.answer_retention),
+                whole_ms(self.answer_retention),
                 1_000,
                 7 * DAY_MS,
             ),
             value("answer_count_max", self.answer_count_max, 1, 1_000_000),
             value("answer_bytes_max", self.answer_bytes_max, 0, 1_048_576),
-            value("grant_life_ms", ms(self.grant_life), 10, 3_600_000),
+            value("grant_life_ms", whole_ms(self.grant_life), 10, 3_600_000),
             value(
                 "grant_send_within_ms",
-                ms(self.grant_send_within),
+                whole_ms(self.grant_send_within),
                 1,
                 60_000,
             ),
-            value("task_lease_ms", ms(self.task_lease), 1_000, 600_000),
+            value("task_lease_ms", whole_ms(self.task_lease), 1_000, 600_000),
             value(
                 "quarantine_share_percent",
                 self.quarantine_share_percent.into(),
@@ -102,7 +102,7 @@
             self.floor_percent
                 .map(|it| value("floor_percent", it.into(), 0, 100)),
             self.deadline
-                .map(|it| value("deadline_ms", ms(it), 1, DAY_MS)),
+                .map(|it| value("deadline_ms", whole_ms(it), 1, DAY_MS)),
             self.retry_budget_percent
                 .map(|it| value("retry_budget_percent", it.into(), 0, 100)),
         ];
@@ -110,7 +110,7 @@
             self.body_bytes
                 .map(|it| value("body_bytes", it, 0, BODY_BYTES_MAX)),
             self.deadline_max
-                .map(|it| value("deadline_max_ms", ms(it), 1, DAY_MS)),
+                .map(|it| value("deadline_max_ms", whole_ms(it), 1, DAY_MS)),
         ];
         let team = self
             .quota
@@ -149,7 +149,3 @@
         most,
     }
 }
-
-fn ms(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/jackdawchute-configuration/src/unix_ms.rs
+++ b/jackdawchute-configuration/src/unix_ms.rs
@@ -9,7 +9,7 @@
     serializer: S,
 ) -> Result<S::Ok, S::Error> {
     let since_epoch = time.duration_since(UNIX_EPOCH).unwrap_or_default();
-    serializer.serialize_u64(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
+    serializer.serialize_u64(jackdawchute_types::whole_ms(since_epoch))
 }
 
 pub(crate) fn deserialize<'de, D: Deserializer<'de>>(
--- a/jackdawchute-entry/src/callers/responses.rs
+++ b/jackdawchute-entry/src/callers/responses.rs
@@ -7,7 +7,7 @@
 use http::HeaderMap;
 use jackdawchute_dispatch::Chunk;
 use jackdawchute_requests::StoredAnswer;
-use jackdawchute_types::{Refusal, RefusalReason, RequestKey};
+use jackdawchute_types::{whole_ms, Refusal, RefusalReason, RequestKey};
 use warp::reply::Response;
 
 use super::{inbound::KEY_HEADER, problem};
@@ -50,14 +50,10 @@
     response.headers_mut().extend(headers);
     response
         .headers_mut()
-        .insert(WAITED_HEADER, http::HeaderValue::from(millis(waited)));
+        .insert(WAITED_HEADER, http::HeaderValue::from(whole_ms(waited)));
     response
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn body_stream(
     first: Vec<Bytes>,
     rest: tokio::sync::mpsc::Receiver<Chunk>,
--- a/jackdawchute-settings/src/cell.rs
+++ b/jackdawchute-settings/src/cell.rs
@@ -5,7 +5,10 @@
 use jackdawchute_types::{duration_ms, FailureDomainId, MemberId};
 use serde::{Deserialize, Serialize};
 
-use crate::{Error, LogLevel, Problem, Problems, Result};
+use crate::{
+    error::{accept, read_text},
+    LogLevel, Problem, Result,
+};
 
 /// Where the process listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -75,10 +78,7 @@
     /// # Errors
     /// The file cannot be read, or its content is refused with all the reasons.
     pub fn load(path: impl AsRef<Path>) -> Result<Self> {
-        let path = path.as_ref();
-        let text =
-            std::fs::read_to_string(path).map_err(|cause| Error::Read(path.to_owned(), cause))?;
-        Self::parse(&text)
+        Self::parse(&read_text(path.as_ref())?)
     }
 
     /// Reads and checks YAML.
@@ -95,10 +95,7 @@
         if let Some(settings) = &settings {
             check(settings, &mut problems);
         }
-        match settings {
-            Some(settings) if problems.is_empty() => Ok(settings),
-            _ => Err(Error::Refused(Problems(problems))),
-        }
+        accept(settings, problems)
     }
 }
 
--- a/jackdawchute-settings/src/error.rs
+++ b/jackdawchute-settings/src/error.rs
@@ -1,8 +1,8 @@
 //! Errors of reading settings.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
-use jackdawchute_yaml::Problems;
+use jackdawchute_yaml::{Problem, Problems};
 use quick_error::quick_error;
 
 /// The result of reading settings.
@@ -23,3 +23,16 @@
         }
     }
 }
+
+/// Reads a settings file.
+pub(crate) fn read_text(path: &Path) -> Result<String> {
+    std::fs::read_to_string(path).map_err(|cause| Error::Read(path.to_owned(), cause))
+}
+
+/// Gives settings only if nothing is wrong with them.
+pub(crate) fn accept<T>(settings: Option<T>, problems: Vec<Problem>) -> Result<T> {
+    match settings {
+        Some(settings) if problems.is_empty() => Ok(settings),
+        _ => Err(Error::Refused(Problems(problems))),
+    }
+}
--- a/jackdawchute-settings/src/settings.rs
+++ b/jackdawchute-settings/src/settings.rs
@@ -8,7 +8,11 @@
 use jackdawchute_types::{FailureDomainId, MemberId};
 use serde::Serialize;
 
-use crate::{document::Document, Error, Limits, LogLevel, Problems, Result, Timing};
+use crate::{
+    document::Document,
+    error::{accept, read_text},
+    Limits, LogLevel, Result, Timing,
+};
 
 /// Where the process listens; port 0 lets the system choose.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -66,10 +70,7 @@
     /// # Errors
     /// The file cannot be read, or its content is refused with all the reasons.
     pub fn load(path: impl AsRef<Path>) -> Result<Self> {
-        let path = path.as_ref();
-        let text =
-            std::fs::read_to_string(path).map_err(|cause| Error::Read(path.to_owned(), cause))?;
-        Self::parse(&text)
+        Self::parse(&read_text(path.as_ref())?)
     }
 
     /// Reads and checks YAML.
@@ -93,9 +94,6 @@
     pub fn parse(text: &str) -> Result<Self> {
         let (document, mut problems) = jackdawchute_yaml::parse::<Document>(text);
         let settings = document.and_then(|document| document.into_settings(&mut problems));
-        match settings {
-            Some(settings) if problems.is_empty() => Ok(settings),
-            _ => Err(Error::Refused(Problems(problems))),
-        }
+        accept(settings, problems)
     }
 }
--- a/jackdawchute-standins/src/cell/directory.rs
+++ b/jackdawchute-standins/src/cell/directory.rs
@@ -1,24 +1,20 @@
 //! The lists of workers and queues, in memory.
 
-use std::{
-    sync::{
-        atomic::{AtomicBool, Ordering},
-        Arc,
-    },
-    time::Duration,
-};
+use std::time::Duration;
 
 use async_trait::async_trait;
-use jackdawchute_cell::{ConfigurationUpdate, Directory, Error, Result, Routes, WorkersUpdate};
+use jackdawchute_cell::{ConfigurationUpdate, Directory, Result, Routes, WorkersUpdate};
 use jackdawchute_scheduler::WorkerEntry;
 use tokio::sync::watch;
 
+use super::door::Door;
+
 /// Lists that do not change, but for the configuration.
 #[derive(Clone, Debug)]
 pub struct MemoryDirectory {
     workers: Vec<WorkerEntry>,
     routes: watch::Receiver<Routes>,
-    denied: Arc<AtomicBool>,
+    door: Door,
 }
 
 impl MemoryDirectory {
@@ -27,28 +23,20 @@
         Self {
             workers,
             routes,
-            denied: Arc::default(),
+            door: Door::default(),
         }
     }
 
     /// Turns this instance away from now on, or serves it again.
     pub fn deny(&self, denied: bool) {
-        self.denied.store(denied, Ordering::Relaxed);
-    }
-
-    fn check(&self, step: &'static str) -> Result<()> {
-        if self.denied.load(Ordering::Relaxed) {
-            let cause = "turned away".to_owned();
-            return Err(Error::Unavailable(step, "store".to_owned(), cause));
-        }
-        Ok(())
+        self.door.shut(denied);
     }
 }
 
 #[async_trait]
 impl Directory for MemoryDirectory {
     async fn workers(&self, after: Option<u64>, wait: Duration) -> Result<WorkersUpdate> {
-        self.check("read workers")?;
+        self.door.pass("read workers")?;
         if after.is_some() {
             tokio::time::sleep(wait).await;
             return Ok(WorkersUpdate::Changed(Vec::new(), 1));
@@ -61,12 +49,12 @@
         after: Option<u64>,
         wait: Duration,
     ) -> Result<ConfigurationUpdate> {
-        self.check("read configuration")?;
+        self.door.pass("read configuration")?;
         let mut routes = self.routes.clone();
         let known = after.unwrap_or(0);
         let newer = routes.wait_for(|routes| routes.version > known);
         let outcome = tokio::time::timeout(wait, newer).await;
-        self.check("read configuration")?;
+        self.door.pass("read configuration")?;
         match outcome {
             Ok(Ok(routes)) => Ok(ConfigurationUpdate::Current(routes.clone(), routes.version)),
             _ => Ok(ConfigurationUpdate::Unchanged(known)),
--- a/jackdawchute-standins/src/cell/mod.rs
+++ b/jackdawchute-standins/src/cell/mod.rs
@@ -5,6 +5,7 @@
 
 mod advisor;
 mod directory;
+mod door;
 mod store;
 mod workers;
 
--- a/jackdawchute-standins/src/cell/store.rs
+++ b/jackdawchute-standins/src/cell/store.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     sync::{
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
         Arc, Mutex,
     },
     time::Duration,
@@ -14,6 +14,7 @@
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
+use super::door::Door;
 use crate::lock::lock;
 
 type RowName = (SmolStr, SmolStr, SmolStr);
@@ -45,7 +46,7 @@
 #[derive(Clone, Debug)]
 pub struct StoreHandle {
     store: MemoryStore,
-    denied: Arc<AtomicBool>,
+    door: Door,
     /// Every how many transactions the answer is lost; 0 for never.
     lose_every: Arc<AtomicU64>,
     transactions: Arc<AtomicU64>,
@@ -56,7 +57,7 @@
     pub fn handle(&self) -> StoreHandle {
         StoreHandle {
             store: self.clone(),
-            denied: Arc::default(),
+            door: Door::default(),
             lose_every: Arc::default(),
             transactions: Arc::default(),
         }
@@ -104,27 +105,19 @@
 impl StoreHandle {
     /// Turns this instance away from now on, or serves it again.
     pub fn deny(&self, denied: bool) {
-        self.denied.store(denied, Ordering::Relaxed);
+        self.door.shut(denied);
     }
 
     /// Loses the answer of each `every`th transaction; 0 loses none.
     pub fn lose_answers(&self, every: u64) {
         self.lose_every.store(every, Ordering::Relaxed);
     }
-
-    fn check(&self, step: &'static str) -> Result<()> {
-        if self.denied.load(Ordering::Relaxed) {
-            let cause = "turned away".to_owned();
-            return Err(Error::Unavailable(step, "store".to_owned(), cause));
-        }
-        Ok(())
-    }
 }
 
 #[async_trait]
 impl Store for StoreHandle {
     async fn transact(&self, transaction: &Transaction) -> Result<Transacted> {
-        self.check("transact")?;
+        self.door.pass("transact")?;
         let transacted = self.store.apply(transaction);
         let number = self.transactions.fetch_add(1, Ordering::Relaxed) + 1;
         let every = self.lose_every.load(Ordering::Relaxed);
@@ -136,7 +129,7 @@
     }
 
     async fn read(&self, table: &str, part: &str, from: Option<&str>) -> Result<Page> {
-        self.check("read rows")?;
+        self.door.pass("read rows")?;
         let state = lock(&self.store.rows);
         let wanted = |((in_table, in_part, key), row): &(&RowName, &StoreRow)| {
             in_table == table
@@ -156,7 +149,7 @@
         let mut changed = self.store.changed.subscribe();
         let deadline = tokio::time::Instant::now() + wait;
         loop {
-            self.check("follow table")?;
+            self.door.pass("follow table")?;
             changed.mark_unchanged();
             let (mut rows, version) = {
                 let state = lock(&self.store.rows);
--- a/jackdawchute-types/src/lib.rs
+++ b/jackdawchute-types/src/lib.rs
@@ -17,4 +17,4 @@
 pub use recorder::{NoRecorder, Recorder};
 pub use refusal::{Execution, Refusal, RefusalReason, RetryReason};
 pub use resources::Resources;
-pub use serde_duration::{duration_ms, optional_duration_ms};
+pub use serde_duration::{duration_ms, optional_duration_ms, whole_ms};
--- a/jackdawchute-types/src/serde_duration.rs
+++ b/jackdawchute-types/src/serde_duration.rs
@@ -1,5 +1,17 @@
 //! Durations as whole milliseconds in YAML and JSON; the key carries the suffix `_ms`.
 
+/// A duration in whole milliseconds, rounded down; the largest number where it does not fit.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// assert_eq!(jackdawchute_types::whole_ms(Duration::from_micros(1_999)), 1);
+/// assert_eq!(jackdawchute_types::whole_ms(Duration::MAX), u64::MAX);
+/// ```
+pub fn whole_ms(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// For fields of type `Duration`: `#[serde(with = "duration_ms", rename = "timeout_ms")]`.
 pub mod duration_ms {
     use std::time::Duration;
@@ -8,7 +20,7 @@
 
     /// Writes whole milliseconds.
     pub fn serialize<S: Serializer>(value: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_u64(u64::try_from(value.as_millis()).unwrap_or(u64::MAX))
+        serializer.serialize_u64(super::whole_ms(*value))
     }
 
     /// Reads whole milliseconds.
--- a/src/error.rs
+++ b/src/error.rs
@@ -40,7 +40,7 @@
             from()
         }
         /// The instance of a cell could not start.
-        Cell(cause: jackdawchute_cell::Error) {
+        Cell(cause: jackdawchute_peer::Error) {
             display("{}", cause)
             from()
         }
