fix: a fenced row is kept a minute, so that its holder reads who fenced it

Cause: the successor deleted the fenced row with its next scan, before a holder that had been cut off could read it. The holder stopped either way, but learned neither its successor nor which of its appends had landed. Ruled out: a fence that does not arrive (the holder stops in every run). Change: fenced incarnations without groups are listed for deletion six newcomer takeovers after this instance first saw them so. Before: a_holder_that_is_cut_off_for_long_learns_who_fenced_it fails in every run.

--- a/jackdawchute-ownership/src/collect.rs
+++ b/jackdawchute-ownership/src/collect.rs
@@ -1,6 +1,6 @@
 //! Deletes the rows and journals of fenced incarnations that no group inherits from.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use jackdawchute_ports::RowKey;
 use jackdawchute_types::IncarnationId;
@@ -15,30 +15,54 @@
 
 /// The most rows that one commit deletes.
 const DELETED_ROWS_MAX: usize = 100;
+/// How many newcomer takeovers long a fenced row is kept (a minute by default), so that a holder
+/// that was cut off reads who fenced it and what it had committed: outages last minutes at most,
+/// and a row is some hundred bytes.
+const RETENTION_TAKEOVERS: u32 = 6;
 
 impl State {
     /// Looks for incarnations that are done with. A fenced one gains no groups any more, so once
     /// a scan of the groups that is younger than its fence shows none, none ever will.
-    pub(crate) fn list_garbage(&mut self, effects: &mut Vec<Effect>) {
+    pub(crate) fn list_garbage(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        self.note_unreferenced(now);
+        let retention = self.retention();
         let takers = self.takers();
         let me = &self.identity.incarnation;
-        let done = self.view.incarnations.iter().filter(|(id, known)| {
+        let kept_long_enough = self
+            .unreferenced
+            .iter()
+            .filter(|(_, since)| now.saturating_duration_since(**since) >= retention);
+        let fresh: Vec<_> = kept_long_enough
+            .map(|(id, _)| id.clone())
+            .filter(|id| preferred(id, &takers) == Some(me))
+            .filter(|id| !self.garbage.contains_key(id) && !self.listing.contains(id))
+            .collect();
+        for incarnation in fresh {
+            self.listing.insert(incarnation.clone());
+            effects.push(Effect::List(incarnation));
+        }
+    }
+
+    /// Keeps since when each fenced incarnation has been seen without groups.
+    fn note_unreferenced(&mut self, now: Instant) {
+        let fenced = self.view.incarnations.iter().filter(|(id, known)| {
             known
                 .row
                 .as_ref()
                 .is_some_and(|row| row.fenced_by.is_some())
                 && known.version <= self.view.groups_version
                 && !self.view.is_referenced(id)
-                && preferred(id, &takers) == Some(me)
         });
-        let fresh: Vec<_> = done
-            .map(|(id, _)| id.clone())
-            .filter(|id| !self.garbage.contains_key(id) && !self.listing.contains(id))
+        self.unreferenced = fenced
+            .map(|(id, _)| {
+                let since = self.unreferenced.get(id).copied().unwrap_or(now);
+                (id.clone(), since)
+            })
             .collect();
-        for incarnation in fresh {
-            self.listing.insert(incarnation.clone());
-            effects.push(Effect::List(incarnation));
-        }
+    }
+
+    fn retention(&self) -> Duration {
+        self.timing.newcomer_takeover * RETENTION_TAKEOVERS
     }
 
     /// The rows of a fenced incarnation's journal, or `None` if they could not be read.
--- a/jackdawchute-ownership/src/state.rs
+++ b/jackdawchute-ownership/src/state.rs
@@ -92,6 +92,8 @@
     pub(crate) shared_out: Option<u64>,
     pub(crate) garbage: BTreeMap<IncarnationId, VecDeque<RowKey>>,
     pub(crate) listing: BTreeSet<IncarnationId>,
+    /// Fenced incarnations without groups, and since when this one has seen them so.
+    pub(crate) unreferenced: BTreeMap<IncarnationId, Instant>,
     pub(crate) held_off: BTreeMap<IncarnationId, Instant>,
     pub(crate) announced: BTreeMap<IncarnationId, Announced>,
 }
@@ -136,6 +138,7 @@
             shared_out: None,
             garbage: BTreeMap::new(),
             listing: BTreeSet::new(),
+            unreferenced: BTreeMap::new(),
             held_off: BTreeMap::new(),
             announced: BTreeMap::new(),
         }
@@ -201,7 +204,7 @@
         self.announce(effects);
         self.forget_released();
         self.let_go_undesired(effects);
-        self.list_garbage(effects);
+        self.list_garbage(now, effects);
     }
 
     /// The groups that should have an owner.
--- a/jackdawchute-ownership/tests/takeover.rs
+++ b/jackdawchute-ownership/tests/takeover.rs
@@ -62,6 +62,24 @@
     assert_eq!(error, Err(Error::Fenced(successor.incarnation.to_string())));
 }
 
+/// Every group has another owner, so that nothing needs the holder's row any more.
+#[tokio::test]
+async fn a_holder_that_is_cut_off_for_long_learns_who_fenced_it() {
+    let cell = Cell::new();
+    let (holder, successor) = pair(&cell).await;
+
+    holder.isolate(&cell);
+    for group in GROUPS {
+        successor.until_owns(group).await;
+    }
+    tokio::time::sleep(cell.timing.newcomer_takeover * 2).await;
+    holder.heal(&cell);
+    eventually("fenced", || holder.standing() == Some(Standing::Fenced)).await;
+
+    let error = holder.append("g1", "late", Some("v")).await;
+    assert_eq!(error, Err(Error::Fenced(successor.incarnation.to_string())));
+}
+
 #[tokio::test]
 async fn an_append_that_the_fence_overtakes_is_refused_and_never_found() {
     let cell = Cell::new();
