fix: callers of a home group that is lost are answered

Cause: the home owner dropped the jobs of a lost group with their waiting callers. A caller at the owner itself has no time-out on that call and waited for ever; one at a peer waited 10 s. The tests' caller gives up on a job call after a minute. Before: both new tests of home_safety fail. Conclusion: the hang has a cause that fits; the process test alone could not be seen to hang again.

--- a/jackdawchute-jobs/src/home/adopt.rs
+++ b/jackdawchute-jobs/src/home/adopt.rs
@@ -3,11 +3,12 @@
 use std::time::Instant;
 
 use jackdawchute_ownership::EntryKey;
-use jackdawchute_types::{Epoch, GroupId, JobId, JobKind};
+use jackdawchute_types::{Epoch, GroupId, JobId, JobKind, Refusal, RefusalReason};
 
 use crate::{
-    effect::Now,
+    effect::{Effect, Now},
     home::{
+        accept::refuse,
         job::{Acceptance, Job, Task, TaskPhase},
         state::Homes,
     },
@@ -25,7 +26,8 @@
         entries: &[(EntryKey, String)],
         now: Now,
     ) -> Vec<Error> {
-        self.lost(group);
+        let unanswered = self.lost(group);
+        self.late_effects.extend(unanswered);
         self.owned.insert(group.clone(), epoch);
         let mut errors = Vec::new();
         let mut jobs = Vec::new();
@@ -126,9 +128,9 @@
         self.finish_if_over(id, now.instant);
     }
 
-    /// Lets a home group go. Callers of jobs that are not accepted yet get no answer: the
-    /// journal may still take the job.
-    pub fn lost(&mut self, group: &GroupId) {
+    /// Lets a home group go. Callers that wait for the journal learn that the outcome is not
+    /// known here: it may still take what it was asked to.
+    pub fn lost(&mut self, group: &GroupId) -> Vec<Effect> {
         self.owned.remove(group);
         let ids: Vec<JobId> = self
             .jobs
@@ -136,16 +138,18 @@
             .filter(|(_, job)| job.group == *group)
             .map(|(id, _)| id.clone())
             .collect();
+        let mut effects = Vec::new();
         for id in ids {
             self.drop_units(&id);
-            self.drop_job(&id);
+            effects.extend(self.drop_job(&id));
         }
         self.forget_unjournaled(group);
+        effects
     }
 
-    fn drop_job(&mut self, id: &JobId) {
+    fn drop_job(&mut self, id: &JobId) -> Vec<Effect> {
         let Some(job) = self.jobs.remove(id) else {
-            return;
+            return Vec::new();
         };
         self.unaccepted.remove(id);
         self.finished.retain(|(_, finished)| finished != id);
@@ -160,5 +164,22 @@
         if let Some(ticket) = &job.gang_ticket {
             self.admission.release(ticket, Default::default());
         }
+        let refusal = moved_away(&job);
+        let class = job.record.spec.class;
+        let callers = job.callers.into_iter().chain(job.cancelling);
+        callers
+            .flat_map(|caller| refuse(caller, class.clone(), refusal.clone()))
+            .collect()
+    }
+}
+
+/// What the callers of a job are told whose home group was lost; they may ask the next owner.
+fn moved_away(job: &Job) -> Refusal {
+    let detail = format!("{} has another owner now", job.group);
+    match job.acceptance {
+        Acceptance::Waiting => Refusal::not_run(RefusalReason::OwnerUnavailable, detail),
+        Acceptance::Journaling | Acceptance::Accepted => {
+            Refusal::unknown(RefusalReason::OwnerUnavailable, detail)
+        }
     }
 }
--- a/jackdawchute-jobs/src/task.rs
+++ b/jackdawchute-jobs/src/task.rs
@@ -224,9 +224,10 @@
     type Return = ();
 
     async fn handle(&mut self, event: GroupEvent, _context: &mut Context<Self>) {
+        let mut effects = Vec::new();
         let errors = match event {
             GroupEvent::Lost { group } if group.starts_with(HOME_PREFIX) => {
-                self.homes.lost(&group);
+                effects = self.homes.lost(&group);
                 Vec::new()
             }
             GroupEvent::Lost { group } => {
@@ -257,7 +258,7 @@
         for error in errors {
             spdlog::error!("{}", error);
         }
-        self.carry_out(Vec::new());
+        self.carry_out(effects);
     }
 }
 
--- a/jackdawchute-jobs/tests/home_safety.rs
+++ b/jackdawchute-jobs/tests/home_safety.rs
@@ -40,6 +40,45 @@
     assert!(matches!(answers(&after)[..], [Ok(Reply::Job(_))]));
 }
 
+#[test]
+fn a_submission_that_was_not_journaled_is_refused_as_not_run_once_its_home_is_lost() {
+    let now = now();
+    let mut homes = homes(now);
+    homes.set_standing(Standing::CutOff);
+    homes.submit(1, &"j".into(), job(JobKind::Batch, 1), now);
+
+    let effects = homes.lost(&HOME.into());
+
+    let refusals: Vec<_> = answers(&effects)
+        .into_iter()
+        .map(|it| it.as_ref().unwrap_err())
+        .map(|it| (it.reason, it.execution))
+        .collect();
+    assert_eq!(
+        refusals,
+        [(RefusalReason::OwnerUnavailable, Execution::NotRun)]
+    );
+}
+
+#[test]
+fn every_caller_that_waits_for_the_journal_is_answered_once_its_home_is_lost() {
+    let now = now();
+    let mut homes = homes(now);
+    let accepted = homes.submit(1, &"kept".into(), job(JobKind::Batch, 1), now);
+    journal(&mut homes, accepted, true, now);
+    homes.submit(2, &"pending".into(), job(JobKind::Batch, 1), now);
+    homes.submit(3, &"pending".into(), job(JobKind::Batch, 1), now);
+    homes.cancel(4, &"kept".into());
+
+    let effects = homes.lost(&HOME.into());
+
+    let refusals = answers(&effects).into_iter();
+    let outcomes: Vec<_> = refusals
+        .map(|it| it.as_ref().unwrap_err().execution)
+        .collect();
+    assert_eq!(outcomes, [Execution::Unknown; 3]);
+}
+
 #[test]
 fn no_rack_owner_hears_of_a_task_before_its_assignment_is_journaled() {
     let now = now();
--- a/jackdawchute-standins/src/caller/client.rs
+++ b/jackdawchute-standins/src/caller/client.rs
@@ -9,7 +9,7 @@
 use crate::{Error, Result};
 
 /// How long a caller waits for a call that has no deadline.
-const CALL_TIMEOUT: Duration = Duration::from_secs(60);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_secs(60);
 /// How much longer than its deadline a caller waits.
 const DEADLINE_ALLOWANCE: Duration = Duration::from_secs(30);
 /// How long a connection attempt may take.
--- a/jackdawchute-standins/src/caller/jobs.rs
+++ b/jackdawchute-standins/src/caller/jobs.rs
@@ -7,7 +7,7 @@
 use reqwest::RequestBuilder;
 
 use super::{
-    client::{describe, refusal},
+    client::{describe, refusal, CALL_TIMEOUT},
     Caller, Outcome,
 };
 
@@ -41,13 +41,17 @@
 }
 
 async fn job_status(request: RequestBuilder) -> Result<JobStatus, Outcome> {
-    let response = request.send().await.map_err(|error| {
-        if error.is_connect() {
-            Outcome::NotDelivered(describe(&error))
-        } else {
-            Outcome::Lost(describe(&error))
-        }
-    })?;
+    let response = request
+        .timeout(CALL_TIMEOUT)
+        .send()
+        .await
+        .map_err(|error| {
+            if error.is_connect() {
+                Outcome::NotDelivered(describe(&error))
+            } else {
+                Outcome::Lost(describe(&error))
+            }
+        })?;
     let status = response.status();
     let body = response
         .bytes()
