test: a load model that drives the scheduler's own decisions

Plays minutes of a user's load in seconds: workers, advisors and the store are reduced to their times, the decisions are the product's. Reports what callers of each kind got, and the processor time that decisions take.

--- /dev/null
+++ b/jackdawchute-standins/examples/load_model.rs
@@ -0,0 +1,29 @@
+//! Plays the load of a user on the scheduler's decisions and prints what callers got.
+//!
+//! Run with `cargo run --release -p jackdawchute-standins --example load_model [SEEDS] [PLAN]`,
+//! where PLAN is `today` or `grown`.
+
+use jackdawchute_standins::load_model::{run, ModelPlan};
+
+fn main() {
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let seeds = arguments.first().and_then(|text| text.parse().ok());
+    let wanted = arguments.get(1).map(String::as_str);
+    for seed in 1..=seeds.unwrap_or(2) {
+        let plans = [
+            ("today", ModelPlan::today(seed)),
+            ("grown", ModelPlan::grown(seed)),
+        ];
+        for (name, plan) in plans {
+            if wanted.is_some_and(|wanted| wanted != name) {
+                continue;
+            }
+            println!("{name}, seed {seed}: {}", run(&plan));
+            println!(
+                "{name} with bursts, seed {seed}: {}",
+                run(&plan.with_bursts())
+            );
+        }
+    }
+}
--- a/jackdawchute-standins/src/lib.rs
+++ b/jackdawchute-standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod harness;
 mod hold;
 pub mod load;
+pub mod load_model;
 mod lock;
 pub mod membership;
 pub mod program;
--- /dev/null
+++ b/jackdawchute-standins/src/load_model/plan.rs
@@ -0,0 +1,320 @@
+//! What a simulated cell is made of, and the load it gets.
+
+use std::time::Duration;
+
+use jackdawchute_scheduler::{AdviceCost, JobGraph, QueuePolicy, StepSpec};
+use jackdawchute_types::Resources;
+use rand::{rngs::StdRng, Rng};
+use smol_str::SmolStr;
+
+/// The service of every simulated worker and queue.
+const SERVICE: &str = "service";
+
+/// The workers and instances of a cell.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// The number of workers.
+    pub workers: usize,
+    /// What each has.
+    pub capacity: Resources,
+    /// Instances, each with an advisor that answers one question at a time.
+    pub advisors: usize,
+    /// How much longer tasks take on a worker, by turns.
+    pub slowness: Vec<f64>,
+}
+
+/// One kind of job.
+#[derive(Clone, Debug)]
+pub struct KindPlan {
+    /// How its queue is treated.
+    pub queue: QueuePolicy,
+    /// Jobs a second.
+    pub rate_per_s: f64,
+    /// Tasks of a step, on average and at most.
+    pub tasks: (f64, u32),
+    /// Steps of a job, on average.
+    pub steps: f64,
+    /// The run time of a task on average, and how far a job's lies from it.
+    pub run_time: Duration,
+    /// How far a task's declared time may be off, as a share of it.
+    pub estimate_off: f64,
+    /// What a task needs on average; a job's lies within 45 % of it.
+    pub resources: Resources,
+    /// The share of jobs whose tasks only work together.
+    pub gang_share: f64,
+    /// The share of workers that an advisor allows for a step.
+    pub allowed_share: f64,
+    /// What a job of average size is worth on time, and late.
+    pub worth: (f64, f64),
+}
+
+/// A time of more jobs of one kind.
+#[derive(Clone, Debug)]
+pub struct Burst {
+    /// The kind's queue.
+    pub queue: SmolStr,
+    /// When it begins.
+    pub from: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// The factor on the kind's rate.
+    pub factor: f64,
+}
+
+/// A load on a cell.
+#[derive(Clone, Debug)]
+pub struct ModelPlan {
+    /// The seed of all that is random.
+    pub seed: u64,
+    /// The cell.
+    pub fleet: FleetPlan,
+    /// The kinds of jobs.
+    pub kinds: Vec<KindPlan>,
+    /// The bursts.
+    pub bursts: Vec<Burst>,
+    /// How long jobs arrive.
+    pub lasts: Duration,
+}
+
+fn ms(duration_ms: u64) -> Duration {
+    Duration::from_millis(duration_ms)
+}
+
+fn queue(name: &str, priority: u32, objective: (f64, u64), advice: (f64, f64)) -> QueuePolicy {
+    QueuePolicy {
+        queue: name.into(),
+        service: SERVICE.into(),
+        priority,
+        attempts_max: 4,
+        stretch: objective.0,
+        target: ms(objective.1),
+        advice: Some(AdviceCost {
+            fixed_ms: advice.0,
+            per_worker_ms: advice.1,
+            valid: ms(2_000),
+        }),
+    }
+}
+
+impl ModelPlan {
+    /// Micdejun as it runs today: 48 workers of 16 cores, a load of four fifths of them.
+    pub fn today(seed: u64) -> Self {
+        Self {
+            seed,
+            fleet: FleetPlan {
+                workers: 48,
+                capacity: Resources::new(16_000, 32_768, 0),
+                advisors: 7,
+                slowness: vec![0.8, 1.0, 1.25],
+            },
+            kinds: vec![
+                forecasts(
+                    1.84,
+                    (8.0, 48),
+                    Resources::new(4_500, 6_400, 0),
+                    (360.0, 5.1),
+                    8.85,
+                ),
+                orders(
+                    5.42,
+                    (10.0, 60),
+                    Resources::new(980, 1_800, 0),
+                    (58.0, 0.82),
+                    1.87,
+                ),
+                checks(
+                    30.8,
+                    (2.0, 12),
+                    Resources::new(1_400, 2_800, 0),
+                    (8.7, 0.12),
+                    0.462,
+                ),
+            ],
+            bursts: Vec::new(),
+            lasts: Duration::from_secs(34),
+        }
+    }
+
+    /// Micdejun after its growth: 350 workers of 16 cores.
+    pub fn grown(seed: u64) -> Self {
+        Self {
+            fleet: FleetPlan {
+                workers: 350,
+                advisors: 35,
+                slowness: vec![1.0],
+                ..Self::today(seed).fleet
+            },
+            kinds: vec![
+                forecasts(
+                    5.4,
+                    (20.0, 120),
+                    Resources::new(4_500, 6_300, 0),
+                    (455.0, 6.5),
+                    7.19,
+                ),
+                orders(
+                    9.0,
+                    (25.0, 150),
+                    Resources::new(1_700, 3_200, 0),
+                    (130.0, 1.82),
+                    2.69,
+                ),
+                checks(
+                    80.3,
+                    (3.2, 19),
+                    Resources::new(2_500, 3_600, 0),
+                    (14.3, 0.208),
+                    0.421,
+                ),
+            ],
+            ..Self::today(seed)
+        }
+    }
+
+    /// The same with a burst of the most urgent kind and one of the gangs.
+    #[must_use]
+    pub fn with_bursts(mut self) -> Self {
+        let burst = |queue: &str, from_s, factor| Burst {
+            queue: queue.into(),
+            from: Duration::from_secs(from_s),
+            lasts: Duration::from_secs(4),
+            factor,
+        };
+        self.bursts = vec![burst("checks", 8, 2.0), burst("forecasts", 17, 1.6)];
+        self
+    }
+
+    /// The factor on a kind's rate at a time.
+    pub(super) fn factor(&self, kind: &KindPlan, at: Duration) -> f64 {
+        let active = |burst: &&Burst| {
+            burst.queue == kind.queue.queue && at >= burst.from && at < burst.from + burst.lasts
+        };
+        self.bursts.iter().find(active).map_or(1.0, |it| it.factor)
+    }
+}
+
+fn forecasts(
+    rate_per_s: f64,
+    tasks: (f64, u32),
+    resources: Resources,
+    advice: (f64, f64),
+    worth: f64,
+) -> KindPlan {
+    KindPlan {
+        queue: queue("forecasts", 1, (2.2, 1_000), advice),
+        rate_per_s,
+        tasks,
+        steps: 1.2,
+        run_time: ms(4_000),
+        estimate_off: 0.3,
+        resources,
+        gang_share: 1.0,
+        allowed_share: 0.35,
+        worth: (worth, worth / 5.0),
+    }
+}
+
+fn orders(
+    rate_per_s: f64,
+    tasks: (f64, u32),
+    resources: Resources,
+    advice: (f64, f64),
+    worth: f64,
+) -> KindPlan {
+    KindPlan {
+        queue: queue("orders", 2, (4.0, 3_000), advice),
+        steps: 1.5,
+        run_time: ms(2_700),
+        estimate_off: 0.7,
+        gang_share: 0.0,
+        allowed_share: 0.45,
+        ..forecasts(rate_per_s, tasks, resources, advice, worth)
+    }
+}
+
+fn checks(
+    rate_per_s: f64,
+    tasks: (f64, u32),
+    resources: Resources,
+    advice: (f64, f64),
+    worth: f64,
+) -> KindPlan {
+    KindPlan {
+        queue: queue("checks", 0, (1.5, 300), advice),
+        steps: 1.0,
+        run_time: ms(1_000),
+        estimate_off: 0.2,
+        gang_share: 0.3,
+        allowed_share: 0.7,
+        ..forecasts(rate_per_s, tasks, resources, advice, worth)
+    }
+}
+
+/// A job and what only the simulation knows of it.
+#[derive(Clone, Debug)]
+pub(super) struct Arrival {
+    pub(super) graph: JobGraph,
+    /// The true run time of a task of each step on a sound worker.
+    pub(super) run_times: Vec<Duration>,
+    pub(super) worth: (f64, f64),
+}
+
+impl Arrival {
+    pub(super) fn draw(kind: &KindPlan, random: &mut StdRng) -> Self {
+        let steps = 1 + u32::from(random.random::<f64>() < kind.steps - 1.0);
+        let size = random.random_range(0.55..1.45);
+        let resources = Resources::new(
+            (kind.resources.processor_millicores as f64 * size) as u64,
+            (kind.resources.memory_mib as f64 * size) as u64,
+            0,
+        );
+        let gang = random.random::<f64>() < kind.gang_share;
+        let mut specs = Vec::new();
+        let mut run_times = Vec::new();
+        let mut core_seconds = 0.0;
+        for step in 0..steps {
+            let (mean, max) = kind.tasks;
+            let spread = -(1.0 - random.random::<f64>()).ln();
+            let tasks = ((mean * (0.3 + 0.7 * spread)).round() as u32).clamp(1, max);
+            let run_time = kind.run_time.mul_f64(random.random_range(0.5..1.5));
+            let off = 1.0 + kind.estimate_off * random.random_range(-1.0..1.0);
+            core_seconds +=
+                f64::from(tasks) * run_time.as_secs_f64() * resources.processor_millicores as f64
+                    / 1_000.0;
+            run_times.push(run_time);
+            specs.push(StepSpec {
+                tasks,
+                resources,
+                estimate: run_time.mul_f64(off),
+                after: step.checked_sub(1).into_iter().collect(),
+                gang,
+                ..StepSpec::default()
+            });
+        }
+        let mean_core_seconds = kind.steps
+            * kind.tasks.0
+            * kind.run_time.as_secs_f64()
+            * kind.resources.processor_millicores as f64
+            / 1_000.0;
+        let factor = (0.3 + 0.7 * core_seconds / mean_core_seconds).min(4.0);
+        Self {
+            graph: JobGraph {
+                payload: "payload".into(),
+                steps: specs,
+                repeat: None,
+            },
+            run_times,
+            worth: (kind.worth.0 * factor, kind.worth.1 * factor),
+        }
+    }
+
+    /// The time within which its end counts as on time: the stretched chain of its work, with one
+    /// question about 30 workers a step, and the queue's target.
+    pub(super) fn objective(&self, queue: &QueuePolicy) -> Duration {
+        let question = queue
+            .advice
+            .map_or(Duration::ZERO, |cost| cost.duration(30));
+        let chain: Duration = self.run_times.iter().map(|it| *it + question).sum();
+        chain.mul_f64(queue.stretch) + queue.target
+    }
+}
--- /dev/null
+++ b/jackdawchute-standins/src/load_model/workers.rs
@@ -0,0 +1,124 @@
+//! The workers of a simulated cell.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use jackdawchute_scheduler::{
+    EndReason, EndedRun, HoldAnswer, HoldOrder, RunningTask, StartOrder, TaskName, WorkerEntry,
+};
+use jackdawchute_types::{Resources, RunNumber};
+
+/// A task that runs.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SimRun {
+    pub(super) run: RunNumber,
+    started_at: Duration,
+    takes: Duration,
+}
+
+impl SimRun {
+    fn percent(&self, now: Duration) -> u32 {
+        let done = now.saturating_sub(self.started_at).as_secs_f64() / self.takes.as_secs_f64();
+        (done * 100.0).min(99.0) as u32
+    }
+}
+
+/// What runs on a worker and what has ended there.
+#[derive(Debug)]
+pub(super) struct SimWorker {
+    pub(super) entry: WorkerEntry,
+    pub(super) slowness: f64,
+    pub(super) running: BTreeMap<TaskName, SimRun>,
+    used: Resources,
+    ended: Vec<EndedRun>,
+    ends_count: u64,
+    /// The look that waits for an end, and when it is answered at the latest.
+    pub(super) waiting: Option<(HoldOrder, Duration)>,
+}
+
+impl SimWorker {
+    pub(super) fn new(index: usize, capacity: Resources, slowness: f64) -> Self {
+        let rack = smol_str::format_smolstr!("r{}", index / 12);
+        Self {
+            entry: WorkerEntry {
+                worker: smol_str::format_smolstr!("worker-{index:04}"),
+                address: ([127, 0, 0, 1], 1).into(),
+                service: "service".into(),
+                failure_domain: smol_str::format_smolstr!("d{}", index % 5),
+                rack: Some(rack.clone()),
+                labels: vec!["a".into(), rack],
+                capacity,
+                leaving_in: None,
+                born_unix_ms: 1,
+            },
+            slowness,
+            running: BTreeMap::new(),
+            used: Resources::ZERO,
+            ended: Vec::new(),
+            ends_count: 0,
+            waiting: None,
+        }
+    }
+
+    /// Starts a task.
+    ///
+    /// # Panics
+    /// The task does not fit: the scheduler has given the worker more than it has.
+    pub(super) fn start(
+        &mut self,
+        order: &StartOrder,
+        size: &Resources,
+        takes: Duration,
+        now: Duration,
+    ) {
+        self.used = self.used.saturating_add(size);
+        let worker = &self.entry.worker;
+        assert!(
+            self.used.fits_in(&self.entry.capacity),
+            "{worker} is given too much"
+        );
+        let run = SimRun {
+            run: order.run,
+            started_at: now,
+            takes,
+        };
+        self.running.insert(order.task.clone(), run);
+    }
+
+    pub(super) fn end(&mut self, task: &TaskName, reason: EndReason, size: &Resources) {
+        let Some(run) = self.running.remove(task) else {
+            return;
+        };
+        self.used = self.used.saturating_sub(size);
+        self.ends_count += 1;
+        self.ended.push(EndedRun {
+            number: self.ends_count,
+            task: task.clone(),
+            run: run.run,
+            reason,
+            checkpoint: "".into(),
+        });
+    }
+
+    /// Forgets what is saved; whether there is something to tell at once.
+    pub(super) fn look(&mut self, order: &HoldOrder) -> bool {
+        self.ended.retain(|end| end.number > order.ends_saved);
+        !self.ended.is_empty() || order.wait.is_zero()
+    }
+
+    pub(super) fn answer(&self, clock: Duration, now: Duration) -> HoldAnswer {
+        let running = self.running.iter();
+        HoldAnswer {
+            born_unix_ms: 1,
+            clock,
+            running: running
+                .map(|(task, run)| RunningTask {
+                    task: task.clone(),
+                    run: run.run,
+                    checkpoint: "".into(),
+                    percent: run.percent(now),
+                })
+                .collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
