change: the strongest instance schedules

What an instance can do was nowhere known. Change: settings tell the processor share; a hello carries it, the answer tells the most that any has. The holder offers its place to an instance with half as much again, or, when it is late, to one at least as strong and half as late. Weak instances wait longer before a claim. Tests: the_strongest_instance_gets_the_epoch_when_it_joins, a_leaving_instance_hands_over_to_the_strongest.

--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -15,7 +15,7 @@
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 
-use super::{answer_all, LeaderTask};
+use super::{answer_all, peers::PeerState, LeaderTask};
 use crate::{
     commit::{Head, NotAppended},
     load::unix_now,
@@ -43,8 +43,7 @@
 /// A peer is there.
 pub(crate) struct PeerHello {
     pub(crate) address: SocketAddr,
-    pub(crate) leaving: bool,
-    pub(crate) lag: Duration,
+    pub(crate) state: PeerState,
 }
 /// A caller's job.
 pub(crate) struct Submit(pub(crate) SubmitJob, pub(crate) oneshot::Sender<CellAnswer>);
@@ -65,7 +64,7 @@
     async fn handle(&mut self, _tick: Tick, context: &mut Context<Self>) {
         let now = Instant::now();
         self.note_lag(now);
-        self.offer_when_slow(now);
+        self.offer_to_better(now);
         self.ask_peers_in_trouble(now);
         self.scheduler.tick(now, unix_now());
         self.refuse_unsaved(now);
@@ -199,10 +198,11 @@
             return CellAnswer::NotScheduling;
         }
         let now = Instant::now();
-        self.note_peer(hello.address, hello.leaving, hello.lag, now);
+        self.note_peer(hello.address, hello.state, now);
         CellAnswer::Here {
             store_trouble_ms: whole_ms(self.store_trouble(now)),
             others: self.some_others(hello.address, now),
+            strongest_millicores: self.strongest_millicores(now),
         }
     }
 }
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -19,7 +19,10 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use xtra::{prelude::*, refcount::Weak};
 
-pub(crate) use self::handlers::{AskPending, AskStatus, Cancel, FindSuccessor, PeerHello, Submit};
+pub(crate) use self::{
+    handlers::{AskPending, AskStatus, Cancel, FindSuccessor, PeerHello, Submit},
+    peers::PeerState,
+};
 use self::{
     handlers::{HoldAnswered, StartAnswered, StopAnswered, WorkersNews},
     peers::PeerLoad,
@@ -48,6 +51,7 @@
     pub(crate) scheduler: Scheduler,
     pub(crate) head: Head,
     pub(crate) own_address: SocketAddr,
+    pub(crate) processor_millicores: u64,
     pub(crate) ports: Ports,
     pub(crate) routes: watch::Receiver<Routes>,
     pub(crate) metrics: Metrics,
@@ -72,6 +76,7 @@
     confirming: Vec<oneshot::Sender<CellAnswer>>,
     peers: BTreeMap<SocketAddr, PeerLoad>,
     own_address: SocketAddr,
+    processor_millicores: u64,
     ports: Ports,
     routes: watch::Receiver<Routes>,
     metrics: Metrics,
@@ -105,6 +110,7 @@
         peers: BTreeMap::new(),
         offered_at: None,
         own_address: parts.own_address,
+        processor_millicores: parts.processor_millicores,
         ports: parts.ports,
         routes: parts.routes,
         metrics: parts.metrics,
@@ -117,7 +123,12 @@
         fenced: false,
     };
     task.metrics.set_epoch(task.head.epoch);
-    task.note_peer(task.own_address, false, Duration::ZERO, now);
+    let own_state = PeerState {
+        leaving: false,
+        lag: Duration::ZERO,
+        processor_millicores: task.processor_millicores,
+    };
+    task.note_peer(task.own_address, own_state, now);
     let address = xtra::spawn_tokio(task, Mailbox::unbounded());
     let subscribe = Subscribe {
         period: TICK_PERIOD,
--- a/jackdawchute-cell/src/leader/peers.rs
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -18,44 +18,51 @@
     settings::{
         ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, LAG_GAIN, LAG_MAX, LEADER_STORE_TROUBLE, OFFER_PAUSE,
         OTHERS_TOLD, PEERS_ASK_PERIOD, PEER_MEMORY, SHORT_ONLY_DIVISOR, SHORT_QUESTION,
-        TICK_PERIOD,
+        STRONGER_PERCENT, TICK_PERIOD,
     },
 };
 
+/// What an instance tells of itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PeerState {
+    pub(crate) leaving: bool,
+    /// How late it gets to its work.
+    pub(crate) lag: Duration,
+    pub(crate) processor_millicores: u64,
+}
+
 /// What is known of another instance, or of this one.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PeerLoad {
     pub(super) heard_at: Instant,
     /// When its advisor has answered all questions that were asked through it.
     pub(super) advisor_free_at: Instant,
-    pub(super) leaving: bool,
-    pub(super) lag: Duration,
+    pub(super) state: PeerState,
 }
 
 impl PeerLoad {
     /// Whether it was heard of late and stays.
     fn usable(&self, now: Instant) -> bool {
-        !self.leaving && now.saturating_duration_since(self.heard_at) < PEER_MEMORY
+        !self.state.leaving && now.saturating_duration_since(self.heard_at) < PEER_MEMORY
     }
 }
 
 impl LeaderTask {
-    pub(super) fn note_peer(
-        &mut self,
-        address: SocketAddr,
-        leaving: bool,
-        lag: Duration,
-        now: Instant,
-    ) {
+    pub(super) fn note_peer(&mut self, address: SocketAddr, state: PeerState, now: Instant) {
         let load = self.peers.entry(address).or_insert(PeerLoad {
             heard_at: now,
             advisor_free_at: now,
-            leaving,
-            lag,
+            state,
         });
-        load.lag = lag;
         load.heard_at = now;
-        load.leaving = leaving;
+        load.state = state;
+    }
+
+    /// The most processor that an instance has which was heard of late, or this one.
+    pub(super) fn strongest_millicores(&self, now: Instant) -> u64 {
+        let usable = self.peers.values().filter(|load| load.usable(now));
+        let strongest = usable.map(|load| load.state.processor_millicores).max();
+        strongest.unwrap_or(0).max(self.processor_millicores)
     }
 
     /// Some instances that were heard of late, other than the one that asks.
@@ -70,40 +77,53 @@
             .collect()
     }
 
-    /// The instance that could best take over.
+    /// The instance that could best take over: the strongest, of these the least busy.
     pub(super) fn successor(&self, now: Instant) -> Option<SocketAddr> {
         let usable = |(address, load): &(&SocketAddr, &PeerLoad)| {
             **address != self.own_address && load.usable(now)
         };
-        let best = self.peers.iter().filter(usable);
-        let best = best.min_by_key(|(_, load)| (load.lag, std::cmp::Reverse(load.heard_at)));
+        let best = self.peers.iter().filter(usable).min_by_key(|(_, load)| {
+            let strength = std::cmp::Reverse(load.state.processor_millicores);
+            (strength, load.state.lag, std::cmp::Reverse(load.heard_at))
+        });
         best.map(|(address, _)| *address)
     }
 
-    /// Offers the epoch to a faster instance when this one does not keep up.
-    pub(super) fn offer_when_slow(&mut self, now: Instant) {
+    /// Offers the epoch to an instance that is much stronger, or, when this one does not keep up,
+    /// to one that is as strong and less busy. A weaker one would only keep up worse.
+    pub(super) fn offer_to_better(&mut self, now: Instant) {
         let recent = |at: Instant| now.saturating_duration_since(at) < OFFER_PAUSE;
-        if self.lag < LAG_MAX || self.offered_at.is_some_and(recent) {
+        if self.offered_at.is_some_and(recent) {
             return;
         }
         let Some(successor) = self.successor(now) else {
             return;
         };
-        if self
-            .peers
-            .get(&successor)
-            .is_some_and(|load| load.lag * 2 > self.lag)
-        {
+        let Some(state) = self.peers.get(&successor).map(|load| load.state) else {
+            return;
+        };
+        if !self.is_better(&state) {
             return;
         }
         self.offered_at = Some(now);
-        info!("this instance is slow", kv: {
-            epoch = self.head.epoch, lag_ms = self.lag.as_millis() as u64
+        info!("another instance could schedule better", kv: {
+            epoch = self.head.epoch, lag_ms = self.lag.as_millis() as u64,
+            processor_millicores = self.processor_millicores,
+            its_lag_ms = state.lag.as_millis() as u64,
+            its_processor_millicores = state.processor_millicores
         });
         let (peers, epoch) = (self.ports.peers.clone(), self.head.epoch);
         tokio::spawn(async move { offer_epoch(&peers, successor, epoch).await });
     }
 
+    fn is_better(&self, other: &PeerState) -> bool {
+        let own = self.processor_millicores;
+        let much_stronger = other.processor_millicores * 100 >= own * STRONGER_PERCENT;
+        let as_strong = other.processor_millicores >= own;
+        (much_stronger && other.lag < LAG_MAX)
+            || (as_strong && self.lag >= LAG_MAX && other.lag * 2 <= self.lag)
+    }
+
     /// Asks peers whether another instance has taken over, which the store would tell if it could
     /// be reached from here.
     pub(super) fn ask_peers_in_trouble(&mut self, now: Instant) {
@@ -117,6 +137,7 @@
             epoch: self.head.epoch,
             leaving: false,
             lag_ms: 0,
+            processor_millicores: self.processor_millicores,
         };
         let others = self
             .peers
--- a/jackdawchute-cell/src/member/handlers.rs
+++ b/jackdawchute-cell/src/member/handlers.rs
@@ -117,9 +117,10 @@
             Ok(CellAnswer::Here {
                 store_trouble_ms,
                 others,
-                ..
+                strongest_millicores,
             }) => {
                 self.others = others;
+                self.strongest_millicores = Some(strongest_millicores);
                 self.heard_at = Instant::now();
                 let now = self.heard_at;
                 self.publish(|view| view.heard_at = Some(now));
@@ -205,6 +206,7 @@
             scheduler: *scheduler,
             head,
             own_address: self.parts.settings.peer_address,
+            processor_millicores: self.parts.settings.processor_millicores,
             ports: self.parts.ports.clone(),
             routes: self.parts.routes.clone(),
             metrics: self.parts.metrics.clone(),
@@ -243,7 +245,8 @@
         if self.row.as_ref().map(|row| row.record.epoch) == Some(message.0) {
             // An invitation ends the pause after an earlier claim.
             self.claim_after = Instant::now();
-            self.claim("the scheduling instance offers its place", context);
+            let cause = "the scheduling instance offers its place";
+            self.claim_after_wait(cause, Duration::ZERO, context);
         }
     }
 }
--- a/jackdawchute-cell/src/member/mod.rs
+++ b/jackdawchute-cell/src/member/mod.rs
@@ -23,7 +23,10 @@
     leader::{LeaderTask, Ports},
     messages::{CellAnswer, CellCall, SLICE},
     rows::LeaderRecord,
-    settings::{CLAIM_JITTER, CLAIM_PAUSE, HELLO_PERIOD, HELLO_TIMEOUT},
+    settings::{
+        CLAIM_JITTER, CLAIM_PAUSE, HELLO_PERIOD, HELLO_TIMEOUT, STRONGEST_UNKNOWN_MILLICORES,
+        WEAK_CLAIM_DELAY,
+    },
     Metrics, Routes, Settings,
 };
 
@@ -65,6 +68,8 @@
     claiming: bool,
     /// Other instances that the scheduling one told of.
     others: Vec<SocketAddr>,
+    /// The most processor that any instance has, as the scheduling one told.
+    strongest_millicores: Option<u64>,
     claim_after: Instant,
     /// The pause after the next claim that fails.
     claim_pause: Duration,
@@ -88,6 +93,7 @@
         lag: Duration::ZERO,
         claiming: false,
         others: Vec::new(),
+        strongest_millicores: None,
         claim_after: now,
         claim_pause: CLAIM_PAUSE,
         heard_at: now,
@@ -140,8 +146,21 @@
         }
     }
 
-    /// Claims the epoch after a short random wait.
+    /// Claims the epoch after a short random wait, longer for an instance with less processor.
     fn claim(&mut self, cause: &'static str, context: &Context<Self>) {
+        self.claim_after_wait(cause, self.claim_wait(), context);
+    }
+
+    fn claim_wait(&self) -> Duration {
+        let own = self.parts.settings.processor_millicores;
+        let strongest = self
+            .strongest_millicores
+            .unwrap_or(STRONGEST_UNKNOWN_MILLICORES);
+        let lacking = 1.0 - own as f64 / strongest.max(own).max(1) as f64;
+        CLAIM_JITTER.mul_f64(rand::rng().random::<f64>()) + WEAK_CLAIM_DELAY.mul_f64(lacking)
+    }
+
+    fn claim_after_wait(&mut self, cause: &'static str, wait: Duration, context: &Context<Self>) {
         let now = Instant::now();
         let blocked = self.claiming || self.leading() || self.leaving() || !self.row_read;
         if blocked || now < self.claim_after {
@@ -158,8 +177,7 @@
         let store = self.parts.ports.store.clone();
         let own = context.mailbox().address();
         tokio::spawn(async move {
-            let jitter = CLAIM_JITTER.mul_f64(rand::rng().random::<f64>());
-            tokio::time::sleep(jitter).await;
+            tokio::time::sleep(wait).await;
             let transaction = claim::transaction(known.as_ref(), &record);
             let claimed = store.transact(&transaction).await;
             let claimed = claimed.map(|transacted| claim::outcome(&record, transacted));
@@ -209,6 +227,7 @@
             epoch: self.row.as_ref().map_or(0, |row| row.record.epoch),
             leaving: self.leaving(),
             lag_ms: whole_ms(self.lag),
+            processor_millicores: self.parts.settings.processor_millicores,
         }
     }
 
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -22,6 +22,7 @@
         leaving: bool,
         /// How late the instance gets to its work.
         lag_ms: u64,
+        processor_millicores: u64,
     },
     /// Passes a caller's job on.
     Submit(Box<SubmitJob>),
@@ -69,6 +70,8 @@
         store_trouble_ms: u64,
         /// Some other instances, to ask for the next scheduling one.
         others: Vec<SocketAddr>,
+        /// The most processor that any instance has.
+        strongest_millicores: u64,
     },
     /// The job is accepted.
     Accepted,
--- a/jackdawchute-cell/src/peers.rs
+++ b/jackdawchute-cell/src/peers.rs
@@ -12,7 +12,7 @@
 use xtra::prelude::*;
 
 use crate::{
-    leader::{AskPending, AskStatus, Cancel, LeaderTask, PeerHello, Submit},
+    leader::{AskPending, AskStatus, Cancel, LeaderTask, PeerHello, PeerState, Submit},
     member::{LeaderSeen, LeaderView, MemberTask, TakeOver},
     messages::{CellAnswer, CellCall},
     settings::ADVICE_MARGIN,
@@ -107,12 +107,16 @@
             address,
             leaving,
             lag_ms,
+            processor_millicores,
             ..
         } => leader
             .send(PeerHello {
                 address,
-                leaving,
-                lag: Duration::from_millis(lag_ms),
+                state: PeerState {
+                    leaving,
+                    lag: Duration::from_millis(lag_ms),
+                    processor_millicores,
+                },
             })
             .await
             .unwrap_or(CellAnswer::NotScheduling),
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -11,6 +11,9 @@
     pub instance: MemberId,
     /// Where its peers reach it.
     pub peer_address: SocketAddr,
+    /// The processor that this instance may use, in thousandths of a core; the one that has most
+    /// schedules.
+    pub processor_millicores: u64,
     /// Bounds of the scheduler's decisions.
     pub scheduler: jackdawchute_scheduler::Settings,
 }
@@ -25,6 +28,14 @@
 pub(crate) const LEADER_STORE_TROUBLE: Duration = Duration::from_millis(450);
 /// The longest wait before a claim, so that instances do not all claim at once.
 pub(crate) const CLAIM_JITTER: Duration = Duration::from_millis(60);
+/// How much longer an instance waits before a claim that has next to no processor against the
+/// strongest one; longer than a strong one's jitter and its claim at the store take.
+pub(crate) const WEAK_CLAIM_DELAY: Duration = Duration::from_millis(150);
+/// The processor that the strongest instance is taken to have before any is known: a core.
+pub(crate) const STRONGEST_UNKNOWN_MILLICORES: u64 = 1_000;
+/// An instance with so many percent of the holder's processor gets the epoch without any trouble;
+/// a takeover costs some hundred milliseconds.
+pub(crate) const STRONGER_PERCENT: u64 = 150;
 /// The pause after a claim that failed; doubles with each further one.
 pub(crate) const CLAIM_PAUSE: Duration = Duration::from_millis(300);
 /// The longest such pause.
--- a/jackdawchute-cell/tests/cell.rs
+++ b/jackdawchute-cell/tests/cell.rs
@@ -78,55 +78,68 @@
     listener.local_addr().expect("its address")
 }
 
+/// Instances with a core each.
 async fn cell(instances: usize) -> Cell {
+    cell_of(&vec![1_000; instances]).await
+}
+
+/// Instances with so many thousandths of a core, started one after the other.
+async fn cell_of(processors_millicores: &[u64]) -> Cell {
     let store = MemoryStore::default();
     let workers = MemoryWorkers::new(4, TASK_TIME);
-    let (routes_sender, routes_receiver) = watch::channel(routes(1));
-    let mut members = Vec::new();
-    for index in 0..instances {
-        let handle = store.handle();
-        let directory = MemoryDirectory::new(workers.entries(), routes_receiver.clone());
+    let mut cell = Cell {
+        members: Vec::new(),
+        workers,
+        store,
+        routes: watch::channel(routes(1)).0,
+    };
+    for processor_millicores in processors_millicores {
+        cell.add(*processor_millicores).await;
+    }
+    cell.wait_until_ready().await;
+    cell
+}
+
+async fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < deadline, "{what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+impl Cell {
+    async fn add(&mut self, processor_millicores: u64) {
+        let handle = self.store.handle();
+        let directory = MemoryDirectory::new(self.workers.entries(), self.routes.subscribe());
         let address = free_address();
         let settings = Settings {
-            instance: smol_str::format_smolstr!("entry-{index}"),
+            instance: smol_str::format_smolstr!("entry-{}", self.members.len()),
             peer_address: address,
+            processor_millicores,
             scheduler: jackdawchute_scheduler::Settings::default(),
         };
         let parts = Parts {
             store: Arc::new(handle.clone()),
-            workers: Arc::new(workers.clone()),
+            workers: Arc::new(self.workers.clone()),
             advisor: Arc::new(MemoryAdvisor),
             directory: Arc::new(directory.clone()),
         };
         let instance = Instance::start(settings, parts, Metrics::default());
-        members.push(Member {
+        self.members.push(Member {
             instance: instance.await.expect("the port is still free"),
             store: handle,
             directory,
             address,
         });
     }
-    let cell = Cell {
-        members,
-        workers,
-        store,
-        routes: routes_sender,
-    };
-    for member in &cell.members {
-        wait_for("instance is ready", || member.instance.gateway.ready()).await;
-    }
-    cell
-}
 
-async fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
-    let deadline = Instant::now() + PATIENCE;
-    while !condition() {
-        assert!(Instant::now() < deadline, "{what}");
-        tokio::time::sleep(Duration::from_millis(10)).await;
+    async fn wait_until_ready(&self) {
+        for member in &self.members {
+            wait_for("instance is ready", || member.instance.gateway.ready()).await;
+        }
     }
-}
 
-impl Cell {
     /// The index of the instance that the store names as the scheduling one.
     async fn leader(&self) -> usize {
         let page = self.store.handle().read("leader", "cell", None).await;
@@ -319,6 +332,37 @@
     }
 }
 
+#[tokio::test]
+async fn the_strongest_instance_gets_the_epoch_when_it_joins() {
+    let mut cell = cell_of(&[120, 120]).await;
+    let weak = cell.leader().await;
+    cell.submit_until_accepted(0, "before", 4).await;
+
+    cell.add(500).await;
+    wait_for_leader_other_than(&cell, weak).await;
+    cell.submit_until_accepted(0, "after", 4).await;
+
+    assert_eq!(cell.leader().await, 2);
+    for job in ["before", "after"] {
+        cell.wait_until_completed(1, job).await;
+    }
+    cell.assert_nothing_ran_twice();
+}
+
+#[tokio::test]
+async fn a_leaving_instance_hands_over_to_the_strongest() {
+    let mut cell = cell_of(&[500]).await;
+    for processor_millicores in [120, 500, 120] {
+        cell.add(processor_millicores).await;
+    }
+    cell.wait_until_ready().await;
+
+    cell.members[0].instance.leave().await;
+    wait_for_leader_other_than(&cell, 0).await;
+
+    assert_eq!(cell.leader().await, 2);
+}
+
 #[tokio::test]
 async fn an_instance_without_the_store_applies_the_configuration_of_a_peer() {
     let cell = cell(3).await;
--- a/jackdawchute-settings/src/cell.rs
+++ b/jackdawchute-settings/src/cell.rs
@@ -53,8 +53,46 @@
     pub ended_retention: Duration,
 }
 
+/// The processor that the process may use.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CellProcessor {
+    /// The share of a core.
+    pub share: f64,
+    /// How many times as fast as a usual core it is.
+    #[serde(default = "one")]
+    pub speed: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+impl Default for CellProcessor {
+    fn default() -> Self {
+        Self {
+            share: 1.0,
+            speed: 1.0,
+        }
+    }
+}
+
+impl CellProcessor {
+    /// What it amounts to, in thousandths of a usual core.
+    ///
+    /// ```
+    /// use jackdawchute_settings::CellProcessor;
+    ///
+    /// let processor = CellProcessor { share: 0.25, speed: 2.0 };
+    /// assert_eq!(processor.millicores(), 500);
+    /// ```
+    pub fn millicores(&self) -> u64 {
+        (self.share * self.speed * 1_000.0) as u64
+    }
+}
+
 /// The settings of an instance of a cell, already checked.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CellSettings {
     /// The instance's name.
@@ -67,6 +105,9 @@
     pub platform: CellPlatform,
     /// What the platform promises.
     pub bounds: CellBounds,
+    /// The processor that the process may use; a whole usual core if absent.
+    #[serde(default)]
+    pub processor: CellProcessor,
     /// How much is logged.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -113,6 +154,12 @@
             problems.push(Problem::new(field, "must be above zero"));
         }
     }
+    if settings.processor.millicores() == 0 {
+        problems.push(Problem::new(
+            "processor",
+            "must be above a thousandth of a core",
+        ));
+    }
     let peers = settings.listen.peers;
     if peers.ip().is_unspecified() || peers.port() == 0 {
         let rule = "must be an address and port that peers can connect to";
--- a/jackdawchute-settings/src/lib.rs
+++ b/jackdawchute-settings/src/lib.rs
@@ -13,7 +13,7 @@
 mod settings;
 mod timing;
 
-pub use cell::{CellBounds, CellListen, CellPlatform, CellSettings};
+pub use cell::{CellBounds, CellListen, CellPlatform, CellProcessor, CellSettings};
 pub use error::{Error, Result};
 pub use jackdawchute_yaml::{Problem, Problems};
 pub use limits::Limits;
--- a/src/cell.rs
+++ b/src/cell.rs
@@ -162,6 +162,7 @@
     Settings {
         instance: settings.instance.clone(),
         peer_address: settings.listen.peers,
+        processor_millicores: settings.processor.millicores(),
         scheduler: jackdawchute_scheduler::Settings {
             lease: defaults.lease.min(settings.bounds.lease_max),
             stop: settings.bounds.task_stop,
