change: reservations for gangs grow with the fleet

Three gangs at a time could keep places, whatever the cell's size; all others waited for them by chance and never asked for tickets again. One for 16 workers is three at 48, as before.

--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -18,8 +18,9 @@
     Effect, Scheduler, StartOrder, StepName, StepSpec,
 };
 
-/// The most gangs that hold a reservation at a time.
-const RESERVATIONS_MAX: usize = 3;
+/// One gang holds a reservation for so many workers of the cell: each keeps some ten workers' room,
+/// and without one a gang waits for its places by chance.
+const WORKERS_PER_RESERVATION: usize = 16;
 /// The longest time ahead that a gang's places are reserved for.
 const RESERVATION_HORIZON: Duration = Duration::from_secs(8);
 
@@ -79,6 +80,7 @@
         }
         self.planned = std::mem::take(&mut self.planning);
         let mut reservations = 0;
+        let reservations_max = self.workers.len().div_ceil(WORKERS_PER_RESERVATION);
         for ranked in self.ranked_steps(now, false) {
             let Some(job) = self.jobs.get(&ranked.name.job) else {
                 continue;
@@ -93,7 +95,7 @@
             if spec.gang {
                 let placed = self.place_gang(&ranked.name, &spec, &mut room, now);
                 if !placed {
-                    let plan = if reservations < RESERVATIONS_MAX {
+                    let plan = if reservations < reservations_max {
                         reservations += 1;
                         self.reserve(&ranked.name, &spec, &mut room, now)
                     } else {
