change: a round of placement counts what is free once, and rounds are paced by the fleet

Cause: each round scanned all workers, and all their runs, for each step that waits, twice; a round came every 6 ms and after each advice and commit besides. At 350 workers decisions took 0.85 of a core, so that the holder fell behind in the first burst and passed the epoch on. Ruled out: orders and looks (their handling is a tenth of the profile). Change: Room is counted once a round and shared; a step that needs advice looks at its tickets only; ends of runs are sorted once a worker; maps by worker have a fast hash (rustc-hash; ids of workers come from the platform); the steps are ranked once. The period of rounds is 60 us a worker, at least 6 ms; a round that was wanted too early is made up for at its time.

--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -24,6 +24,8 @@
     WorkersUpdate,
 };
 
+/// It is time for a round of placement that was too early when it was wanted.
+pub(super) struct RoundDue;
 /// An answered [`Effect::Start`].
 pub(super) struct StartAnswered(pub(super) StartOrder, pub(super) StartAnswer);
 /// An answered [`Effect::Stop`].
@@ -74,7 +76,16 @@
             self.scheduler.log_load(now);
             info!("scheduling lag", kv: { lag_ms = self.lag.as_millis() as u64 });
         }
-        self.pump(context, true);
+        self.pump(context);
+    }
+}
+
+impl Handler<RoundDue> for LeaderTask {
+    type Return = ();
+
+    async fn handle(&mut self, _due: RoundDue, context: &mut Context<Self>) {
+        self.round_awaited = false;
+        self.pump(context);
     }
 }
 
@@ -86,7 +97,7 @@
         let now = Instant::now();
         self.scheduler
             .start_answered(&order.worker, &order.task, order.run, answer, now);
-        self.pump(context, false);
+        self.pump(context);
     }
 }
 
@@ -98,7 +109,7 @@
         let now = Instant::now();
         self.scheduler
             .stop_answered(&order.worker, &order.task, order.run, clock, now);
-        self.pump(context, false);
+        self.pump(context);
     }
 }
 
@@ -113,7 +124,7 @@
             None => self.scheduler.hold_failed(&order.worker, now),
         }
         self.scheduler.issue_due_holds(now);
-        self.pump(context, false);
+        self.pump(context);
     }
 }
 
@@ -124,7 +135,7 @@
         let AdviceAnswered(request, answer) = message;
         let now = Instant::now();
         self.scheduler.advice_answered(&request, answer, now);
-        self.pump(context, true);
+        self.pump(context);
     }
 }
 
@@ -148,7 +159,7 @@
                     answer_all(self.cancellers.remove(job), &answer);
                 }
                 self.scheduler.issue_due_holds(now);
-                self.pump(context, true);
+                self.pump(context);
             }
             Err(NotAppended::Refused) => {
                 for job in self.scheduler.not_committed(&batch) {
@@ -186,7 +197,7 @@
             WorkersUpdate::HistoryLost => {}
         }
         self.scheduler.issue_due_holds(now);
-        self.pump(context, false);
+        self.pump(context);
     }
 }
 
@@ -236,7 +247,7 @@
         let answer = match submission {
             Submission::Pending => {
                 self.submitters.entry(submit.job).or_default().push(reply);
-                self.pump(context, false);
+                self.pump(context);
                 return;
             }
             Submission::Accepted => CellAnswer::Accepted,
@@ -261,7 +272,7 @@
         match status {
             JobStatus::Queued | JobStatus::Running => {
                 self.cancellers.entry(job).or_default().push(reply);
-                self.pump(context, false);
+                self.pump(context);
             }
             status => self.answer_status(status, reply, context),
         }
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -24,7 +24,7 @@
     peers::PeerState,
 };
 use self::{
-    handlers::{HoldAnswered, StartAnswered, StopAnswered, WorkersNews},
+    handlers::{HoldAnswered, RoundDue, StartAnswered, StopAnswered, WorkersNews},
     peers::PeerLoad,
 };
 use crate::{
@@ -32,7 +32,7 @@
     member::Deposed,
     messages::CellAnswer,
     reach::Reach,
-    settings::{FOLLOW_PAUSE, FOLLOW_WAIT, SETTLE_PERIOD, TICK_PERIOD},
+    settings::{FOLLOW_PAUSE, FOLLOW_WAIT, TICK_PERIOD},
     Advisor, Directory, Metrics, Routes, Store, Workers, WorkersUpdate,
 };
 
@@ -84,6 +84,8 @@
     /// When peers were last asked whether another instance has taken over.
     peers_asked_at: Instant,
     settled_at: Instant,
+    /// A [`RoundDue`] is on its way.
+    round_awaited: bool,
     load_logged_at: Instant,
     ticked_at: Instant,
     /// How late this instance gets to its work, smoothed.
@@ -117,6 +119,7 @@
         deposed: parts.deposed,
         peers_asked_at: now,
         settled_at: now,
+        round_awaited: false,
         load_logged_at: now,
         ticked_at: now,
         lag: Duration::ZERO,
@@ -168,16 +171,24 @@
 
 impl LeaderTask {
     /// Carries out what the scheduler has decided and commits what is due.
-    fn pump(&mut self, context: &Context<Self>, force: bool) {
+    fn pump(&mut self, context: &Context<Self>) {
         if self.fenced {
             return;
         }
         let now = Instant::now();
-        if force || now.saturating_duration_since(self.settled_at) >= SETTLE_PERIOD {
+        let own = context.mailbox().address();
+        let next_round_at = self.settled_at + self.scheduler.round_period();
+        if now >= next_round_at {
             self.settled_at = now;
             self.scheduler.settle(now);
+        } else if self.scheduler.round_needed() && !self.round_awaited {
+            self.round_awaited = true;
+            let own = own.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep_until(next_round_at.into()).await;
+                let _ = own.send(RoundDue).await;
+            });
         }
-        let own = context.mailbox().address();
         for effect in self.scheduler.take_effects() {
             self.carry_out(effect, &own, now);
         }
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -44,8 +44,6 @@
 pub(crate) const COMMIT_PERIOD: Duration = Duration::from_millis(25);
 /// How often time passes for the scheduler.
 pub(crate) const TICK_PERIOD: Duration = Duration::from_millis(40);
-/// The shortest time between two rounds of placement.
-pub(crate) const SETTLE_PERIOD: Duration = Duration::from_millis(6);
 /// How long the store may hold back its answer while nothing changes; bounds how long a connection
 /// that fell silent goes unnoticed.
 pub(crate) const FOLLOW_WAIT: Duration = Duration::from_secs(2);
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -4,13 +4,19 @@
 //! within seconds. A step's first question names the workers with the most room; later ones only
 //! those where it would fit at that moment.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_types::WorkerId;
 use spdlog::info;
 
 use crate::{
     job::{Advice, GangPlan, Job, StepRun},
+    rank::Ranked,
+    room::{can_run, Room},
+    worker::Worker,
     AdviceAnswer, AdviceCost, AdviceRequest, Effect, Scheduler, StepName, StepSpec,
 };
 
@@ -30,9 +36,9 @@
 
 impl Scheduler {
     /// Asks about each step that has something to place and no valid ticket to place it with.
-    pub(crate) fn ask_for_advice(&mut self, now: Instant) {
-        for ranked in self.ranked_steps(now, true) {
-            if let Some(request) = self.question(&ranked.name, now) {
+    pub(crate) fn ask_for_advice(&mut self, ranked: &[Ranked], room: &Room, now: Instant) {
+        for ranked in ranked {
+            if let Some(request) = self.question(&ranked.name, room, now) {
                 info!("advice asked", kv: {
                     job = request.step.job.as_str(), step = request.step.step,
                     workers = request.workers.len(),
@@ -43,7 +49,7 @@
         }
     }
 
-    fn question(&mut self, name: &StepName, now: Instant) -> Option<AdviceRequest> {
+    fn question(&mut self, name: &StepName, room: &Room, now: Instant) -> Option<AdviceRequest> {
         let job = self.jobs.get(&name.job)?;
         let cost = job.queue.advice?;
         let (spec, step) = job.step(name)?;
@@ -51,7 +57,11 @@
         if job.uncertain || step.advice_asked_at.is_some_and(asking) {
             return None;
         }
-        let known = self.known_advice(job, spec, step, now);
+        let waiting = step.units.iter().filter(|unit| unit.waiting()).count();
+        if waiting == 0 {
+            return None;
+        }
+        let known = known_advice(&self.workers, job, spec, step, room, now);
         let candidates = if step.advice.is_empty() {
             known.unknown
         } else if spec.gang {
@@ -63,7 +73,6 @@
             return None;
         }
         let first = step.advice.is_empty();
-        let waiting = step.units.iter().filter(|unit| unit.waiting()).count();
         let members = waiting * spec.unit_size() as usize;
         let workers = most_room(candidates, named(&cost, members, first || spec.gang));
         let expected = cost.duration(workers.len());
@@ -78,32 +87,6 @@
         })
     }
 
-    /// Sorts the workers that could run a step by what is known of them.
-    fn known_advice(&self, job: &Job, spec: &StepSpec, step: &StepRun, now: Instant) -> Known {
-        let size = spec.reserved();
-        let mut known = Known::default();
-        for worker in self.workers.values() {
-            let usable = self.can_run(worker, job, spec, now);
-            let Some(free) = worker.free().filter(|_| usable) else {
-                continue;
-            };
-            let candidate = Candidate {
-                worker: worker.id().clone(),
-                free_millicores: free.processor_millicores,
-                fits: size.fits_in(&free),
-            };
-            match step.advice.get(worker.id()) {
-                Some(Advice::Denied) => {}
-                Some(advice) if advice.ticket(worker.entry.born_unix_ms, now).is_some() => {
-                    known.fresh_fits |= candidate.fits;
-                }
-                Some(Advice::Allowed { .. }) => known.stale.push(candidate),
-                None => known.unknown.push(candidate),
-            }
-        }
-        known
-    }
-
     /// Takes an advisor's answer; `None` if there was none.
     pub fn advice_answered(
         &mut self,
@@ -155,6 +138,41 @@
     }
 }
 
+/// Sorts the workers that could run a step by what is known of them.
+fn known_advice(
+    workers: &BTreeMap<WorkerId, Worker>,
+    job: &Job,
+    spec: &StepSpec,
+    step: &StepRun,
+    room: &Room,
+    now: Instant,
+) -> Known {
+    let size = spec.reserved();
+    let mut known = Known::default();
+    for (worker, spot) in room.spots() {
+        let fits = size.fits_in(&spot.free);
+        // Tasks without a gang start one by one, and need no advice on workers without room.
+        let of_use = fits || spec.gang || step.advice.is_empty();
+        if !of_use || !can_run(workers, worker, spot, job, spec) {
+            continue;
+        }
+        let candidate = || Candidate {
+            worker: worker.clone(),
+            free_millicores: spot.free.processor_millicores,
+            fits,
+        };
+        match step.advice.get(worker) {
+            Some(Advice::Denied) => {}
+            Some(advice) if advice.ticket(spot.born_unix_ms, now).is_some() => {
+                known.fresh_fits |= fits;
+            }
+            Some(Advice::Allowed { .. }) => known.stale.push(candidate()),
+            None => known.unknown.push(candidate()),
+        }
+    }
+    known
+}
+
 /// A worker that a question may name.
 #[derive(Debug)]
 struct Candidate {
@@ -205,7 +223,10 @@
 }
 
 fn most_room(mut candidates: Vec<Candidate>, count: usize) -> Vec<WorkerId> {
-    candidates.sort_by_key(|it| std::cmp::Reverse(it.free_millicores));
+    candidates.sort_unstable_by(|left, right| {
+        let by_room = right.free_millicores.cmp(&left.free_millicores);
+        by_room.then_with(|| left.worker.cmp(&right.worker))
+    });
     candidates.truncate(count);
     candidates.into_iter().map(|it| it.worker).collect()
 }
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -1,13 +1,11 @@
 //! A job and what has become of its tasks.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use jackdawchute_types::{
     Checkpoint, JobId, Occurrence, RunNumber, StepIndex, TaskIndex, Ticket, WorkerId,
 };
+use rustc_hash::FxHashMap;
 
 use crate::{JobGraph, QueuePolicy, StepName, StepSpec};
 
@@ -114,7 +112,7 @@
     pub(crate) units: Vec<Unit>,
     /// The units that are not done.
     pub(crate) open: usize,
-    pub(crate) advice: HashMap<WorkerId, Advice>,
+    pub(crate) advice: FxHashMap<WorkerId, Advice>,
     /// The places that are kept for a gang, and when it is expected to start.
     pub(crate) plan: Option<GangPlan>,
     /// When the question under way was asked.
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -23,6 +23,7 @@
 mod records;
 mod recover;
 mod report;
+mod room;
 mod settings;
 mod state;
 mod submit;
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -9,12 +9,14 @@
     time::{Duration, Instant},
 };
 
-use jackdawchute_types::{Resources, Ticket, WorkerId};
+use jackdawchute_types::{Ticket, WorkerId};
 use spdlog::info;
 
 use crate::{
     job::{Advice, GangPlan, Job, Unit},
-    worker::{Run, RunPhase, Worker},
+    rank::Ranked,
+    room::{can_run, times_fitting, Reservation, Room, Spot},
+    worker::{Run, RunPhase},
     Effect, Scheduler, StartOrder, StepName, StepSpec,
 };
 
@@ -24,39 +26,6 @@
 /// The longest time ahead that a gang's places are reserved for.
 const RESERVATION_HORIZON: Duration = Duration::from_secs(8);
 
-/// Room that is kept for a gang until it can start.
-#[derive(Clone, Copy, Debug)]
-struct Reservation {
-    room: Resources,
-    starts_at: Instant,
-}
-
-/// What is free while one round of placement lasts.
-#[derive(Debug, Default)]
-struct Room {
-    free: HashMap<WorkerId, Resources>,
-    reserved: HashMap<WorkerId, Vec<Reservation>>,
-}
-
-impl Room {
-    /// What a task that ends at `ends_at` may use of a worker.
-    fn usable(&self, worker: &WorkerId, ends_at: Instant) -> Option<Resources> {
-        let mut free = *self.free.get(worker)?;
-        for reservation in self.reserved.get(worker).into_iter().flatten() {
-            if ends_at > reservation.starts_at {
-                free = free.saturating_sub(&reservation.room);
-            }
-        }
-        Some(free)
-    }
-
-    fn take(&mut self, worker: &WorkerId, size: &Resources) {
-        if let Some(free) = self.free.get_mut(worker) {
-            *free = free.saturating_sub(size);
-        }
-    }
-}
-
 /// A worker that may run a step now.
 #[derive(Clone, Debug)]
 struct Candidate {
@@ -70,18 +39,11 @@
 
 impl Scheduler {
     /// Places as many units as fit, best rank first.
-    pub(crate) fn place(&mut self, now: Instant) {
-        let silence = self.settings.silence;
-        let mut room = Room::default();
-        for worker in self.workers.values() {
-            if let Some(free) = worker.free().filter(|_| worker.takes_tasks(now, silence)) {
-                room.free.insert(worker.id().clone(), free);
-            }
-        }
+    pub(crate) fn place(&mut self, ranked: &[Ranked], room: &mut Room, now: Instant) {
         self.planned = std::mem::take(&mut self.planning);
         let mut reservations = 0;
         let reservations_max = self.workers.len().div_ceil(WORKERS_PER_RESERVATION);
-        for ranked in self.ranked_steps(now, false) {
+        for ranked in ranked.iter().filter(|it| !it.accepting) {
             let Some(job) = self.jobs.get(&ranked.name.job) else {
                 continue;
             };
@@ -93,45 +55,29 @@
             };
             let spec = spec.clone();
             if spec.gang {
-                let placed = self.place_gang(&ranked.name, &spec, &mut room, now);
+                let placed = self.place_gang(&ranked.name, &spec, room, now);
                 if !placed {
                     let plan = if reservations < reservations_max {
                         reservations += 1;
-                        self.reserve(&ranked.name, &spec, &mut room, now)
+                        self.reserve(&ranked.name, &spec, room, now)
                     } else {
                         None
                     };
                     self.set_plan(&ranked.name, plan);
                 }
             } else {
-                self.place_tasks(&ranked.name, &spec, &mut room, now);
+                self.place_tasks(&ranked.name, &spec, room, now);
             }
         }
     }
 
-    /// Whether a worker takes tasks of a job's step, apart from advice and room.
-    pub(crate) fn can_run(
-        &self,
-        worker: &Worker,
-        job: &Job,
-        spec: &StepSpec,
-        now: Instant,
-    ) -> bool {
-        let labels = &worker.entry.labels;
-        worker.entry.service == job.queue.service
-            && worker.takes_tasks(now, self.settings.silence)
-            && spec
-                .required_label
-                .as_ref()
-                .is_none_or(|it| labels.contains(it))
-    }
-
     /// The workers that may run a step now.
     fn candidates(
         &self,
         job: &Job,
         name: &StepName,
         spec: &StepSpec,
+        room: &Room,
         now: Instant,
     ) -> Vec<Candidate> {
         let Some((_, step)) = job.step(name) else {
@@ -143,28 +89,31 @@
                 *here.entry(worker).or_default() += 1;
             }
         }
-        let mut candidates = Vec::new();
-        for worker in self.workers.values() {
-            if !self.can_run(worker, job, spec, now) {
-                continue;
-            }
-            let advice = step.advice.get(worker.id());
-            let ticket = advice.and_then(|it| it.ticket(worker.entry.born_unix_ms, now));
-            if job.queue.advice.is_some() && ticket.is_none() {
-                continue;
-            }
-            let max = spec.per_worker_max.unwrap_or(u32::MAX);
-            let allowed = max.saturating_sub(here.get(worker.id()).copied().unwrap_or(0));
-            if allowed > 0 {
-                candidates.push(Candidate {
-                    worker: worker.id().clone(),
-                    ticket: ticket.cloned(),
-                    near_data: spec.data_rack.is_none() || spec.data_rack == worker.entry.rack,
-                    slowness_tenths: (worker.health.slowness * 10.0) as u32,
-                    allowed,
-                });
-            }
-        }
+        let max = spec.per_worker_max.unwrap_or(u32::MAX);
+        let candidate = |worker: &WorkerId, spot: &Spot, ticket: Option<&Ticket>| {
+            let allowed = max.saturating_sub(here.get(worker).copied().unwrap_or(0));
+            let may_run = allowed > 0 && can_run(&self.workers, worker, spot, job, spec);
+            may_run.then(|| Candidate {
+                worker: worker.clone(),
+                ticket: ticket.cloned(),
+                near_data: spot.is_near_data(spec),
+                slowness_tenths: spot.slowness_tenths,
+                allowed,
+            })
+        };
+        let mut candidates: Vec<Candidate> = if job.queue.advice.is_some() {
+            let advised = step.advice.iter().filter_map(|(worker, advice)| {
+                let spot = room.spot(worker)?;
+                let ticket = advice.ticket(spot.born_unix_ms, now)?;
+                candidate(worker, spot, Some(ticket))
+            });
+            advised.collect()
+        } else {
+            let all = room.spots();
+            all.filter_map(|(worker, spot)| candidate(worker, spot, None))
+                .collect()
+        };
+        candidates.sort_unstable_by(|left, right| left.worker.cmp(&right.worker));
         candidates
     }
 
@@ -172,7 +121,7 @@
         let Some(job) = self.jobs.get(&name.job) else {
             return;
         };
-        let mut candidates = self.candidates(job, name, spec, now);
+        let mut candidates = self.candidates(job, name, spec, room, now);
         if candidates.is_empty() {
             return;
         }
@@ -191,7 +140,7 @@
                 .iter_mut()
                 .filter(|it| it.allowed > 0)
                 .filter_map(|it| {
-                    let free = room.usable(&it.worker, now + expected)?;
+                    let free = room.spot(&it.worker)?.usable(now + expected);
                     let fits = size.fits_in(&free);
                     let failed_here = failed_on.as_ref() == Some(&it.worker);
                     // Far from its data or on a slow worker a task takes longer; next best is
@@ -226,14 +175,14 @@
         let Some(job) = self.jobs.get(&name.job) else {
             return true;
         };
-        let mut candidates = self.candidates(job, name, spec, now);
+        let mut candidates = self.candidates(job, name, spec, room, now);
         let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
         let size = spec.reserved();
         let fitting = |it: &Candidate| -> u32 {
-            let Some(free) = room.usable(&it.worker, now + expected) else {
+            let Some(spot) = room.spot(&it.worker) else {
                 return 0;
             };
-            times_fitting(&size, free).min(it.allowed)
+            times_fitting(&size, spot.usable(now + expected)).min(it.allowed)
         };
         let mut counts: Vec<(u32, Candidate)> = candidates
             .drain(..)
@@ -299,21 +248,29 @@
         let (_, step) = job.step(name)?;
         let size = spec.reserved();
         let mut places: Vec<(Instant, WorkerId)> = Vec::new();
-        for worker in self.workers.values() {
+        let max = spec.per_worker_max.unwrap_or(u32::MAX).min(spec.tasks) as usize;
+        let horizon = now + RESERVATION_HORIZON;
+        let mut add = |id: &WorkerId, spot: &Spot| {
+            if can_run(&self.workers, id, spot, job, spec) {
+                let times = self.free_times(id, spot, spec, horizon, now);
+                let within = times.into_iter().take(max);
+                places.extend(within.map(|at| (at, id.clone())));
+            }
+        };
+        if job.queue.advice.is_some() {
             // A ticket that lapsed is renewed once there is room.
-            let allowed = job.queue.advice.is_none()
-                || matches!(step.advice.get(worker.id()), Some(Advice::Allowed { .. }));
-            let Some(free) = room.usable(worker.id(), now + RESERVATION_HORIZON) else {
-                continue;
-            };
-            if allowed && worker.entry.service == job.queue.service {
-                let max = spec.per_worker_max.unwrap_or(u32::MAX);
-                let times = free_times(worker, &size, free, now);
-                let within = times.into_iter().take(max.min(spec.tasks) as usize);
-                places.extend(within.map(|at| (at, worker.id().clone())));
+            for (id, advice) in &step.advice {
+                let allowed = matches!(advice, Advice::Allowed { .. });
+                if let Some(spot) = room.spot(id).filter(|_| allowed) {
+                    add(id, spot);
+                }
+            }
+        } else {
+            for (id, spot) in room.spots() {
+                add(id, spot);
             }
         }
-        places.sort();
+        places.sort_unstable();
         if places.len() < spec.tasks as usize {
             return None;
         }
@@ -336,7 +293,7 @@
                 starts_at,
             };
             self.planning.insert(worker.clone());
-            room.reserved.entry(worker).or_default().push(reservation);
+            room.reserve(&worker, reservation);
         }
         Some(plan)
     }
@@ -419,31 +376,3 @@
         .map(|(index, worker, _)| (*index, worker.clone()))
         .collect();
 }
-
-/// How many tasks of a size fit into some room.
-fn times_fitting(size: &Resources, free: Resources) -> u32 {
-    let ratio = |free: u64, size: u64| free.checked_div(size).unwrap_or(u64::from(u32::MAX));
-    let times = ratio(free.processor_millicores, size.processor_millicores)
-        .min(ratio(free.memory_mib, size.memory_mib))
-        .min(ratio(
-            u64::from(free.accelerators),
-            u64::from(size.accelerators),
-        ));
-    u32::try_from(times).unwrap_or(u32::MAX)
-}
-
-/// When the first, second and further task of a size fit on a worker, as its runs end.
-fn free_times(worker: &Worker, size: &Resources, free: Resources, now: Instant) -> Vec<Instant> {
-    let mut times = vec![now; times_fitting(size, free).min(64) as usize];
-    let mut runs: Vec<&Run> = worker.runs.values().collect();
-    runs.sort_by_key(|run| run.expected_end);
-    let mut free = free;
-    for run in runs {
-        free = free.saturating_add(&run.reserved.unwrap_or(Resources::ZERO));
-        let count = times_fitting(size, free).min(64) as usize;
-        while times.len() < count {
-            times.push(run.expected_end.max(now));
-        }
-    }
-    times
-}
--- a/jackdawchute-scheduler/src/rank.rs
+++ b/jackdawchute-scheduler/src/rank.rs
@@ -25,11 +25,13 @@
     /// negated so that the oldest goes first.
     slack_ms: i64,
     pub(crate) name: StepName,
+    /// Its job's acceptance is not committed yet: only advice is asked for.
+    pub(crate) accepting: bool,
 }
 
 impl Scheduler {
     /// The ready steps with something to place, best first.
-    pub(crate) fn ranked_steps(&mut self, now: Instant, accepting: bool) -> Vec<Ranked> {
+    pub(crate) fn ranked_steps(&mut self, now: Instant) -> Vec<Ranked> {
         let mut ranked = Vec::new();
         let mut idle = Vec::new();
         for id in &self.placeable {
@@ -37,11 +39,7 @@
                 idle.push(id.clone());
                 continue;
             };
-            let eligible = match job.phase {
-                JobPhase::Live => true,
-                JobPhase::Accepting => accepting,
-                JobPhase::Ending(_) => false,
-            };
+            let eligible = matches!(job.phase, JobPhase::Live | JobPhase::Accepting);
             let before = ranked.len();
             for run in &job.occurrences {
                 for (step, step_run) in (0u32..).zip(&run.steps) {
@@ -85,6 +83,7 @@
             less_urgent: job.queue.priority != MOST_URGENT,
             slack_ms,
             name,
+            accepting: job.phase == JobPhase::Accepting,
         }
     }
 
--- /dev/null
+++ b/jackdawchute-scheduler/src/room.rs
@@ -0,0 +1,177 @@
+//! What is free on the workers while one round of placement and questions lasts.
+//!
+//! It is counted once a round: a cell has many more steps that wait than workers that change.
+
+use std::{cell::OnceCell, collections::BTreeMap, time::Instant};
+
+use jackdawchute_types::{RackId, Resources, ServiceId, WorkerId};
+use rustc_hash::FxHashMap;
+
+use crate::{
+    job::Job,
+    worker::{Run, Worker},
+    Scheduler, StepSpec,
+};
+
+/// The most tasks of one size that are counted on a worker.
+const FITTING_MAX: u32 = 64;
+
+/// Room that is kept for a gang until it can start.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reservation {
+    pub(crate) room: Resources,
+    pub(crate) starts_at: Instant,
+}
+
+/// A worker that takes tasks.
+#[derive(Debug)]
+pub(crate) struct Spot {
+    pub(crate) free: Resources,
+    pub(crate) rack: Option<RackId>,
+    pub(crate) born_unix_ms: u64,
+    pub(crate) slowness_tenths: u32,
+    service: ServiceId,
+    reserved: Vec<Reservation>,
+    /// When its runs are expected to end, and what becomes free then.
+    ends: OnceCell<Vec<(Instant, Resources)>>,
+}
+
+impl Spot {
+    fn new(worker: &Worker, free: Resources) -> Self {
+        Self {
+            free,
+            rack: worker.entry.rack.clone(),
+            born_unix_ms: worker.entry.born_unix_ms,
+            slowness_tenths: (worker.health.slowness * 10.0) as u32,
+            service: worker.entry.service.clone(),
+            reserved: Vec::new(),
+            ends: OnceCell::new(),
+        }
+    }
+
+    pub(crate) fn is_near_data(&self, spec: &StepSpec) -> bool {
+        spec.data_rack.is_none() || spec.data_rack == self.rack
+    }
+
+    /// What a task that ends at `ends_at` may use.
+    pub(crate) fn usable(&self, ends_at: Instant) -> Resources {
+        let mut free = self.free;
+        for reservation in &self.reserved {
+            if ends_at > reservation.starts_at {
+                free = free.saturating_sub(&reservation.room);
+            }
+        }
+        free
+    }
+
+    /// When the first, second and further task of a size fit, as the worker's runs end, of what
+    /// is left of `free`.
+    fn free_times(
+        &self,
+        worker: &Worker,
+        size: &Resources,
+        free: Resources,
+        now: Instant,
+    ) -> Vec<Instant> {
+        let mut times = vec![now; times_fitting(size, free) as usize];
+        let mut free = free;
+        for (end, room) in self.ends.get_or_init(|| expected_ends(worker)) {
+            free = free.saturating_add(room);
+            let count = times_fitting(size, free) as usize;
+            while times.len() < count {
+                times.push((*end).max(now));
+            }
+        }
+        times
+    }
+}
+
+fn expected_ends(worker: &Worker) -> Vec<(Instant, Resources)> {
+    let end = |run: &Run| (run.expected_end, run.reserved.unwrap_or(Resources::ZERO));
+    let mut ends: Vec<_> = worker.runs.values().map(end).collect();
+    ends.sort_unstable_by_key(|(end, _)| *end);
+    ends
+}
+
+/// How many tasks of a size fit into some room.
+pub(crate) fn times_fitting(size: &Resources, free: Resources) -> u32 {
+    let ratio = |free: u64, size: u64| free.checked_div(size).unwrap_or(u64::from(u32::MAX));
+    let times = ratio(free.processor_millicores, size.processor_millicores)
+        .min(ratio(free.memory_mib, size.memory_mib))
+        .min(ratio(
+            u64::from(free.accelerators),
+            u64::from(size.accelerators),
+        ));
+    u32::try_from(times).map_or(FITTING_MAX, |times| times.min(FITTING_MAX))
+}
+
+/// The workers that take tasks, and what is free there.
+#[derive(Debug, Default)]
+pub(crate) struct Room {
+    spots: FxHashMap<WorkerId, Spot>,
+}
+
+impl Room {
+    pub(crate) fn spot(&self, worker: &WorkerId) -> Option<&Spot> {
+        self.spots.get(worker)
+    }
+
+    pub(crate) fn spots(&self) -> impl Iterator<Item = (&WorkerId, &Spot)> {
+        self.spots.iter()
+    }
+
+    pub(crate) fn take(&mut self, worker: &WorkerId, size: &Resources) {
+        if let Some(spot) = self.spots.get_mut(worker) {
+            spot.free = spot.free.saturating_sub(size);
+        }
+    }
+
+    pub(crate) fn reserve(&mut self, worker: &WorkerId, reservation: Reservation) {
+        if let Some(spot) = self.spots.get_mut(worker) {
+            spot.reserved.push(reservation);
+        }
+    }
+}
+
+impl Scheduler {
+    /// Counts what is free.
+    pub(crate) fn room(&self, now: Instant) -> Room {
+        let silence = self.settings.silence;
+        let takes_tasks = |worker: &&Worker| worker.takes_tasks(now, silence);
+        let spot = |worker: &Worker| Some((worker.id().clone(), Spot::new(worker, worker.free()?)));
+        let workers = self.workers.values().filter(takes_tasks);
+        Room {
+            spots: workers.filter_map(spot).collect(),
+        }
+    }
+
+    /// When the first, second and further task of a step fit on a worker.
+    pub(crate) fn free_times(
+        &self,
+        id: &WorkerId,
+        spot: &Spot,
+        spec: &StepSpec,
+        horizon: Instant,
+        now: Instant,
+    ) -> Vec<Instant> {
+        let worker = self.workers.get(id);
+        worker.map_or(Vec::new(), |worker| {
+            spot.free_times(worker, &spec.reserved(), spot.usable(horizon), now)
+        })
+    }
+}
+
+/// Whether a worker may run a job's step, apart from advice and room.
+pub(crate) fn can_run(
+    workers: &BTreeMap<WorkerId, Worker>,
+    id: &WorkerId,
+    spot: &Spot,
+    job: &Job,
+    spec: &StepSpec,
+) -> bool {
+    let carries = |label| {
+        let worker = workers.get(id);
+        worker.is_some_and(|worker| worker.entry.labels.contains(label))
+    };
+    spot.service == job.queue.service && spec.required_label.as_ref().is_none_or(carries)
+}
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -19,6 +19,12 @@
 /// The tokens of one epoch: one for each life of a worker that the epoch's owner meets.
 const TOKENS_PER_EPOCH: FencingToken = 1 << 16;
 
+/// The shortest time between two rounds of placement.
+const ROUND_PERIOD_MIN: Duration = Duration::from_millis(6);
+/// The same for each worker; rounds then take a few hundredths of a core, and no task waits for
+/// longer than the way to its worker and back takes several times over.
+const ROUND_PERIOD_PER_WORKER: Duration = Duration::from_micros(60);
+
 /// An ended job.
 #[derive(Clone, Debug)]
 pub(crate) struct Ended {
@@ -165,12 +171,25 @@
         self.place_needed = true;
     }
 
+    /// The shortest time between two rounds of placement, which cost more the more workers there
+    /// are.
+    pub fn round_period(&self) -> Duration {
+        ROUND_PERIOD_MIN.max(ROUND_PERIOD_PER_WORKER * self.workers.len() as u32)
+    }
+
+    /// Whether anything has changed since the last round of placement.
+    pub fn round_needed(&self) -> bool {
+        self.place_needed
+    }
+
     /// Places what can be placed, if anything has changed since the last call.
     pub fn settle(&mut self, now: Instant) {
         if std::mem::take(&mut self.place_needed) {
+            let ranked = self.ranked_steps(now);
+            let mut room = self.room(now);
             // Only what could not be placed with the advice at hand needs more.
-            self.place(now);
-            self.ask_for_advice(now);
+            self.place(&ranked, &mut room, now);
+            self.ask_for_advice(&ranked, &room, now);
         }
     }
 
--- a/jackdawchute-standins/examples/load_model.rs
+++ b/jackdawchute-standins/examples/load_model.rs
@@ -8,6 +8,14 @@
 fn main() {
     spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
     let arguments: Vec<String> = std::env::args().skip(1).collect();
+    if arguments.first().is_some_and(|it| it == "short") {
+        let plan = ModelPlan {
+            lasts: std::time::Duration::from_secs(5),
+            ..ModelPlan::grown(1)
+        };
+        println!("{}", run(&plan));
+        return;
+    }
     let seeds = arguments.first().and_then(|text| text.parse().ok());
     let wanted = arguments.get(1).map(String::as_str);
     for seed in 1..=seeds.unwrap_or(2) {
--- a/jackdawchute-standins/src/load_model/run.rs
+++ b/jackdawchute-standins/src/load_model/run.rs
@@ -27,7 +27,6 @@
 /// The periods of the task that drives the scheduler.
 const COMMIT_PERIOD: Duration = Duration::from_millis(25);
 const TICK_PERIOD: Duration = Duration::from_millis(40);
-const SETTLE_PERIOD: Duration = Duration::from_millis(6);
 /// The limits of a commit.
 const COMMIT_ROWS_MAX: usize = 97;
 const COMMIT_BYTES_MAX: usize = 500_000;
@@ -42,6 +41,7 @@
 enum Event {
     Arrive(usize),
     Tick,
+    RoundDue,
     Commit,
     Committed(Batch),
     Started(StartOrder),
@@ -73,6 +73,7 @@
     jobs: HashMap<JobId, JobState>,
     random: StdRng,
     settled_at: Duration,
+    round_awaited: bool,
     report: Report,
     used_samples: (f64, usize),
 }
@@ -125,6 +126,7 @@
             jobs: HashMap::new(),
             random: StdRng::seed_from_u64(plan.seed),
             settled_at: Duration::ZERO,
+            round_awaited: false,
             report: Report {
                 lasted: plan.lasts,
                 ..Report::default()
@@ -183,17 +185,16 @@
             Event::Tick => {
                 let unix = UNIX_START + self.now;
                 self.decide(|scheduler, now| scheduler.tick(now, unix));
-                self.settled_at = Duration::ZERO;
                 self.sample();
                 self.after(TICK_PERIOD, Event::Tick);
             }
+            Event::RoundDue => self.round_awaited = false,
             Event::Commit => self.commit(),
             Event::Committed(batch) => {
                 self.decide(|scheduler, now| scheduler.committed(&batch, now));
                 for job in batch.ended() {
                     self.job_ended(job);
                 }
-                self.settled_at = Duration::ZERO;
             }
             Event::Started(order) => self.started(&order),
             Event::Stopped(order) => {
@@ -236,7 +237,6 @@
             Event::Advised(request, share) => {
                 let answer = share.map(|share| advisors::answer(&request, share));
                 self.decide(|scheduler, now| scheduler.advice_answered(&request, answer, now));
-                self.settled_at = Duration::ZERO;
             }
         }
     }
@@ -387,13 +387,17 @@
 
     /// Places what can be placed and carries out what was decided.
     fn pump(&mut self) {
-        if self.now >= self.settled_at + SETTLE_PERIOD {
+        if self.now >= self.settled_at + self.scheduler.round_period() {
             self.settled_at = self.now;
             let before = self.report.decision_time;
             self.decide(|scheduler, now| scheduler.settle(now));
             let round = self.report.decision_time - before;
             self.report.round_max = self.report.round_max.max(round);
             self.report.rounds += 1;
+        } else if self.scheduler.round_needed() && !self.round_awaited {
+            self.round_awaited = true;
+            let wait = self.settled_at + self.scheduler.round_period() - self.now;
+            self.after(wait, Event::RoundDue);
         }
         for effect in self.scheduler.take_effects() {
             match effect {
