change: gangs ask about as many workers as make room for them several times over

Cause: with tickets of 2 s and a third of the workers allowed, a gang that had asked about 42 of 350 workers knew some 15 that may run it, all of which other work wanted too; its plan changed each round, and questions about one worker each followed each other while the other tickets lapsed. Half of the processors stayed free (load model, timelines of late gangs).

--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -15,7 +15,7 @@
 use crate::{
     job::{Advice, GangPlan, Job, StepRun},
     rank::Ranked,
-    room::{can_run, Room},
+    room::{can_run, times_fitting, Room},
     worker::Worker,
     AdviceAnswer, AdviceCost, AdviceRequest, Effect, Scheduler, StepName, StepSpec,
 };
@@ -31,6 +31,14 @@
 /// The time that an advisor may spend on the named workers, as a multiple of the fixed time;
 /// below it all workers are named.
 const NAMED_SHARE_MAX: f64 = 0.6;
+/// The same for each of the questions about a gang: shorter ones, as they are answered side by side.
+const GANG_NAMED_SHARE_MAX: f64 = 0.6;
+/// The most questions about a gang at a time; an advisor answers one at a time, and other gangs
+/// ask too.
+const GANG_QUESTIONS_MAX: usize = 5;
+/// How many times the places that a gang needs the workers that may run it have when empty; half
+/// of these are in use at a time in a busy cell.
+const GANG_SURPLUS: f64 = 6.0;
 /// The fewest workers that a first question names.
 const NAMED_MIN: usize = 24;
 
@@ -38,7 +46,7 @@
     /// Asks about each step that has something to place and no valid ticket to place it with.
     pub(crate) fn ask_for_advice(&mut self, ranked: &[Ranked], room: &Room, now: Instant) {
         for ranked in ranked {
-            if let Some(request) = self.question(&ranked.name, room, now) {
+            for request in self.questions(&ranked.name, room, now) {
                 info!("advice asked", kv: {
                     job = request.step.job.as_str(), step = request.step.step,
                     workers = request.workers.len(),
@@ -49,42 +57,51 @@
         }
     }
 
-    fn question(&mut self, name: &StepName, room: &Room, now: Instant) -> Option<AdviceRequest> {
-        let job = self.jobs.get(&name.job)?;
-        let cost = job.queue.advice?;
-        let (spec, step) = job.step(name)?;
+    /// What is to be asked about a step: one question, or for a gang several that different
+    /// advisors answer side by side, since all its tickets must be valid at once.
+    fn questions(&mut self, name: &StepName, room: &Room, now: Instant) -> Vec<AdviceRequest> {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return Vec::new();
+        };
+        let (Some(cost), Some((spec, step))) = (job.queue.advice, job.step(name)) else {
+            return Vec::new();
+        };
         let asking = |at: Instant| now < at + ANSWER_PATIENCE;
-        if job.uncertain || step.advice_asked_at.is_some_and(asking) {
-            return None;
-        }
         let waiting = step.units.iter().filter(|unit| unit.waiting()).count();
-        if waiting == 0 {
-            return None;
+        if job.uncertain || waiting == 0 || step.advice_asked_at.is_some_and(asking) {
+            return Vec::new();
         }
+        let first = step.advice.is_empty();
         let known = known_advice(&self.workers, job, spec, step, room, now);
-        let candidates = if step.advice.is_empty() {
-            known.unknown
-        } else if spec.gang {
-            gang_candidates(known, step.plan.as_ref(), &cost, now)
+        let workers = if spec.gang {
+            let allowed_share = self.allowed_shares.expected(&job.queue.queue);
+            gang_workers(known, spec, step.plan.as_ref(), allowed_share, &cost, now)
         } else {
-            known.fitting_without_ticket()
+            let candidates = if first {
+                known.unknown
+            } else {
+                known.fitting_without_ticket()
+            };
+            most_room(candidates, named(&cost, waiting, first))
         };
-        if candidates.is_empty() {
-            return None;
-        }
-        let first = step.advice.is_empty();
-        let members = waiting * spec.unit_size() as usize;
-        let workers = most_room(candidates, named(&cost, members, first || spec.gang));
-        let expected = cost.duration(workers.len());
-        self.jobs
-            .get_mut(&name.job)?
-            .step_mut(name)?
-            .advice_asked_at = Some(now);
-        Some(AdviceRequest {
+        let per_question = if spec.gang {
+            affordable(&cost, GANG_NAMED_SHARE_MAX).clamp(1, WORKERS_MAX)
+        } else {
+            WORKERS_MAX
+        };
+        let request = |workers: &[WorkerId]| AdviceRequest {
             step: name.clone(),
-            workers,
-            expected,
-        })
+            workers: workers.to_vec(),
+            expected: cost.duration(workers.len()),
+        };
+        let chunks = workers.chunks(per_question).take(GANG_QUESTIONS_MAX);
+        let requests: Vec<AdviceRequest> = chunks.map(request).collect();
+        let step = self.jobs.get_mut(&name.job);
+        if let Some(step) = step.and_then(|job| job.step_mut(name)) {
+            step.advice_open = requests.len();
+            step.advice_asked_at = (!requests.is_empty()).then_some(now);
+        }
+        requests
     }
 
     /// Takes an advisor's answer; `None` if there was none.
@@ -99,11 +116,15 @@
         let Some(job) = jobs.get_mut(&request.step.job) else {
             return;
         };
+        let queue = job.queue.queue.clone();
         let valid = job.queue.advice.map(|cost| cost.valid).unwrap_or_default();
         let Some(step) = job.step_mut(&request.step) else {
             return;
         };
-        step.advice_asked_at = None;
+        step.advice_open = step.advice_open.saturating_sub(1);
+        if step.advice_open == 0 {
+            step.advice_asked_at = None;
+        }
         let Some(answer) = answer else {
             return;
         };
@@ -111,6 +132,8 @@
             job = request.step.job.as_str(), step = request.step.step,
             asked = request.workers.len(), allowed = answer.allowed.len()
         });
+        self.allowed_shares
+            .record(&queue, request.workers.len(), answer.allowed.len());
         for worker in &request.workers {
             step.advice.insert(worker.clone(), Advice::Denied);
         }
@@ -148,6 +171,10 @@
     now: Instant,
 ) -> Known {
     let size = spec.reserved();
+    let starts_at = step
+        .plan
+        .as_ref()
+        .map_or(now, |plan| plan.starts_at.max(now));
     let mut known = Known::default();
     for (worker, spot) in room.spots() {
         let fits = size.fits_in(&spot.free);
@@ -160,13 +187,19 @@
             worker: worker.clone(),
             free_millicores: spot.free.processor_millicores,
             fits,
+            places: times_fitting(&size, spot.capacity),
         };
         match step.advice.get(worker) {
             Some(Advice::Denied) => {}
-            Some(advice) if advice.ticket(spot.born_unix_ms, now).is_some() => {
-                known.fresh_fits |= fits;
+            Some(advice @ Advice::Allowed { .. }) => {
+                let candidate = candidate();
+                known.allowed_places += candidate.places;
+                if advice.ticket(spot.born_unix_ms, starts_at).is_some() {
+                    known.fresh_fits |= fits;
+                } else {
+                    known.stale.push(candidate);
+                }
             }
-            Some(Advice::Allowed { .. }) => known.stale.push(candidate()),
             None => known.unknown.push(candidate()),
         }
     }
@@ -179,6 +212,8 @@
     worker: WorkerId,
     free_millicores: u64,
     fits: bool,
+    /// How many tasks of the step the worker has room for when nothing else runs there.
+    places: u32,
 }
 
 /// The workers that could run a step, without those that may not.
@@ -186,6 +221,8 @@
 struct Known {
     /// A task fits on a worker with a valid ticket.
     fresh_fits: bool,
+    /// How many tasks the workers that may run the step have room for when empty.
+    allowed_places: u32,
     /// They may run it, and their tickets have lapsed.
     stale: Vec<Candidate>,
     /// Nobody was asked about them.
@@ -203,45 +240,87 @@
     }
 }
 
-/// Whom to ask about for a gang: the places kept for it shortly before it can start, and workers
-/// that nobody was asked about as long as there are no such places.
-fn gang_candidates(
+/// Whom to ask about for a gang: as long as no places are kept for it, workers that nobody was
+/// asked about, until those that may run it have room for it more than once; later the places
+/// kept for it, shortly before it can start.
+fn gang_workers(
     known: Known,
+    spec: &StepSpec,
     plan: Option<&GangPlan>,
+    allowed_share: f64,
     cost: &AdviceCost,
     now: Instant,
-) -> Vec<Candidate> {
+) -> Vec<WorkerId> {
     let Some(plan) = plan else {
-        return known.unknown;
+        let wanted = f64::from(spec.tasks) * GANG_SURPLUS - f64::from(known.allowed_places);
+        let least = affordable(cost, GANG_NAMED_SHARE_MAX);
+        return enough_places(known.unknown, wanted, allowed_share, least);
     };
     let ahead = cost.duration(plan.workers.len()) + ASK_AHEAD;
     if plan.starts_at > now + ahead {
         return Vec::new();
     }
     let planned = |it: &Candidate| plan.workers.contains(&it.worker);
-    known.stale.into_iter().filter(planned).collect()
+    if !known.stale.iter().any(planned) {
+        return Vec::new();
+    }
+    // Whoever is asked anyway is asked about other workers with room too: the fixed time is most
+    // of a question, and a plan changes until the gang starts.
+    let least = affordable(cost, GANG_NAMED_SHARE_MAX);
+    let (mut workers, others): (Vec<_>, Vec<_>) = known.stale.into_iter().partition(planned);
+    let spare = least.saturating_sub(workers.len());
+    let others = others.into_iter().filter(|it| it.fits).collect();
+    workers.extend(most_room_first(others).into_iter().take(spare));
+    workers.into_iter().map(|it| it.worker).collect()
+}
+
+/// The workers with the most room, until so many places are expected on them.
+/// A question that is asked at all names `least` workers, since its fixed time is most of it.
+fn enough_places(
+    candidates: Vec<Candidate>,
+    wanted: f64,
+    allowed_share: f64,
+    least: usize,
+) -> Vec<WorkerId> {
+    let mut expected = 0.0;
+    let candidates = most_room_first(candidates).into_iter().enumerate();
+    let enough = candidates.take_while(|(index, it)| {
+        let more = expected < wanted && wanted > 0.0 || (*index < least && wanted > 0.0);
+        expected += f64::from(it.places) * allowed_share;
+        more
+    });
+    enough.map(|(_, it)| it.worker).collect()
 }
 
-fn most_room(mut candidates: Vec<Candidate>, count: usize) -> Vec<WorkerId> {
+fn most_room(candidates: Vec<Candidate>, count: usize) -> Vec<WorkerId> {
+    let first = most_room_first(candidates).into_iter().take(count);
+    first.map(|it| it.worker).collect()
+}
+
+fn most_room_first(mut candidates: Vec<Candidate>) -> Vec<Candidate> {
     candidates.sort_unstable_by(|left, right| {
         let by_room = right.free_millicores.cmp(&left.free_millicores);
         by_room.then_with(|| left.worker.cmp(&right.worker))
     });
-    candidates.truncate(count);
-    candidates.into_iter().map(|it| it.worker).collect()
+    candidates
 }
 
-/// How many workers a question names.
-fn named(cost: &AdviceCost, members: usize, first: bool) -> usize {
-    let affordable = if cost.per_worker_ms > 0.0 {
-        (cost.fixed_ms * NAMED_SHARE_MAX / cost.per_worker_ms) as usize
+/// How many workers may be named so that they cost at most a share of the fixed time.
+fn affordable(cost: &AdviceCost, share: f64) -> usize {
+    if cost.per_worker_ms > 0.0 {
+        (cost.fixed_ms * share / cost.per_worker_ms) as usize
     } else {
         WORKERS_MAX
-    };
+    }
+}
+
+/// How many workers a question about single tasks names.
+fn named(cost: &AdviceCost, waiting: usize, first: bool) -> usize {
+    let affordable = affordable(cost, NAMED_SHARE_MAX);
     let wanted = if first {
         affordable.max(NAMED_MIN)
     } else {
-        affordable.min(members.max(4) * 2)
+        affordable.min(waiting.max(4) * 2)
     };
     wanted.clamp(1, WORKERS_MAX)
 }
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -99,7 +99,7 @@
     }
 }
 
-/// The places that are kept for a gang until it starts.
+/// The workers with places that are kept for a gang until it starts, and some to spare.
 #[derive(Clone, Debug)]
 pub(crate) struct GangPlan {
     pub(crate) workers: Vec<WorkerId>,
@@ -115,8 +115,10 @@
     pub(crate) advice: FxHashMap<WorkerId, Advice>,
     /// The places that are kept for a gang, and when it is expected to start.
     pub(crate) plan: Option<GangPlan>,
-    /// When the question under way was asked.
+    /// When the questions under way were asked.
     pub(crate) advice_asked_at: Option<Instant>,
+    /// How many of these have no answer yet.
+    pub(crate) advice_open: usize,
 }
 
 impl StepRun {
--- a/jackdawchute-scheduler/src/learned.rs
+++ b/jackdawchute-scheduler/src/learned.rs
@@ -52,3 +52,33 @@
         declared.mul_f64(self.ratio(queue).max(0.1))
     }
 }
+
+/// The share of workers that advisors are taken to allow before any has answered.
+const ALLOWED_SHARE_PRIOR: f64 = 0.5;
+/// How many workers that belief counts as.
+const ALLOWED_PRIOR_WORKERS: f64 = 50.0;
+
+/// How many of the workers that it is asked about an advisor allows, by queue.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AllowedShares {
+    /// Workers that were named, and those that were allowed, the latest counting most.
+    counts: HashMap<QueueId, (f64, f64)>,
+}
+
+impl AllowedShares {
+    pub(crate) fn record(&mut self, queue: &QueueId, named: usize, allowed: usize) {
+        let prior = (
+            ALLOWED_PRIOR_WORKERS,
+            ALLOWED_PRIOR_WORKERS * ALLOWED_SHARE_PRIOR,
+        );
+        let counts = self.counts.entry(queue.clone()).or_insert(prior);
+        counts.0 = counts.0 * RETENTION + named as f64;
+        counts.1 = counts.1 * RETENTION + allowed as f64;
+    }
+
+    pub(crate) fn expected(&self, queue: &QueueId) -> f64 {
+        let counts = self.counts.get(queue);
+        let share = counts.map_or(ALLOWED_SHARE_PRIOR, |(named, allowed)| allowed / named);
+        share.max(0.05)
+    }
+}
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -25,6 +25,12 @@
 const WORKERS_PER_RESERVATION: usize = 16;
 /// The longest time ahead that a gang's places are reserved for.
 const RESERVATION_HORIZON: Duration = Duration::from_secs(8);
+/// Places that become free within such a time of each other count as alike; run times are not
+/// known better.
+const PLAN_STEP: Duration = Duration::from_millis(250);
+/// Tickets are asked for one further place for so many that a gang needs, as some are taken, or do
+/// not become free, until the gang starts.
+const SPARE_DIVISOR: usize = 3;
 
 /// A worker that may run a step now.
 #[derive(Clone, Debug)]
@@ -270,23 +276,37 @@
                 add(id, spot);
             }
         }
-        places.sort_unstable();
-        if places.len() < spec.tasks as usize {
-            return None;
-        }
-        places.truncate(spec.tasks as usize);
-        let starts_at = places.last().map(|(at, _)| *at)?;
-        if starts_at > now + RESERVATION_HORIZON {
+        // Places that were kept before stay kept, so that tickets for them are not in vain.
+        let kept = |worker: &WorkerId| {
+            let plan = step.plan.as_ref();
+            plan.is_some_and(|plan| plan.workers.contains(worker))
+        };
+        places.sort_by_cached_key(|(at, worker)| {
+            let wait = at.saturating_duration_since(now).as_millis() / PLAN_STEP.as_millis();
+            (wait, !kept(worker), worker.clone())
+        });
+        let needed = spec.tasks as usize;
+        let starts_at = places.get(..needed)?.iter().map(|(at, _)| *at).max()?;
+        if starts_at > horizon {
             return None;
         }
+        let spare = places.split_off(needed).into_iter();
+        let spare = spare.take_while(|(at, _)| *at <= starts_at + PLAN_STEP);
+        let spare: Vec<WorkerId> = spare
+            .take(needed.div_ceil(SPARE_DIVISOR))
+            .map(|(_, worker)| worker)
+            .collect();
         let mut per_worker: HashMap<WorkerId, u32> = HashMap::new();
         for (_, worker) in places {
             *per_worker.entry(worker).or_default() += 1;
         }
-        let plan = GangPlan {
-            workers: per_worker.keys().cloned().collect(),
-            starts_at,
-        };
+        let mut workers: Vec<WorkerId> = per_worker.keys().cloned().collect();
+        for worker in spare {
+            if !workers.contains(&worker) {
+                workers.push(worker);
+            }
+        }
+        let plan = GangPlan { workers, starts_at };
         for (worker, count) in per_worker {
             let reservation = Reservation {
                 room: size.saturating_mul(count),
--- a/jackdawchute-scheduler/src/room.rs
+++ b/jackdawchute-scheduler/src/room.rs
@@ -27,6 +27,7 @@
 #[derive(Debug)]
 pub(crate) struct Spot {
     pub(crate) free: Resources,
+    pub(crate) capacity: Resources,
     pub(crate) rack: Option<RackId>,
     pub(crate) born_unix_ms: u64,
     pub(crate) slowness_tenths: u32,
@@ -40,6 +41,7 @@
     fn new(worker: &Worker, free: Resources) -> Self {
         Self {
             free,
+            capacity: worker.entry.capacity,
             rack: worker.entry.rack.clone(),
             born_unix_ms: worker.entry.born_unix_ms,
             slowness_tenths: (worker.health.slowness * 10.0) as u32,
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     job::{Job, JobPhase},
-    learned::RunTimes,
+    learned::{AllowedShares, RunTimes},
     recover::Recovery,
     worker::Worker,
     Effect, JobStatus, Outcome, Settings,
@@ -48,6 +48,7 @@
     /// Which life of a worker was met last, for workers that are forgotten.
     pub(crate) lives: HashMap<WorkerId, u64>,
     pub(crate) run_times: RunTimes,
+    pub(crate) allowed_shares: AllowedShares,
     pub(crate) recovery: Recovery,
     /// Jobs whose rows are to be saved.
     pub(crate) unsaved: BTreeSet<JobId>,
@@ -89,6 +90,7 @@
             workers: BTreeMap::new(),
             lives: HashMap::new(),
             run_times: RunTimes::default(),
+            allowed_shares: AllowedShares::default(),
             recovery: Recovery::new(now),
             unsaved: BTreeSet::new(),
             accepting: VecDeque::new(),
