change: questions about single tasks count room that gangs keep as taken

Cause: a step with a valid ticket for a worker where it fits asked no further question, even when that room was kept for a gang and the step could not use it. Ruled out: memory (half of it is free; the load log now tells).

--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -72,7 +72,8 @@
             return Vec::new();
         }
         let first = step.advice.is_empty();
-        let known = known_advice(&self.workers, job, spec, step, room, now);
+        let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
+        let known = known_advice(&self.workers, job, spec, step, room, (now, now + expected));
         let workers = if spec.gang {
             let allowed_share = self.allowed_shares.expected(&job.queue.queue);
             gang_workers(known, spec, step.plan.as_ref(), allowed_share, &cost, now)
@@ -168,7 +169,7 @@
     spec: &StepSpec,
     step: &StepRun,
     room: &Room,
-    now: Instant,
+    (now, ends_at): (Instant, Instant),
 ) -> Known {
     let size = spec.reserved();
     let starts_at = step
@@ -177,7 +178,8 @@
         .map_or(now, |plan| plan.starts_at.max(now));
     let mut known = Known::default();
     for (worker, spot) in room.spots() {
-        let fits = size.fits_in(&spot.free);
+        let usable = spot.usable(ends_at);
+        let fits = size.fits_in(&usable);
         // Tasks without a gang start one by one, and need no advice on workers without room.
         let of_use = fits || spec.gang || step.advice.is_empty();
         if !of_use || !can_run(workers, worker, spot, job, spec) {
@@ -185,7 +187,7 @@
         }
         let candidate = || Candidate {
             worker: worker.clone(),
-            free_millicores: spot.free.processor_millicores,
+            free_millicores: usable.processor_millicores,
             fits,
             places: times_fitting(&size, spot.capacity),
         };
--- a/jackdawchute-scheduler/src/report.rs
+++ b/jackdawchute-scheduler/src/report.rs
@@ -42,6 +42,7 @@
         }
         let mut capacity_millicores = 0;
         let mut free_millicores = 0;
+        let (mut capacity_mib, mut free_mib) = (0, 0);
         let mut usable = 0;
         for worker in self.workers.values() {
             if worker.takes_tasks(now, self.settings.silence) {
@@ -49,6 +50,8 @@
                 capacity_millicores += worker.entry.capacity.processor_millicores;
                 let free = worker.free().unwrap_or_default();
                 free_millicores += free.processor_millicores;
+                capacity_mib += worker.entry.capacity.memory_mib;
+                free_mib += free.memory_mib;
             }
         }
         let orders_open = self
@@ -60,6 +63,7 @@
         info!("cell load", kv: {
             epoch = self.epoch, workers = self.workers.len(), usable_workers = usable,
             capacity_cores = capacity_millicores / 1_000, free_cores = free_millicores / 1_000,
+            capacity_gib = capacity_mib / 1_024, free_gib = free_mib / 1_024,
             orders_open = orders_open
         });
         for (queue, load) in queues {
