--- a/jackdawchute-standins/src/load_model/plan.rs
+++ b/jackdawchute-standins/src/load_model/plan.rs
@@ -171,6 +171,24 @@
         }
     }
 
+    /// The same cell so many times as large, with so many times the load.
+    ///
+    /// ```
+    /// use jackdawchute_standins::load_model::ModelPlan;
+    ///
+    /// assert_eq!(ModelPlan::today(1).times(2.0).fleet.workers, 96);
+    /// ```
+    #[must_use]
+    pub fn times(mut self, factor: f64) -> Self {
+        let times = |count: usize| (count as f64 * factor).round() as usize;
+        self.fleet.workers = times(self.fleet.workers);
+        self.fleet.advisors = times(self.fleet.advisors);
+        for kind in &mut self.kinds {
+            kind.rate_per_s *= factor;
+        }
+        self
+    }
+
     /// The same with a burst of the most urgent kind and one of the gangs.
     #[must_use]
     pub fn with_bursts(mut self) -> Self {
