change: on a slow store acceptances go first, and what cannot be saved in time is refused at once

Change: half of a commit's rows are kept for acceptances if so many wait. A job whose acceptance is expected to take more than 1.3 s, at the time of the last commit, is refused at once as not run, with that time to come back; an idle chain is always tried. Tests, each seen to fail first: callers_do_not_wait_until_all_progress_is_saved, progress_is_saved_beside_a_flood_of_acceptances, a_slow_store_gets_no_more_jobs_than_it_can_save_in_time.

--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -20,7 +20,9 @@
     commit::{Head, NotAppended},
     load::unix_now,
     messages::{CellAnswer, SubmitJob},
-    settings::{COMMIT_PATIENCE, COMMIT_PAUSE, LOAD_LOG_PERIOD},
+    settings::{
+        outage_retry_after, ACCEPTANCE_WAIT_MAX, COMMIT_PATIENCE, COMMIT_PAUSE, LOAD_LOG_PERIOD,
+    },
     WorkersUpdate,
 };
 
@@ -144,8 +146,10 @@
 
     async fn handle(&mut self, message: Appended, context: &mut Context<Self>) {
         let Appended(batch, appended) = message;
-        self.commit_asked_at = None;
         let now = Instant::now();
+        if let Some(asked_at) = self.commit_asked_at.take() {
+            self.commit_took = now.saturating_duration_since(asked_at);
+        }
         match appended {
             Ok(head) => {
                 self.head = head;
@@ -241,6 +245,16 @@
             let _ = reply.send(self.unavailable(now));
             return;
         }
+        let expected = self.expected_acceptance(now);
+        if !known && expected > ACCEPTANCE_WAIT_MAX {
+            info!("job refused", kv: {
+                job = submit.job.as_str(), reason = "its acceptance could not be saved in time",
+                expected_wait_ms = whole_ms(expected)
+            });
+            let retry_after_ms = whole_ms(outage_retry_after(expected));
+            let _ = reply.send(CellAnswer::Unavailable { retry_after_ms });
+            return;
+        }
         let submission = self
             .scheduler
             .submit(&submit.job, submit.graph, submit.policy, now);
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -67,6 +67,8 @@
     /// When the commit that is under way was begun.
     commit_asked_at: Option<Instant>,
     commit_after: Instant,
+    /// How long the last commit took.
+    commit_took: Duration,
     trouble: watch::Sender<Option<Instant>>,
     submitters: HashMap<JobId, Vec<oneshot::Sender<CellAnswer>>>,
     cancellers: HashMap<JobId, Vec<oneshot::Sender<CellAnswer>>>,
@@ -104,6 +106,7 @@
         head: parts.head,
         commit_asked_at: None,
         commit_after: now,
+        commit_took: Duration::ZERO,
         trouble: watch::channel(None).0,
         submitters: HashMap::new(),
         cancellers: HashMap::new(),
--- a/jackdawchute-cell/src/leader/saving.rs
+++ b/jackdawchute-cell/src/leader/saving.rs
@@ -35,6 +35,23 @@
         since(*self.trouble.borrow()).max(silent)
     }
 
+    /// How long it takes until a job that comes now is accepted, if commits go on as they do.
+    ///
+    /// Nothing is expected of an idle chain: its last commit may be one that an outage held up,
+    /// and only the next one tells.
+    pub(super) fn expected_acceptance(&self, now: Instant) -> Duration {
+        if self.commit_asked_at.is_none() && !self.scheduler.has_unsaved() {
+            return Duration::ZERO;
+        }
+        let elapsed = |at: Instant| now.saturating_duration_since(at);
+        let under_way = self.commit_asked_at.map(|at| {
+            let elapsed = elapsed(at);
+            self.commit_took.saturating_sub(elapsed)
+        });
+        let commits = self.scheduler.commits_until_accepted(COMMIT_ROWS_MAX);
+        under_way.unwrap_or_default() + self.commit_took.saturating_mul(commits)
+    }
+
     /// The answer while nothing can be saved.
     pub(super) fn unavailable(&self, now: Instant) -> CellAnswer {
         let trouble = self.store_trouble(now);
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -53,6 +53,9 @@
 pub(crate) const COMMIT_PAUSE: Duration = Duration::from_millis(60);
 /// How long commits may fail before jobs that are not part of one are refused.
 pub(crate) const COMMIT_PATIENCE: Duration = Duration::from_millis(400);
+/// How long a job may wait for its acceptance to be committed before it is refused on arrival: what
+/// an instance that passes a job on waits for the answer, less the way.
+pub(crate) const ACCEPTANCE_WAIT_MAX: Duration = Duration::from_millis(1_300);
 /// The most rows of a commit, two below the store's limit of entries for the chain's own.
 pub(crate) const COMMIT_ROWS_MAX: usize = 97;
 /// The most bytes of a commit before their encoding, which adds a third; the limit is 1 MB.
--- a/jackdawchute-cell/tests/cell.rs
+++ b/jackdawchute-cell/tests/cell.rs
@@ -308,6 +308,38 @@
     cell.assert_nothing_ran_twice();
 }
 
+#[tokio::test]
+async fn a_slow_store_gets_no_more_jobs_than_it_can_save_in_time() {
+    let cell = Arc::new(cell(1).await);
+    cell.members[0].store.slow_down(Duration::from_millis(400));
+    cell.submit_until_accepted(0, "first", 1).await;
+
+    let submissions = (0..1_500).map(|index| {
+        let cell = Arc::clone(&cell);
+        tokio::spawn(async move {
+            let asked_at = Instant::now();
+            let answer = cell.submit(0, &format!("job-{index}"), 1).await;
+            (answer, asked_at.elapsed())
+        })
+    });
+    let submissions: Vec<_> = submissions.collect();
+    let (mut accepted, mut refused) = (0, 0);
+    for submission in submissions {
+        match submission.await.expect("no panic") {
+            (Answer::Accepted, _) => accepted += 1,
+            (Answer::Unavailable { retry_after }, took) => {
+                assert!(retry_after >= Duration::from_secs(1), "{retry_after:?}");
+                assert!(took < Duration::from_secs(1), "held for {took:?}");
+                refused += 1;
+            }
+            (answer, took) => panic!("{answer:?} after {took:?}"),
+        }
+    }
+
+    assert!(accepted >= 90, "{accepted} accepted, {refused} refused");
+    assert!(refused >= 500, "{accepted} accepted, {refused} refused");
+}
+
 #[tokio::test]
 async fn a_leaving_instance_hands_over_without_a_pause() {
     let cell = cell(3).await;
--- a/jackdawchute-scheduler/src/records.rs
+++ b/jackdawchute-scheduler/src/records.rs
@@ -66,6 +66,9 @@
     pub(crate) service: SmolStr,
 }
 
+/// One row in so many of a batch is kept for acceptances, if so many wait.
+const ACCEPTANCES_DIVISOR: usize = 2;
+
 impl Scheduler {
     /// Whether anything waits to be committed.
     pub fn has_unsaved(&self) -> bool {
@@ -76,6 +79,14 @@
             || self.workers_unsaved
     }
 
+    /// How many commits of at most `rows_max` rows it takes until a job that is submitted now is
+    /// accepted, with the one that holds it.
+    pub fn commits_until_accepted(&self, rows_max: usize) -> u32 {
+        let per_commit = (rows_max / ACCEPTANCES_DIVISOR).max(1);
+        let before = self.accepting.len() / per_commit;
+        u32::try_from(before).map_or(u32::MAX, |before| before.saturating_add(1))
+    }
+
     /// Takes what is to be committed next, of at most `rows_max` rows and about `bytes_max` bytes.
     ///
     /// Ends are taken note of only in a batch that holds all that followed from them.
@@ -88,8 +99,12 @@
         if std::mem::take(&mut self.workers_unsaved) {
             push(&mut batch, &mut bytes, self.workers_row());
         }
-        let room =
-            |batch: &Batch, bytes: usize| batch.changes.len() + 4 <= rows_max && bytes < bytes_max;
+        // A caller waits for each acceptance, and on a slow store the progress of running jobs
+        // alone fills every batch.
+        let kept = self.accepting.len().min(rows_max / ACCEPTANCES_DIVISOR);
+        let room = |batch: &Batch, bytes: usize| {
+            batch.changes.len() + kept + 4 <= rows_max && bytes < bytes_max
+        };
         let mut ended = Vec::new();
         while room(&batch, bytes) {
             let Some(id) = self.ending.pop() else { break };
@@ -144,7 +159,7 @@
                 }
             }
         }
-        while room(&batch, bytes) {
+        while batch.changes.len() < rows_max && bytes < bytes_max {
             let Some(id) = self.accepting.pop_front() else {
                 break;
             };
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -4,4 +4,5 @@
 mod fixtures;
 mod lateness;
 mod lost_workers;
+mod saving;
 mod takeover;
--- /dev/null
+++ b/jackdawchute-scheduler/tests/behaviour/saving.rs
@@ -0,0 +1,66 @@
+//! What goes into a commit when more is to be saved than it takes.
+
+use jackdawchute_scheduler::EndReason;
+use jackdawchute_types::JobId;
+
+use crate::fixtures::*;
+
+/// The rows of a commit.
+const ROWS_MAX: usize = 20;
+
+/// A cell where more jobs than a commit has rows have made progress that is not saved.
+fn cell_with_unsaved_progress() -> Cell {
+    let mut cell = settled_cell(1, &[entry("w1", 200)]);
+    for job in 0..50 {
+        cell.accept(&format!("running-{job}"), vec![step(2, 1)], queue(0));
+    }
+    let starts = cell.take_starts();
+    for start in &starts {
+        cell.confirm(start);
+    }
+    // One of the two tasks of each job ends.
+    let ended: Vec<_> = (1u64..)
+        .zip(starts.iter().step_by(2))
+        .map(|(number, start)| ended(number, start, EndReason::Succeeded))
+        .collect();
+    let running = starts.iter().skip(1).step_by(2).map(running).collect();
+    let hold = cell.hold_of("w1");
+    cell.answer_hold(&hold, running, ended);
+    cell
+}
+
+#[test]
+fn callers_do_not_wait_until_all_progress_is_saved() {
+    let mut cell = cell_with_unsaved_progress();
+    let id: JobId = "new".into();
+    cell.scheduler
+        .submit(&id, graph(vec![step(1, 1)]), queue(0), cell.now);
+
+    let batch = cell.scheduler.take_batch(ROWS_MAX, 1_000_000, 0);
+
+    let batch = batch.expect("there is much to save");
+    assert_eq!(batch.accepted(), [id]);
+    assert!(batch.changes.len() <= ROWS_MAX);
+}
+
+#[test]
+fn progress_is_saved_beside_a_flood_of_acceptances() {
+    let mut cell = cell_with_unsaved_progress();
+    for job in 0..100 {
+        let steps = graph(vec![step(1, 1)]);
+        cell.scheduler.submit(
+            &format!("new-{job}").as_str().into(),
+            steps,
+            queue(0),
+            cell.now,
+        );
+    }
+
+    let batch = cell.scheduler.take_batch(ROWS_MAX, 1_000_000, 0);
+
+    let batch = batch.expect("there is much to save");
+    let progress = batch.changes.len() - batch.accepted().len();
+    assert!(batch.changes.len() <= ROWS_MAX);
+    assert!(batch.accepted().len() >= ROWS_MAX / 2);
+    assert!(progress > 0);
+}
--- a/jackdawchute-standins/src/cell/store.rs
+++ b/jackdawchute-standins/src/cell/store.rs
@@ -11,6 +11,7 @@
 
 use async_trait::async_trait;
 use jackdawchute_cell::{Changes, Error, Page, Result, Store, StoreRow, Transacted, Transaction};
+use jackdawchute_types::whole_ms;
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
@@ -50,6 +51,8 @@
     /// Every how many transactions the answer is lost; 0 for never.
     lose_every: Arc<AtomicU64>,
     transactions: Arc<AtomicU64>,
+    /// How long each transaction takes, in milliseconds.
+    delay_ms: Arc<AtomicU64>,
 }
 
 impl MemoryStore {
@@ -60,6 +63,7 @@
             door: Door::default(),
             lose_every: Arc::default(),
             transactions: Arc::default(),
+            delay_ms: Arc::default(),
         }
     }
 
@@ -112,12 +116,19 @@
     pub fn lose_answers(&self, every: u64) {
         self.lose_every.store(every, Ordering::Relaxed);
     }
+
+    /// Has each transaction take so long from now on.
+    pub fn slow_down(&self, delay: Duration) {
+        self.delay_ms.store(whole_ms(delay), Ordering::Relaxed);
+    }
 }
 
 #[async_trait]
 impl Store for StoreHandle {
     async fn transact(&self, transaction: &Transaction) -> Result<Transacted> {
         self.door.pass("transact")?;
+        let delay_ms = self.delay_ms.load(Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         let transacted = self.store.apply(transaction);
         let number = self.transactions.fetch_add(1, Ordering::Relaxed) + 1;
         let every = self.lose_every.load(Ordering::Relaxed);
