--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -284,10 +284,13 @@
     allowed_share: f64,
     least: usize,
 ) -> Vec<WorkerId> {
+    if wanted <= 0.0 {
+        return Vec::new();
+    }
     let mut expected = 0.0;
     let candidates = most_room_first(candidates).into_iter().enumerate();
     let enough = candidates.take_while(|(index, it)| {
-        let more = expected < wanted && wanted > 0.0 || (*index < least && wanted > 0.0);
+        let more = expected < wanted || *index < least;
         expected += f64::from(it.places) * allowed_share;
         more
     });
