change: gangs without kept places ask again once there is room for them

Cause: found on reading: a gang whose tickets have lapsed and for which no places are kept asked nobody until its turn to keep places came, however empty the cell was. Change: it asks about the workers that may run it once they have room for it one and a half times over.

--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -38,6 +38,9 @@
 /// most of these are in use at a time. The load model gave gangs 0.65 of their worth with two
 /// times, 0.94 with four and 0.99 with six.
 const GANG_SURPLUS: f64 = 6.0;
+/// A gang without kept places asks again once the workers that may run it have room for it so many
+/// times over; some of that is taken until the answer is there.
+const ROOM_NOW_SURPLUS: f64 = 1.5;
 /// The fewest workers that a first question names.
 const NAMED_MIN: usize = 24;
 
@@ -187,6 +190,7 @@
             free_millicores: usable.processor_millicores,
             fits,
             places: times_fitting(&size, spot.capacity).min(per_worker_max),
+            places_now: times_fitting(&size, usable).min(per_worker_max),
         };
         match step.advice.get(worker) {
             Some(Advice::Denied) => {}
@@ -213,6 +217,8 @@
     fits: bool,
     /// How many tasks of the step the worker has room for when nothing else runs there.
     places: u32,
+    /// How many it has room for now.
+    places_now: u32,
 }
 
 /// The workers that could run a step, without those that may not.
@@ -251,6 +257,11 @@
     now: Instant,
 ) -> Vec<WorkerId> {
     let Some(plan) = plan else {
+        let room_now: u32 = known.stale.iter().map(|it| it.places_now).sum();
+        if f64::from(room_now) >= f64::from(spec.tasks) * ROOM_NOW_SURPLUS {
+            let with_room = known.stale.into_iter().filter(|it| it.fits).collect();
+            return most_room(with_room, affordable(cost));
+        }
         let wanted = f64::from(spec.tasks) * GANG_SURPLUS - f64::from(known.allowed_places);
         let least = affordable(cost);
         return enough_places(known.unknown, wanted, allowed_share, least);
