--- a/jackdawchute-standins/src/load_model/plan.rs
+++ b/jackdawchute-standins/src/load_model/plan.rs
@@ -108,27 +108,27 @@
                 slowness: vec![0.8, 1.0, 1.25],
             },
             kinds: vec![
-                forecasts(
-                    1.84,
-                    (8.0, 48),
-                    Resources::new(4_500, 6_400, 0),
-                    (360.0, 5.1),
-                    8.85,
-                ),
-                orders(
-                    5.42,
-                    (10.0, 60),
-                    Resources::new(980, 1_800, 0),
-                    (58.0, 0.82),
-                    1.87,
-                ),
-                checks(
-                    30.8,
-                    (2.0, 12),
-                    Resources::new(1_400, 2_800, 0),
-                    (8.7, 0.12),
-                    0.462,
-                ),
+                forecasts(KindSize {
+                    rate_per_s: 1.84,
+                    tasks_mean: 8.0,
+                    resources: Resources::new(4_500, 6_400, 0),
+                    advice_ms: (360.0, 5.1),
+                    worth: 8.85,
+                }),
+                orders(KindSize {
+                    rate_per_s: 5.42,
+                    tasks_mean: 10.0,
+                    resources: Resources::new(980, 1_800, 0),
+                    advice_ms: (58.0, 0.82),
+                    worth: 1.87,
+                }),
+                checks(KindSize {
+                    rate_per_s: 30.8,
+                    tasks_mean: 2.0,
+                    resources: Resources::new(1_400, 2_800, 0),
+                    advice_ms: (8.7, 0.12),
+                    worth: 0.462,
+                }),
             ],
             bursts: Vec::new(),
             lasts: Duration::from_secs(34),
@@ -145,27 +145,27 @@
                 ..Self::today(seed).fleet
             },
             kinds: vec![
-                forecasts(
-                    5.4,
-                    (20.0, 120),
-                    Resources::new(4_500, 6_300, 0),
-                    (455.0, 6.5),
-                    7.19,
-                ),
-                orders(
-                    9.0,
-                    (25.0, 150),
-                    Resources::new(1_700, 3_200, 0),
-                    (130.0, 1.82),
-                    2.69,
-                ),
-                checks(
-                    80.3,
-                    (3.2, 19),
-                    Resources::new(2_500, 3_600, 0),
-                    (14.3, 0.208),
-                    0.421,
-                ),
+                forecasts(KindSize {
+                    rate_per_s: 5.4,
+                    tasks_mean: 20.0,
+                    resources: Resources::new(4_500, 6_300, 0),
+                    advice_ms: (455.0, 6.5),
+                    worth: 7.19,
+                }),
+                orders(KindSize {
+                    rate_per_s: 9.0,
+                    tasks_mean: 25.0,
+                    resources: Resources::new(1_700, 3_200, 0),
+                    advice_ms: (130.0, 1.82),
+                    worth: 2.69,
+                }),
+                checks(KindSize {
+                    rate_per_s: 80.3,
+                    tasks_mean: 3.2,
+                    resources: Resources::new(2_500, 3_600, 0),
+                    advice_ms: (14.3, 0.208),
+                    worth: 0.421,
+                }),
             ],
             ..Self::today(seed)
         }
@@ -227,60 +227,56 @@
     }
 }
 
-fn forecasts(
+/// What differs between the cells of a user, of one kind.
+struct KindSize {
     rate_per_s: f64,
-    tasks: (f64, u32),
+    /// Tasks of a step, on average; at most six times as many.
+    tasks_mean: f64,
     resources: Resources,
-    advice: (f64, f64),
+    /// The time of a question, and of each worker that it names.
+    advice_ms: (f64, f64),
     worth: f64,
-) -> KindPlan {
+}
+
+/// Gangs that take seconds: weekly forecasts.
+fn forecasts(size: KindSize) -> KindPlan {
     KindPlan {
-        queue: queue("forecasts", 1, (2.2, 1_000), advice),
-        rate_per_s,
-        tasks,
+        queue: queue("forecasts", 1, (2.2, 1_000), size.advice_ms),
+        rate_per_s: size.rate_per_s,
+        tasks: (size.tasks_mean, (size.tasks_mean * 6.0) as u32),
         steps: 1.2,
         run_time: ms(4_000),
         estimate_off: 0.3,
-        resources,
+        resources: size.resources,
         gang_share: 1.0,
         allowed_share: 0.35,
-        worth: (worth, worth / 5.0),
+        worth: (size.worth, size.worth / 5.0),
     }
 }
 
-fn orders(
-    rate_per_s: f64,
-    tasks: (f64, u32),
-    resources: Resources,
-    advice: (f64, f64),
-    worth: f64,
-) -> KindPlan {
+/// Many single tasks that are declared badly: orders of suppliers.
+fn orders(size: KindSize) -> KindPlan {
     KindPlan {
-        queue: queue("orders", 2, (4.0, 3_000), advice),
+        queue: queue("orders", 2, (4.0, 3_000), size.advice_ms),
         steps: 1.5,
         run_time: ms(2_700),
         estimate_off: 0.7,
         gang_share: 0.0,
         allowed_share: 0.45,
-        ..forecasts(rate_per_s, tasks, resources, advice, worth)
+        ..forecasts(size)
     }
 }
 
-fn checks(
-    rate_per_s: f64,
-    tasks: (f64, u32),
-    resources: Resources,
-    advice: (f64, f64),
-    worth: f64,
-) -> KindPlan {
+/// Small and urgent: checks before dawn.
+fn checks(size: KindSize) -> KindPlan {
     KindPlan {
-        queue: queue("checks", 0, (1.5, 300), advice),
+        queue: queue("checks", 0, (1.5, 300), size.advice_ms),
         steps: 1.0,
         run_time: ms(1_000),
         estimate_off: 0.2,
         gang_share: 0.3,
         allowed_share: 0.7,
-        ..forecasts(rate_per_s, tasks, resources, advice, worth)
+        ..forecasts(size)
     }
 }
 
