fix: a gang of many small tasks starts on one large worker again

Change: the bound is back where plans and questions look ahead; placing counts all that fits. Test: a_gang_of_many_small_tasks_starts_on_one_large_worker, 0 of 100 started before.

--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -16,7 +16,7 @@
 use crate::{
     job::{Advice, GangPlan, Job, StepRun},
     rank::Ranked,
-    room::{can_run, times_fitting, Room},
+    room::{can_run, times_fitting, Room, PLACES_AHEAD_MAX},
     worker::Worker,
     AdviceAnswer, AdviceCost, AdviceRequest, Effect, Scheduler, StepName, StepSpec,
 };
@@ -175,7 +175,8 @@
         .plan
         .as_ref()
         .map_or(now, |plan| plan.starts_at.max(now));
-    let per_worker_max = spec.per_worker_max.unwrap_or(u32::MAX);
+    let per_worker_max = spec.per_worker_max.unwrap_or(PLACES_AHEAD_MAX);
+    let per_worker_max = per_worker_max.min(PLACES_AHEAD_MAX);
     let mut known = Known::default();
     for (worker, spot) in room.spots() {
         let usable = spot.usable(ends_at);
--- a/jackdawchute-scheduler/src/room.rs
+++ b/jackdawchute-scheduler/src/room.rs
@@ -13,8 +13,8 @@
     Scheduler, StepSpec,
 };
 
-/// The most tasks of one size that are counted on a worker.
-const FITTING_MAX: u32 = 64;
+/// The most tasks of one size that are counted on a worker in looking ahead.
+pub(crate) const PLACES_AHEAD_MAX: u32 = 64;
 
 /// Room that is kept for a gang until it can start.
 #[derive(Clone, Copy, Debug)]
@@ -75,12 +75,12 @@
         free: Resources,
         now: Instant,
     ) -> Vec<Instant> {
-        let mut times = vec![now; times_fitting(size, free) as usize];
+        let count = |free| times_fitting(size, free).min(PLACES_AHEAD_MAX) as usize;
+        let mut times = vec![now; count(free)];
         let mut free = free;
         for (end, room) in self.ends.get_or_init(|| expected_ends(worker)) {
             free = free.saturating_add(room);
-            let count = times_fitting(size, free) as usize;
-            while times.len() < count {
+            while times.len() < count(free) {
                 times.push((*end).max(now));
             }
         }
@@ -104,7 +104,7 @@
             u64::from(free.accelerators),
             u64::from(size.accelerators),
         ));
-    u32::try_from(times).map_or(FITTING_MAX, |times| times.min(FITTING_MAX))
+    u32::try_from(times).unwrap_or(u32::MAX)
 }
 
 /// The workers that take tasks, and what is free there.
--- a/jackdawchute-scheduler/tests/behaviour/advice.rs
+++ b/jackdawchute-scheduler/tests/behaviour/advice.rs
@@ -208,3 +208,12 @@
 
     assert_eq!(cell.take_starts().len(), 20);
 }
+
+#[test]
+fn a_gang_of_many_small_tasks_starts_on_one_large_worker() {
+    let mut cell = settled_cell(1, &[entry("w1", 100)]);
+
+    cell.accept("job", vec![gang(100, 1)], queue(0));
+
+    assert_eq!(cell.take_starts().len(), 100);
+}
