refactor: one decayed ratio for both learners; the look-ahead of gangs apart from the choice

Run times and allowed shares were two copies of the same decaying sums; Ratio serves both, and the least expected share has a name. free_times stood twice, once only to look a worker up. reserve found the places and chose among them in 70 lines. The expected acceptance had nested closures for one subtraction.

--- a/jackdawchute-cell/src/leader/saving.rs
+++ b/jackdawchute-cell/src/leader/saving.rs
@@ -43,13 +43,13 @@
         if self.commit_asked_at.is_none() && !self.scheduler.has_unsaved() {
             return Duration::ZERO;
         }
-        let elapsed = |at: Instant| now.saturating_duration_since(at);
-        let under_way = self.commit_asked_at.map(|at| {
-            let elapsed = elapsed(at);
+        let left = |at: Instant| {
+            let elapsed = now.saturating_duration_since(at);
             self.commit_took.saturating_sub(elapsed)
-        });
+        };
+        let under_way = self.commit_asked_at.map_or(Duration::ZERO, left);
         let commits = self.scheduler.commits_until_accepted(COMMIT_ROWS_MAX);
-        under_way.unwrap_or_default() + self.commit_took.saturating_mul(commits)
+        under_way + self.commit_took.saturating_mul(commits)
     }
 
     /// The answer while nothing can be saved.
--- a/jackdawchute-scheduler/src/learned.rs
+++ b/jackdawchute-scheduler/src/learned.rs
@@ -9,11 +9,22 @@
 /// The declared seconds that a queue's declarations are believed for before anything is measured.
 const PRIOR_SECONDS: f64 = 30.0;
 
-/// Declared and measured seconds, the latest counting most.
+/// The ratio of two sums, of which the latest summands count most.
 #[derive(Clone, Copy, Debug)]
-struct Sums {
-    declared_seconds: f64,
-    measured_seconds: f64,
+struct Ratio {
+    of: f64,
+    to: f64,
+}
+
+impl Ratio {
+    fn add(&mut self, of: f64, to: f64) {
+        self.of = self.of * RETENTION + of;
+        self.to = self.to * RETENTION + to;
+    }
+
+    fn value(&self) -> f64 {
+        self.of / self.to
+    }
 }
 
 /// How long tasks really take against their declared time, by queue.
@@ -22,7 +33,8 @@
 /// of ratios, is not carried away by a few that are declared much too short.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RunTimes {
-    sums: HashMap<QueueId, Sums>,
+    /// Measured to declared seconds.
+    ratios: HashMap<QueueId, Ratio>,
 }
 
 impl RunTimes {
@@ -30,17 +42,15 @@
         if declared.is_zero() {
             return;
         }
-        let sums = self.sums.entry(queue.clone()).or_insert(Sums {
-            declared_seconds: PRIOR_SECONDS,
-            measured_seconds: PRIOR_SECONDS,
+        let ratio = self.ratios.entry(queue.clone()).or_insert(Ratio {
+            of: PRIOR_SECONDS,
+            to: PRIOR_SECONDS,
         });
-        sums.declared_seconds = sums.declared_seconds * RETENTION + declared.as_secs_f64();
-        sums.measured_seconds = sums.measured_seconds * RETENTION + measured.as_secs_f64();
+        ratio.add(measured.as_secs_f64(), declared.as_secs_f64());
     }
 
     fn ratio(&self, queue: &QueueId) -> f64 {
-        let sums = self.sums.get(queue);
-        sums.map_or(1.0, |sums| sums.measured_seconds / sums.declared_seconds)
+        self.ratios.get(queue).map_or(1.0, Ratio::value)
     }
 
     /// The measured time as a share of the declared one.
@@ -57,28 +67,29 @@
 const ALLOWED_SHARE_PRIOR: f64 = 0.5;
 /// How many workers that belief counts as.
 const ALLOWED_PRIOR_WORKERS: f64 = 50.0;
+/// The least share that is expected, however few were allowed of late; bounds what is asked.
+const ALLOWED_SHARE_MIN: f64 = 0.05;
 
 /// How many of the workers that it is asked about an advisor allows, by queue.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AllowedShares {
-    /// Workers that were named, and those that were allowed, the latest counting most.
-    counts: HashMap<QueueId, (f64, f64)>,
+    /// Allowed to named workers.
+    ratios: HashMap<QueueId, Ratio>,
 }
 
 impl AllowedShares {
     pub(crate) fn record(&mut self, queue: &QueueId, named: usize, allowed: usize) {
-        let prior = (
-            ALLOWED_PRIOR_WORKERS,
-            ALLOWED_PRIOR_WORKERS * ALLOWED_SHARE_PRIOR,
-        );
-        let counts = self.counts.entry(queue.clone()).or_insert(prior);
-        counts.0 = counts.0 * RETENTION + named as f64;
-        counts.1 = counts.1 * RETENTION + allowed as f64;
+        let ratio = self.ratios.entry(queue.clone()).or_insert(Ratio {
+            of: ALLOWED_PRIOR_WORKERS * ALLOWED_SHARE_PRIOR,
+            to: ALLOWED_PRIOR_WORKERS,
+        });
+        ratio.add(allowed as f64, named as f64);
     }
 
     pub(crate) fn expected(&self, queue: &QueueId) -> f64 {
-        let counts = self.counts.get(queue);
-        let share = counts.map_or(ALLOWED_SHARE_PRIOR, |(named, allowed)| allowed / named);
-        share.max(0.05)
+        let ratio = self.ratios.get(queue);
+        ratio
+            .map_or(ALLOWED_SHARE_PRIOR, Ratio::value)
+            .max(ALLOWED_SHARE_MIN)
     }
 }
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -13,7 +13,7 @@
 use spdlog::info;
 
 use crate::{
-    job::{Advice, GangPlan, Job, Unit},
+    job::{Advice, GangPlan, Job, StepRun, Unit},
     rank::Ranked,
     room::{can_run, times_fitting, Reservation, Room, Spot},
     worker::{Run, RunPhase},
@@ -244,6 +244,40 @@
         }
     }
 
+    /// When a step's tasks fit on the workers that may run it, as what runs there ends.
+    fn places_ahead(
+        &self,
+        job: &Job,
+        spec: &StepSpec,
+        step: &StepRun,
+        room: &Room,
+        horizon: Instant,
+        now: Instant,
+    ) -> Vec<(Instant, WorkerId)> {
+        let size = spec.reserved();
+        let max = spec.per_worker_max.unwrap_or(u32::MAX).min(spec.tasks) as usize;
+        let mut places = Vec::new();
+        let mut add = |id: &WorkerId, spot: &Spot| {
+            let may_run = can_run(&self.workers, id, spot, job, spec);
+            if let Some(worker) = self.workers.get(id).filter(|_| may_run) {
+                let times = spot.free_times(worker, &size, spot.usable(horizon), now);
+                places.extend(times.into_iter().take(max).map(|at| (at, id.clone())));
+            }
+        };
+        if job.queue.advice.is_none() {
+            room.spots().for_each(|(id, spot)| add(id, spot));
+            return places;
+        }
+        // A ticket that lapsed is renewed once there is room.
+        for (id, advice) in &step.advice {
+            let allowed = matches!(advice, Advice::Allowed { .. });
+            if let Some(spot) = room.spot(id).filter(|_| allowed) {
+                add(id, spot);
+            }
+        }
+        places
+    }
+
     /// Keeps the places for a gang that become free first.
     fn reserve(
         &mut self,
@@ -254,30 +288,8 @@
     ) -> Option<GangPlan> {
         let job = self.jobs.get(&name.job)?;
         let (_, step) = job.step(name)?;
-        let size = spec.reserved();
-        let mut places: Vec<(Instant, WorkerId)> = Vec::new();
-        let max = spec.per_worker_max.unwrap_or(u32::MAX).min(spec.tasks) as usize;
         let horizon = now + RESERVATION_HORIZON;
-        let mut add = |id: &WorkerId, spot: &Spot| {
-            if can_run(&self.workers, id, spot, job, spec) {
-                let times = self.free_times(id, spot, spec, horizon, now);
-                let within = times.into_iter().take(max);
-                places.extend(within.map(|at| (at, id.clone())));
-            }
-        };
-        if job.queue.advice.is_some() {
-            // A ticket that lapsed is renewed once there is room.
-            for (id, advice) in &step.advice {
-                let allowed = matches!(advice, Advice::Allowed { .. });
-                if let Some(spot) = room.spot(id).filter(|_| allowed) {
-                    add(id, spot);
-                }
-            }
-        } else {
-            for (id, spot) in room.spots() {
-                add(id, spot);
-            }
-        }
+        let mut places = self.places_ahead(job, spec, step, room, horizon, now);
         // Places that were kept before stay kept, so that tickets for them are not in vain.
         let kept = |worker: &WorkerId| {
             let plan = step.plan.as_ref();
@@ -311,7 +323,7 @@
         let plan = GangPlan { workers, starts_at };
         for (worker, count) in per_worker {
             let reservation = Reservation {
-                room: size.saturating_mul(count),
+                room: spec.reserved().saturating_mul(count),
                 starts_at,
             };
             self.planning.insert(worker.clone());
--- a/jackdawchute-scheduler/src/room.rs
+++ b/jackdawchute-scheduler/src/room.rs
@@ -68,7 +68,7 @@
 
     /// When the first, second and further task of a size fit, as the worker's runs end, of what
     /// is left of `free`.
-    fn free_times(
+    pub(crate) fn free_times(
         &self,
         worker: &Worker,
         size: &Resources,
@@ -146,21 +146,6 @@
             spots: workers.filter_map(spot).collect(),
         }
     }
-
-    /// When the first, second and further task of a step fit on a worker.
-    pub(crate) fn free_times(
-        &self,
-        id: &WorkerId,
-        spot: &Spot,
-        spec: &StepSpec,
-        horizon: Instant,
-        now: Instant,
-    ) -> Vec<Instant> {
-        let worker = self.workers.get(id);
-        worker.map_or(Vec::new(), |worker| {
-            spot.free_times(worker, &spec.reserved(), spot.usable(horizon), now)
-        })
-    }
 }
 
 /// Whether a worker may run a job's step, apart from advice and room.
