--- a/jackdawchute-standins/examples/load_model.rs
+++ b/jackdawchute-standins/examples/load_model.rs
@@ -1,7 +1,8 @@
 //! Plays the load of a user on the scheduler's decisions and prints what callers got.
 //!
 //! Run with `cargo run --release -p jackdawchute-standins --example load_model [SEEDS] [PLAN]`,
-//! where PLAN is `today`, `grown` or `thousand`.
+//! where PLAN is `today`, `grown`, `repair-desk` or
+//! `thousand`.
 
 use jackdawchute_standins::load_model::{run, ModelPlan};
 
@@ -22,6 +23,7 @@
         let plans = [
             ("today", ModelPlan::today(seed)),
             ("grown", ModelPlan::grown(seed)),
+            ("repair-desk", ModelPlan::repair_desk(seed)),
             ("thousand", ModelPlan::grown(seed).times(1_000.0 / 350.0)),
         ];
         for (name, plan) in plans {
--- a/jackdawchute-standins/src/load_model/plan.rs
+++ b/jackdawchute-standins/src/load_model/plan.rs
@@ -38,8 +38,10 @@
     pub run_time: Duration,
     /// How far a task's declared time may be off, as a share of it.
     pub estimate_off: f64,
-    /// What a task needs on average; a job's lies within 45 % of it.
+    /// What a task needs on average.
     pub resources: Resources,
+    /// How far a job's tasks may lie from that, as a share of it.
+    pub resources_off: f64,
     /// The share of jobs whose tasks only work together.
     pub gang_share: f64,
     /// The share of workers that an advisor allows for a step.
@@ -171,6 +173,46 @@
         }
     }
 
+    /// The repair desk after its growth, on a day of high load: 350 workers of 32 cores, a third of
+    /// them slow, and work for nearly all of their processors.
+    pub fn repair_desk(seed: u64) -> Self {
+        Self {
+            fleet: FleetPlan {
+                workers: 350,
+                capacity: Resources::new(32_000, 131_072, 0),
+                advisors: 44,
+                slowness: vec![1.0, 1.0, 1.3],
+            },
+            kinds: vec![
+                KindPlan {
+                    resources_off: 0.6,
+                    ..forecasts(KindSize {
+                        rate_per_s: 5.96,
+                        tasks_mean: 20.0,
+                        resources: Resources::new(9_000, 26_000, 0),
+                        advice_ms: (442.0, 6.37),
+                        worth: 7.12,
+                    })
+                },
+                orders(KindSize {
+                    rate_per_s: 9.86,
+                    tasks_mean: 25.0,
+                    resources: Resources::new(3_500, 13_000, 0),
+                    advice_ms: (130.0, 1.82),
+                    worth: 2.69,
+                }),
+                checks(KindSize {
+                    rate_per_s: 88.3,
+                    tasks_mean: 3.2,
+                    resources: Resources::new(5_000, 10_000, 0),
+                    advice_ms: (14.3, 0.208),
+                    worth: 0.421,
+                }),
+            ],
+            ..Self::today(seed)
+        }
+    }
+
     /// The same cell so many times as large, with so many times the load.
     ///
     /// ```
@@ -248,6 +290,7 @@
         run_time: ms(4_000),
         estimate_off: 0.3,
         resources: size.resources,
+        resources_off: 0.45,
         gang_share: 1.0,
         allowed_share: 0.35,
         worth: (size.worth, size.worth / 5.0),
@@ -292,7 +335,8 @@
 impl Arrival {
     pub(super) fn draw(kind: &KindPlan, random: &mut StdRng) -> Self {
         let steps = 1 + u32::from(random.random::<f64>() < kind.steps - 1.0);
-        let size = random.random_range(0.55..1.45);
+        let off = kind.resources_off;
+        let size = random.random_range(1.0 - off..1.0 + off);
         let resources = Resources::new(
             (kind.resources.processor_millicores as f64 * size) as u64,
             (kind.resources.memory_mib as f64 * size) as u64,
