fix: an advisor that is overrun is asked no more than it can answer

Each of 35 instances wrote `advisor did not answer` about twice a second until all lost power. The new holder took the advisors as free while they worked on up to 1.2 s of its predecessor's questions; its own ran into their time-outs, were given up and asked again, and the advisors went on working on those that nobody waited for. The backlog never shrank.

Ruled out: too few known peers (all followed the new holder within 4 ms), calls between peers (36 failed, all in the first second).

Change: each instance has a task that owns the queue of its advisor. It counts questions until they, or later ones, are answered, also those given up and those of an earlier holder, and turns a question away that would wait for more than 1.2 s; the holder then leaves that advisor alone for the time told.

Test: an_advisor_that_was_overrun_serves_all_jobs_again failed first (no job completed in 20 s), and passes; four on the queue itself.

--- a/jackdawchute-cell/src/gateway.rs
+++ b/jackdawchute-cell/src/gateway.rs
@@ -226,6 +226,7 @@
             | CellAnswer::Elsewhere { .. }
             | CellAnswer::Here { .. }
             | CellAnswer::Advice { .. }
+            | CellAnswer::AdvisorBusy { .. }
             | CellAnswer::Configuration { .. }
             | CellAnswer::Noted => None,
         }
--- a/jackdawchute-cell/src/instance.rs
+++ b/jackdawchute-cell/src/instance.rs
@@ -8,6 +8,7 @@
 use xtra::prelude::*;
 
 use crate::{
+    advisor,
     leader::Ports,
     member::{self, LeaderView, Leave, MemberParts, MemberTask},
     messages::{CellAnswer, CellCall, SLICE},
@@ -63,7 +64,7 @@
             routes: routes_sender,
             metrics: metrics.clone(),
         }));
-        let advisor = parts.advisor.clone();
+        let advisor = advisor::spawn(parts.advisor);
         let incarnation = member::incarnation(&settings);
         let member = member::spawn(MemberParts {
             settings,
@@ -71,7 +72,7 @@
             ports: Ports {
                 store: parts.store,
                 workers: parts.workers,
-                advisor: parts.advisor,
+                advisor: advisor.clone(),
                 directory: parts.directory,
                 peers: peers.clone(),
             },
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -6,8 +6,8 @@
 };
 
 use jackdawchute_scheduler::{
-    AdviceAnswer, AdviceRequest, Batch, HoldAnswer, HoldOrder, JobStatus, StartAnswer, StartOrder,
-    StopOrder, Submission,
+    AdviceRequest, Batch, HoldAnswer, HoldOrder, JobStatus, StartAnswer, StartOrder, StopOrder,
+    Submission,
 };
 use jackdawchute_timer::Tick;
 use jackdawchute_types::{whole_ms, JobId, QueueId};
@@ -17,6 +17,7 @@
 
 use super::{answer_all, peers::PeerState, LeaderTask};
 use crate::{
+    advisor::Advised,
     commit::{Head, NotAppended},
     load::unix_now,
     messages::{CellAnswer, SubmitJob},
@@ -39,7 +40,12 @@
     pub(super) Option<HoldAnswer>,
 );
 /// An answered [`Effect::Advise`].
-pub(super) struct AdviceAnswered(pub(super) AdviceRequest, pub(super) Option<AdviceAnswer>);
+pub(super) struct AdviceAnswered {
+    pub(super) request: AdviceRequest,
+    /// The instance whose advisor was asked.
+    pub(super) through: SocketAddr,
+    pub(super) advised: Advised,
+}
 /// A commit whose fate is known.
 pub(super) struct Appended(pub(super) Batch, pub(super) Result<Head, NotAppended>);
 /// News of the listed workers.
@@ -134,8 +140,20 @@
     type Return = ();
 
     async fn handle(&mut self, message: AdviceAnswered, context: &mut Context<Self>) {
-        let AdviceAnswered(request, answer) = message;
+        let AdviceAnswered {
+            request,
+            through,
+            advised,
+        } = message;
         let now = Instant::now();
+        let answer = match advised {
+            Advised::Answered(answer) => Some(answer),
+            Advised::Busy(busy) => {
+                self.note_busy_advisor(through, busy, now);
+                None
+            }
+            Advised::Unanswered => None,
+        };
         self.scheduler.advice_answered(&request, answer, now);
         self.pump(context);
     }
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -28,12 +28,13 @@
     peers::PeerLoad,
 };
 use crate::{
+    advisor::AdvisorTask,
     commit::Head,
     member::Deposed,
     messages::CellAnswer,
     reach::Reach,
     settings::{FOLLOW_PAUSE, FOLLOW_WAIT, TICK_PERIOD},
-    Advisor, Directory, Metrics, Routes, Store, Workers, WorkersUpdate,
+    Directory, Metrics, Routes, Store, Workers, WorkersUpdate,
 };
 
 /// The calls that the scheduling task makes.
@@ -41,7 +42,7 @@
 pub(crate) struct Ports {
     pub(crate) store: Arc<dyn Store>,
     pub(crate) workers: Arc<dyn Workers>,
-    pub(crate) advisor: Arc<dyn Advisor>,
+    pub(crate) advisor: Address<AdvisorTask>,
     pub(crate) directory: Arc<dyn Directory>,
     pub(crate) peers: Peers,
 }
--- a/jackdawchute-cell/src/leader/peers.rs
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -6,19 +6,20 @@
 };
 
 use jackdawchute_peer::Peers;
-use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest};
+use jackdawchute_scheduler::AdviceRequest;
 use spdlog::{info, warn};
 use xtra::{prelude::*, refcount::Weak};
 
 use super::{handlers::AdviceAnswered, LeaderTask};
 use crate::{
+    advisor::{self, Advised, Busy},
     calls::{ask_for_row, offer_epoch},
     member::Deposed,
     messages::{CellAnswer, CellCall, SLICE},
     settings::{
         ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, LAG_GAIN, LAG_MAX, LEADER_STORE_TROUBLE, OFFER_PAUSE,
-        OTHERS_TOLD, PEERS_ASK_PERIOD, PEER_MEMORY, SHORT_ONLY_DIVISOR, SHORT_QUESTION,
-        STRONGER_PERCENT, TICK_PERIOD,
+        OTHERS_TOLD, PEERS_ASK_PERIOD, PEER_CALL_MARGIN, PEER_MEMORY, SHORT_ONLY_DIVISOR,
+        SHORT_QUESTION, STRONGER_PERCENT, TICK_PERIOD,
     },
 };
 
@@ -199,45 +200,56 @@
             return;
         }
         load.advisor_free_at = load.advisor_free_at.max(now) + request.expected;
-        let timeout = queued + request.expected + ADVICE_MARGIN;
-        let address = *address;
+        let through = *address;
         let ports = self.ports.clone();
         let metrics = self.metrics.clone();
         tokio::spawn(async move {
             let asked_at = Instant::now();
-            let answer = if address == own_address {
-                ports.advisor.advise(&request, timeout).await.ok()
+            let advised = if through == own_address {
+                advisor::ask(&ports.advisor, request.clone()).await
             } else {
-                ask_peer(&ports.peers, address, &request, timeout).await
+                ask_peer(&ports.peers, through, &request).await
             };
-            let outcome = if answer.is_some() {
-                "answered"
-            } else {
-                "failed"
+            let outcome = match &advised {
+                Advised::Answered(_) => "answered",
+                Advised::Busy(_) => "busy",
+                Advised::Unanswered => "failed",
             };
             metrics.call("advise", outcome, asked_at.elapsed());
-            let _ = own.send(AdviceAnswered(request, answer)).await;
+            let answered = AdviceAnswered {
+                request,
+                through,
+                advised,
+            };
+            let _ = own.send(answered).await;
         });
     }
+
+    /// Asks an advisor no more until it has answered what an earlier scheduling instance asked.
+    pub(super) fn note_busy_advisor(&mut self, through: SocketAddr, busy: Busy, now: Instant) {
+        if let Some(load) = self.peers.get_mut(&through) {
+            load.advisor_free_at = load.advisor_free_at.max(now + busy.free_in);
+        }
+    }
 }
 
-async fn ask_peer(
-    peers: &Peers,
-    address: SocketAddr,
-    request: &AdviceRequest,
-    timeout: Duration,
-) -> Option<AdviceAnswer> {
+async fn ask_peer(peers: &Peers, through: SocketAddr, request: &AdviceRequest) -> Advised {
     let call = CellCall::Advise {
         request: request.clone(),
     };
-    match peers.call(address, SLICE, &call, timeout).await {
-        Ok(CellAnswer::Advice { answer }) => Some(answer),
-        Ok(_) => None,
+    let timeout = ADVISOR_BACKLOG_MAX + request.expected + ADVICE_MARGIN + PEER_CALL_MARGIN;
+    match peers.call(through, SLICE, &call, timeout).await {
+        Ok(CellAnswer::Advice { answer }) => Advised::Answered(answer),
+        Ok(CellAnswer::AdvisorBusy { free_in_ms }) => Advised::Busy(Busy {
+            free_in: Duration::from_millis(free_in_ms),
+        }),
+        // The instance has logged why its advisor did not answer.
+        Ok(_) => Advised::Unanswered,
         Err(error) => {
             warn!("advice through a peer failed", kv: {
-                job = request.step.job.as_str(), peer: = address, cause: = error
+                job = request.step.job.as_str(), peer: = through, cause: = error
             });
-            None
+            Advised::Unanswered
         }
     }
 }
--- a/jackdawchute-cell/src/lib.rs
+++ b/jackdawchute-cell/src/lib.rs
@@ -5,6 +5,7 @@
 //! commit extends one chain of versions, so an instance that was replaced cannot commit any more.
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
+mod advisor;
 mod calls;
 mod claim;
 mod commit;
@@ -22,6 +23,7 @@
 mod rows;
 mod settings;
 
+pub use advisor::{AdvisorQueue, Busy, QuestionId};
 pub use gateway::{Answer, Gateway};
 pub use instance::{Instance, Parts};
 pub use jackdawchute_ports::{Error, Result};
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -87,6 +87,8 @@
     Pending { jobs: usize },
     /// An advisor's answer.
     Advice { answer: AdviceAnswer },
+    /// The instance's advisor was not asked, as too many questions wait for it.
+    AdvisorBusy { free_in_ms: u64 },
     /// It may or may not have been done.
     Unknown,
     /// The configuration in force.
--- a/jackdawchute-cell/src/peers.rs
+++ b/jackdawchute-cell/src/peers.rs
@@ -1,29 +1,29 @@
 //! Answers what other instances of the cell ask.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use async_trait::async_trait;
 use jackdawchute_peer::PeerService;
 use jackdawchute_scheduler::AdviceRequest;
-use jackdawchute_types::IncarnationId;
+use jackdawchute_types::{whole_ms, IncarnationId};
 use serde_json::Value;
 use spdlog::warn;
 use tokio::sync::{oneshot, watch};
 use xtra::prelude::*;
 
 use crate::{
+    advisor::{self, Advised, AdvisorTask},
     leader::{AskPending, AskStatus, Cancel, LeaderTask, PeerHello, PeerState, Submit},
     member::{LeaderSeen, LeaderView, MemberTask, TakeOver},
     messages::{CellAnswer, CellCall},
-    settings::ADVICE_MARGIN,
-    Advisor, Routes,
+    Routes,
 };
 
 /// The calls of this slice.
 pub(crate) struct CellService {
     pub(crate) view: watch::Receiver<LeaderView>,
     pub(crate) member: Address<MemberTask>,
-    pub(crate) advisor: Arc<dyn Advisor>,
+    pub(crate) advisor: Address<AdvisorTask>,
     pub(crate) incarnation: IncarnationId,
     pub(crate) routes: watch::Receiver<Routes>,
 }
@@ -86,15 +86,12 @@
     }
 
     async fn advise(&self, request: AdviceRequest) -> CellAnswer {
-        let timeout: Duration = request.expected + ADVICE_MARGIN;
-        match self.advisor.advise(&request, timeout).await {
-            Ok(answer) => CellAnswer::Advice { answer },
-            Err(error) => {
-                warn!("advisor did not answer", kv: {
-                    job = request.step.job.as_str(), cause: = error
-                });
-                CellAnswer::Unknown
-            }
+        match advisor::ask(&self.advisor, request).await {
+            Advised::Answered(answer) => CellAnswer::Advice { answer },
+            Advised::Busy(busy) => CellAnswer::AdvisorBusy {
+                free_in_ms: whole_ms(busy.free_in),
+            },
+            Advised::Unanswered => CellAnswer::Unknown,
         }
     }
 }
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -85,6 +85,8 @@
 pub(crate) const PEER_MEMORY: Duration = Duration::from_millis(900);
 /// How long beyond its expected time an advisor may take.
 pub(crate) const ADVICE_MARGIN: Duration = Duration::from_millis(1_200);
+/// What a call through a peer may take beyond what the peer itself does; a round trip takes 3 ms.
+pub(crate) const PEER_CALL_MARGIN: Duration = Duration::from_millis(300);
 /// The time of questions under way at one instance beyond which it gets no further ones.
 pub(crate) const ADVISOR_BACKLOG_MAX: Duration = Duration::from_millis(1_200);
 /// How often the load of the cell is logged.
--- a/jackdawchute-cell/tests/cell.rs
+++ b/jackdawchute-cell/tests/cell.rs
@@ -7,10 +7,12 @@
     time::{Duration, Instant},
 };
 
-use jackdawchute_cell::{Answer, Instance, Metrics, Parts, QueueRoute, Routes, Settings, Store};
-use jackdawchute_scheduler::{JobGraph, JobStatus, Outcome, QueuePolicy, StepSpec};
+use jackdawchute_cell::{
+    Advisor, Answer, Instance, Metrics, Parts, QueueRoute, Routes, Settings, Store,
+};
+use jackdawchute_scheduler::{AdviceCost, JobGraph, JobStatus, Outcome, QueuePolicy, StepSpec};
 use jackdawchute_standins::cell::{
-    MemoryAdvisor, MemoryDirectory, MemoryStore, MemoryWorkers, StoreHandle,
+    MemoryAdvisor, MemoryDirectory, MemoryStore, MemoryWorkers, SerialAdvisor, StoreHandle,
 };
 use jackdawchute_types::{JobId, Resources};
 use tokio::sync::watch;
@@ -34,6 +36,18 @@
     workers: MemoryWorkers,
     store: MemoryStore,
     routes: watch::Sender<Routes>,
+    advisor: Arc<dyn Advisor>,
+}
+
+/// A route whose jobs need advice of 200 ms a question.
+fn advised_route() -> QueueRoute {
+    let mut route = route();
+    route.policy.advice = Some(AdviceCost {
+        fixed_ms: 200.0,
+        per_worker_ms: 0.0,
+        valid: Duration::from_millis(2_500),
+    });
+    route
 }
 
 fn route() -> QueueRoute {
@@ -85,6 +99,11 @@
 
 /// Instances with so many thousandths of a core, started one after the other.
 async fn cell_of(processors_millicores: &[u64]) -> Cell {
+    cell_with(processors_millicores, Arc::new(MemoryAdvisor)).await
+}
+
+/// Instances that ask the same advisor.
+async fn cell_with(processors_millicores: &[u64], advisor: Arc<dyn Advisor>) -> Cell {
     let store = MemoryStore::default();
     let workers = MemoryWorkers::new(4, TASK_TIME);
     let mut cell = Cell {
@@ -92,6 +111,7 @@
         workers,
         store,
         routes: watch::channel(routes(1)).0,
+        advisor,
     };
     for processor_millicores in processors_millicores {
         cell.add(*processor_millicores).await;
@@ -122,7 +142,7 @@
         let parts = Parts {
             store: Arc::new(handle.clone()),
             workers: Arc::new(self.workers.clone()),
-            advisor: Arc::new(MemoryAdvisor),
+            advisor: self.advisor.clone(),
             directory: Arc::new(directory.clone()),
         };
         let instance = Instance::start(settings, parts, Metrics::default());
@@ -407,3 +427,22 @@
     let version = || cell.members[denied].instance.gateway.routes().version;
     wait_for("the version is applied", || version() == 5).await;
 }
+
+#[tokio::test]
+async fn an_advisor_that_was_overrun_serves_all_jobs_again() {
+    let overrun = SerialAdvisor::busy_for(Duration::from_secs(3));
+    let cell = cell_with(&[1_000], Arc::new(overrun)).await;
+    let gateway = &cell.members[0].instance.gateway;
+    let route = advised_route();
+
+    // Eight seconds of advice, in a cell that has asked for none before.
+    let jobs: Vec<String> = (0..40).map(|index| format!("job-{index}")).collect();
+    for job in &jobs {
+        let submitted = gateway.submit(job.as_str().into(), graph(1), &route, DEADLINE);
+        assert_eq!(submitted.await, Answer::Accepted);
+    }
+
+    for job in &jobs {
+        cell.wait_until_completed(0, job).await;
+    }
+}
--- a/jackdawchute-standins/src/cell/mod.rs
+++ b/jackdawchute-standins/src/cell/mod.rs
@@ -9,7 +9,7 @@
 mod store;
 mod workers;
 
-pub use advisor::MemoryAdvisor;
+pub use advisor::{MemoryAdvisor, SerialAdvisor};
 pub use directory::MemoryDirectory;
 pub use store::{MemoryStore, StoreHandle};
 pub use workers::{MemoryWorkers, WorkerRecord};
