test: a randomized soak of real processes

A seed draws overlapping faults for a cell of three instances, four minions and four workers under load: instances killed, asked to end, paused; networks to peers, minions and workers frozen, cut, delayed or held one way; the table refusing, silent, slow or losing answers, for one instance or all. What callers were told is held against what minions and workers ran; afterwards all instances must be ready, 95 % of requests answered and all accepted jobs done.

It soaks `serve`; `cell` needs the platform's stand-ins over HTTP.

--- /dev/null
+++ b/jackdawchute-standins/examples/soak.rs
@@ -0,0 +1,38 @@
+//! Plays random faults on cells of real processes and says what was violated.
+//!
+//! Run with `cargo run --release -p jackdawchute-standins --example soak -- PROGRAM [SEEDS] [FIRST]
+//! [SECONDS]`: so many seeds from the first one on, each with faults for so many seconds.
+
+use std::{path::PathBuf, time::Duration};
+
+use jackdawchute_standins::soak::{run, SoakPlan};
+
+#[tokio::main]
+async fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let Some(program) = arguments.first().map(PathBuf::from) else {
+        eprintln!("usage: soak PROGRAM [SEEDS] [FIRST] [SECONDS]");
+        std::process::exit(2);
+    };
+    let number = |index: usize, default: u64| {
+        let text = arguments.get(index);
+        text.and_then(|text| text.parse().ok()).unwrap_or(default)
+    };
+    let (seeds, first, seconds) = (number(1, 5), number(2, 1), number(3, 12));
+    let mut red = 0;
+    for seed in first..first + seeds {
+        let plan = SoakPlan::new(seed, Duration::from_secs(seconds));
+        match run(&program, &plan).await {
+            Ok(report) => {
+                red += usize::from(!report.violations.is_empty());
+                print!("{report}");
+            }
+            Err(error) => {
+                red += 1;
+                println!("seed {seed}: {error}");
+            }
+        }
+    }
+    println!("{red} of {seeds} seeds red");
+    std::process::exit(i32::from(red > 0));
+}
--- a/jackdawchute-standins/src/harness/process.rs
+++ b/jackdawchute-standins/src/harness/process.rs
@@ -107,6 +107,16 @@
         self.id
     }
 
+    /// How it ended, if it has.
+    ///
+    /// # Errors
+    /// The system does not tell.
+    pub fn ended(&mut self) -> Result<Option<ExitStatus>> {
+        let peer = self.id.to_string();
+        let ended = self.child.try_wait();
+        ended.map_err(|cause| Error::Io("look at process", peer, cause))
+    }
+
     /// Sends a signal by the process's id.
     ///
     /// # Errors
--- a/jackdawchute-standins/src/lib.rs
+++ b/jackdawchute-standins/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod membership;
 pub mod program;
 pub mod proxy;
+pub mod soak;
 pub mod table;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/jackdawchute-standins/src/soak/run.rs
@@ -0,0 +1,303 @@
+//! Plays the faults of a seed on a cell and holds what callers were told against the records.
+
+use std::{collections::BTreeSet, fmt, path::Path, time::Duration};
+
+use jackdawchute_types::{JobId, JobKind, JobSpec, JobState, Resources};
+use smol_str::format_smolstr;
+use tokio::time::{sleep, Instant};
+
+use super::{Disturbance, Fault, SoakPlan};
+use crate::{
+    balancer::ReadReady,
+    caller::Caller,
+    harness::{Cell, CellOptions, ServicePlan, WorkerPlan, DEADLINE},
+    load::{ClassPlan, Finished, Plan},
+    Error, Result,
+};
+
+/// How often a job is submitted.
+const JOB_PERIOD: Duration = Duration::from_millis(900);
+/// How long the load goes on once all faults are over and all instances ready: longer than an
+/// instance that was replaced may go on with what it has begun.
+const CALM: Duration = Duration::from_secs(6);
+/// The time at the end of the load in which requests are to be answered again.
+const SERVED_AGAIN: Duration = Duration::from_secs(2);
+/// The share of these that is to be answered, in per cent.
+const SERVED_AGAIN_PERCENT: usize = 95;
+/// The longest that a load lasts by itself.
+const LOAD_MAX: Duration = Duration::from_secs(300);
+/// How often instances are looked at that may have ended.
+const SUPERVISION_PERIOD: Duration = Duration::from_millis(100);
+/// How an instance ends that was replaced by another.
+const FENCED_EXIT_CODE: i32 = 1;
+
+/// What a soak found.
+#[derive(Clone, Debug)]
+pub struct SoakReport {
+    /// The seed.
+    pub seed: u64,
+    /// The faults that were played.
+    pub disturbances: Vec<Disturbance>,
+    /// The requests that were sent.
+    pub requests: usize,
+    /// The jobs that were accepted.
+    pub jobs: usize,
+    /// What must not happen and did.
+    pub violations: Vec<String>,
+}
+
+impl fmt::Display for SoakReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "seed {}: {} requests, {} jobs, {} violations",
+            self.seed,
+            self.requests,
+            self.jobs,
+            self.violations.len()
+        )?;
+        for disturbance in &self.disturbances {
+            writeln!(f, "  {disturbance}")?;
+        }
+        for violation in &self.violations {
+            writeln!(f, "  violated: {violation}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Runs a soak with the shipped binary.
+///
+/// # Errors
+/// A stand-in or a process did not start, or a fault could not be brought about.
+pub async fn run(program: &Path, plan: &SoakPlan) -> Result<SoakReport> {
+    let mut cell = Cell::start(options(program, plan)).await?;
+    let load = cell.start_load(&load_plan(plan.seed))?;
+    let disturbances = plan.disturbances();
+    let began_at = Instant::now();
+
+    let jobs = tokio::spawn(submit_jobs(
+        cell.balancer.clone(),
+        Caller::new()?,
+        began_at + plan.lasts,
+    ));
+    let mut supervisor = Supervisor::default();
+    supervisor.play(&mut cell, &disturbances, began_at).await?;
+    supervisor.wait_until_calm(&mut cell).await?;
+    let mut violations = supervisor.violations;
+    let calm_until = began_at.elapsed();
+    let finished = load.stop().await;
+    let jobs = jobs
+        .await
+        .map_err(|cause| Error::Invalid("submit jobs", "soak".into(), cause.to_string()))?;
+
+    violations.extend(unserved(&finished, calm_until));
+    violations.extend(unfinished_jobs(&cell, &jobs).await?);
+    violations.extend(cell.untruths(&finished).await?);
+    Ok(SoakReport {
+        seed: plan.seed,
+        disturbances,
+        requests: finished.len(),
+        jobs: jobs.len(),
+        violations,
+    })
+}
+
+fn options(program: &Path, plan: &SoakPlan) -> CellOptions {
+    CellOptions {
+        entries: plan.entries,
+        services: vec![ServicePlan {
+            service: "repair-desk".into(),
+            minions: plan.minions,
+            slots: 8,
+            connections: 64,
+        }],
+        workers: WorkerPlan {
+            workers: plan.workers,
+            workers_per_rack: 2,
+            resources: Resources::new(4_000, 16_384, 0),
+        },
+        ..CellOptions::new(program)
+    }
+}
+
+fn load_plan(seed: u64) -> Plan {
+    Plan {
+        seed,
+        duration: LOAD_MAX,
+        count_max: 100_000,
+        classes: vec![
+            ClassPlan::new("order", 20.0, "POST", "/repair-desk/orders?service_ms=50").keyed(),
+            ClassPlan::new("quote", 40.0, "GET", "/repair-desk/quotes?service_ms=50"),
+        ],
+    }
+}
+
+fn batch(index: usize) -> JobSpec {
+    JobSpec {
+        kind: JobKind::Batch,
+        class: "batch".into(),
+        team: "micdejun".into(),
+        tasks: 2,
+        resources: Resources::new(500, 1_024, 0),
+        run_time: Duration::default(),
+        deadline: Duration::default(),
+        idempotency_key: Some(format_smolstr!("batch-{index}")),
+        command: "run_ms=300".into(),
+    }
+}
+
+/// Submits jobs through whichever instance is ready; returns those that were accepted.
+async fn submit_jobs(
+    balancer: xtra::Address<crate::balancer::BalancerTask>,
+    caller: Caller,
+    until: Instant,
+) -> Vec<JobId> {
+    let mut accepted = Vec::new();
+    let mut index = 0;
+    while Instant::now() < until {
+        let ready = balancer.send(ReadReady).await.unwrap_or_default();
+        if let Some(target) = ready.get(index % ready.len().max(1)) {
+            if let Ok(status) = caller.submit(target.callers, &batch(index)).await {
+                accepted.push(status.id);
+            }
+        }
+        index += 1;
+        sleep(JOB_PERIOD).await;
+    }
+    accepted
+}
+
+/// Begins and ends faults, and starts instances again that ended by themselves.
+#[derive(Debug, Default)]
+struct Supervisor {
+    /// The instances that a fault has ended.
+    down: BTreeSet<usize>,
+    /// Ends and outages that must not be.
+    violations: Vec<String>,
+}
+
+impl Supervisor {
+    /// Begins and ends the faults at their times.
+    async fn play(
+        &mut self,
+        cell: &mut Cell,
+        disturbances: &[Disturbance],
+        began_at: Instant,
+    ) -> Result<()> {
+        let mut steps: Vec<(Duration, &Disturbance, bool)> = disturbances
+            .iter()
+            .flat_map(|it| [(it.at, it, true), (it.ends_at(), it, false)])
+            .collect();
+        steps.sort_by_key(|(at, _, begins)| (*at, *begins));
+        for (at, disturbance, begins) in steps {
+            self.restart_ended(cell).await?;
+            while began_at.elapsed() < at {
+                let left = at.saturating_sub(began_at.elapsed());
+                sleep(left.min(SUPERVISION_PERIOD)).await;
+                self.restart_ended(cell).await?;
+            }
+            if begins {
+                self.expect_end(&disturbance.fault);
+                disturbance.fault.begin(cell).await?;
+            } else {
+                disturbance.fault.end(cell).await?;
+                self.expect_no_end(&disturbance.fault);
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until all instances have been ready for a while.
+    async fn wait_until_calm(&mut self, cell: &mut Cell) -> Result<()> {
+        let give_up_at = Instant::now() + DEADLINE;
+        let mut ready_since = Instant::now();
+        while ready_since.elapsed() < CALM {
+            self.restart_ended(cell).await?;
+            let ready = cell.balancer.send(ReadReady).await.unwrap_or_default();
+            let mut missing = cell
+                .entries
+                .iter()
+                .filter(|entry| !ready.contains(&entry.target()));
+            if let Some(entry) = missing.next() {
+                ready_since = Instant::now();
+                if ready_since >= give_up_at {
+                    let name = &entry.name;
+                    self.violations.push(format!("{name} is not ready again"));
+                    return Ok(());
+                }
+            }
+            sleep(SUPERVISION_PERIOD).await;
+        }
+        Ok(())
+    }
+
+    fn expect_end(&mut self, fault: &Fault) {
+        if let Fault::Kill(index) | Fault::Terminate(index) = fault {
+            self.down.insert(*index);
+        }
+    }
+
+    fn expect_no_end(&mut self, fault: &Fault) {
+        if let Fault::Kill(index) | Fault::Terminate(index) = fault {
+            self.down.remove(index);
+        }
+    }
+
+    async fn restart_ended(&mut self, cell: &mut Cell) -> Result<()> {
+        for index in 0..cell.entries.len() {
+            let entry = &mut cell.entries[index];
+            let Some(status) = entry.process.ended()? else {
+                continue;
+            };
+            if self.down.contains(&index) {
+                continue;
+            }
+            if status.code() != Some(FENCED_EXIT_CODE) {
+                self.violations.push(format!("{}: {status}", entry.name));
+            }
+            entry.restart().await?;
+            cell.publish_members().await?;
+        }
+        Ok(())
+    }
+}
+
+/// Whether the requests at the end of the load were answered, once all was well again.
+fn unserved(finished: &[Finished], calm_until: Duration) -> Option<String> {
+    let from = calm_until.saturating_sub(SERVED_AGAIN);
+    let last: Vec<_> = finished.iter().filter(|it| it.intended >= from).collect();
+    let answered = last.iter().filter(|it| it.outcome.is_answered()).count();
+    let served = answered * 100 >= last.len() * SERVED_AGAIN_PERCENT;
+    (!served || last.is_empty()).then(|| {
+        let failed = last.iter().find(|it| !it.outcome.is_answered());
+        let first = failed.map(ToString::to_string).unwrap_or_default();
+        format!(
+            "{answered} of the last {} requests answered; {first}",
+            last.len()
+        )
+    })
+}
+
+/// The accepted jobs that do not succeed although nothing fails any more.
+async fn unfinished_jobs(cell: &Cell, jobs: &[JobId]) -> Result<Vec<String>> {
+    let caller = Caller::new()?;
+    let address = cell.entries[0].process.callers;
+    let give_up_at = Instant::now() + DEADLINE;
+    let mut unfinished = Vec::new();
+    for job in jobs {
+        loop {
+            let status = caller.job(address, job).await;
+            let state = status.as_ref().ok().map(|status| status.state);
+            if state == Some(JobState::Succeeded) {
+                break;
+            }
+            if Instant::now() >= give_up_at {
+                unfinished.push(format!("job {job} has not succeeded: {status:?}"));
+                break;
+            }
+            sleep(SUPERVISION_PERIOD).await;
+        }
+    }
+    Ok(unfinished)
+}
