change: as many advisors answer short questions only as their load needs

One advisor in eight, four of 35, was kept for short questions, whose load in the burst is 4.3 advisors.

Ruled out: a shortage of room (answered to placed 23 ms), the holder (lag 13 ms), refused starts (none).

The load model uses the same code.

--- a/jackdawchute-cell/src/advisor/mod.rs
+++ b/jackdawchute-cell/src/advisor/mod.rs
@@ -1,6 +1,7 @@
 //! The task that asks this instance's advisor, for itself and for peers.
 
 mod queue;
+mod split;
 
 use std::{sync::Arc, time::Instant};
 
@@ -9,7 +10,10 @@
 use tokio::sync::oneshot;
 use xtra::prelude::*;
 
-pub use self::queue::{AdvisorQueue, Busy, QuestionId};
+pub use self::{
+    queue::{AdvisorQueue, Busy, QuestionId},
+    split::ShortLoad,
+};
 use crate::{settings::ADVICE_MARGIN, Advisor};
 
 /// Asks the advisor, unless too many questions wait for it.
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -73,7 +73,7 @@
 
     async fn handle(&mut self, _tick: Tick, context: &mut Context<Self>) {
         let now = Instant::now();
-        self.note_lag(now);
+        self.note_tick(now);
         self.offer_to_better(now);
         self.ask_peers_in_trouble(now);
         self.scheduler.tick(now, unix_now());
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -28,7 +28,7 @@
     peers::PeerLoad,
 };
 use crate::{
-    advisor::AdvisorTask,
+    advisor::{AdvisorTask, ShortLoad},
     commit::Head,
     member::Deposed,
     messages::CellAnswer,
@@ -78,6 +78,7 @@
     /// Callers whose answer waits for the question to the store that is under way.
     confirming: Vec<oneshot::Sender<CellAnswer>>,
     peers: BTreeMap<SocketAddr, PeerLoad>,
+    short_load: ShortLoad,
     own_address: SocketAddr,
     processor_millicores: u64,
     ports: Ports,
@@ -114,6 +115,7 @@
         unconfirmed: Vec::new(),
         confirming: Vec::new(),
         peers: BTreeMap::new(),
+        short_load: ShortLoad::default(),
         offered_at: None,
         own_address: parts.own_address,
         processor_millicores: parts.processor_millicores,
--- a/jackdawchute-cell/src/leader/peers.rs
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -18,8 +18,8 @@
     messages::{CellAnswer, CellCall, SLICE},
     settings::{
         ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, LAG_GAIN, LAG_MAX, LEADER_STORE_TROUBLE, OFFER_PAUSE,
-        OTHERS_TOLD, PEERS_ASK_PERIOD, PEER_CALL_MARGIN, PEER_MEMORY, SHORT_ONLY_DIVISOR,
-        SHORT_QUESTION, STRONGER_PERCENT, TICK_PERIOD,
+        OTHERS_TOLD, PEERS_ASK_PERIOD, PEER_CALL_MARGIN, PEER_MEMORY, SHORT_QUESTION,
+        STRONGER_PERCENT, TICK_PERIOD,
     },
 };
 
@@ -161,11 +161,12 @@
         }
     }
 
-    /// Measures how late ticks are handled, which tells how much this instance's processor lacks.
-    pub(super) fn note_lag(&mut self, now: Instant) {
-        let late = now
-            .saturating_duration_since(self.ticked_at)
-            .saturating_sub(TICK_PERIOD);
+    /// Measures the load of short questions, and how late ticks are handled, which tells how much
+    /// this instance's processor lacks.
+    pub(super) fn note_tick(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.ticked_at);
+        let late = elapsed.saturating_sub(TICK_PERIOD);
+        self.short_load.tick(elapsed);
         self.ticked_at = now;
         self.lag = self.lag.mul_f64(1.0 - LAG_GAIN) + late.mul_f64(LAG_GAIN);
     }
@@ -181,8 +182,9 @@
         // Some advisors answer short questions only, so that those never wait behind long ones.
         let advisors = self.peers.values().filter(|load| load.usable(now)).count();
         let short_only = if request.expected > SHORT_QUESTION {
-            advisors / SHORT_ONLY_DIVISOR
+            self.short_load.advisors(advisors)
         } else {
+            self.short_load.asked(request.expected);
             0
         };
         let least = self
--- a/jackdawchute-cell/src/lib.rs
+++ b/jackdawchute-cell/src/lib.rs
@@ -23,7 +23,7 @@
 mod rows;
 mod settings;
 
-pub use advisor::{AdvisorQueue, Busy, QuestionId};
+pub use advisor::{AdvisorQueue, Busy, QuestionId, ShortLoad};
 pub use gateway::{Answer, Gateway};
 pub use instance::{Instance, Parts};
 pub use jackdawchute_ports::{Error, Result};
--- a/jackdawchute-standins/src/load_model/advisors.rs
+++ b/jackdawchute-standins/src/load_model/advisors.rs
@@ -5,15 +5,14 @@
     time::Duration,
 };
 
+use jackdawchute_cell::ShortLoad;
 use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest, StepName};
 use jackdawchute_types::WorkerId;
 
 /// The backlog beyond which an advisor gets no further question.
 const BACKLOG_MAX: Duration = Duration::from_millis(1_200);
-/// Questions up to this length never wait behind longer ones: so many of the advisors answer only
-/// them, as in a cell.
+/// Questions up to this length never wait behind longer ones, as in a cell.
 const SHORT_QUESTION: Duration = Duration::from_millis(120);
-const SHORT_ONLY_DIVISOR: usize = 8;
 /// The way to an advisor and back, through another instance.
 const WAY: Duration = Duration::from_millis(4);
 
@@ -21,20 +20,27 @@
 #[derive(Debug)]
 pub(super) struct Advisors {
     free_at: Vec<Duration>,
+    short_load: ShortLoad,
 }
 
 impl Advisors {
     pub(super) fn new(count: usize) -> Self {
         Self {
             free_at: vec![Duration::ZERO; count],
+            short_load: ShortLoad::default(),
         }
     }
 
+    pub(super) fn tick(&mut self, elapsed: Duration) {
+        self.short_load.tick(elapsed);
+    }
+
     /// When the answer to a question is there; `None` if all advisors are busy for long.
     pub(super) fn ask(&mut self, request: &AdviceRequest, now: Duration) -> Option<Duration> {
         let short_only = if request.expected > SHORT_QUESTION {
-            self.free_at.len() / SHORT_ONLY_DIVISOR
+            self.short_load.advisors(self.free_at.len())
         } else {
+            self.short_load.asked(request.expected);
             0
         };
         let free_at = self.free_at.iter_mut().skip(short_only).min()?;
--- a/jackdawchute-standins/src/load_model/run.rs
+++ b/jackdawchute-standins/src/load_model/run.rs
@@ -184,6 +184,7 @@
             Event::Arrive(kind) => self.arrive(kind),
             Event::Tick => {
                 let unix = UNIX_START + self.now;
+                self.advisors.tick(TICK_PERIOD);
                 self.decide(|scheduler, now| scheduler.tick(now, unix));
                 self.sample();
                 self.after(TICK_PERIOD, Event::Tick);
