fix: requests do not wait for slots whose answers are all lost

A test brings it about: a minion that is alone in its failure domain refuses connections; its requests waited 10 s for a slot and were refused, tens of them.

Cause: the lost answers of a minion keep their slots counted until they have surely ended (12 s there). The instance took the group for idle, as it counted no request under way there, sent all further ones to it, and they waited for the share of slots that it may hold, all of it lost.

Change: an instance counts a lost answer as long as its owner does when it chooses a group; an owner refuses calls, as not run, whose instance holds only lost slots; a refusal that a group cannot answer in time leads to another group, as one that it is full.

--- a/jackdawchute-entry/src/callers/complete.rs
+++ b/jackdawchute-entry/src/callers/complete.rs
@@ -50,12 +50,29 @@
                 _ => GrantOutcome::AnswerLost,
             };
             drop(in_flight);
-            let finished = Finished(self.grant.group.clone());
-            let _counted = self.routing.send(finished).detach().await;
+            self.count_finished(&outcome).await;
             self.give_back(outcome).await;
         });
     }
 
+    /// Counts the slot as free for the choice of a group. A request without an answer may still
+    /// run, and its owner counts it until it has surely ended; so does this instance, or it would
+    /// take a group whose slots are all lost for the least used one.
+    pub(super) async fn count_finished(&self, outcome: &GrantOutcome) {
+        let finished = Finished(self.grant.group.clone());
+        let routing = self.routing.clone();
+        if matches!(outcome, GrantOutcome::AnswerLost) {
+            let ended_after = self.grant.ended_after;
+            tokio::spawn(async move {
+                tokio::time::sleep(ended_after).await;
+                // The task is gone only when the instance ends.
+                let _ = routing.send(finished).await;
+            });
+        } else {
+            let _counted = routing.send(finished).detach().await;
+        }
+    }
+
     async fn give_back(self, outcome: GrantOutcome) {
         let grant = &self.grant;
         let (group, epoch) = (grant.group.clone(), grant.epoch);
--- a/jackdawchute-entry/src/callers/exchange.rs
+++ b/jackdawchute-entry/src/callers/exchange.rs
@@ -26,6 +26,8 @@
     pub(super) arrived: Instant,
     pub(super) deadline: Instant,
     pub(super) tried: Vec<GroupId>,
+    /// Why the group that was tried last refused.
+    pub(super) refused_by: Option<Refusal>,
     /// The minions at which earlier attempts failed.
     pub(super) failed_on: Vec<MinionId>,
     /// The group whose owner did not answer the last call for a slot.
@@ -98,11 +100,14 @@
         headers
     }
 
-    /// Another group may still have room.
+    /// Another group may still have room, or answer in time.
     pub(super) fn slot_refused(&mut self, group: GroupId, refusal: Refusal) -> Attempt {
         match refusal.reason {
-            RefusalReason::QueueFull | RefusalReason::NoMinion => {
+            RefusalReason::QueueFull
+            | RefusalReason::NoMinion
+            | RefusalReason::DeadlineUnreachable => {
                 self.tried.push(group);
+                self.refused_by = Some(refusal.clone());
                 Attempt::Failed(RetryReason::NoCapacity, refusal)
             }
             _ => Attempt::Refused(refusal),
--- a/jackdawchute-entry/src/callers/requests.rs
+++ b/jackdawchute-entry/src/callers/requests.rs
@@ -26,8 +26,8 @@
 use crate::{
     authority::RequestsAuthority,
     routing::{
-        shutting_down, AskRetry, Finished, LocateGroup, Located, MatchRoute, OwnerMissing,
-        PickGroup, RouteMatch, RoutingTask, Sent, Succeeded,
+        shutting_down, AskRetry, LocateGroup, Located, MatchRoute, OwnerMissing, PickGroup,
+        RouteMatch, RoutingTask, Sent, Succeeded,
     },
     Metrics,
 };
@@ -108,6 +108,7 @@
             arrived,
             deadline,
             tried,
+            refused_by: None,
             failed_on: Vec::new(),
             unreachable: None,
             attempt: 0,
@@ -198,6 +199,10 @@
             {
                 return Attempt::NoOwner(owner_unavailable())
             }
+            // No group is left; the last one's own refusal says more.
+            Err(Attempt::Refused(refusal)) => {
+                return Attempt::Refused(exchange.refused_by.take().unwrap_or(refusal))
+            }
             Err(attempt) => return attempt,
         };
         let group = located.group.clone();
@@ -310,21 +315,17 @@
         error: SendError,
         completion: Completion,
     ) -> Attempt {
-        let _counted = self
-            .routing
-            .send(Finished(completion.grant.group.clone()))
-            .detach()
-            .await;
         exchange.failed_on.push(completion.grant.minion.clone());
         let connection_refused = matches!(error, SendError::Connect(..));
         if error.is_not_sent() {
-            completion
-                .finish(GrantOutcome::NotSent { connection_refused })
-                .await;
+            let outcome = GrantOutcome::NotSent { connection_refused };
+            completion.count_finished(&outcome).await;
+            completion.finish(outcome).await;
             let refusal = Refusal::not_run(RefusalReason::ConnectFailed, error.to_string());
             return Attempt::Failed(RetryReason::ConnectFailed, refusal);
         }
         exchange.sent = true;
+        completion.count_finished(&GrantOutcome::AnswerLost).await;
         completion.finish(GrantOutcome::AnswerLost).await;
         if let Some(reserved) = exchange.reserved.take() {
             reserved.finish(GrantOutcome::AnswerLost).await;
--- a/jackdawchute-requests/src/complete.rs
+++ b/jackdawchute-requests/src/complete.rs
@@ -39,6 +39,9 @@
             self.returned_early.insert(grant);
         }
         self.take_back(grant, &complete.outcome, now);
+        if complete.outcome == GrantOutcome::AnswerLost {
+            self.refuse_stuck(&complete.holder, now, effects);
+        }
         match self.keys.by_grant(grant).cloned() {
             Some(key) => self.complete_key(call, &key, complete.outcome, now, effects),
             None => reply(call, Ok(Reply::Completed), effects),
--- a/jackdawchute-requests/src/grant.rs
+++ b/jackdawchute-requests/src/grant.rs
@@ -123,7 +123,8 @@
         let failed_on = &waiting.acquire.failed_on;
         let Some(minion) = self.choose_minion(&holder, failed_on, key.is_some(), now) else {
             self.put_down(&ticket);
-            self.park(ParkedFor::Holder(holder), waiting, now, effects);
+            self.park(ParkedFor::Holder(holder.clone()), waiting, now, effects);
+            self.refuse_stuck(&holder, now, effects);
             return false;
         };
         let grant = self.open_grant(ticket, minion, holder, key.clone(), now);
@@ -134,6 +135,33 @@
         true
     }
 
+    /// Refuses the calls that wait for a share of their holder which is all taken by requests
+    /// without an answer: nothing of it is given back before these have surely ended, and another
+    /// group may have room.
+    pub(crate) fn refuse_stuck(
+        &mut self,
+        holder: &IncarnationId,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        let mut held = self
+            .open
+            .values()
+            .filter(|open| open.holder == *holder && open.key.is_none())
+            .peekable();
+        let stuck =
+            held.peek().is_some() && held.all(|open| matches!(open.phase, GrantPhase::Lingering));
+        if !stuck {
+            return;
+        }
+        let parked = self.parked.remove(&ParkedFor::Holder(holder.clone()));
+        for waiting in parked.into_iter().flatten() {
+            let detail = "the instance's slots may all still run requests without an answer";
+            let refusal = Refusal::not_run(RefusalReason::QueueFull, detail);
+            self.refuse(waiting, refusal, now, effects);
+        }
+    }
+
     /// The minion with the largest free share; equal ones take turns. One on which the request
     /// failed before comes last, so that its attempts do not all end there.
     fn choose_minion(
@@ -263,6 +291,7 @@
                 life: settings.life,
                 waited,
                 transit_max: settings.transit_max,
+                ended_after: settings.ended_after(),
             })),
         });
     }
--- a/jackdawchute-requests/src/messages.rs
+++ b/jackdawchute-requests/src/messages.rs
@@ -69,6 +69,9 @@
     /// A grant that was longer in transit must be given back unsent.
     #[serde(with = "duration_ms", rename = "transit_max_ms")]
     pub transit_max: Duration,
+    /// How long its slot is counted as in use if its answer is lost.
+    #[serde(with = "duration_ms", rename = "ended_after_ms")]
+    pub ended_after: Duration,
 }
 
 /// The answer to a keyed request, kept for repeated calls.
--- a/jackdawchute-requests/tests/retries.rs
+++ b/jackdawchute-requests/tests/retries.rs
@@ -10,7 +10,7 @@
 use fixtures::*;
 use jackdawchute_ports::MemberState;
 use jackdawchute_requests::{
-    Acquire, Call, FailedAttempt, GrantOutcome, RetryBudget, RetrySettings,
+    Acquire, Call, FailedAttempt, Grant, GrantOutcome, RetryBudget, RetrySettings, State,
 };
 use jackdawchute_types::{ClassId, Execution, NoRecorder, Recorder, RefusalReason, RetryReason};
 
@@ -144,3 +144,40 @@
 
     assert!(granted(&effects, 1).is_some());
 }
+
+/// An owner that gives an instance two slots at a time, both of which are in use.
+fn owner_with_two_taken(now: Instant) -> (State, [Grant; 2]) {
+    let mut settings = settings();
+    settings.grants.hold_back_slots = 2;
+    let mut state = owner(settings, &minions(1, SLOTS), now);
+    let taken = [1, 2].map(|call| granted_plain(&mut state, call, OWNER, now));
+    (state, taken)
+}
+
+#[test]
+fn a_call_does_not_wait_for_slots_whose_answers_are_all_lost() {
+    let now = Instant::now();
+    let (mut state, taken) = owner_with_two_taken(now);
+    state.incoming(3, Call::Acquire(acquire(OWNER)), now);
+
+    state.incoming(4, complete(&taken[0], OWNER, GrantOutcome::AnswerLost), now);
+    let effects = state.incoming(5, complete(&taken[1], OWNER, GrantOutcome::AnswerLost), now);
+    let later = state.incoming(6, Call::Acquire(acquire(OWNER)), now);
+
+    let refusal = refused(&effects, 3).expect("it waited");
+    assert_eq!(refusal.reason, RefusalReason::QueueFull);
+    assert_eq!(refusal.execution, Execution::NotRun);
+    assert!(refused(&later, 6).is_some());
+}
+
+#[test]
+fn a_call_waits_for_a_slot_that_will_be_given_back() {
+    let now = Instant::now();
+    let (mut state, taken) = owner_with_two_taken(now);
+    state.incoming(3, Call::Acquire(acquire(OWNER)), now);
+    state.incoming(4, complete(&taken[0], OWNER, GrantOutcome::AnswerLost), now);
+
+    let effects = state.incoming(5, complete(&taken[1], OWNER, answered("done")), now);
+
+    assert!(granted(&effects, 3).is_some());
+}
--- a/jackdawchute-requests/tests/takeover.rs
+++ b/jackdawchute-requests/tests/takeover.rs
@@ -67,6 +67,7 @@
         life: Duration::from_secs(30),
         waited: Duration::ZERO,
         transit_max: Duration::from_secs(2),
+        ended_after: Duration::from_secs(37),
     }
 }
 
--- a/jackdawchute-requests/tests/task.rs
+++ b/jackdawchute-requests/tests/task.rs
@@ -237,6 +237,7 @@
         life: Duration::from_secs(30),
         waited: Duration::ZERO,
         transit_max: Duration::from_secs(2),
+        ended_after: Duration::from_secs(37),
     };
     let cell = cell(Peer(vec![held]), 2, 4).await;
 
--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -196,3 +196,22 @@
 
     assert_no_request_failed(&cell, &finished).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_minion_that_refuses_connections_and_is_alone_in_its_failure_domain_costs_no_quote() {
+    let cell = cell(2).await;
+    let mut plan = plan();
+    plan.classes.retain(|class| !class.keyed);
+    let load = cell.start_load(&plan).unwrap();
+    tokio::time::sleep(PHASE).await;
+
+    let refusing = ProxyFaults::refusing();
+    cell.minions[1].proxy.set_faults(refusing).await.unwrap();
+    tokio::time::sleep(2 * PHASE).await;
+    let healthy = ProxyFaults::default();
+    cell.minions[1].proxy.set_faults(healthy).await.unwrap();
+    tokio::time::sleep(2 * PHASE).await;
+    let finished = load.stop().await;
+
+    assert_no_request_failed(&cell, &finished).await;
+}
