--- a/jackdawchute-entry/src/callers/requests.rs
+++ b/jackdawchute-entry/src/callers/requests.rs
@@ -53,7 +53,7 @@
 
 /// What an owner gave.
 enum Acquired {
-    Held(Completion),
+    Held(Box<Completion>),
     Answered(StoredAnswer),
 }
 
@@ -208,7 +208,7 @@
         let group = located.group.clone();
         let acquire = exchange.acquire(group.clone(), None, self.incarnation.clone());
         match self.acquire(&located, acquire).await {
-            Ok(Acquired::Held(completion)) => self.use_slot(exchange, completion).await,
+            Ok(Acquired::Held(completion)) => self.use_slot(exchange, *completion).await,
             Ok(Acquired::Answered(_)) => Attempt::Refused(unexpected_reply()),
             Err(Attempt::Refused(refusal)) => exchange.slot_refused(group, refusal),
             Err(attempt) => {
@@ -228,7 +228,7 @@
         let located = located(self.routing.send(LocateGroup(group.clone())).await)?;
         let acquire = exchange.acquire(group, Some(key), self.incarnation.clone());
         match self.acquire(&located, acquire).await? {
-            Acquired::Held(completion) => Ok(completion),
+            Acquired::Held(completion) => Ok(*completion),
             Acquired::Answered(answer) => Err(Attempt::Answered(Box::new(stored_response(answer)))),
         }
     }
@@ -257,7 +257,7 @@
         let may_use = self.holder.send(held).await.unwrap_or(false);
         let completion = self.completion(&grant);
         if may_use {
-            return Ok(Acquired::Held(completion));
+            return Ok(Acquired::Held(Box::new(completion)));
         }
         completion.finish(NOT_SENT).await;
         let refusal = Refusal::not_run(RefusalReason::OwnerUnavailable, "the grant came late");
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -18,3 +18,16 @@
 async fn overlapping_faults_break_no_promise() {
     assert_eq!(violations(1).await, Vec::<String>::new());
 }
+
+/// Failed once: quotes were refused seconds after all faults were over, since the slots of a minion
+/// alone in its failure domain were counted for lost answers and its group was taken for idle.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_of_a_failure_domain_cost_no_later_request() {
+    assert_eq!(violations(25).await, Vec::<String>::new());
+}
+
+/// Failed once, of the same cause.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_after_an_outage_of_the_table_cost_no_later_request() {
+    assert_eq!(violations(50).await, Vec::<String>::new());
+}
