--- a/jackdawchute-standins/examples/soak.rs
+++ b/jackdawchute-standins/examples/soak.rs
@@ -1,7 +1,8 @@
 //! Plays random faults on cells of real processes and says what was violated.
 //!
 //! Run with `cargo run --release -p jackdawchute-standins --example soak -- PROGRAM [SEEDS] [FIRST]
-//! [SECONDS]`: so many seeds from the first one on, each with faults for so many seconds.
+//! [SECONDS] [LOGS]`: so many seeds from the first one on, each with faults for so many seconds; the
+//! instances' logs of a seed that is red are kept in the folder LOGS.
 
 use std::{path::PathBuf, time::Duration};
 
@@ -11,7 +12,7 @@
 async fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let Some(program) = arguments.first().map(PathBuf::from) else {
-        eprintln!("usage: soak PROGRAM [SEEDS] [FIRST] [SECONDS]");
+        eprintln!("usage: soak PROGRAM [SEEDS] [FIRST] [SECONDS] [LOGS]");
         std::process::exit(2);
     };
     let number = |index: usize, default: u64| {
@@ -21,7 +22,10 @@
     let (seeds, first, seconds) = (number(1, 5), number(2, 1), number(3, 12));
     let mut red = 0;
     for seed in first..first + seeds {
-        let plan = SoakPlan::new(seed, Duration::from_secs(seconds));
+        let plan = SoakPlan {
+            logs: arguments.get(4).map(PathBuf::from),
+            ..SoakPlan::new(seed, Duration::from_secs(seconds))
+        };
         match run(&program, &plan).await {
             Ok(report) => {
                 red += usize::from(!report.violations.is_empty());
--- a/jackdawchute-standins/src/soak/plan.rs
+++ b/jackdawchute-standins/src/soak/plan.rs
@@ -1,6 +1,6 @@
 //! Draws the faults of a seed.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, path::PathBuf, time::Duration};
 
 use rand::{rngs::StdRng, Rng, SeedableRng};
 
@@ -35,6 +35,8 @@
     pub workers: usize,
     /// How long faults begin and the load goes on.
     pub lasts: Duration,
+    /// Where the instances' logs are kept if anything is violated, in a folder for the seed.
+    pub logs: Option<PathBuf>,
 }
 
 impl SoakPlan {
@@ -54,6 +56,7 @@
             minions: 4,
             workers: 4,
             lasts,
+            logs: None,
         }
     }
 
--- a/jackdawchute-standins/src/soak/run.rs
+++ b/jackdawchute-standins/src/soak/run.rs
@@ -1,6 +1,6 @@
 //! Plays the faults of a seed on a cell and holds what callers were told against the records.
 
-use std::{collections::BTreeSet, fmt, path::Path, time::Duration};
+use std::{collections::BTreeSet, fmt, fs, io, path::Path, time::Duration};
 
 use jackdawchute_types::{JobId, JobKind, JobSpec, JobState, Resources};
 use smol_str::format_smolstr;
@@ -10,7 +10,7 @@
 use crate::{
     balancer::ReadReady,
     caller::Caller,
-    harness::{Cell, CellOptions, ServicePlan, WorkerPlan, DEADLINE},
+    harness::{Cell, CellEntry, CellOptions, ServicePlan, WorkerPlan, DEADLINE},
     load::{ClassPlan, Finished, Plan},
     Error, Result,
 };
@@ -94,6 +94,11 @@
     violations.extend(unserved(&finished, calm_until));
     violations.extend(unfinished_jobs(&cell, &jobs).await?);
     violations.extend(cell.untruths(&finished).await?);
+    if let Some(logs) = plan.logs.as_ref().filter(|_| !violations.is_empty()) {
+        let kept = logs.join(format!("seed-{}", plan.seed));
+        keep_logs(&cell, &kept)
+            .map_err(|cause| Error::Io("keep logs", kept.display().to_string(), cause))?;
+    }
     Ok(SoakReport {
         seed: plan.seed,
         disturbances,
@@ -103,6 +108,22 @@
     })
 }
 
+/// Copies the logs of all instances' processes.
+fn keep_logs(cell: &Cell, to: &Path) -> io::Result<()> {
+    fs::create_dir_all(to)?;
+    // All instances write to one folder.
+    let Some(log) = cell.entries.first().map(CellEntry::log) else {
+        return Ok(());
+    };
+    for file in fs::read_dir(log.parent().unwrap_or(Path::new(".")))? {
+        let file = file?;
+        if file.path().extension().is_some_and(|it| it == "log") {
+            fs::copy(file.path(), to.join(file.file_name()))?;
+        }
+    }
+    Ok(())
+}
+
 fn options(program: &Path, plan: &SoakPlan) -> CellOptions {
     CellOptions {
         entries: plan.entries,
@@ -142,7 +163,8 @@
         resources: Resources::new(500, 1_024, 0),
         run_time: Duration::default(),
         deadline: Duration::default(),
-        idempotency_key: Some(format_smolstr!("batch-{index}")),
+        // Cells that are soaked side by side have no job in common.
+        idempotency_key: Some(format_smolstr!("batch-{}-{index}", std::process::id())),
         command: "run_ms=300".into(),
     }
 }
--- a/jackdawchute-trial/tests/minion.rs
+++ b/jackdawchute-trial/tests/minion.rs
@@ -83,7 +83,7 @@
     );
 
     let record = minion.record().await.unwrap();
-    assert_eq!(record.max_concurrent, 3);
+    assert_eq!(record.max_concurrent, 3, "{:?}", record.runs);
     assert!(!record.is_within_slots());
     assert_eq!(record.runs_per_key()["key-t2"], 2);
     assert!(record.runs.iter().all(|run| run.ended.is_some()));
--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -50,6 +50,15 @@
     load
 }
 
+/// A load that may be sent more than once.
+async fn loaded_with_quotes(cell: &Cell) -> RunningLoad {
+    let mut plan = plan();
+    plan.classes.retain(|class| !class.keyed);
+    let load = cell.start_load(&plan).unwrap();
+    tokio::time::sleep(PHASE).await;
+    load
+}
+
 fn failed(finished: &[Finished]) -> Vec<String> {
     let failed = finished.iter().filter(|it| !it.outcome.is_answered());
     failed.map(ToString::to_string).collect()
@@ -106,10 +115,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_while_the_table_is_down_cuts_no_request_off() {
     let mut cell = cell(3).await;
-    let mut plan = plan();
-    plan.classes.retain(|class| !class.keyed);
-    let load = cell.start_load(&plan).unwrap();
-    tokio::time::sleep(PHASE).await;
+    let load = loaded_with_quotes(&cell).await;
     let down = TableFaults {
         availability: Availability::Refusing,
         ..TableFaults::default()
@@ -184,10 +190,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_minion_that_refuses_connections_costs_no_quote() {
     let cell = cell(2).await;
-    let mut plan = plan();
-    plan.classes.retain(|class| !class.keyed);
-    let load = cell.start_load(&plan).unwrap();
-    tokio::time::sleep(PHASE).await;
+    let load = loaded_with_quotes(&cell).await;
 
     let refusing = ProxyFaults::refusing();
     cell.minions[0].proxy.set_faults(refusing).await.unwrap();
@@ -200,10 +203,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_minion_that_refuses_connections_and_is_alone_in_its_failure_domain_costs_no_quote() {
     let cell = cell(2).await;
-    let mut plan = plan();
-    plan.classes.retain(|class| !class.keyed);
-    let load = cell.start_load(&plan).unwrap();
-    tokio::time::sleep(PHASE).await;
+    let load = loaded_with_quotes(&cell).await;
 
     let refusing = ProxyFaults::refusing();
     cell.minions[1].proxy.set_faults(refusing).await.unwrap();
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -31,3 +31,21 @@
 async fn lost_answers_after_an_outage_of_the_table_cost_no_later_request() {
     assert_eq!(violations(50).await, Vec::<String>::new());
 }
+
+/// Failed once in three plays; not traced (KNOWN-RED.txt).
+#[tokio::test(flavor = "multi_thread")]
+async fn a_task_of_a_killed_owner_runs_in_one_place() {
+    assert_eq!(violations(48).await, Vec::<String>::new());
+}
+
+/// Failed once in two plays; not traced (KNOWN-RED.txt).
+#[tokio::test(flavor = "multi_thread")]
+async fn quotes_are_answered_after_stops_and_a_silent_table() {
+    assert_eq!(violations(32).await, Vec::<String>::new());
+}
+
+/// Failed once in two plays; not traced (KNOWN-RED.txt).
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_are_answered_after_kills_and_a_refusing_minion() {
+    assert_eq!(violations(49).await, Vec::<String>::new());
+}
