refactor: one split of advisors, one expected chain, one restart

The load model had a copy of the length of a short question and of the choice of advisors; both are a method of ShortLoad now. The expected chain of a job was worked out in three places, an instance of a cell was started again and announced in three, and four tests built the same full cell.

--- a/jackdawchute-cell/src/advisor/split.rs
+++ b/jackdawchute-cell/src/advisor/split.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+/// A question that takes longer is a long one; urgent jobs have a second to spare.
+const SHORT_QUESTION: Duration = Duration::from_millis(120);
 /// How much of the load that was measured last counts; with a tick of 40 ms, half a second counts.
 const GAIN: f64 = 0.1;
 /// How many times the load the advisors are that are kept for it. Questions of equal length wait
@@ -43,6 +45,24 @@
         self.busy += (busy - self.busy) * GAIN;
     }
 
+    /// How many of so many advisors a question passes over: a long one those that are kept for short
+    /// ones, a short one none. Short ones are counted.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// let mut load = jackdawchute_cell::ShortLoad::default();
+    /// assert_eq!(load.passed_over(Duration::from_millis(20), 10), 0);
+    /// load.tick(Duration::from_millis(40));
+    /// assert_eq!(load.passed_over(Duration::from_millis(700), 10), 1);
+    /// ```
+    pub fn passed_over(&mut self, expected: Duration, advisors: usize) -> usize {
+        if expected > SHORT_QUESTION {
+            return self.advisors(advisors);
+        }
+        self.asked(expected);
+        0
+    }
+
     /// How many of so many advisors are kept for short questions; half of them at most.
     ///
     /// ```
--- a/jackdawchute-cell/src/leader/peers.rs
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -18,8 +18,8 @@
     messages::{CellAnswer, CellCall, SLICE},
     settings::{
         ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, LAG_GAIN, LAG_MAX, LEADER_STORE_TROUBLE, OFFER_PAUSE,
-        OTHERS_TOLD, PEERS_ASK_PERIOD, PEER_CALL_MARGIN, PEER_MEMORY, SHORT_QUESTION,
-        STRONGER_PERCENT, TICK_PERIOD,
+        OTHERS_TOLD, PEERS_ASK_PERIOD, PEER_CALL_MARGIN, PEER_MEMORY, STRONGER_PERCENT,
+        TICK_PERIOD,
     },
 };
 
@@ -181,17 +181,12 @@
         let own_address = self.own_address;
         // Some advisors answer short questions only, so that those never wait behind long ones.
         let advisors = self.peers.values().filter(|load| load.usable(now)).count();
-        let short_only = if request.expected > SHORT_QUESTION {
-            self.short_load.advisors(advisors)
-        } else {
-            self.short_load.asked(request.expected);
-            0
-        };
+        let passed_over = self.short_load.passed_over(request.expected, advisors);
         let least = self
             .peers
             .iter_mut()
             .filter(|(address, load)| **address == own_address || load.usable(now))
-            .skip(short_only)
+            .skip(passed_over)
             .min_by_key(|(_, load)| load.advisor_free_at);
         let Some((address, load)) = least else {
             return;
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -98,8 +98,6 @@
 pub(crate) const LAG_MAX: Duration = Duration::from_millis(30);
 /// The pause between two such offers.
 pub(crate) const OFFER_PAUSE: Duration = Duration::from_secs(1);
-/// A question to an advisor that takes longer is a long one; urgent jobs have a second to spare.
-pub(crate) const SHORT_QUESTION: Duration = Duration::from_millis(120);
 /// How often peers are asked for a later epoch while nothing can be saved.
 pub(crate) const PEERS_ASK_PERIOD: Duration = Duration::from_millis(500);
 /// How often a leaving instance offers its epoch until it is taken over.
--- a/jackdawchute-scheduler/src/admit.rs
+++ b/jackdawchute-scheduler/src/admit.rs
@@ -73,9 +73,7 @@
         if job.graph.repeat.is_some() || job.graph.long_running() || cores <= 0.0 {
             return Admission::OnTime;
         }
-        let chain = self
-            .run_times
-            .expected(&job.queue.queue, job.graph.longest_chain());
+        let chain = self.expected_chain(job);
         let allowance = job.queue.wait_allowance(chain);
         let expected = self.backlog(job, Backlog::OnTime, cores, now);
         if expected <= allowance {
--- a/jackdawchute-scheduler/src/rank.rs
+++ b/jackdawchute-scheduler/src/rank.rs
@@ -111,14 +111,18 @@
         }
     }
 
+    /// How long the longest chain of a job's steps is expected to take.
+    pub(crate) fn expected_chain(&self, job: &Job) -> Duration {
+        let declared = job.graph.longest_chain();
+        self.run_times.expected(&job.queue.queue, declared)
+    }
+
     /// What a job will be worth, and how much longer it can wait until that changes.
     fn timeliness(&self, job: &Job, now: Instant) -> (Timeliness, Duration) {
         if let Some(slack) = self.slack(job, now) {
             return (Timeliness::OnTime, slack);
         }
-        let chain = self
-            .run_times
-            .expected(&job.queue.queue, job.graph.longest_chain());
+        let chain = self.expected_chain(job);
         let useful = job.queue.useful_for(chain, USEFUL_FACTOR);
         let passed = job.waited(now) + ORDER_OVERHEAD + chain;
         match useful.checked_sub(passed) {
@@ -136,9 +140,7 @@
         if job.deferred {
             return None;
         }
-        let chain = self
-            .run_times
-            .expected(&job.queue.queue, job.graph.longest_chain());
+        let chain = self.expected_chain(job);
         let allowance = job.queue.wait_allowance(chain);
         allowance.checked_sub(job.waited(now) + ORDER_OVERHEAD)
     }
--- a/jackdawchute-scheduler/tests/behaviour/lateness.rs
+++ b/jackdawchute-scheduler/tests/behaviour/lateness.rs
@@ -74,12 +74,18 @@
     assert!(retry_after >= ms(200));
 }
 
-/// A worker with one task that runs, and jobs that wait for it: the last cannot be on time.
-fn cell_with_a_late_arrival() -> (Cell, StartOrder) {
+/// A cell of one worker, which is full with one task.
+fn full_cell() -> (Cell, StartOrder) {
     let mut cell = settled_cell(1, &[entry("w1", 4)]);
     cell.accept("running", vec![step(1, 4)], queue(1));
     let running = cell.take_starts().remove(0);
     cell.confirm(&running);
+    (cell, running)
+}
+
+/// A full cell with jobs that wait, of which the last cannot be on time.
+fn cell_with_a_late_arrival() -> (Cell, StartOrder) {
+    let (mut cell, running) = full_cell();
     cell.accept("waiting", vec![step(2, 4)], queue(1));
     cell.accept("late", vec![step(1, 4)], queue(1));
     (cell, running)
@@ -110,15 +116,10 @@
 fn a_job_that_would_be_late_holds_up_none_that_can_be_on_time() {
     let (mut cell, running) = cell_with_a_late_arrival();
     cell.accept("urgent", vec![step(1, 4)], queue(0));
-    cell.tick(1_000);
-    let hold = cell.hold_of("w1");
-    let end = ended(1, &running, EndReason::Succeeded);
 
-    cell.answer_hold(&hold, Vec::new(), vec![end]);
-    cell.tick(1);
-    let next = cell.take_starts();
+    let next = next_after(&mut cell, &running, 1_000);
 
-    assert_eq!(next[0].task.step.job, "urgent");
+    assert_eq!(next, "urgent");
 }
 
 /// Lets the running task of a one-worker cell end, and returns the job that starts next.
@@ -134,10 +135,7 @@
 
 #[test]
 fn a_result_that_nobody_needs_any_more_goes_last() {
-    let mut cell = settled_cell(1, &[entry("w1", 4)]);
-    cell.accept("running", vec![step(1, 4)], queue(1));
-    let running = cell.take_starts().remove(0);
-    cell.confirm(&running);
+    let (mut cell, running) = full_cell();
     cell.accept("too-late", vec![step(1, 4)], queue(1));
     // The objective is below 3 s: after 9 s one result is of no use, the other is late.
     cell.tick(5_000);
@@ -150,11 +148,7 @@
 
 #[test]
 fn a_small_gang_goes_before_a_large_one_with_little_less_time() {
-    let workers = [entry("w1", 4)];
-    let mut cell = settled_cell(1, &workers);
-    cell.accept("running", vec![step(1, 4)], queue(1));
-    let running = cell.take_starts().remove(0);
-    cell.confirm(&running);
+    let (mut cell, running) = full_cell();
     cell.accept("large", vec![gang(4, 1)], queue(1));
     cell.tick(100);
     cell.accept("small", vec![gang(2, 1)], queue(1));
--- a/jackdawchute-standins/examples/load_model.rs
+++ b/jackdawchute-standins/examples/load_model.rs
@@ -1,8 +1,7 @@
 //! Plays the load of a user on the scheduler's decisions and prints what callers got.
 //!
 //! Run with `cargo run --release -p jackdawchute-standins --example load_model [SEEDS] [PLAN]`,
-//! where PLAN is `today`, `grown`, `repair-desk` or
-//! `thousand`.
+//! where PLAN is `today`, `grown`, `repair-desk` or `thousand`.
 
 use jackdawchute_standins::load_model::{run, ModelPlan};
 
--- a/jackdawchute-standins/src/harness/cell.rs
+++ b/jackdawchute-standins/src/harness/cell.rs
@@ -108,6 +108,15 @@
         Ok(&mut self.entries[index])
     }
 
+    /// Starts an instance that has ended again, as a new incarnation, and tells the balancer.
+    ///
+    /// # Errors
+    /// It did not start.
+    pub async fn restart_entry(&mut self, index: usize) -> Result<()> {
+        self.entries[index].restart().await?;
+        self.publish_members().await
+    }
+
     /// Lists the minions that were not in the membership list at the start.
     ///
     /// # Errors
--- a/jackdawchute-standins/src/load_model/advisors.rs
+++ b/jackdawchute-standins/src/load_model/advisors.rs
@@ -11,8 +11,6 @@
 
 /// The backlog beyond which an advisor gets no further question.
 const BACKLOG_MAX: Duration = Duration::from_millis(1_200);
-/// Questions up to this length never wait behind longer ones, as in a cell.
-const SHORT_QUESTION: Duration = Duration::from_millis(120);
 /// The way to an advisor and back, through another instance.
 const WAY: Duration = Duration::from_millis(4);
 
@@ -37,13 +35,9 @@
 
     /// When the answer to a question is there; `None` if all advisors are busy for long.
     pub(super) fn ask(&mut self, request: &AdviceRequest, now: Duration) -> Option<Duration> {
-        let short_only = if request.expected > SHORT_QUESTION {
-            self.short_load.advisors(self.free_at.len())
-        } else {
-            self.short_load.asked(request.expected);
-            0
-        };
-        let free_at = self.free_at.iter_mut().skip(short_only).min()?;
+        let advisors = self.free_at.len();
+        let passed_over = self.short_load.passed_over(request.expected, advisors);
+        let free_at = self.free_at.iter_mut().skip(passed_over).min()?;
         if free_at.saturating_sub(now) > BACKLOG_MAX {
             return None;
         }
--- a/jackdawchute-standins/src/soak/fault.rs
+++ b/jackdawchute-standins/src/soak/fault.rs
@@ -77,14 +77,10 @@
     pub(super) async fn end(&self, cell: &mut Cell) -> Result<()> {
         let healthy = ProxyFaults::default();
         match *self {
-            Self::Kill(index) => {
-                cell.entries[index].restart().await?;
-                cell.publish_members().await
-            }
+            Self::Kill(index) => cell.restart_entry(index).await,
             Self::Terminate(index) => {
                 cell.entries[index].process.wait().await?;
-                cell.entries[index].restart().await?;
-                cell.publish_members().await
+                cell.restart_entry(index).await
             }
             Self::Pause(index) => cell.entries[index].process.signal(Signal::Continue).await,
             Self::PeerNetwork(index, _) => cell.entries[index].peer_proxy.set_faults(healthy).await,
--- a/jackdawchute-standins/src/soak/run.rs
+++ b/jackdawchute-standins/src/soak/run.rs
@@ -5,10 +5,11 @@
 use jackdawchute_types::{JobId, JobKind, JobSpec, JobState, Resources};
 use smol_str::format_smolstr;
 use tokio::time::{sleep, Instant};
+use xtra::Address;
 
 use super::{Disturbance, Fault, SoakPlan};
 use crate::{
-    balancer::ReadReady,
+    balancer::{BalancerTask, ReadReady},
     caller::Caller,
     harness::{Cell, CellEntry, CellOptions, ServicePlan, WorkerPlan, DEADLINE},
     load::{ClassPlan, Finished, Plan},
@@ -171,7 +172,7 @@
 
 /// Submits jobs through whichever instance is ready; returns those that were accepted.
 async fn submit_jobs(
-    balancer: xtra::Address<crate::balancer::BalancerTask>,
+    balancer: Address<BalancerTask>,
     caller: Caller,
     until: Instant,
 ) -> Vec<JobId> {
@@ -278,8 +279,7 @@
             if status.code() != Some(FENCED_EXIT_CODE) {
                 self.violations.push(format!("{}: {status}", entry.name));
             }
-            entry.restart().await?;
-            cell.publish_members().await?;
+            cell.restart_entry(index).await?;
         }
         Ok(())
     }
