fix: a soak that is told to end ends its instances

Cause: a soak ended by SIGTERM left the instances of its cell running, since processes are killed when the cell is dropped and a signal drops nothing. They went on calling the addresses of their dead cell, which the system gives to other tests; a stand-in minion counts any call as a request.

Change: the example waits for the end with the stand-ins' own wait_for_end beside the seeds, and drops the cell.

--- a/jackdawchute-standins/examples/soak.rs
+++ b/jackdawchute-standins/examples/soak.rs
@@ -6,10 +6,28 @@
 
 use std::{path::PathBuf, time::Duration};
 
-use jackdawchute_standins::soak::{run, SoakPlan};
+use jackdawchute_standins::{
+    program::wait_for_end,
+    soak::{run, SoakPlan},
+    Result,
+};
 
 #[tokio::main]
-async fn main() {
+async fn main() -> Result<()> {
+    // A soak that is told to end drops its cell, which ends the cell's processes.
+    let red = tokio::select! {
+        red = play() => red,
+        told = wait_for_end() => {
+            told?;
+            println!("told to end");
+            true
+        }
+    };
+    std::process::exit(i32::from(red));
+}
+
+/// Plays the seeds; whether any is red.
+async fn play() -> bool {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let Some(program) = arguments.first().map(PathBuf::from) else {
         eprintln!("usage: soak PROGRAM [SEEDS] [FIRST] [SECONDS] [LOGS]");
@@ -38,5 +56,5 @@
         }
     }
     println!("{red} of {seeds} seeds red");
-    std::process::exit(i32::from(red > 0));
+    red > 0
 }
