fix: an instance is ready only once it has read a membership list

A quote that came in the first 6 ms was refused with 'no minion of service repair-desk is listed'. An instance counted as ready once its directory had owners; other instances' claims fill it, so one that starts beside others was ready before its own first read of the membership list.

Ruled out: a list that shrinks during the stop (the refusal came 2 s before it); an instance alone (its directory stays empty until it has a list).

--- a/jackdawchute-entry/src/routing/state.rs
+++ b/jackdawchute-entry/src/routing/state.rs
@@ -56,6 +56,8 @@
                 "confirmation of the configuration",
             ),
             (!self.directory.owners.is_empty(), "directory of owners"),
+            // Other instances' claims fill the directory before this one has read any list.
+            (self.members.version > 0, "membership list"),
             (!self.draining, "an end of the shutdown"),
             (self.standing != Standing::Fenced, "an unfenced incarnation"),
         ];
--- a/jackdawchute-entry/tests/hostile_input.rs
+++ b/jackdawchute-entry/tests/hostile_input.rs
@@ -1,15 +1,11 @@
 //! Malformed and hostile input on each listener.
 
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, SystemTime},
-};
+mod fixtures;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use jackdawchute_configuration::{apply, Configuration};
-use jackdawchute_entry::{HttpWorkerPorts, Instance, Platform};
-use jackdawchute_ports::{Member, MemberRole, MemberState, MemoryTable};
-use jackdawchute_settings::Settings;
+use fixtures::{configured_table, get, member, wait_until_ready};
+use jackdawchute_entry::Instance;
 use jackdawchute_trial::{spawn_minion, MemoryMembership, MinionOptions, RunningMinion};
 use quickcheck::{Arbitrary, Gen};
 use reqwest::{Client, StatusCode};
@@ -24,8 +20,6 @@
 const INPUTS: usize = 100;
 /// How long one exchange of hostile bytes may take before it is given up.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(200);
-/// How long the instance may take until it is ready.
-const READY_DEADLINE: Duration = Duration::from_secs(30);
 const PEER_TOKEN: &str = "";
 
 struct Running {
@@ -34,28 +28,10 @@
 }
 
 async fn instance() -> Running {
-    let configuration = Configuration::embedded().unwrap();
-    let table = Arc::new(MemoryTable::default());
-    let options = apply::Options {
-        candidate: Configuration {
-            version: 0,
-            ..configuration
-        },
-        author: "test".into(),
-        reason: "test".to_owned(),
-        write_id: "test".into(),
-        written: SystemTime::now(),
-    };
-    apply::apply(table.as_ref(), options).await.unwrap();
     let minion = spawn_minion(MinionOptions::new("m1", 8)).await.unwrap();
     let membership = Arc::new(MemoryMembership::default());
     membership.set(vec![member(minion.address)]);
-    let platform = Platform {
-        table,
-        membership,
-        workers: Arc::new(HttpWorkerPorts),
-    };
-    let instance = Instance::start(settings(), platform).await.unwrap();
+    let instance = fixtures::instance("entry-1", configured_table().await, membership).await;
     wait_until_ready(instance.addresses.operators).await;
     Running {
         instance,
@@ -63,43 +39,6 @@
     }
 }
 
-fn member(address: SocketAddr) -> Member {
-    Member {
-        id: "m1".into(),
-        address,
-        failure_domain: "ala-1".into(),
-        state: MemberState::Live,
-        role: MemberRole::Minion {
-            service: "repair-desk".into(),
-            slots: 8,
-            connections: 64,
-        },
-    }
-}
-
-fn settings() -> Settings {
-    let text = "instance: entry-1
-failure_domain: ala-1
-listen: { callers: 127.0.0.1:0, operators: 127.0.0.1:0, peers: 127.0.0.1:0 }
-platform: { table: 127.0.0.1:1, membership: 127.0.0.1:1 }
-";
-    Settings::parse(text).unwrap()
-}
-
-async fn wait_until_ready(operators: SocketAddr) {
-    let ready = async {
-        while get(operators, "/readyz").await != StatusCode::OK {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    tokio::time::timeout(READY_DEADLINE, ready).await.unwrap();
-}
-
-async fn get(address: SocketAddr, path: &str) -> StatusCode {
-    let url = format!("http://{address}{path}");
-    Client::new().get(url).send().await.unwrap().status()
-}
-
 fn inputs<T: Arbitrary>() -> Vec<T> {
     let mut gen = Gen::from_size_and_seed(SIZE, SEED);
     (0..INPUTS).map(|_| T::arbitrary(&mut gen)).collect()
