--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -131,7 +131,6 @@
             Some(answer) => self.scheduler.hold_answered(&order, asked_at, answer, now),
             None => self.scheduler.hold_failed(&order.worker, now),
         }
-        self.scheduler.issue_due_holds(now);
         self.pump(context);
     }
 }
--- a/jackdawchute-scheduler/src/admit.rs
+++ b/jackdawchute-scheduler/src/admit.rs
@@ -4,7 +4,12 @@
 //! it takes only the room that they leave. One that would not even end while its result is of use
 //! is refused at once, with the time after which the backlog allows it.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use jackdawchute_types::ServiceId;
 
 use crate::{
     job::{Job, JobPhase},
@@ -58,9 +63,76 @@
     pub(crate) retry_after: Duration,
 }
 
+/// What each service's workers have and have to do, counted once for all jobs that arrive between
+/// two rounds of placement.
+#[derive(Debug)]
+pub(crate) struct Loads {
+    counted_at: Instant,
+    services: HashMap<ServiceId, ServiceLoad>,
+}
+
+/// What the workers of one service have and have to do.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServiceLoad {
+    /// The processors of the workers that stay.
+    millicores: u64,
+    /// Those that run tasks of the most urgent queue.
+    urgent_millicores: u64,
+    /// What waits of the most urgent queue.
+    urgent: Waiting,
+    /// What waits of the others.
+    less_urgent: Waiting,
+}
+
+/// Work that waits, in core-milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Waiting {
+    on_time: f64,
+    late: f64,
+}
+
+impl ServiceLoad {
+    fn add_waiting(&mut self, job: &Job, on_time: bool, core_ms: f64) {
+        let waiting = if job.queue.priority == MOST_URGENT {
+            &mut self.urgent
+        } else {
+            &mut self.less_urgent
+        };
+        if on_time {
+            waiting.on_time += core_ms;
+        } else {
+            waiting.late += core_ms;
+        }
+    }
+
+    /// The processors that a job's tasks may use, in cores.
+    fn usable_cores(&self, job: &Job) -> f64 {
+        let cores = self.millicores as f64 / 1_000.0 * USABLE_SHARE;
+        if job.queue.priority == MOST_URGENT {
+            return cores;
+        }
+        let urgent_cores = self.urgent_millicores as f64 / 1_000.0;
+        (cores - urgent_cores).max(cores * LESS_URGENT_SHARE_MIN)
+    }
+
+    /// How long the work that goes before a job takes: what waits of the same or a more urgent
+    /// queue.
+    fn backlog(&self, job: &Job, counted: Backlog, cores: f64) -> Duration {
+        let core_ms = |waiting: &Waiting| match counted {
+            Backlog::OnTime => waiting.on_time,
+            Backlog::All => waiting.on_time + waiting.late,
+        };
+        let mut ahead = core_ms(&self.urgent);
+        if job.queue.priority != MOST_URGENT {
+            ahead += core_ms(&self.less_urgent);
+        }
+        Duration::from_secs_f64(ahead / cores / 1_000.0)
+    }
+}
+
 impl Scheduler {
     /// Decides what becomes of a job.
-    pub(crate) fn admission(&self, job: &Job, now: Instant) -> Admission {
+    pub(crate) fn admission(&mut self, job: &Job, now: Instant) -> Admission {
         if self.jobs.len() >= JOBS_MAX {
             return Admission::Refused(Refusal {
                 reason: "too many jobs",
@@ -68,21 +140,22 @@
                 retry_after: RETRY_AFTER_MAX,
             });
         }
-        let cores = self.usable_cores(job);
+        let load = self.load(&job.queue.service, now);
+        let cores = load.usable_cores(job);
         // Where nothing is known of the workers yet, a job waits for them.
         if job.graph.repeat.is_some() || job.graph.long_running() || cores <= 0.0 {
             return Admission::OnTime;
         }
         let chain = self.expected_chain(job);
         let allowance = job.queue.wait_allowance(chain);
-        let expected = self.backlog(job, Backlog::OnTime, cores, now);
+        let expected = load.backlog(job, Backlog::OnTime, cores);
         if expected <= allowance {
             return Admission::OnTime;
         }
         let useful = job
             .queue
             .useful_for(chain, USEFUL_FACTOR * USEFUL_SHARE_MAX);
-        let expected_with_late = self.backlog(job, Backlog::All, cores, now);
+        let expected_with_late = load.backlog(job, Backlog::All, cores);
         match (expected_with_late + chain).checked_sub(useful) {
             None => Admission::Deferred { expected },
             Some(over) => Admission::Refused(Refusal {
@@ -93,48 +166,47 @@
         }
     }
 
-    /// The processors that the job's tasks may use, in cores.
-    fn usable_cores(&self, job: &Job) -> f64 {
-        let millicores: u64 = self
-            .workers
-            .values()
-            .filter(|worker| worker.entry.service == job.queue.service)
-            .filter(|worker| worker.listed && worker.leaving_at.is_none())
-            .map(|worker| worker.entry.capacity.processor_millicores)
-            .sum();
-        let cores = millicores as f64 / 1_000.0 * USABLE_SHARE;
-        if job.queue.priority == MOST_URGENT {
-            return cores;
+    /// Counts a job that was taken in since the load was last looked at.
+    pub(crate) fn note_admitted(&mut self, job: &Job) {
+        let core_ms = self.waiting_core_ms(job);
+        if let Some(loads) = &mut self.loads {
+            let load = loads.services.entry(job.queue.service.clone());
+            load.or_default().add_waiting(job, !job.deferred, core_ms);
         }
-        (cores - self.urgent_cores(job)).max(cores * LESS_URGENT_SHARE_MIN)
     }
 
-    /// The processors that run tasks of more urgent queues, in cores.
-    fn urgent_cores(&self, job: &Job) -> f64 {
-        let urgent = |other: &&Job| {
-            other.queue.priority == MOST_URGENT && other.queue.service == job.queue.service
-        };
-        let millicores: u64 = self
-            .jobs
-            .values()
-            .filter(urgent)
-            .map(|other| other.placed_millicores())
-            .sum();
-        millicores as f64 / 1_000.0
+    /// What one service's workers have and have to do.
+    fn load(&mut self, service: &ServiceId, now: Instant) -> ServiceLoad {
+        let period = self.round_period();
+        let known = self.loads.take();
+        let fresh = known.filter(|it| now.saturating_duration_since(it.counted_at) <= period);
+        let loads = fresh.unwrap_or_else(|| self.count_loads(now));
+        let load = loads.services.get(service).copied().unwrap_or_default();
+        self.loads = Some(loads);
+        load
     }
 
-    /// How long the work that goes before the job takes: what waits of the same or a more urgent
-    /// queue.
-    fn backlog(&self, job: &Job, counted: Backlog, cores: f64, now: Instant) -> Duration {
-        let ahead = |other: &&Job| {
-            other.phase != JobPhase::Ending(crate::Outcome::Cancelled)
-                && other.queue.service == job.queue.service
-                && (job.queue.priority != MOST_URGENT || other.queue.priority == MOST_URGENT)
-                && (counted == Backlog::All || self.slack(other, now).is_some())
-        };
-        let jobs = self.jobs.values().filter(ahead);
-        let core_ms: f64 = jobs.map(|other| self.waiting_core_ms(other)).sum();
-        Duration::from_secs_f64(core_ms / cores / 1_000.0)
+    fn count_loads(&self, now: Instant) -> Loads {
+        let mut services: HashMap<ServiceId, ServiceLoad> = HashMap::new();
+        let staying = self.workers.values();
+        for worker in staying.filter(|it| it.listed && it.leaving_at.is_none()) {
+            let load = services.entry(worker.entry.service.clone()).or_default();
+            load.millicores += worker.entry.capacity.processor_millicores;
+        }
+        for job in self.jobs.values() {
+            let load = services.entry(job.queue.service.clone()).or_default();
+            if job.queue.priority == MOST_URGENT {
+                load.urgent_millicores += job.placed_millicores();
+            }
+            if job.phase != JobPhase::Ending(crate::Outcome::Cancelled) {
+                let on_time = self.slack(job, now).is_some();
+                load.add_waiting(job, on_time, self.waiting_core_ms(job));
+            }
+        }
+        Loads {
+            counted_at: now,
+            services,
+        }
     }
 
     fn waiting_core_ms(&self, job: &Job) -> f64 {
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -9,6 +9,7 @@
 use smol_str::SmolStr;
 
 use crate::{
+    admit::Loads,
     job::{Job, JobPhase},
     learned::{AllowedShares, RunTimes},
     recover::Recovery,
@@ -25,6 +26,9 @@
 /// longer than the way to its worker and back takes several times over.
 const ROUND_PERIOD_PER_WORKER: Duration = Duration::from_micros(60);
 
+/// How often ended jobs are looked through; far shorter than any is kept.
+const FORGET_PERIOD: Duration = Duration::from_secs(1);
+
 /// An ended job.
 #[derive(Clone, Debug)]
 pub(crate) struct Ended {
@@ -41,6 +45,8 @@
     /// The jobs that may have something to place, in the order of their ids.
     pub(crate) placeable: BTreeSet<JobId>,
     pub(crate) ended: HashMap<JobId, Ended>,
+    /// When ended jobs are next looked through.
+    ended_checked_next: Instant,
     /// Saved rows of ended jobs, oldest first.
     pub(crate) ended_rows: VecDeque<(Instant, SmolStr)>,
     pub(crate) ended_rows_counter: u64,
@@ -50,6 +56,8 @@
     pub(crate) run_times: RunTimes,
     pub(crate) allowed_shares: AllowedShares,
     pub(crate) recovery: Recovery,
+    /// What goes before a job on arrival, while that is known.
+    pub(crate) loads: Option<Loads>,
     /// Jobs whose rows are to be saved.
     pub(crate) unsaved: BTreeSet<JobId>,
     /// Jobs in the order of their acceptance that is not committed yet.
@@ -85,6 +93,7 @@
             jobs: HashMap::new(),
             placeable: BTreeSet::new(),
             ended: HashMap::new(),
+            ended_checked_next: now,
             ended_rows: VecDeque::new(),
             ended_rows_counter: 0,
             workers: BTreeMap::new(),
@@ -92,6 +101,7 @@
             run_times: RunTimes::default(),
             allowed_shares: AllowedShares::default(),
             recovery: Recovery::new(now),
+            loads: None,
             unsaved: BTreeSet::new(),
             accepting: VecDeque::new(),
             ending: Vec::new(),
@@ -184,8 +194,11 @@
         self.place_needed
     }
 
-    /// Places what can be placed, if anything has changed since the last call.
+    /// Asks for the looks that are due, and places what can be placed if anything has changed since
+    /// the last call.
     pub fn settle(&mut self, now: Instant) {
+        self.issue_due_holds(now);
+        self.loads = None;
         if std::mem::take(&mut self.place_needed) {
             let ranked = self.ranked_steps(now);
             let mut room = self.room(now);
@@ -219,6 +232,10 @@
     }
 
     fn forget_ended_jobs(&mut self, now: Instant) {
+        if now < self.ended_checked_next {
+            return;
+        }
+        self.ended_checked_next = now + FORGET_PERIOD;
         let retention = self.settings.ended_retention;
         self.ended
             .retain(|_, ended| now.saturating_duration_since(ended.at) < retention);
--- a/jackdawchute-scheduler/src/submit.rs
+++ b/jackdawchute-scheduler/src/submit.rs
@@ -56,6 +56,7 @@
             job = id.as_str(), queue = job.queue.queue.as_str(),
             jobs = self.jobs.len()
         });
+        self.note_admitted(&job);
         self.jobs.insert(id.clone(), job);
         self.accepting.push_back(id.clone());
         self.placeable.insert(id.clone());
--- a/jackdawchute-scheduler/tests/behaviour/lateness.rs
+++ b/jackdawchute-scheduler/tests/behaviour/lateness.rs
@@ -157,3 +157,47 @@
 
     assert_eq!(next, "small");
 }
+
+#[test]
+fn jobs_that_arrive_before_the_next_round_count_each_other() {
+    let mut cell = settled_cell(1, &[entry("w1", 4)]);
+
+    let submissions: Vec<Submission> = (0..60)
+        .map(|index| {
+            let id: JobId = format!("job-{index}").into();
+            let graph = graph(vec![step(4, 1)]);
+            cell.scheduler.submit(&id, graph, queue(1), cell.now)
+        })
+        .collect();
+
+    let refused = |it: &&Submission| matches!(it, Submission::Refused { .. });
+    assert_eq!(submissions[0], Submission::Pending);
+    assert!(submissions.iter().filter(refused).count() > 0);
+}
+
+#[test]
+fn work_that_has_ended_no_longer_goes_before_a_job_that_arrives() {
+    let mut cell = settled_cell(1, &[entry("w1", 4)]);
+    let submit = |cell: &mut Cell, id: &str| {
+        let graph = graph(vec![step(4, 1)]);
+        let submitted = cell.scheduler.submit(&id.into(), graph, queue(1), cell.now);
+        submitted
+    };
+    let mut submitted = Vec::new();
+    for index in 0..60 {
+        let id = format!("job-{index}");
+        if submit(&mut cell, &id) == Submission::Pending {
+            submitted.push(id);
+        }
+    }
+    assert!(submitted.len() < 60);
+    cell.commit();
+    for id in &submitted {
+        cell.scheduler.cancel(&id.as_str().into());
+    }
+    cell.commit();
+
+    cell.tick(10);
+
+    assert_eq!(submit(&mut cell, "later"), Submission::Pending);
+}
