fix: a worker that is back at once loses no end

Cause: a worker that crashed and began a new life within a quarter of a second was looked at with the numbers of ends of its former life. The look waited for up to 1.5 s for an end, tasks were placed there meanwhile, and the new life forgot their ends, which count from one again, as saved. The tasks ran twice.

Ruled out: lapsed leases (the worker answered throughout); the stand-in's own looks that outlive a crash (they end with it).

Change: after a look that failed, the next one lets the worker forget nothing and waits for nothing.

Test: a_look_after_one_that_failed_is_answered_at_once_and_lets_the_worker_forget_nothing, failed before.

--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -238,13 +238,14 @@
             if worker.hold_under_way || worker.hold_next_at > now {
                 continue;
             }
-            let wait = if worker.fenced && !worker.awaits_bar() {
+            let answered = worker.unanswered_since.is_none();
+            let wait = if worker.fenced && answered && !worker.awaits_bar() {
                 settings.hold_wait
             } else {
                 Duration::ZERO
             };
             // A worker that does not answer gets no longer lease, so that it lapses at last.
-            let renewed = worker.fenced && worker.unanswered_since.is_none();
+            let renewed = worker.fenced && answered;
             let lease_until = worker
                 .clock_latest(now)
                 .filter(|_| renewed)
@@ -257,7 +258,8 @@
                 worker: worker.entry.worker.clone(),
                 address: worker.entry.address,
                 lease_until,
-                ends_saved: worker.ends_saved,
+                // The silence may hide the start of a new life, whose ends are numbered anew.
+                ends_saved: if answered { worker.ends_saved } else { 0 },
                 wait,
                 token: worker.token(base),
             }));
--- a/jackdawchute-scheduler/tests/behaviour/lost_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/lost_workers.rs
@@ -1,7 +1,7 @@
 //! What happens to tasks whose worker does not answer, or started anew.
 
 use crate::fixtures::*;
-use jackdawchute_scheduler::{RefusedStart, StartAnswer};
+use jackdawchute_scheduler::{EndReason, RefusedStart, StartAnswer};
 
 #[test]
 fn tasks_of_a_silent_worker_run_elsewhere_once_its_lease_has_lapsed() {
@@ -140,3 +140,25 @@
 
     assert!(cell.take_stops().is_empty());
 }
+
+#[test]
+fn a_look_after_one_that_failed_is_answered_at_once_and_lets_the_worker_forget_nothing() {
+    let mut cell = settled_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.confirm(&start);
+    cell.tick(100);
+    let hold = cell.hold_of("w1");
+    let end = ended(1, &start, EndReason::Succeeded);
+    cell.answer_hold(&hold, Vec::new(), vec![end]);
+    cell.commit();
+    cell.tick(100);
+    let saved = cell.hold_of("w1");
+
+    cell.scheduler.hold_failed(&saved.worker, cell.now);
+    cell.tick(300);
+
+    let next = cell.hold_of("w1");
+    assert_eq!((saved.ends_saved, next.ends_saved), (1, 0));
+    assert_eq!(next.wait, ms(0));
+}
