test: a randomized soak of cells on the platform

platform/ has the other side of each interface behind the feature standins (store, workers, advisor, lists, a caller), which the shipped binary does not have; wire types are used from both sides. The soak starts four instances of cell with six workers behind proxies and plays overlapping kills, stops, pauses, cuts between instances, to the store, to workers and to the advisor, a store that turns away, is slow or loses answers, and workers that crash and come back late or at once. What callers were told is held against what the workers ran: tasks in two places or again after a success, steps out of order, overload, starts of refused, cancelled or unknown jobs, denied or unfinished jobs, jobs shown as completed too early, and service once all is well.

Workers in memory have lives, bar runs that were stopped or ended, and end runs when they end and not when somebody looks. listen.advertised_peers lets a proxy stand between instances.

--- a/jackdawchute-cell/src/instance.rs
+++ b/jackdawchute-cell/src/instance.rs
@@ -49,7 +49,7 @@
     /// The listener for peers cannot be bound.
     pub async fn start(settings: Settings, parts: Parts, metrics: Metrics) -> peer::Result<Self> {
         let bound = peer::bind(peer::Options {
-            address: settings.peer_address,
+            address: settings.peer_listen,
             token: Default::default(),
             connections_max: PEER_CONNECTIONS_MAX,
         })
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -9,6 +9,8 @@
 pub struct Settings {
     /// The instance's name.
     pub instance: MemberId,
+    /// Where it listens for its peers.
+    pub peer_listen: SocketAddr,
     /// Where its peers reach it.
     pub peer_address: SocketAddr,
     /// The processor that this instance may use, in thousandths of a core; the one that has most
--- a/jackdawchute-cell/tests/cell.rs
+++ b/jackdawchute-cell/tests/cell.rs
@@ -135,6 +135,7 @@
         let address = free_address();
         let settings = Settings {
             instance: smol_str::format_smolstr!("entry-{}", self.members.len()),
+            peer_listen: address,
             peer_address: address,
             processor_millicores,
             scheduler: jackdawchute_scheduler::Settings::default(),
--- a/jackdawchute-settings/src/cell.rs
+++ b/jackdawchute-settings/src/cell.rs
@@ -20,10 +20,32 @@
     pub readiness: SocketAddr,
     /// For other instances.
     pub peers: SocketAddr,
+    /// Where other instances reach it, if that is another address.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertised_peers: Option<SocketAddr>,
     /// For metrics.
     pub metrics: SocketAddr,
 }
 
+impl CellListen {
+    /// Where other instances reach it.
+    ///
+    /// ```
+    /// let address = "127.0.0.1:7".parse().expect("an address");
+    /// let listen = jackdawchute_settings::CellListen {
+    ///     callers: address,
+    ///     readiness: address,
+    ///     peers: address,
+    ///     advertised_peers: None,
+    ///     metrics: address,
+    /// };
+    /// assert_eq!(listen.reached_by_peers(), address);
+    /// ```
+    pub fn reached_by_peers(&self) -> SocketAddr {
+        self.advertised_peers.unwrap_or(self.peers)
+    }
+}
+
 /// Where the platform's services are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -160,7 +182,7 @@
             "must be above a thousandth of a core",
         ));
     }
-    let peers = settings.listen.peers;
+    let peers = settings.listen.reached_by_peers();
     if peers.ip().is_unspecified() || peers.port() == 0 {
         let rule = "must be an address and port that peers can connect to";
         problems.push(Problem::new("listen.peers", rule));
--- a/jackdawchute-standins/src/cell/workers.rs
+++ b/jackdawchute-standins/src/cell/workers.rs
@@ -33,20 +33,65 @@
     pub began_at: Instant,
     /// When it ended, if it has.
     pub ended_at: Option<Instant>,
+    /// How it ended; `None` while it runs and for what a crash has ended.
+    pub reason: Option<EndReason>,
+    /// Whether the scheduler let the worker forget its end, with no lapse of the lease between.
+    pub saved: bool,
 }
 
+/// A run, and its place in the record.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    run: RunNumber,
+    began_at: Instant,
+    record: usize,
+}
+
+/// An end that the scheduler has not saved yet.
+#[derive(Clone, Debug)]
+struct Ended {
+    end: EndedRun,
+    record: usize,
+    /// The lease has lapsed since: whoever waited for that may have started the task elsewhere.
+    lapsed: bool,
+}
+
+/// One life of a worker.
 #[derive(Debug)]
 struct Worker {
+    born_unix_ms: u64,
+    born_at: Instant,
     token: FencingToken,
-    running: BTreeMap<TaskName, (RunNumber, Instant)>,
-    ended: Vec<EndedRun>,
+    running: BTreeMap<TaskName, Running>,
+    /// The ends that are not saved yet.
+    ended: Vec<Ended>,
     ends: u64,
+    /// The highest run of each task that was stopped or ended here.
+    barred: BTreeMap<TaskName, RunNumber>,
     lease_until: Duration,
 }
 
+impl Worker {
+    fn new(born_unix_ms: u64) -> Self {
+        Self {
+            born_unix_ms,
+            born_at: Instant::now(),
+            token: 0,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            ends: 0,
+            barred: BTreeMap::new(),
+            lease_until: Duration::ZERO,
+        }
+    }
+
+    fn clock(&self) -> Duration {
+        self.born_at.elapsed()
+    }
+}
+
 #[derive(Debug)]
 struct State {
-    began_at: Instant,
     task_time: Duration,
     workers: BTreeMap<WorkerId, Worker>,
     records: Vec<WorkerRecord>,
@@ -61,20 +106,11 @@
 impl MemoryWorkers {
     /// As many workers, named `w0` and so on.
     pub fn new(count: usize, task_time: Duration) -> Self {
-        let worker = |_| Worker {
-            token: 0,
-            running: BTreeMap::new(),
-            ended: Vec::new(),
-            ends: 0,
-            lease_until: Duration::ZERO,
-        };
-        let workers =
-            (0..count).map(|index| (smol_str::format_smolstr!("w{index}"), worker(index)));
+        let names = (0..count).map(|index| smol_str::format_smolstr!("w{index}"));
         Self {
             state: Arc::new(Mutex::new(State {
-                began_at: Instant::now(),
                 task_time,
-                workers: workers.collect(),
+                workers: names.map(|name| (name, Worker::new(1))).collect(),
                 records: Vec::new(),
             })),
         }
@@ -83,8 +119,8 @@
     /// The workers as the platform lists them, of 4 cores each.
     pub fn entries(&self) -> Vec<WorkerEntry> {
         let address: SocketAddr = ([127, 0, 0, 1], 9).into();
-        let entry = |worker: &WorkerId| WorkerEntry {
-            worker: worker.clone(),
+        let entry = |(id, worker): (&WorkerId, &Worker)| WorkerEntry {
+            worker: id.clone(),
             address,
             service: "service".into(),
             failure_domain: "a".into(),
@@ -92,9 +128,9 @@
             labels: Vec::new(),
             capacity: Resources::new(4_000, 4_096, 0),
             leaving_in: None,
-            born_unix_ms: 1,
+            born_unix_ms: worker.born_unix_ms,
         };
-        lock(&self.state).workers.keys().map(entry).collect()
+        lock(&self.state).workers.iter().map(entry).collect()
     }
 
     /// All starts so far.
@@ -103,54 +139,79 @@
         state.advance();
         state.records.clone()
     }
-}
 
-impl State {
-    fn clock(&self) -> Duration {
-        self.began_at.elapsed()
+    /// Ends a worker's life and what runs there; its next one knows nothing of it.
+    pub fn crash(&self, worker: &WorkerId) {
+        let mut state = lock(&self.state);
+        state.advance();
+        let State {
+            workers, records, ..
+        } = &mut *state;
+        let Some(worker) = workers.get_mut(worker) else {
+            return;
+        };
+        for running in worker.running.values() {
+            records[running.record].ended_at = Some(Instant::now());
+        }
+        *worker = Worker::new(worker.born_unix_ms + 1);
     }
+}
 
-    /// Ends what has run its time, or has lost its lease.
+impl State {
+    /// Ends what has run its time, or has lost its lease; when somebody looks does not matter.
     fn advance(&mut self) {
         let now = Instant::now();
-        let clock = self.clock();
         let task_time = self.task_time;
         let mut ends = Vec::new();
         for (id, worker) in &self.workers {
-            for (task, (_, began_at)) in &worker.running {
-                if now >= *began_at + task_time {
-                    ends.push((id.clone(), task.clone(), EndReason::Succeeded));
-                } else if clock > worker.lease_until {
-                    ends.push((id.clone(), task.clone(), EndReason::LeaseLapsed));
+            let lapses_at = worker.born_at + worker.lease_until;
+            for (task, running) in &worker.running {
+                let done_at = running.began_at + task_time;
+                let (at, reason) = if done_at <= lapses_at {
+                    (done_at, EndReason::Succeeded)
+                } else {
+                    (lapses_at, EndReason::LeaseLapsed)
+                };
+                if at <= now {
+                    ends.push((at, id.clone(), task.clone(), reason));
                 }
             }
         }
-        for (worker, task, reason) in ends {
-            self.end(&worker, &task, reason);
+        ends.sort_by_key(|end| end.0);
+        for (at, worker, task, reason) in ends {
+            self.end(&worker, &task, reason, at);
+        }
+        for worker in self.workers.values_mut() {
+            if worker.clock() >= worker.lease_until {
+                worker.ended.iter_mut().for_each(|it| it.lapsed = true);
+            }
         }
     }
 
-    fn end(&mut self, id: &WorkerId, task: &TaskName, reason: EndReason) {
+    fn end(&mut self, id: &WorkerId, task: &TaskName, reason: EndReason, at: Instant) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let Some((run, _)) = worker.running.remove(task) else {
+        let Some(running) = worker.running.remove(task) else {
             return;
         };
         worker.ends += 1;
-        worker.ended.push(EndedRun {
+        let end = EndedRun {
             number: worker.ends,
             task: task.clone(),
-            run,
+            run: running.run,
             reason,
             checkpoint: "".into(),
+        };
+        worker.bar(task, running.run);
+        worker.ended.push(Ended {
+            end,
+            record: running.record,
+            lapsed: false,
         });
-        let record = self.records.iter_mut().find(|record| {
-            record.worker == *id && record.task == *task && record.ended_at.is_none()
-        });
-        if let Some(record) = record {
-            record.ended_at = Some(Instant::now());
-        }
+        let record = &mut self.records[running.record];
+        record.ended_at = Some(at);
+        record.reason = Some(reason);
     }
 
     /// The worker, if the token is at least the highest that it has seen.
@@ -162,6 +223,56 @@
         worker.token = token;
         Some(worker)
     }
+
+    /// Takes a look's lease and saved ends, and answers it.
+    fn look(&mut self, order: &HoldOrder) -> Option<HoldAnswer> {
+        self.advance();
+        let worker = self.obeying(&order.worker, order.token)?;
+        if let Some(until) = order.lease_until {
+            worker.lease_until = worker.lease_until.max(until);
+        }
+        let all = std::mem::take(&mut worker.ended).into_iter();
+        let (saved, ended): (Vec<_>, Vec<_>) =
+            all.partition(|it| it.end.number <= order.ends_saved);
+        worker.ended = ended;
+        let running = worker.running.iter().map(|(task, running)| RunningTask {
+            task: task.clone(),
+            run: running.run,
+            checkpoint: "".into(),
+            percent: 50,
+        });
+        let answer = HoldAnswer {
+            born_unix_ms: worker.born_unix_ms,
+            clock: worker.clock(),
+            running: running.collect(),
+            ended: worker.ended.iter().map(|it| it.end.clone()).collect(),
+        };
+        for it in saved.iter().filter(|it| !it.lapsed) {
+            self.records[it.record].saved = true;
+        }
+        Some(answer)
+    }
+}
+
+impl Worker {
+    /// Lets neither this run of a task nor an earlier one start here any more.
+    fn bar(&mut self, task: &TaskName, run: RunNumber) {
+        let barred = self.barred.entry(task.clone()).or_default();
+        *barred = run.max(*barred);
+    }
+
+    /// Why a start is refused; `None` if it may go on.
+    fn refusal(&self, order: &StartOrder) -> Option<RefusedStart> {
+        let over = self.barred.get(&order.task).copied().unwrap_or_default();
+        let running = self.running.get(&order.task).map(|running| running.run);
+        if order.run <= over || running.is_some_and(|running| running > order.run) {
+            Some(RefusedStart::Superseded)
+        } else if order.lease_until < self.clock() {
+            Some(RefusedStart::Late)
+        } else {
+            None
+        }
+    }
 }
 
 #[async_trait]
@@ -169,30 +280,38 @@
     async fn start(&self, order: &StartOrder) -> StartAnswer {
         let mut state = lock(&self.state);
         state.advance();
-        let clock = state.clock();
-        let refused = |reason| StartAnswer::Refused {
-            reason,
-            clock: Some(clock),
-        };
+        let record = state.records.len();
         let Some(worker) = state.obeying(&order.worker, order.token) else {
-            return refused(RefusedStart::Fenced);
+            return StartAnswer::Refused {
+                reason: RefusedStart::Fenced,
+                clock: None,
+            };
         };
-        if order.lease_until < clock {
-            return refused(RefusedStart::Late);
+        let clock = worker.clock();
+        if let Some(reason) = worker.refusal(order) {
+            let clock = Some(clock);
+            return StartAnswer::Refused { reason, clock };
         }
         worker.lease_until = worker.lease_until.max(order.lease_until);
-        let over = |end: &EndedRun| end.task == order.task && end.run >= order.run;
-        if worker.ended.iter().any(over) {
-            return refused(RefusedStart::Superseded);
+        let running = worker.running.get(&order.task);
+        if running.is_some_and(|running| running.run == order.run) {
+            return StartAnswer::Started { clock };
         }
-        let now = Instant::now();
-        worker.running.insert(order.task.clone(), (order.run, now));
+        let began_at = Instant::now();
+        let running = Running {
+            run: order.run,
+            began_at,
+            record,
+        };
+        worker.running.insert(order.task.clone(), running);
         state.records.push(WorkerRecord {
             worker: order.worker.clone(),
             task: order.task.clone(),
             run: order.run,
-            began_at: now,
+            began_at,
             ended_at: None,
+            reason: None,
+            saved: false,
         });
         StartAnswer::Started { clock }
     }
@@ -200,43 +319,41 @@
     async fn stop(&self, order: &StopOrder) -> Result<Duration> {
         let mut state = lock(&self.state);
         state.advance();
-        if state.obeying(&order.worker, order.token).is_none() {
+        let Some(worker) = state.obeying(&order.worker, order.token) else {
             let cause = "fenced".to_owned();
             return Err(Error::Unavailable("stop", order.worker.to_string(), cause));
+        };
+        let clock = worker.clock();
+        worker.bar(&order.task, order.run);
+        let running = worker.running.get(&order.task);
+        if running.is_some_and(|running| running.run <= order.run) {
+            state.end(
+                &order.worker,
+                &order.task,
+                EndReason::Stopped,
+                Instant::now(),
+            );
         }
-        state.end(&order.worker, &order.task, EndReason::Stopped);
-        Ok(state.clock())
+        Ok(clock)
     }
 
     async fn hold(&self, order: &HoldOrder) -> Result<HoldAnswer> {
         let deadline = Instant::now() + order.wait;
+        let failed = |cause: &str| {
+            let cause = cause.to_owned();
+            Err(Error::Unavailable("hold", order.worker.to_string(), cause))
+        };
+        let mut life = None;
         loop {
-            {
-                let mut state = lock(&self.state);
-                state.advance();
-                let clock = state.clock();
-                let Some(worker) = state.obeying(&order.worker, order.token) else {
-                    let cause = "fenced".to_owned();
-                    return Err(Error::Unavailable("hold", order.worker.to_string(), cause));
-                };
-                if let Some(until) = order.lease_until {
-                    worker.lease_until = worker.lease_until.max(until);
-                }
-                worker.ended.retain(|end| end.number > order.ends_saved);
-                if !worker.ended.is_empty() || Instant::now() >= deadline {
-                    let running = worker.running.iter().map(|(task, (run, _))| RunningTask {
-                        task: task.clone(),
-                        run: *run,
-                        checkpoint: "".into(),
-                        percent: 50,
-                    });
-                    return Ok(HoldAnswer {
-                        born_unix_ms: 1,
-                        clock,
-                        running: running.collect(),
-                        ended: worker.ended.clone(),
-                    });
-                }
+            let answer = lock(&self.state).look(order);
+            let Some(answer) = answer else {
+                return failed("fenced");
+            };
+            if *life.get_or_insert(answer.born_unix_ms) != answer.born_unix_ms {
+                return failed("crashed");
+            }
+            if !answer.ended.is_empty() || Instant::now() >= deadline {
+                return Ok(answer);
             }
             tokio::time::sleep(LOOK_PERIOD).await;
         }
--- /dev/null
+++ b/jackdawchute-standins/src/cell_soak/run.rs
@@ -0,0 +1,197 @@
+//! Plays the faults of a seed on a cell on the platform.
+
+use std::{
+    fmt,
+    path::{Path, PathBuf},
+    time::{Duration, Instant},
+};
+
+use rand::{rngs::StdRng, SeedableRng};
+use tokio::{sync::watch, time::sleep};
+
+use super::{
+    callers::{Callers, Told},
+    fault::draw_fault,
+    judge::judge,
+    stage::CellStage,
+    CellFault,
+};
+use crate::{
+    balancer::ReadReady,
+    harness::{wait_until, DEADLINE},
+    lock::lock,
+    soak::{
+        keep_logs,
+        schedule::{draw, play, Stage, SUPERVISION_PERIOD},
+        Disturbance,
+    },
+    Error, Result,
+};
+
+/// How long the load goes on once all faults are over and all instances ready.
+const CALM: Duration = Duration::from_secs(6);
+/// The time at the end of the load in which jobs are to be accepted again.
+const SERVED_AGAIN: Duration = Duration::from_secs(3);
+/// The share of these that is to be accepted, in per cent.
+const SERVED_AGAIN_PERCENT: usize = 95;
+/// What each worker of the stand-ins has.
+const WORKER_MILLICORES: u64 = 4_000;
+
+/// What a soak of a cell does.
+#[derive(Clone, Debug)]
+pub struct CellSoakPlan {
+    /// The seed of the faults and of the load.
+    pub seed: u64,
+    /// The number of instances.
+    pub instances: usize,
+    /// The number of workers.
+    pub workers: usize,
+    /// How long faults begin.
+    pub lasts: Duration,
+    /// Where the instances' logs are kept if anything is violated, in a folder for the seed.
+    pub logs: Option<PathBuf>,
+}
+
+impl CellSoakPlan {
+    /// Four instances and six workers.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_standins::cell_soak::CellSoakPlan;
+    ///
+    /// let plan = CellSoakPlan::new(7, Duration::from_secs(10));
+    /// assert_eq!(plan.disturbances(), plan.disturbances());
+    /// ```
+    pub fn new(seed: u64, lasts: Duration) -> Self {
+        Self {
+            seed,
+            instances: 4,
+            workers: 6,
+            lasts,
+            logs: None,
+        }
+    }
+
+    /// The faults in the order in which they begin; those on one part of the cell do not overlap.
+    pub fn disturbances(&self) -> Vec<Disturbance<CellFault>> {
+        let mut random = StdRng::seed_from_u64(self.seed);
+        draw(&mut random, self.lasts, |random| {
+            draw_fault(random, self.instances, self.workers)
+        })
+    }
+}
+
+/// What a soak of a cell found.
+#[derive(Clone, Debug)]
+pub struct CellSoakReport {
+    /// The seed.
+    pub seed: u64,
+    /// The faults that were played.
+    pub disturbances: Vec<Disturbance<CellFault>>,
+    /// The jobs that were sent.
+    pub sent: usize,
+    /// Those that were accepted.
+    pub accepted: usize,
+    /// The starts of tasks.
+    pub starts: usize,
+    /// What must not happen and did.
+    pub violations: Vec<String>,
+}
+
+impl fmt::Display for CellSoakReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "seed {}: {} of {} jobs accepted, {} starts, {} violations",
+            self.seed,
+            self.accepted,
+            self.sent,
+            self.starts,
+            self.violations.len()
+        )?;
+        for disturbance in &self.disturbances {
+            writeln!(f, "  {disturbance}")?;
+        }
+        for violation in &self.violations {
+            writeln!(f, "  violated: {violation}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Runs a soak with the shipped binary.
+///
+/// # Errors
+/// A stand-in or a process did not start, or a fault could not be brought about.
+pub async fn run(program: &Path, plan: &CellSoakPlan) -> Result<CellSoakReport> {
+    let mut stage = CellStage::start(program, plan.instances, plan.workers).await?;
+    wait_until("ready instances", || async {
+        let ready = stage.balancer.send(ReadReady).await.ok()?;
+        (ready.len() == plan.instances).then_some(())
+    })
+    .await?;
+    let callers = Callers::new(stage.balancer.clone());
+    let told = callers.told.clone();
+    let (end, ended) = watch::channel(false);
+    let load = tokio::spawn(callers.run(plan.seed, stage.routes.clone(), ended, DEADLINE));
+    let disturbances = plan.disturbances();
+
+    play(&mut stage, &disturbances, tokio::time::Instant::now()).await?;
+    wait_until_calm(&mut stage).await?;
+    let calm_until = Instant::now();
+    // The load looks at it as long as it lasts.
+    end.send_replace(true);
+    load.await
+        .map_err(|cause| Error::Invalid("submit jobs", "soak".into(), cause.to_string()))?;
+
+    let records = stage.workers.records();
+    let Told { jobs, violations } = std::mem::take(&mut *lock(&told));
+    let mut all = std::mem::take(&mut stage.violations);
+    all.extend(violations);
+    all.extend(judge(&jobs, &records, WORKER_MILLICORES));
+    let last = jobs
+        .values()
+        .filter(|job| job.sent_at.is_some_and(|at| at + SERVED_AGAIN > calm_until));
+    let (last, accepted_last) = last.fold((0, 0), |(all, accepted), job| {
+        (all + 1, accepted + usize::from(job.accepted_at.is_some()))
+    });
+    if accepted_last * 100 < last * SERVED_AGAIN_PERCENT || last == 0 {
+        all.push(format!("{accepted_last} of the last {last} jobs accepted"));
+    }
+    if let Some(logs) = plan.logs.as_ref().filter(|_| !all.is_empty()) {
+        let kept = logs.join(format!("seed-{}", plan.seed));
+        keep_logs(stage.logs(), &kept)
+            .map_err(|cause| Error::Io("keep logs", kept.display().to_string(), cause))?;
+    }
+    Ok(CellSoakReport {
+        seed: plan.seed,
+        disturbances,
+        sent: jobs.len(),
+        accepted: jobs.values().filter(|it| it.accepted_at.is_some()).count(),
+        starts: records.len(),
+        violations: all,
+    })
+}
+
+/// Waits until all instances have been ready for a while.
+async fn wait_until_calm(stage: &mut CellStage) -> Result<()> {
+    let targets = stage.targets();
+    let give_up_at = Instant::now() + DEADLINE;
+    let mut ready_since = Instant::now();
+    while ready_since.elapsed() < CALM {
+        stage.supervise().await?;
+        let ready = stage.balancer.send(ReadReady).await.unwrap_or_default();
+        if let Some(missing) = targets.iter().find(|target| !ready.contains(target)) {
+            ready_since = Instant::now();
+            if ready_since >= give_up_at {
+                let callers = missing.callers;
+                stage
+                    .violations
+                    .push(format!("the instance at {callers} is not ready again"));
+                return Ok(());
+            }
+        }
+        sleep(SUPERVISION_PERIOD).await;
+    }
+    Ok(())
+}
--- a/jackdawchute-standins/src/harness/cell.rs
+++ b/jackdawchute-standins/src/harness/cell.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
+    path::Path,
     time::SystemTime,
 };
 
@@ -84,6 +85,11 @@
         self.table_address(OPERATOR).map(HttpTable::new)
     }
 
+    /// The folder of the instances' logs.
+    pub fn logs(&self) -> &Path {
+        self.directory.path()
+    }
+
     /// Starts one more entry instance, which is not in the membership list yet.
     ///
     /// # Errors
--- a/jackdawchute-standins/src/harness/mod.rs
+++ b/jackdawchute-standins/src/harness/mod.rs
@@ -19,7 +19,7 @@
 pub use entry::{CellEntry, OPERATOR_TOKEN};
 pub use members::{CellMinion, CellWorker};
 pub use options::{CellOptions, ServicePlan, Timing, WorkerPlan};
-pub use process::{EntryProcess, Signal};
+pub use process::{EntryProcess, RunningProcess, Signal};
 pub use settings_text::{settings_text, SettingsValues};
 pub use status::InstanceStatus;
 pub use wait::{wait_until, DEADLINE};
--- a/jackdawchute-standins/src/harness/process.rs
+++ b/jackdawchute-standins/src/harness/process.rs
@@ -1,6 +1,12 @@
 //! A process of the shipped binary.
 
-use std::{fs::File, net::SocketAddr, path::Path, process::ExitStatus, process::Stdio};
+use std::{
+    ffi::OsStr,
+    fs::File,
+    net::SocketAddr,
+    path::Path,
+    process::{ExitStatus, Stdio},
+};
 
 use serde::Deserialize;
 use tokio::{
@@ -48,58 +54,36 @@
     peers: SocketAddr,
 }
 
-/// A running entry instance; it is killed when dropped.
+/// A running process of the shipped binary; it is killed when dropped.
 #[derive(Debug)]
-pub struct EntryProcess {
-    /// Where callers reach it.
-    pub callers: SocketAddr,
-    /// Where operators reach it.
-    pub operators: SocketAddr,
-    /// Where it listens for its peers.
-    pub peers: SocketAddr,
+pub struct RunningProcess {
     id: u32,
     child: Child,
 }
 
-impl EntryProcess {
-    /// Starts `program serve --settings SETTINGS` and waits until it listens; what it prints goes
-    /// to `log`.
+impl RunningProcess {
+    /// Starts `program ARGUMENTS`; `output` and `errors` say where it writes.
     ///
     /// # Errors
-    /// It did not start, or ended before it listened.
-    pub async fn start(program: &Path, settings: &Path, log: &Path) -> Result<Self> {
+    /// It did not start.
+    pub fn start(
+        program: &Path,
+        arguments: &[&OsStr],
+        output: Stdio,
+        errors: Stdio,
+    ) -> Result<Self> {
         let peer = || program.display().to_string();
-        let failed = |cause| Error::Io("start process", peer(), cause);
-        let mut child = Command::new(program)
-            .arg("serve")
-            .arg("--settings")
-            .arg(settings)
+        let child = Command::new(program)
+            .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(File::create(log).map_err(failed)?)
+            .stdout(output)
+            .stderr(errors)
             .kill_on_drop(true)
             .spawn()
-            .map_err(failed)?;
-        let no_pipe = || Error::Invalid("start process", peer(), "no output".into());
-        let output = child.stdout.take().ok_or_else(no_pipe)?;
-        let id = child.id().ok_or_else(no_pipe)?;
-        let mut lines = BufReader::new(output).lines();
-        let listening = timeout(DEADLINE, read_listening(&mut lines))
-            .await
-            .ok()
-            .flatten()
-            .ok_or_else(|| {
-                let cause = std::fs::read_to_string(log).unwrap_or_default();
-                Error::Invalid("wait until it listens", peer(), cause)
-            })?;
-        tokio::spawn(drain(lines));
-        Ok(Self {
-            callers: listening.callers,
-            operators: listening.operators,
-            peers: listening.peers,
-            id,
-            child,
-        })
+            .map_err(|cause| Error::Io("start process", peer(), cause))?;
+        let no_id = || Error::Invalid("start process", peer(), "it has ended".into());
+        let id = child.id().ok_or_else(no_id)?;
+        Ok(Self { id, child })
     }
 
     /// The process's id.
@@ -157,6 +141,85 @@
     }
 }
 
+/// A running entry instance and its addresses.
+#[derive(Debug)]
+pub struct EntryProcess {
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where operators reach it.
+    pub operators: SocketAddr,
+    /// Where it listens for its peers.
+    pub peers: SocketAddr,
+    running: RunningProcess,
+}
+
+impl EntryProcess {
+    /// Starts `program serve --settings SETTINGS` and waits until it listens; what it prints goes
+    /// to `log`.
+    ///
+    /// # Errors
+    /// It did not start, or ended before it listened.
+    pub async fn start(program: &Path, settings: &Path, log: &Path) -> Result<Self> {
+        let peer = || program.display().to_string();
+        let log_file =
+            File::create(log).map_err(|cause| Error::Io("start process", peer(), cause))?;
+        let arguments = [
+            "serve".as_ref(),
+            "--settings".as_ref(),
+            settings.as_os_str(),
+        ];
+        let mut running =
+            RunningProcess::start(program, &arguments, Stdio::piped(), log_file.into())?;
+        let no_pipe = || Error::Invalid("start process", peer(), "no output".into());
+        let output = running.child.stdout.take().ok_or_else(no_pipe)?;
+        let mut lines = BufReader::new(output).lines();
+        let listening = timeout(DEADLINE, read_listening(&mut lines))
+            .await
+            .ok()
+            .flatten()
+            .ok_or_else(|| {
+                let cause = std::fs::read_to_string(log).unwrap_or_default();
+                Error::Invalid("wait until it listens", peer(), cause)
+            })?;
+        tokio::spawn(drain(lines));
+        Ok(Self {
+            callers: listening.callers,
+            operators: listening.operators,
+            peers: listening.peers,
+            running,
+        })
+    }
+
+    /// The process's id.
+    pub fn id(&self) -> u32 {
+        self.running.id()
+    }
+
+    /// How it ended, if it has.
+    ///
+    /// # Errors
+    /// The system does not tell.
+    pub fn ended(&mut self) -> Result<Option<ExitStatus>> {
+        self.running.ended()
+    }
+
+    /// Sends a signal by the process's id.
+    ///
+    /// # Errors
+    /// The process has ended, or the signal could not be sent.
+    pub async fn signal(&mut self, signal: Signal) -> Result<()> {
+        self.running.signal(signal).await
+    }
+
+    /// Waits until it ends.
+    ///
+    /// # Errors
+    /// It did not end before the deadline.
+    pub async fn wait(&mut self) -> Result<ExitStatus> {
+        self.running.wait().await
+    }
+}
+
 async fn read_listening(lines: &mut Lines<BufReader<ChildStdout>>) -> Option<Listening> {
     while let Ok(Some(line)) = lines.next_line().await {
         let parsed = serde_json::from_str::<Listening>(&line);
--- a/jackdawchute-standins/src/lib.rs
+++ b/jackdawchute-standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod balancer;
 pub mod caller;
 pub mod cell;
+pub mod cell_soak;
 pub mod checker;
 mod error;
 pub mod harness;
--- a/jackdawchute-standins/src/soak/fault.rs
+++ b/jackdawchute-standins/src/soak/fault.rs
@@ -1,7 +1,6 @@
 //! What goes wrong, and how a cell is brought to it and back.
 
-use std::{fmt, time::Duration};
-
+use super::schedule::{Part, Strikes};
 use crate::{
     harness::{Cell, Signal},
     proxy::ProxyFaults,
@@ -28,31 +27,6 @@
     Table(Option<usize>, TableFaults),
 }
 
-/// A fault with its time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Disturbance {
-    /// When it begins, since the start of the load.
-    pub at: Duration,
-    /// How long it lasts.
-    pub lasts: Duration,
-    /// What goes wrong.
-    pub fault: Fault,
-}
-
-impl Disturbance {
-    /// When it is over.
-    pub(super) fn ends_at(&self) -> Duration {
-        self.at + self.lasts
-    }
-}
-
-impl fmt::Display for Disturbance {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (at, ends_at) = (self.at.as_secs_f64(), self.ends_at().as_secs_f64());
-        write!(f, "{at:.2} to {ends_at:.2} s: {:?}", self.fault)
-    }
-}
-
 impl Fault {
     /// Brings it about.
     pub(super) async fn begin(&self, cell: &mut Cell) -> Result<()> {
@@ -89,9 +63,10 @@
             Self::Table(index, _) => set_table_faults(cell, index, TableFaults::default()).await,
         }
     }
+}
 
-    /// The part of the cell that it strikes; two faults never strike the same part at once.
-    pub(super) fn part(&self) -> (&'static str, Option<usize>) {
+impl Strikes for Fault {
+    fn part(&self) -> Part {
         match *self {
             Self::Kill(index) | Self::Terminate(index) | Self::Pause(index) => {
                 ("process", Some(index))
--- a/jackdawchute-standins/src/soak/mod.rs
+++ b/jackdawchute-standins/src/soak/mod.rs
@@ -6,7 +6,10 @@
 mod fault;
 mod plan;
 mod run;
+pub(crate) mod schedule;
 
-pub use fault::{Disturbance, Fault};
+pub use fault::Fault;
 pub use plan::SoakPlan;
+pub(crate) use run::keep_logs;
 pub use run::{run, SoakReport};
+pub use schedule::Disturbance;
--- a/jackdawchute-standins/src/soak/plan.rs
+++ b/jackdawchute-standins/src/soak/plan.rs
@@ -1,24 +1,16 @@
 //! Draws the faults of a seed.
 
-use std::{collections::BTreeMap, path::PathBuf, time::Duration};
+use std::{path::PathBuf, time::Duration};
 
 use rand::{rngs::StdRng, Rng, SeedableRng};
 
 use super::{
-    fault::{unavailable, Disturbance},
-    Fault,
-};
-use crate::{
-    proxy::{DirectionFaults, ProxyFaults},
-    table::{Availability, TableFaults},
+    fault::unavailable,
+    schedule::{draw, draw_network, DELAY_MAX_MS},
+    Disturbance, Fault,
 };
+use crate::table::{Availability, TableFaults};
 
-/// The shortest and the longest time that a fault lasts: below and above lease and takeover.
-const LASTS_MS: (u64, u64) = (200, 5_000);
-/// How many faults begin in each second, on average.
-const FAULTS_PER_SECOND: f64 = 0.7;
-/// The longest delay of a slow network or table.
-const DELAY_MAX_MS: u64 = 400;
 /// The most answers of the table that are lost at a time.
 const LOST_ANSWERS_MAX: u32 = 4;
 
@@ -61,30 +53,9 @@
     }
 
     /// The faults in the order in which they begin; those on one part of the cell do not overlap.
-    pub fn disturbances(&self) -> Vec<Disturbance> {
+    pub fn disturbances(&self) -> Vec<Disturbance<Fault>> {
         let mut random = StdRng::seed_from_u64(self.seed);
-        let count = (self.lasts.as_secs_f64() * FAULTS_PER_SECOND).ceil() as usize;
-        let mut drawn: Vec<Disturbance> = (0..count).map(|_| self.draw(&mut random)).collect();
-        drawn.sort_by_key(|it| it.at);
-        let mut free_at: BTreeMap<_, Duration> = BTreeMap::new();
-        drawn.retain(|it| {
-            let free_at = free_at.entry(it.fault.part()).or_default();
-            let free = it.at >= *free_at;
-            if free {
-                *free_at = it.ends_at();
-            }
-            free
-        });
-        drawn
-    }
-
-    fn draw(&self, random: &mut StdRng) -> Disturbance {
-        let lasts_ms = random.random_range(LASTS_MS.0..LASTS_MS.1);
-        Disturbance {
-            at: self.lasts.mul_f64(random.random_range(0.05..0.95)),
-            lasts: Duration::from_millis(lasts_ms),
-            fault: self.draw_fault(random),
-        }
+        draw(&mut random, self.lasts, |random| self.draw_fault(random))
     }
 
     fn draw_fault(&self, random: &mut StdRng) -> Fault {
@@ -110,26 +81,6 @@
     }
 }
 
-fn draw_network(random: &mut StdRng) -> ProxyFaults {
-    let held = DirectionFaults {
-        hold: true,
-        ..DirectionFaults::default()
-    };
-    match random.random_range(0..5) {
-        0 => ProxyFaults::frozen(),
-        1 => ProxyFaults::refusing(),
-        2 => ProxyFaults::delayed(Duration::from_millis(random.random_range(1..DELAY_MAX_MS))),
-        3 => ProxyFaults {
-            to_client: held,
-            ..ProxyFaults::default()
-        },
-        _ => ProxyFaults {
-            to_server: held,
-            ..ProxyFaults::default()
-        },
-    }
-}
-
 fn draw_table(random: &mut StdRng) -> TableFaults {
     match random.random_range(0..4) {
         0 => unavailable(Availability::Refusing),
--- a/jackdawchute-standins/src/soak/run.rs
+++ b/jackdawchute-standins/src/soak/run.rs
@@ -2,16 +2,20 @@
 
 use std::{collections::BTreeSet, fmt, fs, io, path::Path, time::Duration};
 
+use async_trait::async_trait;
 use jackdawchute_types::{JobId, JobKind, JobSpec, JobState, Resources};
 use smol_str::format_smolstr;
 use tokio::time::{sleep, Instant};
 use xtra::Address;
 
-use super::{Disturbance, Fault, SoakPlan};
+use super::{
+    schedule::{play, Stage, SUPERVISION_PERIOD},
+    Disturbance, Fault, SoakPlan,
+};
 use crate::{
     balancer::{BalancerTask, ReadReady},
     caller::Caller,
-    harness::{Cell, CellEntry, CellOptions, ServicePlan, WorkerPlan, DEADLINE},
+    harness::{Cell, CellOptions, ServicePlan, WorkerPlan, DEADLINE},
     load::{ClassPlan, Finished, Plan},
     Error, Result,
 };
@@ -27,8 +31,6 @@
 const SERVED_AGAIN_PERCENT: usize = 95;
 /// The longest that a load lasts by itself.
 const LOAD_MAX: Duration = Duration::from_secs(300);
-/// How often instances are looked at that may have ended.
-const SUPERVISION_PERIOD: Duration = Duration::from_millis(100);
 /// How an instance ends that was replaced by another.
 const FENCED_EXIT_CODE: i32 = 1;
 
@@ -38,7 +40,7 @@
     /// The seed.
     pub seed: u64,
     /// The faults that were played.
-    pub disturbances: Vec<Disturbance>,
+    pub disturbances: Vec<Disturbance<Fault>>,
     /// The requests that were sent.
     pub requests: usize,
     /// The jobs that were accepted.
@@ -72,7 +74,7 @@
 /// # Errors
 /// A stand-in or a process did not start, or a fault could not be brought about.
 pub async fn run(program: &Path, plan: &SoakPlan) -> Result<SoakReport> {
-    let mut cell = Cell::start(options(program, plan)).await?;
+    let cell = Cell::start(options(program, plan)).await?;
     let load = cell.start_load(&load_plan(plan.seed))?;
     let disturbances = plan.disturbances();
     let began_at = Instant::now();
@@ -82,10 +84,18 @@
         Caller::new()?,
         began_at + plan.lasts,
     ));
-    let mut supervisor = Supervisor::default();
-    supervisor.play(&mut cell, &disturbances, began_at).await?;
-    supervisor.wait_until_calm(&mut cell).await?;
-    let mut violations = supervisor.violations;
+    let mut supervisor = Supervisor {
+        cell,
+        down: BTreeSet::new(),
+        violations: Vec::new(),
+    };
+    play(&mut supervisor, &disturbances, began_at).await?;
+    supervisor.wait_until_calm().await?;
+    let Supervisor {
+        cell,
+        mut violations,
+        ..
+    } = supervisor;
     let calm_until = began_at.elapsed();
     let finished = load.stop().await;
     let jobs = jobs
@@ -97,7 +107,7 @@
     violations.extend(cell.untruths(&finished).await?);
     if let Some(logs) = plan.logs.as_ref().filter(|_| !violations.is_empty()) {
         let kept = logs.join(format!("seed-{}", plan.seed));
-        keep_logs(&cell, &kept)
+        keep_logs(cell.logs(), &kept)
             .map_err(|cause| Error::Io("keep logs", kept.display().to_string(), cause))?;
     }
     Ok(SoakReport {
@@ -109,14 +119,10 @@
     })
 }
 
-/// Copies the logs of all instances' processes.
-fn keep_logs(cell: &Cell, to: &Path) -> io::Result<()> {
+/// Copies the logs in a folder.
+pub(crate) fn keep_logs(from: &Path, to: &Path) -> io::Result<()> {
     fs::create_dir_all(to)?;
-    // All instances write to one folder.
-    let Some(log) = cell.entries.first().map(CellEntry::log) else {
-        return Ok(());
-    };
-    for file in fs::read_dir(log.parent().unwrap_or(Path::new(".")))? {
+    for file in fs::read_dir(from)? {
         let file = file?;
         if file.path().extension().is_some_and(|it| it == "log") {
             fs::copy(file.path(), to.join(file.file_name()))?;
@@ -191,52 +197,58 @@
     accepted
 }
 
-/// Begins and ends faults, and starts instances again that ended by themselves.
-#[derive(Debug, Default)]
+/// A cell on which faults begin and end, and whose instances are started again if they end.
 struct Supervisor {
+    cell: Cell,
     /// The instances that a fault has ended.
     down: BTreeSet<usize>,
     /// Ends and outages that must not be.
     violations: Vec<String>,
 }
 
-impl Supervisor {
-    /// Begins and ends the faults at their times.
-    async fn play(
-        &mut self,
-        cell: &mut Cell,
-        disturbances: &[Disturbance],
-        began_at: Instant,
-    ) -> Result<()> {
-        let mut steps: Vec<(Duration, &Disturbance, bool)> = disturbances
-            .iter()
-            .flat_map(|it| [(it.at, it, true), (it.ends_at(), it, false)])
-            .collect();
-        steps.sort_by_key(|(at, _, begins)| (*at, *begins));
-        for (at, disturbance, begins) in steps {
-            self.restart_ended(cell).await?;
-            while began_at.elapsed() < at {
-                let left = at.saturating_sub(began_at.elapsed());
-                sleep(left.min(SUPERVISION_PERIOD)).await;
-                self.restart_ended(cell).await?;
+#[async_trait]
+impl Stage<Fault> for Supervisor {
+    async fn begin(&mut self, fault: &Fault) -> Result<()> {
+        if let Fault::Kill(index) | Fault::Terminate(index) = fault {
+            self.down.insert(*index);
+        }
+        fault.begin(&mut self.cell).await
+    }
+
+    async fn end(&mut self, fault: &Fault) -> Result<()> {
+        fault.end(&mut self.cell).await?;
+        if let Fault::Kill(index) | Fault::Terminate(index) = fault {
+            self.down.remove(index);
+        }
+        Ok(())
+    }
+
+    async fn supervise(&mut self) -> Result<()> {
+        for index in 0..self.cell.entries.len() {
+            let entry = &mut self.cell.entries[index];
+            let Some(status) = entry.process.ended()? else {
+                continue;
+            };
+            if self.down.contains(&index) {
+                continue;
             }
-            if begins {
-                self.expect_end(&disturbance.fault);
-                disturbance.fault.begin(cell).await?;
-            } else {
-                disturbance.fault.end(cell).await?;
-                self.expect_no_end(&disturbance.fault);
+            if status.code() != Some(FENCED_EXIT_CODE) {
+                self.violations.push(format!("{}: {status}", entry.name));
             }
+            self.cell.restart_entry(index).await?;
         }
         Ok(())
     }
+}
 
+impl Supervisor {
     /// Waits until all instances have been ready for a while.
-    async fn wait_until_calm(&mut self, cell: &mut Cell) -> Result<()> {
+    async fn wait_until_calm(&mut self) -> Result<()> {
         let give_up_at = Instant::now() + DEADLINE;
         let mut ready_since = Instant::now();
         while ready_since.elapsed() < CALM {
-            self.restart_ended(cell).await?;
+            self.supervise().await?;
+            let cell = &self.cell;
             let ready = cell.balancer.send(ReadReady).await.unwrap_or_default();
             let mut missing = cell
                 .entries
@@ -254,35 +266,6 @@
         }
         Ok(())
     }
-
-    fn expect_end(&mut self, fault: &Fault) {
-        if let Fault::Kill(index) | Fault::Terminate(index) = fault {
-            self.down.insert(*index);
-        }
-    }
-
-    fn expect_no_end(&mut self, fault: &Fault) {
-        if let Fault::Kill(index) | Fault::Terminate(index) = fault {
-            self.down.remove(index);
-        }
-    }
-
-    async fn restart_ended(&mut self, cell: &mut Cell) -> Result<()> {
-        for index in 0..cell.entries.len() {
-            let entry = &mut cell.entries[index];
-            let Some(status) = entry.process.ended()? else {
-                continue;
-            };
-            if self.down.contains(&index) {
-                continue;
-            }
-            if status.code() != Some(FENCED_EXIT_CODE) {
-                self.violations.push(format!("{}: {status}", entry.name));
-            }
-            cell.restart_entry(index).await?;
-        }
-        Ok(())
-    }
 }
 
 /// Whether the requests at the end of the load were answered, once all was well again.
--- a/src/cell.rs
+++ b/src/cell.rs
@@ -161,7 +161,8 @@
     let defaults = jackdawchute_scheduler::Settings::default();
     Settings {
         instance: settings.instance.clone(),
-        peer_address: settings.listen.peers,
+        peer_listen: settings.listen.peers,
+        peer_address: settings.listen.reached_by_peers(),
         processor_millicores: settings.processor.millicores(),
         scheduler: jackdawchute_scheduler::Settings {
             lease: defaults.lease.min(settings.bounds.lease_max),
