--- /dev/null
+++ b/jackdawchute-settings/tests/cell_settings.rs
@@ -0,0 +1,55 @@
+//! The settings of an instance of a cell.
+
+use jackdawchute_settings::{CellSettings, Error, Problem};
+
+fn text(peers: &str, more: &str) -> String {
+    format!(
+        "instance: entry-1
+failure_domain: ala-1
+listen:
+  callers: 10.0.0.1:8161
+  readiness: 10.0.0.1:8167
+  peers: {peers}
+  metrics: 10.0.0.1:9464
+{more}platform:
+  store: 10.0.0.9:8169
+bounds:
+  lease_max_ms: 10000
+  task_stop_ms: 900
+  shutdown_ms: 6000
+  ended_retention_ms: 120000
+"
+    )
+}
+
+fn problems(text: &str) -> Vec<Problem> {
+    match CellSettings::parse(text) {
+        Err(Error::Refused(problems)) => problems.0,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn peers_reach_an_instance_where_it_listens() {
+    let settings = CellSettings::parse(&text("10.0.0.1:7720", "")).unwrap();
+
+    assert_eq!(settings.listen.reached_by_peers(), settings.listen.peers);
+}
+
+#[test]
+fn an_address_that_peers_cannot_connect_to_is_refused() {
+    let refused = problems(&text("0.0.0.0:7720", ""));
+
+    let fields: Vec<&str> = refused.iter().map(|it| it.field.as_str()).collect();
+    assert_eq!(fields, ["listen.peers"]);
+}
+
+#[test]
+fn an_instance_that_listens_everywhere_tells_where_peers_reach_it() {
+    let advertised = "  advertised_peers: 10.0.0.1:7721\n";
+
+    let settings = CellSettings::parse(&text("0.0.0.0:7720", advertised)).unwrap();
+
+    let reached = settings.listen.reached_by_peers();
+    assert_eq!(reached, "10.0.0.1:7721".parse().unwrap());
+}
--- a/jackdawchute-standins/src/cell/workers.rs
+++ b/jackdawchute-standins/src/cell/workers.rs
@@ -141,6 +141,14 @@
     }
 
     /// Ends a worker's life and what runs there; its next one knows nothing of it.
+    ///
+    /// ```
+    /// use jackdawchute_standins::cell::MemoryWorkers;
+    ///
+    /// let workers = MemoryWorkers::new(1, std::time::Duration::from_millis(10));
+    /// workers.crash(&"w0".into());
+    /// assert_eq!(workers.entries()[0].born_unix_ms, 2);
+    /// ```
     pub fn crash(&self, worker: &WorkerId) {
         let mut state = lock(&self.state);
         state.advance();
--- a/jackdawchute-standins/src/cell_soak/stage.rs
+++ b/jackdawchute-standins/src/cell_soak/stage.rs
@@ -16,7 +16,7 @@
 use jackdawchute_adapter::standins::{
     list_worker, put_configuration, serve_advisor, serve_store, serve_worker,
 };
-use jackdawchute_cell::{Error as PlatformError, QueueRoute, Routes, Store};
+use jackdawchute_cell::{Error as PlatformError, QueueRoute, Routes};
 use jackdawchute_scheduler::{AdviceCost, QueuePolicy, WorkerEntry};
 use jackdawchute_trial::Listening;
 use smol_str::{format_smolstr, SmolStr};
@@ -331,19 +331,15 @@
         // Orders that were on their way have met no life.
         self.workers.crash(&worker.entry.worker);
         worker.proxy.set_target(worker.listener.address()).await?;
-        let reborn = self.workers.entries().into_iter();
-        let Some(reborn) = reborn.into_iter().nth(index) else {
+        let Some(reborn) = self.workers.entries().into_iter().nth(index) else {
             return Ok(());
         };
         let entry = WorkerEntry {
             address: worker.entry.address,
             ..reborn
         };
-        let operator: &dyn Store = &self.operator;
-        list_worker(operator, &entry)
-            .await
-            .map(|_| ())
-            .map_err(platform)
+        let listed = list_worker(&self.operator, &entry).await;
+        listed.map(|_| ()).map_err(platform)
     }
 }
 
