fix: a cell of more than 500 workers can save them

The store refused every commit of these cells: 'a table, key, version or value is missing or too long'. All workers were named in one row, which meets the store's 64 KB at about 500; the refused commit was repeated for ever.

Change: rows of 256 workers each; a worker keeps the row that it was first given, so that one that joins or leaves rewrites one row, and a new owner knows the rows of all by their keys.

--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -28,6 +28,7 @@
 mod state;
 mod submit;
 mod worker;
+mod worker_rows;
 
 pub use error::{Error, Result};
 pub use graph::{JobGraph, Repeat, StepSpec};
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -48,11 +48,10 @@
                 worker = id.as_str(), service = entry.service.as_str(),
                 leaving = leaving_at.is_some()
             });
-            let mut worker = Worker::new(entry, now);
+            let mut worker = Worker::new(entry, self.worker_rows.join(), now);
             worker.lives = self.lives.get(&id).copied().unwrap_or(0);
             worker.leaving_at = leaving_at;
             self.workers.insert(id, worker);
-            self.workers_unsaved = true;
             return;
         };
         if worker.leaving_at.is_none() && leaving_at.is_some() {
@@ -62,7 +61,7 @@
             });
         }
         if worker.entry.address != entry.address || !worker.listed {
-            self.workers_unsaved = true;
+            self.worker_rows.changed(worker.row);
         }
         // A later report may allow less time than the first; only a new life takes it back.
         let new_life = worker.entry.born_unix_ms != entry.born_unix_ms;
@@ -93,7 +92,7 @@
                 });
                 worker.listed = false;
                 worker.unlisted_at = Some(now);
-                self.workers_unsaved = true;
+                self.worker_rows.changed(worker.row);
             }
         }
     }
@@ -309,8 +308,10 @@
         if removed.is_none() {
             return;
         }
-        let unlisted = |worker: &Worker| !worker.listed && worker.runs.is_empty();
-        self.workers_unsaved |= self.workers.get(worker).is_some_and(unlisted);
+        let unlisted = |worker: &&Worker| !worker.listed && worker.runs.is_empty();
+        if let Some(worker) = self.workers.get(worker).filter(unlisted) {
+            self.worker_rows.changed(worker.row);
+        }
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
@@ -354,8 +355,7 @@
                 self.stop_rest_of_gang(&task);
             }
         }
-        let before = self.workers.len();
-        let lives = &mut self.lives;
+        let (lives, rows) = (&mut self.lives, &mut self.worker_rows);
         self.workers.retain(|id, worker| {
             let old = worker
                 .unlisted_at
@@ -364,11 +364,11 @@
             if !kept && worker.lives > 0 {
                 lives.insert(id.clone(), worker.lives);
             }
+            if !kept {
+                rows.leave(worker.row);
+            }
             kept
         });
-        if self.workers.len() != before {
-            self.workers_unsaved = true;
-        }
     }
 
     /// Moves tasks away from workers that are about to leave.
--- a/jackdawchute-scheduler/src/records.rs
+++ b/jackdawchute-scheduler/src/records.rs
@@ -9,12 +9,10 @@
 
 use crate::{
     job::{Job, JobPhase},
+    worker_rows::{row_key, row_of_key, RowIndex},
     Batch, JobGraph, Outcome, QueuePolicy, RowChange, RowTable, Scheduler,
 };
 
-/// The key of the row that names the workers.
-pub(crate) const WORKERS_KEY: &str = "workers";
-
 /// An accepted job as saved.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct JobRecord {
@@ -76,7 +74,7 @@
             || !self.ending.is_empty()
             || !self.unsaved.is_empty()
             || !self.ends_unsaved.is_empty()
-            || self.workers_unsaved
+            || self.worker_rows.has_unsaved()
     }
 
     /// How many commits of at most `rows_max` rows it takes until a job that is submitted now is
@@ -96,8 +94,11 @@
         }
         let mut batch = Batch::default();
         let mut bytes = 0;
-        if std::mem::take(&mut self.workers_unsaved) {
-            push(&mut batch, &mut bytes, self.workers_row());
+        while bytes < bytes_max / 2 {
+            let Some(row) = self.worker_rows.take_unsaved() else {
+                break;
+            };
+            push(&mut batch, &mut bytes, self.workers_row(row));
         }
         // A caller waits for each acceptance, and on a slow store the progress of running jobs
         // alone fills every batch.
@@ -219,7 +220,7 @@
                 RowTable::Progress if change.value.is_some() => {
                     self.unsaved.insert(change.key.clone());
                 }
-                RowTable::Workers => self.workers_unsaved = true,
+                RowTable::Workers => self.worker_rows.changed(row_of_key(&change.key)),
                 RowTable::Ended if change.value.is_none() => {
                     self.ended_rows
                         .push_front((self.began_at, change.key.clone()));
@@ -255,17 +256,19 @@
         expired
     }
 
-    fn workers_row(&self) -> RowChange {
+    fn workers_row(&self, row: RowIndex) -> RowChange {
         let record = |worker: &crate::worker::Worker| WorkerRecord {
             worker: worker.entry.worker.clone(),
             address: worker.entry.address,
             service: worker.entry.service.clone(),
         };
         // What is not listed and runs nothing cannot run anything later.
-        let matters = |worker: &&crate::worker::Worker| worker.listed || !worker.runs.is_empty();
+        let matters = |worker: &&crate::worker::Worker| {
+            worker.row == row && (worker.listed || !worker.runs.is_empty())
+        };
         let records: Vec<WorkerRecord> =
             self.workers.values().filter(matters).map(record).collect();
-        encode(RowTable::Workers, WORKERS_KEY.into(), &records)
+        encode(RowTable::Workers, row_key(row), &records)
     }
 }
 
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -9,6 +9,7 @@
     job::{Job, JobPhase, StepRun},
     records::{EndedRecord, JobRecord, ProgressRecord, WorkerRecord},
     worker::Worker,
+    worker_rows::{row_of_key, RowIndex},
     Error, Outcome, Result, RowTable, Scheduler, WorkerEntry,
 };
 
@@ -52,7 +53,9 @@
                     RowTable::Jobs => self.load_job(key, decode(key, value)?, unix_now, now),
                     RowTable::Progress => self.load_progress(key, decode(key, value)?, now),
                     RowTable::Ended => self.load_ended(key, decode(key, value)?, now),
-                    RowTable::Workers => self.load_workers(decode(key, value)?, now),
+                    RowTable::Workers => {
+                        self.load_workers(row_of_key(key), decode(key, value)?, now);
+                    }
                 }
             }
         }
@@ -131,7 +134,7 @@
         self.ended_rows.push_back((now, key.clone()));
     }
 
-    fn load_workers(&mut self, records: Vec<WorkerRecord>, now: Instant) {
+    fn load_workers(&mut self, row: RowIndex, records: Vec<WorkerRecord>, now: Instant) {
         for record in records {
             let entry = WorkerEntry {
                 worker: record.worker.clone(),
@@ -144,10 +147,11 @@
                 leaving_in: None,
                 born_unix_ms: 0,
             };
-            let worker = self
-                .workers
-                .entry(record.worker)
-                .or_insert_with(|| Worker::new(entry, now));
+            let rows = &mut self.worker_rows;
+            let worker = self.workers.entry(record.worker).or_insert_with(|| {
+                rows.rejoin(row);
+                Worker::new(entry, row, now)
+            });
             worker.listed = false;
             worker.unlisted_at = Some(now);
         }
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -14,6 +14,7 @@
     learned::{AllowedShares, RunTimes},
     recover::Recovery,
     worker::Worker,
+    worker_rows::WorkerRows,
     Effect, JobStatus, Outcome, Settings,
 };
 
@@ -64,8 +65,8 @@
     pub(crate) accepting: VecDeque<JobId>,
     /// Jobs that are ending and not committed yet.
     pub(crate) ending: Vec<JobId>,
-    /// The set of workers has changed since it was last saved.
-    pub(crate) workers_unsaved: bool,
+    /// Where the workers are saved.
+    pub(crate) worker_rows: WorkerRows,
     pub(crate) ends_unsaved: BTreeSet<WorkerId>,
     /// Workers with places that are kept for gangs, as of the last placement and of this one.
     pub(crate) planned: HashSet<WorkerId>,
@@ -105,7 +106,7 @@
             unsaved: BTreeSet::new(),
             accepting: VecDeque::new(),
             ending: Vec::new(),
-            workers_unsaved: false,
+            worker_rows: WorkerRows::default(),
             ends_unsaved: BTreeSet::new(),
             planned: HashSet::new(),
             planning: HashSet::new(),
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -7,7 +7,7 @@
 
 use jackdawchute_types::{FencingToken, JobId, Resources, RunNumber, WorkerId};
 
-use crate::{progress::Progress, StartOrder, TaskName, WorkerEntry};
+use crate::{progress::Progress, worker_rows::RowIndex, StartOrder, TaskName, WorkerEntry};
 
 /// The slowest rate of a worker's clock against ours.
 const CLOCK_RATE_MIN: f64 = 0.98;
@@ -86,6 +86,8 @@
     /// When it was listed with a new life that no look has met yet.
     pub(crate) reborn_at: Option<Instant>,
     pub(crate) first_met_at: Instant,
+    /// The saved row that names it.
+    pub(crate) row: RowIndex,
     /// What ended of late: failures and successes, by job, for the quarantine.
     pub(crate) health: Health,
 }
@@ -101,7 +103,7 @@
 }
 
 impl Worker {
-    pub(crate) fn new(entry: WorkerEntry, now: Instant) -> Self {
+    pub(crate) fn new(entry: WorkerEntry, row: RowIndex, now: Instant) -> Self {
         Self {
             entry,
             listed: true,
@@ -119,6 +121,7 @@
             unanswered_since: None,
             reborn_at: None,
             first_met_at: now,
+            row,
             health: Health {
                 slowness: 1.0,
                 ..Health::default()
--- a/jackdawchute-scheduler/tests/behaviour/takeover.rs
+++ b/jackdawchute-scheduler/tests/behaviour/takeover.rs
@@ -188,3 +188,73 @@
     assert!(cell.take_starts().is_empty());
     assert_eq!(cell.take_stops().len(), 1);
 }
+
+/// What the store allows for a row, in bytes of its base64 encoding.
+const ROW_BYTES_MAX: usize = 65_536;
+
+fn large_cell(workers: usize) -> Cell {
+    let names: Vec<String> = (0..workers)
+        .map(|index| format!("worker-{index}"))
+        .collect();
+    let entries: Vec<_> = names.iter().map(|name| entry(name, 4)).collect();
+    settled_cell(1, &entries)
+}
+
+fn workers_rows(rows: &[RowChange]) -> Vec<&RowChange> {
+    let of_workers = rows.iter().filter(|row| row.table == RowTable::Workers);
+    of_workers.collect()
+}
+
+#[test]
+fn the_workers_of_a_large_cell_fit_into_rows() {
+    let mut cell = large_cell(6_700);
+
+    let rows = cell.commit();
+
+    let rows = workers_rows(&rows);
+    let longest = rows
+        .iter()
+        .filter_map(|row| row.value.as_ref())
+        .map(Vec::len);
+    let longest = longest.max().expect("a row of workers").div_ceil(3) * 4;
+    assert!(longest <= ROW_BYTES_MAX, "{longest} bytes");
+    assert!(rows.len() <= 40, "{} rows", rows.len());
+}
+
+#[test]
+fn a_worker_that_joins_or_leaves_a_large_cell_changes_one_row() {
+    let mut cell = large_cell(1_000);
+    cell.commit();
+
+    cell.scheduler.worker_listed(entry("late", 4), cell.now);
+    let joined = cell.commit();
+    cell.scheduler.worker_unlisted(&"worker-3".into(), cell.now);
+    let left = cell.commit();
+
+    assert_eq!(workers_rows(&joined).len(), 1);
+    assert_eq!(workers_rows(&left).len(), 1);
+}
+
+#[test]
+fn a_new_owner_of_a_large_cell_waits_for_every_worker_that_was_saved() {
+    let mut first = large_cell(600);
+    let id = "job".into();
+    let job = graph(vec![step(1, 2)]);
+    first.scheduler.submit(&id, job, queue(0), first.now);
+    let rows = first.commit();
+    let names: Vec<String> = (0..600).map(|index| format!("worker-{index}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut cell = successor(rows, &names);
+
+    let asked: std::collections::BTreeSet<_> =
+        cell.holds.iter().map(|hold| hold.worker.clone()).collect();
+    let all_but_one = std::mem::take(&mut cell.holds);
+    for hold in all_but_one.iter().filter(|it| it.worker != "worker-599") {
+        cell.answer_hold(hold, Vec::new(), Vec::new());
+    }
+    cell.tick(10);
+    let before = cell.take_starts();
+
+    assert_eq!(asked.len(), 600);
+    assert_eq!(before, []);
+}
