change: looks at the workers of a large cell are paced

A trial of the first 12 s with 3,000 workers wrote 20,046 'worker does not answer' and 40 'epoch offered to a successor': a new holder looked at all workers at once, which takes an instance with a quarter of a core longer than a look may take, tried again after 250 ms, fell behind and gave the epoch away; and idle workers were looked at as often as busy ones.

Change: at most 400 looks at a time at workers that are not known yet or do not answer; workers that run nothing are left alone for 4 ms for each worker above 500, and are looked at once they get a task. At 500 workers and fewer nothing changes but for the bound of 400.

--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -166,9 +166,12 @@
             self.reconcile(&order.worker, &answer, first, now);
             self.judge_progress(&order.worker, now);
         }
+        let idle_pause = self.idle_pause();
         if let Some(worker) = self.workers.get_mut(&order.worker) {
             if worker.ends_noted > worker.ends_saved {
                 worker.hold_next_at = now + COMMIT_PATIENCE;
+            } else if worker.is_idle() {
+                worker.hold_next_at = now + idle_pause;
             }
         }
         self.place_needed = true;
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -6,7 +6,7 @@
 use spdlog::{info, warn};
 
 use crate::{
-    worker::{Run, RunPhase},
+    worker::{Run, RunPhase, Worker},
     Effect, HoldOrder, RefusedStart, Scheduler, StartAnswer, StopOrder, TaskName,
 };
 
@@ -18,6 +18,15 @@
 const START_PATIENCE: Duration = Duration::from_millis(2_000);
 /// The pause between two looks, so that several ends share one.
 const HOLD_PAUSE: Duration = Duration::from_millis(15);
+/// The most looks under way at workers that have not told what they run, or do not answer: an
+/// instance with a quarter of a core opens so many connections within a third of an answer's time.
+const FIRST_LOOKS_MAX: usize = 400;
+/// So many workers are looked at all the time, whether anything runs there or not; their looks take
+/// a tenth of a core of an instance.
+const WATCHED_WORKERS: usize = 500;
+/// The pause between two looks at a worker that runs nothing, for each worker above that: looks at
+/// idle workers then take no more than twice as much in a fleet of any size.
+const IDLE_PAUSE_PER_WORKER: Duration = Duration::from_millis(4);
 
 impl Scheduler {
     /// Takes the answer to an order to start.
@@ -234,12 +243,20 @@
             settings,
             ..
         } = self;
+        let first = |worker: &&Worker| worker.hold_under_way && !worker.is_known();
+        let mut first_looks = workers.values().filter(first).count();
         for worker in workers.values_mut() {
             if worker.hold_under_way || worker.hold_next_at > now {
                 continue;
             }
+            if !worker.is_known() {
+                if first_looks >= FIRST_LOOKS_MAX {
+                    continue;
+                }
+                first_looks += 1;
+            }
             let answered = worker.unanswered_since.is_none() && worker.reborn_at.is_none();
-            let wait = if worker.fenced && answered && !worker.awaits_bar() {
+            let wait = if worker.is_known() && !worker.awaits_bar() {
                 settings.hold_wait
             } else {
                 Duration::ZERO
@@ -286,6 +303,12 @@
         }
     }
 
+    /// How long a worker that runs nothing is left alone.
+    pub(crate) fn idle_pause(&self) -> Duration {
+        let above = self.workers.len().saturating_sub(WATCHED_WORKERS);
+        IDLE_PAUSE_PER_WORKER * u32::try_from(above).unwrap_or(u32::MAX)
+    }
+
     /// Schedules the next look at a worker.
     pub(crate) fn look_soon(&mut self, worker: &WorkerId, now: Instant) {
         if let Some(target) = self.workers.get_mut(worker) {
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -396,6 +396,10 @@
                 start: Some(Box::new(order.clone())),
                 progress: None,
             };
+            if worker.is_idle() {
+                // It may have been left alone until much later.
+                worker.hold_next_at = now;
+            }
             worker.runs.insert(order.task.clone(), record);
             self.effects.push(Effect::Start(order));
         }
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -133,6 +133,16 @@
         &self.entry.worker
     }
 
+    /// Whether it has told what it runs, and answers.
+    pub(crate) fn is_known(&self) -> bool {
+        self.fenced && self.unanswered_since.is_none() && self.reborn_at.is_none()
+    }
+
+    /// Whether nothing runs there and all ends are saved.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.runs.is_empty() && self.ends_noted == self.ends_saved
+    }
+
     /// What is free, or `None` while something of unknown size runs there.
     pub(crate) fn free(&self) -> Option<Resources> {
         let mut free = self.entry.capacity;
--- a/jackdawchute-scheduler/tests/behaviour/takeover.rs
+++ b/jackdawchute-scheduler/tests/behaviour/takeover.rs
@@ -246,13 +246,16 @@
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
     let mut cell = successor(rows, &names);
 
-    let asked: std::collections::BTreeSet<_> =
-        cell.holds.iter().map(|hold| hold.worker.clone()).collect();
-    let all_but_one = std::mem::take(&mut cell.holds);
-    for hold in all_but_one.iter().filter(|it| it.worker != "worker-599") {
-        cell.answer_hold(hold, Vec::new(), Vec::new());
+    let mut asked = std::collections::BTreeSet::new();
+    for _ in 0..4 {
+        for hold in std::mem::take(&mut cell.holds) {
+            asked.insert(hold.worker.clone());
+            if hold.worker != "worker-599" {
+                cell.answer_hold(&hold, Vec::new(), Vec::new());
+            }
+        }
+        cell.tick(10);
     }
-    cell.tick(10);
     let before = cell.take_starts();
 
     assert_eq!(asked.len(), 600);
