change: whoever meets its workers for the first time keeps the epoch

Each new holder meets all workers and is late for it, and offers the epoch in turn; no task was placed.

Change: lateness is no reason to offer the epoch until all workers have told what they run, for at most 3 s.

--- a/jackdawchute-cell/src/leader/peers.rs
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -103,7 +103,7 @@
         let Some(state) = self.peers.get(&successor).map(|load| load.state) else {
             return;
         };
-        if !self.is_better(&state) {
+        if !self.is_better(&state, now) {
             return;
         }
         self.offered_at = Some(now);
@@ -117,12 +117,13 @@
         tokio::spawn(async move { offer_epoch(&peers, successor, epoch).await });
     }
 
-    fn is_better(&self, other: &PeerState) -> bool {
+    fn is_better(&self, other: &PeerState, now: Instant) -> bool {
         let own = self.processor_millicores;
         let much_stronger = other.processor_millicores * 100 >= own * STRONGER_PERCENT;
         let as_strong = other.processor_millicores >= own;
-        (much_stronger && other.lag < LAG_MAX)
-            || (as_strong && self.lag >= LAG_MAX && other.lag * 2 <= self.lag)
+        // Whoever meets thousands of workers is late, and the next one would be as well.
+        let late = self.lag >= LAG_MAX && !self.scheduler.is_meeting_workers(now);
+        (much_stronger && other.lag < LAG_MAX) || (as_strong && late && other.lag * 2 <= self.lag)
     }
 
     /// Asks peers whether another instance has taken over, which the store would tell if it could
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -16,6 +16,10 @@
 /// The run numbers of an epoch start above those that an earlier one may have ordered unseen.
 const RUN_NUMBERS_PER_EPOCH: u64 = 64;
 
+/// How long a new owner may be expected to meet its workers: first looks at 3,000 of them take an
+/// instance with a quarter of a core about two seconds.
+const MEETING_MAX: Duration = Duration::from_secs(3);
+
 /// Whether tasks may still run that no worker has listed.
 #[derive(Debug)]
 pub(crate) struct Recovery {
@@ -157,6 +161,21 @@
         }
     }
 
+    /// Whether this epoch is so young that it still meets its workers for the first time.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use jackdawchute_scheduler::{Scheduler, Settings};
+    ///
+    /// let now = Instant::now();
+    /// let scheduler = Scheduler::new(Settings::default(), 1, now);
+    /// assert!(scheduler.is_meeting_workers(now));
+    /// assert!(!scheduler.is_meeting_workers(now + Duration::from_secs(10)));
+    /// ```
+    pub fn is_meeting_workers(&self, now: Instant) -> bool {
+        !self.recovery.over && now.saturating_duration_since(self.recovery.since) < MEETING_MAX
+    }
+
     /// Lets taken-over jobs run again once each worker has told what it runs, or cannot run
     /// anything any more.
     pub(crate) fn finish_recovery(&mut self, now: Instant) {
--- a/jackdawchute-scheduler/tests/behaviour/large_cells.rs
+++ b/jackdawchute-scheduler/tests/behaviour/large_cells.rs
@@ -78,3 +78,15 @@
         "a worker was looked at {fewest} times in a second"
     );
 }
+
+#[test]
+fn an_owner_meets_its_workers_until_all_have_told_what_they_run() {
+    let mut cell = cell(1, &entries(1_000));
+    cell.tick(1);
+
+    let at_first = cell.scheduler.is_meeting_workers(cell.now);
+    answer_all(&mut cell, 500);
+
+    assert!(at_first);
+    assert!(!cell.scheduler.is_meeting_workers(cell.now));
+}
