--- a/jackdawchute-standins/src/cell_soak/mod.rs
+++ b/jackdawchute-standins/src/cell_soak/mod.rs
@@ -11,4 +11,4 @@
 
 pub use fault::CellFault;
 pub use judge::{judge, SentJob};
-pub use run::{run, CellSoakPlan, CellSoakReport};
+pub use run::{run, CellSoakPlan};
--- a/jackdawchute-standins/src/cell_soak/run.rs
+++ b/jackdawchute-standins/src/cell_soak/run.rs
@@ -1,13 +1,12 @@
 //! Plays the faults of a seed on a cell on the platform.
 
 use std::{
-    fmt,
     path::{Path, PathBuf},
     time::{Duration, Instant},
 };
 
 use rand::{rngs::StdRng, SeedableRng};
-use tokio::{sync::watch, time::sleep};
+use tokio::sync::watch;
 
 use super::{
     callers::{Callers, Told},
@@ -22,14 +21,12 @@
     lock::lock,
     soak::{
         keep_logs,
-        schedule::{draw, play, Stage, SUPERVISION_PERIOD},
-        Disturbance,
+        schedule::{draw, play, wait_until_calm},
+        Disturbance, SoakReport,
     },
     Error, Result,
 };
 
-/// How long the load goes on once all faults are over and all instances ready.
-const CALM: Duration = Duration::from_secs(6);
 /// The time at the end of the load in which jobs are to be accepted again.
 const SERVED_AGAIN: Duration = Duration::from_secs(3);
 /// The share of these that is to be accepted, in per cent.
@@ -81,49 +78,11 @@
     }
 }
 
-/// What a soak of a cell found.
-#[derive(Clone, Debug)]
-pub struct CellSoakReport {
-    /// The seed.
-    pub seed: u64,
-    /// The faults that were played.
-    pub disturbances: Vec<Disturbance<CellFault>>,
-    /// The jobs that were sent.
-    pub sent: usize,
-    /// Those that were accepted.
-    pub accepted: usize,
-    /// The starts of tasks.
-    pub starts: usize,
-    /// What must not happen and did.
-    pub violations: Vec<String>,
-}
-
-impl fmt::Display for CellSoakReport {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(
-            f,
-            "seed {}: {} of {} jobs accepted, {} starts, {} violations",
-            self.seed,
-            self.accepted,
-            self.sent,
-            self.starts,
-            self.violations.len()
-        )?;
-        for disturbance in &self.disturbances {
-            writeln!(f, "  {disturbance}")?;
-        }
-        for violation in &self.violations {
-            writeln!(f, "  violated: {violation}")?;
-        }
-        Ok(())
-    }
-}
-
 /// Runs a soak with the shipped binary.
 ///
 /// # Errors
 /// A stand-in or a process did not start, or a fault could not be brought about.
-pub async fn run(program: &Path, plan: &CellSoakPlan) -> Result<CellSoakReport> {
+pub async fn run(program: &Path, plan: &CellSoakPlan) -> Result<SoakReport<CellFault>> {
     let mut stage = CellStage::start(program, plan.instances, plan.workers).await?;
     wait_until("ready instances", || async {
         let ready = stage.balancer.send(ReadReady).await.ok()?;
@@ -137,7 +96,8 @@
     let disturbances = plan.disturbances();
 
     play(&mut stage, &disturbances, tokio::time::Instant::now()).await?;
-    wait_until_calm(&mut stage).await?;
+    let (balancer, targets) = (stage.balancer.clone(), stage.targets());
+    let restless = wait_until_calm(&mut stage, &balancer, &targets).await?;
     let calm_until = Instant::now();
     // The load looks at it as long as it lasts.
     end.send_replace(true);
@@ -147,6 +107,7 @@
     let records = stage.workers.records();
     let Told { jobs, violations } = std::mem::take(&mut *lock(&told));
     let mut all = std::mem::take(&mut stage.violations);
+    all.extend(restless);
     all.extend(violations);
     all.extend(judge(&jobs, &records, WORKER_MILLICORES));
     let last = jobs
@@ -163,35 +124,15 @@
         keep_logs(stage.logs(), &kept)
             .map_err(|cause| Error::Io("keep logs", kept.display().to_string(), cause))?;
     }
-    Ok(CellSoakReport {
+    let accepted = jobs.values().filter(|it| it.accepted_at.is_some()).count();
+    Ok(SoakReport {
         seed: plan.seed,
         disturbances,
-        sent: jobs.len(),
-        accepted: jobs.values().filter(|it| it.accepted_at.is_some()).count(),
-        starts: records.len(),
+        load: format!(
+            "{accepted} of {} jobs accepted, {} starts",
+            jobs.len(),
+            records.len()
+        ),
         violations: all,
     })
 }
-
-/// Waits until all instances have been ready for a while.
-async fn wait_until_calm(stage: &mut CellStage) -> Result<()> {
-    let targets = stage.targets();
-    let give_up_at = Instant::now() + DEADLINE;
-    let mut ready_since = Instant::now();
-    while ready_since.elapsed() < CALM {
-        stage.supervise().await?;
-        let ready = stage.balancer.send(ReadReady).await.unwrap_or_default();
-        if let Some(missing) = targets.iter().find(|target| !ready.contains(target)) {
-            ready_since = Instant::now();
-            if ready_since >= give_up_at {
-                let callers = missing.callers;
-                stage
-                    .violations
-                    .push(format!("the instance at {callers} is not ready again"));
-                return Ok(());
-            }
-        }
-        sleep(SUPERVISION_PERIOD).await;
-    }
-    Ok(())
-}
--- a/jackdawchute-standins/src/cell_soak/stage.rs
+++ b/jackdawchute-standins/src/cell_soak/stage.rs
@@ -326,7 +326,7 @@
     }
 
     /// Begins a worker's next life and lists it.
-    async fn bear(&self, index: usize) -> Result<()> {
+    async fn begin_next_life(&self, index: usize) -> Result<()> {
         let worker = &self.listed[index];
         // Orders that were on their way have met no life.
         self.workers.crash(&worker.entry.worker);
@@ -365,7 +365,7 @@
             CellFault::WorkerRestart(index) => {
                 self.crash(index).await?;
                 tokio::time::sleep(RESTART_TIME).await;
-                self.bear(index).await?;
+                self.begin_next_life(index).await?;
             }
             _ => {}
         }
@@ -388,7 +388,7 @@
                 let process = &mut self.instances[index].process;
                 process.signal(Signal::Continue).await?;
             }
-            CellFault::WorkerCrash(index) => self.bear(index).await?,
+            CellFault::WorkerCrash(index) => self.begin_next_life(index).await?,
             _ => {}
         }
         self.set_store(fault, false);
--- a/jackdawchute-standins/src/soak/mod.rs
+++ b/jackdawchute-standins/src/soak/mod.rs
@@ -5,11 +5,13 @@
 
 mod fault;
 mod plan;
+mod report;
 mod run;
 pub(crate) mod schedule;
 
 pub use fault::Fault;
 pub use plan::SoakPlan;
+pub use report::SoakReport;
 pub(crate) use run::keep_logs;
-pub use run::{run, SoakReport};
+pub use run::run;
 pub use schedule::Disturbance;
--- a/jackdawchute-standins/src/soak/run.rs
+++ b/jackdawchute-standins/src/soak/run.rs
@@ -1,6 +1,6 @@
 //! Plays the faults of a seed on a cell and holds what callers were told against the records.
 
-use std::{collections::BTreeSet, fmt, fs, io, path::Path, time::Duration};
+use std::{collections::BTreeSet, fs, io, path::Path, time::Duration};
 
 use async_trait::async_trait;
 use jackdawchute_types::{JobId, JobKind, JobSpec, JobState, Resources};
@@ -9,22 +9,19 @@
 use xtra::Address;
 
 use super::{
-    schedule::{play, Stage, SUPERVISION_PERIOD},
-    Disturbance, Fault, SoakPlan,
+    schedule::{play, wait_until_calm, Stage, SUPERVISION_PERIOD},
+    Fault, SoakPlan, SoakReport,
 };
 use crate::{
-    balancer::{BalancerTask, ReadReady},
+    balancer::{BalancerTask, ReadReady, Target},
     caller::Caller,
-    harness::{Cell, CellOptions, ServicePlan, WorkerPlan, DEADLINE},
+    harness::{Cell, CellEntry, CellOptions, ServicePlan, WorkerPlan, DEADLINE},
     load::{ClassPlan, Finished, Plan},
     Error, Result,
 };
 
 /// How often a job is submitted.
 const JOB_PERIOD: Duration = Duration::from_millis(900);
-/// How long the load goes on once all faults are over and all instances ready: longer than an
-/// instance that was replaced may go on with what it has begun.
-const CALM: Duration = Duration::from_secs(6);
 /// The time at the end of the load in which requests are to be answered again.
 const SERVED_AGAIN: Duration = Duration::from_secs(2);
 /// The share of these that is to be answered, in per cent.
@@ -34,46 +31,11 @@
 /// How an instance ends that was replaced by another.
 const FENCED_EXIT_CODE: i32 = 1;
 
-/// What a soak found.
-#[derive(Clone, Debug)]
-pub struct SoakReport {
-    /// The seed.
-    pub seed: u64,
-    /// The faults that were played.
-    pub disturbances: Vec<Disturbance<Fault>>,
-    /// The requests that were sent.
-    pub requests: usize,
-    /// The jobs that were accepted.
-    pub jobs: usize,
-    /// What must not happen and did.
-    pub violations: Vec<String>,
-}
-
-impl fmt::Display for SoakReport {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(
-            f,
-            "seed {}: {} requests, {} jobs, {} violations",
-            self.seed,
-            self.requests,
-            self.jobs,
-            self.violations.len()
-        )?;
-        for disturbance in &self.disturbances {
-            writeln!(f, "  {disturbance}")?;
-        }
-        for violation in &self.violations {
-            writeln!(f, "  violated: {violation}")?;
-        }
-        Ok(())
-    }
-}
-
 /// Runs a soak with the shipped binary.
 ///
 /// # Errors
 /// A stand-in or a process did not start, or a fault could not be brought about.
-pub async fn run(program: &Path, plan: &SoakPlan) -> Result<SoakReport> {
+pub async fn run(program: &Path, plan: &SoakPlan) -> Result<SoakReport<Fault>> {
     let cell = Cell::start(options(program, plan)).await?;
     let load = cell.start_load(&load_plan(plan.seed))?;
     let disturbances = plan.disturbances();
@@ -90,7 +52,14 @@
         violations: Vec::new(),
     };
     play(&mut supervisor, &disturbances, began_at).await?;
-    supervisor.wait_until_calm().await?;
+    let targets: Vec<Target> = supervisor
+        .cell
+        .entries
+        .iter()
+        .map(CellEntry::target)
+        .collect();
+    let balancer = supervisor.cell.balancer.clone();
+    let restless = wait_until_calm(&mut supervisor, &balancer, &targets).await?;
     let Supervisor {
         cell,
         mut violations,
@@ -102,6 +71,7 @@
         .await
         .map_err(|cause| Error::Invalid("submit jobs", "soak".into(), cause.to_string()))?;
 
+    violations.extend(restless);
     violations.extend(unserved(&finished, calm_until));
     violations.extend(unfinished_jobs(&cell, &jobs).await?);
     violations.extend(cell.untruths(&finished).await?);
@@ -113,8 +83,7 @@
     Ok(SoakReport {
         seed: plan.seed,
         disturbances,
-        requests: finished.len(),
-        jobs: jobs.len(),
+        load: format!("{} requests, {} jobs", finished.len(), jobs.len()),
         violations,
     })
 }
@@ -241,33 +210,6 @@
     }
 }
 
-impl Supervisor {
-    /// Waits until all instances have been ready for a while.
-    async fn wait_until_calm(&mut self) -> Result<()> {
-        let give_up_at = Instant::now() + DEADLINE;
-        let mut ready_since = Instant::now();
-        while ready_since.elapsed() < CALM {
-            self.supervise().await?;
-            let cell = &self.cell;
-            let ready = cell.balancer.send(ReadReady).await.unwrap_or_default();
-            let mut missing = cell
-                .entries
-                .iter()
-                .filter(|entry| !ready.contains(&entry.target()));
-            if let Some(entry) = missing.next() {
-                ready_since = Instant::now();
-                if ready_since >= give_up_at {
-                    let name = &entry.name;
-                    self.violations.push(format!("{name} is not ready again"));
-                    return Ok(());
-                }
-            }
-            sleep(SUPERVISION_PERIOD).await;
-        }
-        Ok(())
-    }
-}
-
 /// Whether the requests at the end of the load were answered, once all was well again.
 fn unserved(finished: &[Finished], calm_until: Duration) -> Option<String> {
     let from = calm_until.saturating_sub(SERVED_AGAIN);
--- a/jackdawchute-standins/src/soak/schedule.rs
+++ b/jackdawchute-standins/src/soak/schedule.rs
@@ -5,8 +5,11 @@
 use async_trait::async_trait;
 use rand::{rngs::StdRng, Rng};
 use tokio::time::{sleep, Instant};
+use xtra::Address;
 
 use crate::{
+    balancer::{BalancerTask, ReadReady, Target},
+    harness::DEADLINE,
     proxy::{DirectionFaults, ProxyFaults},
     Result,
 };
@@ -17,6 +20,9 @@
 const FAULTS_PER_SECOND: f64 = 0.7;
 /// The longest delay of a slow network, table or store.
 pub(crate) const DELAY_MAX_MS: u64 = 400;
+/// How long the load goes on once all faults are over and all instances ready: longer than an
+/// instance that was replaced may go on with what it has begun.
+const CALM: Duration = Duration::from_secs(6);
 /// How often a stage is supervised.
 pub(crate) const SUPERVISION_PERIOD: Duration = Duration::from_millis(100);
 
@@ -121,6 +127,31 @@
     Ok(())
 }
 
+/// Waits until all targets have been ready for a while; what must not be if one is not ready again.
+pub(crate) async fn wait_until_calm<F>(
+    stage: &mut dyn Stage<F>,
+    balancer: &Address<BalancerTask>,
+    targets: &[Target],
+) -> Result<Option<String>> {
+    let give_up_at = Instant::now() + DEADLINE;
+    let mut ready_since = Instant::now();
+    while ready_since.elapsed() < CALM {
+        stage.supervise().await?;
+        let ready = balancer.send(ReadReady).await.unwrap_or_default();
+        if let Some(missing) = targets.iter().find(|target| !ready.contains(target)) {
+            ready_since = Instant::now();
+            if ready_since >= give_up_at {
+                let callers = missing.callers;
+                return Ok(Some(format!(
+                    "the instance at {callers} is not ready again"
+                )));
+            }
+        }
+        sleep(SUPERVISION_PERIOD).await;
+    }
+    Ok(None)
+}
+
 /// A network that is cut, cut one way, delayed or refusing.
 pub(crate) fn draw_network(random: &mut StdRng) -> ProxyFaults {
     let held = DirectionFaults {
