--- a/jackdawchute-standins/src/cell_soak/run.rs
+++ b/jackdawchute-standins/src/cell_soak/run.rs
@@ -96,8 +96,8 @@
     let disturbances = plan.disturbances();
 
     play(&mut stage, &disturbances, tokio::time::Instant::now()).await?;
-    let (balancer, targets) = (stage.balancer.clone(), stage.targets());
-    let restless = wait_until_calm(&mut stage, &balancer, &targets).await?;
+    let balancer = stage.balancer.clone();
+    let restless = wait_until_calm(&mut stage, &balancer).await?;
     let calm_until = Instant::now();
     // The load looks at it as long as it lasts.
     end.send_replace(true);
--- a/jackdawchute-standins/src/cell_soak/stage.rs
+++ b/jackdawchute-standins/src/cell_soak/stage.rs
@@ -181,10 +181,6 @@
         Ok(stage)
     }
 
-    pub(super) fn targets(&self) -> Vec<Target> {
-        self.instances.iter().map(|it| it.target).collect()
-    }
-
     /// The folder of the instances' logs.
     pub(super) fn logs(&self) -> &Path {
         self.directory.path()
@@ -411,4 +407,8 @@
         }
         Ok(())
     }
+
+    fn targets(&self) -> Vec<Target> {
+        self.instances.iter().map(|it| it.target).collect()
+    }
 }
--- a/jackdawchute-standins/src/soak/run.rs
+++ b/jackdawchute-standins/src/soak/run.rs
@@ -52,14 +52,8 @@
         violations: Vec::new(),
     };
     play(&mut supervisor, &disturbances, began_at).await?;
-    let targets: Vec<Target> = supervisor
-        .cell
-        .entries
-        .iter()
-        .map(CellEntry::target)
-        .collect();
     let balancer = supervisor.cell.balancer.clone();
-    let restless = wait_until_calm(&mut supervisor, &balancer, &targets).await?;
+    let restless = wait_until_calm(&mut supervisor, &balancer).await?;
     let Supervisor {
         cell,
         mut violations,
@@ -208,6 +202,10 @@
         }
         Ok(())
     }
+
+    fn targets(&self) -> Vec<Target> {
+        self.cell.entries.iter().map(CellEntry::target).collect()
+    }
 }
 
 /// Whether the requests at the end of the load were answered, once all was well again.
--- a/jackdawchute-standins/src/soak/schedule.rs
+++ b/jackdawchute-standins/src/soak/schedule.rs
@@ -67,8 +67,10 @@
     async fn begin(&mut self, fault: &F) -> Result<()>;
     /// Ends it.
     async fn end(&mut self, fault: &F) -> Result<()>;
-    /// Starts again what has ended by itself.
+    /// Starts again what has ended by itself, maybe at another address.
     async fn supervise(&mut self) -> Result<()>;
+    /// Where the instances are at the moment.
+    fn targets(&self) -> Vec<Target>;
 }
 
 /// Draws faults in the order in which they begin; those on one part do not overlap.
@@ -131,13 +133,13 @@
 pub(crate) async fn wait_until_calm<F>(
     stage: &mut dyn Stage<F>,
     balancer: &Address<BalancerTask>,
-    targets: &[Target],
 ) -> Result<Option<String>> {
     let give_up_at = Instant::now() + DEADLINE;
     let mut ready_since = Instant::now();
     while ready_since.elapsed() < CALM {
         stage.supervise().await?;
         let ready = balancer.send(ReadReady).await.unwrap_or_default();
+        let targets = stage.targets();
         if let Some(missing) = targets.iter().find(|target| !ready.contains(target)) {
             ready_since = Instant::now();
             if ready_since >= give_up_at {
