--- a/tests/cell_soak.rs
+++ b/tests/cell_soak.rs
@@ -32,3 +32,24 @@
 async fn a_worker_that_is_listed_with_a_new_life_is_looked_at_first() {
     assert_eq!(violations(302).await, Vec::<String>::new());
 }
+
+/// Failed in its first play, with the signs of seed 101; workers 0 and 1 were back at once. Not traced
+/// by itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn ends_are_not_lost_when_two_workers_are_back_at_once() {
+    assert_eq!(violations(106).await, Vec::<String>::new());
+}
+
+/// Failed in its first play, with the signs of seed 101; worker 3 was back at once. Not traced by
+/// itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn ends_are_not_lost_when_workers_are_back_at_once_and_the_epoch_moves() {
+    assert_eq!(violations(107).await, Vec::<String>::new());
+}
+
+/// Failed in its first play, with the signs of seed 302; workers 0, 2 and 4 were back at once. Not
+/// traced by itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_that_is_back_between_two_looks_loses_no_end() {
+    assert_eq!(violations(205).await, Vec::<String>::new());
+}
