refactor: one condition for a known worker in a look, one way to keep logs of a red seed

A look's wait, lease and saved ends asked three times, in three forms, whether the worker is known; unknown workers have no saved ends, so that the one method says it for all. Both soaks had the same lines to keep logs. The share of a batch for rows of workers is a named constant. Behaviour is the same.

--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -249,23 +249,22 @@
             if worker.hold_under_way || worker.hold_next_at > now {
                 continue;
             }
-            if !worker.is_known() {
+            let known = worker.is_known();
+            if !known {
                 if first_looks >= FIRST_LOOKS_MAX {
                     continue;
                 }
                 first_looks += 1;
             }
-            let answered = worker.unanswered_since.is_none() && worker.reborn_at.is_none();
-            let wait = if worker.is_known() && !worker.awaits_bar() {
+            let wait = if known && !worker.awaits_bar() {
                 settings.hold_wait
             } else {
                 Duration::ZERO
             };
             // A worker that does not answer gets no longer lease, so that it lapses at last.
-            let renewed = worker.fenced && answered;
             let lease_until = worker
                 .clock_latest(now)
-                .filter(|_| renewed)
+                .filter(|_| known)
                 .map(|clock| clock + settings.lease);
             if let Some(until) = lease_until {
                 worker.lease_sent = worker.lease_sent.max(until);
@@ -276,7 +275,7 @@
                 address: worker.entry.address,
                 lease_until,
                 // A new life numbers its ends anew, and silence may hide that one has begun.
-                ends_saved: if answered { worker.ends_saved } else { 0 },
+                ends_saved: if known { worker.ends_saved } else { 0 },
                 wait,
                 token: worker.token(base),
             }));
--- a/jackdawchute-scheduler/src/records.rs
+++ b/jackdawchute-scheduler/src/records.rs
@@ -64,6 +64,9 @@
     pub(crate) service: SmolStr,
 }
 
+/// Rows of workers take one byte in so many of a batch: a new owner of thousands saves them all, and
+/// callers wait for the rest.
+const WORKERS_DIVISOR: usize = 2;
 /// One row in so many of a batch is kept for acceptances, if so many wait.
 const ACCEPTANCES_DIVISOR: usize = 2;
 
@@ -94,7 +97,7 @@
         }
         let mut batch = Batch::default();
         let mut bytes = 0;
-        while bytes < bytes_max / 2 {
+        while bytes < bytes_max / WORKERS_DIVISOR {
             let Some(row) = self.worker_rows.take_unsaved() else {
                 break;
             };
--- a/jackdawchute-scheduler/src/worker_rows.rs
+++ b/jackdawchute-scheduler/src/worker_rows.rs
@@ -11,7 +11,7 @@
 const KEY: &str = "workers";
 /// The most workers in a row: half of the 64 KB that the store allows for a row at the usual 90
 /// bytes each, with a third more for their encoding.
-pub(crate) const WORKERS_PER_ROW: usize = 256;
+const WORKERS_PER_ROW: usize = 256;
 
 /// The number of a row.
 pub(crate) type RowIndex = usize;
--- a/jackdawchute-standins/src/cell_soak/run.rs
+++ b/jackdawchute-standins/src/cell_soak/run.rs
@@ -119,11 +119,7 @@
     if accepted_last * 100 < last * SERVED_AGAIN_PERCENT || last == 0 {
         all.push(format!("{accepted_last} of the last {last} jobs accepted"));
     }
-    if let Some(logs) = plan.logs.as_ref().filter(|_| !all.is_empty()) {
-        let kept = logs.join(format!("seed-{}", plan.seed));
-        keep_logs(stage.logs(), &kept)
-            .map_err(|cause| Error::Io("keep logs", kept.display().to_string(), cause))?;
-    }
+    keep_logs(stage.logs(), plan.logs.as_deref(), plan.seed, &all)?;
     let accepted = jobs.values().filter(|it| it.accepted_at.is_some()).count();
     Ok(SoakReport {
         seed: plan.seed,
--- a/jackdawchute-standins/src/soak/run.rs
+++ b/jackdawchute-standins/src/soak/run.rs
@@ -69,11 +69,7 @@
     violations.extend(unserved(&finished, calm_until));
     violations.extend(unfinished_jobs(&cell, &jobs).await?);
     violations.extend(cell.untruths(&finished).await?);
-    if let Some(logs) = plan.logs.as_ref().filter(|_| !violations.is_empty()) {
-        let kept = logs.join(format!("seed-{}", plan.seed));
-        keep_logs(cell.logs(), &kept)
-            .map_err(|cause| Error::Io("keep logs", kept.display().to_string(), cause))?;
-    }
+    keep_logs(cell.logs(), plan.logs.as_deref(), plan.seed, &violations)?;
     Ok(SoakReport {
         seed: plan.seed,
         disturbances,
@@ -82,8 +78,21 @@
     })
 }
 
-/// Copies the logs in a folder.
-pub(crate) fn keep_logs(from: &Path, to: &Path) -> io::Result<()> {
+/// Copies the logs of a red seed to a folder of its own, if they are wanted.
+pub(crate) fn keep_logs(
+    from: &Path,
+    wanted: Option<&Path>,
+    seed: u64,
+    violations: &[String],
+) -> Result<()> {
+    let Some(wanted) = wanted.filter(|_| !violations.is_empty()) else {
+        return Ok(());
+    };
+    let to = wanted.join(format!("seed-{seed}"));
+    copy_logs(from, &to).map_err(|cause| Error::Io("keep logs", to.display().to_string(), cause))
+}
+
+fn copy_logs(from: &Path, to: &Path) -> io::Result<()> {
     fs::create_dir_all(to)?;
     for file in fs::read_dir(from)? {
         let file = file?;
