fix: an occurrence that an earlier leader began is taken over and not run again

Cause: a new leader begins the due occurrences of a repeated job in its first tick, and the workers' first answers arrive before it. A run that a worker listed for an occurrence that was not begun counted as not wanted and the task was placed again before the stop was answered; a run end was dropped, so that the task ran again once the occurrence was due. The same holds where the predecessor's clock was ahead.

Ruled out: the count of complete occurrences, which is saved together with the incomplete ones.

Change: what a worker reports begins the occurrence it names and all before it. Run numbers of occurrences that begin after a takeover are above those of earlier leaders.

--- a/jackdawchute-scheduler/src/ends.rs
+++ b/jackdawchute-scheduler/src/ends.rs
@@ -53,6 +53,10 @@
             worker = worker.as_str(), reason:? = end.reason
         });
         job.begun = true;
+        // An earlier leader whose clock was ahead, or that did not save the occurrence, began it.
+        if job.begin_occurrences(end.task.step.occurrence.saturating_add(1)) {
+            self.placeable.insert(id.clone());
+        }
         let attempts_max = job.queue.attempts_max.max(1);
         let spec = job.graph.steps.get(end.task.step.step as usize);
         let long_running = spec.is_some_and(|spec| spec.long_running);
--- a/jackdawchute-scheduler/src/graph.rs
+++ b/jackdawchute-scheduler/src/graph.rs
@@ -100,6 +100,33 @@
     pub interval: Duration,
 }
 
+impl Repeat {
+    /// Returns how many occurrences are due at a Unix time.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_scheduler::Repeat;
+    ///
+    /// let repeat = Repeat {
+    ///     occurrences: 3,
+    ///     first_due_unix_ms: 1_000,
+    ///     interval: Duration::from_millis(500),
+    /// };
+    /// assert_eq!(repeat.occurrences_due(Duration::from_millis(999)), 0);
+    /// assert_eq!(repeat.occurrences_due(Duration::from_millis(1_500)), 2);
+    /// assert_eq!(repeat.occurrences_due(Duration::from_secs(60)), 3);
+    /// ```
+    pub fn occurrences_due(&self, unix_now: Duration) -> u32 {
+        let first_due = Duration::from_millis(self.first_due_unix_ms);
+        let Some(since_first) = unix_now.checked_sub(first_due) else {
+            return 0;
+        };
+        let due_after_first = since_first.as_nanos().checked_div(self.interval.as_nanos());
+        let due = due_after_first.map_or(u128::MAX, |count| count + 1);
+        u32::try_from(due).map_or(self.occurrences, |due| due.min(self.occurrences))
+    }
+}
+
 /// A job as submitted by a caller.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -148,6 +175,16 @@
         Ok(())
     }
 
+    /// Returns how many occurrences may be incomplete at a time, so that those of a job with a short
+    /// interval do not use up the leader's memory.
+    pub(crate) fn occurrences_at_a_time_max(&self) -> u32 {
+        let tasks = self
+            .steps
+            .iter()
+            .fold(0u32, |tasks, step| tasks.saturating_add(step.tasks));
+        (TASKS_MAX / tasks.max(1)).max(1)
+    }
+
     /// Returns whether the job has tasks that run until it is cancelled.
     pub(crate) fn long_running(&self) -> bool {
         self.steps.iter().any(|step| step.long_running)
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -172,6 +172,9 @@
     /// Whether the job is being recovered: tasks may run that no worker has reported since this
     /// epoch began, so that none is placed.
     pub(crate) recovering: bool,
+    /// The highest run number that an earlier leader may have ordered for an occurrence that begins
+    /// from now on.
+    pub(crate) earlier_runs_max: RunNumber,
     /// Whether the job was not expected on time at its arrival, so that it is treated as late.
     pub(crate) deferred: bool,
     /// Whether a progress row of the job may have been saved.
@@ -192,6 +195,7 @@
             occurrences_done: 0,
             begun: false,
             recovering: false,
+            earlier_runs_max: 0,
             deferred: false,
             progress_saved: false,
         };
@@ -202,10 +206,28 @@
     }
 
     pub(crate) fn add_occurrence(&mut self, occurrence: Occurrence) {
-        let steps = self.graph.steps.iter().map(StepRun::new).collect();
+        let mut steps: Vec<StepRun> = self.graph.steps.iter().map(StepRun::new).collect();
+        for unit in steps.iter_mut().flat_map(|step| step.units.iter_mut()) {
+            unit.last_run = self.earlier_runs_max;
+        }
         self.occurrences.push(OccurrenceRun { occurrence, steps });
     }
 
+    /// Begins the occurrences before `end` that have not begun; returns whether there were any.
+    pub(crate) fn begin_occurrences(&mut self, end: Occurrence) -> bool {
+        let begun = self.occurrences_begun();
+        for occurrence in begun..end.min(self.occurrences_total()) {
+            self.add_occurrence(occurrence);
+        }
+        self.occurrences_begun() > begun
+    }
+
+    /// Returns the number of occurrences that have begun, which are the first ones of the job.
+    pub(crate) fn occurrences_begun(&self) -> Occurrence {
+        let incomplete = u32::try_from(self.occurrences.len()).unwrap_or(u32::MAX);
+        self.occurrences_done.saturating_add(incomplete)
+    }
+
     pub(crate) fn occurrence(&self, occurrence: Occurrence) -> Option<&OccurrenceRun> {
         self.occurrences
             .iter()
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -267,6 +267,10 @@
                 job.begun = true;
                 job.waiting_since = Some(now);
             }
+            // An earlier leader whose clock was ahead, or that did not save the occurrence, began it.
+            if job.begin_occurrences(task.step.occurrence.saturating_add(1)) {
+                self.placeable.insert(task.step.job.clone());
+            }
             let is_live = job.phase == JobPhase::Live;
             let spec = job.graph.steps.get(task.step.step as usize).cloned();
             if let Some(spec) = spec {
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -211,6 +211,7 @@
         info!("recovery complete: runs of all workers are known", kv: {
             epoch = self.epoch, took_ms = took.as_millis() as u64, workers = self.workers.len()
         });
+        let earlier_runs_max = self.epoch * RUN_NUMBERS_PER_EPOCH;
         for job in self.jobs.values_mut().filter(|job| job.recovering) {
             job.recovering = false;
             let units = job
@@ -219,8 +220,9 @@
                 .flat_map(|occurrence_run| occurrence_run.steps.iter_mut())
                 .flat_map(|step| step.units.iter_mut());
             for unit in units.filter(|unit| unit.is_waiting()) {
-                unit.last_run = (unit.last_run + 1).max(self.epoch * RUN_NUMBERS_PER_EPOCH);
+                unit.last_run = (unit.last_run + 1).max(earlier_runs_max);
             }
+            job.earlier_runs_max = earlier_runs_max;
         }
         self.stop_incomplete_gangs();
         self.placement_needed = true;
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -227,7 +227,7 @@
     }
 
     fn begin_due_occurrences(&mut self, unix_now: Duration, now: Instant) {
-        let early_max = self.settings.occurrence_early_max;
+        let due_before = unix_now.saturating_add(self.settings.occurrence_early_max);
         for job in self.jobs.values_mut() {
             let Some(repeat) = job.graph.repeat else {
                 continue;
@@ -235,14 +235,10 @@
             if job.phase != JobPhase::Live {
                 continue;
             }
-            let occurrences_begun = job.occurrences_done + job.occurrences.len() as u32;
-            for occurrence in occurrences_begun..repeat.occurrences {
-                let due = Duration::from_millis(repeat.first_due_unix_ms)
-                    + repeat.interval.saturating_mul(occurrence);
-                if due > unix_now + early_max {
-                    break;
-                }
-                job.add_occurrence(occurrence);
+            let due = repeat.occurrences_due(due_before);
+            let room = job.graph.occurrences_at_a_time_max();
+            let end = due.min(job.occurrences_done.saturating_add(room));
+            if job.begin_occurrences(end) {
                 job.set_waiting(true, now);
                 self.placeable.insert(job.id.clone());
             }
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -6,4 +6,5 @@
 mod lateness;
 mod lost_workers;
 mod recovery;
+mod repeats;
 mod saving;
--- a/jackdawchute-scheduler/tests/behaviour/recovery.rs
+++ b/jackdawchute-scheduler/tests/behaviour/recovery.rs
@@ -1,38 +1,7 @@
 //! The recovery of a new leader from saved rows and from the reports of workers.
 
-use std::collections::BTreeMap;
-
 use crate::fixtures::*;
-use jackdawchute_scheduler::{
-    EndReason, JobOutcome, JobStatus, RowChange, RowTable, SavedTable, StartOrder,
-};
-
-/// Returns the rows that remain after some changes, by table.
-fn saved_tables(changes: Vec<RowChange>) -> Vec<SavedTable> {
-    let tables = [
-        RowTable::Workers,
-        RowTable::Jobs,
-        RowTable::Progress,
-        RowTable::Ended,
-    ];
-    let rows_of = |table: RowTable| {
-        let mut rows = BTreeMap::new();
-        for change in changes.iter().filter(|change| change.table == table) {
-            match &change.value {
-                Some(value) => rows.insert(change.key.clone(), value.clone()),
-                None => rows.remove(&change.key),
-            };
-        }
-        rows.into_iter().collect()
-    };
-    tables
-        .into_iter()
-        .map(|table| SavedTable {
-            table,
-            rows: rows_of(table),
-        })
-        .collect()
-}
+use jackdawchute_scheduler::{EndReason, JobOutcome, JobStatus, RowChange, RowTable, StartOrder};
 
 /// A leader of epoch 2 that has recovered these rows, with these workers listed.
 fn successor(rows: Vec<RowChange>, workers: &[&str]) -> Cell {
