fix: a job that no listed worker could run is refused at once

A trial that logged selectors and labels showed why: all 48 workers carry the label "b", and 199 of 1,446 steps require "a". The selection of workers is right; the jobs could never run, and their callers waited until their patience ended.

Ruled out: the order of the labels in the workers' entries, and the selection by label in placement and in advice requests.

Change: admission counts the kinds of workers (labels, capacity) together with the load of each service, and refuses a job with a step that none of them could run even if it ran nothing else: a label that none has, a task larger than every worker, a gang larger than the cell. While no worker of the service is known, as at the beginning of an epoch, jobs are admitted.

For callers the refusal is true and at once.

--- a/jackdawchute-scheduler/src/admit.rs
+++ b/jackdawchute-scheduler/src/admit.rs
@@ -2,19 +2,23 @@
 //!
 //! A job that cannot end in time must not delay others, so it is deferred: it gets only the
 //! capacity that they leave. One that would not even end while its result is of use is refused at
-//! once, with the time after which the backlog allows it.
+//! once, with the time after which the backlog allows it. So is one that no listed worker could run
+//! even if it ran nothing else, for example because none has the label that a step requires.
 
 use std::{
     collections::HashMap,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
-use jackdawchute_types::ServiceId;
+use jackdawchute_types::{Label, Resources, ServiceId};
+use rustc_hash::FxHashMap;
 
 use crate::{
+    free_capacity::tasks_fitting,
     job::{Job, JobPhase},
     rank::{MOST_URGENT, USEFUL_FACTOR},
-    Scheduler,
+    Scheduler, StepSpec, WorkerEntry,
 };
 
 /// The highest number of jobs that wait or run at a time; it limits the memory of an instance.
@@ -73,7 +77,7 @@
 }
 
 /// The capacity and the waiting work of one service.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct ServiceLoad {
     /// The processors of the listed workers that are not leaving, in thousandths of a core.
     millicores: u64,
@@ -83,6 +87,27 @@
     urgent: WaitingWork,
     /// The waiting work of all other queues.
     less_urgent: WaitingWork,
+    /// The kinds of workers, with the number of workers of each.
+    worker_kinds: Arc<FxHashMap<WorkerKind, u32>>,
+}
+
+/// What decides which steps a worker can run when nothing else runs there.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct WorkerKind {
+    labels: Vec<Label>,
+    capacity: Resources,
+}
+
+impl WorkerKind {
+    /// Returns how many tasks of a step fit on a worker of this kind when nothing else runs there.
+    fn tasks_fitting(&self, spec: &StepSpec) -> u32 {
+        let has_label = |label| self.labels.contains(label);
+        if !spec.required_label.as_ref().is_none_or(has_label) {
+            return 0;
+        }
+        tasks_fitting(&spec.charged_resources(), self.capacity)
+            .min(spec.per_worker_max.unwrap_or(u32::MAX))
+    }
 }
 
 /// Waiting work, in core-milliseconds.
@@ -93,6 +118,16 @@
 }
 
 impl ServiceLoad {
+    fn add_worker(&mut self, entry: &WorkerEntry) {
+        let kind = WorkerKind {
+            labels: entry.labels.clone(),
+            capacity: entry.capacity,
+        };
+        *Arc::make_mut(&mut self.worker_kinds)
+            .entry(kind)
+            .or_default() += 1;
+    }
+
     fn add_waiting(&mut self, job: &Job, on_time: bool, core_ms: f64) {
         let waiting = if job.queue.priority == MOST_URGENT {
             &mut self.urgent
@@ -116,6 +151,19 @@
         (cores - urgent_cores).max(cores * LESS_URGENT_SHARE_MIN)
     }
 
+    /// Returns whether the workers could run each step of a job if they ran nothing else: a gang as
+    /// a whole, single tasks one after the other.
+    fn can_run(&self, job: &Job) -> bool {
+        job.graph.steps.iter().all(|spec| {
+            let needed = spec.unit_size();
+            let mut fitting: u32 = 0;
+            self.worker_kinds.iter().any(|(kind, workers)| {
+                fitting = fitting.saturating_add(kind.tasks_fitting(spec).saturating_mul(*workers));
+                fitting >= needed
+            })
+        })
+    }
+
     /// Returns how long the work ahead of a job takes on `cores` cores: that of the most urgent
     /// queue and, for a job of another queue, that of all other queues too.
     fn backlog(&self, job: &Job, counted_work: CountedWork, cores: f64) -> Duration {
@@ -144,6 +192,13 @@
         let load = self.service_load(&job.queue.service, now);
         let cores = load.usable_cores(job);
         // A job is admitted while no worker of its service is known, and waits for one.
+        if !load.worker_kinds.is_empty() && !load.can_run(job) {
+            return Admission::Refused(Refusal {
+                reason: "no worker can run one of its steps",
+                expected: Duration::ZERO,
+                retry_after: RETRY_AFTER_MAX,
+            });
+        }
         if job.graph.repeat.is_some() || job.graph.long_running() || cores <= 0.0 {
             return Admission::OnTime;
         }
@@ -183,7 +238,7 @@
         let fresh =
             counted.filter(|loads| now.saturating_duration_since(loads.counted_at) <= period);
         let loads = fresh.unwrap_or_else(|| self.count_loads(now));
-        let load = loads.services.get(service).copied().unwrap_or_default();
+        let load = loads.services.get(service).cloned().unwrap_or_default();
         self.loads = Some(loads);
         load
     }
@@ -193,7 +248,11 @@
         let workers = self.workers.values();
         for worker in workers.filter(|worker| worker.listed && worker.leaving_at.is_none()) {
             let load = services.entry(worker.entry.service.clone()).or_default();
-            load.millicores += worker.entry.capacity.processor_millicores;
+            let capacity = &worker.entry.capacity;
+            load.millicores = load
+                .millicores
+                .saturating_add(capacity.processor_millicores);
+            load.add_worker(&worker.entry);
         }
         for job in self.jobs.values() {
             let load = services.entry(job.queue.service.clone()).or_default();
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod fixtures;
+mod impossible_jobs;
 mod large_cells;
 mod lateness;
 mod lost_workers;
