fix: a leader keeps its epoch where the load, not its machine, makes it lag

Cause: from a lag of 30 ms on a leader offered its epoch to any instance that lagged less. Heartbeats waited behind all other messages of the leader task, so that an overloaded leader was replaced besides.

Change: the decision is code of its own (leader/handover.rs). A leader offers its epoch for lag once it has lagged for as long as a takeover takes (300 ms and 1 ms a worker). The offer carries how many takeovers in a row happened because of lag; a successor of such a takeover keeps its epoch for 10 s, and twice as long after each further one. Much stronger instances are offered the epoch as before. The leader task handles heartbeats and outcomes of commits before all other messages.

--- a/jackdawchute-cell/src/calls.rs
+++ b/jackdawchute-cell/src/calls.rs
@@ -31,8 +31,18 @@
 }
 
 /// Offers the epoch to an instance, which claims the next one if it accepts.
-pub(crate) async fn offer_epoch(peers: &PeerClient, successor: SocketAddr, epoch: Epoch) {
-    let call = CellCall::TakeOver { epoch };
+///
+/// `lag_takeovers` counts the takeovers in a row, this one included, that happen because of lag.
+pub(crate) async fn offer_epoch(
+    peers: &PeerClient,
+    successor: SocketAddr,
+    epoch: Epoch,
+    lag_takeovers: u32,
+) {
+    let call = CellCall::TakeOver {
+        epoch,
+        lag_takeovers,
+    };
     let answer: Result<CellAnswer, CallError> =
         peers.call(successor, SLICE, &call, HEARTBEAT_TIMEOUT).await;
     info!("epoch offered to a successor", kv: {
--- a/jackdawchute-cell/src/election/handlers.rs
+++ b/jackdawchute-cell/src/election/handlers.rs
@@ -49,7 +49,11 @@
 /// The shutdown of this instance begins.
 pub(crate) struct Leave;
 /// The leader's offer of its epoch to this instance.
-pub(crate) struct TakeOver(pub(crate) Epoch);
+pub(crate) struct TakeOver {
+    pub(crate) epoch: Epoch,
+    /// How many takeovers in a row, this one included, happen because of lag.
+    pub(crate) lag_takeovers: u32,
+}
 
 impl Handler<LeaderRowReceived> for ElectionTask {
     type Return = ();
@@ -211,6 +215,7 @@
         let parts = LeaderParts {
             scheduler: *scheduler,
             head,
+            lag_takeovers: self.lag_takeovers,
             own_address: self.parts.settings.peer_address,
             processor_millicores: self.parts.settings.processor_millicores,
             ports: self.parts.ports.clone(),
@@ -247,12 +252,14 @@
 impl Handler<TakeOver> for ElectionTask {
     type Return = ();
 
-    async fn handle(&mut self, message: TakeOver, context: &mut Context<Self>) {
-        if self.row.as_ref().map(|row| row.record.epoch) == Some(message.0) {
+    async fn handle(&mut self, offer: TakeOver, context: &mut Context<Self>) {
+        if self.row.as_ref().map(|row| row.record.epoch) == Some(offer.epoch) {
             // The leader's offer ends the pause after an earlier claim.
             self.next_claim_at = Instant::now();
             let cause = "the leader offers its epoch";
-            self.claim_with_delay(cause, Duration::ZERO, context);
+            if self.claim_with_delay(cause, Duration::ZERO, context) {
+                self.lag_takeovers = offer.lag_takeovers;
+            }
         }
     }
 }
@@ -275,7 +282,7 @@
             // The view has the local leader task until another instance has claimed the epoch.
             while view.borrow().local.is_some() {
                 match local.send(FindSuccessor).await {
-                    Ok(Some(successor)) => offer_epoch(&peers, successor, epoch).await,
+                    Ok(Some(successor)) => offer_epoch(&peers, successor, epoch, 0).await,
                     _ => info!("no successor for the epoch", kv: { epoch = epoch }),
                 }
                 tokio::time::sleep(HANDOVER_OFFER_PERIOD).await;
--- a/jackdawchute-cell/src/election/mod.rs
+++ b/jackdawchute-cell/src/election/mod.rs
@@ -77,6 +77,8 @@
     next_claim_at: Instant,
     /// The pause after the next claim that fails.
     claim_pause: Duration,
+    /// How many takeovers in a row, that of the latest claim included, happened because of lag.
+    lag_takeovers: u32,
     /// When the leader last answered, or when this instance began to expect its answers.
     leader_heard_at: Instant,
     epoch_lost: mpsc::UnboundedSender<EpochLost>,
@@ -100,6 +102,7 @@
         strongest_millicores: None,
         next_claim_at: now,
         claim_pause: CLAIM_PAUSE,
+        lag_takeovers: 0,
         leader_heard_at: now,
         epoch_lost,
     };
@@ -166,14 +169,21 @@
         CLAIM_JITTER.mul_f64(rand::rng().random::<f64>()) + WEAK_CLAIM_DELAY.mul_f64(missing_share)
     }
 
-    /// Starts a claim with a delay, unless one is under way, not allowed, or too early.
-    fn claim_with_delay(&mut self, cause: &'static str, delay: Duration, context: &Context<Self>) {
+    /// Starts a claim with a delay, unless one is under way, not allowed, or too early; returns
+    /// whether it is started.
+    fn claim_with_delay(
+        &mut self,
+        cause: &'static str,
+        delay: Duration,
+        context: &Context<Self>,
+    ) -> bool {
         let now = Instant::now();
         let blocked = self.claiming || self.is_leading() || self.is_leaving() || !self.row_read;
         if blocked || now < self.next_claim_at {
-            return;
+            return false;
         }
         self.claiming = true;
+        self.lag_takeovers = 0;
         let replaced_row = self.row.clone();
         let record = LeaderRecord {
             epoch: replaced_row.as_ref().map_or(0, |row| row.record.epoch) + 1,
@@ -195,6 +205,7 @@
             };
             let _ = task.send(finished).await;
         });
+        true
     }
 
     /// Claims the epoch if a later incarnation answers at the leader's address.
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -1,6 +1,7 @@
 //! The leader task, which schedules while this instance holds the cell's epoch.
 
 mod handlers;
+mod handover;
 mod peers;
 mod saving;
 
@@ -19,6 +20,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use xtra::{prelude::*, refcount::Weak};
 
+pub use self::handover::{HandoverPolicy, LeaderFitness, OfferReason};
 pub(crate) use self::{
     handlers::{Cancel, FindSuccessor, PeerHeartbeat, QueryPending, QueryStatus, Submit},
     peers::PeerState,
@@ -53,6 +55,8 @@
     pub(crate) scheduler: Scheduler,
     /// The end of the chain after the claim.
     pub(crate) head: Head,
+    /// How many takeovers in a row, the one of this epoch included, happened because of lag.
+    pub(crate) lag_takeovers: u32,
     pub(crate) own_address: SocketAddr,
     pub(crate) processor_millicores: u64,
     pub(crate) ports: Ports,
@@ -102,8 +106,7 @@
     last_tick_at: Instant,
     /// How late this instance handles its ticks, smoothed.
     lag: Duration,
-    /// When the epoch was last offered to a better instance.
-    epoch_offered_at: Option<Instant>,
+    handover: HandoverPolicy,
     /// Whether this instance has lost the epoch; it then does nothing more.
     fenced: bool,
 }
@@ -125,7 +128,7 @@
         current_check_replies: Vec::new(),
         peers: BTreeMap::new(),
         short_request_load: ShortRequestLoad::default(),
-        epoch_offered_at: None,
+        handover: HandoverPolicy::new(parts.lag_takeovers, now),
         own_address: parts.own_address,
         processor_millicores: parts.processor_millicores,
         ports: parts.ports,
--- a/jackdawchute-cell/src/leader/peers.rs
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -10,16 +10,20 @@
 use spdlog::{info, warn};
 use xtra::{prelude::*, refcount::Weak};
 
-use super::{handlers::AdviceAnswered, LeaderTask};
+use super::{
+    handlers::AdviceAnswered,
+    handover::{LeaderFitness, OfferReason},
+    LeaderTask,
+};
 use crate::{
     advisor::{self, AdviceOutcome, Busy},
     calls::{fetch_leader_row, offer_epoch},
     election::EpochLost,
     messages::{CellAnswer, CellCall, SLICE},
     settings::{
-        ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, LAG_MAX, LAG_SMOOTHING, LEADER_STORE_OUTAGE_MAX,
-        OFFER_PAUSE, PEERS_LISTED_MAX, PEERS_QUERY_PERIOD, PEER_CALL_MARGIN,
-        PEER_HEARTBEAT_AGE_MAX, STRONGER_PERCENT, TICK_PERIOD,
+        ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, LAG_SMOOTHING, LEADER_STORE_OUTAGE_MAX,
+        PEERS_LISTED_MAX, PEERS_QUERY_PERIOD, PEER_CALL_MARGIN, PEER_HEARTBEAT_AGE_MAX,
+        TICK_PERIOD,
     },
 };
 
@@ -103,42 +107,41 @@
         best.map(|(address, _)| *address)
     }
 
-    /// Offers the epoch to an instance that is much stronger or, when this one lags, to one that is
-    /// as strong and lags half as much at most. A weaker instance would lag even more.
+    /// Offers the epoch to the best other instance if a takeover by it helps.
     pub(super) fn offer_epoch_if_better(&mut self, now: Instant) {
-        let recent = |at: Instant| now.saturating_duration_since(at) < OFFER_PAUSE;
-        if self.epoch_offered_at.is_some_and(recent) {
-            return;
-        }
+        let excused = self.scheduler.awaits_first_renewals(now);
+        self.handover.record_lag(self.lag, excused, now);
         let Some(successor) = self.successor(now) else {
             return;
         };
         let Some(state) = self.peers.get(&successor).map(|known| known.state) else {
             return;
         };
-        if !self.would_lead_better(&state, now) {
+        let own = LeaderFitness {
+            processor_millicores: self.processor_millicores,
+            lag: self.lag,
+        };
+        let other = LeaderFitness {
+            processor_millicores: state.processor_millicores,
+            lag: state.lag,
+        };
+        let workers = self.scheduler.workers_count();
+        let Some(reason) = self.handover.offer(&own, &other, workers, now) else {
             return;
-        }
-        self.epoch_offered_at = Some(now);
+        };
+        let lag_takeovers = match reason {
+            OfferReason::LagsLess => self.handover.lag_takeovers() + 1,
+            OfferReason::Stronger => 0,
+        };
         info!("offering the epoch to a better instance", kv: {
-            epoch = self.head.epoch, lag_ms = self.lag.as_millis() as u64,
-            processor_millicores = self.processor_millicores,
-            its_lag_ms = state.lag.as_millis() as u64,
-            its_processor_millicores = state.processor_millicores
+            epoch = self.head.epoch, reason:? = reason, lag_ms = own.lag.as_millis() as u64,
+            processor_millicores = own.processor_millicores,
+            its_lag_ms = other.lag.as_millis() as u64,
+            its_processor_millicores = other.processor_millicores,
+            lag_takeovers = lag_takeovers
         });
         let (peers, epoch) = (self.ports.peers.clone(), self.head.epoch);
-        tokio::spawn(async move { offer_epoch(&peers, successor, epoch).await });
-    }
-
-    /// Returns whether an instance should become leader in place of this one.
-    fn would_lead_better(&self, other: &PeerState, now: Instant) -> bool {
-        let own_millicores = self.processor_millicores;
-        let much_stronger = other.processor_millicores * 100 >= own_millicores * STRONGER_PERCENT;
-        let as_strong = other.processor_millicores >= own_millicores;
-        // The first renewals of thousands of workers make any leader lag; a successor would lag too.
-        let lagging = self.lag >= LAG_MAX && !self.scheduler.awaits_first_renewals(now);
-        (much_stronger && other.lag < LAG_MAX)
-            || (as_strong && lagging && other.lag * 2 <= self.lag)
+        tokio::spawn(async move { offer_epoch(&peers, successor, epoch, lag_takeovers).await });
     }
 
     /// Asks peers for a later epoch during a store outage, as this instance cannot read it in the
--- a/jackdawchute-cell/src/leader/saving.rs
+++ b/jackdawchute-cell/src/leader/saving.rs
@@ -20,7 +20,7 @@
     rows::{HeadRecord, HEAD_TABLE, PART},
     settings::{
         outage_retry_after, COMMIT_BYTES_MAX, COMMIT_OUTAGE_MAX, COMMIT_PERIOD, COMMIT_ROWS_MAX,
-        SLOW_COMMIT_MAX,
+        LEADER_PRIORITY, SLOW_COMMIT_MAX,
     },
     Store,
 };
@@ -102,7 +102,8 @@
                 &metrics,
             )
             .await;
-            let _ = task.send(CommitFinished(batch, result)).await;
+            let finished = CommitFinished(batch, result);
+            let _ = task.send(finished).priority(LEADER_PRIORITY).await;
         });
     }
 
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -40,7 +40,12 @@
     /// Sends an advice request of the leader to the called instance's advisor.
     Advise { request: AdviceRequest },
     /// Offers the leader's epoch to an instance, which then claims the next one.
-    TakeOver { epoch: Epoch },
+    TakeOver {
+        epoch: Epoch,
+        /// How many takeovers in a row, this one included, happen because of lag.
+        #[serde(default)]
+        lag_takeovers: u32,
+    },
     /// Asks for the configuration in use, for an instance that cannot read it itself.
     Configuration,
     /// Tells a former leader that it was replaced, in case it cannot read the store.
--- a/jackdawchute-cell/src/peers.rs
+++ b/jackdawchute-cell/src/peers.rs
@@ -16,6 +16,7 @@
     election::{ElectionTask, LeaderRowReceived, LeaderView, TakeOver},
     leader::{Cancel, LeaderTask, PeerHeartbeat, PeerState, QueryPending, QueryStatus, Submit},
     messages::{CellAnswer, CellCall},
+    settings::LEADER_PRIORITY,
     Routes,
 };
 
@@ -47,10 +48,19 @@
     async fn answer(&self, call: CellCall) -> CellAnswer {
         match call {
             CellCall::Advise { request } => self.advise(request).await,
-            CellCall::TakeOver { epoch } => match self.election.send(TakeOver(epoch)).await {
-                Ok(()) => CellAnswer::Acknowledged,
-                Err(_) => CellAnswer::NotLeader,
-            },
+            CellCall::TakeOver {
+                epoch,
+                lag_takeovers,
+            } => {
+                let offer = TakeOver {
+                    epoch,
+                    lag_takeovers,
+                };
+                match self.election.send(offer).await {
+                    Ok(()) => CellAnswer::Acknowledged,
+                    Err(_) => CellAnswer::NotLeader,
+                }
+            }
             CellCall::Configuration => CellAnswer::Configuration {
                 routes: self.routes.borrow().clone(),
             },
@@ -119,6 +129,7 @@
                     processor_millicores,
                 },
             })
+            .priority(LEADER_PRIORITY)
             .await
             .unwrap_or(CellAnswer::NotLeader),
         CellCall::Status { job } => {
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -22,6 +22,9 @@
 
 /// The period of an instance's heartbeats to the leader.
 pub(crate) const HEARTBEAT_PERIOD: Duration = Duration::from_millis(250);
+/// The priority of messages to the leader task that it handles before all others, however many wait:
+/// heartbeats, without which it would be replaced, and outcomes of commits, on which callers wait.
+pub(crate) const LEADER_PRIORITY: u32 = 1;
 /// The timeout of a heartbeat and of other short calls between instances.
 pub(crate) const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long the leader may leave heartbeats unanswered before another instance claims the epoch.
@@ -106,6 +109,16 @@
 /// The lag from which the leader offers its epoch to an instance that lags less; a healthy instance
 /// lags less than a tenth of that.
 pub(crate) const LAG_MAX: Duration = Duration::from_millis(30);
+/// How long a leader whose predecessor lagged too keeps its epoch before it offers it for lag;
+/// doubles with each further takeover of that kind in a row.
+pub(crate) const LAG_OFFER_PAUSE: Duration = Duration::from_secs(10);
+/// How often [`LAG_OFFER_PAUSE`] doubles at most.
+pub(crate) const LAG_OFFER_PAUSE_DOUBLINGS_MAX: u32 = 4;
+/// The time for which a takeover stops scheduling, without the part that grows with the workers.
+pub(crate) const TAKEOVER_COST_BASE: Duration = Duration::from_millis(300);
+/// The time for which a takeover stops scheduling, for each worker: the connections and first
+/// renewals of 1,100 workers take about a second on half a core.
+pub(crate) const TAKEOVER_COST_PER_WORKER: Duration = Duration::from_millis(1);
 /// The shortest time between two offers of the epoch to a better instance.
 pub(crate) const OFFER_PAUSE: Duration = Duration::from_secs(1);
 /// The period at which the leader asks peers for a later epoch during a store outage.
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -177,6 +177,11 @@
         self.jobs.len()
     }
 
+    /// Returns the number of workers that are listed, or whose runs may not have ended.
+    pub fn workers_count(&self) -> usize {
+        self.workers.len()
+    }
+
     /// Drops the submitted jobs whose acceptance is in no batch yet and returns them; they will
     /// never run.
     pub fn withdraw_unsaved(&mut self) -> Vec<JobId> {
