fix: steps do not all request advice about the same few workers

Ruled out: answers that allow too little (six of eight were allowed), lapsed tickets (2.5 s), missing capacity.

Change: a request about single tasks names workers with room in an order that differs from step to step, and a later request at least 12 of them. A step with a valid ticket for a worker that its task fits on is recognized before all workers are looked at, the workers of a request are selected instead of sorted, and after a commit only the workers whose run ends it saved are looked at for renewals.

--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -180,7 +180,6 @@
                     let answer = CellAnswer::Status { status };
                     answer_all(self.cancellers.remove(job), &answer);
                 }
-                self.scheduler.issue_due_renewals(now);
                 self.run_due_work(context);
             }
             Err(NotAppended::Unavailable) => {
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -1,16 +1,20 @@
 //! Advice requests: which workers an advisor is asked about, and when.
 //!
 //! An answer costs the advisor a fixed time and some for each worker named, and a ticket lapses
-//! within seconds. A step's first request names the workers with the most free capacity, later ones
-//! only those on which a task fits at that moment. A gang needs all its tickets at once: it asks
-//! several advisors at the same time, about workers with several times the capacity that it needs.
+//! within seconds. A request about single tasks names workers with room, other ones for each step;
+//! later requests of a step name only those on which a task fits at that moment. A gang needs all
+//! its tickets at once: it asks several advisors at the same time, about the workers with the most
+//! free capacity, until they have several times what it needs.
 
 use std::{
+    cmp::{Ordering, Reverse},
     collections::BTreeMap,
+    hash::BuildHasher,
     time::{Duration, Instant},
 };
 
 use jackdawchute_types::WorkerId;
+use rustc_hash::FxBuildHasher;
 use spdlog::info;
 
 use crate::{
@@ -44,6 +48,9 @@
 /// lapsed tickets again, as a multiple of what the gang needs; some of the capacity is used by
 /// others before the answer arrives.
 const GANG_FREE_FACTOR: f64 = 1.5;
+/// The number of a step's tasks from which a worker's room counts as plenty when a request about
+/// single tasks names workers.
+const SEVERAL_TASKS: u32 = 3;
 /// The lowest number of workers that the first request about single tasks names, if there are so
 /// many.
 const FIRST_REQUEST_WORKERS_MIN: usize = 24;
@@ -90,6 +97,9 @@
             return Vec::new();
         }
         let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
+        if !spec.gang && fits_with_ticket(spec, step, free_capacity, (now, now + expected)) {
+            return Vec::new();
+        }
         let known = known_advice(
             &self.workers,
             job,
@@ -119,8 +129,9 @@
             } else {
                 known.fitting_without_ticket()
             };
-            let workers = with_most_free(
+            let workers = spread_over(
                 candidates,
+                name,
                 single_task_request_workers(&cost, waiting, is_first),
             );
             (workers, REQUEST_WORKERS_MAX)
@@ -199,6 +210,23 @@
     }
 }
 
+/// Returns whether a task of a step, from now until `ends_at`, fits on a worker with a valid ticket.
+fn fits_with_ticket(
+    spec: &StepSpec,
+    step: &StepRun,
+    free_capacity: &FreeCapacity,
+    (now, ends_at): (Instant, Instant),
+) -> bool {
+    let size = spec.charged_resources();
+    step.advice.iter().any(|(worker, advice)| {
+        let Some(worker_capacity) = free_capacity.worker(worker) else {
+            return false;
+        };
+        let ticket = advice.ticket(worker_capacity.started_unix_ms, now);
+        ticket.is_some() && size.fits_in(&worker_capacity.usable(ends_at))
+    })
+}
+
 /// Groups the workers that could run a step by the advice that is known about them, with the free
 /// capacity that a task from now until `ends_at` could use.
 fn known_advice(
@@ -237,12 +265,8 @@
             Some(advice @ Advice::Allowed { .. }) => {
                 let candidate = candidate();
                 known.allowed_tasks_when_idle += candidate.tasks_when_idle;
-                if advice
-                    .ticket(worker_capacity.started_unix_ms, starts_at)
-                    .is_some()
-                {
-                    known.fits_with_ticket |= fits;
-                } else {
+                let ticket = advice.ticket(worker_capacity.started_unix_ms, starts_at);
+                if ticket.is_none() {
                     known.lapsed.push(candidate);
                 }
             }
@@ -269,8 +293,6 @@
 /// advisor has denied.
 #[derive(Debug, Default)]
 struct KnownAdvice {
-    /// Whether a task fits on any worker with a valid ticket.
-    fits_with_ticket: bool,
     /// How many tasks of the step fit on all allowed workers when nothing else runs there.
     allowed_tasks_when_idle: u32,
     /// The allowed workers whose tickets have lapsed, or lapse before the step can start.
@@ -280,12 +302,8 @@
 }
 
 impl KnownAdvice {
-    /// Returns the workers on which a task fits and only the ticket is missing; none if a task fits
-    /// on a worker with a valid ticket.
+    /// Returns the workers on which a task fits and only the ticket is missing.
     fn fitting_without_ticket(self) -> Vec<AdviceCandidate> {
-        if self.fits_with_ticket {
-            return Vec::new();
-        }
         let without_ticket = self.lapsed.into_iter().chain(self.not_asked);
         without_ticket.filter(|candidate| candidate.fits).collect()
     }
@@ -373,21 +391,51 @@
         .collect()
 }
 
-/// Returns the `count` workers with the most free processors.
-fn with_most_free(candidates: Vec<AdviceCandidate>, count: usize) -> Vec<WorkerId> {
-    let workers = sort_by_free(candidates).into_iter().take(count);
+/// Returns the `count` workers with the most free processors, the most first.
+fn with_most_free(mut candidates: Vec<AdviceCandidate>, count: usize) -> Vec<WorkerId> {
+    if count < candidates.len() {
+        candidates.select_nth_unstable_by(count, by_free);
+        candidates.truncate(count);
+    }
+    let workers = sort_by_free(candidates).into_iter();
     workers.map(|candidate| candidate.worker).collect()
 }
 
+/// Returns `count` workers, other ones for each step, those with room for several tasks first.
+///
+/// Were all steps to name the workers with the most free capacity, hundreds of them would get
+/// tickets for the same few workers, find these taken and ask again.
+fn spread_over(candidates: Vec<AdviceCandidate>, name: &StepName, count: usize) -> Vec<WorkerId> {
+    let mut keyed: Vec<((Reverse<u32>, u64), AdviceCandidate)> = candidates
+        .into_iter()
+        .map(|candidate| {
+            let room = Reverse(candidate.tasks_now.min(SEVERAL_TASKS));
+            let spread = FxBuildHasher.hash_one((name, &candidate.worker));
+            ((room, spread), candidate)
+        })
+        .collect();
+    if count < keyed.len() {
+        keyed.select_nth_unstable_by_key(count, |(key, _)| *key);
+        keyed.truncate(count);
+    }
+    keyed
+        .into_iter()
+        .map(|(_, candidate)| candidate.worker)
+        .collect()
+}
+
 /// Sorts workers by their free processors, the most first.
 fn sort_by_free(mut candidates: Vec<AdviceCandidate>) -> Vec<AdviceCandidate> {
-    candidates.sort_unstable_by(|left, right| {
-        let by_free = right.free_millicores.cmp(&left.free_millicores);
-        by_free.then_with(|| left.worker.cmp(&right.worker))
-    });
+    candidates.sort_unstable_by(by_free);
     candidates
 }
 
+/// Orders workers by their free processors, the most first, and equal ones by their ids.
+fn by_free(left: &AdviceCandidate, right: &AdviceCandidate) -> Ordering {
+    let by_free = right.free_millicores.cmp(&left.free_millicores);
+    by_free.then_with(|| left.worker.cmp(&right.worker))
+}
+
 /// Returns how many workers a request may name so that the fixed time stays most of its cost.
 fn affordable_workers(cost: &AdviceCost) -> usize {
     if cost.per_worker_ms > 0.0 {
@@ -397,13 +445,14 @@
     }
 }
 
-/// Returns how many workers a request about single tasks names.
+/// Returns how many workers a request about single tasks names: a later one at least half as many
+/// as the first, since its fixed time is most of its cost too.
 fn single_task_request_workers(cost: &AdviceCost, waiting: usize, is_first: bool) -> usize {
     let affordable = affordable_workers(cost);
     let workers_wanted = if is_first {
         affordable.max(FIRST_REQUEST_WORKERS_MIN)
     } else {
-        affordable.min(waiting.max(4) * 2)
+        affordable.min(waiting.max(FIRST_REQUEST_WORKERS_MIN / 4) * 2)
     };
     workers_wanted.clamp(1, REQUEST_WORKERS_MAX)
 }
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -2,12 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawchute_types::{RunNumber, WorkerId};
+use jackdawchute_types::{FencingToken, RunNumber, WorkerId};
 use spdlog::{info, warn};
 
 use crate::{
     worker::{Run, RunPhase, Worker},
-    Effect, RenewOrder, Scheduler, StartAnswer, StartRefusal, StopOrder, TaskName,
+    Effect, RenewOrder, Scheduler, Settings, StartAnswer, StartRefusal, StopOrder, TaskName,
 };
 
 /// The delay before an order without an answer is sent again.
@@ -261,37 +261,25 @@
             if worker.renewal_under_way || worker.renewal_next_at > now {
                 continue;
             }
-            let is_responsive = worker.is_responsive();
-            if !is_responsive {
+            if !worker.is_responsive() {
                 if first_renewals >= FIRST_RENEWALS_MAX {
                     continue;
                 }
                 first_renewals += 1;
             }
-            let wait = if is_responsive && !worker.awaits_stop_confirmation() {
-                settings.renew_wait_max
-            } else {
-                Duration::ZERO
-            };
-            // The lease of a worker that does not answer is not extended, so that it lapses.
-            let lease_until = worker
-                .clock_latest(now)
-                .filter(|_| is_responsive)
-                .map(|clock| clock + settings.lease);
-            if let Some(until) = lease_until {
-                worker.lease_sent = worker.lease_sent.max(until);
-            }
-            worker.renewal_under_way = true;
-            effects.push(Effect::Renew(RenewOrder {
-                worker: worker.entry.worker.clone(),
-                address: worker.entry.address,
-                lease_until,
-                // A new incarnation numbers its run ends from the start again, and a worker that
-                // does not answer may have restarted.
-                ends_saved: if is_responsive { worker.ends_saved } else { 0 },
-                wait,
-                token: worker.token(base),
-            }));
+            effects.push(Effect::Renew(begin_renewal(worker, settings, base, now)));
+        }
+    }
+
+    /// Sends the lease renewal of a worker that answers, if none is under way.
+    pub(crate) fn issue_renewal(&mut self, worker: &WorkerId, now: Instant) {
+        let base = self.token_base;
+        let worker = self.workers.get_mut(worker);
+        if let Some(worker) =
+            worker.filter(|worker| worker.is_responsive() && !worker.renewal_under_way)
+        {
+            let order = begin_renewal(worker, &self.settings, base, now);
+            self.effects.push(Effect::Renew(order));
         }
     }
 
@@ -332,3 +320,37 @@
         }
     }
 }
+
+/// Marks a renewal of a worker as under way, and returns the order.
+fn begin_renewal(
+    worker: &mut Worker,
+    settings: &Settings,
+    token_base: FencingToken,
+    now: Instant,
+) -> RenewOrder {
+    let is_responsive = worker.is_responsive();
+    let wait = if is_responsive && !worker.awaits_stop_confirmation() {
+        settings.renew_wait_max
+    } else {
+        Duration::ZERO
+    };
+    // The lease of a worker that does not answer is not extended, so that it lapses.
+    let lease_until = worker
+        .clock_latest(now)
+        .filter(|_| is_responsive)
+        .map(|clock| clock + settings.lease);
+    if let Some(until) = lease_until {
+        worker.lease_sent = worker.lease_sent.max(until);
+    }
+    worker.renewal_under_way = true;
+    RenewOrder {
+        worker: worker.entry.worker.clone(),
+        address: worker.entry.address,
+        lease_until,
+        // A new incarnation numbers its run ends from the start again, and a worker that does not
+        // answer may have restarted.
+        ends_saved: if is_responsive { worker.ends_saved } else { 0 },
+        wait,
+        token: worker.token(token_base),
+    }
+}
--- a/jackdawchute-scheduler/src/records.rs
+++ b/jackdawchute-scheduler/src/records.rs
@@ -238,6 +238,7 @@
             {
                 worker.ends_saved = worker.ends_saved.max(*last_end);
                 worker.renewal_next_at = now;
+                self.issue_renewal(id, now);
             }
         }
         self.placement_needed = true;
