change: a step that finds no worker to request advice about looks again after a pause

Cause: under load each waiting step looked at all workers in every round. The pause grows with the workers (180 us for each), as the cost of a search does. The leader logs how long its rounds take and how many orders and requests it sends.

--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -83,7 +83,11 @@
         if now.saturating_duration_since(self.load_logged_at) >= LOAD_LOG_PERIOD {
             self.load_logged_at = now;
             self.scheduler.log_load(now);
-            info!("scheduling lag", kv: { lag_ms = self.lag.as_millis() as u64 });
+            let work = std::mem::take(&mut self.work);
+            info!("scheduling lag", kv: {
+                lag_ms = self.lag.as_millis() as u64, rounds = work.rounds,
+                rounds_ms = work.rounds_took.as_millis() as u64, effects = work.effects
+            });
         }
         self.run_due_work(context);
     }
--- a/jackdawchute-cell/src/leader/handover.rs
+++ b/jackdawchute-cell/src/leader/handover.rs
@@ -8,7 +8,7 @@
 
 use crate::settings::{
     LAG_MAX, LAG_OFFER_PAUSE, LAG_OFFER_PAUSE_DOUBLINGS_MAX, OFFER_PAUSE, STRONGER_PERCENT,
-    TAKEOVER_COST_BASE, TAKEOVER_COST_PER_WORKER,
+    TAKEOVER_COST_BASE, TAKEOVER_COST_PER_LAG, TAKEOVER_COST_PER_WORKER,
 };
 
 /// What decides which of two instances should lead.
@@ -57,11 +57,13 @@
         self.lag_takeovers
     }
 
-    /// Records the leader's smoothed lag; to be called at each tick.
+    /// Records the leader's smoothed lag in a cell with this many workers; to be called at each
+    /// tick. A larger cell bears more lag, since a takeover stops it for longer.
     ///
     /// `excused` tells that any leader would lag now, as while it gets its workers' first answers.
-    pub fn record_lag(&mut self, lag: Duration, excused: bool, now: Instant) {
-        if lag < LAG_MAX || excused {
+    pub fn record_lag(&mut self, lag: Duration, workers: usize, excused: bool, now: Instant) {
+        let lag_max = LAG_MAX.max(takeover_cost(workers) / TAKEOVER_COST_PER_LAG);
+        if lag < lag_max || excused {
             self.lagging_since = None;
         } else {
             self.lagging_since.get_or_insert(now);
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -49,6 +49,23 @@
     pub(crate) peers: PeerClient,
 }
 
+/// Counts the work of the leader task.
+#[derive(Debug, Default)]
+struct WorkDone {
+    rounds: u32,
+    /// The time that scheduling rounds took.
+    rounds_took: Duration,
+    /// The number of orders and requests sent.
+    effects: usize,
+}
+
+impl WorkDone {
+    fn record_round(&mut self, took: Duration) {
+        self.rounds += 1;
+        self.rounds_took += took;
+    }
+}
+
 /// The arguments of [`spawn`].
 pub(crate) struct LeaderParts {
     /// The scheduler with all state recovered for the epoch.
@@ -103,6 +120,8 @@
     /// Whether a [`RoundDue`] will arrive.
     round_scheduled: bool,
     load_logged_at: Instant,
+    /// The work of the leader task since the load was last logged.
+    work: WorkDone,
     last_tick_at: Instant,
     /// How late this instance handles its ticks, smoothed.
     lag: Duration,
@@ -139,6 +158,7 @@
         last_round_at: now,
         round_scheduled: false,
         load_logged_at: now,
+        work: WorkDone::default(),
         last_tick_at: now,
         lag: Duration::ZERO,
         fenced: false,
@@ -199,6 +219,7 @@
         if now >= next_round_at {
             self.last_round_at = now;
             self.scheduler.run_round(now);
+            self.work.record_round(now.elapsed());
         } else if self.scheduler.round_needed() && !self.round_scheduled {
             self.round_scheduled = true;
             let task = task.clone();
@@ -207,7 +228,9 @@
                 let _ = task.send(RoundDue).await;
             });
         }
-        for effect in self.scheduler.take_effects() {
+        let effects = self.scheduler.take_effects();
+        self.work.effects += effects.len();
+        for effect in effects {
             self.execute(effect, &task, now);
         }
         self.commit(&task, now);
--- a/jackdawchute-cell/src/leader/peers.rs
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -110,7 +110,8 @@
     /// Offers the epoch to the best other instance if a takeover by it helps.
     pub(super) fn offer_epoch_if_better(&mut self, now: Instant) {
         let excused = self.scheduler.awaits_first_renewals(now);
-        self.handover.record_lag(self.lag, excused, now);
+        let workers = self.scheduler.workers_count();
+        self.handover.record_lag(self.lag, workers, excused, now);
         let Some(successor) = self.successor(now) else {
             return;
         };
@@ -125,7 +126,6 @@
             processor_millicores: state.processor_millicores,
             lag: state.lag,
         };
-        let workers = self.scheduler.workers_count();
         let Some(reason) = self.handover.offer(&own, &other, workers, now) else {
             return;
         };
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -122,6 +122,9 @@
 pub(crate) const LAG_OFFER_PAUSE: Duration = Duration::from_secs(10);
 /// How often [`LAG_OFFER_PAUSE`] doubles at most.
 pub(crate) const LAG_OFFER_PAUSE_DOUBLINGS_MAX: u32 = 4;
+/// The ratio of a takeover's duration to the lag from which it is worth while: a lag delays every
+/// job a little for as long as it lasts, a takeover delays all of them once.
+pub(crate) const TAKEOVER_COST_PER_LAG: u32 = 10;
 /// The time for which a takeover stops scheduling, without the part that grows with the workers.
 pub(crate) const TAKEOVER_COST_BASE: Duration = Duration::from_millis(300);
 /// The time for which a takeover stops scheduling, for each worker: the connections and first
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -51,6 +51,10 @@
 /// The number of a step's tasks from which a worker's room counts as plenty when a request about
 /// single tasks names workers.
 const SEVERAL_TASKS: u32 = 3;
+/// The pause between two searches of a step for workers to request advice about, for each worker
+/// of the cell, if the first finds none: under load hundreds of steps wait, and each search looks
+/// at all workers.
+const CHECK_PAUSE_PER_WORKER: Duration = Duration::from_micros(180);
 /// The lowest number of workers that the first request about single tasks names, if there are so
 /// many.
 const FIRST_REQUEST_WORKERS_MIN: usize = 24;
@@ -92,8 +96,13 @@
             return Vec::new();
         };
         let is_pending = |at: Instant| now < at + ANSWER_WAIT_MAX;
+        let is_later = |at: Instant| now < at;
         let waiting = step.units.iter().filter(|unit| unit.is_waiting()).count();
-        if job.recovering || waiting == 0 || step.advice_requested_at.is_some_and(is_pending) {
+        if job.recovering
+            || waiting == 0
+            || step.advice_requested_at.is_some_and(is_pending)
+            || step.advice_check_at.is_some_and(is_later)
+        {
             return Vec::new();
         }
         let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
@@ -143,10 +152,13 @@
         };
         let chunks = workers.chunks(per_request).take(GANG_REQUESTS_MAX);
         let requests: Vec<AdviceRequest> = chunks.map(to_request).collect();
+        let workers_count = u32::try_from(self.workers.len()).unwrap_or(u32::MAX);
+        let check_at = now + CHECK_PAUSE_PER_WORKER.saturating_mul(workers_count);
         let step = self.jobs.get_mut(&name.job);
         if let Some(step) = step.and_then(|job| job.step_mut(name)) {
             step.advice_unanswered = requests.len();
             step.advice_requested_at = (!requests.is_empty()).then_some(now);
+            step.advice_check_at = requests.is_empty().then_some(check_at);
         }
         requests
     }
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -125,6 +125,8 @@
     pub(crate) gang_reservation: Option<GangReservation>,
     /// When the advice requests under way were made; `None` if there are none.
     pub(crate) advice_requested_at: Option<Instant>,
+    /// When workers to request advice about are next looked for, after none were found.
+    pub(crate) advice_check_at: Option<Instant>,
     /// The number of advice requests that have no answer yet.
     pub(crate) advice_unanswered: usize,
 }
