change: an overloaded leader refuses new jobs, the least urgent first

Change: code of its own (leader/overload.rs) decides from how late ticks are handled. From 20 ms on new jobs of the least urgent priority are refused, from 40 ms those of the next one, from 80 ms all, with 429 and two seconds to come back. Nothing is refused after a takeover, a pause of the process, or because the workers are full; admission answers that load.

--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -23,6 +23,7 @@
     recover::unix_now,
     settings::{
         outage_retry_after, ACCEPTANCE_WAIT_MAX, COMMIT_OUTAGE_MAX, COMMIT_PAUSE, LOAD_LOG_PERIOD,
+        SHED_RETRY_AFTER,
     },
     WorkersUpdate,
 };
@@ -280,6 +281,15 @@
             let _ = reply.send(CellAnswer::Unavailable { retry_after_ms });
             return;
         }
+        if !known && self.is_too_busy_for(&submit.policy) {
+            info!("job refused", kv: {
+                job = submit.job.as_str(), queue = submit.policy.queue.as_str(),
+                reason = "the leader is overloaded", lag_ms = whole_ms(self.lag)
+            });
+            let retry_after_ms = whole_ms(SHED_RETRY_AFTER);
+            let _ = reply.send(CellAnswer::Refused { retry_after_ms });
+            return;
+        }
         let submission = self
             .scheduler
             .submit(&submit.job, submit.graph, submit.policy, now);
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -2,6 +2,7 @@
 
 mod handlers;
 mod handover;
+mod overload;
 mod peers;
 mod saving;
 
@@ -20,7 +21,6 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use xtra::{prelude::*, refcount::Weak};
 
-pub use self::handover::{HandoverPolicy, LeaderFitness, OfferReason};
 pub(crate) use self::{
     handlers::{Cancel, FindSuccessor, PeerHeartbeat, QueryPending, QueryStatus, Submit},
     peers::PeerState,
@@ -29,6 +29,10 @@
     handlers::{RenewAnswered, RoundDue, StartAnswered, StopAnswered, WorkersUpdated},
     peers::KnownPeer,
 };
+pub use self::{
+    handover::{HandoverPolicy, LeaderFitness, OfferReason},
+    overload::Overload,
+};
 use crate::{
     advisor::{AdvisorTask, ShortRequestLoad},
     commit::Head,
@@ -126,6 +130,7 @@
     /// How late this instance handles its ticks, smoothed.
     lag: Duration,
     handover: HandoverPolicy,
+    overload: Overload,
     /// Whether this instance has lost the epoch; it then does nothing more.
     fenced: bool,
 }
@@ -148,6 +153,7 @@
         peers: BTreeMap::new(),
         short_request_load: ShortRequestLoad::default(),
         handover: HandoverPolicy::new(parts.lag_takeovers, now),
+        overload: Overload::default(),
         own_address: parts.own_address,
         processor_millicores: parts.processor_millicores,
         ports: parts.ports,
--- a/jackdawchute-cell/src/leader/peers.rs
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -187,6 +187,8 @@
         let lateness = elapsed.saturating_sub(TICK_PERIOD);
         self.short_request_load.tick(elapsed);
         self.last_tick_at = now;
+        let excused = self.scheduler.awaits_first_renewals(now);
+        self.overload.record_tick(lateness, excused);
         self.lag = self.lag.mul_f64(1.0 - LAG_SMOOTHING) + lateness.mul_f64(LAG_SMOOTHING);
     }
 
--- a/jackdawchute-cell/src/leader/saving.rs
+++ b/jackdawchute-cell/src/leader/saving.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawchute_scheduler::JobStatus;
+use jackdawchute_scheduler::{JobStatus, QueuePolicy};
 use jackdawchute_types::{whole_ms, Epoch};
 use spdlog::{info, warn};
 use tokio::sync::oneshot;
@@ -54,6 +54,13 @@
         under_way + self.last_commit_duration.saturating_mul(commits)
     }
 
+    /// Returns whether this leader is too overloaded to accept a new job of a queue.
+    pub(super) fn is_too_busy_for(&self, queue: &QueuePolicy) -> bool {
+        let routes = self.routes.borrow();
+        let configured = routes.queues.iter().map(|route| route.policy.priority);
+        self.overload.refuses(queue.priority, configured)
+    }
+
     /// Returns the answer to callers during a store outage.
     pub(super) fn unavailable(&self, now: Instant) -> CellAnswer {
         let outage = self.store_outage(now);
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -114,6 +114,15 @@
 pub(crate) const LOAD_LOG_PERIOD: Duration = Duration::from_secs(1);
 /// The weight of a new measurement in the leader's smoothed lag; about the last ten ticks count.
 pub(crate) const LAG_SMOOTHING: f64 = 0.1;
+/// The lag from which the leader refuses new jobs of the least urgent queues; urgent jobs have some
+/// hundred milliseconds from their acceptance to their start, with several messages between.
+pub(crate) const SHED_LAG: Duration = Duration::from_millis(20);
+/// How often [`SHED_LAG`] doubles at most for more urgent queues.
+pub(crate) const SHED_DOUBLINGS_MAX: usize = 2;
+/// The most that one late tick counts for that lag, so that a pause of the process does not.
+pub(crate) const SHED_LATENESS_MAX: Duration = Duration::from_millis(150);
+/// After what time a caller may submit a job again that an overloaded leader refused.
+pub(crate) const SHED_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// The lag from which the leader offers its epoch to an instance that lags less; a healthy instance
 /// lags less than a tenth of that.
 pub(crate) const LAG_MAX: Duration = Duration::from_millis(30);
