change: log lines are collected in memory and written several at a time

Each line was copied, handed to a thread, which woke for it, and written by itself.

Change: lines are formatted where they are logged and collected; a thread writes them every 50 ms, up to 4,096 bytes (what a pipe takes as one) at a time. Lines beyond 1 MB are dropped and counted as before. Warnings are not flushed at once any more; all lines are written within a tenth of a second and at the end of the process.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,7 +1,7 @@
 //! Sets up the log, which is written as JSON lines.
 
 use std::{
-    num::NonZeroUsize,
+    io,
     sync::{
         atomic::{AtomicU64, Ordering},
         Arc,
@@ -11,12 +11,11 @@
 use jackdawchute_settings::LogLevel;
 use spdlog::{
     formatter::JsonFormatter,
-    sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStream, StdStreamSink},
-    Level, LevelFilter, Logger, ThreadPool,
+    sink::{Sink, StdStream, StdStreamSink, WriteSink},
+    Level, LevelFilter, Logger,
 };
 
-/// The maximum number of queued log lines; a busy instance writes as many in about a second.
-const QUEUE_LINES_MAX: NonZeroUsize = NonZeroUsize::new(4_096).expect("4096 is not zero");
+use crate::log_output::CollectedOutput;
 
 /// The number of dropped log lines that are not yet reported.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
@@ -34,26 +33,21 @@
 /// Directs the log to standard output without ever blocking on it. On failure the default logger of
 /// the library stays in use.
 ///
-/// A line is dropped if the queue is full; [`report_drops`] logs how many were.
+/// A line is dropped if too many wait; [`report_drops`] logs how many were. Lines are written
+/// within a tenth of a second, and at the end of the process.
 pub(crate) fn start_bounded(level: LogLevel) {
-    let output = StdStreamSink::builder()
-        .std_stream(StdStream::Stdout)
-        .formatter(JsonFormatter::new())
-        .build_arc();
-    let pool = ThreadPool::builder().capacity(QUEUE_LINES_MAX).build_arc();
-    let (Ok(output), Ok(pool)) = (output, pool) else {
+    let Ok(output) = CollectedOutput::start(io::stdout()) else {
         return;
     };
-    let sink = AsyncPoolSink::builder()
-        .sink(output)
-        .thread_pool(pool)
-        .overflow_policy(OverflowPolicy::DropIncoming)
+    let sink = WriteSink::builder()
+        .target(output)
+        .formatter(JsonFormatter::new())
         .error_handler(|_: spdlog::Error| {
             DROPPED.fetch_add(1, Ordering::Relaxed);
         })
         .build_arc();
     let Ok(sink) = sink else { return };
-    install(sink, level, LevelFilter::MoreSevereEqual(Level::Warn));
+    install(sink, level, LevelFilter::Off);
 }
 
 /// Logs how many lines were dropped since the last call, if any were.
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 mod error;
 mod explain;
 mod http_api;
+mod log_output;
 mod logging;
 mod operators_api;
 mod runtime;
