--- a/jackdawchute-cell/src/election/handlers.rs
+++ b/jackdawchute-cell/src/election/handlers.rs
@@ -19,7 +19,7 @@
     rows::LeaderRecord,
     settings::{
         CLAIM_PAUSE, CLAIM_PAUSE_MAX, HANDOVER_OFFER_PERIOD, HEARTBEAT_TIMEOUT,
-        LEADER_STORE_OUTAGE_MAX,
+        LEADER_STORE_OUTAGE_MAX, LEADER_TIMEOUT,
     },
     Result,
 };
@@ -90,7 +90,7 @@
             self.publish(|view| view.leader_heard_at = Some(now));
             return;
         }
-        if self.leader_heard_at.elapsed() > self.leader_timeout() {
+        if self.leader_heard_at.elapsed() > LEADER_TIMEOUT {
             self.claim("the leader does not answer heartbeats", context);
             self.query_others(context);
         }
--- a/jackdawchute-cell/src/election/mod.rs
+++ b/jackdawchute-cell/src/election/mod.rs
@@ -4,7 +4,6 @@
 mod handlers;
 
 use std::{
-    collections::VecDeque,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -26,8 +25,7 @@
     rows::LeaderRecord,
     settings::{
         CLAIM_JITTER, CLAIM_PAUSE, DEFAULT_STRONGEST_MILLICORES, HEARTBEAT_PERIOD,
-        HEARTBEAT_TIMEOUT, LEADER_TIMEOUT, LEADER_TIMEOUT_FACTOR_MAX, RECENT_TAKEOVER,
-        RECOVERY_MAX, WEAK_CLAIM_DELAY,
+        HEARTBEAT_TIMEOUT, RECOVERY_MAX, WEAK_CLAIM_DELAY,
     },
     Metrics, Routes, Settings,
 };
@@ -83,8 +81,8 @@
     lag_takeovers: u32,
     /// When the leader last answered, or when this instance began to expect its answers.
     leader_heard_at: Instant,
-    /// When the leader row changed, for the changes of the last [`RECENT_TAKEOVER`].
-    recent_changes: VecDeque<Instant>,
+    /// When the leader row last changed; `None` before one is known.
+    row_changed_at: Option<Instant>,
     epoch_lost: mpsc::UnboundedSender<EpochLost>,
 }
 
@@ -108,7 +106,7 @@
         claim_pause: CLAIM_PAUSE,
         lag_takeovers: 0,
         leader_heard_at: now,
-        recent_changes: VecDeque::new(),
+        row_changed_at: None,
         epoch_lost,
     };
     let address = xtra::spawn_tokio(task, Mailbox::unbounded());
@@ -159,20 +157,10 @@
         }
     }
 
-    /// Returns how long the leader may leave heartbeats unanswered.
-    fn leader_timeout(&mut self) -> Duration {
-        let is_old = |at: &Instant| at.elapsed() >= RECENT_TAKEOVER;
-        while self.recent_changes.front().is_some_and(is_old) {
-            self.recent_changes.pop_front();
-        }
-        let recent = u32::try_from(self.recent_changes.len()).unwrap_or(u32::MAX);
-        LEADER_TIMEOUT * recent.clamp(1, LEADER_TIMEOUT_FACTOR_MAX)
-    }
-
     /// Returns whether a new leader may still be recovering.
     fn leader_may_be_recovering(&self) -> bool {
-        let changed_at = self.recent_changes.back();
-        changed_at.is_some_and(|at| at.elapsed() < RECOVERY_MAX)
+        self.row_changed_at
+            .is_some_and(|at| at.elapsed() < RECOVERY_MAX)
     }
 
     /// Claims the epoch after a short random delay, longer for an instance with less processor.
@@ -304,7 +292,7 @@
                 version = row.version
             });
             self.leader_heard_at = Instant::now();
-            self.recent_changes.push_back(self.leader_heard_at);
+            self.row_changed_at = Some(self.leader_heard_at);
             let published_row = row.clone();
             self.publish(|view| view.row = Some(published_row));
         }
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -40,11 +40,6 @@
 /// How long a new leader may take to recover before others claim the epoch, if it answers
 /// heartbeats meanwhile.
 pub(crate) const RECOVERY_MAX: Duration = Duration::from_secs(5);
-/// How long a change of the leader counts as recent; after several recent ones [`LEADER_TIMEOUT`]
-/// is longer, since each takeover leaves a backlog that makes the next leader slow at first.
-pub(crate) const RECENT_TAKEOVER: Duration = Duration::from_secs(10);
-/// The highest multiple of [`LEADER_TIMEOUT`] after recent changes of the leader.
-pub(crate) const LEADER_TIMEOUT_FACTOR_MAX: u32 = 4;
 /// The processor that the strongest instance is assumed to have until the leader reports it: one
 /// core.
 pub(crate) const DEFAULT_STRONGEST_MILLICORES: u64 = 1_000;
