--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -131,8 +131,8 @@
 pub(crate) const TAKEOVER_COST_PER_LAG: u32 = 10;
 /// The time for which a takeover stops scheduling, without the part that grows with the workers.
 pub(crate) const TAKEOVER_COST_BASE: Duration = Duration::from_millis(300);
-/// The time for which a takeover stops scheduling, for each worker: the connections and first
-/// renewals of 1,100 workers take about a second on half a core.
+/// The time for which a takeover stops scheduling, for each worker: a new leader connects to all of
+/// them and waits for their first renewals.
 pub(crate) const TAKEOVER_COST_PER_WORKER: Duration = Duration::from_millis(1);
 /// The shortest time between two offers of the epoch to a better instance.
 pub(crate) const OFFER_PAUSE: Duration = Duration::from_secs(1);
--- a/src/log_output.rs
+++ b/src/log_output.rs
@@ -1,7 +1,7 @@
 //! A writer that never blocks its callers: it keeps lines in memory, and a thread writes them out.
 //!
-//! A busy leader logs thousands of lines a second. Written one by one, or handed to a thread one by
-//! one, they took a third of its processor time.
+//! A busy leader logs thousands of lines a second, and each write or wake-up of a thread costs more
+//! than the line itself.
 
 use std::{
     io::{self, Write},
@@ -10,8 +10,7 @@
     time::Duration,
 };
 
-/// The maximum size of the lines in memory, in bytes; a busy instance logs as much in a second or
-/// two.
+/// The maximum size of the lines in memory, in bytes.
 const PENDING_BYTES_MAX: usize = 1 << 20;
 /// The largest write that a pipe takes as one, in bytes.
 const ATOMIC_WRITE_MAX: usize = 4_096;
