fix: no entry and no job makes a saved row larger than the store takes

Cause: a row of workers was bounded in workers, not in bytes. The service of the odd entry, a text of 65,200 bytes, went into the row, the store refused it with 400, and append() took that for an unknown outcome and repeated the transaction without end; each successor listed the same entry.

Change: - a row of workers is filled by bytes, and names no service, which a new leader never read; - workers of a service that neither a queue nor a job uses are sent nothing and have no row until one does; - a job as accepted is divided over rows; fields with default values are not written; a job that could not be saved is invalid (400) at submission; - a commit never holds more than the store takes, with space kept for the largest job; - a transaction that the store rejects (4xx but 412 and 429) is not repeated: its largest change is given up with an error line and a metric, all others go into the next commit.

Older instances cannot read the new rows of workers and refuse to recover from them; rows of older versions are read as before.

Tests, failed before: the_longest_service_of_a_worker_fits_into_its_row, workers_with_the_longest_ids_fit_into_their_rows, the_largest_job_is_divided_over_rows_and_recovered_from_them, a_job_that_cannot_be_saved_is_invalid (scheduler), an_odd_entry_among_the_workers_stops_no_commit, a_job_larger_than_a_row_of_the_store_is_accepted_and_runs (cell).

tests/cell.rs became the folder tests/cell, without a change of its tests.

--- a/jackdawchute-cell/src/commit.rs
+++ b/jackdawchute-cell/src/commit.rs
@@ -7,7 +7,7 @@
 
 use jackdawchute_scheduler::CommitBatch;
 use jackdawchute_types::Epoch;
-use spdlog::warn;
+use spdlog::{error, warn};
 use tokio::sync::watch;
 
 use crate::{
@@ -91,13 +91,17 @@
     Fenced,
     /// The store refused all attempts; none has taken effect or will do so later.
     Unavailable,
+    /// The store takes no such transaction, now or later.
+    Rejected,
 }
 
 /// Appends a batch after `head`, and repeats the attempt until its outcome is known.
 ///
 /// All attempts send the same transaction, whose condition lets it take effect once at most. They
 /// end without a commit only if the store has refused each of them for `outage_max`: an attempt
-/// without an answer may take effect later. `outage_since` is set from the first failure on until
+/// without an answer may take effect later; or if the store rejects the transaction itself. After
+/// an attempt without an answer, a rejection ends the epoch, as a later leader reads in the rows
+/// what took effect. `outage_since` is set from the first failure on until
 /// the store answers.
 pub(crate) async fn append(
     store: Arc<dyn Store>,
@@ -121,6 +125,18 @@
                 }
                 return appended_head(head, outcome).map_err(|Fenced| NotAppended::Fenced);
             }
+            Err(error @ Error::Rejected(..)) => {
+                metrics.commit_rejected();
+                outage_since.send_replace(None);
+                error!("commit rejected by the store", kv: {
+                    epoch = head.epoch, commits = head.commits, rows = transaction.writes.len(),
+                    outcome_unknown = outcome_unknown, cause: = error
+                });
+                return Err(match outcome_unknown {
+                    true => NotAppended::Fenced,
+                    false => NotAppended::Rejected,
+                });
+            }
             Err(error) => {
                 metrics.commit_failed();
                 outcome_unknown |= !matches!(error, Error::Unavailable(..));
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -78,6 +78,9 @@
         self.record_tick(now);
         self.offer_epoch_if_better(now);
         self.query_peers_during_outage(now);
+        if self.routes.has_changed().unwrap_or(false) {
+            self.use_configured_services(now);
+        }
         self.scheduler.tick(now, unix_now());
         self.refuse_unsaved(now);
         self.metrics.set_jobs(self.scheduler.jobs_count());
@@ -197,6 +200,16 @@
                 }
                 self.next_commit_at = now + COMMIT_PAUSE;
             }
+            Err(NotAppended::Rejected) => {
+                if let Some(job) = self.scheduler.refused_for_good(&batch) {
+                    info!("job refused", kv: {
+                        job = job.as_str(), reason = "the store refuses its row"
+                    });
+                    let answer = self.unavailable(now);
+                    answer_all(self.submitters.remove(&job), &answer);
+                }
+                self.next_commit_at = now + COMMIT_PAUSE;
+            }
             Err(NotAppended::Fenced) => {
                 warn!("epoch lost to another instance", kv: { epoch = self.head.epoch });
                 self.fence();
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -170,6 +170,7 @@
         fenced: false,
     };
     task.metrics.set_epoch(task.head.epoch);
+    task.use_configured_services(now);
     let own_state = PeerState {
         leaving: false,
         lag: Duration::ZERO,
@@ -214,6 +215,18 @@
 }
 
 impl LeaderTask {
+    /// Tells the scheduler which services the configuration names, once there is one.
+    fn use_configured_services(&mut self, now: Instant) {
+        let routes = self.routes.borrow_and_update();
+        if routes.version > 0 {
+            let services = routes
+                .queues
+                .iter()
+                .map(|route| route.policy.service.clone());
+            self.scheduler.use_services(services, now);
+        }
+    }
+
     /// Runs a scheduling round that is due, executes the scheduler's effects and starts a commit.
     fn run_due_work(&mut self, context: &Context<Self>) {
         if self.fenced {
--- a/jackdawchute-cell/src/metrics.rs
+++ b/jackdawchute-cell/src/metrics.rs
@@ -113,6 +113,11 @@
         self.call("commit", "failed", Duration::ZERO);
     }
 
+    /// Records a commit that the store rejected for good; a change in it is given up.
+    pub(crate) fn commit_rejected(&self) {
+        self.call("commit", "rejected", Duration::ZERO);
+    }
+
     /// Sets the epoch that this instance holds; 0 for none.
     pub(crate) fn set_epoch(&self, epoch: u64) {
         self.epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -72,7 +72,7 @@
 /// also has the chain's own entries: the head row and the condition on its version.
 pub(crate) const COMMIT_ROWS_MAX: usize = 97;
 /// The most bytes of a commit before their encoding, which adds a third; the store's limit is 1 MB.
-pub(crate) const COMMIT_BYTES_MAX: usize = 500_000;
+pub(crate) const COMMIT_BYTES_MAX: usize = 700_000;
 /// The timeout of a caller's call that is forwarded to the leader at a peer.
 pub(crate) const LEADER_CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long a caller's call waits for a leader before it is answered as unavailable.
--- /dev/null
+++ b/jackdawchute-cell/tests/cell/fixtures.rs
@@ -0,0 +1,243 @@
+//! A cell of several instances in one process, connected over TCP, on an in-memory platform.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use jackdawchute_cell::{
+    Advisor, Answer, Instance, Metrics, Platform, QueueRoute, Routes, Settings, Store,
+};
+use jackdawchute_scheduler::{
+    AdviceCost, JobGraph, JobOutcome, JobStatus, QueuePolicy, StepSpec, WorkerEntry,
+};
+use jackdawchute_standins::cell::{
+    MemoryAdvisor, MemoryDirectory, MemoryStore, MemoryWorkers, StoreHandle,
+};
+use jackdawchute_types::Resources;
+use tokio::sync::watch;
+
+/// How long a caller waits for an answer.
+pub const DEADLINE: Duration = Duration::from_secs(3);
+/// How long a test waits for a condition before it fails.
+pub const WAIT_MAX: Duration = Duration::from_secs(20);
+/// How long each task runs.
+pub const TASK_TIME: Duration = Duration::from_millis(150);
+
+/// An instance with its own access to the platform, which a test can deny.
+pub struct TestInstance {
+    pub handle: Instance,
+    pub store: StoreHandle,
+    pub directory: MemoryDirectory,
+    pub address: SocketAddr,
+}
+
+/// The instances of a cell and the platform that they share.
+pub struct Cell {
+    pub instances: Vec<TestInstance>,
+    pub workers: MemoryWorkers,
+    /// The list of workers as the platform gives it.
+    pub listed: watch::Sender<Vec<WorkerEntry>>,
+    pub store: MemoryStore,
+    pub routes: watch::Sender<Routes>,
+    pub advisor: Arc<dyn Advisor>,
+}
+
+/// Returns a route whose steps need advice; each request takes the advisor 200 ms.
+pub fn advised_route() -> QueueRoute {
+    let mut route = route();
+    route.policy.advice = Some(AdviceCost {
+        fixed_ms: 200.0,
+        per_worker_ms: 0.0,
+        valid: Duration::from_millis(2_500),
+    });
+    route
+}
+
+pub fn route() -> QueueRoute {
+    QueueRoute {
+        host: "host".into(),
+        path_prefix: "/queue/".into(),
+        policy: QueuePolicy {
+            queue: "queue".into(),
+            service: "service".into(),
+            priority: 0,
+            attempts_max: 3,
+            stretch: 10.0,
+            target: Duration::from_secs(20),
+            advice: None,
+        },
+    }
+}
+
+pub fn routes(version: u64) -> Routes {
+    Routes {
+        version,
+        queues: vec![route()],
+        body_bytes_max: 1_000_000,
+    }
+}
+
+pub fn graph(tasks: u32) -> JobGraph {
+    JobGraph {
+        payload: "payload".into(),
+        steps: vec![StepSpec {
+            tasks,
+            resources: Resources::new(1_000, 10, 0),
+            estimate: TASK_TIME,
+            ..StepSpec::default()
+        }],
+        repeat: None,
+    }
+}
+
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    listener
+        .local_addr()
+        .expect("a bound listener has an address")
+}
+
+/// Starts a cell of instances with one core each.
+pub async fn cell(instances: usize) -> Cell {
+    cell_with_processors(&vec![1_000; instances]).await
+}
+
+/// Starts a cell of instances with these thousandths of a core, one after the other.
+pub async fn cell_with_processors(processors_millicores: &[u64]) -> Cell {
+    cell_with_advisor(processors_millicores, Arc::new(MemoryAdvisor)).await
+}
+
+/// Starts a cell of instances that call the same advisor.
+pub async fn cell_with_advisor(processors_millicores: &[u64], advisor: Arc<dyn Advisor>) -> Cell {
+    let store = MemoryStore::default();
+    let workers = MemoryWorkers::new(4, TASK_TIME);
+    let listed = watch::channel(workers.entries()).0;
+    let mut cell = Cell {
+        instances: Vec::new(),
+        workers,
+        listed,
+        store,
+        routes: watch::channel(routes(1)).0,
+        advisor,
+    };
+    for processor_millicores in processors_millicores {
+        cell.add_instance(*processor_millicores).await;
+    }
+    cell.wait_until_ready().await;
+    cell
+}
+
+pub async fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + WAIT_MAX;
+    while !condition() {
+        assert!(Instant::now() < deadline, "{what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+impl Cell {
+    /// Starts a further instance.
+    pub async fn add_instance(&mut self, processor_millicores: u64) {
+        let handle = self.store.handle();
+        let directory = MemoryDirectory::new(self.listed.subscribe(), self.routes.subscribe());
+        let address = free_address();
+        let settings = Settings {
+            instance: smol_str::format_smolstr!("entry-{}", self.instances.len()),
+            peer_listen: address,
+            peer_address: address,
+            processor_millicores,
+            scheduler: jackdawchute_scheduler::Settings::default(),
+        };
+        let platform = Platform {
+            store: Arc::new(handle.clone()),
+            workers: Arc::new(self.workers.clone()),
+            advisor: self.advisor.clone(),
+            directory: Arc::new(directory.clone()),
+        };
+        let instance = Instance::start(settings, platform, Metrics::default());
+        self.instances.push(TestInstance {
+            handle: instance.await.expect("the port was free just now"),
+            store: handle,
+            directory,
+            address,
+        });
+    }
+
+    pub async fn wait_until_ready(&self) {
+        for instance in &self.instances {
+            wait_for("instance not ready", || instance.handle.gateway.ready()).await;
+        }
+    }
+
+    /// Returns the index of the leader, as named by the store.
+    pub async fn leader(&self) -> usize {
+        let page = self.store.handle().read("leader", "cell", None).await;
+        let row = page.expect("this handle is never denied").rows.remove(0);
+        let text = String::from_utf8(row.value.expect("a saved row")).expect("rows are JSON");
+        let is_named = |instance: &TestInstance| text.contains(&instance.address.to_string());
+        self.instances
+            .iter()
+            .position(is_named)
+            .expect("the leader is an instance")
+    }
+
+    /// Submits a job at the instance with this index.
+    pub async fn submit(&self, index: usize, job: &str, tasks: u32) -> Answer {
+        let gateway = &self.instances[index].handle.gateway;
+        gateway
+            .submit(job.into(), graph(tasks), &route(), DEADLINE)
+            .await
+    }
+
+    /// Submits a job repeatedly, as callers do, until it is accepted.
+    pub async fn submit_until_accepted(&self, index: usize, job: &str, tasks: u32) {
+        let deadline = Instant::now() + WAIT_MAX;
+        loop {
+            let answer = self.submit(index, job, tasks).await;
+            if answer == Answer::Accepted {
+                return;
+            }
+            assert!(Instant::now() < deadline, "{job}: {answer:?}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    pub async fn status(&self, index: usize, job: &str) -> Answer {
+        let gateway = &self.instances[index].handle.gateway;
+        gateway.status(job.into(), DEADLINE).await
+    }
+
+    pub async fn wait_until_completed(&self, index: usize, job: &str) {
+        let completed = Answer::Status(JobStatus::Ended(JobOutcome::Completed));
+        let deadline = Instant::now() + WAIT_MAX;
+        while self.status(index, job).await != completed {
+            assert!(Instant::now() < deadline, "{job} has not completed");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Asserts that each task ran only once.
+    pub fn assert_each_task_ran_once(&self) {
+        let mut by_task: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for record in self.workers.records() {
+            by_task.entry(record.task.clone()).or_default().push(record);
+        }
+        for (task, runs) in by_task {
+            assert_eq!(runs.len(), 1, "{task:?}: {runs:?}");
+        }
+    }
+}
+
+pub async fn wait_for_other_leader(cell: &Cell, leader: usize) {
+    let deadline = Instant::now() + WAIT_MAX;
+    while cell.leader().await == leader {
+        assert!(
+            Instant::now() < deadline,
+            "instance {leader} is still the leader"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/jackdawchute-cell/tests/cell/main.rs
@@ -0,0 +1,5 @@
+//! Instances in one process, connected over TCP, on an in-memory platform.
+
+mod fixtures;
+mod instances;
+mod store_rows;
--- a/jackdawchute-entry/src/counted_table.rs
+++ b/jackdawchute-entry/src/counted_table.rs
@@ -23,6 +23,7 @@
             Ok(_) => "answered",
             Err(Error::Unavailable(..)) => "unavailable",
             Err(Error::Unknown(..)) => "unknown",
+            Err(Error::Rejected(..)) => "rejected",
             Err(Error::Protocol(..)) => "protocol",
         };
         self.metrics.table_call(call, outcome);
--- a/jackdawchute-ports/src/error.rs
+++ b/jackdawchute-ports/src/error.rs
@@ -14,6 +14,10 @@
         Unavailable(step: &'static str, peer: String, cause: String) {
             display("{} at {}: unavailable: {}", step, peer, cause)
         }
+        /// The service refuses the request itself; it had no effect, and would be refused again.
+        Rejected(step: &'static str, peer: String, cause: String) {
+            display("{} at {}: rejected: {}", step, peer, cause)
+        }
         /// The outcome is unknown: the response was lost, and the call may have had its effect.
         Unknown(step: &'static str, peer: String, cause: String) {
             display("{} at {}: outcome unknown: {}", step, peer, cause)
--- /dev/null
+++ b/jackdawchute-scheduler/src/batch.rs
@@ -0,0 +1,352 @@
+//! The batches of row changes that are committed together, and what follows from their outcome.
+
+use std::time::Instant;
+
+use jackdawchute_types::JobId;
+use smol_str::format_smolstr;
+use spdlog::error;
+
+use crate::{
+    job::JobPhase,
+    records::{
+        divided_rows, progress_record, removal, saved_row, EndedRecord, JobRecord, WorkerRecord,
+    },
+    row_size::{numbered_key, split_key, JOB_BYTES_MAX},
+    worker::Worker,
+    worker_rows::{row_index, row_key, RowIndex},
+    CommitBatch, RowChange, RowTable, Scheduler,
+};
+
+/// The part of a batch's bytes that rows of workers may take, as a divisor: a new leader saves
+/// thousands of workers, while callers wait for the other rows.
+const WORKERS_BYTES_DIVISOR: usize = 3;
+/// The part of a batch's rows that is reserved for waiting acceptances, as a divisor.
+const ACCEPTANCES_ROWS_DIVISOR: usize = 2;
+
+/// A batch with the limits of a commit.
+struct BatchBuilder {
+    batch: CommitBatch,
+    bytes: usize,
+    rows_max: usize,
+    bytes_max: usize,
+    /// The rows that are left to waiting acceptances.
+    rows_reserved: usize,
+    /// The bytes that are left to the first waiting acceptance.
+    bytes_reserved: usize,
+}
+
+impl BatchBuilder {
+    /// Returns whether a change of this many rows and bytes has space.
+    fn has_space(&self, rows: usize, bytes: usize) -> bool {
+        self.batch.changes.len() + self.rows_reserved + rows <= self.rows_max
+            && self.bytes + self.bytes_reserved + bytes <= self.bytes_max
+    }
+
+    fn push(&mut self, change: RowChange) {
+        self.bytes += change.value.as_ref().map_or(0, Vec::len);
+        self.batch.changes.push(change);
+    }
+}
+
+impl Scheduler {
+    /// Returns whether any change waits to be committed.
+    pub fn has_unsaved(&self) -> bool {
+        !self.accepting.is_empty()
+            || !self.ending.is_empty()
+            || !self.unsaved.is_empty()
+            || !self.ends_unsaved.is_empty()
+            || self.worker_rows.has_unsaved()
+    }
+
+    /// Returns how many commits of at most `rows_max` rows it takes until a job that is submitted
+    /// now is accepted, including the commit of its own row.
+    pub fn commits_until_accepted(&self, rows_max: usize) -> u32 {
+        let per_commit = (rows_max / ACCEPTANCES_ROWS_DIVISOR).max(1);
+        let commits_before = self.accepting.len() / per_commit;
+        u32::try_from(commits_before).map_or(u32::MAX, |commits| commits.saturating_add(1))
+    }
+
+    /// Returns the next changes to commit, of at most `rows_max` rows and `bytes_max` bytes; `None`
+    /// if there are none.
+    ///
+    /// A batch marks run ends as saved only if it holds every unsaved change of progress and every
+    /// job end, which includes all that followed from those run ends.
+    pub fn take_batch(
+        &mut self,
+        rows_max: usize,
+        bytes_max: usize,
+        unix_ms: u64,
+    ) -> Option<CommitBatch> {
+        if !self.has_unsaved() {
+            return None;
+        }
+        let mut builder = BatchBuilder {
+            batch: CommitBatch::default(),
+            bytes: 0,
+            rows_max,
+            bytes_max,
+            rows_reserved: 0,
+            bytes_reserved: 0,
+        };
+        self.take_workers(&mut builder);
+        // On a slow store the progress of running jobs alone would fill every batch, while a caller
+        // waits for each acceptance.
+        builder.rows_reserved = self
+            .accepting
+            .len()
+            .min(rows_max / ACCEPTANCES_ROWS_DIVISOR);
+        builder.bytes_reserved = match self.accepting.is_empty() {
+            true => 0,
+            false => JOB_BYTES_MAX,
+        };
+        self.take_ended(&mut builder);
+        self.take_progress(&mut builder);
+        self.take_run_ends(&mut builder);
+        (builder.rows_reserved, builder.bytes_reserved) = (0, 0);
+        self.take_acceptances(&mut builder, unix_ms);
+        Some(builder.batch)
+    }
+
+    fn take_workers(&mut self, builder: &mut BatchBuilder) {
+        while builder.bytes < builder.bytes_max / WORKERS_BYTES_DIVISOR {
+            let Some(row) = self.worker_rows.take_unsaved() else {
+                return;
+            };
+            builder.push(self.workers_row_change(row));
+        }
+    }
+
+    /// Returns the row with this index, with all workers that may run tasks.
+    fn workers_row_change(&self, row: RowIndex) -> RowChange {
+        // A worker that is not listed and runs nothing gets no further tasks.
+        let may_run_tasks =
+            |worker: &&Worker| worker.row == row && (worker.listed || !worker.runs.is_empty());
+        let records: Vec<WorkerRecord> = self
+            .workers
+            .values()
+            .filter(may_run_tasks)
+            .map(|worker| WorkerRecord::new(&worker.entry))
+            .collect();
+        saved_row(RowTable::Workers, row_key(row), &records)
+    }
+
+    fn take_ended(&mut self, builder: &mut BatchBuilder) {
+        let mut ended = Vec::new();
+        while let Some(id) = self.ending.pop() {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let JobPhase::Ending(outcome) = job.phase else {
+                continue;
+            };
+            // The rows of the job, its progress, and the row with all outcomes.
+            if !builder.has_space(job.rows + 2, 0) {
+                self.ending.push(id);
+                break;
+            }
+            self.unsaved.remove(&id);
+            for number in (0..).take(job.rows) {
+                builder.push(removal(RowTable::Jobs, numbered_key(&id, number)));
+            }
+            if job.progress_saved {
+                builder.push(removal(RowTable::Progress, id.clone()));
+            }
+            ended.push(EndedRecord {
+                job: id.clone(),
+                outcome,
+            });
+            builder.batch.ended.push(id);
+        }
+        if !ended.is_empty() {
+            self.ended_rows_counter += 1;
+            let key = format_smolstr!("{:016x}-{:08x}", self.epoch, self.ended_rows_counter);
+            builder.push(saved_row(RowTable::Ended, key.clone(), &ended));
+            builder.batch.ended_row = Some(key);
+        }
+    }
+
+    fn take_progress(&mut self, builder: &mut BatchBuilder) {
+        while let Some(id) = self.unsaved.pop_first() {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            if job.phase != JobPhase::Live {
+                continue;
+            }
+            let row = saved_row(RowTable::Progress, id.clone(), &progress_record(job));
+            let bytes = row.value.as_ref().map_or(0, Vec::len);
+            if !builder.has_space(1, bytes) {
+                self.unsaved.insert(id);
+                return;
+            }
+            job.progress_saved = true;
+            builder.push(row);
+        }
+    }
+
+    /// Marks the recorded run ends as saved, if the batch has all that followed from them.
+    fn take_run_ends(&mut self, builder: &mut BatchBuilder) {
+        if !self.unsaved.is_empty() || !self.ending.is_empty() {
+            return;
+        }
+        for id in std::mem::take(&mut self.ends_unsaved) {
+            if let Some(worker) = self.workers.get(&id) {
+                let saved = (id, worker.incarnations_seen, worker.ends_recorded);
+                builder.batch.ends_recorded.push(saved);
+            }
+        }
+    }
+
+    fn take_acceptances(&mut self, builder: &mut BatchBuilder, unix_ms: u64) {
+        while let Some(id) = self.accepting.pop_front() {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let record = JobRecord {
+                graph: job.graph.clone(),
+                queue: job.queue.clone(),
+                accepted_unix_ms: unix_ms,
+            };
+            let rows = divided_rows(RowTable::Jobs, &id, &record);
+            let bytes = rows.iter().flat_map(|row| &row.value).map(Vec::len).sum();
+            if !builder.has_space(rows.len(), bytes) {
+                self.accepting.push_front(id);
+                return;
+            }
+            job.rows = rows.len();
+            for row in rows {
+                builder.push(row);
+            }
+            builder.batch.accepted.push(id);
+        }
+    }
+
+    /// Applies the effects of a batch that is committed.
+    pub fn committed(&mut self, batch: &CommitBatch, now: Instant) {
+        for id in &batch.accepted {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.phase = JobPhase::Live;
+            }
+        }
+        for id in &batch.ended {
+            if let Some(job) = self.jobs.remove(id) {
+                self.placeable.remove(id);
+                if let JobPhase::Ending(outcome) = job.phase {
+                    let ended = crate::state::EndedJob {
+                        outcome,
+                        retained_since: now,
+                    };
+                    self.ended.insert(id.clone(), ended);
+                }
+            }
+        }
+        if let Some(key) = &batch.ended_row {
+            self.ended_rows.push_back((now, key.clone()));
+        }
+        for (id, incarnations_seen, last_end) in &batch.ends_recorded {
+            let worker = self.workers.get_mut(id);
+            if let Some(worker) =
+                worker.filter(|worker| worker.incarnations_seen == *incarnations_seen)
+            {
+                worker.ends_saved = worker.ends_saved.max(*last_end);
+                worker.renewal_next_at = now;
+                self.issue_renewal(id, now);
+            }
+        }
+        self.placement_needed = true;
+    }
+
+    /// Undoes a batch that is known not to be committed, now or later: withdraws the acceptances in
+    /// it and returns their jobs, which will never run, and leaves all other changes to a later
+    /// batch.
+    pub fn not_committed(&mut self, batch: &CommitBatch) -> Vec<JobId> {
+        self.restore(batch, None);
+        for job in &batch.accepted {
+            self.withdraw(job);
+        }
+        batch.accepted.clone()
+    }
+
+    /// Undoes a batch that the store refuses and would refuse again: gives up its largest change,
+    /// and leaves all others to a later batch. Returns the job whose acceptance is withdrawn, if
+    /// that is the change; it will never run.
+    ///
+    /// A change other than an acceptance is made again when its row next changes; until then a new
+    /// leader would miss it.
+    pub fn refused_for_good(&mut self, batch: &CommitBatch) -> Option<JobId> {
+        let bytes = |change: &RowChange| change.value.as_ref().map_or(0, Vec::len);
+        let given_up = batch.changes.iter().max_by_key(|change| bytes(change));
+        if let Some(change) = given_up {
+            error!("the store refuses a row for good; the change is given up", kv: {
+                table:? = change.table, key = change.key.as_str(), bytes = bytes(change)
+            });
+        }
+        self.restore(batch, given_up);
+        let job_of_row: Option<JobId> = given_up
+            .filter(|change| change.table == RowTable::Jobs && change.value.is_some())
+            .map(|change| split_key(&change.key).0.into());
+        let withdrawn = job_of_row.filter(|job| batch.accepted.contains(job));
+        for job in batch.accepted.iter().rev() {
+            if Some(job) == withdrawn.as_ref() {
+                self.withdraw(job);
+            } else {
+                self.accepting.push_front(job.clone());
+            }
+        }
+        withdrawn
+    }
+
+    /// Drops a job whose acceptance is not committed.
+    fn withdraw(&mut self, job: &JobId) {
+        self.jobs.remove(job);
+        self.placeable.remove(job);
+    }
+
+    /// Leaves the changes of a batch, without its acceptances and without `given_up`, to a later
+    /// one.
+    fn restore(&mut self, batch: &CommitBatch, given_up: Option<&RowChange>) {
+        for change in &batch.changes {
+            if given_up == Some(change) {
+                continue;
+            }
+            match change.table {
+                RowTable::Progress if change.value.is_some() => {
+                    self.unsaved.insert(change.key.clone());
+                }
+                RowTable::Workers => self.worker_rows.mark_unsaved(row_index(&change.key)),
+                RowTable::Ended if change.value.is_none() => {
+                    // Counted from the start of the epoch, the retention has passed too, so that
+                    // the removal is due again.
+                    self.ended_rows
+                        .push_front((self.epoch_began_at, change.key.clone()));
+                }
+                _ => {}
+            }
+        }
+        self.ending.extend(batch.ended.iter().cloned());
+        let workers = batch
+            .ends_recorded
+            .iter()
+            .map(|(worker, _, _)| worker.clone());
+        self.ends_unsaved.extend(workers);
+    }
+
+    /// Returns removals of at most `rows_max` rows of ended jobs whose retention has passed.
+    pub fn take_expired_rows(&mut self, rows_max: usize, now: Instant) -> Vec<RowChange> {
+        let mut expired = Vec::new();
+        while expired.len() < rows_max {
+            match self.ended_rows.front() {
+                Some((retained_since, _))
+                    if now.saturating_duration_since(*retained_since)
+                        > self.settings.ended_retention =>
+                {
+                    if let Some((_, key)) = self.ended_rows.pop_front() {
+                        expired.push(removal(RowTable::Ended, key));
+                    }
+                }
+                _ => break,
+            }
+        }
+        expired
+    }
+}
--- a/jackdawchute-scheduler/src/graph.rs
+++ b/jackdawchute-scheduler/src/graph.rs
@@ -6,53 +6,77 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{Error, Result};
+use crate::{row_size::JOB_GRAPH_BYTES_MAX, Error, Result};
 
 /// The highest number of tasks of a job over all its steps.
 const TASKS_MAX: u32 = 10_000;
 
+/// Returns whether a field need not be written; a missing field is read as its default.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
 /// A step of a job: a number of tasks with the same needs.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct StepSpec {
     /// The number of tasks; at least 1.
+    #[serde(skip_serializing_if = "is_default")]
     pub tasks: u32,
     /// The resources that each task needs.
+    #[serde(skip_serializing_if = "is_default")]
     pub resources: Resources,
     /// The declared run time of a task, which may be far off.
-    #[serde(with = "duration_ms", rename = "estimate_ms")]
+    #[serde(
+        with = "duration_ms",
+        rename = "estimate_ms",
+        skip_serializing_if = "is_default"
+    )]
     pub estimate: Duration,
     /// The earlier steps whose tasks must all have succeeded before this step starts.
+    #[serde(skip_serializing_if = "is_default")]
     pub after: Vec<StepIndex>,
     /// Whether the tasks save checkpoints to resume from.
+    #[serde(skip_serializing_if = "is_default")]
     pub checkpoints: bool,
     /// Whether the tasks are a gang, which starts and ends together.
+    #[serde(skip_serializing_if = "is_default")]
     pub gang: bool,
     /// Whether the tasks run slower unless all of them are on one rack.
+    #[serde(skip_serializing_if = "is_default")]
     pub rack_local: bool,
     /// The label that a worker must have; `None` for any worker.
+    #[serde(skip_serializing_if = "is_default")]
     pub required_label: Option<Label>,
     /// The rack that holds the tasks' data; tasks on other racks are slower. `None` if no rack
     /// does.
+    #[serde(skip_serializing_if = "is_default")]
     pub data_rack: Option<RackId>,
     /// The highest number of the step's tasks on one worker; `None` for no limit.
+    #[serde(skip_serializing_if = "is_default")]
     pub per_worker_max: Option<u32>,
     /// Whether copies of a task may run at the same time.
+    #[serde(skip_serializing_if = "is_default")]
     pub speculative: bool,
     /// Whether the tasks run until the job is cancelled.
+    #[serde(skip_serializing_if = "is_default")]
     pub long_running: bool,
     /// The image that the tasks run; tasks of one image behave alike.
+    #[serde(skip_serializing_if = "is_default")]
     pub image: Option<SmolStr>,
     /// The tail response time that long-running tasks must stay below.
     #[serde(
         with = "jackdawchute_types::optional_duration_ms",
-        rename = "tail_target_ms"
+        rename = "tail_target_ms",
+        skip_serializing_if = "is_default"
     )]
     pub tail_target: Option<Duration>,
     /// Whether the tasks use only processor time that other tasks leave unused.
+    #[serde(skip_serializing_if = "is_default")]
     pub fills: bool,
     /// How many long-running tasks the scheduler's own actions may make unavailable at a time;
     /// `None` if it is not given.
+    #[serde(skip_serializing_if = "is_default")]
     pub unavailable_max: Option<u32>,
 }
 
@@ -140,8 +164,8 @@
 }
 
 impl JobGraph {
-    /// Checks that there are steps, that each has tasks and waits only for earlier steps, and that
-    /// the tasks are not too many.
+    /// Checks that there are steps, that each has tasks and waits only for earlier steps, that the
+    /// tasks are not too many, and that the job can be saved.
     ///
     /// ```
     /// use jackdawchute_scheduler::{JobGraph, StepSpec};
@@ -153,8 +177,8 @@
     /// ```
     ///
     /// # Errors
-    /// Returns an error if there are no steps or too many tasks, or names the first step that has
-    /// no tasks or waits for a step that is not before it.
+    /// Returns an error if there are no steps, too many tasks or too many bytes, or names the first
+    /// step that has no tasks or waits for a step that is not before it.
     pub fn check(&self) -> Result<()> {
         if self.steps.is_empty() {
             return Err(Error::Job("has no steps"));
@@ -172,6 +196,10 @@
         if tasks > TASKS_MAX {
             return Err(Error::Job("has too many tasks"));
         }
+        let encoded = serde_json::to_vec(self).map_err(|_| Error::Job("cannot be saved"))?;
+        if encoded.len() > JOB_GRAPH_BYTES_MAX {
+            return Err(Error::Job("takes more bytes than can be saved"));
+        }
         Ok(())
     }
 
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -179,6 +179,8 @@
     pub(crate) earlier_runs_max: RunNumber,
     /// Whether the job was not expected on time at its arrival, so that it is treated as late.
     pub(crate) deferred: bool,
+    /// The number of saved rows that hold the job as accepted.
+    pub(crate) rows: usize,
     /// Whether a progress row of the job may have been saved.
     pub(crate) progress_saved: bool,
 }
@@ -199,6 +201,7 @@
             recovering: false,
             earlier_runs_max: 0,
             deferred: false,
+            rows: 0,
             progress_saved: false,
         };
         if job.graph.repeat.is_none() {
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admit;
 mod advise;
+mod batch;
 mod cancel;
 mod ends;
 mod error;
@@ -25,6 +26,7 @@
 mod records;
 mod recover;
 mod report;
+mod row_size;
 mod settings;
 mod state;
 mod submit;
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -2,12 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawchute_types::{RunNumber, WorkerId};
+use jackdawchute_types::{RunNumber, ServiceId, WorkerId};
 use spdlog::{info, warn};
 
 use crate::{
     job::JobPhase,
     progress::Progress,
+    records::WorkerRecord,
     worker::{Run, RunPhase, Worker, WorkerIncarnation},
     RenewAnswer, RenewOrder, RunningTask, Scheduler, TaskName, WorkerEntry,
 };
@@ -20,6 +21,20 @@
 const UNLISTED_RETENTION: Duration = Duration::from_secs(15);
 
 impl Scheduler {
+    /// Adds services that the configuration names to those in use, and takes in their workers.
+    pub fn use_services(&mut self, services: impl IntoIterator<Item = ServiceId>, now: Instant) {
+        if self.services.is_none() {
+            let of_jobs = self.jobs.values().map(|job| job.queue.service.clone());
+            self.services = Some(of_jobs.collect());
+        }
+        let in_use = self.services.get_or_insert_default();
+        in_use.extend(services);
+        let listed = std::mem::take(&mut self.unused_workers);
+        for entry in listed.into_values() {
+            self.worker_listed(entry, now);
+        }
+    }
+
     /// Handles the platform's whole list of workers.
     pub fn workers_listed(&mut self, entries: Vec<WorkerEntry>, now: Instant) {
         let mut listed = std::collections::BTreeSet::new();
@@ -36,6 +51,8 @@
         for worker in unlisted {
             self.worker_unlisted(&worker, now);
         }
+        self.unused_workers
+            .retain(|worker, _| listed.contains(worker));
     }
 
     /// Handles a new or changed entry of the platform's list.
@@ -43,12 +60,25 @@
         self.placement_needed = true;
         let id = entry.worker.clone();
         let leaving_at = entry.leaving_in.map(|left| now + left);
+        let in_use = self.services.as_ref();
+        let is_used = in_use.is_none_or(|services| services.contains(&entry.service));
+        if !is_used && !self.workers.contains_key(&id) {
+            // An entry of another writer may name any service, at any address.
+            if self.unused_workers.insert(id.clone(), entry).is_none() {
+                info!("worker of a service that no queue uses", kv: { worker = id.as_str() });
+            }
+            return;
+        }
+        self.unused_workers.remove(&id);
         let Some(worker) = self.workers.get_mut(&id) else {
             info!("worker joined", kv: {
                 worker = id.as_str(), service = entry.service.as_str(),
                 leaving = leaving_at.is_some()
             });
-            let mut worker = Worker::new(entry, self.worker_rows.assign(), now);
+            let row_bytes = WorkerRecord::bytes_max(&id);
+            let row = self.worker_rows.assign(row_bytes);
+            self.worker_rows.mark_unsaved(row);
+            let mut worker = Worker::new(entry, row, row_bytes, now);
             worker.incarnations_seen = self.incarnations_seen.get(&id).copied().unwrap_or(0);
             worker.leaving_at = leaving_at;
             self.workers.insert(id, worker);
@@ -88,6 +118,7 @@
 
     /// Handles the removal of a worker from the platform's list.
     pub fn worker_unlisted(&mut self, worker: &WorkerId, now: Instant) {
+        self.unused_workers.remove(worker);
         if let Some(worker) = self.workers.get_mut(worker) {
             if worker.listed {
                 info!("worker is no longer listed", kv: {
@@ -387,7 +418,7 @@
                 incarnations_seen.insert(id.clone(), worker.incarnations_seen);
             }
             if !keep {
-                rows.remove(worker.row);
+                rows.remove(worker.row, worker.row_bytes);
             }
             keep
         });
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -1,14 +1,19 @@
 //! Recovery: rebuilds the state from saved rows and from what workers report, at the start of an
 //! epoch.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_types::JobId;
+use smol_str::SmolStr;
 use spdlog::{info, warn};
 
 use crate::{
     job::{Job, JobPhase, StepRun},
     records::{EndedRecord, JobRecord, ProgressRecord, WorkerRecord},
+    row_size::{split_key, RowNumber},
     worker::Worker,
     worker_rows::{row_index, RowIndex},
     Error, JobOutcome, Result, RowTable, Scheduler, WorkerEntry,
@@ -44,7 +49,7 @@
     /// The table of the rows.
     pub table: RowTable,
     /// The rows in the order of their keys.
-    pub rows: Vec<(smol_str::SmolStr, Vec<u8>)>,
+    pub rows: Vec<(SmolStr, Vec<u8>)>,
 }
 
 impl Scheduler {
@@ -60,9 +65,13 @@
         now: Instant,
     ) -> Result<()> {
         for table in saved {
+            if table.table == RowTable::Jobs {
+                self.recover_jobs(&table.rows, unix_now, now)?;
+                continue;
+            }
             for (key, value) in &table.rows {
                 match table.table {
-                    RowTable::Jobs => self.recover_job(key, decode(key, value)?, unix_now, now),
+                    RowTable::Jobs => {}
                     RowTable::Progress => self.recover_progress(key, decode(key, value)?, now),
                     RowTable::Ended => self.recover_ended(key, decode(key, value)?, now),
                     RowTable::Workers => {
@@ -89,6 +98,32 @@
         Ok(())
     }
 
+    /// Recovers the jobs from rows of which several may hold one job.
+    fn recover_jobs(
+        &mut self,
+        rows: &[(SmolStr, Vec<u8>)],
+        unix_now: Duration,
+        now: Instant,
+    ) -> Result<()> {
+        let mut parts_of: BTreeMap<&str, BTreeMap<RowNumber, &[u8]>> = BTreeMap::new();
+        for (key, value) in rows {
+            let (id, number) = split_key(key);
+            parts_of.entry(id).or_default().insert(number, value);
+        }
+        for (id, parts) in parts_of {
+            let value: Vec<u8> = parts
+                .values()
+                .flat_map(|part| part.iter().copied())
+                .collect();
+            let id: JobId = id.into();
+            self.recover_job(&id, decode(&id, &value)?, unix_now, now);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.rows = parts.len();
+            }
+        }
+        Ok(())
+    }
+
     fn recover_job(&mut self, id: &JobId, record: JobRecord, unix_now: Duration, now: Instant) {
         let accepted_unix = Duration::from_millis(record.accepted_unix_ms);
         // The clocks of two instances may differ, so that the difference may be negative.
@@ -138,7 +173,7 @@
         }
     }
 
-    fn recover_ended(&mut self, key: &smol_str::SmolStr, records: Vec<EndedRecord>, now: Instant) {
+    fn recover_ended(&mut self, key: &SmolStr, records: Vec<EndedRecord>, now: Instant) {
         for record in records {
             let ended = crate::state::EndedJob {
                 outcome: record.outcome,
@@ -154,7 +189,7 @@
             let entry = WorkerEntry {
                 worker: record.worker.clone(),
                 address: record.address,
-                service: record.service,
+                service: "".into(),
                 failure_domain: "".into(),
                 rack: None,
                 labels: Vec::new(),
@@ -164,8 +199,9 @@
             };
             let rows = &mut self.worker_rows;
             let worker = self.workers.entry(record.worker).or_insert_with(|| {
-                rows.add(row);
-                Worker::new(entry, row, now)
+                let row_bytes = WorkerRecord::bytes_max(&entry.worker);
+                rows.add(row, row_bytes);
+                Worker::new(entry, row, row_bytes, now)
             });
             worker.listed = false;
             worker.unlisted_at = Some(now);
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use jackdawchute_types::{Epoch, FencingToken, JobId, WorkerId};
+use jackdawchute_types::{Epoch, FencingToken, JobId, ServiceId, WorkerId};
 use smol_str::SmolStr;
 
 use crate::{
@@ -15,7 +15,7 @@
     recover::Recovery,
     worker::Worker,
     worker_rows::WorkerRows,
-    Effect, JobOutcome, JobStatus, Settings,
+    Effect, JobOutcome, JobStatus, Settings, WorkerEntry,
 };
 
 /// The number of fencing tokens in an epoch: one for each incarnation of a worker that answers the
@@ -60,6 +60,11 @@
     /// How many rows of ended jobs this epoch has written; part of their keys.
     pub(crate) ended_rows_counter: u64,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
+    /// The services that a queue or a job uses; `None` before the first configuration, when any may
+    /// be in use.
+    pub(crate) services: Option<BTreeSet<ServiceId>>,
+    /// The listed workers of other services, which are sent nothing.
+    pub(crate) unused_workers: BTreeMap<WorkerId, WorkerEntry>,
     /// The latest [`Worker::incarnations_seen`] of workers that were dropped, so that their tokens
     /// do not fall when they are listed again.
     pub(crate) incarnations_seen: HashMap<WorkerId, u64>,
@@ -113,6 +118,8 @@
             ended_rows: VecDeque::new(),
             ended_rows_counter: 0,
             workers: BTreeMap::new(),
+            services: None,
+            unused_workers: BTreeMap::new(),
             incarnations_seen: HashMap::new(),
             run_times: RunTimes::default(),
             allowed_shares: AllowedShares::default(),
--- a/jackdawchute-scheduler/src/submit.rs
+++ b/jackdawchute-scheduler/src/submit.rs
@@ -12,6 +12,15 @@
 };
 
 impl Scheduler {
+    /// Adds the service of a job to those in use; the job may be of a newer configuration.
+    fn use_service_of(&mut self, job: &Job, now: Instant) {
+        let service = &job.queue.service;
+        let in_use = self.services.as_ref();
+        if in_use.is_some_and(|services| !services.contains(service)) {
+            self.use_services([service.clone()], now);
+        }
+    }
+
     /// Admits a job or refuses it.
     ///
     /// An admitted job is pending until [`Scheduler::committed`] accepts it.
@@ -57,6 +66,7 @@
             jobs = self.jobs.len()
         });
         self.record_admitted(&job);
+        self.use_service_of(&job, now);
         self.jobs.insert(id.clone(), job);
         self.accepting.push_back(id.clone());
         self.placeable.insert(id.clone());
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -107,6 +107,8 @@
     pub(crate) known_since: Instant,
     /// The saved row that the worker is assigned to.
     pub(crate) row: RowIndex,
+    /// The most bytes that the worker takes in its row.
+    pub(crate) row_bytes: usize,
     /// The worker's recent failures, from which a quarantine follows, and its speed.
     pub(crate) health: Health,
 }
@@ -123,7 +125,7 @@
 }
 
 impl Worker {
-    pub(crate) fn new(entry: WorkerEntry, row: RowIndex, now: Instant) -> Self {
+    pub(crate) fn new(entry: WorkerEntry, row: RowIndex, row_bytes: usize, now: Instant) -> Self {
         Self {
             entry,
             listed: true,
@@ -142,6 +144,7 @@
             restarted_at: None,
             known_since: now,
             row,
+            row_bytes,
             health: Health {
                 slowness: 1.0,
                 ..Health::default()
--- a/jackdawchute-scheduler/src/worker_rows.rs
+++ b/jackdawchute-scheduler/src/worker_rows.rs
@@ -1,52 +1,63 @@
 //! The assignment of workers to saved rows.
 //!
-//! A row of the store holds a few hundred workers at most. A worker stays in the row that it was
+//! A row holds as many workers as the store takes in one row. A worker stays in the row that it was
 //! first assigned to, so that a change of one worker rewrites few others.
 
 use std::collections::BTreeSet;
 
 use smol_str::{format_smolstr, SmolStr};
 
+use crate::row_size::ROW_BYTES_MAX;
+
 /// The prefix of all row keys, and the key of the first row, which has no number.
 const KEY_PREFIX: &str = "workers";
-/// The highest number of workers in a row. At the usual 90 bytes for each and a third more for the
-/// encoding, they take half of the 64 KB that the store allows for a row.
+/// The highest number of workers in a row; a change of one of them rewrites all.
 const WORKERS_PER_ROW: usize = 256;
 
 /// The index of a row of workers, counted from 0.
 pub(crate) type RowIndex = usize;
 
+/// What the workers of a row add up to.
+#[derive(Clone, Copy, Debug, Default)]
+struct RowSize {
+    workers: usize,
+    bytes: usize,
+}
+
 /// The rows in which the workers are saved.
 #[derive(Debug, Default)]
 pub(crate) struct WorkerRows {
-    /// The number of workers in each row.
-    sizes: Vec<usize>,
+    sizes: Vec<RowSize>,
     /// The rows to write with the next batch.
     unsaved: BTreeSet<RowIndex>,
 }
 
 impl WorkerRows {
-    /// Assigns a new worker to a row with free space, and marks the row as unsaved.
-    pub(crate) fn assign(&mut self) -> RowIndex {
-        let with_space = self.sizes.iter().position(|size| *size < WORKERS_PER_ROW);
+    /// Assigns a new worker, whose record takes `bytes` at most, to a row with space for it.
+    pub(crate) fn assign(&mut self, bytes: usize) -> RowIndex {
+        let has_space = |size: &RowSize| {
+            size.workers < WORKERS_PER_ROW && size.bytes.saturating_add(bytes) <= ROW_BYTES_MAX
+        };
+        let with_space = self.sizes.iter().position(has_space);
         let row = with_space.unwrap_or(self.sizes.len());
-        self.add(row);
-        self.mark_unsaved(row);
+        self.add(row, bytes);
         row
     }
 
     /// Counts a worker in a row.
-    pub(crate) fn add(&mut self, row: RowIndex) {
+    pub(crate) fn add(&mut self, row: RowIndex, bytes: usize) {
         if self.sizes.len() <= row {
-            self.sizes.resize(row + 1, 0);
+            self.sizes.resize(row + 1, RowSize::default());
         }
-        self.sizes[row] += 1;
+        self.sizes[row].workers += 1;
+        self.sizes[row].bytes += bytes;
     }
 
     /// Removes a worker from its row, and marks the row as unsaved.
-    pub(crate) fn remove(&mut self, row: RowIndex) {
+    pub(crate) fn remove(&mut self, row: RowIndex, bytes: usize) {
         if let Some(size) = self.sizes.get_mut(row) {
-            *size = size.saturating_sub(1);
+            size.workers = size.workers.saturating_sub(1);
+            size.bytes = size.bytes.saturating_sub(bytes);
         }
         self.mark_unsaved(row);
     }
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -8,4 +8,5 @@
 mod lost_workers;
 mod recovery;
 mod repeats;
+mod row_limits;
 mod saving;
--- a/jackdawchute-standins/src/cell/directory.rs
+++ b/jackdawchute-standins/src/cell/directory.rs
@@ -1,6 +1,9 @@
 //! An in-memory directory of workers and queues.
 
-use std::time::Duration;
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    time::Duration,
+};
 
 use async_trait::async_trait;
 use jackdawchute_cell::{ConfigurationUpdate, Directory, Result, Routes, WorkersUpdate};
@@ -9,17 +12,21 @@
 
 use super::access::Access;
 
-/// A directory with a fixed list of workers and a configuration that a test can replace.
+/// A directory with a list of workers and a configuration that a test can replace.
 #[derive(Clone, Debug)]
 pub struct MemoryDirectory {
-    workers: Vec<WorkerEntry>,
+    workers: watch::Receiver<Vec<WorkerEntry>>,
     routes: watch::Receiver<Routes>,
     access: Access,
 }
 
 impl MemoryDirectory {
-    /// Returns the directory handle of one instance; `routes` delivers the configuration.
-    pub fn new(workers: Vec<WorkerEntry>, routes: watch::Receiver<Routes>) -> Self {
+    /// Returns the directory handle of one instance; `workers` delivers the list of workers, and
+    /// `routes` the configuration.
+    pub fn new(
+        workers: watch::Receiver<Vec<WorkerEntry>>,
+        routes: watch::Receiver<Routes>,
+    ) -> Self {
         Self {
             workers,
             routes,
@@ -37,11 +44,22 @@
 impl Directory for MemoryDirectory {
     async fn workers(&self, after: Option<u64>, wait: Duration) -> Result<WorkersUpdate> {
         self.access.check("read workers")?;
-        if after.is_some() {
-            tokio::time::sleep(wait).await;
-            return Ok(WorkersUpdate::Changed(Vec::new(), 1));
-        }
-        Ok(WorkersUpdate::All(self.workers.clone(), 1))
+        let mut workers = self.workers.clone();
+        workers.mark_unchanged();
+        // The list is versioned by its content alone, so that a change between two calls shows too.
+        let version_of = |entries: &Vec<WorkerEntry>| {
+            let mut hasher = DefaultHasher::new();
+            format!("{entries:?}").hash(&mut hasher);
+            hasher.finish()
+        };
+        let changed =
+            workers.wait_for(|entries| after.is_none_or(|known| known != version_of(entries)));
+        let outcome = tokio::time::timeout(wait, changed).await;
+        self.access.check("read workers")?;
+        Ok(match outcome {
+            Ok(Ok(entries)) => WorkersUpdate::All(entries.clone(), version_of(&entries)),
+            _ => WorkersUpdate::Changed(Vec::new(), after.unwrap_or(0)),
+        })
     }
 
     async fn configuration(
--- a/jackdawchute-standins/src/cell/store.rs
+++ b/jackdawchute-standins/src/cell/store.rs
@@ -11,7 +11,7 @@
 
 use async_trait::async_trait;
 use jackdawchute_cell::{
-    Error, Page, Result, RowChanges, Store, StoreRow, Transaction, TransactionOutcome,
+    Error, Page, Result, RowChanges, Store, StoreRow, Transaction, TransactionOutcome, Write,
 };
 use jackdawchute_types::whole_ms;
 use smol_str::SmolStr;
@@ -20,6 +20,17 @@
 use super::access::Access;
 use crate::lock::lock;
 
+/// The most bytes of a row in base64, as the users' platform states it.
+const ROW_BYTES_MAX: usize = 65_536;
+/// The most entries of a transaction.
+const TRANSACTION_ENTRIES_MAX: usize = 100;
+/// The most bytes of a transaction.
+const TRANSACTION_BYTES_MAX: usize = 1_000_000;
+
+fn base64_bytes(value: &[u8]) -> usize {
+    value.len().div_ceil(3) * 4
+}
+
 type RowName = (SmolStr, SmolStr, SmolStr);
 
 #[derive(Debug, Default)]
@@ -69,6 +80,21 @@
         }
     }
 
+    /// Returns why the store takes no such transaction, whatever rows it has; `None` if it does.
+    fn rejection(transaction: &Transaction) -> Option<String> {
+        let entries = transaction.expected.len() + transaction.writes.len();
+        let bytes = |write: &Write| write.value.as_ref().map_or(0, |value| base64_bytes(value));
+        let largest = transaction.writes.iter().max_by_key(|write| bytes(write));
+        let all_bytes: usize = transaction.writes.iter().map(bytes).sum();
+        if entries > TRANSACTION_ENTRIES_MAX {
+            return Some(format!("{entries} entries"));
+        }
+        if let Some(write) = largest.filter(|write| bytes(write) > ROW_BYTES_MAX) {
+            return Some(format!("row {} of {} bytes", write.key, bytes(write)));
+        }
+        (all_bytes > TRANSACTION_BYTES_MAX).then(|| format!("{all_bytes} bytes"))
+    }
+
     fn apply(&self, transaction: &Transaction) -> TransactionOutcome {
         let mut state = lock(&self.rows);
         let name =
@@ -129,6 +155,9 @@
 impl Store for StoreHandle {
     async fn transact(&self, transaction: &Transaction) -> Result<TransactionOutcome> {
         self.access.check("transact")?;
+        if let Some(cause) = MemoryStore::rejection(transaction) {
+            return Err(Error::Rejected("transact", "store".to_owned(), cause));
+        }
         let delay_ms = self.delay_ms.load(Ordering::Relaxed);
         tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         let transacted = self.store.apply(transaction);
