fix: the progress of a job is divided over rows by unit

Cause: the progress of a job was one row with 51 bytes for each task that is done. Evidence: record of the case; a test with a job of 10,000 tasks.

Change: each row holds a fixed number of a job's units, at most 256, fewer where a queue allows many attempts, so that a change rewrites one row. Tasks that are done are saved as ranges. Incomplete occurrences are ranges too, and at most 1,000 at a time (10,000 before). A checkpoint that does not fit is left out with a log line: it costs work after a takeover, not its truth. The rows go into as many commits as they need; run ends count as saved after the last. Rows of an ended job are removed with its end or after it, and before a job with the same id is accepted; rows without a job are removed at recovery.

Rows of the version before are read, and replaced last, so that a takeover in the middle of it loses nothing. Older instances refuse to recover from the new rows.

Tests, failed before: the_progress_of_the_largest_job_fits_into_rows_of_the _store, the_end_of_a_large_job_removes_all_its_rows, progress_without_a_job_is_removed; failures_and_checkpoints_of_the_largest_job_fit_into_rows_of_the_store did not end within a minute before. The other three of large_jobs guard what the change touches, and held before.

--- a/jackdawchute-scheduler/src/batch.rs
+++ b/jackdawchute-scheduler/src/batch.rs
@@ -8,9 +8,7 @@
 
 use crate::{
     job::JobPhase,
-    records::{
-        divided_rows, progress_record, removal, saved_row, EndedRecord, JobRecord, WorkerRecord,
-    },
+    records::{divided_rows, removal, saved_row, EndedRecord, JobRecord, WorkerRecord},
     row_size::{numbered_key, split_key, JOB_BYTES_MAX},
     worker_rows::{row_index, row_key, RowIndex},
     CommitBatch, RowChange, RowTable, Scheduler,
@@ -53,6 +51,7 @@
         !self.accepting.is_empty()
             || !self.ending.is_empty()
             || !self.unsaved.is_empty()
+            || !self.stale_progress.is_empty()
             || !self.ends_unsaved.is_empty()
             || self.worker_rows.has_unsaved()
     }
@@ -99,6 +98,7 @@
             false => JOB_BYTES_MAX,
         };
         self.take_ended(&mut builder);
+        self.take_stale_progress(&mut builder);
         self.take_progress(&mut builder);
         self.take_run_ends(&mut builder);
         (builder.rows_reserved, builder.bytes_reserved) = (0, 0);
@@ -136,14 +136,14 @@
     fn take_ended(&mut self, builder: &mut BatchBuilder) {
         let mut ended = Vec::new();
         while let Some(id) = self.ending.pop() {
-            let Some(job) = self.jobs.get(&id) else {
+            let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
             let JobPhase::Ending(outcome) = job.phase else {
                 continue;
             };
-            // The rows of the job, its progress, and the row with all outcomes.
-            if !builder.has_space(job.rows + 2, 0) {
+            // The rows of the job, and the row with all outcomes.
+            if !builder.has_space(job.rows + 1, 0) {
                 self.ending.push(id);
                 break;
             }
@@ -151,8 +151,9 @@
             for number in (0..).take(job.rows) {
                 builder.push(removal(RowTable::Jobs, numbered_key(&id, number)));
             }
-            if job.progress_saved {
-                builder.push(removal(RowTable::Progress, id.clone()));
+            let progress = std::mem::take(&mut job.progress_rows);
+            if !progress.is_empty() {
+                self.stale_progress.insert(id.clone(), progress);
             }
             ended.push(EndedRecord {
                 job: id.clone(),
@@ -168,6 +169,23 @@
         }
     }
 
+    /// Removes the progress of jobs whose end is in this batch or was committed before.
+    fn take_stale_progress(&mut self, builder: &mut BatchBuilder) {
+        let jobs = &self.jobs;
+        self.stale_progress.retain(|id, rows| {
+            let phase = jobs.get(id).map(|job| job.phase);
+            let has_ended = phase.is_none_or(|phase| phase == JobPhase::Accepting);
+            if !has_ended && !builder.batch.ended.contains(id) {
+                return true;
+            }
+            while builder.has_space(1, 0) {
+                let Some(row) = rows.pop_first() else { break };
+                builder.push(removal(RowTable::Progress, numbered_key(id, row)));
+            }
+            !rows.is_empty()
+        });
+    }
+
     fn take_progress(&mut self, builder: &mut BatchBuilder) {
         while let Some(id) = self.unsaved.pop_first() {
             let Some(job) = self.jobs.get_mut(&id) else {
@@ -176,14 +194,22 @@
             if job.phase != JobPhase::Live {
                 continue;
             }
-            let row = saved_row(RowTable::Progress, id.clone(), &progress_record(job));
-            let bytes = row.value.as_ref().map_or(0, Vec::len);
-            if !builder.has_space(1, bytes) {
-                self.unsaved.insert(id);
-                return;
+            for row in job.unsaved_progress_rows() {
+                let change = job.progress_row(row);
+                let bytes = change.value.as_ref().map_or(0, Vec::len);
+                if !builder.has_space(1, bytes) {
+                    self.unsaved.insert(id);
+                    return;
+                }
+                job.progress_unsaved.remove(&row);
+                let was_saved = job.progress_rows.remove(&row);
+                if change.value.is_some() {
+                    job.progress_rows.insert(row);
+                } else if !was_saved {
+                    continue;
+                }
+                builder.push(change);
             }
-            job.progress_saved = true;
-            builder.push(row);
         }
     }
 
@@ -202,6 +228,11 @@
 
     fn take_acceptances(&mut self, builder: &mut BatchBuilder, unix_ms: u64) {
         while let Some(id) = self.accepting.pop_front() {
+            if self.stale_progress.contains_key(&id) {
+                // The progress of an earlier job with this id must not count for this one.
+                self.accepting.push_front(id);
+                return;
+            }
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
@@ -246,6 +277,14 @@
         if let Some(key) = &batch.ended_row {
             self.ended_rows.push_back((now, key.clone()));
         }
+        for change in &batch.changes {
+            // The first row of a job; it no longer has the progress of all other rows.
+            if change.table == RowTable::Progress && change.value.is_some() {
+                if let Some(job) = self.jobs.get_mut(&change.key) {
+                    job.progress_in_one_row = false;
+                }
+            }
+        }
         for id in &batch.workers {
             if let Some(worker) = self.workers.get_mut(id) {
                 worker.row_saved = true;
@@ -318,9 +357,7 @@
                 continue;
             }
             match change.table {
-                RowTable::Progress if change.value.is_some() => {
-                    self.unsaved.insert(change.key.clone());
-                }
+                RowTable::Progress => self.restore_progress(change),
                 RowTable::Workers => self.worker_rows.mark_unsaved(row_index(&change.key)),
                 RowTable::Ended if change.value.is_none() => {
                     // Counted from the start of the epoch, the retention has passed too, so that
@@ -339,6 +376,22 @@
         self.ends_unsaved.extend(workers);
     }
 
+    /// Leaves the change of a progress row to a later batch.
+    fn restore_progress(&mut self, change: &RowChange) {
+        let (id, row) = split_key(&change.key);
+        match self.jobs.get_mut(id) {
+            Some(job) if job.phase == JobPhase::Live => {
+                job.progress_unsaved.insert(row);
+                job.progress_rows.insert(row);
+                self.unsaved.insert(id.into());
+            }
+            _ => {
+                let rows = self.stale_progress.entry(id.into()).or_default();
+                rows.insert(row);
+            }
+        }
+    }
+
     /// Returns removals of at most `rows_max` rows of ended jobs whose retention has passed.
     pub fn take_expired_rows(&mut self, rows_max: usize, now: Instant) -> Vec<RowChange> {
         let mut expired = Vec::new();
--- a/jackdawchute-scheduler/src/ends.rs
+++ b/jackdawchute-scheduler/src/ends.rs
@@ -83,7 +83,7 @@
             _ => {}
         }
         self.record_final_checkpoint(&end.task, end.run, &end.checkpoint);
-        self.unsaved.insert(id.clone());
+        self.mark_unsaved(&end.task);
         if job_failed {
             info!("job failed", kv: {
                 job = id.as_str(), step = end.task.step.step, task = end.task.index,
@@ -93,6 +93,17 @@
         }
     }
 
+    /// Marks the progress of a task as unsaved.
+    fn mark_unsaved(&mut self, task: &TaskName) {
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            let spec = job.graph.steps.get(task.step.step as usize);
+            if let Some(unit) = spec.map(|spec| spec.unit_index(task.index)) {
+                job.mark_unit_unsaved(task.step.occurrence, task.step.step, unit);
+                self.unsaved.insert(job.id.clone());
+            }
+        }
+    }
+
     /// Stores the last checkpoint of a run, unless a later run has begun.
     fn record_final_checkpoint(
         &mut self,
@@ -125,6 +136,7 @@
             .is_some_and(|occurrence_run| is_complete(&occurrence_run.steps))
         {
             if job.graph.repeat.is_some() {
+                job.mark_occurrence_unsaved(occurrence);
                 job.occurrences
                     .retain(|occurrence_run| occurrence_run.occurrence != occurrence);
             }
--- a/jackdawchute-scheduler/src/graph.rs
+++ b/jackdawchute-scheduler/src/graph.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use jackdawchute_types::{duration_ms, Label, RackId, Resources, StepIndex};
+use jackdawchute_types::{duration_ms, Label, RackId, Resources, StepIndex, TaskIndex};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{row_size::JOB_GRAPH_BYTES_MAX, Error, Result};
+use crate::{progress_rows::OCCURRENCES_MAX, row_size::JOB_GRAPH_BYTES_MAX, Error, Result};
 
 /// The highest number of tasks of a job over all its steps.
 const TASKS_MAX: u32 = 10_000;
@@ -102,6 +102,24 @@
         }
     }
 
+    /// Returns the number of units: one for a gang, else one for each task.
+    pub(crate) fn units(&self) -> u32 {
+        if self.gang {
+            1
+        } else {
+            self.tasks
+        }
+    }
+
+    /// Returns the index of the unit that a task belongs to.
+    pub(crate) fn unit_index(&self, index: TaskIndex) -> usize {
+        if self.gang {
+            0
+        } else {
+            index as usize
+        }
+    }
+
     /// Returns the number of tasks that are placed as one: all of a gang, else one.
     pub(crate) fn unit_size(&self) -> u32 {
         if self.gang {
@@ -204,13 +222,13 @@
     }
 
     /// Returns how many occurrences may be incomplete at a time, so that those of a job with a short
-    /// interval do not use up the leader's memory.
+    /// interval use up neither the leader's memory nor the row that names them.
     pub(crate) fn occurrences_at_a_time_max(&self) -> u32 {
         let tasks = self
             .steps
             .iter()
             .fold(0u32, |tasks, step| tasks.saturating_add(step.tasks));
-        (TASKS_MAX / tasks.max(1)).max(1)
+        (TASKS_MAX / tasks.max(1)).clamp(1, OCCURRENCES_MAX)
     }
 
     /// Returns whether the job has tasks that run until it is cancelled.
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -1,13 +1,16 @@
 //! The state of a job, its occurrences, steps and tasks.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_types::{
     Checkpoint, JobId, Occurrence, RunNumber, StepIndex, TaskIndex, Ticket, WorkerId,
 };
 use rustc_hash::FxHashMap;
 
-use crate::{JobGraph, QueuePolicy, StepName, StepSpec, TaskName};
+use crate::{row_size::RowNumber, JobGraph, QueuePolicy, StepName, StepSpec, TaskName};
 
 /// How a job ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -133,7 +136,7 @@
 
 impl StepRun {
     pub(crate) fn new(spec: &StepSpec) -> Self {
-        let units = if spec.gang { 1 } else { spec.tasks as usize };
+        let units = spec.units() as usize;
         Self {
             units: vec![Unit::default(); units],
             units_left: units,
@@ -181,8 +184,12 @@
     pub(crate) deferred: bool,
     /// The number of saved rows that hold the job as accepted.
     pub(crate) rows: usize,
-    /// Whether a progress row of the job may have been saved.
-    pub(crate) progress_saved: bool,
+    /// The progress rows that may have been saved.
+    pub(crate) progress_rows: BTreeSet<RowNumber>,
+    /// The progress rows with unsaved changes.
+    pub(crate) progress_unsaved: BTreeSet<RowNumber>,
+    /// Whether an earlier version saved all progress in the first row, and it was not replaced yet.
+    pub(crate) progress_in_one_row: bool,
 }
 
 impl Job {
@@ -202,7 +209,9 @@
             earlier_runs_max: 0,
             deferred: false,
             rows: 0,
-            progress_saved: false,
+            progress_rows: BTreeSet::new(),
+            progress_unsaved: BTreeSet::new(),
+            progress_in_one_row: false,
         };
         if job.graph.repeat.is_none() {
             job.add_occurrence(0);
@@ -262,7 +271,7 @@
         if index >= spec.tasks {
             return None;
         }
-        let unit_at = unit_index(spec, index);
+        let unit_at = spec.unit_index(index);
         self.step_mut(step)?.units.get_mut(unit_at)
     }
 
@@ -336,12 +345,3 @@
         }
     }
 }
-
-/// Returns the index of the unit that a task belongs to.
-fn unit_index(spec: &StepSpec, index: TaskIndex) -> usize {
-    if spec.gang {
-        0
-    } else {
-        index as usize
-    }
-}
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -21,6 +21,7 @@
 mod orders;
 mod place;
 mod progress;
+mod progress_rows;
 mod queue;
 mod rank;
 mod records;
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::BTreeMap,
+    ops::RangeInclusive,
     time::{Duration, Instant},
 };
 
@@ -12,7 +13,8 @@
 
 use crate::{
     job::{Job, JobPhase, StepRun},
-    records::{EndedRecord, JobRecord, ProgressRecord, WorkerRecord},
+    progress_rows::ProgressRecord,
+    records::{EndedRecord, JobRecord, WorkerRecord},
     row_size::{split_key, RowNumber},
     worker::Worker,
     worker_rows::{row_index, RowIndex},
@@ -75,7 +77,9 @@
             for (key, value) in &table.rows {
                 match table.table {
                     RowTable::Jobs => {}
-                    RowTable::Progress => self.recover_progress(key, decode(key, value)?, now),
+                    RowTable::Progress => {
+                        self.recover_progress(key, decode(key, value)?, now);
+                    }
                     RowTable::Ended => self.recover_ended(key, decode(key, value)?, now),
                     RowTable::Workers => {
                         self.recover_workers(row_index(key), decode(key, value)?, now);
@@ -139,39 +143,57 @@
         self.jobs.insert(id.clone(), job);
     }
 
-    fn recover_progress(&mut self, id: &JobId, record: ProgressRecord, now: Instant) {
+    fn recover_progress(&mut self, key: &str, record: ProgressRecord, now: Instant) {
+        let (id, row) = split_key(key);
         let Some(job) = self.jobs.get_mut(id) else {
-            warn!("saved progress belongs to no saved job", kv: { job = id.as_str() });
+            warn!("saved progress belongs to no saved job", kv: { job = id, row = row });
+            let rows = self.stale_progress.entry(id.into()).or_default();
+            rows.insert(row);
             return;
         };
-        job.progress_saved = true;
+        job.progress_rows.insert(row);
         job.begun = true;
         job.waiting_since = Some(now);
-        job.occurrences_done = record.occurrences_done;
-        if job.graph.repeat.is_some() {
+        if row == 0 {
+            job.occurrences_done = record.occurrences_done;
+        }
+        if job.graph.repeat.is_some() && row == 0 {
             job.occurrences.clear();
-            for occurrence in record.occurrences {
+            let ranges = record.incomplete.iter();
+            let incomplete = ranges.flat_map(|(first, last)| *first..=*last);
+            for occurrence in incomplete.chain(record.occurrences) {
                 job.add_occurrence(occurrence);
             }
         }
-        for saved in record.units {
+        for (occurrence, step, first, last) in record.done {
+            let occurrence_run = job.occurrence_mut(occurrence);
+            let step = occurrence_run.and_then(|run| run.steps.get_mut(step as usize));
+            if let Some(step) = step {
+                step.recover_done(first..=last);
+            }
+        }
+        if let Some(units) = &record.units {
+            job.progress_in_one_row = true;
+            job.progress_unsaved.insert(0);
+            for unit in units {
+                job.mark_unit_unsaved(unit.occurrence, unit.step, unit.unit as usize);
+            }
+            self.unsaved.insert(job.id.clone());
+        }
+        for saved in record.units.into_iter().flatten().chain(record.unfinished) {
             let step = job
                 .occurrence_mut(saved.occurrence)
                 .and_then(|occurrence_run| occurrence_run.steps.get_mut(saved.step as usize));
-            let Some(StepRun {
-                units, units_left, ..
-            }) = step
-            else {
+            let Some(step) = step else {
                 continue;
             };
-            if let Some(unit) = units.get_mut(saved.unit as usize) {
+            if let Some(unit) = step.units.get_mut(saved.unit as usize) {
                 unit.last_run = saved.last_run;
                 unit.failed_runs = saved.failed_runs;
                 unit.checkpoint = saved.checkpoint;
-                if saved.done && !unit.done {
-                    unit.done = true;
-                    *units_left = units_left.saturating_sub(1);
-                }
+            }
+            if saved.done {
+                step.recover_done(saved.unit..=saved.unit);
             }
         }
     }
@@ -304,6 +326,19 @@
     }
 }
 
+impl StepRun {
+    /// Marks units as succeeded.
+    fn recover_done(&mut self, units: RangeInclusive<u32>) {
+        for index in units {
+            let unit = self.units.get_mut(index as usize);
+            if let Some(unit) = unit.filter(|unit| !unit.done) {
+                unit.done = true;
+                self.units_left = self.units_left.saturating_sub(1);
+            }
+        }
+    }
+}
+
 fn decode<T: serde::de::DeserializeOwned>(key: &str, value: &[u8]) -> Result<T> {
     serde_json::from_slice(value).map_err(|cause| Error::Row(key.to_owned(), cause.to_string()))
 }
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -13,6 +13,7 @@
     estimates::{AllowedShares, RunTimes},
     job::{Job, JobPhase},
     recover::Recovery,
+    row_size::RowNumber,
     worker::Worker,
     worker_rows::WorkerRows,
     Effect, JobOutcome, JobStatus, Settings, WorkerEntry,
@@ -76,6 +77,8 @@
     pub(crate) loads: Option<ServiceLoads>,
     /// The jobs with unsaved progress.
     pub(crate) unsaved: BTreeSet<JobId>,
+    /// Saved progress rows of jobs that have ended, to be removed.
+    pub(crate) stale_progress: BTreeMap<JobId, BTreeSet<RowNumber>>,
     /// The jobs whose acceptance is not in a batch yet, in order of arrival.
     pub(crate) accepting: VecDeque<JobId>,
     /// The jobs whose end is not in a batch yet.
@@ -126,6 +129,7 @@
             recovery: Recovery::new(now),
             loads: None,
             unsaved: BTreeSet::new(),
+            stale_progress: BTreeMap::new(),
             accepting: VecDeque::new(),
             ending: Vec::new(),
             worker_rows: WorkerRows::default(),
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -5,6 +5,7 @@
 mod impossible_jobs;
 mod incomplete_lists;
 mod large_cells;
+mod large_jobs;
 mod lateness;
 mod lost_workers;
 mod recovery;
