fix: a run is missing only if its worker's list of run ends is complete

Cause: a minion lists 500 run ends at a time. While nothing can be saved it has more; tasks whose ends came later were in neither list and were taken for lost. A new leader likewise took the first answer for the whole report. Evidence: with the condition below taken out, the three tests fail.

Change: an answer says whether its list of ends is complete, which it is with fewer than 500. Only then are recorded runs removed that it lacks, is the worker's report complete, and does it get tasks from a new leader. Until then the worker is saved and a recovery waits for it. A lease that an earlier leader granted counts until the report is complete, or has lapsed by time. The check of the lists is linear in the runs now (quadratic before).

Related lists, looked at: pages of rows are read to their end; the feed is followed from the version it returns; entries and runs are not cut off.

The stand-in workers list 500 ends at a time; they listed all before, which hid this fault.

--- a/jackdawchute-cell/tests/cell/main.rs
+++ b/jackdawchute-cell/tests/cell/main.rs
@@ -2,4 +2,5 @@
 
 mod fixtures;
 mod instances;
+mod outages;
 mod store_rows;
--- a/jackdawchute-scheduler/src/messages.rs
+++ b/jackdawchute-scheduler/src/messages.rs
@@ -187,6 +187,8 @@
     pub running: Vec<RunningTask>,
     /// The ended runs that the worker has not deleted yet, in ascending order of their numbers.
     pub ended: Vec<EndedRun>,
+    /// Whether `ended` holds all of them; if not, a run that is in neither list may have ended.
+    pub ended_complete: bool,
 }
 
 /// A request to an advisor: which of the named workers may run a step?
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -1,6 +1,9 @@
 //! The platform's list of workers, and the reports of workers in their answers to renewals.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_types::{RunNumber, ServiceId, WorkerId};
 use spdlog::{info, warn};
@@ -169,6 +172,7 @@
             worker.incarnations_seen += 1;
             worker.incarnation = None;
             worker.token_acknowledged = false;
+            worker.reported = false;
             worker.ends_recorded = 0;
             worker.ends_saved = 0;
             worker.lease_sent = Duration::ZERO;
@@ -188,7 +192,7 @@
                 clock_received_at: now,
             });
         }
-        let is_first = has_current_token && !worker.token_acknowledged;
+        let is_first = has_current_token && !worker.reported;
         worker.renewal_next_at = now;
         if !has_current_token {
             return;
@@ -199,7 +203,11 @@
             self.run_ended(&order.worker, end, now);
         }
         if is_newer {
-            self.reconcile(&order.worker, &answer, is_first, now);
+            self.record_listed_runs(&order.worker, &answer, now);
+            // A run in neither list may have ended and be listed once earlier ends are saved.
+            if answer.ended_complete {
+                self.remove_missing_runs(&order.worker, &answer, is_first, now);
+            }
             self.check_progress(&order.worker, now);
         }
         let idle_pause = self.idle_pause();
@@ -213,21 +221,32 @@
         self.placement_needed = true;
     }
 
-    /// Compares the recorded runs of a worker with its own list, and removes those that are known
-    /// not to be there. `is_first` marks the answer to the first renewal with the current token.
-    fn reconcile(&mut self, id: &WorkerId, answer: &RenewAnswer, is_first: bool, now: Instant) {
+    /// Records the runs that a worker lists as running.
+    fn record_listed_runs(&mut self, id: &WorkerId, answer: &RenewAnswer, now: Instant) {
         for running in &answer.running {
             self.run_listed(id, running, now);
         }
-        let Some(worker) = self.workers.get(id) else {
+    }
+
+    /// Removes the recorded runs of a worker that its complete lists show not to be there.
+    /// `is_first` marks the first complete lists since the worker acknowledged the current token.
+    fn remove_missing_runs(
+        &mut self,
+        id: &WorkerId,
+        answer: &RenewAnswer,
+        is_first: bool,
+        now: Instant,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let is_listed = |task: &TaskName, run: RunNumber| {
-            answer
-                .running
-                .iter()
-                .any(|running| running.task == *task && running.run == run)
-        };
+        worker.reported = true;
+        let listed: HashSet<(&TaskName, RunNumber)> = answer
+            .running
+            .iter()
+            .map(|running| (&running.task, running.run))
+            .collect();
+        let is_listed = |task: &TaskName, run: RunNumber| listed.contains(&(task, run));
         let list_is_newer = |run: &Run| match run.answered_clock {
             Some(clock) => clock < answer.clock,
             None => false,
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -211,10 +211,7 @@
         let base = self.token_base;
         let lease_length = self.settings.lease;
         for worker in self.workers.values_mut() {
-            let Some(clock) = worker
-                .clock_latest(now)
-                .filter(|_| worker.token_acknowledged)
-            else {
+            let Some(clock) = worker.clock_latest(now).filter(|_| worker.reported) else {
                 continue;
             };
             let token = worker.token(base);
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -118,6 +118,8 @@
     /// Whether the worker has answered a renewal of this leader with the current token of that
     /// time.
     pub(crate) answered: bool,
+    /// Whether the worker has reported all its runs since it acknowledged the current token.
+    pub(crate) reported: bool,
     /// The worker's recent failures, from which a quarantine follows, and its speed.
     pub(crate) health: Health,
 }
@@ -158,6 +160,7 @@
             row_saved: false,
             recovered: false,
             answered: false,
+            reported: false,
             health: Health {
                 slowness: 1.0,
                 ..Health::default()
@@ -206,13 +209,11 @@
     /// earlier one, whose leases were `earlier_lease` long.
     pub(crate) fn lease_lapsed(&self, now: Instant, earlier_lease: Duration) -> bool {
         let clock = self.clock_earliest(now);
-        match clock {
-            Some(clock) if self.token_acknowledged => clock > self.lease_sent + LAPSE_STOP_MAX,
-            _ => {
-                let elapsed = now.saturating_duration_since(self.known_since);
-                elapsed.mul_f64(CLOCK_RATE_MIN) > earlier_lease + STEP_DOWN_MAX + LAPSE_STOP_MAX
-            }
-        }
+        let own_lapsed = clock.is_none_or(|clock| clock > self.lease_sent + LAPSE_STOP_MAX);
+        let elapsed = now.saturating_duration_since(self.known_since);
+        let earlier_lapsed =
+            elapsed.mul_f64(CLOCK_RATE_MIN) > earlier_lease + STEP_DOWN_MAX + LAPSE_STOP_MAX;
+        own_lapsed && (self.reported || earlier_lapsed)
     }
 
     /// Returns whether a new leader would have to ask the worker for its runs.
@@ -221,16 +222,17 @@
     /// run what an earlier leader ordered.
     pub(crate) fn needs_row(&self, now: Instant, earlier_lease: Duration) -> bool {
         if self.answered {
-            self.listed || !self.is_idle()
+            let may_run_others = !self.reported && !self.lease_lapsed(now, earlier_lease);
+            self.listed || may_run_others || !self.is_idle()
         } else {
             self.recovered && !self.lease_lapsed(now, earlier_lease)
         }
     }
 
-    /// Returns whether the runs of the worker are known: it has reported them, or its leases have
-    /// lapsed.
+    /// Returns whether the runs of the worker are known: it has reported all of them, or its leases
+    /// have lapsed.
     pub(crate) fn is_accounted_for(&self, now: Instant, earlier_lease: Duration) -> bool {
-        self.token_acknowledged || self.lease_lapsed(now, earlier_lease)
+        self.reported || self.lease_lapsed(now, earlier_lease)
     }
 
     /// Returns whether a further renewal is needed to confirm that a run which may not have started
@@ -253,7 +255,7 @@
         self.listed
             && self.row_needed
             && self.row_saved
-            && self.token_acknowledged
+            && self.reported
             && self.incarnation.is_some()
             && self.leaving_at.is_none()
             && !self.unanswered_since.is_some_and(is_silent)
--- a/jackdawchute-standins/src/cell/workers.rs
+++ b/jackdawchute-standins/src/cell/workers.rs
@@ -17,6 +17,8 @@
 
 use crate::lock::lock;
 
+/// The most run ends in an answer, as the users' platform states it.
+const ENDS_PER_ANSWER: usize = 500;
 /// How often a waiting lease renewal checks for ended runs.
 const RENEWAL_POLL_PERIOD: Duration = Duration::from_millis(5);
 
@@ -260,7 +262,13 @@
             started_unix_ms: worker.started_unix_ms,
             clock: worker.clock(),
             running: running.collect(),
-            ended: worker.ended.iter().map(|it| it.end.clone()).collect(),
+            ended: worker
+                .ended
+                .iter()
+                .take(ENDS_PER_ANSWER)
+                .map(|it| it.end.clone())
+                .collect(),
+            ended_complete: worker.ended.len() < ENDS_PER_ANSWER,
         };
         for it in saved.iter().filter(|it| !it.lapsed) {
             self.records[it.record].saved = true;
--- a/jackdawchute-standins/src/load_model/workers.rs
+++ b/jackdawchute-standins/src/load_model/workers.rs
@@ -122,6 +122,7 @@
                 })
                 .collect(),
             ended: self.ended.clone(),
+            ended_complete: true,
         }
     }
 }
