fix: a job waits until a worker has started one of its tasks

Cause: `begun` was set when an order to start was sent. Where the worker did not answer, its job counted as started for up to two seconds of repeated orders, or until the worker's lease had lapsed, though no task ran.

Change: a job has begun once a worker confirms a start, lists a run or lists an end. The status `queued` follows it.

Looked at: answers of a replaced leader. An instance forwards to the leader that the store or a peer names last, so one in touch with the platform asks the successor; no change. After a takeover, jobs whose tasks have started and not ended count as waiting until their workers have answered, which is the safe side of the rule.

Tests: a_job_waits_until_a_worker_has_started_one_of_its_tasks failed before with (0, 0, 0); a_job_no_longer_waits_once_a_worker_lists_one_of_its_tasks guards the other way.

--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -172,7 +172,7 @@
     pub(crate) occurrences: Vec<OccurrenceRun>,
     /// The number of occurrences that are complete.
     pub(crate) occurrences_done: u32,
-    /// Whether a start has been ordered or reported for any task.
+    /// Whether any task has started, as confirmed or reported by a worker.
     pub(crate) begun: bool,
     /// Whether the job is being recovered: tasks may run that no worker has reported since this
     /// epoch began, so that none is placed.
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -55,6 +55,9 @@
                 } else {
                     self.send_stop(worker, task);
                 }
+                if let Some(job) = self.jobs.get_mut(&task.step.job) {
+                    job.begun = true;
+                }
             }
             StartAnswer::Refused { reason, clock } => {
                 let outcome_unknown = run.start_outcome_unknown;
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -399,7 +399,6 @@
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
         };
-        job.begun = true;
         let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
         let payload = job.graph.payload.clone();
         let Some(unit) = job.step_mut(name).and_then(|step| step.units.get_mut(unit)) else {
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -9,6 +9,7 @@
 mod large_jobs;
 mod lateness;
 mod lost_workers;
+mod pending_jobs;
 mod recovery;
 mod repeats;
 mod row_limits;
