--- a/jackdawchute-scheduler/src/batch.rs
+++ b/jackdawchute-scheduler/src/batch.rs
@@ -320,6 +320,14 @@
     ///
     /// A change other than an acceptance is made again when its row next changes; until then a new
     /// leader would miss it.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use jackdawchute_scheduler::{CommitBatch, Scheduler, Settings};
+    ///
+    /// let mut scheduler = Scheduler::new(Settings::default(), 1, Instant::now());
+    /// assert_eq!(scheduler.refused_for_good(&CommitBatch::default()), None);
+    /// ```
     pub fn refused_for_good(&mut self, batch: &CommitBatch) -> Option<JobId> {
         let bytes = |change: &RowChange| change.value.as_ref().map_or(0, Vec::len);
         let given_up = batch.changes.iter().max_by_key(|change| bytes(change));
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -25,6 +25,18 @@
 
 impl Scheduler {
     /// Adds services that the configuration names to those in use, and takes in their workers.
+    ///
+    /// Before the first call, workers of all services are taken in.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use jackdawchute_scheduler::{Scheduler, Settings};
+    ///
+    /// let now = Instant::now();
+    /// let mut scheduler = Scheduler::new(Settings::default(), 1, now);
+    /// scheduler.use_services(["repair-desk".into()], now);
+    /// assert_eq!(scheduler.workers_count(), 0);
+    /// ```
     pub fn use_services(&mut self, services: impl IntoIterator<Item = ServiceId>, now: Instant) {
         if self.services.is_none() {
             let of_jobs = self.jobs.values().map(|job| job.queue.service.clone());
