feat: the leader logs commits, orders, run ends and the turn of an ordinary message

The line 'scheduling lag' has them now, and the metrics count starts, renewals and listed run ends.

No decision has changed.

--- a/jackdawchute-cell/src/commit.rs
+++ b/jackdawchute-cell/src/commit.rs
@@ -84,6 +84,15 @@
     }
 }
 
+/// A batch that was appended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Appended {
+    /// The end of the chain after it.
+    pub(crate) head: Head,
+    /// The time from the last attempt to the store's answer.
+    pub(crate) store_took: Duration,
+}
+
 /// Why a batch was not appended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NotAppended {
@@ -110,7 +119,7 @@
     outage_max: Duration,
     outage_since: &watch::Sender<Option<Instant>>,
     metrics: &Metrics,
-) -> Result<Head, NotAppended> {
+) -> Result<Appended, NotAppended> {
     let transaction = transaction(head, batch);
     let started_at = Instant::now();
     let mut outcome_unknown = false;
@@ -123,7 +132,10 @@
                 if outage_since.send_replace(None).is_some() {
                     warn!("store outage ended", kv: { tries = tries });
                 }
-                return appended_head(head, outcome).map_err(|Fenced| NotAppended::Fenced);
+                let store_took = sent_at.elapsed();
+                return appended_head(head, outcome)
+                    .map(|head| Appended { head, store_took })
+                    .map_err(|Fenced| NotAppended::Fenced);
             }
             Err(error @ Error::Rejected(..)) => {
                 metrics.commit_rejected();
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -18,7 +18,7 @@
 use super::{answer_all, peers::PeerState, LeaderTask};
 use crate::{
     advisor::AdviceOutcome,
-    commit::{Head, NotAppended},
+    commit::{Appended, NotAppended},
     messages::{CellAnswer, SubmitJob},
     recover::unix_now,
     settings::{
@@ -30,8 +30,14 @@
 
 /// The round period has passed, and a scheduling round that was needed during it is due.
 pub(super) struct RoundDue;
-/// An order to start a run, with its answer.
-pub(super) struct StartAnswered(pub(super) StartOrder, pub(super) StartAnswer);
+/// A message that was sent at this time with the ordinary priority.
+pub(super) struct TurnMeasured(pub(super) Instant);
+/// An order to start a run, when it was sent, and its answer.
+pub(super) struct StartAnswered(
+    pub(super) StartOrder,
+    pub(super) Instant,
+    pub(super) StartAnswer,
+);
 /// An order to stop a run, with the worker's clock; `None` if it was not confirmed.
 pub(super) struct StopAnswered(pub(super) StopOrder, pub(super) Option<Duration>);
 /// A lease renewal, when it was sent, and its answer; `None` if there was none.
@@ -48,7 +54,10 @@
     pub(super) advice: AdviceOutcome,
 }
 /// A commit whose outcome is known.
-pub(super) struct CommitFinished(pub(super) CommitBatch, pub(super) Result<Head, NotAppended>);
+pub(super) struct CommitFinished(
+    pub(super) CommitBatch,
+    pub(super) Result<Appended, NotAppended>,
+);
 /// The list of workers, or its changes.
 pub(super) struct WorkersUpdated(pub(super) WorkersUpdate);
 /// A heartbeat of a peer.
@@ -87,12 +96,9 @@
         if now.saturating_duration_since(self.load_logged_at) >= LOAD_LOG_PERIOD {
             self.load_logged_at = now;
             self.scheduler.log_load(now);
-            let work = std::mem::take(&mut self.work);
-            info!("scheduling lag", kv: {
-                lag_ms = self.lag.as_millis() as u64, rounds = work.rounds,
-                rounds_ms = work.rounds_took.as_millis() as u64, effects = work.effects
-            });
+            self.work.log(self.lag, self.scheduler.unsaved_count());
         }
+        self.measure_turn(context);
         self.run_due_work(context);
     }
 }
@@ -106,12 +112,22 @@
     }
 }
 
+impl Handler<TurnMeasured> for LeaderTask {
+    type Return = ();
+
+    async fn handle(&mut self, message: TurnMeasured, _context: &mut Context<Self>) {
+        self.work.record_turn(message.0.elapsed());
+    }
+}
+
 impl Handler<StartAnswered> for LeaderTask {
     type Return = ();
 
     async fn handle(&mut self, message: StartAnswered, context: &mut Context<Self>) {
-        let StartAnswered(order, answer) = message;
+        let StartAnswered(order, sent_at, answer) = message;
         let now = Instant::now();
+        let took = now.saturating_duration_since(sent_at);
+        self.work.record_start(&answer, took, &self.metrics);
         self.scheduler
             .start_answered(&order.worker, &order.task, order.run, answer, now);
         self.run_due_work(context);
@@ -136,10 +152,15 @@
     async fn handle(&mut self, message: RenewAnswered, context: &mut Context<Self>) {
         let RenewAnswered(order, sent_at, answer) = message;
         let now = Instant::now();
-        match answer {
-            Some(answer) => self.scheduler.renew_answered(&order, sent_at, answer, now),
-            None => self.scheduler.renew_failed(&order.worker, now),
-        }
+        let ends = match answer {
+            Some(answer) => Some(self.scheduler.renew_answered(&order, sent_at, answer, now)),
+            None => {
+                self.scheduler.renew_failed(&order.worker, now);
+                None
+            }
+        };
+        let took = now.saturating_duration_since(sent_at + order.wait);
+        self.work.record_renewal(ends, took, &self.metrics);
         self.run_due_work(context);
     }
 }
@@ -177,8 +198,11 @@
             self.last_commit_duration = now.saturating_duration_since(started_at);
         }
         match result {
-            Ok(head) => {
+            Ok(Appended { head, store_took }) => {
                 self.head = head;
+                let rows = batch.changes.len();
+                self.work
+                    .record_commit(rows, self.last_commit_duration, store_took);
                 self.scheduler.committed(&batch, now);
                 for job in batch.accepted() {
                     answer_all(self.submitters.remove(job), &CellAnswer::Accepted);
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -5,6 +5,7 @@
 mod overload;
 mod peers;
 mod saving;
+mod work;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -26,8 +27,11 @@
     peers::PeerState,
 };
 use self::{
-    handlers::{RenewAnswered, RoundDue, StartAnswered, StopAnswered, WorkersUpdated},
+    handlers::{
+        RenewAnswered, RoundDue, StartAnswered, StopAnswered, TurnMeasured, WorkersUpdated,
+    },
     peers::KnownPeer,
+    work::WorkDone,
 };
 pub use self::{
     handover::{HandoverPolicy, LeaderFitness, OfferReason},
@@ -53,23 +57,6 @@
     pub(crate) peers: PeerClient,
 }
 
-/// Counts the work of the leader task.
-#[derive(Debug, Default)]
-struct WorkDone {
-    rounds: u32,
-    /// The time that scheduling rounds took.
-    rounds_took: Duration,
-    /// The number of orders and requests sent.
-    effects: usize,
-}
-
-impl WorkDone {
-    fn record_round(&mut self, took: Duration) {
-        self.rounds += 1;
-        self.rounds_took += took;
-    }
-}
-
 /// The arguments of [`spawn`].
 pub(crate) struct LeaderParts {
     /// The scheduler with all state recovered for the epoch.
@@ -248,7 +235,7 @@
             });
         }
         let effects = self.scheduler.take_effects();
-        self.work.effects += effects.len();
+        self.work.record_effects(effects.len());
         for effect in effects {
             self.execute(effect, &task, now);
         }
@@ -262,7 +249,7 @@
             Effect::Start(order) => {
                 tokio::spawn(async move {
                     let answer = workers.start(&order).await;
-                    let _ = task.send(StartAnswered(order, answer)).await;
+                    let _ = task.send(StartAnswered(order, now, answer)).await;
                 });
             }
             Effect::Stop(order) => {
@@ -288,6 +275,15 @@
         }
     }
 
+    /// Measures how long an ordinary message waits from now on until it is handled.
+    fn measure_turn(&self, context: &Context<Self>) {
+        let task = context.mailbox().address();
+        let sent_at = Instant::now();
+        tokio::spawn(async move {
+            let _ = task.send(TurnMeasured(sent_at)).await;
+        });
+    }
+
     /// Stops all scheduling, answers all waiting callers and reports the loss of the epoch.
     fn fence(&mut self) {
         if !std::mem::replace(&mut self.fenced, true) {
--- a/jackdawchute-cell/src/metrics.rs
+++ b/jackdawchute-cell/src/metrics.rs
@@ -39,6 +39,8 @@
     calls: Family<CallLabels, Counter>,
     latency: Family<LatencyLabels, Histogram, fn() -> Histogram>,
     rows: Counter,
+    ends_listed: Counter,
+    ends_new: Counter,
     jobs: Gauge,
     epoch: Gauge,
     configuration_version: Gauge,
@@ -59,6 +61,8 @@
             calls: Family::default(),
             latency: Family::new_with_constructor(latency_histogram),
             rows: Counter::default(),
+            ends_listed: Counter::default(),
+            ends_new: Counter::default(),
             jobs: Gauge::default(),
             epoch: Gauge::default(),
             configuration_version: Gauge::default(),
@@ -68,6 +72,10 @@
         let help = "Time that a call takes";
         registry.register_with_unit("latency", help, Unit::Seconds, metrics.latency.clone());
         registry.register("committed_rows", "Rows written", metrics.rows.clone());
+        let help = "Run ends listed by workers, known ones included";
+        registry.register("ends_listed", help, metrics.ends_listed.clone());
+        let help = "Run ends listed for the first time";
+        registry.register("ends_new", help, metrics.ends_new.clone());
         registry.register("jobs", "Jobs that have not ended", metrics.jobs.clone());
         registry.register("epoch", "The epoch held here, or 0", metrics.epoch.clone());
         let help = "The configuration version in force here";
@@ -108,6 +116,12 @@
         self.rows.inc_by(rows as u64);
     }
 
+    /// Records the run ends that a worker listed, and how many of them were not known before.
+    pub(crate) fn ends_listed(&self, listed: usize, new: usize) {
+        self.ends_listed.inc_by(listed as u64);
+        self.ends_new.inc_by(new as u64);
+    }
+
     /// Records a commit attempt that failed or was not answered.
     pub(crate) fn commit_failed(&self) {
         self.call("commit", "failed", Duration::ZERO);
--- a/jackdawchute-scheduler/src/batch.rs
+++ b/jackdawchute-scheduler/src/batch.rs
@@ -56,6 +56,19 @@
             || self.worker_rows.has_unsaved()
     }
 
+    /// Returns the number of jobs with unsaved changes, each of which takes a row or more.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use jackdawchute_scheduler::{Scheduler, Settings};
+    ///
+    /// let scheduler = Scheduler::new(Settings::default(), 1, Instant::now());
+    /// assert_eq!(scheduler.unsaved_count(), 0);
+    /// ```
+    pub fn unsaved_count(&self) -> usize {
+        self.accepting.len() + self.ending.len() + self.unsaved.len() + self.stale_progress.len()
+    }
+
     /// Returns how many commits of at most `rows_max` rows it takes until a job that is submitted
     /// now is accepted, including the commit of its own row.
     pub fn commits_until_accepted(&self, rows_max: usize) -> u32 {
--- a/jackdawchute-scheduler/src/ends.rs
+++ b/jackdawchute-scheduler/src/ends.rs
@@ -18,13 +18,13 @@
 const SLOWNESS_GAIN: f64 = 0.2;
 
 impl Scheduler {
-    /// Handles a run end that a worker reports, unless it is recorded already.
-    pub(crate) fn run_ended(&mut self, id: &WorkerId, end: &EndedRun, now: Instant) {
+    /// Handles a run end that a worker reports; returns `false` if it is recorded already.
+    pub(crate) fn run_ended(&mut self, id: &WorkerId, end: &EndedRun, now: Instant) -> bool {
         let Some(worker) = self.workers.get_mut(id) else {
-            return;
+            return false;
         };
         if end.number <= worker.ends_recorded {
-            return;
+            return false;
         }
         worker.ends_recorded = end.number;
         self.ends_unsaved.insert(id.clone());
@@ -40,6 +40,7 @@
         if is_known {
             self.remove_run(id, &end.task, now);
         }
+        true
     }
 
     /// Applies a run end to the task's job.
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -39,8 +39,8 @@
 pub use job::{JobOutcome, JobPhase, JobStatus};
 pub use messages::{
     AdviceAnswer, AdviceRequest, CommitBatch, Effect, EndReason, EndedRun, RenewAnswer, RenewOrder,
-    RowChange, RowTable, RunningTask, StartAnswer, StartOrder, StartRefusal, StopOrder, Submission,
-    WorkerEntry,
+    RenewOutcome, RowChange, RowTable, RunningTask, StartAnswer, StartOrder, StartRefusal,
+    StopOrder, Submission, WorkerEntry,
 };
 pub use names::{StepName, TaskName};
 pub use queue::{AdviceCost, QueuePolicy};
--- a/jackdawchute-scheduler/src/messages.rs
+++ b/jackdawchute-scheduler/src/messages.rs
@@ -191,6 +191,15 @@
     pub ended_complete: bool,
 }
 
+/// What a worker listed in its answer to a renewal.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RenewOutcome {
+    /// The number of run ends in the list.
+    pub listed: usize,
+    /// How many of them were not recorded before.
+    pub new: usize,
+}
+
 /// A request to an advisor: which of the named workers may run a step?
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdviceRequest {
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -13,7 +13,7 @@
     progress::Progress,
     records::WorkerRecord,
     worker::{Run, RunPhase, Worker, WorkerIncarnation},
-    RenewAnswer, RenewOrder, RunningTask, Scheduler, TaskName, WorkerEntry,
+    RenewAnswer, RenewOrder, RenewOutcome, RunningTask, Scheduler, TaskName, WorkerEntry,
 };
 
 /// How long the next renewal waits at most for the run ends of the last answer to be saved.
@@ -144,17 +144,21 @@
         }
     }
 
-    /// Handles a worker's answer to a renewal.
+    /// Handles a worker's answer to a renewal; returns what it listed.
     pub fn renew_answered(
         &mut self,
         order: &RenewOrder,
         sent_at: Instant,
         answer: RenewAnswer,
         now: Instant,
-    ) {
+    ) -> RenewOutcome {
+        let mut outcome = RenewOutcome {
+            listed: answer.ended.len(),
+            new: 0,
+        };
         let base = self.token_base;
         let Some(worker) = self.workers.get_mut(&order.worker) else {
-            return;
+            return outcome;
         };
         worker.renewal_under_way = false;
         if worker.unanswered_since.take().is_some() {
@@ -173,7 +177,7 @@
         {
             if !has_current_token || answer.started_unix_ms < incarnation.started_unix_ms {
                 worker.renewal_next_at = now;
-                return;
+                return outcome;
             }
             // Orders to the old incarnation may still reach the new one, which refuses them once it
             // has seen a higher token.
@@ -191,7 +195,7 @@
             worker.renewal_next_at = now;
             worker.health.failed_jobs.clear();
             self.placement_needed = true;
-            return;
+            return outcome;
         }
         let is_newer = worker
             .incarnation
@@ -207,12 +211,12 @@
         let is_first = has_current_token && !worker.reported;
         worker.renewal_next_at = now;
         if !has_current_token {
-            return;
+            return outcome;
         }
         worker.token_acknowledged = true;
         worker.answered = true;
         for end in &answer.ended {
-            self.run_ended(&order.worker, end, now);
+            outcome.new += usize::from(self.run_ended(&order.worker, end, now));
         }
         if is_newer {
             self.record_listed_runs(&order.worker, &answer, now);
@@ -231,6 +235,7 @@
             }
         }
         self.placement_needed = true;
+        outcome
     }
 
     /// Records the runs that a worker lists as running.
