test: a burst beyond the leader's processor, failing

The load model can give the leader a processor on which calls and rounds take time and wait for each other; commits are made one at a time, and workers list 500 run ends at most.

--- a/jackdawchute-standins/src/load_model/plan.rs
+++ b/jackdawchute-standins/src/load_model/plan.rs
@@ -7,6 +7,8 @@
 use rand::{rngs::StdRng, Rng};
 use smol_str::SmolStr;
 
+use super::ProcessorPlan;
+
 /// The service of all simulated workers and queues.
 const SERVICE: &str = "service";
 
@@ -76,6 +78,8 @@
     pub bursts: Vec<Burst>,
     /// How long jobs arrive; as long again is simulated for them to complete.
     pub duration: Duration,
+    /// The processor of the leader; `None` for one that takes no time.
+    pub processor: Option<ProcessorPlan>,
 }
 
 fn ms(duration_ms: u64) -> Duration {
@@ -135,6 +139,7 @@
             ],
             bursts: Vec::new(),
             duration: Duration::from_secs(34),
+            processor: None,
         }
     }
 
@@ -261,6 +266,31 @@
         self
     }
 
+    /// Gives the leader a processor that the load nearly saturates, and adds a burst of the most
+    /// urgent kind that exceeds it.
+    ///
+    /// ```
+    /// use jackdawchute_standins::load_model::ModelPlan;
+    ///
+    /// assert!(ModelPlan::repair_desk(1).with_saturating_burst().processor.is_some());
+    /// ```
+    #[must_use]
+    pub fn with_saturating_burst(mut self) -> Self {
+        self.processor = Some(ProcessorPlan {
+            call: Duration::from_micros(430),
+            listed_end: Duration::from_micros(15),
+            round_per_worker: Duration::from_micros(8),
+            commit_turns: 3,
+        });
+        self.bursts = vec![Burst {
+            queue: "checks".into(),
+            start: Duration::from_secs(6),
+            duration: Duration::from_secs(4),
+            factor: 2.0,
+        }];
+        self
+    }
+
     /// Returns the factor on a kind's rate at a time since the arrival of jobs began.
     pub(super) fn factor(&self, kind: &KindPlan, at: Duration) -> f64 {
         let active = |burst: &&Burst| {
--- /dev/null
+++ b/jackdawchute-standins/src/load_model/processor.rs
@@ -0,0 +1,68 @@
+//! The simulated processor of the leader, which handles one event at a time.
+
+use std::{collections::VecDeque, time::Duration};
+
+/// What the leader's processor takes for its work.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessorPlan {
+    /// The time for an order, a renewal, an advice request or a submission, with its answer.
+    pub call: Duration,
+    /// The time to decode a run end in the answer to a renewal.
+    pub listed_end: Duration,
+    /// The time of a scheduling round for each worker.
+    pub round_per_worker: Duration,
+    /// The number of turns in the queue of events that a commit takes beside the store's time.
+    pub commit_turns: u32,
+}
+
+/// The queue of the events that the leader has to handle, and when it can go on with them.
+#[derive(Debug)]
+pub(super) struct Processor<T> {
+    plan: Option<ProcessorPlan>,
+    waiting: VecDeque<T>,
+    busy: bool,
+}
+
+impl<T> Processor<T> {
+    /// Creates the processor; without a plan it takes no time.
+    pub(super) fn new(plan: Option<ProcessorPlan>) -> Self {
+        Self {
+            plan,
+            waiting: VecDeque::new(),
+            busy: false,
+        }
+    }
+
+    pub(super) fn plan(&self) -> Option<ProcessorPlan> {
+        self.plan
+    }
+
+    /// Returns the event if it can be handled now; otherwise it waits for its turn.
+    pub(super) fn admit(&mut self, event: T) -> Option<T> {
+        if self.busy {
+            self.waiting.push_back(event);
+            return None;
+        }
+        Some(event)
+    }
+
+    /// Puts an event behind all that wait.
+    pub(super) fn requeue(&mut self, event: T) {
+        self.waiting.push_back(event);
+    }
+
+    /// Marks the processor as busy until [`Self::next`] is called.
+    pub(super) fn begin(&mut self) {
+        self.busy = true;
+    }
+
+    /// Ends the work on the last event and returns the next one.
+    pub(super) fn next(&mut self) -> Option<T> {
+        self.busy = false;
+        self.waiting.pop_front()
+    }
+
+    pub(super) fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+}
--- a/jackdawchute-standins/src/load_model/report.rs
+++ b/jackdawchute-standins/src/load_model/report.rs
@@ -49,6 +49,8 @@
     pub used_share: f64,
     /// How long jobs arrived.
     pub duration: Duration,
+    /// The results for the jobs of each kind that were submitted in each second, by queue.
+    pub seconds: Vec<BTreeMap<SmolStr, KindReport>>,
 }
 
 impl Report {
@@ -59,6 +61,28 @@
         earned / submitted.max(f64::MIN_POSITIVE)
     }
 
+    /// Returns the share of the worth submitted from one second to before another that was earned,
+    /// by queue.
+    pub fn worth_between(&self, from_s: usize, to_s: usize) -> BTreeMap<SmolStr, f64> {
+        let mut sums: BTreeMap<SmolStr, KindReport> = BTreeMap::new();
+        for (queue, kind) in self.seconds.iter().take(to_s).skip(from_s).flatten() {
+            let sum = sums.entry(queue.clone()).or_default();
+            sum.submitted_worth += kind.submitted_worth;
+            sum.earned_worth += kind.earned_worth;
+        }
+        let worths = sums.into_iter().map(|(queue, sum)| (queue, sum.worth()));
+        worths.collect()
+    }
+
+    /// Returns the results of a kind for the jobs that were submitted in a second.
+    pub(super) fn second(&mut self, submitted_at: Duration, queue: &SmolStr) -> &mut KindReport {
+        let second = submitted_at.as_secs() as usize;
+        if self.seconds.len() <= second {
+            self.seconds.resize_with(second + 1, BTreeMap::new);
+        }
+        self.seconds[second].entry(queue.clone()).or_default()
+    }
+
     /// Returns the share of `duration` that decisions took, in thousandths of a core.
     pub fn decision_millicores(&self) -> u64 {
         let share = self.decision_time.as_secs_f64() / self.duration.as_secs_f64();
--- a/jackdawchute-standins/src/load_model/run.rs
+++ b/jackdawchute-standins/src/load_model/run.rs
@@ -15,6 +15,7 @@
 use super::{
     advisors::{self, Advisors},
     plan::Arrival,
+    processor::Processor,
     workers::SimWorker,
     ModelPlan, Report,
 };
@@ -47,8 +48,12 @@
     Tick,
     RoundDue,
     Commit,
-    Committed(CommitBatch),
+    /// The store has answered a commit, which still takes this many turns of the processor.
+    Committed(CommitBatch, u32),
+    /// An order to start a task arrives.
     Started(StartOrder),
+    /// The answer to an order to start a task arrives.
+    StartAnswered(StartOrder),
     Stopped(StopOrder),
     RenewalArrives(RenewOrder),
     /// The lease renewal that waits at a worker must be answered.
@@ -58,6 +63,30 @@
     TaskEnds(WorkerId, TaskName, u64),
     /// The answer to an advice request arrives, with the share of workers that it allows.
     AdviceAnswered(AdviceRequest, Option<f64>),
+    /// The processor has finished its work and takes the next event.
+    ProcessorFree,
+}
+
+impl Event {
+    /// Returns whether the leader's processor handles the event in its turn; ticks go first.
+    fn takes_turn(&self) -> bool {
+        match self {
+            Event::JobArrives(_)
+            | Event::RoundDue
+            | Event::Committed(..)
+            | Event::StartAnswered(_)
+            | Event::Stopped(_)
+            | Event::RenewalAnswered(..)
+            | Event::AdviceAnswered(..) => true,
+            Event::Tick
+            | Event::Commit
+            | Event::Started(_)
+            | Event::RenewalArrives(_)
+            | Event::RenewalDue(_)
+            | Event::TaskEnds(..)
+            | Event::ProcessorFree => false,
+        }
+    }
 }
 
 struct JobState {
@@ -85,6 +114,8 @@
     /// Whether a `RoundDue` event is among the events to come.
     round_scheduled: bool,
     report: Report,
+    processor: Processor<Event>,
+    commit_under_way: bool,
     /// The sum and the number of samples of the used share of processors.
     used_samples: (f64, usize),
 }
@@ -109,8 +140,7 @@
             break;
         }
         model.now = at;
-        model.handle(event);
-        model.drive_scheduler();
+        model.advance(event);
     }
     model.finish()
 }
@@ -144,6 +174,8 @@
             },
             used_samples: (0.0, 0),
             workers,
+            processor: Processor::new(plan.processor),
+            commit_under_way: false,
         };
         let entries = model.workers.values().map(|it| it.entry.clone()).collect();
         model.scheduler.workers_listed(entries, origin);
@@ -194,8 +226,52 @@
         result
     }
 
+    /// Handles an event that has come, or puts it into the processor's queue.
+    fn advance(&mut self, event: Event) {
+        if matches!(event, Event::ProcessorFree) {
+            if let Some(event) = self.processor.next() {
+                self.advance(event);
+            }
+            return;
+        }
+        if !event.takes_turn() {
+            self.handle(event);
+            self.drive_scheduler();
+            return;
+        }
+        let Some(event) = self.processor.admit(event) else {
+            return;
+        };
+        let event = match event {
+            Event::Committed(batch, turns) if turns > 0 && self.processor.has_waiting() => {
+                self.processor.requeue(Event::Committed(batch, turns - 1));
+                let next = self.processor.next();
+                return next.into_iter().for_each(|event| self.advance(event));
+            }
+            event => event,
+        };
+        let listed_ends = match &event {
+            Event::RenewalAnswered(_, _, answer) => answer.ended.len() as u32,
+            _ => 0,
+        };
+        let rounds_before = self.report.rounds;
+        self.handle(event);
+        self.drive_scheduler();
+        let Some(plan) = self.processor.plan() else {
+            return;
+        };
+        let workers = self.plan.fleet.workers as u32;
+        let rounds = (self.report.rounds - rounds_before) as u32;
+        let took =
+            plan.call + plan.listed_end * listed_ends + plan.round_per_worker * (workers * rounds);
+        self.processor.begin();
+        self.schedule(took, Event::ProcessorFree);
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
+            // Taken by `advance`.
+            Event::ProcessorFree => {}
             Event::JobArrives(kind) => self.submit_job(kind),
             Event::Tick => {
                 let unix = UNIX_START + self.now;
@@ -206,13 +282,22 @@
             }
             Event::RoundDue => self.round_scheduled = false,
             Event::Commit => self.commit(),
-            Event::Committed(batch) => {
+            Event::Committed(batch, _) => {
+                self.commit_under_way = false;
                 self.decide(|scheduler, now| scheduler.committed(&batch, now));
                 for job in batch.ended() {
                     self.job_ended(job);
                 }
             }
-            Event::Started(order) => self.started(&order),
+            Event::Started(order) => self.started(order),
+            Event::StartAnswered(order) => {
+                let answer = StartAnswer::Started {
+                    clock: self.clock(),
+                };
+                self.decide(|scheduler, now| {
+                    scheduler.start_answered(&order.worker, &order.task, order.run, answer, now);
+                });
+            }
             Event::Stopped(order) => {
                 let size = self.size(&order.task);
                 if let Some(worker) = self.workers.get_mut(&order.worker) {
@@ -279,6 +364,10 @@
         let report = report.or_default();
         report.submitted += 1;
         report.submitted_worth += worth;
+        let second = self.report.second(self.now - WARM_UP, &plan.queue.queue);
+        second.submitted_worth += worth;
+        let report = self.report.kinds.entry(plan.queue.queue.clone());
+        let report = report.or_default();
         if matches!(submission, Submission::Refused { .. }) {
             report.refused += 1;
             self.jobs.remove(&job);
@@ -286,31 +375,31 @@
     }
 
     fn commit(&mut self) {
+        self.schedule(COMMIT_PERIOD, Event::Commit);
+        if self.commit_under_way {
+            return;
+        }
         let unix_ms = (UNIX_START + self.now).as_millis() as u64;
         let batch = self.decide(|scheduler, _| {
             scheduler.take_batch(COMMIT_ROWS_MAX, COMMIT_BYTES_MAX, unix_ms)
         });
         if let Some(batch) = batch {
-            self.schedule(COMMIT_TIME, Event::Committed(batch));
+            self.commit_under_way = true;
+            let turns = self.processor.plan().map_or(0, |plan| plan.commit_turns);
+            self.schedule(COMMIT_TIME, Event::Committed(batch, turns));
         }
-        self.schedule(COMMIT_PERIOD, Event::Commit);
     }
 
-    fn started(&mut self, order: &StartOrder) {
+    fn started(&mut self, order: StartOrder) {
         let size = self.size(&order.task);
         let run_time = self.run_time(&order.task);
         let now = self.now;
         if let Some(worker) = self.workers.get_mut(&order.worker) {
             let slowness = worker.slowness;
-            worker.start(order, &size, run_time.mul_f64(slowness), now);
+            worker.start(&order, &size, run_time.mul_f64(slowness), now);
         }
-        self.schedule_end(order);
-        let answer = StartAnswer::Started {
-            clock: self.clock(),
-        };
-        self.decide(|scheduler, now| {
-            scheduler.start_answered(&order.worker, &order.task, order.run, answer, now);
-        });
+        self.schedule_end(&order);
+        self.schedule(WORKER_ROUND_TRIP / 2, Event::StartAnswered(order));
     }
 
     /// Adds the end of a started task: after its run time, counted for a gang from the start of its
@@ -404,13 +493,19 @@
         let objective = job.arrival.objective(queue);
         let took = self.now - job.submitted_at;
         let report = self.report.kinds.entry(queue.queue.clone()).or_default();
-        if took <= objective {
+        let earned = if took <= objective {
             report.on_time += 1;
-            report.earned_worth += job.arrival.worth.0;
+            job.arrival.worth.0
         } else if took <= objective * 3 {
             report.late += 1;
-            report.earned_worth += job.arrival.worth.1;
-        }
+            job.arrival.worth.1
+        } else {
+            0.0
+        };
+        report.earned_worth += earned;
+        let queue = queue.queue.clone();
+        let second = self.report.second(job.submitted_at - WARM_UP, &queue);
+        second.earned_worth += earned;
     }
 
     /// Runs a scheduling round if one is due, and carries out the scheduler's effects.
@@ -431,7 +526,7 @@
             match effect {
                 Effect::Start(order) => {
                     self.report.starts += 1;
-                    self.schedule(WORKER_ROUND_TRIP, Event::Started(order));
+                    self.schedule(WORKER_ROUND_TRIP / 2, Event::Started(order));
                 }
                 Effect::Stop(order) => self.schedule(WORKER_ROUND_TRIP, Event::Stopped(order)),
                 Effect::Renew(order) => {
--- a/jackdawchute-standins/src/load_model/workers.rs
+++ b/jackdawchute-standins/src/load_model/workers.rs
@@ -7,6 +7,9 @@
 };
 use jackdawchute_types::{Resources, RunNumber};
 
+/// The most run ends in an answer, as the users' platform states it.
+const ENDS_PER_ANSWER: usize = 500;
+
 /// A running task.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SimRun {
@@ -121,8 +124,8 @@
                     percent: run.percent(now),
                 })
                 .collect(),
-            ended: self.ended.clone(),
-            ended_complete: true,
+            ended: self.ended.iter().take(ENDS_PER_ANSWER).cloned().collect(),
+            ended_complete: self.ended.len() < ENDS_PER_ANSWER,
         }
     }
 }
--- a/jackdawchute-standins/tests/load_model.rs
+++ b/jackdawchute-standins/tests/load_model.rs
@@ -11,6 +11,10 @@
 /// The least worth of any kind, which is the users' target of the mean worth on the repair desk's
 /// heavy days.
 const NEARLY_FULL_WORTH_MIN: f64 = 0.62;
+/// The least share of its worth that any kind earns on the users' quiet day of the large fleet.
+const KIND_FLOOR: f64 = 0.39;
+/// The most worth that the leader's processor may cost where the load does not exceed it.
+const PROCESSOR_LOSS_MAX: f64 = 0.05;
 /// How long jobs arrive.
 const ARRIVALS_DURATION: Duration = Duration::from_secs(12);
 
@@ -86,3 +90,27 @@
     };
     assert_eq!(submitted(&first), submitted(&second));
 }
+
+/// A leader whose processor a burst had saturated never recovered: work that waited made more work.
+#[test]
+fn a_burst_beyond_the_leaders_processor_costs_nothing_that_comes_after_it() {
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+    let plan = ModelPlan {
+        duration: Duration::from_secs(24),
+        ..ModelPlan::repair_desk(1).with_saturating_burst()
+    };
+    let free_processor = ModelPlan {
+        processor: None,
+        ..plan.clone()
+    };
+
+    let [bounded, free] = [plan, free_processor].map(|plan| run(&plan));
+
+    let after = |report: &Report| report.worth_between(15, 24);
+    let (bounded, free) = (after(&bounded), after(&free));
+    for (queue, worth) in bounded {
+        assert!(worth >= KIND_FLOOR, "{queue}: {worth}");
+        let lost = free[&queue] - worth;
+        assert!(lost <= PROCESSOR_LOSS_MAX, "{queue}: {lost} less");
+    }
+}
