change: run ends are saved with the commit of their own changes

While more rows waited than a commit holds, no run end counted as saved, and every renewal listed all of them again. Run ends and jobs with unsaved changes are numbered now; a job is saved in the order of its first unsaved change, and all run ends before the oldest one that waits count as saved. Ends of jobs and progress share that order. Removals of progress come after both, with an eighth of the rows.

run_ends_are_saved_with_the_commit_of_their_changes_while_others_wait failed before: 0, 0, 50 ends saved by three commits instead of 20, 40, 50.

--- a/jackdawchute-scheduler/src/batch.rs
+++ b/jackdawchute-scheduler/src/batch.rs
@@ -7,9 +7,10 @@
 use spdlog::error;
 
 use crate::{
-    job::JobPhase,
+    job::{Job, JobPhase},
     records::{divided_rows, removal, saved_row, EndedRecord, JobRecord, WorkerRecord},
     row_size::{numbered_key, split_key, JOB_BYTES_MAX},
+    unsaved::ChangeNumber,
     worker_rows::{row_index, row_key, RowIndex},
     CommitBatch, RowChange, RowTable, Scheduler,
 };
@@ -19,6 +20,9 @@
 const WORKERS_BYTES_DIVISOR: usize = 3;
 /// The part of a batch's rows that is reserved for waiting acceptances, as a divisor.
 const ACCEPTANCES_ROWS_DIVISOR: usize = 2;
+/// The part of a batch's rows that is reserved for the removal of progress of ended jobs, as a
+/// divisor; nobody waits for it, but without a share it would grow under a lasting overload.
+const STALE_ROWS_DIVISOR: usize = 8;
 
 /// A batch with the limits of a commit.
 struct BatchBuilder {
@@ -45,11 +49,30 @@
     }
 }
 
+/// Takes the unsaved progress rows of a job; returns whether all of them had space.
+fn take_progress(job: &mut Job, builder: &mut BatchBuilder) -> bool {
+    for row in job.unsaved_progress_rows() {
+        let change = job.progress_row(row);
+        let bytes = change.value.as_ref().map_or(0, Vec::len);
+        if !builder.has_space(1, bytes) {
+            return false;
+        }
+        job.progress_unsaved.remove(&row);
+        let was_saved = job.progress_rows.remove(&row);
+        if change.value.is_some() {
+            job.progress_rows.insert(row);
+        } else if !was_saved {
+            continue;
+        }
+        builder.push(change);
+    }
+    true
+}
+
 impl Scheduler {
     /// Returns whether any change waits to be committed.
     pub fn has_unsaved(&self) -> bool {
         !self.accepting.is_empty()
-            || !self.ending.is_empty()
             || !self.unsaved.is_empty()
             || !self.stale_progress.is_empty()
             || !self.ends_unsaved.is_empty()
@@ -66,7 +89,7 @@
     /// assert_eq!(scheduler.unsaved_count(), 0);
     /// ```
     pub fn unsaved_count(&self) -> usize {
-        self.accepting.len() + self.ending.len() + self.unsaved.len() + self.stale_progress.len()
+        self.accepting.len() + self.unsaved.len() + self.stale_progress.len()
     }
 
     /// Returns how many commits of at most `rows_max` rows it takes until a job that is submitted
@@ -80,8 +103,8 @@
     /// Returns the next changes to commit, of at most `rows_max` rows and `bytes_max` bytes; `None`
     /// if there are none.
     ///
-    /// A batch marks run ends as saved only if it holds every unsaved change of progress and every
-    /// job end, which includes all that followed from those run ends.
+    /// A batch marks run ends as saved only if all that followed from them is in it or was committed
+    /// before.
     pub fn take_batch(
         &mut self,
         rows_max: usize,
@@ -110,10 +133,15 @@
             true => 0,
             false => JOB_BYTES_MAX,
         };
-        self.take_ended(&mut builder);
-        self.take_stale_progress(&mut builder);
-        self.take_progress(&mut builder);
+        let stale_reserved = match self.stale_progress.is_empty() {
+            true => 0,
+            false => rows_max / STALE_ROWS_DIVISOR,
+        };
+        builder.rows_reserved += stale_reserved;
+        self.take_changed_jobs(&mut builder);
         self.take_run_ends(&mut builder);
+        builder.rows_reserved = builder.rows_reserved.saturating_sub(stale_reserved);
+        self.take_stale_progress(&mut builder);
         (builder.rows_reserved, builder.bytes_reserved) = (0, 0);
         self.take_acceptances(&mut builder, unix_ms);
         Some(builder.batch)
@@ -146,37 +174,44 @@
         saved_row(RowTable::Workers, row_key(row), &records)
     }
 
-    fn take_ended(&mut self, builder: &mut BatchBuilder) {
+    /// Takes the progress and the ends of jobs, those first that have been unsaved for longest.
+    fn take_changed_jobs(&mut self, builder: &mut BatchBuilder) {
         let mut ended = Vec::new();
-        while let Some(id) = self.ending.pop() {
-            let Some(job) = self.jobs.get_mut(&id) else {
-                continue;
-            };
-            let JobPhase::Ending(outcome) = job.phase else {
-                continue;
+        while let Some((change, id)) = self.unsaved.pop_first() {
+            let all_taken = match self.jobs.get_mut(&id).map(|job| (job.phase, job)) {
+                Some((JobPhase::Ending(outcome), job)) => {
+                    // The rows of the job, and the row with all outcomes.
+                    let has_space = builder.has_space(job.rows + usize::from(ended.is_empty()), 0);
+                    if has_space {
+                        builder.rows_reserved += usize::from(ended.is_empty());
+                        for number in (0..).take(job.rows) {
+                            builder.push(removal(RowTable::Jobs, numbered_key(&id, number)));
+                        }
+                        let progress = std::mem::take(&mut job.progress_rows);
+                        if !progress.is_empty() {
+                            self.stale_progress.insert(id.clone(), progress);
+                        }
+                        ended.push(EndedRecord {
+                            job: id.clone(),
+                            outcome,
+                        });
+                        builder.batch.ended.push(id.clone());
+                    }
+                    has_space
+                }
+                Some((JobPhase::Live, job)) => take_progress(job, builder),
+                Some((JobPhase::Accepting, _)) | None => true,
             };
-            // The rows of the job, and the row with all outcomes.
-            if !builder.has_space(job.rows + 1, 0) {
-                self.ending.push(id);
+            if !all_taken {
+                self.unsaved.insert(&id, change);
                 break;
             }
-            self.unsaved.remove(&id);
-            for number in (0..).take(job.rows) {
-                builder.push(removal(RowTable::Jobs, numbered_key(&id, number)));
-            }
-            let progress = std::mem::take(&mut job.progress_rows);
-            if !progress.is_empty() {
-                self.stale_progress.insert(id.clone(), progress);
-            }
-            ended.push(EndedRecord {
-                job: id.clone(),
-                outcome,
-            });
-            builder.batch.ended.push(id);
+            builder.batch.changed.push((change, id));
         }
         if !ended.is_empty() {
             self.ended_rows_counter += 1;
             let key = format_smolstr!("{:016x}-{:08x}", self.epoch, self.ended_rows_counter);
+            builder.rows_reserved -= 1;
             builder.push(saved_row(RowTable::Ended, key.clone(), &ended));
             builder.batch.ended_row = Some(key);
         }
@@ -199,44 +234,21 @@
         });
     }
 
-    fn take_progress(&mut self, builder: &mut BatchBuilder) {
-        while let Some(id) = self.unsaved.pop_first() {
-            let Some(job) = self.jobs.get_mut(&id) else {
-                continue;
-            };
-            if job.phase != JobPhase::Live {
-                continue;
-            }
-            for row in job.unsaved_progress_rows() {
-                let change = job.progress_row(row);
-                let bytes = change.value.as_ref().map_or(0, Vec::len);
-                if !builder.has_space(1, bytes) {
-                    self.unsaved.insert(id);
-                    return;
-                }
-                job.progress_unsaved.remove(&row);
-                let was_saved = job.progress_rows.remove(&row);
-                if change.value.is_some() {
-                    job.progress_rows.insert(row);
-                } else if !was_saved {
-                    continue;
-                }
-                builder.push(change);
-            }
-        }
-    }
-
-    /// Marks the recorded run ends as saved, if the batch has all that followed from them.
+    /// Marks the run ends as saved whose effects are in this batch or an earlier one.
     fn take_run_ends(&mut self, builder: &mut BatchBuilder) {
-        if !self.unsaved.is_empty() || !self.ending.is_empty() {
-            return;
-        }
-        for id in std::mem::take(&mut self.ends_unsaved) {
-            if let Some(worker) = self.workers.get(&id) {
-                let saved = (id, worker.incarnations_seen, worker.ends_recorded);
-                builder.batch.ends_recorded.push(saved);
+        let (workers, unsaved) = (&self.workers, &self.unsaved);
+        self.ends_unsaved.retain(|id| {
+            let Some(worker) = workers.get(id) else {
+                return false;
+            };
+            let is_saved = |end: &(ChangeNumber, u64)| unsaved.is_saved(end.0);
+            let saved = worker.ends_unsaved.partition_point(is_saved);
+            if let Some((_, number)) = saved.checked_sub(1).map(|last| worker.ends_unsaved[last]) {
+                let ends = (id.clone(), worker.incarnations_seen, number);
+                builder.batch.ends_recorded.push(ends);
             }
-        }
+            saved < worker.ends_unsaved.len()
+        });
     }
 
     fn take_acceptances(&mut self, builder: &mut BatchBuilder, unix_ms: u64) {
@@ -309,8 +321,15 @@
                 worker.filter(|worker| worker.incarnations_seen == *incarnations_seen)
             {
                 worker.ends_saved = worker.ends_saved.max(*last_end);
-                worker.renewal_next_at = now;
-                self.issue_renewal(id, now);
+                let saved = worker
+                    .ends_unsaved
+                    .partition_point(|(_, number)| number <= last_end);
+                worker.ends_unsaved.drain(..saved);
+                // The others would only be listed again.
+                if worker.ends_unsaved.is_empty() {
+                    worker.renewal_next_at = now;
+                    self.issue_renewal(id, now);
+                }
             }
         }
         self.placement_needed = true;
@@ -389,7 +408,9 @@
                 _ => {}
             }
         }
-        self.ending.extend(batch.ended.iter().cloned());
+        for (change, job) in &batch.changed {
+            self.unsaved.insert(job, *change);
+        }
         let workers = batch
             .ends_recorded
             .iter()
@@ -404,7 +425,6 @@
             Some(job) if job.phase == JobPhase::Live => {
                 job.progress_unsaved.insert(row);
                 job.progress_rows.insert(row);
-                self.unsaved.insert(id.into());
             }
             _ => {
                 let rows = self.stale_progress.entry(id.into()).or_default();
--- a/jackdawchute-scheduler/src/cancel.rs
+++ b/jackdawchute-scheduler/src/cancel.rs
@@ -30,7 +30,8 @@
             return;
         }
         job.phase = JobPhase::Ending(outcome);
-        self.ending.push(id.clone());
+        let change = self.unsaved.next_change();
+        self.unsaved.insert(id, change);
         self.placeable.remove(id);
         self.stop_runs_of(id);
     }
--- a/jackdawchute-scheduler/src/ends.rs
+++ b/jackdawchute-scheduler/src/ends.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     job::{JobPhase, StepRun},
+    unsaved::ChangeNumber,
     EndReason, EndedRun, JobOutcome, Scheduler, TaskName,
 };
 
@@ -27,6 +28,8 @@
             return false;
         }
         worker.ends_recorded = end.number;
+        let change = self.unsaved.next_change();
+        worker.ends_unsaved.push_back((change, end.number));
         self.ends_unsaved.insert(id.clone());
         let run = worker.runs.get(&end.task).filter(|run| run.run <= end.run);
         let is_known = run.is_some();
@@ -36,7 +39,7 @@
             .map(|run| run.known_since);
         self.record_health(id, end);
         self.quarantine_or_record_duration(id, end, started_at, now);
-        self.apply_end(id, end, now);
+        self.apply_end(id, end, change, now);
         if is_known {
             self.remove_run(id, &end.task, now);
         }
@@ -44,11 +47,12 @@
     }
 
     /// Applies a run end to the task's job.
-    fn apply_end(&mut self, worker: &WorkerId, end: &EndedRun, now: Instant) {
+    fn apply_end(&mut self, worker: &WorkerId, end: &EndedRun, change: ChangeNumber, now: Instant) {
         let id = &end.task.step.job;
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
+        self.unsaved.insert(id, change);
         info!("task ended", kv: {
             job = id.as_str(), step = end.task.step.step, task = end.task.index, run = end.run,
             worker = worker.as_str(), reason:? = end.reason
@@ -94,13 +98,12 @@
         }
     }
 
-    /// Marks the progress of a task as unsaved.
+    /// Marks the progress row of a task as unsaved.
     fn mark_unsaved(&mut self, task: &TaskName) {
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
             let spec = job.graph.steps.get(task.step.step as usize);
             if let Some(unit) = spec.map(|spec| spec.unit_index(task.index)) {
                 job.mark_unit_unsaved(task.step.occurrence, task.step.step, unit);
-                self.unsaved.insert(job.id.clone());
             }
         }
     }
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -31,6 +31,7 @@
 mod settings;
 mod state;
 mod submit;
+mod unsaved;
 mod worker;
 mod worker_rows;
 
--- a/jackdawchute-scheduler/src/messages.rs
+++ b/jackdawchute-scheduler/src/messages.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{StepName, TaskName};
+use crate::{unsaved::ChangeNumber, StepName, TaskName};
 
 /// A worker's entry in the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -252,6 +252,8 @@
     pub(crate) accepted: Vec<JobId>,
     /// The jobs whose end is in the batch.
     pub(crate) ended: Vec<JobId>,
+    /// The jobs whose changes are all saved with the batch, with the first of them.
+    pub(crate) changed: Vec<(ChangeNumber, JobId)>,
     /// Workers, the ordinal of their incarnation, and the number of the last run end that the batch
     /// saves.
     pub(crate) ends_recorded: Vec<(WorkerId, u64, u64)>,
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -191,6 +191,7 @@
             worker.reported = false;
             worker.ends_recorded = 0;
             worker.ends_saved = 0;
+            worker.ends_unsaved.clear();
             worker.lease_sent = Duration::ZERO;
             worker.renewal_next_at = now;
             worker.health.failed_jobs.clear();
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -178,7 +178,8 @@
             for unit in units {
                 job.mark_unit_unsaved(unit.occurrence, unit.step, unit.unit as usize);
             }
-            self.unsaved.insert(job.id.clone());
+            let change = self.unsaved.next_change();
+            self.unsaved.insert(&job.id, change);
         }
         for saved in record.units.into_iter().flatten().chain(record.unfinished) {
             let step = job
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -14,6 +14,7 @@
     job::{Job, JobPhase},
     recover::Recovery,
     row_size::RowNumber,
+    unsaved::UnsavedJobs,
     worker::Worker,
     worker_rows::WorkerRows,
     Effect, JobOutcome, JobStatus, Settings, WorkerEntry,
@@ -75,14 +76,12 @@
     /// The capacity and waiting work of each service, for the admission of jobs; `None` until the
     /// first job arrives after a round.
     pub(crate) loads: Option<ServiceLoads>,
-    /// The jobs with unsaved progress.
-    pub(crate) unsaved: BTreeSet<JobId>,
+    /// The jobs with unsaved progress, or whose end is not in a batch yet.
+    pub(crate) unsaved: UnsavedJobs,
     /// Saved progress rows of jobs that have ended, to be removed.
     pub(crate) stale_progress: BTreeMap<JobId, BTreeSet<RowNumber>>,
     /// The jobs whose acceptance is not in a batch yet, in order of arrival.
     pub(crate) accepting: VecDeque<JobId>,
-    /// The jobs whose end is not in a batch yet.
-    pub(crate) ending: Vec<JobId>,
     /// The assignment of workers to saved rows.
     pub(crate) worker_rows: WorkerRows,
     /// The workers with recorded run ends that are not in a batch yet.
@@ -128,10 +127,9 @@
             allowed_shares: AllowedShares::default(),
             recovery: Recovery::new(now),
             loads: None,
-            unsaved: BTreeSet::new(),
+            unsaved: UnsavedJobs::default(),
             stale_progress: BTreeMap::new(),
             accepting: VecDeque::new(),
-            ending: Vec::new(),
             worker_rows: WorkerRows::default(),
             ends_unsaved: BTreeSet::new(),
             reserved_in_last_round: HashSet::new(),
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -1,13 +1,16 @@
 //! The state of a worker and of the runs that are, or may be, on it.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     time::{Duration, Instant},
 };
 
 use jackdawchute_types::{FencingToken, JobId, Resources, RunNumber, WorkerId};
 
-use crate::{progress::Progress, worker_rows::RowIndex, StartOrder, TaskName, WorkerEntry};
+use crate::{
+    progress::Progress, unsaved::ChangeNumber, worker_rows::RowIndex, StartOrder, TaskName,
+    WorkerEntry,
+};
 
 /// The lowest rate at which a worker's clock may advance, as a multiple of the leader's.
 const CLOCK_RATE_MIN: f64 = 0.98;
@@ -95,6 +98,8 @@
     pub(crate) ends_recorded: u64,
     /// Run ends up to this number are saved.
     pub(crate) ends_saved: u64,
+    /// The changes and numbers of the recorded run ends that are not saved, in ascending order.
+    pub(crate) ends_unsaved: VecDeque<(ChangeNumber, u64)>,
     /// The latest end of a lease that was sent to the worker, on the worker's clock.
     pub(crate) lease_sent: Duration,
     pub(crate) renewal_under_way: bool,
@@ -148,6 +153,7 @@
             runs: HashMap::new(),
             ends_recorded: 0,
             ends_saved: 0,
+            ends_unsaved: VecDeque::new(),
             lease_sent: Duration::ZERO,
             renewal_under_way: false,
             renewal_next_at: now,
--- a/jackdawchute-scheduler/tests/behaviour/saving.rs
+++ b/jackdawchute-scheduler/tests/behaviour/saving.rs
@@ -67,3 +67,39 @@
     assert!(batch.accepted().len() >= ROWS_MAX / 2);
     assert!(progress > 0);
 }
+
+/// No run end counted as saved while any change waited for a later commit. Under a lasting overload
+/// none was ever saved, and each renewal listed all of them again.
+#[test]
+fn run_ends_are_saved_with_the_commit_of_their_changes_while_others_wait() {
+    let mut cell = cell_with_unsaved_progress();
+
+    let mut saved = Vec::new();
+    while let Some(batch) = cell.scheduler.take_batch(ROWS_MAX, 1_000_000, 0) {
+        cell.scheduler.committed(&batch, cell.now);
+        cell.tick(2_000);
+        let renewal = cell.latest_renewal_of("w1");
+        saved.push(renewal.ends_saved);
+        cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+    }
+
+    assert_eq!(saved, [20, 40, 50]);
+}
+
+/// A run end counts as saved only if the store has all that followed from it.
+#[test]
+fn a_run_end_whose_change_is_not_committed_stays_listed() {
+    let mut cell = cell_with_unsaved_progress();
+    let first = cell.scheduler.take_batch(ROWS_MAX, 1_000_000, 0);
+
+    cell.scheduler
+        .not_committed(&first.expect("there are unsaved changes"));
+    let rest: Vec<_> =
+        std::iter::from_fn(|| cell.scheduler.take_batch(ROWS_MAX, 1_000_000, 0)).collect();
+    cell.tick(2_000);
+    let renewal = cell.latest_renewal_of("w1");
+
+    let rows: usize = rest.iter().map(|batch| batch.changes.len()).sum();
+    assert_eq!(renewal.ends_saved, 0);
+    assert_eq!(rows, 50);
+}
