--- a/jackdawchute-scheduler/src/messages.rs
+++ b/jackdawchute-scheduler/src/messages.rs
@@ -85,6 +85,8 @@
     pub lease_until: Option<Duration>,
     /// The run ends up to this number are saved, so that the worker may delete them.
     pub ends_saved: u64,
+    /// The run ends up to this number are recorded; the answer need not have them.
+    pub ends_recorded: u64,
     /// How long the worker may wait for a run to end before it answers.
     pub wait: Duration,
     /// The fencing token; the worker refuses the order if it has seen a higher one.
@@ -185,8 +187,11 @@
     pub clock: Duration,
     /// The tasks that run on the worker.
     pub running: Vec<RunningTask>,
-    /// The ended runs that the worker has not deleted yet, in ascending order of their numbers.
+    /// The ended runs that the worker has not deleted yet, in ascending order of their numbers,
+    /// without recorded ones that were left out.
     pub ended: Vec<EndedRun>,
+    /// The number of run ends that were left out, as the order names them as recorded.
+    pub ends_left_out: usize,
     /// Whether `ended` holds all of them; if not, a run that is in neither list may have ended.
     pub ended_complete: bool,
 }
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -350,6 +350,11 @@
         // A new incarnation numbers its run ends from the start again, and a worker that does not
         // answer may have restarted.
         ends_saved: if is_responsive { worker.ends_saved } else { 0 },
+        ends_recorded: if is_responsive {
+            worker.ends_recorded
+        } else {
+            0
+        },
         wait,
         token: worker.token(token_base),
     }
--- a/jackdawchute-standins/src/cell/workers.rs
+++ b/jackdawchute-standins/src/cell/workers.rs
@@ -268,6 +268,7 @@
                 .take(ENDS_PER_ANSWER)
                 .map(|it| it.end.clone())
                 .collect(),
+            ends_left_out: 0,
             ended_complete: worker.ended.len() < ENDS_PER_ANSWER,
         };
         for it in saved.iter().filter(|it| !it.lapsed) {
--- a/jackdawchute-standins/src/load_model/workers.rs
+++ b/jackdawchute-standins/src/load_model/workers.rs
@@ -125,6 +125,7 @@
                 })
                 .collect(),
             ended: self.ended.iter().take(ENDS_PER_ANSWER).cloned().collect(),
+            ends_left_out: 0,
             ended_complete: self.ended.len() < ENDS_PER_ANSWER,
         }
     }
--- a/jackdawchute-standins/tests/platform_wire.rs
+++ b/jackdawchute-standins/tests/platform_wire.rs
@@ -93,6 +93,7 @@
             address: self.address,
             lease_until: Some(Duration::from_secs(60)),
             ends_saved,
+            ends_recorded: ends_saved,
             wait,
             token: 7,
         }
