change: commits are made on a thread of their own

A commit took several turns of the instance's one runtime thread, behind thousands of calls to workers: 408 ms, 307 ms of it in the call to the store. The leader hands each batch to a thread with a runtime, a client and connections of its own now, and gets the outcome as its most urgent message.

--- a/jackdawchute-cell/src/instance.rs
+++ b/jackdawchute-cell/src/instance.rs
@@ -26,6 +26,9 @@
 pub struct Platform {
     /// The store that holds the leader row and all saved state.
     pub store: Arc<dyn Store>,
+    /// The same store, for the commits of a leader alone; they are made on a thread with a runtime
+    /// of its own, on which this client's connections then live.
+    pub commits: Arc<dyn Store>,
     /// The interface to the workers, used by the leader.
     pub workers: Arc<dyn Workers>,
     /// The advisor that this instance calls, for itself as leader or for another one.
@@ -75,6 +78,7 @@
             incarnation: incarnation.clone(),
             ports: Ports {
                 store: platform.store,
+                commits: platform.commits,
                 workers: platform.workers,
                 advisor: advisor.clone(),
                 directory: platform.directory,
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -6,8 +6,8 @@
 };
 
 use jackdawchute_scheduler::{
-    AdviceRequest, CommitBatch, JobStatus, RenewAnswer, RenewOrder, StartAnswer, StartOrder,
-    StopOrder, Submission,
+    AdviceRequest, JobStatus, RenewAnswer, RenewOrder, StartAnswer, StartOrder, StopOrder,
+    Submission,
 };
 use jackdawchute_timer::Tick;
 use jackdawchute_types::{whole_ms, JobId, QueueId};
@@ -19,6 +19,7 @@
 use crate::{
     advisor::AdviceOutcome,
     commit::{Appended, NotAppended},
+    committer::CommitFinished,
     messages::{CellAnswer, SubmitJob},
     recover::unix_now,
     settings::{
@@ -53,11 +54,6 @@
     pub(super) peer: SocketAddr,
     pub(super) advice: AdviceOutcome,
 }
-/// A commit whose outcome is known.
-pub(super) struct CommitFinished(
-    pub(super) CommitBatch,
-    pub(super) Result<Appended, NotAppended>,
-);
 /// The list of workers, or its changes.
 pub(super) struct WorkersUpdated(pub(super) WorkersUpdate);
 /// A heartbeat of a peer.
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -40,6 +40,7 @@
 use crate::{
     advisor::{AdvisorTask, ShortRequestLoad},
     commit::Head,
+    committer::Committer,
     election::EpochLost,
     messages::CellAnswer,
     reachability::Reachability,
@@ -51,6 +52,8 @@
 #[derive(Clone)]
 pub(crate) struct Ports {
     pub(crate) store: Arc<dyn Store>,
+    /// The same store as [`Ports::store`], for the thread that makes the commits.
+    pub(crate) commits: Arc<dyn Store>,
     pub(crate) workers: Arc<dyn Workers>,
     pub(crate) advisor: Address<AdvisorTask>,
     pub(crate) directory: Arc<dyn Directory>,
@@ -85,8 +88,7 @@
     next_commit_at: Instant,
     /// How long the last commit took, with all its attempts.
     last_commit_duration: Duration,
-    /// When the attempt that began the current store outage was sent; `None` if there is none.
-    outage_since: watch::Sender<Option<Instant>>,
+    committer: Committer<LeaderTask>,
     /// Callers whose job's acceptance is not committed yet.
     submitters: HashMap<JobId, Vec<oneshot::Sender<CellAnswer>>>,
     /// Callers whose job's cancellation is not committed yet.
@@ -132,7 +134,7 @@
         commit_started_at: None,
         next_commit_at: now,
         last_commit_duration: Duration::ZERO,
-        outage_since: watch::channel(None).0,
+        committer: Committer::start(parts.ports.commits.clone(), parts.metrics.clone()),
         submitters: HashMap::new(),
         cancellers: HashMap::new(),
         next_check_replies: Vec::new(),
--- a/jackdawchute-cell/src/leader/saving.rs
+++ b/jackdawchute-cell/src/leader/saving.rs
@@ -8,19 +8,14 @@
 use tokio::sync::oneshot;
 use xtra::{prelude::*, refcount::Weak};
 
-use super::{
-    answer_all,
-    handlers::{CommitFinished, EpochChecked},
-    LeaderTask,
-};
+use super::{answer_all, handlers::EpochChecked, LeaderTask};
 use crate::{
-    commit::append,
     messages::CellAnswer,
     recover::unix_now,
     rows::{HeadRecord, HEAD_TABLE, PART},
     settings::{
         outage_retry_after, COMMIT_BYTES_MAX, COMMIT_OUTAGE_MAX, COMMIT_PERIOD, COMMIT_ROWS_MAX,
-        LEADER_PRIORITY, SLOW_COMMIT_MAX,
+        SLOW_COMMIT_MAX,
     },
     Store,
 };
@@ -33,7 +28,7 @@
         // A commit without an answer may just be slow; only the time beyond that of a slow store
         // counts.
         let overdue = since(self.commit_started_at).saturating_sub(SLOW_COMMIT_MAX);
-        since(*self.outage_since.borrow()).max(overdue)
+        since(self.committer.outage_since()).max(overdue)
     }
 
     /// Returns the expected time until a job that arrives now is accepted, if each commit takes as
@@ -92,26 +87,7 @@
         }
         self.commit_started_at = Some(now);
         self.next_commit_at = now + COMMIT_PERIOD;
-        let store = self.ports.store.clone();
-        let (task, outage_since, metrics) = (
-            task.clone(),
-            self.outage_since.clone(),
-            self.metrics.clone(),
-        );
-        let head = self.head;
-        tokio::spawn(async move {
-            let result = append(
-                store,
-                head,
-                &batch,
-                COMMIT_OUTAGE_MAX,
-                &outage_since,
-                &metrics,
-            )
-            .await;
-            let finished = CommitFinished(batch, result);
-            let _ = task.send(finished).priority(LEADER_PRIORITY).await;
-        });
+        self.committer.commit(self.head, batch, task.clone());
     }
 
     /// Refuses the jobs that are not part of a commit yet, once an outage has lasted too long.
--- a/jackdawchute-cell/src/lib.rs
+++ b/jackdawchute-cell/src/lib.rs
@@ -10,6 +10,7 @@
 mod calls;
 mod claim;
 mod commit;
+mod committer;
 mod election;
 mod gateway;
 mod instance;
--- a/jackdawchute-cell/tests/cell/fixtures.rs
+++ b/jackdawchute-cell/tests/cell/fixtures.rs
@@ -153,6 +153,7 @@
         };
         let platform = Platform {
             store: Arc::new(handle.clone()),
+            commits: Arc::new(handle.clone()),
             workers: Arc::new(self.workers.clone()),
             advisor: self.advisor.clone(),
             directory: Arc::new(directory.clone()),
--- a/src/cell.rs
+++ b/src/cell.rs
@@ -188,6 +188,7 @@
 fn platform(settings: &CellSettings) -> Platform {
     let store = PlatformStore::new(settings.platform.store);
     Platform {
+        commits: Arc::new(PlatformStore::new(settings.platform.store)),
         directory: Arc::new(PlatformDirectory::new(store.clone())),
         store: Arc::new(store),
         workers: Arc::new(PlatformWorkers::default()),
