change: the starts under way are bounded, and advice goes to steps whose turn comes

A leader sent every order as soon as capacity was free; beyond what its processor handles, orders waited for each other in the runtime's queue, urgent ones behind all others, up to half a second each. No task is placed now while as many starts wait for their answers as the processor handles in about a tenth of a second (a start for each 4 thousandths of a core; an order counts for 150 ms), so that tasks wait in the order of their urgency.

Ruled out: the bound alone. Work that waits made more work. So a step requests advice only if no more than eight times as many starts are ahead of it as may be under way.

--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -59,6 +59,10 @@
 /// many.
 const FIRST_REQUEST_WORKERS_MIN: usize = 24;
 
+/// The starts of steps with a better rank up to which a step requests advice, as a multiple of those
+/// that may be under way: its tickets would lapse before its turn comes.
+const STARTS_AHEAD_FACTOR: usize = 8;
+
 impl Scheduler {
     /// Requests advice for each step that has tasks to place and no valid ticket to place them
     /// with.
@@ -68,7 +72,20 @@
         free_capacity: &FreeCapacity,
         now: Instant,
     ) {
+        let mut starts_ahead = 0;
+        let starts_ahead_max = self
+            .settings
+            .starts_under_way_max
+            .saturating_mul(STARTS_AHEAD_FACTOR);
         for ranked in ranked {
+            if starts_ahead >= starts_ahead_max {
+                break;
+            }
+            let job = self.jobs.get(&ranked.name.job);
+            if let Some((spec, step)) = job.and_then(|job| job.step(&ranked.name)) {
+                let waiting = step.units.iter().filter(|unit| unit.is_waiting()).count();
+                starts_ahead += waiting * spec.unit_size() as usize;
+            }
             for request in self.advice_requests(&ranked.name, free_capacity, now) {
                 info!("advice requested", kv: {
                     job = request.step.job.as_str(), step = request.step.step,
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -35,6 +35,9 @@
 /// requested for the spare workers too, since some of the expected capacity is used by others, or
 /// does not become free, until the gang starts.
 const SPARE_DIVISOR: usize = 3;
+/// How long an order to start counts as waiting for its answer. A worker answers much sooner; one
+/// that does not must not keep others from being placed on.
+const START_ANSWER_MAX: Duration = Duration::from_millis(150);
 
 /// A worker that may run a step now if it has enough free capacity.
 #[derive(Clone, Debug)]
@@ -58,6 +61,7 @@
         now: Instant,
     ) {
         self.reserved_in_last_round = std::mem::take(&mut self.reserved_in_this_round);
+        let mut starts_left = self.starts_left(now);
         let mut reservations = 0;
         let reservations_max = reservations_max(self.workers.len());
         for ranked in ranked.iter().filter(|ranked| !ranked.accepting) {
@@ -72,8 +76,11 @@
             };
             let spec = spec.clone();
             if spec.gang {
-                let placed = self.place_gang(&ranked.name, &spec, free_capacity, now);
-                if !placed {
+                let placed =
+                    starts_left > 0 && self.place_gang(&ranked.name, &spec, free_capacity, now);
+                if placed {
+                    starts_left = starts_left.saturating_sub(spec.tasks as usize);
+                } else {
                     let reservation = if reservations < reservations_max {
                         reservations += 1;
                         self.reserve(&ranked.name, &spec, free_capacity, now)
@@ -82,12 +89,29 @@
                     };
                     self.set_gang_reservation(&ranked.name, reservation);
                 }
-            } else {
-                self.place_tasks(&ranked.name, &spec, free_capacity, now);
+            } else if starts_left > 0 {
+                let started =
+                    self.place_tasks(&ranked.name, &spec, free_capacity, starts_left, now);
+                starts_left -= started;
             }
         }
     }
 
+    /// Returns how many more starts may be ordered now.
+    fn starts_left(&self, now: Instant) -> usize {
+        let awaits_answer = |run: &&Run| {
+            run.phase == RunPhase::Starting
+                && run.order_under_way
+                && now.saturating_duration_since(run.known_since) < START_ANSWER_MAX
+        };
+        let runs = self
+            .workers
+            .values()
+            .flat_map(|worker| worker.runs.values());
+        let under_way = runs.filter(awaits_answer).count();
+        self.settings.starts_under_way_max.saturating_sub(under_way)
+    }
+
     /// Returns the workers that may run a step now: those with the service and label that it
     /// requires and, if the queue needs advice, a valid ticket.
     fn candidates(
@@ -139,31 +163,34 @@
         candidates
     }
 
-    /// Starts the waiting single tasks of a step that fit.
+    /// Starts the waiting single tasks of a step that fit, at most `starts_max`; returns how many.
     fn place_tasks(
         &mut self,
         name: &StepName,
         spec: &StepSpec,
         free_capacity: &mut FreeCapacity,
+        starts_max: usize,
         now: Instant,
-    ) {
+    ) -> usize {
         let Some(job) = self.jobs.get(&name.job) else {
-            return;
+            return 0;
         };
         let mut candidates = self.candidates(job, name, spec, free_capacity, now);
         if candidates.is_empty() {
-            return;
+            return 0;
         }
         let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
         let Some((_, step)) = job.step(name) else {
-            return;
+            return 0;
         };
         let waiting: Vec<(u32, Option<WorkerId>)> = (0u32..)
             .zip(&step.units)
             .filter(|(_, unit)| unit.is_waiting())
             .map(|(index, unit)| (index, unit.failed_on.clone()))
+            .take(starts_max)
             .collect();
         let size = spec.charged_resources();
+        let mut started = 0;
         for (index, failed_on) in waiting {
             let best = candidates
                 .iter_mut()
@@ -188,13 +215,15 @@
                 })
                 .min_by(|left, right| left.0.cmp(&right.0));
             let Some((_, candidate)) = best else {
-                return;
+                break;
             };
             candidate.tasks_allowed -= 1;
             let (worker, ticket) = (candidate.worker.clone(), candidate.ticket.clone());
             free_capacity.charge(&worker, &size);
             self.start_unit(name, spec, index as usize, &[(index, worker, ticket)], now);
+            started += 1;
         }
+        started
     }
 
     /// Starts a gang if all its tasks fit; returns whether nothing is left to place.
--- a/jackdawchute-scheduler/src/settings.rs
+++ b/jackdawchute-scheduler/src/settings.rs
@@ -18,6 +18,10 @@
     pub ended_retention: Duration,
     /// The longest time that a task takes to end after an order to stop.
     pub task_stop_max: Duration,
+    /// The number of orders to start that may wait for their answers before no further task is
+    /// placed. More of them only wait for each other on the leader's processor; the tasks wait
+    /// better in the order of their urgency.
+    pub starts_under_way_max: usize,
     /// How long before its due time an occurrence may start, to allow for clocks that differ.
     pub occurrence_early_max: Duration,
 }
@@ -30,6 +34,7 @@
             worker_silence_max: Duration::from_millis(700),
             ended_retention: Duration::from_secs(130),
             task_stop_max: Duration::from_millis(900),
+            starts_under_way_max: usize::MAX,
             occurrence_early_max: Duration::ZERO,
         }
     }
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -14,3 +14,4 @@
 mod repeats;
 mod row_limits;
 mod saving;
+mod starts_under_way;
--- a/jackdawchute-standins/src/load_model/plan.rs
+++ b/jackdawchute-standins/src/load_model/plan.rs
@@ -280,6 +280,7 @@
             call: Duration::from_micros(430),
             listed_end: Duration::from_micros(15),
             round_per_worker: Duration::from_micros(8),
+            starts_under_way_max: 96,
             commit_turns: 3,
         });
         self.bursts = vec![Burst {
--- a/jackdawchute-standins/src/load_model/processor.rs
+++ b/jackdawchute-standins/src/load_model/processor.rs
@@ -11,6 +11,8 @@
     pub listed_end: Duration,
     /// The time of a scheduling round for each worker.
     pub round_per_worker: Duration,
+    /// The number of orders to start that may be under way.
+    pub starts_under_way_max: usize,
     /// The number of turns in the queue of events that a commit takes beside the store's time.
     pub commit_turns: u32,
 }
--- a/jackdawchute-standins/src/load_model/run.rs
+++ b/jackdawchute-standins/src/load_model/run.rs
@@ -145,6 +145,16 @@
     model.finish()
 }
 
+fn settings(plan: &ModelPlan) -> Settings {
+    let defaults = Settings::default();
+    Settings {
+        starts_under_way_max: plan
+            .processor
+            .map_or(defaults.starts_under_way_max, |it| it.starts_under_way_max),
+        ..defaults
+    }
+}
+
 impl<'a> Model<'a> {
     fn new(plan: &'a ModelPlan) -> Self {
         let origin = Instant::now();
@@ -162,7 +172,7 @@
             now: Duration::ZERO,
             events: BTreeMap::new(),
             events_added: 0,
-            scheduler: Scheduler::new(Settings::default(), 1, origin),
+            scheduler: Scheduler::new(settings(plan), 1, origin),
             advisors: Advisors::new(fleet.advisors),
             jobs: HashMap::new(),
             random: StdRng::seed_from_u64(plan.seed),
--- a/src/cell.rs
+++ b/src/cell.rs
@@ -34,6 +34,11 @@
 /// How often dropped log lines are reported.
 const DROP_REPORT_PERIOD: Duration = Duration::from_secs(1);
 
+/// The processor that an instance needs for each order to start that is under way.
+const MILLICORES_PER_START: u64 = 4;
+/// The least number of orders to start under way.
+const STARTS_UNDER_WAY_MIN: usize = 16;
+
 /// The `cell` command.
 pub(crate) const COMMAND: Command = Command {
     brief: "Runs an instance that schedules a cell on the users' platform until SIGTERM.\n\n\
@@ -178,12 +183,20 @@
         scheduler: jackdawchute_scheduler::Settings {
             lease: defaults.lease.min(settings.bounds.lease_max),
             task_stop_max: settings.bounds.task_stop,
+            starts_under_way_max: starts_under_way_max(settings.processor.millicores()),
             ended_retention: settings.bounds.ended_retention,
             ..defaults
         },
     }
 }
 
+/// Returns how many orders to start an instance with this processor may have under way: what it
+/// sends, with the renewals that follow, takes it about a tenth of a second.
+fn starts_under_way_max(processor_millicores: u64) -> usize {
+    let starts = usize::try_from(processor_millicores / MILLICORES_PER_START).unwrap_or(usize::MAX);
+    starts.max(STARTS_UNDER_WAY_MIN)
+}
+
 /// Returns the clients of the users' platform.
 fn platform(settings: &CellSettings) -> Platform {
     let store = PlatformStore::new(settings.platform.store);
