--- a/jackdawchute-scheduler/tests/behaviour/starts_under_way.rs
+++ b/jackdawchute-scheduler/tests/behaviour/starts_under_way.rs
@@ -61,7 +61,7 @@
 
     for job in 0..20 {
         let steps = vec![step(STARTS_MAX as u32, 1)];
-        cell.accept(&format!("job-{job}"), steps, advised_queue(1));
+        cell.accept(&format!("job-{job:02}"), steps, advised_queue(1));
     }
 
     // Eight times as many starts as may be under way.
