--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -16,14 +16,6 @@
     RenewAnswer, RenewOrder, RenewOutcome, RunningTask, Scheduler, TaskName, WorkerEntry,
 };
 
-/// How long the next renewal waits at least for the run ends of the last answer to be saved; before
-/// that it would list them again.
-const COMMIT_WAIT_MIN: Duration = Duration::from_millis(400);
-/// How long it waits for each worker of the cell, so that a slow store or a busy leader does not
-/// raise the number of renewals: as many workers get them in this time as have run ends in it.
-const COMMIT_WAIT_PER_WORKER: Duration = Duration::from_millis(1);
-/// The longest such wait; a renewal comes well before the lease lapses.
-const COMMIT_WAIT_MAX: Duration = Duration::from_millis(1_200);
 /// How much earlier than necessary a task on a leaving worker is stopped.
 const LEAVE_MARGIN: Duration = Duration::from_millis(200);
 /// How long a worker without runs is kept after the platform no longer lists it.
@@ -234,8 +226,7 @@
             self.check_progress(&order.worker, now);
         }
         let idle_pause = self.idle_pause();
-        let commit_wait = (COMMIT_WAIT_PER_WORKER * self.workers.len() as u32)
-            .clamp(COMMIT_WAIT_MIN, COMMIT_WAIT_MAX);
+        let commit_wait = self.commit_wait();
         if let Some(worker) = self.workers.get_mut(&order.worker) {
             if worker.ends_recorded > worker.ends_saved {
                 worker.renewal_next_at = now + commit_wait;
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -31,6 +31,15 @@
 /// processor time in a cell of any size as in one with that number of workers.
 const IDLE_PAUSE_PER_WORKER: Duration = Duration::from_millis(4);
 
+/// How long the next renewal waits at least for the run ends of the last answer to be saved; before
+/// that it would list them again.
+const COMMIT_WAIT_MIN: Duration = Duration::from_millis(400);
+/// How long it waits for each worker of the cell, so that a slow store or a busy leader does not
+/// raise the number of renewals: as many workers get them in this time as have run ends in it.
+const COMMIT_WAIT_PER_WORKER: Duration = Duration::from_millis(1);
+/// The longest such wait; a renewal comes well before the lease lapses.
+const COMMIT_WAIT_MAX: Duration = Duration::from_millis(1_200);
+
 impl Scheduler {
     /// Handles the answer to an order to start run `number` of a task.
     pub fn start_answered(
@@ -313,6 +322,14 @@
         IDLE_PAUSE_PER_WORKER * u32::try_from(workers_above).unwrap_or(u32::MAX)
     }
 
+    /// Returns how long the renewal of a worker waits for the worker's run ends to be saved.
+    pub(crate) fn commit_wait(&self) -> Duration {
+        let workers = u32::try_from(self.workers.len()).unwrap_or(u32::MAX);
+        COMMIT_WAIT_PER_WORKER
+            .saturating_mul(workers)
+            .clamp(COMMIT_WAIT_MIN, COMMIT_WAIT_MAX)
+    }
+
     /// Makes the next renewal of a worker due soon.
     pub(crate) fn schedule_renewal(&mut self, worker: &WorkerId, now: Instant) {
         if let Some(target) = self.workers.get_mut(worker) {
--- a/jackdawchute-standins/src/load_model/mod.rs
+++ b/jackdawchute-standins/src/load_model/mod.rs
@@ -7,6 +7,7 @@
 //! and wait for each other.
 
 mod advisors;
+mod event;
 mod plan;
 mod processor;
 mod report;
--- a/jackdawchute-standins/src/load_model/plan.rs
+++ b/jackdawchute-standins/src/load_model/plan.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jackdawchute_scheduler::{AdviceCost, JobGraph, QueuePolicy, StepSpec};
+use jackdawchute_scheduler::{AdviceCost, JobGraph, QueuePolicy, Settings, StepSpec};
 use jackdawchute_types::Resources;
 use rand::{rngs::StdRng, Rng};
 use smol_str::SmolStr;
@@ -291,6 +291,18 @@
         self
     }
 
+    /// Returns the settings of the scheduler.
+    pub(super) fn settings(&self) -> Settings {
+        let defaults = Settings::default();
+        let starts_under_way_max = self
+            .processor
+            .map_or(defaults.starts_under_way_max, |it| it.starts_under_way_max);
+        Settings {
+            starts_under_way_max,
+            ..defaults
+        }
+    }
+
     /// Returns the factor on a kind's rate at a time since the arrival of jobs began.
     pub(super) fn factor(&self, kind: &KindPlan, at: Duration) -> f64 {
         let active = |burst: &&Burst| {
--- a/jackdawchute-standins/src/load_model/processor.rs
+++ b/jackdawchute-standins/src/load_model/processor.rs
@@ -15,6 +15,13 @@
     pub starts_under_way_max: usize,
 }
 
+impl ProcessorPlan {
+    /// Returns the time for a call and what follows from it; each round counts once a worker.
+    pub(super) fn duration(&self, listed_ends: u32, round_workers: u32) -> Duration {
+        self.call + self.listed_end * listed_ends + self.round_per_worker * round_workers
+    }
+}
+
 /// The queue of the events that the leader has to handle, and when it can go on with them.
 #[derive(Debug)]
 pub(super) struct Processor<T> {
--- a/jackdawchute-standins/src/load_model/run.rs
+++ b/jackdawchute-standins/src/load_model/run.rs
@@ -6,14 +6,15 @@
 };
 
 use jackdawchute_scheduler::{
-    AdviceRequest, CommitBatch, Effect, EndReason, JobOutcome, JobStatus, RenewOrder, Scheduler,
-    Settings, StartAnswer, StartOrder, StopOrder, Submission, TaskName,
+    AdviceRequest, Effect, EndReason, JobOutcome, JobStatus, RenewOrder, Scheduler, StartAnswer,
+    StartOrder, Submission, TaskName,
 };
 use jackdawchute_types::{JobId, Resources, WorkerId};
 use rand::{rngs::StdRng, Rng, SeedableRng};
 
 use super::{
     advisors::{self, Advisors},
+    event::Event,
     plan::Arrival,
     processor::Processor,
     workers::SimWorker,
@@ -40,54 +41,6 @@
 /// The workers' clock when the simulation begins.
 const CLOCK_START: Duration = Duration::from_secs(10);
 
-/// A simulated event.
-#[derive(Debug)]
-enum Event {
-    /// A job of the kind with this index is submitted.
-    JobArrives(usize),
-    Tick,
-    RoundDue,
-    Commit,
-    Committed(CommitBatch),
-    /// An order to start a task arrives.
-    Started(StartOrder),
-    /// The answer to an order to start a task arrives.
-    StartAnswered(StartOrder),
-    Stopped(StopOrder),
-    RenewalArrives(RenewOrder),
-    /// The lease renewal that waits at a worker must be answered.
-    RenewalDue(WorkerId),
-    /// The answer to a lease renewal arrives; the time is when the renewal was sent.
-    RenewalAnswered(RenewOrder, Duration, jackdawchute_scheduler::RenewAnswer),
-    TaskEnds(WorkerId, TaskName, u64),
-    /// The answer to an advice request arrives, with the share of workers that it allows.
-    AdviceAnswered(AdviceRequest, Option<f64>),
-    /// The processor has finished its work and takes the next event.
-    ProcessorFree,
-}
-
-impl Event {
-    /// Returns whether the leader's processor handles the event in its turn; ticks go first.
-    fn takes_turn(&self) -> bool {
-        match self {
-            Event::JobArrives(_)
-            | Event::RoundDue
-            | Event::Committed(_)
-            | Event::StartAnswered(_)
-            | Event::Stopped(_)
-            | Event::RenewalAnswered(..)
-            | Event::AdviceAnswered(..) => true,
-            Event::Tick
-            | Event::Commit
-            | Event::Started(_)
-            | Event::RenewalArrives(_)
-            | Event::RenewalDue(_)
-            | Event::TaskEnds(..)
-            | Event::ProcessorFree => false,
-        }
-    }
-}
-
 struct JobState {
     arrival: Arrival,
     kind: usize,
@@ -144,16 +97,6 @@
     model.finish()
 }
 
-fn settings(plan: &ModelPlan) -> Settings {
-    let defaults = Settings::default();
-    Settings {
-        starts_under_way_max: plan
-            .processor
-            .map_or(defaults.starts_under_way_max, |it| it.starts_under_way_max),
-        ..defaults
-    }
-}
-
 impl<'a> Model<'a> {
     fn new(plan: &'a ModelPlan) -> Self {
         let origin = Instant::now();
@@ -171,7 +114,7 @@
             now: Duration::ZERO,
             events: BTreeMap::new(),
             events_added: 0,
-            scheduler: Scheduler::new(settings(plan), 1, origin),
+            scheduler: Scheduler::new(plan.settings(), 1, origin),
             advisors: Advisors::new(fleet.advisors),
             jobs: HashMap::new(),
             random: StdRng::seed_from_u64(plan.seed),
@@ -263,10 +206,8 @@
         let Some(plan) = self.processor.plan() else {
             return;
         };
-        let workers = self.plan.fleet.workers as u32;
         let rounds = (self.report.rounds - rounds_before) as u32;
-        let took =
-            plan.call + plan.listed_end * listed_ends + plan.round_per_worker * (workers * rounds);
+        let took = plan.duration(listed_ends, rounds * self.plan.fleet.workers as u32);
         self.processor.begin();
         self.schedule(took, Event::ProcessorFree);
     }
