feat: refused renewals and lapsed leases are logged with what they follow from

Cause: 'worker does not answer' stood for silence and for a refusal of the leader's token alike, so the log could not tell the hypotheses of the incident apart. Change: a refusal by fence is an error of its own at the port, a line ('worker refuses the fencing token') and an outcome of renewals in the metrics; the conclusion that a lease has lapsed names the worker's last answer, the lease's end and the worker's clock. No decision changes.

Run: clippy of the workspace; tests of scheduler and cell, 128 passed.

--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -26,7 +26,7 @@
         outage_retry_after, ACCEPTANCE_WAIT_MAX, COMMIT_OUTAGE_MAX, COMMIT_PAUSE, LOAD_LOG_PERIOD,
         SHED_RETRY_AFTER,
     },
-    WorkersUpdate,
+    Error, Result, WorkersUpdate,
 };
 
 /// The round period has passed, and a scheduling round that was needed during it is due.
@@ -41,11 +41,11 @@
 );
 /// An order to stop a run, with the worker's clock; `None` if it was not confirmed.
 pub(super) struct StopAnswered(pub(super) StopOrder, pub(super) Option<Duration>);
-/// A lease renewal, when it was sent, and its answer; `None` if there was none.
+/// A lease renewal, when it was sent, and its answer.
 pub(super) struct RenewAnswered(
     pub(super) RenewOrder,
     pub(super) Instant,
-    pub(super) Option<RenewAnswer>,
+    pub(super) Result<RenewAnswer>,
 );
 /// An advice request with its outcome.
 pub(super) struct AdviceAnswered {
@@ -148,15 +148,27 @@
     async fn handle(&mut self, message: RenewAnswered, context: &mut Context<Self>) {
         let RenewAnswered(order, sent_at, answer) = message;
         let now = Instant::now();
-        let ends = match answer {
-            Some(answer) => Some(self.scheduler.renew_answered(&order, sent_at, answer, now)),
-            None => {
+        let took = now.saturating_duration_since(sent_at + order.wait);
+        match answer {
+            Ok(answer) => {
+                let ends = self.scheduler.renew_answered(&order, sent_at, answer, now);
+                self.work.record_renewal(ends, took, &self.metrics);
+            }
+            Err(error) => {
+                let outcome = match error {
+                    Error::Fenced(..) => "fenced",
+                    _ => "failed",
+                };
+                self.metrics.call("renew", outcome, took);
+                if outcome == "fenced" {
+                    info!("worker refuses the fencing token", kv: {
+                        worker = order.worker.as_str(), token = order.token,
+                        epoch = self.head.epoch
+                    });
+                }
                 self.scheduler.renew_failed(&order.worker, now);
-                None
             }
-        };
-        let took = now.saturating_duration_since(sent_at + order.wait);
-        self.work.record_renewal(ends, took, &self.metrics);
+        }
         self.run_due_work(context);
     }
 }
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -263,7 +263,7 @@
             Effect::Renew(order) => {
                 tokio::spawn(async move {
                     let sent_at = Instant::now();
-                    let answer = workers.renew(&order).await.ok();
+                    let answer = workers.renew(&order).await;
                     let _ = task.send(RenewAnswered(order, sent_at, answer)).await;
                 });
             }
--- a/jackdawchute-cell/src/leader/work.rs
+++ b/jackdawchute-cell/src/leader/work.rs
@@ -64,19 +64,9 @@
         self.starts.record(took);
     }
 
-    /// Records a renewal with the time that it took beyond the wait that it asked for.
-    pub(super) fn record_renewal(
-        &mut self,
-        ends: Option<RenewOutcome>,
-        took: Duration,
-        metrics: &Metrics,
-    ) {
-        metrics.call(
-            "renew",
-            if ends.is_some() { "answered" } else { "failed" },
-            took,
-        );
-        let ends = ends.unwrap_or_default();
+    /// Records an answered renewal with the time that it took beyond the wait that it asked for.
+    pub(super) fn record_renewal(&mut self, ends: RenewOutcome, took: Duration, metrics: &Metrics) {
+        metrics.call("renew", "answered", took);
         metrics.ends_listed(ends.listed, ends.new);
         self.renewals.record(took);
         self.ends.listed += ends.listed;
--- a/jackdawchute-entry/src/counted_table.rs
+++ b/jackdawchute-entry/src/counted_table.rs
@@ -25,6 +25,7 @@
             Err(Error::Unknown(..)) => "unknown",
             Err(Error::Rejected(..)) => "rejected",
             Err(Error::Protocol(..)) => "protocol",
+            Err(Error::Fenced(..)) => "fenced",
         };
         self.metrics.table_call(call, outcome);
         result
--- a/jackdawchute-ports/src/error.rs
+++ b/jackdawchute-ports/src/error.rs
@@ -18,6 +18,10 @@
         Rejected(step: &'static str, peer: String, cause: String) {
             display("{} at {}: rejected: {}", step, peer, cause)
         }
+        /// A worker follows the leader of a later epoch; the call had no effect.
+        Fenced(step: &'static str, peer: String) {
+            display("{} at {}: fencing token refused", step, peer)
+        }
         /// The outcome is unknown: the response was lost, and the call may have had its effect.
         Unknown(step: &'static str, peer: String, cause: String) {
             display("{} at {}: outcome unknown: {}", step, peer, cause)
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -15,6 +15,7 @@
 mod free_capacity;
 mod graph;
 mod job;
+mod lost_workers;
 mod messages;
 mod names;
 mod observe;
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -18,8 +18,6 @@
 
 /// How much earlier than necessary a task on a leaving worker is stopped.
 const LEAVE_MARGIN: Duration = Duration::from_millis(200);
-/// How long a worker without runs is kept after the platform no longer lists it.
-const UNLISTED_RETENTION: Duration = Duration::from_secs(15);
 
 impl Scheduler {
     /// Adds services that the configuration names to those in use, and takes in their workers.
@@ -410,51 +408,6 @@
         }
     }
 
-    /// Removes the runs of silent workers whose leases are known to have lapsed, and drops workers
-    /// that have been unlisted for long.
-    pub(crate) fn drop_lost_workers(&mut self, now: Instant) {
-        let lease = self.settings.lease;
-        let silence_max = self.settings.worker_silence_max;
-        let lost: Vec<(WorkerId, Vec<TaskName>)> = self
-            .workers
-            .values()
-            .filter(|worker| {
-                let is_silent = worker
-                    .unanswered_since
-                    .is_some_and(|since| now.saturating_duration_since(since) > silence_max);
-                !worker.runs.is_empty() && is_silent && worker.lease_lapsed(now, lease)
-            })
-            .map(|worker| {
-                // An order to start that may still arrive carries a lease that has lapsed too.
-                let runs = worker.runs.keys().cloned().collect();
-                (worker.id().clone(), runs)
-            })
-            .collect();
-        for (worker, tasks) in lost {
-            warn!("lease of a silent worker has lapsed", kv: {
-                worker = worker.as_str(), runs = tasks.len()
-            });
-            for task in tasks {
-                self.remove_run(&worker, &task, now);
-                self.stop_rest_of_gang(&task);
-            }
-        }
-        let (incarnations_seen, rows) = (&mut self.incarnations_seen, &mut self.worker_rows);
-        self.workers.retain(|id, worker| {
-            let is_old = worker
-                .unlisted_at
-                .is_some_and(|at| now.saturating_duration_since(at) > UNLISTED_RETENTION);
-            let keep = worker.listed || worker.row_needed || !worker.is_idle() || !is_old;
-            if !keep && worker.incarnations_seen > 0 {
-                incarnations_seen.insert(id.clone(), worker.incarnations_seen);
-            }
-            if !keep {
-                rows.remove(worker.row, worker.row_bytes);
-            }
-            keep
-        });
-    }
-
     /// Marks the rows of workers as unsaved that name too few or too many of them.
     pub(crate) fn update_worker_rows(&mut self, now: Instant) {
         let earlier_lease = self.settings.lease;
--- a/jackdawchute-standins/src/cell/workers.rs
+++ b/jackdawchute-standins/src/cell/workers.rs
@@ -348,8 +348,7 @@
         let mut state = lock(&self.state);
         state.advance();
         let Some(worker) = state.accepting_worker(&order.worker, order.token) else {
-            let cause = "fencing token refused".to_owned();
-            return Err(Error::Unavailable("stop", order.worker.to_string(), cause));
+            return Err(Error::Fenced("stop", order.worker.to_string()));
         };
         let clock = worker.clock();
         worker.refuse_up_to(&order.task, order.run);
@@ -367,22 +366,16 @@
 
     async fn renew(&self, order: &RenewOrder) -> Result<RenewAnswer> {
         let deadline = Instant::now() + order.wait;
-        let failed = |cause: &str| {
-            let cause = cause.to_owned();
-            Err(Error::Unavailable(
-                "renew lease",
-                order.worker.to_string(),
-                cause,
-            ))
-        };
+        const NAME: &str = "renew lease";
         let mut incarnation = None;
         loop {
             let answer = lock(&self.state).renew(order);
             let Some(answer) = answer else {
-                return failed("fencing token refused");
+                return Err(Error::Fenced(NAME, order.worker.to_string()));
             };
             if *incarnation.get_or_insert(answer.started_unix_ms) != answer.started_unix_ms {
-                return failed("the worker crashed");
+                let cause = "the worker crashed".to_owned();
+                return Err(Error::Unavailable(NAME, order.worker.to_string(), cause));
             }
             if !answer.ended.is_empty() || Instant::now() >= deadline {
                 return Ok(answer);
