feat: an instance can call its peers from an address of its own

Cause: tests that cut pairs of instances from each other in one process need to tell the callers of a listener apart; all came from 127.0.0.1.

Change: `jackdawchute_peer::spawn_from` binds connections to a source address before they are opened. `Settings::peer_source` of the cell passes one on. The program sets none, so nothing changes there.

Run: cargo test -p jackdawchute-peer, passed.

--- a/jackdawchute-cell/src/instance.rs
+++ b/jackdawchute-cell/src/instance.rs
@@ -61,7 +61,7 @@
             connections_max: PEER_CONNECTIONS_MAX,
         })
         .await?;
-        let peers: PeerClient = peer::spawn(Default::default());
+        let peers: PeerClient = peer::spawn_from(Default::default(), settings.peer_source);
         let (routes_sender, routes) = watch::channel(Routes::default());
         let (view_sender, view) = watch::channel(LeaderView::default());
         tokio::spawn(follow_configuration(ConfigurationFollower {
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -1,6 +1,9 @@
 //! Periods and timeouts of the instance.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use jackdawchute_types::MemberId;
 
@@ -13,6 +16,8 @@
     pub peer_listen: SocketAddr,
     /// The address at which its peers reach the instance.
     pub peer_address: SocketAddr,
+    /// The address from which the instance calls its peers; `None` lets the system choose it.
+    pub peer_source: Option<IpAddr>,
     /// The processor that this instance may use, in thousandths of a core; the instance that has
     /// the most is preferred as leader.
     pub processor_millicores: u64,
--- a/jackdawchute-cell/tests/cell/fixtures.rs
+++ b/jackdawchute-cell/tests/cell/fixtures.rs
@@ -149,6 +149,7 @@
             instance: smol_str::format_smolstr!("entry-{}", self.instances.len()),
             peer_listen: address,
             peer_address: address,
+            peer_source: None,
             processor_millicores,
             scheduler: jackdawchute_scheduler::Settings::default(),
         };
--- a/jackdawchute-peer/src/lib.rs
+++ b/jackdawchute-peer/src/lib.rs
@@ -14,5 +14,5 @@
 
 pub use error::{Error, Result};
 pub use messages::{CallPeer, PeerService, SliceName, Token};
-pub use network::{spawn, NetworkTask, PeerClient};
+pub use network::{spawn, spawn_from, NetworkTask, PeerClient};
 pub use server::{bind, BoundServer, Options, RunningServer, Services};
--- a/jackdawchute-peer/src/link.rs
+++ b/jackdawchute-peer/src/link.rs
@@ -1,8 +1,8 @@
 //! The task that owns the connection to one peer.
 
 use std::{
-    io::ErrorKind,
-    net::SocketAddr,
+    io::{self, ErrorKind},
+    net::{IpAddr, SocketAddr},
     sync::{
         atomic::{AtomicBool, Ordering},
         Arc,
@@ -16,7 +16,7 @@
     ws_client::{PingConfig, WsClient, WsClientBuilder},
 };
 use serde_json::Value;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use xtra::prelude::*;
 
 use crate::{rpc::PeerRpcClient, CallPeer, Token};
@@ -37,6 +37,8 @@
 pub(crate) struct LinkTask {
     peer: SocketAddr,
     token: Token,
+    /// The address that connections have at this end; `None` lets the system choose it.
+    source: Option<IpAddr>,
     connection: Option<Arc<Connection>>,
     last_failure: Option<ConnectFailure>,
 }
@@ -70,10 +72,11 @@
 }
 
 impl LinkTask {
-    pub(crate) fn new(peer: SocketAddr, token: Token) -> Self {
+    pub(crate) fn new(peer: SocketAddr, token: Token, source: Option<IpAddr>) -> Self {
         Self {
             peer,
             token,
+            source,
             connection: None,
             last_failure: None,
         }
@@ -95,7 +98,7 @@
         if let Some(failure) = recent {
             return Err(failure.cause.clone());
         }
-        match connect(self.peer).await {
+        match connect(self.peer, self.source).await {
             Ok(client) => {
                 let connection = Arc::new(Connection {
                     client,
@@ -115,9 +118,22 @@
     }
 }
 
-async fn connect(peer: SocketAddr) -> Result<WsClient, ConnectError> {
+/// Opens a connection that has the address `source` at this end, if there is one.
+async fn open_stream(peer: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(peer).await;
+    };
+    let socket = match source {
+        IpAddr::V4(_) => TcpSocket::new_v4()?,
+        IpAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind((source, 0).into())?;
+    socket.connect(peer).await
+}
+
+async fn connect(peer: SocketAddr, source: Option<IpAddr>) -> Result<WsClient, ConnectError> {
     let other = |cause: String| ConnectError::Other(cause);
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, open_stream(peer, source)).await;
     let stream = match stream {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
--- a/jackdawchute-peer/src/network.rs
+++ b/jackdawchute-peer/src/network.rs
@@ -1,6 +1,10 @@
 //! The task that passes each call to the task of its peer, and the client for it.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use jackdawchute_types::CallError;
 use serde::{de::DeserializeOwned, Serialize};
@@ -13,6 +17,7 @@
 #[derive(Debug, xtra::Actor)]
 pub struct NetworkTask {
     token: Token,
+    source: Option<IpAddr>,
     links: HashMap<SocketAddr, Address<LinkTask>>,
 }
 
@@ -28,8 +33,24 @@
 /// # }
 /// ```
 pub fn spawn(token: Token) -> PeerClient {
+    spawn_from(token, None)
+}
+
+/// Starts the network task like [`spawn`], with connections that have the address `source`; without
+/// one the system chooses it.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() {
+/// let source = "127.0.0.1".parse().expect("a valid address");
+/// let peers = jackdawchute_peer::spawn_from(Default::default(), Some(source));
+/// # drop(peers);
+/// # }
+/// ```
+pub fn spawn_from(token: Token, source: Option<IpAddr>) -> PeerClient {
     let task = NetworkTask {
         token,
+        source,
         links: HashMap::new(),
     };
     PeerClient {
@@ -42,11 +63,10 @@
 
     async fn handle(&mut self, call: CallPeer, _context: &mut Context<Self>) {
         let token = self.token.clone();
-        let peer = call.peer;
-        let link = self
-            .links
-            .entry(peer)
-            .or_insert_with(|| xtra::spawn_tokio(LinkTask::new(peer, token), Mailbox::unbounded()));
+        let (peer, source) = (call.peer, self.source);
+        let link = self.links.entry(peer).or_insert_with(|| {
+            xtra::spawn_tokio(LinkTask::new(peer, token, source), Mailbox::unbounded())
+        });
         let _ = link.send(call).detach().await;
     }
 }
