test: stand-ins whose connections to one instance are lost

Cause: the stand-ins of a cell could refuse an instance, but not leave it without answers, and the workers served every instance.

Change: `MemoryWorkers::handle` gives an instance its own way to each worker, on which orders or answers can be lost; a lost one takes the timeout of the platform's client. `silence` does the same for store and directory. The proxy can have faults for the connections of one source address. Runs report a share of their time that grows, as a share that stands still is taken for a stuck worker, and their time can be set while the workers are in use.

--- a/jackdawchute-standins/src/cell/directory.rs
+++ b/jackdawchute-standins/src/cell/directory.rs
@@ -38,12 +38,18 @@
     pub fn deny(&self, denied: bool) {
         self.access.set_denied(denied);
     }
+
+    /// Leaves all calls of this instance without effect and answer until called with `false`, as a
+    /// network that loses them.
+    pub fn silence(&self, silent: bool) {
+        self.access.set_silent(silent);
+    }
 }
 
 #[async_trait]
 impl Directory for MemoryDirectory {
     async fn workers(&self, after: Option<u64>, wait: Duration) -> Result<WorkersUpdate> {
-        self.access.check("read workers")?;
+        self.access.pass_call("read workers").await?;
         let mut workers = self.workers.clone();
         workers.mark_unchanged();
         // The list is versioned by its content alone, so that a change between two calls shows too.
@@ -54,12 +60,12 @@
         };
         let changed =
             workers.wait_for(|entries| after.is_none_or(|known| known != version_of(entries)));
-        let outcome = tokio::time::timeout(wait, changed).await;
-        self.access.check("read workers")?;
-        Ok(match outcome {
+        let update = match tokio::time::timeout(wait, changed).await {
             Ok(Ok(entries)) => WorkersUpdate::All(entries.clone(), version_of(&entries)),
             _ => WorkersUpdate::Changed(Vec::new(), after.unwrap_or(0)),
-        })
+        };
+        self.access.pass_call("read workers").await?;
+        Ok(update)
     }
 
     async fn configuration(
@@ -67,15 +73,15 @@
         after: Option<u64>,
         wait: Duration,
     ) -> Result<ConfigurationUpdate> {
-        self.access.check("read configuration")?;
+        self.access.pass_call("read configuration").await?;
         let mut routes = self.routes.clone();
         let known = after.unwrap_or(0);
         let newer = routes.wait_for(|routes| routes.version > known);
-        let outcome = tokio::time::timeout(wait, newer).await;
-        self.access.check("read configuration")?;
-        match outcome {
-            Ok(Ok(routes)) => Ok(ConfigurationUpdate::Current(routes.clone(), routes.version)),
-            _ => Ok(ConfigurationUpdate::Unchanged(known)),
-        }
+        let update = match tokio::time::timeout(wait, newer).await {
+            Ok(Ok(routes)) => ConfigurationUpdate::Current(routes.clone(), routes.version),
+            _ => ConfigurationUpdate::Unchanged(known),
+        };
+        self.access.pass_call("read configuration").await?;
+        Ok(update)
     }
 }
--- a/jackdawchute-standins/src/cell/mod.rs
+++ b/jackdawchute-standins/src/cell/mod.rs
@@ -8,8 +8,10 @@
 mod directory;
 mod store;
 mod workers;
+mod workers_handle;
 
 pub use advisor::{MemoryAdvisor, SerialAdvisor};
 pub use directory::MemoryDirectory;
 pub use store::{MemoryStore, StoreHandle};
 pub use workers::{MemoryWorkers, WorkerRecord};
+pub use workers_handle::{LinkFaults, WorkersHandle};
--- a/jackdawchute-standins/src/cell/store.rs
+++ b/jackdawchute-standins/src/cell/store.rs
@@ -140,6 +140,12 @@
         self.access.set_denied(denied);
     }
 
+    /// Leaves all calls of this instance without effect and answer until called with `false`, as a
+    /// network that loses them.
+    pub fn silence(&self, silent: bool) {
+        self.access.set_silent(silent);
+    }
+
     /// Loses the response to each `every`th transaction, which takes effect; 0 loses none.
     pub fn lose_answers(&self, every: u64) {
         self.lose_every.store(every, Ordering::Relaxed);
@@ -154,13 +160,14 @@
 #[async_trait]
 impl Store for StoreHandle {
     async fn transact(&self, transaction: &Transaction) -> Result<TransactionOutcome> {
-        self.access.check("transact")?;
+        self.access.pass_call("transact").await?;
         if let Some(cause) = MemoryStore::rejection(transaction) {
             return Err(Error::Rejected("transact", "store".to_owned(), cause));
         }
         let delay_ms = self.delay_ms.load(Ordering::Relaxed);
         tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         let transacted = self.store.apply(transaction);
+        self.access.pass_answer("transact").await?;
         let number = self.transactions.fetch_add(1, Ordering::Relaxed) + 1;
         let every = self.lose_every.load(Ordering::Relaxed);
         if every > 0 && number % every == 0 {
@@ -171,7 +178,7 @@
     }
 
     async fn read(&self, table: &str, part: &str, from: Option<&str>) -> Result<Page> {
-        self.access.check("read rows")?;
+        self.access.pass_call("read rows").await?;
         let state = lock(&self.store.rows);
         let matches = |((in_table, in_part, key), row): &(&RowName, &StoreRow)| {
             in_table == table
@@ -191,7 +198,7 @@
         let mut changed = self.store.changed.subscribe();
         let deadline = tokio::time::Instant::now() + wait;
         loop {
-            self.access.check("follow table")?;
+            self.access.pass_call("follow table").await?;
             changed.mark_unchanged();
             let (mut rows, version) = {
                 let state = lock(&self.store.rows);
@@ -209,6 +216,7 @@
             // `changed` never fails: this handle owns a sender of the channel.
             let change = tokio::time::timeout_at(deadline, changed.changed()).await;
             if change.is_err() {
+                self.access.pass_answer("follow table").await?;
                 return Ok(RowChanges::Rows(Vec::new(), version));
             }
         }
--- a/jackdawchute-standins/src/cell/workers.rs
+++ b/jackdawchute-standins/src/cell/workers.rs
@@ -15,6 +15,7 @@
 };
 use jackdawchute_types::{FencingToken, Resources, RunNumber, WorkerId};
 
+use super::WorkersHandle;
 use crate::lock::lock;
 
 /// The most run ends in an answer, as the users' platform states it.
@@ -46,9 +47,18 @@
 struct Running {
     run: RunNumber,
     began_at: Instant,
+    task_time: Duration,
     record: usize,
 }
 
+impl Running {
+    /// Returns which share of its time the run has taken.
+    fn percent(&self) -> u32 {
+        let share = self.began_at.elapsed().div_duration_f64(self.task_time);
+        (share * 100.0).min(100.0) as u32
+    }
+}
+
 /// An ended run that the scheduler has not acknowledged as saved.
 #[derive(Clone, Debug)]
 struct Ended {
@@ -97,12 +107,13 @@
 
 #[derive(Debug)]
 struct State {
+    /// How long the runs take that begin from now on.
     task_time: Duration,
     workers: BTreeMap<WorkerId, Worker>,
     records: Vec<WorkerRecord>,
 }
 
-/// A fleet of workers whose tasks all run for the same time.
+/// A fleet of workers whose tasks run for the time that a test sets.
 #[derive(Clone, Debug)]
 pub struct MemoryWorkers {
     state: Arc<Mutex<State>>,
@@ -121,6 +132,16 @@
         }
     }
 
+    /// Returns a new handle, for one instance.
+    pub fn handle(&self) -> WorkersHandle {
+        WorkersHandle::new(self.clone())
+    }
+
+    /// Makes each run that begins from now on take `task_time`.
+    pub fn set_task_time(&self, task_time: Duration) {
+        lock(&self.state).task_time = task_time;
+    }
+
     /// Returns the workers' directory entries, of 4 cores each.
     pub fn entries(&self) -> Vec<WorkerEntry> {
         let address: SocketAddr = ([127, 0, 0, 1], 9).into();
@@ -177,12 +198,11 @@
     /// Each gets the time at which it was due, so that it does not matter when this is called.
     fn advance(&mut self) {
         let now = Instant::now();
-        let task_time = self.task_time;
         let mut ends = Vec::new();
         for (id, worker) in &self.workers {
             let lapses_at = worker.started_at + worker.lease_until;
             for (task, running) in &worker.running {
-                let done_at = running.began_at + task_time;
+                let done_at = running.began_at + running.task_time;
                 let (at, reason) = if done_at <= lapses_at {
                     (done_at, EndReason::Succeeded)
                 } else {
@@ -256,7 +276,7 @@
             task: task.clone(),
             run: running.run,
             checkpoint: "".into(),
-            percent: 50,
+            percent: running.percent(),
         });
         let answer = RenewAnswer {
             started_unix_ms: worker.started_unix_ms,
@@ -308,7 +328,7 @@
     async fn start(&self, order: &StartOrder) -> StartAnswer {
         let mut state = lock(&self.state);
         state.advance();
-        let record = state.records.len();
+        let (record, task_time) = (state.records.len(), state.task_time);
         let Some(worker) = state.accepting_worker(&order.worker, order.token) else {
             return StartAnswer::Refused {
                 reason: StartRefusal::Fenced,
@@ -329,6 +349,7 @@
         let running = Running {
             run: order.run,
             began_at,
+            task_time,
             record,
         };
         worker.running.insert(order.task.clone(), running);
--- a/jackdawchute-standins/src/proxy/control.rs
+++ b/jackdawchute-standins/src/proxy/control.rs
@@ -1,6 +1,6 @@
 //! Start and control of a proxy.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use tokio::{net::TcpListener, task::JoinHandle};
 use warp::{http::StatusCode, Filter, Rejection, Reply};
@@ -8,7 +8,7 @@
 
 use super::{
     messages::Accepted, CutConnections, ProxyCounts, ProxyFaults, ProxyTask, ReadCounts, SetFaults,
-    SetTarget,
+    SetSourceFaults, SetTarget,
 };
 use crate::{Error, Result};
 
@@ -39,6 +39,20 @@
         self.send("set faults", SetFaults(faults)).await
     }
 
+    /// Sets the faults of the open and later connections from the address `source`, in place of the
+    /// proxy's; `None` has the proxy's again.
+    ///
+    /// # Errors
+    /// The proxy's task has ended.
+    pub async fn set_source_faults(
+        &self,
+        source: IpAddr,
+        faults: Option<ProxyFaults>,
+    ) -> Result<()> {
+        self.send("set faults", SetSourceFaults { source, faults })
+            .await
+    }
+
     /// Closes the open connections; new ones are still accepted.
     ///
     /// # Errors
@@ -108,8 +122,8 @@
 }
 
 async fn accept(listener: TcpListener, task: Address<ProxyTask>) {
-    while let Ok((client, _)) = listener.accept().await {
-        if task.send(Accepted(client)).await.is_err() {
+    while let Ok((client, source)) = listener.accept().await {
+        if task.send(Accepted(client, source.ip())).await.is_err() {
             return;
         }
     }
--- a/jackdawchute-standins/src/proxy/faults.rs
+++ b/jackdawchute-standins/src/proxy/faults.rs
@@ -1,6 +1,6 @@
 //! Faults that a proxy applies to connections, and counts of connections and bytes.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, net::IpAddr, time::Duration};
 
 use jackdawchute_types::duration_ms;
 use serde::{Deserialize, Serialize};
@@ -68,6 +68,20 @@
     }
 }
 
+/// The faults of a proxy, and those of the sources that have their own.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct FaultTable {
+    pub(super) usual: ProxyFaults,
+    pub(super) by_source: BTreeMap<IpAddr, ProxyFaults>,
+}
+
+impl FaultTable {
+    /// Returns the faults of connections from the address.
+    pub(super) fn of_source(&self, source: IpAddr) -> ProxyFaults {
+        self.by_source.get(&source).copied().unwrap_or(self.usual)
+    }
+}
+
 /// Counts of a proxy's connections and bytes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProxyCounts {
--- a/jackdawchute-standins/src/proxy/messages.rs
+++ b/jackdawchute-standins/src/proxy/messages.rs
@@ -1,6 +1,6 @@
 //! Messages to the proxy task.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use tokio::net::TcpStream;
 
@@ -15,9 +15,9 @@
     ToClient,
 }
 
-/// Serves a connection that a client opened.
+/// Serves a connection that a client opened from the address.
 #[derive(Debug)]
-pub struct Accepted(pub TcpStream);
+pub struct Accepted(pub TcpStream, pub IpAddr);
 
 /// Counts the end of a connection.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +40,15 @@
 #[derive(Clone, Copy, Debug)]
 pub struct SetFaults(pub ProxyFaults);
 
+/// Sets the faults of the open and later connections from one address.
+#[derive(Clone, Copy, Debug)]
+pub struct SetSourceFaults {
+    /// The address that the connections come from.
+    pub source: IpAddr,
+    /// The faults in place of the proxy's; `None` has the proxy's again.
+    pub faults: Option<ProxyFaults>,
+}
+
 /// Closes the open connections.
 #[derive(Clone, Copy, Debug)]
 pub struct CutConnections;
--- a/jackdawchute-standins/src/proxy/mod.rs
+++ b/jackdawchute-standins/src/proxy/mod.rs
@@ -8,5 +8,5 @@
 
 pub use control::{control_routes, spawn_proxy, RunningProxy};
 pub use faults::{DirectionFaults, ProxyCounts, ProxyFaults};
-pub use messages::{CutConnections, Direction, ReadCounts, SetFaults, SetTarget};
+pub use messages::{CutConnections, Direction, ReadCounts, SetFaults, SetSourceFaults, SetTarget};
 pub use task::ProxyTask;
--- a/jackdawchute-standins/src/proxy/pump.rs
+++ b/jackdawchute-standins/src/proxy/pump.rs
@@ -1,6 +1,9 @@
 //! The task of one connection, which owns both sockets and passes bytes between them.
 
-use std::{io, net::SocketAddr};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -13,6 +16,7 @@
 use xtra::prelude::*;
 
 use super::{
+    faults::FaultTable,
     messages::{Closed, Forwarded},
     Direction, DirectionFaults, ProxyFaults, ProxyTask,
 };
@@ -20,21 +24,40 @@
 /// The most bytes that are passed on at a time in one direction of a connection.
 const CHUNK_BYTES: usize = 64 << 10;
 
-/// What a connection's task needs from its proxy: the faults, the cuts and the address for counts.
+/// What a connection's task needs from its proxy: the faults of its source, the cuts and the address
+/// for counts.
 #[derive(Clone, Debug)]
 pub(super) struct ProxyLink {
-    pub(super) faults: watch::Receiver<ProxyFaults>,
+    pub(super) source: IpAddr,
+    pub(super) faults: watch::Receiver<FaultTable>,
     pub(super) cuts: watch::Receiver<u64>,
     pub(super) proxy: Address<ProxyTask>,
 }
 
+impl ProxyLink {
+    fn faults(&self) -> ProxyFaults {
+        self.faults.borrow().of_source(self.source)
+    }
+
+    /// Waits until `holds` holds for the faults of this connection.
+    async fn wait_until(&mut self, holds: impl Fn(&ProxyFaults) -> bool) {
+        let source = self.source;
+        let _ = self
+            .faults
+            .wait_for(|faults| holds(&faults.of_source(source)))
+            .await;
+    }
+}
+
 /// Serves a connection until it ends or is cut, then reports its end to the proxy.
 pub(super) async fn serve(client: TcpStream, target: Option<SocketAddr>, mut link: ProxyLink) {
     let proxy = link.proxy.clone();
     let cuts = &mut link.cuts.clone();
+    let refusal = &mut link.clone();
     tokio::select! {
         _ = connect_and_pump(client, target, &mut link) => {}
         _ = cuts.changed() => {}
+        () = refusal.wait_until(|faults| faults.refuse) => {}
     }
     let _ = proxy.send(Closed).await;
 }
@@ -44,7 +67,7 @@
     target: Option<SocketAddr>,
     link: &mut ProxyLink,
 ) -> io::Result<()> {
-    wait_while(&mut link.faults, |faults| faults.to_server.hold).await;
+    link.wait_until(|faults| !faults.to_server.hold).await;
     let target = target.ok_or(io::ErrorKind::NotConnected)?;
     let server = TcpStream::connect(target).await?;
     client.set_nodelay(true)?;
@@ -65,9 +88,10 @@
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
         let bytes = from.read(&mut chunk).await?;
-        let delay = faults_of(direction, &link.faults.borrow()).delay;
+        let delay = faults_of(direction, &link.faults()).delay;
         tokio::time::sleep(delay).await;
-        wait_while(&mut link.faults, |faults| faults_of(direction, faults).hold).await;
+        link.wait_until(|faults| !faults_of(direction, faults).hold)
+            .await;
         if bytes == 0 {
             return to.shutdown().await;
         }
@@ -86,11 +110,3 @@
         Direction::ToClient => faults.to_client,
     }
 }
-
-/// Waits until `is_blocked` no longer holds for the proxy's faults.
-async fn wait_while(
-    faults: &mut watch::Receiver<ProxyFaults>,
-    is_blocked: impl Fn(&ProxyFaults) -> bool,
-) {
-    let _ = faults.wait_for(|faults| !is_blocked(faults)).await;
-}
--- a/jackdawchute-standins/src/proxy/task.rs
+++ b/jackdawchute-standins/src/proxy/task.rs
@@ -6,16 +6,17 @@
 use xtra::prelude::*;
 
 use super::{
+    faults::FaultTable,
     messages::{Accepted, Closed, Forwarded},
     pump::{serve, ProxyLink},
-    CutConnections, Direction, ProxyCounts, ProxyFaults, ReadCounts, SetFaults, SetTarget,
+    CutConnections, Direction, ProxyCounts, ReadCounts, SetFaults, SetSourceFaults, SetTarget,
 };
 
 /// The task that owns the target, faults and counts that all connections of a proxy share.
 #[derive(Debug, xtra::Actor)]
 pub struct ProxyTask {
     target: Option<SocketAddr>,
-    faults: watch::Sender<ProxyFaults>,
+    faults: watch::Sender<FaultTable>,
     /// The number of cuts so far; a change closes the open connections.
     cuts: watch::Sender<u64>,
     counts: ProxyCounts,
@@ -41,7 +42,8 @@
     type Return = ();
 
     async fn handle(&mut self, accepted: Accepted, context: &mut Context<Self>) {
-        if self.faults.borrow().refuse {
+        let Accepted(client, source) = accepted;
+        if self.faults.borrow().of_source(source).refuse {
             return;
         }
         self.counts.accepted += 1;
@@ -51,11 +53,12 @@
             return;
         };
         let link = ProxyLink {
+            source,
             faults: self.faults.subscribe(),
             cuts: self.cuts.subscribe(),
             proxy,
         };
-        tokio::spawn(serve(accepted.0, self.target, link));
+        tokio::spawn(serve(client, self.target, link));
     }
 }
 
@@ -90,13 +93,26 @@
     type Return = ();
 
     async fn handle(&mut self, set: SetFaults, _context: &mut Context<Self>) {
-        self.faults.send_replace(set.0);
+        self.faults.send_modify(|faults| faults.usual = set.0);
         if set.0.refuse {
             self.cut();
         }
     }
 }
 
+impl Handler<SetSourceFaults> for ProxyTask {
+    type Return = ();
+
+    async fn handle(&mut self, set: SetSourceFaults, _context: &mut Context<Self>) {
+        self.faults.send_modify(|faults| {
+            match set.faults {
+                Some(own) => faults.by_source.insert(set.source, own),
+                None => faults.by_source.remove(&set.source),
+            };
+        });
+    }
+}
+
 impl Handler<CutConnections> for ProxyTask {
     type Return = ();
 
--- a/jackdawchute-standins/tests/proxy.rs
+++ b/jackdawchute-standins/tests/proxy.rs
@@ -1,11 +1,14 @@
 //! The proxy passes bytes on, blocks and delays them, and closes connections.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::IpAddr,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_standins::proxy::{spawn_proxy, DirectionFaults, ProxyFaults, RunningProxy};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     time::timeout,
 };
 
@@ -42,6 +45,12 @@
     stream
 }
 
+async fn connected_from(proxy: &RunningProxy, source: IpAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind((source, 0).into()).unwrap();
+    socket.connect(proxy.address).await.unwrap()
+}
+
 async fn echoed(stream: &mut TcpStream) -> [u8; 4] {
     let mut answer = [0; 4];
     timeout(DEADLINE, stream.read_exact(&mut answer))
@@ -140,3 +149,46 @@
     assert!(ended.is_ok() && rest.is_empty());
     assert_eq!(proxy.counts().await.unwrap().accepted, 0);
 }
+
+#[tokio::test]
+async fn connections_of_one_source_are_held_and_resume() {
+    let proxy = proxy().await;
+    let held: IpAddr = [127, 0, 0, 2].into();
+    let mut early = connected_from(&proxy, held).await;
+    proxy
+        .set_source_faults(held, Some(ProxyFaults::frozen()))
+        .await
+        .unwrap();
+
+    let mut late = connected_from(&proxy, held).await;
+    early.write_all(b"earl").await.unwrap();
+    late.write_all(b"late").await.unwrap();
+    let early_silent = is_silent(&mut early).await;
+    let late_silent = is_silent(&mut late).await;
+    let other = connected(&proxy).await;
+    proxy.set_source_faults(held, None).await.unwrap();
+
+    assert!(early_silent && late_silent);
+    assert_eq!(echoed(&mut early).await, *b"earl");
+    assert_eq!(echoed(&mut late).await, *b"late");
+    drop(other);
+}
+
+#[tokio::test]
+async fn connections_of_one_source_are_refused() {
+    let proxy = proxy().await;
+    let refused: IpAddr = [127, 0, 0, 2].into();
+    let mut early = connected_from(&proxy, refused).await;
+
+    proxy
+        .set_source_faults(refused, Some(ProxyFaults::refusing()))
+        .await
+        .unwrap();
+    let early_end = timeout(DEADLINE, early.read_u8()).await.unwrap();
+    let mut late = connected_from(&proxy, refused).await;
+    let late_end = timeout(DEADLINE, late.read_u8()).await.unwrap();
+    let other = connected(&proxy).await;
+
+    assert!(early_end.is_err() && late_end.is_err());
+    drop(other);
+}
