test: cells that a test can partition, and two outages in them

Change: each instance of a test cell has a loopback address of its own, a proxy before its listener for peers and its own handle to the workers. An instance can have a runtime of its own, which a test can freeze.

Two tests that pass: tasks go on and start while the store is down for all; a frozen leader that wakes where it reaches store and instances starts nothing that its successor runs.

--- a/jackdawchute-cell/tests/cell/fixtures.rs
+++ b/jackdawchute-cell/tests/cell/fixtures.rs
@@ -2,8 +2,11 @@
 
 use std::{
     collections::BTreeMap,
-    net::{SocketAddr, TcpListener},
-    sync::Arc,
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc,
+    },
     time::{Duration, Instant},
 };
 
@@ -13,11 +16,14 @@
 use jackdawchute_scheduler::{
     AdviceCost, JobGraph, JobOutcome, JobStatus, QueuePolicy, StepSpec, WorkerEntry,
 };
-use jackdawchute_standins::cell::{
-    MemoryAdvisor, MemoryDirectory, MemoryStore, MemoryWorkers, StoreHandle,
+use jackdawchute_standins::{
+    cell::{
+        MemoryAdvisor, MemoryDirectory, MemoryStore, MemoryWorkers, StoreHandle, WorkersHandle,
+    },
+    proxy::{spawn_proxy, RunningProxy},
 };
 use jackdawchute_types::Resources;
-use tokio::sync::watch;
+use tokio::{runtime::Runtime, sync::watch};
 
 /// How long a caller waits for an answer.
 pub const DEADLINE: Duration = Duration::from_secs(3);
@@ -26,13 +32,59 @@
 /// How long each task runs.
 pub const TASK_TIME: Duration = Duration::from_millis(150);
 
-/// An instance with its own access to the platform, which a test can deny.
+/// An instance with its own access to the platform and to its peers, which a test can deny.
 pub struct TestInstance {
     pub handle: Instance,
     pub store: StoreHandle,
     pub directory: MemoryDirectory,
+    pub workers: WorkersHandle,
     pub metrics: Metrics,
+    /// The address at which peers reach the instance, that of its proxy.
     pub address: SocketAddr,
+    /// Stands before the instance's listener for peers.
+    pub proxy: RunningProxy,
+    /// The runtime of an instance that a test can freeze; the others run on that of the test.
+    runtime: Option<Runtime>,
+}
+
+impl TestInstance {
+    /// Stops all tasks of the instance for a time, as a pause of its process does.
+    pub fn freeze(&self, time: Duration) {
+        let runtime = self.runtime.as_ref();
+        let runtime = runtime.expect("the instance has a runtime of its own");
+        runtime.spawn(async move { std::thread::sleep(time) });
+    }
+}
+
+impl Drop for TestInstance {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// What a cell is made of.
+pub struct CellOptions {
+    /// The thousandths of a core of each instance.
+    pub processors_millicores: Vec<u64>,
+    /// Whether each instance has a runtime of its own, so that a test can freeze it.
+    pub can_freeze: bool,
+    pub advisor: Arc<dyn Advisor>,
+    pub workers: usize,
+    pub task_time: Duration,
+}
+
+impl CellOptions {
+    pub fn of_instances(instances: usize) -> Self {
+        Self {
+            processors_millicores: vec![1_000; instances],
+            can_freeze: false,
+            advisor: Arc::new(MemoryAdvisor),
+            workers: 4,
+            task_time: TASK_TIME,
+        }
+    }
 }
 
 /// The instances of a cell and the platform that they share.
@@ -44,6 +96,9 @@
     pub store: MemoryStore,
     pub routes: watch::Sender<Routes>,
     pub advisor: Arc<dyn Advisor>,
+    can_freeze: bool,
+    /// Differs between the cells of a test process.
+    number: u32,
 }
 
 /// Returns a route whose steps need advice; each request takes the advisor 200 ms.
@@ -94,8 +149,8 @@
     }
 }
 
-pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+pub fn free_address(host: IpAddr) -> SocketAddr {
+    let listener = TcpListener::bind((host, 0)).expect("a loopback port is free");
     listener
         .local_addr()
         .expect("a bound listener has an address")
@@ -108,13 +163,27 @@
 
 /// Starts a cell of instances with these thousandths of a core, one after the other.
 pub async fn cell_with_processors(processors_millicores: &[u64]) -> Cell {
-    cell_with_advisor(processors_millicores, Arc::new(MemoryAdvisor)).await
+    cell_with(CellOptions {
+        processors_millicores: processors_millicores.to_vec(),
+        ..CellOptions::of_instances(0)
+    })
+    .await
 }
 
 /// Starts a cell of instances that call the same advisor.
 pub async fn cell_with_advisor(processors_millicores: &[u64], advisor: Arc<dyn Advisor>) -> Cell {
+    cell_with(CellOptions {
+        processors_millicores: processors_millicores.to_vec(),
+        advisor,
+        ..CellOptions::of_instances(0)
+    })
+    .await
+}
+
+pub async fn cell_with(options: CellOptions) -> Cell {
+    static CELLS: AtomicU32 = AtomicU32::new(0);
     let store = MemoryStore::default();
-    let workers = MemoryWorkers::new(4, TASK_TIME);
+    let workers = MemoryWorkers::new(options.workers, options.task_time);
     let listed = watch::channel(workers.entries()).0;
     let mut cell = Cell {
         instances: Vec::new(),
@@ -122,10 +191,12 @@
         listed,
         store,
         routes: watch::channel(routes(1)).0,
-        advisor,
+        advisor: options.advisor,
+        can_freeze: options.can_freeze,
+        number: CELLS.fetch_add(1, Ordering::Relaxed),
     };
-    for processor_millicores in processors_millicores {
-        cell.add_instance(*processor_millicores).await;
+    for processor_millicores in options.processors_millicores {
+        cell.add_instance(processor_millicores).await;
     }
     cell.wait_until_ready().await;
     cell
@@ -143,34 +214,61 @@
     /// Starts a further instance.
     pub async fn add_instance(&mut self, processor_millicores: u64) {
         let handle = self.store.handle();
+        let workers = self.workers.handle();
         let directory = MemoryDirectory::new(self.listed.subscribe(), self.routes.subscribe());
-        let address = free_address();
+        let host = self.host(self.instances.len());
+        let listen = free_address(host);
+        let proxy = spawn_proxy((host, 0).into(), Some(listen)).await;
+        let proxy = proxy.expect("a loopback port is free");
+        let address = proxy.address;
         let settings = Settings {
             instance: smol_str::format_smolstr!("entry-{}", self.instances.len()),
-            peer_listen: address,
+            peer_listen: listen,
             peer_address: address,
-            peer_source: None,
+            peer_source: Some(host),
             processor_millicores,
             scheduler: jackdawchute_scheduler::Settings::default(),
         };
         let platform = Platform {
             store: Arc::new(handle.clone()),
             commits: Arc::new(handle.clone()),
-            workers: Arc::new(self.workers.clone()),
+            workers: Arc::new(workers.clone()),
             advisor: self.advisor.clone(),
             directory: Arc::new(directory.clone()),
         };
         let metrics = Metrics::default();
-        let instance = Instance::start(settings, platform, metrics.clone());
+        let starting = Instance::start(settings, platform, metrics.clone());
+        let runtime = self.can_freeze.then(|| {
+            let mut builder = tokio::runtime::Builder::new_multi_thread();
+            let runtime = builder.worker_threads(1).enable_all().build();
+            runtime.expect("the system allows another thread")
+        });
+        let started = match &runtime {
+            Some(runtime) => runtime
+                .spawn(starting)
+                .await
+                .expect("a start doesn't panic"),
+            None => starting.await,
+        };
         self.instances.push(TestInstance {
-            handle: instance.await.expect("the port was free just now"),
+            handle: started.expect("the port was free just now"),
             store: handle,
             directory,
+            workers,
             metrics,
             address,
+            proxy,
+            runtime,
         });
     }
 
+    /// Returns the address of the instance with this index, its own among the cells of the machine.
+    pub fn host(&self, index: usize) -> IpAddr {
+        let last = |number: u32| (number % 254) as u8 + 1;
+        let process = last(std::process::id());
+        Ipv4Addr::new(127, process, last(self.number), last(index as u32)).into()
+    }
+
     pub async fn wait_until_ready(&self) {
         for instance in &self.instances {
             wait_for("instance not ready", || instance.handle.gateway.ready()).await;
--- a/jackdawchute-cell/tests/cell/main.rs
+++ b/jackdawchute-cell/tests/cell/main.rs
@@ -3,5 +3,7 @@
 mod busy_leader;
 mod fixtures;
 mod instances;
+mod network;
 mod outages;
+mod partitions;
 mod store_rows;
--- /dev/null
+++ b/jackdawchute-cell/tests/cell/partitions.rs
@@ -0,0 +1,212 @@
+//! Partitions between the instances, the store and the workers while tasks run.
+//!
+//! The side of a partition that has the store gets a new leader. The former one may go on only as
+//! long as no successor can act.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use jackdawchute_cell::Answer;
+use jackdawchute_scheduler::{JobGraph, JobOutcome, JobStatus};
+use jackdawchute_standins::{
+    cell::WorkerRecord,
+    cell_soak::{find_violations, SentJob},
+};
+use jackdawchute_types::JobId;
+
+use crate::fixtures::*;
+
+const INSTANCES: usize = 3;
+const WORKERS: usize = 5;
+/// The processor of each worker, which is that of four tasks.
+const WORKER_MILLICORES: u64 = 4_000;
+/// The tasks that run when a network is cut: half of what the workers have room for, so that each
+/// side can start the tasks of the other.
+const RUNNING_TASKS: u32 = 10;
+/// How long tasks run that start after the network was cut.
+const LATER_TASK_TIME: Duration = Duration::from_secs(1);
+/// Jobs that were accepted, with the number of their tasks.
+type Accepted<'a> = &'a [(&'a str, u32)];
+
+/// Returns a job whose tasks are expected to run for `task_time`.
+fn job(tasks: u32, task_time: Duration) -> JobGraph {
+    let mut job = graph(tasks);
+    job.steps[0].estimate = task_time;
+    job
+}
+
+async fn submit_until_accepted(cell: &Cell, name: &str, job: &JobGraph) {
+    let deadline = Instant::now() + WAIT_MAX;
+    let gateway = &cell.instances[0].handle.gateway;
+    let route = route();
+    loop {
+        let submitted = gateway.submit(name.into(), job.clone(), &route, DEADLINE);
+        if submitted.await == Answer::Accepted {
+            return;
+        }
+        assert!(Instant::now() < deadline, "{name} is not accepted");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Returns a cell that runs [`RUNNING_TASKS`] tasks of `job` for `task_time`; those that start later
+/// take [`LATER_TASK_TIME`].
+async fn cell_with_running_tasks(task_time: Duration, can_freeze: bool) -> Cell {
+    let cell = cell_with(CellOptions {
+        workers: WORKERS,
+        can_freeze,
+        task_time,
+        ..CellOptions::of_instances(INSTANCES)
+    })
+    .await;
+    submit_until_accepted(&cell, "job", &job(RUNNING_TASKS, task_time)).await;
+    wait_for_runs(&cell, RUNNING_TASKS).await;
+    cell.workers.set_task_time(LATER_TASK_TIME);
+    cell
+}
+
+async fn wait_for_runs(cell: &Cell, runs: u32) {
+    wait_for("the tasks do not run", || {
+        cell.workers.records().len() >= runs as usize
+    })
+    .await;
+}
+
+fn runs_of(cell: &Cell, job: &str) -> usize {
+    let records = cell.workers.records();
+    let of_job = records.iter().filter(|run| run.task.step.job == job);
+    of_job.count()
+}
+
+/// Returns the worker that runs the most tasks and the one that runs the fewest, so that both sides
+/// of a cut have tasks and room for more.
+fn busiest_and_idlest(cell: &Cell) -> Vec<String> {
+    let records = cell.workers.records();
+    let runs = |worker: &str| {
+        let runs_there =
+            |record: &&WorkerRecord| record.worker.as_str() == worker && record.ended_at.is_none();
+        records.iter().filter(runs_there).count()
+    };
+    let entries = cell.workers.entries().into_iter();
+    let mut workers: Vec<String> = entries.map(|entry| entry.worker.to_string()).collect();
+    workers.sort_by_key(|worker| runs(worker));
+    vec![workers[WORKERS - 1].clone(), workers[0].clone()]
+}
+
+async fn wait_until_completed(cell: &Cell, job: &str) -> Option<Instant> {
+    let completed = Answer::Status(JobStatus::Ended(JobOutcome::Completed));
+    let deadline = Instant::now() + WAIT_MAX;
+    while Instant::now() < deadline {
+        if cell.status(0, job).await == completed {
+            return Some(Instant::now());
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    None
+}
+
+/// Waits for the end of the jobs and returns which guarantees on their runs were broken.
+async fn violations(cell: &Cell, accepted: Accepted<'_>) -> Vec<String> {
+    let mut jobs: BTreeMap<JobId, SentJob> = BTreeMap::new();
+    for (job, tasks) in accepted {
+        let sent = SentJob {
+            graph: graph(*tasks),
+            accepted_at: Some(Instant::now()),
+            completed_at: wait_until_completed(cell, job).await,
+            ..SentJob::default()
+        };
+        jobs.insert((*job).into(), sent);
+    }
+    let records = cell.workers.records();
+    let mut violations = find_violations(&jobs, &records, WORKER_MILLICORES);
+    if !violations.is_empty() {
+        violations.extend(records.iter().map(|record| timeline(record, &records[0])));
+    }
+    violations
+}
+
+/// Returns when a run began and ended, counted from the first one.
+fn timeline(record: &WorkerRecord, first: &WorkerRecord) -> String {
+    let since = |at: Instant| at.duration_since(first.began_at).as_secs_f64();
+    let (task, run, worker) = (&record.task, record.run, &record.worker);
+    let ended = record
+        .ended_at
+        .map_or("now".to_owned(), |at| format!("{:.2} s", since(at)));
+    let began = since(record.began_at);
+    let (job, index, reason) = (&task.step.job, task.index, record.reason);
+    let saved = record.saved;
+    format!(
+        "{job}.{index} run {run} on {worker}: {began:.2} s to {ended}, {reason:?}, saved: {saved}"
+    )
+}
+
+/// Freezes the leader while no other instance reaches two of the workers, and returns which
+/// guarantees were broken when it wakes.
+async fn violations_of_a_frozen_leader() -> Vec<String> {
+    let cell = cell_with_running_tasks(Duration::from_secs(10), true).await;
+    let leader = cell.leader().await;
+    let beside_leader = busiest_and_idlest(&cell);
+    // Runs of the successor last beyond the freeze.
+    cell.workers.set_task_time(Duration::from_secs(4));
+
+    for index in (0..INSTANCES).filter(|index| *index != leader) {
+        for worker in &beside_leader {
+            cell.cut_worker(index, worker, true);
+        }
+    }
+    cell.instances[leader].freeze(Duration::from_secs(8));
+    tokio::time::sleep(Duration::from_millis(9_500)).await;
+    cell.heal().await;
+
+    violations(&cell, &[("job", RUNNING_TASKS)]).await
+}
+
+#[tokio::test]
+async fn a_frozen_leader_that_wakes_starts_nothing_that_its_successor_runs() {
+    let violations = violations_of_a_frozen_leader().await;
+
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+/// Without the store no instance can succeed the leader, so all goes on under it. A task whose lease
+/// lapses would run a second time.
+#[tokio::test]
+async fn tasks_run_and_start_while_the_store_is_down_for_all() {
+    const LONG_TASKS: u32 = 16;
+    const SHORT_TASKS: u32 = 4;
+    const LONG: Duration = Duration::from_secs(8);
+    let cell = cell_with(CellOptions {
+        workers: WORKERS,
+        task_time: LONG,
+        ..CellOptions::of_instances(INSTANCES)
+    })
+    .await;
+    submit_until_accepted(&cell, "long", &job(LONG_TASKS, LONG)).await;
+    wait_for_runs(&cell, LONG_TASKS).await;
+    cell.workers.set_task_time(LATER_TASK_TIME);
+    submit_until_accepted(&cell, "short", &job(SHORT_TASKS, LATER_TASK_TIME)).await;
+    wait_for_runs(&cell, LONG_TASKS + SHORT_TASKS).await;
+    submit_until_accepted(&cell, "waiting", &job(SHORT_TASKS, LATER_TASK_TIME)).await;
+
+    for index in 0..INSTANCES {
+        cell.cut_store(index, true);
+    }
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let runs_of_waiting = runs_of(&cell, "waiting");
+    cell.heal().await;
+    let violations = violations(
+        &cell,
+        &[
+            ("long", LONG_TASKS),
+            ("short", SHORT_TASKS),
+            ("waiting", SHORT_TASKS),
+        ],
+    )
+    .await;
+
+    assert!(violations.is_empty(), "{violations:#?}");
+    assert_eq!(runs_of_waiting, SHORT_TASKS as usize);
+    cell.assert_each_task_ran_once();
+}
