test: a leader behind a partition runs tasks twice

Change: six tests of partitions in which the former leader and its successor each reach a part of the workers: cut off with some workers for 9 s and for 14 s, with waiting tasks, with workers alone, cut again behind another leader, and frozen until its successor took over. None may have runs of a task that overlap or that begin after a saved success, and all jobs complete after the cut.

--- a/jackdawchute-cell/tests/cell/network.rs
+++ b/jackdawchute-cell/tests/cell/network.rs
@@ -31,6 +31,13 @@
         }
     }
 
+    /// Cuts an instance off from all others.
+    pub async fn isolate(&self, index: usize) {
+        for other in (0..self.instances.len()).filter(|other| *other != index) {
+            self.cut_peers(index, other, true).await;
+        }
+    }
+
     /// Cuts the given instances and workers, and the store if it is on their side, off from all
     /// others.
     pub async fn partition(&self, instances: &[usize], workers: &[&str], store: bool) {
--- a/jackdawchute-cell/tests/cell/partitions.rs
+++ b/jackdawchute-cell/tests/cell/partitions.rs
@@ -27,6 +27,9 @@
 const RUNNING_TASKS: u32 = 10;
 /// How long tasks run that start after the network was cut.
 const LATER_TASK_TIME: Duration = Duration::from_secs(1);
+/// How long the instances get to find out about the end of a cut.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+
 /// Jobs that were accepted, with the number of their tasks.
 type Accepted<'a> = &'a [(&'a str, u32)];
 
@@ -142,9 +145,112 @@
     )
 }
 
+fn as_str(workers: &[String]) -> Vec<&str> {
+    workers.iter().map(String::as_str).collect()
+}
+
+/// Cuts the leader off with two of the workers for `cut_time`, while tasks run on both sides.
+async fn violations_of_a_leader_cut_off_with_workers(cut_time: Duration) -> Vec<String> {
+    let cell = cell_with_running_tasks(cut_time + Duration::from_secs(1), false).await;
+    let leader = cell.leader().await;
+    let beside_leader = busiest_and_idlest(&cell);
+
+    cell.partition(&[leader], &as_str(&beside_leader), false)
+        .await;
+    tokio::time::sleep(cut_time).await;
+    cell.heal().await;
+
+    violations(&cell, &[("job", RUNNING_TASKS)]).await
+}
+
+#[tokio::test]
+async fn a_leader_cut_off_with_some_workers_starts_nothing_that_its_successor_may_run() {
+    let cut_time = Duration::from_secs(9);
+
+    let violations = violations_of_a_leader_cut_off_with_workers(cut_time).await;
+
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+#[tokio::test]
+async fn a_leader_cut_off_for_longer_starts_nothing_that_its_successor_may_run() {
+    let cut_time = Duration::from_secs(14);
+
+    let violations = violations_of_a_leader_cut_off_with_workers(cut_time).await;
+
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+#[tokio::test]
+async fn waiting_tasks_start_on_one_side_of_a_partition_only() {
+    const TASKS: u32 = 60;
+    const TIME: Duration = Duration::from_secs(3);
+    let cell = cell_with(CellOptions {
+        workers: WORKERS,
+        task_time: TIME,
+        ..CellOptions::of_instances(INSTANCES)
+    })
+    .await;
+    submit_until_accepted(&cell, "job", &job(TASKS, TIME)).await;
+    wait_for_runs(&cell, 20).await;
+    let leader = cell.leader().await;
+
+    cell.partition(&[leader], &["w0", "w1"], false).await;
+    tokio::time::sleep(Duration::from_secs(11)).await;
+    cell.heal().await;
+    cell.workers.set_task_time(TASK_TIME);
+    let violations = violations(&cell, &[("job", TASKS)]).await;
+
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+/// The former leader reaches all workers, but neither the store nor another instance; the successor
+/// lacks some of the workers.
+#[tokio::test]
+async fn a_leader_that_reaches_only_workers_starts_nothing_that_its_successor_may_run() {
+    let cell = cell_with_running_tasks(Duration::from_secs(10), false).await;
+    let leader = cell.leader().await;
+    let lost = busiest_and_idlest(&cell);
+
+    cell.cut_store(leader, true);
+    cell.isolate(leader).await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    for index in (0..INSTANCES).filter(|index| *index != leader) {
+        for worker in &lost {
+            cell.cut_worker(index, worker, true);
+        }
+    }
+    tokio::time::sleep(Duration::from_millis(8_400)).await;
+    cell.heal().await;
+    let violations = violations(&cell, &[("job", RUNNING_TASKS)]).await;
+
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+#[tokio::test]
+async fn a_network_cut_again_behind_another_leader_runs_each_task_in_one_place() {
+    let cell = cell_with_running_tasks(Duration::from_secs(12), false).await;
+    let first = cell.leader().await;
+    let workers = busiest_and_idlest(&cell);
+
+    cell.partition(&[first], &as_str(&workers), false).await;
+    wait_for_other_leader(&cell, first).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    cell.heal().await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    let second = cell.leader().await;
+    cell.partition(&[second], &as_str(&workers), false).await;
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    cell.heal().await;
+    let violations = violations(&cell, &[("job", RUNNING_TASKS)]).await;
+
+    assert_ne!(first, second);
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 /// Freezes the leader while no other instance reaches two of the workers, and returns which
-/// guarantees were broken when it wakes.
-async fn violations_of_a_frozen_leader() -> Vec<String> {
+/// guarantees were broken when it wakes; with `cut_off`, it wakes without the store and its peers.
+async fn violations_of_a_frozen_leader(cut_off: bool) -> Vec<String> {
     let cell = cell_with_running_tasks(Duration::from_secs(10), true).await;
     let leader = cell.leader().await;
     let beside_leader = busiest_and_idlest(&cell);
@@ -156,6 +262,10 @@
             cell.cut_worker(index, worker, true);
         }
     }
+    if cut_off {
+        cell.cut_store(leader, true);
+        cell.isolate(leader).await;
+    }
     cell.instances[leader].freeze(Duration::from_secs(8));
     tokio::time::sleep(Duration::from_millis(9_500)).await;
     cell.heal().await;
@@ -165,7 +275,14 @@
 
 #[tokio::test]
 async fn a_frozen_leader_that_wakes_starts_nothing_that_its_successor_runs() {
-    let violations = violations_of_a_frozen_leader().await;
+    let violations = violations_of_a_frozen_leader(false).await;
+
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
+#[tokio::test]
+async fn a_frozen_leader_that_wakes_cut_off_starts_nothing_that_its_successor_runs() {
+    let violations = violations_of_a_frozen_leader(true).await;
 
     assert!(violations.is_empty(), "{violations:#?}");
 }
