--- /dev/null
+++ b/jackdawchute-cell/src/authority/promise.rs
@@ -0,0 +1,67 @@
+//! The promises of an instance not to claim the epoch, and its claims.
+
+use std::time::{Duration, Instant};
+
+use super::PROMISED_FOR;
+
+/// Whether an instance may promise, and when it may claim.
+///
+/// A claim whose answer was lost may take effect for as long as the leader row is unchanged, so that
+/// nothing can be promised until then.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ClaimState {
+    promised_until: Option<Instant>,
+    /// Whether a claim is about to be sent or has been sent without an answer so far.
+    under_way: bool,
+    /// Whether an earlier claim got no answer, and the leader row has not changed since.
+    unresolved: bool,
+}
+
+impl ClaimState {
+    /// Promises not to claim the epoch and returns for how long; `None` if a claim may take effect.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use jackdawchute_cell::authority::{ClaimState, PROMISED_FOR};
+    ///
+    /// let now = Instant::now();
+    /// let mut state = ClaimState::default();
+    /// assert_eq!(state.promise(now), Some(PROMISED_FOR));
+    /// assert_eq!(state.begin_claim(now), PROMISED_FOR);
+    /// assert_eq!(state.promise(now), None);
+    /// ```
+    pub fn promise(&mut self, now: Instant) -> Option<Duration> {
+        if self.under_way || self.unresolved {
+            return None;
+        }
+        self.promised_until = Some(now + PROMISED_FOR);
+        Some(PROMISED_FOR)
+    }
+
+    /// Begins a claim and returns how long it must wait for the last promise to end.
+    pub fn begin_claim(&mut self, now: Instant) -> Duration {
+        self.under_way = true;
+        self.promised_until(now).saturating_duration_since(now)
+    }
+
+    /// Ends a claim; `answered` tells that the store told its outcome, and `sent` that it may have
+    /// arrived.
+    pub fn end_claim(&mut self, sent: bool, answered: bool) {
+        self.under_way = false;
+        if answered {
+            self.unresolved = false;
+        } else if sent {
+            self.unresolved = true;
+        }
+    }
+
+    /// Records that the leader row has changed, so that no earlier claim can take effect.
+    pub fn row_changed(&mut self) {
+        self.unresolved = false;
+    }
+
+    /// Returns until when this instance has promised not to claim the epoch; `now` if it has not.
+    pub fn promised_until(&self, now: Instant) -> Instant {
+        self.promised_until.unwrap_or(now).max(now)
+    }
+}
--- a/jackdawchute-cell/src/calls.rs
+++ b/jackdawchute-cell/src/calls.rs
@@ -1,8 +1,9 @@
 //! Calls to peers that the leader task and the election task share.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Instant};
 
 use jackdawchute_peer::PeerClient;
+use jackdawchute_timer::{boot_time, BootTime};
 use jackdawchute_types::{CallError, Epoch};
 use spdlog::info;
 
@@ -12,6 +13,22 @@
     settings::HEARTBEAT_TIMEOUT,
 };
 
+/// When a call was sent, on both clocks; what it confirms counts from then, not from its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SentAt {
+    pub(crate) at: Instant,
+    pub(crate) boot: BootTime,
+}
+
+impl SentAt {
+    pub(crate) fn now() -> Self {
+        Self {
+            boot: boot_time(),
+            at: Instant::now(),
+        }
+    }
+}
+
 /// Asks an instance for the leader row that it knows.
 ///
 /// Returns `None` if the instance does not answer or does not name another one as leader.
--- a/jackdawchute-cell/src/claim.rs
+++ b/jackdawchute-cell/src/claim.rs
@@ -32,6 +32,7 @@
     let head = HeadRecord {
         epoch: claim.epoch,
         commits: 0,
+        settled: known.is_none(),
     };
     let write = |table: &str, value| Write {
         table: table.into(),
--- a/jackdawchute-cell/src/commit.rs
+++ b/jackdawchute-cell/src/commit.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 
 use crate::{
+    calls::SentAt,
     rows::{encode, table_name, HeadRecord, HEAD_TABLE, PART, SOLE_KEY},
     settings::COMMIT_PAUSE,
     Error, Metrics, Store, Transaction, TransactionOutcome, Write,
@@ -24,6 +25,8 @@
     pub(crate) commits: u64,
     /// The version of the head row, which the next commit expects.
     pub(crate) version: u64,
+    /// Whether no leader of an earlier epoch has authority any more.
+    pub(crate) settled: bool,
 }
 
 /// Another instance has claimed a later epoch, so that this one cannot commit any more.
@@ -35,6 +38,7 @@
     let record = HeadRecord {
         epoch: head.epoch,
         commits: head.commits + 1,
+        settled: head.settled,
     };
     let mut writes = vec![Write {
         table: HEAD_TABLE.into(),
@@ -71,6 +75,7 @@
             let expected = HeadRecord {
                 epoch: next.epoch,
                 commits: next.commits,
+                settled: head.settled,
             };
             // An earlier attempt took effect, and its answer was lost.
             if record == Some(expected) {
@@ -89,7 +94,9 @@
 pub(crate) struct Appended {
     /// The end of the chain after it.
     pub(crate) head: Head,
-    /// The time from the last attempt to the store's answer.
+    /// When the attempt was sent that the store answered, and so confirmed the epoch.
+    pub(crate) sent_at: SentAt,
+    /// The time from that attempt to the store's answer.
     pub(crate) store_took: Duration,
 }
 
@@ -125,7 +132,8 @@
     let mut outcome_unknown = false;
     let mut tries: u32 = 0;
     loop {
-        let sent_at = Instant::now();
+        let sent = SentAt::now();
+        let sent_at = sent.at;
         match store.transact(&transaction).await {
             Ok(outcome) => {
                 metrics.committed(sent_at.elapsed(), transaction.writes.len());
@@ -134,7 +142,11 @@
                 }
                 let store_took = sent_at.elapsed();
                 return appended_head(head, outcome)
-                    .map(|head| Appended { head, store_took })
+                    .map(|head| Appended {
+                        head,
+                        sent_at: sent,
+                        store_took,
+                    })
                     .map_err(|Fenced| NotAppended::Fenced);
             }
             Err(error @ Error::Rejected(..)) => {
--- a/jackdawchute-cell/src/election/follow.rs
+++ b/jackdawchute-cell/src/election/follow.rs
@@ -60,7 +60,7 @@
     }
 }
 
-fn decode_rows(rows: Vec<StoreRow>) -> Vec<LeaderRow> {
+pub(super) fn decode_rows(rows: Vec<StoreRow>) -> Vec<LeaderRow> {
     let decode = |row: StoreRow| {
         let value = row.value.filter(|_| row.key == SOLE_KEY)?;
         match serde_json::from_slice(&value) {
--- a/jackdawchute-cell/src/election/handlers.rs
+++ b/jackdawchute-cell/src/election/handlers.rs
@@ -2,42 +2,24 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawchute_scheduler::Scheduler;
 use jackdawchute_timer::Tick;
 use jackdawchute_types::{CallError, Epoch};
-use spdlog::{info, warn};
+use spdlog::info;
 use xtra::prelude::*;
 
-use super::ElectionTask;
+use super::{ElectionTask, LastAcknowledgement};
 use crate::{
-    calls::offer_epoch,
-    claim::{ClaimOutcome, LeaderRow},
-    commit::Head,
-    leader::{self, FindSuccessor, LeaderParts},
+    calls::{offer_epoch, SentAt},
+    claim::LeaderRow,
+    leader::FindSuccessor,
     messages::{CellAnswer, SLICE},
-    recover::recover,
-    rows::LeaderRecord,
-    settings::{
-        CLAIM_PAUSE, CLAIM_PAUSE_MAX, HANDOVER_OFFER_PERIOD, HEARTBEAT_TIMEOUT,
-        LEADER_STORE_OUTAGE_MAX, LEADER_TIMEOUT,
-    },
-    Result,
+    settings::{HANDOVER_OFFER_PERIOD, HEARTBEAT_TIMEOUT, LEADER_STORE_OUTAGE_MAX, LEADER_TIMEOUT},
 };
 
 /// The leader row, read in the store or received from a peer; `None` if a read found no new one.
 pub(crate) struct LeaderRowReceived(pub(crate) Option<LeaderRow>);
-/// A claim with its outcome.
-pub(super) struct ClaimFinished {
-    /// The leader row's content that the claim was to write.
-    pub(super) record: LeaderRecord,
-    /// The row that the claim was to replace.
-    pub(super) replaced_row: Option<LeaderRow>,
-    pub(super) outcome: Result<ClaimOutcome>,
-}
-/// The leader's answer to a heartbeat, and the leader's epoch that was known when it was sent.
-struct HeartbeatAnswered(Epoch, std::result::Result<CellAnswer, CallError>);
-/// The end of the chain after a claim, and the recovered scheduler; `None` if recovery failed.
-struct Recovered(Head, Option<Box<Scheduler>>);
+/// The leader's answer to a heartbeat, when it was sent, and the leader's epoch that was known then.
+struct HeartbeatAnswered(Epoch, SentAt, std::result::Result<CellAnswer, CallError>);
 /// The loss of the local leader task's epoch to another instance.
 #[derive(Debug)]
 pub(crate) struct EpochLost {
@@ -106,10 +88,11 @@
         let peers = self.parts.ports.peers.clone();
         let task = context.mailbox().address();
         tokio::spawn(async move {
+            let sent_at = SentAt::now();
             let answer = peers
                 .call(address, SLICE, &heartbeat, HEARTBEAT_TIMEOUT)
                 .await;
-            let _ = task.send(HeartbeatAnswered(epoch, answer)).await;
+            let _ = task.send(HeartbeatAnswered(epoch, sent_at, answer)).await;
         });
     }
 }
@@ -119,7 +102,7 @@
 
     async fn handle(&mut self, message: HeartbeatAnswered, context: &mut Context<Self>) {
         self.heartbeat_in_flight = false;
-        let HeartbeatAnswered(epoch, answer) = message;
+        let HeartbeatAnswered(epoch, sent_at, answer) = message;
         if self.row.as_ref().map(|row| row.record.epoch) != Some(epoch) {
             return;
         }
@@ -128,7 +111,17 @@
                 store_trouble_ms,
                 others,
                 strongest_millicores,
+                epoch: leader_epoch,
+                earlier_authority_ms,
             }) => {
+                if leader_epoch == epoch {
+                    let earlier = Duration::from_millis(earlier_authority_ms);
+                    self.acknowledged = Some(LastAcknowledgement {
+                        epoch,
+                        sent_at,
+                        earlier_until: Instant::now() + earlier,
+                    });
+                }
                 self.other_instances = others;
                 self.strongest_millicores = Some(strongest_millicores);
                 self.leader_heard_at = Instant::now();
@@ -156,85 +149,6 @@
     }
 }
 
-impl Handler<ClaimFinished> for ElectionTask {
-    type Return = ();
-
-    async fn handle(&mut self, message: ClaimFinished, context: &mut Context<Self>) {
-        let ClaimFinished {
-            record,
-            replaced_row,
-            outcome,
-        } = message;
-        let now = Instant::now();
-        match outcome {
-            Ok(ClaimOutcome::Won { epoch, version }) => {
-                self.claim_pause = CLAIM_PAUSE;
-                let row = LeaderRow { record, version };
-                self.notify_predecessor(replaced_row, &row);
-                self.update_row(row);
-                let head = Head {
-                    epoch,
-                    commits: 0,
-                    version,
-                };
-                info!("epoch claimed", kv: { epoch = epoch, version = version });
-                let store = self.parts.ports.store.clone();
-                let settings = self.parts.settings.scheduler;
-                let task = context.mailbox().address();
-                tokio::spawn(async move {
-                    let scheduler = recover(store, settings, epoch).await;
-                    let _ = task.send(Recovered(head, scheduler.map(Box::new))).await;
-                });
-            }
-            Ok(ClaimOutcome::Lost(row)) => {
-                self.claim_pause = CLAIM_PAUSE;
-                self.claiming = false;
-                self.next_claim_at = now + CLAIM_PAUSE;
-                if let Some(row) = row {
-                    self.update_row(row);
-                }
-            }
-            Err(error) => {
-                warn!("claim failed", kv: { epoch = record.epoch, cause: = error });
-                self.claiming = false;
-                self.next_claim_at = now + self.claim_pause;
-                self.claim_pause = (self.claim_pause * 2).min(CLAIM_PAUSE_MAX);
-            }
-        }
-    }
-}
-
-impl Handler<Recovered> for ElectionTask {
-    type Return = ();
-
-    async fn handle(&mut self, message: Recovered, _context: &mut Context<Self>) {
-        let Recovered(head, scheduler) = message;
-        self.claiming = false;
-        let is_current = self.row.as_ref().map(|row| row.record.epoch) == Some(head.epoch);
-        let Some(scheduler) = scheduler.filter(|_| is_current) else {
-            self.next_claim_at = Instant::now() + CLAIM_PAUSE;
-            return;
-        };
-        let parts = LeaderParts {
-            scheduler: *scheduler,
-            head,
-            lag_takeovers: self.lag_takeovers,
-            own_address: self.parts.settings.peer_address,
-            processor_millicores: self.parts.settings.processor_millicores,
-            ports: self.parts.ports.clone(),
-            routes: self.parts.routes.clone(),
-            metrics: self.parts.metrics.clone(),
-            epoch_lost: self.epoch_lost.clone(),
-        };
-        let leader = leader::spawn(parts, &self.parts.timer).await;
-        let now = Instant::now();
-        self.publish(|view| {
-            view.local = Some(leader);
-            view.leader_heard_at = Some(now);
-        });
-    }
-}
-
 impl Handler<EpochLost> for ElectionTask {
     type Return = ();
 
@@ -242,12 +156,11 @@
         if let Some(row) = message.row {
             self.update_row(row);
         }
-        if self.row.as_ref().map(|row| row.record.epoch) == Some(message.epoch) {
+        let is_local = |(epoch, _): &(Epoch, _)| *epoch == message.epoch;
+        if self.leading.as_ref().is_some_and(is_local) {
             self.step_down("epoch lost to another instance");
             // The new leader is not known until its row is read, so the timeout starts anew.
             self.leader_heard_at = Instant::now();
-        } else {
-            self.step_down("earlier epoch lost to another instance");
         }
     }
 }
--- a/jackdawchute-cell/src/election/mod.rs
+++ b/jackdawchute-cell/src/election/mod.rs
@@ -1,5 +1,6 @@
 //! The election task, which follows the leader and claims the epoch when the leader fails.
 
+mod claims;
 mod follow;
 mod handlers;
 
@@ -8,24 +9,31 @@
     time::{Duration, Instant},
 };
 
-use jackdawchute_timer::{Subscribe, TimerTask};
-use jackdawchute_types::{whole_ms, CallError, IncarnationId};
+use jackdawchute_timer::{boot_time, Subscribe, TimerTask};
+use jackdawchute_types::{whole_ms, CallError, Epoch, IncarnationId};
 use rand::Rng;
 use spdlog::{error, info};
 use tokio::sync::{mpsc, watch};
 use xtra::prelude::*;
 
-pub(crate) use self::handlers::{EpochLost, LeaderRowReceived, Leave, TakeOver};
-use self::{follow::follow_leader, handlers::ClaimFinished};
+pub(crate) use self::{
+    claims::PromiseRequested,
+    handlers::{EpochLost, LeaderRowReceived, Leave, TakeOver},
+};
+use self::{
+    claims::{read_before_claim, ClaimRead},
+    follow::follow_leader,
+};
 use crate::{
-    calls::fetch_leader_row,
-    claim::{self, LeaderRow},
-    leader::{LeaderTask, Ports},
-    messages::{CellAnswer, CellCall, SLICE},
+    authority::{Acknowledged, ClaimState, Permission, ACKNOWLEDGED_FOR, PROMISED_MAX},
+    calls::{fetch_leader_row, SentAt},
+    claim::LeaderRow,
+    leader::{Fence, LeaderTask, Ports},
+    messages::{AcknowledgedBy, CellAnswer, CellCall, SLICE},
     rows::LeaderRecord,
     settings::{
         CLAIM_JITTER, CLAIM_PAUSE, DEFAULT_STRONGEST_MILLICORES, HEARTBEAT_PERIOD,
-        HEARTBEAT_TIMEOUT, RECOVERY_MAX, WEAK_CLAIM_DELAY,
+        HEARTBEAT_TIMEOUT, LEADER_PRIORITY, NOTIFY_PAUSE, RECOVERY_MAX, WEAK_CLAIM_DELAY,
     },
     Metrics, Routes, Settings,
 };
@@ -84,6 +92,23 @@
     /// When the leader row last changed; `None` before one is known.
     row_changed_at: Option<Instant>,
     epoch_lost: mpsc::UnboundedSender<EpochLost>,
+    /// The promises of this instance, and its claims.
+    claim_state: ClaimState,
+    /// The last acknowledgement of a heartbeat; `None` before the first.
+    acknowledged: Option<LastAcknowledgement>,
+    /// The epoch of the local leader task, and the permission of its orders.
+    leading: Option<(Epoch, Permission)>,
+}
+
+/// A leader's acknowledgement of a heartbeat.
+#[derive(Clone, Copy, Debug)]
+struct LastAcknowledgement {
+    /// The epoch of the leader.
+    epoch: Epoch,
+    /// When the heartbeat was sent.
+    sent_at: SentAt,
+    /// Until when leaders before it may have authority.
+    earlier_until: Instant,
 }
 
 /// Starts the election task on the current tokio runtime.
@@ -108,6 +133,9 @@
         leader_heard_at: now,
         row_changed_at: None,
         epoch_lost,
+        claim_state: ClaimState::default(),
+        acknowledged: None,
+        leading: None,
     };
     let address = xtra::spawn_tokio(task, Mailbox::unbounded());
     let subscribe = Subscribe {
@@ -148,10 +176,18 @@
         self.parts.view.send_modify(change);
     }
 
-    /// Ends the local leader task, if there is one.
+    /// Ends the local leader task, if there is one; it sends no order from now on.
     fn step_down(&mut self, cause: &'static str) {
-        if self.is_leading() {
+        if let Some((_, permission)) = self.leading.take() {
+            permission.revoke();
+        }
+        let local = self.parts.view.borrow().local.clone();
+        if let Some(leader) = local {
             info!("leader task stopped", kv: { cause = cause });
+            tokio::spawn(async move {
+                // A task that has ended already needs no message.
+                let _ = leader.send(Fence).priority(LEADER_PRIORITY).await;
+            });
             self.publish(|view| view.local = None);
             self.parts.metrics.set_epoch(0);
         }
@@ -204,15 +240,13 @@
         let task = context.mailbox().address();
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
-            let transaction = claim::transaction(replaced_row.as_ref(), &record);
-            let outcome = store.transact(&transaction).await;
-            let outcome = outcome.map(|outcome| claim::outcome(&record, outcome));
-            let finished = ClaimFinished {
+            let rows = read_before_claim(store.as_ref()).await;
+            let read = ClaimRead {
                 record,
                 replaced_row,
-                outcome,
+                rows,
             };
-            let _ = task.send(finished).await;
+            let _ = task.send(read).await;
         });
         true
     }
@@ -256,27 +290,82 @@
             leaving: self.is_leaving(),
             lag_ms: whole_ms(self.lag),
             processor_millicores: self.parts.settings.processor_millicores,
+            incarnation: self.parts.incarnation.clone(),
+            acknowledged: self.acknowledged_by_earlier_leader(),
         }
     }
 
-    /// Sends the new leader row to the predecessor, which may be cut off from the store.
-    fn notify_predecessor(&self, replaced_row: Option<LeaderRow>, row: &LeaderRow) {
+    /// Returns what this instance knows from the leader that acknowledged it last; `None` if that
+    /// was too long ago.
+    fn acknowledged(&self, now: Instant) -> Option<Acknowledged> {
+        let last = self.acknowledged?;
+        // Time for which the machine was suspended counts for the leader too.
+        let age = boot_time().saturating_sub(last.sent_at.boot);
+        let sent_at = now.checked_sub(age)?;
+        (age < ACKNOWLEDGED_FOR).then(|| Acknowledged {
+            epoch: last.epoch,
+            sent_at,
+            earlier_until: last.earlier_until,
+            promised_until: self.claim_state.promised_until(now),
+        })
+    }
+
+    /// Returns what the leader of a later epoch needs to know from the one that acknowledged this
+    /// instance last.
+    fn acknowledged_by_earlier_leader(&self) -> Option<AcknowledgedBy> {
+        let now = Instant::now();
+        let acknowledged = self.acknowledged(now)?;
+        let left = |until: Instant| whole_ms(until.saturating_duration_since(now));
+        let is_earlier = |row: &LeaderRow| acknowledged.epoch < row.record.epoch;
+        self.row
+            .as_ref()
+            .is_some_and(is_earlier)
+            .then(|| AcknowledgedBy {
+                epoch: acknowledged.epoch,
+                age_ms: whole_ms(now.saturating_duration_since(acknowledged.sent_at)),
+                earlier_authority_ms: left(acknowledged.earlier_until),
+                promised_ms: left(acknowledged.promised_until),
+            })
+    }
+
+    /// Sends the new leader row to the predecessor, which may be cut off from the store, until it
+    /// answers; returns when it has.
+    ///
+    /// Any answer shows that the predecessor has stopped: it does so before it answers, and a later
+    /// incarnation at its address answers only once it has ended.
+    fn notify_predecessor(
+        &self,
+        replaced_row: Option<LeaderRow>,
+        row: &LeaderRow,
+    ) -> watch::Receiver<Option<Instant>> {
+        let (stopped, receiver) = watch::channel(None);
         let Some(predecessor) = replaced_row.map(|row| row.record.address) else {
-            return;
+            return receiver;
         };
         if predecessor == self.parts.settings.peer_address {
-            return;
+            stopped.send_replace(Some(Instant::now()));
+            return receiver;
         }
         let call = CellCall::Superseded { row: row.clone() };
         let peers = self.parts.ports.peers.clone();
         tokio::spawn(async move {
-            let answer: std::result::Result<CellAnswer, CallError> = peers
-                .call(predecessor, SLICE, &call, HEARTBEAT_TIMEOUT)
-                .await;
-            info!("predecessor notified of the new leader", kv: {
-                predecessor: = predecessor, reached = answer.is_ok()
+            let give_up_at = Instant::now() + PROMISED_MAX;
+            while Instant::now() < give_up_at && !stopped.is_closed() {
+                let answer: std::result::Result<CellAnswer, CallError> = peers
+                    .call(predecessor, SLICE, &call, HEARTBEAT_TIMEOUT)
+                    .await;
+                if matches!(answer, Ok(CellAnswer::Acknowledged)) {
+                    info!("predecessor has stopped", kv: { predecessor: = predecessor });
+                    stopped.send_replace(Some(Instant::now()));
+                    return;
+                }
+                tokio::time::sleep(NOTIFY_PAUSE).await;
+            }
+            info!("predecessor was not told of its successor", kv: {
+                predecessor: = predecessor
             });
         });
+        receiver
     }
 
     /// Replaces the known leader row unless the given one is older, and publishes a newer one. Ends
@@ -291,6 +380,7 @@
                 epoch = row.record.epoch, address: = row.record.address,
                 version = row.version
             });
+            self.claim_state.row_changed();
             self.leader_heard_at = Instant::now();
             self.row_changed_at = Some(self.leader_heard_at);
             let published_row = row.clone();
--- a/jackdawchute-cell/src/gateway.rs
+++ b/jackdawchute-cell/src/gateway.rs
@@ -234,6 +234,7 @@
             | CellAnswer::Advice { .. }
             | CellAnswer::AdvisorBusy { .. }
             | CellAnswer::Configuration { .. }
+            | CellAnswer::Promised { .. }
             | CellAnswer::Acknowledged => None,
         }
     }
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -10,7 +10,7 @@
     Submission,
 };
 use jackdawchute_timer::Tick;
-use jackdawchute_types::{whole_ms, JobId, QueueId};
+use jackdawchute_types::{whole_ms, IncarnationId, JobId, QueueId};
 use spdlog::{info, warn};
 use tokio::sync::oneshot;
 use xtra::prelude::*;
@@ -18,9 +18,10 @@
 use super::{answer_all, peers::PeerState, LeaderTask};
 use crate::{
     advisor::AdviceOutcome,
+    calls::SentAt,
     commit::{Appended, NotAppended},
     committer::CommitFinished,
-    messages::{CellAnswer, SubmitJob},
+    messages::{AcknowledgedBy, CellAnswer, SubmitJob},
     recover::unix_now,
     settings::{
         outage_retry_after, ACCEPTANCE_WAIT_MAX, COMMIT_OUTAGE_MAX, COMMIT_PAUSE, LOAD_LOG_PERIOD,
@@ -39,8 +40,8 @@
     pub(super) Instant,
     pub(super) StartAnswer,
 );
-/// An order to stop a run, with the worker's clock; `None` if it was not confirmed.
-pub(super) struct StopAnswered(pub(super) StopOrder, pub(super) Option<Duration>);
+/// An order to stop a run, with the worker's clock if it was confirmed.
+pub(super) struct StopAnswered(pub(super) StopOrder, pub(super) Result<Duration>);
 /// A lease renewal, when it was sent, and its answer.
 pub(super) struct RenewAnswered(
     pub(super) RenewOrder,
@@ -59,6 +60,8 @@
 /// A heartbeat of a peer.
 pub(crate) struct PeerHeartbeat {
     pub(crate) address: SocketAddr,
+    pub(crate) incarnation: IncarnationId,
+    pub(crate) acknowledged: Option<AcknowledgedBy>,
     pub(crate) state: PeerState,
 }
 /// A caller's submission of a job.
@@ -67,9 +70,11 @@
 pub(crate) struct Cancel(pub(crate) JobId, pub(crate) oneshot::Sender<CellAnswer>);
 /// A caller's query for a job's status.
 pub(crate) struct QueryStatus(pub(crate) JobId, pub(crate) oneshot::Sender<CellAnswer>);
-/// Whether this instance still holds the epoch; `None` if the head row could not be read
-/// or decoded.
-pub(super) struct EpochChecked(pub(super) Option<bool>);
+/// When the head row was read, and whether this instance still held the epoch; `None` if the row
+/// could not be read or decoded.
+pub(super) struct EpochChecked(pub(super) SentAt, pub(super) Option<bool>);
+/// Another instance holds the epoch, so that the leader task stops.
+pub(crate) struct Fence;
 /// A caller's query for the number of a queue's jobs that have not started.
 pub(crate) struct QueryPending(pub(crate) QueueId);
 /// A query for the instance to which a leaving leader should offer its epoch.
@@ -82,7 +87,7 @@
         let now = Instant::now();
         self.record_tick(now);
         self.offer_epoch_if_better(now);
-        self.query_peers_during_outage(now);
+        self.confirm_epoch(context);
         if self.routes.has_changed().unwrap_or(false) {
             self.use_configured_services(now);
         }
@@ -134,8 +139,12 @@
     type Return = ();
 
     async fn handle(&mut self, message: StopAnswered, context: &mut Context<Self>) {
-        let StopAnswered(order, clock) = message;
+        let StopAnswered(order, answer) = message;
         let now = Instant::now();
+        if matches!(answer, Err(Error::Fenced(..))) {
+            self.scheduler.order_fenced(&order.worker, order.token);
+        }
+        let clock = answer.ok();
         self.scheduler
             .stop_answered(&order.worker, &order.task, order.run, clock, now);
         self.run_due_work(context);
@@ -165,6 +174,7 @@
                         worker = order.worker.as_str(), token = order.token,
                         epoch = self.head.epoch
                     });
+                    self.scheduler.order_fenced(&order.worker, order.token);
                 }
                 self.scheduler.renew_failed(&order.worker, now);
             }
@@ -206,8 +216,13 @@
             self.last_commit_duration = now.saturating_duration_since(started_at);
         }
         match result {
-            Ok(Appended { head, store_took }) => {
+            Ok(Appended {
+                head,
+                sent_at,
+                store_took,
+            }) => {
                 self.head = head;
+                self.epoch_confirmed(sent_at);
                 let rows = batch.changes.len();
                 self.work
                     .record_commit(rows, self.last_commit_duration, store_took);
@@ -244,7 +259,7 @@
             }
             Err(NotAppended::Fenced) => {
                 warn!("epoch lost to another instance", kv: { epoch = self.head.epoch });
-                self.fence();
+                self.lose_epoch();
             }
         }
     }
@@ -285,10 +300,13 @@
         }
         let now = Instant::now();
         self.record_heartbeat(heartbeat.address, heartbeat.state, now);
+        self.record_member(&heartbeat, now);
         CellAnswer::HeartbeatAck {
             store_trouble_ms: whole_ms(self.store_outage(now)),
             others: self.other_peers(heartbeat.address, now),
             strongest_millicores: self.strongest_millicores(now),
+            epoch: self.head.epoch,
+            earlier_authority_ms: whole_ms(self.epoch_authority.earlier_left(now)),
         }
     }
 }
@@ -312,6 +330,11 @@
             let _ = reply.send(CellAnswer::NoQueue);
             return;
         }
+        if !known && !self.scheduler.may_act() {
+            // A later leader may have accepted the job, so that a refusal would not be true.
+            let _ = reply.send(CellAnswer::Unknown);
+            return;
+        }
         if !known && self.store_outage(now) >= COMMIT_OUTAGE_MAX {
             let _ = reply.send(self.unavailable(now));
             return;
@@ -390,7 +413,8 @@
     type Return = ();
 
     async fn handle(&mut self, checked: EpochChecked, context: &mut Context<Self>) {
-        let answer = match checked.0 {
+        let EpochChecked(sent_at, holds_epoch) = checked;
+        let answer = match holds_epoch {
             Some(true) => CellAnswer::Status {
                 status: JobStatus::Unknown,
             },
@@ -401,14 +425,19 @@
             Some(std::mem::take(&mut self.current_check_replies)),
             &answer,
         );
-        if checked.0 == Some(false) {
-            warn!("epoch lost to another instance", kv: { epoch = self.head.epoch });
-            self.fence();
-        }
+        self.epoch_read(sent_at, holds_epoch);
         self.check_epoch(context);
     }
 }
 
+impl Handler<Fence> for LeaderTask {
+    type Return = ();
+
+    async fn handle(&mut self, _fence: Fence, _context: &mut Context<Self>) {
+        self.fence();
+    }
+}
+
 impl Handler<QueryPending> for LeaderTask {
     type Return = CellAnswer;
 
@@ -416,6 +445,9 @@
         if self.fenced {
             return CellAnswer::NotLeader;
         }
+        if !self.scheduler.may_act() {
+            return self.unavailable(Instant::now());
+        }
         CellAnswer::Pending {
             jobs: self.scheduler.pending_jobs(&query.0),
         }
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -1,5 +1,6 @@
 //! The leader task, which schedules while this instance holds the cell's epoch.
 
+mod authority;
 mod handlers;
 mod handover;
 mod overload;
@@ -15,30 +16,32 @@
 };
 
 use jackdawchute_peer::PeerClient;
-use jackdawchute_scheduler::{Effect, Scheduler};
+use jackdawchute_scheduler::{Effect, Scheduler, StartAnswer};
 use jackdawchute_timer::{Subscribe, TimerTask};
 use jackdawchute_types::JobId;
 use spdlog::{info, warn};
 use tokio::sync::{mpsc, oneshot, watch};
 use xtra::{prelude::*, refcount::Weak};
 
-pub(crate) use self::{
-    handlers::{Cancel, FindSuccessor, PeerHeartbeat, QueryPending, QueryStatus, Submit},
-    peers::PeerState,
-};
 use self::{
+    authority::EpochConfirmation,
     handlers::{
         RenewAnswered, RoundDue, StartAnswered, StopAnswered, TurnMeasured, WorkersUpdated,
     },
     peers::KnownPeer,
     work::WorkDone,
 };
+pub(crate) use self::{
+    handlers::{Cancel, Fence, FindSuccessor, PeerHeartbeat, QueryPending, QueryStatus, Submit},
+    peers::PeerState,
+};
 pub use self::{
     handover::{HandoverPolicy, LeaderFitness, OfferReason},
     overload::Overload,
 };
 use crate::{
     advisor::{AdvisorTask, ShortRequestLoad},
+    authority::{Authority, EarlierLeaders, Permission},
     commit::Head,
     committer::Committer,
     election::EpochLost,
@@ -66,6 +69,12 @@
     pub(crate) scheduler: Scheduler,
     /// The end of the chain after the claim.
     pub(crate) head: Head,
+    pub(crate) authority: Authority,
+    /// When the claim was sent, which confirmed the epoch first.
+    pub(crate) confirmed_at: Instant,
+    pub(crate) earlier: EarlierLeaders,
+    /// When the predecessor is known to have stopped; `None` until then.
+    pub(crate) predecessor_stopped: watch::Receiver<Option<Instant>>,
     /// How many takeovers in a row, the one of this epoch included, happened because of lag.
     pub(crate) lag_takeovers: u32,
     pub(crate) own_address: SocketAddr,
@@ -106,8 +115,7 @@
     routes: watch::Receiver<Routes>,
     metrics: Metrics,
     epoch_lost: mpsc::UnboundedSender<EpochLost>,
-    /// When peers were last asked whether another instance has taken over.
-    peers_queried_at: Instant,
+    epoch_authority: EpochConfirmation,
     /// When the last scheduling round ran.
     last_round_at: Instant,
     /// Whether a [`RoundDue`] will arrive.
@@ -125,9 +133,21 @@
 }
 
 /// Starts the leader task on the current tokio runtime.
-pub(crate) async fn spawn(parts: LeaderParts, timer: &Address<TimerTask>) -> Address<LeaderTask> {
+///
+/// The orders of the task need the permission, which is revoked when another instance is leader.
+pub(crate) async fn spawn(
+    parts: LeaderParts,
+    timer: &Address<TimerTask>,
+) -> (Address<LeaderTask>, Permission) {
     let now = Instant::now();
     let directory = parts.ports.directory.clone();
+    let epoch_authority = EpochConfirmation::new(
+        parts.authority,
+        parts.confirmed_at,
+        parts.earlier,
+        parts.predecessor_stopped,
+    );
+    let permission = epoch_authority.permission.clone();
     let mut task = LeaderTask {
         scheduler: parts.scheduler,
         head: parts.head,
@@ -149,7 +169,7 @@
         routes: parts.routes,
         metrics: parts.metrics,
         epoch_lost: parts.epoch_lost,
-        peers_queried_at: now,
+        epoch_authority,
         last_round_at: now,
         round_scheduled: false,
         load_logged_at: now,
@@ -159,6 +179,7 @@
         fenced: false,
     };
     task.metrics.set_epoch(task.head.epoch);
+    task.update_authority();
     task.use_configured_services(now);
     let own_state = PeerState {
         leaving: false,
@@ -175,7 +196,7 @@
         warn!("timer task has ended; the leader gets no ticks", kv: { epoch = parts.head.epoch });
     }
     tokio::spawn(follow_workers(directory, address.downgrade()));
-    address
+    (address, permission)
 }
 
 /// Sends changes of the list of workers to the leader task until that task ends.
@@ -249,20 +270,26 @@
         let workers = self.ports.workers.clone();
         match effect {
             Effect::Start(order) => {
+                let permission = self.epoch_authority.permission.clone();
                 tokio::spawn(async move {
-                    let answer = workers.start(&order).await;
+                    let answer = match permission.is_valid() {
+                        true => workers.start(&order).await,
+                        false => StartAnswer::NotSent,
+                    };
                     let _ = task.send(StartAnswered(order, now, answer)).await;
                 });
             }
             Effect::Stop(order) => {
                 tokio::spawn(async move {
-                    let clock = workers.stop(&order).await.ok();
+                    let clock = workers.stop(&order).await;
                     let _ = task.send(StopAnswered(order, clock)).await;
                 });
             }
-            Effect::Renew(order) => {
+            Effect::Renew(mut order) => {
+                let permission = self.epoch_authority.permission.clone();
                 tokio::spawn(async move {
                     let sent_at = Instant::now();
+                    order.lease_until = order.lease_until.filter(|_| permission.is_valid());
                     let answer = workers.renew(&order).await;
                     let _ = task.send(RenewAnswered(order, sent_at, answer)).await;
                 });
@@ -272,7 +299,7 @@
                 info!("worker follows the leader of a later epoch", kv: {
                     worker = worker.as_str(), epoch = self.head.epoch
                 });
-                self.fence();
+                self.lose_epoch();
             }
         }
     }
@@ -286,8 +313,21 @@
         });
     }
 
-    /// Stops all scheduling, answers all waiting callers and reports the loss of the epoch.
+    /// Stops all scheduling and reports the loss of the epoch.
+    fn lose_epoch(&mut self) {
+        if !self.fenced {
+            self.fence();
+            // The receiver is closed only when the instance ends.
+            let _ = self.epoch_lost.send(EpochLost {
+                epoch: self.head.epoch,
+                row: None,
+            });
+        }
+    }
+
+    /// Stops all scheduling and answers all waiting callers.
     fn fence(&mut self) {
+        self.epoch_authority.permission.revoke();
         if !std::mem::replace(&mut self.fenced, true) {
             self.metrics.set_epoch(0);
             self.next_check_replies
@@ -299,11 +339,6 @@
             for (_, replies) in self.submitters.drain().chain(self.cancellers.drain()) {
                 answer_all(Some(replies), &CellAnswer::Unknown);
             }
-            // The receiver is closed only when the instance ends.
-            let _ = self.epoch_lost.send(EpochLost {
-                epoch: self.head.epoch,
-                row: None,
-            });
         }
     }
 }
--- a/jackdawchute-cell/src/leader/peers.rs
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -17,13 +17,11 @@
 };
 use crate::{
     advisor::{self, AdviceOutcome, Busy},
-    calls::{fetch_leader_row, offer_epoch},
-    election::EpochLost,
+    calls::offer_epoch,
     messages::{CellAnswer, CellCall, SLICE},
     settings::{
-        ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, LAG_SMOOTHING, LEADER_STORE_OUTAGE_MAX,
-        PEERS_LISTED_MAX, PEERS_QUERY_PERIOD, PEER_CALL_MARGIN, PEER_HEARTBEAT_AGE_MAX,
-        TICK_PERIOD,
+        ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, LAG_SMOOTHING, PEERS_LISTED_MAX, PEER_CALL_MARGIN,
+        PEER_HEARTBEAT_AGE_MAX, TICK_PERIOD,
     },
 };
 
@@ -144,42 +142,6 @@
         tokio::spawn(async move { offer_epoch(&peers, successor, epoch, lag_takeovers).await });
     }
 
-    /// Asks peers for a later epoch during a store outage, as this instance cannot read it in the
-    /// store then.
-    pub(super) fn query_peers_during_outage(&mut self, now: Instant) {
-        let recent = now.saturating_duration_since(self.peers_queried_at) < PEERS_QUERY_PERIOD;
-        if recent || self.store_outage(now) < LEADER_STORE_OUTAGE_MAX {
-            return;
-        }
-        self.peers_queried_at = now;
-        let heartbeat = CellCall::Heartbeat {
-            address: self.own_address,
-            epoch: self.head.epoch,
-            leaving: false,
-            lag_ms: 0,
-            processor_millicores: self.processor_millicores,
-        };
-        let others = self
-            .peers
-            .keys()
-            .copied()
-            .filter(|address| *address != self.own_address);
-        for address in others.take(PEERS_LISTED_MAX) {
-            let (peers, heartbeat) = (self.ports.peers.clone(), heartbeat.clone());
-            let (epoch_lost, epoch) = (self.epoch_lost.clone(), self.head.epoch);
-            tokio::spawn(async move {
-                let row = fetch_leader_row(&peers, address, &heartbeat).await;
-                if let Some(row) = row.filter(|row| row.record.epoch > epoch) {
-                    // The receiver is closed only when the instance ends.
-                    let _ = epoch_lost.send(EpochLost {
-                        epoch,
-                        row: Some(row),
-                    });
-                }
-            });
-        }
-    }
-
     /// Measures the load of short advice requests, and how late ticks are handled, which shows by
     /// how much this instance's processor is overloaded.
     pub(super) fn record_tick(&mut self, now: Instant) {
--- a/jackdawchute-cell/src/leader/saving.rs
+++ b/jackdawchute-cell/src/leader/saving.rs
@@ -10,6 +10,7 @@
 
 use super::{answer_all, handlers::EpochChecked, LeaderTask};
 use crate::{
+    calls::SentAt,
     messages::CellAnswer,
     recover::unix_now,
     rows::{HeadRecord, HEAD_TABLE, PART},
@@ -87,6 +88,7 @@
         }
         self.commit_started_at = Some(now);
         self.next_commit_at = now + COMMIT_PERIOD;
+        self.head.settled |= self.epoch_authority.earlier_left(now).is_zero();
         self.committer.commit(self.head, batch, task.clone());
     }
 
@@ -118,6 +120,11 @@
             self.check_epoch(context);
             return;
         }
+        if !self.scheduler.may_act() && !matches!(status, JobStatus::Ended(_)) {
+            // A later leader may know of a later status.
+            let _ = reply.send(self.unavailable(Instant::now()));
+            return;
+        }
         // A caller that has disconnected needs no answer.
         let _ = reply.send(CellAnswer::Status { status });
     }
@@ -132,15 +139,16 @@
         let task = context.mailbox().address();
         let epoch = self.head.epoch;
         tokio::spawn(async move {
+            let sent_at = SentAt::now();
             let holds_epoch = holds_epoch(store.as_ref(), epoch).await;
-            let _ = task.send(EpochChecked(holds_epoch)).await;
+            let _ = task.send(EpochChecked(sent_at, holds_epoch)).await;
         });
     }
 }
 
 /// Returns whether the chain's head belongs to an epoch; `None` if the head row cannot be read or
 /// decoded.
-async fn holds_epoch(store: &dyn Store, epoch: Epoch) -> Option<bool> {
+pub(super) async fn holds_epoch(store: &dyn Store, epoch: Epoch) -> Option<bool> {
     let page = match store.read(HEAD_TABLE, PART, None).await {
         Ok(page) => page,
         Err(error) => {
--- a/jackdawchute-cell/src/leader/work.rs
+++ b/jackdawchute-cell/src/leader/work.rs
@@ -58,7 +58,7 @@
         let outcome = match answer {
             StartAnswer::Started { .. } => "answered",
             StartAnswer::Refused { .. } | StartAnswer::OtherIncarnation => "refused",
-            StartAnswer::NotDelivered | StartAnswer::Unknown => "failed",
+            StartAnswer::NotDelivered | StartAnswer::NotSent | StartAnswer::Unknown => "failed",
         };
         metrics.call("start", outcome, took);
         self.starts.record(took);
--- a/jackdawchute-cell/src/lib.rs
+++ b/jackdawchute-cell/src/lib.rs
@@ -7,6 +7,7 @@
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
 mod advisor;
+pub mod authority;
 mod calls;
 mod claim;
 mod commit;
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -28,6 +28,13 @@
         lag_ms: u64,
         /// The caller's processor, in thousandths of a core.
         processor_millicores: u64,
+        /// The caller's incarnation; empty from instances of earlier versions.
+        #[serde(default)]
+        incarnation: IncarnationId,
+        /// What the caller knows from the leader that acknowledged it last; `None` if none has
+        /// lately.
+        #[serde(default)]
+        acknowledged: Option<AcknowledgedBy>,
     },
     /// Forwards a caller's job to the leader.
     Submit(Box<SubmitJob>),
@@ -50,6 +57,21 @@
     Configuration,
     /// Tells a former leader that it was replaced, in case it cannot read the store.
     Superseded { row: LeaderRow },
+    /// Asks for a promise not to claim the epoch after this one, as the leader cannot confirm it.
+    Promise { epoch: Epoch },
+}
+
+/// What an instance knows from the leader that acknowledged it last, as it tells a later leader.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct AcknowledgedBy {
+    /// The epoch of that leader.
+    pub(crate) epoch: Epoch,
+    /// How long ago the acknowledged heartbeat was sent.
+    pub(crate) age_ms: u64,
+    /// For how long leaders before that epoch may still have authority.
+    pub(crate) earlier_authority_ms: u64,
+    /// For how long the instance has promised that leader not to claim the epoch.
+    pub(crate) promised_ms: u64,
 }
 
 /// A caller's job on its way to the leader.
@@ -87,6 +109,18 @@
         others: Vec<SocketAddr>,
         /// The processor of the strongest instance, in thousandths of a core.
         strongest_millicores: u64,
+        /// The epoch of the answering leader; 0 from instances of earlier versions.
+        #[serde(default)]
+        epoch: Epoch,
+        /// For how long leaders of earlier epochs may still have authority.
+        #[serde(default)]
+        earlier_authority_ms: u64,
+    },
+    /// The instance does not claim the epoch for some time; a time of 0 is no promise.
+    Promised {
+        for_ms: u64,
+        /// The incarnation of the answering instance.
+        incarnation: IncarnationId,
     },
     /// The job is accepted and saved.
     Accepted,
--- a/jackdawchute-cell/src/metrics.rs
+++ b/jackdawchute-cell/src/metrics.rs
@@ -14,6 +14,8 @@
 };
 use spdlog::error;
 
+use crate::authority::AuthorityState;
+
 /// The upper bound of the first latency bucket.
 const LATENCY_BUCKET_FIRST_SECONDS: f64 = 0.001;
 /// The ratio of each latency bucket's upper bound to the one before.
@@ -43,6 +45,7 @@
     ends_new: Counter,
     jobs: Gauge,
     epoch: Gauge,
+    authority: Gauge,
     configuration_version: Gauge,
 }
 
@@ -65,6 +68,7 @@
             ends_new: Counter::default(),
             jobs: Gauge::default(),
             epoch: Gauge::default(),
+            authority: Gauge::default(),
             configuration_version: Gauge::default(),
         };
         let mut registry = Registry::with_prefix("jackdawchute_cell");
@@ -78,6 +82,8 @@
         registry.register("ends_new", help, metrics.ends_new.clone());
         registry.register("jobs", "Jobs that have not ended", metrics.jobs.clone());
         registry.register("epoch", "The epoch held here, or 0", metrics.epoch.clone());
+        let help = "The authority held here: 2 confirmed, 1 promised, 0 none";
+        registry.register("authority", help, metrics.authority.clone());
         let help = "The configuration version in force here";
         let version = metrics.configuration_version.clone();
         registry.register("configuration_version", help, version);
@@ -137,6 +143,15 @@
         self.epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
     }
 
+    /// Sets what the authority of the local leader rests on.
+    pub(crate) fn set_authority(&self, state: AuthorityState) {
+        self.authority.set(match state {
+            AuthorityState::Confirmed => 2,
+            AuthorityState::Promised => 1,
+            AuthorityState::Ended => 0,
+        });
+    }
+
     /// Sets the number of jobs that have not ended.
     pub(crate) fn set_jobs(&self, jobs: usize) {
         self.jobs.set(i64::try_from(jobs).unwrap_or(i64::MAX));
--- a/jackdawchute-cell/src/peers.rs
+++ b/jackdawchute-cell/src/peers.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     advisor::{self, AdviceOutcome, AdvisorTask},
-    election::{ElectionTask, LeaderRowReceived, LeaderView, TakeOver},
+    election::{ElectionTask, LeaderRowReceived, LeaderView, PromiseRequested, TakeOver},
     leader::{Cancel, LeaderTask, PeerHeartbeat, PeerState, QueryPending, QueryStatus, Submit},
     messages::{CellAnswer, CellCall},
     settings::LEADER_PRIORITY,
@@ -64,6 +64,12 @@
             CellCall::Configuration => CellAnswer::Configuration {
                 routes: self.routes.borrow().clone(),
             },
+            CellCall::Promise { epoch } => {
+                match self.election.send(PromiseRequested(epoch)).await {
+                    Ok(answer) => answer,
+                    Err(_) => CellAnswer::NotLeader,
+                }
+            }
             CellCall::Superseded { row } => {
                 match self.election.send(LeaderRowReceived(Some(row))).await {
                     Ok(()) => CellAnswer::Acknowledged,
@@ -119,10 +125,14 @@
             leaving,
             lag_ms,
             processor_millicores,
+            incarnation,
+            acknowledged,
             ..
         } => leader
             .send(PeerHeartbeat {
                 address,
+                incarnation,
+                acknowledged,
                 state: PeerState {
                     leaving,
                     lag: Duration::from_millis(lag_ms),
@@ -160,6 +170,7 @@
         CellCall::Advise { .. }
         | CellCall::TakeOver { .. }
         | CellCall::Configuration
+        | CellCall::Promise { .. }
         | CellCall::Superseded { .. } => CellAnswer::NotLeader,
     }
 }
--- a/jackdawchute-cell/src/rows.rs
+++ b/jackdawchute-cell/src/rows.rs
@@ -32,6 +32,9 @@
     pub(crate) epoch: Epoch,
     /// The number of commits in this epoch, without the claim.
     pub(crate) commits: u64,
+    /// Whether no leader of an earlier epoch has authority any more.
+    #[serde(default)]
+    pub(crate) settled: bool,
 }
 
 /// Returns the name in the store of a table of saved rows.
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -51,6 +51,10 @@
 /// The leader offers the epoch to an instance with at least this percentage of the leader's
 /// processor, even if the leader does not lag; a takeover costs some hundred milliseconds.
 pub(crate) const STRONGER_PERCENT: u64 = 150;
+/// The timeout of the read before a claim; a slow store answers within half of it.
+pub(crate) const CLAIM_READ_TIMEOUT: Duration = Duration::from_millis(600);
+/// The pause between two attempts to tell a predecessor that it was replaced.
+pub(crate) const NOTIFY_PAUSE: Duration = Duration::from_millis(300);
 /// The pause after a claim that failed; doubles with each further one.
 pub(crate) const CLAIM_PAUSE: Duration = Duration::from_millis(300);
 /// The longest pause after a claim that failed.
@@ -141,7 +145,12 @@
 pub(crate) const TAKEOVER_COST_PER_WORKER: Duration = Duration::from_millis(1);
 /// The shortest time between two offers of the epoch to a better instance.
 pub(crate) const OFFER_PAUSE: Duration = Duration::from_secs(1);
-/// The period at which the leader asks peers for a later epoch during a store outage.
-pub(crate) const PEERS_QUERY_PERIOD: Duration = Duration::from_millis(500);
+/// The age of the last confirmation of its epoch from which an idle leader reads the head row, and
+/// the period at which it repeats such reads.
+pub(crate) const CONFIRM_PERIOD: Duration = Duration::from_millis(400);
+/// The timeout of such a read; a slow store answers within half of it.
+pub(crate) const CONFIRM_TIMEOUT: Duration = Duration::from_millis(600);
+/// The timeout of a request for a promise, which is of no use much later.
+pub(crate) const PROMISE_TIMEOUT: Duration = Duration::from_millis(300);
 /// The period at which a leaving leader offers its epoch until another instance has claimed it.
 pub(crate) const HANDOVER_OFFER_PERIOD: Duration = Duration::from_millis(300);
--- /dev/null
+++ b/jackdawchute-scheduler/src/authority.rs
@@ -0,0 +1,95 @@
+//! What a leader may do and conclude, by how far its epoch is confirmed.
+//!
+//! A worker that is silent for a lease has ended its runs only if nobody else may have extended the
+//! lease. A successor may do so from its claim on, and an earlier leader until its authority ends.
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    worker::{CLOCK_RATE_MIN, LAPSE_STOP_MAX},
+    Scheduler, Settings,
+};
+
+/// How far a leader's epoch is confirmed.
+#[derive(Clone, Copy, Debug)]
+pub struct EpochAuthority {
+    /// Whether the leader may start tasks and extend leases.
+    pub may_act: bool,
+    /// When the last call was sent that showed the epoch at the store: no later leader existed then.
+    pub confirmed_at: Instant,
+    /// Until when an earlier leader may start tasks and extend leases.
+    pub earlier_until: Instant,
+}
+
+/// As of when leases count as lapsed, and whether those of earlier leaders do.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LapseView {
+    pub(crate) as_of: Instant,
+    pub(crate) earlier_lapsed: bool,
+}
+
+impl EpochAuthority {
+    /// Returns the authority of a leader that has claimed its epoch and that no other preceded.
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            may_act: true,
+            confirmed_at: now,
+            earlier_until: now,
+        }
+    }
+
+    pub(crate) fn lapse_view(&self, settings: &Settings) -> LapseView {
+        LapseView {
+            as_of: self.confirmed_at,
+            earlier_lapsed: self.confirmed_at > self.earlier_leases_until(settings),
+        }
+    }
+
+    /// Returns until when a run may last under a lease that an earlier leader extended last.
+    pub(crate) fn earlier_leases_until(&self, settings: &Settings) -> Instant {
+        self.earlier_until + settings.lease_max().div_f64(CLOCK_RATE_MIN) + LAPSE_STOP_MAX
+    }
+}
+
+impl Settings {
+    /// Returns the longest lease that a leader grants: a renewal's lease begins after its wait.
+    ///
+    /// ```
+    /// let settings = jackdawchute_scheduler::Settings::default();
+    /// assert_eq!(settings.lease_max(), settings.lease + settings.renew_wait_max);
+    /// ```
+    pub fn lease_max(&self) -> Duration {
+        self.lease + self.renew_wait_max
+    }
+}
+
+impl Scheduler {
+    /// Sets how far the epoch is confirmed; to be called before a tick or a scheduling round.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use jackdawchute_scheduler::{EpochAuthority, Scheduler, Settings};
+    ///
+    /// let now = Instant::now();
+    /// let mut scheduler = Scheduler::new(Settings::default(), 2, now);
+    /// scheduler.set_authority(EpochAuthority {
+    ///     may_act: false,
+    ///     confirmed_at: now,
+    ///     earlier_until: now,
+    /// });
+    /// assert!(!scheduler.may_act());
+    /// ```
+    pub fn set_authority(&mut self, authority: EpochAuthority) {
+        self.placement_needed |= authority.may_act && !self.authority.may_act;
+        self.authority = authority;
+    }
+
+    /// Returns whether the leader may start tasks and extend leases.
+    pub fn may_act(&self) -> bool {
+        self.authority.may_act
+    }
+
+    pub(crate) fn lapse_view(&self) -> LapseView {
+        self.authority.lapse_view(&self.settings)
+    }
+}
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admit;
 mod advise;
+mod authority;
 mod batch;
 mod cancel;
 mod ends;
@@ -36,6 +37,7 @@
 mod worker;
 mod worker_rows;
 
+pub use authority::EpochAuthority;
 pub use error::{Error, Result};
 pub use graph::{JobGraph, Repeat, StepSpec};
 pub use job::{JobOutcome, JobPhase, JobStatus};
--- a/jackdawchute-scheduler/src/lost_workers.rs
+++ b/jackdawchute-scheduler/src/lost_workers.rs
@@ -14,7 +14,7 @@
     /// Removes the runs of silent workers whose leases are known to have lapsed, and drops workers
     /// that have been unlisted for long.
     pub(crate) fn drop_lost_workers(&mut self, now: Instant) {
-        let lease = self.settings.lease;
+        let view = self.lapse_view();
         let silence_max = self.settings.worker_silence_max;
         let lost: Vec<(WorkerId, Vec<TaskName>)> = self
             .workers
@@ -23,7 +23,7 @@
                 let is_silent = worker
                     .unanswered_since
                     .is_some_and(|since| now.saturating_duration_since(since) > silence_max);
-                !worker.runs.is_empty() && is_silent && worker.lease_lapsed(now, lease)
+                !worker.runs.is_empty() && is_silent && worker.lease_lapsed(view)
             })
             .map(|worker| {
                 // An order to start that may still arrive carries a lease that has lapsed too.
@@ -67,7 +67,8 @@
             answered_ms:? = incarnation.map(|it| since(it.clock_received_at)),
             lease_until_ms = whole_ms(worker.lease_sent),
             clock_ms:? = worker.clock_earliest(now).map(whole_ms),
-            reported = worker.reported, epoch_age_ms = since(self.epoch_began_at)
+            reported = worker.reported, epoch_age_ms = since(self.epoch_began_at),
+            confirmed_ms = since(self.authority.confirmed_at)
         });
     }
 }
--- a/jackdawchute-scheduler/src/messages.rs
+++ b/jackdawchute-scheduler/src/messages.rs
@@ -129,6 +129,8 @@
     OtherIncarnation,
     /// No connection was established, so that the order was not sent.
     NotDelivered,
+    /// The leader had no authority any more when the order was to be sent.
+    NotSent,
     /// The order was sent and no answer came: the task may run now, or start later.
     Unknown,
 }
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -201,7 +201,6 @@
             worker.incarnation = Some(WorkerIncarnation {
                 started_unix_ms: answer.started_unix_ms,
                 clock: answer.clock,
-                clock_requested_at: sent_at,
                 clock_received_at: now,
             });
         }
@@ -409,10 +408,10 @@
     }
 
     /// Marks the rows of workers as unsaved that name too few or too many of them.
-    pub(crate) fn update_worker_rows(&mut self, now: Instant) {
-        let earlier_lease = self.settings.lease;
+    pub(crate) fn update_worker_rows(&mut self) {
+        let view = self.lapse_view();
         for worker in self.workers.values_mut() {
-            let is_needed = worker.needs_row(now, earlier_lease);
+            let is_needed = worker.needs_row(view);
             if is_needed != worker.row_needed {
                 worker.row_needed = is_needed;
                 self.worker_rows.mark_unsaved(worker.row);
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -76,9 +76,9 @@
                     loose = outcome_unknown
                 });
                 if reason == StartRefusal::Fenced {
-                    self.effects.push(Effect::Fenced {
-                        worker: worker.clone(),
-                    });
+                    let token = run.start_order.as_ref().map_or(0, |order| order.token);
+                    run.retry_at = Some(now + ORDER_RETRY_DELAY);
+                    self.order_fenced(worker, token);
                     return;
                 }
                 // A superseded run has ended, and its end is reported, or an order of this leader
@@ -110,7 +110,15 @@
                 self.remove_run(worker, task, now);
                 self.stop_rest_of_gang(task);
             }
-            StartAnswer::Unknown | StartAnswer::NotDelivered => {
+            StartAnswer::NotSent if !run.start_outcome_unknown => {
+                info!("start not sent: the epoch is not confirmed", kv: {
+                    job = task.step.job.as_str(), task = task.index, run = number,
+                    worker = worker.as_str()
+                });
+                self.remove_run(worker, task, now);
+                self.stop_rest_of_gang(task);
+            }
+            StartAnswer::Unknown | StartAnswer::NotDelivered | StartAnswer::NotSent => {
                 if answer == StartAnswer::Unknown {
                     run.start_outcome_unknown = true;
                 }
@@ -222,8 +230,10 @@
         let mut stops = Vec::new();
         let base = self.token_base;
         let lease_length = self.settings.lease;
+        let may_act = self.authority.may_act;
         for worker in self.workers.values_mut() {
-            let Some(clock) = worker.clock_latest(now).filter(|_| worker.reported) else {
+            let lease_until = worker.lease_until(lease_length, now);
+            let Some(lease_until) = lease_until.filter(|_| worker.reported) else {
                 continue;
             };
             let token = worker.token(base);
@@ -233,13 +243,15 @@
                 }
                 let may_retry = now.saturating_duration_since(run.known_since) < START_RETRY_MAX;
                 match (&run.phase, &run.start_order) {
+                    (RunPhase::Starting, Some(_)) if !may_act => {}
                     (RunPhase::Starting, Some(start)) if may_retry && worker.listed => {
                         let mut start = start.clone();
                         start.token = token;
-                        start.lease_until = clock + lease_length;
+                        start.lease_until = lease_until;
                         worker.lease_sent = worker.lease_sent.max(start.lease_until);
                         run.order_under_way = true;
                         run.retry_at = None;
+                        run.start_order = Some(start.clone());
                         self.effects.push(Effect::Start(*start));
                     }
                     (RunPhase::Running, _) => run.retry_at = None,
@@ -262,6 +274,7 @@
             workers,
             effects,
             settings,
+            authority,
             ..
         } = self;
         let is_first = |worker: &&Worker| worker.renewal_under_way && !worker.is_responsive();
@@ -276,7 +289,8 @@
                 }
                 first_renewals += 1;
             }
-            effects.push(Effect::Renew(begin_renewal(worker, settings, base, now)));
+            let order = begin_renewal(worker, settings, authority.may_act, base, now);
+            effects.push(Effect::Renew(order));
         }
     }
 
@@ -287,7 +301,8 @@
         if let Some(worker) =
             worker.filter(|worker| worker.is_responsive() && !worker.renewal_under_way)
         {
-            let order = begin_renewal(worker, &self.settings, base, now);
+            let may_act = self.authority.may_act;
+            let order = begin_renewal(worker, &self.settings, may_act, base, now);
             self.effects.push(Effect::Renew(order));
         }
     }
@@ -301,6 +316,20 @@
         self.record_no_answer(worker, now);
     }
 
+    /// Handles the refusal of an order with a fencing token.
+    ///
+    /// The worker has seen a higher one: that of a later leader, unless this leader has raised the
+    /// token since, after a restart of the worker.
+    pub fn order_fenced(&mut self, worker: &WorkerId, token: FencingToken) {
+        let base = self.token_base;
+        let current = self.workers.get(worker).map(|worker| worker.token(base));
+        if current == Some(token) {
+            self.effects.push(Effect::Fenced {
+                worker: worker.clone(),
+            });
+        }
+    }
+
     /// Records that a worker did not answer.
     pub(crate) fn record_no_answer(&mut self, worker: &WorkerId, now: Instant) {
         if let Some(target) = self.workers.get_mut(worker) {
@@ -342,6 +371,7 @@
 fn begin_renewal(
     worker: &mut Worker,
     settings: &Settings,
+    may_act: bool,
     token_base: FencingToken,
     now: Instant,
 ) -> RenewOrder {
@@ -353,9 +383,8 @@
     };
     // The lease of a worker that does not answer is not extended, so that it lapses.
     let lease_until = worker
-        .clock_latest(now)
-        .filter(|_| is_responsive)
-        .map(|clock| clock + settings.lease);
+        .lease_until(settings.lease + wait, now)
+        .filter(|_| is_responsive && may_act);
     if let Some(until) = lease_until {
         worker.lease_sent = worker.lease_sent.max(until);
     }
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -439,7 +439,7 @@
             let Some(worker) = self.workers.get_mut(worker) else {
                 continue;
             };
-            let Some(clock) = worker.clock_latest(now) else {
+            let Some(lease_until) = worker.lease_until(self.settings.lease, now) else {
                 continue;
             };
             let order = StartOrder {
@@ -450,7 +450,7 @@
                 payload: payload.clone(),
                 checkpoint: checkpoint.clone(),
                 ticket: ticket.clone(),
-                lease_until: clock + self.settings.lease,
+                lease_until,
                 token: worker.token(self.token_base),
             };
             info!("task placed", kv: {
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use jackdawchute_types::JobId;
+use jackdawchute_types::{whole_ms, JobId};
 use smol_str::SmolStr;
 use spdlog::{info, warn};
 
@@ -29,6 +29,9 @@
 /// instance with a quarter of a core takes about two seconds for 3,000 workers.
 const FIRST_RENEWALS_DURATION_MAX: Duration = Duration::from_secs(3);
 
+/// From when on a recovery that is not complete logs what it waits for.
+const RECOVERY_LOGGED_FROM: Duration = Duration::from_secs(1);
+
 /// The state of the recovery. Until it is complete, tasks may run that no worker has reported.
 #[derive(Debug)]
 pub(crate) struct Recovery {
@@ -36,6 +39,8 @@
     complete: bool,
     /// Whether the saved rows name all workers that may run tasks of an earlier leader.
     rows_name_all: bool,
+    /// Whether it was logged what the recovery waits for.
+    wait_logged: bool,
 }
 
 impl Recovery {
@@ -44,6 +49,7 @@
             began_at: now,
             complete: false,
             rows_name_all: true,
+            wait_logged: false,
         }
     }
 }
@@ -262,13 +268,13 @@
         if self.recovery.complete {
             return;
         }
-        let lease_length = self.settings.lease;
+        let view = self.lapse_view();
         let is_awaited = |worker: &&Worker| {
-            (worker.recovered || !self.recovery.rows_name_all)
-                && !worker.is_accounted_for(now, lease_length)
+            (worker.recovered || !self.recovery.rows_name_all) && !worker.is_accounted_for(view)
         };
         let workers_awaited = self.workers.values().filter(is_awaited).count();
         if workers_awaited > 0 {
+            self.log_awaited_workers(workers_awaited, now);
             return;
         }
         self.recovery.complete = true;
@@ -293,6 +299,21 @@
         self.placement_needed = true;
     }
 
+    /// Logs once what the recovery waits for, if first renewals alone do not explain it.
+    fn log_awaited_workers(&mut self, workers: usize, now: Instant) {
+        let age = now.saturating_duration_since(self.recovery.began_at);
+        if self.recovery.wait_logged || age < RECOVERY_LOGGED_FROM {
+            return;
+        }
+        self.recovery.wait_logged = true;
+        let until = |at: Instant| whole_ms(at.saturating_duration_since(now));
+        warn!("recovery waits for silent workers", kv: {
+            epoch = self.epoch, workers = workers,
+            earlier_authority_left_ms = until(self.authority.earlier_until),
+            earlier_leases_left_ms = until(self.authority.earlier_leases_until(&self.settings))
+        });
+    }
+
     /// Stops gangs of which some tasks never started.
     fn stop_incomplete_gangs(&mut self) {
         let mut stops = Vec::new();
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     admit::ServiceLoads,
+    authority::EpochAuthority,
     estimates::{AllowedShares, RunTimes},
     job::{Job, JobPhase},
     recover::Recovery,
@@ -97,6 +98,8 @@
     pub(crate) epoch: Epoch,
     /// When this leader began the epoch.
     pub(crate) epoch_began_at: Instant,
+    /// How far the epoch is confirmed.
+    pub(crate) authority: EpochAuthority,
 }
 
 impl Scheduler {
@@ -138,6 +141,7 @@
             placement_needed: false,
             epoch,
             epoch_began_at: now,
+            authority: EpochAuthority::new(now),
         }
     }
 
@@ -208,7 +212,7 @@
         self.begin_due_occurrences(unix_now, now);
         self.retry_orders(now);
         self.drop_lost_workers(now);
-        self.update_worker_rows(now);
+        self.update_worker_rows();
         self.finish_recovery(now);
         self.stop_runs_on_leaving_workers(now);
         self.issue_due_renewals(now);
@@ -228,10 +232,13 @@
     }
 
     /// Runs a scheduling round: sends the renewals that are due and, if anything has changed since
-    /// the last round, places tasks and requests advice.
+    /// the last round, places tasks and requests advice; without authority only the former.
     pub fn run_round(&mut self, now: Instant) {
         self.issue_due_renewals(now);
         self.loads = None;
+        if !self.authority.may_act {
+            return;
+        }
         if std::mem::take(&mut self.placement_needed) {
             let ranked = self.ranked_steps(now);
             let mut free_capacity = self.free_capacity(now);
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -8,16 +8,14 @@
 use jackdawchute_types::{FencingToken, JobId, Resources, RunNumber, WorkerId};
 
 use crate::{
-    progress::Progress, unsaved::ChangeNumber, worker_rows::RowIndex, StartOrder, TaskName,
-    WorkerEntry,
+    authority::LapseView, progress::Progress, unsaved::ChangeNumber, worker_rows::RowIndex,
+    StartOrder, TaskName, WorkerEntry,
 };
 
 /// The lowest rate at which a worker's clock may advance, as a multiple of the leader's.
-const CLOCK_RATE_MIN: f64 = 0.98;
-/// How long an earlier leader may go on granting leases after it was replaced.
-const STEP_DOWN_MAX: Duration = Duration::from_secs(1);
+pub(crate) const CLOCK_RATE_MIN: f64 = 0.98;
 /// How long a worker may take to end its tasks once their lease has lapsed.
-const LAPSE_STOP_MAX: Duration = Duration::from_millis(400);
+pub(crate) const LAPSE_STOP_MAX: Duration = Duration::from_millis(400);
 
 /// The phase of a run on a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,11 +62,8 @@
 pub(crate) struct WorkerIncarnation {
     /// When the incarnation started, in Unix milliseconds.
     pub(crate) started_unix_ms: u64,
-    /// The latest reading of the worker's clock, made between `clock_requested_at` and
-    /// `clock_received_at`.
+    /// The latest reading of the worker's clock, made before `clock_received_at`.
     pub(crate) clock: Duration,
-    /// When the renewal was sent that returned the reading.
-    pub(crate) clock_requested_at: Instant,
     /// When the reading was received.
     pub(crate) clock_received_at: Instant,
 }
@@ -108,8 +103,6 @@
     pub(crate) unanswered_since: Option<Instant>,
     /// When the worker was listed with a new incarnation that has answered no renewal yet.
     pub(crate) restarted_at: Option<Instant>,
-    /// When this leader first knew the worker.
-    pub(crate) known_since: Instant,
     /// The saved row that the worker is assigned to.
     pub(crate) row: RowIndex,
     /// The most bytes that the worker takes in its row.
@@ -159,7 +152,6 @@
             renewal_next_at: now,
             unanswered_since: None,
             restarted_at: None,
-            known_since: now,
             row,
             row_bytes,
             row_needed: false,
@@ -197,13 +189,6 @@
         Some(free)
     }
 
-    /// Returns the highest reading that the worker's clock may show at `now`, provided that it does
-    /// not run fast.
-    pub(crate) fn clock_latest(&self, now: Instant) -> Option<Duration> {
-        let incarnation = self.incarnation?;
-        Some(incarnation.clock + now.saturating_duration_since(incarnation.clock_requested_at))
-    }
-
     /// Returns the lowest reading that the worker's clock may show at `now`.
     pub(crate) fn clock_earliest(&self, now: Instant) -> Option<Duration> {
         let incarnation = self.incarnation?;
@@ -211,34 +196,37 @@
         Some(incarnation.clock + elapsed.mul_f64(CLOCK_RATE_MIN))
     }
 
+    /// Returns the end of a lease that lasts no longer than `duration` from `now`; `None` while the
+    /// worker's clock is not known.
+    pub(crate) fn lease_until(&self, duration: Duration, now: Instant) -> Option<Duration> {
+        Some(self.clock_earliest(now)? + duration)
+    }
+
     /// Returns whether every lease of the worker has lapsed, granted by this leader or by an
-    /// earlier one, whose leases were `earlier_lease` long.
-    pub(crate) fn lease_lapsed(&self, now: Instant, earlier_lease: Duration) -> bool {
-        let clock = self.clock_earliest(now);
+    /// earlier one.
+    pub(crate) fn lease_lapsed(&self, view: LapseView) -> bool {
+        let clock = self.clock_earliest(view.as_of);
         let own_lapsed = clock.is_none_or(|clock| clock > self.lease_sent + LAPSE_STOP_MAX);
-        let elapsed = now.saturating_duration_since(self.known_since);
-        let earlier_lapsed =
-            elapsed.mul_f64(CLOCK_RATE_MIN) > earlier_lease + STEP_DOWN_MAX + LAPSE_STOP_MAX;
-        own_lapsed && (self.reported || earlier_lapsed)
+        own_lapsed && view.earlier_lapsed
     }
 
     /// Returns whether a new leader would have to ask the worker for its runs.
     ///
     /// A worker that no list has at the moment, as its entry expired during an outage, may still
     /// run what an earlier leader ordered.
-    pub(crate) fn needs_row(&self, now: Instant, earlier_lease: Duration) -> bool {
+    pub(crate) fn needs_row(&self, view: LapseView) -> bool {
         if self.answered {
-            let may_run_others = !self.reported && !self.lease_lapsed(now, earlier_lease);
+            let may_run_others = !self.reported && !self.lease_lapsed(view);
             self.listed || may_run_others || !self.is_idle()
         } else {
-            self.recovered && !self.lease_lapsed(now, earlier_lease)
+            self.recovered && !self.lease_lapsed(view)
         }
     }
 
     /// Returns whether the runs of the worker are known: it has reported all of them, or its leases
     /// have lapsed.
-    pub(crate) fn is_accounted_for(&self, now: Instant, earlier_lease: Duration) -> bool {
-        self.reported || self.lease_lapsed(now, earlier_lease)
+    pub(crate) fn is_accounted_for(&self, view: LapseView) -> bool {
+        self.reported || self.lease_lapsed(view)
     }
 
     /// Returns whether a further renewal is needed to confirm that a run which may not have started
--- a/jackdawchute-standins/src/load_model/run.rs
+++ b/jackdawchute-standins/src/load_model/run.rs
@@ -6,8 +6,8 @@
 };
 
 use jackdawchute_scheduler::{
-    AdviceRequest, Effect, EndReason, JobOutcome, JobStatus, RenewOrder, Scheduler, StartAnswer,
-    StartOrder, Submission, TaskName,
+    AdviceRequest, Effect, EndReason, EpochAuthority, JobOutcome, JobStatus, RenewOrder, Scheduler,
+    StartAnswer, StartOrder, Submission, TaskName,
 };
 use jackdawchute_types::{JobId, Resources, WorkerId};
 use rand::{rngs::StdRng, Rng, SeedableRng};
@@ -220,7 +220,15 @@
             Event::Tick => {
                 let unix = UNIX_START + self.now;
                 self.advisors.tick(TICK_PERIOD);
-                self.decide(|scheduler, now| scheduler.tick(now, unix));
+                let authority = EpochAuthority {
+                    may_act: true,
+                    confirmed_at: self.origin + self.now,
+                    earlier_until: self.origin,
+                };
+                self.decide(|scheduler, now| {
+                    scheduler.set_authority(authority);
+                    scheduler.tick(now, unix)
+                });
                 self.sample();
                 self.schedule(TICK_PERIOD, Event::Tick);
             }
