fix: an instance that reaches only a leader without authority is not ready

Callers at such an instance were refused although others reached the present leader. Cause: every acknowledgement of a heartbeat counted as a sign of a working leader. Change: an acknowledgement tells whether the leader has authority; without it the instance is not ready, and looks for another leader. The test failed before.

--- a/jackdawchute-cell/src/election/handlers.rs
+++ b/jackdawchute-cell/src/election/handlers.rs
@@ -116,6 +116,7 @@
             }) => {
                 if leader_epoch == epoch {
                     let earlier = Duration::from_millis(earlier_authority_ms);
+                authority_ended,
                     self.acknowledged = Some(LastAcknowledgement {
                         epoch,
                         sent_at,
@@ -124,9 +125,11 @@
                 }
                 self.other_instances = others;
                 self.strongest_millicores = Some(strongest_millicores);
-                self.leader_heard_at = Instant::now();
-                let now = self.leader_heard_at;
-                self.publish(|view| view.leader_heard_at = Some(now));
+                if !authority_ended {
+                    self.leader_heard_at = Instant::now();
+                    let now = self.leader_heard_at;
+                    self.publish(|view| view.leader_heard_at = Some(now));
+                }
                 if Duration::from_millis(store_trouble_ms) > LEADER_STORE_OUTAGE_MAX {
                     self.claim("the leader's store outage lasts too long", context);
                 }
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -307,6 +307,7 @@
             strongest_millicores: self.strongest_millicores(now),
             epoch: self.head.epoch,
             earlier_authority_ms: whole_ms(self.epoch_authority.earlier_left(now)),
+            authority_ended: !self.scheduler.may_act(),
         }
     }
 }
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -115,6 +115,9 @@
         /// For how long leaders of earlier epochs may still have authority.
         #[serde(default)]
         earlier_authority_ms: u64,
+        /// Whether the leader has no authority, so that another instance may be the leader.
+        #[serde(default)]
+        authority_ended: bool,
     },
     /// The instance does not claim the epoch for some time; a time of 0 is no promise.
     Promised {
--- a/jackdawchute-cell/tests/cell/partitions.rs
+++ b/jackdawchute-cell/tests/cell/partitions.rs
@@ -287,6 +287,21 @@
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
+/// Callers of such an instance are served by one that reaches the present leader.
+#[tokio::test]
+async fn an_instance_that_reaches_only_a_leader_without_authority_is_not_ready() {
+    let cell = cell_with(CellOptions::of_instances(INSTANCES)).await;
+    let leader = cell.leader().await;
+    let beside_leader = (leader + 1) % INSTANCES;
+
+    cell.partition(&[leader, beside_leader], &[], false).await;
+    let gateway = &cell.instances[beside_leader].handle.gateway;
+    wait_for("the instance stays ready", || !gateway.ready()).await;
+    cell.heal().await;
+
+    cell.wait_until_ready().await;
+}
+
 /// Without the store no instance can succeed the leader, so all goes on under it. A task whose lease
 /// lapses would run a second time.
 #[tokio::test]
