fix: a frozen instance that wakes does not claim the epoch of a healthy leader

Its first tick after the freeze found that it had heard no leader for longer than the timeout, and it claimed the epoch; a takeover costs callers some hundred milliseconds, and makes tasks of silent workers wait. Change: the timeout starts anew when one tick is late by 700 ms or more; a process that is late all the time counts as slow, as before.

--- a/jackdawchute-cell/src/election/handlers.rs
+++ b/jackdawchute-cell/src/election/handlers.rs
@@ -65,7 +65,10 @@
     type Return = ();
 
     async fn handle(&mut self, _tick: Tick, context: &mut Context<Self>) {
-        self.measure_lag();
+        if self.measure_lag() {
+            // The leader's answers may have come while this process did not run.
+            self.leader_heard_at = Instant::now();
+        }
         if self.is_leading() {
             self.leader_heard_at = Instant::now();
             let now = self.leader_heard_at;
@@ -113,10 +116,10 @@
                 strongest_millicores,
                 epoch: leader_epoch,
                 earlier_authority_ms,
+                authority_ended,
             }) => {
                 if leader_epoch == epoch {
                     let earlier = Duration::from_millis(earlier_authority_ms);
-                authority_ended,
                     self.acknowledged = Some(LastAcknowledgement {
                         epoch,
                         sent_at,
--- a/jackdawchute-cell/src/election/mod.rs
+++ b/jackdawchute-cell/src/election/mod.rs
@@ -32,7 +32,7 @@
     messages::{AcknowledgedBy, CellAnswer, CellCall, SLICE},
     rows::LeaderRecord,
     settings::{
-        CLAIM_JITTER, CLAIM_PAUSE, DEFAULT_STRONGEST_MILLICORES, HEARTBEAT_PERIOD,
+        CLAIM_JITTER, CLAIM_PAUSE, DEFAULT_STRONGEST_MILLICORES, FROZEN_LATENESS, HEARTBEAT_PERIOD,
         HEARTBEAT_TIMEOUT, LEADER_PRIORITY, NOTIFY_PAUSE, RECOVERY_MAX, WEAK_CLAIM_DELAY,
     },
     Metrics, Routes, Settings,
@@ -276,11 +276,14 @@
         }
     }
 
-    /// Measures how late this tick is handled.
-    fn measure_lag(&mut self) {
+    /// Measures how late this tick is handled; returns whether the process did not run meanwhile. A
+    /// process that is late all the time is only slow.
+    fn measure_lag(&mut self) -> bool {
         let lateness = self.last_tick_at.elapsed().saturating_sub(HEARTBEAT_PERIOD);
         self.last_tick_at = Instant::now();
+        let was_slow = self.lag >= FROZEN_LATENESS / 2;
         self.lag = self.lag / 2 + lateness / 2;
+        lateness >= FROZEN_LATENESS && !was_slow
     }
 
     fn heartbeat(&self) -> CellCall {
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -34,6 +34,9 @@
 pub(crate) const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(600);
 /// How long the leader may leave heartbeats unanswered before another instance claims the epoch.
 pub(crate) const LEADER_TIMEOUT: Duration = Duration::from_millis(1_100);
+/// The lateness of one tick from which an instance counts as frozen meanwhile, so that the time in
+/// which it heard no leader shows nothing.
+pub(crate) const FROZEN_LATENESS: Duration = Duration::from_millis(700);
 /// How long the leader's store outage may last before another instance claims the epoch.
 pub(crate) const LEADER_STORE_OUTAGE_MAX: Duration = Duration::from_millis(450);
 /// The longest random delay before a claim, so that instances do not all claim at once.
--- a/jackdawchute-cell/tests/cell/partitions.rs
+++ b/jackdawchute-cell/tests/cell/partitions.rs
@@ -287,6 +287,23 @@
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
+/// The leader's answers came while the process did not run.
+#[tokio::test]
+async fn a_frozen_instance_that_wakes_does_not_claim_the_epoch_of_a_healthy_leader() {
+    let cell = cell_with(CellOptions {
+        can_freeze: true,
+        ..CellOptions::of_instances(INSTANCES)
+    })
+    .await;
+    let leader = cell.leader().await;
+    let other = (leader + 1) % INSTANCES;
+
+    cell.instances[other].freeze(Duration::from_secs(3));
+    tokio::time::sleep(Duration::from_secs(5)).await;
+
+    assert_eq!(cell.leader().await, leader);
+}
+
 /// Callers of such an instance are served by one that reaches the present leader.
 #[tokio::test]
 async fn an_instance_that_reaches_only_a_leader_without_authority_is_not_ready() {
