fix: no task is placed by the entry of an earlier incarnation of a worker

Cause: an answer to a renewal that reveals a new incarnation reset what its predecessor had reported, and the worker took tasks again after its first complete report. Its entry still described the predecessor, since the worker could not register again: capacity and labels came from there.

Ruled out: a born that differs between entry and answers (the platform's pages have it at the top level of both, and the adapter decodes it alike: a whole number, 0 if it is missing, and no entry or answer if it is anything else); refusing jobs that only the earlier kind could run (the next entry may be of that kind: admission goes on counting by the list, as for workers that do not answer).

Change: a worker takes tasks only while the incarnation that answers is the one that its entry names. An order to start without an answer is not repeated meanwhile; it was repeated with the clock and the token of the old incarnation when the list had the new one first. Renewals, lists of runs and charged capacity are as before. A log line says that a listed worker waits for its entry.

an_order_to_an_earlier_incarnation_is_fenced_by_a_higher_token_before_the_task_runs_again expected a start by the entry of the earlier incarnation. It lists the new one now, before the fence; what it asserts is unchanged.

--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -181,16 +181,7 @@
                 worker = order.worker.as_str(), runs = worker.runs.len(),
                 born_unix_ms = answer.started_unix_ms
             });
-            worker.incarnations_seen += 1;
-            worker.incarnation = None;
-            worker.token_acknowledged = false;
-            worker.reported = false;
-            worker.ends_recorded = 0;
-            worker.ends_saved = 0;
-            worker.ends_unsaved.clear();
-            worker.lease_sent = Duration::ZERO;
-            worker.renewal_next_at = now;
-            worker.health.failed_jobs.clear();
+            worker.begin_incarnation(now);
             self.placement_needed = true;
             return outcome;
         }
@@ -255,6 +246,12 @@
             return;
         };
         worker.reported = true;
+        if is_first && worker.listed && !worker.entry_is_current() {
+            warn!("worker gets no task until its entry names the incarnation that answers", kv: {
+                worker = id.as_str(), born_unix_ms = answer.started_unix_ms,
+                listed_born_unix_ms = worker.entry.started_unix_ms
+            });
+        }
         let listed: HashSet<(&TaskName, RunNumber)> = answer
             .running
             .iter()
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -237,6 +237,7 @@
                 continue;
             };
             let token = worker.token(base);
+            let entry_is_current = worker.entry_is_current();
             for (task, run) in &mut worker.runs {
                 if run.order_under_way || run.retry_at.is_none_or(|at| at > now) {
                     continue;
@@ -244,6 +245,9 @@
                 let may_retry = now.saturating_duration_since(run.known_since) < START_RETRY_MAX;
                 match (&run.phase, &run.start_order) {
                     (RunPhase::Starting, Some(_)) if !may_act => {}
+                    // The worker may have become one that cannot run the task.
+                    (RunPhase::Starting, Some(_))
+                        if may_retry && worker.listed && !entry_is_current => {}
                     (RunPhase::Starting, Some(start)) if may_retry && worker.listed => {
                         let mut start = start.clone();
                         start.token = token;
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -175,6 +175,30 @@
         self.token_acknowledged && self.unanswered_since.is_none() && self.restarted_at.is_none()
     }
 
+    /// Returns whether the entry describes the incarnation that answers.
+    ///
+    /// After a restart either may come first. A new incarnation may have another capacity and other
+    /// labels, which only its own entry tells.
+    pub(crate) fn entry_is_current(&self) -> bool {
+        let described = self.entry.started_unix_ms;
+        self.incarnation
+            .is_some_and(|incarnation| incarnation.started_unix_ms == described)
+    }
+
+    /// Forgets what the previous incarnation has reported.
+    pub(crate) fn begin_incarnation(&mut self, now: Instant) {
+        self.incarnations_seen += 1;
+        self.incarnation = None;
+        self.token_acknowledged = false;
+        self.reported = false;
+        self.ends_recorded = 0;
+        self.ends_saved = 0;
+        self.ends_unsaved.clear();
+        self.lease_sent = Duration::ZERO;
+        self.renewal_next_at = now;
+        self.health.failed_jobs.clear();
+    }
+
     /// Returns whether nothing runs on the worker and all its run ends are saved.
     pub(crate) fn is_idle(&self) -> bool {
         self.runs.is_empty() && self.ends_recorded == self.ends_saved
@@ -250,7 +274,7 @@
             && self.row_needed
             && self.row_saved
             && self.reported
-            && self.incarnation.is_some()
+            && self.entry_is_current()
             && self.leaving_at.is_none()
             && !self.unanswered_since.is_some_and(is_silent)
             && self.restarted_at.is_none()
--- a/jackdawchute-scheduler/tests/behaviour/lost_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/lost_workers.rs
@@ -56,6 +56,11 @@
     cell.answer_start(&start, StartAnswer::Unknown);
 
     cell.answer_renewal_of_incarnation(&first_renewal, 2, Vec::new(), Vec::new());
+    let restarted = WorkerEntry {
+        started_unix_ms: 2,
+        ..entry("w1", 4)
+    };
+    cell.scheduler.worker_listed(restarted, cell.now);
     cell.tick(5);
     let second_renewal = cell.latest_renewal_of("w1");
     let starts_before_fence = cell.take_starts();
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -10,6 +10,7 @@
 mod large_jobs;
 mod lateness;
 mod lost_workers;
+mod other_kinds;
 mod pending_jobs;
 mod recovery;
 mod repeats;
