fix: a worker that did not answer gets no start until it answers a renewal

Cause: a worker took tasks for 0.7 s after it had failed to answer. A start that found no connection was placed on it again at once, with the next run number (27 and 28 when the worker came back), and the new incarnation took the first order that reached it: it had seen no token yet, and had not answered the renewal that would have shown the restart. A start without an answer was repeated in the same way.

Change: a worker that has not answered a renewal, or could not be connected to, gets neither new nor repeated starts until it answers a renewal. That renewal is sent 0.25 s later at the latest, unless one is under way; before, an idle worker of a large cell could wait longer for it. What runs there is treated as before: `worker_silence_max` still decides when runs are given up.

A lost answer to a renewal now costs a worker a quarter of a second or more without new tasks.

Run: the two tests added failed before (7 passed, 2 failed in other_kinds).

--- a/jackdawchute-scheduler/src/free_capacity.rs
+++ b/jackdawchute-scheduler/src/free_capacity.rs
@@ -151,8 +151,7 @@
 impl Scheduler {
     /// Returns the free capacity of all workers that accept new tasks.
     pub(crate) fn free_capacity(&self, now: Instant) -> FreeCapacity {
-        let silence_max = self.settings.worker_silence_max;
-        let accepts_tasks = |worker: &&Worker| worker.accepts_tasks(now, silence_max);
+        let accepts_tasks = |worker: &&Worker| worker.accepts_tasks(now);
         let capacity_of = |worker: &Worker| {
             Some((
                 worker.id().clone(),
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -122,11 +122,14 @@
                 if answer == StartAnswer::Unknown {
                     run.start_outcome_unknown = true;
                 }
+                run.retry_at = Some(now + ORDER_RETRY_DELAY);
                 warn!("order to start got no answer", kv: {
                     job = task.step.job.as_str(), task = task.index, run = number,
                     worker = worker.as_str()
                 });
-                run.retry_at = Some(now + ORDER_RETRY_DELAY);
+                if answer == StartAnswer::NotDelivered {
+                    self.record_no_answer(worker, now);
+                }
             }
         }
         self.placement_needed = true;
@@ -237,7 +240,7 @@
                 continue;
             };
             let token = worker.token(base);
-            let entry_is_current = worker.entry_is_current();
+            let has_known_kind = worker.has_known_kind();
             for (task, run) in &mut worker.runs {
                 if run.order_under_way || run.retry_at.is_none_or(|at| at > now) {
                     continue;
@@ -247,7 +250,7 @@
                     (RunPhase::Starting, Some(_)) if !may_act => {}
                     // The worker may have become one that cannot run the task.
                     (RunPhase::Starting, Some(_))
-                        if may_retry && worker.listed && !entry_is_current => {}
+                        if may_retry && worker.listed && !has_known_kind => {}
                     (RunPhase::Starting, Some(start)) if may_retry && worker.listed => {
                         let mut start = start.clone();
                         start.token = token;
@@ -334,7 +337,7 @@
         }
     }
 
-    /// Records that a worker did not answer.
+    /// Records that a worker did not answer; it gets no start until it answers a renewal.
     pub(crate) fn record_no_answer(&mut self, worker: &WorkerId, now: Instant) {
         if let Some(target) = self.workers.get_mut(worker) {
             if target.unanswered_since.is_none() {
@@ -342,6 +345,8 @@
                     worker = worker.as_str(), runs = target.runs.len(), listed = target.listed
                 });
                 target.unanswered_since = Some(now);
+                let renewal_at = now + RENEWAL_RETRY_DELAY;
+                target.renewal_next_at = target.renewal_next_at.min(renewal_at);
             }
         }
     }
--- a/jackdawchute-scheduler/src/report.rs
+++ b/jackdawchute-scheduler/src/report.rs
@@ -47,7 +47,7 @@
         let (mut capacity_mib, mut free_mib) = (0, 0);
         let mut usable = 0;
         for worker in self.workers.values() {
-            if worker.accepts_tasks(now, self.settings.worker_silence_max) {
+            if worker.accepts_tasks(now) {
                 usable += 1;
                 capacity_millicores += worker.entry.capacity.processor_millicores;
                 let free = worker.free().unwrap_or_default();
--- a/jackdawchute-scheduler/src/settings.rs
+++ b/jackdawchute-scheduler/src/settings.rs
@@ -12,7 +12,8 @@
     pub lease: Duration,
     /// The longest time that a worker may delay its answer to a renewal while no run ends.
     pub renew_wait_max: Duration,
-    /// How long a worker may leave renewals unanswered before it gets no new tasks.
+    /// How long a worker must have left renewals unanswered before its runs are given up, which they
+    /// are once its lease has lapsed.
     pub worker_silence_max: Duration,
     /// How long the outcome of an ended job is kept after its end.
     pub ended_retention: Duration,
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -185,6 +185,14 @@
             .is_some_and(|incarnation| incarnation.started_unix_ms == described)
     }
 
+    /// Returns whether an order to start would reach the incarnation that the entry describes.
+    ///
+    /// A worker that did not answer may have restarted, and the new incarnation would accept the
+    /// token of an earlier one.
+    pub(crate) fn has_known_kind(&self) -> bool {
+        self.entry_is_current() && self.unanswered_since.is_none()
+    }
+
     /// Forgets what the previous incarnation has reported.
     pub(crate) fn begin_incarnation(&mut self, now: Instant) {
         self.incarnations_seen += 1;
@@ -266,17 +274,14 @@
         base + self.incarnations_seen
     }
 
-    /// Returns whether new tasks may be placed on the worker, which may have been silent for
-    /// `silence_max` at most.
-    pub(crate) fn accepts_tasks(&self, now: Instant, silence_max: Duration) -> bool {
-        let is_silent = |since: Instant| now.saturating_duration_since(since) > silence_max;
+    /// Returns whether new tasks may be placed on the worker.
+    pub(crate) fn accepts_tasks(&self, now: Instant) -> bool {
         self.listed
             && self.row_needed
             && self.row_saved
             && self.reported
-            && self.entry_is_current()
+            && self.has_known_kind()
             && self.leaving_at.is_none()
-            && !self.unanswered_since.is_some_and(is_silent)
             && self.restarted_at.is_none()
             && self
                 .health
--- a/jackdawchute-scheduler/tests/behaviour/other_kinds.rs
+++ b/jackdawchute-scheduler/tests/behaviour/other_kinds.rs
@@ -160,3 +160,46 @@
 
     assert_eq!(submission, Submission::Pending);
 }
+
+/// A crashed worker refuses connections until its new incarnation takes the next order, whose token
+/// that has no reason to refuse.
+#[test]
+fn a_worker_that_could_not_be_reached_gets_no_start_until_it_answers_a_renewal() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 1)], queue(0));
+    let start = cell.take_starts().remove(0);
+
+    cell.answer_start(&start, StartAnswer::NotDelivered);
+    cell.tick(300);
+    let starts_before_answer = cell.take_starts();
+    let renewal = cell.latest_renewal_of("w1");
+    cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+    cell.tick(10);
+
+    assert_eq!(starts_before_answer, []);
+    assert_eq!(cell.take_starts().len(), 1);
+}
+
+#[test]
+fn a_worker_whose_renewal_failed_gets_neither_new_nor_repeated_starts_until_it_answers() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 1)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.answer_start(&start, StartAnswer::Unknown);
+
+    cell.scheduler.renew_failed(&"w1".into(), cell.now);
+    cell.accept("next", vec![step(1, 1)], queue(0));
+    cell.tick(300);
+    let starts_before_answer = cell.take_starts();
+    let renewal = cell.latest_renewal_of("w1");
+    cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+    cell.tick(10);
+
+    assert_eq!(starts_before_answer, []);
+    let jobs: Vec<_> = cell
+        .take_starts()
+        .into_iter()
+        .map(|start| start.task.step.job)
+        .collect();
+    assert_eq!(jobs, ["job", "next"]);
+}
