fix: a run after one of an earlier leader has a number of its own epoch

Two leaders around a takeover could give two runs of one task the same number: only waiting tasks got numbers of the new epoch, one that a worker listed kept counting from its own. Found by reading; the test failed before (run 2 after run 1).

--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -71,6 +71,13 @@
 }
 
 impl Unit {
+    /// Begins a new run with its tasks on these workers.
+    pub(crate) fn begin_run(&mut self, placed: impl Iterator<Item = (u32, WorkerId)>) {
+        self.last_run += 1;
+        self.stopping = false;
+        self.placed = placed.collect();
+    }
+
     /// Returns whether the unit is neither done nor placed.
     pub(crate) fn is_waiting(&self) -> bool {
         !self.done && self.placed.is_empty()
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     free_capacity::{can_run, tasks_fitting, FreeCapacity, ReservedCapacity, WorkerCapacity},
-    job::{Advice, GangReservation, Job, StepRun, Unit},
+    job::{Advice, GangReservation, Job, StepRun},
     rank::RankedStep,
     worker::{Run, RunPhase},
     Effect, Scheduler, StartOrder, StepName, StepSpec,
@@ -430,10 +430,15 @@
         };
         let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
         let payload = job.graph.payload.clone();
+        let earlier_runs_max = job.earlier_runs_max;
         let Some(unit) = job.step_mut(name).and_then(|step| step.units.get_mut(unit)) else {
             return;
         };
-        begin_run(unit, assignments);
+        // Failures are counted by the numbers of their runs, and an earlier leader may have used and
+        // not saved those up to this one.
+        unit.last_run = unit.last_run.max(earlier_runs_max);
+        let placed = assignments.iter();
+        unit.begin_run(placed.map(|(index, worker, _)| (*index, worker.clone())));
         let (run, checkpoint) = (unit.last_run, unit.checkpoint.clone());
         for (index, worker, ticket) in assignments {
             let Some(worker) = self.workers.get_mut(worker) else {
@@ -488,13 +493,3 @@
         .round()
         .max(1.0) as usize
 }
-
-/// Begins a new run of a unit with its tasks on these workers.
-fn begin_run(unit: &mut Unit, assignments: &[(u32, WorkerId, Option<Ticket>)]) {
-    unit.last_run += 1;
-    unit.stopping = false;
-    unit.placed = assignments
-        .iter()
-        .map(|(index, worker, _)| (*index, worker.clone()))
-        .collect();
-}
--- a/jackdawchute-scheduler/tests/behaviour/recovery.rs
+++ b/jackdawchute-scheduler/tests/behaviour/recovery.rs
@@ -65,6 +65,30 @@
     assert!(starts[0].token > start.token);
 }
 
+/// An earlier leader may have ordered the next number on a worker that this one does not reach; two
+/// failures of the same number would count once.
+#[test]
+fn a_run_after_one_of_an_earlier_leader_has_a_number_of_its_own_epoch() {
+    let (rows, start) = rows_and_start_of_predecessor();
+    let mut cell = successor(2, &rows, &["w1", "w2"]);
+    for renewal in std::mem::take(&mut cell.renewals) {
+        let runs_task = renewal.worker == start.worker;
+        let listed = runs_task.then(|| running(&start)).into_iter().collect();
+        cell.answer_renewal(&renewal, listed, Vec::new());
+    }
+    cell.tick(50);
+
+    let renewal = cell.latest_renewal_of(&start.worker);
+    let end = ended(1, &start, EndReason::Failed);
+    cell.answer_renewal(&renewal, Vec::new(), vec![end]);
+    cell.commit();
+    cell.tick(50);
+
+    let starts = cell.take_starts();
+    assert_eq!(starts.len(), 1);
+    assert!(starts[0].run > start.run + 1, "{}", starts[0].run);
+}
+
 #[test]
 fn failures_count_in_whatever_order_workers_report_them() {
     let (rows, first) = rows_and_start_of_predecessor();
