--- a/jackdawchute-cell/src/authority/held.rs
+++ b/jackdawchute-cell/src/authority/held.rs
@@ -8,7 +8,7 @@
 use super::{CONFIRMED_FOR, MEMBER_FOR, PROMISED_MAX};
 
 /// How long before a member's promise ends the next one is asked for.
-const RENEW_BEFORE: Duration = Duration::from_millis(350);
+const RENEW_BEFORE: Duration = Duration::from_millis(250);
 /// The shortest time between two requests to one member.
 const ASK_PERIOD: Duration = Duration::from_millis(150);
 /// The age of the last confirmation from which promises are asked for.
