fix: a worker gets no task before a confirmation that is later than its report

After a takeover a former leader could still start a task on a worker that restarted and that its successor had reached before: the new incarnation has seen no token, and the successor's recovery had ended. Change: a worker gets tasks only once the epoch was confirmed after its current incarnation has reported. Leases of earlier leaders count from the worker's acknowledgement of this leader's token if that is earlier: it refuses theirs from then on, so that a worker that dies soon after a takeover holds its tasks for a shorter time. The test of the latter is restated from the acknowledgement, and the wait of a worker that never answered has one of its own. The new test failed before.

--- a/jackdawchute-scheduler/src/authority.rs
+++ b/jackdawchute-scheduler/src/authority.rs
@@ -21,11 +21,14 @@
     pub earlier_until: Instant,
 }
 
-/// As of when leases count as lapsed, and whether those of earlier leaders do.
+/// As of when leases count as lapsed, and how long those of earlier leaders last.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LapseView {
     pub(crate) as_of: Instant,
-    pub(crate) earlier_lapsed: bool,
+    /// Until when an earlier leader may extend leases of workers that do not refuse its token.
+    pub(crate) earlier_until: Instant,
+    /// The longest time that a run lasts after its lease was extended.
+    pub(crate) lease_time: Duration,
 }
 
 impl EpochAuthority {
@@ -41,16 +44,21 @@
     pub(crate) fn lapse_view(&self, settings: &Settings) -> LapseView {
         LapseView {
             as_of: self.confirmed_at,
-            earlier_lapsed: self.confirmed_at > self.earlier_leases_until(settings),
+            earlier_until: self.earlier_until,
+            lease_time: lease_time(settings),
         }
     }
 
     /// Returns until when a run may last under a lease that an earlier leader extended last.
     pub(crate) fn earlier_leases_until(&self, settings: &Settings) -> Instant {
-        self.earlier_until + settings.lease_max().div_f64(CLOCK_RATE_MIN) + LAPSE_STOP_MAX
+        self.earlier_until + lease_time(settings)
     }
 }
 
+fn lease_time(settings: &Settings) -> Duration {
+    settings.lease_max().div_f64(CLOCK_RATE_MIN) + LAPSE_STOP_MAX
+}
+
 impl Settings {
     /// Returns the longest lease that a leader grants: a renewal's lease begins after its wait.
     ///
--- a/jackdawchute-scheduler/src/free_capacity.rs
+++ b/jackdawchute-scheduler/src/free_capacity.rs
@@ -151,7 +151,8 @@
 impl Scheduler {
     /// Returns the free capacity of all workers that accept new tasks.
     pub(crate) fn free_capacity(&self, now: Instant) -> FreeCapacity {
-        let accepts_tasks = |worker: &&Worker| worker.accepts_tasks(now);
+        let confirmed_at = self.authority.confirmed_at;
+        let accepts_tasks = |worker: &&Worker| worker.accepts_tasks(confirmed_at, now);
         let capacity_of = |worker: &Worker| {
             Some((
                 worker.id().clone(),
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -201,6 +201,7 @@
             return outcome;
         }
         worker.token_acknowledged = true;
+        worker.acknowledged_at.get_or_insert(now);
         worker.answered = true;
         for end in &answer.ended {
             outcome.new += usize::from(self.run_ended(&order.worker, end, now));
@@ -246,6 +247,7 @@
             return;
         };
         worker.reported = true;
+        worker.reported_at.get_or_insert(now);
         if is_first && worker.listed && !worker.entry_is_current() {
             warn!("worker gets no task until its entry names the incarnation that answers", kv: {
                 worker = id.as_str(), born_unix_ms = answer.started_unix_ms,
--- a/jackdawchute-scheduler/src/report.rs
+++ b/jackdawchute-scheduler/src/report.rs
@@ -47,7 +47,7 @@
         let (mut capacity_mib, mut free_mib) = (0, 0);
         let mut usable = 0;
         for worker in self.workers.values() {
-            if worker.accepts_tasks(now) {
+            if worker.accepts_tasks(self.authority.confirmed_at, now) {
                 usable += 1;
                 capacity_millicores += worker.entry.capacity.processor_millicores;
                 let free = worker.free().unwrap_or_default();
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -116,8 +116,12 @@
     /// Whether the worker has answered a renewal of this leader with the current token of that
     /// time.
     pub(crate) answered: bool,
+    /// When this incarnation of the worker first acknowledged a token of this leader.
+    pub(crate) acknowledged_at: Option<Instant>,
     /// Whether the worker has reported all its runs since it acknowledged the current token.
     pub(crate) reported: bool,
+    /// When this incarnation of the worker first reported all its runs.
+    pub(crate) reported_at: Option<Instant>,
     /// The worker's recent failures, from which a quarantine follows, and its speed.
     pub(crate) health: Health,
 }
@@ -158,7 +162,9 @@
             row_saved: false,
             recovered: false,
             answered: false,
+            acknowledged_at: None,
             reported: false,
+            reported_at: None,
             health: Health {
                 slowness: 1.0,
                 ..Health::default()
@@ -198,7 +204,9 @@
         self.incarnations_seen += 1;
         self.incarnation = None;
         self.token_acknowledged = false;
+        self.acknowledged_at = None;
         self.reported = false;
+        self.reported_at = None;
         self.ends_recorded = 0;
         self.ends_saved = 0;
         self.ends_unsaved.clear();
@@ -239,7 +247,10 @@
     pub(crate) fn lease_lapsed(&self, view: LapseView) -> bool {
         let clock = self.clock_earliest(view.as_of);
         let own_lapsed = clock.is_none_or(|clock| clock > self.lease_sent + LAPSE_STOP_MAX);
-        own_lapsed && view.earlier_lapsed
+        // From its acknowledgement of this leader's token on the worker refuses earlier leaders.
+        let acknowledged_at = self.acknowledged_at.unwrap_or(view.earlier_until);
+        let earlier_until = view.earlier_until.min(acknowledged_at);
+        own_lapsed && view.as_of > earlier_until + view.lease_time
     }
 
     /// Returns whether a new leader would have to ask the worker for its runs.
@@ -274,12 +285,17 @@
         base + self.incarnations_seen
     }
 
-    /// Returns whether new tasks may be placed on the worker.
-    pub(crate) fn accepts_tasks(&self, now: Instant) -> bool {
+    /// Returns whether new tasks may be placed on the worker by a leader whose epoch was confirmed at
+    /// `confirmed_at`.
+    ///
+    /// A later leader that has this incarnation's report already may have ended its recovery, so the
+    /// report must be older than the confirmation.
+    pub(crate) fn accepts_tasks(&self, confirmed_at: Instant, now: Instant) -> bool {
         self.listed
             && self.row_needed
             && self.row_saved
             && self.reported
+            && self.reported_at.is_some_and(|at| at <= confirmed_at)
             && self.has_known_kind()
             && self.leaving_at.is_none()
             && self.restarted_at.is_none()
--- a/jackdawchute-scheduler/tests/behaviour/authority.rs
+++ b/jackdawchute-scheduler/tests/behaviour/authority.rs
@@ -114,7 +114,8 @@
     assert_eq!(next_start.lease_until, clock + settings.lease);
 }
 
-/// A worker may run on under the lease of an earlier leader, whatever it has reported since.
+/// A worker may run on under the lease that an earlier leader extended just before the worker
+/// acknowledged the token of this one, whatever it has reported since.
 #[test]
 fn a_run_under_an_earlier_leaders_lease_counts_until_that_lease_has_lapsed() {
     let (mut cell, start) = cell_with_a_running_task();
@@ -128,7 +129,27 @@
         };
         successor.answer_renewal(&renewal, runs, Vec::new());
     }
-    let earlier_leases_last = EARLIER_AUTHORITY + Settings::default().lease_max();
+    let acknowledged_at = successor.now;
+
+    let mut restarted_after = None;
+    pass_time(&mut successor, "w1", 12_000, |cell| {
+        cell.tick(100);
+        if cell.take_starts().pop().is_some() {
+            restarted_after.get_or_insert(cell.now - acknowledged_at);
+        }
+    });
+
+    let restarted_after = restarted_after.expect("the task starts again within 12 s");
+    let lease = Settings::default().lease_max();
+    assert!(restarted_after >= lease, "{restarted_after:?}");
+}
+
+/// Until its authority has ended, an earlier leader may extend the lease of a worker that has not
+/// acknowledged the token of this one.
+#[test]
+fn a_recovery_waits_for_the_authority_and_the_leases_of_earlier_leaders() {
+    let (mut cell, _) = cell_with_a_running_task();
+    let mut successor = successor(2, &std::mem::take(&mut cell.saved), &["w1", "w2"]);
 
     let mut restarted_after = None;
     pass_time(&mut successor, "w1", 12_000, |cell| {
@@ -139,12 +160,36 @@
     });
 
     let restarted_after = restarted_after.expect("the task starts again within 12 s");
+    let earlier_leases_last = EARLIER_AUTHORITY + Settings::default().lease_max();
     assert!(
         restarted_after >= earlier_leases_last,
         "{restarted_after:?}"
     );
 }
 
+/// A later leader that has the report of this incarnation already may have ended its recovery.
+#[test]
+fn a_worker_gets_no_task_before_a_confirmation_that_is_later_than_its_report() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    let unconfirmed = unconfirmed_from_now(&cell, true);
+    cell.tick_with(10, unconfirmed);
+    cell.scheduler.worker_listed(entry("w2", 16), cell.now);
+    cell.tick_with(10, unconfirmed);
+    let renewal = cell.latest_renewal_of("w2");
+    cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+    cell.tick_with(10, unconfirmed);
+    cell.commit();
+    cell.accept("job", vec![step(1, 8)], queue(0));
+
+    cell.tick_with(10, unconfirmed);
+    let starts_before = cell.take_starts();
+    cell.tick(10);
+    let starts_after = cell.take_starts();
+
+    assert_eq!(starts_before, []);
+    assert_eq!(starts_after.len(), 1);
+}
+
 #[test]
 fn a_refused_token_ends_the_leader_unless_it_has_raised_the_token_itself() {
     let mut cell = ready_cell(1, &[entry("w1", 4)]);
