--- a/jackdawchute-cell/src/authority/earlier.rs
+++ b/jackdawchute-cell/src/authority/earlier.rs
@@ -4,7 +4,7 @@
 
 use jackdawchute_types::Epoch;
 
-use super::{ACKNOWLEDGED_FOR, CLOCK_RATE_MIN, CONFIRMED_FOR, PROMISED_MAX};
+use super::{ACKNOWLEDGED_FOR, CLOCK_RATE_MIN, CONFIRMED_FOR, PROMISED_FOR, PROMISED_MAX};
 
 /// What an instance knows from the leader that acknowledged it last.
 ///
@@ -31,8 +31,8 @@
     /// Returns until when the leader of the acknowledged epoch may have authority, if a later epoch
     /// was claimed by `claimed_at`.
     fn leader_until(&self, claimed_at: Instant) -> Instant {
-        self.promised_until
-            .max(claimed_at + on_other_clocks(CONFIRMED_FOR))
+        let promised = self.promised_until + (on_other_clocks(PROMISED_FOR) - PROMISED_FOR);
+        promised.max(claimed_at + on_other_clocks(CONFIRMED_FOR))
     }
 }
 
--- a/jackdawchute-cell/src/authority/held.rs
+++ b/jackdawchute-cell/src/authority/held.rs
@@ -81,6 +81,11 @@
         self.member(address, incarnation, now).acknowledged_at = now;
     }
 
+    /// Records that an instance will not claim the epoch any more, as it is shutting down.
+    pub fn withdraw(&mut self, address: SocketAddr) {
+        self.members.remove(&address);
+    }
+
     /// Records a promise for `promised_for`, which counts from when it was asked for.
     pub fn promised(
         &mut self,
--- a/jackdawchute-cell/src/authority/mod.rs
+++ b/jackdawchute-cell/src/authority/mod.rs
@@ -6,6 +6,19 @@
 //! claims the epoch so knows that no promise of its own is left. An instance that no leader has
 //! acknowledged was never asked, and allows for [`PROMISED_MAX`] instead.
 //!
+//! A leader without members needs no promise, and may act for that long.
+//!
+//! A successor bounds the authority of all earlier leaders by induction over the epochs: the leader
+//! that it replaced by what a member of that leader knows, or once that leader has stopped; those
+//! before by what the replaced leader knew, which it saves once nothing is left (the head row is
+//! settled) and tells its members until then.
+//!
+//! [`Authority`] is what a leader holds, [`EarlierLeaders`] what its predecessors may still hold, and
+//! [`ClaimState`] the promises that an instance gives. The leader task passes the result on to the
+//! scheduler and, as a permission that each order checks when it is sent, to the calls under way;
+//! the election task revokes the permission when it learns of a successor, so that nothing is sent
+//! after that, whatever waits in the leader task's mailbox.
+//!
 //! Decisions only: the time comes in with each call.
 
 mod earlier;
--- a/jackdawchute-cell/src/authority/promise.rs
+++ b/jackdawchute-cell/src/authority/promise.rs
@@ -15,6 +15,8 @@
     under_way: bool,
     /// Whether an earlier claim got no answer, and the leader row has not changed since.
     unresolved: bool,
+    /// Whether the leader row has changed since the claim that is under way was begun.
+    overtaken: bool,
 }
 
 impl ClaimState {
@@ -31,7 +33,7 @@
     /// assert_eq!(state.promise(now), None);
     /// ```
     pub fn promise(&mut self, now: Instant) -> Option<Duration> {
-        if self.under_way || self.unresolved {
+        if self.may_take_effect() {
             return None;
         }
         self.promised_until = Some(now + PROMISED_FOR);
@@ -41,6 +43,7 @@
     /// Begins a claim and returns how long it must wait for the last promise to end.
     pub fn begin_claim(&mut self, now: Instant) -> Duration {
         self.under_way = true;
+        self.overtaken = false;
         self.promised_until(now).saturating_duration_since(now)
     }
 
@@ -48,7 +51,7 @@
     /// arrived.
     pub fn end_claim(&mut self, sent: bool, answered: bool) {
         self.under_way = false;
-        if answered {
+        if answered || self.overtaken {
             self.unresolved = false;
         } else if sent {
             self.unresolved = true;
@@ -58,6 +61,12 @@
     /// Records that the leader row has changed, so that no earlier claim can take effect.
     pub fn row_changed(&mut self) {
         self.unresolved = false;
+        self.overtaken = true;
+    }
+
+    /// Returns whether a claim of this instance may still take effect.
+    pub fn may_take_effect(&self) -> bool {
+        self.under_way || self.unresolved
     }
 
     /// Returns until when this instance has promised not to claim the epoch; `now` if it has not.
--- a/jackdawchute-cell/src/election/mod.rs
+++ b/jackdawchute-cell/src/election/mod.rs
@@ -294,14 +294,15 @@
             lag_ms: whole_ms(self.lag),
             processor_millicores: self.parts.settings.processor_millicores,
             incarnation: self.parts.incarnation.clone(),
+            withdrawn: self.is_leaving() && !self.claim_state.may_take_effect(),
             acknowledged: self.acknowledged_by_earlier_leader(),
         }
     }
 
     /// Returns what this instance knows from the leader that acknowledged it last; `None` if that
-    /// was too long ago.
+    /// was too long ago, or if the leader may not count it as a member any more.
     fn acknowledged(&self, now: Instant) -> Option<Acknowledged> {
-        let last = self.acknowledged?;
+        let last = self.acknowledged.filter(|_| !self.is_leaving())?;
         // Time for which the machine was suspended counts for the leader too.
         let age = boot_time().saturating_sub(last.sent_at.boot);
         let sent_at = now.checked_sub(age)?;
@@ -334,8 +335,8 @@
     /// Sends the new leader row to the predecessor, which may be cut off from the store, until it
     /// answers; returns when it has.
     ///
-    /// Any answer shows that the predecessor has stopped: it does so before it answers, and a later
-    /// incarnation at its address answers only once it has ended.
+    /// An acknowledgement shows that the predecessor has stopped: it does so before it answers, and a
+    /// later incarnation at its address answers only once it has ended.
     fn notify_predecessor(
         &self,
         replaced_row: Option<LeaderRow>,
--- a/jackdawchute-cell/src/leader/authority.rs
+++ b/jackdawchute-cell/src/leader/authority.rs
@@ -17,7 +17,7 @@
     authority::{Acknowledged, Authority, AuthorityState, EarlierLeaders, Permission},
     calls::SentAt,
     election::EpochLost,
-    messages::{CellAnswer, CellCall, SLICE},
+    messages::{AcknowledgedBy, CellAnswer, CellCall, SLICE},
     settings::{CONFIRM_PERIOD, CONFIRM_TIMEOUT, HEARTBEAT_TIMEOUT, PROMISE_TIMEOUT},
 };
 
@@ -99,6 +99,11 @@
 }
 
 impl LeaderTask {
+    /// Returns whether the leader may act now, as its orders do when they are sent.
+    pub(super) fn may_act(&self) -> bool {
+        self.epoch_authority.permission.is_valid()
+    }
+
     /// Confirms the epoch where no commit does: by reads of the head row, and by promises of the
     /// members while the store does not answer.
     pub(super) fn confirm_epoch(&mut self, context: &Context<Self>) {
@@ -163,21 +168,25 @@
     pub(super) fn record_member(&mut self, heartbeat: &PeerHeartbeat, now: Instant) {
         let confirmation = &mut self.epoch_authority;
         let authority = &mut confirmation.authority;
-        authority.acknowledge(heartbeat.address, &heartbeat.incarnation, boot_time());
-        let Some(by) = heartbeat.acknowledged else {
-            return;
-        };
-        // The heartbeat was sent no longer ago than its timeout.
-        let age = Duration::from_millis(by.age_ms) + HEARTBEAT_TIMEOUT;
-        let Some(sent_at) = now.checked_sub(age) else {
-            return;
-        };
-        confirmation.earlier.testified(&Acknowledged {
-            epoch: by.epoch,
-            sent_at,
-            earlier_until: now + Duration::from_millis(by.earlier_authority_ms),
-            promised_until: now + Duration::from_millis(by.promised_ms),
-        });
+        if heartbeat.withdrawn {
+            authority.withdraw(heartbeat.address);
+        } else {
+            authority.acknowledge(heartbeat.address, &heartbeat.incarnation, boot_time());
+        }
+        // The heartbeat may have been under way for as long as its timeout.
+        let age = |by: &AcknowledgedBy| Duration::from_millis(by.age_ms) + HEARTBEAT_TIMEOUT;
+        let by = heartbeat.acknowledged;
+        if let Some((by, sent_at)) = by.and_then(|by| Some((by, now.checked_sub(age(&by))?))) {
+            confirmation.earlier.testified(&Acknowledged {
+                epoch: by.epoch,
+                sent_at,
+                earlier_until: now + Duration::from_millis(by.earlier_authority_ms),
+                promised_until: now + Duration::from_millis(by.promised_ms),
+            });
+        }
+        // The instance counts as a member from its acknowledgement on, so that the orders need its
+        // promise before.
+        self.update_authority();
     }
 
     /// Passes the authority on to the scheduler and to the orders under way, and logs its changes.
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -61,6 +61,7 @@
 pub(crate) struct PeerHeartbeat {
     pub(crate) address: SocketAddr,
     pub(crate) incarnation: IncarnationId,
+    pub(crate) withdrawn: bool,
     pub(crate) acknowledged: Option<AcknowledgedBy>,
     pub(crate) state: PeerState,
 }
@@ -307,7 +308,7 @@
             strongest_millicores: self.strongest_millicores(now),
             epoch: self.head.epoch,
             earlier_authority_ms: whole_ms(self.epoch_authority.earlier_left(now)),
-            authority_ended: !self.scheduler.may_act(),
+            authority_ended: !self.may_act(),
         }
     }
 }
@@ -331,7 +332,7 @@
             let _ = reply.send(CellAnswer::NoQueue);
             return;
         }
-        if !known && !self.scheduler.may_act() {
+        if !known && !self.may_act() {
             // A later leader may have accepted the job, so that a refusal would not be true.
             let _ = reply.send(CellAnswer::Unknown);
             return;
@@ -386,6 +387,11 @@
             let _ = reply.send(CellAnswer::NotLeader);
             return;
         }
+        if !self.may_act() {
+            // A later leader may have ended the job, or may never have known it.
+            let _ = reply.send(CellAnswer::Unknown);
+            return;
+        }
         let status = self.scheduler.cancel(&job);
         match status {
             JobStatus::Queued | JobStatus::Running => {
@@ -446,7 +452,7 @@
         if self.fenced {
             return CellAnswer::NotLeader;
         }
-        if !self.scheduler.may_act() {
+        if !self.may_act() {
             return self.unavailable(Instant::now());
         }
         CellAnswer::Pending {
--- a/jackdawchute-cell/src/leader/saving.rs
+++ b/jackdawchute-cell/src/leader/saving.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawchute_scheduler::{JobStatus, QueuePolicy};
+use jackdawchute_scheduler::{CommitBatch, JobStatus, QueuePolicy};
 use jackdawchute_types::{whole_ms, Epoch};
 use spdlog::{info, warn};
 use tokio::sync::oneshot;
@@ -11,6 +11,7 @@
 use super::{answer_all, handlers::EpochChecked, LeaderTask};
 use crate::{
     calls::SentAt,
+    commit::Head,
     messages::CellAnswer,
     recover::unix_now,
     rows::{HeadRecord, HEAD_TABLE, PART},
@@ -74,22 +75,27 @@
         let batch = self
             .scheduler
             .take_batch(COMMIT_ROWS_MAX, COMMIT_BYTES_MAX, unix_ms);
-        let Some(mut batch) = batch else {
+        let head = Head {
+            settled: self.head.settled || self.epoch_authority.earlier_left(now).is_zero(),
+            ..self.head
+        };
+        // An idle leader saves too that none before it has authority any more.
+        let unsaved_head = (head != self.head).then(CommitBatch::default);
+        let Some(mut batch) = batch.or(unsaved_head) else {
             return;
         };
         let rows_left = COMMIT_ROWS_MAX.saturating_sub(batch.changes.len());
         batch
             .changes
             .extend(self.scheduler.take_expired_rows(rows_left, now));
-        if batch.changes.is_empty() {
+        if batch.changes.is_empty() && head == self.head {
             // Run ends that change no row can be acknowledged without a commit.
             self.scheduler.committed(&batch, now);
             return;
         }
         self.commit_started_at = Some(now);
         self.next_commit_at = now + COMMIT_PERIOD;
-        self.head.settled |= self.epoch_authority.earlier_left(now).is_zero();
-        self.committer.commit(self.head, batch, task.clone());
+        self.committer.commit(head, batch, task.clone());
     }
 
     /// Refuses the jobs that are not part of a commit yet, once an outage has lasted too long.
@@ -120,7 +126,7 @@
             self.check_epoch(context);
             return;
         }
-        if !self.scheduler.may_act() && !matches!(status, JobStatus::Ended(_)) {
+        if !self.may_act() && !matches!(status, JobStatus::Ended(_)) {
             // A later leader may know of a later status.
             let _ = reply.send(self.unavailable(Instant::now()));
             return;
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -31,6 +31,9 @@
         /// The caller's incarnation; empty from instances of earlier versions.
         #[serde(default)]
         incarnation: IncarnationId,
+        /// Whether the caller is shutting down and no claim of it can take effect any more.
+        #[serde(default)]
+        withdrawn: bool,
         /// What the caller knows from the leader that acknowledged it last; `None` if none has
         /// lately.
         #[serde(default)]
--- a/jackdawchute-cell/src/peers.rs
+++ b/jackdawchute-cell/src/peers.rs
@@ -126,12 +126,14 @@
             lag_ms,
             processor_millicores,
             incarnation,
+            withdrawn,
             acknowledged,
             ..
         } => leader
             .send(PeerHeartbeat {
                 address,
                 incarnation,
+                withdrawn,
                 acknowledged,
                 state: PeerState {
                     leaving,
--- a/jackdawchute-cell/tests/authority.rs
+++ b/jackdawchute-cell/tests/authority.rs
@@ -193,6 +193,31 @@
     assert_eq!(after, Some(PROMISED_FOR));
 }
 
+/// The answer comes after another instance's claim, so that this one can take effect no more.
+#[test]
+fn a_claim_that_another_one_overtook_rules_out_no_promise() {
+    let now = Instant::now();
+    let mut state = ClaimState::default();
+    state.begin_claim(now);
+    state.row_changed();
+
+    state.end_claim(true, false);
+
+    assert_eq!(state.promise(now), Some(PROMISED_FOR));
+}
+
+/// A stop that was planned must not end the authority in an outage soon after it.
+#[test]
+fn a_member_that_has_withdrawn_is_asked_for_no_promise() {
+    let mut authority = authority_with_two_members();
+    let asked_at = CLAIMED_AT + CONFIRMED_FOR;
+
+    authority.withdraw(member(2));
+    authority.promised(member(1), &"first".into(), asked_at, PROMISED_FOR);
+
+    assert_eq!(authority.state(asked_at), AuthorityState::Promised);
+}
+
 #[test]
 fn an_instance_that_has_promised_waits_before_it_claims() {
     let now = Instant::now();
--- a/jackdawchute-cell/tests/cell/partitions.rs
+++ b/jackdawchute-cell/tests/cell/partitions.rs
@@ -181,6 +181,24 @@
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
+/// The promise of the instance beside the leader must not stand for those beyond the cut.
+#[tokio::test]
+async fn a_leader_cut_off_with_another_instance_starts_nothing_that_its_successor_may_run() {
+    const CUT_TIME: Duration = Duration::from_secs(9);
+    let cell = cell_with_running_tasks(CUT_TIME + Duration::from_secs(1), false).await;
+    let leader = cell.leader().await;
+    let beside_leader = (leader + 1) % INSTANCES;
+    let workers = busiest_and_idlest(&cell);
+
+    cell.partition(&[leader, beside_leader], &as_str(&workers), false)
+        .await;
+    tokio::time::sleep(CUT_TIME).await;
+    cell.heal().await;
+    let violations = violations(&cell, &[("job", RUNNING_TASKS)]).await;
+
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 #[tokio::test]
 async fn waiting_tasks_start_on_one_side_of_a_partition_only() {
     const TASKS: u32 = 60;
