fix: a rack owner that was replaced concludes nothing from the silence of workers

Callers could see a task run in two places: a rack owner that a successor had fenced told the home owner that attempts were lost, and the home owner started the next ones while the successor kept the first ones running.

Cause: the rack owner ended the attempts on a worker as lost one lease and a margin after the worker's last report, and reported that in the same tick, without a check that it still owned the rack. `Call::Report` names no epoch of the rack, so the home owner took it from any instance. After a pause of 20 s the first tick found every worker silent, while the known lease state was that of before the pause. An owner cut off from the table and the worker, but not from the home owner, did the same without a pause.

Silence shows that the leases have lapsed only if nobody else renewed them. The rack owner now journals the intents of the attempts on silent workers once more, unchanged, and ends and reports the attempts when that append has succeeded. The append is made after the lapse and fails if the incarnation was fenced or has released the rack by then, so its success shows that there was no successor until the lapse. A worker that reports meanwhile is left to its reports.

Ruled out: - the guard of renewals (lease state and a second after a pause): a smaller change, but the lease state arrives by message, so it is only as fresh as the mailbox, and one place per task would rest on clocks where it rests on the table's transactions; - deleting the intents with that append: a successor would not find the attempts if this owner ended before the home owner had acknowledged; - a rack epoch in `Call::Report`: the home owner's directory may lag behind the takeover, and a report of what a worker said is true from any owner.

The limit of 500 attempts an append has no test.

Not run: the rest of the workspace, the soaks. No process test pauses a rack owner past a takeover.

--- a/jackdawchute-jobs/examples/costs.rs
+++ b/jackdawchute-jobs/examples/costs.rs
@@ -224,6 +224,10 @@
                     .intents_journaled(0, &rack, answers, true, Instant::now());
                 self.pass_answers(effects, AfterCall::RackAnswered(ids))
             }
+            AfterAppend::Lapsed(rack, ids) => {
+                self.racks
+                    .lapses_journaled(&rack, &ids, true, Instant::now())
+            }
             AfterAppend::Nothing => Vec::new(),
         }
     }
--- a/jackdawchute-jobs/src/effect.rs
+++ b/jackdawchute-jobs/src/effect.rs
@@ -4,7 +4,7 @@
 
 use jackdawchute_ownership::{JournalEntry, Owner};
 use jackdawchute_ports::{Lease, StartTask};
-use jackdawchute_types::{ClassId, JobId, Refusal, RefusalReason, RetryReason, WorkerId};
+use jackdawchute_types::{ClassId, GroupId, JobId, Refusal, RefusalReason, RetryReason, WorkerId};
 
 use crate::{Call, Reply, TaskAttempt};
 
@@ -98,10 +98,12 @@
         /// The call that requested the starts.
         call: CallId,
         /// The rack's group.
-        rack: jackdawchute_types::GroupId,
+        rack: GroupId,
         /// The answers for all tasks of the call; those that say `Journaled` wait for the journal.
         answers: Vec<crate::TaskAnswer>,
     },
+    /// Ends the attempts on silent workers of the rack as lost, and reports them to home owners.
+    Lapsed(GroupId, Vec<TaskAttempt>),
     /// No step: the result is ignored.
     Nothing,
 }
--- a/jackdawchute-jobs/src/outbound.rs
+++ b/jackdawchute-jobs/src/outbound.rs
@@ -163,6 +163,9 @@
                 rack,
                 answers,
             } => racks.intents_journaled(call, &rack, answers, result.is_ok(), now.instant),
+            AfterAppend::Lapsed(rack, ids) => {
+                racks.lapses_journaled(&rack, &ids, result.is_ok(), now.instant)
+            }
             AfterAppend::Nothing => Vec::new(),
         }
     }
--- a/jackdawchute-jobs/src/rack/claimed.rs
+++ b/jackdawchute-jobs/src/rack/claimed.rs
@@ -37,6 +37,7 @@
         let rack = OwnedRack {
             epoch,
             predecessor_renews_until,
+            is_journaling_lapses: false,
         };
         self.owned.insert(group.clone(), rack);
         self.set_members(members, now);
--- a/jackdawchute-jobs/src/rack/lease.rs
+++ b/jackdawchute-jobs/src/rack/lease.rs
@@ -1,14 +1,18 @@
 //! Task leases: renewed by the clock of the worker, and counted as lapsed after its silence.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_ownership::LeaseState;
 use jackdawchute_ports::{Lease, WorkerClock};
-use jackdawchute_types::WorkerId;
+use jackdawchute_types::{GroupId, WorkerId};
 
 use crate::{
-    effect::{Effect, WorkerCall},
-    rack::state::{IntentPhase, RackGroups},
+    effect::{AfterAppend, Effect, WorkerCall},
+    rack::state::{IntentPhase, RackGroups, WorkerState},
+    record::{intent_key, put_entry},
     AttemptEnd, TaskAttempt,
 };
 
@@ -17,17 +21,19 @@
 const PAUSE_MIN: Duration = Duration::from_secs(1);
 /// The number of renewals within the length of a lease.
 const RENEWALS_PER_LEASE: u32 = 3;
+/// The most lapsed attempts in one append.
+const LAPSES_PER_APPEND_MAX: usize = 500;
 
 impl RackGroups {
-    /// Requests due reports from workers, ends the attempts on silent ones, drops lapsed holds and
-    /// expired closed attempts, and reports to home owners.
+    /// Requests due reports from workers, journals the lapse of the attempts on silent ones, drops
+    /// lapsed holds and expired closed attempts, and reports to home owners.
     pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
         self.record_tick(now);
         self.lapse_holds(now);
         self.forget_closed(now);
         self.refresh_accepting(now);
-        self.end_on_silent_workers(now);
-        let mut effects = self.request_reports(now);
+        let mut effects = self.journal_lapses(now);
+        effects.extend(self.request_reports(now));
         effects.extend(self.report_events(now));
         effects
     }
@@ -49,37 +55,85 @@
         effects
     }
 
-    /// Ends the attempts on workers whose leases have all lapsed. They lapse at the latest one
-    /// lease after the last report: no lease goes beyond that report's clock plus the lease time,
-    /// and a fenced predecessor renews none after `predecessor_renews_until`.
-    fn end_on_silent_workers(&mut self, now: Instant) {
-        let silent: Vec<WorkerId> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| {
-                let predecessor = self
-                    .owned
-                    .get(&worker.group)
-                    .map(|rack| rack.predecessor_renews_until);
-                let counted_from = worker.reported_at.max(predecessor);
-                let lapse_after = self.settings.lease + self.settings.clock_margin;
-                counted_from.is_some_and(|at| now.saturating_duration_since(at) > lapse_after)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        for worker in silent {
-            self.end_open_attempts_on(&worker, now);
+    /// Journals again the intents of the attempts on silent workers. They end as lost once the
+    /// append has succeeded: silence shows that their leases have lapsed only if no other owner
+    /// could renew them, and an append that is made after the lapse fails if a successor existed.
+    fn journal_lapses(&mut self, now: Instant) -> Vec<Effect> {
+        if self.lease_state != LeaseState::Confirmed {
+            return Vec::new();
+        }
+        let mut lapsed: BTreeMap<GroupId, Vec<TaskAttempt>> = BTreeMap::new();
+        for worker in self.workers.values() {
+            if self.is_silent(worker, now) {
+                let attempts = worker.open_attempts.iter().filter(|id| self.may_run(id));
+                let of_group = lapsed.entry(worker.group.clone()).or_default();
+                of_group.extend(attempts.cloned());
+            }
         }
+        let appends = lapsed.into_iter();
+        appends
+            .filter_map(|(group, ids)| self.journal_lapses_of(group, ids))
+            .collect()
     }
 
-    /// Ends all attempts on a worker as lost, except those whose start was not sent yet.
-    fn end_open_attempts_on(&mut self, worker: &WorkerId, now: Instant) {
-        for id in self.open_attempts_on(worker) {
-            let phase = self.intents.get(&id).map(|intent| intent.phase);
-            if phase.is_some_and(|phase| phase != IntentPhase::Journaling) {
-                self.end_attempt(&id, AttemptEnd::Lost, now);
+    /// Returns the append for lapsed attempts on one rack, or `None` without any or while an
+    /// earlier one has no result.
+    fn journal_lapses_of(&mut self, group: GroupId, mut ids: Vec<TaskAttempt>) -> Option<Effect> {
+        let rack = self.owned.get_mut(&group)?;
+        if ids.is_empty() || rack.is_journaling_lapses {
+            return None;
+        }
+        rack.is_journaling_lapses = true;
+        ids.truncate(LAPSES_PER_APPEND_MAX);
+        let intents = ids.iter().filter_map(|id| self.intents.get(id));
+        let entries = intents
+            .map(|intent| put_entry(&group, intent_key(&intent.record.id), &intent.record))
+            .collect();
+        let after = AfterAppend::Lapsed(group, ids);
+        Some(Effect::Append { entries, after })
+    }
+
+    /// Ends as lost the attempts whose lapse is `committed`, and reports them to their home owners.
+    /// Those on a worker that has reported meanwhile are left to its reports.
+    pub fn lapses_journaled(
+        &mut self,
+        group: &GroupId,
+        ids: &[TaskAttempt],
+        committed: bool,
+        now: Instant,
+    ) -> Vec<Effect> {
+        if let Some(rack) = self.owned.get_mut(group) {
+            rack.is_journaling_lapses = false;
+        }
+        if !committed {
+            return Vec::new();
+        }
+        for id in ids {
+            let intent = self.intents.get(id);
+            let worker = intent.and_then(|intent| self.workers.get(&intent.record.worker));
+            if worker.is_some_and(|worker| self.is_silent(worker, now)) {
+                self.end_attempt(id, AttemptEnd::Lost, now);
             }
         }
+        self.report_events(now)
+    }
+
+    /// Returns whether all leases on a worker have lapsed, unless a successor renewed them. They
+    /// lapse at the latest one lease after the last report: no lease goes beyond that report's
+    /// clock plus the lease time, and a fenced predecessor renews none after
+    /// `predecessor_renews_until`.
+    fn is_silent(&self, worker: &WorkerState, now: Instant) -> bool {
+        let rack = self.owned.get(&worker.group);
+        let predecessor = rack.map(|rack| rack.predecessor_renews_until);
+        let counted_from = worker.reported_at.max(predecessor);
+        let lapse_after = self.settings.lease + self.settings.clock_margin;
+        counted_from.is_some_and(|at| now.saturating_duration_since(at) > lapse_after)
+    }
+
+    /// Returns whether the start of an open attempt was sent.
+    fn may_run(&self, id: &TaskAttempt) -> bool {
+        let intent = self.intents.get(id);
+        intent.is_some_and(|intent| intent.phase != IntentPhase::Journaling)
     }
 
     /// Returns the attempts on a worker that have not ended.
--- a/jackdawchute-jobs/src/rack/state.rs
+++ b/jackdawchute-jobs/src/rack/state.rs
@@ -56,6 +56,8 @@
     pub epoch: Epoch,
     /// The time until which a fenced predecessor may still renew leases.
     pub predecessor_renews_until: Instant,
+    /// Whether an append for lapsed attempts has no result yet.
+    pub is_journaling_lapses: bool,
 }
 
 /// The state of a worker, from the membership list and its last report.
