feat: the address from which an instance connects to its peers

The setting `listen.peers_from` of `cell` fixes the source address of connections to other instances; by default the system chooses it, as before. A machine with several addresses can name the one that its peers expect, and the soak of cells needs it to cut a pair of instances off from each other.

--- a/jackdawchute-settings/src/cell.rs
+++ b/jackdawchute-settings/src/cell.rs
@@ -1,6 +1,10 @@
 //! The settings of an instance of a cell on the users' platform.
 
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    path::Path,
+    time::Duration,
+};
 
 use jackdawchute_types::{duration_ms, FailureDomainId, MemberId};
 use serde::{Deserialize, Serialize};
@@ -23,6 +27,10 @@
     /// The address that other instances connect to, if it differs from `peers`.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub advertised_peers: Option<SocketAddr>,
+    /// The address from which the process connects to other instances; `None` lets the system
+    /// choose it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peers_from: Option<IpAddr>,
     /// The address for metrics.
     pub metrics: SocketAddr,
 }
@@ -37,6 +45,7 @@
     ///     readiness: address,
     ///     peers: address,
     ///     advertised_peers: None,
+    ///     peers_from: None,
     ///     metrics: address,
     /// };
     /// assert_eq!(listen.reached_by_peers(), address);
@@ -187,4 +196,9 @@
         let rule = "must be an address and port that peers can connect to";
         problems.push(Problem::new("listen.peers", rule));
     }
+    let source = settings.listen.peers_from;
+    if source.is_some_and(|source| source.is_unspecified() || source.is_multicast()) {
+        let rule = "must be an address of this machine";
+        problems.push(Problem::new("listen.peers_from", rule));
+    }
 }
--- a/jackdawchute-settings/tests/cell_settings.rs
+++ b/jackdawchute-settings/tests/cell_settings.rs
@@ -56,3 +56,33 @@
     let reached = settings.listen.reached_by_peers();
     assert_eq!(reached, "10.0.0.1:7721".parse().unwrap());
 }
+
+#[test]
+fn the_system_chooses_the_source_of_connections_to_peers_by_default() {
+    let settings = CellSettings::parse(&yaml("10.0.0.1:7720", "")).unwrap();
+
+    assert_eq!(settings.listen.peers_from, None);
+}
+
+#[test]
+fn connections_to_peers_come_from_the_configured_address() {
+    let source = "  peers_from: 10.0.0.2\n";
+
+    let settings = CellSettings::parse(&yaml("10.0.0.1:7720", source)).unwrap();
+
+    let expected = "10.0.0.2".parse().unwrap();
+    assert_eq!(settings.listen.peers_from, Some(expected));
+}
+
+#[test]
+fn a_source_that_no_connection_can_have_is_refused() {
+    for source in ["0.0.0.0", "224.0.0.1"] {
+        let refused = problems(&yaml("10.0.0.1:7720", &format!("  peers_from: {source}\n")));
+
+        let fields: Vec<&str> = refused
+            .iter()
+            .map(|problem| problem.field.as_str())
+            .collect();
+        assert_eq!(fields, ["listen.peers_from"], "{source}");
+    }
+}
--- a/src/cell.rs
+++ b/src/cell.rs
@@ -179,7 +179,7 @@
         instance: settings.instance.clone(),
         peer_listen: settings.listen.peers,
         peer_address: settings.listen.reached_by_peers(),
-        peer_source: None,
+        peer_source: settings.listen.peers_from,
         processor_millicores: settings.processor.millicores(),
         scheduler: jackdawchute_scheduler::Settings {
             lease: defaults.lease.min(settings.bounds.lease_max),
