test: the soak of cells has partitions by failure domain

A plan of its own, CellSoakPlan::partitions, draws partitions of a failure domain (instances and workers, with or without the store; those of several domains overlap and end one after the other), instances cut off from their peers in one direction or both, and some of the other faults beside them. The draws of the plan so far are unchanged.

Each instance listens on and connects from an address of its own, and has paths of its own to the workers: the store served to it translates the workers' addresses, in the rows that leaders save as well, so that a successor doesn't use its predecessor's paths. Workers are listed in the failure domains that partitions follow.

--- a/jackdawchute-standins/examples/soak.rs
+++ b/jackdawchute-standins/examples/soak.rs
@@ -1,7 +1,8 @@
 //! Injects random faults into cells of real processes and prints the violations.
 //!
-//! Run with `cargo run --release -p jackdawchute-standins --example soak -- PROGRAM serve|cell
-//! [SEEDS] [FIRST] [SECONDS] [LOGS]`. It runs SEEDS seeds from FIRST on, each with faults for
+//! Run with `cargo run --release -p jackdawchute-standins --example soak -- PROGRAM COMMAND [SEEDS]
+//! [FIRST] [SECONDS] [LOGS]`; COMMAND is `serve`, `cell`, or `cell-partitions` for cells with
+//! partitions by failure domain. It runs SEEDS seeds from FIRST on, each with faults for
 //! SECONDS; the instances' logs of a failed seed are copied to the folder LOGS. It exits with 1 if
 //! a seed failed or a signal ended the run.
 
@@ -23,6 +24,9 @@
     std::process::exit(i32::from(failed));
 }
 
+/// What can be soaked.
+const COMMANDS: [&str; 3] = ["serve", "cell", "cell-partitions"];
+
 /// The arguments of the command line.
 struct Options {
     program: PathBuf,
@@ -42,7 +46,7 @@
             text.and_then(|text| text.parse().ok()).unwrap_or(default)
         };
         let command = arguments.get(1)?;
-        ["serve", "cell"].contains(&command.as_str()).then(|| Self {
+        COMMANDS.contains(&command.as_str()).then(|| Self {
             program: PathBuf::from(&arguments[0]),
             command: command.clone(),
             seeds: number(2, 5),
@@ -56,7 +60,8 @@
 /// Runs the seeds; returns whether any failed.
 async fn run_seeds() -> bool {
     let Some(options) = Options::parse() else {
-        eprintln!("usage: soak PROGRAM serve|cell [SEEDS] [FIRST] [SECONDS] [LOGS]");
+        let commands = COMMANDS.join("|");
+        eprintln!("usage: soak PROGRAM {commands} [SEEDS] [FIRST] [SECONDS] [LOGS]");
         std::process::exit(2);
     };
     let mut failed = 0;
@@ -69,9 +74,13 @@
             let report = soak::run(&options.program, &plan).await;
             print_report(seed, report.map(|it| (it.violations.is_empty(), it)))
         } else {
+            let plan = match options.command.as_str() {
+                "cell" => cell_soak::CellSoakPlan::new(seed, options.duration),
+                _ => cell_soak::CellSoakPlan::partitions(seed, options.duration),
+            };
             let plan = cell_soak::CellSoakPlan {
                 logs: options.logs.clone(),
-                ..cell_soak::CellSoakPlan::new(seed, options.duration)
+                ..plan
             };
             let report = cell_soak::run(&options.program, &plan).await;
             print_report(seed, report.map(|it| (it.violations.is_empty(), it)))
--- a/jackdawchute-standins/src/cell_soak/environment.rs
+++ b/jackdawchute-standins/src/cell_soak/environment.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::BTreeSet,
-    fs::File,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     sync::{
@@ -13,20 +12,22 @@
 };
 
 use async_trait::async_trait;
-use jackdawchute_adapter::standins::{
-    list_worker, put_configuration, serve_advisor, serve_store, serve_worker,
-};
+use jackdawchute_adapter::standins::{list_worker, put_configuration, serve_advisor, serve_worker};
 use jackdawchute_cell::{Error as PlatformError, QueueRoute, Routes};
 use jackdawchute_scheduler::{AdviceCost, QueuePolicy, WorkerEntry};
 use jackdawchute_trial::Listening;
-use smol_str::{format_smolstr, SmolStr};
+use smol_str::format_smolstr;
 use xtra::Address;
 
-use super::CellFault;
+use super::{
+    cuts::{domain_of, Cuts},
+    instance::{loopback, Instance, Surroundings, TRANSACTION_TIME},
+    CellFault,
+};
 use crate::{
     balancer::{self, BalancerTask, SetTargets, Target},
     cell::{MemoryAdvisor, MemoryStore, MemoryWorkers, StoreHandle},
-    harness::{RunningProcess, Signal, TemporaryDirectory},
+    harness::{Signal, TemporaryDirectory},
     proxy::{spawn_proxy, ProxyFaults, RunningProxy},
     soak::schedule::Environment,
     Error, Result,
@@ -38,29 +39,18 @@
 const ADVICE_TIME: Duration = Duration::from_millis(15);
 /// How long the advisor's tickets are valid.
 const TICKET_VALIDITY: Duration = Duration::from_millis(2_000);
-/// The duration of a transaction, as the users' platform states it.
-const TRANSACTION_TIME: Duration = Duration::from_millis(6);
-
 /// The shortest time in which a worker restarts: as long as a process takes to start.
 const RESTART_TIME: Duration = Duration::from_millis(50);
 /// An address without a listener.
 const UNUSED_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9);
 
-/// The number of the next cell in this process, which distinguishes the cells' addresses.
-static NEXT_CELL: AtomicU8 = AtomicU8::new(1);
+/// The number of cells of a process that have addresses of their own; the tests run fewer at a time.
+const CELLS_AT_A_TIME: u8 = 16;
+/// The number of addresses of a cell.
+const INSTANCES_MAX: u8 = 16;
 
-/// An instance: its process, and the proxies of its connections.
-struct Instance {
-    name: SmolStr,
-    settings: PathBuf,
-    process: RunningProcess,
-    starts: u32,
-    target: Target,
-    peer_proxy: RunningProxy,
-    store_proxy: RunningProxy,
-    store: StoreHandle,
-    _store_listener: Listening,
-}
+/// The number of the next cell in this process, which distinguishes the cells' addresses.
+static NEXT_CELL: AtomicU8 = AtomicU8::new(0);
 
 /// A worker and the proxy in front of it.
 struct Worker {
@@ -77,6 +67,9 @@
     /// Unexpected exits of instances.
     pub(super) violations: Vec<String>,
     instances: Vec<Instance>,
+    /// The number of the cell in this process.
+    number: u8,
+    cuts: Cuts,
     listed_workers: Vec<Worker>,
     /// The store handle of the operator, who lists workers and sets the configuration.
     operator: StoreHandle,
@@ -88,16 +81,12 @@
     directory: TemporaryDirectory,
 }
 
-fn loopback() -> SocketAddr {
-    SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 0)
-}
-
-/// Returns a loopback address for this cell only: no other cell may take the instances' ports while
-/// they are down.
-fn cell_address() -> Ipv4Addr {
+/// Returns a loopback address for this instance only: no other cell may take its ports while it is
+/// down, and proxies tell it from the other instances by its address.
+fn instance_address(cell: u8, index: usize) -> Ipv4Addr {
     let [.., high, low] = std::process::id().to_be_bytes();
-    let cell = NEXT_CELL.fetch_add(1, Ordering::Relaxed);
-    Ipv4Addr::new(127, high.max(1), low, cell.max(1))
+    let last = (cell % CELLS_AT_A_TIME) * INSTANCES_MAX + index as u8;
+    Ipv4Addr::new(127, high.max(1), low, last)
 }
 
 /// Converts an error of a write to the store.
@@ -139,12 +128,13 @@
         let operator = rows.handle();
         let memory = MemoryWorkers::new(workers, TASK_TIME);
         let mut listed_workers = Vec::new();
-        for entry in memory.entries() {
+        for (index, entry) in memory.entries().into_iter().enumerate() {
             let served = Arc::new(memory.clone());
             let listener = serve_worker(loopback(), entry.worker.clone(), served).await?;
             let proxy = spawn_proxy(loopback(), Some(listener.address())).await?;
             let entry = WorkerEntry {
                 address: proxy.address,
+                failure_domain: format_smolstr!("domain-{}", domain_of(index)),
                 ..entry
             };
             list_worker(&operator, &entry).await.map_err(write_failed)?;
@@ -165,6 +155,8 @@
             routes,
             violations: Vec::new(),
             instances: Vec::new(),
+            number: NEXT_CELL.fetch_add(1, Ordering::Relaxed),
+            cuts: Cuts::default(),
             listed_workers,
             operator,
             advisor_proxy: spawn_proxy(loopback(), Some(advisor.address())).await?,
@@ -173,11 +165,8 @@
             program: program.to_owned(),
             directory: TemporaryDirectory::new()?,
         };
-        let address = cell_address();
         for index in 0..instances {
-            environment
-                .add_instance(address, index, rows.handle())
-                .await?;
+            environment.add_instance(index, rows.handle()).await?;
         }
         let targets = environment.targets();
         let sent = environment.balancer.send(SetTargets(targets)).await;
@@ -190,84 +179,40 @@
         self.directory.path()
     }
 
-    /// Starts an instance on ports of its own at `address`, behind a proxy for its peers and with
-    /// another in front of its store.
-    async fn add_instance(
-        &mut self,
-        address: Ipv4Addr,
-        index: usize,
-        store: StoreHandle,
-    ) -> Result<()> {
-        store.slow_down(TRANSACTION_TIME);
-        let name = format_smolstr!("instance-{index}");
-        let port =
-            |offset: u16| SocketAddr::new(address.into(), 7_100 + 10 * index as u16 + offset);
-        let target = Target {
-            callers: port(0),
-            operators: port(1),
-        };
-        let store_listener = serve_store(loopback(), Arc::new(store.clone())).await?;
-        let store_proxy = spawn_proxy(loopback(), Some(store_listener.address())).await?;
-        let peer_proxy = spawn_proxy(loopback(), Some(port(2))).await?;
-        let text = format!(
-            "instance: {name}
-failure_domain: domain-{}
-listen:
-  callers: {}
-  readiness: {}
-  peers: {}
-  advertised_peers: {}
-  metrics: {}
-platform:
-  store: {}
-  advisor: {}
-bounds:
-  lease_max_ms: 10000
-  task_stop_ms: 900
-  shutdown_ms: 6000
-  ended_retention_ms: 120000
-log_level: info
-",
-            index % 3,
-            target.callers,
-            target.operators,
-            port(2),
-            peer_proxy.address,
-            port(3),
-            store_proxy.address,
-            self.advisor_proxy.address
-        );
-        let settings = self.directory.write(&format!("{name}.yaml"), &text)?;
-        let process = self.start_process(&settings, &name, 1)?;
-        self.instances.push(Instance {
-            name,
-            settings,
-            process,
-            starts: 1,
-            target,
-            peer_proxy,
-            store_proxy,
+    /// Starts an instance at an address of its own.
+    async fn add_instance(&mut self, index: usize, store: StoreHandle) -> Result<()> {
+        let workers: Vec<SocketAddr> = self
+            .listed_workers
+            .iter()
+            .map(|worker| worker.entry.address)
+            .collect();
+        let surroundings = Surroundings {
+            program: &self.program,
+            directory: &self.directory,
             store,
-            _store_listener: store_listener,
-        });
+            advisor: self.advisor_proxy.address,
+            workers: &workers,
+        };
+        let address = instance_address(self.number, index);
+        let instance = Instance::start(address.into(), index, surroundings).await?;
+        self.instances.push(instance);
         Ok(())
     }
 
-    fn start_process(&self, settings: &Path, name: &str, start: u32) -> Result<RunningProcess> {
-        let log = self.logs().join(format!("{name}-{start}.log"));
-        let failed = |cause| Error::Io("create log", log.display().to_string(), cause);
-        let file = File::create(&log).map_err(failed)?;
-        let errors = file.try_clone().map_err(failed)?;
-        let arguments = ["cell".as_ref(), "--settings".as_ref(), settings.as_os_str()];
-        RunningProcess::start(&self.program, &arguments, file.into(), errors.into())
+    fn restart_instance(&mut self, index: usize) -> Result<()> {
+        self.instances[index].restart(&self.program, self.directory.path())
     }
 
-    fn restart_instance(&mut self, index: usize) -> Result<()> {
-        let instance = &mut self.instances[index];
-        instance.starts += 1;
-        let (settings, name) = (instance.settings.clone(), instance.name.clone());
-        let starts = instance.starts;
-        self.instances[index].process = self.start_process(&settings, &name, starts)?;
+    /// Cuts all connections that the active faults cut, and restores the others.
+    async fn apply_cuts(&self) -> Result<()> {
+        for (index, instance) in self.instances.iter().enumerate() {
+            let workers = self.listed_workers.len();
+            instance.set_cuts(index, workers, &self.cuts).await?;
+            for (other, called) in self.instances.iter().enumerate() {
+                let faults = self.cuts.peer_faults(index, other);
+                instance.set_peer_faults(called, faults).await?;
+            }
+        }
         Ok(())
     }
 
@@ -343,8 +288,8 @@
             return Ok(());
         };
         let entry = WorkerEntry {
-            address: worker.entry.address,
-            ..restarted
+            started_unix_ms: restarted.started_unix_ms,
+            ..worker.entry.clone()
         };
         let listed = list_worker(&self.operator, &entry).await;
         listed.map(|_| ()).map_err(write_failed)
@@ -377,6 +322,9 @@
             }
             _ => {}
         }
+        if self.cuts.update(fault, true) {
+            self.apply_cuts().await?;
+        }
         self.set_store_faults(fault, true);
         self.set_network_faults(fault, true).await
     }
@@ -399,6 +347,9 @@
             CellFault::WorkerCrash(index) => self.restart_worker(index).await?,
             _ => {}
         }
+        if self.cuts.update(fault, false) {
+            self.apply_cuts().await?;
+        }
         self.set_store_faults(fault, false);
         self.set_network_faults(fault, false).await
     }
--- a/jackdawchute-standins/src/cell_soak/fault.rs
+++ b/jackdawchute-standins/src/cell_soak/fault.rs
@@ -4,6 +4,7 @@
 
 use rand::{rngs::StdRng, Rng};
 
+use super::cuts::DOMAINS;
 use crate::{
     proxy::ProxyFaults,
     soak::schedule::{draw_network_faults, AffectedPart, SoakFault, DELAY_MAX_MS},
@@ -12,6 +13,21 @@
 /// The least and the greatest n for a store that loses every n-th response.
 const LOST_EVERY: (u64, u64) = (1, 4);
 
+/// The shortest and the longest partition: below and above the leases of tasks and the time after
+/// which a silent worker's tasks start again.
+pub(super) const PARTITION_DURATION_MS: (u64, u64) = (500, 9_000);
+
+/// What is lost between an isolated instance and its peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Isolation {
+    /// What they send to each other.
+    Both,
+    /// What the instance sends to its peers.
+    ToPeers,
+    /// What the peers send to the instance.
+    FromPeers,
+}
+
 /// A fault; instances and workers are given by their index in the cell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CellFault {
@@ -39,6 +55,15 @@
     WorkerRestart(usize),
     /// Faults of the network to the advisor, for all instances.
     AdvisorNetwork(ProxyFaults),
+    /// The instances and workers of a failure domain are cut off from all others.
+    Partition {
+        /// The failure domain.
+        domain: usize,
+        /// Whether this domain keeps the store; if not, the others do.
+        store: bool,
+    },
+    /// An instance is cut off from its peers, and reaches the store and the workers.
+    Isolate(usize, Isolation),
 }
 
 impl SoakFault for CellFault {
@@ -55,6 +80,8 @@
             Self::WorkerNetwork(index, _) => ("worker network", Some(index)),
             Self::WorkerCrash(index) | Self::WorkerRestart(index) => ("worker", Some(index)),
             Self::AdvisorNetwork(_) => ("advisor network", None),
+            Self::Partition { domain, .. } => ("failure domain", Some(domain)),
+            Self::Isolate(index, _) => ("peers", Some(index)),
         }
     }
 }
@@ -81,3 +108,20 @@
         _ => CellFault::AdvisorNetwork(draw_network_faults(random)),
     }
 }
+
+/// Draws a partition, an isolation or a fault that may coincide with them.
+pub(super) fn draw_partition(random: &mut StdRng, instances: usize, workers: usize) -> CellFault {
+    let instance = random.random_range(0..instances);
+    let isolations = [Isolation::Both, Isolation::ToPeers, Isolation::FromPeers];
+    match random.random_range(0..12) {
+        0..=5 => CellFault::Partition {
+            domain: random.random_range(0..DOMAINS),
+            store: random.random_bool(0.3),
+        },
+        6 | 7 => CellFault::Isolate(instance, isolations[random.random_range(0..3)]),
+        8 => CellFault::StoreRefuses(random.random_bool(0.5).then_some(instance)),
+        9 => CellFault::Kill(instance),
+        10 => CellFault::Pause(instance),
+        _ => CellFault::WorkerRestart(random.random_range(0..workers)),
+    }
+}
--- a/jackdawchute-standins/src/cell_soak/mod.rs
+++ b/jackdawchute-standins/src/cell_soak/mod.rs
@@ -5,10 +5,13 @@
 
 mod callers;
 mod check;
+mod cuts;
 mod environment;
 mod fault;
+mod instance;
 mod run;
+mod worker_paths;
 
 pub use check::{find_violations, SentJob};
-pub use fault::CellFault;
-pub use run::{run, CellSoakPlan};
+pub use fault::{CellFault, Isolation};
+pub use run::{run, CellSoakPlan, FaultKinds};
--- a/jackdawchute-standins/src/soak/plan.rs
+++ b/jackdawchute-standins/src/soak/plan.rs
@@ -6,7 +6,7 @@
 
 use super::{
     fault::availability_fault,
-    schedule::{draw_disturbances, draw_network_faults, DELAY_MAX_MS},
+    schedule::{draw_disturbances, draw_network_faults, DELAY_MAX_MS, FAULT_DURATION_MS},
     Disturbance, Fault,
 };
 use crate::table::{Availability, TableFaults};
@@ -57,7 +57,9 @@
     /// overlap.
     pub fn disturbances(&self) -> Vec<Disturbance<Fault>> {
         let mut random = StdRng::seed_from_u64(self.seed);
-        draw_disturbances(&mut random, self.duration, |random| self.draw_fault(random))
+        draw_disturbances(&mut random, self.duration, FAULT_DURATION_MS, |random| {
+            self.draw_fault(random)
+        })
     }
 
     fn draw_fault(&self, random: &mut StdRng) -> Fault {
--- a/jackdawchute-standins/src/soak/schedule.rs
+++ b/jackdawchute-standins/src/soak/schedule.rs
@@ -15,7 +15,7 @@
 };
 
 /// The shortest and the longest duration of a fault: below and above lease and takeover time.
-const FAULT_DURATION_MS: (u64, u64) = (200, 5_000);
+pub(crate) const FAULT_DURATION_MS: (u64, u64) = (200, 5_000);
 /// The mean number of faults that begin per second.
 const FAULTS_PER_SECOND: f64 = 0.7;
 /// The longest delay that a fault of a network, table or store causes.
@@ -77,11 +77,12 @@
 pub(crate) fn draw_disturbances<F: SoakFault>(
     random: &mut StdRng,
     total: Duration,
+    (shortest_ms, longest_ms): (u64, u64),
     mut draw_fault: impl FnMut(&mut StdRng) -> F,
 ) -> Vec<Disturbance<F>> {
     let count = (total.as_secs_f64() * FAULTS_PER_SECOND).ceil() as usize;
     let mut draw_one = |random: &mut StdRng| {
-        let duration_ms = random.random_range(FAULT_DURATION_MS.0..FAULT_DURATION_MS.1);
+        let duration_ms = random.random_range(shortest_ms..longest_ms);
         Disturbance {
             at: total.mul_f64(random.random_range(0.05..0.95)),
             duration: Duration::from_millis(duration_ms),
