--- a/jackdawchute-cell/tests/authority_model/main.rs
+++ b/jackdawchute-cell/tests/authority_model/main.rs
@@ -12,7 +12,9 @@
 //! - A leader has one order, one confirmation and one request to each member in the network.
 //! - The rule for lapsed leases is the scheduler's, written down here: its functions are private.
 
+mod claims;
 mod spec;
+mod work;
 mod world;
 
 use std::{
--- a/jackdawchute-cell/tests/authority_model/spec.rs
+++ b/jackdawchute-cell/tests/authority_model/spec.rs
@@ -3,21 +3,19 @@
 use std::time::{Duration, Instant};
 
 use jackdawchute_cell::authority::{
-    Acknowledged, Authority, AuthorityState, ClaimState, EarlierLeaders, Replaced, CLOCK_RATE_MIN,
-    PROMISED_FOR,
+    Acknowledged, Authority, AuthorityState, ClaimState, EarlierLeaders, Replaced, PROMISED_FOR,
 };
 
 use super::world::{
-    Claim, ClaimStage, Confirmation, Earlier, Instance, Leader, Member, Order, PromiseCall,
-    Testimony, Worker, World, FIRST, L, P, Q,
+    Claim, ClaimStage, Earlier, Instance, Leader, Member, Testimony, Worker, World, FIRST, L, P, Q,
 };
 
 /// How long a worker may take to end its tasks once their lease has lapsed.
-const LAPSE_STOP_MAX: Duration = Duration::from_millis(400);
+pub(crate) const LAPSE_STOP_MAX: Duration = Duration::from_millis(400);
 /// How long a successor assumed that its predecessor went on, by the former rules.
-const STEP_DOWN_MAX: Duration = Duration::from_secs(1);
+pub(crate) const STEP_DOWN_MAX: Duration = Duration::from_secs(1);
 /// How long a leader extends a lease, in ticks.
-const LEASE_TICKS: u64 = 1;
+pub(crate) const LEASE_TICKS: u64 = 1;
 
 /// The guards of the protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -197,7 +195,7 @@
     }
 
     /// Drops what can have no effect any more, so that fewer worlds differ.
-    fn normalize(&self, world: &mut World) {
+    pub(crate) fn normalize(&self, world: &mut World) {
         for instance in &mut world.instances {
             let Some(leader) = &mut instance.leader else {
                 continue;
@@ -225,20 +223,20 @@
         }
     }
 
-    fn instant(&self, tick: u64) -> Instant {
+    pub(crate) fn instant(&self, tick: u64) -> Instant {
         self.start + self.boot(tick)
     }
 
-    fn boot(&self, tick: u64) -> Duration {
+    pub(crate) fn boot(&self, tick: u64) -> Duration {
         self.tick * tick as u32
     }
 
-    fn in_ticks(&self, duration: Duration) -> u64 {
+    pub(crate) fn in_ticks(&self, duration: Duration) -> u64 {
         (duration.as_millis() / self.tick.as_millis()) as u64
     }
 
     /// Whether a leader may act according to `Authority`.
-    fn may_act(&self, leader: &Leader) -> bool {
+    pub(crate) fn may_act(&self, leader: &Leader) -> bool {
         let confirmed_at = self.boot(leader.permitted_from);
         let mut authority = Authority::new(confirmed_at);
         let members = leader.members.iter().enumerate();
@@ -256,17 +254,17 @@
     }
 
     /// Whether the leader's own authority matters: nobody succeeds the last one.
-    fn matters(&self, leader: &Leader) -> bool {
+    pub(crate) fn matters(&self, leader: &Leader) -> bool {
         self.tasks || leader.epoch < self.epoch_max
     }
 
     /// Whether an order may be sent now.
-    fn may_send(&self, leader: &Leader) -> bool {
+    pub(crate) fn may_send(&self, leader: &Leader) -> bool {
         !self.guards.checks_authority || self.may_act(leader)
     }
 
     /// Until when leaders before this one may act, according to `EarlierLeaders`.
-    fn earlier_until(&self, earlier: &Earlier) -> Instant {
+    pub(crate) fn earlier_until(&self, earlier: &Earlier) -> Instant {
         let replaced = Replaced {
             epoch: earlier.replaced,
             settled: earlier.settled,
@@ -299,7 +297,7 @@
     }
 
     /// Returns the promises and claims of an instance.
-    fn claim_state(&self, instance: &Instance) -> ClaimState {
+    pub(crate) fn claim_state(&self, instance: &Instance) -> ClaimState {
         let mut state = ClaimState::default();
         if let Some(until) = instance.promised_until {
             state.promise(self.instant(until) - PROMISED_FOR);
@@ -315,210 +313,8 @@
         state
     }
 
-    /// Sends a commit or a read that confirms the epoch, applies it, or delivers its answer.
-    fn confirm(&self, world: &World, instance: usize, next: &mut Vec<World>) {
-        let Some(leader) = &world.instances[instance].leader else {
-            return;
-        };
-        let change = |change: &dyn Fn(&mut Leader)| {
-            world.step(|w| w.instances[instance].leader.iter_mut().for_each(change))
-        };
-        let Some(call) = leader.confirmation else {
-            if leader.confirmed_at < self.now && leader.epoch == world.epoch && self.matters(leader)
-            {
-                let now = self.instant(self.now);
-                let ended = |earlier: &Earlier| self.earlier_until(earlier) <= now;
-                let call = Confirmation {
-                    sent_at: self.now,
-                    settled: self.epoch_max > 2 && leader.earlier.as_ref().is_none_or(ended),
-                    answered: false,
-                };
-                next.push(change(&|leader| leader.confirmation = Some(call)));
-            }
-            return;
-        };
-        if call.sent_at < self.now {
-            next.push(change(&|leader| leader.confirmation = None));
-        }
-        if call.answered {
-            let from = match self.guards.counts_from_send {
-                true => call.sent_at,
-                false => self.now,
-            };
-            next.push(change(&|leader| {
-                leader.confirmation = None;
-                leader.confirmed_at = leader.confirmed_at.max(from);
-                leader.permitted_from = leader.permitted_from.max(from);
-            }));
-        } else if world.epoch == leader.epoch {
-            let mut applied = change(&|leader| {
-                leader
-                    .confirmation
-                    .iter_mut()
-                    .for_each(|call| call.answered = true);
-            });
-            applied.settled |= call.settled;
-            next.push(applied);
-        }
-    }
-
-    /// Asks a member for a promise, lets the member answer, or delivers the answer.
-    fn promise(&self, world: &World, instance: usize, next: &mut Vec<World>) {
-        let Some(leader) = &world.instances[instance].leader else {
-            return;
-        };
-        for (number, member) in leader.members.iter().enumerate() {
-            let Some(member) = member else {
-                continue;
-            };
-            let change = |change: &dyn Fn(&mut Member)| {
-                world.step(|w| {
-                    let leader = w.instances[instance].leader.iter_mut();
-                    leader
-                        .filter_map(|leader| leader.members[number].as_mut())
-                        .for_each(change);
-                })
-            };
-            let promised_for = self.in_ticks(PROMISED_FOR);
-            match member.call {
-                None if member.promised_until < self.now + promised_for => {
-                    let call = PromiseCall {
-                        asked_at: self.now,
-                        answered: false,
-                    };
-                    next.push(change(&|member| member.call = Some(call)));
-                }
-                None => {}
-                Some(call) if call.answered => {
-                    let from = match self.guards.promise_counts_from_request {
-                        true => call.asked_at,
-                        false => self.now,
-                    };
-                    next.push(change(&|member| {
-                        member.call = None;
-                        member.promised_until = member.promised_until.max(from + promised_for);
-                    }));
-                }
-                Some(_) => {
-                    let asked = &world.instances[number];
-                    let mut state = match self.guards.no_promise_while_claiming {
-                        true => self.claim_state(asked),
-                        false => ClaimState::default(),
-                    };
-                    let promised = state
-                        .promise(self.instant(self.now))
-                        .filter(|_| asked.row <= leader.epoch);
-                    let mut answered = change(&|member| {
-                        member.call = member.call.filter(|_| promised.is_some());
-                        member.call.iter_mut().for_each(|call| call.answered = true);
-                    });
-                    if promised.is_some() {
-                        answered.instances[number].promised_until = Some(self.now + promised_for);
-                    }
-                    next.push(answered);
-                }
-            }
-        }
-    }
-
-    /// Reads the rows, begins a claim, sends it, applies it, or delivers its answer.
-    fn claim(&self, world: &World, number: usize, next: &mut Vec<World>) {
-        let instance = &world.instances[number];
-        let change =
-            |change: &dyn Fn(&mut Instance)| world.step(|w| change(&mut w.instances[number]));
-        let reads = self.claims[number] || self.heartbeats_from <= self.epoch_max;
-        if reads && instance.leader.is_none() && instance.row < world.epoch {
-            next.push(change(&|i| {
-                i.row = world.epoch;
-                i.unresolved = false;
-            }));
-        }
-        let Some(claim) = instance.claim else {
-            let is_current = instance.row == world.epoch && world.epoch < self.epoch_max;
-            if self.claims[number] && instance.leader.is_none() && is_current {
-                let mut state = self.claim_state(instance);
-                let wait = state.begin_claim(self.instant(self.now));
-                let wait = wait.min(wait * u32::from(self.guards.keeps_promise));
-                let claim = Claim {
-                    replaced: world.epoch,
-                    settled: world.settled,
-                    stage: ClaimStage::Waiting(self.now + self.in_ticks(wait)),
-                    abandoned: false,
-                };
-                next.push(change(&|i| i.claim = Some(claim)));
-            }
-            return;
-        };
-        let with_stage = |stage| Some(Claim { stage, ..claim });
-        match claim.stage {
-            ClaimStage::Waiting(until) => {
-                if until <= self.now {
-                    next.push(change(&|i| i.claim = with_stage(ClaimStage::InNetwork)));
-                }
-            }
-            ClaimStage::InNetwork => {
-                if !claim.abandoned {
-                    next.push(change(&|i| {
-                        i.claim = Some(Claim {
-                            abandoned: true,
-                            ..claim
-                        });
-                        i.unresolved = i.row == claim.replaced;
-                    }));
-                }
-                let wins = world.epoch == claim.replaced;
-                let mut applied = change(&|i| {
-                    i.claim = with_stage(ClaimStage::Answered(wins)).filter(|c| !c.abandoned);
-                });
-                if wins {
-                    applied.epoch += 1;
-                    applied.settled = false;
-                }
-                next.push(applied);
-            }
-            ClaimStage::Answered(won) => {
-                next.push(change(&|i| {
-                    i.claim = None;
-                    i.unresolved = i.row == claim.replaced;
-                }));
-                let epoch = claim.replaced + 1;
-                next.push(change(&|i| {
-                    i.claim = None;
-                    i.unresolved = false;
-                    if won && i.row <= epoch {
-                        i.row = epoch;
-                        i.leader = Some(self.successor(i, &claim));
-                    }
-                }));
-            }
-        }
-    }
-
-    /// Returns the state of a leader that begins with its claim's answer. It has authority from its
-    /// first confirmation on.
-    fn successor(&self, instance: &Instance, claim: &Claim) -> Leader {
-        Leader {
-            epoch: claim.replaced + 1,
-            confirmed_at: 0,
-            permitted_from: 0,
-            confirmation: None,
-            members: [None; 3],
-            earlier: Some(Earlier {
-                replaced: claim.replaced,
-                settled: claim.settled,
-                claimed_at: self.now,
-                testimonies: self.testimony(instance).into_iter().collect(),
-                stopped_at: None,
-            }),
-            task_at: None,
-            lease_sent: [0; 2],
-            reported: [false; 2],
-            order: None,
-        }
-    }
-
     /// Returns what an instance knows from its last acknowledgement now.
-    fn testimony(&self, instance: &Instance) -> Option<Testimony> {
+    pub(crate) fn testimony(&self, instance: &Instance) -> Option<Testimony> {
         instance.acknowledged.map(|acknowledged| Testimony {
             promised_until: instance.promised_until.unwrap_or(self.now),
             ..acknowledged
@@ -527,7 +323,7 @@
 
     /// Delivers a heartbeat to a leader, with or without its acknowledgement, or tells a replaced
     /// leader of its successor.
-    fn heartbeat(&self, world: &World, number: usize, next: &mut Vec<World>) {
+    pub(crate) fn heartbeat(&self, world: &World, number: usize, next: &mut Vec<World>) {
         let Some(leader) = &world.instances[number].leader else {
             return;
         };
@@ -588,106 +384,9 @@
         }
     }
 
-    /// Whether every lease of a worker has lapsed, as far as a leader knows.
-    fn has_lapsed(&self, leader: &Leader, worker: usize) -> bool {
-        let as_of = match self.guards.concludes_as_of_confirmation {
-            true => leader.confirmed_at,
-            false => self.now,
-        };
-        let lease = self.boot(LEASE_TICKS).div_f64(CLOCK_RATE_MIN);
-        let earlier_until = leader.earlier.as_ref().map(|earlier| {
-            let claimed_at = self.instant(earlier.claimed_at);
-            match self.guards == Guards::FORMER {
-                true => claimed_at + STEP_DOWN_MAX,
-                false => self.earlier_until(earlier),
-            }
-        });
-        let earlier_lapsed =
-            earlier_until.is_none_or(|until| self.instant(as_of) > until + lease + LAPSE_STOP_MAX);
-        self.own_lapsed(leader, worker) && earlier_lapsed
-    }
-
-    /// Whether every lease of a worker has lapsed that the leader has granted.
-    fn own_lapsed(&self, leader: &Leader, worker: usize) -> bool {
-        let as_of = match self.guards.concludes_as_of_confirmation {
-            true => leader.confirmed_at,
-            false => self.now,
-        };
-        let ahead = u64::from(!self.guards.earliest_clock);
-        let until = self.instant(leader.lease_sent[worker]) + LAPSE_STOP_MAX;
-        leader.lease_sent[worker] == 0 || self.instant(as_of + ahead) > until
-    }
-
-    /// Asks a worker for its runs, extends the task's lease, starts the task, or delivers an order.
-    fn work(&self, world: &World, number: usize, next: &mut Vec<World>) {
-        let Some(leader) = &world.instances[number].leader else {
-            return;
-        };
-        if let Some(order) = leader.order {
-            next.push(world.step(|w| {
-                w.instances[number]
-                    .leader
-                    .iter_mut()
-                    .for_each(|l| l.order = None);
-                let worker = &mut w.workers[order.worker];
-                if worker.epoch <= leader.epoch {
-                    worker.epoch = leader.epoch;
-                    worker.lease_until = worker.lease_until.max(order.until);
-                    worker.runs_task |= order.starts;
-                }
-            }));
-        }
-        let until = self.now + LEASE_TICKS + u64::from(!self.guards.earliest_clock);
-        let may_order = leader.order.is_none() && self.may_send(leader);
-        for (name, worker) in world.workers.iter().enumerate() {
-            let order = |starts| {
-                world.step(|w| {
-                    if let Some(leader) = &mut w.instances[number].leader {
-                        leader.task_at = Some(name);
-                        leader.lease_sent[name] = leader.lease_sent[name].max(until);
-                        leader.order = Some(Order {
-                            worker: name,
-                            until,
-                            starts,
-                        });
-                    }
-                })
-            };
-            let other = 1 - name;
-            let is_here = leader.task_at == Some(name);
-            let ended_elsewhere = leader.task_at.is_none() || self.has_lapsed(leader, other);
-            let other_accounted_for = leader.reported[other] || self.has_lapsed(leader, other);
-            if may_order && is_here {
-                next.push(order(false));
-            }
-            if may_order
-                && !is_here
-                && leader.reported[name]
-                && ended_elsewhere
-                && other_accounted_for
-            {
-                next.push(order(true));
-            }
-            if !leader.reported[name] && worker.epoch <= leader.epoch {
-                let reached = world.step(|w| w.workers[name].epoch = leader.epoch);
-                next.push(reached.step(|w| {
-                    if let Some(leader) = &mut w.instances[number].leader {
-                        leader.reported[name] = true;
-                        if worker.runs_task {
-                            leader.task_at = Some(name);
-                        }
-                    }
-                }));
-                if worker.epoch < leader.epoch {
-                    next.push(reached);
-                }
-            }
-        }
-    }
-
     /// Lets a tick pass, during which L may be suspended. That differs from a pause of L only if the
     /// permission does not count it.
-    fn tick(&self, world: &World, next: &mut Vec<World>) {
+    pub(crate) fn tick(&self, world: &World, next: &mut Vec<World>) {
         let counts_from_request =
             self.guards.promise_counts_from_request && self.guards.counts_from_send;
         let later = world.one_tick_later(self.now, !counts_from_request);
