fix: an instance promises only to the leader whose epoch it has read at the store

Change: an incarnation promises only for the epoch that it has itself read at the store as the last one, which rules out that its predecessor has known a later one. Price: a member that restarts in an outage promises nothing until the store answers.

--- a/jackdawchute-cell/src/authority/mod.rs
+++ b/jackdawchute-cell/src/authority/mod.rs
@@ -49,3 +49,7 @@
 pub const ACKNOWLEDGED_FOR: Duration = Duration::from_secs(8);
 /// The lowest rate at which one instance's clock may advance, as a multiple of another's.
 pub const CLOCK_RATE_MIN: f64 = 0.98;
+
+// A promise that was given before a claim ends before its successor counts the authority as ended,
+// whether or not the claim waited for it.
+const _: () = assert!(PROMISED_FOR.as_millis() < CONFIRMED_FOR.as_millis());
--- a/jackdawchute-cell/src/authority/promise.rs
+++ b/jackdawchute-cell/src/authority/promise.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use jackdawchute_types::Epoch;
+
 use super::PROMISED_FOR;
 
 /// Whether an instance may promise, and when it may claim.
@@ -11,6 +13,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ClaimState {
     promised_until: Option<Instant>,
+    /// The highest epoch that this incarnation has read at the store.
+    read_epoch: Option<Epoch>,
     /// Whether a claim is about to be sent or has been sent without an answer so far.
     under_way: bool,
     /// Whether an earlier claim got no answer, and the leader row has not changed since.
@@ -20,7 +24,16 @@
 }
 
 impl ClaimState {
-    /// Promises not to claim the epoch and returns for how long; `None` if a claim may take effect.
+    /// Records that this incarnation has read an epoch at the store, not heard of it from a peer.
+    pub fn epoch_read(&mut self, epoch: Epoch) {
+        self.read_epoch = self.read_epoch.max(Some(epoch));
+    }
+
+    /// Promises the leader of `epoch` not to claim the next one, and returns for how long; `None` if
+    /// a claim may take effect, or if the store has not shown this epoch as the last one.
+    ///
+    /// An earlier incarnation may have told the leader of a later epoch that it promises nothing to
+    /// this one. What was read at the store since shows that there was no such leader before.
     ///
     /// ```
     /// use std::time::{Duration, Instant};
@@ -28,12 +41,14 @@
     ///
     /// let now = Instant::now();
     /// let mut state = ClaimState::default();
-    /// assert_eq!(state.promise(now), Some(PROMISED_FOR));
+    /// assert_eq!(state.promise(3, now), None);
+    /// state.epoch_read(3);
+    /// assert_eq!(state.promise(3, now), Some(PROMISED_FOR));
     /// assert_eq!(state.begin_claim(now), PROMISED_FOR);
-    /// assert_eq!(state.promise(now), None);
+    /// assert_eq!(state.promise(3, now), None);
     /// ```
-    pub fn promise(&mut self, now: Instant) -> Option<Duration> {
-        if self.may_take_effect() {
+    pub fn promise(&mut self, epoch: Epoch, now: Instant) -> Option<Duration> {
+        if self.may_take_effect() || self.read_epoch != Some(epoch) {
             return None;
         }
         self.promised_until = Some(now + PROMISED_FOR);
--- a/jackdawchute-cell/src/election/claims.rs
+++ b/jackdawchute-cell/src/election/claims.rs
@@ -100,6 +100,7 @@
         let version = |row: &Option<LeaderRow>| row.as_ref().map_or(0, |row| row.version);
         let is_current = version(&leader) == version(&replaced_row);
         if let Some(row) = leader {
+            self.claim_state.epoch_read(row.record.epoch);
             self.update_row(row);
         }
         if !is_current || self.is_leaving() {
@@ -183,6 +184,7 @@
                 self.claiming = false;
                 self.next_claim_at = now + CLAIM_PAUSE;
                 if let Some(row) = row {
+                    self.claim_state.epoch_read(row.record.epoch);
                     self.update_row(row);
                 }
             }
@@ -242,7 +244,7 @@
                 incarnation,
             },
             _ => {
-                let promised = self.claim_state.promise(Instant::now());
+                let promised = self.claim_state.promise(request.0, Instant::now());
                 CellAnswer::Promised {
                     for_ms: promised.map_or(0, whole_ms),
                     incarnation,
--- a/jackdawchute-cell/src/election/follow.rs
+++ b/jackdawchute-cell/src/election/follow.rs
@@ -5,7 +5,7 @@
 use spdlog::error;
 use xtra::{prelude::*, refcount::Weak};
 
-use super::{ElectionTask, LeaderRowReceived};
+use super::{handlers::LeaderRowRead, ElectionTask, LeaderRowReceived};
 use crate::{
     claim::LeaderRow,
     reachability::Reachability,
@@ -29,7 +29,7 @@
                 after = version;
                 let unchanged = rows.is_empty();
                 for row in rows {
-                    if task.send(LeaderRowReceived(Some(row))).await.is_err() {
+                    if task.send(LeaderRowRead(row)).await.is_err() {
                         return;
                     }
                 }
--- a/jackdawchute-cell/src/election/handlers.rs
+++ b/jackdawchute-cell/src/election/handlers.rs
@@ -18,6 +18,8 @@
 
 /// The leader row, read in the store or received from a peer; `None` if a read found no new one.
 pub(crate) struct LeaderRowReceived(pub(crate) Option<LeaderRow>);
+/// The leader row as it was read in the store.
+pub(super) struct LeaderRowRead(pub(super) LeaderRow);
 /// The leader's answer to a heartbeat, when it was sent, and the leader's epoch that was known then.
 struct HeartbeatAnswered(Epoch, SentAt, std::result::Result<CellAnswer, CallError>);
 /// The loss of the local leader task's epoch to another instance.
@@ -61,6 +63,15 @@
     }
 }
 
+impl Handler<LeaderRowRead> for ElectionTask {
+    type Return = ();
+
+    async fn handle(&mut self, read: LeaderRowRead, context: &mut Context<Self>) {
+        self.claim_state.epoch_read(read.0.record.epoch);
+        self.handle(LeaderRowReceived(Some(read.0)), context).await;
+    }
+}
+
 impl Handler<Tick> for ElectionTask {
     type Return = ();
 
--- a/jackdawchute-cell/tests/authority.rs
+++ b/jackdawchute-cell/tests/authority.rs
@@ -36,6 +36,13 @@
     }
 }
 
+/// The state of an instance that has read epoch 3 at the store.
+fn state_of_member() -> ClaimState {
+    let mut state = ClaimState::default();
+    state.epoch_read(3);
+    state
+}
+
 /// Returns the earlier leaders after a claim that replaced the leader of this epoch.
 fn after_claim(epoch: u64, settled: bool, claimed_at: Instant) -> EarlierLeaders {
     EarlierLeaders::new(Some(Replaced { epoch, settled }), claimed_at)
@@ -181,29 +188,42 @@
 #[test]
 fn an_instance_with_an_unanswered_claim_promises_nothing_until_the_leader_row_changes() {
     let now = Instant::now();
-    let mut state = ClaimState::default();
+    let mut state = state_of_member();
     state.begin_claim(now);
     state.end_claim(true, false);
 
-    let before = state.promise(now);
+    let before = state.promise(3, now);
     state.row_changed();
-    let after = state.promise(now);
+    let after = state.promise(3, now);
 
     assert_eq!(before, None);
     assert_eq!(after, Some(PROMISED_FOR));
 }
 
+/// Its earlier incarnation may have told a later leader that it promises nothing any more.
+#[test]
+fn an_instance_that_restarted_promises_nothing_to_a_leader_that_the_store_has_not_shown_it() {
+    let now = Instant::now();
+    let mut state = ClaimState::default();
+
+    let before = state.promise(3, now);
+    state.epoch_read(4);
+    let after = state.promise(3, now);
+
+    assert_eq!((before, after), (None, None));
+}
+
 /// The answer comes after another instance's claim, so that this one can take effect no more.
 #[test]
 fn a_claim_that_another_one_overtook_rules_out_no_promise() {
     let now = Instant::now();
-    let mut state = ClaimState::default();
+    let mut state = state_of_member();
     state.begin_claim(now);
     state.row_changed();
 
     state.end_claim(true, false);
 
-    assert_eq!(state.promise(now), Some(PROMISED_FOR));
+    assert_eq!(state.promise(3, now), Some(PROMISED_FOR));
 }
 
 /// A stop that was planned must not end the authority in an outage soon after it.
@@ -221,8 +241,8 @@
 #[test]
 fn an_instance_that_has_promised_waits_before_it_claims() {
     let now = Instant::now();
-    let mut state = ClaimState::default();
-    state.promise(now);
+    let mut state = state_of_member();
+    state.promise(3, now);
 
     let wait = state.begin_claim(now + PROMISED_FOR / 2);
 
--- a/jackdawchute-cell/tests/authority_model/claims.rs
+++ b/jackdawchute-cell/tests/authority_model/claims.rs
@@ -100,8 +100,12 @@
                         true => self.claim_state(asked),
                         false => ClaimState::default(),
                     };
+                    state.epoch_read(asked.read);
+                    if !self.guards.promises_what_it_read {
+                        state.epoch_read(leader.epoch);
+                    }
                     let promised = state
-                        .promise(self.instant(self.now))
+                        .promise(leader.epoch, self.instant(self.now))
                         .filter(|_| asked.row <= leader.epoch);
                     let mut answered = change(&|member| {
                         member.call = member.call.filter(|_| promised.is_some());
@@ -122,9 +126,10 @@
         let change =
             |change: &dyn Fn(&mut Instance)| world.step(|w| change(&mut w.instances[number]));
         let reads = self.claims[number] || self.heartbeats_from <= self.epoch_max;
-        if reads && instance.leader.is_none() && instance.row < world.epoch {
+        let reads_later_row = instance.row.min(instance.read) < world.epoch;
+        if reads && instance.leader.is_none() && reads_later_row {
             next.push(change(&|i| {
-                i.row = world.epoch;
+                (i.row, i.read) = (world.epoch, world.epoch);
                 i.unresolved = false;
             }));
         }
--- a/jackdawchute-cell/tests/authority_model/main.rs
+++ b/jackdawchute-cell/tests/authority_model/main.rs
@@ -299,6 +299,19 @@
     assert!(steps.is_some());
 }
 
+/// A member tells the successor that it promises nothing, restarts, and promises again.
+#[test]
+fn a_promise_of_an_incarnation_that_has_not_read_the_epoch_lets_a_leader_act_too_long() {
+    let spec = restart_spec(Guards {
+        promises_what_it_read: false,
+        ..Guards::ALL
+    });
+
+    let steps = explore("a promise without a read lets a leader act too long", &spec);
+
+    assert!(steps.is_some());
+}
+
 #[test]
 fn a_permission_that_stands_still_in_suspension_lasts_too_long() {
     let spec = promise_spec(Guards {
--- a/jackdawchute-cell/tests/authority_model/spec.rs
+++ b/jackdawchute-cell/tests/authority_model/spec.rs
@@ -34,6 +34,8 @@
     pub keeps_promise: bool,
     /// A member does not promise while a claim of its own may take effect.
     pub no_promise_while_claiming: bool,
+    /// An incarnation promises only to the leader whose epoch it has read at the store itself.
+    pub promises_what_it_read: bool,
     /// A promise counts from when it was asked for.
     pub promise_counts_from_request: bool,
     /// An instance that knows nothing of its predecessors allows for the longest authority.
@@ -54,6 +56,7 @@
         needs_promises: true,
         keeps_promise: true,
         no_promise_while_claiming: true,
+        promises_what_it_read: true,
         promise_counts_from_request: true,
         newcomer_allows_for_maximum: true,
         boot_clock: true,
@@ -132,11 +135,13 @@
             instances: [
                 Instance {
                     row: FIRST,
+                    read: FIRST,
                     leader: Some(leader),
                     ..Instance::default()
                 },
                 Instance {
                     row: FIRST,
+                    read: FIRST,
                     acknowledged: self.has_member.then_some(acknowledged),
                     ..Instance::default()
                 },
@@ -300,8 +305,10 @@
     pub(crate) fn claim_state(&self, instance: &Instance) -> ClaimState {
         let mut state = ClaimState::default();
         if let Some(until) = instance.promised_until {
-            state.promise(self.instant(until) - PROMISED_FOR);
+            state.epoch_read(FIRST);
+            state.promise(FIRST, self.instant(until) - PROMISED_FOR);
         }
+        state.epoch_read(instance.read);
         let now = self.instant(self.now);
         if instance.unresolved {
             state.begin_claim(now);
--- a/jackdawchute-cell/tests/authority_model/world.rs
+++ b/jackdawchute-cell/tests/authority_model/world.rs
@@ -110,6 +110,8 @@
 pub struct Instance {
     /// The epoch of the newest leader row that it knows; 0 for none.
     pub row: u64,
+    /// The highest epoch that it has read at the store itself; 0 for none.
+    pub read: u64,
     pub acknowledged: Option<Testimony>,
     pub promised_until: Option<u64>,
     /// Whether a claim without an answer may take effect.
