--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -8,12 +8,14 @@
     harness::{wait_until, Cell, CellOptions, Signal, WorkerPlan},
     load::{ClassPlan, Finished, Plan},
 };
-use jackdawchute_types::{JobKind, JobSpec, JobState, Resources};
+use jackdawchute_types::{GroupId, IncarnationId, JobKind, JobSpec, JobState, Resources};
 
 /// How long a load runs before and after the failure.
 const PHASE: Duration = Duration::from_secs(2);
 /// The maximum time of a takeover: twice the takeover time of the cells.
 const TAKEOVER_TIME_MAX: Duration = Duration::from_secs(5);
+/// Longer than the task lease of the cells and its clock margin, 8 s together.
+const TASK_LEASE_LAPSED: Duration = Duration::from_secs(12);
 
 fn options() -> CellOptions {
     CellOptions {
@@ -63,6 +65,22 @@
     caller.submit(address, job).await.unwrap()
 }
 
+/// Returns the instance that owns the most racks, and its incarnation; never the one that the callers
+/// use.
+async fn rack_owner(cell: &Cell) -> (usize, IncarnationId) {
+    let mut owners = Vec::new();
+    for index in [0, 2] {
+        let status = cell.entries[index].status().await.unwrap();
+        let is_own_rack = |(group, owner): &(&GroupId, &IncarnationId)| {
+            group.starts_with("rack/") && **owner == status.incarnation
+        };
+        let racks = status.owners.iter().filter(is_own_rack).count();
+        owners.push((racks, index, status.incarnation));
+    }
+    let (_, index, incarnation) = owners.into_iter().max().unwrap();
+    (index, incarnation)
+}
+
 async fn wait_for_state(cell: &Cell, job: &JobStatus, state: JobState) {
     let caller = Caller::new().unwrap();
     let address = cell.entries[1].process.callers;
@@ -168,6 +186,28 @@
     wait_for_state(&cell, &service, JobState::Running).await;
 }
 
+/// Guards against a paused rack owner that counts tasks as lost when it resumes, since it heard
+/// nothing from their workers, although its successor has renewed the leases.
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_run_in_one_place_when_a_rack_owner_resumes_after_their_leases() {
+    let mut cell = cell().await;
+    let service = submit(&cell, &job(JobKind::Service, "service", 12, "forever")).await;
+    wait_for_state(&cell, &service, JobState::Running).await;
+    let (index, paused) = rack_owner(&cell).await;
+
+    let process = &mut cell.entries[index].process;
+    process.signal(Signal::Stop).await.unwrap();
+    cell.wait_until_succeeded(1, &paused).await.unwrap();
+    tokio::time::sleep(TASK_LEASE_LAPSED).await;
+    let process = &mut cell.entries[index].process;
+    process.signal(Signal::Continue).await.unwrap();
+    process.wait().await.unwrap();
+    tokio::time::sleep(PHASE).await;
+
+    assert_eq!(cell.discrepancies(&[]).await.unwrap(), Vec::<String>::new());
+    wait_for_state(&cell, &service, JobState::Running).await;
+}
+
 /// Guards against lost requests when an instance stops for less than its owner lease.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_short_pause_fails_no_request() {
