test: a restart that no renewal noticed loses a run end, a known failure

Proposed: an answer to a start whose clock is lower than the worker's clock can be counts as a restart, so that the next renewal marks nothing as saved.

--- a/jackdawchute-scheduler/tests/behaviour/lost_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/lost_workers.rs
@@ -191,6 +191,30 @@
     assert_eq!(renewal_after_failure.wait, ms(0));
 }
 
+/// The worker restarts while no renewal is under way, and its new incarnation takes a start. The clock
+/// in its answer shows the restart; a renewal with the former number would delete the run's end.
+#[test]
+fn a_start_that_a_new_incarnation_took_is_followed_by_a_renewal_that_marks_no_end_as_saved() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.confirm_start(&start);
+    cell.tick(100);
+    let renewal = cell.latest_renewal_of("w1");
+    let end = ended(1, &start, EndReason::Succeeded);
+    cell.answer_renewal(&renewal, Vec::new(), vec![end]);
+    cell.commit();
+    cell.renewals.clear();
+
+    cell.accept("next", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    let started = StartAnswer::Started { clock: ms(10) };
+    cell.answer_start(&start, started);
+    cell.tick(500);
+
+    assert_eq!(cell.latest_renewal_of("w1").ends_saved, 0);
+}
+
 /// A task that is placed before the new incarnation has answered would be ordered with the clock
 /// and the token of the previous one. The renewal from before the restart is answered last here.
 #[test]
