fix: the clock in the answer to a start shows that its worker has restarted

Cause, traced from its logs: a worker restarts while no renewal is under way and takes the next start in its new incarnation, which has seen no token; the next renewal marks the former incarnation's run ends as saved, and so deletes the new one's end unread. Change: an answer whose clock is lower than the worker's clock can have been when the order was sent counts as a restart, so that the next renewal marks nothing as saved and extends nothing. Readings that were received after the order was sent are not compared. What remains: a renewal that is sent between such a start and its answer; it reaches the worker before the task can have ended.

--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -119,9 +119,7 @@
                 .incarnation
                 .map(|incarnation| incarnation.started_unix_ms);
             if known_start.is_some_and(|started| started < worker.entry.started_unix_ms) {
-                // A renewal that is under way may have been sent to the previous incarnation.
-                worker.renewal_under_way = false;
-                worker.restarted_at = Some(now);
+                worker.note_restart(now);
             }
         }
     }
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -50,6 +50,7 @@
         answer: StartAnswer,
         now: Instant,
     ) {
+        self.note_clock_of_start(worker, task, number, &answer, now);
         let Some(run) = self.run_mut(worker, task).filter(|run| run.run == number) else {
             return;
         };
@@ -135,6 +136,36 @@
         self.placement_needed = true;
     }
 
+    /// Compares the clock in the answer to an order to start with that of the known incarnation.
+    ///
+    /// A worker that restarts while no renewal is under way takes the next start in its new
+    /// incarnation, and the next renewal must not mark the former one's run ends as saved.
+    fn note_clock_of_start(
+        &mut self,
+        id: &WorkerId,
+        task: &TaskName,
+        number: RunNumber,
+        answer: &StartAnswer,
+        now: Instant,
+    ) {
+        let clock = match answer {
+            StartAnswer::Started { clock } => Some(*clock),
+            StartAnswer::Refused { clock, .. } => *clock,
+            _ => None,
+        };
+        let (Some(worker), Some(clock)) = (self.workers.get_mut(id), clock) else {
+            return;
+        };
+        let run = worker.runs.get(task).filter(|run| run.run == number);
+        let ordered_at = run.map(|run| run.known_since);
+        if ordered_at.is_some_and(|at| worker.shows_restart(at, clock)) {
+            warn!("worker has restarted, as the clock in its answer shows", kv: {
+                worker = id.as_str(), runs = worker.runs.len()
+            });
+            worker.note_restart(now);
+        }
+    }
+
     /// Handles the answer to an order to stop run `number` of a task: the worker's clock when it
     /// answered, or `None` if no answer came.
     pub fn stop_answered(
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -236,6 +236,26 @@
         Some(incarnation.clock + elapsed.mul_f64(CLOCK_RATE_MIN))
     }
 
+    /// Returns whether an answer to an order that was sent at `sent_at` or later, with this clock, is
+    /// from a later incarnation than the one that last answered a renewal.
+    pub(crate) fn shows_restart(&self, sent_at: Instant, clock: Duration) -> bool {
+        // A reading that was received later may have been made after the order was carried out.
+        let is_older = |it: &WorkerIncarnation| it.clock_received_at <= sent_at;
+        let is_comparable = self.incarnation.as_ref().is_some_and(is_older);
+        is_comparable
+            && self
+                .clock_earliest(sent_at)
+                .is_some_and(|earliest| clock < earliest)
+    }
+
+    /// Records that a new incarnation has been noticed, which has answered no renewal yet.
+    pub(crate) fn note_restart(&mut self, now: Instant) {
+        // A renewal that is under way may have been sent to the previous incarnation.
+        self.renewal_under_way = false;
+        self.renewal_next_at = now;
+        self.restarted_at = Some(now);
+    }
+
     /// Returns the end of a lease that lasts no longer than `duration` from `now`; `None` while the
     /// worker's clock is not known.
     pub(crate) fn lease_until(&self, duration: Duration, now: Instant) -> Option<Duration> {
