Answer a cancellation once no earlier leader may start the job's tasks

Ruled out from the logs: a commit that was reported and not made, and an order carried out late.

The leader answers now once the end is saved and the job is of its own epoch, or all workers have reported to it, or the earlier authority has ended. This works since each of the three shows that no earlier leader can have an order to start accepted.

--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -94,6 +94,7 @@
         }
         self.scheduler.tick(now, unix_now());
         self.refuse_unsaved(now);
+        self.answer_cancellers(now);
         self.metrics.set_jobs(self.scheduler.jobs_count());
         if now.saturating_duration_since(self.load_logged_at) >= LOAD_LOG_PERIOD {
             self.load_logged_at = now;
@@ -231,11 +232,7 @@
                 for job in batch.accepted() {
                     answer_all(self.submitters.remove(job), &CellAnswer::Accepted);
                 }
-                for job in batch.ended() {
-                    let status = self.scheduler.status(job);
-                    let answer = CellAnswer::Status { status };
-                    answer_all(self.cancellers.remove(job), &answer);
-                }
+                self.answer_cancellers(now);
                 self.run_due_work(context);
             }
             Err(NotAppended::Unavailable) => {
@@ -394,8 +391,9 @@
         }
         let status = self.scheduler.cancel(&job);
         match status {
-            JobStatus::Queued | JobStatus::Running => {
+            JobStatus::Queued | JobStatus::Running | JobStatus::Ended(_) => {
                 self.cancellers.entry(job).or_default().push(reply);
+                self.answer_cancellers(Instant::now());
                 self.run_due_work(context);
             }
             status => self.answer_status(status, reply, context),
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -100,7 +100,8 @@
     committer: Committer<LeaderTask>,
     /// Callers whose job's acceptance is not committed yet.
     submitters: HashMap<JobId, Vec<oneshot::Sender<CellAnswer>>>,
-    /// Callers whose job's cancellation is not committed yet.
+    /// Callers whose job's cancellation is not committed yet, or not in force: an earlier leader may
+    /// still start the job's tasks.
     cancellers: HashMap<JobId, Vec<oneshot::Sender<CellAnswer>>>,
     /// Callers that asked for unknown jobs since the current check of the epoch was sent.
     next_check_replies: Vec<oneshot::Sender<CellAnswer>>,
--- a/jackdawchute-cell/tests/cell/partitions.rs
+++ b/jackdawchute-cell/tests/cell/partitions.rs
@@ -377,3 +377,60 @@
     assert_eq!(runs_of_waiting, SHORT_TASKS as usize);
     cell.assert_each_task_ran_once();
 }
+
+/// Cancels a job at an instance as callers do; returns when this was answered.
+async fn cancel_until_answered(cell: &Cell, index: usize, job: &str) -> Instant {
+    let cancelled = Answer::Status(JobStatus::Ended(JobOutcome::Cancelled));
+    let deadline = Instant::now() + WAIT_MAX;
+    let gateway = &cell.instances[index].handle.gateway;
+    while gateway.cancel(job.into(), DEADLINE).await != cancelled {
+        assert!(Instant::now() < deadline, "{job} is not cancelled");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Instant::now()
+}
+
+/// No instance has reached the leader before it is cut off with some workers, so that it may act for
+/// the longest time.
+#[tokio::test]
+async fn no_task_starts_under_an_earlier_leader_after_a_cancellation_was_answered() {
+    const TASKS: u32 = 60;
+    const TIME: Duration = Duration::from_millis(1_500);
+    const CUT_TIME: Duration = Duration::from_secs(8);
+    let cell = cell_with(CellOptions {
+        workers: WORKERS,
+        task_time: TIME,
+        ..CellOptions::of_instances(INSTANCES)
+    })
+    .await;
+    submit_until_accepted(&cell, "job", &job(TASKS, TIME)).await;
+    wait_for_runs(&cell, 20).await;
+    let first = cell.leader().await;
+    for index in 0..INSTANCES {
+        cell.isolate(index).await;
+    }
+    wait_for_other_leader(&cell, first).await;
+    let runs_before = runs_of(&cell, "job");
+    wait_for_runs(&cell, runs_before as u32 + 1).await;
+    let earlier = cell.leader().await;
+    cell.partition(&[earlier], &["w0", "w1"], false).await;
+    wait_for_other_leader(&cell, earlier).await;
+    let later = cell.leader().await;
+
+    let (cancelled_at, ()) = tokio::join!(cancel_until_answered(&cell, later, "job"), async {
+        tokio::time::sleep(CUT_TIME).await;
+        cell.heal().await;
+    });
+    tokio::time::sleep(CUT_TIME).await;
+
+    let sent = SentJob {
+        graph: graph(TASKS),
+        accepted_at: Some(cancelled_at),
+        cancel_sent: true,
+        cancelled_at: Some(cancelled_at),
+        ..SentJob::default()
+    };
+    let jobs = BTreeMap::from([("job".into(), sent)]);
+    let violations = find_violations(&jobs, &cell.workers.records(), WORKER_MILLICORES);
+    assert!(violations.is_empty(), "{violations:#?}");
+}
--- a/jackdawchute-scheduler/src/batch.rs
+++ b/jackdawchute-scheduler/src/batch.rs
@@ -294,6 +294,7 @@
                     let ended = crate::state::EndedJob {
                         outcome,
                         retained_since: now,
+                        recovered: job.recovering,
                     };
                     self.ended.insert(id.clone(), ended);
                 }
--- a/jackdawchute-scheduler/src/cancel.rs
+++ b/jackdawchute-scheduler/src/cancel.rs
@@ -1,5 +1,7 @@
 //! The end of jobs: cancellation, failure and completion.
 
+use std::time::Instant;
+
 use jackdawchute_types::JobId;
 use spdlog::info;
 
@@ -21,6 +23,27 @@
         status
     }
 
+    /// Returns whether an earlier leader may still start tasks of a job, whatever its status here: it
+    /// may not know of the job's end, and workers that have not reported to this leader follow it.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use jackdawchute_scheduler::{Scheduler, Settings};
+    ///
+    /// let now = Instant::now();
+    /// let scheduler = Scheduler::new(Settings::default(), 1, now);
+    /// assert!(!scheduler.may_start_under_earlier_leader(&"job".into(), now));
+    /// ```
+    pub fn may_start_under_earlier_leader(&self, id: &JobId, now: Instant) -> bool {
+        if self.recovery.is_complete() || now >= self.authority.earlier_until {
+            return false;
+        }
+        match self.jobs.get(id) {
+            Some(job) => job.recovering,
+            None => self.ended.get(id).is_some_and(|ended| ended.recovered),
+        }
+    }
+
     /// Sets the outcome of a job and stops its tasks; callers see the end once it is committed.
     pub(crate) fn end_job(&mut self, id: &JobId, outcome: JobOutcome) {
         let Some(job) = self.jobs.get_mut(id) else {
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -52,6 +52,10 @@
             wait_logged: false,
         }
     }
+
+    pub(crate) fn is_complete(&self) -> bool {
+        self.complete
+    }
 }
 
 /// The saved rows of one table, as keys and contents.
@@ -210,6 +214,7 @@
             let ended = crate::state::EndedJob {
                 outcome: record.outcome,
                 retained_since: now,
+                recovered: true,
             };
             self.ended.insert(record.job, ended);
         }
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -41,6 +41,8 @@
     pub(crate) outcome: JobOutcome,
     /// When the end was committed, or recovered from a saved row; its retention starts then.
     pub(crate) retained_since: Instant,
+    /// Whether the job is from an earlier epoch, whose leader may not know of its end.
+    pub(crate) recovered: bool,
 }
 
 /// The state and decisions of a cell's leader, for all jobs and workers during one epoch.
--- a/jackdawchute-scheduler/tests/behaviour/authority.rs
+++ b/jackdawchute-scheduler/tests/behaviour/authority.rs
@@ -244,3 +244,49 @@
     assert_eq!(starts.len(), 1);
     assert!(starts[0].run > start.run);
 }
+
+/// A job that was cancelled under this leader went on under the earlier one.
+#[test]
+fn a_cancellation_is_not_in_force_while_an_earlier_leader_may_start_tasks() {
+    let (mut cell, start) = cell_with_a_running_task();
+    let mut successor = successor(2, &std::mem::take(&mut cell.saved), &["w1", "w2"]);
+    let renewal = successor.latest_renewal_of("w1");
+    successor.answer_renewal(&renewal, vec![running(&start)], Vec::new());
+    let job = "job".into();
+    let in_force = |cell: &Cell| {
+        !cell
+            .scheduler
+            .may_start_under_earlier_leader(&job, cell.now)
+    };
+
+    successor.scheduler.cancel(&job);
+    let in_force_at_once = in_force(&successor);
+    successor.commit();
+    let in_force_once_committed = in_force(&successor);
+    successor.tick(EARLIER_AUTHORITY.as_millis() as u64);
+    let in_force_after_the_authority = in_force(&successor);
+
+    assert!(!in_force_at_once);
+    assert!(!in_force_once_committed);
+    assert!(in_force_after_the_authority);
+}
+
+#[test]
+fn a_cancellation_is_in_force_once_all_workers_have_reported_to_the_new_leader() {
+    let (mut cell, start) = cell_with_a_running_task();
+    let mut successor = successor(2, &std::mem::take(&mut cell.saved), &["w1", "w2"]);
+    let renewal = successor.latest_renewal_of("w1");
+    successor.answer_renewal(&renewal, vec![running(&start)], Vec::new());
+    let renewal = successor.latest_renewal_of("w2");
+    successor.answer_renewal(&renewal, Vec::new(), Vec::new());
+    successor.tick(10);
+
+    let job = "job".into();
+    successor.scheduler.cancel(&job);
+    successor.commit();
+
+    let now = successor.now;
+    assert!(!successor
+        .scheduler
+        .may_start_under_earlier_leader(&job, now));
+}
