fix: a late "not started" of a replaced rack owner starts no further attempt

Callers could see a task run in two places around a hand-over of a rack: the successor had started an attempt, and the home owner started the next one because of the predecessor's answer. Not seen between processes here.

Cause: a home owner repeats a start without an answer after the resend time (1 s by default), at the owner that its directory then names, while the first call stays open for up to 10 s. The successor does not know what the predecessor refused, and may start the attempt. A predecessor whose append fails because it was fenced, or that was paused and takes its worker for gone, then answers the first call with `NotStarted`. The home owner took that as the end of the attempt, whichever epoch the answer was from.

`AfterCall::RackAnswered` now carries the epoch that was called, and `Task` keeps the highest epoch called for its attempt. A `NotStarted` from an earlier epoch is logged and otherwise ignored: the call to the later owner stays pending until that owner answers. The highest epoch, not the last one, as an outdated directory can make the home owner call the replaced owner once more. It starts from 0 with each attempt, as the next one may be on a rack whose epochs are lower.

Other states count from any epoch: a journaled intent was journaled before the successor claimed the rack and is recovered by it, and the other ends rest on the worker's word or on an append that a fenced owner cannot make.

Left open: the highest epoch called is not journaled, so a new home owner that knows only the replaced rack owner still believes it.

--- a/jackdawchute-jobs/examples/costs.rs
+++ b/jackdawchute-jobs/examples/costs.rs
@@ -22,7 +22,7 @@
 use jackdawchute_ports::{
     Member, MemberRole, MemberState, MembershipList, StartOutcome, WorkerReport,
 };
-use jackdawchute_types::{JobId, JobKind, JobSpec, Refusal, Resources};
+use jackdawchute_types::{Epoch, JobId, JobKind, JobSpec, Refusal, Resources};
 use serde_json::json;
 use smol_str::format_smolstr;
 
@@ -30,6 +30,8 @@
 const WORKERS_PER_RACK: usize = 8;
 const TASKS: u32 = 10_000;
 const SEED: u64 = 7;
+/// The epoch of the owner of every rack.
+const RACK_EPOCH: Epoch = 1;
 
 fn main() {
     let mut cell = Cell::new();
@@ -130,12 +132,12 @@
             let group = rack_group(&format_smolstr!("r{rack:04}"));
             let owner = Owner {
                 incarnation: "a".into(),
-                epoch: 1,
+                epoch: RACK_EPOCH,
                 peer_address: ([127, 0, 0, 1], 1).into(),
             };
             racks.claimed(
                 &group,
-                1,
+                RACK_EPOCH,
                 &[],
                 false,
                 &MembershipList::default(),
@@ -222,7 +224,7 @@
                 let effects = self
                     .racks
                     .intents_journaled(0, &rack, answers, true, Instant::now());
-                self.pass_answers(effects, AfterCall::RackAnswered(ids))
+                self.pass_answers(effects, AfterCall::RackAnswered(RACK_EPOCH, ids))
             }
             AfterAppend::Lapsed(rack, ids) => {
                 self.racks
@@ -237,8 +239,8 @@
         let mut rest = Vec::new();
         for effect in effects {
             match (effect, &after) {
-                (Effect::Answer { result, .. }, AfterCall::RackAnswered(ids)) => {
-                    rest.extend(self.homes.rack_answered(ids, Ok(result), now()));
+                (Effect::Answer { result, .. }, AfterCall::RackAnswered(epoch, ids)) => {
+                    rest.extend(self.homes.rack_answered(*epoch, ids, Ok(result), now()));
                 }
                 (effect, _) => rest.push(effect),
             }
--- a/jackdawchute-jobs/src/effect.rs
+++ b/jackdawchute-jobs/src/effect.rs
@@ -4,7 +4,9 @@
 
 use jackdawchute_ownership::{JournalEntry, Owner};
 use jackdawchute_ports::{Lease, StartTask};
-use jackdawchute_types::{ClassId, GroupId, JobId, Refusal, RefusalReason, RetryReason, WorkerId};
+use jackdawchute_types::{
+    ClassId, Epoch, GroupId, JobId, Refusal, RefusalReason, RetryReason, WorkerId,
+};
 
 use crate::{Call, Reply, TaskAttempt};
 
@@ -113,8 +115,9 @@
 pub enum AfterCall {
     /// Goes on with a hold round of a gang, given by job and round number.
     HoldAnswered(JobId, u32),
-    /// Records the states of the attempts that a rack owner was asked to start or stop.
-    RackAnswered(Vec<TaskAttempt>),
+    /// Records the states of the attempts that the rack owner of this epoch was asked to start or
+    /// stop.
+    RackAnswered(Epoch, Vec<TaskAttempt>),
     /// Forgets the events that the home owner acknowledged.
     EventsReported(Vec<crate::TaskEvent>),
     /// No step of its own; only the rack view in the answer is applied.
--- a/jackdawchute-jobs/src/home/assign.rs
+++ b/jackdawchute-jobs/src/home/assign.rs
@@ -46,6 +46,7 @@
             }
             task.work_item = work_item.clone();
             task.rack_calls = 0;
+            task.rack_epoch = 0;
             task.stopping = false;
             task.assigned_at = Some(now);
             let worker = worker.clone();
--- a/jackdawchute-jobs/src/home/job.rs
+++ b/jackdawchute-jobs/src/home/job.rs
@@ -3,7 +3,7 @@
 use std::{collections::VecDeque, time::Instant};
 
 use jackdawchute_admission::{WorkItem, WorkItemId};
-use jackdawchute_types::{GroupId, JobId, JobKind, JobSpec, TaskId, WorkerId};
+use jackdawchute_types::{Epoch, GroupId, JobId, JobKind, JobSpec, TaskId, WorkerId};
 use smol_str::SmolStr;
 
 use crate::{
@@ -65,6 +65,9 @@
     pub stopping: bool,
     /// The number of calls to the rack owner for the current attempt.
     pub(crate) rack_calls: u32,
+    /// The highest epoch of a rack owner that was called for the current attempt, 0 before the
+    /// first call.
+    pub(crate) rack_epoch: Epoch,
     /// When the current attempt was assigned.
     pub(crate) assigned_at: Option<Instant>,
     /// The work item that admission counts as used by the current attempt; `None` for tasks of a
@@ -82,6 +85,7 @@
             phase: TaskPhase::Waiting,
             stopping: false,
             rack_calls: 0,
+            rack_epoch: 0,
             assigned_at: None,
             work_item: None,
             queue_key: None,
--- a/jackdawchute-jobs/src/home/rack_calls.rs
+++ b/jackdawchute-jobs/src/home/rack_calls.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Instant};
 
-use jackdawchute_types::{CallError, GroupId, JobId, Refusal};
+use jackdawchute_types::{CallError, Epoch, GroupId, JobId, Refusal};
 
 use crate::{
     effect::{AfterCall, Effect, Now},
@@ -66,9 +66,9 @@
         let TaskPhase::Assigned { rack, worker, .. } = &task.phase else {
             return;
         };
-        if !self.directory.owners.contains_key(rack) {
+        let Some(owner) = self.directory.owners.get(rack) else {
             return;
-        }
+        };
         let batch = batches.entry((home, rack.clone())).or_default();
         if task.stopping {
             batch.stops.push(attempt);
@@ -83,13 +83,16 @@
             });
         }
         task.rack_calls = task.rack_calls.saturating_add(1);
+        // An outdated directory may name an earlier owner than the last one called.
+        task.rack_epoch = task.rack_epoch.max(owner.epoch);
         self.pending_rack_calls
             .insert((id.clone(), index), Some(now));
     }
 
     /// Returns the calls for a batch, none if the home group was lost.
     fn call_batch(&self, home: &GroupId, rack: &GroupId, batch: RackCallBatch) -> Vec<Effect> {
-        let Some(epoch) = self.owned.get(home) else {
+        let (Some(epoch), Some(owner)) = (self.owned.get(home), self.directory.owners.get(rack))
+        else {
             return Vec::new();
         };
         let home = GroupEpoch {
@@ -98,14 +101,14 @@
         };
         let mut effects = Vec::new();
         for starts in batch.starts.chunks(TASKS_PER_CALL_MAX) {
-            let after =
-                AfterCall::RackAnswered(starts.iter().map(|task| task.id.clone()).collect());
+            let ids = starts.iter().map(|task| task.id.clone()).collect();
+            let after = AfterCall::RackAnswered(owner.epoch, ids);
             let (home, tasks) = (home.clone(), starts.to_vec());
             let call = |rack| Call::Start { rack, home, tasks };
             effects.extend(self.call_rack(rack, call, after));
         }
         for stops in batch.stops.chunks(TASKS_PER_CALL_MAX) {
-            let after = AfterCall::RackAnswered(stops.to_vec());
+            let after = AfterCall::RackAnswered(owner.epoch, stops.to_vec());
             let (home, tasks) = (home.clone(), stops.to_vec());
             let call = |rack| Call::Stop { rack, home, tasks };
             effects.extend(self.call_rack(rack, call, after));
@@ -113,10 +116,12 @@
         effects
     }
 
-    /// Applies a rack owner's answer to a start or stop call. After a lost answer or a refusal the
-    /// calls stay pending; a call that was not delivered ends attempts that no rack owner knows.
+    /// Applies the answer of the rack owner of `epoch` to a start or stop call. After a lost answer
+    /// or a refusal the calls stay pending; a call that was not delivered ends attempts that no rack
+    /// owner knows.
     pub fn rack_answered(
         &mut self,
+        epoch: Epoch,
         ids: &[TaskAttempt],
         result: Result<Result<Reply, Refusal>, CallError>,
         now: Now,
@@ -124,7 +129,7 @@
         match result {
             Ok(Ok(Reply::Rack { answers, view, .. })) => {
                 for answer in &answers {
-                    self.apply_answer(&answer.id, answer.state, now.instant);
+                    self.apply_answer(epoch, &answer.id, answer.state, now.instant);
                 }
                 self.apply_view(&view);
             }
@@ -138,12 +143,33 @@
         self.dispatch(now)
     }
 
-    /// Applies the answer for one attempt, whose charge is part of the rack's view from now on.
-    fn apply_answer(&mut self, id: &TaskAttempt, state: AttemptState, now: Instant) {
+    /// Applies the answer for one attempt, whose charge is part of the rack's view from now on. That
+    /// a replaced rack owner did not start the attempt says nothing about its successor.
+    fn apply_answer(&mut self, epoch: Epoch, id: &TaskAttempt, state: AttemptState, now: Instant) {
+        let not_started = matches!(state, AttemptState::Ended(AttemptEnd::NotStarted(_)));
+        if not_started && self.later_owner_was_called(epoch, id) {
+            spdlog::info!(
+                "attempt {} of task {} was not started in epoch {} of its rack; a later owner was \
+                 called",
+                id.attempt,
+                id.task,
+                epoch
+            );
+            return;
+        }
         self.fleet_view.release(&assignment_key(id));
         self.apply_attempt_state(id, state, now);
     }
 
+    /// Returns whether a rack owner of a later epoch was called for the attempt.
+    fn later_owner_was_called(&self, epoch: Epoch, id: &TaskAttempt) -> bool {
+        let task = parse_task(&id.task).and_then(|(job, index)| {
+            let job = self.jobs.get(&job)?;
+            job.tasks.get(index as usize)
+        });
+        task.is_some_and(|task| task.attempt == id.attempt && task.rack_epoch > epoch)
+    }
+
     /// Ends an attempt as not started if the call that was not delivered was the first one that
     /// this owner made for it: no rack owner has received a start from this owner then.
     fn end_undelivered(&mut self, id: &TaskAttempt, now: Instant) {
--- a/jackdawchute-jobs/src/outbound.rs
+++ b/jackdawchute-jobs/src/outbound.rs
@@ -178,12 +178,14 @@
             (AfterCall::HoldAnswered(id, round), result) => {
                 homes.hold_answered(&id, round, result, now)
             }
-            (AfterCall::RackAnswered(ids), result) => homes.rack_answered(&ids, result, now),
+            (AfterCall::RackAnswered(epoch, ids), result) => {
+                homes.rack_answered(epoch, &ids, result, now)
+            }
             (AfterCall::EventsReported(events), Ok(Ok(Reply::Acknowledged))) => {
                 racks.events_acknowledged(events, now.instant)
             }
             (AfterCall::EventsReported(_), _) => Vec::new(),
-            (AfterCall::Nothing, result) => homes.rack_answered(&[], result, now),
+            (AfterCall::Nothing, result) => homes.rack_answered(0, &[], result, now),
         }
     }
 }
--- a/jackdawchute-jobs/tests/home_safety.rs
+++ b/jackdawchute-jobs/tests/home_safety.rs
@@ -120,7 +120,7 @@
     let effects = homes.submit(1, &"j".into(), job(JobKind::Batch, 1), now);
     finish_appends(&mut homes, effects, true, now);
 
-    homes.rack_answered(&[attempt_id("j-0", 1)], Err(lost_answer()), now);
+    homes.rack_answered(1, &[attempt_id("j-0", 1)], Err(lost_answer()), now);
     let later = at(now.instant, settings().resend);
     let again = homes.tick(later);
     let again = requested_starts(finish_appends(&mut homes, again, true, later));
@@ -137,6 +137,7 @@
     let not_started = AttemptState::Ended(AttemptEnd::NotStarted(NotStartedReason::NoRoom));
 
     homes.rack_answered(
+        1,
         &[attempt_id("j-0", 1)],
         Ok(attempt_reply(attempt_id("j-0", 1), not_started)),
         now,
@@ -199,6 +200,7 @@
     let effects = homes.submit(1, &"j".into(), job(JobKind::Service, 1), now);
     finish_appends(&mut homes, effects, true, now);
     homes.rack_answered(
+        1,
         &[attempt_id("j-0", 1)],
         Ok(attempt_reply(attempt_id("j-0", 1), AttemptState::Running)),
         now,
@@ -208,6 +210,7 @@
 
     // The rack owner answers the stop, but its successor would not know of it.
     homes.rack_answered(
+        1,
         &[attempt_id("j-0", 1)],
         Ok(attempt_reply(attempt_id("j-0", 1), AttemptState::Journaled)),
         now,
@@ -372,6 +375,7 @@
     let not_started = AttemptState::Ended(AttemptEnd::NotStarted(NotStartedReason::NoRoom));
 
     homes.rack_answered(
+        1,
         &[attempt_id("g-0", 1)],
         Ok(attempt_reply(attempt_id("g-0", 1), not_started)),
         now,
@@ -463,7 +467,7 @@
         view,
     };
 
-    homes.rack_answered(&[], Ok(Ok(reply)), now);
+    homes.rack_answered(1, &[], Ok(Ok(reply)), now);
     homes.tick(now);
     let effects = homes.submit(1, &"j".into(), job(JobKind::Batch, 4), now);
     finish_appends(&mut homes, effects, true, now);
