feat: log lines and metrics tell an order's incarnation, and what an incarnation lists

Cause: the hypotheses of the incident differ in which incarnation of a worker an order was meant for and which one carried it out, in when a restart was noticed, and in what a run that is missing from a list was waiting for. No line had these.

Change: an order without an answer is logged with its token, its age, whether it has a ticket and the incarnation that the leader knows; a restart with both incarnations, the age of the former one's last answer and the starts on it without an answer; an unknown run with the incarnation that lists it; a missing run with its phase. Counters worker_restarts and runs_unknown.

--- a/jackdawchute-cell/src/leader/work.rs
+++ b/jackdawchute-cell/src/leader/work.rs
@@ -67,7 +67,7 @@
     /// Records an answered renewal with the time that it took beyond the wait that it asked for.
     pub(super) fn record_renewal(&mut self, ends: RenewOutcome, took: Duration, metrics: &Metrics) {
         metrics.call("renew", "answered", took);
-        metrics.ends_listed(ends.listed, ends.new);
+        metrics.runs_listed(&ends);
         self.renewals.record(took);
         self.ends.listed += ends.listed;
         self.ends.new += ends.new;
--- a/jackdawchute-cell/src/metrics.rs
+++ b/jackdawchute-cell/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use jackdawchute_scheduler::RenewOutcome;
 use prometheus_client::{
     encoding::{text::encode, EncodeLabelSet},
     metrics::{
@@ -43,6 +44,8 @@
     rows: Counter,
     ends_listed: Counter,
     ends_new: Counter,
+    runs_unknown: Counter,
+    worker_restarts: Counter,
     jobs: Gauge,
     epoch: Gauge,
     authority: Gauge,
@@ -66,6 +69,8 @@
             rows: Counter::default(),
             ends_listed: Counter::default(),
             ends_new: Counter::default(),
+            runs_unknown: Counter::default(),
+            worker_restarts: Counter::default(),
             jobs: Gauge::default(),
             epoch: Gauge::default(),
             authority: Gauge::default(),
@@ -80,6 +85,10 @@
         registry.register("ends_listed", help, metrics.ends_listed.clone());
         let help = "Run ends listed for the first time";
         registry.register("ends_new", help, metrics.ends_new.clone());
+        let help = "Running tasks that a worker listed and the leader did not know";
+        registry.register("runs_unknown", help, metrics.runs_unknown.clone());
+        let help = "Workers that answered in a later incarnation than the known one";
+        registry.register("worker_restarts", help, metrics.worker_restarts.clone());
         registry.register("jobs", "Jobs that have not ended", metrics.jobs.clone());
         registry.register("epoch", "The epoch held here, or 0", metrics.epoch.clone());
         let help = "The authority held here: 2 confirmed, 1 promised, 0 none";
@@ -122,10 +131,12 @@
         self.rows.inc_by(rows as u64);
     }
 
-    /// Records the run ends that a worker listed, and how many of them were not known before.
-    pub(crate) fn ends_listed(&self, listed: usize, new: usize) {
-        self.ends_listed.inc_by(listed as u64);
-        self.ends_new.inc_by(new as u64);
+    /// Records what a worker listed in its answer to a renewal.
+    pub(crate) fn runs_listed(&self, outcome: &RenewOutcome) {
+        self.ends_listed.inc_by(outcome.listed as u64);
+        self.ends_new.inc_by(outcome.new as u64);
+        self.runs_unknown.inc_by(outcome.unknown_runs as u64);
+        self.worker_restarts.inc_by(u64::from(outcome.restarted));
     }
 
     /// Records a commit attempt that failed or was not answered.
--- a/jackdawchute-scheduler/src/lost_workers.rs
+++ b/jackdawchute-scheduler/src/lost_workers.rs
@@ -61,8 +61,10 @@
         };
         let since = |at: Instant| whole_ms(now.saturating_duration_since(at));
         let incarnation = worker.incarnation.as_ref();
+        let unanswered = worker.runs.values().filter(|run| run.start_outcome_unknown);
         warn!("lease of a silent worker has lapsed", kv: {
             worker = worker.id().as_str(), runs = worker.runs.len(),
+            unanswered_starts = unanswered.count(),
             silent_ms:? = worker.unanswered_since.map(since),
             answered_ms:? = incarnation.map(|it| since(it.clock_received_at)),
             lease_until_ms = whole_ms(worker.lease_sent),
--- a/jackdawchute-scheduler/src/messages.rs
+++ b/jackdawchute-scheduler/src/messages.rs
@@ -205,6 +205,10 @@
     pub listed: usize,
     /// How many of them were not recorded before.
     pub new: usize,
+    /// The number of running tasks in the list that were not known.
+    pub unknown_runs: usize,
+    /// Whether a later incarnation answered than the known one.
+    pub restarted: bool,
 }
 
 /// A request to an advisor: which of the named workers may run a step?
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use jackdawchute_types::{RunNumber, ServiceId, WorkerId};
+use jackdawchute_types::{whole_ms, RunNumber, ServiceId, WorkerId};
 use spdlog::{info, warn};
 
 use crate::{
@@ -148,7 +148,7 @@
     ) -> RenewOutcome {
         let mut outcome = RenewOutcome {
             listed: answer.ended.len() + answer.ends_left_out,
-            new: 0,
+            ..RenewOutcome::default()
         };
         let base = self.token_base;
         let Some(worker) = self.workers.get_mut(&order.worker) else {
@@ -175,10 +175,15 @@
             }
             // Orders to the old incarnation may still reach the new one, which refuses them once it
             // has seen a higher token.
+            let unanswered = worker.runs.values().filter(|run| run.start_outcome_unknown);
+            let heard_ago = now.saturating_duration_since(incarnation.clock_received_at);
             warn!("worker restarted", kv: {
                 worker = order.worker.as_str(), runs = worker.runs.len(),
-                born_unix_ms = answer.started_unix_ms
+                unanswered_starts = unanswered.count(), born_unix_ms = answer.started_unix_ms,
+                former_born_unix_ms = incarnation.started_unix_ms,
+                former_answered_ms = whole_ms(heard_ago), token = order.token
             });
+            outcome.restarted = true;
             worker.begin_incarnation(now);
             self.placement_needed = true;
             return outcome;
@@ -205,7 +210,7 @@
             outcome.new += usize::from(self.run_ended(&order.worker, end, now));
         }
         if is_newer {
-            self.record_listed_runs(&order.worker, &answer, now);
+            outcome.unknown_runs = self.record_listed_runs(&order.worker, &answer, now);
             // A run in neither list may have ended and be listed once earlier ends are saved.
             if answer.ended_complete {
                 self.remove_missing_runs(&order.worker, &answer, is_first, now);
@@ -225,11 +230,12 @@
         outcome
     }
 
-    /// Records the runs that a worker lists as running.
-    fn record_listed_runs(&mut self, id: &WorkerId, answer: &RenewAnswer, now: Instant) {
-        for running in &answer.running {
-            self.run_listed(id, running, now);
-        }
+    /// Records the runs that a worker lists as running; returns how many were not known.
+    fn record_listed_runs(&mut self, id: &WorkerId, answer: &RenewAnswer, now: Instant) -> usize {
+        let running = answer.running.iter();
+        running
+            .filter(|running| self.run_listed(id, running, now))
+            .count()
     }
 
     /// Removes the recorded runs of a worker that its complete lists show not to be there.
@@ -269,8 +275,10 @@
             .map(|(task, _)| task.clone())
             .collect();
         for task in missing {
+            let run = self.workers.get(id).and_then(|it| it.runs.get(&task));
             info!("recorded run is not on its worker", kv: {
                 job = task.step.job.as_str(), step = task.step.step, task = task.index,
+                run:? = run.map(|run| run.run), phase:? = run.map(|run| run.phase),
                 worker = id.as_str(), first_look = is_first
             });
             self.remove_run(id, &task, now);
@@ -278,10 +286,10 @@
         }
     }
 
-    /// Records a run that a worker lists as running.
-    fn run_listed(&mut self, id: &WorkerId, running: &RunningTask, now: Instant) {
+    /// Records a run that a worker lists as running; returns whether it was not known.
+    fn run_listed(&mut self, id: &WorkerId, running: &RunningTask, now: Instant) -> bool {
         let Some(worker) = self.workers.get_mut(id) else {
-            return;
+            return false;
         };
         let known_run = worker.runs.get_mut(&running.task);
         if let Some(run) = known_run.filter(|run| run.run == running.run) {
@@ -295,9 +303,10 @@
                 run.answered_clock = Some(Duration::ZERO);
             }
             self.record_checkpoint(running);
-            return;
+            return false;
         }
         self.record_unknown_run(id, running, now);
+        true
     }
 
     /// Records the latest checkpoint of a running task.
@@ -352,9 +361,13 @@
                 }
             }
         }
+        let worker = self.workers.get(id);
+        let incarnation = worker.and_then(|worker| worker.incarnation);
         info!("worker lists an unknown run", kv: {
             job = task.step.job.as_str(), step = task.step.step, task = task.index,
-            run = running.run, worker = id.as_str(), wanted = wanted
+            run = running.run, worker = id.as_str(), wanted = wanted,
+            restarts = worker.map_or(0, |worker| worker.incarnations_seen),
+            born_unix_ms:? = incarnation.map(|it| it.started_unix_ms)
         });
         let run = Run {
             run: running.run,
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawchute_types::{FencingToken, RunNumber, WorkerId};
+use jackdawchute_types::{whole_ms, FencingToken, RunNumber, WorkerId};
 use spdlog::{info, warn};
 
 use crate::{
@@ -124,9 +124,18 @@
                     run.start_outcome_unknown = true;
                 }
                 run.retry_at = Some(now + ORDER_RETRY_DELAY);
+                let ordered_ms = whole_ms(now.saturating_duration_since(run.known_since));
+                let order = run.start_order.as_ref();
+                let (token, has_ticket) = (
+                    order.map(|order| order.token),
+                    order.is_some_and(|order| order.ticket.is_some()),
+                );
+                let incarnation = self.workers.get(worker).and_then(|it| it.incarnation);
                 warn!("order to start got no answer", kv: {
-                    job = task.step.job.as_str(), task = task.index, run = number,
-                    worker = worker.as_str()
+                    job = task.step.job.as_str(), step = task.step.step, task = task.index,
+                    run = number, worker = worker.as_str(), ordered_ms = ordered_ms,
+                    token:? = token, has_ticket = has_ticket,
+                    born_unix_ms:? = incarnation.map(|it| it.started_unix_ms)
                 });
                 if answer == StartAnswer::NotDelivered {
                     self.record_no_answer(worker, now);
