test: in-memory workers carry orders out late and count their own capacity

The stand-ins could not show an order that a worker carries out in a later incarnation: orders were executed when they arrived, and a waiting renewal was applied again to the incarnation that followed a crash, which set its fencing token.

- Orders of chosen kinds to a worker get no answer and are carried out a given time later, by the state, clock and token of the incarnation that the worker then has.
- A restart may change the capacity.
Each start that brings a worker above it is recorded, with runs that are being stopped, which may take a time.
- A ticket that names an incarnation is refused by any other, and an advisor gives such tickets out.
- A crash ends a waiting renewal without effect on the next incarnation.

--- a/jackdawchute-standins/src/cell/advisor.rs
+++ b/jackdawchute-standins/src/cell/advisor.rs
@@ -9,6 +9,8 @@
 use jackdawchute_cell::{Advisor, Error, Result};
 use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest};
 
+use super::MemoryWorkers;
+
 /// Answers each advice request after its expected time, in parallel.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct MemoryAdvisor;
@@ -21,6 +23,43 @@
     }
 }
 
+/// Answers as [`MemoryAdvisor`] does, with tickets that only the present incarnations of the workers
+/// accept.
+#[derive(Clone, Debug)]
+pub struct TicketAdvisor {
+    workers: MemoryWorkers,
+}
+
+impl TicketAdvisor {
+    /// Returns an advisor that gives out tickets for these workers.
+    ///
+    /// ```
+    /// use jackdawchute_standins::cell::{MemoryWorkers, TicketAdvisor};
+    ///
+    /// let workers = MemoryWorkers::new(1, std::time::Duration::from_millis(10));
+    /// let advisor = TicketAdvisor::new(workers);
+    /// # drop(advisor);
+    /// ```
+    pub fn new(workers: MemoryWorkers) -> Self {
+        Self { workers }
+    }
+}
+
+#[async_trait]
+impl Advisor for TicketAdvisor {
+    async fn advise(&self, request: &AdviceRequest, _timeout: Duration) -> Result<AdviceAnswer> {
+        tokio::time::sleep(request.expected).await;
+        let named = request.workers.iter();
+        let allowed = named.filter_map(|worker| {
+            let ticket = self.workers.ticket(worker)?;
+            Some((worker.clone(), ticket.into()))
+        });
+        Ok(AdviceAnswer {
+            allowed: allowed.collect(),
+        })
+    }
+}
+
 /// Answers advice requests one at a time in order of arrival, including those whose caller has
 /// timed out.
 #[derive(Clone, Debug)]
--- a/jackdawchute-standins/src/cell/mod.rs
+++ b/jackdawchute-standins/src/cell/mod.rs
@@ -6,12 +6,16 @@
 mod access;
 mod advisor;
 mod directory;
+mod fleet;
+mod late_orders;
 mod store;
+mod worker;
 mod workers;
 mod workers_handle;
 
-pub use advisor::{MemoryAdvisor, SerialAdvisor};
+pub use advisor::{MemoryAdvisor, SerialAdvisor, TicketAdvisor};
 pub use directory::MemoryDirectory;
+pub use late_orders::OrderKind;
 pub use store::{MemoryStore, StoreHandle};
-pub use workers::{MemoryWorkers, WorkerRecord};
+pub use workers::{MemoryWorkers, Overload, WorkerRecord};
 pub use workers_handle::{LinkFaults, WorkersHandle};
--- a/jackdawchute-standins/src/cell/workers.rs
+++ b/jackdawchute-standins/src/cell/workers.rs
@@ -1,7 +1,7 @@
 //! In-memory workers that record every start.
 
 use std::{
-    collections::BTreeMap,
+    future::pending,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
@@ -10,18 +10,23 @@
 use async_trait::async_trait;
 use jackdawchute_cell::{Error, Result, Workers};
 use jackdawchute_scheduler::{
-    EndReason, EndedRun, RenewAnswer, RenewOrder, RunningTask, StartAnswer, StartOrder,
-    StartRefusal, StopOrder, TaskName, WorkerEntry,
+    EndReason, JobGraph, RenewAnswer, RenewOrder, StartAnswer, StartOrder, StopOrder, TaskName,
+    WorkerEntry,
 };
-use jackdawchute_types::{FencingToken, Resources, RunNumber, WorkerId};
+use jackdawchute_types::{JobId, Resources, RunNumber, WorkerId};
 
-use super::WorkersHandle;
+use super::{
+    fleet::Fleet,
+    late_orders::{Order, OrderKind},
+    worker::{ticket_for, Worker},
+    WorkersHandle,
+};
 use crate::lock::lock;
 
-/// The most run ends in an answer, as the users' platform states it.
-const ENDS_PER_ANSWER: usize = 500;
 /// How often a waiting lease renewal checks for ended runs.
 const RENEWAL_POLL_PERIOD: Duration = Duration::from_millis(5);
+/// The processor of a worker, unless a test restarts it with another.
+const CAPACITY_MILLICORES: u64 = 4_000;
 
 /// One run of a task on a worker, from its start on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,93 +47,38 @@
     pub saved: bool,
 }
 
-/// A run in progress; `record` is its index in [`State::records`].
-#[derive(Clone, Copy, Debug)]
-struct Running {
-    run: RunNumber,
-    began_at: Instant,
-    task_time: Duration,
-    record: usize,
-}
-
-impl Running {
-    /// Returns which share of its time the run has taken.
-    fn percent(&self) -> u32 {
-        let share = self.began_at.elapsed().div_duration_f64(self.task_time);
-        (share * 100.0).min(100.0) as u32
-    }
-}
-
-/// An ended run that the scheduler has not acknowledged as saved.
-#[derive(Clone, Debug)]
-struct Ended {
-    end: EndedRun,
-    record: usize,
-    /// Whether the worker lease has lapsed since; after that the scheduler may have started the
-    /// task on another worker.
-    lapsed: bool,
-}
-
-/// One worker incarnation.
-#[derive(Debug)]
-struct Worker {
-    started_unix_ms: u64,
-    started_at: Instant,
-    token: FencingToken,
-    running: BTreeMap<TaskName, Running>,
-    /// The ended runs that are not acknowledged as saved yet.
-    ended: Vec<Ended>,
-    ends_count: u64,
-    /// The highest run of each task that was stopped or ended here; only later runs may start.
-    highest_ended_run: BTreeMap<TaskName, RunNumber>,
-    /// When the worker lease lapses, on the worker's clock.
-    lease_until: Duration,
-}
-
-impl Worker {
-    fn new(started_unix_ms: u64) -> Self {
-        Self {
-            started_unix_ms,
-            started_at: Instant::now(),
-            token: 0,
-            running: BTreeMap::new(),
-            ended: Vec::new(),
-            ends_count: 0,
-            highest_ended_run: BTreeMap::new(),
-            lease_until: Duration::ZERO,
-        }
-    }
-
-    /// The worker's clock: the time since its start.
-    fn clock(&self) -> Duration {
-        self.started_at.elapsed()
-    }
-}
-
-#[derive(Debug)]
-struct State {
-    /// How long the runs take that begin from now on.
-    task_time: Duration,
-    workers: BTreeMap<WorkerId, Worker>,
-    records: Vec<WorkerRecord>,
+/// A start that brought a worker above its capacity, by the worker's own count.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Overload {
+    /// The worker.
+    pub worker: WorkerId,
+    /// The task that was started.
+    pub task: TaskName,
+    /// When its run began.
+    pub began_at: Instant,
+    /// The thousandths of a core that all runs used then, those that were being stopped included.
+    pub used_millicores: u64,
+    /// The thousandths of a core that the worker has.
+    pub capacity_millicores: u64,
+    /// Whether the order to start was carried out late.
+    pub late: bool,
 }
 
 /// A fleet of workers whose tasks run for the time that a test sets.
 #[derive(Clone, Debug)]
 pub struct MemoryWorkers {
-    state: Arc<Mutex<State>>,
+    fleet: Arc<Mutex<Fleet>>,
 }
 
 impl MemoryWorkers {
     /// Creates `count` workers, named `w0` and so on.
     pub fn new(count: usize, task_time: Duration) -> Self {
         let names = (0..count).map(|index| smol_str::format_smolstr!("w{index}"));
+        let now = Instant::now();
+        let worker = || Worker::new(1, CAPACITY_MILLICORES, now);
+        let workers = names.map(|name| (name, worker())).collect();
         Self {
-            state: Arc::new(Mutex::new(State {
-                task_time,
-                workers: names.map(|name| (name, Worker::new(1))).collect(),
-                records: Vec::new(),
-            })),
+            fleet: Arc::new(Mutex::new(Fleet::new(workers, task_time))),
         }
     }
 
@@ -137,12 +87,105 @@
         WorkersHandle::new(self.clone())
     }
 
+    /// Makes the clocks of the present incarnations show `age` at their start, so that the lease ends
+    /// on them lie ahead of the clocks of later incarnations, and all clocks run at `rate`, a
+    /// multiple of the true time.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_standins::cell::MemoryWorkers;
+    ///
+    /// let workers = MemoryWorkers::new(1, Duration::from_millis(10));
+    /// workers.set_clocks(Duration::from_secs(12), 0.98);
+    /// ```
+    pub fn set_clocks(&self, age: Duration, rate: f64) {
+        let mut fleet = lock(&self.fleet);
+        let workers = fleet.workers.values_mut();
+        workers.for_each(|worker| worker.set_clock(age, rate));
+    }
+
     /// Makes each run that begins from now on take `task_time`.
     pub fn set_task_time(&self, task_time: Duration) {
-        lock(&self.state).task_time = task_time;
+        // Late orders that are due begin their runs before.
+        self.advanced(|fleet| fleet.task_time = task_time);
     }
 
-    /// Returns the workers' directory entries, of 4 cores each.
+    /// Makes each run that is ordered to stop from now on take `stop_time` to end.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_standins::cell::MemoryWorkers;
+    ///
+    /// let workers = MemoryWorkers::new(1, Duration::from_millis(10));
+    /// workers.set_stop_time(Duration::from_millis(900));
+    /// ```
+    pub fn set_stop_time(&self, stop_time: Duration) {
+        self.advanced(|fleet| fleet.stop_time = stop_time);
+    }
+
+    /// Sets the longest lease that the workers take, counted from when an order is carried out.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_standins::cell::MemoryWorkers;
+    ///
+    /// let workers = MemoryWorkers::new(1, Duration::from_millis(10));
+    /// workers.set_hold_max(Duration::from_secs(6));
+    /// ```
+    pub fn set_hold_max(&self, hold_max: Duration) {
+        self.advanced(|fleet| fleet.hold_max = hold_max);
+    }
+
+    /// Leaves orders of these kinds to a worker without an answer from now on, and carries each out
+    /// `delay` after its arrival, in whichever incarnation the worker then is; with `None`, they
+    /// are answered again. Orders that have arrived keep their delay.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_standins::cell::{MemoryWorkers, OrderKind};
+    ///
+    /// let workers = MemoryWorkers::new(1, Duration::from_millis(10));
+    /// workers.set_late(&"w0".into(), &[OrderKind::Start], Some(Duration::from_secs(6)));
+    /// assert!(workers.late_orders(OrderKind::Start).is_empty());
+    /// ```
+    pub fn set_late(&self, worker: &WorkerId, kinds: &[OrderKind], delay: Option<Duration>) {
+        self.advanced(|fleet| fleet.late_orders.set_delay(worker, kinds, delay));
+    }
+
+    /// Returns the worker of each late order of a kind that has arrived and is not carried out yet.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_standins::cell::{MemoryWorkers, OrderKind};
+    ///
+    /// let workers = MemoryWorkers::new(1, Duration::from_millis(10));
+    /// assert!(workers.late_orders(OrderKind::Renewal).is_empty());
+    /// ```
+    pub fn late_orders(&self, kind: OrderKind) -> Vec<WorkerId> {
+        self.advanced(|fleet| fleet.late_orders.workers(kind))
+    }
+
+    /// Makes the workers count the processor that the tasks of a job need.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_scheduler::JobGraph;
+    /// use jackdawchute_standins::cell::MemoryWorkers;
+    ///
+    /// let workers = MemoryWorkers::new(1, Duration::from_millis(10));
+    /// workers.register_job(&"job".into(), &JobGraph::default());
+    /// ```
+    pub fn register_job(&self, job: &JobId, graph: &JobGraph) {
+        let steps = graph.steps.iter();
+        let millicores = steps.map(|step| step.resources.processor_millicores);
+        let mut fleet = lock(&self.fleet);
+        fleet
+            .step_millicores
+            .insert(job.clone(), millicores.collect());
+    }
+
+    /// Returns the workers' directory entries, of 4 cores each unless restarted with another
+    /// capacity.
     pub fn entries(&self) -> Vec<WorkerEntry> {
         let address: SocketAddr = ([127, 0, 0, 1], 9).into();
         let entry = |(id, worker): (&WorkerId, &Worker)| WorkerEntry {
@@ -152,18 +195,29 @@
             failure_domain: "a".into(),
             rack: None,
             labels: Vec::new(),
-            capacity: Resources::new(4_000, 4_096, 0),
+            capacity: Resources::new(worker.capacity_millicores, 4_096, 0),
             leaving_in: None,
             started_unix_ms: worker.started_unix_ms,
         };
-        lock(&self.state).workers.iter().map(entry).collect()
+        lock(&self.fleet).workers.iter().map(entry).collect()
     }
 
     /// Returns the records of all runs so far, in the order of their starts.
     pub fn records(&self) -> Vec<WorkerRecord> {
-        let mut state = lock(&self.state);
-        state.advance();
-        state.records.clone()
+        self.advanced(|fleet| fleet.records.clone())
+    }
+
+    /// Returns the starts that brought a worker above its capacity, in their order.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_standins::cell::MemoryWorkers;
+    ///
+    /// let workers = MemoryWorkers::new(1, Duration::from_millis(10));
+    /// assert_eq!(workers.overloads(), []);
+    /// ```
+    pub fn overloads(&self) -> Vec<Overload> {
+        self.advanced(|fleet| fleet.overloads.clone())
     }
 
     /// Crashes a worker with its tasks and starts its next incarnation, without any state of this
@@ -177,231 +231,106 @@
     /// assert_eq!(workers.entries()[0].started_unix_ms, 2);
     /// ```
     pub fn crash(&self, worker: &WorkerId) {
-        let mut state = lock(&self.state);
-        state.advance();
-        let State {
-            workers, records, ..
-        } = &mut *state;
-        let Some(worker) = workers.get_mut(worker) else {
-            return;
-        };
-        for running in worker.running.values() {
-            records[running.record].ended_at = Some(Instant::now());
-        }
-        *worker = Worker::new(worker.started_unix_ms + 1);
+        lock(&self.fleet).restart(worker, None, Instant::now());
     }
-}
 
-impl State {
-    /// Ends the runs whose task time has passed or whose worker lease has lapsed.
+    /// Does the same, with a next incarnation of another capacity.
     ///
-    /// Each gets the time at which it was due, so that it does not matter when this is called.
-    fn advance(&mut self) {
-        let now = Instant::now();
-        let mut ends = Vec::new();
-        for (id, worker) in &self.workers {
-            let lapses_at = worker.started_at + worker.lease_until;
-            for (task, running) in &worker.running {
-                let done_at = running.began_at + running.task_time;
-                let (at, reason) = if done_at <= lapses_at {
-                    (done_at, EndReason::Succeeded)
-                } else {
-                    (lapses_at, EndReason::LeaseLapsed)
-                };
-                if at <= now {
-                    ends.push((at, id.clone(), task.clone(), reason));
-                }
-            }
-        }
-        ends.sort_by_key(|end| end.0);
-        for (at, worker, task, reason) in ends {
-            self.end(&worker, &task, reason, at);
-        }
-        for worker in self.workers.values_mut() {
-            if worker.clock() >= worker.lease_until {
-                worker.ended.iter_mut().for_each(|it| it.lapsed = true);
-            }
-        }
-    }
-
-    fn end(&mut self, id: &WorkerId, task: &TaskName, reason: EndReason, at: Instant) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        let Some(running) = worker.running.remove(task) else {
-            return;
-        };
-        worker.ends_count += 1;
-        let end = EndedRun {
-            number: worker.ends_count,
-            task: task.clone(),
-            run: running.run,
-            reason,
-            checkpoint: "".into(),
-        };
-        worker.refuse_up_to(task, running.run);
-        worker.ended.push(Ended {
-            end,
-            record: running.record,
-            lapsed: false,
-        });
-        let record = &mut self.records[running.record];
-        record.ended_at = Some(at);
-        record.reason = Some(reason);
-    }
-
-    /// Returns the worker if it accepts the fencing token, which becomes its highest.
-    fn accepting_worker(&mut self, id: &WorkerId, token: FencingToken) -> Option<&mut Worker> {
-        let worker = self.workers.get_mut(id)?;
-        if token < worker.token {
-            return None;
-        }
-        worker.token = token;
-        Some(worker)
+    /// ```
+    /// use jackdawchute_standins::cell::MemoryWorkers;
+    ///
+    /// let workers = MemoryWorkers::new(1, std::time::Duration::from_millis(10));
+    /// workers.crash_to_capacity(&"w0".into(), 2_500);
+    /// assert_eq!(workers.entries()[0].capacity.processor_millicores, 2_500);
+    /// ```
+    pub fn crash_to_capacity(&self, worker: &WorkerId, millicores: u64) {
+        lock(&self.fleet).restart(worker, Some(millicores), Instant::now());
     }
 
-    /// Applies a renewal's lease and acknowledged ends, and answers it; `None` if its token is
-    /// refused.
-    fn renew(&mut self, order: &RenewOrder) -> Option<RenewAnswer> {
-        self.advance();
-        let worker = self.accepting_worker(&order.worker, order.token)?;
-        if let Some(until) = order.lease_until {
-            worker.lease_until = worker.lease_until.max(until);
-        }
-        let all = std::mem::take(&mut worker.ended).into_iter();
-        let (saved, ended): (Vec<_>, Vec<_>) =
-            all.partition(|it| it.end.number <= order.ends_saved);
-        worker.ended = ended;
-        let running = worker.running.iter().map(|(task, running)| RunningTask {
-            task: task.clone(),
-            run: running.run,
-            checkpoint: "".into(),
-            percent: running.percent(),
-        });
-        let answer = RenewAnswer {
-            started_unix_ms: worker.started_unix_ms,
-            clock: worker.clock(),
-            running: running.collect(),
-            ended: worker
-                .ended
-                .iter()
-                .take(ENDS_PER_ANSWER)
-                .map(|it| it.end.clone())
-                .collect(),
-            ends_left_out: 0,
-            ended_complete: worker.ended.len() < ENDS_PER_ANSWER,
-        };
-        for it in saved.iter().filter(|it| !it.lapsed) {
-            self.records[it.record].saved = true;
-        }
-        Some(answer)
+    /// Returns a ticket that only the present incarnation of a worker accepts; `None` if there is no
+    /// such worker.
+    ///
+    /// ```
+    /// use jackdawchute_standins::cell::MemoryWorkers;
+    ///
+    /// let workers = MemoryWorkers::new(1, std::time::Duration::from_millis(10));
+    /// let earlier = workers.ticket(&"w0".into());
+    /// workers.crash(&"w0".into());
+    /// assert_ne!(workers.ticket(&"w0".into()), earlier);
+    /// ```
+    pub fn ticket(&self, worker: &WorkerId) -> Option<String> {
+        let fleet = lock(&self.fleet);
+        let worker = fleet.workers.get(worker)?;
+        Some(ticket_for(worker.started_unix_ms))
     }
-}
 
-impl Worker {
-    /// Makes the worker refuse this run of a task and all earlier ones.
-    fn refuse_up_to(&mut self, task: &TaskName, run: RunNumber) {
-        let highest = self.highest_ended_run.entry(task.clone()).or_default();
-        *highest = run.max(*highest);
+    /// Returns what `read` does with the state as it is now.
+    fn advanced<T>(&self, read: impl FnOnce(&mut Fleet) -> T) -> T {
+        let mut fleet = lock(&self.fleet);
+        fleet.advance(Instant::now());
+        read(&mut fleet)
     }
 
-    /// Returns why a start is refused; `None` if it is accepted.
-    fn refusal(&self, order: &StartOrder) -> Option<StartRefusal> {
-        let ended = self
-            .highest_ended_run
-            .get(&order.task)
-            .copied()
-            .unwrap_or_default();
-        let running = self.running.get(&order.task).map(|running| running.run);
-        if order.run <= ended || running.is_some_and(|running| running > order.run) {
-            Some(StartRefusal::Superseded)
-        } else if order.lease_until < self.clock() {
-            Some(StartRefusal::Late)
-        } else {
-            None
-        }
+    /// Returns the outcome of an order that `execute` carries out, or `None` if it is one of those
+    /// that are carried out late.
+    fn execute<T>(
+        &self,
+        order: Order,
+        execute: impl FnOnce(&mut Fleet, Instant) -> T,
+    ) -> Option<T> {
+        let now = Instant::now();
+        let mut fleet = lock(&self.fleet);
+        fleet.advance(now);
+        let is_late = fleet.late_orders.take(&order, now);
+        (!is_late).then(|| execute(&mut fleet, now))
     }
 }
 
 #[async_trait]
 impl Workers for MemoryWorkers {
     async fn start(&self, order: &StartOrder) -> StartAnswer {
-        let mut state = lock(&self.state);
-        state.advance();
-        let (record, task_time) = (state.records.len(), state.task_time);
-        let Some(worker) = state.accepting_worker(&order.worker, order.token) else {
-            return StartAnswer::Refused {
-                reason: StartRefusal::Fenced,
-                clock: None,
-            };
-        };
-        let clock = worker.clock();
-        if let Some(reason) = worker.refusal(order) {
-            let clock = Some(clock);
-            return StartAnswer::Refused { reason, clock };
-        }
-        worker.lease_until = worker.lease_until.max(order.lease_until);
-        let running = worker.running.get(&order.task);
-        if running.is_some_and(|running| running.run == order.run) {
-            return StartAnswer::Started { clock };
+        let execute = |fleet: &mut Fleet, now| fleet.start(order, now, false);
+        match self.execute(Order::Start(order.clone()), execute) {
+            Some(answer) => answer,
+            None => pending().await,
         }
-        let began_at = Instant::now();
-        let running = Running {
-            run: order.run,
-            began_at,
-            task_time,
-            record,
-        };
-        worker.running.insert(order.task.clone(), running);
-        state.records.push(WorkerRecord {
-            worker: order.worker.clone(),
-            task: order.task.clone(),
-            run: order.run,
-            began_at,
-            ended_at: None,
-            reason: None,
-            saved: false,
-        });
-        StartAnswer::Started { clock }
     }
 
     async fn stop(&self, order: &StopOrder) -> Result<Duration> {
-        let mut state = lock(&self.state);
-        state.advance();
-        let Some(worker) = state.accepting_worker(&order.worker, order.token) else {
-            return Err(Error::Fenced("stop", order.worker.to_string()));
-        };
-        let clock = worker.clock();
-        worker.refuse_up_to(&order.task, order.run);
-        let running = worker.running.get(&order.task);
-        if running.is_some_and(|running| running.run <= order.run) {
-            state.end(
-                &order.worker,
-                &order.task,
-                EndReason::Stopped,
-                Instant::now(),
-            );
+        let execute = |fleet: &mut Fleet, now| fleet.stop(order, now);
+        match self.execute(Order::Stop(order.clone()), execute) {
+            Some(answer) => answer,
+            None => pending().await,
         }
-        Ok(clock)
     }
 
     async fn renew(&self, order: &RenewOrder) -> Result<RenewAnswer> {
-        let deadline = Instant::now() + order.wait;
         const NAME: &str = "renew lease";
-        let mut incarnation = None;
+        let deadline = Instant::now() + order.wait;
+        let execute = |fleet: &mut Fleet, now| fleet.renew(order, now);
+        let Some(mut answer) = self.execute(Order::Renewal(order.clone()), execute) else {
+            return pending().await;
+        };
         loop {
-            let answer = lock(&self.state).renew(order);
-            let Some(answer) = answer else {
+            let Some(answered) = answer else {
                 return Err(Error::Fenced(NAME, order.worker.to_string()));
             };
-            if *incarnation.get_or_insert(answer.started_unix_ms) != answer.started_unix_ms {
-                let cause = "the worker crashed".to_owned();
-                return Err(Error::Unavailable(NAME, order.worker.to_string(), cause));
-            }
-            if !answer.ended.is_empty() || Instant::now() >= deadline {
-                return Ok(answer);
+            if !answered.ended.is_empty() || Instant::now() >= deadline {
+                return Ok(answered);
             }
             tokio::time::sleep(RENEWAL_POLL_PERIOD).await;
+            let started_unix_ms = answered.started_unix_ms;
+            let renewed = self.advanced(|fleet| {
+                let worker = fleet.workers.get(&order.worker);
+                // A crash ends the connection, so that the next incarnation sees no order.
+                let is_same = worker.is_some_and(|it| it.started_unix_ms == started_unix_ms);
+                is_same.then(|| fleet.renew(order, Instant::now()))
+            });
+            let Some(renewed) = renewed else {
+                let cause = "the worker crashed".to_owned();
+                return Err(Error::Unavailable(NAME, order.worker.to_string(), cause));
+            };
+            answer = renewed;
         }
     }
 }
--- a/jackdawchute-standins/src/cell/workers_handle.rs
+++ b/jackdawchute-standins/src/cell/workers_handle.rs
@@ -78,7 +78,7 @@
     }
 
     /// Returns the outcome of an order that `execute` carries out, or `None` after the timeout if
-    /// the order or its answer is lost.
+    /// the order or its answer is lost, or if the worker carries the order out late.
     ///
     /// The fault of each direction is that of the time at which the order or the answer is sent.
     async fn send<T>(
@@ -89,9 +89,9 @@
     ) -> Option<T> {
         let deadline = Instant::now() + timeout;
         if !self.faults(worker).request_lost {
-            let outcome = execute.await;
+            let outcome = tokio::time::timeout_at(deadline, execute).await;
             if !self.faults(worker).answer_lost {
-                return Some(outcome);
+                return outcome.ok();
             }
         }
         tokio::time::sleep_until(deadline).await;
