test: late orders to restarted workers, failing on the present code

A worker that restarts under its id carries out orders to its former incarnation: its clock starts anew, so that their leases are in time again, and it has seen no token.

Ten tests on in-memory cells, each with one to five cells side by side.

Starts that the new incarnation can refuse, by token or lease, and starts with a ticket hold.

On the scheduler alone, the task of a silent worker starts elsewhere after 5.9 to 7.6 s, and a new incarnation with an earlier start time is ignored; the five tests that hold state the cost: what has no such order is given up with its lease as before.

--- a/jackdawchute-cell/tests/cell/fixtures.rs
+++ b/jackdawchute-cell/tests/cell/fixtures.rs
@@ -18,7 +18,8 @@
 };
 use jackdawchute_standins::{
     cell::{
-        MemoryAdvisor, MemoryDirectory, MemoryStore, MemoryWorkers, StoreHandle, WorkersHandle,
+        MemoryAdvisor, MemoryDirectory, MemoryStore, MemoryWorkers, StoreHandle, TicketAdvisor,
+        WorkersHandle,
     },
     proxy::{spawn_proxy, RunningProxy},
 };
@@ -54,6 +55,13 @@
         let runtime = runtime.expect("the instance has a runtime of its own");
         runtime.spawn(async move { std::thread::sleep(time) });
     }
+
+    /// Ends all tasks of the instance, as the end of its process does.
+    pub fn kill(&mut self) {
+        let runtime = self.runtime.take();
+        let runtime = runtime.expect("the instance has a runtime of its own");
+        runtime.shutdown_background();
+    }
 }
 
 impl Drop for TestInstance {
@@ -72,7 +80,13 @@
     pub can_freeze: bool,
     pub advisor: Arc<dyn Advisor>,
     pub workers: usize,
+    /// What the clocks of the workers show at first.
+    pub worker_age: Duration,
+    /// How fast the clocks of the workers run, as a multiple of the true time.
+    pub worker_clock_rate: f64,
     pub task_time: Duration,
+    /// Whether advice comes with tickets that only the present incarnation of a worker accepts.
+    pub tickets: bool,
 }
 
 impl CellOptions {
@@ -82,7 +96,10 @@
             can_freeze: false,
             advisor: Arc::new(MemoryAdvisor),
             workers: 4,
+            worker_age: Duration::ZERO,
+            worker_clock_rate: 1.0,
             task_time: TASK_TIME,
+            tickets: false,
         }
     }
 }
@@ -184,6 +201,11 @@
     static CELLS: AtomicU32 = AtomicU32::new(0);
     let store = MemoryStore::default();
     let workers = MemoryWorkers::new(options.workers, options.task_time);
+    workers.set_clocks(options.worker_age, options.worker_clock_rate);
+    let advisor: Arc<dyn Advisor> = match options.tickets {
+        true => Arc::new(TicketAdvisor::new(workers.clone())),
+        false => options.advisor,
+    };
     let listed = watch::channel(workers.entries()).0;
     let mut cell = Cell {
         instances: Vec::new(),
@@ -191,7 +213,7 @@
         listed,
         store,
         routes: watch::channel(routes(1)).0,
-        advisor: options.advisor,
+        advisor,
         can_freeze: options.can_freeze,
         number: CELLS.fetch_add(1, Ordering::Relaxed),
     };
@@ -297,9 +319,17 @@
 
     /// Submits a job repeatedly, as callers do, until it is accepted.
     pub async fn submit_until_accepted(&self, index: usize, job: &str, tasks: u32) {
+        self.submit_job(index, job, &graph(tasks), &route()).await;
+    }
+
+    /// Does the same with a job of these steps, for the queue of `route`.
+    pub async fn submit_job(&self, index: usize, job: &str, graph: &JobGraph, route: &QueueRoute) {
+        self.workers.register_job(&job.into(), graph);
         let deadline = Instant::now() + WAIT_MAX;
+        let gateway = &self.instances[index].handle.gateway;
         loop {
-            let answer = self.submit(index, job, tasks).await;
+            let submitted = gateway.submit(job.into(), graph.clone(), route, DEADLINE);
+            let answer = submitted.await;
             if answer == Answer::Accepted {
                 return;
             }
--- a/jackdawchute-cell/tests/cell/main.rs
+++ b/jackdawchute-cell/tests/cell/main.rs
@@ -3,7 +3,9 @@
 mod busy_leader;
 mod fixtures;
 mod instances;
+mod late_orders;
 mod network;
 mod outages;
 mod partitions;
+mod restarts;
 mod store_rows;
--- a/jackdawchute-cell/tests/cell/partitions.rs
+++ b/jackdawchute-cell/tests/cell/partitions.rs
@@ -42,20 +42,6 @@
     job
 }
 
-async fn submit_until_accepted(cell: &Cell, name: &str, job: &JobGraph) {
-    let deadline = Instant::now() + WAIT_MAX;
-    let gateway = &cell.instances[0].handle.gateway;
-    let route = route();
-    loop {
-        let submitted = gateway.submit(name.into(), job.clone(), &route, DEADLINE);
-        if submitted.await == Answer::Accepted {
-            return;
-        }
-        assert!(Instant::now() < deadline, "{name} is not accepted");
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-}
-
 /// Returns a cell that runs [`RUNNING_TASKS`] tasks of `job` for `task_time`; those that start later
 /// take [`LATER_TASK_TIME`].
 async fn cell_with_running_tasks(task_time: Duration, can_freeze: bool) -> Cell {
@@ -66,7 +52,8 @@
         ..CellOptions::of_instances(INSTANCES)
     })
     .await;
-    submit_until_accepted(&cell, "job", &job(RUNNING_TASKS, task_time)).await;
+    cell.submit_job(0, "job", &job(RUNNING_TASKS, task_time), &route())
+        .await;
     wait_for_runs(&cell, RUNNING_TASKS).await;
     cell.workers.set_task_time(LATER_TASK_TIME);
     cell
@@ -211,7 +198,7 @@
         ..CellOptions::of_instances(INSTANCES)
     })
     .await;
-    submit_until_accepted(&cell, "job", &job(TASKS, TIME)).await;
+    cell.submit_job(0, "job", &job(TASKS, TIME), &route()).await;
     wait_for_runs(&cell, 20).await;
     let leader = cell.leader().await;
 
@@ -352,12 +339,15 @@
         ..CellOptions::of_instances(INSTANCES)
     })
     .await;
-    submit_until_accepted(&cell, "long", &job(LONG_TASKS, LONG)).await;
+    cell.submit_job(0, "long", &job(LONG_TASKS, LONG), &route())
+        .await;
     wait_for_runs(&cell, LONG_TASKS).await;
     cell.workers.set_task_time(LATER_TASK_TIME);
-    submit_until_accepted(&cell, "short", &job(SHORT_TASKS, LATER_TASK_TIME)).await;
+    cell.submit_job(0, "short", &job(SHORT_TASKS, LATER_TASK_TIME), &route())
+        .await;
     wait_for_runs(&cell, LONG_TASKS + SHORT_TASKS).await;
-    submit_until_accepted(&cell, "waiting", &job(SHORT_TASKS, LATER_TASK_TIME)).await;
+    cell.submit_job(0, "waiting", &job(SHORT_TASKS, LATER_TASK_TIME), &route())
+        .await;
 
     for index in 0..INSTANCES {
         cell.cut_store(index, true);
@@ -405,7 +395,7 @@
         ..CellOptions::of_instances(INSTANCES)
     })
     .await;
-    submit_until_accepted(&cell, "job", &job(TASKS, TIME)).await;
+    cell.submit_job(0, "job", &job(TASKS, TIME), &route()).await;
     wait_for_runs(&cell, 20).await;
     let first = cell.leader().await;
     for index in 0..INSTANCES {
