fix: a run that its worker lists is kept when a repeat of its start fails

Cause: an order to start gets no answer and is repeated; while the repeat is under way the worker lists the run, which the first copy began, and the outcome counts as known. When the repeat then found no connection, was refused (429, 503) or was not sent, the run was taken for not begun: its task was placed again at once, and its room given to others.

Evidence: the five tests of repeated_starts failed before. The task started on another worker, or as run 2 beside run 1 on the same one, within 10 ms; another task of three cores was placed beside it on a worker of four.

Why this fix works: what a worker has listed has begun, whatever becomes of further copies of the order. A stop that could not be sent while the repeat was under way is sent then.

--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -55,6 +55,11 @@
             return;
         };
         run.order_under_way = false;
+        let has_begun = run.seen_running && !matches!(answer, StartAnswer::Started { .. });
+        if has_begun {
+            self.repeated_start_failed(worker, task, answer, now);
+            return;
+        }
         match answer {
             StartAnswer::Started { clock } => {
                 run.answered_clock = Some(clock);
@@ -145,6 +150,42 @@
         self.placement_needed = true;
     }
 
+    /// Handles the failure of a repeated order to start whose run the worker has listed meanwhile: an
+    /// earlier copy of the order has begun it.
+    fn repeated_start_failed(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskName,
+        answer: StartAnswer,
+        now: Instant,
+    ) {
+        let Some(run) = self.run_mut(worker, task) else {
+            return;
+        };
+        let token = run.start_order.as_ref().map_or(0, |order| order.token);
+        let must_stop = run.phase == RunPhase::Stopping;
+        info!("repeated start of a running task failed", kv: {
+            job = task.step.job.as_str(), step = task.step.step, task = task.index, run = run.run,
+            worker = worker.as_str(), answer:? = answer
+        });
+        match answer {
+            StartAnswer::Refused {
+                reason: StartRefusal::Fenced,
+                ..
+            } => self.order_fenced(worker, token),
+            StartAnswer::Refused {
+                reason: StartRefusal::Ticket,
+                ..
+            } => self.drop_ticket(&task.step, worker),
+            StartAnswer::NotDelivered => self.record_no_answer(worker, now),
+            _ => {}
+        }
+        if must_stop {
+            self.send_stop(worker, task);
+        }
+        self.placement_needed = true;
+    }
+
     /// Compares the clock in the answer to an order to start with that of the known incarnation.
     ///
     /// A worker that restarts while no renewal is under way takes the next start in its new
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -14,6 +14,7 @@
 mod other_kinds;
 mod pending_jobs;
 mod recovery;
+mod repeated_starts;
 mod repeats;
 mod row_limits;
 mod saving;
