fix: a start without an answer counts as one that a later incarnation may begin

Cause: an order to a worker is bound to nothing that a restart changes. Its lease end is read on a clock that starts anew, so that an order which had lapsed is in time again, for up to the longest hold; the id is shared, and the new incarnation has seen no token. The leader took the lease of the silent worker as lapsed after 5 to 6 s, with the starts that had no answer, and placed their tasks elsewhere. Only a ticket is bound to an incarnation.

Change: a start without a ticket of which some copy got no answer may begin until 12 s later, in any incarnation, and last for the longest hold from then. While its worker is silent, the run is not given up before both have passed since the worker fell silent, as renewals that were under way may extend the lease. So also for a start that a later incarnation answered and no list has shown yet. Other runs are given up with their lease, as before.

Price: such a task waits for up to 23 s while its worker is silent, where the longest hold is 10 s. Starts with tickets, as on all sites in force, don't wait.

--- a/jackdawchute-scheduler/src/authority.rs
+++ b/jackdawchute-scheduler/src/authority.rs
@@ -55,6 +55,11 @@
     }
 }
 
+/// Returns how long a run may last after its worker has carried out an order, in any incarnation.
+pub(crate) fn hold_time(settings: &Settings) -> Duration {
+    settings.hold_max.div_f64(CLOCK_RATE_MIN) + LAPSE_STOP_MAX
+}
+
 fn lease_time(settings: &Settings) -> Duration {
     settings.lease_max().div_f64(CLOCK_RATE_MIN) + LAPSE_STOP_MAX
 }
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -16,6 +16,7 @@
 mod free_capacity;
 mod graph;
 mod job;
+mod late_starts;
 mod lost_workers;
 mod messages;
 mod names;
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -374,6 +374,7 @@
             charged,
             phase: RunPhase::Running,
             start_outcome_unknown: false,
+            late_start_until: None,
             seen_running: true,
             answered_clock: Some(Duration::ZERO),
             known_since: now,
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -131,10 +131,8 @@
                 run.retry_at = Some(now + ORDER_RETRY_DELAY);
                 let ordered_ms = whole_ms(now.saturating_duration_since(run.known_since));
                 let order = run.start_order.as_ref();
-                let (token, has_ticket) = (
-                    order.map(|order| order.token),
-                    order.is_some_and(|order| order.ticket.is_some()),
-                );
+                let token = order.map(|order| order.token);
+                let has_ticket = order.is_some_and(|order| order.ticket.is_some());
                 let incarnation = self.workers.get(worker).and_then(|it| it.incarnation);
                 warn!("order to start got no answer", kv: {
                     job = task.step.job.as_str(), step = task.step.step, task = task.index,
@@ -142,8 +140,10 @@
                     token:? = token, has_ticket = has_ticket,
                     born_unix_ms:? = incarnation.map(|it| it.started_unix_ms)
                 });
-                if answer == StartAnswer::NotDelivered {
-                    self.record_no_answer(worker, now);
+                match answer {
+                    StartAnswer::Unknown => self.record_late_start(worker, task, now),
+                    StartAnswer::NotDelivered => self.record_no_answer(worker, now),
+                    _ => {}
                 }
             }
         }
@@ -178,6 +178,7 @@
                 ..
             } => self.drop_ticket(&task.step, worker),
             StartAnswer::NotDelivered => self.record_no_answer(worker, now),
+            StartAnswer::Unknown => self.record_late_start(worker, task, now),
             _ => {}
         }
         if must_stop {
@@ -213,6 +214,8 @@
                 worker = id.as_str(), runs = worker.runs.len()
             });
             worker.note_restart(now);
+            // The run has begun in an incarnation whose runs are not listed yet.
+            self.extend_late_start(id, task, now);
         }
     }
 
--- a/jackdawchute-scheduler/src/settings.rs
+++ b/jackdawchute-scheduler/src/settings.rs
@@ -12,6 +12,15 @@
     pub lease: Duration,
     /// The longest time that a worker may delay its answer to a renewal while no run ends.
     pub renew_wait_max: Duration,
+    /// The longest time for which a worker runs tasks without a further order, on its own clock: the
+    /// end of a lease that lies further ahead is brought forward.
+    ///
+    /// The clock of a new incarnation starts anew, so that the end of a lease on the former one's
+    /// lies far ahead of it.
+    pub hold_max: Duration,
+    /// The longest time after which a worker may carry out an order that got no answer, in a later
+    /// incarnation too.
+    pub late_order_max: Duration,
     /// How long a worker must have left renewals unanswered before its runs are given up, which they
     /// are once its lease has lapsed.
     pub worker_silence_max: Duration,
@@ -32,6 +41,8 @@
         Self {
             lease: Duration::from_secs(4),
             renew_wait_max: Duration::from_millis(1_500),
+            hold_max: Duration::from_secs(10),
+            late_order_max: Duration::from_secs(12),
             worker_silence_max: Duration::from_millis(700),
             ended_retention: Duration::from_secs(130),
             task_stop_max: Duration::from_millis(900),
--- a/src/cell.rs
+++ b/src/cell.rs
@@ -183,6 +183,7 @@
         processor_millicores: settings.processor.millicores(),
         scheduler: jackdawchute_scheduler::Settings {
             lease: defaults.lease.min(settings.bounds.lease_max),
+            hold_max: settings.bounds.lease_max,
             task_stop_max: settings.bounds.task_stop,
             starts_under_way_max: starts_under_way_max(settings.processor.millicores()),
             ended_retention: settings.bounds.ended_retention,
