fix: the lease of a restarted worker counts for the longest hold

Callers would see: two runs of one task at once on workers that fall silent soon after a restart.

Cause: until a new incarnation has acknowledged the raised token, it takes renewals of the former one, whose lease end lies far ahead of its clock. A lease is never shortened, so that what runs there next lasts for up to the longest hold; the leader counted the lease that it sends itself.

Change: from the first acknowledgement of the raised token on, the lease counts as lasting for the longest hold.

--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -203,7 +203,13 @@
         if !has_current_token {
             return outcome;
         }
+        let is_first_acknowledgement = !worker.token_acknowledged;
         worker.token_acknowledged = true;
+        if is_first_acknowledgement && worker.incarnations_seen > 0 {
+            // Orders to a former incarnation may have extended the lease of this one until now.
+            let hold_until = answer.clock + self.settings.hold_max;
+            worker.lease_sent = worker.lease_sent.max(hold_until);
+        }
         worker.acknowledged_at.get_or_insert(now);
         worker.answered = true;
         for end in &answer.ended {
