fix: a worker that restarts with an earlier start time is noticed

Callers would see: jobs that stand still on a worker whose time of day was set back before it restarted.

Cause: incarnations of a worker were ordered by their start times, which the worker takes from its time of day. An answer with an earlier one counted as an overtaken answer of a former incarnation, for ever: the token was not raised, the runs of the former incarnation were kept, and the worker got no task.

Change: an answer is of a former incarnation only if its renewal was sent before the known one was first heard.

--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -169,7 +169,10 @@
             .incarnation
             .filter(|incarnation| incarnation.started_unix_ms != answer.started_unix_ms)
         {
-            if !has_current_token || answer.started_unix_ms < incarnation.started_unix_ms {
+            // The time of day of the worker may have been set back between two incarnations.
+            let is_earlier = answer.started_unix_ms < incarnation.started_unix_ms
+                && sent_at < incarnation.first_heard_at;
+            if !has_current_token || is_earlier {
                 worker.renewal_next_at = now;
                 return outcome;
             }
@@ -192,8 +195,10 @@
             .incarnation
             .is_none_or(|incarnation| incarnation.clock <= answer.clock);
         if is_newer {
+            let first_heard_at = worker.incarnation.map_or(now, |it| it.first_heard_at);
             worker.incarnation = Some(WorkerIncarnation {
                 started_unix_ms: answer.started_unix_ms,
+                first_heard_at,
                 clock: answer.clock,
                 clock_received_at: now,
             });
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -66,8 +66,10 @@
 /// The worker incarnation that last answered a renewal, with a reading of its clock.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WorkerIncarnation {
-    /// When the incarnation started, in Unix milliseconds.
+    /// When the incarnation started, in Unix milliseconds by its own time of day.
     pub(crate) started_unix_ms: u64,
+    /// When it was first heard.
+    pub(crate) first_heard_at: Instant,
     /// The latest reading of the worker's clock, made before `clock_received_at`.
     pub(crate) clock: Duration,
     /// When the reading was received.
