test: starts after a late run has succeeded behind a cut

Two runs of one task need not overlap to break the guarantee: a late run in a new incarnation may succeed behind the cut, before the task starts elsewhere, and its end is taken note of afterwards. The check of the late orders counts such starts too.

--- a/jackdawchute-cell/tests/cell/late_orders.rs
+++ b/jackdawchute-cell/tests/cell/late_orders.rs
@@ -13,7 +13,7 @@
 /// Leaves the starts of two tasks without an answer, restarts their workers and cuts them off; the
 /// orders are carried out `late` after they arrived, and the cut ends after `cut_time`. `age` is that
 /// of the former incarnations.
-async fn overlaps_of_unanswered_starts(age: f64, late: f64, cut_time: f64) -> Vec<String> {
+async fn repeated_runs_of_unanswered_starts(age: f64, late: f64, cut_time: f64) -> Vec<String> {
     let cell = cell_with(CellOptions {
         worker_age: seconds(age),
         ..options()
@@ -31,17 +31,17 @@
     heal(&cell).await;
     cell.wait_until_completed(0, "job").await;
 
-    overlaps(&cell)
+    repeated_runs(&cell)
 }
 
 #[tokio::test]
 async fn a_start_carried_out_behind_a_cut_by_a_restarted_worker_runs_in_one_place() {
     let (late_6, late_9, late_3, late_3_in_longer_cut, younger) = tokio::join!(
-        overlaps_of_unanswered_starts(12.0, 6.0, 9.0),
-        overlaps_of_unanswered_starts(12.0, 9.0, 12.0),
-        overlaps_of_unanswered_starts(12.0, 3.0, 5.0),
-        overlaps_of_unanswered_starts(12.0, 3.0, 7.0),
-        overlaps_of_unanswered_starts(4.0, 6.0, 9.0),
+        repeated_runs_of_unanswered_starts(12.0, 6.0, 9.0),
+        repeated_runs_of_unanswered_starts(12.0, 9.0, 12.0),
+        repeated_runs_of_unanswered_starts(12.0, 3.0, 5.0),
+        repeated_runs_of_unanswered_starts(12.0, 3.0, 7.0),
+        repeated_runs_of_unanswered_starts(4.0, 6.0, 9.0),
     );
 
     let all = [late_6, late_9, late_3, late_3_in_longer_cut, younger];
@@ -53,8 +53,8 @@
 #[tokio::test]
 async fn a_start_that_a_restarted_worker_can_tell_from_later_ones_does_not_begin() {
     let (after_cut, young) = tokio::join!(
-        overlaps_of_unanswered_starts(12.0, 6.0, 5.0),
-        overlaps_of_unanswered_starts(0.0, 6.0, 9.0),
+        repeated_runs_of_unanswered_starts(12.0, 6.0, 5.0),
+        repeated_runs_of_unanswered_starts(0.0, 6.0, 9.0),
     );
 
     let all = [after_cut, young];
@@ -63,7 +63,7 @@
 
 /// Confirms a repeated start while its first copy is under way, and then restarts the worker behind
 /// a cut.
-async fn overlaps_of_a_confirmed_start(late: Duration, cut_time: Duration) -> Vec<String> {
+async fn repeated_runs_of_a_confirmed_start(late: Duration, cut_time: Duration) -> Vec<String> {
     let cell = cell_with(options()).await;
     delay_starts(&cell, Some(late));
     cell.submit_job(0, "job", &job(1, LARGE_MILLICORES), &route())
@@ -82,14 +82,14 @@
     heal(&cell).await;
     cell.wait_until_completed(0, "job").await;
 
-    overlaps(&cell)
+    repeated_runs(&cell)
 }
 
 #[tokio::test]
 async fn a_copy_of_a_confirmed_start_carried_out_by_a_restarted_worker_runs_in_one_place() {
     let (late_8, late_10) = tokio::join!(
-        overlaps_of_a_confirmed_start(seconds(8.0), seconds(11.0)),
-        overlaps_of_a_confirmed_start(seconds(10.0), seconds(12.0)),
+        repeated_runs_of_a_confirmed_start(seconds(8.0), seconds(11.0)),
+        repeated_runs_of_a_confirmed_start(seconds(10.0), seconds(12.0)),
     );
 
     let all = [late_8, late_10];
@@ -106,7 +106,7 @@
 
 /// Replaces the leader `after` its start arrived without an answer, while the worker restarts behind
 /// a cut.
-async fn overlaps_of_an_earlier_leaders_start(former: Former, after: Duration) -> Vec<String> {
+async fn repeated_runs_of_an_earlier_leaders_start(former: Former, after: Duration) -> Vec<String> {
     const LATE: Duration = Duration::from_secs(11);
     const CUT_TIME: Duration = Duration::from_secs(13);
     let mut cell = cell_with(CellOptions {
@@ -136,7 +136,7 @@
     }
     cell.wait_until_completed(0, "job").await;
 
-    overlaps(&cell)
+    repeated_runs(&cell)
 }
 
 /// How long an unanswered start is known and saved as such before its leader is replaced.
@@ -145,9 +145,9 @@
 #[tokio::test]
 async fn an_earlier_leaders_start_carried_out_by_a_restarted_worker_runs_in_one_place() {
     let (killed, cut_off, frozen) = tokio::join!(
-        overlaps_of_an_earlier_leaders_start(Former::Killed, SAVED_AFTER),
-        overlaps_of_an_earlier_leaders_start(Former::CutOff, SAVED_AFTER),
-        overlaps_of_an_earlier_leaders_start(Former::Frozen, SAVED_AFTER),
+        repeated_runs_of_an_earlier_leaders_start(Former::Killed, SAVED_AFTER),
+        repeated_runs_of_an_earlier_leaders_start(Former::CutOff, SAVED_AFTER),
+        repeated_runs_of_an_earlier_leaders_start(Former::Frozen, SAVED_AFTER),
     );
 
     let all = [killed, cut_off, frozen];
@@ -157,9 +157,9 @@
 /// The leader ends before it could know that its start gets no answer.
 #[tokio::test]
 async fn a_start_under_way_when_its_leader_ends_runs_in_one_place_after_a_restart_of_its_worker() {
-    let overlaps = overlaps_of_an_earlier_leaders_start(Former::Killed, seconds(0.3)).await;
+    let repeated = repeated_runs_of_an_earlier_leaders_start(Former::Killed, seconds(0.3)).await;
 
-    assert!(overlaps.is_empty(), "{overlaps:#?}");
+    assert!(repeated.is_empty(), "{repeated:#?}");
 }
 
 /// Why the leader gives up a start whose worker answers.
@@ -173,7 +173,7 @@
 
 /// Waits until the task of an unanswered start runs elsewhere, and then restarts the first worker
 /// behind a cut.
-async fn overlaps_of_a_start_given_up(given_up: GivenUp) -> Vec<String> {
+async fn repeated_runs_of_a_start_given_up(given_up: GivenUp) -> Vec<String> {
     const LATE: Duration = Duration::from_secs(9);
     let cell = cell_with(CellOptions {
         task_time: seconds(10.0),
@@ -205,14 +205,14 @@
     heal(&cell).await;
     cell.wait_until_completed(0, "job").await;
 
-    overlaps(&cell)
+    repeated_runs(&cell)
 }
 
 #[tokio::test]
 async fn a_start_given_up_by_a_worker_that_answered_runs_in_one_place_after_a_restart() {
     let (stopped, restarted) = tokio::join!(
-        overlaps_of_a_start_given_up(GivenUp::Stopped),
-        overlaps_of_a_start_given_up(GivenUp::Restarted),
+        repeated_runs_of_a_start_given_up(GivenUp::Stopped),
+        repeated_runs_of_a_start_given_up(GivenUp::Restarted),
     );
 
     let all = [stopped, restarted];
@@ -256,14 +256,79 @@
     cell.workers.set_task_time(TASK_TIME);
     cell.wait_until_completed(0, "job").await;
     let took = arrived_at.elapsed();
-    let overlaps = overlaps(&cell);
+    let repeated = repeated_runs(&cell);
 
-    assert!(overlaps.is_empty(), "{overlaps:#?}");
+    assert!(repeated.is_empty(), "{repeated:#?}");
     assert!(took < Duration::from_secs(30), "{took:?}");
 }
 
+/// The end of the late run is listed when the cut is over.
+#[tokio::test]
+async fn a_task_does_not_start_again_while_a_late_run_of_it_may_have_succeeded_behind_a_cut() {
+    let cell = cell_with(CellOptions {
+        task_time: seconds(0.5),
+        ..options()
+    })
+    .await;
+    delay_starts(&cell, Some(seconds(3.0)));
+    cell.submit_job(0, "job", &job(2, LARGE_MILLICORES), &route())
+        .await;
+    let (arrived_at, workers) = wait_for_late_starts(&cell, 2).await;
+
+    restart_behind_cut(&cell, &workers, None).await;
+    delay_starts(&cell, None);
+    sleep_until(arrived_at + seconds(8.0)).await;
+    heal(&cell).await;
+    cell.wait_until_completed(0, "job").await;
+    // The next renewals take note of the ends.
+    tokio::time::sleep(seconds(1.0)).await;
+    let repeated = repeated_runs(&cell);
+
+    assert!(repeated.is_empty(), "{repeated:#?}");
+}
+
+/// Run ends are numbered anew in each incarnation, so that a renewal to the former one takes note of
+/// those of the next.
+#[tokio::test]
+async fn a_task_whose_late_run_a_stray_renewal_took_note_of_does_not_start_again() {
+    let cell = cell_with(CellOptions {
+        task_time: seconds(0.5),
+        ..options()
+    })
+    .await;
+    cell.submit_job(0, "first", &job(4, LARGE_MILLICORES), &route())
+        .await;
+    cell.wait_until_completed(0, "first").await;
+    wait_for("the ends are not saved", || {
+        cell.workers.records().iter().all(|record| record.saved)
+    })
+    .await;
+    delay_starts(&cell, Some(seconds(3.0)));
+    cell.submit_job(0, "job", &job(1, LARGE_MILLICORES), &route())
+        .await;
+    let (_, workers) = wait_for_late_starts(&cell, 1).await;
+    let kinds = [OrderKind::Renewal];
+    cell.workers
+        .set_late(&workers[0], &kinds, Some(seconds(4.5)));
+    let late_renewals = || cell.workers.late_orders(OrderKind::Renewal);
+    wait_for("no renewal arrives", || !late_renewals().is_empty()).await;
+
+    restart_behind_cut(&cell, &workers, None).await;
+    delay_starts(&cell, None);
+    cell.workers.set_late(&workers[0], &kinds, None);
+    wait_for("the stray renewal is not carried out", || {
+        late_renewals().is_empty()
+    })
+    .await;
+    heal(&cell).await;
+    cell.wait_until_completed(0, "job").await;
+    let repeated = repeated_runs(&cell);
+
+    assert!(repeated.is_empty(), "{repeated:#?}");
+}
+
 /// Restarts two workers with two orders each as smaller ones, whose entries follow `listed_at_once`
-/// or when the cut ends; more tasks wait for room. Returns the overlaps, and the starts above the
+/// or when the cut ends; more tasks wait for room. Returns the repeated runs, and the starts above the
 /// capacity of a worker that no late order made.
 async fn faults_of_smaller_workers(listed_at_once: bool) -> Vec<String> {
     const LATE: Duration = Duration::from_secs(6);
@@ -302,7 +367,7 @@
     assert_eq!(workers.len(), 2);
     let overloads = cell.workers.overloads().into_iter();
     let of_leader = overloads.filter(|it| !it.late).map(|it| format!("{it:?}"));
-    overlaps(&cell).into_iter().chain(of_leader).collect()
+    repeated_runs(&cell).into_iter().chain(of_leader).collect()
 }
 
 #[tokio::test]
@@ -358,10 +423,10 @@
     cut_off(&cell, worker);
     cell.workers.set_task_time(seconds(3.0));
     cell.wait_until_completed(0, "job").await;
-    let overlaps = overlaps(&cell);
+    let repeated = repeated_runs(&cell);
 
     assert_eq!(runs_on, *worker);
-    assert!(overlaps.is_empty(), "{overlaps:#?}");
+    assert!(repeated.is_empty(), "{repeated:#?}");
 }
 
 /// A worker refuses a ticket of its former incarnation, so that the task need not wait for it.
--- a/jackdawchute-cell/tests/cell/restarts.rs
+++ b/jackdawchute-cell/tests/cell/restarts.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawchute_scheduler::JobGraph;
+use jackdawchute_scheduler::{EndReason, JobGraph};
 use jackdawchute_standins::cell::{OrderKind, WorkerRecord};
 use jackdawchute_types::{Resources, WorkerId};
 
@@ -94,27 +94,38 @@
     tokio::time::sleep_until(at.into()).await;
 }
 
-/// Describes the times in which two runs of one task went on.
-pub fn overlaps(cell: &Cell) -> Vec<String> {
+/// Describes the times in which two runs of one task went on, and the starts of a task after a
+/// success whose end was taken for saved.
+pub fn repeated_runs(cell: &Cell) -> Vec<String> {
     let records = cell.workers.records();
+    let pairs = records.iter().enumerate().flat_map(|(index, first)| {
+        let later = records[index + 1..].iter();
+        later.map(move |second| (first, second))
+    });
+    let of_one_task = pairs.filter(|(first, second)| first.task == second.task);
+    let repeated = of_one_task.filter_map(|(first, second)| {
+        let what = repetition(first, second)?;
+        let (task, workers) = (&first.task, (&first.worker, &second.worker));
+        let (job, index) = (&task.step.job, task.index);
+        Some(format!(
+            "{job}.{index} on {} and {} {what}",
+            workers.0, workers.1
+        ))
+    });
+    repeated.collect()
+}
+
+/// Describes how two runs of a task, in the order of their starts, contradict each other; `None` if
+/// they don't.
+fn repetition(first: &WorkerRecord, second: &WorkerRecord) -> Option<String> {
     let now = Instant::now();
     let end = |record: &WorkerRecord| record.ended_at.unwrap_or(now);
-    let mut overlaps = Vec::new();
-    for (index, first) in records.iter().enumerate() {
-        for second in &records[index + 1..] {
-            let from = first.began_at.max(second.began_at);
-            let until = end(first).min(end(second));
-            if first.task == second.task && from < until {
-                overlaps.push(format!(
-                    "{}.{} on {} and {} for {:.2} s",
-                    first.task.step.job,
-                    first.task.index,
-                    first.worker,
-                    second.worker,
-                    (until - from).as_secs_f64()
-                ));
-            }
-        }
+    let until = end(first).min(end(second));
+    if second.began_at < until {
+        let overlap = until - second.began_at;
+        return Some(format!("for {:.2} s", overlap.as_secs_f64()));
     }
-    overlaps
+    let succeeded = first.reason == Some(EndReason::Succeeded) && first.saved;
+    let since = second.began_at - end(first);
+    succeeded.then(|| format!("{:.2} s after its success", since.as_secs_f64()))
 }
