test: a model of restarts of workers behind late orders

Cause: the model of authority has workers that never restart, and orders that end with their lease on one clock. A worker that restarts under its id begins its clock and its token anew, and may carry out an order to its former incarnation for up to the longest hold.

Change: a second model beside it, with one worker that restarts, orders that are lost, answered or carried out late, two leaders in succession and a capacity of one task that the worker does not enforce. Both models share the search.

--- a/jackdawchute-cell/tests/authority_model/main.rs
+++ b/jackdawchute-cell/tests/authority_model/main.rs
@@ -13,20 +13,17 @@
 //! - The rule for lapsed leases is the scheduler's, written down here: its functions are private.
 
 mod claims;
+#[path = "../search/mod.rs"]
+mod search;
 mod spec;
 mod work;
 mod world;
 
-use std::{
-    cell::Cell,
-    time::{Duration, Instant},
-};
-
-use pathfinding::prelude::bfs;
+use std::time::{Duration, Instant};
 
 use crate::{
+    search::search,
     spec::{Guards, Spec, Violation},
-    world::World,
 };
 
 /// The member P claims the epoch from L; promises extend L's authority.
@@ -112,20 +109,14 @@
 
 /// Returns how many states were visited, and how many steps lead to the violation, if there is one.
 fn explore_up_to(states_max: u64, name: &str, spec: &Spec) -> (u64, Option<usize>) {
-    let explored = Cell::new(0_u64);
-    let begun = Instant::now();
-    let next = |world: &World| {
-        if explored.get() == states_max {
-            return Vec::new();
-        }
-        explored.set(explored.get() + 1);
-        spec.next(world)
-    };
-    let path = bfs(&spec.initial(), next, |world| spec.is_violated(world));
-    let steps = path.as_ref().map(|path| path.len() - 1);
-    let (explored, elapsed) = (explored.get(), begun.elapsed());
-    println!("{name}: {explored} states, violation after {steps:?} steps, {elapsed:?}");
-    (explored, steps)
+    let found = search(
+        states_max,
+        name,
+        &spec.initial(),
+        |world| spec.next(world),
+        |world| spec.is_violated(world),
+    );
+    (found.explored, found.steps())
 }
 
 #[test]
