--- a/jackdawchute-cell/tests/restart_model/world.rs
+++ b/jackdawchute-cell/tests/restart_model/world.rs
@@ -21,6 +21,8 @@
     pub worker: usize,
     /// The incarnation that its leader knew.
     pub incarnation: u8,
+    /// The first incarnation that may begin a run by it; earlier ones were told to stop the run.
+    pub begins_from: u8,
     pub token: u8,
     /// The task that it starts; `None` for a renewal.
     pub starts: Option<usize>,
