test: longer waits, which need no exclusion, in the model of restarts

Cause: two sequences had to be excluded, in which a leader concludes from an answer that a run is not there and the worker restarts unseen then.

--- a/jackdawchute-cell/tests/restart_model/spec.rs
+++ b/jackdawchute-cell/tests/restart_model/spec.rs
@@ -18,6 +18,9 @@
     pub waits_for_delay: bool,
     /// It is kept for the longest hold besides, which what a late order began may last.
     pub waits_for_hold: bool,
+    /// It is kept for the longest delay although the worker answers without it, and a successor keeps
+    /// one in place of each saved name.
+    pub waits_though_answered: bool,
     /// A start is repeated only while its worker answers.
     pub repeats_while_answered: bool,
     /// The token is raised for a new incarnation.
@@ -44,10 +47,11 @@
 }
 
 impl Guards {
-    /// All guards.
+    /// All guards that need the worker's silence.
     pub const ALL: Self = Self {
         waits_for_delay: true,
         waits_for_hold: true,
+        waits_though_answered: false,
         repeats_while_answered: true,
         raises_token: true,
         lists_before_placement: true,
@@ -59,6 +63,11 @@
         waits_for_named: true,
         waits_from_end_of_authority: true,
     };
+    /// All guards, and no conclusion from an answer while an order may still be carried out.
+    pub const LONGER_WAITS: Self = Self {
+        waits_though_answered: true,
+        ..Self::ALL
+    };
     /// The rules before orders to a former incarnation counted.
     pub const FORMER: Self = Self {
         waits_for_delay: false,
@@ -243,6 +252,12 @@
             .flatten()
             .flat_map(|it| &mut it.views);
         for view in views {
+            for run in view.runs.iter_mut().flatten() {
+                if !self.guards.waits_though_answered || !run.unanswered {
+                    run.since_copy = 0;
+                    run.stopped = false;
+                }
+            }
             // The time counts for runs with an unanswered start alone.
             if !view.runs.iter().flatten().any(|run| run.unanswered) {
                 view.silent_for = view.silent_for.map(|_| 0);
@@ -279,6 +294,9 @@
             .flat_map(|leader| &mut leader.views);
         for view in views {
             view.lease_left = view.lease_left.saturating_sub(1);
+            for run in view.runs.iter_mut().flatten() {
+                run.since_copy = (run.since_copy + 1).min(silence_max as i8);
+            }
             view.silent_for = view
                 .silent_for
                 .map(|silent_for| (silent_for + 1).min(silence_max));
--- a/jackdawchute-cell/tests/restart_model/world.rs
+++ b/jackdawchute-cell/tests/restart_model/world.rs
@@ -51,6 +51,12 @@
 pub struct Run {
     /// Whether some copy of the start got no answer.
     pub unanswered: bool,
+    /// Whether its start is not repeated any more. This and the next field count only with
+    /// `Guards::waits_though_answered`.
+    pub stopped: bool,
+    /// The time since the last copy of the start that got no answer; below zero while the earlier
+    /// leader may send one.
+    pub since_copy: i8,
 }
 
 /// A worker as a leader knows it.
