fix: a new home owner's undelivered first call ends no attempt of its predecessor

A call to a rack owner that was not delivered ended the attempt as not started if it was the first one, as no rack owner can have received a start then. The count of calls is kept in memory, so that it started anew with each home owner: the first call of a successor that did not reach the rack owner ended an attempt that its predecessor had started, and the next one ran beside it.

The decision test failed before (attempt 2 requested in place of 1), as did the one on tasks (12 starts of 6 tasks).

--- a/jackdawchute-jobs/src/home/claimed.rs
+++ b/jackdawchute-jobs/src/home/claimed.rs
@@ -94,6 +94,8 @@
         task.failures = record.failures;
         task.phase = match record.state {
             JournaledTaskState::Assigned { rack, worker } => {
+                // The predecessor may have called the rack owner.
+                task.rack_calls = 1;
                 task.assigned_at = Some(now);
                 TaskPhase::Assigned {
                     rack,
--- a/jackdawchute-jobs/src/home/job.rs
+++ b/jackdawchute-jobs/src/home/job.rs
@@ -63,7 +63,8 @@
     pub phase: TaskPhase,
     /// Whether the rack owner is asked to stop the current attempt.
     pub stopping: bool,
-    /// The number of calls to the rack owner for the current attempt.
+    /// The number of calls to the rack owner for the current attempt, with one that a former home
+    /// owner may have made.
     pub(crate) rack_calls: u32,
     /// The highest epoch of a rack owner that was called for the current attempt, 0 before the
     /// first call.
--- a/jackdawchute-jobs/src/home/rack_calls.rs
+++ b/jackdawchute-jobs/src/home/rack_calls.rs
@@ -170,8 +170,8 @@
         task.is_some_and(|task| task.attempt == id.attempt && task.rack_epoch > epoch)
     }
 
-    /// Ends an attempt as not started if the call that was not delivered was the first one that
-    /// this owner made for it: no rack owner has received a start from this owner then.
+    /// Ends an attempt as not started if the call that was not delivered was the first one for it: no
+    /// rack owner has received a start then, from this home owner or a former one.
     fn end_undelivered(&mut self, id: &TaskAttempt, now: Instant) {
         let Some((job, index)) = parse_task(&id.task) else {
             return;
--- a/jackdawchute-jobs/tests/home_safety.rs
+++ b/jackdawchute-jobs/tests/home_safety.rs
@@ -167,6 +167,28 @@
     assert_eq!(asked, [("rack/r1".into(), attempt_id("j-0", 1))]);
 }
 
+/// The predecessor's call may have started the attempt, so that a further one would run beside it.
+#[test]
+fn a_successors_first_call_that_is_not_delivered_starts_no_further_attempt() {
+    let now = now();
+    let mut predecessor = homes(now);
+    let effects = predecessor.submit(1, &"j".into(), job(JobKind::Batch, 1), now);
+    let mut written = journaled_values(&effects);
+    let effects = predecessor.accepted(&"j".into(), Ok(()), now);
+    written.extend(journaled_values(&effects));
+    let mut homes = claimed(2, &written, now);
+    let effects = homes.tick(now);
+    finish_appends(&mut homes, effects, true, now);
+
+    let not_delivered = CallError::NotDelivered("call", "rack owner".into(), "cut".into());
+    homes.rack_answered(1, &[attempt_id("j-0", 1)], Err(not_delivered), now);
+    let later = at(now.instant, settings().resend * 5);
+    let effects = homes.tick(later);
+    let asked = requested_starts(finish_appends(&mut homes, effects, true, later));
+
+    assert_eq!(asked, [("rack/r1".into(), attempt_id("j-0", 1))]);
+}
+
 /// The rack owner forgets an acknowledged end; without a journal entry a successor would start the
 /// task again.
 #[test]
--- a/jackdawchute-jobs/tests/takeover.rs
+++ b/jackdawchute-jobs/tests/takeover.rs
@@ -90,6 +90,30 @@
     assert_eq!((running, total_starts(&cell)), (6, 6));
 }
 
+/// The tasks that a home owner finds assigned may run, whether or not it reaches the owner of their
+/// rack.
+#[tokio::test]
+async fn running_tasks_survive_a_home_owner_that_does_not_reach_the_rack_owner() {
+    let mut cell = three_instances(1).await;
+    cell.submit("a", "j", job(JobKind::Batch, 6)).await.unwrap();
+    wait_for_state(&cell, "a", "j", JobState::Running).await;
+
+    cell.kill("a");
+    cell.kill("b");
+    cell.assign_group("jobs/0", "c", 2).await;
+    eventually("a call to the rack owner is not delivered", || async {
+        (cell.network.undelivered_starts() > 0).then_some(())
+    })
+    .await;
+    cell.assign_group("rack/r1", "c", 2).await;
+    cell.assign_group("rack/r2", "c", 2).await;
+    wait_for_state(&cell, "c", "j", JobState::Running).await;
+    finish_all(&cell);
+    wait_for_state(&cell, "c", "j", JobState::Succeeded).await;
+
+    assert_eq!(total_starts(&cell), 6);
+}
+
 /// A start whose answer is lost took effect at the worker, so another attempt elsewhere would run
 /// the task twice.
 #[tokio::test]
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -7,6 +7,7 @@
     caller::Caller,
     harness::{wait_until, Cell, CellOptions, Signal, WorkerPlan},
     load::{ClassPlan, Finished, Plan},
+    proxy::ProxyFaults,
 };
 use jackdawchute_types::{GroupId, IncarnationId, JobKind, JobSpec, JobState, Resources};
 
@@ -253,6 +254,35 @@
     assert_eq!(cell.violations().await.unwrap(), []);
 }
 
+/// The successor of a killed home owner finds tasks that run on racks whose owner it does not reach.
+#[tokio::test(flavor = "multi_thread")]
+async fn running_tasks_stay_in_one_place_when_their_new_home_owner_does_not_reach_a_rack_owner() {
+    let mut cell = cell().await;
+    let (unreachable, _) = rack_owner(&cell).await;
+    let killed = 2 - unreachable;
+    let dead = cell.entries[killed].status().await.unwrap().incarnation;
+    let mut jobs = Vec::new();
+    for _ in 0..30 {
+        jobs.push(submit(&cell, &job(JobKind::Batch, "batch", 1, "run_ms=15000")).await);
+    }
+    for job in &jobs {
+        wait_for_state(&cell, job, JobState::Running).await;
+    }
+
+    let peers = &cell.entries[unreachable].peer_proxy;
+    peers.set_faults(ProxyFaults::refusing()).await.unwrap();
+    cell.entries[killed].kill().await.unwrap();
+    cell.wait_until_succeeded(1, &dead).await.unwrap();
+    tokio::time::sleep(PHASE).await;
+    let peers = &cell.entries[unreachable].peer_proxy;
+    peers.set_faults(ProxyFaults::default()).await.unwrap();
+
+    for job in &jobs {
+        wait_for_state(&cell, job, JobState::Succeeded).await;
+    }
+    assert_eq!(cell.violations().await.unwrap(), []);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn orders_are_answered_after_two_of_three_instances_are_killed() {
     let mut cell = cell().await;
