fix: a worker refuses starts and renewals for another incarnation

A lease of `serve` ended at a time on the worker's clock and did not say whose. The clock starts anew with each incarnation, so that one that got a start or a renewal of the former one ran the task until that time: for as long as the former one had been up, and a lease more. If it was cut off before its next report, its rack owner counted the task as lost a lease and a margin after the last one, and the next attempt ran beside it. No late delivery is needed: a restart between a report and a start is enough. Change: a lease names the boot id that its clock reading came with, and a worker refuses any other. A lease without one is accepted as before.

--- a/jackdawchute-jobs/src/rack/lease.rs
+++ b/jackdawchute-jobs/src/rack/lease.rs
@@ -181,6 +181,7 @@
         }
         let epoch = self.owned.get(&state.group)?.epoch;
         let until = state.clock + self.settings.lease;
+        let boot = state.boot.clone();
         let mut tasks = self.open_attempts_on(worker);
         tasks.retain(|id| self.extend_lease(id, until));
         if tasks.is_empty() {
@@ -191,7 +192,7 @@
         }
         Some(Effect::Worker {
             worker: worker.clone(),
-            call: WorkerCall::Renew(tasks, Lease { epoch, until }),
+            call: WorkerCall::Renew(tasks, Lease { epoch, boot, until }),
         })
     }
 
--- a/jackdawchute-jobs/src/rack/start.rs
+++ b/jackdawchute-jobs/src/rack/start.rs
@@ -187,6 +187,7 @@
             resources: intent.record.resources,
             lease: Lease {
                 epoch,
+                boot: intent.record.boot.clone(),
                 until: intent.lease_until,
             },
             command: intent.record.command.clone(),
--- a/jackdawchute-jobs/tests/rack_safety.rs
+++ b/jackdawchute-jobs/tests/rack_safety.rs
@@ -305,6 +305,28 @@
     assert_eq!(end, Some(IntentPhase::Ended(AttemptEnd::Lost)));
 }
 
+/// A worker that restarts between a report and an order would take the order by its new clock.
+#[test]
+fn starts_and_renewals_name_the_incarnation_that_reported_the_clock() {
+    let now = Instant::now();
+    let mut racks = racks(now);
+
+    let mut effects = request_start(&mut racks, task_start("j-0", 1, 1_000), true, now);
+    let tasks = vec![running_task("j-0", 1, 1_000)];
+    effects.extend(racks.reported(&WORKER_ID.into(), Some(report(101, "b1", tasks)), now));
+
+    let leases = effects.iter().filter_map(|effect| match effect {
+        Effect::Worker { call, .. } => match call {
+            WorkerCall::Start(start) => Some(&start.lease),
+            WorkerCall::Renew(_, lease) => Some(lease),
+            _ => None,
+        },
+        _ => None,
+    });
+    let boots: Vec<&str> = leases.map(|lease| lease.boot.as_str()).collect();
+    assert_eq!(boots, ["b1", "b1"]);
+}
+
 /// A task may use more than it declares; free capacity must not count what it uses.
 #[test]
 fn reported_use_above_the_declared_size_counts_as_used() {
--- a/jackdawchute-jobs/tests/takeover.rs
+++ b/jackdawchute-jobs/tests/takeover.rs
@@ -185,6 +185,29 @@
     .await;
 }
 
+/// A new incarnation that took the start of the former one would run the task until a time on the
+/// former clock, long after its owner counts it as lost.
+#[tokio::test]
+async fn a_start_that_a_new_incarnation_receives_does_not_run_beside_the_next_attempt() {
+    let cell = three_instances(1).await;
+    cell.workers.restart_at_next_start();
+
+    cell.submit("a", "j", job(JobKind::Batch, 1)).await.unwrap();
+    eventually(
+        "the task runs on the worker that did not restart",
+        || async {
+            let workers = cell.workers.all();
+            let mut others = workers.iter().filter(|worker| worker.incarnations() == 1);
+            others
+                .any(|worker| !worker.running().is_empty())
+                .then_some(())
+        },
+    )
+    .await;
+
+    assert_eq!(cell.workers.running().len(), 1);
+}
+
 /// Two gangs that each held one of the two racks would wait for each other forever.
 #[tokio::test]
 async fn two_gangs_that_need_the_same_racks_run_one_after_the_other() {
--- a/jackdawchute-ports/src/worker.rs
+++ b/jackdawchute-ports/src/worker.rs
@@ -12,16 +12,21 @@
 /// An instant on a worker's monotonic clock, as the time since an origin that the worker chooses.
 pub type WorkerClock = Duration;
 
-/// The right to run a task until an instant on the worker's clock.
+/// The right to run a task until an instant on the clock of one incarnation of the worker.
 ///
-/// The worker refuses a start or renewal that arrives after that instant, so a message that is
-/// delivered late has no effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// The worker refuses a start or renewal that arrives after that instant or is for another
+/// incarnation, whose clock has another origin, so a message that is delivered late has no effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lease {
     /// The epoch of the owner that grants the lease; a worker refuses epochs below the highest it
     /// has seen.
     pub epoch: Epoch,
-    /// The instant on the worker's clock at which the lease lapses; in milliseconds on the wire.
+    /// The boot id of the incarnation that the lease is for; empty from instances of earlier
+    /// versions, whose leases any incarnation accepts.
+    #[serde(default)]
+    pub boot: SmolStr,
+    /// The instant on that incarnation's clock at which the lease lapses; in milliseconds on the
+    /// wire.
     #[serde(with = "duration_ms", rename = "until_ms")]
     pub until: WorkerClock,
 }
@@ -47,7 +52,8 @@
 pub enum StartOutcome {
     /// The attempt runs, or ran already.
     Started,
-    /// The lease had lapsed on arrival, or its epoch was too low; the task did not run.
+    /// The lease had lapsed on arrival, was for another incarnation, or its epoch was too low; the
+    /// task did not run.
     LeaseLapsed,
 }
 
@@ -101,7 +107,7 @@
     async fn start(&self, start: StartTask) -> Result<StartOutcome>;
 
     /// Extends the leases of running tasks; the worker ignores tasks that it does not know or whose
-    /// lease has lapsed.
+    /// lease has lapsed, and a lease for another incarnation.
     ///
     /// # Errors
     /// The outcome is unknown: the leases may have been extended.
--- a/jackdawchute-trial/src/worker/state.rs
+++ b/jackdawchute-trial/src/worker/state.rs
@@ -59,7 +59,7 @@
 ///     task: "j1-0".into(),
 ///     attempt: 1,
 ///     resources: Resources::new(1_000, 1_024, 0),
-///     lease: Lease { epoch: 1, until: Duration::from_secs(5) },
+///     lease: Lease { epoch: 1, boot: "boot-1".into(), until: Duration::from_secs(5) },
 ///     command: "run_ms=200".into(),
 /// };
 /// assert_eq!(worker.start(Duration::from_secs(1), start.clone()), StartOutcome::Started);
@@ -97,7 +97,8 @@
         self.failing = failing;
     }
 
-    /// Starts a task unless its lease has lapsed, its epoch is outdated or the attempt was stopped.
+    /// Starts a task unless its lease has lapsed or is for another incarnation, its epoch is outdated
+    /// or the attempt was stopped.
     ///
     /// A repeated start of a known attempt is answered as started and runs nothing.
     pub fn start(&mut self, now: WorkerClock, start: StartTask) -> StartOutcome {
@@ -105,7 +106,7 @@
         if self.is_known(&start.task, start.attempt) {
             return StartOutcome::Started;
         }
-        if start.lease.until <= now || !self.accepts_epoch(start.lease.epoch) {
+        if !self.accepts_lease(now, &start.lease) {
             return StartOutcome::LeaseLapsed;
         }
         if self.was_stopped(&start.task, start.attempt) {
@@ -116,10 +117,11 @@
         StartOutcome::Started
     }
 
-    /// Extends the leases of running tasks, unless the new lease has lapsed or its epoch is outdated.
+    /// Extends the leases of running tasks, unless the new lease has lapsed or is for another
+    /// incarnation, or its epoch is outdated.
     pub fn renew(&mut self, now: WorkerClock, tasks: &[TaskId], lease: Lease) {
         self.advance(now);
-        if lease.until <= now || !self.accepts_epoch(lease.epoch) {
+        if !self.accepts_lease(now, &lease) {
             return;
         }
         for &index in &self.running {
@@ -177,6 +179,11 @@
             .is_some_and(|forbidden| number <= *forbidden)
     }
 
+    fn accepts_lease(&mut self, now: WorkerClock, lease: &Lease) -> bool {
+        let is_for_this_boot = lease.boot.is_empty() || lease.boot == self.boot;
+        is_for_this_boot && lease.until > now && self.accepts_epoch(lease.epoch)
+    }
+
     fn accepts_epoch(&mut self, epoch: Epoch) -> bool {
         let accepted = epoch >= self.epoch;
         self.epoch = self.epoch.max(epoch);
--- a/jackdawchute-trial/tests/worker_listener.rs
+++ b/jackdawchute-trial/tests/worker_listener.rs
@@ -12,12 +12,22 @@
         .expect("a loopback port is free")
 }
 
-fn start(task: &str, until: Duration) -> StartTask {
+/// Returns a lease of one minute for the incarnation that answers.
+async fn lease(client: &HttpWorker) -> Lease {
+    let report = client.report().await.unwrap();
+    Lease {
+        epoch: 1,
+        boot: report.boot,
+        until: report.clock + Duration::from_secs(60),
+    }
+}
+
+fn start(task: &str, lease: &Lease) -> StartTask {
     StartTask {
         task: task.into(),
         attempt: 1,
         resources: Resources::new(3_000, 1_024, 0),
-        lease: Lease { epoch: 1, until },
+        lease: lease.clone(),
         command: "forever".into(),
     }
 }
@@ -27,10 +37,9 @@
     let worker = worker().await;
     let client = HttpWorker::new(worker.address);
     let clock = client.report().await.unwrap().clock;
-    let until = clock + Duration::from_secs(60);
+    let lease = lease(&client).await;
 
-    let outcome = client.start(start("j-0", until)).await.unwrap();
-    let lease = Lease { epoch: 1, until };
+    let outcome = client.start(start("j-0", &lease)).await.unwrap();
     client.renew(vec!["j-0".into()], lease).await.unwrap();
     client.stop("j-0".into(), 1).await.unwrap();
 
@@ -45,11 +54,11 @@
 async fn the_record_shows_a_worker_charged_beyond_its_resources() {
     let worker = worker().await;
     let client = HttpWorker::new(worker.address);
-    let until = client.report().await.unwrap().clock + Duration::from_secs(60);
+    let lease = lease(&client).await;
 
-    client.start(start("j-0", until)).await.unwrap();
+    client.start(start("j-0", &lease)).await.unwrap();
     let one_task = worker.record().await.unwrap();
-    client.start(start("j-1", until)).await.unwrap();
+    client.start(start("j-1", &lease)).await.unwrap();
     let two_tasks = worker.record().await.unwrap();
 
     assert!(one_task.is_within_size());
--- a/jackdawchute-trial/tests/worker_state.rs
+++ b/jackdawchute-trial/tests/worker_state.rs
@@ -19,11 +19,19 @@
         task: task.into(),
         attempt,
         resources: Resources::new(1_000, 1_024, 0),
-        lease: Lease { epoch, until },
+        lease: lease(epoch, until),
         command: command.into(),
     }
 }
 
+fn lease(epoch: u64, until: Duration) -> Lease {
+    Lease {
+        epoch,
+        boot: "boot-1".into(),
+        until,
+    }
+}
+
 fn end_of(worker: &mut WorkerState, now: Duration, task: &str) -> Option<TaskEnd> {
     let report = worker.report(now);
     let listed = report.tasks.into_iter().find(|listed| listed.task == task);
@@ -80,10 +88,7 @@
     let mut worker = worker();
     worker.start(seconds(1), start("j-0", 1, 1, seconds(4), "forever"));
     worker.start(seconds(1), start("j-1", 1, 1, seconds(4), "forever"));
-    let renewed = Lease {
-        epoch: 1,
-        until: seconds(9),
-    };
+    let renewed = lease(1, seconds(9));
 
     worker.renew(seconds(3), &["j-0".into()], renewed);
 
@@ -98,10 +103,7 @@
 fn a_late_renewal_does_not_revive_a_lapsed_lease() {
     let mut worker = worker();
     worker.start(seconds(1), start("j-0", 1, 1, seconds(4), "forever"));
-    let late = Lease {
-        epoch: 1,
-        until: seconds(9),
-    };
+    let late = lease(1, seconds(9));
 
     worker.renew(seconds(5), &["j-0".into()], late);
 
@@ -115,10 +117,7 @@
 fn a_renewal_of_a_lower_epoch_is_ignored() {
     let mut worker = worker();
     worker.start(seconds(1), start("j-0", 1, 2, seconds(4), "forever"));
-    let outdated = Lease {
-        epoch: 1,
-        until: seconds(9),
-    };
+    let outdated = lease(1, seconds(9));
 
     worker.renew(seconds(3), &["j-0".into()], outdated);
 
@@ -128,6 +127,46 @@
     );
 }
 
+#[test]
+fn a_start_for_an_earlier_incarnation_is_refused() {
+    let mut worker = WorkerState::new("boot-2".into());
+
+    let outcome = worker.start(seconds(1), start("j-0", 1, 7, seconds(115), "forever"));
+
+    assert_eq!(outcome, StartOutcome::LeaseLapsed);
+    assert!(worker.report(seconds(2)).tasks.is_empty());
+}
+
+#[test]
+fn a_renewal_for_an_earlier_incarnation_is_ignored() {
+    let mut worker = worker();
+    worker.start(seconds(1), start("j-0", 2, 1, seconds(4), "forever"));
+    let of_earlier = Lease {
+        boot: "boot-0".into(),
+        ..lease(1, seconds(115))
+    };
+
+    worker.renew(seconds(3), &["j-0".into()], of_earlier);
+
+    assert_eq!(
+        end_of(&mut worker, seconds(5), "j-0"),
+        Some(TaskEnd::LeaseLapsed)
+    );
+}
+
+#[test]
+fn a_lease_of_an_instance_that_names_no_incarnation_is_accepted() {
+    let mut worker = worker();
+    let order = StartTask {
+        lease: serde_json::from_str(r#"{"epoch":1,"until_ms":4000}"#).unwrap(),
+        ..start("j-0", 1, 1, seconds(4), "forever")
+    };
+
+    let outcome = worker.start(seconds(1), order);
+
+    assert_eq!(outcome, StartOutcome::Started);
+}
+
 #[test]
 fn tasks_end_as_their_command_specifies() {
     let mut worker = worker();
