fix: slots stay held back for a crashed holder that is back at its address

A new owner of a group asks each incarnation that may hold grants which ones it holds. The call went to an address and did not say who is asked, so that a later incarnation at the same address answered for the former one, with none, and the slots held back for the former one's requests were released while these could still run at the minions. Change: the call names the incarnation, and another refuses it; one that names none, of an instance of an earlier version, is answered as before.

slots_stay_held_back_for_a_holder_at_whose_address_a_later_incarnation_answers failed before (the holder counted as accounted for), and passes. Process tests idempotency_keys, takeover and whole_path: 16 passed.

--- a/jackdawchute-requests/src/execute.rs
+++ b/jackdawchute-requests/src/execute.rs
@@ -140,6 +140,7 @@
             let call = Call::Holdings {
                 group: group.clone(),
                 epoch: incarnation.epoch,
+                holder: incarnation.incarnation.clone(),
             };
             match owner_calls.call(&incarnation, call).await {
                 Ok(Ok(Reply::Holdings { grants })) => {
--- a/jackdawchute-requests/src/messages.rs
+++ b/jackdawchute-requests/src/messages.rs
@@ -136,6 +136,10 @@
         /// The epoch of the owner that asks; from then on the callee uses no grant of an earlier
         /// epoch.
         epoch: Epoch,
+        /// The incarnation that is asked, as a later one may answer at its address; empty from
+        /// instances of earlier versions.
+        #[serde(default)]
+        holder: IncarnationId,
     },
 }
 
--- a/jackdawchute-requests/src/state.rs
+++ b/jackdawchute-requests/src/state.rs
@@ -210,11 +210,13 @@
         let mut effects = Vec::new();
         self.update_may_grant(now);
         match call {
-            Call::Holdings { group, epoch } => effects.push(Effect::Reply {
+            Call::Holdings {
+                group,
+                epoch,
+                holder,
+            } => effects.push(Effect::Reply {
                 call: id,
-                result: Ok(Reply::Holdings {
-                    grants: self.held_grants.report_to_owner(&group, epoch),
-                }),
+                result: self.report_holdings(&group, epoch, &holder),
             }),
             Call::Acquire(acquire) if !self.decides_for_key(&acquire) => {
                 effects.push(Effect::Reply {
@@ -250,6 +252,22 @@
         effects
     }
 
+    /// Reports the held grants of a group to its owner, unless the owner asks another incarnation:
+    /// the requests of an earlier one may still run.
+    fn report_holdings(
+        &mut self,
+        group: &GroupId,
+        epoch: Epoch,
+        holder: &IncarnationId,
+    ) -> Result<Reply, Refusal> {
+        if !holder.is_empty() && *holder != self.incarnation {
+            let detail = format!("{} has replaced {holder} at its address", self.incarnation);
+            return Err(Refusal::not_run(RefusalReason::OwnerUnavailable, detail));
+        }
+        let grants = self.held_grants.report_to_owner(group, epoch);
+        Ok(Reply::Holdings { grants })
+    }
+
     /// Returns whether the group decides for the call's key: it knows the key, or rendezvous
     /// hashing over the listed groups chooses it. A sender that saw only some of the groups may
     /// have chosen another one.
--- a/jackdawchute-requests/tests/takeover.rs
+++ b/jackdawchute-requests/tests/takeover.rs
@@ -181,6 +181,7 @@
     let holdings = Call::Holdings {
         group: group(),
         epoch: 2,
+        holder: OWNER.into(),
     };
 
     state.abandon_grant(&abandon, now);
@@ -369,6 +370,7 @@
     let call = Call::Holdings {
         group: group(),
         epoch: 2,
+        holder: OWNER.into(),
     };
     let effects = state.incoming(1, call, now);
     let after = state.register_grant(held_grant(6), Duration::ZERO);
--- a/jackdawchute-requests/tests/task.rs
+++ b/jackdawchute-requests/tests/task.rs
@@ -3,8 +3,11 @@
 mod fixtures;
 
 use std::{
-    sync::{Arc, Mutex},
-    time::Duration,
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc, Mutex,
+    },
+    time::{Duration, Instant},
 };
 
 use async_trait::async_trait;
@@ -12,7 +15,7 @@
 use jackdawchute_admission::Fifo;
 use jackdawchute_ownership::{Append, Error, JournalEntry, Owner};
 use jackdawchute_requests::{
-    spawn, Call, Explain, Grant, Incoming, Options, OwnerCalls, Reply, RequestsTask, Status,
+    spawn, Call, Explain, Grant, Incoming, Options, OwnerCalls, Reply, RequestsTask, State, Status,
 };
 use jackdawchute_types::{CallError, Execution, NoRecorder, Refusal, RefusalReason};
 use tokio::sync::oneshot;
@@ -69,6 +72,21 @@
     }
 }
 
+/// An incarnation that was started at the peer's address after the one that is asked.
+struct LaterIncarnation {
+    state: Mutex<State>,
+    calls: Arc<AtomicUsize>,
+}
+
+#[async_trait]
+impl OwnerCalls for LaterIncarnation {
+    async fn call(&self, _: &Owner, call: Call) -> Result<Result<Reply, Refusal>, CallError> {
+        let effects = self.state.lock().unwrap().incoming(1, call, Instant::now());
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        Ok(reply(&effects, 1).expect("the call is answered at once"))
+    }
+}
+
 /// A peer to which no call is delivered.
 struct Unreachable;
 
@@ -263,6 +281,40 @@
     assert_eq!(status.minions["m0"].in_use_slots, 1);
 }
 
+/// The requests of the former incarnation may still run, and the later one knows nothing of them.
+#[tokio::test]
+async fn slots_stay_held_back_for_a_holder_at_whose_address_a_later_incarnation_answers() {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let policy = Box::new(|| Box::<Fifo>::default() as _);
+    let later = LaterIncarnation {
+        state: Mutex::new(State::new(
+            "peer-restarted".into(),
+            Arc::new(settings()),
+            policy,
+        )),
+        calls: Arc::clone(&calls),
+    };
+    let task = start_task(later, 2, 4).await;
+
+    // The holder is asked again a second after an answer that does not count.
+    let answered = tokio::time::timeout(TIMEOUT, async {
+        loop {
+            let status = task.requests.send(Status).await.unwrap();
+            let group = status.groups[0].clone();
+            if calls.load(Ordering::Relaxed) >= 2 || group.unaccounted.is_empty() {
+                return group;
+            }
+            tokio::time::sleep(POLL_PERIOD).await;
+        }
+    });
+
+    let group = answered
+        .await
+        .expect("the holder is asked within the timeout");
+    assert!(group.unaccounted.contains(&PEER.into()));
+    assert_eq!(group.held_back_slots, 2);
+}
+
 #[tokio::test]
 async fn a_call_whose_sender_went_away_uses_no_slot() {
     let task = start_task(Unreachable, 1, 1).await;
