--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -14,6 +14,7 @@
 mod pending_jobs;
 mod recovery;
 mod repeats;
+mod restarted_workers;
 mod row_limits;
 mod saving;
 mod starts_under_way;
