test: two more faults of workers that restart under their id

A new leader that first hears an incarnation that has started lately counts its own lease there, though orders of its predecessor to the former incarnation may have extended it to the longest hold: the task starts elsewhere after 6.0 s. And an answer of the former incarnation to an earlier renewal, which arrives after the new one's answer to a start, ends that run: clocks of two incarnations are compared, and the task starts elsewhere at once.

--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -1,21 +1,14 @@
 //! Workers whose new incarnation carries out orders to the former one, or has another clock.
 
 use crate::fixtures::*;
-use jackdawchute_scheduler::{EndReason, StartAnswer, WorkerEntry};
+use jackdawchute_scheduler::{EndReason, RenewAnswer, StartAnswer, StartOrder, WorkerEntry};
 
 /// The longest hold of the users' platform: a worker cuts longer leases to it.
 const HOLD_MAX_MS: u64 = 10_000;
 
-/// The lease in the order ends at a time on the former incarnation's clock, so that the new one cuts
-/// it to the longest hold, and no renewal has told the leader of the restart.
-#[test]
-fn a_task_whose_start_a_new_incarnation_answered_waits_for_the_longest_hold_of_a_silent_worker() {
-    let mut cell = ready_cell(1, &[entry("w1", 4), entry("w2", 4)]);
-    cell.accept("job", vec![step(1, 2)], queue(0));
-    let start = cell.take_starts().remove(0);
-    cell.answer_start(&start, StartAnswer::Started { clock: ms(300) });
-
-    let mut again_after_ms = None;
+/// Leaves the renewals of the started task's worker without an answer, and returns when the task
+/// starts again.
+fn starts_again_after_ms(cell: &mut Cell, start: &StartOrder) -> u64 {
     for elapsed_ms in (0..60_000).step_by(100) {
         for renewal in std::mem::take(&mut cell.renewals) {
             if renewal.worker == start.worker {
@@ -26,12 +19,23 @@
         }
         cell.tick(100);
         if !cell.take_starts().is_empty() {
-            again_after_ms = Some(elapsed_ms);
-            break;
+            return elapsed_ms;
         }
     }
+    panic!("the task does not start again within a minute");
+}
+
+/// The lease in the order ends at a time on the former incarnation's clock, so that the new one cuts
+/// it to the longest hold, and no renewal has told the leader of the restart.
+#[test]
+fn a_task_whose_start_a_new_incarnation_answered_waits_for_the_longest_hold_of_a_silent_worker() {
+    let mut cell = ready_cell(1, &[entry("w1", 4), entry("w2", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.answer_start(&start, StartAnswer::Started { clock: ms(300) });
+
+    let again_after_ms = starts_again_after_ms(&mut cell, &start);
 
-    let again_after_ms = again_after_ms.expect("the task starts again within a minute");
     assert!(again_after_ms >= HOLD_MAX_MS, "{again_after_ms} ms");
 }
 
@@ -86,3 +90,50 @@
     let next = cell.latest_renewal_of("w1");
     assert_eq!((marking.ends_saved, next.ends_saved), (1, 0));
 }
+
+/// A late order of the predecessor to a former incarnation may have extended the lease of the one
+/// that a new leader hears first, if that one has started lately.
+#[test]
+fn a_new_leader_counts_the_longest_hold_on_a_worker_that_has_started_lately() {
+    let predecessor = ready_cell(1, &[entry("w1", 4), entry("w2", 4)]);
+    let mut cell = make_ready(successor(2, &predecessor.saved, &["w1", "w2"]), 2);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.confirm_start(&start);
+
+    let again_after_ms = starts_again_after_ms(&mut cell, &start);
+
+    assert!(again_after_ms >= HOLD_MAX_MS, "{again_after_ms} ms");
+}
+
+/// The answer of the former incarnation to an earlier renewal may arrive after that of the new one to
+/// the start. Its clock and its lists say nothing about the new one.
+#[test]
+fn a_late_answer_of_the_former_incarnation_ends_no_run_that_the_new_one_has_begun() {
+    let mut cell = ready_cell(1, &[entry("w1", 4), entry("w2", 4)]);
+    cell.tick(5);
+    let sent_at = cell.now;
+    let renewals = [cell.latest_renewal_of("w1"), cell.latest_renewal_of("w2")];
+    let clock = cell.clock();
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.tick(600);
+    cell.answer_start(&start, StartAnswer::Started { clock: ms(300) });
+    cell.tick(10);
+    let renewal = renewals.iter().find(|it| it.worker == start.worker);
+    let answer = RenewAnswer {
+        started_unix_ms: 1,
+        clock,
+        running: Vec::new(),
+        ended: Vec::new(),
+        ends_left_out: 0,
+        ended_complete: true,
+    };
+    let renewal = renewal.expect("both workers are renewed");
+    cell.scheduler
+        .renew_answered(renewal, sent_at, answer, cell.now);
+
+    let again_after_ms = starts_again_after_ms(&mut cell, &start);
+
+    assert!(again_after_ms >= HOLD_MAX_MS, "{again_after_ms} ms");
+}
