--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -16,6 +16,7 @@
 mod recovery;
 mod repeated_starts;
 mod repeats;
+mod restarted_workers;
 mod row_limits;
 mod saving;
 mod starts_under_way;
