fix: a task starts nowhere else while a start without an answer may begin it

Callers would see: two runs of one task at once, or a start after its success, where a worker restarts behind a cut after it had answered without the run, or under a successor.

Cause: what one incarnation has confirmed, a stop, a list without the run or a raised token, the next one doesn't know.

The progress rows name such starts, so that a successor waits for their tasks alone, counted from the end of the earlier authority. Entries that fit no task of their unit are ignored; a row with nothing else doesn't count as begun. This takes the place of the time in the runs. Answers to starts have a file of their own.

Nothing changes for starts with tickets.

--- a/jackdawchute-scheduler/src/ends.rs
+++ b/jackdawchute-scheduler/src/ends.rs
@@ -98,6 +98,13 @@
         }
     }
 
+    /// Has the progress row of a task written with the next batch.
+    pub(crate) fn save_progress_of(&mut self, task: &TaskName) {
+        let change = self.unsaved.next_change();
+        self.unsaved.insert(&task.step.job, change);
+        self.mark_unsaved(task);
+    }
+
     /// Marks the progress row of a task as unsaved.
     fn mark_unsaved(&mut self, task: &TaskName) {
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -64,6 +64,9 @@
     pub(crate) checkpoint: Checkpoint,
     /// The tasks that run or may run, each with its worker.
     pub(crate) placed: Vec<(TaskIndex, WorkerId)>,
+    /// The tasks that a start without an answer may begin, in any incarnation of the worker that it
+    /// was sent to, whether or not an earlier leader sent it.
+    pub(crate) late_starts: Vec<(TaskIndex, WorkerId)>,
     /// The worker on which a run of the unit failed last.
     pub(crate) failed_on: Option<WorkerId>,
     /// Whether the unit is a gang whose tasks have been ordered to stop in the current run.
@@ -78,9 +81,31 @@
         self.placed = placed.collect();
     }
 
-    /// Returns whether the unit is neither done nor placed.
+    /// Returns whether the unit is not done, and none of its tasks runs or may begin to.
     pub(crate) fn is_waiting(&self) -> bool {
-        !self.done && self.placed.is_empty()
+        !self.done && self.placed.is_empty() && self.late_starts.is_empty()
+    }
+
+    /// Records that a start without an answer may begin a task; returns whether that is new.
+    pub(crate) fn add_late_start(&mut self, index: TaskIndex, worker: &WorkerId) -> bool {
+        let is_new = !self.has_late_start(index, worker);
+        if is_new {
+            self.late_starts.push((index, worker.clone()));
+        }
+        is_new
+    }
+
+    /// Records that no start sent to `worker` may begin a task any more; returns whether one might.
+    pub(crate) fn remove_late_start(&mut self, index: TaskIndex, worker: &WorkerId) -> bool {
+        let was_there = self.has_late_start(index, worker);
+        self.late_starts
+            .retain(|(of_task, on)| *of_task != index || on != worker);
+        was_there
+    }
+
+    fn has_late_start(&self, index: TaskIndex, worker: &WorkerId) -> bool {
+        let is_same = |(of_task, on): &(TaskIndex, WorkerId)| *of_task == index && on == worker;
+        self.late_starts.iter().any(is_same)
     }
 }
 
--- a/jackdawchute-scheduler/src/late_starts.rs
+++ b/jackdawchute-scheduler/src/late_starts.rs
@@ -1,33 +1,119 @@
-//! Starts without an answer that may begin a run in a later incarnation of their worker.
+//! Starts without an answer that may begin a task in a later incarnation of their worker.
 //!
 //! A ticket binds a start to an incarnation. Without one, an order to a worker that restarts is
-//! carried out by the new incarnation too, until a leader has raised the token there.
+//! carried out by the new incarnation too, whatever the former one has answered since, until a leader
+//! has raised the token there. So the task starts nowhere else before the order can't be carried out
+//! any more. The progress rows name such starts, so that a successor waits for their tasks alone.
 
-use std::time::Instant;
+use std::{collections::BTreeMap, time::Instant};
 
-use jackdawchute_types::WorkerId;
+use jackdawchute_types::{whole_ms, WorkerId};
+use spdlog::info;
 
-use crate::{Scheduler, TaskName};
+use crate::{authority::hold_time, Scheduler, TaskName};
+
+/// Until when a start without an answer may begin its task.
+#[derive(Clone, Copy, Debug)]
+enum MayBegin {
+    Until(Instant),
+    /// An earlier leader sent it, before its authority ended.
+    SentByEarlierLeader,
+}
+
+/// The starts without an answer that may begin tasks, by worker.
+#[derive(Debug, Default)]
+pub(crate) struct LateStarts {
+    by_worker: BTreeMap<WorkerId, BTreeMap<TaskName, MayBegin>>,
+}
+
+impl LateStarts {
+    /// Records a start that an earlier leader saved.
+    pub(crate) fn recover(&mut self, worker: &WorkerId, task: TaskName) {
+        let tasks = self.by_worker.entry(worker.clone()).or_default();
+        tasks.insert(task, MayBegin::SentByEarlierLeader);
+    }
+}
 
 impl Scheduler {
     /// Records that the order to start a run got no answer, unless it has a ticket.
     pub(crate) fn record_late_start(&mut self, worker: &WorkerId, task: &TaskName, now: Instant) {
-        let run = self
-            .workers
-            .get(worker)
-            .and_then(|worker| worker.runs.get(task));
+        let target = self.workers.get(worker);
+        let run = target.and_then(|target| target.runs.get(task));
         let order = run.and_then(|run| run.start_order.as_ref());
         if order.is_some_and(|order| order.ticket.is_none()) {
-            let until = now + self.settings.late_order_max;
-            self.extend_late_start(worker, task, until);
+            self.add_late_start(worker, task, now);
+        }
+    }
+
+    /// Records that an order that was sent by now may begin a task, in any incarnation of its worker.
+    pub(crate) fn add_late_start(&mut self, worker: &WorkerId, task: &TaskName, now: Instant) {
+        let until = now + self.settings.late_order_max;
+        let tasks = self.late_starts.by_worker.entry(worker.clone());
+        let tasks = tasks.or_default();
+        tasks.insert(task.clone(), MayBegin::Until(until));
+        let job = self.jobs.get_mut(&task.step.job);
+        let unit = job.and_then(|job| job.unit_mut(&task.step, task.index));
+        if unit.is_some_and(|unit| unit.add_late_start(task.index, worker)) {
+            self.save_progress_of(task);
+        }
+    }
+
+    /// Drops the starts that can't be carried out any more, once what they may have begun is known or
+    /// has lapsed.
+    pub(crate) fn drop_late_starts(&mut self, now: Instant) {
+        let mut dropped = Vec::new();
+        for (id, tasks) in &self.late_starts.by_worker {
+            for (task, may_begin) in tasks {
+                if self.is_over(id, *may_begin) {
+                    dropped.push((id.clone(), task.clone()));
+                }
+            }
+        }
+        for (worker, task) in dropped {
+            if let Some(tasks) = self.late_starts.by_worker.get_mut(&worker) {
+                tasks.remove(&task);
+                if tasks.is_empty() {
+                    self.late_starts.by_worker.remove(&worker);
+                }
+            }
+            self.remove_late_start(&worker, &task, now);
+        }
+    }
+
+    /// Returns whether a start can't be carried out any more and nothing that it may have begun goes
+    /// on unknown.
+    fn is_over(&self, worker: &WorkerId, may_begin: MayBegin) -> bool {
+        let order_max = self.settings.late_order_max;
+        let until = match may_begin {
+            MayBegin::Until(until) => until,
+            MayBegin::SentByEarlierLeader => {
+                self.authority.earlier_until.max(self.epoch_began_at) + order_max
+            }
+        };
+        let worker = self.workers.get(worker);
+        if worker.is_some_and(|it| it.listed_runs_at().is_some_and(|at| at >= until)) {
+            return true;
         }
+        // Renewals that were under way when the worker fell silent may extend the lease of a run.
+        let silent_since = worker.and_then(|worker| worker.unanswered_since);
+        let orders_until = silent_since.map_or(until, |since| until.max(since + order_max));
+        self.authority.confirmed_at > orders_until + hold_time(&self.settings)
     }
 
-    /// Records that an order may begin a run, or has begun it in an unknown incarnation, until then.
-    pub(crate) fn extend_late_start(&mut self, worker: &WorkerId, task: &TaskName, until: Instant) {
-        let target = self.workers.get_mut(worker);
-        if let Some(run) = target.and_then(|target| target.runs.get_mut(task)) {
-            run.late_start_until = run.late_start_until.max(Some(until));
+    fn remove_late_start(&mut self, worker: &WorkerId, task: &TaskName, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let waited = job.waited(now);
+        let unit = job.unit_mut(&task.step, task.index);
+        if !unit.is_some_and(|unit| unit.remove_late_start(task.index, worker)) {
+            return;
         }
+        info!("start without an answer is over", kv: {
+            job = task.step.job.as_str(), step = task.step.step, task = task.index,
+            worker = worker.as_str(), waited_ms = whole_ms(waited)
+        });
+        self.save_progress_of(task);
+        self.make_placeable(&task.step.job, now);
     }
 }
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -32,6 +32,7 @@
 mod report;
 mod row_size;
 mod settings;
+mod start_answers;
 mod state;
 mod submit;
 mod unsaved;
--- a/jackdawchute-scheduler/src/lost_workers.rs
+++ b/jackdawchute-scheduler/src/lost_workers.rs
@@ -15,8 +15,7 @@
     /// that have been unlisted for long.
     pub(crate) fn drop_lost_workers(&mut self, now: Instant) {
         let view = self.lapse_view();
-        let settings = &self.settings;
-        let silence_max = settings.worker_silence_max;
+        let silence_max = self.settings.worker_silence_max;
         let lost: Vec<(WorkerId, Vec<TaskName>)> = self
             .workers
             .values()
@@ -24,22 +23,17 @@
                 let is_silent = worker
                     .unanswered_since
                     .is_some_and(|since| now.saturating_duration_since(since) > silence_max);
-                is_silent && worker.lease_lapsed(view)
+                !worker.runs.is_empty() && is_silent && worker.lease_lapsed(view)
             })
             .map(|worker| {
                 // In the incarnation that is known, an order to start that may still arrive carries
                 // a lease that has lapsed too.
-                let runs = worker.runs.iter().filter(|(_, run)| {
-                    let late_until = worker.late_run_until(run, settings);
-                    late_until.is_none_or(|until| view.as_of > until)
-                });
-                let runs = runs.map(|(task, _)| task.clone());
-                (worker.id().clone(), runs.collect())
+                let runs = worker.runs.keys().cloned().collect();
+                (worker.id().clone(), runs)
             })
-            .filter(|(_, tasks): &(_, Vec<_>)| !tasks.is_empty())
             .collect();
         for (worker, tasks) in lost {
-            self.log_lapsed_lease(&worker, tasks.len(), now);
+            self.log_lapsed_lease(&worker, now);
             for task in tasks {
                 self.remove_run(&worker, &task, now);
                 self.stop_rest_of_gang(&task);
@@ -62,7 +56,7 @@
     }
 
     /// Logs that the runs of a silent worker are taken as ended, and what that follows from.
-    fn log_lapsed_lease(&self, worker: &WorkerId, given_up: usize, now: Instant) {
+    fn log_lapsed_lease(&self, worker: &WorkerId, now: Instant) {
         let Some(worker) = self.workers.get(worker) else {
             return;
         };
@@ -70,7 +64,7 @@
         let incarnation = worker.incarnation.as_ref();
         let unanswered = worker.runs.values().filter(|run| run.start_outcome_unknown);
         warn!("lease of a silent worker has lapsed", kv: {
-            worker = worker.id().as_str(), runs = given_up, runs_kept = worker.runs.len() - given_up,
+            worker = worker.id().as_str(), runs = worker.runs.len(),
             unanswered_starts = unanswered.count(),
             silent_ms:? = worker.unanswered_since.map(since),
             answered_ms:? = incarnation.map(|it| since(it.clock_received_at)),
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -385,7 +385,6 @@
             charged,
             phase: RunPhase::Running,
             start_outcome_unknown: false,
-            late_start_until: None,
             seen_running: true,
             answered_clock: Some(Duration::ZERO),
             known_since: now,
@@ -411,8 +410,11 @@
             .workers
             .get_mut(worker)
             .and_then(|worker| worker.runs.remove(task));
-        if removed.is_none() {
+        let Some(removed) = removed else {
             return;
+        };
+        if removed.start_under_way() {
+            self.add_late_start(worker, task, now);
         }
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -1,17 +1,17 @@
-//! Orders to workers, and the handling of their answers.
+//! Orders to workers.
 
 use std::time::{Duration, Instant};
 
-use jackdawchute_types::{whole_ms, FencingToken, RunNumber, WorkerId};
+use jackdawchute_types::{FencingToken, RunNumber, WorkerId};
 use spdlog::{info, warn};
 
 use crate::{
     worker::{Run, RunPhase, Worker},
-    Effect, RenewOrder, Scheduler, Settings, StartAnswer, StartRefusal, StopOrder, TaskName,
+    Effect, RenewOrder, Scheduler, Settings, StopOrder, TaskName,
 };
 
 /// The delay before an order without an answer is sent again.
-const ORDER_RETRY_DELAY: Duration = Duration::from_millis(150);
+pub(crate) const ORDER_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// The delay before the next renewal of a worker that did not answer the last one.
 const RENEWAL_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// How long an order to start without an answer is repeated before the run is stopped instead.
@@ -41,184 +41,6 @@
 const COMMIT_WAIT_MAX: Duration = Duration::from_millis(1_200);
 
 impl Scheduler {
-    /// Handles the answer to an order to start run `number` of a task.
-    pub fn start_answered(
-        &mut self,
-        worker: &WorkerId,
-        task: &TaskName,
-        number: RunNumber,
-        answer: StartAnswer,
-        now: Instant,
-    ) {
-        self.note_clock_of_start(worker, task, number, &answer, now);
-        let Some(run) = self.run_mut(worker, task).filter(|run| run.run == number) else {
-            return;
-        };
-        run.order_under_way = false;
-        let has_begun = run.seen_running && !matches!(answer, StartAnswer::Started { .. });
-        if has_begun {
-            self.repeated_start_failed(worker, task, answer, now);
-            return;
-        }
-        match answer {
-            StartAnswer::Started { clock } => {
-                run.answered_clock = Some(clock);
-                run.start_outcome_unknown = false;
-                run.seen_running = true;
-                if run.phase == RunPhase::Starting {
-                    run.phase = RunPhase::Running;
-                } else {
-                    self.send_stop(worker, task);
-                }
-                if let Some(job) = self.jobs.get_mut(&task.step.job) {
-                    job.begun = true;
-                }
-            }
-            StartAnswer::Refused { reason, clock } => {
-                let outcome_unknown = run.start_outcome_unknown;
-                info!("start refused", kv: {
-                    job = task.step.job.as_str(), step = task.step.step, task = task.index,
-                    run = number, worker = worker.as_str(), reason:? = reason,
-                    loose = outcome_unknown
-                });
-                if reason == StartRefusal::Fenced {
-                    let token = run.start_order.as_ref().map_or(0, |order| order.token);
-                    run.retry_at = Some(now + ORDER_RETRY_DELAY);
-                    self.order_fenced(worker, token);
-                    return;
-                }
-                // A superseded run has ended, and its end is reported, or an order of this leader
-                // has prevented its start.
-                let must_stop = outcome_unknown || reason == StartRefusal::Superseded;
-                if must_stop && clock.is_some() {
-                    run.answered_clock = clock;
-                }
-                if reason == StartRefusal::Ticket {
-                    self.drop_ticket(&task.step, worker);
-                }
-                if must_stop {
-                    self.stop_with_gang(worker, task);
-                } else {
-                    self.remove_run(worker, task, now);
-                    self.stop_rest_of_gang(task);
-                }
-            }
-            StartAnswer::OtherIncarnation => {
-                // The next renewal reveals the new incarnation, and the old one's runs have ended.
-                run.retry_at = Some(now + ORDER_RETRY_DELAY);
-            }
-            StartAnswer::NotDelivered if !run.start_outcome_unknown => {
-                info!("start not delivered: no connection to the worker", kv: {
-                    job = task.step.job.as_str(), task = task.index, run = number,
-                    worker = worker.as_str()
-                });
-                self.record_no_answer(worker, now);
-                self.remove_run(worker, task, now);
-                self.stop_rest_of_gang(task);
-            }
-            StartAnswer::NotSent if !run.start_outcome_unknown => {
-                info!("start not sent: the epoch is not confirmed", kv: {
-                    job = task.step.job.as_str(), task = task.index, run = number,
-                    worker = worker.as_str()
-                });
-                self.remove_run(worker, task, now);
-                self.stop_rest_of_gang(task);
-            }
-            StartAnswer::Unknown | StartAnswer::NotDelivered | StartAnswer::NotSent => {
-                if answer == StartAnswer::Unknown {
-                    run.start_outcome_unknown = true;
-                }
-                run.retry_at = Some(now + ORDER_RETRY_DELAY);
-                let ordered_ms = whole_ms(now.saturating_duration_since(run.known_since));
-                let order = run.start_order.as_ref();
-                let token = order.map(|order| order.token);
-                let has_ticket = order.is_some_and(|order| order.ticket.is_some());
-                let incarnation = self.workers.get(worker).and_then(|it| it.incarnation);
-                warn!("order to start got no answer", kv: {
-                    job = task.step.job.as_str(), step = task.step.step, task = task.index,
-                    run = number, worker = worker.as_str(), ordered_ms = ordered_ms,
-                    token:? = token, has_ticket = has_ticket,
-                    born_unix_ms:? = incarnation.map(|it| it.started_unix_ms)
-                });
-                match answer {
-                    StartAnswer::Unknown => self.record_late_start(worker, task, now),
-                    StartAnswer::NotDelivered => self.record_no_answer(worker, now),
-                    _ => {}
-                }
-            }
-        }
-        self.placement_needed = true;
-    }
-
-    /// Handles the failure of a repeated order to start whose run the worker has listed meanwhile: an
-    /// earlier copy of the order has begun it.
-    fn repeated_start_failed(
-        &mut self,
-        worker: &WorkerId,
-        task: &TaskName,
-        answer: StartAnswer,
-        now: Instant,
-    ) {
-        let Some(run) = self.run_mut(worker, task) else {
-            return;
-        };
-        let token = run.start_order.as_ref().map_or(0, |order| order.token);
-        let must_stop = run.phase == RunPhase::Stopping;
-        info!("repeated start of a running task failed", kv: {
-            job = task.step.job.as_str(), step = task.step.step, task = task.index, run = run.run,
-            worker = worker.as_str(), answer:? = answer
-        });
-        match answer {
-            StartAnswer::Refused {
-                reason: StartRefusal::Fenced,
-                ..
-            } => self.order_fenced(worker, token),
-            StartAnswer::Refused {
-                reason: StartRefusal::Ticket,
-                ..
-            } => self.drop_ticket(&task.step, worker),
-            StartAnswer::NotDelivered => self.record_no_answer(worker, now),
-            StartAnswer::Unknown => self.record_late_start(worker, task, now),
-            _ => {}
-        }
-        if must_stop {
-            self.send_stop(worker, task);
-        }
-        self.placement_needed = true;
-    }
-
-    /// Compares the clock in the answer to an order to start with that of the known incarnation.
-    ///
-    /// A worker that restarts while no renewal is under way takes the next start in its new
-    /// incarnation, and the next renewal must not mark the former one's run ends as saved.
-    fn note_clock_of_start(
-        &mut self,
-        id: &WorkerId,
-        task: &TaskName,
-        number: RunNumber,
-        answer: &StartAnswer,
-        now: Instant,
-    ) {
-        let clock = match answer {
-            StartAnswer::Started { clock } => Some(*clock),
-            StartAnswer::Refused { clock, .. } => *clock,
-            _ => None,
-        };
-        let (Some(worker), Some(clock)) = (self.workers.get_mut(id), clock) else {
-            return;
-        };
-        let run = worker.runs.get(task).filter(|run| run.run == number);
-        let ordered_at = run.map(|run| run.known_since);
-        if ordered_at.is_some_and(|at| worker.shows_restart(at, clock)) {
-            warn!("worker has restarted, as the clock in its answer shows", kv: {
-                worker = id.as_str(), runs = worker.runs.len()
-            });
-            worker.note_restart(now);
-            // The run has begun in an incarnation whose runs are not listed yet.
-            self.extend_late_start(id, task, now);
-        }
-    }
-
     /// Handles the answer to an order to stop run `number` of a task: the worker's clock when it
     /// answered, or `None` if no answer came.
     pub fn stop_answered(
@@ -244,7 +66,7 @@
         }
     }
 
-    fn run_mut(&mut self, worker: &WorkerId, task: &TaskName) -> Option<&mut Run> {
+    pub(crate) fn run_mut(&mut self, worker: &WorkerId, task: &TaskName) -> Option<&mut Run> {
         self.workers.get_mut(worker)?.runs.get_mut(task)
     }
 
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -468,7 +468,6 @@
                 charged: Some(spec.charged_resources()),
                 phase: RunPhase::Starting,
                 start_outcome_unknown: false,
-                late_start_until: None,
                 seen_running: false,
                 answered_clock: None,
                 known_since: now,
--- a/jackdawchute-scheduler/src/progress_rows.rs
+++ b/jackdawchute-scheduler/src/progress_rows.rs
@@ -6,7 +6,7 @@
 
 use std::ops::Range;
 
-use jackdawchute_types::{Occurrence, RunNumber, StepIndex};
+use jackdawchute_types::{Occurrence, RunNumber, StepIndex, TaskIndex, WorkerId};
 use serde::{Deserialize, Serialize};
 use spdlog::warn;
 
@@ -19,10 +19,12 @@
 
 /// The highest number of units in a row; a change of one of them rewrites all.
 const UNITS_PER_ROW: usize = 256;
-/// The most bytes of a unit that is not done, without its failed runs and its checkpoint.
+/// The most bytes of a unit that is not done, without its failed runs, late starts and checkpoint.
 const UNIT_BYTES_MAX: usize = 130;
 /// The most bytes of the number of a failed run.
 const FAILED_RUN_BYTES_MAX: usize = 21;
+/// The bytes of the name of the late starts in a unit, which is left out where there are none.
+const LATE_STARTS_FIELD_BYTES: usize = 5;
 /// The most bytes of an incomplete occurrence in the first row of a repeated job.
 const OCCURRENCE_BYTES_MAX: usize = 24;
 /// The most bytes of a row without occurrences and units.
@@ -80,6 +82,21 @@
     /// The checkpoint that the next run resumes from; empty if there is none.
     #[serde(rename = "c")]
     pub(crate) checkpoint: jackdawchute_types::Checkpoint,
+    /// The tasks that a start without an answer may begin, each with its worker.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) late_starts: Vec<(TaskIndex, WorkerId)>,
+}
+
+impl ProgressRecord {
+    /// Returns whether the row shows that a task has started; a late start alone does not.
+    pub(crate) fn has_begun(&self) -> bool {
+        let has_run =
+            |unit: &UnitRecord| !unit.failed_runs.is_empty() || !unit.checkpoint.is_empty();
+        self.occurrences_done > 0
+            || !self.done.is_empty()
+            || self.units.is_some()
+            || self.unfinished.iter().any(has_run)
+    }
 }
 
 impl Job {
@@ -146,12 +163,32 @@
         if row > 0 && record.done.is_empty() && record.unfinished.is_empty() {
             return removal(RowTable::Progress, key);
         }
+        let late_starts: Vec<_> = record
+            .unfinished
+            .iter_mut()
+            .map(|unit| std::mem::take(&mut unit.late_starts))
+            .collect();
         let checkpoints: Vec<_> = record
             .unfinished
             .iter_mut()
             .map(|unit| std::mem::take(&mut unit.checkpoint))
             .collect();
         let mut bytes = encoded(&key, &record).len();
+        for (unit, late_starts) in record.unfinished.iter_mut().zip(late_starts) {
+            if late_starts.is_empty() {
+                continue;
+            }
+            let late_starts_bytes = LATE_STARTS_FIELD_BYTES + encoded(&key, &late_starts).len();
+            if bytes + late_starts_bytes > ROW_BYTES_MAX {
+                warn!("late starts too many to be saved", kv: {
+                    job = self.id.as_str(), step = unit.step, unit = unit.unit,
+                    late_starts = late_starts.len()
+                });
+                continue;
+            }
+            bytes += late_starts_bytes;
+            unit.late_starts = late_starts;
+        }
         for (unit, checkpoint) in record.unfinished.iter_mut().zip(checkpoints) {
             let checkpoint_bytes = encoded(&key, &checkpoint).len();
             if bytes + checkpoint_bytes > ROW_BYTES_MAX {
@@ -248,11 +285,12 @@
                 last_run: unit.last_run,
                 failed_runs: unit.failed_runs.clone(),
                 checkpoint: unit.checkpoint.clone(),
+                late_starts: unit.late_starts.clone(),
             });
         }
     }
 }
 
 fn has_progress(unit: &Unit) -> bool {
-    !unit.failed_runs.is_empty() || !unit.checkpoint.is_empty()
+    !unit.failed_runs.is_empty() || !unit.checkpoint.is_empty() || !unit.late_starts.is_empty()
 }
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -18,7 +18,7 @@
     row_size::{split_key, RowNumber},
     worker::Worker,
     worker_rows::{row_index, RowIndex},
-    Error, JobOutcome, Result, RowTable, Scheduler, WorkerEntry,
+    Error, JobOutcome, Result, RowTable, Scheduler, StepName, WorkerEntry,
 };
 
 /// The distance between the first run numbers of two successive epochs, so that those of an epoch
@@ -162,7 +162,7 @@
             return;
         };
         job.progress_rows.insert(row);
-        job.begun = true;
+        job.begun |= record.has_begun();
         job.waiting_since = Some(now);
         if row == 0 {
             job.occurrences_done = record.occurrences_done;
@@ -192,6 +192,19 @@
             self.unsaved.insert(&job.id, change);
         }
         for saved in record.units.into_iter().flatten().chain(record.unfinished) {
+            let name = StepName {
+                job: job.id.clone(),
+                occurrence: saved.occurrence,
+                step: saved.step,
+            };
+            let spec = job.graph.steps.get(saved.step as usize);
+            let is_of_unit = |index| {
+                spec.is_some_and(|spec| {
+                    index < spec.tasks && spec.unit_index(index) == saved.unit as usize
+                })
+            };
+            let mut late_starts = saved.late_starts;
+            late_starts.retain(|(index, _)| is_of_unit(*index));
             let step = job
                 .occurrence_mut(saved.occurrence)
                 .and_then(|occurrence_run| occurrence_run.steps.get_mut(saved.step as usize));
@@ -202,6 +215,10 @@
                 unit.last_run = saved.last_run;
                 unit.failed_runs = saved.failed_runs;
                 unit.checkpoint = saved.checkpoint;
+                for (index, worker) in &late_starts {
+                    self.late_starts.recover(worker, name.task(*index));
+                }
+                unit.late_starts = late_starts;
             }
             if saved.done {
                 step.recover_done(saved.unit..=saved.unit);
@@ -327,7 +344,7 @@
                 for (step, (spec, step_run)) in
                     (0u32..).zip(job.graph.steps.iter().zip(&occurrence_run.steps))
                 {
-                    let name = crate::StepName {
+                    let name = StepName {
                         job: job.id.clone(),
                         occurrence: occurrence_run.occurrence,
                         step,
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -13,6 +13,7 @@
     authority::EpochAuthority,
     estimates::{AllowedShares, RunTimes},
     job::{Job, JobPhase},
+    late_starts::LateStarts,
     recover::Recovery,
     row_size::RowNumber,
     unsaved::UnsavedJobs,
@@ -76,6 +77,8 @@
     pub(crate) run_times: RunTimes,
     pub(crate) allowed_shares: AllowedShares,
     pub(crate) recovery: Recovery,
+    /// The starts without an answer that may begin tasks.
+    pub(crate) late_starts: LateStarts,
     /// The capacity and waiting work of each service, for the admission of jobs; `None` until the
     /// first job arrives after a round.
     pub(crate) loads: Option<ServiceLoads>,
@@ -131,6 +134,7 @@
             run_times: RunTimes::default(),
             allowed_shares: AllowedShares::default(),
             recovery: Recovery::new(now),
+            late_starts: LateStarts::default(),
             loads: None,
             unsaved: UnsavedJobs::default(),
             stale_progress: BTreeMap::new(),
@@ -214,6 +218,7 @@
         self.begin_due_occurrences(unix_now, now);
         self.retry_orders(now);
         self.drop_lost_workers(now);
+        self.drop_late_starts(now);
         self.update_worker_rows();
         self.finish_recovery(now);
         self.stop_runs_on_leaving_workers(now);
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -8,11 +8,8 @@
 use jackdawchute_types::{FencingToken, JobId, Resources, RunNumber, WorkerId};
 
 use crate::{
-    authority::{hold_time, LapseView},
-    progress::Progress,
-    unsaved::ChangeNumber,
-    worker_rows::RowIndex,
-    Settings, StartOrder, TaskName, WorkerEntry,
+    authority::LapseView, progress::Progress, unsaved::ChangeNumber, worker_rows::RowIndex,
+    StartOrder, TaskName, WorkerEntry,
 };
 
 /// The lowest rate at which a worker's clock may advance, as a multiple of the leader's.
@@ -41,9 +38,6 @@
     pub(crate) phase: RunPhase,
     /// Whether an order to start got no answer, so that the worker may carry it out later.
     pub(crate) start_outcome_unknown: bool,
-    /// Until when a copy of the order to start that got no answer may begin the run, in a later
-    /// incarnation of the worker too; `None` if there is no such copy.
-    pub(crate) late_start_until: Option<Instant>,
     /// Whether the worker has reported the run as started.
     pub(crate) seen_running: bool,
     /// The worker's clock when it answered the latest order for the run. A list of running tasks
@@ -63,6 +57,16 @@
     pub(crate) progress: Option<Progress>,
 }
 
+impl Run {
+    /// Returns whether an order to start without a ticket is under way.
+    pub(crate) fn start_under_way(&self) -> bool {
+        let order = self.start_order.as_ref();
+        let is_stop = self.phase == RunPhase::Stopping
+            && (self.seen_running || self.answered_clock.is_some());
+        self.order_under_way && !is_stop && order.is_some_and(|order| order.ticket.is_none())
+    }
+}
+
 /// The worker incarnation that last answered a renewal, with a reading of its clock.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WorkerIncarnation {
@@ -281,18 +285,10 @@
         own_lapsed && view.as_of > earlier_until + view.lease_time
     }
 
-    /// Returns until when a run of this silent worker may last in an incarnation that no leader has
-    /// heard yet; `None` if no order can begin it there.
-    pub(crate) fn late_run_until(&self, run: &Run, settings: &Settings) -> Option<Instant> {
-        let start_until = run.late_start_until?;
-        let heard_at = self.incarnation.map(|it| it.clock_received_at);
-        if heard_at.is_some_and(|at| at >= start_until) {
-            return None;
-        }
-        // Renewals that were under way when the worker fell silent may extend the run's lease.
-        let silent_since = self.unanswered_since.unwrap_or(start_until);
-        let orders_until = start_until.max(silent_since + settings.late_order_max);
-        Some(orders_until + hold_time(settings))
+    /// Returns when this incarnation of the worker last listed its runs and refused earlier tokens.
+    pub(crate) fn listed_runs_at(&self) -> Option<Instant> {
+        let incarnation = self.incarnation.filter(|_| self.reported);
+        incarnation.map(|incarnation| incarnation.clock_received_at)
     }
 
     /// Returns whether a new leader would have to ask the worker for its runs.
