fix: lists from before a restart tell nothing of the new incarnation

Cause: an answer of the former incarnation that is handled after the restart was noticed was compared by its clock, which is ahead of the new one's, so that runs of the new incarnation counted as missing.

Change: while a noticed restart is not confirmed by an answer to a later renewal, answers change neither lists nor clock.

--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -191,9 +191,11 @@
             self.placement_needed = true;
             return outcome;
         }
-        let is_newer = worker
-            .incarnation
-            .is_none_or(|incarnation| incarnation.clock <= answer.clock);
+        // An answer from before a restart tells nothing of the new incarnation.
+        let is_newer = worker.restarted_at.is_none()
+            && worker
+                .incarnation
+                .is_none_or(|incarnation| incarnation.clock <= answer.clock);
         if is_newer {
             let first_heard_at = worker.incarnation.map_or(now, |it| it.first_heard_at);
             worker.incarnation = Some(WorkerIncarnation {
