fix: a renewal names saved run ends only until an answer has confirmed that

Callers would see: a task that starts again after a success that was taken note of.

Cause: each renewal named the last saved run end again, also long after the worker had deleted it. One that is carried out late by a new incarnation, which numbers its run ends from one, deletes ends that nobody has read.

Change: once a renewal that named a number is answered, later ones name none until more run ends are saved.

Evidence: a_renewal_marks_run_ends_as_saved_only_until_an_answer_has_confirmed_that failed before and passes.

--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -212,6 +212,7 @@
         }
         let is_first_acknowledgement = !worker.token_acknowledged;
         worker.token_acknowledged = true;
+        worker.ends_confirmed = worker.ends_confirmed.max(order.ends_saved);
         // The clock of an incarnation starts anew, and orders to a former one reach it for so long.
         let stray_orders_max = self.settings.late_order_max + self.settings.hold_max;
         let is_young =
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -310,7 +310,11 @@
         lease_until,
         // A new incarnation numbers its run ends from the start again, and a worker that does not
         // answer may have restarted.
-        ends_saved: if is_responsive { worker.ends_saved } else { 0 },
+        ends_saved: if is_responsive {
+            worker.ends_to_delete()
+        } else {
+            0
+        },
         ends_recorded: if is_responsive {
             worker.ends_recorded
         } else {
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -105,6 +105,8 @@
     pub(crate) ends_recorded: u64,
     /// Run ends up to this number are saved.
     pub(crate) ends_saved: u64,
+    /// The worker has confirmed that it deletes run ends up to this number.
+    pub(crate) ends_confirmed: u64,
     /// The changes and numbers of the recorded run ends that are not saved, in ascending order.
     pub(crate) ends_unsaved: VecDeque<(ChangeNumber, u64)>,
     /// The latest end of a lease that was sent to the worker, on the worker's clock.
@@ -162,6 +164,7 @@
             runs: HashMap::new(),
             ends_recorded: 0,
             ends_saved: 0,
+            ends_confirmed: 0,
             ends_unsaved: VecDeque::new(),
             lease_sent: Duration::ZERO,
             renewal_under_way: false,
@@ -221,6 +224,7 @@
         self.reported_at = None;
         self.ends_recorded = 0;
         self.ends_saved = 0;
+        self.ends_confirmed = 0;
         self.ends_unsaved.clear();
         self.lease_sent = Duration::ZERO;
         self.renewal_next_at = now;
@@ -232,6 +236,18 @@
         self.runs.is_empty() && self.ends_recorded == self.ends_saved
     }
 
+    /// Returns the number up to which the worker is to delete its run ends; 0 for none.
+    ///
+    /// A number is named only until an answer has confirmed it: a renewal that is carried out late
+    /// would make a later incarnation delete ends that nobody has read.
+    pub(crate) fn ends_to_delete(&self) -> u64 {
+        if self.ends_saved > self.ends_confirmed {
+            self.ends_saved
+        } else {
+            0
+        }
+    }
+
     /// Returns the free capacity, or `None` while a run whose needs are not known is there.
     pub(crate) fn free(&self) -> Option<Resources> {
         let mut free = self.entry.capacity;
