change: a successor waits for late starts from when it began, not from the end of an authority

Cause: a copy of a start without an answer that is saved was sent before the epoch began, or repeated within two seconds.

Change: once a worker has reported, its late starts are over 14 s after the epoch began. For a silent one the earlier authority counts as before, as its leader may renew leases until then.

--- a/jackdawchute-scheduler/src/late_starts.rs
+++ b/jackdawchute-scheduler/src/late_starts.rs
@@ -10,31 +10,29 @@
 use jackdawchute_types::{whole_ms, WorkerId};
 use spdlog::info;
 
-use crate::{authority::hold_time, Scheduler, TaskName};
-
-/// Until when a start without an answer may begin its task.
-#[derive(Clone, Copy, Debug)]
-enum MayBegin {
-    Until(Instant),
-    /// An earlier leader sent it, before its authority ended.
-    SentByEarlierLeader,
-}
+use crate::{authority::hold_time, orders::START_RETRY_MAX, Scheduler, TaskName};
 
 /// The starts without an answer that may begin tasks, by worker.
 #[derive(Debug, Default)]
 pub(crate) struct LateStarts {
-    by_worker: BTreeMap<WorkerId, BTreeMap<TaskName, MayBegin>>,
+    /// Until when each may begin its task.
+    by_worker: BTreeMap<WorkerId, BTreeMap<TaskName, Instant>>,
 }
 
 impl LateStarts {
-    /// Records a start that an earlier leader saved.
-    pub(crate) fn recover(&mut self, worker: &WorkerId, task: TaskName) {
+    pub(crate) fn insert(&mut self, worker: &WorkerId, task: TaskName, until: Instant) {
         let tasks = self.by_worker.entry(worker.clone()).or_default();
-        tasks.insert(task, MayBegin::SentByEarlierLeader);
+        tasks.insert(task, until);
     }
 }
 
 impl Scheduler {
+    /// Returns until when a start that an earlier leader saved as without an answer may begin a task.
+    pub(crate) fn earlier_late_start_until(&self) -> Instant {
+        // It was saved before this epoch, and may have been repeated for a while since.
+        self.epoch_began_at + START_RETRY_MAX + self.settings.late_order_max
+    }
+
     /// Records that the order to start a run got no answer, unless it has a ticket.
     pub(crate) fn record_late_start(&mut self, worker: &WorkerId, task: &TaskName, now: Instant) {
         let target = self.workers.get(worker);
@@ -48,9 +46,7 @@
     /// Records that an order that was sent by now may begin a task, in any incarnation of its worker.
     pub(crate) fn add_late_start(&mut self, worker: &WorkerId, task: &TaskName, now: Instant) {
         let until = now + self.settings.late_order_max;
-        let tasks = self.late_starts.by_worker.entry(worker.clone());
-        let tasks = tasks.or_default();
-        tasks.insert(task.clone(), MayBegin::Until(until));
+        self.late_starts.insert(worker, task.clone(), until);
         let job = self.jobs.get_mut(&task.step.job);
         let unit = job.and_then(|job| job.unit_mut(&task.step, task.index));
         if unit.is_some_and(|unit| unit.add_late_start(task.index, worker)) {
@@ -63,8 +59,8 @@
     pub(crate) fn drop_late_starts(&mut self, now: Instant) {
         let mut dropped = Vec::new();
         for (id, tasks) in &self.late_starts.by_worker {
-            for (task, may_begin) in tasks {
-                if self.is_over(id, *may_begin) {
+            for (task, until) in tasks {
+                if self.is_over(id, *until) {
                     dropped.push((id.clone(), task.clone()));
                 }
             }
@@ -82,21 +78,19 @@
 
     /// Returns whether a start can't be carried out any more and nothing that it may have begun goes
     /// on unknown.
-    fn is_over(&self, worker: &WorkerId, may_begin: MayBegin) -> bool {
-        let order_max = self.settings.late_order_max;
-        let until = match may_begin {
-            MayBegin::Until(until) => until,
-            MayBegin::SentByEarlierLeader => {
-                self.authority.earlier_until.max(self.epoch_began_at) + order_max
-            }
-        };
+    fn is_over(&self, worker: &WorkerId, until: Instant) -> bool {
         let worker = self.workers.get(worker);
         if worker.is_some_and(|it| it.listed_runs_at().is_some_and(|at| at >= until)) {
             return true;
         }
-        // Renewals that were under way when the worker fell silent may extend the lease of a run.
+        // Renewals that were under way when the worker fell silent, or that an earlier leader sent
+        // last, may extend the lease of a run.
         let silent_since = worker.and_then(|worker| worker.unanswered_since);
-        let orders_until = silent_since.map_or(until, |since| until.max(since + order_max));
+        let renewed_until = self
+            .authority
+            .earlier_until
+            .max(silent_since.unwrap_or(until));
+        let orders_until = until.max(renewed_until + self.settings.late_order_max);
         self.authority.confirmed_at > orders_until + hold_time(&self.settings)
     }
 
