change: a start without an answer is over once its worker lists its runs without it

Each takeover began the wait anew, and each lost answer held its task for longer than the deadline of its job.

For a silent worker the earlier authority counts for the lease of a run that it may renew, not for a renewal that is carried out late besides. The test of a successor, and the older one of the raised token, are as they were.

--- a/jackdawchute-scheduler/src/late_starts.rs
+++ b/jackdawchute-scheduler/src/late_starts.rs
@@ -1,38 +1,32 @@
 //! Starts without an answer that may begin a task in a later incarnation of their worker.
 //!
 //! A ticket binds a start to an incarnation. Without one, an order to a worker that restarts is
-//! carried out by the new incarnation too, whatever the former one has answered since, until a leader
-//! has raised the token there. So the task starts nowhere else before the order can't be carried out
-//! any more. The progress rows name such starts, so that a successor waits for their tasks alone.
+//! carried out by the new incarnation too, until a leader has raised the token there. So the task
+//! starts nowhere else while the worker is silent and the order may be carried out. The progress rows
+//! name such starts, so that a successor waits for their tasks alone.
 
 use std::{collections::BTreeMap, time::Instant};
 
 use jackdawchute_types::{whole_ms, WorkerId};
 use spdlog::info;
 
-use crate::{authority::hold_time, orders::START_RETRY_MAX, Scheduler, TaskName};
+use crate::{authority::hold_time, Scheduler, TaskName};
 
 /// The starts without an answer that may begin tasks, by worker.
 #[derive(Debug, Default)]
 pub(crate) struct LateStarts {
-    /// Until when each may begin its task.
+    /// When each was known to have no answer, or when the epoch began if an earlier leader sent it.
     by_worker: BTreeMap<WorkerId, BTreeMap<TaskName, Instant>>,
 }
 
 impl LateStarts {
-    pub(crate) fn insert(&mut self, worker: &WorkerId, task: TaskName, until: Instant) {
+    pub(crate) fn insert(&mut self, worker: &WorkerId, task: TaskName, since: Instant) {
         let tasks = self.by_worker.entry(worker.clone()).or_default();
-        tasks.insert(task, until);
+        tasks.insert(task, since);
     }
 }
 
 impl Scheduler {
-    /// Returns until when a start that an earlier leader saved as without an answer may begin a task.
-    pub(crate) fn earlier_late_start_until(&self) -> Instant {
-        // It was saved before this epoch, and may have been repeated for a while since.
-        self.epoch_began_at + START_RETRY_MAX + self.settings.late_order_max
-    }
-
     /// Records that the order to start a run got no answer, unless it has a ticket.
     pub(crate) fn record_late_start(&mut self, worker: &WorkerId, task: &TaskName, now: Instant) {
         let target = self.workers.get(worker);
@@ -45,8 +39,7 @@
 
     /// Records that an order that was sent by now may begin a task, in any incarnation of its worker.
     pub(crate) fn add_late_start(&mut self, worker: &WorkerId, task: &TaskName, now: Instant) {
-        let until = now + self.settings.late_order_max;
-        self.late_starts.insert(worker, task.clone(), until);
+        self.late_starts.insert(worker, task.clone(), now);
         let job = self.jobs.get_mut(&task.step.job);
         let unit = job.and_then(|job| job.unit_mut(&task.step, task.index));
         if unit.is_some_and(|unit| unit.add_late_start(task.index, worker)) {
@@ -59,8 +52,8 @@
     pub(crate) fn drop_late_starts(&mut self, now: Instant) {
         let mut dropped = Vec::new();
         for (id, tasks) in &self.late_starts.by_worker {
-            for (task, until) in tasks {
-                if self.is_over(id, *until) {
+            for (task, since) in tasks {
+                if self.is_over(id, task, *since) {
                     dropped.push((id.clone(), task.clone()));
                 }
             }
@@ -78,19 +71,21 @@
 
     /// Returns whether a start can't be carried out any more and nothing that it may have begun goes
     /// on unknown.
-    fn is_over(&self, worker: &WorkerId, until: Instant) -> bool {
+    fn is_over(&self, worker: &WorkerId, task: &TaskName, since: Instant) -> bool {
+        let order_max = self.settings.late_order_max;
         let worker = self.workers.get(worker);
-        if worker.is_some_and(|it| it.listed_runs_at().is_some_and(|at| at >= until)) {
-            return true;
+        if let Some((worker, listed_at)) = worker.and_then(|it| Some((it, it.listed_runs_at()?))) {
+            // The incarnation that lists its runs does not begin the run any more.
+            let is_gone = worker.is_responsive() && !worker.runs.contains_key(task);
+            if listed_at >= since + order_max || (is_gone && listed_at >= since) {
+                return true;
+            }
         }
-        // Renewals that were under way when the worker fell silent, or that an earlier leader sent
-        // last, may extend the lease of a run.
+        // Renewals that were under way when the worker fell silent may extend the lease of a run, as
+        // may those of an earlier leader.
         let silent_since = worker.and_then(|worker| worker.unanswered_since);
-        let renewed_until = self
-            .authority
-            .earlier_until
-            .max(silent_since.unwrap_or(until));
-        let orders_until = until.max(renewed_until + self.settings.late_order_max);
+        let sent_until = silent_since.map_or(since, |at| at.max(since));
+        let orders_until = (sent_until + order_max).max(self.authority.earlier_until);
         self.authority.confirmed_at > orders_until + hold_time(&self.settings)
     }
 
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -15,7 +15,7 @@
 /// The delay before the next renewal of a worker that did not answer the last one.
 const RENEWAL_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// How long an order to start without an answer is repeated before the run is stopped instead.
-pub(crate) const START_RETRY_MAX: Duration = Duration::from_millis(2_000);
+const START_RETRY_MAX: Duration = Duration::from_millis(2_000);
 /// The delay before a renewal that an answer to a stop makes due, so that several run ends share
 /// one renewal.
 const RENEWAL_DELAY: Duration = Duration::from_millis(15);
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -155,7 +155,7 @@
 
     fn recover_progress(&mut self, key: &str, record: ProgressRecord, now: Instant) {
         let (id, row) = split_key(key);
-        let late_until = self.earlier_late_start_until();
+        let late_since = self.epoch_began_at;
         let Some(job) = self.jobs.get_mut(id) else {
             warn!("saved progress belongs to no saved job", kv: { job = id, row = row });
             let rows = self.stale_progress.entry(id.into()).or_default();
@@ -218,7 +218,7 @@
                 unit.checkpoint = saved.checkpoint;
                 for (index, worker) in &late_starts {
                     let task = name.task(*index);
-                    self.late_starts.insert(worker, task, late_until);
+                    self.late_starts.insert(worker, task, late_since);
                 }
                 unit.late_starts = late_starts;
             }
