test: the ports of an instance and of its proxy are never the same one

The free port that the instance was to have was released before its proxy took any free port of the same host.

--- a/jackdawchute-cell/tests/cell/fixtures.rs
+++ b/jackdawchute-cell/tests/cell/fixtures.rs
@@ -166,13 +166,6 @@
     }
 }
 
-pub fn free_address(host: IpAddr) -> SocketAddr {
-    let listener = TcpListener::bind((host, 0)).expect("a loopback port is free");
-    listener
-        .local_addr()
-        .expect("a bound listener has an address")
-}
-
 /// Starts a cell of instances with one core each.
 pub async fn cell(instances: usize) -> Cell {
     cell_with_processors(&vec![1_000; instances]).await
@@ -239,9 +232,12 @@
         let workers = self.workers.handle();
         let directory = MemoryDirectory::new(self.listed.subscribe(), self.routes.subscribe());
         let host = self.host(self.instances.len());
-        let listen = free_address(host);
+        // Held until the proxy has a port, which would else be the same one at times.
+        let reserved = TcpListener::bind((host, 0)).expect("a loopback port is free");
+        let listen = reserved.local_addr().expect("a bound listener");
         let proxy = spawn_proxy((host, 0).into(), Some(listen)).await;
         let proxy = proxy.expect("a loopback port is free");
+        drop(reserved);
         let address = proxy.address;
         let settings = Settings {
             instance: smol_str::format_smolstr!("entry-{}", self.instances.len()),
