test: the soak of cells restarts workers that are cut off, with late orders

- The mode cell-restarts, of nine workers and tasks of 6 s: half of them leave starts and stops, or renewals too, without an answer for 0.7 to 1.5 s and carry them out 2 to 12 s later, in whichever incarnation they then are.
Up to 1 s after that period they restart under their id, cut off from the store and all instances for 3 to 13.5 s.
Partitions and other faults of the seed begin after these restarts.
A leader that replaced another between a late order and the restart would have heard the former incarnation without the run, and no order of it could be known to it: that is left out.
The restarts have a random stream of their own, so plans of the other modes stay as they are.
A worker restarts once within 20 s at most.
Tickets are valid in one incarnation only.
- The workers' own count of capacity, with runs that are being stopped, is checked in all modes; stops take 0.4 s.

--- a/jackdawchute-standins/examples/soak.rs
+++ b/jackdawchute-standins/examples/soak.rs
@@ -2,9 +2,11 @@
 //!
 //! Run with `cargo run --release -p jackdawchute-standins --example soak -- PROGRAM COMMAND [SEEDS]
 //! [FIRST] [SECONDS] [LOGS]`; COMMAND is `serve`, `cell`, or `cell-partitions` for cells with
-//! partitions by failure domain, or `cell-partitions-long` for those under long tasks. It runs SEEDS seeds from FIRST on, each with faults for
-//! SECONDS; the instances' logs of a failed seed are copied to the folder LOGS. It exits with 1 if
-//! a seed failed or a signal ended the run.
+//! partitions by failure domain, `cell-partitions-long` for those under long tasks, or
+//! `cell-restarts` for those with workers that restart while they are cut off and late orders to
+//! them. It runs SEEDS seeds from FIRST on, each with faults for SECONDS; the instances' logs of a
+//! failed seed are copied to the folder LOGS. It exits with 1 if a seed failed or a signal ended the
+//! run.
 
 use std::{fmt::Display, path::PathBuf, time::Duration};
 
@@ -25,7 +27,13 @@
 }
 
 /// What can be soaked.
-const COMMANDS: [&str; 4] = ["serve", "cell", "cell-partitions", "cell-partitions-long"];
+const COMMANDS: [&str; 5] = [
+    "serve",
+    "cell",
+    "cell-partitions",
+    "cell-partitions-long",
+    "cell-restarts",
+];
 
 /// The arguments of the command line.
 struct Options {
@@ -77,6 +85,7 @@
             let plan = match options.command.as_str() {
                 "cell" => cell_soak::CellSoakPlan::new(seed, options.duration),
                 "cell-partitions" => cell_soak::CellSoakPlan::partitions(seed, options.duration),
+                "cell-restarts" => cell_soak::CellSoakPlan::restarts(seed, options.duration),
                 _ => cell_soak::CellSoakPlan::partitions_under_long_tasks(seed, options.duration),
             };
             let plan = cell_soak::CellSoakPlan {
--- a/jackdawchute-standins/src/cell/fleet.rs
+++ b/jackdawchute-standins/src/cell/fleet.rs
@@ -204,6 +204,7 @@
             ended_at: None,
             reason: None,
             saved: false,
+            late,
         });
         StartAnswer::Started { clock }
     }
--- a/jackdawchute-standins/src/cell/workers.rs
+++ b/jackdawchute-standins/src/cell/workers.rs
@@ -45,6 +45,8 @@
     pub reason: Option<EndReason>,
     /// Whether the scheduler acknowledged the run's end as saved before the worker lease lapsed.
     pub saved: bool,
+    /// Whether the order to start was carried out late.
+    pub late: bool,
 }
 
 /// A start that brought a worker above its capacity, by the worker's own count.
--- a/jackdawchute-standins/src/cell_soak/callers.rs
+++ b/jackdawchute-standins/src/cell_soak/callers.rs
@@ -18,6 +18,7 @@
 use super::{SentJob, TaskLoad};
 use crate::{
     balancer::{BalancerTask, Pick},
+    cell::MemoryWorkers,
     lock::lock,
 };
 
@@ -49,12 +50,19 @@
     pub(super) caller: PlatformCaller,
     pub(super) balancer: Address<BalancerTask>,
     pub(super) observations: Arc<Mutex<Observations>>,
+    /// The workers, which count the processors that each job's tasks use.
+    workers: MemoryWorkers,
     load: TaskLoad,
 }
 
 impl Callers {
-    pub(super) fn new(balancer: Address<BalancerTask>, load: TaskLoad) -> Self {
+    pub(super) fn new(
+        balancer: Address<BalancerTask>,
+        workers: MemoryWorkers,
+        load: TaskLoad,
+    ) -> Self {
         Self {
+            workers,
             load,
             caller: PlatformCaller::new(DEADLINE),
             balancer,
@@ -107,6 +115,7 @@
             ..SentJob::default()
         };
         let graph = sent.graph.clone();
+        self.workers.register_job(&job, &graph);
         lock(&self.observations).jobs.insert(job.clone(), sent);
         if !self.submit(&job, &route, &graph).await {
             return;
--- a/jackdawchute-standins/src/cell_soak/environment.rs
+++ b/jackdawchute-standins/src/cell_soak/environment.rs
@@ -13,7 +13,7 @@
 
 use async_trait::async_trait;
 use jackdawchute_adapter::standins::{list_worker, put_configuration, serve_advisor, serve_worker};
-use jackdawchute_cell::{Error as PlatformError, QueueRoute, Routes};
+use jackdawchute_cell::{Advisor, Error as PlatformError, QueueRoute, Routes};
 use jackdawchute_scheduler::{AdviceCost, QueuePolicy, WorkerEntry};
 use jackdawchute_trial::Listening;
 use smol_str::format_smolstr;
@@ -23,11 +23,14 @@
     cuts::Cuts,
     fault::domain_of,
     instance::{loopback, Instance, Surroundings, TRANSACTION_TIME},
-    CellFault, CellSoakPlan,
+    CellFault, CellSoakPlan, FaultKinds,
 };
 use crate::{
     balancer::{self, BalancerTask, SetTargets, Target},
-    cell::{MemoryAdvisor, MemoryStore, MemoryWorkers, StoreHandle},
+    cell::{
+        LinkFaults, MemoryAdvisor, MemoryStore, MemoryWorkers, OrderKind, StoreHandle,
+        TicketAdvisor, WorkersHandle,
+    },
     harness::{Signal, TemporaryDirectory},
     proxy::{spawn_proxy, ProxyFaults, RunningProxy},
     soak::schedule::Environment,
@@ -40,6 +43,11 @@
 const TICKET_VALIDITY: Duration = Duration::from_millis(2_000);
 /// The shortest time in which a worker restarts: as long as a process takes to start.
 const RESTART_TIME: Duration = Duration::from_millis(50);
+/// How long a run takes to end after an order to stop it; instances allow for 900 ms.
+const STOP_TIME: Duration = Duration::from_millis(400);
+/// The age of workers that restart: the lease ends on their clocks are far ahead of those of their
+/// next incarnations.
+const WORKER_AGE: Duration = Duration::from_secs(60);
 /// An address without a listener.
 const UNUSED_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9);
 
@@ -61,6 +69,8 @@
 /// A cell and its platform, into which faults are injected; instances that exit are restarted.
 pub(super) struct CellEnvironment {
     pub(super) workers: MemoryWorkers,
+    /// The links of all instances to the workers, beside the proxies.
+    links: WorkersHandle,
     pub(super) balancer: Address<BalancerTask>,
     pub(super) routes: Routes,
     /// Unexpected exits of instances.
@@ -126,15 +136,23 @@
         let CellSoakPlan {
             instances,
             workers,
+            kinds,
             load,
             ..
         } = *plan;
         let rows = MemoryStore::default();
         let operator = rows.handle();
         let memory = MemoryWorkers::new(workers, load.task_time);
+        memory.set_stop_time(STOP_TIME);
+        let mut served_advisor: Arc<dyn Advisor> = Arc::new(MemoryAdvisor);
+        if kinds == FaultKinds::Restarts {
+            memory.set_clocks(WORKER_AGE, 1.0);
+            served_advisor = Arc::new(TicketAdvisor::new(memory.clone()));
+        }
+        let links = memory.handle();
         let mut listed_workers = Vec::new();
         for (index, entry) in memory.entries().into_iter().enumerate() {
-            let served = Arc::new(memory.clone());
+            let served = Arc::new(links.clone());
             let listener = serve_worker(loopback(), entry.worker.clone(), served).await?;
             let proxy = spawn_proxy(loopback(), Some(listener.address())).await?;
             let entry = WorkerEntry {
@@ -153,9 +171,10 @@
         put_configuration(&operator, &routes)
             .await
             .map_err(write_failed)?;
-        let advisor = serve_advisor(loopback(), Arc::new(MemoryAdvisor), ADVICE_TIME).await?;
+        let advisor = serve_advisor(loopback(), served_advisor, ADVICE_TIME).await?;
         let mut environment = Self {
             workers: memory,
+            links,
             balancer: balancer::spawn(Vec::new()),
             routes,
             violations: Vec::new(),
@@ -289,6 +308,38 @@
         // start empty.
         self.workers.crash(&worker.entry.worker);
         worker.proxy.set_target(worker.listener.address()).await?;
+        self.list_incarnation(index).await
+    }
+
+    /// Cuts a worker off from all instances and starts its next incarnation, which is not listed.
+    async fn restart_cut_off(&self, index: usize) -> Result<()> {
+        let worker = &self.listed_workers[index];
+        let id = &worker.entry.worker;
+        self.links.set_faults(id, LinkFaults::cut());
+        self.workers.crash(id);
+        worker.proxy.cut().await
+    }
+
+    /// Connects a worker that was cut off, and lists its incarnation.
+    async fn reconnect_worker(&self, index: usize) -> Result<()> {
+        let id = &self.listed_workers[index].entry.worker;
+        self.links.set_faults(id, LinkFaults::default());
+        self.list_incarnation(index).await
+    }
+
+    /// Makes a worker answer orders late, or as they arrive when the fault ends.
+    fn set_late_orders(&self, index: usize, delay: Option<Duration>, renewals: bool) {
+        let id = &self.listed_workers[index].entry.worker;
+        self.workers
+            .set_late(id, &[OrderKind::Start, OrderKind::Stop], delay);
+        if renewals {
+            self.workers.set_late(id, &[OrderKind::Renewal], delay);
+        }
+    }
+
+    /// Lists the present incarnation of a worker.
+    async fn list_incarnation(&self, index: usize) -> Result<()> {
+        let worker = &self.listed_workers[index];
         let Some(restarted) = self.workers.entries().into_iter().nth(index) else {
             return Ok(());
         };
@@ -325,6 +376,12 @@
                 tokio::time::sleep(RESTART_TIME).await;
                 self.restart_worker(index).await?;
             }
+            CellFault::LateOrders {
+                worker,
+                delay,
+                renewals,
+            } => self.set_late_orders(worker, Some(delay), renewals),
+            CellFault::RestartCutOff(index) => self.restart_cut_off(index).await?,
             _ => {}
         }
         if self.cuts.update(fault, true) {
@@ -350,6 +407,10 @@
                 process.signal(Signal::Continue).await?;
             }
             CellFault::WorkerCrash(index) => self.restart_worker(index).await?,
+            CellFault::LateOrders {
+                worker, renewals, ..
+            } => self.set_late_orders(worker, None, renewals),
+            CellFault::RestartCutOff(index) => self.reconnect_worker(index).await?,
             _ => {}
         }
         if self.cuts.update(fault, false) {
--- a/jackdawchute-standins/src/cell_soak/fault.rs
+++ b/jackdawchute-standins/src/cell_soak/fault.rs
@@ -71,6 +71,18 @@
     },
     /// An instance is cut off from its peers, and reaches the store and the workers.
     Isolate(usize, Isolation),
+    /// A worker answers no start and no stop, and carries them out late, in whichever incarnation it
+    /// then is.
+    LateOrders {
+        /// The worker.
+        worker: usize,
+        /// How much later it carries them out.
+        delay: Duration,
+        /// Whether the same goes for lease renewals.
+        renewals: bool,
+    },
+    /// A worker restarts under its id while it is cut off from the store and all instances.
+    RestartCutOff(usize),
 }
 
 impl SoakFault for CellFault {
@@ -85,7 +97,10 @@
             Self::StoreSlow(_) => ("store delay", None),
             Self::StoreLoses(_) => ("store responses", None),
             Self::WorkerNetwork(index, _) => ("worker network", Some(index)),
-            Self::WorkerCrash(index) | Self::WorkerRestart(index) => ("worker", Some(index)),
+            Self::WorkerCrash(index) | Self::WorkerRestart(index) | Self::RestartCutOff(index) => {
+                ("worker", Some(index))
+            }
+            Self::LateOrders { worker, .. } => ("worker orders", Some(worker)),
             Self::AdvisorNetwork(_) => ("advisor network", None),
             Self::Partition { domain, .. } => ("failure domain", Some(domain)),
             Self::Isolate(index, _) => ("peers", Some(index)),
--- a/jackdawchute-standins/tests/cell_soak_plan.rs
+++ b/jackdawchute-standins/tests/cell_soak_plan.rs
@@ -1,6 +1,9 @@
 //! The faults that the plans of the soak of `cell` draw.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use jackdawchute_standins::{
     cell_soak::{CellFault, CellSoakPlan, Isolation},
@@ -16,6 +19,13 @@
     )
 }
 
+fn is_restart(fault: &CellFault) -> bool {
+    matches!(
+        fault,
+        CellFault::LateOrders { .. } | CellFault::RestartCutOff(_) | CellFault::WorkerRestart(_)
+    )
+}
+
 /// Returns whether two partitions of the plan overlap and end at different times.
 fn heals_in_part(disturbances: &[Disturbance<CellFault>]) -> bool {
     let mut partitions = Vec::new();
@@ -71,3 +81,75 @@
 
     assert!(seeds.len() >= 5, "{seeds:?}");
 }
+
+#[test]
+fn restarts_come_beside_partitions_of_the_same_seed() {
+    let mut cuts = 0;
+    for seed in 1..=20 {
+        let partitions = CellSoakPlan::partitions(seed, FAULT_PERIOD);
+        let mut beside = CellSoakPlan::restarts(seed, FAULT_PERIOD).disturbances();
+
+        beside.retain(|it| !is_restart(&it.fault));
+
+        let drawn = partitions.disturbances();
+        assert!(beside.iter().all(|it| drawn.contains(it)));
+        cuts += usize::from(beside.iter().any(|it| is_cut(&it.fault)));
+    }
+    assert!(cuts >= 15, "{cuts}");
+}
+
+#[test]
+fn workers_restart_cut_off_after_late_orders_and_at_most_once_in_20_s() {
+    let mut restarted = BTreeSet::new();
+    for seed in 1..=20 {
+        let plan = CellSoakPlan::restarts(seed, Duration::from_secs(90));
+
+        let mut late_until = BTreeMap::new();
+        let mut restarted_at = BTreeMap::new();
+        for it in plan.disturbances() {
+            match it.fault {
+                CellFault::LateOrders { worker, delay, .. } => {
+                    assert!((2.0..=12.0).contains(&delay.as_secs_f64()), "{it}");
+                    late_until.insert(worker, it.at + it.duration);
+                }
+                CellFault::RestartCutOff(worker) => {
+                    let until = late_until.remove(&worker).expect("late orders come first");
+                    assert!(until <= it.at, "{it}");
+                    let earlier = restarted_at.insert(worker, it.at);
+                    let distance = earlier.map(|earlier| it.at - earlier);
+                    assert!(distance.is_none_or(|it| it >= Duration::from_secs(20)));
+                }
+                _ => assert!(!is_restart(&it.fault), "{it}"),
+            }
+        }
+        restarted.extend(restarted_at.into_keys());
+    }
+    assert_eq!(restarted, (0..9).collect());
+}
+
+#[test]
+fn no_other_fault_begins_between_late_orders_and_a_restart() {
+    for seed in 1..=20 {
+        let disturbances = CellSoakPlan::restarts(seed, FAULT_PERIOD).disturbances();
+        let begins_at = |restarts: bool| {
+            let of_kind = disturbances
+                .iter()
+                .filter(move |it| is_restart(&it.fault) == restarts);
+            of_kind.map(|it| it.at)
+        };
+
+        let last_restart_at = begins_at(true).max();
+        assert!(begins_at(false).all(|at| Some(at) > last_restart_at));
+    }
+}
+
+#[test]
+fn every_seed_restarts_workers_in_a_short_soak() {
+    for seed in 1..=20 {
+        let plan = CellSoakPlan::restarts(seed, FAULT_PERIOD);
+
+        let disturbances = plan.disturbances();
+
+        assert!(disturbances.iter().any(|it| is_restart(&it.fault)));
+    }
+}
