--- a/tests/cell_soak.rs
+++ b/tests/cell_soak.rs
@@ -1,5 +1,6 @@
-//! Soaks of `jackdawchute cell` under random faults, and under partitions by failure domain: seed 1,
-//! and each seed that ever failed, with the cause of its failure.
+//! Soaks of `jackdawchute cell` under random faults, under partitions by failure domain, and with
+//! workers that restart while they are cut off: seed 1, and each seed that ever failed, with the
+//! cause of its failure.
 
 use std::{path::Path, time::Duration};
 
@@ -18,6 +19,12 @@
     violations_of(CellSoakPlan::partitions(seed, FAULT_PERIOD)).await
 }
 
+/// Runs the soak with a seed, restarts of workers that are cut off and late orders to them, and
+/// returns the violations that it found.
+async fn violations_with_restarts(seed: u64) -> Vec<String> {
+    violations_of(CellSoakPlan::restarts(seed, FAULT_PERIOD)).await
+}
+
 async fn violations_of(plan: CellSoakPlan) -> Vec<String> {
     let program = Path::new(env!("CARGO_BIN_EXE_jackdawchute"));
     let report = run(program, &plan).await.unwrap();
@@ -80,3 +87,10 @@
 async fn tasks_that_succeeded_do_not_run_again_when_partitions_heal_in_part() {
     assert_eq!(violations_with_partitions(4).await, Vec::<String>::new());
 }
+
+/// Seed 1 with restarts: three tasks ran on a worker that had restarted behind a cut, by late orders
+/// to its former incarnation, and on another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_orders_to_workers_that_restart_cut_off_run_no_task_twice() {
+    assert_eq!(violations_with_restarts(1).await, Vec::<String>::new());
+}
