--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -397,6 +397,7 @@
             known_since: now,
             expected_end: ends_at,
             order_under_way: false,
+            stop_sent: false,
             retry_at: None,
             start_order: None,
             progress: Some(Progress::new(running.percent, now)),
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -123,6 +123,7 @@
             return;
         }
         run.order_under_way = true;
+        run.stop_sent = true;
         run.retry_at = None;
         self.effects.push(Effect::Stop(StopOrder {
             worker: worker.clone(),
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -473,6 +473,7 @@
                 known_since: now,
                 expected_end: now + expected.mul_f64(worker.health.slowness.max(0.5)),
                 order_under_way: true,
+                stop_sent: false,
                 retry_at: None,
                 start_order: Some(Box::new(order.clone())),
                 progress: None,
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -49,6 +49,8 @@
     pub(crate) expected_end: Instant,
     /// Whether an order for the run is under way.
     pub(crate) order_under_way: bool,
+    /// Whether an order to stop the run was sent; none to start it follows.
+    pub(crate) stop_sent: bool,
     /// When to send the next order for the run; `None` unless the last one had no usable answer.
     pub(crate) retry_at: Option<Instant>,
     /// The order to start; `None` for a run that this leader did not start.
@@ -61,9 +63,8 @@
     /// Returns whether an order to start without a ticket is under way.
     pub(crate) fn start_under_way(&self) -> bool {
         let order = self.start_order.as_ref();
-        let is_stop = self.phase == RunPhase::Stopping
-            && (self.seen_running || self.answered_clock.is_some());
-        self.order_under_way && !is_stop && order.is_some_and(|order| order.ticket.is_none())
+        let has_ticket = order.is_some_and(|order| order.ticket.is_some());
+        self.order_under_way && !self.stop_sent && !has_ticket
     }
 }
 
