--- a/src/main.rs
+++ b/src/main.rs
@@ -23,6 +23,10 @@
 use command_line::Command;
 use error::{Error, Result};
 
+/// A leader makes thousands of short-lived allocations a second, at which the C library is slow.
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
 const USAGE: &str = "\
 jackdawchute: a cluster scheduler for services, batch jobs and gangs
 
