fix: no refusal is passed on while an earlier attempt may be accepted

A caller could be told with 429 that a job never runs, and the job ran: an instance forwards a submission to the leader, gets no answer within 1.5 s and repeats it on a new connection. The leader refuses the repeat; the first copy is still on the old connection, arrives when a cut heals, and is accepted.

Only a refusal for want of a leader counted as unknown so far.

Now every refusal that follows an unanswered attempt is told as unknown (504), and the caller repeats the call under the same id.

--- a/jackdawchute-cell/src/gateway.rs
+++ b/jackdawchute-cell/src/gateway.rs
@@ -52,6 +52,26 @@
     Unknown,
 }
 
+impl Answer {
+    /// Returns what a caller may be told if an earlier attempt of the call got no answer: that
+    /// attempt may still reach the leader, after a later one was refused.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_cell::Answer;
+    ///
+    /// let refused = Answer::Refused { retry_after: Duration::from_secs(1) };
+    /// assert_eq!(refused.after_unanswered_attempt(), Answer::Unknown);
+    /// assert_eq!(Answer::Accepted.after_unanswered_attempt(), Answer::Accepted);
+    /// ```
+    pub fn after_unanswered_attempt(self) -> Self {
+        match self {
+            Self::Refused { .. } | Self::Unavailable { .. } | Self::NoQueue => Self::Unknown,
+            Self::Accepted | Self::Status(_) | Self::Pending(_) | Self::Unknown => self,
+        }
+    }
+}
+
 /// Forwards callers' calls to the leader, in this process or at a peer.
 #[derive(Clone, Debug)]
 pub struct Gateway {
@@ -159,11 +179,9 @@
             }
             tokio::time::sleep(RETRY_PAUSE).await;
         };
-        // After an attempt whose outcome is unknown, only an answer of the leader shows that the
-        // call had no effect.
-        let answer = match answer {
-            Answer::Unavailable { .. } if outcome_unknown => Answer::Unknown,
-            answer => answer,
+        let answer = match outcome_unknown {
+            true => answer.after_unanswered_attempt(),
+            false => answer,
         };
         let outcome = match &answer {
             Answer::Refused { .. } => "refused",
