--- a/review/standins-2/case.py
+++ b/review/standins-2/case.py
@@ -81,7 +81,7 @@
         for attempt in range(4):
             answer = await call(self.front(index + attempt), "POST", "/%s/%s" % (queue, id),
                                 "q.example", body)
-            self.record("POST", queue, id, answer)
+            self.record("POST", queue, id, json.dumps(body), "answered", answer)
             if answer and 200 <= answer[0] < 300:
                 job = Job(id, queue, phase, body)
                 self.jobs.append(job)
--- a/review/standins-2/stand_ins.py
+++ b/review/standins-2/stand_ins.py
@@ -322,6 +322,7 @@
                 return 409, clock(reason="fence")
             task, number = call["task"], call["run"]
             self.highest[task] = max(self.highest.get(task, 0), number)
+            self.world.record("stop", task, "run", number, "on", self.id)
             run = self.running.get(task)
             if run and run.run <= number:
                 asyncio.get_running_loop().call_later(0.05, self.end, run, "stopped")
