--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,5 @@
 command -v python3 >/dev/null || exit 2
 [ -x "$folder/../../target/release/jackdawchute" ] || exit 2
 export PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="$folder/../standins-2"
-exec python3 "$folder/scenario.py" "$folder"
+# What was sent, answered and run goes to record.txt in this folder.
+exec python3 "$folder/scenario.py" "$folder/record.txt"
--- a/review/7/scenario.py
+++ b/review/7/scenario.py
@@ -21,7 +21,11 @@
     case.record("tasks at work:", len(case.runs_of(service)))
     batch = {"count": 2, "cpu": 1000, "mem_mb": 100, "estimated_ms": 1000}
     jobs = [await case.submit("batch", batch, 1.0, index) for index in range(20)]
-    await asyncio.sleep(4)
+    await asyncio.sleep(3)
+    small = {"count": 4, "cpu": 1000, "mem_mb": 100, "gang": True, "estimated_ms": 500}
+    for index in range(20):
+        await case.submit("nightly", small, 0.5, index)
+    await asyncio.sleep(3)
     if TROUBLE:
         large = {"count": 8, "cpu": 20000, "mem_mb": 1000, "gang": True, "estimated_ms": 4000}
         await case.submit("nightly", large, 4.0)
--- a/review/standins-2/case.py
+++ b/review/standins-2/case.py
@@ -38,9 +38,9 @@
 class Case:
     """One run of a case against a cell of three instances."""
 
-    def __init__(self, folder):
-        self.record = Record(os.path.join(folder, "record.txt"))
-        self.root = os.path.abspath(os.path.join(folder, "..", ".."))
+    def __init__(self, record):
+        self.record = Record(record)
+        self.root = os.path.abspath(os.path.join(os.path.dirname(record), "..", ".."))
         self.world = World(self.record)
         self.jobs, self.cell = [], None
         self.record("TROUBLE", int(TROUBLE))
@@ -151,10 +151,11 @@
         return broken
 
 
-def run(folder, scenario):
-    """Runs `scenario(case)`, which returns what broke the rule (empty if it held), and exits."""
+def run(record, scenario):
+    """Runs `scenario(case)`, which returns what broke the rule (empty if it held), and exits. What was
+    sent, answered and run is written to the file `record`."""
     code = 2
-    case = Case(folder)
+    case = Case(record)
 
     async def bounded():
         return await asyncio.wait_for(scenario(case), 112)
