--- /dev/null
+++ b/jackdawchute-scheduler/src/advice_workers.rs
@@ -0,0 +1,285 @@
+//! The workers that an advice request names.
+//!
+//! An answer costs the advisor a fixed time and some for each worker named, and a ticket lapses
+//! within seconds. A request about single tasks names workers with room, other ones for each step;
+//! later requests of a step name only those on which a task fits at that moment. A gang needs all
+//! its tickets at once: it asks several advisors at the same time, about the workers with the most
+//! free capacity, until they have several times what it needs.
+
+use std::{
+    cmp::{Ordering, Reverse},
+    collections::BTreeMap,
+    hash::BuildHasher,
+    time::{Duration, Instant},
+};
+
+use jackdawchute_types::WorkerId;
+use rustc_hash::FxBuildHasher;
+
+use crate::{
+    free_capacity::{can_run, tasks_fitting, FreeCapacity, FITTING_TASKS_MAX},
+    job::{Advice, GangReservation, Job, StepRun},
+    worker::Worker,
+    AdviceCost, StepName, StepSpec,
+};
+
+/// The highest number of workers that a request may name, a limit of the advisor's protocol.
+pub(crate) const REQUEST_WORKERS_MAX: usize = 100;
+/// How long before a gang's expected start its tickets are requested, in addition to the time that
+/// the advisor takes.
+const REQUEST_LEAD: Duration = Duration::from_millis(300);
+/// The highest time that an advisor may spend on the named workers, as a multiple of the fixed time
+/// of a request.
+const WORKERS_COST_FACTOR_MAX: f64 = 0.6;
+/// The capacity that the workers allowed for a gang should have when idle, as a multiple of what
+/// the gang needs; most of it is in use at any time. In the load model of the stand-ins (repair
+/// desk), gangs earned 0.69 of their worth with a factor of six and 0.74 with twelve.
+const GANG_CAPACITY_FACTOR: f64 = 12.0;
+/// The free capacity of the allowed workers at which a gang without a reservation requests its
+/// lapsed tickets again, as a multiple of what the gang needs; some of the capacity is used by
+/// others before the answer arrives.
+const GANG_FREE_FACTOR: f64 = 1.5;
+/// The number of a step's tasks from which a worker's room counts as plenty when a request about
+/// single tasks names workers.
+const SEVERAL_TASKS: u32 = 3;
+/// The lowest number of workers that the first request about single tasks names, if there are so
+/// many.
+const FIRST_REQUEST_WORKERS_MIN: usize = 24;
+
+/// Groups the workers that could run a step by the advice that is known about them, with the free
+/// capacity that a task from now until `ends_at` could use.
+pub(crate) fn known_advice(
+    workers: &BTreeMap<WorkerId, Worker>,
+    job: &Job,
+    spec: &StepSpec,
+    step: &StepRun,
+    free_capacity: &FreeCapacity,
+    (now, ends_at): (Instant, Instant),
+) -> KnownAdvice {
+    let size = spec.charged_resources();
+    let starts_at = step
+        .gang_reservation
+        .as_ref()
+        .map_or(now, |reservation| reservation.starts_at.max(now));
+    let per_worker_max = spec.per_worker_max.unwrap_or(FITTING_TASKS_MAX);
+    let per_worker_max = per_worker_max.min(FITTING_TASKS_MAX);
+    let mut known = KnownAdvice::default();
+    for (worker, worker_capacity) in free_capacity.workers() {
+        let usable = worker_capacity.usable(ends_at);
+        let fits = size.fits_in(&usable);
+        // Single tasks need no further advice about workers that they do not fit on now.
+        let is_useful = fits || spec.gang || step.advice.is_empty();
+        if !is_useful || !can_run(workers, worker, worker_capacity, job, spec) {
+            continue;
+        }
+        let candidate = || AdviceCandidate {
+            worker: worker.clone(),
+            free_millicores: usable.processor_millicores,
+            fits,
+            tasks_when_idle: tasks_fitting(&size, worker_capacity.capacity).min(per_worker_max),
+            tasks_now: tasks_fitting(&size, usable).min(per_worker_max),
+        };
+        match step.advice.get(worker) {
+            Some(Advice::Denied) => {}
+            Some(advice @ Advice::Allowed { .. }) => {
+                let candidate = candidate();
+                known.allowed_tasks_when_idle += candidate.tasks_when_idle;
+                let ticket = advice.ticket(worker_capacity.started_unix_ms, starts_at);
+                if ticket.is_none() {
+                    known.lapsed.push(candidate);
+                }
+            }
+            None => known.not_asked.push(candidate()),
+        }
+    }
+    known
+}
+
+/// A worker that an advice request may name.
+#[derive(Debug)]
+pub(crate) struct AdviceCandidate {
+    worker: WorkerId,
+    free_millicores: u64,
+    /// Whether at least one task of the step fits now.
+    fits: bool,
+    /// How many tasks of the step fit when nothing else runs on the worker.
+    tasks_when_idle: u32,
+    /// How many tasks of the step fit now.
+    tasks_now: u32,
+}
+
+/// The workers that could run a step, by the advice that is known about them; without those that an
+/// advisor has denied.
+#[derive(Debug, Default)]
+pub(crate) struct KnownAdvice {
+    /// How many tasks of the step fit on all allowed workers when nothing else runs there.
+    allowed_tasks_when_idle: u32,
+    /// The allowed workers whose tickets have lapsed, or lapse before the step can start.
+    lapsed: Vec<AdviceCandidate>,
+    /// The workers that no advisor was asked about.
+    pub(crate) not_asked: Vec<AdviceCandidate>,
+}
+
+impl KnownAdvice {
+    /// Returns the workers on which a task fits and only the ticket is missing.
+    pub(crate) fn fitting_without_ticket(self) -> Vec<AdviceCandidate> {
+        let without_ticket = self.lapsed.into_iter().chain(self.not_asked);
+        without_ticket.filter(|candidate| candidate.fits).collect()
+    }
+}
+
+/// Returns the workers to name in requests for a gang.
+///
+/// While the gang has no reservation, these are workers that no advisor was asked about, until the
+/// allowed ones have several times the capacity that the gang needs, or the lapsed ones once enough
+/// of theirs is free. With a reservation, they are the reserved workers, shortly before the gang
+/// can start.
+pub(crate) fn gang_request_workers(
+    known: KnownAdvice,
+    spec: &StepSpec,
+    reservation: Option<&GangReservation>,
+    allowed_share: f64,
+    cost: &AdviceCost,
+    now: Instant,
+) -> Vec<WorkerId> {
+    let Some(reservation) = reservation else {
+        let lapsed_tasks_now: u32 = known
+            .lapsed
+            .iter()
+            .map(|candidate| candidate.tasks_now)
+            .sum();
+        if f64::from(lapsed_tasks_now) >= f64::from(spec.tasks) * GANG_FREE_FACTOR {
+            let with_free_capacity = known
+                .lapsed
+                .into_iter()
+                .filter(|candidate| candidate.fits)
+                .collect();
+            return with_most_free(with_free_capacity, affordable_workers(cost));
+        }
+        let tasks_wanted =
+            f64::from(spec.tasks) * GANG_CAPACITY_FACTOR - f64::from(known.allowed_tasks_when_idle);
+        let workers_min = affordable_workers(cost);
+        return with_enough_capacity(known.not_asked, tasks_wanted, allowed_share, workers_min);
+    };
+    let lead = cost.duration(reservation.workers.len()) + REQUEST_LEAD;
+    if reservation.starts_at > now + lead {
+        return Vec::new();
+    }
+    let is_reserved = |candidate: &AdviceCandidate| reservation.workers.contains(&candidate.worker);
+    if !known.lapsed.iter().any(is_reserved) {
+        return Vec::new();
+    }
+    // The request also names other workers that a task fits on: the fixed time is most of a
+    // request, and the reservation may change until the gang starts.
+    let workers_min = affordable_workers(cost);
+    let (mut workers, others): (Vec<_>, Vec<_>) = known.lapsed.into_iter().partition(is_reserved);
+    let others_max = workers_min.saturating_sub(workers.len());
+    let others = others
+        .into_iter()
+        .filter(|candidate| candidate.fits)
+        .collect();
+    workers.extend(sort_by_free(others).into_iter().take(others_max));
+    workers
+        .into_iter()
+        .map(|candidate| candidate.worker)
+        .collect()
+}
+
+/// Returns the workers with the most free capacity, until as many tasks as wanted are expected to
+/// fit on those that the advisors allow.
+///
+/// At least `workers_min` workers are named if any are, since the fixed time is most of a request.
+fn with_enough_capacity(
+    candidates: Vec<AdviceCandidate>,
+    tasks_wanted: f64,
+    allowed_share: f64,
+    workers_min: usize,
+) -> Vec<WorkerId> {
+    if tasks_wanted <= 0.0 {
+        return Vec::new();
+    }
+    let mut expected_tasks = 0.0;
+    let candidates = sort_by_free(candidates).into_iter().enumerate();
+    let enough_workers = candidates.take_while(|(index, candidate)| {
+        let needs_more = expected_tasks < tasks_wanted || *index < workers_min;
+        expected_tasks += f64::from(candidate.tasks_when_idle) * allowed_share;
+        needs_more
+    });
+    enough_workers
+        .map(|(_, candidate)| candidate.worker)
+        .collect()
+}
+
+/// Returns the `count` workers with the most free processors, the most first.
+fn with_most_free(mut candidates: Vec<AdviceCandidate>, count: usize) -> Vec<WorkerId> {
+    if count < candidates.len() {
+        candidates.select_nth_unstable_by(count, by_free);
+        candidates.truncate(count);
+    }
+    let workers = sort_by_free(candidates).into_iter();
+    workers.map(|candidate| candidate.worker).collect()
+}
+
+/// Returns `count` workers, other ones for each step, those with room for several tasks first.
+///
+/// Were all steps to name the workers with the most free capacity, hundreds of them would get
+/// tickets for the same few workers, find these taken and ask again.
+pub(crate) fn spread_over(
+    candidates: Vec<AdviceCandidate>,
+    name: &StepName,
+    count: usize,
+) -> Vec<WorkerId> {
+    let mut keyed: Vec<((Reverse<u32>, u64), AdviceCandidate)> = candidates
+        .into_iter()
+        .map(|candidate| {
+            let room = Reverse(candidate.tasks_now.min(SEVERAL_TASKS));
+            let spread = FxBuildHasher.hash_one((name, &candidate.worker));
+            ((room, spread), candidate)
+        })
+        .collect();
+    if count < keyed.len() {
+        keyed.select_nth_unstable_by_key(count, |(key, _)| *key);
+        keyed.truncate(count);
+    }
+    keyed
+        .into_iter()
+        .map(|(_, candidate)| candidate.worker)
+        .collect()
+}
+
+/// Sorts workers by their free processors, the most first.
+fn sort_by_free(mut candidates: Vec<AdviceCandidate>) -> Vec<AdviceCandidate> {
+    candidates.sort_unstable_by(by_free);
+    candidates
+}
+
+/// Orders workers by their free processors, the most first, and equal ones by their ids.
+fn by_free(left: &AdviceCandidate, right: &AdviceCandidate) -> Ordering {
+    let by_free = right.free_millicores.cmp(&left.free_millicores);
+    by_free.then_with(|| left.worker.cmp(&right.worker))
+}
+
+/// Returns how many workers a request may name so that the fixed time stays most of its cost.
+pub(crate) fn affordable_workers(cost: &AdviceCost) -> usize {
+    if cost.per_worker_ms > 0.0 {
+        (cost.fixed_ms * WORKERS_COST_FACTOR_MAX / cost.per_worker_ms) as usize
+    } else {
+        REQUEST_WORKERS_MAX
+    }
+}
+
+/// Returns how many workers a request about single tasks names: a later one at least half as many
+/// as the first, since its fixed time is most of its cost too.
+pub(crate) fn single_task_request_workers(
+    cost: &AdviceCost,
+    waiting: usize,
+    is_first: bool,
+) -> usize {
+    let affordable = affordable_workers(cost);
+    let workers_wanted = if is_first {
+        affordable.max(FIRST_REQUEST_WORKERS_MIN)
+    } else {
+        affordable.min(waiting.max(FIRST_REQUEST_WORKERS_MIN / 4) * 2)
+    };
+    workers_wanted.clamp(1, REQUEST_WORKERS_MAX)
+}
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
 mod admit;
+mod advice_workers;
 mod advise;
 mod authority;
 mod batch;
