fix: waiting work without room keeps no advice from the steps behind it

Cause: request_advice stops once eight times as many tasks wait in better ranked steps as starts may be under way. All waiting tasks counted, also 520 lasting ones whose workers were gone and which take no starts. Ruled out: admission (the jobs were accepted), placement (no ticket was ever asked for; the record of the case has no advice request after the loss).

Change: behind the bound, a step that has room requests advice as long as the tasks ahead of it that have room are within the bound. Before the bound nothing changes.

--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -34,38 +34,79 @@
 
 impl Scheduler {
     /// Requests advice for each step that has tasks to place and no valid ticket to place them
-    /// with.
+    /// with, as long as its turn may come before the tickets lapse.
+    ///
+    /// Work without room has no turn and keeps none from others. Steps behind a great deal of work
+    /// are looked at less often, since each look counts the room of all steps before.
     pub(crate) fn request_advice(
         &mut self,
         ranked: &[RankedStep],
         free_capacity: &FreeCapacity,
         now: Instant,
     ) {
-        let mut starts_ahead = 0;
         let starts_ahead_max = self
             .settings
             .starts_under_way_max
             .saturating_mul(STARTS_AHEAD_FACTOR);
-        for ranked in ranked {
+        let mut starts_ahead = 0;
+        let is_near = |ranked: &&RankedStep| {
+            let is_near = starts_ahead < starts_ahead_max;
+            starts_ahead += self.waiting_tasks(&ranked.name);
+            is_near
+        };
+        let near_steps = ranked.iter().take_while(is_near).count();
+        let (near, far) = ranked.split_at(near_steps);
+        for ranked in near {
+            self.request_advice_for(&ranked.name, free_capacity, now);
+        }
+        if far.is_empty() || now < self.far_advice_next_at {
+            return;
+        }
+        self.far_advice_next_at = now + self.advice_check_pause();
+        let by_label = self.capacity_by_label(free_capacity);
+        let mut starts_ahead = 0;
+        for (index, ranked) in ranked.iter().enumerate() {
             if starts_ahead >= starts_ahead_max {
                 break;
             }
-            let job = self.jobs.get(&ranked.name.job);
-            if let Some((spec, step)) = job.and_then(|job| job.step(&ranked.name)) {
-                let waiting = step.units.iter().filter(|unit| unit.is_waiting()).count();
-                starts_ahead += waiting * spec.unit_size() as usize;
-            }
-            for request in self.advice_requests(&ranked.name, free_capacity, now) {
-                info!("advice requested", kv: {
-                    job = request.step.job.as_str(), step = request.step.step,
-                    workers = request.workers.len(),
-                    expected_ms = request.expected.as_millis() as u64
-                });
-                self.effects.push(Effect::Advise(request));
+            if self.has_room(&ranked.name, free_capacity, &by_label, now) {
+                starts_ahead += self.waiting_tasks(&ranked.name);
+                if index >= near_steps {
+                    self.request_advice_for(&ranked.name, free_capacity, now);
+                }
             }
         }
     }
 
+    /// Returns the number of a step's tasks that wait for workers.
+    fn waiting_tasks(&self, name: &StepName) -> usize {
+        let job = self.jobs.get(&name.job);
+        job.and_then(|job| job.step(name))
+            .map_or(0, |(spec, step)| {
+                let waiting = step.units.iter().filter(|unit| unit.is_waiting()).count();
+                waiting * spec.unit_size() as usize
+            })
+    }
+
+    /// Returns the pause between two searches for workers to request advice about, if the first
+    /// finds none.
+    fn advice_check_pause(&self) -> Duration {
+        let workers = u32::try_from(self.workers.len()).unwrap_or(u32::MAX);
+        CHECK_PAUSE_PER_WORKER.saturating_mul(workers)
+    }
+
+    /// Requests advice for a step that lacks valid tickets, unless an answer is awaited.
+    fn request_advice_for(&mut self, name: &StepName, free_capacity: &FreeCapacity, now: Instant) {
+        for request in self.advice_requests(name, free_capacity, now) {
+            info!("advice requested", kv: {
+                job = request.step.job.as_str(), step = request.step.step,
+                workers = request.workers.len(),
+                expected_ms = request.expected.as_millis() as u64
+            });
+            self.effects.push(Effect::Advise(request));
+        }
+    }
+
     /// Returns the advice requests for a step: at most one for single tasks, and for a gang several
     /// that different advisors answer at the same time, since all its tickets must be valid at
     /// once.
@@ -138,8 +179,7 @@
         };
         let chunks = workers.chunks(per_request).take(GANG_REQUESTS_MAX);
         let requests: Vec<AdviceRequest> = chunks.map(to_request).collect();
-        let workers_count = u32::try_from(self.workers.len()).unwrap_or(u32::MAX);
-        let check_at = now + CHECK_PAUSE_PER_WORKER.saturating_mul(workers_count);
+        let check_at = now + self.advice_check_pause();
         let step = self.jobs.get_mut(&name.job);
         if let Some(step) = step.and_then(|job| job.step_mut(name)) {
             step.advice_unanswered = requests.len();
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -31,6 +31,7 @@
 mod records;
 mod recover;
 mod report;
+mod room;
 mod row_size;
 mod settings;
 mod start_answers;
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -16,6 +16,7 @@
     free_capacity::{can_run, tasks_fitting, FreeCapacity, ReservedCapacity, WorkerCapacity},
     job::{Advice, GangReservation, Job, StepRun},
     rank::RankedStep,
+    room::tasks_on_workers,
     worker::{Run, RunPhase},
     Effect, Scheduler, StartOrder, StepName, StepSpec,
 };
@@ -125,12 +126,7 @@
         let Some((_, step)) = job.step(name) else {
             return Vec::new();
         };
-        let mut on_worker: HashMap<&WorkerId, u32> = HashMap::new();
-        if spec.per_worker_max.is_some() {
-            for (_, worker) in step.units.iter().flat_map(|unit| &unit.placed) {
-                *on_worker.entry(worker).or_default() += 1;
-            }
-        }
+        let on_worker = tasks_on_workers(spec, step);
         let per_worker_max = spec.per_worker_max.unwrap_or(u32::MAX);
         let candidate =
             |worker: &WorkerId, worker_capacity: &WorkerCapacity, ticket: Option<&Ticket>| {
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -76,6 +76,8 @@
     pub(crate) incarnations_seen: HashMap<WorkerId, u64>,
     pub(crate) run_times: RunTimes,
     pub(crate) allowed_shares: AllowedShares,
+    /// When advice is next requested for steps behind a great deal of waiting work.
+    pub(crate) far_advice_next_at: Instant,
     pub(crate) recovery: Recovery,
     /// The starts without an answer that may begin tasks.
     pub(crate) late_starts: LateStarts,
@@ -133,6 +135,7 @@
             incarnations_seen: HashMap::new(),
             run_times: RunTimes::default(),
             allowed_shares: AllowedShares::default(),
+            far_advice_next_at: now,
             recovery: Recovery::new(now),
             late_starts: LateStarts::default(),
             loads: None,
--- a/jackdawchute-scheduler/tests/behaviour/advice.rs
+++ b/jackdawchute-scheduler/tests/behaviour/advice.rs
@@ -1,6 +1,6 @@
 //! Advice requests: which workers they name, and what follows from the answers.
 
-use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest};
+use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest, Settings, StepSpec, WorkerEntry};
 use jackdawchute_types::WorkerId;
 
 use crate::fixtures::*;
@@ -228,3 +228,100 @@
 
     assert_eq!(cell.take_starts().len(), 100);
 }
+
+/// The number of tasks of one step from which on steps with a worse rank requested no advice.
+const MANY_TASKS: u32 = 200;
+
+/// A worker of four cores with a label.
+fn labelled(worker: &str, label: &str) -> WorkerEntry {
+    WorkerEntry {
+        labels: vec![label.into(), "r1".into()],
+        ..entry(worker, 4)
+    }
+}
+
+/// A cell with one worker of label `a` and one of label `b`, whose leader may have a few orders to
+/// start under way.
+fn cell_of_two_kinds() -> Cell {
+    let settings = Settings {
+        starts_under_way_max: 16,
+        ..Settings::default()
+    };
+    let workers = [labelled("a1", "a"), labelled("b1", "b")];
+    make_ready(cell_with_settings(settings, 1, &workers), workers.len())
+}
+
+/// A step of many tasks that only workers of label `b` run.
+fn many_tasks_on_b(long_running: bool) -> StepSpec {
+    StepSpec {
+        required_label: Some("b".into()),
+        long_running,
+        // So little declared work delays the admission of no other job.
+        estimate: ms(1),
+        ..step(MANY_TASKS, 1)
+    }
+}
+
+/// Accepts a job that fits on the worker of label `a`; returns whether advice is requested for it.
+fn requests_advice_for_job_beside(cell: &mut Cell) -> bool {
+    cell.tick(50);
+    cell.advice.clear();
+    cell.accept("job", vec![step(2, 1)], advised_queue(1));
+    let is_of_job = |request: &AdviceRequest| request.step.job == "job";
+    cell.advice.iter().any(is_of_job)
+}
+
+/// review/6: jobs were accepted and never started beside idle workers.
+#[test]
+fn tasks_whose_workers_are_gone_keep_no_advice_from_others() {
+    let mut cell = cell_of_two_kinds();
+    cell.accept("lasting", vec![many_tasks_on_b(true)], queue(0));
+    cell.scheduler
+        .workers_listed(vec![labelled("a1", "a")], cell.now);
+
+    assert!(requests_advice_for_job_beside(&mut cell));
+}
+
+/// The same without an end in sight: the room that the tasks wait for is taken.
+#[test]
+fn tasks_without_room_keep_no_advice_from_others() {
+    for long_running in [true, false] {
+        let mut cell = cell_of_two_kinds();
+        cell.accept("many", vec![many_tasks_on_b(long_running)], queue(0));
+        let starts = cell.take_starts();
+        assert_eq!(starts.len(), 4, "the worker has four cores");
+
+        assert!(requests_advice_for_job_beside(&mut cell), "{long_running}");
+    }
+}
+
+/// The same where the advisor allows the waiting tasks no worker.
+#[test]
+fn tasks_that_no_worker_is_allowed_to_run_keep_no_advice_from_others() {
+    let mut cell = cell_of_two_kinds();
+    let many = StepSpec {
+        estimate: ms(1),
+        ..step(MANY_TASKS, 1)
+    };
+    cell.accept("denied", vec![many], advised_queue(0));
+    for request in std::mem::take(&mut cell.advice) {
+        allow(&mut cell, &request, &[]);
+    }
+
+    assert!(requests_advice_for_job_beside(&mut cell));
+}
+
+/// Tickets of a step without room would lapse before it gets any.
+#[test]
+fn a_step_far_behind_requests_no_advice_while_nothing_has_room_for_it() {
+    let mut cell = cell_of_two_kinds();
+    cell.accept("lasting", vec![many_tasks_on_b(true)], queue(0));
+    let filler = StepSpec {
+        required_label: Some("a".into()),
+        estimate: ms(1),
+        ..step(4, 1)
+    };
+    cell.accept("filler", vec![filler], queue(0));
+
+    assert!(!requests_advice_for_job_beside(&mut cell));
+}
--- a/jackdawchute-types/src/resources.rs
+++ b/jackdawchute-types/src/resources.rs
@@ -57,6 +57,23 @@
         )
     }
 
+    /// Returns the larger amount of each resource.
+    ///
+    /// ```
+    /// use jackdawchute_types::Resources;
+    ///
+    /// let largest = Resources::new(2_000, 64, 0).max_of_each(&Resources::new(500, 128, 1));
+    /// assert_eq!(largest, Resources::new(2_000, 128, 1));
+    /// ```
+    #[must_use]
+    pub fn max_of_each(&self, other: &Self) -> Self {
+        Self::new(
+            self.processor_millicores.max(other.processor_millicores),
+            self.memory_mib.max(other.memory_mib),
+            self.accelerators.max(other.accelerators),
+        )
+    }
+
     /// Subtracts the amounts, saturating at zero.
     #[must_use]
     pub fn saturating_sub(&self, other: &Self) -> Self {
