fix: gangs reserve no capacity that lasting or long overdue tasks use

Cause: a gang reserves what becomes free first, and every run counted as ending at its expected end. For a lasting task that is its declared time; once past, it counted as now. So the gang reserved all free capacity from now on, for good, and tasks that end later may not use it. Ruled out as the cause: admission (the jobs were deferred, not refused) and rank (the small jobs had no room with any rank). The same holds for tasks that are long overdue.

Change: a task that lasts has no expected end; an overdue run is expected to take as long again as it is overdue. What lasting tasks use does not count for the workers allowed for a gang, and a lasting task on a leaving worker is stopped before the worker leaves.

--- a/jackdawchute-scheduler/src/advice_workers.rs
+++ b/jackdawchute-scheduler/src/advice_workers.rs
@@ -76,7 +76,8 @@
             worker: worker.clone(),
             free_millicores: usable.processor_millicores,
             fits,
-            tasks_when_idle: tasks_fitting(&size, worker_capacity.capacity).min(per_worker_max),
+            tasks_when_idle: tasks_fitting(&size, worker_capacity.free_when_idle)
+                .min(per_worker_max),
             tasks_now: tasks_fitting(&size, usable).min(per_worker_max),
         };
         match step.advice.get(worker) {
--- a/jackdawchute-scheduler/src/free_capacity.rs
+++ b/jackdawchute-scheduler/src/free_capacity.rs
@@ -31,8 +31,8 @@
     /// The capacity that is charged neither for the worker's runs nor for tasks placed in this
     /// round.
     pub(crate) free: Resources,
-    /// The whole capacity, free or in use.
-    pub(crate) capacity: Resources,
+    /// What is free once all runs have ended that end by themselves.
+    pub(crate) free_when_idle: Resources,
     pub(crate) rack: Option<RackId>,
     pub(crate) started_unix_ms: u64,
     /// The ratio of measured to expected run times, in tenths.
@@ -47,9 +47,18 @@
 
 impl WorkerCapacity {
     fn new(worker: &Worker, free: Resources) -> Self {
+        let lasting = worker
+            .runs
+            .values()
+            .filter(|run| run.expected_end.is_none());
+        let used_for_good = lasting
+            .filter_map(|run| run.charged)
+            .fold(Resources::ZERO, |used, charged| {
+                used.saturating_add(&charged)
+            });
         Self {
             free,
-            capacity: worker.entry.capacity,
+            free_when_idle: worker.entry.capacity.saturating_sub(&used_for_good),
             rack: worker.entry.rack.clone(),
             started_unix_ms: worker.entry.started_unix_ms,
             slowness_tenths: (worker.health.slowness * 10.0) as u32,
@@ -88,10 +97,10 @@
         let count = |free| tasks_fitting(size, free).min(FITTING_TASKS_MAX) as usize;
         let mut times = vec![now; count(free)];
         let mut free = free;
-        for (end, freed) in self.ends.get_or_init(|| expected_ends(worker)) {
+        for (end, freed) in self.ends.get_or_init(|| expected_ends(worker, now)) {
             free = free.saturating_add(freed);
             while times.len() < count(free) {
-                times.push((*end).max(now));
+                times.push(*end);
             }
         }
         times
@@ -99,9 +108,16 @@
 }
 
 /// Returns when a worker's runs are expected to end and what each releases, in order of time.
-fn expected_ends(worker: &Worker) -> Vec<(Instant, Resources)> {
-    let end_of = |run: &Run| (run.expected_end, run.charged.unwrap_or(Resources::ZERO));
-    let mut ends: Vec<_> = worker.runs.values().map(end_of).collect();
+///
+/// Tasks that last release nothing. A run that is overdue is expected to take as long again as it is
+/// overdue, so that one which goes on for long promises nothing soon.
+fn expected_ends(worker: &Worker, now: Instant) -> Vec<(Instant, Resources)> {
+    let end_of = |run: &Run| {
+        let overdue = now.saturating_duration_since(run.expected_end?);
+        let end = run.expected_end?.max(now + overdue);
+        Some((end, run.charged.unwrap_or(Resources::ZERO)))
+    };
+    let mut ends: Vec<_> = worker.runs.values().filter_map(end_of).collect();
     ends.sort_unstable_by_key(|(end, _)| *end);
     ends
 }
--- a/jackdawchute-scheduler/src/graph.rs
+++ b/jackdawchute-scheduler/src/graph.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Returns whether the tasks end by themselves once their work is done.
+    pub(crate) fn ends_by_itself(&self) -> bool {
+        !self.long_running
+    }
+
     /// Returns the number of units: one for a gang, else one for each task.
     pub(crate) fn units(&self) -> u32 {
         if self.gang {
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -347,7 +347,7 @@
         let task = &running.task;
         let mut charged = None;
         let mut wanted = false;
-        let mut ends_at = now;
+        let mut expected_end = Some(now);
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
             if job.phase == JobPhase::Live && !job.begun {
                 // How long the job waited before this epoch is not known.
@@ -362,7 +362,7 @@
             let spec = job.graph.steps.get(task.step.step as usize).cloned();
             if let Some(spec) = spec {
                 charged = Some(spec.charged_resources());
-                ends_at = now + spec.estimate;
+                expected_end = spec.ends_by_itself().then(|| now + spec.estimate);
             }
             if let Some(unit) = job.unit_mut(&task.step, task.index) {
                 let is_current = unit.placed.is_empty() || unit.last_run == running.run;
@@ -395,7 +395,7 @@
             seen_running: true,
             answered_clock: Some(Duration::ZERO),
             known_since: now,
-            expected_end: ends_at,
+            expected_end,
             order_under_way: false,
             stop_sent: false,
             retry_at: None,
@@ -463,7 +463,8 @@
             // task to save its progress.
             let leaves_soon = now + stop_max + LEAVE_MARGIN >= leaving_at;
             for (task, run) in &mut worker.runs {
-                if run.phase == RunPhase::Running && leaves_soon && run.expected_end > leaving_at {
+                let ends_before = run.expected_end.is_some_and(|end| end <= leaving_at);
+                if run.phase == RunPhase::Running && leaves_soon && !ends_before {
                     run.phase = RunPhase::Stopping;
                     stops.push((worker.entry.worker.clone(), task.clone()));
                 }
--- a/jackdawchute-scheduler/src/place.rs
+++ b/jackdawchute-scheduler/src/place.rs
@@ -467,7 +467,9 @@
                 seen_running: false,
                 answered_clock: None,
                 known_since: now,
-                expected_end: now + expected.mul_f64(worker.health.slowness.max(0.5)),
+                expected_end: spec
+                    .ends_by_itself()
+                    .then(|| now + expected.mul_f64(worker.health.slowness.max(0.5))),
                 order_under_way: true,
                 stop_sent: false,
                 retry_at: None,
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -46,7 +46,8 @@
     pub(crate) answered_clock: Option<Duration>,
     /// When the start was ordered, or for an unknown run when the worker first listed it.
     pub(crate) known_since: Instant,
-    pub(crate) expected_end: Instant,
+    /// When the run is expected to end by itself; `None` if its task lasts until it is stopped.
+    pub(crate) expected_end: Option<Instant>,
     /// Whether an order for the run is under way.
     pub(crate) order_under_way: bool,
     /// Whether an order to stop the run was sent; none to start it follows.
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -8,6 +8,7 @@
 mod incomplete_lists;
 mod large_cells;
 mod large_jobs;
+mod lasting_tasks;
 mod late_orders;
 mod lateness;
 mod lost_workers;
