fix: work that no worker can do delays no admission

Cause: the backlog counts the waiting work of a service, also steps that no listed worker can run, and lasting tasks as if their declared time were work that ends.

Change: neither counts. Jobs that wait behind work for few workers are still judged as if all could do it.

Measured: work_that_no_worker_can_do_delays_no_admission and lasting_tasks_that_wait_delay_no_admission failed before.

--- a/jackdawchute-scheduler/src/admit.rs
+++ b/jackdawchute-scheduler/src/admit.rs
@@ -154,13 +154,15 @@
     /// Returns whether the workers could run each step of a job if they ran nothing else: a gang as
     /// a whole, single tasks one after the other.
     fn can_run(&self, job: &Job) -> bool {
-        job.graph.steps.iter().all(|spec| {
-            let needed = spec.unit_size();
-            let mut fitting: u32 = 0;
-            self.worker_kinds.iter().any(|(kind, workers)| {
-                fitting = fitting.saturating_add(kind.tasks_fitting(spec).saturating_mul(*workers));
-                fitting >= needed
-            })
+        job.graph.steps.iter().all(|spec| self.can_run_step(spec))
+    }
+
+    fn can_run_step(&self, spec: &StepSpec) -> bool {
+        let needed = spec.unit_size();
+        let mut fitting: u32 = 0;
+        self.worker_kinds.iter().any(|(kind, workers)| {
+            fitting = fitting.saturating_add(kind.tasks_fitting(spec).saturating_mul(*workers));
+            fitting >= needed
         })
     }
 
@@ -224,7 +226,7 @@
 
     /// Adds an admitted job to the load that was counted before it arrived.
     pub(crate) fn record_admitted(&mut self, job: &Job) {
-        let core_ms = self.waiting_core_ms(job);
+        let core_ms = self.waiting_core_ms(job, |_| true);
         if let Some(loads) = &mut self.loads {
             let load = loads.services.entry(job.queue.service.clone());
             load.or_default().add_waiting(job, !job.deferred, core_ms);
@@ -261,7 +263,9 @@
             }
             if job.phase != JobPhase::Ending(crate::JobOutcome::Cancelled) {
                 let on_time = self.slack(job, now).is_some();
-                load.add_waiting(job, on_time, self.waiting_core_ms(job));
+                // What no listed worker can do takes no time of those that are listed.
+                let core_ms = self.waiting_core_ms(job, |spec| load.can_run_step(spec));
+                load.add_waiting(job, on_time, core_ms);
             }
         }
         ServiceLoads {
@@ -270,16 +274,19 @@
         }
     }
 
-    /// Returns the expected work of a job's tasks that are not placed, in core-milliseconds.
-    fn waiting_core_ms(&self, job: &Job) -> f64 {
+    /// Returns the expected work of a job's tasks that are not placed, in core-milliseconds, of the
+    /// steps for which `counts` returns true. Tasks that last have no work that could be done first.
+    fn waiting_core_ms(&self, job: &Job, counts: impl Fn(&StepSpec) -> bool) -> f64 {
         let mut core_ms = 0.0;
         for occurrence_run in &job.occurrences {
             for (spec, step) in job.graph.steps.iter().zip(&occurrence_run.steps) {
-                let units_waiting =
-                    step.units.iter().filter(|unit| unit.is_waiting()).count() as f64;
+                let units_waiting = step.units.iter().filter(|unit| unit.is_waiting()).count();
+                if units_waiting == 0 || !spec.ends_by_itself() || !counts(spec) {
+                    continue;
+                }
                 let cores = spec.resources.processor_millicores as f64 / 1_000.0;
                 let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
-                core_ms += units_waiting
+                core_ms += units_waiting as f64
                     * f64::from(spec.unit_size())
                     * cores
                     * expected.as_millis() as f64;
--- a/jackdawchute-scheduler/tests/behaviour/impossible_jobs.rs
+++ b/jackdawchute-scheduler/tests/behaviour/impossible_jobs.rs
@@ -90,3 +90,41 @@
 
     assert_eq!(submission, Submission::Pending);
 }
+
+/// Work that no worker can do kept short jobs from being accepted, beside idle workers.
+#[test]
+fn work_that_no_worker_can_do_delays_no_admission() {
+    for long_running in [true, false] {
+        let mut cell = ready_cell(1, &[labelled("a1", "a"), labelled("b1", "b")]);
+        let many_on_b = StepSpec {
+            tasks: 200,
+            long_running,
+            ..step_on("b")
+        };
+        cell.accept("on-b", vec![many_on_b], queue(0));
+        cell.scheduler
+            .workers_listed(vec![labelled("a1", "a")], cell.now);
+        cell.tick(50);
+
+        let submission = submit(&mut cell, "job", vec![step(1, 1)]);
+
+        assert_eq!(submission, Submission::Pending, "{long_running}");
+    }
+}
+
+/// Lasting tasks that wait for room have no work that could be done first.
+#[test]
+fn lasting_tasks_that_wait_delay_no_admission() {
+    let mut cell = ready_cell(1, &[labelled("a1", "a"), labelled("b1", "b")]);
+    let many_on_b = StepSpec {
+        tasks: 200,
+        long_running: true,
+        ..step_on("b")
+    };
+    cell.accept("on-b", vec![many_on_b], queue(0));
+    cell.tick(50);
+
+    let submission = submit(&mut cell, "job", vec![step(1, 1)]);
+
+    assert_eq!(submission, Submission::Pending);
+}
