fix: a run that is listed before its start is answered goes on

Callers saw nothing but longer jobs.

Cause: the answer to a start sends a stop unless the run's phase is "starting", and a list of runs that arrives first has made it "running". The logs show gang tasks that end as stopped 0.3 s after their start, with no decision to stop them.

Change: a stop follows only if the run is to stop.

Measured: the test failed before and passes now.

--- a/jackdawchute-scheduler/src/start_answers.rs
+++ b/jackdawchute-scheduler/src/start_answers.rs
@@ -34,10 +34,11 @@
                 run.answered_clock = Some(clock);
                 run.start_outcome_unknown = false;
                 run.seen_running = true;
-                if run.phase == RunPhase::Starting {
-                    run.phase = RunPhase::Running;
-                } else {
-                    self.send_stop(worker, task);
+                match run.phase {
+                    RunPhase::Starting => run.phase = RunPhase::Running,
+                    // The worker has listed the run before this answer arrived.
+                    RunPhase::Running => {}
+                    RunPhase::Stopping => self.send_stop(worker, task),
                 }
                 if let Some(job) = self.jobs.get_mut(&task.step.job) {
                     job.begun = true;
--- a/jackdawchute-scheduler/tests/behaviour/repeated_starts.rs
+++ b/jackdawchute-scheduler/tests/behaviour/repeated_starts.rs
@@ -105,3 +105,19 @@
     assert_eq!(stops.len(), 1);
     assert_eq!(stops[0].task, repeat.task);
 }
+
+/// Sound tasks were stopped, with their gangs, where a list of runs overtook the answer to a start.
+#[test]
+fn a_run_that_is_listed_before_its_start_is_answered_goes_on() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.tick(1);
+    let renewal = cell.latest_renewal_of("w1");
+    cell.accept("job", vec![large_step()], queue(0));
+    let start = cell.take_starts().remove(0);
+
+    cell.answer_renewal(&renewal, vec![running(&start)], Vec::new());
+    cell.confirm_start(&start);
+    cell.tick(1);
+
+    assert_eq!(cell.take_stops(), []);
+}
