--- a/jackdawchute-cell/src/election/claims.rs
+++ b/jackdawchute-cell/src/election/claims.rs
@@ -8,7 +8,7 @@
 use tokio::sync::watch;
 use xtra::prelude::*;
 
-use super::ElectionTask;
+use super::{ElectionTask, PredecessorStopped};
 use crate::{
     authority::{Authority, EarlierLeaders, Replaced},
     calls::SentAt,
@@ -51,7 +51,7 @@
     authority: Authority,
     confirmed_at: Instant,
     earlier: EarlierLeaders,
-    predecessor_stopped: watch::Receiver<Option<Instant>>,
+    predecessor_stopped: watch::Receiver<Option<PredecessorStopped>>,
 }
 /// A leader's request for a promise not to claim the epoch after this one.
 pub(crate) struct PromiseRequested(pub(crate) Epoch);
@@ -101,7 +101,7 @@
         let is_current = version(&leader) == version(&replaced_row);
         if let Some(row) = leader {
             self.claim_state.epoch_read(row.record.epoch);
-            self.update_row(row);
+            self.update_row(row, context);
         }
         if !is_current || self.is_leaving() {
             self.claiming = false;
@@ -150,10 +150,10 @@
                 let row = LeaderRow { record, version };
                 let mut earlier = self.earlier_leaders(replaced_row.as_ref(), head, now);
                 let predecessor_stopped = self.notify_predecessor(replaced_row, &row);
-                if let Some(stopped_at) = *predecessor_stopped.borrow() {
-                    earlier.replaced_stopped(stopped_at);
+                if let Some(stopped) = &*predecessor_stopped.borrow() {
+                    earlier.replaced_stopped(stopped.at);
                 }
-                self.update_row(row);
+                self.update_row(row, context);
                 let settled = earlier.remaining(now).is_zero();
                 info!("epoch claimed", kv: {
                     epoch = epoch, version = version,
@@ -185,7 +185,7 @@
                 self.next_claim_at = now + CLAIM_PAUSE;
                 if let Some(row) = row {
                     self.claim_state.epoch_read(row.record.epoch);
-                    self.update_row(row);
+                    self.update_row(row, context);
                 }
             }
             Err(error) => self.claim_failed(&record, &error),
--- a/jackdawchute-cell/src/election/handlers.rs
+++ b/jackdawchute-cell/src/election/handlers.rs
@@ -3,11 +3,11 @@
 use std::time::{Duration, Instant};
 
 use jackdawchute_timer::Tick;
-use jackdawchute_types::{CallError, Epoch};
+use jackdawchute_types::{CallError, Epoch, WorkerId};
 use spdlog::info;
 use xtra::prelude::*;
 
-use super::{ElectionTask, LastAcknowledgement};
+use super::{ElectionTask, LastAcknowledgement, StoppedLeader};
 use crate::{
     calls::{offer_epoch, SentAt},
     claim::LeaderRow,
@@ -30,6 +30,11 @@
     /// The row of the instance that took over, if a peer has sent it.
     pub(crate) row: Option<LeaderRow>,
 }
+/// A successor's message that it has replaced a leader, which may be this instance.
+pub(crate) struct Superseded(pub(crate) LeaderRow);
+/// The local leader task of an epoch has stopped, and an order that extends the lease got no answer of
+/// these workers; `None` if it could not tell.
+pub(super) struct LeaderStopped(pub(super) Epoch, pub(super) Option<Vec<WorkerId>>);
 /// The shutdown of this instance begins.
 pub(crate) struct Leave;
 /// The leader's offer of its epoch to this instance.
@@ -45,7 +50,7 @@
     async fn handle(&mut self, received: LeaderRowReceived, context: &mut Context<Self>) {
         self.row_read = true;
         if let Some(row) = received.0 {
-            self.update_row(row);
+            self.update_row(row, context);
         }
         let is_own_claim = |row: &LeaderRow| row.record.incarnation == self.parts.incarnation;
         match &self.row {
@@ -72,6 +77,37 @@
     }
 }
 
+impl Handler<Superseded> for ElectionTask {
+    type Return = CellAnswer;
+
+    async fn handle(&mut self, message: Superseded, context: &mut Context<Self>) -> CellAnswer {
+        let replaced = message.0.record.epoch.saturating_sub(1);
+        self.handle(LeaderRowReceived(Some(message.0)), context)
+            .await;
+        let stopped = self.stopped.as_ref();
+        if stopped.is_some_and(|it| it.epoch == replaced && it.is_stopping) {
+            // The successor asks again.
+            return CellAnswer::NotLeader;
+        }
+        CellAnswer::Stopped {
+            unanswered_extensions: self.left_by(replaced),
+        }
+    }
+}
+
+impl Handler<LeaderStopped> for ElectionTask {
+    type Return = ();
+
+    async fn handle(&mut self, message: LeaderStopped, _context: &mut Context<Self>) {
+        let LeaderStopped(epoch, unanswered_extensions) = message;
+        self.stopped = Some(StoppedLeader {
+            epoch,
+            is_stopping: false,
+            unanswered_extensions,
+        });
+    }
+}
+
 impl Handler<Tick> for ElectionTask {
     type Return = ();
 
@@ -149,7 +185,7 @@
                 }
             }
             Ok(CellAnswer::Redirect { row, incarnation }) => {
-                self.update_row(row);
+                self.update_row(row, context);
                 self.claim_if_leader_ended(&incarnation, context);
             }
             Ok(CellAnswer::NotLeader) => {
@@ -169,13 +205,13 @@
 impl Handler<EpochLost> for ElectionTask {
     type Return = ();
 
-    async fn handle(&mut self, message: EpochLost, _context: &mut Context<Self>) {
+    async fn handle(&mut self, message: EpochLost, context: &mut Context<Self>) {
         if let Some(row) = message.row {
-            self.update_row(row);
+            self.update_row(row, context);
         }
         let is_local = |(epoch, _): &(Epoch, _)| *epoch == message.epoch;
         if self.leading.as_ref().is_some_and(is_local) {
-            self.step_down("epoch lost to another instance");
+            self.step_down("epoch lost to another instance", context);
             // The new leader is not known until its row is read, so the timeout starts anew.
             self.leader_heard_at = Instant::now();
         }
--- a/jackdawchute-cell/src/election/mod.rs
+++ b/jackdawchute-cell/src/election/mod.rs
@@ -10,7 +10,7 @@
 };
 
 use jackdawchute_timer::{boot_time, Subscribe, TimerTask};
-use jackdawchute_types::{whole_ms, CallError, Epoch, IncarnationId};
+use jackdawchute_types::{whole_ms, CallError, Epoch, IncarnationId, WorkerId};
 use rand::Rng;
 use spdlog::{error, info};
 use tokio::sync::{mpsc, watch};
@@ -18,11 +18,12 @@
 
 pub(crate) use self::{
     claims::PromiseRequested,
-    handlers::{EpochLost, LeaderRowReceived, Leave, TakeOver},
+    handlers::{EpochLost, Leave, Superseded, TakeOver},
 };
 use self::{
     claims::{read_before_claim, ClaimRead},
     follow::follow_leader,
+    handlers::{LeaderRowReceived, LeaderStopped},
 };
 use crate::{
     authority::{Acknowledged, ClaimState, Permission, ACKNOWLEDGED_FOR, PROMISED_MAX},
@@ -98,6 +99,27 @@
     acknowledged: Option<LastAcknowledgement>,
     /// The epoch of the local leader task, and the permission of its orders.
     leading: Option<(Epoch, Permission)>,
+    /// The last local leader task that has stopped, or is about to.
+    stopped: Option<StoppedLeader>,
+}
+
+/// A local leader task that has stopped, or is about to.
+struct StoppedLeader {
+    epoch: Epoch,
+    /// Whether the task has not told yet what it left.
+    is_stopping: bool,
+    /// The workers to which an order that extends the lease got no answer; `None` if the task could
+    /// not tell.
+    unanswered_extensions: Option<Vec<WorkerId>>,
+}
+
+/// When the replaced leader is known to have stopped, and what it has told.
+#[derive(Clone, Debug)]
+pub(crate) struct PredecessorStopped {
+    pub(crate) at: Instant,
+    /// The workers to which an order of it that extends the lease got no answer; `None` if it could
+    /// not tell.
+    pub(crate) unanswered_extensions: Option<Vec<WorkerId>>,
 }
 
 /// A leader's acknowledgement of a heartbeat.
@@ -136,6 +158,7 @@
         claim_state: ClaimState::default(),
         acknowledged: None,
         leading: None,
+        stopped: None,
     };
     let address = xtra::spawn_tokio(task, Mailbox::unbounded());
     let subscribe = Subscribe {
@@ -177,16 +200,25 @@
     }
 
     /// Ends the local leader task, if there is one; it sends no order from now on.
-    fn step_down(&mut self, cause: &'static str) {
-        if let Some((_, permission)) = self.leading.take() {
+    fn step_down(&mut self, cause: &'static str, context: &Context<Self>) {
+        let leading = self.leading.take();
+        if let Some((_, permission)) = &leading {
             permission.revoke();
         }
         let local = self.parts.view.borrow().local.clone();
         if let Some(leader) = local {
             info!("leader task stopped", kv: { cause = cause });
+            let epoch = leading.map_or(0, |(epoch, _)| epoch);
+            self.stopped = Some(StoppedLeader {
+                epoch,
+                is_stopping: true,
+                unanswered_extensions: None,
+            });
+            let task = context.mailbox().address();
             tokio::spawn(async move {
-                // A task that has ended already needs no message.
-                let _ = leader.send(Fence).priority(LEADER_PRIORITY).await;
+                // A task that has ended already can tell nothing.
+                let unanswered = leader.send(Fence).priority(LEADER_PRIORITY).await.ok();
+                let _ = task.send(LeaderStopped(epoch, unanswered)).await;
             });
             self.publish(|view| view.local = None);
             self.parts.metrics.set_epoch(0);
@@ -341,16 +373,23 @@
         &self,
         replaced_row: Option<LeaderRow>,
         row: &LeaderRow,
-    ) -> watch::Receiver<Option<Instant>> {
+    ) -> watch::Receiver<Option<PredecessorStopped>> {
         let (stopped, receiver) = watch::channel(None);
-        let Some(predecessor) = replaced_row.map(|row| row.record.address) else {
+        let Some(replaced) = replaced_row.map(|row| row.record) else {
             return receiver;
         };
+        let predecessor = replaced.address;
         if predecessor == self.parts.settings.peer_address {
-            stopped.send_replace(Some(Instant::now()));
+            stopped.send_replace(Some(PredecessorStopped {
+                at: Instant::now(),
+                unanswered_extensions: self.left_by(replaced.epoch),
+            }));
             return receiver;
         }
-        let call = CellCall::Superseded { row: row.clone() };
+        let call = CellCall::Superseded {
+            row: row.clone(),
+            asks: true,
+        };
         let peers = self.parts.ports.peers.clone();
         tokio::spawn(async move {
             let give_up_at = Instant::now() + PROMISED_MAX;
@@ -358,9 +397,23 @@
                 let answer: std::result::Result<CellAnswer, CallError> = peers
                     .call(predecessor, SLICE, &call, HEARTBEAT_TIMEOUT)
                     .await;
-                if matches!(answer, Ok(CellAnswer::Acknowledged)) {
-                    info!("predecessor has stopped", kv: { predecessor: = predecessor });
-                    stopped.send_replace(Some(Instant::now()));
+                let told = match answer {
+                    Ok(CellAnswer::Stopped {
+                        unanswered_extensions,
+                    }) => Some(unanswered_extensions),
+                    // An instance of an earlier version tells no more.
+                    Ok(CellAnswer::Acknowledged) => Some(None),
+                    _ => None,
+                };
+                if let Some(unanswered_extensions) = told {
+                    info!("predecessor has stopped", kv: {
+                        predecessor: = predecessor,
+                        unanswered_extensions:? = unanswered_extensions.as_ref().map(Vec::len)
+                    });
+                    stopped.send_replace(Some(PredecessorStopped {
+                        at: Instant::now(),
+                        unanswered_extensions,
+                    }));
                     return;
                 }
                 tokio::time::sleep(NOTIFY_PAUSE).await;
@@ -372,9 +425,16 @@
         receiver
     }
 
+    /// Returns the workers that the local leader task of an epoch has named as it stopped; `None` if
+    /// there was none, or if it has named none yet.
+    fn left_by(&self, epoch: Epoch) -> Option<Vec<WorkerId>> {
+        let stopped = self.stopped.as_ref().filter(|it| it.epoch == epoch)?;
+        stopped.unanswered_extensions.clone()
+    }
+
     /// Replaces the known leader row unless the given one is older, and publishes a newer one. Ends
     /// the local leader task if the row names another instance.
-    fn update_row(&mut self, row: LeaderRow) {
+    fn update_row(&mut self, row: LeaderRow, context: &Context<Self>) {
         let known_version = self.row.as_ref().map_or(0, |row| row.version);
         if row.version < known_version {
             return;
@@ -391,7 +451,7 @@
             self.publish(|view| view.row = Some(published_row));
         }
         if row.record.incarnation != self.parts.incarnation {
-            self.step_down("another instance holds the epoch");
+            self.step_down("another instance holds the epoch", context);
         }
         self.row = Some(row);
     }
--- a/jackdawchute-cell/src/gateway.rs
+++ b/jackdawchute-cell/src/gateway.rs
@@ -253,7 +253,8 @@
             | CellAnswer::AdvisorBusy { .. }
             | CellAnswer::Configuration { .. }
             | CellAnswer::Promised { .. }
-            | CellAnswer::Acknowledged => None,
+            | CellAnswer::Acknowledged
+            | CellAnswer::Stopped { .. } => None,
         }
     }
 }
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -10,7 +10,7 @@
     Submission,
 };
 use jackdawchute_timer::Tick;
-use jackdawchute_types::{whole_ms, IncarnationId, JobId, QueueId};
+use jackdawchute_types::{whole_ms, IncarnationId, JobId, QueueId, WorkerId};
 use spdlog::{info, warn};
 use tokio::sync::oneshot;
 use xtra::prelude::*;
@@ -74,7 +74,8 @@
 /// When the head row was read, and whether this instance still held the epoch; `None` if the row
 /// could not be read or decoded.
 pub(super) struct EpochChecked(pub(super) SentAt, pub(super) Option<bool>);
-/// Another instance holds the epoch, so that the leader task stops.
+/// Another instance holds the epoch, so that the leader task stops and names the workers to which an
+/// order that extends the lease got no answer.
 pub(crate) struct Fence;
 /// A caller's query for the number of a queue's jobs that have not started.
 pub(crate) struct QueryPending(pub(crate) QueueId);
@@ -178,6 +179,9 @@
                     });
                     self.scheduler.order_fenced(&order.worker, order.token);
                 }
+                if matches!(error, Error::Unknown(..)) {
+                    self.scheduler.extension_unanswered(&order, sent_at);
+                }
                 self.scheduler.renew_failed(&order.worker, now);
             }
         }
@@ -437,10 +441,11 @@
 }
 
 impl Handler<Fence> for LeaderTask {
-    type Return = ();
+    type Return = Vec<WorkerId>;
 
-    async fn handle(&mut self, _fence: Fence, _context: &mut Context<Self>) {
+    async fn handle(&mut self, _fence: Fence, _context: &mut Context<Self>) -> Self::Return {
         self.fence();
+        self.scheduler.unanswered_extensions()
     }
 }
 
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -46,7 +46,7 @@
     authority::{Authority, EarlierLeaders, Permission},
     commit::Head,
     committer::Committer,
-    election::EpochLost,
+    election::{EpochLost, PredecessorStopped},
     messages::CellAnswer,
     reachability::Reachability,
     settings::{FOLLOW_PAUSE, FOLLOW_WAIT, TICK_PERIOD},
@@ -76,7 +76,7 @@
     pub(crate) confirmed_at: Instant,
     pub(crate) earlier: EarlierLeaders,
     /// When the predecessor is known to have stopped; `None` until then.
-    pub(crate) predecessor_stopped: watch::Receiver<Option<Instant>>,
+    pub(crate) predecessor_stopped: watch::Receiver<Option<PredecessorStopped>>,
     /// How many takeovers in a row, the one of this epoch included, happened because of lag.
     pub(crate) lag_takeovers: u32,
     pub(crate) own_address: SocketAddr,
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest, JobGraph, JobStatus, QueuePolicy};
-use jackdawchute_types::{ConfigurationVersion, Epoch, IncarnationId, JobId, QueueId};
+use jackdawchute_types::{ConfigurationVersion, Epoch, IncarnationId, JobId, QueueId, WorkerId};
 use serde::{Deserialize, Serialize};
 
 use crate::{claim::LeaderRow, Routes};
@@ -58,8 +58,14 @@
     },
     /// Asks for the configuration in use, for an instance that cannot read it itself.
     Configuration,
-    /// Tells a former leader that it was replaced, in case it cannot read the store.
-    Superseded { row: LeaderRow },
+    /// Tells a former leader that it was replaced, in case it cannot read the store, and asks what
+    /// its successor needs to know.
+    Superseded {
+        row: LeaderRow,
+        /// Whether the caller understands [`CellAnswer::Stopped`].
+        #[serde(default)]
+        asks: bool,
+    },
     /// Asks for a promise not to claim the epoch after this one, as the leader cannot confirm it.
     Promise { epoch: Epoch },
 }
@@ -151,4 +157,10 @@
     /// The instance has received the message.
     #[serde(rename = "noted")]
     Acknowledged,
+    /// The instance has stopped to act for the epoch that was replaced.
+    Stopped {
+        /// The workers to which an order of that epoch's leader that extends the lease got no
+        /// answer; `None` if the instance does not know.
+        unanswered_extensions: Option<Vec<WorkerId>>,
+    },
 }
--- a/jackdawchute-cell/src/peers.rs
+++ b/jackdawchute-cell/src/peers.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     advisor::{self, AdviceOutcome, AdvisorTask},
-    election::{ElectionTask, LeaderRowReceived, LeaderView, PromiseRequested, TakeOver},
+    election::{ElectionTask, LeaderView, PromiseRequested, Superseded, TakeOver},
     leader::{Cancel, LeaderTask, PeerHeartbeat, PeerState, QueryPending, QueryStatus, Submit},
     messages::{CellAnswer, CellCall},
     settings::LEADER_PRIORITY,
@@ -70,12 +70,11 @@
                     Err(_) => CellAnswer::NotLeader,
                 }
             }
-            CellCall::Superseded { row } => {
-                match self.election.send(LeaderRowReceived(Some(row))).await {
-                    Ok(()) => CellAnswer::Acknowledged,
-                    Err(_) => CellAnswer::NotLeader,
-                }
-            }
+            CellCall::Superseded { row, asks } => match self.election.send(Superseded(row)).await {
+                Ok(CellAnswer::Stopped { .. }) if !asks => CellAnswer::Acknowledged,
+                Ok(answer) => answer,
+                Err(_) => CellAnswer::NotLeader,
+            },
             call => {
                 let (local, epoch) = {
                     let view = self.view.borrow();
--- a/jackdawchute-scheduler/src/authority.rs
+++ b/jackdawchute-scheduler/src/authority.rs
@@ -29,6 +29,10 @@
     pub(crate) earlier_until: Instant,
     /// The longest time that a run lasts after its lease was extended.
     pub(crate) lease_time: Duration,
+    /// The longest time that a run lasts after an order to extend its lease that got no answer.
+    pub(crate) late_extension_time: Duration,
+    /// Whether a silent worker may carry out an order of an earlier leader late that no row names.
+    pub(crate) suspects_late_extensions: bool,
 }
 
 impl EpochAuthority {
@@ -41,14 +45,6 @@
         }
     }
 
-    pub(crate) fn lapse_view(&self, settings: &Settings) -> LapseView {
-        LapseView {
-            as_of: self.confirmed_at,
-            earlier_until: self.earlier_until,
-            lease_time: lease_time(settings),
-        }
-    }
-
     /// Returns until when a run may last under a lease that an earlier leader extended last.
     pub(crate) fn earlier_leases_until(&self, settings: &Settings) -> Instant {
         self.earlier_until + lease_time(settings)
@@ -60,12 +56,21 @@
     settings.hold_max.div_f64(CLOCK_RATE_MIN) + LAPSE_STOP_MAX
 }
 
+/// Returns how long a run may last after an order to extend its lease was sent that got no answer.
+///
+/// The order may be carried out until the lease that it extends has lapsed, and counts from there.
+/// There is one such order at most: the next one is sent only to a worker that refuses it.
+pub(crate) fn late_extension_time(settings: &Settings) -> Duration {
+    lease_time(settings) * 2
+}
+
 fn lease_time(settings: &Settings) -> Duration {
     settings.lease_max().div_f64(CLOCK_RATE_MIN) + LAPSE_STOP_MAX
 }
 
 impl Settings {
-    /// Returns the longest lease that a leader grants: a renewal's lease begins after its wait.
+    /// Returns the longest lease that a leader grants, in a renewal: the next one may come only after
+    /// one that waits for a run to end.
     ///
     /// ```
     /// let settings = jackdawchute_scheduler::Settings::default();
@@ -103,6 +108,12 @@
     }
 
     pub(crate) fn lapse_view(&self) -> LapseView {
-        self.authority.lapse_view(&self.settings)
+        LapseView {
+            as_of: self.authority.confirmed_at,
+            earlier_until: self.authority.earlier_until,
+            lease_time: lease_time(&self.settings),
+            late_extension_time: late_extension_time(&self.settings),
+            suspects_late_extensions: self.suspects_late_extensions(),
+        }
     }
 }
--- a/jackdawchute-scheduler/src/batch.rs
+++ b/jackdawchute-scheduler/src/batch.rs
@@ -166,7 +166,7 @@
             }
             if worker.row_needed {
                 named.push(worker.id().clone());
-                records.push(WorkerRecord::new(&worker.entry));
+                records.push(WorkerRecord::new(worker));
             } else {
                 worker.row_saved = false;
             }
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -14,7 +14,9 @@
 mod ends;
 mod error;
 mod estimates;
+mod extensions;
 mod free_capacity;
+
 mod graph;
 mod job;
 mod late_starts;
--- a/jackdawchute-scheduler/src/lost_workers.rs
+++ b/jackdawchute-scheduler/src/lost_workers.rs
@@ -39,14 +39,15 @@
                 self.stop_rest_of_gang(&task);
             }
         }
-        let (incarnations_seen, rows) = (&mut self.incarnations_seen, &mut self.worker_rows);
+        let (token_raises, rows) = (&mut self.token_raises, &mut self.worker_rows);
         self.workers.retain(|id, worker| {
             let is_old = worker
                 .unlisted_at
                 .is_some_and(|at| now.saturating_duration_since(at) > UNLISTED_RETENTION);
             let keep = worker.listed || worker.row_needed || !worker.is_idle() || !is_old;
-            if !keep && worker.incarnations_seen > 0 {
-                incarnations_seen.insert(id.clone(), worker.incarnations_seen);
+            let raises = worker.incarnations_seen + worker.token_raises;
+            if !keep && raises > 0 {
+                token_raises.insert(id.clone(), raises);
             }
             if !keep {
                 rows.remove(worker.row, worker.row_bytes);
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -9,6 +9,7 @@
 use spdlog::{info, warn};
 
 use crate::{
+    extensions::{RenewalKind, UnansweredExtensions},
     job::JobPhase,
     progress::Progress,
     records::WorkerRecord,
@@ -89,7 +90,7 @@
             let row_bytes = WorkerRecord::bytes_max(&id);
             let row = self.worker_rows.assign(row_bytes);
             let mut worker = Worker::new(entry, row, row_bytes, now);
-            worker.incarnations_seen = self.incarnations_seen.get(&id).copied().unwrap_or(0);
+            worker.token_raises = self.token_raises.get(&id).copied().unwrap_or(0);
             worker.leaving_at = leaving_at;
             self.workers.insert(id, worker);
             return;
@@ -155,6 +156,7 @@
             return outcome;
         };
         worker.renewal_under_way = false;
+        worker.extensions.under_way = false;
         if worker.unanswered_since.take().is_some() {
             info!("worker answers again", kv: { worker = order.worker.as_str() });
         }
@@ -210,8 +212,15 @@
         if !has_current_token {
             return outcome;
         }
-        let is_first_acknowledgement = !worker.token_acknowledged;
+        let is_first_acknowledgement = worker.acknowledged_at.is_none();
         worker.token_acknowledged = true;
+        let lease_until = order.lease_until.unwrap_or_default();
+        worker.lease_confirmed = worker.lease_confirmed.max(lease_until);
+        if worker.extensions.may_be_late() {
+            // The worker refuses orders with earlier tokens from now on.
+            worker.extensions = UnansweredExtensions::default();
+            self.worker_rows.mark_unsaved(worker.row);
+        }
         worker.ends_confirmed = worker.ends_confirmed.max(order.ends_saved);
         // The clock of an incarnation starts anew, and orders to a former one reach it for so long.
         let stray_orders_max = self.settings.late_order_max + self.settings.hold_max;
@@ -238,13 +247,18 @@
         let idle_pause = self.idle_pause();
         let commit_wait = self.commit_wait();
         if let Some(worker) = self.workers.get_mut(&order.worker) {
-            if worker.ends_recorded > worker.ends_saved {
+            let kind = worker.renewal_kind(&self.settings, self.authority.may_act, now);
+            if kind == RenewalKind::Extend {
+                worker.renewal_next_at = now;
+            } else if worker.ends_recorded > worker.ends_saved {
                 worker.renewal_next_at = now + commit_wait;
             } else if worker.is_idle() {
                 worker.renewal_next_at = now + idle_pause;
             }
         }
         self.placement_needed = true;
+        // The extension of a lease follows an answer at once, while the path to the worker works.
+        self.issue_extension(&order.worker, now);
         outcome
     }
 
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -6,6 +6,7 @@
 use spdlog::{info, warn};
 
 use crate::{
+    extensions::RenewalKind,
     worker::{Run, RunPhase, Worker},
     Effect, RenewOrder, Scheduler, Settings, StopOrder, TaskName,
 };
@@ -221,10 +222,21 @@
         }
     }
 
+    /// Extends the lease of a worker that was heard just now, if that is due.
+    pub(crate) fn issue_extension(&mut self, worker: &WorkerId, now: Instant) {
+        let may_act = self.authority.may_act;
+        let target = self.workers.get(worker);
+        let kind = target.map(|target| target.renewal_kind(&self.settings, may_act, now));
+        if kind == Some(RenewalKind::Extend) {
+            self.issue_renewal(worker, now);
+        }
+    }
+
     /// Handles a renewal that got no answer.
     pub fn renew_failed(&mut self, worker: &WorkerId, now: Instant) {
         if let Some(target) = self.workers.get_mut(worker) {
             target.renewal_under_way = false;
+            target.extensions.under_way = false;
             target.renewal_next_at = now + RENEWAL_RETRY_DELAY;
         }
         self.record_no_answer(worker, now);
@@ -292,18 +304,18 @@
     now: Instant,
 ) -> RenewOrder {
     let is_responsive = worker.is_responsive();
-    let wait = if is_responsive && !worker.awaits_stop_confirmation() {
-        settings.renew_wait_max
-    } else {
-        Duration::ZERO
+    let kind = worker.renewal_kind(settings, may_act, now);
+    let wait = match kind {
+        RenewalKind::Wait(wait) => wait,
+        RenewalKind::Extend | RenewalKind::Probe => Duration::ZERO,
     };
-    // The lease of a worker that does not answer is not extended, so that it lapses.
     let lease_until = worker
-        .lease_until(settings.lease + wait, now)
-        .filter(|_| is_responsive && may_act);
+        .lease_until(settings.lease_max(), now)
+        .filter(|_| kind == RenewalKind::Extend);
     if let Some(until) = lease_until {
         worker.lease_sent = worker.lease_sent.max(until);
     }
+    worker.extensions.under_way = lease_until.is_some();
     worker.renewal_under_way = true;
     RenewOrder {
         worker: worker.entry.worker.clone(),
--- a/jackdawchute-scheduler/src/records.rs
+++ b/jackdawchute-scheduler/src/records.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     row_size::{numbered_key, RowNumber, ROW_BYTES_MAX},
-    JobGraph, JobOutcome, QueuePolicy, RowChange, RowTable, WorkerEntry,
+    worker::Worker,
+    JobGraph, JobOutcome, QueuePolicy, RowChange, RowTable,
 };
 
 /// The row of an accepted job.
@@ -34,16 +35,20 @@
 pub(crate) struct WorkerRecord {
     pub(crate) worker: WorkerId,
     pub(crate) address: std::net::SocketAddr,
+    /// Whether the worker may carry out an order late that extends its lease.
+    #[serde(default, rename = "late", skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) may_extend_late: bool,
     /// Present in rows of versions that gave tasks to workers before their rows were saved.
     #[serde(default, rename = "service", skip_serializing)]
     earlier_service: Option<SmolStr>,
 }
 
 impl WorkerRecord {
-    pub(crate) fn new(entry: &WorkerEntry) -> Self {
+    pub(crate) fn new(worker: &Worker) -> Self {
         Self {
-            worker: entry.worker.clone(),
-            address: entry.address,
+            worker: worker.id().clone(),
+            address: worker.entry.address,
+            may_extend_late: worker.extensions.may_be_late(),
             earlier_service: None,
         }
     }
@@ -62,7 +67,7 @@
 
 /// The most bytes of a worker's record without its id: the names of the fields, and the longest
 /// address.
-const WORKER_RECORD_BYTES_MAX: usize = 96;
+const WORKER_RECORD_BYTES_MAX: usize = 112;
 
 /// Returns the removal of a row.
 pub(crate) fn removal(table: RowTable, key: SmolStr) -> RowChange {
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -39,6 +39,10 @@
     complete: bool,
     /// Whether the saved rows name all workers that may run tasks of an earlier leader.
     rows_name_all: bool,
+    /// Whether the saved rows name a worker that may carry out an order late that extends its lease.
+    pub(crate) extensions_seen: bool,
+    /// Whether the replaced leader has told which such orders got no answer.
+    pub(crate) extensions_told: bool,
     /// Whether it was logged what the recovery waits for.
     wait_logged: bool,
 }
@@ -49,6 +53,8 @@
             began_at: now,
             complete: false,
             rows_name_all: true,
+            extensions_seen: false,
+            extensions_told: false,
             wait_logged: false,
         }
     }
@@ -266,6 +272,8 @@
             worker.unlisted_at = Some(now);
             (worker.row_needed, worker.row_saved) = (true, true);
             worker.recovered = true;
+            worker.extensions.of_earlier_leader = record.may_extend_late;
+            self.recovery.extensions_seen |= record.may_extend_late;
         }
     }
 
--- a/jackdawchute-scheduler/src/settings.rs
+++ b/jackdawchute-scheduler/src/settings.rs
@@ -10,7 +10,8 @@
     /// Longer than a takeover, so that tasks outlive it; short enough that the tasks of a worker
     /// that is cut off can soon run elsewhere.
     pub lease: Duration,
-    /// The longest time that a worker may delay its answer to a renewal while no run ends.
+    /// The longest time that a worker may delay its answer to a renewal while no run ends; a renewal
+    /// that extends the lease lengthens it by as much, and is answered at once.
     pub renew_wait_max: Duration,
     /// The longest time for which a worker runs tasks without a further order, on its own clock: the
     /// end of a lease that lies further ahead is brought forward.
--- a/jackdawchute-scheduler/src/start_answers.rs
+++ b/jackdawchute-scheduler/src/start_answers.rs
@@ -34,6 +34,7 @@
                 run.answered_clock = Some(clock);
                 run.start_outcome_unknown = false;
                 run.seen_running = true;
+                let lease_until = run.start_order.as_ref().map(|order| order.lease_until);
                 match run.phase {
                     RunPhase::Starting => run.phase = RunPhase::Running,
                     // The worker has listed the run before this answer arrived.
@@ -43,6 +44,10 @@
                 if let Some(job) = self.jobs.get_mut(&task.step.job) {
                     job.begun = true;
                 }
+                if let Some(worker) = self.workers.get_mut(worker) {
+                    let confirmed = lease_until.unwrap_or_default();
+                    worker.lease_confirmed = worker.lease_confirmed.max(confirmed);
+                }
             }
             StartAnswer::Refused { reason, clock } => {
                 let outcome_unknown = run.start_outcome_unknown;
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -71,9 +71,9 @@
     pub(crate) services: Option<BTreeSet<ServiceId>>,
     /// The listed workers of other services, which are sent nothing.
     pub(crate) unused_workers: BTreeMap<WorkerId, WorkerEntry>,
-    /// The latest [`Worker::incarnations_seen`] of workers that were dropped, so that their tokens
-    /// do not fall when they are listed again.
-    pub(crate) incarnations_seen: HashMap<WorkerId, u64>,
+    /// How often the tokens of workers that were dropped had been raised, so that they do not fall
+    /// when the workers are listed again.
+    pub(crate) token_raises: HashMap<WorkerId, u64>,
     pub(crate) run_times: RunTimes,
     pub(crate) allowed_shares: AllowedShares,
     /// When advice is next requested for steps behind a great deal of waiting work.
@@ -132,7 +132,7 @@
             workers: BTreeMap::new(),
             services: None,
             unused_workers: BTreeMap::new(),
-            incarnations_seen: HashMap::new(),
+            token_raises: HashMap::new(),
             run_times: RunTimes::default(),
             allowed_shares: AllowedShares::default(),
             far_advice_next_at: now,
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -8,8 +8,8 @@
 use jackdawchute_types::{FencingToken, JobId, Resources, RunNumber, WorkerId};
 
 use crate::{
-    authority::LapseView, progress::Progress, unsaved::ChangeNumber, worker_rows::RowIndex,
-    StartOrder, TaskName, WorkerEntry,
+    authority::LapseView, extensions::UnansweredExtensions, progress::Progress,
+    unsaved::ChangeNumber, worker_rows::RowIndex, StartOrder, TaskName, WorkerEntry,
 };
 
 /// The lowest rate at which a worker's clock may advance, as a multiple of the leader's.
@@ -98,6 +98,8 @@
     /// How many further incarnations have answered after the first; added to the fencing token, so
     /// that a restart of the worker raises it.
     pub(crate) incarnations_seen: u64,
+    /// How often the fencing token was raised so that the worker refuses an order without an answer.
+    pub(crate) token_raises: u64,
     /// Whether the worker has answered a renewal with the current token, and so refuses all lower
     /// ones.
     pub(crate) token_acknowledged: bool,
@@ -113,6 +115,10 @@
     pub(crate) ends_unsaved: VecDeque<(ChangeNumber, u64)>,
     /// The latest end of a lease that was sent to the worker, on the worker's clock.
     pub(crate) lease_sent: Duration,
+    /// The latest end of a lease that the worker has confirmed, on the worker's clock.
+    pub(crate) lease_confirmed: Duration,
+    /// The extensions of the lease of which the outcome is not known.
+    pub(crate) extensions: UnansweredExtensions,
     pub(crate) renewal_under_way: bool,
     pub(crate) renewal_next_at: Instant,
     /// Since when the worker has answered no renewal; `None` if it answered the last one.
@@ -162,6 +168,7 @@
             leaving_at: None,
             incarnation: None,
             incarnations_seen: 0,
+            token_raises: 0,
             token_acknowledged: false,
             runs: HashMap::new(),
             ends_recorded: 0,
@@ -169,6 +176,8 @@
             ends_confirmed: 0,
             ends_unsaved: VecDeque::new(),
             lease_sent: Duration::ZERO,
+            lease_confirmed: Duration::ZERO,
+            extensions: UnansweredExtensions::default(),
             renewal_under_way: false,
             renewal_next_at: now,
             unanswered_since: None,
@@ -229,6 +238,7 @@
         self.ends_confirmed = 0;
         self.ends_unsaved.clear();
         self.lease_sent = Duration::ZERO;
+        self.lease_confirmed = Duration::ZERO;
         self.renewal_next_at = now;
         self.health.failed_jobs.clear();
     }
@@ -296,11 +306,20 @@
     /// earlier one.
     pub(crate) fn lease_lapsed(&self, view: LapseView) -> bool {
         let clock = self.clock_earliest(view.as_of);
-        let own_lapsed = clock.is_none_or(|clock| clock > self.lease_sent + LAPSE_STOP_MAX);
-        // From its acknowledgement of this leader's token on the worker refuses earlier leaders.
-        let acknowledged_at = self.acknowledged_at.unwrap_or(view.earlier_until);
-        let earlier_until = view.earlier_until.min(acknowledged_at);
-        own_lapsed && view.as_of > earlier_until + view.lease_time
+        let own_lapsed = clock.is_none_or(|clock| clock > self.lease_sent + LAPSE_STOP_MAX)
+            && self
+                .extensions
+                .runs_until
+                .is_none_or(|until| view.as_of > until);
+        let earlier_leases_until = match self.acknowledged_at {
+            // From its acknowledgement of this leader's token on the worker refuses earlier leaders.
+            Some(at) => view.earlier_until.min(at) + view.lease_time,
+            None if self.extensions.of_earlier_leader || view.suspects_late_extensions => {
+                view.earlier_until + view.late_extension_time
+            }
+            None => view.earlier_until + view.lease_time,
+        };
+        own_lapsed && view.as_of > earlier_leases_until
     }
 
     /// Returns when this incarnation of the worker last listed its runs and refused earlier tokens.
@@ -338,7 +357,7 @@
 
     /// Returns the fencing token for orders to the worker, from the base of the epoch.
     pub(crate) fn token(&self, base: FencingToken) -> FencingToken {
-        base + self.incarnations_seen
+        base + self.incarnations_seen + self.token_raises
     }
 
     /// Returns whether new tasks may be placed on the worker by a leader whose epoch was confirmed at
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -9,6 +9,7 @@
 mod large_cells;
 mod large_jobs;
 mod lasting_tasks;
+mod late_extensions;
 mod late_orders;
 mod lateness;
 mod lost_workers;
--- a/jackdawchute-scheduler/tests/behaviour/saving.rs
+++ b/jackdawchute-scheduler/tests/behaviour/saving.rs
@@ -29,6 +29,15 @@
     cell
 }
 
+/// Answers the order that extends the lease, which follows an answer at once while tasks run.
+fn answer_extension(cell: &mut Cell) {
+    cell.run_round();
+    let renewal = cell.latest_renewal_of("w1");
+    if renewal.lease_until.is_some() {
+        cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+    }
+}
+
 /// On a slow store the progress of running jobs can fill every commit; callers whose jobs are in
 /// none of them would wait.
 #[test]
@@ -77,6 +86,7 @@
     let mut saved = Vec::new();
     while let Some(batch) = cell.scheduler.take_batch(ROWS_MAX, 1_000_000, 0) {
         cell.scheduler.committed(&batch, cell.now);
+        answer_extension(&mut cell);
         cell.tick(2_000);
         let renewal = cell.latest_renewal_of("w1");
         saved.push(renewal.ends_saved);
--- a/jackdawchute-standins/examples/soak.rs
+++ b/jackdawchute-standins/examples/soak.rs
@@ -2,9 +2,10 @@
 //!
 //! Run with `cargo run --release -p jackdawchute-standins --example soak -- PROGRAM COMMAND [SEEDS]
 //! [FIRST] [SECONDS] [LOGS]`; COMMAND is `serve`, `cell`, or `cell-partitions` for cells with
-//! partitions by failure domain, `cell-partitions-long` for those under long tasks, or
+//! partitions by failure domain, `cell-partitions-long` for those under long tasks,
 //! `cell-restarts` for those with workers that restart while they are cut off and late orders to
-//! them. It runs SEEDS seeds from FIRST on, each with faults for SECONDS; the instances' logs of a
+//! them, or `cell-late-extensions` for those with workers that are cut off after late extensions of
+//! their leases. It runs SEEDS seeds from FIRST on, each with faults for SECONDS; the instances' logs of a
 //! failed seed are copied to the folder LOGS. It exits with 1 if a seed failed or a signal ended the
 //! run.
 
@@ -27,12 +28,13 @@
 }
 
 /// What can be soaked.
-const COMMANDS: [&str; 5] = [
+const COMMANDS: [&str; 6] = [
     "serve",
     "cell",
     "cell-partitions",
     "cell-partitions-long",
     "cell-restarts",
+    "cell-late-extensions",
 ];
 
 /// The arguments of the command line.
@@ -86,6 +88,9 @@
                 "cell" => cell_soak::CellSoakPlan::new(seed, options.duration),
                 "cell-partitions" => cell_soak::CellSoakPlan::partitions(seed, options.duration),
                 "cell-restarts" => cell_soak::CellSoakPlan::restarts(seed, options.duration),
+                "cell-late-extensions" => {
+                    cell_soak::CellSoakPlan::late_extensions(seed, options.duration)
+                }
                 _ => cell_soak::CellSoakPlan::partitions_under_long_tasks(seed, options.duration),
             };
             let plan = cell_soak::CellSoakPlan {
--- a/jackdawchute-standins/src/cell/fleet.rs
+++ b/jackdawchute-standins/src/cell/fleet.rs
@@ -57,9 +57,10 @@
     /// Makes all changes that are due by `now`: late orders, and the ends of runs whose task time
     /// or stop time has passed or whose worker lease has lapsed.
     pub(super) fn advance(&mut self, now: Instant) {
-        while let Some((due_at, order)) = self.late_orders.take_due(now) {
+        while let Some(late) = self.late_orders.take_due(now) {
+            let due_at = late.due_at;
             self.end_due_runs(due_at);
-            match order {
+            match late.order {
                 Order::Start(order) => {
                     self.start(&order, due_at, true);
                 }
@@ -67,7 +68,9 @@
                     // Nobody waits for the answer.
                     let _ = self.stop(&order, due_at);
                 }
-                Order::Renewal(order) => {
+                Order::Renewal(mut order) => {
+                    // The lease counts from now.
+                    order.lease_until = order.lease_until.map(|until| until + late.delay);
                     self.renew(&order, due_at);
                 }
             }
--- a/jackdawchute-standins/src/cell/late_orders.rs
+++ b/jackdawchute-standins/src/cell/late_orders.rs
@@ -15,8 +15,11 @@
     Start,
     /// To stop a run.
     Stop,
-    /// To renew the worker lease.
+    /// To renew the worker lease, or to list the runs.
     Renewal,
+    /// To extend the worker lease; one of the renewals. A late one counts from when it is carried
+    /// out.
+    Extension,
 }
 
 /// An order to a worker.
@@ -28,11 +31,14 @@
 }
 
 impl Order {
-    fn kind(&self) -> OrderKind {
+    fn is_of_kind(&self, kind: OrderKind) -> bool {
         match self {
-            Self::Start(_) => OrderKind::Start,
-            Self::Stop(_) => OrderKind::Stop,
-            Self::Renewal(_) => OrderKind::Renewal,
+            Self::Start(_) => kind == OrderKind::Start,
+            Self::Stop(_) => kind == OrderKind::Stop,
+            Self::Renewal(order) => {
+                let is_extension = kind == OrderKind::Extension && order.lease_until.is_some();
+                kind == OrderKind::Renewal || is_extension
+            }
         }
     }
 
@@ -45,12 +51,20 @@
     }
 }
 
+/// An order that has arrived and is not carried out yet.
+#[derive(Clone, Debug)]
+pub(super) struct LateOrder {
+    pub(super) due_at: Instant,
+    pub(super) delay: Duration,
+    pub(super) order: Order,
+}
+
 /// Which orders are carried out late, and those that have arrived and are not carried out yet.
 #[derive(Debug, Default)]
 pub(super) struct LateOrders {
     delays: BTreeMap<(WorkerId, OrderKind), Duration>,
-    /// When each order is due, in the order of their arrival.
-    under_way: Vec<(Instant, Order)>,
+    /// When each order is due and by how much it is late, in the order of their arrival.
+    under_way: Vec<LateOrder>,
 }
 
 impl LateOrders {
@@ -71,23 +85,31 @@
 
     /// Takes an order that is to be carried out late; returns whether it is one.
     pub(super) fn take(&mut self, order: &Order, now: Instant) -> bool {
-        let delay = self.delays.get(&(order.worker().clone(), order.kind()));
+        let mut delays = self.delays.iter();
+        let delay =
+            delays.find(|((worker, kind), _)| worker == order.worker() && order.is_of_kind(*kind));
+        let delay = delay.map(|(_, delay)| delay);
         if let Some(delay) = delay {
-            self.under_way.push((now + *delay, order.clone()));
+            self.under_way.push(LateOrder {
+                due_at: now + *delay,
+                delay: *delay,
+                order: order.clone(),
+            });
         }
         delay.is_some()
     }
 
     /// Removes and returns the order that is due first, if that is by `now`.
-    pub(super) fn take_due(&mut self, now: Instant) -> Option<(Instant, Order)> {
+    pub(super) fn take_due(&mut self, now: Instant) -> Option<LateOrder> {
         let by_time = self.under_way.iter().enumerate();
-        let (index, (due_at, _)) = by_time.min_by_key(|(_, (due_at, _))| *due_at)?;
-        (*due_at <= now).then(|| self.under_way.remove(index))
+        let (index, first) = by_time.min_by_key(|(_, late)| late.due_at)?;
+        (first.due_at <= now).then(|| self.under_way.remove(index))
     }
 
     /// Returns the worker of each order of a kind that is not carried out yet.
     pub(super) fn workers(&self, kind: OrderKind) -> Vec<WorkerId> {
-        let of_kind = self.under_way.iter().filter(|it| it.1.kind() == kind);
-        of_kind.map(|it| it.1.worker().clone()).collect()
+        let orders = self.under_way.iter().map(|late| &late.order);
+        let of_kind = orders.filter(|order| order.is_of_kind(kind));
+        of_kind.map(|order| order.worker().clone()).collect()
     }
 }
--- a/jackdawchute-standins/src/cell_soak/environment.rs
+++ b/jackdawchute-standins/src/cell_soak/environment.rs
@@ -314,12 +314,24 @@
     /// Cuts a worker off from all instances and starts its next incarnation, which is not listed.
     async fn restart_cut_off(&self, index: usize) -> Result<()> {
         let worker = &self.listed_workers[index];
-        let id = &worker.entry.worker;
-        self.links.set_faults(id, LinkFaults::cut());
-        self.workers.crash(id);
+        self.workers.crash(&worker.entry.worker);
+        self.cut_off_worker(index).await
+    }
+
+    /// Cuts a worker off from all instances.
+    async fn cut_off_worker(&self, index: usize) -> Result<()> {
+        let worker = &self.listed_workers[index];
+        self.links
+            .set_faults(&worker.entry.worker, LinkFaults::cut());
         worker.proxy.cut().await
     }
 
+    /// Makes a worker answer extensions of its lease late, or as they arrive when the fault ends.
+    fn set_late_extensions(&self, index: usize, delay: Option<Duration>) {
+        let id = &self.listed_workers[index].entry.worker;
+        self.workers.set_late(id, &[OrderKind::Extension], delay);
+    }
+
     /// Connects a worker that was cut off, and lists its incarnation.
     async fn reconnect_worker(&self, index: usize) -> Result<()> {
         let id = &self.listed_workers[index].entry.worker;
@@ -382,6 +394,10 @@
                 renewals,
             } => self.set_late_orders(worker, Some(delay), renewals),
             CellFault::RestartCutOff(index) => self.restart_cut_off(index).await?,
+            CellFault::LateExtensions { worker, delay } => {
+                self.set_late_extensions(worker, Some(delay));
+            }
+            CellFault::CutOff(index) => self.cut_off_worker(index).await?,
             _ => {}
         }
         if self.cuts.update(fault, true) {
@@ -410,7 +426,10 @@
             CellFault::LateOrders {
                 worker, renewals, ..
             } => self.set_late_orders(worker, None, renewals),
-            CellFault::RestartCutOff(index) => self.reconnect_worker(index).await?,
+            CellFault::RestartCutOff(index) | CellFault::CutOff(index) => {
+                self.reconnect_worker(index).await?;
+            }
+            CellFault::LateExtensions { worker, .. } => self.set_late_extensions(worker, None),
             _ => {}
         }
         if self.cuts.update(fault, false) {
--- a/jackdawchute-standins/src/cell_soak/fault.rs
+++ b/jackdawchute-standins/src/cell_soak/fault.rs
@@ -83,6 +83,15 @@
     },
     /// A worker restarts under its id while it is cut off from the store and all instances.
     RestartCutOff(usize),
+    /// A worker answers no extension of its lease, and carries them out late; they count from there.
+    LateExtensions {
+        /// The worker.
+        worker: usize,
+        /// How much later it carries them out.
+        delay: Duration,
+    },
+    /// A worker is cut off from the store and all instances, and runs on.
+    CutOff(usize),
 }
 
 impl SoakFault for CellFault {
@@ -97,10 +106,13 @@
             Self::StoreSlow(_) => ("store delay", None),
             Self::StoreLoses(_) => ("store responses", None),
             Self::WorkerNetwork(index, _) => ("worker network", Some(index)),
-            Self::WorkerCrash(index) | Self::WorkerRestart(index) | Self::RestartCutOff(index) => {
-                ("worker", Some(index))
+            Self::WorkerCrash(index)
+            | Self::WorkerRestart(index)
+            | Self::RestartCutOff(index)
+            | Self::CutOff(index) => ("worker", Some(index)),
+            Self::LateOrders { worker, .. } | Self::LateExtensions { worker, .. } => {
+                ("worker orders", Some(worker))
             }
-            Self::LateOrders { worker, .. } => ("worker orders", Some(worker)),
             Self::AdvisorNetwork(_) => ("advisor network", None),
             Self::Partition { domain, .. } => ("failure domain", Some(domain)),
             Self::Isolate(index, _) => ("peers", Some(index)),
--- a/jackdawchute-standins/src/cell_soak/mod.rs
+++ b/jackdawchute-standins/src/cell_soak/mod.rs
@@ -9,6 +9,7 @@
 mod environment;
 mod fault;
 mod instance;
+mod late_extensions;
 mod plan;
 mod restarts;
 mod run;
--- a/jackdawchute-standins/src/cell_soak/plan.rs
+++ b/jackdawchute-standins/src/cell_soak/plan.rs
@@ -6,6 +6,7 @@
 
 use super::{
     fault::{draw_fault, draw_partition, PARTITION_DURATION_MS},
+    late_extensions::draw_late_extensions,
     restarts::{draw_restarts, may_begin},
     CellFault,
 };
@@ -26,6 +27,9 @@
     Partitions,
     /// Partitions, with workers that restart while they are cut off and late orders to them.
     Restarts,
+    /// Workers that are cut off after late extensions of their leases, with faults of instances'
+    /// processes.
+    LateExtensions,
 }
 
 /// How long tasks run, and how often callers submit a job of one or two steps.
@@ -49,6 +53,11 @@
         task_time: Duration::from_millis(6_000),
         job_period: Duration::from_millis(1_200),
     };
+    /// Tasks that run longer than two leases, so that only a lease ends them behind a cut.
+    pub const LONGER: Self = Self {
+        task_time: Duration::from_millis(14_000),
+        job_period: Duration::from_millis(2_400),
+    };
     /// As [`LONG`](Self::LONG), for a cell of nine workers.
     pub const LONG_FOR_NINE: Self = Self {
         task_time: Duration::from_millis(6_000),
@@ -155,12 +164,31 @@
         }
     }
 
+    /// Creates a plan with workers that are cut off after late extensions of their leases, tasks
+    /// longer than these, and the faults of processes of [`new`](Self::new).
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_standins::cell_soak::{CellFault, CellSoakPlan};
+    ///
+    /// let plan = CellSoakPlan::late_extensions(1, Duration::from_secs(30));
+    /// let is_cut = |fault: &CellFault| matches!(fault, CellFault::CutOff(_));
+    /// assert!(plan.disturbances().iter().any(|it| is_cut(&it.fault)));
+    /// ```
+    pub fn late_extensions(seed: u64, duration: Duration) -> Self {
+        Self {
+            kinds: FaultKinds::LateExtensions,
+            load: TaskLoad::LONGER,
+            ..Self::new(seed, duration)
+        }
+    }
+
     /// Returns the faults in the order in which they begin; those of one part of the cell do not
     /// overlap.
     pub fn disturbances(&self) -> Vec<Disturbance<CellFault>> {
         let mut random = StdRng::seed_from_u64(self.seed);
         let (draw, duration_ms): (DrawFault, _) = match self.kinds {
-            FaultKinds::Single => (draw_fault, FAULT_DURATION_MS),
+            FaultKinds::Single | FaultKinds::LateExtensions => (draw_fault, FAULT_DURATION_MS),
             FaultKinds::Partitions | FaultKinds::Restarts => {
                 (draw_partition, PARTITION_DURATION_MS)
             }
@@ -168,12 +196,24 @@
         let mut drawn = draw_disturbances(&mut random, self.duration, duration_ms, |random| {
             draw(random, self.instances, self.workers)
         });
+        let is_restart = |fault| matches!(fault, CellFault::WorkerRestart(_));
         if self.kinds == FaultKinds::Restarts {
-            let is_restart = |fault| matches!(fault, CellFault::WorkerRestart(_));
             drawn.retain(|it| may_begin(it.at) && !is_restart(it.fault));
             drawn.extend(draw_restarts(self.seed, self.duration, self.workers));
-            drawn.sort_by_key(|it| it.at);
         }
+        if self.kinds == FaultKinds::LateExtensions {
+            drawn.retain(|it| is_of_process(&it.fault));
+            drawn.extend(draw_late_extensions(self.seed, self.duration, self.workers));
+        }
+        drawn.sort_by_key(|it| it.at);
         drawn
     }
 }
+
+/// Returns whether an instance is killed, terminated or paused.
+fn is_of_process(fault: &CellFault) -> bool {
+    matches!(
+        fault,
+        CellFault::Kill(_) | CellFault::Terminate(_) | CellFault::Pause(_)
+    )
+}
--- a/jackdawchute-standins/src/cell_soak/restarts.rs
+++ b/jackdawchute-standins/src/cell_soak/restarts.rs
@@ -97,6 +97,6 @@
     [late_orders, restart]
 }
 
-fn draw_ms(random: &mut StdRng, (shortest, longest): (u64, u64)) -> Duration {
+pub(super) fn draw_ms(random: &mut StdRng, (shortest, longest): (u64, u64)) -> Duration {
     Duration::from_millis(random.random_range(shortest..=longest))
 }
--- a/jackdawchute-standins/tests/cell_soak_plan.rs
+++ b/jackdawchute-standins/tests/cell_soak_plan.rs
@@ -153,3 +153,32 @@
         assert!(disturbances.iter().any(|it| is_restart(&it.fault)));
     }
 }
+
+#[test]
+fn workers_are_cut_off_after_late_extensions_beside_faults_of_processes() {
+    let (mut cut_off, mut of_processes) = (BTreeSet::new(), 0);
+    for seed in 1..=20 {
+        let plan = CellSoakPlan::late_extensions(seed, FAULT_PERIOD);
+
+        let mut late_until = BTreeMap::new();
+        for it in plan.disturbances() {
+            match it.fault {
+                CellFault::LateExtensions { worker, delay } => {
+                    assert!((2.0..=12.0).contains(&delay.as_secs_f64()), "{it}");
+                    late_until.insert(worker, it.at + it.duration);
+                }
+                CellFault::CutOff(worker) => {
+                    let until = late_until.remove(&worker);
+                    assert!(until.is_some_and(|until| until <= it.at), "{it}");
+                    cut_off.insert(worker);
+                }
+                CellFault::Kill(_) | CellFault::Terminate(_) | CellFault::Pause(_) => {
+                    of_processes += 1;
+                }
+                fault => panic!("{fault:?}"),
+            }
+        }
+    }
+    assert_eq!(cut_off, (0..6).collect());
+    assert!(of_processes >= 20, "{of_processes}");
+}
--- a/tests/cell_soak.rs
+++ b/tests/cell_soak.rs
@@ -25,6 +25,12 @@
     violations_of(CellSoakPlan::restarts(seed, FAULT_PERIOD)).await
 }
 
+/// Runs the soak with a seed and workers that are cut off after late extensions of their leases, and
+/// returns the violations that it found.
+async fn violations_with_late_extensions(seed: u64) -> Vec<String> {
+    violations_of(CellSoakPlan::late_extensions(seed, FAULT_PERIOD)).await
+}
+
 async fn violations_of(plan: CellSoakPlan) -> Vec<String> {
     let program = Path::new(env!("CARGO_BIN_EXE_jackdawchute"));
     let report = run(program, &plan).await.unwrap();
@@ -94,3 +100,13 @@
 async fn late_orders_to_workers_that_restart_cut_off_run_no_task_twice() {
     assert_eq!(violations_with_restarts(1).await, Vec::<String>::new());
 }
+
+/// The lease of a silent worker counted as lapsed at the end that was sent, and its tasks ran in two
+/// places.
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_under_leases_that_late_orders_extend_behind_cuts_run_in_one_place() {
+    assert_eq!(
+        violations_with_late_extensions(2).await,
+        Vec::<String>::new()
+    );
+}
