fix: a lease is extended also while a stop awaits its confirmation

A renewal that confirms a stop extended no lease since extensions are orders of their own, so that a worker whose lists confirm nothing for long would have lost its other runs; found by reading. A worker that was dropped and is listed again with raised tokens counts as restarted, as before.

--- a/jackdawchute-scheduler/src/extensions.rs
+++ b/jackdawchute-scheduler/src/extensions.rs
@@ -67,24 +67,31 @@
         may_act: bool,
         now: Instant,
     ) -> RenewalKind {
-        if !self.is_responsive() || self.awaits_stop_confirmation() {
+        if !self.is_responsive() {
             return RenewalKind::Probe;
         }
-        if !may_act || self.runs.is_empty() {
-            return RenewalKind::Wait(settings.renew_wait_max);
+        let mut wait = settings.renew_wait_max;
+        if may_act && !self.runs.is_empty() {
+            let wait_max = self.lease_left(now).saturating_sub(LEASE_LEFT_MIN);
+            if wait_max < WAIT_MIN {
+                return if self.was_heard(now) {
+                    RenewalKind::Extend
+                } else {
+                    RenewalKind::Probe
+                };
+            }
+            wait = wait.min(wait_max);
         }
-        let wait_max = self.lease_left(now).saturating_sub(LEASE_LEFT_MIN);
-        if wait_max >= WAIT_MIN {
-            return RenewalKind::Wait(wait_max.min(settings.renew_wait_max));
+        if self.awaits_stop_confirmation() {
+            return RenewalKind::Probe;
         }
+        RenewalKind::Wait(wait)
+    }
+
+    /// Returns whether the worker has answered a renewal just before.
+    fn was_heard(&self, now: Instant) -> bool {
         let heard_at = self.incarnation.map(|it| it.clock_received_at);
-        let was_heard =
-            heard_at.is_some_and(|at| now.saturating_duration_since(at) <= HEARD_AGE_MAX);
-        if was_heard {
-            RenewalKind::Extend
-        } else {
-            RenewalKind::Probe
-        }
+        heard_at.is_some_and(|at| now.saturating_duration_since(at) <= HEARD_AGE_MAX)
     }
 
     /// Returns what is left of the lease that the worker has confirmed, apart from the time that its
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -224,8 +224,7 @@
         worker.ends_confirmed = worker.ends_confirmed.max(order.ends_saved);
         // The clock of an incarnation starts anew, and orders to a former one reach it for so long.
         let stray_orders_max = self.settings.late_order_max + self.settings.hold_max;
-        let is_young =
-            worker.incarnations_seen > 0 || (worker.recovered && answer.clock < stray_orders_max);
+        let is_young = worker.token(0) > 0 || (worker.recovered && answer.clock < stray_orders_max);
         if is_first_acknowledgement && is_young {
             // Orders to a former incarnation may have extended the lease of this one until now.
             let hold_until = answer.clock + self.settings.hold_max;
