--- a/jackdawchute-scheduler/tests/behaviour/late_extensions.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_extensions.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use jackdawchute_scheduler::{RowChange, Settings, StartOrder};
+use jackdawchute_scheduler::{EndReason, RowChange, Settings, StartOrder};
 
 use crate::fixtures::*;
 
@@ -128,6 +128,31 @@
     assert!(cell.take_starts().is_empty());
 }
 
+/// The worker may have been cut off since its last answer, so that an extension would get none.
+#[test]
+fn a_worker_that_was_not_heard_just_before_is_asked_before_its_lease_is_extended() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(2, 1)], queue(0));
+    let starts = cell.take_starts();
+    for start in &starts {
+        cell.confirm_start(start);
+    }
+    cell.tick(300);
+    let renewal = cell.latest_renewal_of("w1");
+    let end = ended(1, &starts[0], EndReason::Succeeded);
+    // The next renewal comes later, so that the end can be saved before.
+    cell.answer_renewal(&renewal, vec![running(&starts[1])], vec![end]);
+    cell.tick(600);
+
+    let probe = cell.latest_renewal_of("w1");
+    cell.answer_renewal(&probe, vec![running(&starts[1])], Vec::new());
+    cell.tick(1);
+    let extension = cell.latest_renewal_of("w1");
+
+    assert_eq!((probe.lease_until, probe.wait), (None, Duration::ZERO));
+    assert!(extension.lease_until.is_some());
+}
+
 /// A successor whose predecessor's last order to extend the lease of `w1` got no answer.
 fn successor_of(extension: Extension) -> Cell {
     let (mut cell, _) = cell_with_extension(extension);
