refactor: one arrangement for the tests of late extensions, one draw of rounds in the soak

The tests of the cell shared most of two arrangements, the soak's restarts and late extensions the loop over rounds. The same cases and checks are played; seeds draw the same faults. No change of the product's code.

--- a/jackdawchute-cell/tests/cell/late_extensions.rs
+++ b/jackdawchute-cell/tests/cell/late_extensions.rs
@@ -30,8 +30,21 @@
 struct Times {
     /// How late the order is carried out, in seconds.
     late: f64,
-    /// When the worker is cut off and something happens to the leader, in seconds.
+    /// When the worker is cut off, in seconds.
     cut: f64,
+    /// When something happens to the leader, in seconds; not before the cut.
+    leader: f64,
+}
+
+impl Times {
+    /// Returns times at which something happens to the leader as the cut begins.
+    fn at_once(late: f64, cut: f64) -> Self {
+        Self {
+            late,
+            cut,
+            leader: cut,
+        }
+    }
 }
 
 /// Cuts off a worker after an extension of its lease that it carries out late, for 10 s; returns the
@@ -59,6 +72,7 @@
     sleep_until(arrived_at + seconds(times.cut)).await;
     cut_off(&cell, &worker);
     let cut_at = Instant::now();
+    sleep_until(arrived_at + seconds(times.leader)).await;
     match leader {
         Leader::Stays => {}
         Leader::Stops => cell.instances[first_leader].handle.leave().await,
@@ -103,34 +117,10 @@
 #[tokio::test]
 async fn a_task_whose_lease_a_late_order_extends_behind_a_cut_runs_in_one_place() {
     let (late_2, late_3, late_3_9, cut_at_once) = tokio::join!(
-        repeated_runs_behind_a_cut(
-            Leader::Stays,
-            Times {
-                late: 2.0,
-                cut: 0.4
-            }
-        ),
-        repeated_runs_behind_a_cut(
-            Leader::Stays,
-            Times {
-                late: 3.0,
-                cut: 0.2
-            }
-        ),
-        repeated_runs_behind_a_cut(
-            Leader::Stays,
-            Times {
-                late: 3.9,
-                cut: 0.6
-            }
-        ),
-        repeated_runs_behind_a_cut(
-            Leader::Stays,
-            Times {
-                late: 3.0,
-                cut: 0.0
-            }
-        ),
+        repeated_runs_behind_a_cut(Leader::Stays, Times::at_once(2.0, 0.4)),
+        repeated_runs_behind_a_cut(Leader::Stays, Times::at_once(3.0, 0.2)),
+        repeated_runs_behind_a_cut(Leader::Stays, Times::at_once(3.9, 0.6)),
+        repeated_runs_behind_a_cut(Leader::Stays, Times::at_once(3.0, 0.0)),
     );
 
     let all = [late_2, late_3, late_3_9, cut_at_once];
@@ -173,27 +163,9 @@
 #[tokio::test]
 async fn a_task_whose_lease_a_late_order_of_a_leader_that_stopped_extends_runs_in_one_place() {
     let (noticed, late_2, under_way) = tokio::join!(
-        repeated_runs_behind_a_cut(
-            Leader::Stops,
-            Times {
-                late: 3.9,
-                cut: 0.6
-            }
-        ),
-        repeated_runs_behind_a_cut(
-            Leader::Stops,
-            Times {
-                late: 2.0,
-                cut: 0.3
-            }
-        ),
-        repeated_runs_behind_a_cut(
-            Leader::Stops,
-            Times {
-                late: 3.0,
-                cut: 0.0
-            }
-        ),
+        repeated_runs_behind_a_cut(Leader::Stops, Times::at_once(3.9, 0.6)),
+        repeated_runs_behind_a_cut(Leader::Stops, Times::at_once(2.0, 0.3)),
+        repeated_runs_behind_a_cut(Leader::Stops, Times::at_once(3.0, 0.0)),
     );
 
     let all = [noticed, late_2, under_way];
@@ -206,82 +178,26 @@
     let times = Times {
         late: 2.9,
         cut: 0.6,
+        leader: 1.0,
     };
     let (killed, restarted, frozen, cut_off) = tokio::join!(
-        repeated_runs_after_a_noticed_late_order(Leader::Killed, times),
-        repeated_runs_after_a_noticed_late_order(Leader::Restarted, times),
-        repeated_runs_after_a_noticed_late_order(Leader::Frozen, times),
-        repeated_runs_after_a_noticed_late_order(Leader::CutOff, times),
+        repeated_runs_behind_a_cut(Leader::Killed, times),
+        repeated_runs_behind_a_cut(Leader::Restarted, times),
+        repeated_runs_behind_a_cut(Leader::Frozen, times),
+        repeated_runs_behind_a_cut(Leader::CutOff, times),
     );
 
     let all = [killed, restarted, frozen, cut_off];
     assert!(all.iter().all(Vec::is_empty), "{all:#?}");
 }
 
-/// Cuts off the worker at first, and ends the leader once it has noticed that its order got no
-/// answer.
-async fn repeated_runs_after_a_noticed_late_order(leader: Leader, times: Times) -> Vec<String> {
-    const NOTICED_AFTER: Duration = Duration::from_millis(1_000);
-    let mut cell = cell_with(CellOptions {
-        can_freeze: true,
-        task_time: TASK_TIME,
-        ..options()
-    })
-    .await;
-    let first_leader = cell.leader().await;
-    cell.submit_job(0, "job", &job(2, LARGE_MILLICORES), &route())
-        .await;
-    wait_for("the tasks do not start", || {
-        cell.workers.records().len() == 2
-    })
-    .await;
-    tokio::time::sleep(seconds(2.0)).await;
-    let worker: WorkerId = cell.workers.records()[0].worker.clone();
-
-    let (arrived_at, late_until) = delay_extensions(&cell, &worker, times.late).await;
-    sleep_until(arrived_at + seconds(times.cut)).await;
-    cut_off(&cell, &worker);
-    sleep_until(arrived_at + NOTICED_AFTER).await;
-    match leader {
-        Leader::Killed => cell.instances[first_leader].kill(),
-        Leader::Frozen => cell.instances[first_leader].freeze(seconds(8.0)),
-        Leader::CutOff => cell.partition(&[first_leader], &[], false).await,
-        Leader::Restarted => restart(&mut cell, first_leader).await,
-        Leader::Stays | Leader::Stops => unreachable!("not played"),
-    }
-    sleep_until(late_until + seconds(6.0)).await;
-    let repeated = repeated_runs(&cell);
-
-    wait_for_other_leader(&cell, first_leader).await;
-    let described = repeated.into_iter().map(|it| format!("{leader:?}: {it}"));
-    described.collect()
-}
-
 /// The leader ends before it could notice that its order gets no answer.
 #[tokio::test]
 async fn a_task_whose_lease_an_order_under_way_when_its_leader_ended_extends_runs_in_one_place() {
     let (late_2, late_2_5, late_2_9) = tokio::join!(
-        repeated_runs_behind_a_cut(
-            Leader::Restarted,
-            Times {
-                late: 2.0,
-                cut: 0.1
-            }
-        ),
-        repeated_runs_behind_a_cut(
-            Leader::Restarted,
-            Times {
-                late: 2.5,
-                cut: 0.1
-            }
-        ),
-        repeated_runs_behind_a_cut(
-            Leader::Restarted,
-            Times {
-                late: 2.9,
-                cut: 0.1
-            }
-        ),
+        repeated_runs_behind_a_cut(Leader::Restarted, Times::at_once(2.0, 0.1)),
+        repeated_runs_behind_a_cut(Leader::Restarted, Times::at_once(2.5, 0.1)),
+        repeated_runs_behind_a_cut(Leader::Restarted, Times::at_once(2.9, 0.1)),
     );
 
     let all = [late_2, late_2_5, late_2_9];
--- a/jackdawchute-standins/src/cell_soak/late_extensions.rs
+++ b/jackdawchute-standins/src/cell_soak/late_extensions.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
-use rand::{rngs::StdRng, Rng, SeedableRng};
+use rand::rngs::StdRng;
 
-use super::{restarts::draw_ms, CellFault};
+use super::{
+    rounds::{draw_ms, Rounds},
+    CellFault,
+};
 use crate::soak::Disturbance;
 
 /// Distinguishes the random stream of these faults from that of a seed's other faults.
@@ -30,20 +33,16 @@
     total: Duration,
     workers: usize,
 ) -> Vec<Disturbance<CellFault>> {
-    let mut random = StdRng::seed_from_u64(seed ^ STREAM);
-    let mut drawn = Vec::new();
-    let mut round_at = Duration::ZERO;
-    while round_at < total {
-        for worker in 0..workers {
-            if random.random_bool(CUT_OFF_SHARE) {
-                drawn.extend(draw_one(&mut random, round_at, worker));
-            }
-        }
-        round_at += ROUND;
-    }
-    drawn
+    let rounds = Rounds {
+        stream: STREAM,
+        period: ROUND,
+        share: CUT_OFF_SHARE,
+        draw: draw_one,
+    };
+    rounds.draw_all(seed, total, workers)
 }
 
+/// Draws a period of late extensions and the cut that follows it.
 fn draw_one(random: &mut StdRng, round_at: Duration, worker: usize) -> [Disturbance<CellFault>; 2] {
     let late = Disturbance {
         at: round_at + draw_ms(random, LATE_AT_MS),
--- a/jackdawchute-standins/src/cell_soak/mod.rs
+++ b/jackdawchute-standins/src/cell_soak/mod.rs
@@ -12,6 +12,7 @@
 mod late_extensions;
 mod plan;
 mod restarts;
+mod rounds;
 mod run;
 mod worker_paths;
 
--- a/jackdawchute-standins/src/cell_soak/restarts.rs
+++ b/jackdawchute-standins/src/cell_soak/restarts.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
-use rand::{rngs::StdRng, Rng, SeedableRng};
+use rand::{rngs::StdRng, Rng};
 
-use super::CellFault;
+use super::{
+    rounds::{draw_ms, Rounds},
+    CellFault,
+};
 use crate::soak::Disturbance;
 
 /// Distinguishes the random stream of the restarts from that of a seed's other faults.
@@ -53,18 +56,13 @@
     total: Duration,
     workers: usize,
 ) -> Vec<Disturbance<CellFault>> {
-    let mut random = StdRng::seed_from_u64(seed ^ STREAM);
-    let mut drawn = Vec::new();
-    let mut round_at = Duration::ZERO;
-    while round_at < total {
-        for worker in 0..workers {
-            if random.random_bool(RESTARTED_SHARE) {
-                drawn.extend(draw_restart(&mut random, round_at, worker));
-            }
-        }
-        round_at += ROUND;
-    }
-    drawn
+    let rounds = Rounds {
+        stream: STREAM,
+        period: ROUND,
+        share: RESTARTED_SHARE,
+        draw: draw_restart,
+    };
+    rounds.draw_all(seed, total, workers)
 }
 
 /// Draws a period of late orders and the restart that follows it.
@@ -96,7 +94,3 @@
     };
     [late_orders, restart]
 }
-
-pub(super) fn draw_ms(random: &mut StdRng, (shortest, longest): (u64, u64)) -> Duration {
-    Duration::from_millis(random.random_range(shortest..=longest))
-}
