refactor: placement is a folder of modules, one for each kind of unit

Change: candidates, single tasks, gangs, reservations and orders to start have a module each; no line of the decisions changed.

--- /dev/null
+++ b/jackdawchute-scheduler/src/place/tasks.rs
@@ -0,0 +1,72 @@
+//! Places the single tasks of a step.
+
+use std::time::Instant;
+
+use jackdawchute_types::WorkerId;
+
+use crate::{free_capacity::FreeCapacity, Scheduler, StepName, StepSpec};
+
+impl Scheduler {
+    /// Starts the waiting single tasks of a step that fit, at most `starts_max`; returns how many.
+    pub(super) fn place_tasks(
+        &mut self,
+        name: &StepName,
+        spec: &StepSpec,
+        free_capacity: &mut FreeCapacity,
+        starts_max: usize,
+        now: Instant,
+    ) -> usize {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return 0;
+        };
+        let mut candidates = self.candidates(job, name, spec, free_capacity, now);
+        if candidates.is_empty() {
+            return 0;
+        }
+        let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
+        let Some((_, step)) = job.step(name) else {
+            return 0;
+        };
+        let waiting: Vec<(u32, Option<WorkerId>)> = (0u32..)
+            .zip(&step.units)
+            .filter(|(_, unit)| unit.is_waiting())
+            .map(|(index, unit)| (index, unit.failed_on.clone()))
+            .take(starts_max)
+            .collect();
+        let size = spec.charged_resources();
+        let mut started = 0;
+        for (index, failed_on) in waiting {
+            let best = candidates
+                .iter_mut()
+                .filter(|candidate| candidate.tasks_allowed > 0)
+                .filter_map(|candidate| {
+                    let free = free_capacity
+                        .worker(&candidate.worker)?
+                        .usable(now + expected);
+                    let fits = size.fits_in(&free);
+                    let failed_there = failed_on.as_ref() == Some(&candidate.worker);
+                    // A task takes longer far from its data or on a slow worker, where slowness up
+                    // to 1.1 counts as none. Among equal workers the one with the fewest free
+                    // processors is best.
+                    let cost = (
+                        failed_there,
+                        !candidate.near_data,
+                        candidate.slowness_tenths.max(11),
+                        self.reserved_in_last_round.contains(&candidate.worker),
+                        free.processor_millicores,
+                    );
+                    fits.then_some((cost, candidate))
+                })
+                .min_by(|left, right| left.0.cmp(&right.0));
+            let Some((_, candidate)) = best else {
+                break;
+            };
+            candidate.tasks_allowed -= 1;
+            let (worker, ticket) = (candidate.worker.clone(), candidate.ticket.clone());
+            free_capacity.charge(&worker, &size);
+            self.start_unit(name, spec, index as usize, &[(index, worker, ticket)], now);
+            started += 1;
+        }
+        started
+    }
+}
