feat: a job has a tenant, and the configuration names tenants with keys, weights and caps

Cause: the cell knew queues and jobs, but not whose they are. Change: the crate jackdawchute-tenants has the policy and the keys of a tenant; the routes carry them, a submission and the row of a job name the tenant, and the leader tells the scheduler the policies. The adapter reads none yet, and nothing acts on them, so that every deployment is served as before. Rows without a tenant are read as before.

--- a/jackdawchute-cell/src/gateway.rs
+++ b/jackdawchute-cell/src/gateway.rs
@@ -112,6 +112,7 @@
         let call = CellCall::Submit(Box::new(SubmitJob {
             job: job.clone(),
             graph,
+            tenant: None,
             policy: route.policy.clone(),
             configuration: self.routes.borrow().version,
         }));
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -361,9 +361,9 @@
             let _ = reply.send(CellAnswer::Refused { retry_after_ms });
             return;
         }
-        let submission = self
-            .scheduler
-            .submit(&submit.job, submit.graph, submit.policy, now);
+        let submission =
+            self.scheduler
+                .submit_for(submit.tenant, &submit.job, submit.graph, submit.policy, now);
         let answer = match submission {
             Submission::Pending => {
                 self.submitters.entry(submit.job).or_default().push(reply);
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -18,6 +18,7 @@
 
 use jackdawchute_peer::PeerClient;
 use jackdawchute_scheduler::{Effect, Scheduler, StartAnswer};
+use jackdawchute_tenants::Tenant;
 use jackdawchute_timer::{Subscribe, TimerTask};
 use jackdawchute_types::JobId;
 use spdlog::{info, warn};
@@ -237,6 +238,12 @@
                 .iter()
                 .map(|route| route.policy.service.clone());
             self.scheduler.use_services(services, now);
+            let policies = |tenants: &Vec<Tenant>| {
+                let tenants = tenants.iter();
+                tenants.map(|tenant| tenant.policy.clone()).collect()
+            };
+            self.scheduler
+                .use_tenants(routes.tenants.as_ref().map(policies));
         }
     }
 
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest, JobGraph, JobStatus, QueuePolicy};
-use jackdawchute_types::{ConfigurationVersion, Epoch, IncarnationId, JobId, QueueId, WorkerId};
+use jackdawchute_types::{
+    ConfigurationVersion, Epoch, IncarnationId, JobId, QueueId, TenantId, WorkerId,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{claim::LeaderRow, Routes};
@@ -88,6 +90,9 @@
 pub(crate) struct SubmitJob {
     pub(crate) job: JobId,
     pub(crate) graph: JobGraph,
+    /// The tenant whose key the caller presented; `None` where none is needed.
+    #[serde(default)]
+    pub(crate) tenant: Option<TenantId>,
     /// The policy of the job's queue, as the forwarding instance knows it.
     pub(crate) policy: QueuePolicy,
     /// The version of the configuration that `policy` is from.
--- a/jackdawchute-cell/src/routes.rs
+++ b/jackdawchute-cell/src/routes.rs
@@ -1,6 +1,7 @@
 //! The queues of the configuration and the paths at which callers reach them.
 
 use jackdawchute_scheduler::QueuePolicy;
+use jackdawchute_tenants::Tenant;
 use jackdawchute_types::ConfigurationVersion;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -12,6 +13,9 @@
     pub host: SmolStr,
     /// The prefix of the paths that belong to the queue.
     pub path_prefix: SmolStr,
+    /// Whether callers need no key of a tenant.
+    #[serde(default)]
+    pub public: bool,
     /// The queue's name and scheduling policy.
     pub policy: QueuePolicy,
 }
@@ -23,6 +27,10 @@
     pub version: ConfigurationVersion,
     /// All queues of the configuration, in its order.
     pub queues: Vec<QueueRoute>,
+    /// The tenants with their keys, caps and shares; `None` where the configuration names none, so that
+    /// callers need no key.
+    #[serde(default)]
+    pub tenants: Option<Vec<Tenant>>,
     /// The largest request body that callers may send, in bytes.
     pub body_bytes_max: u64,
 }
--- a/jackdawchute-cell/tests/cell/fixtures.rs
+++ b/jackdawchute-cell/tests/cell/fixtures.rs
@@ -133,6 +133,7 @@
     QueueRoute {
         host: "host".into(),
         path_prefix: "/queue/".into(),
+        public: false,
         policy: QueuePolicy {
             queue: "queue".into(),
             service: "service".into(),
@@ -148,6 +149,7 @@
 pub fn routes(version: u64) -> Routes {
     Routes {
         version,
+        tenants: None,
         queues: vec![route()],
         body_bytes_max: 1_000_000,
     }
--- a/jackdawchute-scheduler/src/batch.rs
+++ b/jackdawchute-scheduler/src/batch.rs
@@ -264,6 +264,7 @@
             let record = JobRecord {
                 graph: job.graph.clone(),
                 queue: job.queue.clone(),
+                tenant: job.tenant.clone(),
                 accepted_unix_ms: unix_ms,
             };
             let rows = divided_rows(RowTable::Jobs, &id, &record);
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -6,7 +6,7 @@
 };
 
 use jackdawchute_types::{
-    Checkpoint, JobId, Occurrence, RunNumber, StepIndex, TaskIndex, Ticket, WorkerId,
+    Checkpoint, JobId, Occurrence, RunNumber, StepIndex, TaskIndex, TenantId, Ticket, WorkerId,
 };
 use rustc_hash::FxHashMap;
 
@@ -192,6 +192,8 @@
     pub(crate) id: JobId,
     pub(crate) graph: JobGraph,
     pub(crate) queue: QueuePolicy,
+    /// The tenant that submitted the job; `None` where the queue is public or there are no tenants.
+    pub(crate) tenant: Option<TenantId>,
     pub(crate) phase: JobPhase,
     /// When the job was submitted; for a recovered job, when its row was written.
     pub(crate) accepted_at: Instant,
@@ -230,6 +232,7 @@
             id,
             graph,
             queue,
+            tenant: None,
             phase: JobPhase::Accepting,
             accepted_at: now,
             waited: Duration::ZERO,
--- a/jackdawchute-scheduler/src/records.rs
+++ b/jackdawchute-scheduler/src/records.rs
@@ -1,6 +1,6 @@
 //! The saved rows of accepted jobs, ended jobs and workers.
 
-use jackdawchute_types::{JobId, WorkerId};
+use jackdawchute_types::{JobId, TenantId, WorkerId};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use spdlog::error;
@@ -18,6 +18,9 @@
     pub(crate) graph: JobGraph,
     /// The policy of the job's queue at its acceptance.
     pub(crate) queue: QueuePolicy,
+    /// The tenant that submitted the job; rows of earlier versions have none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) tenant: Option<TenantId>,
     /// When the row was written, in Unix milliseconds; a later leader derives the job's age from
     /// it.
     pub(crate) accepted_unix_ms: u64,
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -153,6 +153,7 @@
         let age = unix_now.saturating_sub(accepted_unix);
         let accepted_at = now.checked_sub(age).unwrap_or(now);
         let mut job = Job::new(id.clone(), record.graph, record.queue, accepted_at);
+        job.tenant = record.tenant;
         job.phase = JobPhase::Live;
         job.recovering = true;
         self.placeable.insert(id.clone());
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -5,7 +5,8 @@
     time::{Duration, Instant},
 };
 
-use jackdawchute_types::{Epoch, FencingToken, JobId, ServiceId, WorkerId};
+use jackdawchute_tenants::TenantPolicy;
+use jackdawchute_types::{Epoch, FencingToken, JobId, ServiceId, TenantId, WorkerId};
 use smol_str::SmolStr;
 
 use crate::{
@@ -69,6 +70,9 @@
     /// The services that a queue or a job uses; `None` before the first configuration, when any may
     /// be in use.
     pub(crate) services: Option<BTreeSet<ServiceId>>,
+    /// What the configuration says of the tenants; `None` while it names none, so that neither caps
+    /// nor shares apply.
+    pub(crate) tenants: Option<BTreeMap<TenantId, TenantPolicy>>,
     /// The listed workers of other services, which are sent nothing.
     pub(crate) unused_workers: BTreeMap<WorkerId, WorkerEntry>,
     /// How often the tokens of workers that were dropped had been raised, so that they do not fall
@@ -131,6 +135,7 @@
             ended_rows_counter: 0,
             workers: BTreeMap::new(),
             services: None,
+            tenants: None,
             unused_workers: BTreeMap::new(),
             token_raises: HashMap::new(),
             run_times: RunTimes::default(),
@@ -159,6 +164,18 @@
         self.epoch
     }
 
+    /// Applies the caps and shares of a configuration from now on; `None` if it names no tenants.
+    pub fn use_tenants(&mut self, tenants: Option<Vec<TenantPolicy>>) {
+        let by_name = |policies: Vec<TenantPolicy>| {
+            let named = policies.into_iter();
+            named
+                .map(|policy| (policy.tenant.clone(), policy))
+                .collect()
+        };
+        self.tenants = tenants.map(by_name);
+        self.placement_needed = true;
+    }
+
     /// Returns the effects that have become due since the last call.
     pub fn take_effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
--- a/jackdawchute-scheduler/src/submit.rs
+++ b/jackdawchute-scheduler/src/submit.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use jackdawchute_types::JobId;
+use jackdawchute_types::{JobId, TenantId};
 use spdlog::info;
 
 use crate::{
@@ -30,6 +30,18 @@
         graph: JobGraph,
         queue: QueuePolicy,
         now: Instant,
+    ) -> Submission {
+        self.submit_for(None, id, graph, queue, now)
+    }
+
+    /// Admits a job of a tenant or refuses it, as [`Scheduler::submit`] does for a job of none.
+    pub fn submit_for(
+        &mut self,
+        tenant: Option<TenantId>,
+        id: &JobId,
+        graph: JobGraph,
+        queue: QueuePolicy,
+        now: Instant,
     ) -> Submission {
         if self.ended.contains_key(id) {
             return Submission::Accepted;
@@ -41,6 +53,7 @@
             };
         }
         let mut job = Job::new(id.clone(), graph, queue, now);
+        job.tenant = tenant;
         match self.decide_admission(&job, now) {
             Admission::Refused(refusal) => {
                 info!("job refused", kv: {
--- a/jackdawchute-standins/src/cell_soak/environment.rs
+++ b/jackdawchute-standins/src/cell_soak/environment.rs
@@ -108,6 +108,7 @@
     let queue = |name: &str, priority, advice| QueueRoute {
         host: "cell.example".into(),
         path_prefix: format_smolstr!("/{name}/"),
+        public: false,
         policy: QueuePolicy {
             queue: name.into(),
             service: "service".into(),
@@ -125,6 +126,7 @@
     };
     Routes {
         version: 3,
+        tenants: None,
         queues: vec![queue("urgent", 0, None), queue("batch", 1, Some(cost))],
         body_bytes_max: 262_144,
     }
--- a/jackdawchute-standins/tests/platform_wire.rs
+++ b/jackdawchute-standins/tests/platform_wire.rs
@@ -148,6 +148,7 @@
     let entry = MemoryWorkers::new(1, TASK_TIME).entries().remove(0);
     let routes = Routes {
         version: 4,
+        tenants: None,
         queues: Vec::new(),
         body_bytes_max: 1_000,
     };
--- a/jackdawchute-types/src/ids.rs
+++ b/jackdawchute-types/src/ids.rs
@@ -31,6 +31,8 @@
 pub type TaskId = SmolStr;
 /// The name of a team, to which quotas apply.
 pub type TeamId = SmolStr;
+/// The name of a tenant of a cell, whose callers share its keys, cap and share.
+pub type TenantId = SmolStr;
 /// The id of a worker.
 pub type WorkerId = SmolStr;
 /// The progress of a task as its worker last saved it; empty for none.
