feat: calls are served on behalf of the tenant whose key they present

Tests: access of jackdawchute-tenants, keys of the cell's tests, decoding of the adapter. A hang of one new test was a lock held across an await in the test itself.

--- a/jackdawchute-cell/src/gateway.rs
+++ b/jackdawchute-cell/src/gateway.rs
@@ -4,13 +4,16 @@
 
 use jackdawchute_peer::PeerClient;
 use jackdawchute_scheduler::{JobGraph, JobOutcome, JobStatus};
+use jackdawchute_tenants::{Access, Caller};
+use jackdawchute_timer::boot_time;
 use jackdawchute_types::{CallError, JobId, QueueId};
 use spdlog::{info, warn};
 use tokio::sync::watch;
 
 use crate::{
+    configuration::{ConfirmedConfiguration, Denial},
     election::LeaderView,
-    messages::{CellAnswer, CellCall, SubmitJob, SLICE},
+    messages::{CellAnswer, CellCall, JobCall, SubmitJob, SLICE},
     peers::call_local_leader,
     routes::QueueRoute,
     settings::{
@@ -44,6 +47,10 @@
     },
     /// The configuration no longer has the queue; nothing was done.
     NoQueue,
+    /// The key is no tenant's any more; nothing was done.
+    Unauthorized,
+    /// Another tenant has a job with this id; nothing was done.
+    OtherTenant,
     /// The status of the job.
     Status(JobStatus),
     /// The number of the queue's jobs that have not started.
@@ -66,7 +73,11 @@
     /// ```
     pub fn after_unanswered_attempt(self) -> Self {
         match self {
-            Self::Refused { .. } | Self::Unavailable { .. } | Self::NoQueue => Self::Unknown,
+            Self::Refused { .. }
+            | Self::Unavailable { .. }
+            | Self::NoQueue
+            | Self::Unauthorized
+            | Self::OtherTenant => Self::Unknown,
             Self::Accepted | Self::Status(_) | Self::Pending(_) | Self::Unknown => self,
         }
     }
@@ -77,6 +88,7 @@
 pub struct Gateway {
     pub(crate) view: watch::Receiver<LeaderView>,
     pub(crate) routes: watch::Receiver<Routes>,
+    pub(crate) confirmed: ConfirmedConfiguration,
     pub(crate) peers: PeerClient,
     pub(crate) metrics: Metrics,
 }
@@ -101,9 +113,38 @@
         self.view.borrow().leaving
     }
 
-    /// Submits a job to a queue and waits up to `deadline` for its acceptance or refusal.
+    /// Decides whether a call to a queue may go on that presented a key, or none.
+    ///
+    /// A key that this instance does not know may be newer than its configuration, so it is denied
+    /// only if the configuration was confirmed lately; otherwise the call is answered as
+    /// unavailable.
+    ///
+    /// # Errors
+    /// The answer to a call that may not go on.
+    pub fn authorize(&self, route: &QueueRoute, presented: Option<&str>) -> Result<Caller, Answer> {
+        let access = self.routes.borrow().access(route.public, presented);
+        let denied = match access {
+            Access::Granted(caller) => return Ok(caller),
+            Access::Denied => self.confirmed.denial(boot_time()),
+        };
+        let (answer, outcome) = match denied {
+            Denial::Final => (Answer::Unauthorized, "unauthorized"),
+            Denial::Undecided { retry_after } => {
+                (Answer::Unavailable { retry_after }, "unavailable")
+            }
+        };
+        info!("call without a known key not served", kv: {
+            queue = route.policy.queue.as_str(), key_presented = presented.is_some(),
+            configuration = self.routes.borrow().version, outcome = outcome
+        });
+        self.metrics.call("authorize", outcome, Duration::ZERO);
+        Err(answer)
+    }
+
+    /// Submits a caller's job to a queue and waits up to `deadline` for its acceptance or refusal.
     pub async fn submit(
         &self,
+        caller: Caller,
         job: JobId,
         graph: JobGraph,
         route: &QueueRoute,
@@ -112,7 +153,7 @@
         let call = CellCall::Submit(Box::new(SubmitJob {
             job: job.clone(),
             graph,
-            tenant: None,
+            caller,
             policy: route.policy.clone(),
             configuration: self.routes.borrow().version,
         }));
@@ -124,19 +165,20 @@
     }
 
     /// Returns a job's status.
-    pub async fn status(&self, job: JobId, deadline: Duration) -> Answer {
-        match self
-            .call_leader("status", CellCall::Status { job }, deadline)
-            .await
-        {
+    pub async fn status(&self, caller: Caller, job: JobId, deadline: Duration) -> Answer {
+        let call = CellCall::Status(JobCall { job, caller });
+        match self.call_leader("status", call, deadline).await {
             Answer::Status(JobStatus::Undecided) => self.unavailable(),
             answer => answer,
         }
     }
 
     /// Cancels a job and returns its status from then on.
-    pub async fn cancel(&self, job: JobId, deadline: Duration) -> Answer {
-        let call = CellCall::Cancel { job: job.clone() };
+    pub async fn cancel(&self, caller: Caller, job: JobId, deadline: Duration) -> Answer {
+        let call = CellCall::Cancel(JobCall {
+            job: job.clone(),
+            caller,
+        });
         let answer = self.call_leader("cancel", call, deadline).await;
         info!("cancellation answered", kv: { job = job.as_str(), answer:? = answer });
         match answer {
@@ -187,6 +229,7 @@
         let outcome = match &answer {
             Answer::Refused { .. } => "refused",
             Answer::Unavailable { .. } => "unavailable",
+            Answer::Unauthorized => "unauthorized",
             Answer::Unknown => "unknown",
             _ => "answered",
         };
@@ -244,6 +287,8 @@
                 retry_after: Duration::from_millis(retry_after_ms),
             }),
             CellAnswer::NoQueue => Some(Answer::NoQueue),
+            CellAnswer::Unauthorized => Some(Answer::Unauthorized),
+            CellAnswer::OtherTenant => Some(Answer::OtherTenant),
             CellAnswer::Status { status } => Some(Answer::Status(status)),
             CellAnswer::Pending { jobs } => Some(Answer::Pending(jobs)),
             CellAnswer::Unknown => Some(Answer::Unknown),
--- a/jackdawchute-cell/src/instance.rs
+++ b/jackdawchute-cell/src/instance.rs
@@ -3,19 +3,18 @@
 use std::sync::Arc;
 
 use jackdawchute_peer::{self as peer, PeerClient, RunningServer, Services};
-use spdlog::{info, warn};
+use spdlog::warn;
 use tokio::sync::watch;
 use xtra::prelude::*;
 
 use crate::{
     advisor,
+    configuration::{follow_configuration, ConfigurationFollower, ConfirmedConfiguration},
     election::{self, ElectionParts, ElectionTask, LeaderView, Leave},
     leader::Ports,
-    messages::{CellAnswer, CellCall, SLICE},
+    messages::SLICE,
     peers::CellService,
-    reachability::Reachability,
-    settings::{FOLLOW_PAUSE, FOLLOW_WAIT, HEARTBEAT_TIMEOUT},
-    Advisor, ConfigurationUpdate, Directory, Gateway, Metrics, Routes, Settings, Store, Workers,
+    Advisor, Directory, Gateway, Metrics, Routes, Settings, Store, Workers,
 };
 
 /// The most connections that peers may have open at a time.
@@ -64,7 +63,9 @@
         let peers: PeerClient = peer::spawn_from(Default::default(), settings.peer_source);
         let (routes_sender, routes) = watch::channel(Routes::default());
         let (view_sender, view) = watch::channel(LeaderView::default());
+        let confirmed = ConfirmedConfiguration::default();
         tokio::spawn(follow_configuration(ConfigurationFollower {
+            confirmed: confirmed.clone(),
             directory: platform.directory.clone(),
             peers: peers.clone(),
             view: view.clone(),
@@ -102,6 +103,7 @@
             gateway: Gateway {
                 view,
                 routes,
+                confirmed,
                 peers,
                 metrics,
             },
@@ -118,69 +120,3 @@
         }
     }
 }
-
-/// The sources of the configuration and the channel on which it is published.
-struct ConfigurationFollower {
-    directory: Arc<dyn Directory>,
-    peers: PeerClient,
-    view: watch::Receiver<LeaderView>,
-    routes: watch::Sender<Routes>,
-    metrics: Metrics,
-}
-
-impl ConfigurationFollower {
-    /// Publishes a configuration if its version is higher than that in use.
-    fn apply(&self, newest: Routes, source: &'static str) {
-        if newest.version > self.routes.borrow().version {
-            info!("configuration applied", kv: {
-                version = newest.version, queues = newest.queues.len(), source = source
-            });
-            self.metrics.set_configuration_version(newest.version);
-            self.routes.send_replace(newest);
-        }
-    }
-
-    /// Applies the leader's configuration, while this instance cannot read that of the store.
-    async fn fetch_from_leader(&self) {
-        let row = self.view.borrow().row.clone();
-        let Some(address) = row.map(|row| row.record.address) else {
-            return;
-        };
-        let call = CellCall::Configuration;
-        let answer = self
-            .peers
-            .call(address, SLICE, &call, HEARTBEAT_TIMEOUT)
-            .await;
-        match answer {
-            Ok(CellAnswer::Configuration { routes }) => self.apply(routes, "peer"),
-            Ok(_) => {}
-            Err(error) => warn!("configuration cannot be read from the leader", kv: {
-                peer: = address, cause: = error
-            }),
-        }
-    }
-}
-
-/// Follows the configuration and publishes each higher version, until all receivers are dropped.
-async fn follow_configuration(follower: ConfigurationFollower) {
-    let mut after = None;
-    let mut reachability = Reachability::new("configuration");
-    while !follower.routes.is_closed() {
-        let update = follower.directory.configuration(after, FOLLOW_WAIT).await;
-        reachability.record(update.is_ok());
-        match update {
-            Ok(ConfigurationUpdate::Current(newest, version)) => {
-                after = Some(version);
-                follower.apply(newest, "store");
-            }
-            Ok(ConfigurationUpdate::Unchanged(version)) => after = Some(version),
-            Ok(ConfigurationUpdate::HistoryLost) => after = None,
-            Err(_) => {
-                // A change may have been missed, so the whole configuration is read next.
-                after = None;
-                follower.fetch_from_leader().await;
-                tokio::time::sleep(FOLLOW_PAUSE).await;
-            }
-        }
-    }
-}
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -7,12 +7,10 @@
 
 use jackdawchute_scheduler::{
     AdviceRequest, JobStatus, RenewAnswer, RenewOrder, StartAnswer, StartOrder, StopOrder,
-    Submission,
 };
 use jackdawchute_timer::Tick;
-use jackdawchute_types::{whole_ms, IncarnationId, JobId, QueueId, WorkerId};
+use jackdawchute_types::{whole_ms, IncarnationId, WorkerId};
 use spdlog::{info, warn};
-use tokio::sync::oneshot;
 use xtra::prelude::*;
 
 use super::{answer_all, peers::PeerState, LeaderTask};
@@ -21,12 +19,9 @@
     calls::SentAt,
     commit::{Appended, NotAppended},
     committer::CommitFinished,
-    messages::{AcknowledgedBy, CellAnswer, SubmitJob},
+    messages::{AcknowledgedBy, CellAnswer},
     recover::unix_now,
-    settings::{
-        outage_retry_after, ACCEPTANCE_WAIT_MAX, COMMIT_OUTAGE_MAX, COMMIT_PAUSE, LOAD_LOG_PERIOD,
-        SHED_RETRY_AFTER,
-    },
+    settings::{COMMIT_PAUSE, LOAD_LOG_PERIOD},
     Error, Result, WorkersUpdate,
 };
 
@@ -65,20 +60,12 @@
     pub(crate) acknowledged: Option<AcknowledgedBy>,
     pub(crate) state: PeerState,
 }
-/// A caller's submission of a job.
-pub(crate) struct Submit(pub(crate) SubmitJob, pub(crate) oneshot::Sender<CellAnswer>);
-/// A caller's request to cancel a job.
-pub(crate) struct Cancel(pub(crate) JobId, pub(crate) oneshot::Sender<CellAnswer>);
-/// A caller's query for a job's status.
-pub(crate) struct QueryStatus(pub(crate) JobId, pub(crate) oneshot::Sender<CellAnswer>);
 /// When the head row was read, and whether this instance still held the epoch; `None` if the row
 /// could not be read or decoded.
 pub(super) struct EpochChecked(pub(super) SentAt, pub(super) Option<bool>);
 /// Another instance holds the epoch, so that the leader task stops and names the workers to which an
 /// order that extends the lease got no answer.
 pub(crate) struct Fence;
-/// A caller's query for the number of a queue's jobs that have not started.
-pub(crate) struct QueryPending(pub(crate) QueueId);
 /// A query for the instance to which a leaving leader should offer its epoch.
 pub(crate) struct FindSuccessor;
 
@@ -314,111 +301,6 @@
     }
 }
 
-impl Handler<Submit> for LeaderTask {
-    type Return = ();
-
-    async fn handle(&mut self, message: Submit, context: &mut Context<Self>) {
-        let Submit(submit, reply) = message;
-        let now = Instant::now();
-        if self.fenced {
-            let _ = reply.send(CellAnswer::NotLeader);
-            return;
-        }
-        let queue_removed = {
-            let routes = self.routes.borrow();
-            routes.version > submit.configuration && !routes.has_queue(&submit.policy.queue)
-        };
-        let known = self.scheduler.status(&submit.job) != JobStatus::Unknown;
-        if queue_removed && !known {
-            let _ = reply.send(CellAnswer::NoQueue);
-            return;
-        }
-        if !known && !self.may_act() {
-            // A later leader may have accepted the job, so that a refusal would not be true.
-            let _ = reply.send(CellAnswer::Unknown);
-            return;
-        }
-        if !known && self.store_outage(now) >= COMMIT_OUTAGE_MAX {
-            let _ = reply.send(self.unavailable(now));
-            return;
-        }
-        let expected_wait = self.expected_acceptance_wait(now);
-        if !known && expected_wait > ACCEPTANCE_WAIT_MAX {
-            info!("job refused", kv: {
-                job = submit.job.as_str(), reason = "its acceptance could not be saved in time",
-                expected_wait_ms = whole_ms(expected_wait)
-            });
-            let retry_after_ms = whole_ms(outage_retry_after(expected_wait));
-            let _ = reply.send(CellAnswer::Unavailable { retry_after_ms });
-            return;
-        }
-        if !known && self.is_too_busy_for(&submit.policy) {
-            info!("job refused", kv: {
-                job = submit.job.as_str(), queue = submit.policy.queue.as_str(),
-                reason = "the leader is overloaded", lag_ms = whole_ms(self.lag)
-            });
-            let retry_after_ms = whole_ms(SHED_RETRY_AFTER);
-            let _ = reply.send(CellAnswer::Refused { retry_after_ms });
-            return;
-        }
-        let submission =
-            self.scheduler
-                .submit_for(submit.tenant, &submit.job, submit.graph, submit.policy, now);
-        let answer = match submission {
-            Submission::Pending => {
-                self.submitters.entry(submit.job).or_default().push(reply);
-                self.run_due_work(context);
-                return;
-            }
-            Submission::Accepted => CellAnswer::Accepted,
-            Submission::Refused { retry_after } => CellAnswer::Refused {
-                retry_after_ms: whole_ms(retry_after),
-            },
-        };
-        let _ = reply.send(answer);
-    }
-}
-
-impl Handler<Cancel> for LeaderTask {
-    type Return = ();
-
-    async fn handle(&mut self, message: Cancel, context: &mut Context<Self>) {
-        let Cancel(job, reply) = message;
-        if self.fenced {
-            let _ = reply.send(CellAnswer::NotLeader);
-            return;
-        }
-        if !self.may_act() {
-            // A later leader may have ended the job, or may never have known it.
-            let _ = reply.send(CellAnswer::Unknown);
-            return;
-        }
-        let status = self.scheduler.cancel(&job);
-        match status {
-            JobStatus::Queued | JobStatus::Running | JobStatus::Ended(_) => {
-                let now = Instant::now();
-                self.cancellers.add(job, reply, now);
-                self.cancellers.answer(&self.scheduler, now);
-                self.run_due_work(context);
-            }
-            status => self.answer_status(status, reply, context),
-        }
-    }
-}
-
-impl Handler<QueryStatus> for LeaderTask {
-    type Return = ();
-
-    async fn handle(&mut self, query: QueryStatus, context: &mut Context<Self>) {
-        let QueryStatus(job, reply) = query;
-        if self.fenced {
-            let _ = reply.send(CellAnswer::NotLeader);
-            return;
-        }
-        self.answer_status(self.scheduler.status(&job), reply, context);
-    }
-}
-
 impl Handler<EpochChecked> for LeaderTask {
     type Return = ();
 
@@ -449,22 +331,6 @@
     }
 }
 
-impl Handler<QueryPending> for LeaderTask {
-    type Return = CellAnswer;
-
-    async fn handle(&mut self, query: QueryPending, _context: &mut Context<Self>) -> CellAnswer {
-        if self.fenced {
-            return CellAnswer::NotLeader;
-        }
-        if !self.may_act() {
-            return self.unavailable(Instant::now());
-        }
-        CellAnswer::Pending {
-            jobs: self.scheduler.pending_jobs(&query.0),
-        }
-    }
-}
-
 impl Handler<FindSuccessor> for LeaderTask {
     type Return = Option<SocketAddr>;
 
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -1,6 +1,7 @@
 //! The leader task, which schedules while this instance holds the cell's epoch.
 
 mod authority;
+mod callers;
 mod cancellers;
 mod handlers;
 mod handover;
@@ -35,7 +36,8 @@
     work::WorkDone,
 };
 pub(crate) use self::{
-    handlers::{Cancel, Fence, FindSuccessor, PeerHeartbeat, QueryPending, QueryStatus, Submit},
+    callers::{Cancel, QueryPending, QueryStatus, Submit},
+    handlers::{Fence, FindSuccessor, PeerHeartbeat},
     peers::PeerState,
 };
 pub use self::{
--- a/jackdawchute-cell/src/lib.rs
+++ b/jackdawchute-cell/src/lib.rs
@@ -12,6 +12,7 @@
 mod claim;
 mod commit;
 mod committer;
+mod configuration;
 mod election;
 mod gateway;
 mod instance;
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -3,9 +3,8 @@
 use std::net::SocketAddr;
 
 use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest, JobGraph, JobStatus, QueuePolicy};
-use jackdawchute_types::{
-    ConfigurationVersion, Epoch, IncarnationId, JobId, QueueId, TenantId, WorkerId,
-};
+use jackdawchute_tenants::Caller;
+use jackdawchute_types::{ConfigurationVersion, Epoch, IncarnationId, JobId, QueueId, WorkerId};
 use serde::{Deserialize, Serialize};
 
 use crate::{claim::LeaderRow, Routes};
@@ -44,9 +43,9 @@
     /// Forwards a caller's job to the leader.
     Submit(Box<SubmitJob>),
     /// Asks for a job's status.
-    Status { job: JobId },
+    Status(JobCall),
     /// Cancels a job.
-    Cancel { job: JobId },
+    Cancel(JobCall),
     /// Asks how many jobs of a queue have not started.
     Pending { queue: QueueId },
     /// Sends an advice request of the leader to the called instance's advisor.
@@ -85,14 +84,23 @@
     pub(crate) promised_ms: u64,
 }
 
+/// A call that concerns a job, on its way to the leader.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct JobCall {
+    pub(crate) job: JobId,
+    /// On whose behalf the call is made, by the configuration of the forwarding instance.
+    #[serde(default)]
+    pub(crate) caller: Caller,
+}
+
 /// A caller's job on its way to the leader.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct SubmitJob {
     pub(crate) job: JobId,
     pub(crate) graph: JobGraph,
-    /// The tenant whose key the caller presented; `None` where none is needed.
+    /// On whose behalf the job is submitted, by the configuration of the forwarding instance.
     #[serde(default)]
-    pub(crate) tenant: Option<TenantId>,
+    pub(crate) caller: Caller,
     /// The policy of the job's queue, as the forwarding instance knows it.
     pub(crate) policy: QueuePolicy,
     /// The version of the configuration that `policy` is from.
@@ -147,6 +155,10 @@
     Unavailable { retry_after_ms: u64 },
     /// The configuration no longer has the queue; nothing was done.
     NoQueue,
+    /// The key is no tenant's in the leader's configuration, which is newer; nothing was done.
+    Unauthorized,
+    /// The job belongs to another tenant; nothing was done.
+    OtherTenant,
     /// A job's status.
     Status { status: JobStatus },
     /// The number of a queue's jobs that have not started.
--- a/jackdawchute-cell/src/peers.rs
+++ b/jackdawchute-cell/src/peers.rs
@@ -143,9 +143,9 @@
             .priority(LEADER_PRIORITY)
             .await
             .unwrap_or(CellAnswer::NotLeader),
-        CellCall::Status { job } => {
+        CellCall::Status(call) => {
             let (reply, answer) = oneshot::channel();
-            if leader.send(QueryStatus(job, reply)).await.is_err() {
+            if leader.send(QueryStatus(call, reply)).await.is_err() {
                 return CellAnswer::NotLeader;
             }
             answer.await.unwrap_or(CellAnswer::NotLeader)
@@ -161,9 +161,9 @@
             }
             answer.await.unwrap_or(CellAnswer::Unknown)
         }
-        CellCall::Cancel { job } => {
+        CellCall::Cancel(call) => {
             let (reply, answer) = oneshot::channel();
-            if leader.send(Cancel(job, reply)).await.is_err() {
+            if leader.send(Cancel(call, reply)).await.is_err() {
                 return CellAnswer::Unknown;
             }
             answer.await.unwrap_or(CellAnswer::Unknown)
--- a/jackdawchute-cell/src/routes.rs
+++ b/jackdawchute-cell/src/routes.rs
@@ -1,7 +1,7 @@
 //! The queues of the configuration and the paths at which callers reach them.
 
 use jackdawchute_scheduler::QueuePolicy;
-use jackdawchute_tenants::Tenant;
+use jackdawchute_tenants::{access, Access, Tenant};
 use jackdawchute_types::ConfigurationVersion;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -48,8 +48,22 @@
             .max_by_key(|route| route.path_prefix.len())
     }
 
-    /// Returns whether the configuration has the queue.
-    pub(crate) fn has_queue(&self, queue: &str) -> bool {
-        self.queues.iter().any(|route| route.policy.queue == queue)
+    /// Returns the queue with this name, if the configuration has it.
+    pub(crate) fn queue(&self, name: &str) -> Option<&QueueRoute> {
+        self.queues.iter().find(|route| route.policy.queue == name)
+    }
+
+    /// Decides whether a call to a queue may go on that presented a key, or none.
+    ///
+    /// ```
+    /// use jackdawchute_cell::Routes;
+    /// use jackdawchute_tenants::{Access, Caller};
+    ///
+    /// // A configuration without tenants asks for no key.
+    /// let access = Routes::default().access(false, None);
+    /// assert_eq!(access, Access::Granted(Caller::default()));
+    /// ```
+    pub fn access(&self, public: bool, presented: Option<&str>) -> Access {
+        access(public, self.tenants.as_deref(), self.version, presented)
     }
 }
--- a/jackdawchute-cell/tests/cell/fixtures.rs
+++ b/jackdawchute-cell/tests/cell/fixtures.rs
@@ -23,6 +23,7 @@
     },
     proxy::{spawn_proxy, RunningProxy},
 };
+use jackdawchute_tenants::Caller;
 use jackdawchute_types::Resources;
 use tokio::{runtime::Runtime, sync::watch};
 
@@ -311,7 +312,13 @@
     pub async fn submit(&self, index: usize, job: &str, tasks: u32) -> Answer {
         let gateway = &self.instances[index].handle.gateway;
         gateway
-            .submit(job.into(), graph(tasks), &route(), DEADLINE)
+            .submit(
+                Caller::default(),
+                job.into(),
+                graph(tasks),
+                &route(),
+                DEADLINE,
+            )
             .await
     }
 
@@ -326,7 +333,13 @@
         let deadline = Instant::now() + WAIT_MAX;
         let gateway = &self.instances[index].handle.gateway;
         loop {
-            let submitted = gateway.submit(job.into(), graph.clone(), route, DEADLINE);
+            let submitted = gateway.submit(
+                Caller::default(),
+                job.into(),
+                graph.clone(),
+                route,
+                DEADLINE,
+            );
             let answer = submitted.await;
             if answer == Answer::Accepted {
                 return;
@@ -338,13 +351,22 @@
 
     pub async fn status(&self, index: usize, job: &str) -> Answer {
         let gateway = &self.instances[index].handle.gateway;
-        gateway.status(job.into(), DEADLINE).await
+        gateway
+            .status(Caller::default(), job.into(), DEADLINE)
+            .await
     }
 
     pub async fn wait_until_completed(&self, index: usize, job: &str) {
+        self.wait_until_completed_for(index, &Caller::default(), job)
+            .await;
+    }
+
+    /// Waits until a caller is told that its job has completed.
+    pub async fn wait_until_completed_for(&self, index: usize, caller: &Caller, job: &str) {
         let completed = Answer::Status(JobStatus::Ended(JobOutcome::Completed));
         let deadline = Instant::now() + WAIT_MAX;
-        while self.status(index, job).await != completed {
+        let gateway = &self.instances[index].handle.gateway;
+        while gateway.status(caller.clone(), job.into(), DEADLINE).await != completed {
             assert!(Instant::now() < deadline, "{job} has not completed");
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
--- a/jackdawchute-cell/tests/cell/instances.rs
+++ b/jackdawchute-cell/tests/cell/instances.rs
@@ -8,6 +8,7 @@
 use jackdawchute_cell::Answer;
 use jackdawchute_scheduler::JobStatus;
 use jackdawchute_standins::cell::SerialAdvisor;
+use jackdawchute_tenants::Caller;
 use jackdawchute_types::JobId;
 
 use crate::fixtures::*;
@@ -73,8 +74,10 @@
     cell.submit_until_accepted(other, "job", 1).await;
     let gateway = &cell.instances[leader].handle.gateway;
     let job: JobId = "job".into();
-    let status = gateway.status(job.clone(), DEADLINE).await;
-    let cancelled = gateway.cancel(job, DEADLINE).await;
+    let status = gateway
+        .status(Caller::default(), job.clone(), DEADLINE)
+        .await;
+    let cancelled = gateway.cancel(Caller::default(), job, DEADLINE).await;
 
     let unknown = Answer::Status(JobStatus::Unknown);
     assert_ne!(status, unknown);
@@ -238,7 +241,13 @@
     // is.
     let jobs: Vec<String> = (0..40).map(|index| format!("job-{index}")).collect();
     for job in &jobs {
-        let submitted = gateway.submit(job.as_str().into(), graph(1), &route, DEADLINE);
+        let submitted = gateway.submit(
+            Caller::default(),
+            job.as_str().into(),
+            graph(1),
+            &route,
+            DEADLINE,
+        );
         assert_eq!(submitted.await, Answer::Accepted);
     }
 
--- a/jackdawchute-cell/tests/cell/main.rs
+++ b/jackdawchute-cell/tests/cell/main.rs
@@ -3,6 +3,7 @@
 mod busy_leader;
 mod fixtures;
 mod instances;
+mod keys;
 mod late_extensions;
 mod late_orders;
 mod network;
--- a/jackdawchute-cell/tests/cell/outages.rs
+++ b/jackdawchute-cell/tests/cell/outages.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use jackdawchute_cell::Answer;
+use jackdawchute_tenants::Caller;
 use jackdawchute_types::Resources;
 
 use crate::fixtures::*;
@@ -18,7 +19,9 @@
     let mut job = graph(TASKS);
     job.steps[0].resources = Resources::new(10, 10, 0);
     let gateway = &cell.instances[0].handle.gateway;
-    let answer = gateway.submit("job".into(), job, &route(), DEADLINE).await;
+    let answer = gateway
+        .submit(Caller::default(), "job".into(), job, &route(), DEADLINE)
+        .await;
     assert_eq!(answer, Answer::Accepted);
 
     for instance in &cell.instances {
--- a/jackdawchute-cell/tests/cell/partitions.rs
+++ b/jackdawchute-cell/tests/cell/partitions.rs
@@ -14,6 +14,7 @@
     cell::WorkerRecord,
     cell_soak::{find_violations, SentJob},
 };
+use jackdawchute_tenants::Caller;
 use jackdawchute_types::JobId;
 
 use crate::fixtures::*;
@@ -375,7 +376,11 @@
     let cancelled = Answer::Status(JobStatus::Ended(JobOutcome::Cancelled));
     let deadline = Instant::now() + WAIT_MAX;
     let gateway = &cell.instances[index].handle.gateway;
-    while gateway.cancel(job.into(), CANCEL_DEADLINE).await != cancelled {
+    while gateway
+        .cancel(Caller::default(), job.into(), CANCEL_DEADLINE)
+        .await
+        != cancelled
+    {
         assert!(Instant::now() < deadline, "{job} is not cancelled");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
--- a/jackdawchute-cell/tests/cell/store_rows.rs
+++ b/jackdawchute-cell/tests/cell/store_rows.rs
@@ -2,6 +2,7 @@
 
 use jackdawchute_cell::Answer;
 use jackdawchute_scheduler::WorkerEntry;
+use jackdawchute_tenants::Caller;
 
 use crate::fixtures::*;
 
@@ -42,7 +43,7 @@
 
     let gateway = &cell.instances[0].handle.gateway;
     let answer = gateway
-        .submit("large".into(), large, &route(), DEADLINE)
+        .submit(Caller::default(), "large".into(), large, &route(), DEADLINE)
         .await;
 
     assert_eq!(answer, Answer::Accepted);
--- a/jackdawchute-scheduler/src/batch.rs
+++ b/jackdawchute-scheduler/src/batch.rs
@@ -194,6 +194,7 @@
                         ended.push(EndedRecord {
                             job: id.clone(),
                             outcome,
+                            tenant: job.tenant.clone(),
                         });
                         builder.batch.ended.push(id.clone());
                     }
@@ -294,6 +295,7 @@
                 if let JobPhase::Ending(outcome) = job.phase {
                     let ended = crate::state::EndedJob {
                         outcome,
+                        tenant: job.tenant,
                         retained_since: now,
                         recovered: job.recovering,
                     };
--- a/jackdawchute-scheduler/src/records.rs
+++ b/jackdawchute-scheduler/src/records.rs
@@ -31,6 +31,9 @@
 pub(crate) struct EndedRecord {
     pub(crate) job: JobId,
     pub(crate) outcome: JobOutcome,
+    /// The tenant that submitted the job; rows of earlier versions have none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) tenant: Option<TenantId>,
 }
 
 /// A worker that may run tasks; a row holds several.
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -239,6 +239,7 @@
         for record in records {
             let ended = crate::state::EndedJob {
                 outcome: record.outcome,
+                tenant: record.tenant,
                 retained_since: now,
                 recovered: true,
             };
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -41,6 +41,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct EndedJob {
     pub(crate) outcome: JobOutcome,
+    /// The tenant that submitted the job.
+    pub(crate) tenant: Option<TenantId>,
     /// When the end was committed, or recovered from a saved row; its retention starts then.
     pub(crate) retained_since: Instant,
     /// Whether the job is from an earlier epoch, whose leader may not know of its end.
@@ -196,6 +198,23 @@
         }
     }
 
+    /// Returns the tenant that submitted a job; `None` if none did, or the job is not known.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use jackdawchute_scheduler::{Scheduler, Settings};
+    ///
+    /// let scheduler = Scheduler::new(Settings::default(), 1, Instant::now());
+    /// assert_eq!(scheduler.tenant_of(&"job".into()), None);
+    /// ```
+    pub fn tenant_of(&self, job: &JobId) -> Option<&TenantId> {
+        let ended = self.ended.get(job);
+        match ended {
+            Some(ended) => ended.tenant.as_ref(),
+            None => self.jobs.get(job).and_then(|job| job.tenant.as_ref()),
+        }
+    }
+
     /// Returns the number of a queue's accepted jobs of which no task has started.
     pub fn pending_jobs(&self, queue: &str) -> usize {
         let is_pending =
--- a/jackdawchute-tenants/src/keys.rs
+++ b/jackdawchute-tenants/src/keys.rs
@@ -25,6 +25,15 @@
         Self(text.into())
     }
 
+    /// Returns the text of the key, to be sent and never logged.
+    ///
+    /// ```
+    /// assert_eq!(jackdawchute_tenants::ApiKey::new("secret").text(), "secret");
+    /// ```
+    pub fn text(&self) -> &str {
+        &self.0
+    }
+
     /// Returns whether a presented text is this key, in a time that depends on the lengths alone.
     ///
     /// ```
