--- a/jackdawchute-scheduler/src/submit.rs
+++ b/jackdawchute-scheduler/src/submit.rs
@@ -76,7 +76,7 @@
         }
         info!("job admitted", kv: {
             job = id.as_str(), queue = job.queue.queue.as_str(),
-            jobs = self.jobs.len()
+            tenant = job.tenant.as_deref().unwrap_or_default(), jobs = self.jobs.len()
         });
         self.record_admitted(&job);
         self.use_service_of(&job, now);
