fix: the key is asked again at the leader for every call, and only what is confirmed denies it

Change: calls carry queue and key, and 'no caller' says that none was checked; the answer of a leader says how old its confirmation is.

--- a/jackdawchute-cell/src/configuration.rs
+++ b/jackdawchute-cell/src/configuration.rs
@@ -22,8 +22,8 @@
     ConfigurationUpdate, Directory, Metrics, Routes,
 };
 
-/// The age of the last confirmation up to which a configuration shows that a key does not exist: the
-/// longest time between two confirmations by a store that answers, and the time that an answer takes.
+/// The age of the last confirmation up to which a configuration shows that a key does not exist:
+/// the longest time between two confirmations by a store that answers, and what an answer takes.
 const CONFIRMATION_AGE_MAX: Duration = FOLLOW_WAIT.saturating_add(HEARTBEAT_TIMEOUT);
 /// After what time a caller may try again whose key could not be checked: by then the store or the
 /// leader has been asked several times.
@@ -55,10 +55,16 @@
             .fetch_max(whole_ms(at), Ordering::Relaxed);
     }
 
+    /// Returns how long ago the configuration in use was confirmed.
+    pub(crate) fn age(&self, now: BootTime) -> Duration {
+        now.saturating_sub(Duration::from_millis(
+            self.confirmed_at_ms.load(Ordering::Relaxed),
+        ))
+    }
+
     /// Returns what a key shows that the configuration in use does not know.
     pub(crate) fn denial(&self, now: BootTime) -> Denial {
-        let confirmed_at = Duration::from_millis(self.confirmed_at_ms.load(Ordering::Relaxed));
-        if now.saturating_sub(confirmed_at) <= CONFIRMATION_AGE_MAX {
+        if self.age(now) <= CONFIRMATION_AGE_MAX {
             Denial::Final
         } else {
             Denial::Undecided {
@@ -92,8 +98,13 @@
 
     /// Applies the leader's configuration, while this instance cannot read that of the store.
     async fn fetch_from_leader(&self) {
-        let row = self.view.borrow().row.clone();
-        let Some(address) = row.map(|row| row.record.address) else {
+        let address = {
+            let view = self.view.borrow();
+            let row = view.row.as_ref().filter(|_| view.local.is_none());
+            row.map(|row| row.record.address)
+        };
+        // A leader that cannot read the configuration learns nothing from itself.
+        let Some(address) = address else {
             return;
         };
         let call = CellCall::Configuration;
@@ -103,9 +114,15 @@
             .call(address, SLICE, &call, HEARTBEAT_TIMEOUT)
             .await;
         match answer {
-            Ok(CellAnswer::Configuration { routes }) => {
+            Ok(CellAnswer::Configuration {
+                routes,
+                confirmed_ms_ago,
+            }) => {
                 self.apply(routes, "peer");
-                self.confirmed.confirm(sent_at);
+                if let Some(age_ms) = confirmed_ms_ago {
+                    let age = Duration::from_millis(age_ms);
+                    self.confirmed.confirm(sent_at.saturating_sub(age));
+                }
             }
             Ok(_) => {}
             Err(error) => warn!("configuration cannot be read from the leader", kv: {
@@ -118,6 +135,8 @@
 /// Follows the configuration and publishes each higher version, until all receivers are dropped.
 pub(crate) async fn follow_configuration(follower: ConfigurationFollower) {
     let mut after = None;
+    // Whether the store has a configuration that could not be read and may be newer.
+    let mut unreadable = false;
     let mut reachability = Reachability::new("configuration");
     while !follower.routes.is_closed() {
         let update = follower.directory.configuration(after, FOLLOW_WAIT).await;
@@ -125,12 +144,19 @@
         match update {
             Ok(ConfigurationUpdate::Current(newest, version)) => {
                 after = Some(version);
+                unreadable = false;
                 follower.apply(newest, "store");
                 follower.confirmed.confirm(boot_time());
             }
             Ok(ConfigurationUpdate::Unchanged(version)) => {
                 after = Some(version);
-                follower.confirmed.confirm(boot_time());
+                if !unreadable {
+                    follower.confirmed.confirm(boot_time());
+                }
+            }
+            Ok(ConfigurationUpdate::Unreadable(version)) => {
+                after = Some(version);
+                unreadable = true;
             }
             Ok(ConfigurationUpdate::HistoryLost) => after = None,
             Err(_) => {
--- a/jackdawchute-cell/src/gateway.rs
+++ b/jackdawchute-cell/src/gateway.rs
@@ -113,7 +113,8 @@
         self.view.borrow().leaving
     }
 
-    /// Decides whether a call to a queue may go on that presented a key, or none.
+    /// Decides whether a call to a queue may go on that presented a key, or none; `job` is the job
+    /// that it concerns, for the log.
     ///
     /// A key that this instance does not know may be newer than its configuration, so it is denied
     /// only if the configuration was confirmed lately; otherwise the call is answered as
@@ -121,8 +122,16 @@
     ///
     /// # Errors
     /// The answer to a call that may not go on.
-    pub fn authorize(&self, route: &QueueRoute, presented: Option<&str>) -> Result<Caller, Answer> {
-        let access = self.routes.borrow().access(route.public, presented);
+    pub fn authorize(
+        &self,
+        route: &QueueRoute,
+        presented: Option<&str>,
+        job: Option<&JobId>,
+    ) -> Result<Caller, Answer> {
+        let (access, configuration) = {
+            let routes = self.routes.borrow();
+            (routes.access(route.public, presented), routes.version)
+        };
         let denied = match access {
             Access::Granted(caller) => return Ok(caller),
             Access::Denied => self.confirmed.denial(boot_time()),
@@ -134,10 +143,10 @@
             }
         };
         info!("call without a known key not served", kv: {
-            queue = route.policy.queue.as_str(), key_presented = presented.is_some(),
-            configuration = self.routes.borrow().version, outcome = outcome
+            job = job.map(JobId::as_str).unwrap_or_default(), queue = route.policy.queue.as_str(),
+            key_presented = presented.is_some(), configuration = configuration, outcome = outcome
         });
-        self.metrics.call("authorize", outcome, Duration::ZERO);
+        self.metrics.call_denied(outcome);
         Err(answer)
     }
 
@@ -153,7 +162,7 @@
         let call = CellCall::Submit(Box::new(SubmitJob {
             job: job.clone(),
             graph,
-            caller,
+            caller: Some(caller),
             policy: route.policy.clone(),
             configuration: self.routes.borrow().version,
         }));
@@ -165,8 +174,14 @@
     }
 
     /// Returns a job's status.
-    pub async fn status(&self, caller: Caller, job: JobId, deadline: Duration) -> Answer {
-        let call = CellCall::Status(JobCall { job, caller });
+    pub async fn status(
+        &self,
+        caller: Caller,
+        queue: &QueueId,
+        job: JobId,
+        deadline: Duration,
+    ) -> Answer {
+        let call = CellCall::Status(job_call(caller, queue, &job));
         match self.call_leader("status", call, deadline).await {
             Answer::Status(JobStatus::Undecided) => self.unavailable(),
             answer => answer,
@@ -174,11 +189,14 @@
     }
 
     /// Cancels a job and returns its status from then on.
-    pub async fn cancel(&self, caller: Caller, job: JobId, deadline: Duration) -> Answer {
-        let call = CellCall::Cancel(JobCall {
-            job: job.clone(),
-            caller,
-        });
+    pub async fn cancel(
+        &self,
+        caller: Caller,
+        queue: &QueueId,
+        job: JobId,
+        deadline: Duration,
+    ) -> Answer {
+        let call = CellCall::Cancel(job_call(caller, queue, &job));
         let answer = self.call_leader("cancel", call, deadline).await;
         info!("cancellation answered", kv: { job = job.as_str(), answer:? = answer });
         match answer {
@@ -191,8 +209,9 @@
     }
 
     /// Returns how many jobs of a queue have not started.
-    pub async fn pending(&self, queue: QueueId, deadline: Duration) -> Answer {
-        self.call_leader("pending", CellCall::Pending { queue }, deadline)
+    pub async fn pending(&self, caller: Caller, queue: QueueId, deadline: Duration) -> Answer {
+        let caller = Some(caller);
+        self.call_leader("pending", CellCall::Pending { queue, caller }, deadline)
             .await
     }
 
@@ -230,6 +249,7 @@
             Answer::Refused { .. } => "refused",
             Answer::Unavailable { .. } => "unavailable",
             Answer::Unauthorized => "unauthorized",
+            Answer::OtherTenant => "other tenant",
             Answer::Unknown => "unknown",
             _ => "answered",
         };
@@ -304,3 +324,11 @@
         }
     }
 }
+
+fn job_call(caller: Caller, queue: &QueueId, job: &JobId) -> JobCall {
+    JobCall {
+        job: job.clone(),
+        queue: queue.clone(),
+        caller: Some(caller),
+    }
+}
--- a/jackdawchute-cell/src/instance.rs
+++ b/jackdawchute-cell/src/instance.rs
@@ -97,6 +97,7 @@
             advisor,
             incarnation,
             routes: routes.clone(),
+            confirmed: confirmed.clone(),
         };
         let services = Services::from([(SLICE, Arc::new(service) as Arc<dyn peer::PeerService>)]);
         Ok(Self {
--- a/jackdawchute-cell/src/leader/callers.rs
+++ b/jackdawchute-cell/src/leader/callers.rs
@@ -22,7 +22,7 @@
 /// A caller's query for a job's status.
 pub(crate) struct QueryStatus(pub(crate) JobCall, pub(crate) oneshot::Sender<CellAnswer>);
 /// A caller's query for the number of a queue's jobs that have not started.
-pub(crate) struct QueryPending(pub(crate) QueueId);
+pub(crate) struct QueryPending(pub(crate) QueueId, pub(crate) Option<Caller>);
 
 /// Whether a call may go on by the leader's configuration.
 enum Recheck {
@@ -34,50 +34,84 @@
 }
 
 impl LeaderTask {
-    /// Decides again whether a call may go on, if the leader's configuration is newer than that of
-    /// the instance that forwarded it.
-    fn recheck(&self, caller: Caller, queue: Option<&QueueId>) -> Recheck {
+    /// Decides again whether a call to a queue may go on, if the leader's configuration is newer
+    /// than that of the instance that forwarded it.
+    fn recheck(&self, caller: &Caller, queue: &QueueId) -> Recheck {
         let routes = self.routes.borrow();
         if routes.version <= caller.configuration {
-            return Recheck::Granted(caller);
-        }
-        let route = queue.map(|queue| routes.queue(queue));
-        let public = match route {
-            Some(None) => return Recheck::NoQueue,
-            Some(Some(route)) => route.public,
-            // The queue of a known job may be gone; only a key that was needed is checked again.
-            None => caller.key.is_none(),
-        };
+            return Recheck::Granted(caller.clone());
+        }
+        let route = routes.queue(queue);
+        let public = route.map_or(caller.public, |route| route.public);
         let key = caller.key.as_ref();
         match routes.access(public, key.map(|key| key.text())) {
-            Access::Granted(caller) => Recheck::Granted(caller),
             Access::Denied => Recheck::Unauthorized,
+            Access::Granted(_) if route.is_none() => Recheck::NoQueue,
+            Access::Granted(caller) => Recheck::Granted(caller),
+        }
+    }
+
+    /// Does the same for a submission; `None` for one of an instance of an earlier version, which
+    /// has checked no key, to a queue that needs one.
+    fn recheck_submission(&self, submit: &SubmitJob) -> Option<Recheck> {
+        let queue = &submit.policy.queue;
+        if let Some(caller) = &submit.caller {
+            return Some(self.recheck(caller, queue));
+        }
+        let routes = self.routes.borrow();
+        let route = routes.queue(queue);
+        if route.is_none() && routes.version > submit.configuration {
+            return Some(Recheck::NoQueue);
+        }
+        match routes.access(route.is_some_and(|route| route.public), None) {
+            Access::Granted(caller) => Some(Recheck::Granted(caller)),
+            Access::Denied => None,
         }
     }
 
     /// Returns whether a caller may learn of a job and cancel it.
-    fn may_see(&self, caller: &Caller, job: &JobId) -> bool {
+    fn may_see(&self, caller: &Caller, queue: &QueueId, job: &JobId) -> bool {
         let tenants_configured = self.routes.borrow().tenants.is_some();
-        caller.may_see(self.scheduler.tenant_of(job), tenants_configured)
+        let in_public_queue = caller.public && self.scheduler.queue_of(job) == Some(queue);
+        in_public_queue || caller.may_see(self.scheduler.tenant_of(job), tenants_configured)
     }
 
-    /// Answers a call that is known to have had no effect; returns the caller of any other.
-    fn granted(
-        &self,
-        call: &JobCall,
-        reply: oneshot::Sender<CellAnswer>,
-    ) -> Option<(Caller, oneshot::Sender<CellAnswer>)> {
+    /// Returns the job of a call if its caller may learn of it, and `None` if it is as unknown to
+    /// the caller as one that does not exist.
+    ///
+    /// # Errors
+    /// The answer to a call that may not go on.
+    fn job_seen(&self, call: JobCall) -> Result<Option<JobId>, CellAnswer> {
         if self.fenced {
-            let _ = reply.send(CellAnswer::NotLeader);
-            return None;
+            return Err(CellAnswer::NotLeader);
         }
-        match self.recheck(call.caller.clone(), None) {
-            Recheck::Granted(caller) => Some((caller, reply)),
-            Recheck::NoQueue | Recheck::Unauthorized => {
-                let _ = reply.send(CellAnswer::Unauthorized);
-                None
+        let Some(caller) = &call.caller else {
+            // An instance of an earlier version cannot tell whose the call is.
+            let owned = self.scheduler.tenant_of(&call.job).is_some();
+            return match owned && self.routes.borrow().tenants.is_some() {
+                true => Err(self.unavailable(Instant::now())),
+                false => Ok(Some(call.job)),
+            };
+        };
+        let caller = match self.recheck(caller, &call.queue) {
+            Recheck::Granted(caller) => caller,
+            // Jobs outlive their queue.
+            Recheck::NoQueue => caller.clone(),
+            Recheck::Unauthorized => {
+                info!("call refused: its key was withdrawn", kv: {
+                    job = call.job.as_str(), queue = call.queue.as_str(),
+                    configuration = self.routes.borrow().version
+                });
+                return Err(CellAnswer::Unauthorized);
             }
+        };
+        if self.may_see(&caller, &call.queue, &call.job) {
+            return Ok(Some(call.job));
         }
+        info!("job not shown: it belongs to another tenant", kv: {
+            job = call.job.as_str(), tenant = caller.tenant.as_deref().unwrap_or_default()
+        });
+        Ok(None)
     }
 }
 
@@ -93,24 +127,33 @@
         }
         let known = self.scheduler.status(&submit.job) != JobStatus::Unknown;
         let queue = &submit.policy.queue;
-        let caller = match self.recheck(submit.caller.clone(), Some(queue)) {
-            Recheck::Granted(caller) => caller,
+        let caller = match self.recheck_submission(&submit) {
+            Some(Recheck::Granted(caller)) => caller,
             // What was accepted before is still accepted.
-            Recheck::NoQueue if known => submit.caller.clone(),
-            Recheck::NoQueue => {
+            Some(Recheck::NoQueue) if known => submit.caller.clone().unwrap_or_default(),
+            Some(Recheck::NoQueue) => {
                 let _ = reply.send(CellAnswer::NoQueue);
                 return;
             }
-            Recheck::Unauthorized => {
+            Some(Recheck::Unauthorized) => {
                 info!("job refused", kv: {
                     job = submit.job.as_str(), queue = queue.as_str(),
-                    reason = "its key was withdrawn", configuration = self.routes.borrow().version
+                    reason = "its key was withdrawn, or its queue needs one now",
+                    configuration = self.routes.borrow().version
                 });
                 let _ = reply.send(CellAnswer::Unauthorized);
                 return;
             }
+            None => {
+                info!("job refused", kv: {
+                    job = submit.job.as_str(), queue = queue.as_str(),
+                    reason = "the forwarding instance checks no keys"
+                });
+                let _ = reply.send(self.unavailable(now));
+                return;
+            }
         };
-        if known && !self.may_see(&caller, &submit.job) {
+        if known && !self.may_see(&caller, queue, &submit.job) {
             info!("job refused", kv: {
                 job = submit.job.as_str(), reason = "another tenant has a job with this id"
             });
@@ -168,20 +211,22 @@
 
     async fn handle(&mut self, message: Cancel, context: &mut Context<Self>) {
         let Cancel(call, reply) = message;
-        let Some((caller, reply)) = self.granted(&call, reply) else {
-            return;
+        let job = match self.job_seen(call) {
+            Ok(Some(job)) => job,
+            Ok(None) => {
+                self.answer_status(JobStatus::Unknown, reply, context);
+                return;
+            }
+            Err(answer) => {
+                let _ = reply.send(answer);
+                return;
+            }
         };
-        let job = call.job;
         if !self.may_act() {
             // A later leader may have ended the job, or may never have known it.
             let _ = reply.send(CellAnswer::Unknown);
             return;
         }
-        if !self.may_see(&caller, &job) {
-            info!("job not cancelled: it belongs to another tenant", kv: { job = job.as_str() });
-            self.answer_status(JobStatus::Unknown, reply, context);
-            return;
-        }
         let status = self.scheduler.cancel(&job);
         match status {
             JobStatus::Queued | JobStatus::Running | JobStatus::Ended(_) => {
@@ -200,13 +245,13 @@
 
     async fn handle(&mut self, query: QueryStatus, context: &mut Context<Self>) {
         let QueryStatus(call, reply) = query;
-        let Some((caller, reply)) = self.granted(&call, reply) else {
-            return;
-        };
-        // A job of another tenant is as unknown as one that does not exist.
-        let status = match self.may_see(&caller, &call.job) {
-            true => self.scheduler.status(&call.job),
-            false => JobStatus::Unknown,
+        let status = match self.job_seen(call) {
+            Ok(Some(job)) => self.scheduler.status(&job),
+            Ok(None) => JobStatus::Unknown,
+            Err(answer) => {
+                let _ = reply.send(answer);
+                return;
+            }
         };
         self.answer_status(status, reply, context);
     }
@@ -219,11 +264,18 @@
         if self.fenced {
             return CellAnswer::NotLeader;
         }
+        let QueryPending(queue, caller) = query;
+        let recheck = caller.map(|caller| self.recheck(&caller, &queue));
+        match recheck {
+            None | Some(Recheck::Granted(_)) => {}
+            Some(Recheck::NoQueue) => return CellAnswer::NoQueue,
+            Some(Recheck::Unauthorized) => return CellAnswer::Unauthorized,
+        }
         if !self.may_act() {
             return self.unavailable(Instant::now());
         }
         CellAnswer::Pending {
-            jobs: self.scheduler.pending_jobs(&query.0),
+            jobs: self.scheduler.pending_jobs(&queue),
         }
     }
 }
--- a/jackdawchute-cell/src/messages.rs
+++ b/jackdawchute-cell/src/messages.rs
@@ -47,7 +47,12 @@
     /// Cancels a job.
     Cancel(JobCall),
     /// Asks how many jobs of a queue have not started.
-    Pending { queue: QueueId },
+    Pending {
+        queue: QueueId,
+        /// As in [`JobCall`].
+        #[serde(default)]
+        caller: Option<Caller>,
+    },
     /// Sends an advice request of the leader to the called instance's advisor.
     Advise { request: AdviceRequest },
     /// Offers the leader's epoch to an instance, which then claims the next one.
@@ -88,9 +93,13 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct JobCall {
     pub(crate) job: JobId,
-    /// On whose behalf the call is made, by the configuration of the forwarding instance.
+    /// The queue that the call names; empty from instances of earlier versions.
+    #[serde(default)]
+    pub(crate) queue: QueueId,
+    /// On whose behalf the call is made, by the configuration of the forwarding instance; `None`
+    /// from instances of earlier versions, which check no keys.
     #[serde(default)]
-    pub(crate) caller: Caller,
+    pub(crate) caller: Option<Caller>,
 }
 
 /// A caller's job on its way to the leader.
@@ -98,9 +107,10 @@
 pub(crate) struct SubmitJob {
     pub(crate) job: JobId,
     pub(crate) graph: JobGraph,
-    /// On whose behalf the job is submitted, by the configuration of the forwarding instance.
+    /// On whose behalf the job is submitted, by the configuration of the forwarding instance; `None`
+    /// from instances of earlier versions, which check no keys.
     #[serde(default)]
-    pub(crate) caller: Caller,
+    pub(crate) caller: Option<Caller>,
     /// The policy of the job's queue, as the forwarding instance knows it.
     pub(crate) policy: QueuePolicy,
     /// The version of the configuration that `policy` is from.
@@ -170,7 +180,13 @@
     /// The outcome of the call is unknown.
     Unknown,
     /// The configuration in use at the answering instance.
-    Configuration { routes: Routes },
+    Configuration {
+        routes: Routes,
+        /// How long ago the answering instance knew that it is the newest one; `None` from instances
+        /// of earlier versions.
+        #[serde(default)]
+        confirmed_ms_ago: Option<u64>,
+    },
     /// The instance has received the message.
     #[serde(rename = "noted")]
     Acknowledged,
--- a/jackdawchute-cell/src/metrics.rs
+++ b/jackdawchute-cell/src/metrics.rs
@@ -125,6 +125,15 @@
             .observe(took.as_secs_f64());
     }
 
+    /// Records a call that no tenant's key authorizes, by what its caller was told.
+    pub(crate) fn call_denied(&self, outcome: &'static str) {
+        let labels = CallLabels {
+            call: "authorize",
+            outcome,
+        };
+        self.calls.get_or_create(&labels).inc();
+    }
+
     /// Records a commit attempt that the store answered, with the number of rows in it.
     pub(crate) fn committed(&self, took: Duration, rows: usize) {
         self.call("commit", "answered", took);
--- a/jackdawchute-cell/src/peers.rs
+++ b/jackdawchute-cell/src/peers.rs
@@ -5,6 +5,7 @@
 use async_trait::async_trait;
 use jackdawchute_peer::PeerService;
 use jackdawchute_scheduler::AdviceRequest;
+use jackdawchute_timer::boot_time;
 use jackdawchute_types::{whole_ms, IncarnationId};
 use serde_json::Value;
 use spdlog::warn;
@@ -13,6 +14,7 @@
 
 use crate::{
     advisor::{self, AdviceOutcome, AdvisorTask},
+    configuration::ConfirmedConfiguration,
     election::{ElectionTask, LeaderView, PromiseRequested, Superseded, TakeOver},
     leader::{Cancel, LeaderTask, PeerHeartbeat, PeerState, QueryPending, QueryStatus, Submit},
     messages::{CellAnswer, CellCall},
@@ -27,6 +29,7 @@
     pub(crate) advisor: Address<AdvisorTask>,
     pub(crate) incarnation: IncarnationId,
     pub(crate) routes: watch::Receiver<Routes>,
+    pub(crate) confirmed: ConfirmedConfiguration,
 }
 
 #[async_trait]
@@ -35,7 +38,8 @@
         let call = match serde_json::from_value(call) {
             Ok(call) => call,
             Err(cause) => {
-                warn!("invalid call from a peer", kv: { cause: = cause });
+                // The text of the cause may quote a key.
+                warn!("invalid call from a peer", kv: { cause:? = cause.classify() });
                 return None;
             }
         };
@@ -63,6 +67,7 @@
             }
             CellCall::Configuration => CellAnswer::Configuration {
                 routes: self.routes.borrow().clone(),
+                confirmed_ms_ago: Some(whole_ms(self.confirmed.age(boot_time()))),
             },
             CellCall::Promise { epoch } => {
                 match self.election.send(PromiseRequested(epoch)).await {
@@ -150,8 +155,8 @@
             }
             answer.await.unwrap_or(CellAnswer::NotLeader)
         }
-        CellCall::Pending { queue } => leader
-            .send(QueryPending(queue))
+        CellCall::Pending { queue, caller } => leader
+            .send(QueryPending(queue, caller))
             .await
             .unwrap_or(CellAnswer::NotLeader),
         CellCall::Submit(submit) => {
--- a/jackdawchute-cell/src/ports.rs
+++ b/jackdawchute-cell/src/ports.rs
@@ -154,6 +154,8 @@
     /// The store no longer keeps the changes since that version; read the whole configuration
     /// instead.
     HistoryLost,
+    /// The store has a configuration that cannot be read; the changes go on from this version.
+    Unreadable(u64),
 }
 
 /// The platform's lists of workers and of the operators' configuration.
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -6,7 +6,7 @@
 };
 
 use jackdawchute_tenants::TenantPolicy;
-use jackdawchute_types::{Epoch, FencingToken, JobId, ServiceId, TenantId, WorkerId};
+use jackdawchute_types::{Epoch, FencingToken, JobId, QueueId, ServiceId, TenantId, WorkerId};
 use smol_str::SmolStr;
 
 use crate::{
@@ -215,6 +215,19 @@
         }
     }
 
+    /// Returns the queue of a job that has not ended.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use jackdawchute_scheduler::{Scheduler, Settings};
+    ///
+    /// let scheduler = Scheduler::new(Settings::default(), 1, Instant::now());
+    /// assert_eq!(scheduler.queue_of(&"job".into()), None);
+    /// ```
+    pub fn queue_of(&self, job: &JobId) -> Option<&QueueId> {
+        self.jobs.get(job).map(|job| &job.queue.queue)
+    }
+
     /// Returns the number of a queue's accepted jobs of which no task has started.
     pub fn pending_jobs(&self, queue: &str) -> usize {
         let is_pending =
--- a/jackdawchute-tenants/src/access.rs
+++ b/jackdawchute-tenants/src/access.rs
@@ -8,16 +8,32 @@
 /// On whose behalf a call is made.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Caller {
-    /// The tenant that the key belongs to; `None` where no key is needed.
+    /// The tenant that the key belongs to; `None` for a call without a key of a tenant, which goes
+    /// on only where none is needed.
     pub tenant: Option<TenantId>,
-    /// The key, by which a newer configuration can be asked again; `None` where none is needed.
+    /// The key that the call presented, by which a newer configuration can be asked again.
     pub key: Option<ApiKey>,
+    /// Whether the queue needs no key.
+    pub public: bool,
     /// The version of the configuration that says so.
     pub configuration: ConfigurationVersion,
 }
 
 impl Caller {
-    /// Returns whether the caller may learn of a job and cancel it, by the tenant that submitted it.
+    /// Returns the tenant that owns the jobs which the caller submits; those in a public queue have
+    /// none.
+    ///
+    /// ```
+    /// use jackdawchute_tenants::Caller;
+    ///
+    /// let caller = Caller { tenant: Some("bakery".into()), public: true, ..Caller::default() };
+    /// assert_eq!(caller.owner(), None);
+    /// ```
+    pub fn owner(&self) -> Option<&TenantId> {
+        self.tenant.as_ref().filter(|_| !self.public)
+    }
+
+    /// Returns whether the caller may learn of a job and cancel it, by the tenant that owns it.
     ///
     /// A job of no tenant is open to all. A caller of no tenant sees the jobs of tenants only while
     /// the configuration names none, since no caller can identify itself then.
@@ -53,11 +69,11 @@
 /// tenants, which asks for none either. `configuration` is the version that both are from.
 ///
 /// ```
-/// use jackdawchute_tenants::{access, Access, Caller};
+/// use jackdawchute_tenants::{access, Access};
 ///
-/// assert_eq!(access(true, Some(&[]), 0, None), Access::Granted(Caller::default()));
-/// assert_eq!(access(false, Some(&[]), 0, Some("withdrawn")), Access::Denied);
-/// assert_eq!(access(false, None, 0, None), Access::Granted(Caller::default()));
+/// assert!(matches!(access(true, Some(&[]), 7, None), Access::Granted(_)));
+/// assert!(matches!(access(false, None, 7, None), Access::Granted(_)));
+/// assert_eq!(access(false, Some(&[]), 7, Some("withdrawn")), Access::Denied);
 /// ```
 pub fn access(
     public: bool,
@@ -65,19 +81,15 @@
     configuration: ConfigurationVersion,
     presented: Option<&str>,
 ) -> Access {
-    let Some(tenants) = tenants.filter(|_| !public) else {
-        return Access::Granted(Caller {
-            configuration,
-            ..Caller::default()
-        });
-    };
-    let tenant = presented.and_then(|key| Keyring::new(tenants).tenant_of(key));
-    match (tenant, presented) {
-        (Some(tenant), Some(key)) => Access::Granted(Caller {
-            tenant: Some(tenant.clone()),
-            key: Some(ApiKey::new(key)),
-            configuration,
-        }),
-        _ => Access::Denied,
+    let keyring = Keyring::new(tenants.unwrap_or_default());
+    let tenant = presented.and_then(|key| keyring.tenant_of(key));
+    if tenant.is_none() && !public && tenants.is_some() {
+        return Access::Denied;
     }
+    Access::Granted(Caller {
+        tenant: tenant.cloned(),
+        key: presented.map(ApiKey::new),
+        public,
+        configuration,
+    })
 }
