feat: caps, shares and backlogs of tenants as decisions of their own

Cause: nothing says how much of a tenant's work may run, whose work goes first when the cell is full, or how long a tenant's waiting work takes at what it can get. Change: `CapUse` counts starts against a cap and keeps room for a gang that waits; `TenantPolicies` keeps the last policy of a tenant that is named no more; `fair_level` is the level of weighted max-min fairness over dominant shares, and `share_band` the place of work beyond a share; `backlog_ms` is the time ahead of a new job, where others count as far as their shares go. Ruled out: an order strictly by share, since slack decides what is on time among tenants within their shares; stopping what runs beyond a share, which throws work away. Tests: over random worlds of claims and ends no cap is passed, and a tenant's share is short of the weighted max-min by at most a task of its own and the first tasks of tenants whose share is below a task.

--- a/jackdawchute-tenants/src/lib.rs
+++ b/jackdawchute-tenants/src/lib.rs
@@ -5,9 +5,17 @@
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
 mod access;
+mod backlog;
+mod caps;
 mod keys;
+mod policies;
 mod policy;
+mod shares;
 
 pub use access::{access, Access, Caller};
+pub use backlog::{backlog_ms, TenantBacklog};
+pub use caps::{tasks_below_cap, CapUse};
 pub use keys::{ApiKey, Keyring};
+pub use policies::TenantPolicies;
 pub use policy::{Tenant, TenantPolicy};
+pub use shares::{dominant_share, fair_level, share_band, tasks_within_share, Claim};
