feat: no start brings a tenant above its cap, and a full cell is shared by weight

Cause: the scheduler knew tenants and acted on none of it. Change: each round counts what tenants have running, from the runs of all workers, late starts and, during a recovery, what recovered jobs may run on workers that have not listed their runs. Starts are limited by the cap, gangs as a whole; a gang that waits keeps its part of the cap from small tasks behind it, reserves no worker and requests no advice. Within a priority and timeliness, steps beyond their tenant's weighted share go after those within. Loads of services are a module of their own, beside the admission. Steps that wait for a cap are logged once, `tenant load` and metrics name at most 64 tenants. Without tenants in the configuration the order and the admission are as before. Ruled out: sums of use kept at each change of a run, which may drift unnoticed.

--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -21,7 +21,7 @@
     committer::CommitFinished,
     messages::{AcknowledgedBy, CellAnswer},
     recover::unix_now,
-    settings::{COMMIT_PAUSE, LOAD_LOG_PERIOD},
+    settings::{COMMIT_PAUSE, LOAD_LOG_PERIOD, TENANTS_NAMED_MAX},
     Error, Result, WorkersUpdate,
 };
 
@@ -87,6 +87,8 @@
         if now.saturating_duration_since(self.load_logged_at) >= LOAD_LOG_PERIOD {
             self.load_logged_at = now;
             self.scheduler.log_load(now);
+            let tenants = self.scheduler.tenant_loads(TENANTS_NAMED_MAX);
+            self.metrics.set_tenants(&tenants);
             self.work.log(self.lag, self.scheduler.unsaved_count());
         }
         self.measure_turn(context);
--- a/jackdawchute-cell/src/lib.rs
+++ b/jackdawchute-cell/src/lib.rs
@@ -26,6 +26,7 @@
 mod routes;
 mod rows;
 mod settings;
+mod tenant_metrics;
 
 pub use advisor::{AdviceRequestId, AdvisorQueue, Busy, ShortRequestLoad};
 pub use gateway::{Answer, Gateway};
--- a/jackdawchute-cell/src/metrics.rs
+++ b/jackdawchute-cell/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use jackdawchute_scheduler::RenewOutcome;
+use jackdawchute_scheduler::{RenewOutcome, TenantLoad};
 use prometheus_client::{
     encoding::{text::encode, EncodeLabelSet},
     metrics::{
@@ -15,7 +15,7 @@
 };
 use spdlog::error;
 
-use crate::authority::AuthorityState;
+use crate::{authority::AuthorityState, tenant_metrics::TenantMetrics};
 
 /// The upper bound of the first latency bucket.
 const LATENCY_BUCKET_FIRST_SECONDS: f64 = 0.001;
@@ -50,6 +50,7 @@
     epoch: Gauge,
     authority: Gauge,
     configuration_version: Gauge,
+    tenants: TenantMetrics,
 }
 
 fn latency_histogram() -> Histogram {
@@ -75,6 +76,7 @@
             epoch: Gauge::default(),
             authority: Gauge::default(),
             configuration_version: Gauge::default(),
+            tenants: TenantMetrics::default(),
         };
         let mut registry = Registry::with_prefix("jackdawchute_cell");
         registry.register("calls", "Calls by outcome", metrics.calls.clone());
@@ -96,6 +98,7 @@
         let help = "The configuration version in force here";
         let version = metrics.configuration_version.clone();
         registry.register("configuration_version", help, version);
+        metrics.tenants.register(&mut registry);
         metrics.registry = Arc::new(registry);
         metrics
     }
@@ -161,6 +164,9 @@
     /// Sets the epoch that this instance holds; 0 for none.
     pub(crate) fn set_epoch(&self, epoch: u64) {
         self.epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
+        if epoch == 0 {
+            self.tenants.clear();
+        }
     }
 
     /// Sets what the authority of the local leader rests on.
@@ -172,6 +178,11 @@
         });
     }
 
+    /// Sets the load of each tenant.
+    pub(crate) fn set_tenants(&self, loads: &[TenantLoad]) {
+        self.tenants.set(loads);
+    }
+
     /// Sets the number of jobs that have not ended.
     pub(crate) fn set_jobs(&self, jobs: usize) {
         self.jobs.set(i64::try_from(jobs).unwrap_or(i64::MAX));
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -119,6 +119,8 @@
 pub(crate) const ADVISOR_BACKLOG_MAX: Duration = Duration::from_millis(1_200);
 /// How often the load of the cell is logged.
 pub(crate) const LOAD_LOG_PERIOD: Duration = Duration::from_secs(1);
+/// The number of tenants that metrics name; the rest are summed.
+pub(crate) const TENANTS_NAMED_MAX: usize = 64;
 /// The weight of a new measurement in the leader's smoothed lag; about the last ten ticks count.
 pub(crate) const LAG_SMOOTHING: f64 = 0.1;
 /// The lag from which the leader refuses new jobs of the least urgent queues; urgent jobs have some
--- a/jackdawchute-scheduler/src/late_starts.rs
+++ b/jackdawchute-scheduler/src/late_starts.rs
@@ -24,6 +24,12 @@
         let tasks = self.by_worker.entry(worker.clone()).or_default();
         tasks.insert(task, since);
     }
+
+    /// Returns the tasks that may begin, each with the worker that its start was sent to.
+    pub(crate) fn tasks(&self) -> impl Iterator<Item = (&WorkerId, &TaskName)> {
+        let workers = self.by_worker.iter();
+        workers.flat_map(|(worker, tasks)| tasks.keys().map(move |task| (worker, task)))
+    }
 }
 
 impl Scheduler {
--- a/jackdawchute-scheduler/src/place/mod.rs
+++ b/jackdawchute-scheduler/src/place/mod.rs
@@ -16,6 +16,7 @@
 use crate::{
     free_capacity::FreeCapacity,
     rank::RankedStep,
+    tenants::TenantRound,
     worker::{Run, RunPhase},
     Scheduler,
 };
@@ -31,6 +32,7 @@
         &mut self,
         ranked: &[RankedStep],
         free_capacity: &mut FreeCapacity,
+        tenants: &mut TenantRound,
         now: Instant,
     ) {
         self.reserved_in_last_round = std::mem::take(&mut self.reserved_in_this_round);
@@ -48,11 +50,16 @@
                 continue;
             };
             let spec = spec.clone();
-            if spec.gang {
+            let tenant = job.tenant.clone();
+            let allowed = tenants.tasks_allowed(tenant.as_ref(), &ranked.name, &spec);
+            if spec.gang && allowed == 0 {
+                self.set_gang_reservation(&ranked.name, None);
+            } else if spec.gang {
                 let placed =
                     starts_left > 0 && self.place_gang(&ranked.name, &spec, free_capacity, now);
                 if placed {
                     starts_left = starts_left.saturating_sub(spec.tasks as usize);
+                    tenants.started(tenant.as_ref(), &spec, spec.tasks as usize);
                 } else {
                     let reservation = if reservations < reservations_max {
                         reservations += 1;
@@ -60,12 +67,17 @@
                     } else {
                         None
                     };
+                    if reservation.is_some() {
+                        tenants.hold_for_gang(tenant.as_ref(), &spec);
+                    }
                     self.set_gang_reservation(&ranked.name, reservation);
                 }
-            } else if starts_left > 0 {
-                let started =
-                    self.place_tasks(&ranked.name, &spec, free_capacity, starts_left, now);
+            } else if starts_left > 0 && allowed > 0 {
+                let starts_max = allowed.min(ranked.starts_max.unwrap_or(u32::MAX)) as usize;
+                let starts_max = starts_max.min(starts_left);
+                let started = self.place_tasks(&ranked.name, &spec, free_capacity, starts_max, now);
                 starts_left -= started;
+                tenants.started(tenant.as_ref(), &spec, started);
             }
         }
     }
--- a/jackdawchute-scheduler/src/rank.rs
+++ b/jackdawchute-scheduler/src/rank.rs
@@ -3,7 +3,8 @@
 //! Steps that can still be on time go first, those of the most urgent queue before all others and
 //! the rest by slack; steps that are late already get what is left. Small gangs go before large
 //! ones with only slightly less slack, because capacity stays idle while a large gang waits for
-//! enough of it.
+//! enough of it. Where tenants compete for a full cell, what lies beyond a tenant's share goes
+//! after what others have within theirs, in each priority.
 
 use std::time::{Duration, Instant};
 
@@ -41,12 +42,28 @@
 pub(crate) struct RankedStep {
     timeliness: Timeliness,
     less_urgent: bool,
+    /// How far the step lies beyond its tenant's share of a full cell; 0 within it.
+    pub(crate) share_band: u32,
     /// How long the step can wait until its timeliness changes, plus the slack of a gang; for steps
     /// that are too late, the time since acceptance, negated so that the oldest goes first.
     slack_ms: i64,
     pub(crate) name: StepName,
     /// Whether the acceptance of the job is not committed yet, so that only advice is requested.
     pub(crate) accepting: bool,
+    /// How many tasks may start in this turn of the step; `None` for no limit.
+    pub(crate) starts_max: Option<u32>,
+    /// Whether the cap of the step's tenant has no room for it soon, so that it needs no advice.
+    pub(crate) waits_for_cap: bool,
+}
+
+impl RankedStep {
+    /// Returns a further turn of the step, for the tasks that lie beyond its tenant's share.
+    pub(crate) fn beyond_share(&self, share_band: u32) -> Self {
+        Self {
+            share_band,
+            ..self.clone()
+        }
+    }
 }
 
 impl Scheduler {
@@ -109,9 +126,12 @@
         RankedStep {
             timeliness,
             less_urgent: job.queue.priority != MOST_URGENT,
+            share_band: 0,
             slack_ms,
             name,
             accepting: job.phase == JobPhase::Accepting,
+            starts_max: None,
+            waits_for_cap: false,
         }
     }
 
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -296,6 +296,11 @@
             && now.saturating_duration_since(self.recovery.began_at) < FIRST_RENEWALS_DURATION_MAX
     }
 
+    /// Returns whether the runs of all workers are known, or have lapsed.
+    pub(crate) fn recovery_is_complete(&self) -> bool {
+        self.recovery.complete
+    }
+
     /// Completes the recovery once every worker that may run tasks of an earlier leader has reported
     /// its runs, or its lease has lapsed; the tasks of recovered jobs may be placed from then on.
     pub(crate) fn finish_recovery(&mut self, now: Instant) {
--- a/jackdawchute-scheduler/src/report.rs
+++ b/jackdawchute-scheduler/src/report.rs
@@ -76,5 +76,6 @@
                 run_time_percent = self.run_times.percent(queue)
             });
         }
+        self.log_tenant_loads();
     }
 }
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -2,25 +2,26 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
-use jackdawchute_tenants::TenantPolicy;
+use jackdawchute_tenants::TenantPolicies;
 use jackdawchute_types::{Epoch, FencingToken, JobId, QueueId, ServiceId, TenantId, WorkerId};
 use smol_str::SmolStr;
 
 use crate::{
-    admit::ServiceLoads,
     authority::EpochAuthority,
     estimates::{AllowedShares, RunTimes},
     job::{Job, JobPhase},
     late_starts::LateStarts,
     recover::Recovery,
     row_size::RowNumber,
+    service_load::ServiceLoads,
     unsaved::UnsavedJobs,
     worker::Worker,
     worker_rows::WorkerRows,
-    Effect, JobOutcome, JobStatus, Settings, WorkerEntry,
+    Effect, JobOutcome, JobStatus, Settings, StepName, WorkerEntry,
 };
 
 /// The number of fencing tokens in an epoch: one for each incarnation of a worker that answers the
@@ -74,7 +75,11 @@
     pub(crate) services: Option<BTreeSet<ServiceId>>,
     /// What the configuration says of the tenants; `None` while it names none, so that neither caps
     /// nor shares apply.
-    pub(crate) tenants: Option<BTreeMap<TenantId, TenantPolicy>>,
+    pub(crate) tenants: Option<Arc<TenantPolicies>>,
+    /// The steps that waited for the caps of their tenants in the last scheduling round.
+    pub(crate) waiting_for_caps: BTreeSet<StepName>,
+    /// How many jobs of each tenant this leader has refused.
+    pub(crate) refused_by_tenant: BTreeMap<TenantId, u64>,
     /// The listed workers of other services, which are sent nothing.
     pub(crate) unused_workers: BTreeMap<WorkerId, WorkerEntry>,
     /// How often the tokens of workers that were dropped had been raised, so that they do not fall
@@ -138,6 +143,8 @@
             workers: BTreeMap::new(),
             services: None,
             tenants: None,
+            waiting_for_caps: BTreeSet::new(),
+            refused_by_tenant: BTreeMap::new(),
             unused_workers: BTreeMap::new(),
             token_raises: HashMap::new(),
             run_times: RunTimes::default(),
@@ -166,18 +173,6 @@
         self.epoch
     }
 
-    /// Applies the caps and shares of a configuration from now on; `None` if it names no tenants.
-    pub fn use_tenants(&mut self, tenants: Option<Vec<TenantPolicy>>) {
-        let by_name = |policies: Vec<TenantPolicy>| {
-            let named = policies.into_iter();
-            named
-                .map(|policy| (policy.tenant.clone(), policy))
-                .collect()
-        };
-        self.tenants = tenants.map(by_name);
-        self.placement_needed = true;
-    }
-
     /// Returns the effects that have become due since the last call.
     pub fn take_effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
@@ -299,10 +294,14 @@
             return;
         }
         if std::mem::take(&mut self.placement_needed) {
-            let ranked = self.ranked_steps(now);
+            let mut ranked = self.ranked_steps(now);
+            let mut tenants = self.tenant_round();
+            self.order_by_shares(&mut ranked, &mut tenants);
             let mut free_capacity = self.free_capacity(now);
             // Placement goes first: only what lacks a valid ticket afterwards needs more advice.
-            self.place(&ranked, &mut free_capacity, now);
+            self.place(&ranked, &mut free_capacity, &mut tenants, now);
+            self.note_cap_waits(tenants);
+            ranked.retain(|step| !step.waits_for_cap);
             self.request_advice(&ranked, &free_capacity, now);
         }
     }
--- a/jackdawchute-scheduler/src/submit.rs
+++ b/jackdawchute-scheduler/src/submit.rs
@@ -59,8 +59,10 @@
                 info!("job refused", kv: {
                     job = id.as_str(), queue = job.queue.queue.as_str(), reason = refusal.reason,
                     expected_wait_ms = refusal.expected.as_millis() as u64,
-                    retry_after_ms = refusal.retry_after.as_millis() as u64
+                    retry_after_ms = refusal.retry_after.as_millis() as u64,
+                    tenant = job.tenant.as_deref().unwrap_or_default()
                 });
+                self.count_refusal(job.tenant.as_ref());
                 return Submission::Refused {
                     retry_after: refusal.retry_after,
                 };
@@ -68,7 +70,8 @@
             Admission::Deferred { expected } => {
                 info!("job deferred: expected to be late", kv: {
                     job = id.as_str(), queue = job.queue.queue.as_str(),
-                    expected_wait_ms = expected.as_millis() as u64
+                    expected_wait_ms = expected.as_millis() as u64,
+                    tenant = job.tenant.as_deref().unwrap_or_default()
                 });
                 job.deferred = true;
             }
