fix: a task whose percents are slow counts as without progress only beyond what one is expected to take

The limit of 1.8 s over all tasks of a worker did not depend on how long a percent takes.

A task now counts only beyond the time in which it should have advanced by three percent. Where no other worker can run it, stopping it helps nobody, and it counts once it should have ended. Ruled out: a higher limit for all, since a worker that hangs would be noticed later. For tasks of a second it still is within 30 ms of before; the tests of that are unchanged.

--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -69,6 +69,8 @@
     pub(crate) late_starts: Vec<(TaskIndex, WorkerId)>,
     /// The worker on which a run of the unit failed last.
     pub(crate) failed_on: Option<WorkerId>,
+    /// How often tasks of the unit were stopped for lack of progress.
+    pub(crate) stuck_stops: u32,
     /// Whether the unit is a gang whose tasks have been ordered to stop in the current run.
     pub(crate) stopping: bool,
 }
--- a/jackdawchute-scheduler/src/progress.rs
+++ b/jackdawchute-scheduler/src/progress.rs
@@ -2,7 +2,9 @@
 //!
 //! A worker may hang while it still answers renewals, and then reports no run end at all. Declared
 //! run times are wrong by large factors for all tasks of a job alike, so that slow progress proves
-//! nothing; no progress at all does.
+//! nothing; no progress at all does. Progress is told in whole percents: a task counts as without
+//! it only beyond the time in which it should have advanced by some. If no other worker can run it,
+//! it counts only once it should have ended; if it was stopped for it before, only after long.
 
 use std::time::{Duration, Instant};
 
@@ -17,6 +19,14 @@
 /// The time without progress, added up over all tasks of a worker, after which the worker is stuck.
 /// Even a task of a minute advances by one percent in a third of this time.
 const STUCK_AFTER: Duration = Duration::from_millis(1_800);
+/// The percents that a task is expected to advance by before it counts as without progress; tasks
+/// take up to some times as long as expected.
+const PERCENTS_EXPECTED: u32 = 3;
+/// How long a task that was stopped for it may be without progress, which is as long as one percent
+/// of a task of half an hour takes after the first stop. Doubles with each stop.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// The most stops of a task that raise the patience.
+const PATIENCE_DOUBLINGS_MAX: u32 = 6;
 /// How long a stuck worker gets no new tasks.
 const STUCK_QUARANTINE: Duration = Duration::from_millis(2_500);
 
@@ -79,12 +89,16 @@
                 job = task.step.job.as_str(), step = task.step.step, task = task.index,
                 worker = id.as_str()
             });
+            let job = self.jobs.get_mut(&task.step.job);
+            if let Some(unit) = job.and_then(|job| job.unit_mut(&task.step, task.index)) {
+                unit.stuck_stops = unit.stuck_stops.saturating_add(1);
+            }
             self.stop_with_gang(id, &task);
         }
     }
 
-    /// Returns the time without progress, added up over the worker's tasks; `None` if any task has
-    /// made progress.
+    /// Returns the time without progress beyond what each task is allowed, added up over the
+    /// worker's tasks; `None` if any task has made progress.
     fn time_without_progress(&self, worker: &Worker, now: Instant) -> Option<Duration> {
         let mut without_progress = Duration::ZERO;
         for (task, run) in &worker.runs {
@@ -98,11 +112,44 @@
             if progress.advanced {
                 return None;
             }
-            without_progress += now.saturating_duration_since(progress.first_listed_at);
+            let still = now.saturating_duration_since(progress.first_listed_at);
+            without_progress += still.saturating_sub(self.allowed_without_progress(worker, task));
         }
         Some(without_progress)
     }
 
+    /// Returns how long a task may be without progress before that says something of its worker.
+    fn allowed_without_progress(&self, worker: &Worker, task: &TaskName) -> Duration {
+        let Some(job) = self.jobs.get(&task.step.job) else {
+            return Duration::ZERO;
+        };
+        let Some((spec, step)) = job.step(&task.step) else {
+            return Duration::ZERO;
+        };
+        let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
+        let allowed = expected / 100 * PERCENTS_EXPECTED;
+        let unit = step.units.get(spec.unit_index(task.index));
+        let stops = unit.map_or(0, |unit| unit.stuck_stops);
+        let other_could_run = || {
+            self.workers.values().any(|other| {
+                other.id() != worker.id()
+                    && other.is_responsive()
+                    && other.entry.service == job.queue.service
+                    && spec
+                        .required_label
+                        .as_ref()
+                        .is_none_or(|label| other.entry.labels.contains(label))
+            })
+        };
+        if stops > 0 {
+            expected.max(PATIENCE * (1 << stops.min(PATIENCE_DOUBLINGS_MAX)))
+        } else if other_could_run() {
+            allowed
+        } else {
+            expected
+        }
+    }
+
     /// Returns whether the reported percentage of a run shows its progress; it does not for tasks
     /// that run until they are cancelled or use only spare processor time.
     fn reports_progress(&self, task: &TaskName, run: &Run) -> bool {
--- a/jackdawchute-scheduler/tests/behaviour/lost_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/lost_workers.rs
@@ -1,7 +1,9 @@
 //! Tasks whose worker does not answer, has restarted or is stuck.
 
 use crate::fixtures::*;
-use jackdawchute_scheduler::{EndReason, StartAnswer, StartRefusal, WorkerEntry};
+use jackdawchute_scheduler::{
+    EndReason, RunningTask, StartAnswer, StartOrder, StartRefusal, StepSpec, WorkerEntry,
+};
 
 /// A worker may run its tasks until its lease lapses. If they start elsewhere before that, a task
 /// runs twice at a time.
@@ -160,6 +162,114 @@
     assert!(cell.take_stops().is_empty());
 }
 
+/// Answers `renewals` renewals, one each 500 ms, in which these runs stand at 0 %.
+fn answer_without_progress(cell: &mut Cell, worker: &str, starts: &[StartOrder], renewals: u32) {
+    for _ in 0..renewals {
+        cell.tick(500);
+        let reports = starts.iter().map(|start| RunningTask {
+            percent: 0,
+            ..running(start)
+        });
+        let reports = reports.collect();
+        let renewal = cell.latest_renewal_of(worker);
+        cell.answer_renewal(&renewal, reports, Vec::new());
+        cell.run_round();
+    }
+}
+
+/// Two workers; seven tasks that are stopped on the first one, as they make no progress there, and
+/// run on the other one. Returns their starts there.
+fn cell_with_tasks_of_a_stuck_worker(steps: Vec<StepSpec>) -> (Cell, Vec<StartOrder>) {
+    let mut cell = ready_cell(1, &[entry("w1", 8), entry("w2", 8)]);
+    cell.accept("job", steps, queue(0));
+    let starts = cell.take_starts();
+    starts.iter().for_each(|start| cell.confirm_start(start));
+    let first = starts[0].worker.clone();
+    answer_without_progress(&mut cell, &first, &starts, 2);
+    for stop in cell.take_stops() {
+        let clock = Some(cell.clock());
+        cell.scheduler
+            .stop_answered(&stop.worker, &stop.task, stop.run, clock, cell.now);
+    }
+    cell.tick(100);
+    let renewal = cell.latest_renewal_of(&first);
+    cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+    cell.run_round();
+    let starts = cell.take_starts();
+    starts.iter().for_each(|start| cell.confirm_start(start));
+    (cell, starts)
+}
+
+/// review/8: one percent of a task that takes 600 s takes 6 s.
+#[test]
+fn tasks_that_were_stopped_without_progress_are_not_stopped_again_on_another_worker() {
+    let (mut cell, starts) = cell_with_tasks_of_a_stuck_worker(vec![step(7, 1)]);
+    let worker = starts[0].worker.clone();
+
+    answer_without_progress(&mut cell, &worker, &starts, 12);
+
+    assert_eq!(starts.len(), 7);
+    assert_eq!(cell.take_stops(), []);
+}
+
+/// A worker that hangs is noticed by its other tasks, which take the ones stopped before along.
+#[test]
+fn a_stuck_worker_is_noticed_although_it_has_a_task_that_was_stopped_before() {
+    let (mut cell, mut starts) = cell_with_tasks_of_a_stuck_worker(vec![step(1, 1), step(6, 1)]);
+    let worker = starts[0].worker.clone();
+    starts.truncate(1);
+    cell.accept("other", vec![step(4, 1)], queue(1));
+    let others = cell.take_starts().into_iter();
+    starts.extend(others.filter(|start| start.worker == worker));
+    starts.iter().for_each(|start| cell.confirm_start(start));
+
+    answer_without_progress(&mut cell, &worker, &starts, 6);
+
+    assert!(starts.len() > 1);
+    assert_eq!(cell.take_stops().len(), starts.len());
+}
+
+/// review/8: the worker is the only one with the label that the tasks require.
+#[test]
+fn tasks_that_no_other_worker_can_run_are_not_stopped_for_slow_progress() {
+    let labelled = WorkerEntry {
+        labels: vec!["b".into()],
+        ..entry("w1", 8)
+    };
+    let mut cell = ready_cell(1, &[labelled, entry("w2", 8)]);
+    let needs_label = StepSpec {
+        required_label: Some("b".into()),
+        estimate: ms(10_000),
+        ..step(7, 1)
+    };
+    cell.accept("job", vec![needs_label], queue(0));
+    let starts = cell.take_starts();
+    starts.iter().for_each(|start| cell.confirm_start(start));
+
+    answer_without_progress(&mut cell, "w1", &starts, 12);
+
+    assert_eq!(starts.len(), 7);
+    assert_eq!(cell.take_stops(), []);
+}
+
+/// One percent of a task that is declared to take 100 s takes a second.
+#[test]
+fn tasks_that_are_declared_to_take_long_are_not_stopped_within_their_first_percent() {
+    let long = StepSpec {
+        estimate: ms(100_000),
+        ..step(7, 1)
+    };
+    let mut cell = ready_cell(1, &[entry("w1", 8), entry("w2", 8)]);
+    cell.accept("job", vec![long], queue(0));
+    let starts = cell.take_starts();
+    starts.iter().for_each(|start| cell.confirm_start(start));
+    let worker = starts[0].worker.clone();
+
+    answer_without_progress(&mut cell, &worker, &starts, 3);
+
+    assert_eq!(cell.take_stops(), []);
+}
+
 /// After a failed renewal the worker may have restarted: the new incarnation numbers its run ends
 /// from the start again, and would delete unsaved ones if the old number were sent.
 #[test]
