feat: tasks are placed by when they are expected to end, on workers whose speeds are learned

Slowness was an average of measured over expected times, so that a job that was declared wrong made its workers look slow, and the workers that advice was asked about were drawn without regard to it.

jackdawchute-speeds takes the logarithm of measured over declared time as the pace of the job, the slowness of the worker and noise; a worker is judged by what the job's other tasks do not explain, from the first fifth of a run's progress on, and only as far as the fleet shows differences that noise does not. Run times of a queue have a tail beside their mean. A place where also a long task is in time goes first, the slowest near one of them before the others; else the place where the task ends first. Gangs take the places where their slowest task ends first, over several racks if that is sooner. Requests for advice about single tasks name workers that suit first. Knowledge goes with the incarnation; a successor has it from the progress of what runs. bounds.remote_slowdown comes from the platform's bounds (1.5 if absent). Without a measured difference all workers count as alike and places are ordered as before.

Of the new tests of the scheduler six of eight fail if all workers count as alike; the other two hold what stays as it was.

--- a/jackdawchute-scheduler/src/advice_workers.rs
+++ b/jackdawchute-scheduler/src/advice_workers.rs
@@ -13,11 +13,12 @@
     time::{Duration, Instant},
 };
 
+use jackdawchute_speeds::PlaceRank;
 use jackdawchute_types::WorkerId;
 use rustc_hash::FxBuildHasher;
 
 use crate::{
-    free_capacity::{can_run, tasks_fitting, FreeCapacity, FITTING_TASKS_MAX},
+    free_capacity::{can_run, tasks_fitting, FreeCapacity, WorkerCapacity, FITTING_TASKS_MAX},
     job::{Advice, GangReservation, Job, StepRun},
     worker::Worker,
     AdviceCost, StepName, StepSpec,
@@ -47,7 +48,7 @@
 const FIRST_REQUEST_WORKERS_MIN: usize = 24;
 
 /// Groups the workers that could run a step by the advice that is known about them, with the free
-/// capacity that a task from now until `ends_at` could use.
+/// capacity that a task from now until `ends_at` could use and how well they suit it.
 pub(crate) fn known_advice(
     workers: &BTreeMap<WorkerId, Worker>,
     job: &Job,
@@ -55,6 +56,7 @@
     step: &StepRun,
     free_capacity: &FreeCapacity,
     (now, ends_at): (Instant, Instant),
+    rank: impl Fn(&WorkerCapacity) -> PlaceRank,
 ) -> KnownAdvice {
     let size = spec.charged_resources();
     let starts_at = step
@@ -76,6 +78,7 @@
             worker: worker.clone(),
             free_millicores: usable.processor_millicores,
             fits,
+            rank: rank(worker_capacity).roughly(),
             tasks_when_idle: tasks_fitting(&size, worker_capacity.free_when_idle)
                 .min(per_worker_max),
             tasks_now: tasks_fitting(&size, usable).min(per_worker_max),
@@ -103,6 +106,8 @@
     free_millicores: u64,
     /// Whether at least one task of the step fits now.
     fits: bool,
+    /// How well the worker suits the step, by when its tasks would end there.
+    rank: PlaceRank,
     /// How many tasks of the step fit when nothing else runs on the worker.
     tasks_when_idle: u32,
     /// How many tasks of the step fit now.
@@ -221,7 +226,8 @@
     workers.map(|candidate| candidate.worker).collect()
 }
 
-/// Returns `count` workers, other ones for each step, those with room for several tasks first.
+/// Returns `count` workers, other ones for each step, those that suit it first and of them those with
+/// room for several tasks.
 ///
 /// Were all steps to name the workers with the most free capacity, hundreds of them would get
 /// tickets for the same few workers, find these taken and ask again.
@@ -230,12 +236,12 @@
     name: &StepName,
     count: usize,
 ) -> Vec<WorkerId> {
-    let mut keyed: Vec<((Reverse<u32>, u64), AdviceCandidate)> = candidates
+    let mut keyed: Vec<((PlaceRank, Reverse<u32>, u64), AdviceCandidate)> = candidates
         .into_iter()
         .map(|candidate| {
             let room = Reverse(candidate.tasks_now.min(SEVERAL_TASKS));
             let spread = FxBuildHasher.hash_one((name, &candidate.worker));
-            ((room, spread), candidate)
+            ((candidate.rank, room, spread), candidate)
         })
         .collect();
     if count < keyed.len() {
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -136,6 +136,8 @@
         if !spec.gang && fits_with_ticket(spec, step, free_capacity, (now, now + expected)) {
             return Vec::new();
         }
+        let estimate = self.run_times.estimate(&job.queue.queue, spec.estimate);
+        let time_left = self.time_left(job, spec, now);
         let known = known_advice(
             &self.workers,
             job,
@@ -143,6 +145,10 @@
             step,
             free_capacity,
             (now, now + expected),
+            |worker_capacity| {
+                let far = self.far_slowdown(spec, worker_capacity.rack.as_ref());
+                estimate.rank(worker_capacity.slowness, far, time_left)
+            },
         );
         let (workers, per_request) = if spec.gang {
             let allowed_share = self.allowed_shares.expected(&job.queue.queue);
--- a/jackdawchute-scheduler/src/ends.rs
+++ b/jackdawchute-scheduler/src/ends.rs
@@ -15,8 +15,6 @@
 const QUARANTINE_FAILURES: usize = 3;
 /// How long a worker in quarantine gets no new tasks.
 const QUARANTINE: Duration = Duration::from_millis(3_000);
-/// The weight of a new measurement in the average of a worker's slowness.
-const SLOWNESS_GAIN: f64 = 0.2;
 
 impl Scheduler {
     /// Handles a run end that a worker reports; returns `false` if it is recorded already.
@@ -34,11 +32,17 @@
         let run = worker.runs.get(&end.task).filter(|run| run.run <= end.run);
         let is_known = run.is_some();
         // When a run started is known only if this leader ordered it.
-        let started_at = run
-            .filter(|run| run.start_order.is_some())
-            .map(|run| run.known_since);
+        let started = run.filter(|run| run.start_order.is_some());
+        let started = started.map(|run| (run.known_since, run.slowdown));
         self.record_health(id, end);
-        self.quarantine_or_record_duration(id, end, started_at, now);
+        self.quarantine(id, end, now);
+        if end.reason == EndReason::Succeeded {
+            self.learn_from_end(id, end, now);
+            if let Some((started_at, slowdown)) = started {
+                let run_time = now.saturating_duration_since(started_at);
+                self.record_run_time(&end.task, run_time.div_f64(slowdown));
+            }
+        }
         self.apply_end(id, end, change, now);
         if is_known {
             self.remove_run(id, &end.task, now);
@@ -189,15 +193,8 @@
         }
     }
 
-    /// Quarantines a worker on which several jobs failed in a row; after a success, records the run
-    /// time, which began at `started_at`, for the estimates.
-    fn quarantine_or_record_duration(
-        &mut self,
-        id: &WorkerId,
-        end: &EndedRun,
-        started_at: Option<Instant>,
-        now: Instant,
-    ) {
+    /// Quarantines a worker on which several jobs failed in a row.
+    fn quarantine(&mut self, id: &WorkerId, end: &EndedRun, now: Instant) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
@@ -211,22 +208,17 @@
             });
             health.quarantined_until = Some(now + QUARANTINE);
         }
-        let (Some(started_at), EndReason::Succeeded) = (started_at, end.reason) else {
-            return;
-        };
-        let Some(job) = self.jobs.get(&end.task.step.job) else {
-            return;
-        };
-        let Some(spec) = job.graph.steps.get(end.task.step.step as usize) else {
+    }
+
+    /// Records the run time of a task that succeeded, as on the mean worker near its data, for the
+    /// estimates of its queue.
+    fn record_run_time(&mut self, task: &TaskName, run_time: Duration) {
+        let Some(job) = self.jobs.get(&task.step.job) else {
             return;
         };
-        let measured = now.saturating_duration_since(started_at);
-        let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
-        if !expected.is_zero() {
-            let slowness = (measured.as_secs_f64() / expected.as_secs_f64()).clamp(0.1, 20.0);
-            health.slowness += SLOWNESS_GAIN * (slowness - health.slowness);
+        if let Some(spec) = job.graph.steps.get(task.step.step as usize) {
+            self.run_times
+                .record(&job.queue.queue, spec.estimate, run_time);
         }
-        let queue = job.queue.queue.clone();
-        self.run_times.record(&queue, spec.estimate, measured);
     }
 }
--- a/jackdawchute-scheduler/src/estimates.rs
+++ b/jackdawchute-scheduler/src/estimates.rs
@@ -1,14 +1,12 @@
-//! Estimates from measurements: run times, and how many workers advisors allow.
+//! The estimate of how many workers advisors allow, from their answers.
 
-use std::{collections::HashMap, time::Duration};
+use std::collections::HashMap;
 
 use jackdawchute_types::QueueId;
 
 /// The factor by which each new measurement reduces the weight of all earlier ones, so that the
 /// last few hundred count.
 const DECAY_FACTOR: f64 = 0.995;
-/// The weight of the initial assumption that tasks take as long as declared, in declared seconds.
-const PRIOR_SECONDS: f64 = 30.0;
 
 /// The ratio of two exponentially weighted sums, in which the latest values count most.
 #[derive(Clone, Copy, Debug)]
@@ -28,44 +26,6 @@
     }
 }
 
-/// The ratio of measured to declared run times of each queue's tasks.
-///
-/// Declared times of single tasks are far off in both directions. A ratio of sums, unlike a mean of
-/// ratios, is hardly changed by a few tasks that are declared much too short.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct RunTimes {
-    /// Measured seconds over declared seconds.
-    ratios: HashMap<QueueId, Ratio>,
-}
-
-impl RunTimes {
-    /// Records the run time of a task that succeeded.
-    pub(crate) fn record(&mut self, queue: &QueueId, declared: Duration, measured: Duration) {
-        if declared.is_zero() {
-            return;
-        }
-        let ratio = self.ratios.entry(queue.clone()).or_insert(Ratio {
-            numerator: PRIOR_SECONDS,
-            denominator: PRIOR_SECONDS,
-        });
-        ratio.add(measured.as_secs_f64(), declared.as_secs_f64());
-    }
-
-    fn ratio(&self, queue: &QueueId) -> f64 {
-        self.ratios.get(queue).map_or(1.0, Ratio::value)
-    }
-
-    /// Returns the measured run time of a queue's tasks in percent of the declared one.
-    pub(crate) fn percent(&self, queue: &QueueId) -> u64 {
-        (self.ratio(queue) * 100.0) as u64
-    }
-
-    /// Returns the expected run time of a queue's task with this declared one.
-    pub(crate) fn expected(&self, queue: &QueueId, declared: Duration) -> Duration {
-        declared.mul_f64(self.ratio(queue).max(0.1))
-    }
-}
-
 /// The share of workers that advisors are assumed to allow before any has answered.
 const ALLOWED_SHARE_PRIOR: f64 = 0.5;
 /// The weight of that assumption, in workers.
--- a/jackdawchute-scheduler/src/free_capacity.rs
+++ b/jackdawchute-scheduler/src/free_capacity.rs
@@ -35,8 +35,8 @@
     pub(crate) free_when_idle: Resources,
     pub(crate) rack: Option<RackId>,
     pub(crate) started_unix_ms: u64,
-    /// The ratio of measured to expected run times, in tenths.
-    pub(crate) slowness_tenths: u32,
+    /// By what factor tasks take longer than on the mean worker.
+    pub(crate) slowness: f64,
     service: ServiceId,
     /// What is reserved for gangs in this round.
     reserved: Vec<ReservedCapacity>,
@@ -46,7 +46,7 @@
 }
 
 impl WorkerCapacity {
-    fn new(worker: &Worker, free: Resources) -> Self {
+    fn new(worker: &Worker, free: Resources, slowness: f64) -> Self {
         let lasting = worker
             .runs
             .values()
@@ -61,18 +61,13 @@
             free_when_idle: worker.entry.capacity.saturating_sub(&used_for_good),
             rack: worker.entry.rack.clone(),
             started_unix_ms: worker.entry.started_unix_ms,
-            slowness_tenths: (worker.health.slowness * 10.0) as u32,
+            slowness,
             service: worker.entry.service.clone(),
             reserved: Vec::new(),
             ends: OnceCell::new(),
         }
     }
 
-    /// Returns whether the worker is on the rack that holds the step's data, if any rack does.
-    pub(crate) fn is_near_data(&self, spec: &StepSpec) -> bool {
-        spec.data_rack.is_none() || spec.data_rack == self.rack
-    }
-
     /// Returns the capacity that a task which ends at `ends_at` may use: what is free, without the
     /// reservations of gangs that start before that.
     pub(crate) fn usable(&self, ends_at: Instant) -> Resources {
@@ -172,7 +167,7 @@
         let capacity_of = |worker: &Worker| {
             Some((
                 worker.id().clone(),
-                WorkerCapacity::new(worker, worker.free()?),
+                WorkerCapacity::new(worker, worker.free()?, self.slowness(worker, now)),
             ))
         };
         let workers = self.workers.values().filter(accepts_tasks);
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use jackdawchute_speeds::Pace;
 use jackdawchute_types::{
     Checkpoint, JobId, Occurrence, RunNumber, StepIndex, TaskIndex, TenantId, Ticket, WorkerId,
 };
@@ -218,6 +219,8 @@
     pub(crate) earlier_runs_max: RunNumber,
     /// Whether the job was not expected on time at its arrival, so that it is treated as late.
     pub(crate) deferred: bool,
+    /// The ratio of measured to declared run times of the job's tasks.
+    pub(crate) pace: Pace,
     /// The number of saved rows that hold the job as accepted.
     pub(crate) rows: usize,
     /// The progress rows that may have been saved.
@@ -245,6 +248,7 @@
             recovering: false,
             earlier_runs_max: 0,
             deferred: false,
+            pace: Pace::default(),
             rows: 0,
             progress_rows: BTreeSet::new(),
             progress_unsaved: BTreeSet::new(),
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -36,6 +36,7 @@
 mod room;
 mod row_size;
 mod settings;
+mod speeds;
 mod start_answers;
 mod state;
 mod submit;
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -409,6 +409,7 @@
             answered_clock: Some(Duration::ZERO),
             known_since: now,
             expected_end,
+            slowdown: 1.0,
             order_under_way: false,
             stop_sent: false,
             retry_at: None,
--- a/jackdawchute-scheduler/src/place/candidates.rs
+++ b/jackdawchute-scheduler/src/place/candidates.rs
@@ -1,7 +1,8 @@
 //! The workers that may run a step in a scheduling round.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use jackdawchute_speeds::{PlaceRank, RunEstimate};
 use jackdawchute_types::{Ticket, WorkerId};
 
 use crate::{
@@ -15,8 +16,10 @@
     pub(super) worker: WorkerId,
     /// The valid ticket; `None` if the step needs no advice.
     pub(super) ticket: Option<Ticket>,
-    pub(super) near_data: bool,
-    pub(super) slowness_tenths: u32,
+    /// How well the place suits the step's tasks, by when they would end there.
+    pub(super) rank: PlaceRank,
+    /// The expected run time of a task there.
+    pub(super) expected: Duration,
     /// How many more tasks of the step the worker may run, by the step's limit for each worker.
     pub(super) tasks_allowed: u32,
 }
@@ -30,12 +33,15 @@
         name: &StepName,
         spec: &StepSpec,
         free_capacity: &FreeCapacity,
+        estimate: RunEstimate,
         now: Instant,
     ) -> Vec<Candidate> {
         let Some((_, step)) = job.step(name) else {
             return Vec::new();
         };
         let on_worker = tasks_on_workers(spec, step);
+        // A gang ends with its slowest task, which leaves no fast worker free for long.
+        let time_left = self.time_left(job, spec, now).filter(|_| !spec.gang);
         let per_worker_max = spec.per_worker_max.unwrap_or(u32::MAX);
         let candidate =
             |worker: &WorkerId, worker_capacity: &WorkerCapacity, ticket: Option<&Ticket>| {
@@ -43,11 +49,13 @@
                     per_worker_max.saturating_sub(on_worker.get(worker).copied().unwrap_or(0));
                 let may_run =
                     tasks_allowed > 0 && can_run(&self.workers, worker, worker_capacity, job, spec);
+                let slowness = worker_capacity.slowness;
+                let far = self.far_slowdown(spec, worker_capacity.rack.as_ref());
                 may_run.then(|| Candidate {
                     worker: worker.clone(),
                     ticket: ticket.cloned(),
-                    near_data: worker_capacity.is_near_data(spec),
-                    slowness_tenths: worker_capacity.slowness_tenths,
+                    rank: estimate.rank(slowness, far, time_left),
+                    expected: estimate.expected_at(slowness * far.unwrap_or(1.0)),
                     tasks_allowed,
                 })
             };
--- a/jackdawchute-scheduler/src/place/gangs.rs
+++ b/jackdawchute-scheduler/src/place/gangs.rs
@@ -1,6 +1,13 @@
 //! Places gangs, whose tasks start together.
 
-use std::{collections::HashMap, time::Instant};
+use std::{
+    cmp::Reverse,
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use jackdawchute_speeds::RunEstimate;
+use jackdawchute_types::RackId;
 
 use super::candidates::Candidate;
 use crate::{
@@ -20,14 +27,14 @@
         let Some(job) = self.jobs.get(&name.job) else {
             return true;
         };
-        let mut candidates = self.candidates(job, name, spec, free_capacity, now);
-        let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
+        let estimate = self.run_times.estimate(&job.queue.queue, spec.estimate);
+        let mut candidates = self.candidates(job, name, spec, free_capacity, estimate, now);
         let size = spec.charged_resources();
         let tasks_that_fit = |candidate: &Candidate| -> u32 {
             let Some(worker_capacity) = free_capacity.worker(&candidate.worker) else {
                 return 0;
             };
-            tasks_fitting(&size, worker_capacity.usable(now + expected))
+            tasks_fitting(&size, worker_capacity.usable(now + candidate.expected))
                 .min(candidate.tasks_allowed)
         };
         let mut counts: Vec<(u32, Candidate)> = candidates
@@ -35,20 +42,14 @@
             .map(|candidate| (tasks_that_fit(&candidate), candidate))
             .filter(|(count, _)| *count > 0)
             .collect();
+        counts.sort_by_key(|(count, candidate)| (candidate.rank, Reverse(*count)));
         if spec.rack_local {
-            self.prefer_one_rack(&mut counts, spec.tasks);
+            self.prefer_one_rack(&mut counts, spec.tasks, estimate);
         }
         let total: u32 = counts.iter().map(|(count, _)| count).sum();
         if total < spec.tasks {
             return false;
         }
-        counts.sort_by_key(|(count, candidate)| {
-            (
-                !candidate.near_data,
-                candidate.slowness_tenths.max(11),
-                std::cmp::Reverse(*count),
-            )
-        });
         let mut assignments = Vec::with_capacity(spec.tasks as usize);
         for (count, candidate) in counts {
             for _ in 0..count {
@@ -64,23 +65,61 @@
         true
     }
 
-    /// Drops all candidates but those of one rack, if one rack alone has capacity for the gang.
-    fn prefer_one_rack(&self, counts: &mut Vec<(u32, Candidate)>, tasks: u32) {
+    /// Drops all candidates but those of the rack on which the gang ends first, if one rack alone
+    /// has capacity for it and it doesn't end sooner over several.
+    fn prefer_one_rack(
+        &self,
+        counts: &mut Vec<(u32, Candidate)>,
+        tasks: u32,
+        estimate: RunEstimate,
+    ) {
         let rack_of = |candidate: &Candidate| {
             let worker = self.workers.get(&candidate.worker);
             worker.and_then(|worker| worker.entry.rack.clone())
         };
-        let mut by_rack: HashMap<_, u32> = HashMap::new();
+        let mut by_rack: HashMap<RackId, (u32, Vec<(u32, Duration)>)> = HashMap::new();
         for (count, candidate) in counts.iter() {
             if let Some(rack) = rack_of(candidate) {
-                *by_rack.entry(rack).or_default() += count;
+                let (total, places) = by_rack.entry(rack).or_default();
+                *total += count;
+                places.push((*count, candidate.expected));
             }
         }
-        let large_enough = by_rack.into_iter().filter(|(_, count)| *count >= tasks);
-        if let Some((rack, _)) =
-            large_enough.min_by(|left, right| (left.1, &left.0).cmp(&(right.1, &right.0)))
-        {
+        let slowdown = |expected: Duration| {
+            expected.as_secs_f64() / estimate.expected.as_secs_f64().max(f64::MIN_POSITIVE)
+        };
+        let large_enough = by_rack
+            .into_iter()
+            .filter(|(_, (total, _))| *total >= tasks)
+            .map(|(rack, (total, places))| {
+                let ends_last = slowdown(time_of_gang(&places, tasks));
+                (estimate.rank(ends_last, None, None), total, rack)
+            });
+        let Some((rank, _, rack)) = large_enough.min() else {
+            return;
+        };
+        let over_racks: Vec<(u32, Duration)> = counts
+            .iter()
+            .map(|(count, candidate)| (*count, candidate.expected))
+            .collect();
+        let over_racks = slowdown(time_of_gang(&over_racks, tasks));
+        if estimate.rank(over_racks, Some(self.settings.remote_slowdown), None) >= rank {
             counts.retain(|(_, candidate)| rack_of(candidate).as_ref() == Some(&rack));
         }
     }
 }
+
+/// Returns how long a gang takes on the first of these places, each with the number of tasks that
+/// fit there and their expected time.
+fn time_of_gang(places: &[(u32, Duration)], tasks: u32) -> Duration {
+    let mut left = tasks;
+    let mut slowest = Duration::ZERO;
+    for (count, expected) in places {
+        if left == 0 {
+            break;
+        }
+        left = left.saturating_sub(*count);
+        slowest = slowest.max(*expected);
+    }
+    slowest
+}
--- a/jackdawchute-scheduler/src/place/starts.rs
+++ b/jackdawchute-scheduler/src/place/starts.rs
@@ -23,7 +23,7 @@
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
         };
-        let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
+        let (queue, declared) = (job.queue.queue.clone(), spec.estimate);
         let payload = job.graph.payload.clone();
         let earlier_runs_max = job.earlier_runs_max;
         let Some(unit) = job.step_mut(name).and_then(|step| step.units.get_mut(unit)) else {
@@ -35,7 +35,9 @@
         let placed = assignments.iter();
         unit.begin_run(placed.map(|(index, worker, _)| (*index, worker.clone())));
         let (run, checkpoint) = (unit.last_run, unit.checkpoint.clone());
-        for (index, worker, ticket) in assignments {
+        let expected = self.run_times.expected(&queue, declared);
+        let slowdowns = self.slowdowns(spec, assignments, now);
+        for ((index, worker, ticket), slowdown) in assignments.iter().zip(slowdowns) {
             let Some(worker) = self.workers.get_mut(worker) else {
                 continue;
             };
@@ -55,7 +57,9 @@
             };
             info!("task placed", kv: {
                 job = name.job.as_str(), step = name.step, task = *index, run = run,
-                worker = worker.id().as_str(), resumed = !checkpoint.is_empty()
+                worker = worker.id().as_str(), resumed = !checkpoint.is_empty(),
+                expected_ms = expected.mul_f64(slowdown).as_millis() as u64,
+                slowdown_percent = (slowdown * 100.0) as u64
             });
             worker.lease_sent = worker.lease_sent.max(order.lease_until);
             let new_run = Run {
@@ -68,7 +72,8 @@
                 known_since: now,
                 expected_end: spec
                     .ends_by_itself()
-                    .then(|| now + expected.mul_f64(worker.health.slowness.max(0.5))),
+                    .then(|| now + expected.mul_f64(slowdown)),
+                slowdown,
                 order_under_way: true,
                 stop_sent: false,
                 retry_at: None,
--- a/jackdawchute-scheduler/src/place/tasks.rs
+++ b/jackdawchute-scheduler/src/place/tasks.rs
@@ -19,11 +19,11 @@
         let Some(job) = self.jobs.get(&name.job) else {
             return 0;
         };
-        let mut candidates = self.candidates(job, name, spec, free_capacity, now);
+        let estimate = self.run_times.estimate(&job.queue.queue, spec.estimate);
+        let mut candidates = self.candidates(job, name, spec, free_capacity, estimate, now);
         if candidates.is_empty() {
             return 0;
         }
-        let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
         let Some((_, step)) = job.step(name) else {
             return 0;
         };
@@ -42,16 +42,14 @@
                 .filter_map(|candidate| {
                     let free = free_capacity
                         .worker(&candidate.worker)?
-                        .usable(now + expected);
+                        .usable(now + candidate.expected);
                     let fits = size.fits_in(&free);
                     let failed_there = failed_on.as_ref() == Some(&candidate.worker);
-                    // A task takes longer far from its data or on a slow worker, where slowness up
-                    // to 1.1 counts as none. Among equal workers the one with the fewest free
-                    // processors is best.
+                    // Among places that suit equally the one with the fewest free processors is
+                    // best, so that gangs find large gaps.
                     let cost = (
                         failed_there,
-                        !candidate.near_data,
-                        candidate.slowness_tenths.max(11),
+                        candidate.rank,
                         self.reserved_in_last_round.contains(&candidate.worker),
                         free.processor_millicores,
                     );
--- a/jackdawchute-scheduler/src/progress.rs
+++ b/jackdawchute-scheduler/src/progress.rs
@@ -27,6 +27,8 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 /// The most stops of a task that raise the patience.
 const PATIENCE_DOUBLINGS_MAX: u32 = 6;
+/// The percents of a run from which its speed is taken.
+const PERCENTS_OBSERVED: u32 = 20;
 /// How long a stuck worker gets no new tasks.
 const STUCK_QUARANTINE: Duration = Duration::from_millis(2_500);
 
@@ -36,8 +38,10 @@
     /// The finished share of the work when the run was first listed.
     first_percent: u32,
     first_listed_at: Instant,
-    /// Whether the finished share has grown since.
-    advanced: bool,
+    /// The finished share when the run was last listed.
+    percent: u32,
+    /// Whether the run has told of its worker's speed.
+    observed: bool,
 }
 
 impl Progress {
@@ -46,13 +50,49 @@
         Self {
             first_percent: percent,
             first_listed_at: now,
-            advanced: false,
+            percent,
+            observed: false,
         }
     }
 
     /// Records a later report of the finished share.
     pub(crate) fn update(&mut self, percent: u32) {
-        self.advanced |= percent > self.first_percent;
+        self.percent = self.percent.max(percent);
+    }
+
+    /// Returns whether the finished share has grown since the run was first listed.
+    fn advanced(&self) -> bool {
+        self.percent > self.first_percent
+    }
+}
+
+impl Run {
+    /// Returns how long the whole run takes at the speed seen so far, once enough of it is finished,
+    /// and marks it as observed; `None` if it was observed before.
+    pub(crate) fn observe_speed(&mut self, now: Instant) -> Option<Duration> {
+        let progress = self.progress.as_mut().filter(|it| !it.observed)?;
+        let order = self.start_order.as_deref();
+        let (since, from_percent) = if order.is_some_and(|order| order.checkpoint.is_empty()) {
+            (self.known_since, 0)
+        } else {
+            (progress.first_listed_at, progress.first_percent)
+        };
+        let finished = progress.percent.saturating_sub(from_percent);
+        if finished < PERCENTS_OBSERVED {
+            return None;
+        }
+        progress.observed = true;
+        let seen = now.saturating_duration_since(since);
+        Some(seen.mul_f64(100.0 / f64::from(finished)))
+    }
+
+    /// Returns how long a run took that has ended; `None` if its speed was observed before, or it
+    /// was resumed or ordered by another leader.
+    pub(crate) fn observe_end(&self, now: Instant) -> Option<Duration> {
+        let order = self.start_order.as_deref()?;
+        let is_observed = self.progress.is_some_and(|progress| progress.observed);
+        let is_whole = order.checkpoint.is_empty() && !is_observed;
+        is_whole.then(|| now.saturating_duration_since(self.known_since))
     }
 }
 
@@ -60,6 +100,7 @@
     /// Checks a worker after a renewal; if none of its tasks makes progress, stops them to run
     /// elsewhere and quarantines the worker.
     pub(crate) fn check_progress(&mut self, id: &WorkerId, now: Instant) {
+        self.learn_from_progress(id, now);
         let Some(without_progress) = self
             .workers
             .get(id)
@@ -109,7 +150,7 @@
                 continue;
             };
             // Restarting tasks that have made progress costs more than waiting for them.
-            if progress.advanced {
+            if progress.advanced() {
                 return None;
             }
             let still = now.saturating_duration_since(progress.first_listed_at);
@@ -152,7 +193,7 @@
 
     /// Returns whether the reported percentage of a run shows its progress; it does not for tasks
     /// that run until they are cancelled or use only spare processor time.
-    fn reports_progress(&self, task: &TaskName, run: &Run) -> bool {
+    pub(crate) fn reports_progress(&self, task: &TaskName, run: &Run) -> bool {
         let job = self.jobs.get(&task.step.job);
         let spec = job.and_then(|job| job.graph.steps.get(task.step.step as usize));
         run.phase == RunPhase::Running && spec.is_some_and(|spec| !spec.long_running && !spec.fills)
--- a/jackdawchute-scheduler/src/report.rs
+++ b/jackdawchute-scheduler/src/report.rs
@@ -68,6 +68,18 @@
             capacity_gib = capacity_mib / 1_024, free_gib = free_mib / 1_024,
             orders_open = orders_open
         });
+        let slownesses = self
+            .workers
+            .values()
+            .map(|worker| self.slowness(worker, now));
+        let (fastest, slowest) = slownesses.fold((f64::MAX, 0.0), |(fastest, slowest), it| {
+            (it.min(fastest), it.max(slowest))
+        });
+        info!("speeds of workers", kv: {
+            spread_percent = (self.fleet_speeds.spread() * 100.0) as u64,
+            fastest_percent = (fastest.min(slowest) * 100.0) as u64,
+            slowest_percent = (slowest * 100.0) as u64
+        });
         for (queue, load) in queues {
             info!("queue load", kv: {
                 queue = queue.as_str(), jobs = load.jobs, late_jobs = load.late_jobs,
--- a/jackdawchute-scheduler/src/settings.rs
+++ b/jackdawchute-scheduler/src/settings.rs
@@ -33,6 +33,8 @@
     /// placed. More of them only wait for each other on the leader's processor; the tasks wait
     /// better in the order of their urgency.
     pub starts_under_way_max: usize,
+    /// By what factor tasks take longer away from the rack that holds their data.
+    pub remote_slowdown: f64,
     /// How long before its due time an occurrence may start, to allow for clocks that differ.
     pub occurrence_early_max: Duration,
 }
@@ -48,6 +50,7 @@
             ended_retention: Duration::from_secs(130),
             task_stop_max: Duration::from_millis(900),
             starts_under_way_max: usize::MAX,
+            remote_slowdown: 1.5,
             occurrence_early_max: Duration::ZERO,
         }
     }
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use jackdawchute_speeds::{FleetSpeeds, RunTimes};
 use jackdawchute_tenants::TenantPolicy;
 use jackdawchute_types::{Epoch, FencingToken, JobId, ServiceId, TenantId, WorkerId};
 use smol_str::SmolStr;
@@ -12,7 +13,7 @@
 use crate::{
     admit::ServiceLoads,
     authority::EpochAuthority,
-    estimates::{AllowedShares, RunTimes},
+    estimates::AllowedShares,
     job::{Job, JobPhase},
     late_starts::LateStarts,
     recover::Recovery,
@@ -79,6 +80,8 @@
     /// when the workers are listed again.
     pub(crate) token_raises: HashMap<WorkerId, u64>,
     pub(crate) run_times: RunTimes,
+    /// How far the workers differ in speed.
+    pub(crate) fleet_speeds: FleetSpeeds,
     pub(crate) allowed_shares: AllowedShares,
     /// When advice is next requested for steps behind a great deal of waiting work.
     pub(crate) far_advice_next_at: Instant,
@@ -139,6 +142,7 @@
             unused_workers: BTreeMap::new(),
             token_raises: HashMap::new(),
             run_times: RunTimes::default(),
+            fleet_speeds: FleetSpeeds::default(),
             allowed_shares: AllowedShares::default(),
             far_advice_next_at: now,
             recovery: Recovery::new(now),
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use jackdawchute_speeds::WorkerSpeed;
 use jackdawchute_types::{FencingToken, JobId, Resources, RunNumber, WorkerId};
 
 use crate::{
@@ -48,6 +49,8 @@
     pub(crate) known_since: Instant,
     /// When the run is expected to end by itself; `None` if its task lasts until it is stopped.
     pub(crate) expected_end: Option<Instant>,
+    /// By what factor the run takes longer than on the mean worker, near its data.
+    pub(crate) slowdown: f64,
     /// Whether an order for the run is under way.
     pub(crate) order_under_way: bool,
     /// Whether an order to stop the run was sent; none to start it follows.
@@ -155,8 +158,8 @@
     pub(crate) failed_jobs: Vec<JobId>,
     /// Until when the worker gets no new tasks; `None` if it was not quarantined since a success.
     pub(crate) quarantined_until: Option<Instant>,
-    /// The ratio of measured to expected run times, as an exponential average.
-    pub(crate) slowness: f64,
+    /// What is known of the speed of the current incarnation.
+    pub(crate) speed: WorkerSpeed,
 }
 
 impl Worker {
@@ -191,10 +194,7 @@
             acknowledged_at: None,
             reported: false,
             reported_at: None,
-            health: Health {
-                slowness: 1.0,
-                ..Health::default()
-            },
+            health: Health::default(),
         }
     }
 
@@ -241,6 +241,7 @@
         self.lease_confirmed = Duration::ZERO;
         self.renewal_next_at = now;
         self.health.failed_jobs.clear();
+        self.health.speed = WorkerSpeed::default();
     }
 
     /// Returns whether nothing runs on the worker and all its run ends are saved.
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -22,3 +22,4 @@
 mod row_limits;
 mod saving;
 mod starts_under_way;
+mod unlike_workers;
--- /dev/null
+++ b/jackdawchute-scheduler/tests/behaviour/unlike_workers.rs
@@ -0,0 +1,239 @@
+//! Workers of unlike speed: how they are told apart, and which work they get.
+
+use std::time::Duration;
+
+use jackdawchute_scheduler::{EndReason, QueuePolicy, StartOrder, StepSpec, WorkerEntry};
+
+use crate::fixtures::*;
+
+/// The slow one of the workers, which all have eight cores.
+const SLOW: &str = "w3";
+const WORKERS: [&str; 6] = ["w1", "w2", "w3", "w4", "w5", "w6"];
+
+fn entries() -> Vec<WorkerEntry> {
+    WORKERS.map(|worker| entry(worker, 8)).to_vec()
+}
+
+/// A queue whose jobs may take half as long again and the target.
+fn tight_queue(priority: u32) -> QueuePolicy {
+    QueuePolicy {
+        stretch: 1.5,
+        target: ms(200),
+        ..queue(priority)
+    }
+}
+
+/// A queue whose jobs may take ten times as long as they run.
+fn patient_queue(priority: u32) -> QueuePolicy {
+    QueuePolicy {
+        stretch: 10.0,
+        ..queue(priority)
+    }
+}
+
+/// Runs a job with a task on each worker; all take `run_time`, on slow workers three times that.
+fn run_job(
+    cell: &mut Cell,
+    job: &str,
+    run_time: Duration,
+    workers: u32,
+    is_slow: fn(&str) -> bool,
+) {
+    let one_each = StepSpec {
+        per_worker_max: Some(1),
+        ..step(workers, 1)
+    };
+    cell.accept(job, vec![one_each], tight_queue(0));
+    let starts = cell.take_starts();
+    starts.iter().for_each(|start| cell.confirm_start(start));
+    let (slow, fast): (Vec<_>, Vec<_>) = starts.into_iter().partition(|it| is_slow(&it.worker));
+    for (after, ended_now) in [(run_time, fast), (run_time * 2, slow)] {
+        cell.tick(after.as_millis() as u64);
+        end_runs(cell, &ended_now);
+    }
+}
+
+/// Reports that the runs of orders have succeeded, each the only one of its worker.
+fn end_runs(cell: &mut Cell, starts: &[StartOrder]) {
+    for start in starts {
+        let renewal = cell.latest_renewal_of(&start.worker);
+        let end = ended(renewal.ends_recorded + 1, start, EndReason::Succeeded);
+        cell.answer_renewal(&renewal, Vec::new(), vec![end]);
+    }
+    cell.commit();
+    cell.tick(1_300);
+    for start in starts {
+        let renewal = cell.latest_renewal_of(&start.worker);
+        cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+    }
+}
+
+/// A cell of these workers that has run enough tasks to know which are slow; each job is declared
+/// wrong by a factor of its own.
+fn cell_that_knows(workers: &[WorkerEntry], is_slow: fn(&str) -> bool) -> Cell {
+    let mut cell = ready_cell(1, workers);
+    let count = workers.len() as u32;
+    let run_times_ms = [1_000, 400, 2_500, 700, 1_800, 1_200];
+    for (index, run_time_ms) in run_times_ms.into_iter().enumerate() {
+        let job = format!("job-{index}");
+        run_job(&mut cell, &job, ms(run_time_ms), count, is_slow);
+    }
+    cell
+}
+
+fn cell_with_known_speeds() -> Cell {
+    cell_that_knows(&entries(), |worker| worker == SLOW)
+}
+
+/// Submits a job and returns the workers that its tasks start on.
+fn workers_of(cell: &mut Cell, job: &str, step: StepSpec, queue: QueuePolicy) -> Vec<String> {
+    cell.take_starts();
+    cell.accept(job, vec![step], queue);
+    let starts = cell.take_starts().into_iter();
+    starts.map(|start| start.worker.to_string()).collect()
+}
+
+#[test]
+fn urgent_work_avoids_a_slow_worker_although_it_is_the_fullest() {
+    let mut cell = cell_with_known_speeds();
+    workers_of(&mut cell, "patient", step(4, 1), patient_queue(1));
+
+    let workers = workers_of(&mut cell, "urgent", step(40, 1), tight_queue(0));
+
+    assert_eq!(workers.len(), 40);
+    assert!(!workers.iter().any(|worker| worker == SLOW));
+}
+
+#[test]
+fn patient_work_goes_to_a_slow_worker_and_leaves_the_others_free() {
+    let mut cell = cell_with_known_speeds();
+
+    let workers = workers_of(&mut cell, "patient", step(8, 1), patient_queue(1));
+
+    assert_eq!(workers, [SLOW; 8]);
+}
+
+#[test]
+fn no_urgent_task_waits_while_only_a_slow_worker_is_free() {
+    let mut cell = cell_with_known_speeds();
+    workers_of(&mut cell, "filler", step(40, 1), tight_queue(0));
+
+    let workers = workers_of(&mut cell, "urgent", step(2, 1), tight_queue(0));
+
+    assert_eq!(workers, [SLOW; 2]);
+}
+
+#[test]
+fn a_gang_avoids_a_slow_worker_if_others_have_room() {
+    let mut cell = cell_with_known_speeds();
+    let one_each = StepSpec {
+        per_worker_max: Some(1),
+        ..gang(5, 2)
+    };
+
+    let workers = workers_of(&mut cell, "gang", one_each, patient_queue(0));
+
+    assert_eq!(workers.len(), 5);
+    assert!(!workers.iter().any(|worker| worker == SLOW));
+}
+
+#[test]
+fn a_worker_that_has_restarted_counts_as_slow_no_longer() {
+    let mut cell = cell_with_known_speeds();
+    let restarted = WorkerEntry {
+        started_unix_ms: 2,
+        ..entry(SLOW, 8)
+    };
+    cell.scheduler.worker_listed(restarted, cell.now);
+    for _ in 0..3 {
+        cell.tick(300);
+        let renewal = cell.latest_renewal_of(SLOW);
+        cell.answer_renewal_of_incarnation(&renewal, 2, Vec::new(), Vec::new());
+    }
+    cell.tick(10);
+    cell.commit();
+
+    let workers = workers_of(&mut cell, "patient", step(8, 1), patient_queue(1));
+
+    assert!(!workers.is_empty());
+    assert!(workers.iter().any(|worker| worker != SLOW), "{workers:?}");
+}
+
+#[test]
+fn equal_workers_are_filled_one_after_the_other_for_patient_and_urgent_work() {
+    let mut cell = ready_cell(1, &entries());
+    let patient = workers_of(&mut cell, "patient", step(4, 1), patient_queue(1));
+
+    let urgent = workers_of(&mut cell, "urgent", step(4, 1), tight_queue(0));
+
+    assert_eq!(patient, urgent);
+}
+
+#[test]
+fn a_successor_learns_speeds_from_the_progress_of_the_runs_that_it_finds() {
+    let mut former = ready_cell(1, &entries());
+    let one_each = StepSpec {
+        per_worker_max: Some(6),
+        estimate: ms(10_000),
+        ..step(36, 1)
+    };
+    former.accept("job", vec![one_each], tight_queue(0));
+    let starts = former.take_starts();
+    let rows = former.commit();
+    let mut saved = former.saved.clone();
+    saved.extend(rows);
+    let mut cell = successor(2, &saved, &[]);
+    cell.scheduler.workers_listed(entries(), cell.now);
+    for second in 1..9 {
+        cell.tick(1_000);
+        for worker in WORKERS {
+            let percent = if worker == SLOW {
+                second * 6
+            } else {
+                second * 18
+            };
+            let of_worker = starts.iter().filter(|start| start.worker == worker);
+            let reports = of_worker.map(|start| jackdawchute_scheduler::RunningTask {
+                percent: percent.min(99),
+                ..running(start)
+            });
+            let reports = reports.collect();
+            let renewal = cell.latest_renewal_of(worker);
+            cell.answer_renewal(&renewal, reports, Vec::new());
+        }
+        cell.commit();
+    }
+
+    let workers = workers_of(&mut cell, "urgent", step(10, 1), tight_queue(0));
+
+    assert_eq!(workers.len(), 10);
+    assert!(!workers.iter().any(|worker| worker == SLOW));
+}
+
+/// A request names fewer workers than there are.
+#[test]
+fn advice_for_urgent_work_is_requested_about_fast_workers() {
+    let workers: Vec<WorkerEntry> = (0..48)
+        .map(|index| entry(if index % 3 == 2 { "slow" } else { "fast" }, 8))
+        .zip(0..)
+        .map(|(it, index)| WorkerEntry {
+            worker: smol_str::format_smolstr!("{}-{index}", it.worker),
+            ..it
+        })
+        .collect();
+    let mut cell = cell_that_knows(&workers, |worker| worker.starts_with("slow"));
+    let queue = QueuePolicy {
+        stretch: 1.2,
+        target: ms(200),
+        ..advised_queue(0)
+    };
+
+    cell.accept("urgent", vec![step(2, 1)], queue);
+
+    let named = &cell.advice[0].workers;
+    assert!(!named.is_empty());
+    assert!(
+        named.iter().all(|worker| worker.starts_with("fast")),
+        "{named:?}"
+    );
+}
--- a/jackdawchute-settings/src/cell.rs
+++ b/jackdawchute-settings/src/cell.rs
@@ -66,8 +66,8 @@
     pub advisor: Option<SocketAddr>,
 }
 
-/// Time limits that the platform guarantees or requires.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Limits that the platform guarantees or requires.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CellBounds {
     /// The longest task lease that a worker accepts.
@@ -82,6 +82,14 @@
     /// How long the state of an ended job is kept.
     #[serde(with = "duration_ms", rename = "ended_retention_ms")]
     pub ended_retention: Duration,
+    /// By what factor tasks take longer away from the rack that holds their data, or over several
+    /// racks; at least 1.
+    #[serde(default = "default_remote_slowdown")]
+    pub remote_slowdown: f64,
+}
+
+fn default_remote_slowdown() -> f64 {
+    1.5
 }
 
 /// The processor time that the process may use.
@@ -185,6 +193,10 @@
             problems.push(Problem::new(field, "must be above zero"));
         }
     }
+    let remote_slowdown = settings.bounds.remote_slowdown;
+    if !remote_slowdown.is_finite() || remote_slowdown < 1.0 {
+        problems.push(Problem::new("bounds.remote_slowdown", "must be at least 1"));
+    }
     if settings.processor.millicores() == 0 {
         problems.push(Problem::new(
             "processor",
--- a/jackdawchute-settings/tests/cell_settings.rs
+++ b/jackdawchute-settings/tests/cell_settings.rs
@@ -57,6 +57,26 @@
     assert_eq!(reached, "10.0.0.1:7721".parse().unwrap());
 }
 
+#[test]
+fn tasks_far_from_their_data_take_half_as_long_again_by_default() {
+    let settings = CellSettings::parse(&yaml("10.0.0.1:7720", "")).unwrap();
+
+    assert_eq!(settings.bounds.remote_slowdown, 1.5);
+}
+
+#[test]
+fn tasks_that_would_be_faster_far_from_their_data_are_refused() {
+    let bounds = yaml("10.0.0.1:7720", "") + "  remote_slowdown: 0.5\n";
+
+    let refused = problems(&bounds);
+
+    let fields: Vec<&str> = refused
+        .iter()
+        .map(|problem| problem.field.as_str())
+        .collect();
+    assert_eq!(fields, ["bounds.remote_slowdown"]);
+}
+
 #[test]
 fn the_system_chooses_the_source_of_connections_to_peers_by_default() {
     let settings = CellSettings::parse(&yaml("10.0.0.1:7720", "")).unwrap();
--- a/src/cell.rs
+++ b/src/cell.rs
@@ -187,6 +187,7 @@
             task_stop_max: settings.bounds.task_stop,
             starts_under_way_max: starts_under_way_max(settings.processor.millicores()),
             ended_retention: settings.bounds.ended_retention,
+            remote_slowdown: settings.bounds.remote_slowdown,
             ..defaults
         },
     }
