change: only runs that may tell of their worker's speed are looked at with each renewal

A renewal went through all runs of its worker and copied their names, on leaders with a tenth of a core. No decision changes; the tests of the scheduler pass.

--- a/jackdawchute-scheduler/src/progress.rs
+++ b/jackdawchute-scheduler/src/progress.rs
@@ -67,10 +67,17 @@
 }
 
 impl Run {
+    /// Returns whether so much of the run is finished that it may tell of its worker's speed, and it
+    /// has not yet.
+    pub(crate) fn tells_speed(&self) -> bool {
+        self.progress
+            .is_some_and(|progress| !progress.observed && progress.percent >= PERCENTS_OBSERVED)
+    }
+
     /// Returns how long the whole run takes at the speed seen so far, once enough of it is finished,
-    /// and marks it as observed; `None` if it was observed before.
+    /// and marks it as observed.
     pub(crate) fn observe_speed(&mut self, now: Instant) -> Option<Duration> {
-        let progress = self.progress.as_mut().filter(|it| !it.observed)?;
+        let progress = self.progress.as_mut()?;
         let order = self.start_order.as_deref();
         let (since, from_percent) = if order.is_some_and(|order| order.checkpoint.is_empty()) {
             (self.known_since, 0)
--- a/jackdawchute-scheduler/src/speeds.rs
+++ b/jackdawchute-scheduler/src/speeds.rs
@@ -79,7 +79,8 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let of_use = |(task, run): &(&TaskName, &Run)| self.reports_progress(task, run);
+        let of_use =
+            |(task, run): &(&TaskName, &Run)| run.tells_speed() && self.reports_progress(task, run);
         let tasks: Vec<TaskName> = worker
             .runs
             .iter()
