--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use jackdawchute_speeds::Pace;
 use jackdawchute_types::{
     Checkpoint, JobId, Occurrence, RunNumber, StepIndex, TaskIndex, TenantId, Ticket, WorkerId,
 };
@@ -69,6 +70,8 @@
     pub(crate) late_starts: Vec<(TaskIndex, WorkerId)>,
     /// The worker on which a run of the unit failed last.
     pub(crate) failed_on: Option<WorkerId>,
+    /// How often tasks of the unit were stopped for lack of progress.
+    pub(crate) stuck_stops: u32,
     /// Whether the unit is a gang whose tasks have been ordered to stop in the current run.
     pub(crate) stopping: bool,
 }
@@ -216,6 +219,8 @@
     pub(crate) earlier_runs_max: RunNumber,
     /// Whether the job was not expected on time at its arrival, so that it is treated as late.
     pub(crate) deferred: bool,
+    /// The ratio of measured to declared run times of the job's tasks.
+    pub(crate) pace: Pace,
     /// The number of saved rows that hold the job as accepted.
     pub(crate) rows: usize,
     /// The progress rows that may have been saved.
@@ -243,6 +248,7 @@
             recovering: false,
             earlier_runs_max: 0,
             deferred: false,
+            pace: Pace::default(),
             rows: 0,
             progress_rows: BTreeSet::new(),
             progress_unsaved: BTreeSet::new(),
