feat: a task waits for room near its data, and a gang for one rack, where that saves time

Cause: a task never waited, however soon there was room near its data, and takes remote_slowdown times as long elsewhere.

Change: jackdawchute-locality decides from what is lost far away, the expected ends on the near racks, the waits before and the job's slack whether a unit starts or waits, for two seconds at most and once. Steps without data or rack are placed as before.

--- a/jackdawchute-scheduler/src/place/gangs.rs
+++ b/jackdawchute-scheduler/src/place/gangs.rs
@@ -50,6 +50,10 @@
         if total < spec.tasks {
             return false;
         }
+        let workers = counts.iter().map(|(_, candidate)| &candidate.worker);
+        if spec.rack_local && self.gang_waits(name, spec, workers, free_capacity, now) {
+            return false;
+        }
         let mut assignments = Vec::with_capacity(spec.tasks as usize);
         for (count, candidate) in counts {
             for _ in 0..count {
--- a/jackdawchute-scheduler/src/place/mod.rs
+++ b/jackdawchute-scheduler/src/place/mod.rs
@@ -9,10 +9,12 @@
 mod reservations;
 mod starts;
 mod tasks;
+mod waits;
 
 use std::time::{Duration, Instant};
 
 use self::reservations::reservations_max;
+pub(crate) use self::waits::Waits;
 use crate::{
     free_capacity::FreeCapacity,
     rank::RankedStep,
@@ -34,6 +36,7 @@
         now: Instant,
     ) {
         self.reserved_in_last_round = std::mem::take(&mut self.reserved_in_this_round);
+        self.drop_waits_of_ended_jobs();
         let mut starts_left = self.starts_left(now);
         let mut reservations = 0;
         let reservations_max = reservations_max(self.workers.len());
--- a/jackdawchute-scheduler/src/place/tasks.rs
+++ b/jackdawchute-scheduler/src/place/tasks.rs
@@ -59,8 +59,11 @@
             let Some((_, candidate)) = best else {
                 break;
             };
-            candidate.tasks_allowed -= 1;
             let (worker, ticket) = (candidate.worker.clone(), candidate.ticket.clone());
+            if self.task_waits(name, spec, index, &worker, free_capacity, now) {
+                continue;
+            }
+            candidate.tasks_allowed -= 1;
             free_capacity.charge(&worker, &size);
             self.start_unit(name, spec, index as usize, &[(index, worker, ticket)], now);
             started += 1;
--- a/jackdawchute-scheduler/src/report.rs
+++ b/jackdawchute-scheduler/src/report.rs
@@ -80,6 +80,13 @@
             fastest_percent = (fastest.min(slowest) * 100.0) as u64,
             slowest_percent = (slowest * 100.0) as u64
         });
+        let waits = &self.waits.counts;
+        if waits.begun > 0 {
+            info!("waits for places", kv: {
+                begun = waits.begun, paid = waits.paid, missed = waits.missed,
+                won_ms = waits.won_ms, lost_ms = waits.lost_ms
+            });
+        }
         for (queue, load) in queues {
             info!("queue load", kv: {
                 queue = queue.as_str(), jobs = load.jobs, late_jobs = load.late_jobs,
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -16,6 +16,7 @@
     estimates::AllowedShares,
     job::{Job, JobPhase},
     late_starts::LateStarts,
+    place::Waits,
     recover::Recovery,
     row_size::RowNumber,
     unsaved::UnsavedJobs,
@@ -105,6 +106,8 @@
     pub(crate) reserved_in_last_round: HashSet<WorkerId>,
     /// The workers with capacity that the current placement has reserved for gangs.
     pub(crate) reserved_in_this_round: HashSet<WorkerId>,
+    /// The waits for places near data or in one rack.
+    pub(crate) waits: Waits,
     /// The effects since the last [`Scheduler::take_effects`].
     pub(crate) effects: Vec<Effect>,
     /// Whether anything has changed that the next scheduling round may act on.
@@ -155,6 +158,7 @@
             ends_unsaved: BTreeSet::new(),
             reserved_in_last_round: HashSet::new(),
             reserved_in_this_round: HashSet::new(),
+            waits: Waits::default(),
             effects: Vec::new(),
             placement_needed: false,
             epoch,
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -23,3 +23,4 @@
 mod saving;
 mod starts_under_way;
 mod unlike_workers;
+mod waits;
