--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -37,6 +37,7 @@
 mod row_size;
 mod service_load;
 mod settings;
+mod speeds;
 mod start_answers;
 mod state;
 mod submit;
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -6,15 +6,17 @@
     time::{Duration, Instant},
 };
 
+use jackdawchute_speeds::{FleetSpeeds, RunTimes};
 use jackdawchute_tenants::TenantPolicies;
 use jackdawchute_types::{Epoch, FencingToken, JobId, QueueId, ServiceId, TenantId, WorkerId};
 use smol_str::SmolStr;
 
 use crate::{
     authority::EpochAuthority,
-    estimates::{AllowedShares, RunTimes},
+    estimates::AllowedShares,
     job::{Job, JobPhase},
     late_starts::LateStarts,
+    place::Waits,
     recover::Recovery,
     row_size::RowNumber,
     service_load::ServiceLoads,
@@ -86,6 +88,8 @@
     /// when the workers are listed again.
     pub(crate) token_raises: HashMap<WorkerId, u64>,
     pub(crate) run_times: RunTimes,
+    /// How far the workers differ in speed.
+    pub(crate) fleet_speeds: FleetSpeeds,
     pub(crate) allowed_shares: AllowedShares,
     /// When advice is next requested for steps behind a great deal of waiting work.
     pub(crate) far_advice_next_at: Instant,
@@ -109,6 +113,8 @@
     pub(crate) reserved_in_last_round: HashSet<WorkerId>,
     /// The workers with capacity that the current placement has reserved for gangs.
     pub(crate) reserved_in_this_round: HashSet<WorkerId>,
+    /// The waits for places near data or in one rack.
+    pub(crate) waits: Waits,
     /// The effects since the last [`Scheduler::take_effects`].
     pub(crate) effects: Vec<Effect>,
     /// Whether anything has changed that the next scheduling round may act on.
@@ -148,6 +154,7 @@
             unused_workers: BTreeMap::new(),
             token_raises: HashMap::new(),
             run_times: RunTimes::default(),
+            fleet_speeds: FleetSpeeds::default(),
             allowed_shares: AllowedShares::default(),
             far_advice_next_at: now,
             recovery: Recovery::new(now),
@@ -160,6 +167,7 @@
             ends_unsaved: BTreeSet::new(),
             reserved_in_last_round: HashSet::new(),
             reserved_in_this_round: HashSet::new(),
+            waits: Waits::default(),
             effects: Vec::new(),
             placement_needed: false,
             epoch,
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -23,3 +23,5 @@
 mod saving;
 mod starts_under_way;
 mod tenants;
+mod unlike_workers;
+mod waits;
