fix: gangs that wait for lost workers keep no others from starting

Callers saw a gang of 45 tasks that never started beside 93 idle workers.

Cause: a gang that found nothing to reserve used one of the few reservations all the same, and a gang without one requested lapsed tickets for the workers of one request only, and no further ones while those were valid. So it never had all its tickets at once.

A reservation now counts only where there is one; a gang that finds too little is looked at again after the pause that searches for workers have, since each try counts the room of all workers. A gang without a reservation has its lapsed tickets requested for as many workers as it needs, in several requests side by side, less those that are valid.

Tests: gangs_that_wait_for_lost_workers_use_no_reservation, a_gang_without_a_reservation_requests_as_many_lapsed_tickets_as_it_needs.

--- a/jackdawchute-scheduler/src/advice_workers.rs
+++ b/jackdawchute-scheduler/src/advice_workers.rs
@@ -35,8 +35,8 @@
 /// the gang needs; most of it is in use at any time. In the load model of the stand-ins (repair
 /// desk), gangs earned 0.69 of their worth with a factor of six and 0.74 with twelve.
 const GANG_CAPACITY_FACTOR: f64 = 12.0;
-/// The free capacity of the allowed workers at which a gang without a reservation requests its
-/// lapsed tickets again, as a multiple of what the gang needs; some of the capacity is used by
+/// The free capacity of the allowed workers for which a gang without a reservation needs valid
+/// tickets, so that it requests lapsed ones again, as a multiple of what the gang needs; some of the capacity is used by
 /// others before the answer arrives.
 const GANG_FREE_FACTOR: f64 = 1.5;
 /// The number of a step's tasks from which a worker's room counts as plenty when a request about
@@ -88,6 +88,8 @@
                 let ticket = advice.ticket(worker_capacity.started_unix_ms, starts_at);
                 if ticket.is_none() {
                     known.lapsed.push(candidate);
+                } else {
+                    known.tasks_now_with_ticket += candidate.tasks_now;
                 }
             }
             None => known.not_asked.push(candidate()),
@@ -115,6 +117,8 @@
 pub(crate) struct KnownAdvice {
     /// How many tasks of the step fit on all allowed workers when nothing else runs there.
     allowed_tasks_when_idle: u32,
+    /// How many tasks of the step fit now on the workers with a valid ticket.
+    tasks_now_with_ticket: u32,
     /// The allowed workers whose tickets have lapsed, or lapse before the step can start.
     lapsed: Vec<AdviceCandidate>,
     /// The workers that no advisor was asked about.
@@ -144,22 +148,15 @@
     now: Instant,
 ) -> Vec<WorkerId> {
     let Some(reservation) = reservation else {
-        let lapsed_tasks_now: u32 = known
-            .lapsed
-            .iter()
-            .map(|candidate| candidate.tasks_now)
-            .sum();
-        if f64::from(lapsed_tasks_now) >= f64::from(spec.tasks) * GANG_FREE_FACTOR {
-            let with_free_capacity = known
-                .lapsed
-                .into_iter()
-                .filter(|candidate| candidate.fits)
-                .collect();
-            return with_most_free(with_free_capacity, affordable_workers(cost));
-        }
-        let tasks_wanted =
-            f64::from(spec.tasks) * GANG_CAPACITY_FACTOR - f64::from(known.allowed_tasks_when_idle);
         let workers_min = affordable_workers(cost);
+        let tasks = f64::from(spec.tasks);
+        let tasks_missing = tasks * GANG_FREE_FACTOR - f64::from(known.tasks_now_with_ticket);
+        let lapsed = known.lapsed.iter();
+        let lapsed_tasks_now: u32 = lapsed.map(|candidate| candidate.tasks_now).sum();
+        if tasks_missing > 0.0 && f64::from(lapsed_tasks_now) >= tasks_missing {
+            return with_room_now(known.lapsed, tasks_missing, workers_min);
+        }
+        let tasks_wanted = tasks * GANG_CAPACITY_FACTOR - f64::from(known.allowed_tasks_when_idle);
         return with_enough_capacity(known.not_asked, tasks_wanted, allowed_share, workers_min);
     };
     let lead = cost.duration(reservation.workers.len()) + REQUEST_LEAD;
@@ -211,14 +208,24 @@
         .collect()
 }
 
-/// Returns the `count` workers with the most free processors, the most first.
-fn with_most_free(mut candidates: Vec<AdviceCandidate>, count: usize) -> Vec<WorkerId> {
-    if count < candidates.len() {
-        candidates.select_nth_unstable_by(count, by_free);
-        candidates.truncate(count);
-    }
-    let workers = sort_by_free(candidates).into_iter();
-    workers.map(|candidate| candidate.worker).collect()
+/// Returns the workers with the most free processors that as many tasks as wanted fit on now; at
+/// least `workers_min` workers are named if a task fits on so many.
+fn with_room_now(
+    candidates: Vec<AdviceCandidate>,
+    tasks_wanted: f64,
+    workers_min: usize,
+) -> Vec<WorkerId> {
+    let fitting = candidates.into_iter().filter(|candidate| candidate.fits);
+    let mut tasks_now = 0.0;
+    let by_free = sort_by_free(fitting.collect()).into_iter().enumerate();
+    let enough_workers = by_free.take_while(|(index, candidate)| {
+        let needs_more = tasks_now < tasks_wanted || *index < workers_min;
+        tasks_now += f64::from(candidate.tasks_now);
+        needs_more
+    });
+    enough_workers
+        .map(|(_, candidate)| candidate.worker)
+        .collect()
 }
 
 /// Returns `count` workers, other ones for each step, those with room for several tasks first.
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -88,9 +88,9 @@
             })
     }
 
-    /// Returns the pause between two searches for workers to request advice about, if the first
-    /// finds none.
-    fn advice_check_pause(&self) -> Duration {
+    /// Returns the pause between two searches for workers to request advice about, or to reserve, if
+    /// the first finds none.
+    pub(crate) fn advice_check_pause(&self) -> Duration {
         let workers = u32::try_from(self.workers.len()).unwrap_or(u32::MAX);
         CHECK_PAUSE_PER_WORKER.saturating_mul(workers)
     }
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -158,6 +158,8 @@
     pub(crate) advice: FxHashMap<WorkerId, Advice>,
     /// The capacity reserved for a gang in the last scheduling round; `None` if there is none.
     pub(crate) gang_reservation: Option<GangReservation>,
+    /// When capacity to reserve for a gang is next looked for, after too little was found.
+    pub(crate) reservation_check_at: Option<Instant>,
     /// When the advice requests under way were made; `None` if there are none.
     pub(crate) advice_requested_at: Option<Instant>,
     /// When workers to request advice about are next looked for, after none were found.
--- a/jackdawchute-scheduler/src/place/mod.rs
+++ b/jackdawchute-scheduler/src/place/mod.rs
@@ -55,11 +55,11 @@
                     starts_left = starts_left.saturating_sub(spec.tasks as usize);
                 } else {
                     let reservation = if reservations < reservations_max {
-                        reservations += 1;
-                        self.reserve(&ranked.name, &spec, free_capacity, now)
+                        self.reserve_unless_tried(&ranked.name, &spec, free_capacity, now)
                     } else {
                         None
                     };
+                    reservations += usize::from(reservation.is_some());
                     self.set_gang_reservation(&ranked.name, reservation);
                 }
             } else if starts_left > 0 {
--- a/jackdawchute-scheduler/src/place/reservations.rs
+++ b/jackdawchute-scheduler/src/place/reservations.rs
@@ -77,9 +77,33 @@
         fits
     }
 
+    /// Reserves capacity for a gang unless that has failed a short time ago: each try counts the
+    /// capacity of all workers, and many gangs may wait for capacity that does not become free.
+    pub(super) fn reserve_unless_tried(
+        &mut self,
+        name: &StepName,
+        spec: &StepSpec,
+        free_capacity: &mut FreeCapacity,
+        now: Instant,
+    ) -> Option<GangReservation> {
+        let (_, step) = self.jobs.get(&name.job)?.step(name)?;
+        if step.reservation_check_at.is_some_and(|at| now < at) {
+            return None;
+        }
+        let reservation = self.reserve(name, spec, free_capacity, now);
+        let check_at = reservation
+            .is_none()
+            .then(|| now + self.advice_check_pause());
+        let job = self.jobs.get_mut(&name.job);
+        if let Some(step) = job.and_then(|job| job.step_mut(name)) {
+            step.reservation_check_at = check_at;
+        }
+        reservation
+    }
+
     /// Reserves for a gang the capacity that becomes free first; returns `None` if it is not enough
     /// within the reservation horizon.
-    pub(super) fn reserve(
+    fn reserve(
         &mut self,
         name: &StepName,
         spec: &StepSpec,
--- a/jackdawchute-scheduler/tests/behaviour/advice.rs
+++ b/jackdawchute-scheduler/tests/behaviour/advice.rs
@@ -1,6 +1,8 @@
 //! Advice requests: which workers they name, and what follows from the answers.
 
-use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest, Settings, StepSpec, WorkerEntry};
+use jackdawchute_scheduler::{
+    AdviceAnswer, AdviceRequest, QueuePolicy, Settings, StartOrder, StepSpec, WorkerEntry,
+};
 use jackdawchute_types::WorkerId;
 
 use crate::fixtures::*;
@@ -325,3 +327,82 @@
 
     assert!(!requests_advice_for_job_beside(&mut cell));
 }
+
+/// A cell of sixty workers of label `a` and two of label `b`, all busy, with a gang that has tickets
+/// for all of the former, behind two gangs that only the latter can run.
+fn cell_with_gang_behind_others(tasks: u32) -> (Cell, Vec<StartOrder>) {
+    let mut workers: Vec<_> = (0..60)
+        .map(|index| labelled(&format!("a{index:02}"), "a"))
+        .collect();
+    workers.extend([labelled("b1", "b"), labelled("b2", "b")]);
+    let mut cell = ready_cell(1, &workers);
+    let filler = |label: &str, tasks, estimate_ms| StepSpec {
+        required_label: Some(label.into()),
+        estimate: ms(estimate_ms),
+        ..step(tasks, 4)
+    };
+    let filled = [filler("a", 60, 20_000), filler("b", 2, 5_000)];
+    cell.accept("filler", filled.to_vec(), queue(0));
+    let starts = cell.take_starts();
+    for start in &starts {
+        cell.confirm_start(start);
+    }
+    let labelled_gang = |label: &str, tasks| StepSpec {
+        required_label: Some(label.into()),
+        estimate: ms(10_000),
+        ..gang(tasks, 4)
+    };
+    let patient = |queue| QueuePolicy {
+        target: ms(60_000),
+        ..queue
+    };
+    for job in ["first", "second"] {
+        cell.accept(job, vec![labelled_gang("b", 1)], patient(queue(1)));
+    }
+    let gang = vec![labelled_gang("a", tasks)];
+    cell.accept("gang", gang, patient(advised_queue(2)));
+    answer_advice(&mut cell);
+    (cell, starts)
+}
+
+/// Allows all workers that advice is requested about.
+fn answer_advice(cell: &mut Cell) {
+    for request in std::mem::take(&mut cell.advice) {
+        let allowed: Vec<&str> = request.workers.iter().map(WorkerId::as_str).collect();
+        allow(cell, &request, &allowed);
+    }
+}
+
+/// Lets the tickets lapse, ends the runs on the workers of label `a`, and returns how many tasks of
+/// the gang start.
+fn starts_once_idle(cell: &mut Cell, runs: &[StartOrder]) -> usize {
+    cell.tick(3_000);
+    for start in runs.iter().filter(|start| start.worker.starts_with('a')) {
+        let renewal = cell.latest_renewal_of(&start.worker);
+        let end = ended(1, start, jackdawchute_scheduler::EndReason::Succeeded);
+        cell.answer_renewal(&renewal, Vec::new(), vec![end]);
+    }
+    for _ in 0..10 {
+        cell.tick(10);
+        answer_advice(cell);
+    }
+    cell.take_starts().len()
+}
+
+/// review/10: a gang never started beside idle workers.
+#[test]
+fn gangs_that_wait_for_lost_workers_use_no_reservation() {
+    let (mut cell, runs) = cell_with_gang_behind_others(50);
+    let listed = (0..60).map(|index| labelled(&format!("a{index:02}"), "a"));
+    cell.scheduler.workers_listed(listed.collect(), cell.now);
+
+    assert_eq!(starts_once_idle(&mut cell, &runs), 50);
+}
+
+/// The same while all reservations are in use.
+#[test]
+fn a_gang_without_a_reservation_requests_as_many_lapsed_tickets_as_it_needs() {
+    let (mut cell, runs) = cell_with_gang_behind_others(30);
+
+    assert_eq!(starts_once_idle(&mut cell, &runs), 30);
+}
