--- a/jackdawchute-cell/tests/cell/fixtures.rs
+++ b/jackdawchute-cell/tests/cell/fixtures.rs
@@ -299,8 +299,9 @@
     pub async fn leader(&self) -> usize {
         let page = self.store.handle().read("leader", "cell", None).await;
         let row = page.expect("this handle is never denied").rows.remove(0);
-        let text = String::from_utf8(row.value.expect("a saved row")).expect("rows are JSON");
-        let is_named = |instance: &TestInstance| text.contains(&instance.address.to_string());
+        let value = row.value.expect("a saved row");
+        let record: serde_json::Value = serde_json::from_slice(&value).expect("rows are JSON");
+        let is_named = |instance: &TestInstance| record["address"] == instance.address.to_string();
         self.instances
             .iter()
             .position(is_named)
