fix: an outage of the store for all instances ends without a takeover

Cause: instances claim the epoch of a leader that has saved nothing for 0.45 s. In an outage for all of them these claims fail at their first read; the first one after the outage takes effect, though the leader saves again.

An instance now claims for that reason only if the store has answered it for as long itself. A pause after the last failed read was tried and did not hold: it may pass between two reads that fail, and then the read before a claim is the first that succeeds. A leader that alone is cut off is replaced as before.

--- a/jackdawchute-cell/src/election/claims.rs
+++ b/jackdawchute-cell/src/election/claims.rs
@@ -263,6 +263,7 @@
     fn claim_failed(&mut self, record: &LeaderRecord, error: &Error) {
         warn!("claim failed", kv: { epoch = record.epoch, cause: = error });
         self.claiming = false;
+        self.store_answers = Some(None);
         self.next_claim_at = Instant::now() + self.claim_pause;
         self.claim_pause = (self.claim_pause * 2).min(CLAIM_PAUSE_MAX);
     }
--- a/jackdawchute-cell/src/election/follow.rs
+++ b/jackdawchute-cell/src/election/follow.rs
@@ -5,7 +5,10 @@
 use spdlog::error;
 use xtra::{prelude::*, refcount::Weak};
 
-use super::{handlers::LeaderRowRead, ElectionTask, LeaderRowReceived};
+use super::{
+    handlers::{LeaderRowRead, StoreFailed},
+    ElectionTask, LeaderRowReceived,
+};
 use crate::{
     claim::LeaderRow,
     reachability::Reachability,
@@ -39,6 +42,9 @@
             }
             Err(_) => {
                 after = None;
+                if task.send(StoreFailed).await.is_err() {
+                    return;
+                }
                 tokio::time::sleep(FOLLOW_PAUSE).await;
             }
         }
--- a/jackdawchute-cell/src/election/handlers.rs
+++ b/jackdawchute-cell/src/election/handlers.rs
@@ -11,15 +11,17 @@
 use crate::{
     calls::{offer_epoch, SentAt},
     claim::LeaderRow,
-    leader::FindSuccessor,
+    leader::{is_outage_of_leader_alone, FindSuccessor},
     messages::{CellAnswer, SLICE},
-    settings::{HANDOVER_OFFER_PERIOD, HEARTBEAT_TIMEOUT, LEADER_STORE_OUTAGE_MAX, LEADER_TIMEOUT},
+    settings::{HANDOVER_OFFER_PERIOD, HEARTBEAT_TIMEOUT, LEADER_TIMEOUT},
 };
 
 /// The leader row, read in the store or received from a peer; `None` if a read found no new one.
 pub(crate) struct LeaderRowReceived(pub(crate) Option<LeaderRow>);
 /// The leader row as it was read in the store.
 pub(super) struct LeaderRowRead(pub(super) LeaderRow);
+/// The store has not answered a read of the leader row.
+pub(super) struct StoreFailed;
 /// The leader's answer to a heartbeat, when it was sent, and the leader's epoch that was known then.
 struct HeartbeatAnswered(Epoch, SentAt, std::result::Result<CellAnswer, CallError>);
 /// The loss of the local leader task's epoch to another instance.
@@ -49,8 +51,9 @@
 
     async fn handle(&mut self, received: LeaderRowReceived, context: &mut Context<Self>) {
         self.row_read = true;
-        if let Some(row) = received.0 {
-            self.update_row(row, context);
+        match received.0 {
+            Some(row) => self.update_row(row, context),
+            None => self.store_answered(),
         }
         let is_own_claim = |row: &LeaderRow| row.record.incarnation == self.parts.incarnation;
         match &self.row {
@@ -72,11 +75,20 @@
     type Return = ();
 
     async fn handle(&mut self, read: LeaderRowRead, context: &mut Context<Self>) {
+        self.store_answered();
         self.claim_state.epoch_read(read.0.record.epoch);
         self.handle(LeaderRowReceived(Some(read.0)), context).await;
     }
 }
 
+impl Handler<StoreFailed> for ElectionTask {
+    type Return = ();
+
+    async fn handle(&mut self, _failed: StoreFailed, _context: &mut Context<Self>) {
+        self.store_answers = Some(None);
+    }
+}
+
 impl Handler<Superseded> for ElectionTask {
     type Return = CellAnswer;
 
@@ -180,7 +192,8 @@
                     let now = self.leader_heard_at;
                     self.publish(|view| view.leader_heard_at = Some(now));
                 }
-                if Duration::from_millis(store_trouble_ms) > LEADER_STORE_OUTAGE_MAX {
+                let leader_outage = Duration::from_millis(store_trouble_ms);
+                if is_outage_of_leader_alone(leader_outage, self.store_answered_for()) {
                     self.claim("the leader's store outage lasts too long", context);
                 }
             }
--- a/jackdawchute-cell/src/election/mod.rs
+++ b/jackdawchute-cell/src/election/mod.rs
@@ -94,6 +94,9 @@
     leader_heard_at: Instant,
     /// When the leader row last changed; `None` before one is known.
     row_changed_at: Option<Instant>,
+    /// Since when the store answers this instance again; `None` if it never failed to, and
+    /// `Some(None)` until it answers.
+    store_answers: Option<Option<Instant>>,
     epoch_lost: mpsc::UnboundedSender<EpochLost>,
     /// The promises of this instance, and its claims.
     claim_state: ClaimState,
@@ -147,6 +150,7 @@
         lag_takeovers: 0,
         leader_heard_at: now,
         row_changed_at: None,
+        store_answers: None,
         epoch_lost,
         claim_state: ClaimState::default(),
         acknowledged: None,
@@ -188,6 +192,19 @@
         self.parts.view.borrow().leaving
     }
 
+    /// Records that the store has answered a read of the leader row.
+    fn store_answered(&mut self) {
+        if let Some(since) = &mut self.store_answers {
+            since.get_or_insert_with(Instant::now);
+        }
+    }
+
+    /// Returns for how long the store has answered this instance again, if it ever failed to.
+    fn store_answered_for(&self) -> Option<Duration> {
+        let since = self.store_answers?;
+        Some(since.map_or(Duration::ZERO, |at| at.elapsed()))
+    }
+
     fn publish(&self, change: impl FnOnce(&mut LeaderView)) {
         self.parts.view.send_modify(change);
     }
--- a/jackdawchute-cell/src/leader/handover.rs
+++ b/jackdawchute-cell/src/leader/handover.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use crate::settings::{
-    LAG_MAX, LAG_OFFER_PAUSE, LAG_OFFER_PAUSE_DOUBLINGS_MAX, OFFER_PAUSE, STRONGER_PERCENT,
-    TAKEOVER_COST_BASE, TAKEOVER_COST_PER_LAG, TAKEOVER_COST_PER_WORKER,
+    LAG_MAX, LAG_OFFER_PAUSE, LAG_OFFER_PAUSE_DOUBLINGS_MAX, LEADER_STORE_OUTAGE_MAX, OFFER_PAUSE,
+    STRONGER_PERCENT, TAKEOVER_COST_BASE, TAKEOVER_COST_PER_LAG, TAKEOVER_COST_PER_WORKER,
 };
 
 /// What decides which of two instances should lead.
@@ -129,3 +129,24 @@
     let workers = u32::try_from(workers).unwrap_or(u32::MAX);
     TAKEOVER_COST_BASE + TAKEOVER_COST_PER_WORKER.saturating_mul(workers)
 }
+
+/// Returns whether another instance should claim the epoch because the leader has saved nothing for
+/// `leader_outage`; `answered_for` tells for how long the store has answered that instance again, if
+/// it ever failed to.
+///
+/// After an outage for all, the store is back for one instance a little before it is for another, and
+/// a takeover would only take time.
+///
+/// ```
+/// use std::time::Duration;
+/// use jackdawchute_cell::is_outage_of_leader_alone;
+///
+/// let outage = Duration::from_secs(2);
+/// assert!(is_outage_of_leader_alone(outage, None));
+/// assert!(!is_outage_of_leader_alone(outage, Some(Duration::from_millis(100))));
+/// assert!(is_outage_of_leader_alone(outage, Some(Duration::from_secs(1))));
+/// ```
+pub fn is_outage_of_leader_alone(leader_outage: Duration, answered_for: Option<Duration>) -> bool {
+    let is_lasting = |duration| duration > LEADER_STORE_OUTAGE_MAX;
+    is_lasting(leader_outage) && answered_for.is_none_or(is_lasting)
+}
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -39,7 +39,7 @@
     peers::PeerState,
 };
 pub use self::{
-    handover::{HandoverPolicy, LeaderFitness, OfferReason},
+    handover::{is_outage_of_leader_alone, HandoverPolicy, LeaderFitness, OfferReason},
     overload::Overload,
 };
 use crate::{
--- a/jackdawchute-cell/tests/cell/outages.rs
+++ b/jackdawchute-cell/tests/cell/outages.rs
@@ -36,3 +36,27 @@
 
     cell.assert_each_task_ran_once();
 }
+
+/// A takeover would refuse callers for a while longer, just as the store answers again.
+#[tokio::test]
+async fn the_leader_keeps_its_epoch_across_an_outage_that_ends_for_it_a_little_later() {
+    const INSTANCES: usize = 4;
+    const LATER: Duration = Duration::from_millis(250);
+    let cell = cell(INSTANCES).await;
+    let leader = cell.leader().await;
+    let others = || (0..INSTANCES).filter(|index| *index != leader);
+    // Run ends wait to be saved throughout the outage.
+    cell.submit_until_accepted(leader, "before", 8).await;
+
+    for index in 0..INSTANCES {
+        cell.instances[index].store.deny(true);
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    others().for_each(|index| cell.instances[index].store.deny(false));
+    tokio::time::sleep(LATER).await;
+    cell.instances[leader].store.deny(false);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+
+    assert_eq!(cell.leader().await, leader);
+    assert_eq!(cell.submit(leader, "job", 1).await, Answer::Accepted);
+}
