--- a/jackdawchute-scheduler/src/place/mod.rs
+++ b/jackdawchute-scheduler/src/place/mod.rs
@@ -65,12 +65,12 @@
                     tenants.started(tenant.as_ref(), &spec, spec.tasks as usize);
                 } else {
                     let reservation = if reservations < reservations_max {
-                        reservations += 1;
-                        self.reserve(&ranked.name, &spec, free_capacity, now)
+                        self.reserve_unless_tried(&ranked.name, &spec, free_capacity, now)
                     } else {
                         None
                     };
                     if reservation.is_some() {
+                        reservations += 1;
                         tenants.hold_for_gang(tenant.as_ref(), &spec);
                     }
                     self.set_gang_reservation(&ranked.name, reservation);
