--- a/jackdawchute-cell/src/authority/mod.rs
+++ b/jackdawchute-cell/src/authority/mod.rs
@@ -8,11 +8,10 @@
 //!
 //! A leader without members needs no promise, and may act for that long.
 //!
-//! A successor bounds the authority of all earlier leaders by induction over the epochs. Its claim
-//! names those that may have it: the leader that it replaces and, unless that one has saved that none
-//! before it has any (the head row is settled), those that the claim of that one named. Each is
-//! bounded by what one of its members knows, or once it has stopped; all before a leader by what that
-//! one tells its members.
+//! A successor bounds the authority of all earlier leaders by induction over the epochs: the leader
+//! that it replaced by what a member of that leader knows, or once that leader has stopped; those
+//! before by what the replaced leader knew, which it saves once nothing is left (the head row is
+//! settled) and tells its members until then.
 //!
 //! [`Authority`] is what a leader holds, [`EarlierLeaders`] what its predecessors may still hold, and
 //! [`ClaimState`] the promises that an instance gives. The leader task passes the result on to the
--- a/jackdawchute-cell/src/election/claims.rs
+++ b/jackdawchute-cell/src/election/claims.rs
@@ -8,7 +8,7 @@
 use tokio::sync::watch;
 use xtra::prelude::*;
 
-use super::{ElectionTask, StoppedLeaders};
+use super::{ElectionTask, PredecessorStopped};
 use crate::{
     authority::{Authority, EarlierLeaders, Replaced},
     calls::SentAt,
@@ -17,7 +17,7 @@
     leader::{self, LeaderParts},
     messages::CellAnswer,
     recover::recover,
-    rows::{EarlierLeader, HeadRecord, LeaderRecord, HEAD_TABLE, LEADER_TABLE, PART},
+    rows::{HeadRecord, LeaderRecord, HEAD_TABLE, LEADER_TABLE, PART},
     settings::{CLAIM_PAUSE, CLAIM_PAUSE_MAX, CLAIM_READ_TIMEOUT},
     Error, Result, Store,
 };
@@ -51,7 +51,7 @@
     authority: Authority,
     confirmed_at: Instant,
     earlier: EarlierLeaders,
-    stopped_leaders: watch::Receiver<StoppedLeaders>,
+    predecessor_stopped: watch::Receiver<Option<PredecessorStopped>>,
 }
 /// A leader's request for a promise not to claim the epoch after this one.
 pub(crate) struct PromiseRequested(pub(crate) Epoch);
@@ -89,7 +89,7 @@
 
     async fn handle(&mut self, read: ClaimRead, context: &mut Context<Self>) {
         let ClaimRead {
-            mut record,
+            record,
             replaced_row,
             rows,
         } = read;
@@ -108,7 +108,6 @@
             self.next_claim_at = Instant::now() + CLAIM_PAUSE;
             return;
         }
-        record.earlier = named_by_claim(replaced_row.as_ref(), head);
         let wait = self.claim_state.begin_claim(Instant::now());
         let store = self.parts.ports.store.clone();
         let task = context.mailbox().address();
@@ -149,13 +148,10 @@
             Ok(ClaimOutcome::Won { epoch, version }) => {
                 self.claim_pause = CLAIM_PAUSE;
                 let row = LeaderRow { record, version };
-                let replaced = replaced_row
-                    .as_ref()
-                    .map(|row| replaced_by_claim(row, head));
-                let mut earlier = self.earlier_leaders(replaced, now);
-                let stopped_leaders = self.notify_predecessors(replaced_row, &row);
-                for (epoch, at) in &stopped_leaders.borrow().at {
-                    earlier.stopped(*epoch, *at);
+                let mut earlier = self.earlier_leaders(replaced_row.as_ref(), head, now);
+                let predecessor_stopped = self.notify_predecessor(replaced_row, &row);
+                if let Some(stopped) = &*predecessor_stopped.borrow() {
+                    earlier.replaced_stopped(stopped.at);
                 }
                 self.update_row(row, context);
                 let settled = earlier.remaining(now).is_zero();
@@ -173,7 +169,7 @@
                     authority: Authority::new(sent_at.boot),
                     confirmed_at: sent_at.at,
                     earlier,
-                    stopped_leaders,
+                    predecessor_stopped,
                 };
                 let store = self.parts.ports.store.clone();
                 let settings = self.parts.settings.scheduler;
@@ -214,7 +210,7 @@
             authority: begun.authority,
             confirmed_at: begun.confirmed_at,
             earlier: begun.earlier,
-            stopped_leaders: begun.stopped_leaders,
+            predecessor_stopped: begun.predecessor_stopped,
             lag_takeovers: self.lag_takeovers,
             own_address: self.parts.settings.peer_address,
             processor_millicores: self.parts.settings.processor_millicores,
@@ -270,7 +266,16 @@
 
     /// Returns until when the leaders before a claim may have authority, as far as this instance
     /// knows.
-    fn earlier_leaders(&self, replaced: Option<Replaced>, claimed_at: Instant) -> EarlierLeaders {
+    fn earlier_leaders(
+        &self,
+        replaced_row: Option<&LeaderRow>,
+        head: Option<HeadRecord>,
+        claimed_at: Instant,
+    ) -> EarlierLeaders {
+        let replaced = replaced_row.map(|row| Replaced {
+            epoch: row.record.epoch,
+            settled: head.is_some_and(|head| head.epoch == row.record.epoch && head.settled),
+        });
         let mut earlier = EarlierLeaders::new(replaced, claimed_at);
         if let Some(acknowledged) = self.acknowledged(claimed_at) {
             earlier.testified(&acknowledged);
@@ -278,39 +283,3 @@
         earlier
     }
 }
-
-/// Returns what the rows show of the leader that a claim replaces.
-fn replaced_by_claim(row: &LeaderRow, head: Option<HeadRecord>) -> Replaced {
-    let record = &row.record;
-    let is_settled = head.is_some_and(|head| head.epoch == record.epoch && head.settled);
-    let named = || {
-        let named = record.earlier.as_ref()?.iter();
-        Some(named.map(|leader| leader.epoch).collect())
-    };
-    Replaced {
-        epoch: record.epoch,
-        earlier: if is_settled {
-            Some(Vec::new())
-        } else {
-            named()
-        },
-    }
-}
-
-/// Returns the leaders that a claim names; `None` if not all that may have authority are known.
-fn named_by_claim(
-    replaced_row: Option<&LeaderRow>,
-    head: Option<HeadRecord>,
-) -> Option<Vec<EarlierLeader>> {
-    let Some(row) = replaced_row else {
-        return Some(Vec::new());
-    };
-    let epochs = replaced_by_claim(row, head).named_by_claim()?;
-    let known = [row.record.as_earlier()].into_iter();
-    let known = known.chain(row.record.earlier.iter().flatten().copied());
-    Some(
-        known
-            .filter(|leader| epochs.contains(&leader.epoch))
-            .collect(),
-    )
-}
--- a/jackdawchute-cell/src/election/mod.rs
+++ b/jackdawchute-cell/src/election/mod.rs
@@ -3,7 +3,6 @@
 mod claims;
 mod follow;
 mod handlers;
-mod predecessors;
 
 use std::{
     net::SocketAddr,
@@ -11,7 +10,7 @@
 };
 
 use jackdawchute_timer::{boot_time, Subscribe, TimerTask};
-use jackdawchute_types::{whole_ms, Epoch, IncarnationId, WorkerId};
+use jackdawchute_types::{whole_ms, CallError, Epoch, IncarnationId, WorkerId};
 use rand::Rng;
 use spdlog::{error, info};
 use tokio::sync::{mpsc, watch};
@@ -20,7 +19,6 @@
 pub(crate) use self::{
     claims::PromiseRequested,
     handlers::{EpochLost, Leave, Superseded, TakeOver},
-    predecessors::StoppedLeaders,
 };
 use self::{
     claims::{read_before_claim, ClaimRead},
@@ -28,15 +26,15 @@
     handlers::{LeaderRowReceived, LeaderStopped},
 };
 use crate::{
-    authority::{Acknowledged, ClaimState, Permission, ACKNOWLEDGED_FOR},
+    authority::{Acknowledged, ClaimState, Permission, ACKNOWLEDGED_FOR, PROMISED_MAX},
     calls::{fetch_leader_row, SentAt},
     claim::LeaderRow,
     leader::{Fence, LeaderTask, Ports},
-    messages::{AcknowledgedBy, CellCall},
+    messages::{AcknowledgedBy, CellAnswer, CellCall, SLICE},
     rows::LeaderRecord,
     settings::{
         CLAIM_JITTER, CLAIM_PAUSE, DEFAULT_STRONGEST_MILLICORES, FROZEN_LATENESS, HEARTBEAT_PERIOD,
-        LEADER_PRIORITY, RECOVERY_MAX, WEAK_CLAIM_DELAY,
+        HEARTBEAT_TIMEOUT, LEADER_PRIORITY, NOTIFY_PAUSE, RECOVERY_MAX, WEAK_CLAIM_DELAY,
     },
     Metrics, Routes, Settings,
 };
@@ -118,6 +116,15 @@
     unanswered_extensions: Option<Vec<WorkerId>>,
 }
 
+/// When the replaced leader is known to have stopped, and what it has told.
+#[derive(Clone, Debug)]
+pub(crate) struct PredecessorStopped {
+    pub(crate) at: Instant,
+    /// The workers to which an order of it that extends the lease got no answer; `None` if it could
+    /// not tell.
+    pub(crate) unanswered_extensions: Option<Vec<WorkerId>>,
+}
+
 /// A leader's acknowledgement of a heartbeat.
 #[derive(Clone, Copy, Debug)]
 struct LastAcknowledgement {
@@ -276,7 +283,6 @@
             epoch: replaced_row.as_ref().map_or(0, |row| row.record.epoch) + 1,
             incarnation: self.parts.incarnation.clone(),
             address: self.parts.settings.peer_address,
-            earlier: None,
         };
         info!("claiming the epoch", kv: { epoch = record.epoch, cause = cause });
         let store = self.parts.ports.store.clone();
@@ -375,6 +381,74 @@
             })
     }
 
+    /// Sends the new leader row to the predecessor, which may be cut off from the store, until it
+    /// answers; returns when it has.
+    ///
+    /// An acknowledgement shows that the predecessor has stopped: it does so before it answers, and a
+    /// later incarnation at its address answers only once it has ended.
+    fn notify_predecessor(
+        &self,
+        replaced_row: Option<LeaderRow>,
+        row: &LeaderRow,
+    ) -> watch::Receiver<Option<PredecessorStopped>> {
+        let (stopped, receiver) = watch::channel(None);
+        let Some(replaced) = replaced_row.map(|row| row.record) else {
+            return receiver;
+        };
+        let predecessor = replaced.address;
+        if predecessor == self.parts.settings.peer_address {
+            stopped.send_replace(Some(PredecessorStopped {
+                at: Instant::now(),
+                unanswered_extensions: self.left_by(replaced.epoch),
+            }));
+            return receiver;
+        }
+        let call = CellCall::Superseded {
+            row: row.clone(),
+            asks: true,
+        };
+        let peers = self.parts.ports.peers.clone();
+        tokio::spawn(async move {
+            let give_up_at = Instant::now() + PROMISED_MAX;
+            while Instant::now() < give_up_at && !stopped.is_closed() {
+                let answer: std::result::Result<CellAnswer, CallError> = peers
+                    .call(predecessor, SLICE, &call, HEARTBEAT_TIMEOUT)
+                    .await;
+                let told = match answer {
+                    Ok(CellAnswer::Stopped {
+                        unanswered_extensions,
+                    }) => Some(unanswered_extensions),
+                    // An instance of an earlier version tells no more.
+                    Ok(CellAnswer::Acknowledged) => Some(None),
+                    _ => None,
+                };
+                if let Some(unanswered_extensions) = told {
+                    info!("predecessor has stopped", kv: {
+                        predecessor: = predecessor,
+                        unanswered_extensions:? = unanswered_extensions.as_ref().map(Vec::len)
+                    });
+                    stopped.send_replace(Some(PredecessorStopped {
+                        at: Instant::now(),
+                        unanswered_extensions,
+                    }));
+                    return;
+                }
+                tokio::time::sleep(NOTIFY_PAUSE).await;
+            }
+            info!("predecessor was not told of its successor", kv: {
+                predecessor: = predecessor
+            });
+        });
+        receiver
+    }
+
+    /// Returns the workers that the local leader task of an epoch has named as it stopped; `None` if
+    /// there was none, or if it has named none yet.
+    fn left_by(&self, epoch: Epoch) -> Option<Vec<WorkerId>> {
+        let stopped = self.stopped.as_ref().filter(|it| it.epoch == epoch)?;
+        stopped.unanswered_extensions.clone()
+    }
+
     /// Replaces the known leader row unless the given one is older, and publishes a newer one. Ends
     /// the local leader task if the row names another instance.
     fn update_row(&mut self, row: LeaderRow, context: &Context<Self>) {
--- a/jackdawchute-cell/src/leader/authority.rs
+++ b/jackdawchute-cell/src/leader/authority.rs
@@ -16,7 +16,7 @@
 use crate::{
     authority::{Acknowledged, Authority, AuthorityState, EarlierLeaders, Permission},
     calls::SentAt,
-    election::{EpochLost, StoppedLeaders},
+    election::{EpochLost, PredecessorStopped},
     messages::{AcknowledgedBy, CellAnswer, CellCall, SLICE},
     settings::{CONFIRM_PERIOD, CONFIRM_TIMEOUT, HEARTBEAT_TIMEOUT, PROMISE_TIMEOUT},
 };
@@ -37,7 +37,7 @@
     read_at: BootTime,
     state: AuthorityState,
     earlier: EarlierLeaders,
-    stopped_leaders: watch::Receiver<StoppedLeaders>,
+    predecessor_stopped: watch::Receiver<Option<PredecessorStopped>>,
     /// What each order checks when it is sent.
     pub(super) permission: Permission,
 }
@@ -47,7 +47,7 @@
         authority: Authority,
         confirmed_at: Instant,
         earlier: EarlierLeaders,
-        stopped_leaders: watch::Receiver<StoppedLeaders>,
+        predecessor_stopped: watch::Receiver<Option<PredecessorStopped>>,
     ) -> Self {
         Self {
             permission: Permission::new(authority.until()),
@@ -56,7 +56,7 @@
             confirmed_at,
             state: AuthorityState::Confirmed,
             earlier,
-            stopped_leaders,
+            predecessor_stopped,
         }
     }
 
@@ -197,14 +197,12 @@
         let boot_now = boot_time();
         let epoch = self.head.epoch;
         let confirmation = &mut self.epoch_authority;
-        let stopped = confirmation.stopped_leaders.borrow_and_update();
-        for (epoch, at) in &stopped.at {
-            confirmation.earlier.stopped(*epoch, *at);
-        }
-        if let Some(unanswered) = &stopped.unanswered_extensions {
-            self.scheduler.earlier_extensions_told(unanswered);
+        if let Some(stopped) = &*confirmation.predecessor_stopped.borrow_and_update() {
+            confirmation.earlier.replaced_stopped(stopped.at);
+            if let Some(unanswered) = &stopped.unanswered_extensions {
+                self.scheduler.earlier_extensions_told(unanswered);
+            }
         }
-        drop(stopped);
         let state = confirmation.authority.state(boot_now);
         if state != confirmation.state {
             confirmation.state = state;
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -49,7 +49,7 @@
     authority::{Authority, EarlierLeaders, Permission},
     commit::Head,
     committer::Committer,
-    election::{EpochLost, StoppedLeaders},
+    election::{EpochLost, PredecessorStopped},
     messages::CellAnswer,
     reachability::Reachability,
     settings::{FOLLOW_PAUSE, FOLLOW_WAIT, TICK_PERIOD},
@@ -78,8 +78,8 @@
     /// When the claim was sent, which confirmed the epoch first.
     pub(crate) confirmed_at: Instant,
     pub(crate) earlier: EarlierLeaders,
-    /// Which leaders before it are known to have stopped.
-    pub(crate) stopped_leaders: watch::Receiver<StoppedLeaders>,
+    /// When the predecessor is known to have stopped; `None` until then.
+    pub(crate) predecessor_stopped: watch::Receiver<Option<PredecessorStopped>>,
     /// How many takeovers in a row, the one of this epoch included, happened because of lag.
     pub(crate) lag_takeovers: u32,
     pub(crate) own_address: SocketAddr,
@@ -151,7 +151,7 @@
         parts.authority,
         parts.confirmed_at,
         parts.earlier,
-        parts.stopped_leaders,
+        parts.predecessor_stopped,
     );
     let permission = epoch_authority.permission.clone();
     let mut task = LeaderTask {
--- a/jackdawchute-cell/src/rows.rs
+++ b/jackdawchute-cell/src/rows.rs
@@ -22,27 +22,6 @@
     pub(crate) incarnation: IncarnationId,
     /// Where peers reach the leader.
     pub(crate) address: SocketAddr,
-    /// The leaders before it that may have had authority when it claimed the epoch; `None` if not all
-    /// of them were known.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub(crate) earlier: Option<Vec<EarlierLeader>>,
-}
-
-/// A leader that a later claim names.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct EarlierLeader {
-    pub(crate) epoch: Epoch,
-    pub(crate) address: SocketAddr,
-}
-
-impl LeaderRecord {
-    /// Returns this leader as a later claim names it.
-    pub(crate) fn as_earlier(&self) -> EarlierLeader {
-        EarlierLeader {
-            epoch: self.epoch,
-            address: self.address,
-        }
-    }
 }
 
 /// The content of the row that each commit rewrites.
--- a/jackdawchute-cell/tests/authority.rs
+++ b/jackdawchute-cell/tests/authority.rs
@@ -45,15 +45,7 @@
 
 /// Returns the earlier leaders after a claim that replaced the leader of this epoch.
 fn after_claim(epoch: u64, settled: bool, claimed_at: Instant) -> EarlierLeaders {
-    let earlier = settled.then(Vec::new);
-    EarlierLeaders::new(Some(Replaced { epoch, earlier }), claimed_at)
-}
-
-/// Returns the earlier leaders after a claim that replaced the leader of epoch 6, while those of
-/// epochs 3 to 5 may have authority too: none of them lived long enough to settle anything.
-fn after_claims_in_a_row(claimed_at: Instant) -> EarlierLeaders {
-    let earlier = Some(vec![5, 4, 3]);
-    EarlierLeaders::new(Some(Replaced { epoch: 6, earlier }), claimed_at)
+    EarlierLeaders::new(Some(Replaced { epoch, settled }), claimed_at)
 }
 
 #[test]
@@ -184,80 +176,14 @@
     let claimed_at = Instant::now();
 
     let mut unsettled = after_claim(3, false, claimed_at);
-    unsettled.stopped(3, claimed_at);
+    unsettled.replaced_stopped(claimed_at);
     let mut settled = after_claim(3, true, claimed_at);
-    settled.stopped(3, claimed_at);
+    settled.replaced_stopped(claimed_at);
 
     assert!(unsettled.remaining(claimed_at) >= PROMISED_MAX);
     assert_eq!(settled.remaining(claimed_at), Duration::ZERO);
 }
 
-/// review/9: tasks waited for the longest authority of leaders that had all ended.
-#[test]
-fn a_successor_waits_for_no_leader_of_a_row_that_has_stopped() {
-    let claimed_at = Instant::now();
-    let mut earlier = after_claims_in_a_row(claimed_at);
-
-    for epoch in [6, 4, 3] {
-        earlier.stopped(epoch, claimed_at);
-    }
-    let with_one_left = earlier.remaining(claimed_at);
-    earlier.stopped(5, claimed_at);
-
-    assert!(with_one_left >= PROMISED_MAX);
-    assert_eq!(earlier.remaining(claimed_at), Duration::ZERO);
-}
-
-/// A member of the first of them knows nothing of those that came after it.
-#[test]
-fn what_a_member_knows_bounds_its_leader_and_those_before_whichever_came_after() {
-    let claimed_at = Instant::now();
-    let mut earlier = after_claims_in_a_row(claimed_at);
-
-    earlier.testified(&Acknowledged {
-        epoch: 4,
-        ..acknowledged_just_before(claimed_at)
-    });
-    let with_later_ones = earlier.remaining(claimed_at);
-    for epoch in [5, 6] {
-        earlier.stopped(epoch, claimed_at);
-    }
-    let without = earlier.remaining(claimed_at);
-
-    assert!(with_later_ones >= PROMISED_MAX);
-    assert!(
-        (CONFIRMED_FOR..PROMISED_MAX).contains(&without),
-        "{without:?}"
-    );
-}
-
-#[test]
-fn a_claim_names_a_bounded_number_of_leaders() {
-    let mut replaced = Replaced {
-        epoch: 1,
-        earlier: Some(Vec::new()),
-    };
-    let mut named_counts = Vec::new();
-    while let Some(named) = replaced.named_by_claim() {
-        named_counts.push(named.len());
-        replaced = Replaced {
-            epoch: replaced.epoch + 1,
-            earlier: Some(named),
-        };
-    }
-
-    assert_eq!(named_counts, Vec::from_iter(1..=16));
-    let claimed_at = Instant::now();
-    let earlier = EarlierLeaders::new(
-        Some(Replaced {
-            earlier: replaced.named_by_claim(),
-            ..replaced
-        }),
-        claimed_at,
-    );
-    assert!(earlier.remaining(claimed_at) >= PROMISED_MAX);
-}
-
 /// A claim without an answer may take effect for as long as the leader row is unchanged.
 #[test]
 fn an_instance_with_an_unanswered_claim_promises_nothing_until_the_leader_row_changes() {
--- a/jackdawchute-cell/tests/authority_model/claims.rs
+++ b/jackdawchute-cell/tests/authority_model/claims.rs
@@ -1,7 +1,5 @@
 //! Steps between the store, a leader and its members: confirmations, promises and claims.
 
-use std::collections::BTreeMap;
-
 use jackdawchute_cell::authority::{ClaimState, PROMISED_FOR};
 
 use super::{
@@ -143,7 +141,7 @@
                 let wait = wait.min(wait * u32::from(self.guards.keeps_promise));
                 let claim = Claim {
                     replaced: world.epoch,
-                    earlier: self.earlier_at_claim(world),
+                    settled: world.settled,
                     stage: ClaimStage::Waiting(self.now + self.in_ticks(wait)),
                     abandoned: false,
                 };
@@ -175,8 +173,6 @@
                 if wins {
                     applied.epoch += 1;
                     applied.settled = false;
-                    applied.named = self.named_by_claim(&claim);
-                    applied.holders[applied.epoch as usize] = Some(number);
                 }
                 next.push(applied);
             }
@@ -209,10 +205,10 @@
             members: [None; 3],
             earlier: Some(Earlier {
                 replaced: claim.replaced,
-                earlier: claim.earlier,
+                settled: claim.settled,
                 claimed_at: self.now,
                 testimonies: self.testimony(instance).into_iter().collect(),
-                stopped_at: BTreeMap::new(),
+                stopped_at: None,
             }),
             task_at: None,
             lease_sent: [0; 2],
--- a/jackdawchute-cell/tests/authority_model/main.rs
+++ b/jackdawchute-cell/tests/authority_model/main.rs
@@ -95,15 +95,6 @@
     }
 }
 
-/// P claims the epoch and may restart, so that Q claims the next one while L may still act.
-fn unsettled_spec(guards: Guards) -> Spec {
-    Spec {
-        restarts: [false, true, false],
-        heartbeats_from: 4,
-        ..succession_spec(guards)
-    }
-}
-
 /// How many states a search visits at most.
 const STATES_MAX: u64 = 1_000_000;
 /// How many states the search of successions visits, which does not end within the time of CI.
@@ -182,27 +173,6 @@
     assert_eq!(steps, None);
 }
 
-#[test]
-fn no_leader_acts_longer_than_allowed_for_after_a_leader_that_settled_nothing() {
-    let spec = unsettled_spec(Guards::ALL);
-
-    let (_, steps) = explore_up_to(SUCCESSION_STATES, "a leader that settled nothing", &spec);
-
-    assert_eq!(steps, None);
-}
-
-#[test]
-fn a_claim_that_names_only_the_replaced_leader_lets_an_earlier_one_act_too_long() {
-    let spec = unsettled_spec(Guards {
-        names_unsettled: false,
-        ..Guards::ALL
-    });
-
-    let steps = explore("a claim that names only the replaced leader", &spec);
-
-    assert!(steps.is_some());
-}
-
 #[test]
 fn the_former_rules_run_a_task_twice() {
     let spec = task_spec(Guards::FORMER);
--- a/jackdawchute-cell/tests/authority_model/spec.rs
+++ b/jackdawchute-cell/tests/authority_model/spec.rs
@@ -7,8 +7,7 @@
 };
 
 use super::world::{
-    Claim, ClaimStage, Earlier, Epochs, Instance, Leader, Member, Testimony, Worker, World, FIRST,
-    L, P, Q,
+    Claim, ClaimStage, Earlier, Instance, Leader, Member, Testimony, Worker, World, FIRST, L, P, Q,
 };
 
 /// How long a worker may take to end its tasks once their lease has lapsed.
@@ -41,8 +40,6 @@
     pub promise_counts_from_request: bool,
     /// An instance that knows nothing of its predecessors allows for the longest authority.
     pub newcomer_allows_for_maximum: bool,
-    /// A claim names all leaders before it that may have authority, not only the replaced one.
-    pub names_unsettled: bool,
     /// The permission counts the time for which the machine is suspended.
     pub boot_clock: bool,
     /// A lease is granted from the earliest reading that the worker's clock may show.
@@ -62,7 +59,6 @@
         promises_what_it_read: true,
         promise_counts_from_request: true,
         newcomer_allows_for_maximum: true,
-        names_unsettled: true,
         boot_clock: true,
         earliest_clock: true,
     };
@@ -136,8 +132,6 @@
         World {
             epoch: FIRST,
             settled: true,
-            named: Epochs::default(),
-            holders: [None, Some(L), None, None],
             instances: [
                 Instance {
                     row: FIRST,
@@ -276,7 +270,10 @@
 
     /// Until when leaders before this one may act, according to `EarlierLeaders`.
     pub(crate) fn earlier_until(&self, earlier: &Earlier) -> Instant {
-        let replaced = replaced(earlier.replaced, earlier.earlier);
+        let replaced = Replaced {
+            epoch: earlier.replaced,
+            settled: earlier.settled,
+        };
         let claimed_at = self.instant(earlier.claimed_at);
         if !self.guards.waits_for_earlier {
             return claimed_at;
@@ -298,31 +295,12 @@
                 promised_until: self.instant(testimony.promised_until),
             });
         }
-        for (epoch, stopped_at) in &earlier.stopped_at {
-            leaders.stopped(*epoch, self.instant(*stopped_at));
+        if let Some(stopped_at) = earlier.stopped_at {
+            leaders.replaced_stopped(self.instant(stopped_at));
         }
         leaders.until()
     }
 
-    /// Returns the epochs before the leader's whose leaders may have authority, as far as the rows
-    /// show it.
-    pub(crate) fn earlier_at_claim(&self, world: &World) -> Epochs {
-        match world.settled || !self.guards.names_unsettled {
-            true => Epochs::default(),
-            false => world.named,
-        }
-    }
-
-    /// Returns the epochs that a claim names, according to `Replaced`.
-    pub(crate) fn named_by_claim(&self, claim: &Claim) -> Epochs {
-        let named = replaced(claim.replaced, claim.earlier).named_by_claim();
-        let mut epochs = Epochs::default();
-        for epoch in named.into_iter().flatten() {
-            epochs[epoch as usize] = true;
-        }
-        epochs
-    }
-
     /// Returns the promises and claims of an instance.
     pub(crate) fn claim_state(&self, instance: &Instance) -> ClaimState {
         let mut state = ClaimState::default();
@@ -350,45 +328,25 @@
         })
     }
 
-    /// Tells an earlier leader of this one; an answer from its address shows that it has stopped, also
-    /// if its process is a later one.
-    fn notify(&self, world: &World, number: usize, next: &mut Vec<World>) {
-        let Some(leader) = &world.instances[number].leader else {
-            return;
-        };
-        let Some(earlier) = &leader.earlier else {
-            return;
-        };
-        for epoch in FIRST..=earlier.replaced {
-            let is_named = epoch == earlier.replaced || earlier.earlier[epoch as usize];
-            let holder = world.holders[epoch as usize].filter(|_| is_named);
-            let Some(holder) = holder.filter(|_| !earlier.stopped_at.contains_key(&epoch)) else {
-                continue;
-            };
-            next.push(world.step(|w| {
-                let told = &mut w.instances[holder];
-                if told.row < leader.epoch {
-                    told.row = leader.epoch;
-                    told.unresolved = false;
-                }
-                told.leader = told.leader.take().filter(|l| l.epoch >= leader.epoch);
-                let earlier = w.instances[number].leader.iter_mut();
-                earlier
-                    .filter_map(|leader| leader.earlier.as_mut())
-                    .for_each(|earlier| {
-                        earlier.stopped_at.insert(epoch, self.now);
-                    });
-            }));
-        }
-    }
-
-    /// Delivers a heartbeat to a leader, with or without its acknowledgement.
+    /// Delivers a heartbeat to a leader, with or without its acknowledgement, or tells a replaced
+    /// leader of its successor.
     pub(crate) fn heartbeat(&self, world: &World, number: usize, next: &mut Vec<World>) {
         let Some(leader) = &world.instances[number].leader else {
             return;
         };
-        self.notify(world, number, next);
         for (sender, instance) in world.instances.iter().enumerate() {
+            if let (Some(replaced), Some(earlier)) = (&instance.leader, &leader.earlier) {
+                if replaced.epoch == earlier.replaced {
+                    next.push(world.step(|w| {
+                        w.instances[sender].leader = None;
+                        w.instances[sender].row = leader.epoch;
+                        let earlier = w.instances[number].leader.iter_mut();
+                        earlier
+                            .filter_map(|leader| leader.earlier.as_mut())
+                            .for_each(|earlier| earlier.stopped_at = Some(self.now));
+                    }));
+                }
+            }
             let hears_of = instance.leader.is_none() && instance.row < leader.epoch;
             if hears_of && self.heartbeats_from <= self.epoch_max {
                 next.push(world.step(|w| {
@@ -450,15 +408,6 @@
     }
 }
 
-/// Returns a replaced leader with the epochs before it whose leaders may have authority.
-fn replaced(epoch: u64, earlier: Epochs) -> Replaced {
-    let epochs = (0..).zip(earlier).filter(|(_, is_named)| *is_named);
-    Replaced {
-        epoch,
-        earlier: Some(epochs.map(|(epoch, _)| epoch).collect()),
-    }
-}
-
 /// Returns the world after a restart of an instance; a claim of it may still take effect.
 fn restarted(world: &World, instance: usize) -> World {
     world.step(|w| {
--- a/jackdawchute-cell/tests/authority_model/world.rs
+++ b/jackdawchute-cell/tests/authority_model/world.rs
@@ -1,6 +1,6 @@
 //! The state that is searched. Instants are ticks; the present is always the spec's `now`.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// The leader of epoch 1.
 pub const L: usize = 0;
@@ -11,11 +11,6 @@
 /// The epoch that the initial leader holds.
 pub const FIRST: u64 = 1;
 
-/// The instance whose claim of each epoch up to 3 took effect.
-pub type Holders = [Option<usize>; 4];
-/// Which of the epochs up to 3 are named.
-pub type Epochs = [bool; 4];
-
 /// What an instance knows from the leader that acknowledged it last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Testimony {
@@ -39,8 +34,7 @@
 pub struct Claim {
     /// The epoch of the row that the claim replaces.
     pub replaced: u64,
-    /// The epochs before it whose leaders may have authority.
-    pub earlier: Epochs,
+    pub settled: bool,
     pub stage: ClaimStage,
     /// Whether the instance has stopped waiting for the answer.
     pub abandoned: bool,
@@ -75,12 +69,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Earlier {
     pub replaced: u64,
-    /// The epochs before the replaced one that the claim named.
-    pub earlier: Epochs,
+    pub settled: bool,
     pub claimed_at: u64,
     pub testimonies: BTreeSet<Testimony>,
-    /// When each of those leaders is known to have stopped.
-    pub stopped_at: BTreeMap<u64, u64>,
+    pub stopped_at: Option<u64>,
 }
 
 /// An order in the network to a worker.
@@ -143,9 +135,6 @@
     pub epoch: u64,
     /// Whether the head row says that no leader before the epoch has authority.
     pub settled: bool,
-    /// The epochs that the leader row names, whose leaders may have had authority at its claim.
-    pub named: Epochs,
-    pub holders: Holders,
     pub instances: [Instance; 3],
     pub workers: [Worker; 2],
 }
@@ -214,7 +203,7 @@
             leader.order = leader.order.filter(|order| order.until >= now);
             if let Some(earlier) = &mut leader.earlier {
                 back(&mut earlier.claimed_at);
-                earlier.stopped_at.values_mut().for_each(back);
+                earlier.stopped_at.iter_mut().for_each(back);
                 let testimonies = std::mem::take(&mut earlier.testimonies);
                 earlier.testimonies = testimonies
                     .into_iter()
