--- a/jackdawchute-locality/src/wait.rs
+++ b/jackdawchute-locality/src/wait.rs
@@ -20,8 +20,9 @@
     pub near_time: Duration,
     /// The expected run time at the place that has room now.
     pub far_time: Duration,
-    /// How long the unit can wait, start far away and still end in time; zero if it cannot.
-    pub slack: Duration,
+    /// How long the unit can wait and still end in time if it starts near; `None` if it is late
+    /// anyway.
+    pub slack: Option<Duration>,
     /// The longest wait that the rules leave, such as the time for which nothing of a job may run.
     pub wait_max: Duration,
 }
@@ -53,7 +54,7 @@
 /// let unit = Unit {
 ///     near_time: Duration::from_secs(6),
 ///     far_time: Duration::from_secs(12),
-///     slack: Duration::from_secs(5),
+///     slack: Some(Duration::from_secs(8)),
 ///     wait_max: Duration::from_secs(2),
 /// };
 /// let soon = NearRoom { expected: vec![Duration::from_millis(500)], needed: 1 };
@@ -63,7 +64,10 @@
 /// ```
 pub fn decide(unit: &Unit, rooms: &[NearRoom]) -> Decision {
     let lost_far = unit.far_time.saturating_sub(unit.near_time);
-    let longest = lost_far.min(unit.slack).min(unit.wait_max).min(WAIT_MAX);
+    let longest = lost_far
+        .min(slack_for_wait(unit.slack, lost_far))
+        .min(unit.wait_max)
+        .min(WAIT_MAX);
     if rooms.is_empty() || longest.is_zero() {
         return Decision::StartHere;
     }
@@ -94,6 +98,16 @@
     }
 }
 
+/// Returns for how long a wait changes nothing about whether the unit ends in time, unless it is
+/// paid: a unit that is only in time near has nothing to lose by a wait up to its slack.
+fn slack_for_wait(slack: Option<Duration>, lost_far: Duration) -> Duration {
+    match slack {
+        Some(slack) if slack > lost_far => slack - lost_far,
+        Some(slack) => slack,
+        None => WAIT_MAX,
+    }
+}
+
 fn chance_of_any(rooms: &[NearRoom], time: Duration) -> f64 {
     let none: f64 = rooms
         .iter()
--- a/jackdawchute-scheduler/src/place/waits.rs
+++ b/jackdawchute-scheduler/src/place/waits.rs
@@ -12,13 +12,15 @@
 
 use crate::{
     free_capacity::{can_run, FreeCapacity},
-    job::Job,
+    job::{Advice, Job},
     Scheduler, StepName, StepSpec,
 };
 
 /// How long nothing of a job may run while its tasks wait for a place, with the time that they have
 /// waited for other causes.
 const IDLE_JOB_MAX: Duration = Duration::from_millis(1_500);
+/// How long before their tickets lapse units start at the latest.
+const TICKET_MARGIN: Duration = Duration::from_millis(150);
 /// The waits that are remembered; beyond that, units start where there is room.
 const WAITS_MAX: usize = 4_096;
 /// The number of a rack's workers that are looked at for a wait.
@@ -74,6 +76,8 @@
     /// The expected run times near and at the place that has room now.
     near_time: Duration,
     far_time: Duration,
+    /// How long the tickets of the workers with room now are valid, if tickets are needed.
+    tickets_for: Option<Duration>,
 }
 
 impl Scheduler {
@@ -107,6 +111,7 @@
             racks: vec![data_rack.clone()],
             near_time: expected.mul_f64(near_slowness),
             far_time: expected.mul_f64(capacity.slowness * far),
+            tickets_for: self.tickets_for(job, name, std::iter::once(worker), now),
         };
         self.waits_for_place(&start, free_capacity, now)
     }
@@ -116,7 +121,7 @@
         &mut self,
         name: &StepName,
         spec: &StepSpec,
-        workers: impl Iterator<Item = &'a WorkerId>,
+        workers: impl Iterator<Item = &'a WorkerId> + Clone,
         free_capacity: &FreeCapacity,
         now: Instant,
     ) -> bool {
@@ -124,7 +129,7 @@
             return false;
         };
         let rack_of = |worker| free_capacity.worker(worker).and_then(|it| it.rack.clone());
-        let racks: BTreeSet<RackId> = workers.filter_map(rack_of).collect();
+        let racks: BTreeSet<RackId> = workers.clone().filter_map(rack_of).collect();
         if racks.len() <= 1 {
             self.starts_near(name, 0, now);
             return false;
@@ -138,6 +143,7 @@
             racks: racks.into_iter().collect(),
             near_time: expected,
             far_time: expected.mul_f64(self.settings.remote_slowdown),
+            tickets_for: self.tickets_for(job, name, workers, now),
         };
         self.waits_for_place(&start, free_capacity, now)
     }
@@ -241,15 +247,15 @@
         now: Instant,
     ) -> Option<(Duration, Duration)> {
         let job = self.jobs.get(&start.name.job)?;
-        let lost_far = start.far_time.saturating_sub(start.near_time);
-        let slack = self.slack(job, now).unwrap_or_default();
         let unit = Unit {
             near_time: start.near_time,
             far_time: start.far_time,
-            slack: slack.saturating_sub(lost_far),
-            wait_max: self.wait_max(job, now),
+            slack: self.slack(job, now),
+            wait_max: self
+                .wait_max(job, now)
+                .min(start.tickets_for.unwrap_or(WAIT_MAX)),
         };
-        if unit.slack.is_zero() || unit.wait_max.is_zero() {
+        if unit.wait_max.is_zero() {
             return None;
         }
         let rooms: Vec<NearRoom> = start
@@ -270,6 +276,28 @@
         }
     }
 
+    /// Returns how long the tickets of all these workers are valid, with some time for the orders;
+    /// `None` if the queue needs none.
+    ///
+    /// A unit that waits past them loses the room that it has now.
+    fn tickets_for<'a>(
+        &self,
+        job: &Job,
+        name: &StepName,
+        workers: impl Iterator<Item = &'a WorkerId>,
+        now: Instant,
+    ) -> Option<Duration> {
+        job.queue.advice.as_ref()?;
+        let (_, step) = job.step(name)?;
+        let left = |worker| match step.advice.get(worker) {
+            Some(Advice::Allowed { usable_until, .. }) => {
+                usable_until.saturating_duration_since(now + TICKET_MARGIN)
+            }
+            _ => Duration::ZERO,
+        };
+        workers.map(left).min()
+    }
+
     /// Returns how long a unit of a job may wait, so that the job does not stand still for long.
     fn wait_max(&self, job: &Job, now: Instant) -> Duration {
         if !job.placed_tasks().is_empty() {
