--- a/jackdawchute-scheduler/src/advice_workers.rs
+++ b/jackdawchute-scheduler/src/advice_workers.rs
@@ -236,7 +236,7 @@
     name: &StepName,
     count: usize,
 ) -> Vec<WorkerId> {
-    let mut keyed: Vec<((PlaceRank, Reverse<u32>, u64), AdviceCandidate)> = candidates
+    let mut keyed: Vec<(_, AdviceCandidate)> = candidates
         .into_iter()
         .map(|candidate| {
             let room = Reverse(candidate.tasks_now.min(SEVERAL_TASKS));
