fix: a gang that was stopped without progress counts once, and a short task's patience is short

A stuck worker's gang of seven counted as stopped seven times, so that it could hang for 640 s on the next one; and a lookup of 0.2 s that was moved once was not noticed on a second stuck worker for 20 s. A task of 10 s keeps its 20 s.

Whether another worker could run a task is asked only about tasks beyond what they are allowed, as it looks at all workers.

Both new tests fail without the change; the tests of jackdawchute-scheduler pass (166).

--- a/jackdawchute-scheduler/src/progress.rs
+++ b/jackdawchute-scheduler/src/progress.rs
@@ -6,7 +6,10 @@
 //! it only beyond the time in which it should have advanced by some. If no other worker can run it,
 //! it counts only once it should have ended; if it was stopped for it before, only after long.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_types::WorkerId;
 use spdlog::{info, warn};
@@ -22,10 +25,12 @@
 /// The percents that a task is expected to advance by before it counts as without progress; tasks
 /// take up to some times as long as expected.
 const PERCENTS_EXPECTED: u32 = 3;
-/// How long a task that was stopped for it may be without progress, which is as long as one percent
-/// of a task of half an hour takes after the first stop. Doubles with each stop.
-const PATIENCE: Duration = Duration::from_secs(10);
-/// The most stops of a task that raise the patience.
+/// How many times its expected run time a task that was stopped for it may be without progress at
+/// least, which is as long as one percent of a task takes that is declared wrong by a factor of 600.
+const PATIENCE_FACTOR_MIN: u32 = 6;
+/// The longest time that follows from this factor.
+const PATIENCE_FACTOR_LIMIT: Duration = Duration::from_secs(10);
+/// The most stops of a task that double its patience, which begins with its expected run time.
 const PATIENCE_DOUBLINGS_MAX: u32 = 6;
 /// The percents of a run from which its speed is taken.
 const PERCENTS_OBSERVED: u32 = 20;
@@ -132,13 +137,21 @@
             worker = id.as_str(), still_ms = without_progress.as_millis() as u64,
             moved = stuck_tasks.len()
         });
+        // A gang is one unit, however many of its tasks the worker runs.
+        let mut stuck_units = HashSet::new();
         for task in stuck_tasks {
             info!("task stopped on a stuck worker", kv: {
                 job = task.step.job.as_str(), step = task.step.step, task = task.index,
                 worker = id.as_str()
             });
             let job = self.jobs.get_mut(&task.step.job);
-            if let Some(unit) = job.and_then(|job| job.unit_mut(&task.step, task.index)) {
+            let unit_index = job.as_ref().and_then(|job| {
+                let (spec, _) = job.step(&task.step)?;
+                Some(spec.unit_index(task.index))
+            });
+            let is_first = stuck_units.insert((task.step.clone(), unit_index));
+            let unit = job.and_then(|job| job.unit_mut(&task.step, task.index));
+            if let Some(unit) = unit.filter(|_| is_first) {
                 unit.stuck_stops = unit.stuck_stops.saturating_add(1);
             }
             self.stop_with_gang(id, &task);
@@ -161,23 +174,29 @@
                 return None;
             }
             let still = now.saturating_duration_since(progress.first_listed_at);
-            without_progress += still.saturating_sub(self.allowed_without_progress(worker, task));
+            without_progress += self.beyond_allowed(worker, task, still);
         }
         Some(without_progress)
     }
 
-    /// Returns how long a task may be without progress before that says something of its worker.
-    fn allowed_without_progress(&self, worker: &Worker, task: &TaskName) -> Duration {
+    /// Returns by how much a task that is `still` has gone beyond the time without progress that says
+    /// nothing of its worker.
+    fn beyond_allowed(&self, worker: &Worker, task: &TaskName, still: Duration) -> Duration {
         let Some(job) = self.jobs.get(&task.step.job) else {
-            return Duration::ZERO;
+            return still;
         };
         let Some((spec, step)) = job.step(&task.step) else {
-            return Duration::ZERO;
+            return still;
         };
         let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
-        let allowed = expected / 100 * PERCENTS_EXPECTED;
         let unit = step.units.get(spec.unit_index(task.index));
         let stops = unit.map_or(0, |unit| unit.stuck_stops);
+        if stops > 0 {
+            let doubled = expected.saturating_mul(1 << stops.min(PATIENCE_DOUBLINGS_MAX));
+            let least = expected.saturating_mul(PATIENCE_FACTOR_MIN);
+            return still.saturating_sub(doubled.max(least.min(PATIENCE_FACTOR_LIMIT)));
+        }
+        let allowed = expected / 100 * PERCENTS_EXPECTED;
         let other_could_run = || {
             self.workers.values().any(|other| {
                 other.id() != worker.id()
@@ -189,12 +208,10 @@
                         .is_none_or(|label| other.entry.labels.contains(label))
             })
         };
-        if stops > 0 {
-            expected.max(PATIENCE * (1 << stops.min(PATIENCE_DOUBLINGS_MAX)))
-        } else if other_could_run() {
-            allowed
+        if still > allowed && other_could_run() {
+            still - allowed
         } else {
-            expected
+            still.saturating_sub(expected)
         }
     }
 
--- a/jackdawchute-scheduler/tests/behaviour/lost_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/lost_workers.rs
@@ -229,6 +229,31 @@
     assert_eq!(cell.take_stops().len(), starts.len());
 }
 
+#[test]
+fn a_short_task_that_was_stopped_before_is_stopped_soon_on_a_second_stuck_worker() {
+    let short = StepSpec {
+        estimate: ms(200),
+        ..step(7, 1)
+    };
+    let (mut cell, starts) = cell_with_tasks_of_a_stuck_worker(vec![short]);
+    let worker = starts[0].worker.clone();
+
+    answer_without_progress(&mut cell, &worker, &starts, 5);
+
+    assert_eq!(cell.take_stops().len(), 7);
+}
+
+#[test]
+fn a_gang_that_was_stopped_once_counts_as_stopped_once_however_many_tasks_it_has() {
+    let (mut cell, starts) = cell_with_tasks_of_a_stuck_worker(vec![gang(7, 1)]);
+    let worker = starts[0].worker.clone();
+
+    answer_without_progress(&mut cell, &worker, &starts, 16);
+
+    assert_eq!(starts.len(), 7);
+    assert_eq!(cell.take_stops().len(), 7);
+}
+
 /// review/8: the worker is the only one with the label that the tasks require.
 #[test]
 fn tasks_that_no_other_worker_can_run_are_not_stopped_for_slow_progress() {
