fix: advice and placing agree about when a task ends, and free workers are named first

A first request named full workers that suit a step before free ones, also in a cell of equal workers whose near rack was full. And while placing went by the expected time on each worker, advice and the count of room went by the mean: a step with a ticket for a place that is reserved between both ends was neither placed nor asked advice for. One function tells the time for all four. A gang holds its places until its slowest task ends, so that all of them are checked for that time, by raising it until nothing changes.

--- a/jackdawchute-scheduler/src/advice_workers.rs
+++ b/jackdawchute-scheduler/src/advice_workers.rs
@@ -48,14 +48,15 @@
 const FIRST_REQUEST_WORKERS_MIN: usize = 24;
 
 /// Groups the workers that could run a step by the advice that is known about them, with the free
-/// capacity that a task from now until `ends_at` could use and how well they suit it.
+/// capacity that a task of the `expected` time there could use from now on and how well they suit it.
 pub(crate) fn known_advice(
     workers: &BTreeMap<WorkerId, Worker>,
     job: &Job,
     spec: &StepSpec,
     step: &StepRun,
     free_capacity: &FreeCapacity,
-    (now, ends_at): (Instant, Instant),
+    now: Instant,
+    expected: impl Fn(&WorkerCapacity) -> Duration,
     rank: impl Fn(&WorkerCapacity) -> PlaceRank,
 ) -> KnownAdvice {
     let size = spec.charged_resources();
@@ -67,7 +68,7 @@
     let per_worker_max = per_worker_max.min(FITTING_TASKS_MAX);
     let mut known = KnownAdvice::default();
     for (worker, worker_capacity) in free_capacity.workers() {
-        let usable = worker_capacity.usable(ends_at);
+        let usable = worker_capacity.usable(now + expected(worker_capacity));
         let fits = size.fits_in(&usable);
         // Single tasks need no further advice about workers that they do not fit on now.
         let is_useful = fits || spec.gang || step.advice.is_empty();
@@ -226,8 +227,8 @@
     workers.map(|candidate| candidate.worker).collect()
 }
 
-/// Returns `count` workers, other ones for each step, those that suit it first and of them those with
-/// room for several tasks.
+/// Returns `count` workers, other ones for each step: those on which a task fits first, then those
+/// that suit it, and of them those with room for several tasks.
 ///
 /// Were all steps to name the workers with the most free capacity, hundreds of them would get
 /// tickets for the same few workers, find these taken and ask again.
@@ -241,7 +242,7 @@
         .map(|candidate| {
             let room = Reverse(candidate.tasks_now.min(SEVERAL_TASKS));
             let spread = FxBuildHasher.hash_one((name, &candidate.worker));
-            ((candidate.rank, room, spread), candidate)
+            ((!candidate.fits, candidate.rank, room, spread), candidate)
         })
         .collect();
     if count < keyed.len() {
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -10,7 +10,7 @@
         affordable_workers, gang_request_workers, known_advice, single_task_request_workers,
         spread_over, REQUEST_WORKERS_MAX,
     },
-    free_capacity::FreeCapacity,
+    free_capacity::{FreeCapacity, WorkerCapacity},
     job::{Advice, StepRun},
     rank::RankedStep,
     AdviceAnswer, AdviceRequest, Effect, Scheduler, StepName, StepSpec,
@@ -132,11 +132,12 @@
         {
             return Vec::new();
         }
-        let expected = self.run_times.expected(&job.queue.queue, spec.estimate);
-        if !spec.gang && fits_with_ticket(spec, step, free_capacity, (now, now + expected)) {
+        let estimate = self.run_times.estimate(&job.queue.queue, spec.estimate);
+        let expected =
+            |worker_capacity: &WorkerCapacity| self.expected_on(spec, &estimate, worker_capacity);
+        if !spec.gang && fits_with_ticket(spec, step, free_capacity, now, expected) {
             return Vec::new();
         }
-        let estimate = self.run_times.estimate(&job.queue.queue, spec.estimate);
         let time_left = self.time_left(job, spec, now);
         let known = known_advice(
             &self.workers,
@@ -144,7 +145,8 @@
             spec,
             step,
             free_capacity,
-            (now, now + expected),
+            now,
+            expected,
             |worker_capacity| {
                 let far = self.far_slowdown(spec, worker_capacity.rack.as_ref());
                 estimate.rank(worker_capacity.slowness, far, time_left)
@@ -254,12 +256,14 @@
     }
 }
 
-/// Returns whether a task of a step, from now until `ends_at`, fits on a worker with a valid ticket.
+/// Returns whether a task of a step, of the `expected` time there, fits now on a worker with a valid
+/// ticket.
 fn fits_with_ticket(
     spec: &StepSpec,
     step: &StepRun,
     free_capacity: &FreeCapacity,
-    (now, ends_at): (Instant, Instant),
+    now: Instant,
+    expected: impl Fn(&WorkerCapacity) -> Duration,
 ) -> bool {
     let size = spec.charged_resources();
     step.advice.iter().any(|(worker, advice)| {
@@ -267,6 +271,7 @@
             return false;
         };
         let ticket = advice.ticket(worker_capacity.started_unix_ms, now);
-        ticket.is_some() && size.fits_in(&worker_capacity.usable(ends_at))
+        let usable = worker_capacity.usable(now + expected(worker_capacity));
+        ticket.is_some() && size.fits_in(&usable)
     })
 }
--- a/jackdawchute-scheduler/src/place/candidates.rs
+++ b/jackdawchute-scheduler/src/place/candidates.rs
@@ -12,6 +12,7 @@
     Scheduler, StepName, StepSpec,
 };
 
+#[derive(Clone)]
 pub(super) struct Candidate {
     pub(super) worker: WorkerId,
     /// The valid ticket; `None` if the step needs no advice.
@@ -55,7 +56,7 @@
                     worker: worker.clone(),
                     ticket: ticket.cloned(),
                     rank: estimate.rank(slowness, far, time_left),
-                    expected: estimate.expected_at(slowness * far.unwrap_or(1.0)),
+                    expected: self.expected_on(spec, &estimate, worker_capacity),
                     tasks_allowed,
                 })
             };
--- a/jackdawchute-scheduler/src/place/gangs.rs
+++ b/jackdawchute-scheduler/src/place/gangs.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
@@ -28,28 +28,38 @@
             return true;
         };
         let estimate = self.run_times.estimate(&job.queue.queue, spec.estimate);
-        let mut candidates = self.candidates(job, name, spec, free_capacity, estimate, now);
+        let candidates = self.candidates(job, name, spec, free_capacity, estimate, now);
         let size = spec.charged_resources();
-        let tasks_that_fit = |candidate: &Candidate| -> u32 {
+        let tasks_that_fit = |candidate: &Candidate, run_time: Duration| -> u32 {
             let Some(worker_capacity) = free_capacity.worker(&candidate.worker) else {
                 return 0;
             };
-            tasks_fitting(&size, worker_capacity.usable(now + candidate.expected))
-                .min(candidate.tasks_allowed)
+            let ends_at = now + candidate.expected.max(run_time);
+            tasks_fitting(&size, worker_capacity.usable(ends_at)).min(candidate.tasks_allowed)
+        };
+        // All places are held until the slowest task ends, which a reservation may not allow.
+        let soonest = candidates.iter().map(|candidate| candidate.expected).min();
+        let mut run_time = soonest.unwrap_or_default();
+        let counts = loop {
+            let mut counts: Vec<(u32, Candidate)> = candidates
+                .iter()
+                .map(|candidate| (tasks_that_fit(candidate, run_time), candidate.clone()))
+                .filter(|(count, _)| *count > 0)
+                .collect();
+            counts.sort_by_key(|(count, candidate)| (candidate.rank, Reverse(*count)));
+            if spec.rack_local {
+                self.prefer_one_rack(&mut counts, spec.tasks, estimate);
+            }
+            let total: u32 = counts.iter().map(|(count, _)| count).sum();
+            if total < spec.tasks {
+                return false;
+            }
+            let needed = self.run_time_of_gang(&counts, spec);
+            if needed <= run_time {
+                break counts;
+            }
+            run_time = needed;
         };
-        let mut counts: Vec<(u32, Candidate)> = candidates
-            .drain(..)
-            .map(|candidate| (tasks_that_fit(&candidate), candidate))
-            .filter(|(count, _)| *count > 0)
-            .collect();
-        counts.sort_by_key(|(count, candidate)| (candidate.rank, Reverse(*count)));
-        if spec.rack_local {
-            self.prefer_one_rack(&mut counts, spec.tasks, estimate);
-        }
-        let total: u32 = counts.iter().map(|(count, _)| count).sum();
-        if total < spec.tasks {
-            return false;
-        }
         let mut assignments = Vec::with_capacity(spec.tasks as usize);
         for (count, candidate) in counts {
             for _ in 0..count {
@@ -65,6 +75,30 @@
         true
     }
 
+    /// Returns how long a gang takes on the first of these places, the longer over several racks.
+    fn run_time_of_gang(&self, counts: &[(u32, Candidate)], spec: &StepSpec) -> Duration {
+        let places: Vec<(u32, Duration)> = counts
+            .iter()
+            .map(|(count, candidate)| (*count, candidate.expected))
+            .collect();
+        let run_time = time_of_gang(&places, spec.tasks);
+        let mut racks = HashSet::new();
+        let mut left = spec.tasks;
+        for (count, candidate) in counts {
+            if left == 0 {
+                break;
+            }
+            left = left.saturating_sub(*count);
+            let worker = self.workers.get(&candidate.worker);
+            racks.insert(worker.and_then(|worker| worker.entry.rack.as_ref()));
+        }
+        if spec.rack_local && racks.len() > 1 {
+            run_time.mul_f64(self.settings.remote_slowdown)
+        } else {
+            run_time
+        }
+    }
+
     /// Drops all candidates but those of the rack on which the gang ends first, if one rack alone
     /// has capacity for it and it doesn't end sooner over several.
     fn prefer_one_rack(
--- a/jackdawchute-scheduler/src/room.rs
+++ b/jackdawchute-scheduler/src/room.rs
@@ -80,13 +80,14 @@
         if job.recovering || !by_label.may_fit(&job.queue.service, spec) {
             return false;
         }
-        let ends_at = now + self.run_times.expected(&job.queue.queue, spec.estimate);
+        let estimate = self.run_times.estimate(&job.queue.queue, spec.estimate);
         let size = spec.charged_resources();
         let on_worker = tasks_on_workers(spec, step);
         let per_worker_max = spec.per_worker_max.unwrap_or(u32::MAX);
         let tasks_on = |id: &WorkerId, worker_capacity: &WorkerCapacity| {
             let is_denied = matches!(step.advice.get(id), Some(Advice::Denied));
             let placed = on_worker.get(id).copied().unwrap_or(0);
+            let ends_at = now + self.expected_on(spec, &estimate, worker_capacity);
             let tasks_fitting = tasks_fitting(&size, worker_capacity.usable(ends_at))
                 .min(per_worker_max.saturating_sub(placed));
             let may_run = tasks_fitting > 0
--- a/jackdawchute-scheduler/src/speeds.rs
+++ b/jackdawchute-scheduler/src/speeds.rs
@@ -2,9 +2,11 @@
 
 use std::time::{Duration, Instant};
 
+use jackdawchute_speeds::RunEstimate;
 use jackdawchute_types::{RackId, Ticket, WorkerId};
 
 use crate::{
+    free_capacity::WorkerCapacity,
     job::Job,
     worker::{Run, Worker},
     EndedRun, Scheduler, StepSpec, TaskName,
@@ -23,6 +25,17 @@
         is_far.then_some(self.settings.remote_slowdown)
     }
 
+    /// Returns how long a task of a step is expected to take on a worker.
+    pub(crate) fn expected_on(
+        &self,
+        spec: &StepSpec,
+        estimate: &RunEstimate,
+        worker_capacity: &WorkerCapacity,
+    ) -> Duration {
+        let far = self.far_slowdown(spec, worker_capacity.rack.as_ref());
+        estimate.expected_at(worker_capacity.slowness * far.unwrap_or(1.0))
+    }
+
     /// Returns for how long a task of a step may run from now on, with its job still in time: what it
     /// is expected to take, and its part of the job's slack. `None` for a job that is late.
     pub(crate) fn time_left(&self, job: &Job, spec: &StepSpec, now: Instant) -> Option<Duration> {
--- a/jackdawchute-scheduler/tests/behaviour/unlike_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/unlike_workers.rs
@@ -210,25 +210,28 @@
     assert!(!workers.iter().any(|worker| worker == SLOW));
 }
 
-/// A request names fewer workers than there are.
-#[test]
-fn advice_for_urgent_work_is_requested_about_fast_workers() {
-    let workers: Vec<WorkerEntry> = (0..48)
-        .map(|index| entry(if index % 3 == 2 { "slow" } else { "fast" }, 8))
-        .zip(0..)
-        .map(|(it, index)| WorkerEntry {
-            worker: smol_str::format_smolstr!("{}-{index}", it.worker),
-            ..it
-        })
-        .collect();
-    let mut cell = cell_that_knows(&workers, |worker| worker.starts_with("slow"));
-    let queue = QueuePolicy {
+/// Workers of which every third is slow, more than a request names.
+fn many_entries() -> Vec<WorkerEntry> {
+    let name = |index| if index % 3 == 2 { "slow" } else { "fast" };
+    (0..48)
+        .map(|index| entry(&format!("{}-{index}", name(index)), 8))
+        .collect()
+}
+
+/// A queue that needs advice and whose jobs may hardly take longer than they run.
+fn tight_advised_queue() -> QueuePolicy {
+    QueuePolicy {
         stretch: 1.2,
         target: ms(200),
         ..advised_queue(0)
-    };
+    }
+}
+
+#[test]
+fn advice_for_urgent_work_is_requested_about_fast_workers() {
+    let mut cell = cell_that_knows(&many_entries(), |worker| worker.starts_with("slow"));
 
-    cell.accept("urgent", vec![step(2, 1)], queue);
+    cell.accept("urgent", vec![step(2, 1)], tight_advised_queue());
 
     let named = &cell.advice[0].workers;
     assert!(!named.is_empty());
@@ -237,3 +240,108 @@
         "{named:?}"
     );
 }
+
+#[test]
+fn advice_is_requested_about_free_slow_workers_while_the_fast_ones_are_full() {
+    let mut cell = cell_that_knows(&many_entries(), |worker| worker.starts_with("slow"));
+    workers_of(&mut cell, "filler", step(32 * 8, 1), tight_queue(0));
+
+    cell.accept("urgent", vec![step(2, 1)], tight_advised_queue());
+
+    let named = cell.advice[0].workers.iter();
+    let slow = named.filter(|worker| worker.starts_with("slow")).count();
+    assert_eq!(slow, 16, "{:?}", cell.advice[0].workers);
+}
+
+#[test]
+fn advice_is_requested_about_free_far_workers_while_the_near_ones_are_full() {
+    let mut workers = many_entries();
+    for far in &mut workers[..24] {
+        far.rack = Some("r2".into());
+        far.labels = vec!["r2".into()];
+    }
+    let mut cell = ready_cell(1, &workers);
+    let near_only = StepSpec {
+        required_label: Some("r1".into()),
+        ..step(24 * 8, 1)
+    };
+    workers_of(&mut cell, "filler", near_only, tight_queue(0));
+    let near_data = StepSpec {
+        data_rack: Some("r1".into()),
+        ..step(2, 1)
+    };
+
+    cell.accept("urgent", vec![near_data], tight_advised_queue());
+
+    let named = &cell.advice[0].workers;
+    let is_far = |named: &_| workers[..24].iter().any(|far| far.worker == *named);
+    assert!(!named.is_empty() && named.iter().all(is_far), "{named:?}");
+}
+
+/// A worker of eight cores in rack r1, of which a task uses four for another 1.25 s, and for which
+/// an urgent gang waits that needs all of them.
+fn cell_with_reservation(others: &[WorkerEntry]) -> Cell {
+    let workers: Vec<_> = [entry("w1", 8)].iter().chain(others).cloned().collect();
+    let mut cell = ready_cell(1, &workers);
+    let filler = StepSpec {
+        estimate: ms(1_250),
+        ..step(1, 4)
+    };
+    assert_eq!(workers_of(&mut cell, "filler", filler, queue(0)), ["w1"]);
+    let waiting = workers_of(&mut cell, "reserving", gang(2, 4), queue(0));
+    assert!(waiting.is_empty());
+    cell
+}
+
+/// A worker that is too small for the gang that waits, on a rack.
+fn small(rack: &str) -> WorkerEntry {
+    WorkerEntry {
+        rack: Some(rack.into()),
+        ..entry("w2", 2)
+    }
+}
+
+#[test]
+fn a_ticket_for_a_place_that_is_reserved_before_a_task_ends_there_keeps_no_advice_back() {
+    let mut cell = cell_with_reservation(&[]);
+    let far_from_data = StepSpec {
+        data_rack: Some("r2".into()),
+        ..step(1, 1)
+    };
+    cell.accept("advised", vec![far_from_data], advised_queue(1));
+    let request = cell.advice.remove(0);
+    let allowed = request.workers.iter().cloned();
+    let answer = jackdawchute_scheduler::AdviceAnswer {
+        allowed: allowed.map(|worker| (worker, "ticket".into())).collect(),
+    };
+    cell.scheduler
+        .advice_answered(&request, Some(answer), cell.now);
+    cell.run_round();
+
+    cell.scheduler.worker_listed(small("r1"), cell.now);
+    cell.tick(1);
+    let renewal = cell.latest_renewal_of("w2");
+    cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+    cell.tick(1);
+    cell.commit();
+    cell.tick(1);
+
+    assert_eq!(request.workers, ["w1"]);
+    assert!(cell.take_starts().is_empty());
+    let named: Vec<_> = cell.advice.iter().flat_map(|it| &it.workers).collect();
+    assert_eq!(named, ["w2"]);
+}
+
+#[test]
+fn a_gang_holds_no_place_beyond_a_reservation_until_its_slowest_task_ends() {
+    let mut cell = cell_with_reservation(&[small("r2")]);
+    let near_data = StepSpec {
+        data_rack: Some("r1".into()),
+        per_worker_max: Some(1),
+        ..gang(2, 1)
+    };
+
+    let workers = workers_of(&mut cell, "gang", near_data, queue(1));
+
+    assert!(workers.is_empty(), "{workers:?}");
+}
