--- a/jackdawchute-scheduler/src/place/waits.rs
+++ b/jackdawchute-scheduler/src/place/waits.rs
@@ -253,7 +253,8 @@
             slack: self.slack(job, now),
             wait_max: self
                 .wait_max(job, now)
-                .min(start.tickets_for.unwrap_or(WAIT_MAX)),
+                .min(start.tickets_for.unwrap_or(WAIT_MAX))
+                .min(self.settings.place_wait_max),
         };
         if unit.wait_max.is_zero() {
             return None;
--- a/jackdawchute-scheduler/src/settings.rs
+++ b/jackdawchute-scheduler/src/settings.rs
@@ -35,6 +35,8 @@
     pub starts_under_way_max: usize,
     /// By what factor tasks take longer away from the rack that holds their data.
     pub remote_slowdown: f64,
+    /// The longest wait of a unit for a place near its data or on one rack; zero for none.
+    pub place_wait_max: Duration,
     /// How long before its due time an occurrence may start, to allow for clocks that differ.
     pub occurrence_early_max: Duration,
 }
@@ -51,6 +53,7 @@
             task_stop_max: Duration::from_millis(900),
             starts_under_way_max: usize::MAX,
             remote_slowdown: 1.5,
+            place_wait_max: Duration::ZERO,
             occurrence_early_max: Duration::ZERO,
         }
     }
--- a/jackdawchute-scheduler/tests/behaviour/waits.rs
+++ b/jackdawchute-scheduler/tests/behaviour/waits.rs
@@ -1,8 +1,10 @@
 //! Waits for places near a task's data, or for one rack for a gang.
 
-use jackdawchute_scheduler::{EndReason, StartOrder, StepSpec, WorkerEntry};
+use jackdawchute_scheduler::{EndReason, Settings, StartOrder, StepSpec, WorkerEntry};
 
-use crate::fixtures::{ended, entry, gang, ms, queue, ready_cell, running, step, Cell};
+use crate::fixtures::{
+    cell_with_settings, ended, entry, gang, make_ready, ms, queue, running, step, Cell,
+};
 
 /// A worker on a rack.
 fn on_rack(worker: &str, rack: &str) -> WorkerEntry {
@@ -22,9 +24,18 @@
     }
 }
 
+/// A cell whose units wait for near places for so long at most.
+fn waiting_cell(workers: &[WorkerEntry], place_wait_max_ms: u64) -> Cell {
+    let settings = Settings {
+        place_wait_max: ms(place_wait_max_ms),
+        ..Settings::default()
+    };
+    make_ready(cell_with_settings(settings, 1, workers), workers.len())
+}
+
 /// A cell with a worker near the data, whose run should end within `left_ms`, and a free one.
 fn cell_with_busy_rack(left_ms: u64) -> (Cell, StartOrder) {
-    let mut cell = ready_cell(1, &[on_rack("near", "r1"), on_rack("far", "r2")]);
+    let mut cell = waiting_cell(&[on_rack("near", "r1"), on_rack("far", "r2")], 2_000);
     cell.accept("first", vec![near_step(left_ms)], queue(1));
     let first = cell.take_starts().remove(0);
     cell.confirm_start(&first);
@@ -112,7 +123,7 @@
 fn a_gang_waits_for_one_rack_that_has_room_soon() {
     let racks = [("w1", "r1"), ("w2", "r1"), ("w3", "r2")];
     let workers = racks.map(|(worker, rack)| on_rack(worker, rack));
-    let mut cell = ready_cell(1, &workers);
+    let mut cell = waiting_cell(&workers, 2_000);
     cell.accept("first", vec![near_step(500)], queue(1));
     let first = cell.take_starts().remove(0);
     cell.confirm_start(&first);
@@ -131,6 +142,18 @@
     assert_eq!(workers_of(cell.take_starts()), ["w1", "w2"]);
 }
 
+#[test]
+fn nothing_waits_unless_the_settings_allow_it() {
+    let mut cell = waiting_cell(&[on_rack("near", "r1"), on_rack("far", "r2")], 0);
+    cell.accept("first", vec![near_step(500)], queue(1));
+    let first = cell.take_starts().remove(0);
+    cell.confirm_start(&first);
+
+    cell.accept("second", vec![near_step(6_000)], queue(1));
+
+    assert_eq!(workers_of(cell.take_starts()), ["far"]);
+}
+
 #[test]
 fn tasks_without_data_do_not_wait() {
     let (mut cell, _) = cell_with_busy_rack(500);
--- a/jackdawchute-settings/src/cell.rs
+++ b/jackdawchute-settings/src/cell.rs
@@ -86,6 +86,10 @@
     /// racks; at least 1.
     #[serde(default = "default_remote_slowdown")]
     pub remote_slowdown: f64,
+    /// The longest time for which a task waits for a place near its data, or a gang for one rack,
+    /// where that is expected to pay; 0 for no waits.
+    #[serde(default, with = "duration_ms", rename = "place_wait_max_ms")]
+    pub place_wait_max: Duration,
 }
 
 fn default_remote_slowdown() -> f64 {
--- a/jackdawchute-settings/tests/cell_settings.rs
+++ b/jackdawchute-settings/tests/cell_settings.rs
@@ -64,6 +64,17 @@
     assert_eq!(settings.bounds.remote_slowdown, 1.5);
 }
 
+#[test]
+fn tasks_wait_for_near_places_only_if_the_settings_say_so() {
+    let by_default = CellSettings::parse(&yaml("10.0.0.1:7720", "")).unwrap();
+    let bounds = yaml("10.0.0.1:7720", "") + "  place_wait_max_ms: 1500\n";
+    let allowed = CellSettings::parse(&bounds).unwrap();
+
+    let waits = [by_default, allowed].map(|it| it.bounds.place_wait_max.as_millis());
+
+    assert_eq!(waits, [0, 1_500]);
+}
+
 #[test]
 fn tasks_that_would_be_faster_far_from_their_data_are_refused() {
     let bounds = yaml("10.0.0.1:7720", "") + "  remote_slowdown: 0.5\n";
--- a/src/cell.rs
+++ b/src/cell.rs
@@ -188,6 +188,7 @@
             starts_under_way_max: starts_under_way_max(settings.processor.millicores()),
             ended_retention: settings.bounds.ended_retention,
             remote_slowdown: settings.bounds.remote_slowdown,
+            place_wait_max: settings.bounds.place_wait_max,
             ..defaults
         },
     }
