--- a/jackdawchute-settings/src/cell.rs
+++ b/jackdawchute-settings/src/cell.rs
@@ -83,11 +83,14 @@
     #[serde(with = "duration_ms", rename = "ended_retention_ms")]
     pub ended_retention: Duration,
     /// By what factor tasks take longer away from the rack that holds their data, or over several
-    /// racks; at least 1.
+    /// racks; from 1 to 100.
     #[serde(default = "default_remote_slowdown")]
     pub remote_slowdown: f64,
 }
 
+/// The largest factor by which tasks may take longer away from their data.
+const REMOTE_SLOWDOWN_MAX: f64 = 100.0;
+
 fn default_remote_slowdown() -> f64 {
     1.5
 }
@@ -194,8 +197,11 @@
         }
     }
     let remote_slowdown = settings.bounds.remote_slowdown;
-    if !remote_slowdown.is_finite() || remote_slowdown < 1.0 {
-        problems.push(Problem::new("bounds.remote_slowdown", "must be at least 1"));
+    if !(1.0..=REMOTE_SLOWDOWN_MAX).contains(&remote_slowdown) {
+        problems.push(Problem::new(
+            "bounds.remote_slowdown",
+            "must be at least 1 and at most 100",
+        ));
     }
     if settings.processor.millicores() == 0 {
         problems.push(Problem::new(
--- a/jackdawchute-settings/tests/cell_settings.rs
+++ b/jackdawchute-settings/tests/cell_settings.rs
@@ -77,6 +77,18 @@
     assert_eq!(fields, ["bounds.remote_slowdown"]);
 }
 
+#[test]
+fn tasks_that_would_hardly_end_far_from_their_data_are_refused() {
+    for factor in ["101", ".inf", ".nan"] {
+        let bounds = yaml("10.0.0.1:7720", "") + &format!("  remote_slowdown: {factor}\n");
+
+        let refused = problems(&bounds);
+
+        assert_eq!(refused.len(), 1, "{factor}");
+        assert_eq!(refused[0].field, "bounds.remote_slowdown");
+    }
+}
+
 #[test]
 fn the_system_chooses_the_source_of_connections_to_peers_by_default() {
     let settings = CellSettings::parse(&yaml("10.0.0.1:7720", "")).unwrap();
