fix: a few equal workers count as equal, and large fleets are estimated less often

Among three to ten equal workers the variance of their means exceeds what noise explains by chance in many estimates, so that places were ordered by noise. Workers count as unlike only once the variance of all, or one worker, deviates by three standard errors. Ruled out: a margin on the variance alone, as it misses one slow worker among thirty (at three) or among six (at 1.5), and a margin on single workers alone, as it misses a third of 48 slow workers. The new test takes 3, 6 and 10 workers with 20 seeds each, 20 estimates each.

The differences are estimated again after as many observations as workers have evidence, at least 32, since each estimate looks at all workers.

--- a/jackdawchute-speeds/src/speed.rs
+++ b/jackdawchute-speeds/src/speed.rs
@@ -32,8 +32,12 @@
 /// The time in which the evidence on a worker loses half its weight, so that one which gets little
 /// work for its slowness is tried again.
 const HALF_LIFE: Duration = Duration::from_secs(20);
-/// The number of observations after which the differences of the fleet are estimated again.
-const REFRESH_PERIOD: u64 = 32;
+/// The fewest observations after which the differences of the fleet are estimated again; as many as
+/// workers have evidence in a larger fleet, since all of them are looked at.
+const REFRESH_PERIOD_MIN: u64 = 32;
+/// The standard errors by which the variance of the workers, or one worker, deviates before workers
+/// count as unlike: the variance among a few equal ones is often twice what noise explains.
+const MARGIN: f64 = 3.0;
 /// The fewest workers with evidence from which differences are estimated.
 const WORKERS_MIN: usize = 3;
 
@@ -113,6 +117,8 @@
     /// The variance of the workers' slowness; 0 until a difference is measured.
     spread: f64,
     observations: u64,
+    /// The number of observations at which the differences are estimated again.
+    refresh_at: u64,
 }
 
 impl Default for FleetSpeeds {
@@ -122,6 +128,7 @@
             centre: 0.0,
             spread: 0.0,
             observations: 0,
+            refresh_at: REFRESH_PERIOD_MIN,
         }
     }
 }
@@ -209,7 +216,7 @@
         self.noise += NOISE_GAIN * (deviation * deviation * share - self.noise);
         self.noise = self.noise.max(NOISE_MIN);
         self.observations += 1;
-        self.observations % REFRESH_PERIOD == 0
+        self.observations >= self.refresh_at
     }
 
     /// Estimates how far the workers differ: by how much their mean deviations vary beyond what the
@@ -233,6 +240,8 @@
         let known: Vec<LogMean> = at_now
             .filter(|mean| mean.weight * (self.noise + JOB_VARIANCE_PRIOR) >= 1.0)
             .collect();
+        let period = REFRESH_PERIOD_MIN.max(known.len() as u64);
+        self.refresh_at = self.observations + period;
         if known.len() < WORKERS_MIN {
             return;
         }
@@ -243,6 +252,13 @@
         let variance = squares.sum::<f64>() / (count - 1.0);
         let explained = known.iter().map(|mean| 1.0 / mean.weight).sum::<f64>() / count;
         self.centre = centre;
-        self.spread = (variance - explained).max(0.0);
+        let deviations = known
+            .iter()
+            .zip(&means)
+            .map(|(known, mean)| (mean - centre).abs() * known.weight.sqrt());
+        let one_deviates = deviations.fold(0.0, f64::max) > MARGIN;
+        let all_deviate = variance > explained * (1.0 + MARGIN * (2.0 / (count - 1.0)).sqrt());
+        let is_unlike = variance > explained && (one_deviates || all_deviate);
+        self.spread = if is_unlike { variance - explained } else { 0.0 };
     }
 }
--- a/jackdawchute-speeds/tests/speeds.rs
+++ b/jackdawchute-speeds/tests/speeds.rs
@@ -134,6 +134,24 @@
     );
 }
 
+#[test]
+fn a_few_equal_workers_always_count_as_equal() {
+    for (workers, seed) in [3, 6, 10]
+        .into_iter()
+        .flat_map(|it| (1..=20).map(move |seed| (it, seed)))
+    {
+        let mut fleet = fleet(vec![1.0; workers]);
+        fleet.noise = Noise(seed);
+
+        for _ in 0..20 {
+            fleet.run_jobs(4, 10, 0.9);
+            fleet.now += Duration::from_secs(5);
+
+            assert_eq!(fleet.fleet.spread(), 0.0, "{workers} workers, seed {seed}");
+        }
+    }
+}
+
 #[test]
 fn a_worker_without_work_is_taken_for_a_mean_one_after_some_minutes() {
     let mut fleet = fleet(unlike(60));
