fix: wide steps are surely in time by their last task; work nobody waits for takes slow workers

The tail took nine of ten tasks for each step, which a step of twenty tasks exceeds nearly always; it is taken for all tasks of the step. Steps that last or fill gaps without a promised tail, and jobs whose result is of hardly any use, took the fastest workers as if they were late; they take the slowest ones near their data.

Two tests were too weak and are replaced by stricter ones: equal workers have run noisy jobs first, and a restarted worker is shown to get tasks, before others are full.

--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -132,7 +132,7 @@
         {
             return Vec::new();
         }
-        let estimate = self.run_times.estimate(&job.queue.queue, spec.estimate);
+        let estimate = self.estimate(job, spec);
         let expected =
             |worker_capacity: &WorkerCapacity| self.expected_on(spec, &estimate, worker_capacity);
         if !spec.gang && fits_with_ticket(spec, step, free_capacity, now, expected) {
--- a/jackdawchute-scheduler/src/place/gangs.rs
+++ b/jackdawchute-scheduler/src/place/gangs.rs
@@ -27,7 +27,7 @@
         let Some(job) = self.jobs.get(&name.job) else {
             return true;
         };
-        let estimate = self.run_times.estimate(&job.queue.queue, spec.estimate);
+        let estimate = self.estimate(job, spec);
         let candidates = self.candidates(job, name, spec, free_capacity, estimate, now);
         let size = spec.charged_resources();
         let tasks_that_fit = |candidate: &Candidate, run_time: Duration| -> u32 {
--- a/jackdawchute-scheduler/src/place/tasks.rs
+++ b/jackdawchute-scheduler/src/place/tasks.rs
@@ -19,7 +19,7 @@
         let Some(job) = self.jobs.get(&name.job) else {
             return 0;
         };
-        let estimate = self.run_times.estimate(&job.queue.queue, spec.estimate);
+        let estimate = self.estimate(job, spec);
         let mut candidates = self.candidates(job, name, spec, free_capacity, estimate, now);
         if candidates.is_empty() {
             return 0;
--- a/jackdawchute-scheduler/src/rank.rs
+++ b/jackdawchute-scheduler/src/rank.rs
@@ -122,7 +122,7 @@
     }
 
     /// Returns the timeliness of a job, and how much longer the job can wait until that changes.
-    fn timeliness(&self, job: &Job, now: Instant) -> (Timeliness, Duration) {
+    pub(crate) fn timeliness(&self, job: &Job, now: Instant) -> (Timeliness, Duration) {
         if let Some(slack) = self.slack(job, now) {
             return (Timeliness::OnTime, slack);
         }
--- a/jackdawchute-scheduler/src/room.rs
+++ b/jackdawchute-scheduler/src/room.rs
@@ -80,7 +80,7 @@
         if job.recovering || !by_label.may_fit(&job.queue.service, spec) {
             return false;
         }
-        let estimate = self.run_times.estimate(&job.queue.queue, spec.estimate);
+        let estimate = self.estimate(job, spec);
         let size = spec.charged_resources();
         let on_worker = tasks_on_workers(spec, step);
         let per_worker_max = spec.per_worker_max.unwrap_or(u32::MAX);
--- a/jackdawchute-scheduler/src/speeds.rs
+++ b/jackdawchute-scheduler/src/speeds.rs
@@ -8,10 +8,14 @@
 use crate::{
     free_capacity::WorkerCapacity,
     job::Job,
+    rank::Timeliness,
     worker::{Run, Worker},
     EndedRun, Scheduler, StepSpec, TaskName,
 };
 
+/// The time that work has left that nobody waits for.
+const NO_HURRY: Duration = Duration::from_secs(30 * 24 * 3_600);
+
 impl Scheduler {
     /// Returns by what factor tasks take longer on a worker than on the mean one.
     pub(crate) fn slowness(&self, worker: &Worker, now: Instant) -> f64 {
@@ -25,6 +29,12 @@
         is_far.then_some(self.settings.remote_slowdown)
     }
 
+    /// Returns how long a step's tasks are expected to take on the mean worker, near their data.
+    pub(crate) fn estimate(&self, job: &Job, spec: &StepSpec) -> RunEstimate {
+        self.run_times
+            .estimate_of_step(&job.queue.queue, spec.estimate, spec.tasks)
+    }
+
     /// Returns how long a task of a step is expected to take on a worker.
     pub(crate) fn expected_on(
         &self,
@@ -38,11 +48,22 @@
 
     /// Returns for how long a task of a step may run from now on, with its job still in time: what it
     /// is expected to take, and its part of the job's slack. `None` for a job that is late.
+    ///
+    /// Work that lasts or fills gaps has time if nothing is promised for it, and so has work that is
+    /// so late that its result is of hardly any use: both leave fast workers to others.
     pub(crate) fn time_left(&self, job: &Job, spec: &StepSpec, now: Instant) -> Option<Duration> {
+        if spec.long_running || spec.fills {
+            return spec.tail_target.is_none().then_some(NO_HURRY);
+        }
         if job.graph.long_running() {
             return None;
         }
-        let slack = self.slack(job, now)?;
+        let (timeliness, slack) = self.timeliness(job, now);
+        match timeliness {
+            Timeliness::OnTime => {}
+            Timeliness::Late => return None,
+            Timeliness::TooLate => return Some(NO_HURRY),
+        }
         let declared_chain = job.graph.longest_chain().as_secs_f64();
         let part = if declared_chain > 0.0 {
             (spec.estimate.as_secs_f64() / declared_chain).min(1.0)
--- a/jackdawchute-scheduler/tests/behaviour/unlike_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/unlike_workers.rs
@@ -123,6 +123,40 @@
     assert_eq!(workers, [SLOW; 2]);
 }
 
+#[test]
+fn work_that_lasts_goes_to_a_slow_worker() {
+    let mut cell = cell_with_known_speeds();
+    let lasting = StepSpec {
+        long_running: true,
+        ..step(8, 1)
+    };
+
+    let workers = workers_of(&mut cell, "lasting", lasting, tight_queue(0));
+
+    assert_eq!(workers, [SLOW; 8]);
+}
+
+#[test]
+fn work_that_is_of_hardly_any_use_any_more_goes_to_a_slow_worker() {
+    let mut cell = cell_with_known_speeds();
+    let job = graph(vec![step(8, 1)]);
+    cell.take_starts();
+    cell.scheduler
+        .submit(&"too late".into(), job, tight_queue(0), cell.now);
+    cell.tick(8_000);
+    for worker in WORKERS {
+        let renewal = cell.latest_renewal_of(worker);
+        cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+    }
+
+    cell.commit();
+    cell.run_round();
+
+    let starts = cell.take_starts().into_iter();
+    let workers: Vec<_> = starts.map(|start| start.worker).collect();
+    assert_eq!(workers, [SLOW; 8]);
+}
+
 #[test]
 fn a_gang_avoids_a_slow_worker_if_others_have_room() {
     let mut cell = cell_with_known_speeds();
@@ -153,15 +187,17 @@
     cell.tick(10);
     cell.commit();
 
-    let workers = workers_of(&mut cell, "patient", step(8, 1), patient_queue(1));
+    let workers = workers_of(&mut cell, "urgent", step(48, 1), tight_queue(0));
 
-    assert!(!workers.is_empty());
-    assert!(workers.iter().any(|worker| worker != SLOW), "{workers:?}");
+    let on_restarted = workers.iter().filter(|worker| *worker == SLOW).count();
+    assert_eq!((workers.len(), on_restarted), (48, 8));
+    let last_started = workers.last().map(String::as_str);
+    assert_ne!(last_started, Some(SLOW), "{workers:?}");
 }
 
 #[test]
 fn equal_workers_are_filled_one_after_the_other_for_patient_and_urgent_work() {
-    let mut cell = ready_cell(1, &entries());
+    let mut cell = cell_that_knows(&entries(), |_| false);
     let patient = workers_of(&mut cell, "patient", step(4, 1), patient_queue(1));
 
     let urgent = workers_of(&mut cell, "urgent", step(4, 1), tight_queue(0));
--- a/jackdawchute-speeds/src/run_times.rs
+++ b/jackdawchute-speeds/src/run_times.rs
@@ -136,10 +136,26 @@
 
     /// Returns the mean and the tail for a queue's task with this declared run time.
     pub fn estimate(&self, queue: &QueueId, declared: Duration) -> RunEstimate {
+        self.estimate_of_step(queue, declared, 1)
+    }
+
+    /// Returns the mean for a task of a queue's step with this declared run time, and the tail within
+    /// which all `tasks` of the step end nine times of ten.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_speeds::RunTimes;
+    ///
+    /// let (queue, second) = ("checks".into(), Duration::from_secs(1));
+    /// let tail = |tasks| RunTimes::default().estimate_of_step(&queue, second, tasks).tail;
+    /// assert!(tail(20) > tail(1), "one of many tasks takes long");
+    /// ```
+    pub fn estimate_of_step(&self, queue: &QueueId, declared: Duration, tasks: u32) -> RunEstimate {
         let expected = self.expected(queue, declared);
+        let tasks = f64::from(tasks.max(1));
         let tail = self
-            .quantile(queue, declared, TAIL)
-            .unwrap_or_else(|| expected.mul_f64(TAIL_PRIOR));
+            .quantile(queue, declared, 1.0 - (1.0 - TAIL) / tasks)
+            .unwrap_or_else(|| expected.mul_f64(TAIL_PRIOR + tasks.ln()));
         RunEstimate {
             expected,
             tail: tail.max(expected),
--- a/jackdawchute-speeds/tests/speeds.rs
+++ b/jackdawchute-speeds/tests/speeds.rs
@@ -181,6 +181,23 @@
     assert!((6_800..7_200).contains(&tail_ms), "{tail_ms}");
 }
 
+#[test]
+fn the_tail_of_a_wide_step_is_what_its_last_task_takes() {
+    let second = Duration::from_secs(1);
+    let mut run_times = RunTimes::default();
+    for task in 0..200 {
+        let measured = if task % 30 == 0 { second * 7 } else { second };
+        run_times.record(&"checks".into(), second, measured);
+    }
+
+    let tail_of = |tasks| {
+        let estimate = run_times.estimate_of_step(&"checks".into(), second, tasks);
+        estimate.tail.as_secs()
+    };
+
+    assert_eq!((tail_of(1), tail_of(20)), (1, 7));
+}
+
 #[test]
 fn a_queue_without_measurements_takes_as_long_as_declared_and_has_an_assumed_tail() {
     let second = Duration::from_secs(1);
