--- a/jackdawchute-scheduler/src/advice_workers.rs
+++ b/jackdawchute-scheduler/src/advice_workers.rs
@@ -55,8 +55,7 @@
     spec: &StepSpec,
     step: &StepRun,
     free_capacity: &FreeCapacity,
-    now: Instant,
-    expected: impl Fn(&WorkerCapacity) -> Duration,
+    (now, expected): (Instant, impl Fn(&WorkerCapacity) -> Duration),
     rank: impl Fn(&WorkerCapacity) -> PlaceRank,
 ) -> KnownAdvice {
     let size = spec.charged_resources();
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -145,8 +145,7 @@
             spec,
             step,
             free_capacity,
-            now,
-            expected,
+            (now, expected),
             |worker_capacity| {
                 let far = self.far_slowdown(spec, worker_capacity.rack.as_ref());
                 estimate.rank(worker_capacity.slowness, far, time_left)
