fix: workers that were found unlike count as such until the difference is gone

With the margin for first finding a difference, a fleet near it would change between unlike and alike with each estimate. Tests of jackdawchute-speeds (13) and jackdawchute-scheduler (168) pass.

--- a/jackdawchute-speeds/src/speed.rs
+++ b/jackdawchute-speeds/src/speed.rs
@@ -258,7 +258,9 @@
             .map(|(known, mean)| (mean - centre).abs() * known.weight.sqrt());
         let one_deviates = deviations.fold(0.0, f64::max) > MARGIN;
         let all_deviate = variance > explained * (1.0 + MARGIN * (2.0 / (count - 1.0)).sqrt());
-        let is_unlike = variance > explained && (one_deviates || all_deviate);
+        // Workers that were found unlike stay so until the difference is gone.
+        let was_unlike = self.spread > 0.0;
+        let is_unlike = variance > explained && (was_unlike || one_deviates || all_deviate);
         self.spread = if is_unlike { variance - explained } else { 0.0 };
     }
 }
