fix: caps count runs of unknown needs and half-listed gangs, and advice is not kept back by what can't start

Cause, found by review: a listed run whose job has ended counted as nothing against its tenant's cap; of a gang that some workers have listed the rest wasn't counted during a recovery; a gang that can't fit beside tasks that last kept the cap from its tenant for good; steps that nothing can run kept advice from small ones behind them; a backlog beyond the range of times panicked; and from 2,500 jobs on tenants were refused by their part of all though others had few. Change: a run of unknown needs counts as its whole worker; units count without their known tasks; room is held only for gangs that fit beside what lasts; what the cap allows now may request advice; backlogs are bounded; at 4,500 jobs the tenants above the weighted max-min of jobs are refused.

--- a/jackdawchute-scheduler/src/admit.rs
+++ b/jackdawchute-scheduler/src/admit.rs
@@ -11,6 +11,9 @@
 
 use std::time::{Duration, Instant};
 
+use jackdawchute_tenants::{dominant_share, fair_level, Claim};
+use jackdawchute_types::{Resources, TenantId};
+
 use crate::{
     job::Job,
     rank::USEFUL_FACTOR,
@@ -21,8 +24,9 @@
 
 /// The highest number of jobs that wait or run at a time; it limits the memory of an instance.
 const JOBS_MAX: usize = 5_000;
-/// The number of jobs from which on a tenant may have no more of `JOBS_MAX` than its weight gives.
-const JOBS_SHARED_FROM: usize = JOBS_MAX / 2;
+/// The number of jobs that tenants share by weight; what is left of `JOBS_MAX` is for those below
+/// their shares.
+const JOBS_SHARED_FROM: usize = JOBS_MAX / 10 * 9;
 /// The highest share that an admitted job is expected to take of the time for which its result is
 /// of use; the rest allows for wrong estimates.
 const USEFUL_SHARE_MAX: f64 = 0.8;
@@ -126,8 +130,8 @@
         }
     }
 
-    /// Returns whether there are many jobs and the tenant of a new one has as many of them as its
-    /// weight gives.
+    /// Returns whether there are many jobs and the tenant of a new one has more of them than its
+    /// weighted max-min share.
     fn has_its_part_of_jobs(&self, loads: &ServiceLoads, job: &Job) -> bool {
         let Some(policies) = self.tenants.as_deref() else {
             return false;
@@ -135,8 +139,15 @@
         if self.jobs.len() < JOBS_SHARED_FROM {
             return false;
         }
-        let weight = policies.weight_of(job.tenant.as_ref());
-        let weights = policies.weight_sum() + policies.weight_of(None);
-        loads.jobs_of(&job.tenant) as f64 >= JOBS_MAX as f64 * weight / weights
+        // Jobs are counted as the one resource that they share.
+        let counted = |jobs: usize| Resources::new(jobs as u64, 0, 0);
+        let claim = |(tenant, jobs): (&Option<TenantId>, usize)| Claim {
+            weight: policies.weight_of(tenant.as_ref()),
+            demand: counted(jobs),
+        };
+        let claims: Vec<Claim> = loads.jobs().map(claim).collect();
+        let capacity = counted(JOBS_SHARED_FROM);
+        let share = fair_level(&capacity, &claims) * policies.weight_of(job.tenant.as_ref());
+        dominant_share(&counted(loads.jobs_of(&job.tenant)), &capacity) >= share
     }
 }
--- a/jackdawchute-scheduler/src/service_load.rs
+++ b/jackdawchute-scheduler/src/service_load.rs
@@ -19,6 +19,9 @@
 /// The lowest share of the usable processors that less urgent queues are assumed to get.
 const LESS_URGENT_SHARE_MIN: f64 = 0.3;
 
+/// The longest backlog that is told apart from longer ones.
+const BACKLOG_MAX: Duration = Duration::from_secs(86_400);
+
 /// Returns the part of a capacity that can be in use.
 pub(crate) fn usable_capacity(capacity: &Resources) -> Resources {
     Resources {
@@ -52,6 +55,11 @@
         self.services.get(service)
     }
 
+    /// Returns the number of jobs of each tenant.
+    pub(crate) fn jobs(&self) -> impl Iterator<Item = (&Option<TenantId>, usize)> {
+        self.jobs.iter().map(|(tenant, jobs)| (tenant, *jobs))
+    }
+
     /// Returns the number of a tenant's jobs.
     pub(crate) fn jobs_of(&self, tenant: &Option<TenantId>) -> usize {
         self.jobs.get(tenant).copied().unwrap_or(0)
@@ -224,7 +232,9 @@
         let own_class_ms = backlog_ms(cores, &own, own_cores_max, job_core_ms, &others);
         let urgent = self.tenants.values().filter(|_| !is_urgent);
         let urgent_core_ms: f64 = urgent.map(|work| work.urgent.waiting(counted_work)).sum();
-        Duration::from_secs_f64((own_class_ms + urgent_core_ms / cores) / 1_000.0)
+        let backlog_ms = own_class_ms + urgent_core_ms / cores;
+        Duration::try_from_secs_f64(backlog_ms / 1_000.0)
+            .map_or(BACKLOG_MAX, |backlog| backlog.min(BACKLOG_MAX))
     }
 }
 
--- a/jackdawchute-scheduler/src/tenants/round.rs
+++ b/jackdawchute-scheduler/src/tenants/round.rs
@@ -89,17 +89,18 @@
         let Some(policies) = &self.tenants else {
             return TenantRound::default();
         };
-        let running = self.running_by_tenant();
-        let by_tenant = running.by_tenant().into_iter();
+        let running_by_tenant = self.running_by_tenant();
+        let by_tenant = running_by_tenant.by_tenant().into_iter();
         let caps = by_tenant
             .map(|(tenant, running)| {
-                let cap_use = CapUse::new(policies.cap_of(&tenant), running);
+                let lasting = running_by_tenant.lasting(&tenant);
+                let cap_use = CapUse::new(policies.cap_of(&tenant), running).with_lasting(lasting);
                 (tenant, cap_use)
             })
             .collect();
         TenantRound {
             policies: Some(policies.clone()),
-            running,
+            running: running_by_tenant,
             caps,
             waiting: BTreeSet::new(),
         }
--- a/jackdawchute-scheduler/src/tenants/running.rs
+++ b/jackdawchute-scheduler/src/tenants/running.rs
@@ -7,7 +7,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
-    job::{Job, StepRun},
+    job::{Job, StepRun, Unit},
     worker::Worker,
     Scheduler, StepSpec, TaskName,
 };
@@ -16,15 +16,20 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RunningByTenant {
     services: FxHashMap<ServiceId, FxHashMap<Option<TenantId>, Resources>>,
+    /// The part of it that does not end by itself.
+    lasting: FxHashMap<Option<TenantId>, Resources>,
 }
 
 impl RunningByTenant {
     fn add(&mut self, service: &ServiceId, tenant: &Option<TenantId>, size: &Resources) {
-        add_to_tenant(self.tenants_at(service), tenant, size);
+        let tenants = self.services.entry(service.clone()).or_default();
+        add_to_tenant(tenants, tenant, size);
     }
 
-    fn tenants_at(&mut self, service: &ServiceId) -> &mut FxHashMap<Option<TenantId>, Resources> {
-        self.services.entry(service.clone()).or_default()
+    /// Returns what a tenant has running that does not end by itself.
+    pub(crate) fn lasting(&self, tenant: &TenantId) -> Resources {
+        let lasting = self.lasting.get(&Some(tenant.clone()));
+        lasting.copied().unwrap_or_default()
     }
 
     /// Returns what is running by service and tenant.
@@ -53,15 +58,20 @@
     pub(crate) fn running_by_tenant(&self) -> RunningByTenant {
         let mut running = RunningByTenant::default();
         for worker in self.workers.values().filter(|it| !it.runs.is_empty()) {
-            let tenants = running.tenants_at(&worker.entry.service);
+            let tenants = running.services.entry(worker.entry.service.clone());
+            let tenants = tenants.or_default();
             for (task, run) in &worker.runs {
                 let id = &task.step.job;
                 let (tenant, size) = match self.jobs.get(id) {
                     Some(job) => (&job.tenant, declared(job, task)),
                     None => (self.ended.get(id).map_or(&None, |it| &it.tenant), None),
                 };
-                let size = size.or(run.charged).unwrap_or_default();
+                // A run of unknown needs keeps its worker from others and may use all of it.
+                let size = size.or(run.charged).unwrap_or(worker.entry.capacity);
                 add_to_tenant(tenants, tenant, &size);
+                if run.expected_end.is_none() {
+                    add_to_tenant(&mut running.lasting, tenant, &size);
+                }
             }
         }
         for (worker, task) in self.late_starts.tasks() {
@@ -154,9 +164,12 @@
 }
 
 fn unplaced(spec: &StepSpec, step_run: &StepRun) -> Resources {
-    let waiting = step_run.units.iter().filter(|unit| unit.is_waiting());
-    let tasks = waiting.count() as u32 * spec.unit_size();
-    spec.resources.saturating_mul(tasks)
+    let unplaced_of = |unit: &Unit| {
+        let known = (unit.placed.len() + unit.late_starts.len()) as u32;
+        spec.unit_size().saturating_sub(known)
+    };
+    let units = step_run.units.iter().filter(|unit| !unit.done);
+    spec.resources.saturating_mul(units.map(unplaced_of).sum())
 }
 
 fn smaller_of_each(left: &Resources, right: &Resources) -> Resources {
--- a/jackdawchute-scheduler/src/tenants/shares.rs
+++ b/jackdawchute-scheduler/src/tenants/shares.rs
@@ -65,7 +65,7 @@
             let share = of_tenant.share;
             step.share_band = share_band(before, before + unit, share);
             of_tenant.running = of_tenant.running.saturating_add(&demand.total());
-            let within = tasks_within_share(before, unit, share);
+            let within = tasks_within_share(before, unit, share).max(1);
             if step.share_band == 0 && within < demand.units {
                 let before = before + unit * f64::from(within);
                 let band = share_band(before, before + unit, share);
@@ -163,7 +163,10 @@
             .entry(tenant)
             .or_insert_with(|| running.unwrap_or_default());
         let cap = with_lead(&policies.cap_of(tenant));
-        step.waits_for_cap = tasks_below_cap(&cap, before, &demand.unit) == 0;
+        // What is ahead may wait for something else, so it keeps nothing from what the cap allows now.
+        let fits = |cap: &Resources, used: &Resources| tasks_below_cap(cap, used, &demand.unit) > 0;
+        let now = running.unwrap_or_default();
+        step.waits_for_cap = !fits(&policies.cap_of(tenant), &now) && !fits(&cap, before);
         *before = before.saturating_add(&demand.total());
     }
 }
--- a/jackdawchute-tenants/src/caps.rs
+++ b/jackdawchute-tenants/src/caps.rs
@@ -40,6 +40,8 @@
 pub struct CapUse {
     cap: Resources,
     running: Resources,
+    /// The part of `running` that does not end by itself.
+    lasting: Resources,
     /// What is kept for a gang that waits.
     held: Option<Resources>,
 }
@@ -60,10 +62,27 @@
         Self {
             cap,
             running,
+            lasting: Resources::ZERO,
             held: None,
         }
     }
 
+    /// Returns the same, where a part of what is running does not end by itself.
+    ///
+    /// ```
+    /// use jackdawchute_tenants::CapUse;
+    /// use jackdawchute_types::Resources;
+    ///
+    /// let lasting = Resources::new(3_000, 0, 0);
+    /// let mut cap_use = CapUse::new(Resources::new(8_000, 0, 0), lasting).with_lasting(lasting);
+    /// cap_use.hold_for_gang(&Resources::new(6_000, 0, 0));
+    /// assert_eq!(cap_use.tasks_allowed(&Resources::new(1_000, 0, 0)), 5);
+    /// ```
+    #[must_use]
+    pub fn with_lasting(self, lasting: Resources) -> Self {
+        Self { lasting, ..self }
+    }
+
     /// Returns what the tenant has running.
     ///
     /// ```
@@ -103,7 +122,7 @@
     }
 
     /// Keeps the size of a gang that waits from tasks that are asked about later; only the first
-    /// gang is kept for, and one larger than the cap is not.
+    /// gang is kept for, and none that can't start beside what does not end by itself.
     ///
     /// ```
     /// use jackdawchute_tenants::CapUse;
@@ -114,7 +133,7 @@
     /// assert_eq!(cap_use.tasks_allowed(&Resources::new(1_000, 0, 0)), 0);
     /// ```
     pub fn hold_for_gang(&mut self, gang: &Resources) {
-        let can_start = tasks_below_cap(&self.cap, &Resources::ZERO, gang) > 0;
+        let can_start = tasks_below_cap(&self.cap, &self.lasting, gang) > 0;
         if self.held.is_none() && can_start {
             self.held = Some(*gang);
         }
