--- a/jackdawchute-standins/examples/soak.rs
+++ b/jackdawchute-standins/examples/soak.rs
@@ -5,7 +5,7 @@
 //! partitions by failure domain, `cell-partitions-long` for those under long tasks,
 //! `cell-restarts` for those with workers that restart while they are cut off and late orders to
 //! them, or `cell-late-extensions` for those with workers that are cut off after late extensions of
-//! their leases. It runs SEEDS seeds from FIRST on, each with faults for SECONDS; the instances' logs of a
+//! their leases, or `cell-tenants` for tenants with caps whose keys are replaced. It runs SEEDS seeds from FIRST on, each with faults for SECONDS; the instances' logs of a
 //! failed seed are copied to the folder LOGS. It exits with 1 if a seed failed or a signal ended the
 //! run.
 
@@ -28,13 +28,14 @@
 }
 
 /// What can be soaked.
-const COMMANDS: [&str; 6] = [
+const COMMANDS: [&str; 7] = [
     "serve",
     "cell",
     "cell-partitions",
     "cell-partitions-long",
     "cell-restarts",
     "cell-late-extensions",
+    "cell-tenants",
 ];
 
 /// The arguments of the command line.
@@ -86,6 +87,7 @@
         } else {
             let plan = match options.command.as_str() {
                 "cell" => cell_soak::CellSoakPlan::new(seed, options.duration),
+                "cell-tenants" => cell_soak::CellSoakPlan::with_tenants(seed, options.duration),
                 "cell-partitions" => cell_soak::CellSoakPlan::partitions(seed, options.duration),
                 "cell-restarts" => cell_soak::CellSoakPlan::restarts(seed, options.duration),
                 "cell-late-extensions" => {
--- a/jackdawchute-standins/src/cell_soak/callers.rs
+++ b/jackdawchute-standins/src/cell_soak/callers.rs
@@ -15,7 +15,7 @@
 use tokio::{task::JoinSet, time::sleep};
 use xtra::Address;
 
-use super::{SentJob, TaskLoad};
+use super::{tenants::SoakTenants, SentJob, TaskLoad};
 use crate::{
     balancer::{BalancerTask, Pick},
     cell::MemoryWorkers,
@@ -53,6 +53,8 @@
     /// The workers, which count the processors that each job's tasks use.
     workers: MemoryWorkers,
     load: TaskLoad,
+    /// The tenants that the callers belong to; `None` in a soak without tenants.
+    tenants: Option<SoakTenants>,
 }
 
 impl Callers {
@@ -60,10 +62,12 @@
         balancer: Address<BalancerTask>,
         workers: MemoryWorkers,
         load: TaskLoad,
+        tenants: Option<SoakTenants>,
     ) -> Self {
         Self {
             workers,
             load,
+            tenants,
             caller: PlatformCaller::new(DEADLINE),
             balancer,
             observations: Arc::default(),
@@ -93,7 +97,15 @@
                 .random_bool(CANCELLED_SHARE)
                 .then(|| Duration::from_millis(random.random_range(0..1_500)));
             let job = job_id(seed, index);
-            open.spawn(self.clone().run_job(job, route, graph, cancel_after));
+            let tenants = self.tenants.as_ref();
+            let tenant = tenants.map(|tenants| random.random_range(0..tenants.count()));
+            let caller = JobCaller {
+                callers: self.clone(),
+                job,
+                route,
+                tenant,
+            };
+            open.spawn(caller.run(graph, cancel_after));
             index += 1;
         }
         let all = async { while open.join_next().await.is_some() {} };
@@ -101,78 +113,133 @@
         let _ = tokio::time::timeout(wait_max, all).await;
     }
 
+    /// Returns the next ready instance in turn.
+    async fn pick(&self) -> Option<std::net::SocketAddr> {
+        self.balancer.send(Pick).await.ok().flatten()
+    }
+
+    /// Changes the record of a job.
+    fn update(&self, job: &JobId, change: impl FnOnce(&mut SentJob)) {
+        if let Some(sent) = lock(&self.observations).jobs.get_mut(job) {
+            change(sent);
+        }
+    }
+
+    fn record_violation(&self, violation: String) {
+        lock(&self.observations).violations.push(violation);
+    }
+}
+
+/// The caller of one job.
+struct JobCaller {
+    callers: Callers,
+    job: JobId,
+    route: QueueRoute,
+    /// The tenant that the caller belongs to, by its index.
+    tenant: Option<usize>,
+}
+
+impl JobCaller {
+    /// Returns a client with the key that the tenant uses now, and whether the key must be in force
+    /// everywhere.
+    fn caller(&self) -> (PlatformCaller, bool) {
+        let plain = &self.callers.caller;
+        match (&self.callers.tenants, self.tenant) {
+            (Some(tenants), Some(tenant)) => {
+                let (key, in_force) = tenants.key(tenant);
+                (plain.with_key(&key), in_force)
+            }
+            _ => (plain.clone(), true),
+        }
+    }
+
+    /// Records that a key was denied, if it must be in force.
+    fn denied(&self, key_in_force: bool) {
+        if key_in_force {
+            let job = &self.job;
+            self.callers
+                .record_violation(format!("the key of job {job} was denied while in force"));
+        }
+    }
+
     /// Submits a job and follows it until it has ended or its cancellation was answered.
-    async fn run_job(
-        self,
-        job: JobId,
-        route: QueueRoute,
-        graph: JobGraph,
-        cancel_after: Option<Duration>,
-    ) {
+    async fn run(self, graph: JobGraph, cancel_after: Option<Duration>) {
+        let job = &self.job;
         let sent = SentJob {
             graph,
+            tenant: self.tenant.map(SoakTenants::name),
             sent_at: Some(Instant::now()),
             ..SentJob::default()
         };
         let graph = sent.graph.clone();
-        self.workers.register_job(&job, &graph);
-        lock(&self.observations).jobs.insert(job.clone(), sent);
-        if !self.submit(&job, &route, &graph).await {
+        self.callers.workers.register_job(job, &graph);
+        lock(&self.callers.observations)
+            .jobs
+            .insert(job.clone(), sent);
+        if !self.submit(&graph).await {
             return;
         }
         let accepted_at = Instant::now();
-        self.update(&job, |sent| sent.accepted_at = Some(accepted_at));
+        self.callers
+            .update(job, |sent| sent.accepted_at = Some(accepted_at));
         if let Some(after) = cancel_after {
             sleep(after).await;
-            self.cancel(&job, &route).await;
+            self.cancel().await;
             return;
         }
         loop {
             sleep(STATUS_PERIOD).await;
-            let Some(instance) = self.pick().await else {
+            let Some(instance) = self.callers.pick().await else {
                 continue;
             };
             let sent_at = Instant::now();
-            match self.caller.status(instance, &route, &job).await {
+            let (caller, key_in_force) = self.caller();
+            match caller.status(instance, &self.route, job).await {
                 CallerAnswer::Status(JobStatus::Ended(JobOutcome::Completed)) => {
                     let now = Instant::now();
-                    self.update(&job, |sent| sent.completed_at = Some(now));
+                    self.callers
+                        .update(job, |sent| sent.completed_at = Some(now));
                     return;
                 }
                 CallerAnswer::Status(JobStatus::Ended(outcome)) => {
-                    self.record_violation(format!("job {job} was reported as {outcome:?}"));
+                    self.callers
+                        .record_violation(format!("job {job} was reported as {outcome:?}"));
                     return;
                 }
                 CallerAnswer::Gone if sent_at > accepted_at + VISIBLE_MAX => {
-                    self.record_violation(format!(
+                    self.callers.record_violation(format!(
                         "job {job} was accepted and reported as unknown"
                     ));
                     return;
                 }
                 CallerAnswer::NoQueue => {
-                    self.record_violation(format!(
+                    self.callers.record_violation(format!(
                         "the queue of job {job} was reported as unknown"
                     ));
                     return;
                 }
+                CallerAnswer::Unauthorized => self.denied(key_in_force),
                 _ => {}
             }
         }
     }
 
     /// Submits a job with retries; returns whether it was accepted.
-    async fn submit(&self, job: &JobId, route: &QueueRoute, graph: &JobGraph) -> bool {
+    async fn submit(&self, graph: &JobGraph) -> bool {
+        let job = &self.job;
         let mut all_refused = true;
         for _ in 0..=RETRIES {
-            let answer = match self.pick().await {
-                Some(instance) => self.caller.submit(instance, route, job, graph).await,
+            let (caller, key_in_force) = self.caller();
+            let answer = match self.callers.pick().await {
+                Some(instance) => caller.submit(instance, &self.route, job, graph).await,
                 None => CallerAnswer::Unknown,
             };
             match answer {
                 CallerAnswer::Done => return true,
                 CallerAnswer::Refused => {}
+                CallerAnswer::Unauthorized => self.denied(key_in_force),
                 CallerAnswer::NoQueue => {
-                    self.record_violation(format!(
+                    self.callers.record_violation(format!(
                         "the queue of job {job} was reported as unknown"
                     ));
                 }
@@ -180,19 +247,22 @@
             }
             sleep(RETRY_PAUSE).await;
         }
-        self.update(job, |sent| sent.refused = all_refused);
+        self.callers.update(job, |sent| sent.refused = all_refused);
         false
     }
 
     /// Cancels a job, with retries.
-    async fn cancel(&self, job: &JobId, route: &QueueRoute) {
-        self.update(job, |sent| sent.cancel_sent = true);
+    async fn cancel(&self) {
+        let job = &self.job;
+        self.callers.update(job, |sent| sent.cancel_sent = true);
         for _ in 0..=RETRIES {
-            if let Some(instance) = self.pick().await {
-                match self.caller.cancel(instance, route, job).await {
+            if let Some(instance) = self.callers.pick().await {
+                let (caller, _) = self.caller();
+                match caller.cancel(instance, &self.route, job).await {
                     CallerAnswer::Done => {
                         let now = Instant::now();
-                        self.update(job, |sent| sent.cancelled_at = Some(now));
+                        self.callers
+                            .update(job, |sent| sent.cancelled_at = Some(now));
                         return;
                     }
                     CallerAnswer::Gone => return,
@@ -202,22 +272,6 @@
             sleep(RETRY_PAUSE).await;
         }
     }
-
-    /// Returns the next ready instance in turn.
-    async fn pick(&self) -> Option<std::net::SocketAddr> {
-        self.balancer.send(Pick).await.ok().flatten()
-    }
-
-    /// Changes the record of a job.
-    fn update(&self, job: &JobId, change: impl FnOnce(&mut SentJob)) {
-        if let Some(sent) = lock(&self.observations).jobs.get_mut(job) {
-            change(sent);
-        }
-    }
-
-    fn record_violation(&self, violation: String) {
-        lock(&self.observations).violations.push(violation);
-    }
 }
 
 /// Returns a job id of sixteen hexadecimal digits, as the platform requires.
--- a/jackdawchute-standins/src/cell_soak/check.rs
+++ b/jackdawchute-standins/src/cell_soak/check.rs
@@ -6,7 +6,7 @@
 };
 
 use jackdawchute_scheduler::{EndReason, JobGraph, TaskName};
-use jackdawchute_types::{JobId, WorkerId};
+use jackdawchute_types::{JobId, TenantId, WorkerId};
 
 use crate::cell::{Overload, WorkerRecord};
 
@@ -19,6 +19,8 @@
 pub struct SentJob {
     /// The steps and tasks of the job.
     pub graph: JobGraph,
+    /// The tenant that submitted the job; `None` in a soak without tenants.
+    pub tenant: Option<TenantId>,
     /// When the job was first submitted.
     pub sent_at: Option<Instant>,
     /// When the job was accepted; `None` if it was not.
@@ -73,6 +75,48 @@
     violations
 }
 
+/// Finds starts that brought what a tenant had running above its cap, the rule's tolerance of a tenth
+/// and one task more; orders that a worker carried out late don't count as starts.
+///
+/// ```
+/// use std::collections::BTreeMap;
+/// use jackdawchute_standins::cell_soak::find_exceeded_caps;
+///
+/// let exceeded = find_exceeded_caps(&BTreeMap::new(), &[], &"bakery".into(), 4_000);
+/// assert!(exceeded.is_empty());
+/// ```
+pub fn find_exceeded_caps(
+    jobs: &BTreeMap<JobId, SentJob>,
+    records: &[WorkerRecord],
+    tenant: &TenantId,
+    cap_millicores: u64,
+) -> Vec<String> {
+    let size = |run: &WorkerRecord| {
+        let job = jobs.get(&run.task.step.job);
+        let job = job.filter(|job| job.tenant.as_ref() == Some(tenant));
+        let step = job.and_then(|job| job.graph.steps.get(run.task.step.step as usize));
+        step.map_or(0, |step| step.resources.processor_millicores)
+    };
+    let runs: Vec<(&WorkerRecord, u64)> = records
+        .iter()
+        .map(|run| (run, size(run)))
+        .filter(|(_, size)| *size > 0)
+        .collect();
+    let allowed = cap_millicores + cap_millicores / 10;
+    let exceeded = |(started, own): &(&WorkerRecord, u64)| {
+        let at = started.began_at;
+        let runs_then = |(run, _): &&(&WorkerRecord, u64)| {
+            run.began_at <= at && run.ended_at.is_none_or(|end| end > at)
+        };
+        let used: u64 = runs.iter().filter(runs_then).map(|(_, size)| size).sum();
+        (!started.late && used > allowed + own).then(|| {
+            let what = describe(started);
+            format!("{what} brought {tenant} to {used} millicores of {cap_millicores}")
+        })
+    };
+    runs.iter().filter_map(exceeded).collect()
+}
+
 /// Describes the starts that brought a worker above its capacity by its own count, which includes
 /// what is being stopped.
 ///
--- a/jackdawchute-standins/src/cell_soak/environment.rs
+++ b/jackdawchute-standins/src/cell_soak/environment.rs
@@ -23,6 +23,7 @@
     cuts::Cuts,
     fault::domain_of,
     instance::{loopback, Instance, Surroundings, TRANSACTION_TIME},
+    tenants::SoakTenants,
     CellFault, CellSoakPlan, FaultKinds,
 };
 use crate::{
@@ -73,6 +74,8 @@
     links: WorkersHandle,
     pub(super) balancer: Address<BalancerTask>,
     pub(super) routes: Routes,
+    /// The tenants of the callers; `None` in a soak without tenants.
+    pub(super) tenants: Option<SoakTenants>,
     /// Unexpected exits of instances.
     pub(super) violations: Vec<String>,
     instances: Vec<Instance>,
@@ -140,6 +143,7 @@
             workers,
             kinds,
             load,
+            tenants,
             ..
         } = *plan;
         let rows = MemoryStore::default();
@@ -169,7 +173,11 @@
                 listener,
             });
         }
-        let routes = routes();
+        let tenants = tenants.then(SoakTenants::new);
+        let routes = match &tenants {
+            Some(tenants) => tenants.configure(&routes(), None),
+            None => routes(),
+        };
         put_configuration(&operator, &routes)
             .await
             .map_err(write_failed)?;
@@ -179,6 +187,7 @@
             links,
             balancer: balancer::spawn(Vec::new()),
             routes,
+            tenants,
             violations: Vec::new(),
             instances: Vec::new(),
             number: NEXT_CELL.fetch_add(1, Ordering::Relaxed),
@@ -200,6 +209,11 @@
         Ok(environment)
     }
 
+    /// Returns the operators' access to the store.
+    pub(super) fn operator(&self) -> StoreHandle {
+        self.operator.clone()
+    }
+
     /// Returns the folder of the instances' logs.
     pub(super) fn logs(&self) -> &Path {
         self.directory.path()
--- a/jackdawchute-standins/src/cell_soak/plan.rs
+++ b/jackdawchute-standins/src/cell_soak/plan.rs
@@ -47,6 +47,11 @@
         task_time: Duration::from_millis(300),
         job_period: Duration::from_millis(125),
     };
+    /// Tasks that use most of the workers' processors.
+    pub const CROWDED: Self = Self {
+        task_time: Duration::from_millis(700),
+        job_period: Duration::from_millis(110),
+    };
     /// Tasks that may still run when the lease of a silent worker has lapsed, so many that most of
     /// the workers' processors are in use.
     pub const LONG: Self = Self {
@@ -78,6 +83,8 @@
     pub kinds: FaultKinds,
     /// The jobs that callers submit.
     pub load: TaskLoad,
+    /// Whether callers belong to tenants with caps, whose keys are replaced all the while.
+    pub tenants: bool,
     /// The period in which faults begin.
     pub duration: Duration,
     /// The folder to which the instances' logs are copied if there are violations, into a subfolder
@@ -102,11 +109,28 @@
             workers: 6,
             kinds: FaultKinds::Single,
             load: TaskLoad::SHORT,
+            tenants: false,
             duration,
             logs: None,
         }
     }
 
+    /// Creates a plan like [`new`](Self::new) with tenants, and so many jobs that their caps bind.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_standins::cell_soak::CellSoakPlan;
+    ///
+    /// assert!(CellSoakPlan::with_tenants(1, Duration::from_secs(10)).tenants);
+    /// ```
+    pub fn with_tenants(seed: u64, duration: Duration) -> Self {
+        Self {
+            tenants: true,
+            load: TaskLoad::CROWDED,
+            ..Self::new(seed, duration)
+        }
+    }
+
     /// Creates a plan like [`new`](Self::new) with partitions by failure domain.
     ///
     /// ```
--- a/jackdawchute-standins/src/cell_soak/run.rs
+++ b/jackdawchute-standins/src/cell_soak/run.rs
@@ -5,12 +5,14 @@
     time::{Duration, Instant},
 };
 
+use jackdawchute_adapter::standins::{CallerAnswer, PlatformCaller};
 use tokio::sync::watch;
 
 use super::{
     callers::{Callers, Observations},
-    check::{find_overloads, find_violations},
+    check::{find_exceeded_caps, find_overloads, find_violations},
     environment::CellEnvironment,
+    tenants::{SoakTenants, IN_FORCE_MAX},
     CellFault, CellSoakPlan,
 };
 use crate::{
@@ -19,7 +21,7 @@
     lock::lock,
     soak::{
         save_logs,
-        schedule::{inject_faults, wait_until_stable},
+        schedule::{inject_faults, wait_until_stable, Environment},
         SoakReport,
     },
     Error, Result,
@@ -32,6 +34,9 @@
 /// The processors of each stand-in worker, in thousandths of a core.
 const WORKER_MILLICORES: u64 = 4_000;
 
+/// How long a probe of a withdrawn key waits for its answer.
+const PROBE_DEADLINE: Duration = Duration::from_secs(2);
+
 /// Runs a soak with the shipped binary.
 ///
 /// # Errors
@@ -44,10 +49,15 @@
     })
     .await?;
     let (balancer, workers) = (environment.balancer.clone(), environment.workers.clone());
-    let callers = Callers::new(balancer, workers, plan.load);
+    let tenants = environment.tenants.clone();
+    let callers = Callers::new(balancer, workers, plan.load, tenants.clone());
     let observations = callers.observations.clone();
     let (end, ended) = watch::channel(false);
     let load = tokio::spawn(callers.run(plan.seed, environment.routes.clone(), ended, DEADLINE));
+    let rotation = tenants.clone().map(|tenants| {
+        let rotating = tenants.rotate(environment.operator(), environment.routes.clone());
+        tokio::spawn(rotating)
+    });
     let disturbances = plan.disturbances();
 
     inject_faults(&mut environment, &disturbances, tokio::time::Instant::now()).await?;
@@ -59,6 +69,14 @@
     load.await
         .map_err(|cause| Error::Invalid("submit jobs", "soak".into(), cause.to_string()))?;
 
+    if let Some(rotation) = rotation {
+        rotation.abort();
+    }
+    let probes = match &tenants {
+        Some(tenants) => served_withdrawn_keys(tenants, &environment).await,
+        None => Vec::new(),
+    };
+
     let records = environment.workers.records();
     let late = records.iter().filter(|record| record.late).count();
     let Observations { jobs, violations } = std::mem::take(&mut *lock(&observations));
@@ -67,6 +85,14 @@
     all.extend(violations);
     all.extend(find_violations(&jobs, &records, WORKER_MILLICORES));
     all.extend(find_overloads(&environment.workers.overloads()));
+    all.extend(probes);
+    for tenant in (0..).take(tenants.as_ref().map_or(0, SoakTenants::count)) {
+        let (name, cap) = (
+            SoakTenants::name(tenant),
+            SoakTenants::cap_millicores(tenant),
+        );
+        all.extend(find_exceeded_caps(&jobs, &records, &name, cap));
+    }
     let last = jobs.values().filter(|job| {
         job.sent_at
             .is_some_and(|at| at + RECOVERED_TIME > stable_until)
@@ -90,3 +116,31 @@
         violations: all,
     })
 }
+
+/// Waits until the last change of the keys must be in force, and finds the withdrawn keys that an
+/// instance still serves.
+async fn served_withdrawn_keys(
+    tenants: &SoakTenants,
+    environment: &CellEnvironment,
+) -> Vec<String> {
+    let withdrawn = tenants.withdrawn();
+    if let Some(last) = withdrawn.iter().map(|withdrawn| withdrawn.at).max() {
+        tokio::time::sleep_until((last + IN_FORCE_MAX).into()).await;
+    }
+    let mut violations = Vec::new();
+    let client = PlatformCaller::new(PROBE_DEADLINE);
+    for target in environment.targets() {
+        for route in &environment.routes.queues {
+            for withdrawn in &withdrawn {
+                let client = client.with_key(&withdrawn.key);
+                let job = "0000000000000000".into();
+                let answer = client.status(target.callers, route, &job).await;
+                if answer != CallerAnswer::Unauthorized {
+                    let tenant = SoakTenants::name(withdrawn.tenant);
+                    violations.push(format!("a withdrawn key of {tenant} got {answer:?}"));
+                }
+            }
+        }
+    }
+    violations
+}
--- a/tests/cell_soak.rs
+++ b/tests/cell_soak.rs
@@ -110,3 +110,11 @@
         Vec::<String>::new()
     );
 }
+
+/// Keys of tenants are replaced while instances, the store and links fail, and caps bind.
+#[tokio::test(flavor = "multi_thread")]
+async fn tenants_whose_keys_are_replaced_are_served_below_their_caps() {
+    let plan = CellSoakPlan::with_tenants(1, FAULT_PERIOD);
+
+    assert_eq!(violations_of(plan).await, Vec::<String>::new());
+}
