fix: a gang that waits for its tenant's cap keeps it for seconds at a time where little is used

Change: below half of the cap the room is kept for 2 s at a time, with pauses of 2 s; split steps count once; a round logs 16 steps that wait for a cap at most. Tests: a_gang_that_waits_keeps_a_cap_of_which_little_is_used_for_seconds_only, and the doc examples.

--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -1,6 +1,9 @@
 //! Advice requests: when an advisor is asked about a step, and what its answers mean.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_types::WorkerId;
 use spdlog::info;
@@ -48,8 +51,16 @@
             .settings
             .starts_under_way_max
             .saturating_mul(STARTS_AHEAD_FACTOR);
+        // A step that is split at its tenant's share asks for all its tasks where it stands first.
+        let is_split = ranked.iter().any(|ranked| ranked.starts_max.is_some());
+        let mut asked = HashSet::new();
+        let ranked: Vec<&RankedStep> = ranked
+            .iter()
+            .filter(|ranked| !is_split || asked.insert(&ranked.name))
+            .collect();
+        let ranked = ranked.as_slice();
         let mut starts_ahead = 0;
-        let is_near = |ranked: &&RankedStep| {
+        let is_near = |ranked: &&&RankedStep| {
             let is_near = starts_ahead < starts_ahead_max;
             starts_ahead += self.waiting_tasks(&ranked.name);
             is_near
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -9,6 +9,7 @@
 use jackdawchute_speeds::{FleetSpeeds, RunTimes};
 use jackdawchute_tenants::TenantPolicies;
 use jackdawchute_types::{Epoch, FencingToken, JobId, QueueId, ServiceId, TenantId, WorkerId};
+use rustc_hash::FxHashMap;
 use smol_str::SmolStr;
 
 use crate::{
@@ -80,6 +81,8 @@
     pub(crate) tenants: Option<Arc<TenantPolicies>>,
     /// The steps that waited for the caps of their tenants in the last scheduling round.
     pub(crate) waiting_for_caps: BTreeSet<StepName>,
+    /// Since when gangs wait for the caps of their tenants.
+    pub(crate) gangs_waiting_for_caps: FxHashMap<TenantId, Instant>,
     /// How many jobs of each tenant this leader has refused.
     pub(crate) refused_by_tenant: BTreeMap<TenantId, u64>,
     /// The listed workers of other services, which are sent nothing.
@@ -150,6 +153,7 @@
             services: None,
             tenants: None,
             waiting_for_caps: BTreeSet::new(),
+            gangs_waiting_for_caps: FxHashMap::default(),
             refused_by_tenant: BTreeMap::new(),
             unused_workers: BTreeMap::new(),
             token_raises: HashMap::new(),
@@ -303,7 +307,7 @@
         }
         if std::mem::take(&mut self.placement_needed) {
             let mut ranked = self.ranked_steps(now);
-            let mut tenants = self.tenant_round();
+            let mut tenants = self.tenant_round(now);
             self.order_by_shares(&mut ranked, &mut tenants);
             let mut free_capacity = self.free_capacity(now);
             // Placement goes first: only what lacks a valid ticket afterwards needs more advice.
--- a/jackdawchute-scheduler/src/tenants/round.rs
+++ b/jackdawchute-scheduler/src/tenants/round.rs
@@ -1,8 +1,8 @@
 //! The caps of tenants during one scheduling round.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, sync::Arc, time::Instant};
 
-use jackdawchute_tenants::{tasks_below_cap, CapUse, TenantPolicies};
+use jackdawchute_tenants::{holds_cap_for_gang, tasks_below_cap, CapUse, TenantPolicies};
 use jackdawchute_types::{Resources, TenantId};
 use rustc_hash::FxHashMap;
 use spdlog::info;
@@ -10,6 +10,9 @@
 use super::RunningByTenant;
 use crate::{job::Job, Scheduler, StepName, StepSpec};
 
+/// The most steps that a round logs as waiting for a cap; a flood has thousands.
+const CAP_WAITS_LOGGED_MAX: usize = 16;
+
 /// What tenants have running during a round; without tenants in the configuration nothing limits.
 #[derive(Debug, Default)]
 pub(crate) struct TenantRound {
@@ -18,6 +21,12 @@
     caps: FxHashMap<TenantId, CapUse>,
     /// The steps that wait for the caps of their tenants.
     waiting: BTreeSet<StepName>,
+    /// When the round began; `None` without tenants.
+    now: Option<Instant>,
+    /// Since when gangs wait for the caps of their tenants, as of the round before.
+    gangs_waiting_since: FxHashMap<TenantId, Instant>,
+    /// The same as of this round.
+    gangs_waiting: FxHashMap<TenantId, Instant>,
 }
 
 impl TenantRound {
@@ -47,12 +56,27 @@
             return allowed;
         }
         if spec.gang {
-            cap_use.hold_for_gang(&spec.resources.saturating_mul(spec.tasks));
+            self.hold_while_waiting(tenant, spec);
         }
         self.waiting.insert(name.clone());
         0
     }
 
+    /// Keeps room below the cap of its tenant for a gang that waits for the cap.
+    fn hold_while_waiting(&mut self, tenant: Option<&TenantId>, spec: &StepSpec) {
+        let Some((tenant, now)) = tenant.zip(self.now) else {
+            return;
+        };
+        let since = self.gangs_waiting_since.get(tenant).copied().unwrap_or(now);
+        self.gangs_waiting.insert(tenant.clone(), since);
+        let waited = now.saturating_duration_since(since);
+        if let Some(cap_use) = self.cap_use(Some(tenant)) {
+            if holds_cap_for_gang(waited, cap_use.is_below_half()) {
+                cap_use.hold_for_gang(&spec.resources.saturating_mul(spec.tasks));
+            }
+        }
+    }
+
     /// Counts tasks of a step that have been started.
     pub(crate) fn started(&mut self, tenant: Option<&TenantId>, spec: &StepSpec, tasks: usize) {
         if let Some(cap_use) = self.cap_use(tenant) {
@@ -85,7 +109,7 @@
     }
 
     /// Returns what tenants have running at the beginning of a round.
-    pub(crate) fn tenant_round(&self) -> TenantRound {
+    pub(crate) fn tenant_round(&self, now: Instant) -> TenantRound {
         let Some(policies) = &self.tenants else {
             return TenantRound::default();
         };
@@ -103,13 +127,18 @@
             running: running_by_tenant,
             caps,
             waiting: BTreeSet::new(),
+            now: Some(now),
+            gangs_waiting_since: self.gangs_waiting_for_caps.clone(),
+            gangs_waiting: FxHashMap::default(),
         }
     }
 
     /// Logs the steps that have begun to wait for the caps of their tenants in this round.
     pub(crate) fn note_cap_waits(&mut self, mut round: TenantRound) {
+        self.gangs_waiting_for_caps = std::mem::take(&mut round.gangs_waiting);
         let waiting = std::mem::take(&mut round.waiting);
-        for name in waiting.difference(&self.waiting_for_caps) {
+        let new = waiting.difference(&self.waiting_for_caps);
+        for name in new.take(CAP_WAITS_LOGGED_MAX) {
             let Some(job) = self.jobs.get(&name.job) else {
                 continue;
             };
--- a/jackdawchute-scheduler/tests/behaviour/tenants.rs
+++ b/jackdawchute-scheduler/tests/behaviour/tenants.rs
@@ -201,6 +201,30 @@
     assert_eq!(gang_starts, 4);
 }
 
+/// A tenant that used little of its cap had work stand still beside room for as long as its gang
+/// waited.
+#[test]
+fn a_gang_that_waits_keeps_a_cap_of_which_little_is_used_for_seconds_only() {
+    let mut cell = cell_of(8, vec![policy("a", 1.0, 8)]);
+    accept_for(&mut cell, "a", "a-long", vec![step(3, 1)]);
+    commit_and_run(&mut cell);
+    let running = cell.take_starts().len();
+    let gang_steps = vec![gang(6, 1)];
+    submit_for(&mut cell, "a", "a-gang", gang_steps, patient_queue(0));
+    accept_for(&mut cell, "a", "a-small", vec![step(2, 1)]);
+    cell.commit();
+
+    cell.run_round();
+    let at_first = cell.take_starts().len();
+    cell.tick(2_100);
+    cell.run_round();
+    let later = cell.take_starts();
+
+    assert_eq!((running, at_first), (3, 0));
+    assert_eq!(later.len(), 2);
+    assert!(later.iter().all(|start| start.task.step.job == "a-small"));
+}
+
 #[test]
 fn a_gang_or_task_larger_than_its_cap_is_refused_at_once() {
     let mut cell = cell_of(8, vec![policy("a", 1.0, 8), policy("b", 1.0, 0)]);
--- a/jackdawchute-tenants/src/caps.rs
+++ b/jackdawchute-tenants/src/caps.rs
@@ -1,7 +1,31 @@
 //! How much of a tenant's work may run below its cap.
 
+use std::time::Duration;
+
 use jackdawchute_types::Resources;
 
+/// How long a cap below half of which its tenant has running is kept for a gang at a time; a pause of
+/// the same length follows, in which other tasks may start.
+const HOLD_MAX: Duration = Duration::from_secs(2);
+
+/// Returns whether a cap is kept for a gang that has waited for it for `waited`.
+///
+/// A tenant that uses most of its cap keeps it for the gang all the while. One that uses little
+/// keeps it for some seconds at a time, since its other work would else stand still beside room.
+///
+/// ```
+/// use std::time::Duration;
+/// use jackdawchute_tenants::holds_cap_for_gang;
+///
+/// assert!(holds_cap_for_gang(Duration::from_secs(3), false));
+/// assert!(holds_cap_for_gang(Duration::from_secs(1), true));
+/// assert!(!holds_cap_for_gang(Duration::from_secs(3), true));
+/// ```
+pub fn holds_cap_for_gang(waited: Duration, below_half: bool) -> bool {
+    let periods = waited.as_millis() / HOLD_MAX.as_millis();
+    !below_half || periods % 2 == 0
+}
+
 /// Returns how many tasks of a size may start below a cap while `used` is running; a cap of 0 of a
 /// resource is no limit of it.
 ///
@@ -93,6 +117,24 @@
         self.running
     }
 
+    /// Returns whether less than half of each limited resource of the cap is running.
+    ///
+    /// ```
+    /// use jackdawchute_tenants::CapUse;
+    /// use jackdawchute_types::Resources;
+    ///
+    /// let cap = Resources::new(8_000, 0, 0);
+    /// assert!(CapUse::new(cap, Resources::new(3_000, 512, 0)).is_below_half());
+    /// assert!(!CapUse::new(cap, Resources::new(4_000, 512, 0)).is_below_half());
+    /// ```
+    pub fn is_below_half(&self) -> bool {
+        let is_below = |cap: u64, running: u64| cap == 0 || running < cap.div_ceil(2);
+        let (cap, running) = (&self.cap, &self.running);
+        is_below(cap.processor_millicores, running.processor_millicores)
+            && is_below(cap.memory_mib, running.memory_mib)
+            && is_below(cap.accelerators.into(), running.accelerators.into())
+    }
+
     /// Returns how many tasks of a size may start now.
     ///
     /// ```
--- a/jackdawchute-tenants/src/lib.rs
+++ b/jackdawchute-tenants/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use access::{access, Access, Caller};
 pub use backlog::{backlog_ms, TenantBacklog};
-pub use caps::{tasks_below_cap, CapUse};
+pub use caps::{holds_cap_for_gang, tasks_below_cap, CapUse};
 pub use keys::{ApiKey, Keyring};
 pub use policies::TenantPolicies;
 pub use policy::{Tenant, TenantPolicy};
