fix: a job that ends before its runs are listed counts against its tenant's cap

Change: a job that ends keeps, and its row says, what it may still run; it counts until a new leader knows the runs of all workers. Tests: a_job_that_is_cancelled_before_its_runs_are_listed_counts_against_the_cap and a_job_that_a_predecessor_cancelled_counts_until_all_workers_have_listed_their_runs, which fail without. Left: late starts of ended jobs, which only queues without advice have.

--- a/jackdawchute-scheduler/src/batch.rs
+++ b/jackdawchute-scheduler/src/batch.rs
@@ -10,6 +10,7 @@
     job::{Job, JobPhase},
     records::{divided_rows, removal, saved_row, EndedRecord, JobRecord, WorkerRecord},
     row_size::{numbered_key, split_key, JOB_BYTES_MAX},
+    tenants::runs_left,
     unsaved::ChangeNumber,
     worker_rows::{row_index, row_key, RowIndex},
     CommitBatch, RowChange, RowTable, Scheduler,
@@ -195,6 +196,7 @@
                             job: id.clone(),
                             outcome,
                             tenant: job.tenant.clone(),
+                            runs_left: runs_left(job),
                         });
                         builder.batch.ended.push(id.clone());
                     }
@@ -295,6 +297,7 @@
                 if let JobPhase::Ending(outcome) = job.phase {
                     let ended = crate::state::EndedJob {
                         outcome,
+                        runs_left: runs_left(&job),
                         tenant: job.tenant,
                         retained_since: now,
                         recovered: job.recovering,
--- a/jackdawchute-scheduler/src/records.rs
+++ b/jackdawchute-scheduler/src/records.rs
@@ -1,6 +1,6 @@
 //! The saved rows of accepted jobs, ended jobs and workers.
 
-use jackdawchute_types::{JobId, TenantId, WorkerId};
+use jackdawchute_types::{JobId, Resources, ServiceId, TenantId, WorkerId};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use spdlog::error;
@@ -26,6 +26,13 @@
     pub(crate) accepted_unix_ms: u64,
 }
 
+/// What tasks of an ended job may still run until they are stopped.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RunsLeft {
+    pub(crate) service: ServiceId,
+    pub(crate) resources: Resources,
+}
+
 /// The outcome of an ended job; a row holds those of one commit.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct EndedRecord {
@@ -34,6 +41,9 @@
     /// The tenant that submitted the job; rows of earlier versions have none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) tenant: Option<TenantId>,
+    /// What counts against the tenant's cap until a new leader knows the runs of all workers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) runs_left: Option<RunsLeft>,
 }
 
 /// A worker that may run tasks; a row holds several.
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -240,6 +240,7 @@
             let ended = crate::state::EndedJob {
                 outcome: record.outcome,
                 tenant: record.tenant,
+                runs_left: record.runs_left,
                 retained_since: now,
                 recovered: true,
             };
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -18,6 +18,7 @@
     job::{Job, JobPhase},
     late_starts::LateStarts,
     place::Waits,
+    records::RunsLeft,
     recover::Recovery,
     row_size::RowNumber,
     service_load::ServiceLoads,
@@ -47,6 +48,8 @@
     pub(crate) outcome: JobOutcome,
     /// The tenant that submitted the job.
     pub(crate) tenant: Option<TenantId>,
+    /// What tasks of the job may still run, on workers that have not listed their runs.
+    pub(crate) runs_left: Option<RunsLeft>,
     /// When the end was committed, or recovered from a saved row; its retention starts then.
     pub(crate) retained_since: Instant,
     /// Whether the job is from an earlier epoch, whose leader may not know of its end.
--- a/jackdawchute-scheduler/src/tenants/mod.rs
+++ b/jackdawchute-scheduler/src/tenants/mod.rs
@@ -7,6 +7,7 @@
 
 pub use report::TenantLoad;
 pub(crate) use round::{can_ever_start, TenantRound};
+pub(crate) use running::runs_left;
 use running::RunningByTenant;
 
 use std::sync::Arc;
--- a/jackdawchute-scheduler/src/tenants/running.rs
+++ b/jackdawchute-scheduler/src/tenants/running.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     job::{Job, StepRun, Unit},
+    records::RunsLeft,
     worker::Worker,
     Scheduler, StepSpec, TaskName,
 };
@@ -109,6 +110,12 @@
             let most = most_unlisted(job);
             unlisted.add(&job.queue.service, &job.tenant, &most);
         }
+        // Jobs that ended before their runs were listed: what was cancelled may run on for a while.
+        for ended in self.ended.values().filter(|ended| ended.recovered) {
+            if let Some(left) = &ended.runs_left {
+                unlisted.add(&left.service, &ended.tenant, &left.resources);
+            }
+        }
         for (service, tenants) in unlisted.services() {
             for (tenant, most) in tenants {
                 let most = smaller_of_each(most, &silent_capacity);
@@ -138,6 +145,26 @@
     Some(spec.resources)
 }
 
+/// Returns what tasks of a job that ends may still run; `None` if nothing, or if it has no tenant.
+pub(crate) fn runs_left(job: &Job) -> Option<RunsLeft> {
+    job.tenant.as_ref()?;
+    let mut resources = match job.recovering {
+        true => most_unlisted(job),
+        false => Resources::ZERO,
+    };
+    for occurrence_run in &job.occurrences {
+        for (spec, step_run) in job.graph.steps.iter().zip(&occurrence_run.steps) {
+            let placed: usize = step_run.units.iter().map(|unit| unit.placed.len()).sum();
+            let placed = u32::try_from(placed).unwrap_or(u32::MAX);
+            resources = resources.saturating_add(&spec.resources.saturating_mul(placed));
+        }
+    }
+    (resources != Resources::ZERO).then(|| RunsLeft {
+        service: job.queue.service.clone(),
+        resources,
+    })
+}
+
 /// Returns the most that tasks of a job which are placed nowhere may use side by side.
 ///
 /// A step may run beside all steps but those that it waits for and those that wait for it. So what
--- a/jackdawchute-scheduler/tests/behaviour/tenants.rs
+++ b/jackdawchute-scheduler/tests/behaviour/tenants.rs
@@ -345,6 +345,54 @@
     assert!(cell.take_starts().is_empty());
 }
 
+/// What the job ran was forgotten with it, while its worker went on.
+#[test]
+fn a_job_that_is_cancelled_before_its_runs_are_listed_counts_against_the_cap() {
+    let (rows, starts) = rows_and_starts_of_predecessor();
+    let mut cell = successor(2, &rows, &["w00", "w01", "w02"]);
+    cell.scheduler.use_tenants(Some(vec![policy("a", 1.0, 4)]));
+    let silent = starts[0].worker.clone();
+    for renewal in std::mem::take(&mut cell.renewals) {
+        if renewal.worker != silent {
+            cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+        }
+    }
+    cell.scheduler.cancel(&"a-1".into());
+    cell.tick(1);
+    cell.commit();
+
+    accept_for(&mut cell, "a", "a-new", vec![step(2, 1)]);
+    commit_and_run(&mut cell);
+
+    assert!(starts.iter().all(|start| start.worker == silent));
+    assert!(cell.take_starts().is_empty());
+}
+
+/// The predecessor ended before the stops that follow the cancellation were carried out.
+#[test]
+fn a_job_that_a_predecessor_cancelled_counts_until_all_workers_have_listed_their_runs() {
+    let mut cell = cell_of(3, vec![policy("a", 1.0, 4)]);
+    accept_for(&mut cell, "a", "a-1", vec![step(4, 1)]);
+    commit_and_run(&mut cell);
+    let starts = cell.take_starts();
+    cell.scheduler.cancel(&"a-1".into());
+    cell.commit();
+    let mut cell = successor(2, &cell.saved, &["w00", "w01", "w02"]);
+    cell.scheduler.use_tenants(Some(vec![policy("a", 1.0, 4)]));
+    for renewal in std::mem::take(&mut cell.renewals) {
+        if renewal.worker != starts[0].worker {
+            cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+        }
+    }
+    cell.tick(1);
+    cell.commit();
+
+    accept_for(&mut cell, "a", "a-new", vec![step(2, 1)]);
+    commit_and_run(&mut cell);
+
+    assert!(cell.take_starts().is_empty());
+}
+
 /// Accepts a backlog of jobs of one task of a core each.
 fn accept_backlog(cell: &mut Cell, tenant: &str, jobs: usize) {
     for number in 0..jobs {
