--- a/jackdawchute-scheduler/src/advice_workers.rs
+++ b/jackdawchute-scheduler/src/advice_workers.rs
@@ -37,8 +37,8 @@
 /// desk), gangs earned 0.69 of their worth with a factor of six and 0.74 with twelve.
 const GANG_CAPACITY_FACTOR: f64 = 12.0;
 /// The free capacity of the allowed workers for which a gang without a reservation needs valid
-/// tickets, so that it requests lapsed ones again, as a multiple of what the gang needs; some of the capacity is used by
-/// others before the answer arrives.
+/// tickets, so that it requests lapsed ones again, as a multiple of what the gang needs; some of the
+/// capacity is used by others before the answer arrives.
 const GANG_FREE_FACTOR: f64 = 1.5;
 /// The number of a step's tasks from which a worker's room counts as plenty when a request about
 /// single tasks names workers.
--- a/jackdawchute-scheduler/src/progress.rs
+++ b/jackdawchute-scheduler/src/progress.rs
@@ -26,7 +26,7 @@
 /// take up to some times as long as expected.
 const PERCENTS_EXPECTED: u32 = 3;
 /// How many times its expected run time a task that was stopped for it may be without progress at
-/// least, which is as long as one percent of a task takes that is declared wrong by a factor of 600.
+/// least: one percent of a task that is declared much too short takes that long.
 const PATIENCE_FACTOR_MIN: u32 = 6;
 /// The longest time that follows from this factor.
 const PATIENCE_FACTOR_LIMIT: Duration = Duration::from_secs(10);
