feat: logs tell how long a restarted worker's lease may last, and which silent workers recovery gives up

A leader logs that a worker has restarted, not when the new incarnation first answered nor until when a lease from an order to the former one may last; a successor does not log which silent workers it takes as lapsed.

Change: a line with the first answer of a restarted worker, and one line an epoch with the first 32 silent workers whose runs are taken as ended. No logic is changed.

--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -229,6 +229,13 @@
             // Orders to a former incarnation may have extended the lease of this one until now.
             let hold_until = answer.clock + self.settings.hold_max;
             worker.lease_sent = worker.lease_sent.max(hold_until);
+            if worker.incarnations_seen > 0 {
+                info!("restarted worker may have a lease from an earlier order", kv: {
+                    worker = order.worker.as_str(), born_unix_ms = answer.started_unix_ms,
+                    clock_ms = whole_ms(answer.clock), lease_until_ms = whole_ms(hold_until),
+                    token = order.token
+                });
+            }
         }
         worker.acknowledged_at.get_or_insert(now);
         worker.answered = true;
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -32,6 +32,9 @@
 /// From when on a recovery that is not complete logs what it waits for.
 const RECOVERY_LOGGED_FROM: Duration = Duration::from_secs(1);
 
+/// How many of the workers that a recovery goes on without are named in the log.
+const SILENT_WORKERS_LOGGED_MAX: usize = 32;
+
 /// The state of the recovery. Until it is complete, tasks may run that no worker has reported.
 #[derive(Debug)]
 pub(crate) struct Recovery {
@@ -318,6 +321,7 @@
             return;
         }
         self.recovery.complete = true;
+        self.log_silent_workers(now);
         let took = now.saturating_duration_since(self.recovery.began_at);
         info!("recovery complete: runs of all workers are known", kv: {
             epoch = self.epoch, took_ms = took.as_millis() as u64, workers = self.workers.len()
@@ -354,6 +358,26 @@
         });
     }
 
+    /// Logs which workers recovery goes on without, as their leases have lapsed.
+    fn log_silent_workers(&self, now: Instant) {
+        let workers = self.workers.values();
+        let silent: Vec<&str> = workers
+            .filter(|worker| worker.recovered && !worker.reported)
+            .map(|worker| worker.id().as_str())
+            .collect();
+        if silent.is_empty() {
+            return;
+        }
+        let since = |at: Instant| whole_ms(now.saturating_duration_since(at));
+        warn!("runs on silent workers are taken as ended", kv: {
+            epoch = self.epoch, workers = silent.len(),
+            first:? = &silent[..silent.len().min(SILENT_WORKERS_LOGGED_MAX)],
+            earlier_authority_ended_ms = since(self.authority.earlier_until),
+            earlier_leases_ended_ms =
+                since(self.authority.earlier_leases_until(&self.settings))
+        });
+    }
+
     /// Stops gangs of which some tasks never started.
     fn stop_incomplete_gangs(&mut self) {
         let mut stops = Vec::new();
