test: a task runs twice where its restarted worker has an earlier lease and a new leader does not hear it

A worker crashes under an extension of its lease, and its next incarnation carries the extension out 0.02 to 0.15 s later: its clock starts anew, so that the lease lasts for the longest hold. The leader notices the restart and starts the task there again; 0.15 s later the leader ends and the worker is cut off.

--- a/jackdawchute-cell/tests/cell/late_extensions.rs
+++ b/jackdawchute-cell/tests/cell/late_extensions.rs
@@ -4,14 +4,10 @@
 
 use std::time::{Duration, Instant};
 
-use jackdawchute_standins::cell::OrderKind;
 use jackdawchute_types::WorkerId;
 
 use crate::{fixtures::*, restarts::*};
 
-/// How long tasks run, longer than any lease.
-const TASK_TIME: Duration = Duration::from_secs(30);
-
 /// What happens to the leader while the worker is cut off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Leader {
@@ -53,7 +49,7 @@
     const CUT_TIME: Duration = Duration::from_secs(10);
     let mut cell = cell_with(CellOptions {
         can_freeze: true,
-        task_time: TASK_TIME,
+        task_time: LASTING,
         ..options()
     })
     .await;
@@ -101,18 +97,6 @@
     proxy.set_target(started).await.expect("the proxy runs");
 }
 
-/// Makes the extensions of a worker's lease arrive without an answer until one has, and returns when
-/// it did and until when it may be carried out.
-async fn delay_extensions(cell: &Cell, worker: &WorkerId, late: f64) -> (Instant, Instant) {
-    let kinds = [OrderKind::Extension];
-    cell.workers.set_late(worker, &kinds, Some(seconds(late)));
-    let late_extensions = || cell.workers.late_orders(OrderKind::Extension);
-    wait_for("no extension arrives", || !late_extensions().is_empty()).await;
-    let arrived_at = Instant::now();
-    cell.workers.set_late(worker, &kinds, None);
-    (arrived_at, arrived_at + seconds(late))
-}
-
 /// The users' incident: the lease of a silent worker counted as lapsed while its task was at work.
 #[tokio::test]
 async fn a_task_whose_lease_a_late_order_extends_behind_a_cut_runs_in_one_place() {
@@ -132,7 +116,7 @@
 #[tokio::test]
 async fn a_late_order_that_a_worker_refuses_keeps_no_task_from_running_elsewhere() {
     let cell = cell_with(CellOptions {
-        task_time: TASK_TIME,
+        task_time: LASTING,
         ..options()
     })
     .await;
--- a/jackdawchute-cell/tests/cell/main.rs
+++ b/jackdawchute-cell/tests/cell/main.rs
@@ -9,5 +9,6 @@
 mod network;
 mod outages;
 mod partitions;
+mod restarted_leases;
 mod restarts;
 mod store_rows;
--- a/jackdawchute-cell/tests/cell/restarts.rs
+++ b/jackdawchute-cell/tests/cell/restarts.rs
@@ -18,6 +18,8 @@
 pub const LARGE_MILLICORES: u64 = 3_000;
 /// How long tasks run, longer than it takes to give up the lease of a silent worker.
 pub const LONG: Duration = Duration::from_secs(5);
+/// How long tasks run that only the end of their worker's lease ends in time.
+pub const LASTING: Duration = Duration::from_secs(30);
 
 pub fn seconds(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
@@ -58,6 +60,18 @@
     (Instant::now(), workers)
 }
 
+/// Makes the extensions of a worker's lease arrive without an answer until one has, and returns when
+/// it did and until when it may be carried out.
+pub async fn delay_extensions(cell: &Cell, worker: &WorkerId, late: f64) -> (Instant, Instant) {
+    let kinds = [OrderKind::Extension];
+    cell.workers.set_late(worker, &kinds, Some(seconds(late)));
+    let late_extensions = || cell.workers.late_orders(OrderKind::Extension);
+    wait_for("no extension arrives", || !late_extensions().is_empty()).await;
+    let arrived_at = Instant::now();
+    cell.workers.set_late(worker, &kinds, None);
+    (arrived_at, arrived_at + seconds(late))
+}
+
 pub fn cut_off(cell: &Cell, worker: &str) {
     for index in 0..cell.instances.len() {
         cell.cut_worker(index, worker, true);
