fix: a new leader waits for the lease that a silent worker has from before its restart

Cause: an order that extends a lease and was meant for a worker's former incarnation is carried out by the new one, which has seen no token and whose clock starts anew: the lease is cut to the longest hold, 10 s from there. The leader that hears the restart counts that hold from the first answer to the raised token. Its successor, where it does not hear the worker, counted the longest lease that leaders send, 5.5 s from the end of its predecessor: what the predecessor knew of the incarnation was in its memory alone.

Change: the rows of workers tell for how long such a lease may still last, and a worker that has one gets no task before a row that tells it is committed. A successor adds that time to what it waits for before it takes the runs of the silent worker as ended, and saves it on for the next one. A commit that was under way at the restart does not count. A leader that ends before that commit has started nothing in the new incarnation; one that has not noticed the restart can't have, with tickets.

Why not a longer wait for all: only workers that restarted within the longest hold wait longer, and only for what is left of it when the row was written. Why not no tasks on such workers for the difference of 4.5 s: after a restart of many there would be no place for anything.

--- a/jackdawchute-scheduler/src/batch.rs
+++ b/jackdawchute-scheduler/src/batch.rs
@@ -12,6 +12,7 @@
     row_size::{numbered_key, split_key, JOB_BYTES_MAX},
     tenants::runs_left,
     unsaved::ChangeNumber,
+    worker::FormerLeases,
     worker_rows::{row_index, row_key, RowIndex},
     CommitBatch, RowChange, RowTable, Scheduler,
 };
@@ -159,15 +160,21 @@
     }
 
     /// Returns the row with this index, and adds the workers that it names to `named`.
-    fn workers_row_change(&mut self, row: RowIndex, named: &mut Vec<WorkerId>) -> RowChange {
+    fn workers_row_change(
+        &mut self,
+        row: RowIndex,
+        named: &mut Vec<(WorkerId, FormerLeases)>,
+    ) -> RowChange {
         let mut records = Vec::new();
+        // No later than now, so that what is left of a lease is not understated.
+        let as_of = self.authority.confirmed_at;
         for worker in self.workers.values_mut() {
             if worker.row != row {
                 continue;
             }
             if worker.row_needed {
-                named.push(worker.id().clone());
-                records.push(WorkerRecord::new(worker));
+                named.push((worker.id().clone(), worker.former_leases));
+                records.push(WorkerRecord::new(worker, as_of));
             } else {
                 worker.row_saved = false;
             }
@@ -317,8 +324,9 @@
                 }
             }
         }
-        for id in &batch.workers {
-            if let Some(worker) = self.workers.get_mut(id) {
+        for (id, former_leases) in &batch.workers {
+            let worker = self.workers.get_mut(id);
+            if let Some(worker) = worker.filter(|it| it.former_leases == *former_leases) {
                 worker.row_saved = true;
             }
         }
--- a/jackdawchute-scheduler/src/messages.rs
+++ b/jackdawchute-scheduler/src/messages.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{unsaved::ChangeNumber, StepName, TaskName};
+use crate::{unsaved::ChangeNumber, worker::FormerLeases, StepName, TaskName};
 
 /// A worker's entry in the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -268,8 +268,9 @@
     /// Workers, the ordinal of their incarnation, and the number of the last run end that the batch
     /// saves.
     pub(crate) ends_recorded: Vec<(WorkerId, u64, u64)>,
-    /// The workers that the rows of workers in the batch name.
-    pub(crate) workers: Vec<WorkerId>,
+    /// The workers that the rows of workers in the batch name, and how many leases of former
+    /// incarnations were allowed for by then.
+    pub(crate) workers: Vec<(WorkerId, FormerLeases)>,
     /// The key of the row that holds the outcomes of `ended`.
     pub(crate) ended_row: Option<SmolStr>,
 }
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -9,6 +9,7 @@
 use spdlog::{info, warn};
 
 use crate::{
+    authority::hold_time,
     extensions::{RenewalKind, UnansweredExtensions},
     job::JobPhase,
     progress::Progress,
@@ -226,9 +227,13 @@
         let stray_orders_max = self.settings.late_order_max + self.settings.hold_max;
         let is_young = worker.token(0) > 0 || (worker.recovered && answer.clock < stray_orders_max);
         if is_first_acknowledgement && is_young {
-            // Orders to a former incarnation may have extended the lease of this one until now.
+            // Orders to a former incarnation may have extended the lease of this one until now. A
+            // successor has to know of it before a task starts here.
             let hold_until = answer.clock + self.settings.hold_max;
-            worker.lease_sent = worker.lease_sent.max(hold_until);
+            worker.former_lease_until = Some(now + hold_time(&self.settings));
+            worker.former_leases += 1;
+            worker.row_saved = false;
+            self.worker_rows.mark_unsaved(worker.row);
             if worker.incarnations_seen > 0 {
                 info!("restarted worker may have a lease from an earlier order", kv: {
                     worker = order.worker.as_str(), born_unix_ms = answer.started_unix_ms,
@@ -460,10 +465,18 @@
         }
     }
 
-    /// Marks the rows of workers as unsaved that name too few or too many of them.
+    /// Marks the rows of workers as unsaved that name too few or too many of them, or a lease that
+    /// has lapsed.
     pub(crate) fn update_worker_rows(&mut self) {
         let view = self.lapse_view();
         for worker in self.workers.values_mut() {
+            if worker
+                .former_lease_until
+                .is_some_and(|until| view.as_of > until)
+            {
+                worker.former_lease_until = None;
+                self.worker_rows.mark_unsaved(worker.row);
+            }
             let is_needed = worker.needs_row(view);
             if is_needed != worker.row_needed {
                 worker.row_needed = is_needed;
--- a/jackdawchute-scheduler/src/records.rs
+++ b/jackdawchute-scheduler/src/records.rs
@@ -1,14 +1,17 @@
 //! The saved rows of accepted jobs, ended jobs and workers.
 
-use jackdawchute_types::{JobId, Resources, ServiceId, TenantId, WorkerId};
+use std::time::{Duration, Instant};
+
+use jackdawchute_types::{whole_ms, JobId, Resources, ServiceId, TenantId, WorkerId};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use spdlog::error;
 
 use crate::{
+    authority::hold_time,
     row_size::{numbered_key, RowNumber, ROW_BYTES_MAX},
     worker::Worker,
-    JobGraph, JobOutcome, QueuePolicy, RowChange, RowTable,
+    JobGraph, JobOutcome, QueuePolicy, RowChange, RowTable, Settings,
 };
 
 /// The row of an accepted job.
@@ -54,21 +57,35 @@
     /// Whether the worker may carry out an order late that extends its lease.
     #[serde(default, rename = "late", skip_serializing_if = "std::ops::Not::not")]
     pub(crate) may_extend_late: bool,
+    /// How long runs may last, from when the row was written, under a lease that an order to a former
+    /// incarnation extended; rows of earlier versions have none.
+    #[serde(default, rename = "former_ms", skip_serializing_if = "Option::is_none")]
+    former_lease_left_ms: Option<u64>,
     /// Present in rows of versions that gave tasks to workers before their rows were saved.
     #[serde(default, rename = "service", skip_serializing)]
     earlier_service: Option<SmolStr>,
 }
 
 impl WorkerRecord {
-    pub(crate) fn new(worker: &Worker) -> Self {
+    /// Returns the record of a worker, written at `as_of` or later.
+    pub(crate) fn new(worker: &Worker, as_of: Instant) -> Self {
+        let left = |until: Instant| whole_ms(until.saturating_duration_since(as_of)) + 1;
         Self {
             worker: worker.id().clone(),
             address: worker.entry.address,
             may_extend_late: worker.extensions.may_be_late(),
+            former_lease_left_ms: worker.former_lease_until.map(left),
             earlier_service: None,
         }
     }
 
+    /// Returns until when runs may last under a lease that an order to a former incarnation extended,
+    /// where the row was written before `now`; `None` if there is no such lease.
+    pub(crate) fn former_lease_until(&self, settings: &Settings, now: Instant) -> Option<Instant> {
+        let left = Duration::from_millis(self.former_lease_left_ms?);
+        Some(now + left.min(hold_time(settings)))
+    }
+
     /// Returns whether workers that no row names may run tasks of the leader that wrote the row.
     pub(crate) fn allows_unsaved_workers(&self) -> bool {
         self.earlier_service.is_some()
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -268,6 +268,7 @@
                 leaving_in: None,
                 started_unix_ms: 0,
             };
+            let former_lease_until = record.former_lease_until(&self.settings, now);
             let rows = &mut self.worker_rows;
             let worker = self.workers.entry(record.worker).or_insert_with(|| {
                 let row_bytes = WorkerRecord::bytes_max(&entry.worker);
@@ -279,6 +280,7 @@
             (worker.row_needed, worker.row_saved) = (true, true);
             worker.recovered = true;
             worker.extensions.of_earlier_leader = record.may_extend_late;
+            worker.former_lease_until = former_lease_until;
             self.recovery.extensions_seen |= record.may_extend_late;
         }
     }
@@ -315,9 +317,13 @@
         let is_awaited = |worker: &&Worker| {
             (worker.recovered || !self.recovery.rows_name_all) && !worker.is_accounted_for(view)
         };
-        let workers_awaited = self.workers.values().filter(is_awaited).count();
+        let awaited = self.workers.values().filter(is_awaited);
+        let (workers_awaited, former_leases_until) = awaited
+            .fold((0, now), |(count, until), it| {
+                (count + 1, it.former_lease_until.unwrap_or(now).max(until))
+            });
         if workers_awaited > 0 {
-            self.log_awaited_workers(workers_awaited, now);
+            self.log_awaited_workers(workers_awaited, former_leases_until, now);
             return;
         }
         self.recovery.complete = true;
@@ -344,7 +350,7 @@
     }
 
     /// Logs once what the recovery waits for, if first renewals alone do not explain it.
-    fn log_awaited_workers(&mut self, workers: usize, now: Instant) {
+    fn log_awaited_workers(&mut self, workers: usize, former_until: Instant, now: Instant) {
         let age = now.saturating_duration_since(self.recovery.began_at);
         if self.recovery.wait_logged || age < RECOVERY_LOGGED_FROM {
             return;
@@ -354,7 +360,8 @@
         warn!("recovery waits for silent workers", kv: {
             epoch = self.epoch, workers = workers,
             earlier_authority_left_ms = until(self.authority.earlier_until),
-            earlier_leases_left_ms = until(self.authority.earlier_leases_until(&self.settings))
+            earlier_leases_left_ms = until(self.authority.earlier_leases_until(&self.settings)),
+            former_incarnations_leases_left_ms = until(former_until)
         });
     }
 
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -18,6 +18,10 @@
 /// How long a worker may take to end its tasks once their lease has lapsed.
 pub(crate) const LAPSE_STOP_MAX: Duration = Duration::from_millis(400);
 
+/// Counts the leases of former incarnations of a worker, so that a committed row is known to name
+/// the latest one.
+pub(crate) type FormerLeases = u64;
+
 /// The phase of a run on a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -122,6 +126,10 @@
     pub(crate) lease_confirmed: Duration,
     /// The extensions of the lease of which the outcome is not known.
     pub(crate) extensions: UnansweredExtensions,
+    /// Until when runs may last under a lease that an order to a former incarnation extended.
+    pub(crate) former_lease_until: Option<Instant>,
+    /// How often a lease of a former incarnation was allowed for.
+    pub(crate) former_leases: FormerLeases,
     pub(crate) renewal_under_way: bool,
     pub(crate) renewal_next_at: Instant,
     /// Since when the worker has answered no renewal; `None` if it answered the last one.
@@ -134,7 +142,8 @@
     pub(crate) row_bytes: usize,
     /// Whether a new leader would have to ask the worker for its runs, so that its row names it.
     pub(crate) row_needed: bool,
-    /// Whether the row as committed names the worker; it gets no task before.
+    /// Whether the row as committed names the worker, and the lease of its former incarnation; it
+    /// gets no task before.
     pub(crate) row_saved: bool,
     /// Whether an earlier leader saved the worker, so that it may run tasks of that leader.
     pub(crate) recovered: bool,
@@ -181,6 +190,8 @@
             lease_sent: Duration::ZERO,
             lease_confirmed: Duration::ZERO,
             extensions: UnansweredExtensions::default(),
+            former_lease_until: None,
+            former_leases: 0,
             renewal_under_way: false,
             renewal_next_at: now,
             unanswered_since: None,
@@ -307,11 +318,10 @@
     /// earlier one.
     pub(crate) fn lease_lapsed(&self, view: LapseView) -> bool {
         let clock = self.clock_earliest(view.as_of);
+        let is_past = |until: Option<Instant>| until.is_none_or(|until| view.as_of > until);
         let own_lapsed = clock.is_none_or(|clock| clock > self.lease_sent + LAPSE_STOP_MAX)
-            && self
-                .extensions
-                .runs_until
-                .is_none_or(|until| view.as_of > until);
+            && is_past(self.extensions.runs_until)
+            && is_past(self.former_lease_until);
         let earlier_leases_until = match self.acknowledged_at {
             // From its acknowledgement of this leader's token on the worker refuses earlier leaders.
             Some(at) => view.earlier_until.min(at) + view.lease_time,
--- a/jackdawchute-scheduler/tests/behaviour/lost_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/lost_workers.rs
@@ -67,6 +67,7 @@
     let second_renewal = cell.latest_renewal_of("w1");
     let starts_before_fence = cell.take_starts();
     cell.answer_renewal_of_incarnation(&second_renewal, 2, Vec::new(), Vec::new());
+    cell.commit();
     cell.tick(5);
     let starts_after_fence = cell.take_starts();
 
@@ -372,6 +373,7 @@
     let second_renewal = cell.latest_renewal_of("w1");
     cell.answer_renewal_of_incarnation(&second_renewal, 2, Vec::new(), Vec::new());
     cell.answer_renewal_of_incarnation(&renewal_before_restart, 2, Vec::new(), Vec::new());
+    cell.commit();
     cell.tick(10);
 
     assert_eq!(starts_before_answer, []);
--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -96,7 +96,9 @@
 #[test]
 fn a_new_leader_counts_the_longest_hold_on_a_worker_that_has_started_lately() {
     let predecessor = ready_cell(1, &[entry("w1", 4), entry("w2", 4)]);
-    let mut cell = make_ready(successor(2, &predecessor.saved, &["w1", "w2"]), 2);
+    let mut successor = successor(2, &predecessor.saved, &["w1", "w2"]);
+    successor.workers_age = ms(10_000);
+    let mut cell = make_ready(successor, 2);
     cell.accept("job", vec![step(1, 2)], queue(0));
     let start = cell.take_starts().remove(0);
     cell.confirm_start(&start);
@@ -137,3 +139,124 @@
 
     assert!(again_after_ms >= HOLD_MAX_MS, "{again_after_ms} ms");
 }
+
+/// Restarts w1 under its id, and answers until the new incarnation has acknowledged its token.
+fn restart_w1(cell: &mut Cell) {
+    cell.workers_age = ms(300);
+    let restarted = WorkerEntry {
+        started_unix_ms: 2,
+        ..entry("w1", 4)
+    };
+    for _ in 0..2 {
+        let renewal = cell.latest_renewal_of("w1");
+        cell.answer_renewal_of_incarnation(&renewal, 2, Vec::new(), Vec::new());
+        cell.scheduler.worker_listed(restarted.clone(), cell.now);
+        cell.tick(5);
+    }
+}
+
+/// A leader whose worker w1 has restarted and answered, and whose task has no other place.
+fn cell_after_a_restart() -> Cell {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.tick(5);
+    cell.accept("fills-w1", vec![step(1, 4)], queue(0));
+    cell.take_starts();
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    restart_w1(&mut cell);
+    cell
+}
+
+/// Returns when the task of a leader starts again on w2 with a successor that does not hear w1, from
+/// the takeover on.
+fn starts_elsewhere_after_ms(rows: &[jackdawchute_scheduler::RowChange], epoch: u64) -> u64 {
+    let mut successor = successor(epoch, rows, &["w1", "w2"]);
+    for elapsed_ms in (0..60_000).step_by(100) {
+        for renewal in std::mem::take(&mut successor.renewals) {
+            match renewal.worker.as_str() {
+                "w1" => successor
+                    .scheduler
+                    .renew_failed(&renewal.worker, successor.now),
+                _ => successor.answer_renewal(&renewal, Vec::new(), Vec::new()),
+            }
+        }
+        successor.commit();
+        successor.tick(100);
+        if !successor.take_starts().is_empty() {
+            return elapsed_ms;
+        }
+    }
+    panic!("the task does not start elsewhere within a minute");
+}
+
+#[test]
+fn a_restarted_worker_gets_no_task_before_its_row_names_the_lease_of_its_former_incarnation() {
+    let mut cell = cell_after_a_restart();
+
+    cell.tick(50);
+    let starts_before = cell.take_starts();
+    cell.commit();
+    cell.tick(50);
+    let starts_after = cell.take_starts();
+
+    assert_eq!(starts_before, []);
+    assert_eq!(starts_after.len(), 1);
+}
+
+/// The batch names the worker, and not the lease of the incarnation that ends while it is under way.
+#[test]
+fn a_commit_that_was_under_way_at_a_restart_lets_no_task_start() {
+    let mut cell = cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    cell.tick(5);
+    let first = cell.latest_renewal_of("w1");
+    cell.answer_renewal(&first, Vec::new(), Vec::new());
+    cell.tick(5);
+    let batch = cell.scheduler.take_batch(97, 1_000_000, 0);
+    restart_w1(&mut cell);
+
+    cell.scheduler
+        .committed(&batch.expect("the row names w1"), cell.now);
+    cell.tick(5);
+    let starts_before = cell.take_starts();
+    cell.commit();
+    cell.tick(5);
+
+    assert_eq!(starts_before, []);
+    assert_eq!(cell.take_starts().len(), 1);
+}
+
+/// The users' incident: a new leader that did not hear the worker waited for the longest lease that
+/// leaders send.
+#[test]
+fn a_new_leader_waits_for_the_lease_of_a_former_incarnation_of_a_silent_worker() {
+    let mut cell = cell_after_a_restart();
+    cell.commit();
+
+    let after_ms = starts_elsewhere_after_ms(&cell.saved, 2);
+    let mut unheard = successor(2, &cell.saved, &["w1"]);
+    unheard.tick(2_000);
+    unheard.commit();
+    let after_two_takeovers_ms = starts_elsewhere_after_ms(&unheard.saved, 3);
+
+    assert!(after_ms >= HOLD_MAX_MS, "{after_ms} ms");
+    assert!(after_two_takeovers_ms >= HOLD_MAX_MS - 2_000);
+}
+
+/// Tasks of recovered jobs stand still meanwhile.
+#[test]
+fn a_new_leader_waits_no_longer_for_a_silent_worker_that_has_restarted_some_time_ago() {
+    let mut cell = cell_after_a_restart();
+    cell.commit();
+    for _ in 0..120 {
+        cell.tick(100);
+        let renewals = std::mem::take(&mut cell.renewals);
+        for renewal in renewals {
+            cell.answer_renewal_of_incarnation(&renewal, 2, Vec::new(), Vec::new());
+        }
+    }
+    cell.commit();
+
+    let after_ms = starts_elsewhere_after_ms(&cell.saved, 2);
+
+    assert!(after_ms < HOLD_MAX_MS, "{after_ms} ms");
+}
