fix: a new leader tells a restarted worker by its row, not by its clock

Cause: a leader took a worker for restarted lately if its clock showed less than 22 s. The platform's workers start their clocks anew, but not at zero.

Change: the row of a worker names the start of the incarnation that has acknowledged a leader's token. A successor allows for the longest hold in any other one from its first answer on, and in the named one for what the row says. Rows of earlier versions name none, so that all count as restarted once.

Ruled out: the time since the start by the worker's own time of day, which may be set.

--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -223,10 +223,10 @@
             self.worker_rows.mark_unsaved(worker.row);
         }
         worker.ends_confirmed = worker.ends_confirmed.max(order.ends_saved);
-        // The clock of an incarnation starts anew, and orders to a former one reach it for so long.
-        let stray_orders_max = self.settings.late_order_max + self.settings.hold_max;
-        let is_young = worker.token(0) > 0 || (worker.recovered && answer.clock < stray_orders_max);
-        if is_first_acknowledgement && is_young {
+        // It may have begun since an earlier leader sent its last orders.
+        let is_unknown_to_row =
+            worker.recovered && worker.acknowledged_start_unix_ms != Some(answer.started_unix_ms);
+        if is_first_acknowledgement && (worker.token(0) > 0 || is_unknown_to_row) {
             // Orders to a former incarnation may have extended the lease of this one until now. A
             // successor has to know of it before a task starts here.
             let hold_until = answer.clock + self.settings.hold_max;
@@ -243,6 +243,7 @@
             }
         }
         worker.acknowledged_at.get_or_insert(now);
+        worker.acknowledged_start_unix_ms = Some(answer.started_unix_ms);
         worker.answered = true;
         for end in &answer.ended {
             outcome.new += usize::from(self.run_ended(&order.worker, end, now));
--- a/jackdawchute-scheduler/src/records.rs
+++ b/jackdawchute-scheduler/src/records.rs
@@ -57,6 +57,10 @@
     /// Whether the worker may carry out an order late that extends its lease.
     #[serde(default, rename = "late", skip_serializing_if = "std::ops::Not::not")]
     pub(crate) may_extend_late: bool,
+    /// When the incarnation started that has acknowledged a leader's token; rows of earlier versions
+    /// don't tell.
+    #[serde(default, rename = "started", skip_serializing_if = "Option::is_none")]
+    pub(crate) acknowledged_start_unix_ms: Option<u64>,
     /// How long runs may last, from when the row was written, under a lease that an order to a former
     /// incarnation extended; rows of earlier versions have none.
     #[serde(default, rename = "former_ms", skip_serializing_if = "Option::is_none")]
@@ -74,6 +78,7 @@
             worker: worker.id().clone(),
             address: worker.entry.address,
             may_extend_late: worker.extensions.may_be_late(),
+            acknowledged_start_unix_ms: worker.acknowledged_start_unix_ms,
             former_lease_left_ms: worker.former_lease_until.map(left),
             earlier_service: None,
         }
@@ -98,9 +103,9 @@
     }
 }
 
-/// The most bytes of a worker's record without its id: the names of the fields, and the longest
-/// address.
-const WORKER_RECORD_BYTES_MAX: usize = 112;
+/// The most bytes of a worker's record without its id: the names of the fields, the longest address
+/// and two times.
+const WORKER_RECORD_BYTES_MAX: usize = 144;
 
 /// Returns the removal of a row.
 pub(crate) fn removal(table: RowTable, key: SmolStr) -> RowChange {
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -280,6 +280,7 @@
             (worker.row_needed, worker.row_saved) = (true, true);
             worker.recovered = true;
             worker.extensions.of_earlier_leader = record.may_extend_late;
+            worker.acknowledged_start_unix_ms = record.acknowledged_start_unix_ms;
             worker.former_lease_until = former_lease_until;
             self.recovery.extensions_seen |= record.may_extend_late;
         }
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -152,6 +152,9 @@
     pub(crate) answered: bool,
     /// When this incarnation of the worker first acknowledged a token of this leader.
     pub(crate) acknowledged_at: Option<Instant>,
+    /// When the latest incarnation started that has acknowledged a token of this leader, or as its
+    /// row tells of an earlier one, in Unix milliseconds by its own time of day.
+    pub(crate) acknowledged_start_unix_ms: Option<u64>,
     /// Whether the worker has reported all its runs since it acknowledged the current token.
     pub(crate) reported: bool,
     /// When this incarnation of the worker first reported all its runs.
@@ -203,6 +206,7 @@
             recovered: false,
             answered: false,
             acknowledged_at: None,
+            acknowledged_start_unix_ms: None,
             reported: false,
             reported_at: None,
             health: Health::default(),
