fix: a start with a ticket may run in an incarnation that no leader has heard

A worker that restarts before its leader notices gets advice for its new incarnation; the start is carried out there with a lease end on the former clock, and lasts for the longest hold. The leader took every ticket for one of the incarnation that it had heard: if the start got no answer it gave the run up with the lease, and a successor counted the longest lease.

Change: a start with a ticket that got no answer keeps its task from starting elsewhere, as one without does, for as long as the ticket is valid and the longest hold lasts, while the worker is silent. A successor that does not hear a worker, and finds it listed in another incarnation than its row names, allows for the longest hold from the end of its predecessor's authority.

What it costs: a task whose start was under way when its worker fell silent for good waits about 13 s instead of 5. A shorter wait would need to know that the incarnation was heard after the ticket was given; the renewal that is under way then may wait for 1.5 s.

Tests: two expected such a task to run elsewhere with the lease, since a worker refuses the ticket of its former incarnation. That is true of the former one's tickets alone, which a leader can't tell from others. a_start_with_a_ticket_is_given_up_once_a_lease_from_its_last_moment_has_lapsed and a_task_whose_unanswered_start_has_a_ticket_runs_elsewhere_behind_the_cut bound the wait from both sides now.

--- a/jackdawchute-cell/tests/cell/restarted_leases.rs
+++ b/jackdawchute-cell/tests/cell/restarted_leases.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use jackdawchute_standins::cell::OrderKind;
 use jackdawchute_types::WorkerId;
 
 use crate::{fixtures::*, restarts::*};
@@ -102,3 +103,58 @@
 
     assert!(repeated.is_empty(), "{repeated:#?}");
 }
+
+/// Returns the tasks that ran in two places at once, where a start gets no answer from an incarnation
+/// that no instance has heard and that its ticket is for.
+async fn repeated_runs_of_a_start_in_an_unheard_incarnation(leader: Leader) -> Vec<String> {
+    const LATE_RENEWAL: Duration = Duration::from_secs(30);
+    let cell = &mut cell_with(CellOptions {
+        can_freeze: true,
+        worker_age: FORMER_AGE,
+        task_time: LASTING,
+        tickets: true,
+        ..options()
+    })
+    .await;
+    let entries = cell.workers.entries();
+    let worker = entries[0].worker.clone();
+    cell.listed.send_replace(entries[..1].to_vec());
+    let first_leader = cell.leader().await;
+    let workers = cell.workers.clone();
+    workers.set_late(&worker, &[OrderKind::Renewal], Some(LATE_RENEWAL));
+    wait_for("no renewal is under way", || {
+        !workers.late_orders(OrderKind::Renewal).is_empty()
+    })
+    .await;
+
+    workers.crash(&worker);
+    workers.set_late(&worker, &[OrderKind::Start], Some(seconds(0.02)));
+    cell.submit_job(0, "job", &job(1, LARGE_MILLICORES), &advised_route())
+        .await;
+    wait_for("the task does not start", || workers.records().len() == 1).await;
+    match leader {
+        Leader::Stays => {}
+        Leader::Stops => cell.instances[first_leader].handle.leave().await,
+        Leader::Killed => cell.instances[first_leader].kill(),
+    }
+    cut_off(cell, &worker);
+    list_workers(cell);
+    tokio::time::sleep(CUT_TIME).await;
+
+    let described = repeated_runs(cell).into_iter();
+    described.map(|it| format!("{leader:?}: {it}")).collect()
+}
+
+/// The ticket is for the new incarnation, while the leader counts the lease on the clock of the former
+/// one.
+#[tokio::test]
+async fn a_start_without_an_answer_in_an_incarnation_that_no_leader_has_heard_runs_in_one_place() {
+    let (stays, stops, killed) = tokio::join!(
+        repeated_runs_of_a_start_in_an_unheard_incarnation(Leader::Stays),
+        repeated_runs_of_a_start_in_an_unheard_incarnation(Leader::Stops),
+        repeated_runs_of_a_start_in_an_unheard_incarnation(Leader::Killed),
+    );
+
+    let all = [stays, stops, killed];
+    assert!(all.iter().all(Vec::is_empty), "{all:#?}");
+}
--- a/jackdawchute-scheduler/src/authority.rs
+++ b/jackdawchute-scheduler/src/authority.rs
@@ -31,6 +31,9 @@
     pub(crate) lease_time: Duration,
     /// The longest time that a run lasts after an order to extend its lease that got no answer.
     pub(crate) late_extension_time: Duration,
+    /// The longest time that a run lasts after its worker has carried out an order, in any
+    /// incarnation.
+    pub(crate) hold_time: Duration,
     /// Whether a silent worker may carry out an order of an earlier leader late that no row names.
     pub(crate) suspects_late_extensions: bool,
 }
@@ -113,6 +116,7 @@
             earlier_until: self.authority.earlier_until,
             lease_time: lease_time(&self.settings),
             late_extension_time: late_extension_time(&self.settings),
+            hold_time: hold_time(&self.settings),
             suspects_late_extensions: self.suspects_late_extensions(),
         }
     }
--- a/jackdawchute-scheduler/src/extensions.rs
+++ b/jackdawchute-scheduler/src/extensions.rs
@@ -42,6 +42,11 @@
 }
 
 impl UnansweredExtensions {
+    /// Returns whether an order that has no answer yet may extend the lease.
+    pub(crate) fn may_be_carried_out(&self) -> bool {
+        self.under_way || self.may_be_late()
+    }
+
     /// Returns whether an order without an answer may extend the lease late.
     pub(crate) fn may_be_late(&self) -> bool {
         self.runs_until.is_some() || self.of_earlier_leader
@@ -164,8 +169,7 @@
     /// Returns the workers to which an order that extends the lease got no answer so far, of this
     /// leader or an earlier one.
     pub fn unanswered_extensions(&self) -> Vec<WorkerId> {
-        let unanswered =
-            |worker: &&Worker| worker.extensions.under_way || worker.extensions.may_be_late();
+        let unanswered = |worker: &&Worker| worker.extensions.may_be_carried_out();
         let workers = self.workers.values().filter(unanswered);
         workers.map(|worker| worker.id().clone()).collect()
     }
--- a/jackdawchute-scheduler/src/late_starts.rs
+++ b/jackdawchute-scheduler/src/late_starts.rs
@@ -1,28 +1,49 @@
 //! Starts without an answer that may begin a task in a later incarnation of their worker.
 //!
-//! A ticket binds a start to an incarnation. Without one, an order to a worker that restarts is
-//! carried out by the new incarnation too, until a leader has raised the token there. So the task
-//! starts nowhere else while the worker is silent and the order may be carried out. The progress rows
-//! name such starts, so that a successor waits for their tasks alone.
+//! An order to a worker that restarts is carried out by the new incarnation too, until a leader has
+//! raised the token there. A ticket binds a start to the incarnation that the advisor knew, which may
+//! be one that the leader has not heard. So the task starts nowhere else while the worker is silent
+//! and the order may be carried out: as long as orders may be late, or its ticket is valid. The
+//! progress rows name such starts, so that a successor waits for their tasks alone.
 
 use std::{collections::BTreeMap, time::Instant};
 
 use jackdawchute_types::{whole_ms, WorkerId};
 use spdlog::info;
 
-use crate::{authority::hold_time, Scheduler, TaskName};
+use crate::{authority::hold_time, worker::CLOCK_RATE_MIN, AdviceCost, Scheduler, TaskName};
+
+/// A start without an answer that may begin a task.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LateStart {
+    /// When it was known to have no answer, or when the epoch began if an earlier leader sent it.
+    since: Instant,
+    /// Until when its ticket may be valid; `None` without a ticket.
+    ticket_until: Option<Instant>,
+}
+
+impl LateStart {
+    /// Returns a start that was first sent at `sent_at` and is known to have no answer since `since`,
+    /// for a queue with this advice.
+    pub(crate) fn new(advice: Option<AdviceCost>, sent_at: Instant, since: Instant) -> Self {
+        let ticket_until = advice.map(|advice| sent_at + advice.valid.div_f64(CLOCK_RATE_MIN));
+        Self {
+            since,
+            ticket_until,
+        }
+    }
+}
 
 /// The starts without an answer that may begin tasks, by worker.
 #[derive(Debug, Default)]
 pub(crate) struct LateStarts {
-    /// When each was known to have no answer, or when the epoch began if an earlier leader sent it.
-    by_worker: BTreeMap<WorkerId, BTreeMap<TaskName, Instant>>,
+    by_worker: BTreeMap<WorkerId, BTreeMap<TaskName, LateStart>>,
 }
 
 impl LateStarts {
-    pub(crate) fn insert(&mut self, worker: &WorkerId, task: TaskName, since: Instant) {
+    pub(crate) fn insert(&mut self, worker: &WorkerId, task: TaskName, start: LateStart) {
         let tasks = self.by_worker.entry(worker.clone()).or_default();
-        tasks.insert(task, since);
+        tasks.insert(task, start);
     }
 
     /// Returns the tasks that may begin, each with the worker that its start was sent to.
@@ -33,20 +54,19 @@
 }
 
 impl Scheduler {
-    /// Records that the order to start a run got no answer, unless it has a ticket.
-    pub(crate) fn record_late_start(&mut self, worker: &WorkerId, task: &TaskName, now: Instant) {
-        let target = self.workers.get(worker);
-        let run = target.and_then(|target| target.runs.get(task));
-        let order = run.and_then(|run| run.start_order.as_ref());
-        if order.is_some_and(|order| order.ticket.is_none()) {
-            self.add_late_start(worker, task, now);
-        }
-    }
-
-    /// Records that an order that was sent by now may begin a task, in any incarnation of its worker.
-    pub(crate) fn add_late_start(&mut self, worker: &WorkerId, task: &TaskName, now: Instant) {
-        self.late_starts.insert(worker, task.clone(), now);
+    /// Records that an order that was first sent at `sent_at`, and last by now, may begin a task, in any
+    /// incarnation of its worker.
+    pub(crate) fn add_late_start(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskName,
+        sent_at: Instant,
+        now: Instant,
+    ) {
         let job = self.jobs.get_mut(&task.step.job);
+        let advice = job.as_ref().and_then(|job| job.queue.advice);
+        let start = LateStart::new(advice, sent_at, now);
+        self.late_starts.insert(worker, task.clone(), start);
         let unit = job.and_then(|job| job.unit_mut(&task.step, task.index));
         if unit.is_some_and(|unit| unit.add_late_start(task.index, worker)) {
             self.save_progress_of(task);
@@ -58,8 +78,8 @@
     pub(crate) fn drop_late_starts(&mut self, now: Instant) {
         let mut dropped = Vec::new();
         for (id, tasks) in &self.late_starts.by_worker {
-            for (task, since) in tasks {
-                if self.is_over(id, task, *since) {
+            for (task, start) in tasks {
+                if self.is_over(id, task, start) {
                     dropped.push((id.clone(), task.clone()));
                 }
             }
@@ -77,13 +97,16 @@
 
     /// Returns whether a start can't be carried out any more and nothing that it may have begun goes
     /// on unknown.
-    fn is_over(&self, worker: &WorkerId, task: &TaskName, since: Instant) -> bool {
+    fn is_over(&self, worker: &WorkerId, task: &TaskName, start: &LateStart) -> bool {
         let order_max = self.settings.late_order_max;
+        let since = start.since;
+        let start_until = since + order_max;
+        let start_until = start.ticket_until.unwrap_or(start_until).min(start_until);
         let worker = self.workers.get(worker);
         if let Some((worker, listed_at)) = worker.and_then(|it| Some((it, it.listed_runs_at()?))) {
             // The incarnation that lists its runs does not begin the run any more.
             let is_gone = worker.is_responsive() && !worker.runs.contains_key(task);
-            if listed_at >= since + order_max || (is_gone && listed_at >= since) {
+            if listed_at >= start_until || (is_gone && listed_at >= since) {
                 return true;
             }
         }
@@ -91,7 +114,12 @@
         // may those of an earlier leader.
         let silent_since = worker.and_then(|worker| worker.unanswered_since);
         let sent_until = silent_since.map_or(since, |at| at.max(since));
-        let orders_until = (sent_until + order_max).max(self.authority.earlier_until);
+        let may_extend = worker.is_some_and(|it| it.extensions.may_be_carried_out());
+        let orders_until = match start.ticket_until {
+            Some(_) if !may_extend => start_until,
+            _ => sent_until + order_max,
+        };
+        let orders_until = orders_until.max(self.authority.earlier_until);
         self.authority.confirmed_at > orders_until + hold_time(&self.settings)
     }
 
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -449,7 +449,7 @@
             return;
         };
         if removed.start_under_way() {
-            self.add_late_start(worker, task, now);
+            self.add_late_start(worker, task, removed.known_since, now);
         }
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     job::{Job, JobPhase, StepRun},
+    late_starts::LateStart,
     progress_rows::ProgressRecord,
     records::{EndedRecord, JobRecord, WorkerRecord},
     row_size::{split_key, RowNumber},
@@ -172,6 +173,7 @@
             rows.insert(row);
             return;
         };
+        let advice = job.queue.advice;
         job.progress_rows.insert(row);
         job.begun |= record.has_begun();
         job.waiting_since = Some(now);
@@ -228,7 +230,8 @@
                 unit.checkpoint = saved.checkpoint;
                 for (index, worker) in &late_starts {
                     let task = name.task(*index);
-                    self.late_starts.insert(worker, task, late_since);
+                    let start = LateStart::new(advice, late_since, late_since);
+                    self.late_starts.insert(worker, task, start);
                 }
                 unit.late_starts = late_starts;
             }
--- a/jackdawchute-scheduler/src/start_answers.rs
+++ b/jackdawchute-scheduler/src/start_answers.rs
@@ -104,7 +104,8 @@
                     run.start_outcome_unknown = true;
                 }
                 run.retry_at = Some(now + ORDER_RETRY_DELAY);
-                let ordered_ms = whole_ms(now.saturating_duration_since(run.known_since));
+                let ordered_at = run.known_since;
+                let ordered_ms = whole_ms(now.saturating_duration_since(ordered_at));
                 let order = run.start_order.as_ref();
                 let token = order.map(|order| order.token);
                 let has_ticket = order.is_some_and(|order| order.ticket.is_some());
@@ -116,7 +117,7 @@
                     born_unix_ms:? = incarnation.map(|it| it.started_unix_ms)
                 });
                 match answer {
-                    StartAnswer::Unknown => self.record_late_start(worker, task, now),
+                    StartAnswer::Unknown => self.add_late_start(worker, task, ordered_at, now),
                     StartAnswer::NotDelivered => self.record_no_answer(worker, now),
                     _ => {}
                 }
@@ -139,6 +140,7 @@
         };
         let token = run.start_order.as_ref().map_or(0, |order| order.token);
         let must_stop = run.phase == RunPhase::Stopping;
+        let ordered_at = run.known_since;
         info!("repeated start of a running task failed", kv: {
             job = task.step.job.as_str(), step = task.step.step, task = task.index, run = run.run,
             worker = worker.as_str(), answer:? = answer
@@ -153,7 +155,7 @@
                 ..
             } => self.drop_ticket(&task.step, worker),
             StartAnswer::NotDelivered => self.record_no_answer(worker, now),
-            StartAnswer::Unknown => self.record_late_start(worker, task, now),
+            StartAnswer::Unknown => self.add_late_start(worker, task, ordered_at, now),
             _ => {}
         }
         if must_stop {
@@ -184,13 +186,13 @@
         };
         let run = worker.runs.get(task).filter(|run| run.run == number);
         let ordered_at = run.map(|run| run.known_since);
-        if ordered_at.is_some_and(|at| worker.shows_restart(at, clock)) {
+        if let Some(ordered_at) = ordered_at.filter(|at| worker.shows_restart(*at, clock)) {
             warn!("worker has restarted, as the clock in its answer shows", kv: {
                 worker = id.as_str(), runs = worker.runs.len()
             });
             worker.note_restart(now);
             // The run has begun in an incarnation whose runs are not listed yet.
-            self.add_late_start(id, task, now);
+            self.add_late_start(id, task, ordered_at, now);
         }
     }
 }
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -68,11 +68,9 @@
 }
 
 impl Run {
-    /// Returns whether an order to start without a ticket is under way.
+    /// Returns whether an order to start is under way.
     pub(crate) fn start_under_way(&self) -> bool {
-        let order = self.start_order.as_ref();
-        let has_ticket = order.is_some_and(|order| order.ticket.is_some());
-        self.order_under_way && !self.stop_sent && !has_ticket
+        self.order_under_way && !self.stop_sent
     }
 }
 
@@ -332,11 +330,19 @@
             None if self.extensions.of_earlier_leader || view.suspects_late_extensions => {
                 view.earlier_until + view.late_extension_time
             }
+            None if self.is_listed_as_restarted() => view.earlier_until + view.hold_time,
             None => view.earlier_until + view.lease_time,
         };
         own_lapsed && view.as_of > earlier_leases_until
     }
 
+    /// Returns whether the platform lists an incarnation that an earlier leader had not heard when it
+    /// saved the worker, and whose lease its orders to the former one may have extended.
+    fn is_listed_as_restarted(&self) -> bool {
+        let known_start = self.acknowledged_start_unix_ms;
+        self.listed && known_start.is_some_and(|start| start != self.entry.started_unix_ms)
+    }
+
     /// Returns when this incarnation of the worker last listed its runs and refused earlier tokens.
     pub(crate) fn listed_runs_at(&self) -> Option<Instant> {
         let incarnation = self.incarnation.filter(|_| self.reported);
--- a/jackdawchute-scheduler/tests/behaviour/late_orders.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_orders.rs
@@ -159,9 +159,9 @@
     assert!(took <= LAPSE_MAX, "{took:?}");
 }
 
-/// A later incarnation refuses the ticket.
+/// The ticket may be for an incarnation that the leader has not heard, and no later one takes it.
 #[test]
-fn a_start_with_a_ticket_is_given_up_with_the_lease() {
+fn a_start_with_a_ticket_is_given_up_once_a_lease_from_its_last_moment_has_lapsed() {
     let mut cell = ready_cell(1, &[entry("w1", 4)]);
     cell.accept("job", vec![long_step()], advised_queue(0));
     let request = cell.advice.remove(0);
@@ -177,7 +177,31 @@
 
     let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
 
+    let valid = advised_queue(0).advice.expect("it needs advice").valid;
     assert!(start.ticket.is_some());
+    assert!(took >= valid + HOLD_MAX, "{took:?}");
+    assert!(took <= valid + HOLD_MAX + ms(1_500), "{took:?}");
+}
+
+/// The answer of the worker is from the incarnation that the ticket is for, or from a later one.
+#[test]
+fn a_start_with_a_ticket_is_given_up_by_a_worker_that_lists_its_runs() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![long_step()], advised_queue(0));
+    let request = cell.advice.remove(0);
+    let answer = AdviceAnswer {
+        allowed: vec![("w1".into(), "ticket".into())],
+    };
+    cell.scheduler
+        .advice_answered(&request, Some(answer), cell.now);
+    cell.run_round();
+    let start = cell.take_starts().remove(0);
+    cell.answer_start(&start, StartAnswer::Unknown);
+    cell.answer_start(&start, StartAnswer::NotDelivered);
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(None, &[]).wait_for_start(&mut cell, "job");
+
     assert!(took <= LAPSE_MAX, "{took:?}");
 }
 
--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -1,7 +1,9 @@
 //! Workers whose new incarnation carries out orders to the former one, or has another clock.
 
 use crate::fixtures::*;
-use jackdawchute_scheduler::{EndReason, RenewAnswer, StartAnswer, StartOrder, WorkerEntry};
+use jackdawchute_scheduler::{
+    EndReason, RenewAnswer, RowChange, StartAnswer, StartOrder, WorkerEntry,
+};
 
 /// The longest hold of the users' platform: a worker cuts longer leases to it.
 const HOLD_MAX_MS: u64 = 10_000;
@@ -185,9 +187,14 @@
 }
 
 /// Returns when the task of a leader starts again on w2 with a successor that does not hear w1, from
-/// the takeover on.
-fn starts_elsewhere_after_ms(rows: &[jackdawchute_scheduler::RowChange], epoch: u64) -> u64 {
+/// the takeover on. The platform lists the incarnation of w1 that started at `listed_start`.
+fn starts_elsewhere_after_ms(rows: &[RowChange], epoch: u64, listed_start: u64) -> u64 {
     let mut successor = successor(epoch, rows, &["w1", "w2"]);
+    let listed = WorkerEntry {
+        started_unix_ms: listed_start,
+        ..entry("w1", 4)
+    };
+    successor.scheduler.worker_listed(listed, successor.now);
     for elapsed_ms in (0..60_000).step_by(100) {
         for renewal in std::mem::take(&mut successor.renewals) {
             match renewal.worker.as_str() {
@@ -250,11 +257,11 @@
     let mut cell = cell_after_a_restart();
     cell.commit();
 
-    let after_ms = starts_elsewhere_after_ms(&cell.saved, 2);
+    let after_ms = starts_elsewhere_after_ms(&cell.saved, 2, 2);
     let mut unheard = successor(2, &cell.saved, &["w1"]);
     unheard.tick(2_000);
     unheard.commit();
-    let after_two_takeovers_ms = starts_elsewhere_after_ms(&unheard.saved, 3);
+    let after_two_takeovers_ms = starts_elsewhere_after_ms(&unheard.saved, 3, 2);
 
     assert!(after_ms >= HOLD_MAX_MS, "{after_ms} ms");
     assert!(after_two_takeovers_ms >= HOLD_MAX_MS - 2_000);
@@ -274,7 +281,21 @@
     }
     cell.commit();
 
-    let after_ms = starts_elsewhere_after_ms(&cell.saved, 2);
+    let after_ms = starts_elsewhere_after_ms(&cell.saved, 2, 2);
 
     assert!(after_ms < HOLD_MAX_MS, "{after_ms} ms");
 }
+
+/// The predecessor may have started tasks there, and ended before it could hear of the restart.
+#[test]
+fn a_new_leader_waits_for_the_longest_hold_on_a_silent_worker_that_is_listed_as_restarted() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+
+    let restarted_ms = starts_elsewhere_after_ms(&cell.saved, 2, 2);
+    let unchanged_ms = starts_elsewhere_after_ms(&cell.saved, 2, 1);
+
+    let earlier_authority_ms = EARLIER_AUTHORITY.as_millis() as u64;
+    assert!(restarted_ms >= earlier_authority_ms + HOLD_MAX_MS);
+    assert!(unchanged_ms < earlier_authority_ms + HOLD_MAX_MS);
+}
