fix: an earlier answer with the same clock ends no run, and a renewal from before a restart counts for nothing

Cause, by reading: a list of runs counts as newer if its clock, in whole milliseconds, is not lower than the last one's. After a restart two renewals are under way, one that was sent before: its end let the next one be sent beside the other. Two that wait are answered as the same run ends, so that both lists have the same clock, and the earlier one may arrive last: runs that it lacks count as gone. A renewal from before a restart that got no answer also made the new incarnation count as silent, as the log shows 0.1 s after its first answer.

Change: a list is newer if its clock is higher. Only the outcome of the latest renewal lets the next one be sent, and only its failure shows that the worker is silent.

Evidence: both new tests fail without their change (one guard removed at a time) and pass.

--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -171,7 +171,7 @@
                 if matches!(error, Error::Unknown(..)) {
                     self.scheduler.extension_unanswered(&order, sent_at);
                 }
-                self.scheduler.renew_failed(&order.worker, now);
+                self.scheduler.renew_failed(&order, sent_at, now);
             }
         }
         self.run_due_work(context);
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -156,8 +156,10 @@
         let Some(worker) = self.workers.get_mut(&order.worker) else {
             return outcome;
         };
-        worker.renewal_under_way = false;
-        worker.extensions.under_way = false;
+        if sent_at >= worker.renewal_ordered_at {
+            worker.renewal_under_way = false;
+            worker.extensions.under_way = false;
+        }
         if worker.unanswered_since.take().is_some() {
             info!("worker answers again", kv: { worker = order.worker.as_str() });
         }
@@ -194,11 +196,12 @@
             self.placement_needed = true;
             return outcome;
         }
-        // An answer from before a restart tells nothing of the new incarnation.
+        // An answer from before a restart tells nothing of the new incarnation, and of two with the
+        // same clock either may have been made first.
         let is_newer = worker.restarted_at.is_none()
             && worker
                 .incarnation
-                .is_none_or(|incarnation| incarnation.clock <= answer.clock);
+                .is_none_or(|incarnation| incarnation.clock < answer.clock);
         if is_newer {
             let first_heard_at = worker.incarnation.map_or(now, |it| it.first_heard_at);
             worker.incarnation = Some(WorkerIncarnation {
--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -232,14 +232,19 @@
         }
     }
 
-    /// Handles a renewal that got no answer.
-    pub fn renew_failed(&mut self, worker: &WorkerId, now: Instant) {
-        if let Some(target) = self.workers.get_mut(worker) {
-            target.renewal_under_way = false;
-            target.extensions.under_way = false;
-            target.renewal_next_at = now + RENEWAL_RETRY_DELAY;
-        }
-        self.record_no_answer(worker, now);
+    /// Handles a renewal that was sent at `sent_at` and got no answer.
+    ///
+    /// One that a later renewal has followed since a restart was noticed changes nothing: it may have
+    /// been sent to the former incarnation.
+    pub fn renew_failed(&mut self, order: &RenewOrder, sent_at: Instant, now: Instant) {
+        let target = self.workers.get_mut(&order.worker);
+        let Some(target) = target.filter(|target| sent_at >= target.renewal_ordered_at) else {
+            return;
+        };
+        target.renewal_under_way = false;
+        target.extensions.under_way = false;
+        target.renewal_next_at = now + RENEWAL_RETRY_DELAY;
+        self.record_no_answer(&order.worker, now);
     }
 
     /// Handles the refusal of an order with a fencing token.
@@ -317,6 +322,7 @@
     }
     worker.extensions.under_way = lease_until.is_some();
     worker.renewal_under_way = true;
+    worker.renewal_ordered_at = now;
     RenewOrder {
         worker: worker.entry.worker.clone(),
         address: worker.entry.address,
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -129,6 +129,8 @@
     /// How often a lease of a former incarnation was allowed for.
     pub(crate) former_leases: FormerLeases,
     pub(crate) renewal_under_way: bool,
+    /// When the latest renewal was ordered. An earlier one may still be under way after a restart.
+    pub(crate) renewal_ordered_at: Instant,
     pub(crate) renewal_next_at: Instant,
     /// Since when the worker has answered no renewal; `None` if it answered the last one.
     pub(crate) unanswered_since: Option<Instant>,
@@ -194,6 +196,7 @@
             former_lease_until: None,
             former_leases: 0,
             renewal_under_way: false,
+            renewal_ordered_at: now,
             renewal_next_at: now,
             unanswered_since: None,
             restarted_at: None,
--- a/jackdawchute-scheduler/tests/behaviour/authority.rs
+++ b/jackdawchute-scheduler/tests/behaviour/authority.rs
@@ -25,7 +25,7 @@
     for _ in 0..duration_ms / 100 {
         for renewal in std::mem::take(&mut cell.renewals) {
             if renewal.worker == silent {
-                cell.scheduler.renew_failed(&renewal.worker, cell.now);
+                cell.scheduler.renew_failed(&renewal, cell.now, cell.now);
             } else {
                 cell.answer_renewal(&renewal, Vec::new(), Vec::new());
             }
--- a/jackdawchute-scheduler/tests/behaviour/late_extensions.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_extensions.rs
@@ -40,7 +40,7 @@
         cell.answer_renewal(&order, vec![running(&start)], Vec::new());
     } else {
         cell.scheduler.extension_unanswered(&order, cell.now);
-        cell.scheduler.renew_failed(&order.worker, cell.now);
+        cell.scheduler.renew_failed(&order, cell.now, cell.now);
     }
     if extension == Extension::UnansweredOnce {
         cell.tick(300);
@@ -59,7 +59,7 @@
     for _ in 0..FOLLOWED_MS / 100 {
         for renewal in std::mem::take(&mut cell.renewals) {
             if renewal.worker == "w1" {
-                cell.scheduler.renew_failed(&renewal.worker, cell.now);
+                cell.scheduler.renew_failed(&renewal, cell.now, cell.now);
             } else {
                 cell.answer_renewal(&renewal, Vec::new(), Vec::new());
             }
--- a/jackdawchute-scheduler/tests/behaviour/late_orders.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_orders.rs
@@ -64,7 +64,7 @@
         let is_silent = |worker: &str| silent == Some(worker);
         for renewal in std::mem::take(&mut cell.renewals) {
             if is_silent(&renewal.worker) {
-                cell.scheduler.renew_failed(&renewal.worker, cell.now);
+                cell.scheduler.renew_failed(&renewal, cell.now, cell.now);
             } else {
                 let listed = self.lists(&renewal.worker);
                 cell.answer_renewal(&renewal, listed, Vec::new());
--- a/jackdawchute-scheduler/tests/behaviour/lost_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/lost_workers.rs
@@ -24,7 +24,7 @@
     for elapsed_ms in (0..12_000).step_by(100) {
         for renewal in std::mem::take(&mut cell.renewals) {
             if renewal.worker == "w1" {
-                cell.scheduler.renew_failed(&renewal.worker, cell.now);
+                cell.scheduler.renew_failed(&renewal, cell.now, cell.now);
             } else {
                 cell.answer_renewal(&renewal, Vec::new(), Vec::new());
             }
@@ -313,7 +313,7 @@
     let renewal_after_commit = cell.latest_renewal_of("w1");
 
     cell.scheduler
-        .renew_failed(&renewal_after_commit.worker, cell.now);
+        .renew_failed(&renewal_after_commit, cell.now, cell.now);
     cell.tick(300);
 
     let renewal_after_failure = cell.latest_renewal_of("w1");
--- a/jackdawchute-scheduler/tests/behaviour/other_kinds.rs
+++ b/jackdawchute-scheduler/tests/behaviour/other_kinds.rs
@@ -187,7 +187,8 @@
     let start = cell.take_starts().remove(0);
     cell.answer_start(&start, StartAnswer::Unknown);
 
-    cell.scheduler.renew_failed(&"w1".into(), cell.now);
+    let unanswered = cell.latest_renewal_of("w1");
+    cell.scheduler.renew_failed(&unanswered, cell.now, cell.now);
     cell.accept("next", vec![step(1, 1)], queue(0));
     cell.tick(300);
     let starts_before_answer = cell.take_starts();
--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -14,7 +14,7 @@
     for elapsed_ms in (0..60_000).step_by(100) {
         for renewal in std::mem::take(&mut cell.renewals) {
             if renewal.worker == start.worker {
-                cell.scheduler.renew_failed(&renewal.worker, cell.now);
+                cell.scheduler.renew_failed(&renewal, cell.now, cell.now);
             } else {
                 cell.answer_renewal(&renewal, Vec::new(), Vec::new());
             }
@@ -200,7 +200,7 @@
             match renewal.worker.as_str() {
                 "w1" => successor
                     .scheduler
-                    .renew_failed(&renewal.worker, successor.now),
+                    .renew_failed(&renewal, successor.now, successor.now),
                 _ => successor.answer_renewal(&renewal, Vec::new(), Vec::new()),
             }
         }
@@ -299,3 +299,53 @@
     assert!(restarted_ms >= earlier_authority_ms + HOLD_MAX_MS);
     assert!(unchanged_ms < earlier_authority_ms + HOLD_MAX_MS);
 }
+
+/// Two answers may be made within a millisecond, and overtake each other on the way.
+#[test]
+fn an_answer_that_is_not_known_to_be_newer_ends_no_run() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.confirm_start(&start);
+    cell.tick(5);
+    let renewal = cell.latest_renewal_of("w1");
+    cell.answer_renewal(&renewal, vec![running(&start)], Vec::new());
+
+    cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+    cell.tick(5);
+
+    assert_eq!(cell.take_starts(), []);
+}
+
+/// The order may have been to the former incarnation.
+#[test]
+fn a_renewal_from_before_a_restart_that_gets_no_answer_says_nothing_of_the_new_incarnation() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.tick(5);
+    let (before_restart, sent_at) = (cell.latest_renewal_of("w1"), cell.now);
+    cell.tick(500);
+    let restarted = WorkerEntry {
+        started_unix_ms: 2,
+        ..entry("w1", 4)
+    };
+    cell.scheduler.worker_listed(restarted, cell.now);
+    cell.renewals.clear();
+    cell.tick(5);
+    let first = cell.latest_renewal_of("w1");
+    cell.renewals.clear();
+
+    cell.scheduler
+        .renew_failed(&before_restart, sent_at, cell.now);
+    cell.tick(500);
+    let sent_meanwhile = cell.renewals.len();
+    cell.workers_age = ms(300);
+    cell.answer_renewal_of_incarnation(&first, 2, Vec::new(), Vec::new());
+    cell.tick(5);
+    let second = cell.latest_renewal_of("w1");
+    cell.answer_renewal_of_incarnation(&second, 2, Vec::new(), Vec::new());
+    cell.commit();
+    cell.accept("job", vec![step(1, 2)], queue(0));
+
+    assert_eq!(sent_meanwhile, 0);
+    assert_eq!(cell.take_starts().len(), 1);
+}
