test: a restarted worker gets tasks after commits that failed

Guards the flag that keeps tasks from a restarted worker until its row is committed: a store outage must not leave the worker unusable. The scheduler's tests pass.

--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -190,23 +190,32 @@
 /// the takeover on. The platform lists the incarnation of w1 that started at `listed_start`.
 fn starts_elsewhere_after_ms(rows: &[RowChange], epoch: u64, listed_start: u64) -> u64 {
     let mut successor = successor(epoch, rows, &["w1", "w2"]);
-    let listed = WorkerEntry {
-        started_unix_ms: listed_start,
+    successor
+        .scheduler
+        .worker_listed(restarted_entry(listed_start), successor.now);
+    start_after_ms_without_w1(&mut successor)
+}
+
+/// The platform's entry of w1 for the incarnation that started at `started_unix_ms`.
+fn restarted_entry(started_unix_ms: u64) -> WorkerEntry {
+    WorkerEntry {
+        started_unix_ms,
         ..entry("w1", 4)
-    };
-    successor.scheduler.worker_listed(listed, successor.now);
+    }
+}
+
+/// Returns when a task starts next, where w1 is silent and the other workers run nothing.
+fn start_after_ms_without_w1(cell: &mut Cell) -> u64 {
     for elapsed_ms in (0..60_000).step_by(100) {
-        for renewal in std::mem::take(&mut successor.renewals) {
+        for renewal in std::mem::take(&mut cell.renewals) {
             match renewal.worker.as_str() {
-                "w1" => successor
-                    .scheduler
-                    .renew_failed(&renewal.worker, successor.now),
-                _ => successor.answer_renewal(&renewal, Vec::new(), Vec::new()),
+                "w1" => cell.scheduler.renew_failed(&renewal.worker, cell.now),
+                _ => cell.answer_renewal(&renewal, Vec::new(), Vec::new()),
             }
         }
-        successor.commit();
-        successor.tick(100);
-        if !successor.take_starts().is_empty() {
+        cell.commit();
+        cell.tick(100);
+        if !cell.take_starts().is_empty() {
             return elapsed_ms;
         }
     }
@@ -299,3 +308,21 @@
     assert!(restarted_ms >= earlier_authority_ms + HOLD_MAX_MS);
     assert!(unchanged_ms < earlier_authority_ms + HOLD_MAX_MS);
 }
+
+/// A store outage ends the commit that would have let tasks start on the worker.
+#[test]
+fn a_restarted_worker_gets_tasks_once_a_later_commit_succeeds() {
+    let mut cell = cell_after_a_restart();
+    for _ in 0..3 {
+        let batch = cell.scheduler.take_batch(97, 1_000_000, 0);
+        cell.scheduler.not_committed(&batch.expect("w1 is unsaved"));
+        cell.tick(50);
+    }
+    let starts_before = cell.take_starts();
+
+    cell.commit();
+    cell.tick(50);
+
+    assert_eq!(starts_before, []);
+    assert_eq!(cell.take_starts().len(), 1);
+}
