--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -326,3 +326,26 @@
     assert_eq!(starts_before, []);
     assert_eq!(cell.take_starts().len(), 1);
 }
+
+/// A second restart under a commit that names the lease of the first one.
+#[test]
+fn a_worker_that_restarts_twice_gets_no_task_before_its_row_names_the_second_lease() {
+    let mut cell = cell_after_a_restart();
+    let first = cell.scheduler.take_batch(97, 1_000_000, 0);
+    for _ in 0..2 {
+        let renewal = cell.latest_renewal_of("w1");
+        cell.answer_renewal_of_incarnation(&renewal, 3, Vec::new(), Vec::new());
+        cell.scheduler.worker_listed(restarted_entry(3), cell.now);
+        cell.tick(5);
+    }
+
+    cell.scheduler
+        .committed(&first.expect("w1 is unsaved"), cell.now);
+    cell.tick(50);
+    let starts_before = cell.take_starts();
+    cell.commit();
+    cell.tick(50);
+
+    assert_eq!(starts_before, []);
+    assert_eq!(cell.take_starts().len(), 1);
+}
