--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -2,7 +2,7 @@
 
 use crate::fixtures::*;
 use jackdawchute_scheduler::{
-    EndReason, RenewAnswer, RowChange, StartAnswer, StartOrder, WorkerEntry,
+    EndReason, RenewAnswer, RowChange, RowTable, StartAnswer, StartOrder, WorkerEntry,
 };
 
 /// The longest hold of the users' platform: a worker cuts longer leases to it.
@@ -349,3 +349,25 @@
     assert_eq!(starts_before, []);
     assert_eq!(cell.take_starts().len(), 1);
 }
+
+/// Each change of the row rewrites hundreds of workers.
+#[test]
+fn the_row_of_a_restarted_worker_is_written_once_more_when_its_earlier_lease_has_lapsed() {
+    let mut cell = cell_after_a_restart();
+    cell.commit();
+
+    let mut writes_after_ms = Vec::new();
+    for elapsed_ms in (0..30_000).step_by(100) {
+        for renewal in std::mem::take(&mut cell.renewals) {
+            cell.answer_renewal_of_incarnation(&renewal, 2, Vec::new(), Vec::new());
+        }
+        cell.tick(100);
+        let rows = cell.commit();
+        if rows.iter().any(|row| row.table == RowTable::Workers) {
+            writes_after_ms.push(elapsed_ms);
+        }
+    }
+
+    assert_eq!(writes_after_ms.len(), 1, "{writes_after_ms:?}");
+    assert!(writes_after_ms[0] >= HOLD_MAX_MS, "{writes_after_ms:?}");
+}
