test: a new leader gives a restarted worker up early where its entry expires (fails)

A worker that is cut off from the store too loses its entry after three heartbeat intervals, 4.5 s. Its successor then forgets that it was listed in another incarnation than its row names, and counts the longest lease that leaders send instead of the longest hold.

Measured: the task starts elsewhere 7.5 s after the takeover, with an authority of 1.5 s; it should be 11.5 s.

--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -371,3 +371,26 @@
     assert_eq!(writes_after_ms.len(), 1, "{writes_after_ms:?}");
     assert!(writes_after_ms[0] >= HOLD_MAX_MS, "{writes_after_ms:?}");
 }
+
+/// A worker that is cut off from the store too loses its entry before its lease lapses.
+#[test]
+fn a_new_leader_waits_for_the_longest_hold_on_a_restarted_worker_whose_entry_expires() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let mut successor = successor(2, &cell.saved, &["w1", "w2"]);
+    successor
+        .scheduler
+        .worker_listed(restarted_entry(2), successor.now);
+    successor.tick(1_500);
+
+    successor
+        .scheduler
+        .worker_unlisted(&"w1".into(), successor.now);
+    let after_ms = start_after_ms_without_w1(&mut successor);
+
+    let earlier_authority_ms = EARLIER_AUTHORITY.as_millis() as u64;
+    assert!(
+        after_ms + 1_500 >= earlier_authority_ms + HOLD_MAX_MS,
+        "{after_ms} ms"
+    );
+}
