fix: a new leader remembers that a silent worker was listed as restarted when its entry expires

Cause: the wait for the longest hold held only while the worker was listed. A worker that is cut off from the store too is not, from 4.5 s on, before the shorter wait of 6 s ends.

Change: the latest entry counts, whether it is there still or not. A worker that was never listed to this leader has no start time in its entry, and waits no longer than before.

--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -336,11 +336,13 @@
         own_lapsed && view.as_of > earlier_leases_until
     }
 
-    /// Returns whether the platform lists an incarnation that an earlier leader had not heard when it
+    /// Returns whether the platform lists, or last listed, an incarnation that an earlier leader had not heard when it
     /// saved the worker, and whose lease its orders to the former one may have extended.
     fn is_listed_as_restarted(&self) -> bool {
         let known_start = self.acknowledged_start_unix_ms;
-        self.listed && known_start.is_some_and(|start| start != self.entry.started_unix_ms)
+        // The entry of a worker that is cut off from the platform too expires before its lease.
+        let listed_start = Some(self.entry.started_unix_ms).filter(|start| *start > 0);
+        known_start.is_some_and(|known| listed_start.is_some_and(|listed| listed != known))
     }
 
     /// Returns when this incarnation of the worker last listed its runs and refused earlier tokens.
