--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -394,3 +394,21 @@
         "{after_ms} ms"
     );
 }
+
+/// The reading of the former incarnation's clock arrives after the start was sent, and the answer to
+/// the start is from the new one.
+#[test]
+fn a_start_that_a_new_incarnation_answers_after_a_last_answer_of_the_former_one_keeps_its_task() {
+    let mut cell = ready_cell(1, &[entry("w1", 4), entry("w2", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.tick(5);
+    let renewal = cell.latest_renewal_of(&start.worker);
+    cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+    cell.tick(400);
+    cell.answer_start(&start, StartAnswer::Started { clock: ms(100) });
+
+    let again_after_ms = starts_again_after_ms(&mut cell, &start);
+
+    assert!(again_after_ms >= HOLD_MAX_MS, "{again_after_ms} ms");
+}
