fix: a low clock in the answer to a start shows a restart also after a later reading

Cause: a reading of the clock that was received after the start was sent was not compared at all, since it may have been made after the start was carried out.

Change: it is compared less the time between, at the fastest rate of the clock. Incarnations that were first heard after the start was sent are not compared, as before.

--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -293,13 +293,16 @@
     /// Returns whether an answer to an order that was sent at `sent_at` or later, with this clock, is
     /// from a later incarnation than the one that last answered a renewal.
     pub(crate) fn shows_restart(&self, sent_at: Instant, clock: Duration) -> bool {
+        let was_known = |it: &WorkerIncarnation| it.first_heard_at <= sent_at;
+        let Some(incarnation) = self.incarnation.filter(was_known) else {
+            return false;
+        };
         // A reading that was received later may have been made after the order was carried out.
-        let is_older = |it: &WorkerIncarnation| it.clock_received_at <= sent_at;
-        let is_comparable = self.incarnation.as_ref().is_some_and(is_older);
-        is_comparable
-            && self
-                .clock_earliest(sent_at)
-                .is_some_and(|earliest| clock < earliest)
+        let received_after = incarnation
+            .clock_received_at
+            .saturating_duration_since(sent_at);
+        let earliest = self.clock_earliest(sent_at).unwrap_or_default();
+        clock < earliest.saturating_sub(received_after.div_f64(CLOCK_RATE_MIN))
     }
 
     /// Records that a new incarnation has been noticed, which has answered no renewal yet.
