test: a run of a new incarnation is given up at once where that one falls silent before it acknowledges (fails)

A start is answered by a new incarnation whose clock is ahead of the former one's by less than the lease. The first renewal that it answers shows the restart, and lists the run. The worker is silent from then on: its leader knows no clock and no lease of the incarnation, and takes all runs as ended.

--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -412,3 +412,29 @@
 
     assert!(again_after_ms >= HOLD_MAX_MS, "{again_after_ms} ms");
 }
+
+/// The clock of the new incarnation is ahead of the former one's, so that the answer to the start does
+/// not show the restart; the first renewal that the new one answers does.
+#[test]
+fn a_task_that_began_in_a_new_incarnation_is_not_given_up_before_that_one_lists_its_runs() {
+    const LEASE_MS: u64 = 3_000;
+    let mut cell = ready_cell(1, &[entry("w1", 4), entry("w2", 4)]);
+    for _ in 0..100 {
+        for renewal in std::mem::take(&mut cell.renewals) {
+            cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+        }
+        cell.tick(100);
+    }
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.tick(400);
+    let clock = cell.clock() + ms(300);
+    cell.answer_start(&start, StartAnswer::Started { clock });
+    let renewal = cell.latest_renewal_of(&start.worker);
+    cell.answer_renewal_of_incarnation(&renewal, 2, vec![running(&start)], Vec::new());
+    cell.tick(5);
+
+    let again_after_ms = starts_again_after_ms(&mut cell, &start);
+
+    assert!(again_after_ms >= LEASE_MS, "{again_after_ms} ms");
+}
