fix: a new incarnation that falls silent before it acknowledges the raised token keeps its runs for the longest hold

Cause: the longest hold was counted from the first answer to the raised token. Before it the leader knew no lease of the incarnation, so that it had lapsed; runs that were recorded for the former one may be in it.

Change: the longest hold counts from the answer that shows the restart, and anew from the acknowledgement.

--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -190,7 +190,7 @@
                 former_answered_ms = whole_ms(heard_ago), token = order.token
             });
             outcome.restarted = true;
-            worker.begin_incarnation(now);
+            worker.begin_incarnation(hold_time(&self.settings), now);
             self.placement_needed = true;
             return outcome;
         }
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -239,7 +239,10 @@
     }
 
     /// Forgets what the previous incarnation has reported.
-    pub(crate) fn begin_incarnation(&mut self, now: Instant) {
+    ///
+    /// The new one may have begun tasks that count for the previous one, under a lease that lasts for
+    /// `hold_time` from now at most.
+    pub(crate) fn begin_incarnation(&mut self, hold_time: Duration, now: Instant) {
         self.incarnations_seen += 1;
         self.incarnation = None;
         self.token_acknowledged = false;
@@ -252,6 +255,7 @@
         self.ends_unsaved.clear();
         self.lease_sent = Duration::ZERO;
         self.lease_confirmed = Duration::ZERO;
+        self.former_lease_until = Some(now + hold_time);
         self.renewal_next_at = now;
         self.health.failed_jobs.clear();
         self.health.speed = WorkerSpeed::default();
