--- a/jackdawchute-scheduler/tests/behaviour/late_orders.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_orders.rs
@@ -432,3 +432,24 @@
     assert_eq!(cell.latest_renewal_of("w1").token, token);
     assert_eq!(cell.take_starts().len(), 1);
 }
+
+/// The start without a ticket may be carried out later, and extends the lease of all tasks there.
+#[test]
+fn a_start_with_a_ticket_is_not_given_up_while_another_start_may_extend_its_lease() {
+    let (mut cell, _) = cell_with_an_unanswered_start();
+    cell.accept("advised", vec![long_step()], advised_queue(0));
+    let request = cell.advice.remove(0);
+    let answer = AdviceAnswer {
+        allowed: vec![("w1".into(), "ticket".into())],
+    };
+    cell.scheduler
+        .advice_answered(&request, Some(answer), cell.now);
+    cell.run_round();
+    let start = cell.take_starts().remove(0);
+    cell.answer_start(&start, StartAnswer::Unknown);
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "advised");
+
+    assert!(took >= LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
+}
