fix: a start with a ticket waits for the other starts without an answer on its worker

Cause: the wait for a start with a ticket ended with the ticket and the longest hold, whatever other starts were under way to the worker. Each carries a lease end that applies to all tasks there.

Change: while a worker is silent, its starts without an answer are over together.

What it costs: tasks of queues with tickets wait as long as those without, on workers that have both.

--- a/jackdawchute-scheduler/src/late_starts.rs
+++ b/jackdawchute-scheduler/src/late_starts.rs
@@ -11,7 +11,9 @@
 use jackdawchute_types::{whole_ms, WorkerId};
 use spdlog::info;
 
-use crate::{authority::hold_time, worker::CLOCK_RATE_MIN, AdviceCost, Scheduler, TaskName};
+use crate::{
+    authority::hold_time, worker::CLOCK_RATE_MIN, AdviceCost, Scheduler, Settings, TaskName,
+};
 
 /// A start without an answer that may begin a task.
 #[derive(Clone, Copy, Debug)]
@@ -32,6 +34,12 @@
             ticket_until,
         }
     }
+
+    /// Returns until when a worker may carry out the order.
+    fn until(&self, settings: &Settings) -> Instant {
+        let until = self.since + settings.late_order_max;
+        self.ticket_until.unwrap_or(until).min(until)
+    }
 }
 
 /// The starts without an answer that may begin tasks, by worker.
@@ -78,8 +86,11 @@
     pub(crate) fn drop_late_starts(&mut self, now: Instant) {
         let mut dropped = Vec::new();
         for (id, tasks) in &self.late_starts.by_worker {
+            // Each of them may extend the lease of what the others have begun.
+            let all_until = tasks.values().map(|start| self.orders_until(id, start));
+            let orders_until = all_until.max().unwrap_or(now);
             for (task, start) in tasks {
-                if self.is_over(id, task, start) {
+                if self.is_over(id, task, start, orders_until) {
                     dropped.push((id.clone(), task.clone()));
                 }
             }
@@ -96,31 +107,39 @@
     }
 
     /// Returns whether a start can't be carried out any more and nothing that it may have begun goes
-    /// on unknown.
-    fn is_over(&self, worker: &WorkerId, task: &TaskName, start: &LateStart) -> bool {
-        let order_max = self.settings.late_order_max;
-        let since = start.since;
-        let start_until = since + order_max;
-        let start_until = start.ticket_until.unwrap_or(start_until).min(start_until);
+    /// on unknown, where orders may extend the lease of its worker until `orders_until`.
+    fn is_over(
+        &self,
+        worker: &WorkerId,
+        task: &TaskName,
+        start: &LateStart,
+        orders_until: Instant,
+    ) -> bool {
         let worker = self.workers.get(worker);
         if let Some((worker, listed_at)) = worker.and_then(|it| Some((it, it.listed_runs_at()?))) {
             // The incarnation that lists its runs does not begin the run any more.
             let is_gone = worker.is_responsive() && !worker.runs.contains_key(task);
-            if listed_at >= start_until || (is_gone && listed_at >= since) {
+            if listed_at >= start.until(&self.settings) || (is_gone && listed_at >= start.since) {
                 return true;
             }
         }
+        self.authority.confirmed_at > orders_until + hold_time(&self.settings)
+    }
+
+    /// Returns until when a silent worker may carry out a start, or another order that extends the
+    /// lease of what that has begun.
+    fn orders_until(&self, worker: &WorkerId, start: &LateStart) -> Instant {
+        let worker = self.workers.get(worker);
         // Renewals that were under way when the worker fell silent may extend the lease of a run, as
         // may those of an earlier leader.
         let silent_since = worker.and_then(|worker| worker.unanswered_since);
-        let sent_until = silent_since.map_or(since, |at| at.max(since));
+        let sent_until = silent_since.map_or(start.since, |at| at.max(start.since));
         let may_extend = worker.is_some_and(|it| it.extensions.may_be_carried_out());
         let orders_until = match start.ticket_until {
-            Some(_) if !may_extend => start_until,
-            _ => sent_until + order_max,
+            Some(_) if !may_extend => start.until(&self.settings),
+            _ => sent_until + self.settings.late_order_max,
         };
-        let orders_until = orders_until.max(self.authority.earlier_until);
-        self.authority.confirmed_at > orders_until + hold_time(&self.settings)
+        orders_until.max(self.authority.earlier_until)
     }
 
     fn remove_late_start(&mut self, worker: &WorkerId, task: &TaskName, now: Instant) {
