--- a/jackdawchute-scheduler/tests/behaviour/late_orders.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_orders.rs
@@ -453,3 +453,34 @@
 
     assert!(took >= LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
 }
+
+/// The row of a worker that is not listed goes before the last order to it can't be carried out any
+/// more, and its next incarnation may carry that out before it has heard the new leader.
+#[test]
+fn a_new_leader_counts_the_longest_hold_on_a_worker_without_a_row_that_a_start_is_under_way_to() {
+    let (mut predecessor, _) = cell_with_an_unanswered_start();
+    predecessor
+        .scheduler
+        .worker_unlisted(&"w1".into(), predecessor.now);
+    let mut silent = Workers::new(Some("w1"), &[]);
+    while silent.passed < LAPSE_MAX {
+        silent.step(&mut predecessor);
+    }
+    let mut cell = successor(2, &predecessor.saved, &[]);
+    let restarted = WorkerEntry {
+        started_unix_ms: 2,
+        ..entry("w1", 4)
+    };
+    cell.scheduler.worker_listed(restarted, cell.now);
+    cell.started_unix_ms = 2;
+    let mut cell = make_ready(cell, 1);
+    cell.tick(1);
+    let start = cell.take_starts().remove(0);
+    cell.confirm_start(&start);
+    cell.started_unix_ms = 1;
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(took >= HOLD_MAX, "{took:?}");
+}
