fix: a new leader counts the longest hold on a worker that saved starts without an answer name

Cause: whether a worker had orders of an earlier leader was told by its row alone, which goes when the worker is not listed and its lease has lapsed. Starts may be carried out for longer.

Change: the starts without an answer that the progress rows name count too.

--- a/jackdawchute-scheduler/src/late_starts.rs
+++ b/jackdawchute-scheduler/src/late_starts.rs
@@ -54,6 +54,11 @@
         tasks.insert(task, start);
     }
 
+    /// Returns whether a start may be under way to the worker.
+    pub(crate) fn name_worker(&self, worker: &WorkerId) -> bool {
+        self.by_worker.contains_key(worker)
+    }
+
     /// Returns the tasks that may begin, each with the worker that its start was sent to.
     pub(crate) fn tasks(&self) -> impl Iterator<Item = (&WorkerId, &TaskName)> {
         let workers = self.by_worker.iter();
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -223,9 +223,11 @@
             self.worker_rows.mark_unsaved(worker.row);
         }
         worker.ends_confirmed = worker.ends_confirmed.max(order.ends_saved);
-        // It may have begun since an earlier leader sent its last orders.
+        // It may have begun since an earlier leader sent its last orders. The row of a worker that was
+        // not listed goes before the last start to it is over.
+        let has_earlier_orders = worker.recovered || self.late_starts.name_worker(&order.worker);
         let is_unknown_to_row =
-            worker.recovered && worker.acknowledged_start_unix_ms != Some(answer.started_unix_ms);
+            has_earlier_orders && worker.acknowledged_start_unix_ms != Some(answer.started_unix_ms);
         if is_first_acknowledgement && (worker.token(0) > 0 || is_unknown_to_row) {
             // Orders to a former incarnation may have extended the lease of this one until now. A
             // successor has to know of it before a task starts here.
