test: two runs at once after a takeover where a restarted worker's entry expires

The cell's form of the scheduler's test: the entry goes 4.5 s after the cut, three heartbeat intervals.

--- a/jackdawchute-cell/tests/cell/restarted_leases.rs
+++ b/jackdawchute-cell/tests/cell/restarted_leases.rs
@@ -105,8 +105,11 @@
 }
 
 /// Returns the tasks that ran in two places at once, where a start gets no answer from an incarnation
-/// that no instance has heard and that its ticket is for.
-async fn repeated_runs_of_a_start_in_an_unheard_incarnation(leader: Leader) -> Vec<String> {
+/// that no instance has heard and that its ticket is for. The worker is unlisted `listed` after the cut.
+async fn repeated_runs_of_a_start_in_an_unheard_incarnation(
+    leader: Leader,
+    listed: Duration,
+) -> Vec<String> {
     const LATE_RENEWAL: Duration = Duration::from_secs(30);
     let cell = &mut cell_with(CellOptions {
         can_freeze: true,
@@ -139,7 +142,11 @@
     }
     cut_off(cell, &worker);
     list_workers(cell);
-    tokio::time::sleep(CUT_TIME).await;
+    tokio::time::sleep(listed).await;
+    let mut others = cell.workers.entries();
+    others.retain(|entry| entry.worker != worker);
+    cell.listed.send_replace(others);
+    tokio::time::sleep(CUT_TIME.saturating_sub(listed)).await;
 
     let described = repeated_runs(cell).into_iter();
     described.map(|it| format!("{leader:?}: {it}")).collect()
@@ -150,11 +157,24 @@
 #[tokio::test]
 async fn a_start_without_an_answer_in_an_incarnation_that_no_leader_has_heard_runs_in_one_place() {
     let (stays, stops, killed) = tokio::join!(
-        repeated_runs_of_a_start_in_an_unheard_incarnation(Leader::Stays),
-        repeated_runs_of_a_start_in_an_unheard_incarnation(Leader::Stops),
-        repeated_runs_of_a_start_in_an_unheard_incarnation(Leader::Killed),
+        repeated_runs_of_a_start_in_an_unheard_incarnation(Leader::Stays, CUT_TIME),
+        repeated_runs_of_a_start_in_an_unheard_incarnation(Leader::Stops, CUT_TIME),
+        repeated_runs_of_a_start_in_an_unheard_incarnation(Leader::Killed, CUT_TIME),
     );
 
     let all = [stays, stops, killed];
     assert!(all.iter().all(Vec::is_empty), "{all:#?}");
 }
+
+/// A worker that does not reach the store either is no longer listed while its lease lasts.
+#[tokio::test]
+async fn a_start_in_an_unheard_incarnation_whose_entry_expires_runs_in_one_place() {
+    const EXPIRY: Duration = Duration::from_millis(4_500);
+    let (stops, killed) = tokio::join!(
+        repeated_runs_of_a_start_in_an_unheard_incarnation(Leader::Stops, EXPIRY),
+        repeated_runs_of_a_start_in_an_unheard_incarnation(Leader::Killed, EXPIRY),
+    );
+
+    let all = [stops, killed];
+    assert!(all.iter().all(Vec::is_empty), "{all:#?}");
+}
