test: a new leader waits no longer for a silent worker that it never saw listed

Guards the condition that the platform has listed another incarnation: without it every silent worker without an entry would be waited for longer.

--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -438,3 +438,18 @@
 
     assert!(again_after_ms >= LEASE_MS, "{again_after_ms} ms");
 }
+
+/// Nothing tells whether a worker that is not listed has restarted; tasks stand still meanwhile.
+#[test]
+fn a_new_leader_waits_no_longer_for_a_silent_worker_that_it_never_saw_listed() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+
+    let after_ms = start_after_ms_without_w1(&mut successor(2, &cell.saved, &["w2"]));
+
+    let earlier_authority_ms = EARLIER_AUTHORITY.as_millis() as u64;
+    assert!(
+        after_ms < earlier_authority_ms + HOLD_MAX_MS,
+        "{after_ms} ms"
+    );
+}
