test: a new leader waits no longer for a silent worker whose row is of an earlier version

Guards the case of a row that names no incarnation; a mutant that waited for the longest hold passed all tests.

--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -453,3 +453,32 @@
         "{after_ms} ms"
     );
 }
+
+/// Returns rows in which the workers' table has `to` for the first `from`.
+fn with_workers_text(rows: &[RowChange], from: &str, to: &str) -> Vec<RowChange> {
+    let mut changed = rows.to_vec();
+    for row in &mut changed {
+        if let (RowTable::Workers, Some(value)) = (row.table, &row.value) {
+            let text = String::from_utf8(value.clone()).expect("rows are text");
+            row.value = Some(text.replacen(from, to, 1).into_bytes());
+        }
+    }
+    assert_ne!(changed, rows);
+    changed
+}
+
+/// After an upgrade the first takeover would otherwise wait for the longest hold of all silent workers.
+#[test]
+fn a_new_leader_waits_no_longer_for_a_silent_worker_whose_row_is_of_an_earlier_version() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let rows = with_workers_text(&cell.saved, ",\"started\":1", "");
+
+    let after_ms = starts_elsewhere_after_ms(&rows, 2, 2);
+
+    let earlier_authority_ms = EARLIER_AUTHORITY.as_millis() as u64;
+    assert!(
+        after_ms < earlier_authority_ms + HOLD_MAX_MS,
+        "{after_ms} ms"
+    );
+}
