--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -482,3 +482,17 @@
         "{after_ms} ms"
     );
 }
+
+/// A row of another writer must not keep tasks from starting for ever.
+#[test]
+fn a_new_leader_waits_for_no_longer_than_the_longest_hold_whatever_a_row_says() {
+    const ENDS_MAX_MS: u64 = HOLD_MAX_MS + 1_000;
+    let mut cell = cell_after_a_restart();
+    cell.commit();
+    let former = "\"former_ms\":";
+    let rows = with_workers_text(&cell.saved, former, &format!("{former}9223372036854"));
+
+    let after_ms = starts_elsewhere_after_ms(&rows, 2, 2);
+
+    assert!(after_ms <= ENDS_MAX_MS, "{after_ms} ms");
+}
