test: a new leader waits for what is left of the lease of a former incarnation

Guards that the time in the row counts and not the longest hold; a mutant that took the latter passed all tests.

--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -496,3 +496,26 @@
 
     assert!(after_ms <= ENDS_MAX_MS, "{after_ms} ms");
 }
+
+/// The row is written again when another worker joins, with what is left then.
+#[test]
+fn a_new_leader_waits_for_what_is_left_of_the_lease_of_a_former_incarnation() {
+    let mut cell = cell_after_a_restart();
+    for _ in 0..80 {
+        for renewal in std::mem::take(&mut cell.renewals) {
+            cell.answer_renewal_of_incarnation(&renewal, 2, Vec::new(), Vec::new());
+        }
+        cell.commit();
+        cell.tick(100);
+    }
+    cell.scheduler.worker_listed(entry("w3", 4), cell.now);
+    cell.tick(1);
+    let renewal = cell.latest_renewal_of("w3");
+    cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+    cell.tick(1);
+    cell.commit();
+
+    let after_ms = starts_elsewhere_after_ms(&cell.saved, 2, 2);
+
+    assert!(after_ms < HOLD_MAX_MS, "{after_ms} ms");
+}
