--- a/jackdawchute-scheduler/tests/behaviour/late_orders.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_orders.rs
@@ -484,3 +484,36 @@
 
     assert!(took >= HOLD_MAX, "{took:?}");
 }
+
+/// A cell whose only worker got a start with a ticket, of a queue whose tickets are valid for `valid`.
+fn cell_with_an_advised_start(valid: Duration) -> (Cell, StartOrder) {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    let mut advised = advised_queue(0);
+    advised.advice.as_mut().expect("it needs advice").valid = valid;
+    cell.accept("job", vec![long_step()], advised);
+    let request = cell.advice.remove(0);
+    let answer = AdviceAnswer {
+        allowed: vec![("w1".into(), "ticket".into())],
+    };
+    cell.scheduler
+        .advice_answered(&request, Some(answer), cell.now);
+    cell.run_round();
+    let start = cell.take_starts().remove(0);
+    (cell, start)
+}
+
+/// How long tickets are valid.
+const VALID: Duration = Duration::from_millis(2_500);
+
+#[test]
+fn a_new_leader_waits_for_a_start_with_a_ticket_as_long_as_that_is_valid() {
+    let (mut predecessor, start) = cell_with_an_advised_start(VALID);
+    predecessor.answer_start(&start, StartAnswer::Unknown);
+    predecessor.commit();
+    let mut cell = successor(2, &predecessor.saved, &["w1", "w2"]);
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(took >= VALID + HOLD_MAX, "{took:?}");
+    assert!(took < LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
+}
