--- a/jackdawchute-scheduler/tests/behaviour/late_orders.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_orders.rs
@@ -517,3 +517,19 @@
     assert!(took >= VALID + HOLD_MAX, "{took:?}");
     assert!(took < LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
 }
+
+/// The start may be known to have no answer only after the ticket has expired.
+#[test]
+fn the_ticket_of_a_start_is_valid_from_when_the_start_was_sent() {
+    const ANSWER_TIME: Duration = Duration::from_millis(2_000);
+    let (mut cell, start) = cell_with_an_advised_start(VALID);
+    cell.tick(2_000);
+    cell.answer_start(&start, StartAnswer::Unknown);
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    let since_sent = took + ANSWER_TIME;
+    assert!(since_sent >= VALID + HOLD_MAX, "{since_sent:?}");
+    assert!(since_sent <= VALID + HOLD_MAX + ms(1_500), "{since_sent:?}");
+}
