--- a/jackdawchute-scheduler/tests/behaviour/late_orders.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_orders.rs
@@ -533,3 +533,16 @@
     assert!(since_sent >= VALID + HOLD_MAX, "{since_sent:?}");
     assert!(since_sent <= VALID + HOLD_MAX + ms(1_500), "{since_sent:?}");
 }
+
+/// No order is carried out later than that, however long the ticket is valid.
+#[test]
+fn a_start_with_a_long_ticket_waits_no_longer_than_one_without() {
+    let (mut cell, start) = cell_with_an_advised_start(Duration::from_secs(60));
+    cell.answer_start(&start, StartAnswer::Unknown);
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(took >= LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
+    assert!(took <= LATE_ORDER_MAX + HOLD_MAX + ms(1_500), "{took:?}");
+}
