--- a/jackdawchute-scheduler/tests/behaviour/late_orders.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_orders.rs
@@ -546,3 +546,14 @@
     assert!(took >= LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
     assert!(took <= LATE_ORDER_MAX + HOLD_MAX + ms(1_500), "{took:?}");
 }
+
+/// The order was under way when the lease that its leader had counted on lapsed.
+#[test]
+fn a_start_with_a_ticket_that_is_under_way_as_its_run_is_given_up_keeps_its_task() {
+    let (mut cell, _) = cell_with_an_advised_start(VALID);
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(took >= VALID + HOLD_MAX, "{took:?}");
+}
