test: a run that was listed after its ticket expired is given up with the lease

Such a run would wait longer if the end of the ticket did not count where the worker lists its runs; a mutant passed all tests.

--- a/jackdawchute-scheduler/tests/behaviour/late_orders.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_orders.rs
@@ -557,3 +557,19 @@
 
     assert!(took >= VALID + HOLD_MAX, "{took:?}");
 }
+
+/// A worker that has listed the run holds a lease of the incarnation that was heard.
+#[test]
+fn a_run_that_was_listed_after_its_ticket_expired_is_given_up_with_the_lease() {
+    let (mut cell, start) = cell_with_an_advised_start(VALID);
+    cell.answer_start(&start, StartAnswer::Unknown);
+    let mut workers = Workers::new(None, std::slice::from_ref(&start));
+    while workers.passed < ms(4_000) {
+        workers.step(&mut cell);
+    }
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(took <= LAPSE_MAX, "{took:?}");
+}
