--- a/jackdawchute-scheduler/tests/behaviour/late_orders.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_orders.rs
@@ -573,3 +573,35 @@
 
     assert!(took <= LAPSE_MAX, "{took:?}");
 }
+
+/// The renewal is carried out late by the incarnation that has begun the task.
+#[test]
+fn a_start_with_a_ticket_waits_for_an_extension_without_an_answer() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("runs", vec![long_step()], queue(0));
+    let first = cell.take_starts().remove(0);
+    cell.confirm_start(&first);
+    cell.tick(1_000);
+    let renewal = cell.latest_renewal_of("w1");
+    cell.answer_renewal(&renewal, vec![running(&first)], Vec::new());
+    cell.tick(1);
+    let extension = cell.latest_renewal_of("w1");
+    cell.accept("job", vec![long_step()], advised_queue(0));
+    let request = cell.advice.remove(0);
+    let answer = AdviceAnswer {
+        allowed: vec![("w1".into(), "ticket".into())],
+    };
+    cell.scheduler
+        .advice_answered(&request, Some(answer), cell.now);
+    cell.run_round();
+    let start = cell.take_starts().remove(0);
+    cell.answer_start(&start, StartAnswer::Unknown);
+    cell.scheduler.extension_unanswered(&extension, cell.now);
+    cell.renewals.push(extension.clone());
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(extension.lease_until.is_some());
+    assert!(took >= LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
+}
