--- a/jackdawchute-scheduler/tests/behaviour/late_orders.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_orders.rs
@@ -605,3 +605,16 @@
     assert!(extension.lease_until.is_some());
     assert!(took >= LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
 }
+
+#[test]
+fn a_start_of_an_earlier_leader_waits_for_the_authority_of_that_leader() {
+    const EARLIER_AUTHORITY_MAX: Duration = Duration::from_secs(20);
+    let (mut predecessor, _) = cell_with_an_unanswered_start();
+    predecessor.commit();
+    let mut cell = successor(2, &predecessor.saved, &["w1", "w2"]);
+    cell.earlier_until = cell.now + EARLIER_AUTHORITY_MAX;
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(took >= EARLIER_AUTHORITY_MAX + HOLD_MAX, "{took:?}");
+}
