--- a/jackdawchute-scheduler/tests/behaviour/late_orders.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_orders.rs
@@ -618,3 +618,20 @@
 
     assert!(took >= EARLIER_AUTHORITY_MAX + HOLD_MAX, "{took:?}");
 }
+
+/// An earlier copy has begun the run, and the later one may begin it again after a restart.
+#[test]
+fn a_repeated_start_without_an_answer_keeps_its_task_although_the_run_was_listed() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![long_step()], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.tick(100);
+    let renewal = cell.latest_renewal_of("w1");
+    cell.answer_renewal(&renewal, vec![running(&start)], Vec::new());
+    cell.answer_start(&start, StartAnswer::Unknown);
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(took >= LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
+}
