--- a/jackdawchute-scheduler/tests/behaviour/late_extensions.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_extensions.rs
@@ -228,3 +228,21 @@
     let earliest = EARLIER_AUTHORITY + Settings::default().lease_max();
     assert_restarted_within(told, earliest, earliest + CONCLUSION_MAX);
 }
+
+/// The predecessor may be replaced before it knows that the order gets no answer.
+#[test]
+fn an_extension_that_is_under_way_is_told_to_a_successor() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.confirm_start(&start);
+    cell.tick(1_000);
+    let renewal = cell.latest_renewal_of("w1");
+    cell.answer_renewal(&renewal, vec![running(&start)], Vec::new());
+    cell.tick(1);
+
+    let told = cell.scheduler.unanswered_extensions();
+
+    assert!(cell.latest_renewal_of("w1").lease_until.is_some());
+    assert_eq!(told, ["w1"]);
+}
