test: an answer to a start that a later answer overtook shows no restart

Guards the comparison of a start's clock with a later reading: a mutant that compared them without the time between took the worker as restarted, and the task waited for 22.6 s. The scheduler's tests of restarted workers pass.

--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -519,3 +519,26 @@
 
     assert!(after_ms < HOLD_MAX_MS, "{after_ms} ms");
 }
+
+/// The answer to the start was made before that to the renewal, and arrives after it.
+#[test]
+fn an_answer_to_a_start_that_a_later_answer_overtook_shows_no_restart() {
+    let mut cell = ready_cell(1, &[entry("w1", 4), entry("w2", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.tick(5);
+    let clock_of_start = cell.clock();
+    cell.tick(400);
+    let renewal = cell.latest_renewal_of(&start.worker);
+    cell.answer_renewal(&renewal, vec![running(&start)], Vec::new());
+    cell.answer_start(
+        &start,
+        StartAnswer::Started {
+            clock: clock_of_start,
+        },
+    );
+
+    let again_after_ms = starts_again_after_ms(&mut cell, &start);
+
+    assert!(again_after_ms < HOLD_MAX_MS, "{again_after_ms} ms");
+}
