--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -242,7 +242,10 @@
     }
 
     /// Forgets what the previous incarnation has reported.
-    pub(crate) fn begin_incarnation(&mut self, now: Instant) {
+    ///
+    /// The new one may have begun tasks that count for the previous one, under a lease that lasts for
+    /// `hold_time` from now at most.
+    pub(crate) fn begin_incarnation(&mut self, hold_time: Duration, now: Instant) {
         self.incarnations_seen += 1;
         self.incarnation = None;
         self.token_acknowledged = false;
@@ -255,6 +258,7 @@
         self.ends_unsaved.clear();
         self.lease_sent = Duration::ZERO;
         self.lease_confirmed = Duration::ZERO;
+        self.former_lease_until = Some(now + hold_time);
         self.renewal_next_at = now;
         self.health.failed_jobs.clear();
         self.health.speed = WorkerSpeed::default();
@@ -296,13 +300,16 @@
     /// Returns whether an answer to an order that was sent at `sent_at` or later, with this clock, is
     /// from a later incarnation than the one that last answered a renewal.
     pub(crate) fn shows_restart(&self, sent_at: Instant, clock: Duration) -> bool {
+        let was_known = |it: &WorkerIncarnation| it.first_heard_at <= sent_at;
+        let Some(incarnation) = self.incarnation.filter(was_known) else {
+            return false;
+        };
         // A reading that was received later may have been made after the order was carried out.
-        let is_older = |it: &WorkerIncarnation| it.clock_received_at <= sent_at;
-        let is_comparable = self.incarnation.as_ref().is_some_and(is_older);
-        is_comparable
-            && self
-                .clock_earliest(sent_at)
-                .is_some_and(|earliest| clock < earliest)
+        let received_after = incarnation
+            .clock_received_at
+            .saturating_duration_since(sent_at);
+        let earliest = self.clock_earliest(sent_at).unwrap_or_default();
+        clock < earliest.saturating_sub(received_after.div_f64(CLOCK_RATE_MIN))
     }
 
     /// Records that a new incarnation has been noticed, which has answered no renewal yet.
@@ -339,11 +346,13 @@
         own_lapsed && view.as_of > earlier_leases_until
     }
 
-    /// Returns whether the platform lists an incarnation that an earlier leader had not heard when it
-    /// saved the worker, and whose lease its orders to the former one may have extended.
+    /// Returns whether the platform lists, or listed last, an incarnation that an earlier leader had not
+    /// heard when it saved the worker, and whose lease its orders to the former one may have extended.
     fn is_listed_as_restarted(&self) -> bool {
         let known_start = self.acknowledged_start_unix_ms;
-        self.listed && known_start.is_some_and(|start| start != self.entry.started_unix_ms)
+        // The entry of a worker that is cut off from the platform too expires before its lease.
+        let listed_start = Some(self.entry.started_unix_ms).filter(|start| *start > 0);
+        known_start.is_some_and(|known| listed_start.is_some_and(|listed| listed != known))
     }
 
     /// Returns when this incarnation of the worker last listed its runs and refused earlier tokens.
--- a/jackdawchute-scheduler/tests/behaviour/late_orders.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_orders.rs
@@ -432,3 +432,206 @@
     assert_eq!(cell.latest_renewal_of("w1").token, token);
     assert_eq!(cell.take_starts().len(), 1);
 }
+
+/// The start without a ticket may be carried out later, and extends the lease of all tasks there.
+#[test]
+fn a_start_with_a_ticket_is_not_given_up_while_another_start_may_extend_its_lease() {
+    let (mut cell, _) = cell_with_an_unanswered_start();
+    cell.accept("advised", vec![long_step()], advised_queue(0));
+    let request = cell.advice.remove(0);
+    let answer = AdviceAnswer {
+        allowed: vec![("w1".into(), "ticket".into())],
+    };
+    cell.scheduler
+        .advice_answered(&request, Some(answer), cell.now);
+    cell.run_round();
+    let start = cell.take_starts().remove(0);
+    cell.answer_start(&start, StartAnswer::Unknown);
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "advised");
+
+    assert!(took >= LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
+}
+
+/// The row of a worker that is not listed goes before the last order to it can't be carried out any
+/// more, and its next incarnation may carry that out before it has heard the new leader.
+#[test]
+fn a_new_leader_counts_the_longest_hold_on_a_worker_without_a_row_that_a_start_is_under_way_to() {
+    let (mut predecessor, _) = cell_with_an_unanswered_start();
+    predecessor
+        .scheduler
+        .worker_unlisted(&"w1".into(), predecessor.now);
+    let mut silent = Workers::new(Some("w1"), &[]);
+    while silent.passed < LAPSE_MAX {
+        silent.step(&mut predecessor);
+    }
+    let mut cell = successor(2, &predecessor.saved, &[]);
+    let restarted = WorkerEntry {
+        started_unix_ms: 2,
+        ..entry("w1", 4)
+    };
+    cell.scheduler.worker_listed(restarted, cell.now);
+    cell.started_unix_ms = 2;
+    let mut cell = make_ready(cell, 1);
+    cell.tick(1);
+    let start = cell.take_starts().remove(0);
+    cell.confirm_start(&start);
+    cell.started_unix_ms = 1;
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(took >= HOLD_MAX, "{took:?}");
+}
+
+/// A cell whose only worker got a start with a ticket, of a queue whose tickets are valid for `valid`.
+fn cell_with_an_advised_start(valid: Duration) -> (Cell, StartOrder) {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    let mut advised = advised_queue(0);
+    advised.advice.as_mut().expect("it needs advice").valid = valid;
+    cell.accept("job", vec![long_step()], advised);
+    let request = cell.advice.remove(0);
+    let answer = AdviceAnswer {
+        allowed: vec![("w1".into(), "ticket".into())],
+    };
+    cell.scheduler
+        .advice_answered(&request, Some(answer), cell.now);
+    cell.run_round();
+    let start = cell.take_starts().remove(0);
+    (cell, start)
+}
+
+/// How long tickets are valid.
+const VALID: Duration = Duration::from_millis(2_500);
+
+#[test]
+fn a_new_leader_waits_for_a_start_with_a_ticket_as_long_as_that_is_valid() {
+    let (mut predecessor, start) = cell_with_an_advised_start(VALID);
+    predecessor.answer_start(&start, StartAnswer::Unknown);
+    predecessor.commit();
+    let mut cell = successor(2, &predecessor.saved, &["w1", "w2"]);
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(took >= VALID + HOLD_MAX, "{took:?}");
+    assert!(took < LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
+}
+
+/// The start may be known to have no answer only after the ticket has expired.
+#[test]
+fn the_ticket_of_a_start_is_valid_from_when_the_start_was_sent() {
+    const ANSWER_TIME: Duration = Duration::from_millis(2_000);
+    let (mut cell, start) = cell_with_an_advised_start(VALID);
+    cell.tick(2_000);
+    cell.answer_start(&start, StartAnswer::Unknown);
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    let since_sent = took + ANSWER_TIME;
+    assert!(since_sent >= VALID + HOLD_MAX, "{since_sent:?}");
+    assert!(since_sent <= VALID + HOLD_MAX + ms(1_500), "{since_sent:?}");
+}
+
+/// No order is carried out later than that, however long the ticket is valid.
+#[test]
+fn a_start_with_a_long_ticket_waits_no_longer_than_one_without() {
+    let (mut cell, start) = cell_with_an_advised_start(Duration::from_secs(60));
+    cell.answer_start(&start, StartAnswer::Unknown);
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(took >= LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
+    assert!(took <= LATE_ORDER_MAX + HOLD_MAX + ms(1_500), "{took:?}");
+}
+
+/// The order was under way when the lease that its leader had counted on lapsed.
+#[test]
+fn a_start_with_a_ticket_that_is_under_way_as_its_run_is_given_up_keeps_its_task() {
+    let (mut cell, _) = cell_with_an_advised_start(VALID);
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(took >= VALID + HOLD_MAX, "{took:?}");
+}
+
+/// A worker that has listed the run holds a lease of the incarnation that was heard.
+#[test]
+fn a_run_that_was_listed_after_its_ticket_expired_is_given_up_with_the_lease() {
+    let (mut cell, start) = cell_with_an_advised_start(VALID);
+    cell.answer_start(&start, StartAnswer::Unknown);
+    let mut workers = Workers::new(None, std::slice::from_ref(&start));
+    while workers.passed < ms(4_000) {
+        workers.step(&mut cell);
+    }
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(took <= LAPSE_MAX, "{took:?}");
+}
+
+/// The renewal is carried out late by the incarnation that has begun the task.
+#[test]
+fn a_start_with_a_ticket_waits_for_an_extension_without_an_answer() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("runs", vec![long_step()], queue(0));
+    let first = cell.take_starts().remove(0);
+    cell.confirm_start(&first);
+    cell.tick(1_000);
+    let renewal = cell.latest_renewal_of("w1");
+    cell.answer_renewal(&renewal, vec![running(&first)], Vec::new());
+    cell.tick(1);
+    let extension = cell.latest_renewal_of("w1");
+    cell.accept("job", vec![long_step()], advised_queue(0));
+    let request = cell.advice.remove(0);
+    let answer = AdviceAnswer {
+        allowed: vec![("w1".into(), "ticket".into())],
+    };
+    cell.scheduler
+        .advice_answered(&request, Some(answer), cell.now);
+    cell.run_round();
+    let start = cell.take_starts().remove(0);
+    cell.answer_start(&start, StartAnswer::Unknown);
+    cell.scheduler.extension_unanswered(&extension, cell.now);
+    cell.renewals.push(extension.clone());
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(extension.lease_until.is_some());
+    assert!(took >= LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
+}
+
+#[test]
+fn a_start_of_an_earlier_leader_waits_for_the_authority_of_that_leader() {
+    const EARLIER_AUTHORITY_MAX: Duration = Duration::from_secs(20);
+    let (mut predecessor, _) = cell_with_an_unanswered_start();
+    predecessor.commit();
+    let mut cell = successor(2, &predecessor.saved, &["w1", "w2"]);
+    cell.earlier_until = cell.now + EARLIER_AUTHORITY_MAX;
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(took >= EARLIER_AUTHORITY_MAX + HOLD_MAX, "{took:?}");
+}
+
+/// An earlier copy has begun the run, and the later one may begin it again after a restart.
+#[test]
+fn a_repeated_start_without_an_answer_keeps_its_task_although_the_run_was_listed() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![long_step()], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.tick(100);
+    let renewal = cell.latest_renewal_of("w1");
+    cell.answer_renewal(&renewal, vec![running(&start)], Vec::new());
+    cell.answer_start(&start, StartAnswer::Unknown);
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(took >= LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
+}
--- a/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
+++ b/jackdawchute-scheduler/tests/behaviour/restarted_workers.rs
@@ -2,7 +2,7 @@
 
 use crate::fixtures::*;
 use jackdawchute_scheduler::{
-    EndReason, RenewAnswer, RowChange, StartAnswer, StartOrder, WorkerEntry,
+    EndReason, RenewAnswer, RowChange, RowTable, StartAnswer, StartOrder, WorkerEntry,
 };
 
 /// The longest hold of the users' platform: a worker cuts longer leases to it.
@@ -190,23 +190,32 @@
 /// the takeover on. The platform lists the incarnation of w1 that started at `listed_start`.
 fn starts_elsewhere_after_ms(rows: &[RowChange], epoch: u64, listed_start: u64) -> u64 {
     let mut successor = successor(epoch, rows, &["w1", "w2"]);
-    let listed = WorkerEntry {
-        started_unix_ms: listed_start,
+    successor
+        .scheduler
+        .worker_listed(restarted_entry(listed_start), successor.now);
+    start_after_ms_without_w1(&mut successor)
+}
+
+/// The platform's entry of w1 for the incarnation that started at `started_unix_ms`.
+fn restarted_entry(started_unix_ms: u64) -> WorkerEntry {
+    WorkerEntry {
+        started_unix_ms,
         ..entry("w1", 4)
-    };
-    successor.scheduler.worker_listed(listed, successor.now);
+    }
+}
+
+/// Returns when a task starts next, where w1 is silent and the other workers run nothing.
+fn start_after_ms_without_w1(cell: &mut Cell) -> u64 {
     for elapsed_ms in (0..60_000).step_by(100) {
-        for renewal in std::mem::take(&mut successor.renewals) {
+        for renewal in std::mem::take(&mut cell.renewals) {
             match renewal.worker.as_str() {
-                "w1" => successor
-                    .scheduler
-                    .renew_failed(&renewal, successor.now, successor.now),
-                _ => successor.answer_renewal(&renewal, Vec::new(), Vec::new()),
+                "w1" => cell.scheduler.renew_failed(&renewal, cell.now, cell.now),
+                _ => cell.answer_renewal(&renewal, Vec::new(), Vec::new()),
             }
         }
-        successor.commit();
-        successor.tick(100);
-        if !successor.take_starts().is_empty() {
+        cell.commit();
+        cell.tick(100);
+        if !cell.take_starts().is_empty() {
             return elapsed_ms;
         }
     }
@@ -349,3 +358,237 @@
     assert_eq!(sent_meanwhile, 0);
     assert_eq!(cell.take_starts().len(), 1);
 }
+
+/// A store outage ends the commit that would have let tasks start on the worker.
+#[test]
+fn a_restarted_worker_gets_tasks_once_a_later_commit_succeeds() {
+    let mut cell = cell_after_a_restart();
+    for _ in 0..3 {
+        let batch = cell.scheduler.take_batch(97, 1_000_000, 0);
+        cell.scheduler.not_committed(&batch.expect("w1 is unsaved"));
+        cell.tick(50);
+    }
+    let starts_before = cell.take_starts();
+
+    cell.commit();
+    cell.tick(50);
+
+    assert_eq!(starts_before, []);
+    assert_eq!(cell.take_starts().len(), 1);
+}
+
+/// A second restart under a commit that names the lease of the first one.
+#[test]
+fn a_worker_that_restarts_twice_gets_no_task_before_its_row_names_the_second_lease() {
+    let mut cell = cell_after_a_restart();
+    let first = cell.scheduler.take_batch(97, 1_000_000, 0);
+    for _ in 0..2 {
+        let renewal = cell.latest_renewal_of("w1");
+        cell.answer_renewal_of_incarnation(&renewal, 3, Vec::new(), Vec::new());
+        cell.scheduler.worker_listed(restarted_entry(3), cell.now);
+        cell.tick(5);
+    }
+
+    cell.scheduler
+        .committed(&first.expect("w1 is unsaved"), cell.now);
+    cell.tick(50);
+    let starts_before = cell.take_starts();
+    cell.commit();
+    cell.tick(50);
+
+    assert_eq!(starts_before, []);
+    assert_eq!(cell.take_starts().len(), 1);
+}
+
+/// Each change of the row rewrites hundreds of workers.
+#[test]
+fn the_row_of_a_restarted_worker_is_written_once_more_when_its_earlier_lease_has_lapsed() {
+    let mut cell = cell_after_a_restart();
+    cell.commit();
+
+    let mut writes_after_ms = Vec::new();
+    for elapsed_ms in (0..30_000).step_by(100) {
+        for renewal in std::mem::take(&mut cell.renewals) {
+            cell.answer_renewal_of_incarnation(&renewal, 2, Vec::new(), Vec::new());
+        }
+        cell.tick(100);
+        let rows = cell.commit();
+        if rows.iter().any(|row| row.table == RowTable::Workers) {
+            writes_after_ms.push(elapsed_ms);
+        }
+    }
+
+    assert_eq!(writes_after_ms.len(), 1, "{writes_after_ms:?}");
+    assert!(writes_after_ms[0] >= HOLD_MAX_MS, "{writes_after_ms:?}");
+}
+
+/// A worker that is cut off from the store too loses its entry before its lease lapses.
+#[test]
+fn a_new_leader_waits_for_the_longest_hold_on_a_restarted_worker_whose_entry_expires() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let mut successor = successor(2, &cell.saved, &["w1", "w2"]);
+    successor
+        .scheduler
+        .worker_listed(restarted_entry(2), successor.now);
+    successor.tick(1_500);
+
+    successor
+        .scheduler
+        .worker_unlisted(&"w1".into(), successor.now);
+    let after_ms = start_after_ms_without_w1(&mut successor);
+
+    let earlier_authority_ms = EARLIER_AUTHORITY.as_millis() as u64;
+    assert!(
+        after_ms + 1_500 >= earlier_authority_ms + HOLD_MAX_MS,
+        "{after_ms} ms"
+    );
+}
+
+/// The reading of the former incarnation's clock arrives after the start was sent, and the answer to
+/// the start is from the new one.
+#[test]
+fn a_start_that_a_new_incarnation_answers_after_a_last_answer_of_the_former_one_keeps_its_task() {
+    let mut cell = ready_cell(1, &[entry("w1", 4), entry("w2", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.tick(5);
+    let renewal = cell.latest_renewal_of(&start.worker);
+    cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+    cell.tick(400);
+    cell.answer_start(&start, StartAnswer::Started { clock: ms(100) });
+
+    let again_after_ms = starts_again_after_ms(&mut cell, &start);
+
+    assert!(again_after_ms >= HOLD_MAX_MS, "{again_after_ms} ms");
+}
+
+/// The clock of the new incarnation is ahead of the former one's, so that the answer to the start does
+/// not show the restart; the first renewal that the new one answers does.
+#[test]
+fn a_task_that_began_in_a_new_incarnation_is_not_given_up_before_that_one_lists_its_runs() {
+    const LEASE_MS: u64 = 3_000;
+    let mut cell = ready_cell(1, &[entry("w1", 4), entry("w2", 4)]);
+    for _ in 0..100 {
+        for renewal in std::mem::take(&mut cell.renewals) {
+            cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+        }
+        cell.tick(100);
+    }
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.tick(400);
+    let clock = cell.clock() + ms(300);
+    cell.answer_start(&start, StartAnswer::Started { clock });
+    let renewal = cell.latest_renewal_of(&start.worker);
+    cell.answer_renewal_of_incarnation(&renewal, 2, vec![running(&start)], Vec::new());
+    cell.tick(5);
+
+    let again_after_ms = starts_again_after_ms(&mut cell, &start);
+
+    assert!(again_after_ms >= LEASE_MS, "{again_after_ms} ms");
+}
+
+/// Nothing tells whether a worker that is not listed has restarted; tasks stand still meanwhile.
+#[test]
+fn a_new_leader_waits_no_longer_for_a_silent_worker_that_it_never_saw_listed() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+
+    let after_ms = start_after_ms_without_w1(&mut successor(2, &cell.saved, &["w2"]));
+
+    let earlier_authority_ms = EARLIER_AUTHORITY.as_millis() as u64;
+    assert!(
+        after_ms < earlier_authority_ms + HOLD_MAX_MS,
+        "{after_ms} ms"
+    );
+}
+
+/// Returns rows in which the workers' table has `to` for the first `from`.
+fn with_workers_text(rows: &[RowChange], from: &str, to: &str) -> Vec<RowChange> {
+    let mut changed = rows.to_vec();
+    for row in &mut changed {
+        if let (RowTable::Workers, Some(value)) = (row.table, &row.value) {
+            let text = String::from_utf8(value.clone()).expect("rows are text");
+            row.value = Some(text.replacen(from, to, 1).into_bytes());
+        }
+    }
+    assert_ne!(changed, rows);
+    changed
+}
+
+/// After an upgrade the first takeover would otherwise wait for the longest hold of all silent workers.
+#[test]
+fn a_new_leader_waits_no_longer_for_a_silent_worker_whose_row_is_of_an_earlier_version() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let rows = with_workers_text(&cell.saved, ",\"started\":1", "");
+
+    let after_ms = starts_elsewhere_after_ms(&rows, 2, 2);
+
+    let earlier_authority_ms = EARLIER_AUTHORITY.as_millis() as u64;
+    assert!(
+        after_ms < earlier_authority_ms + HOLD_MAX_MS,
+        "{after_ms} ms"
+    );
+}
+
+/// A row of another writer must not keep tasks from starting for ever.
+#[test]
+fn a_new_leader_waits_for_no_longer_than_the_longest_hold_whatever_a_row_says() {
+    const ENDS_MAX_MS: u64 = HOLD_MAX_MS + 1_000;
+    let mut cell = cell_after_a_restart();
+    cell.commit();
+    let former = "\"former_ms\":";
+    let rows = with_workers_text(&cell.saved, former, &format!("{former}9223372036854"));
+
+    let after_ms = starts_elsewhere_after_ms(&rows, 2, 2);
+
+    assert!(after_ms <= ENDS_MAX_MS, "{after_ms} ms");
+}
+
+/// The row is written again when another worker joins, with what is left then.
+#[test]
+fn a_new_leader_waits_for_what_is_left_of_the_lease_of_a_former_incarnation() {
+    let mut cell = cell_after_a_restart();
+    for _ in 0..80 {
+        for renewal in std::mem::take(&mut cell.renewals) {
+            cell.answer_renewal_of_incarnation(&renewal, 2, Vec::new(), Vec::new());
+        }
+        cell.commit();
+        cell.tick(100);
+    }
+    cell.scheduler.worker_listed(entry("w3", 4), cell.now);
+    cell.tick(1);
+    let renewal = cell.latest_renewal_of("w3");
+    cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+    cell.tick(1);
+    cell.commit();
+
+    let after_ms = starts_elsewhere_after_ms(&cell.saved, 2, 2);
+
+    assert!(after_ms < HOLD_MAX_MS, "{after_ms} ms");
+}
+
+/// The answer to the start was made before that to the renewal, and arrives after it.
+#[test]
+fn an_answer_to_a_start_that_a_later_answer_overtook_shows_no_restart() {
+    let mut cell = ready_cell(1, &[entry("w1", 4), entry("w2", 4)]);
+    cell.accept("job", vec![step(1, 2)], queue(0));
+    let start = cell.take_starts().remove(0);
+    cell.tick(5);
+    let clock_of_start = cell.clock();
+    cell.tick(400);
+    let renewal = cell.latest_renewal_of(&start.worker);
+    cell.answer_renewal(&renewal, vec![running(&start)], Vec::new());
+    cell.answer_start(
+        &start,
+        StartAnswer::Started {
+            clock: clock_of_start,
+        },
+    );
+
+    let again_after_ms = starts_again_after_ms(&mut cell, &start);
+
+    assert!(again_after_ms < HOLD_MAX_MS, "{again_after_ms} ms");
+}
