fix: what is left of a former incarnation's lease shrinks over several leaders, and old runs don't wait for it

A row was written when the lease began and when it had lapsed. Each of several leaders that did not hear the worker counted what the row said from its own start: after four epochs of 3 s the next one still waited 10.5 s for a lease that had ended. Rows that tell of such a lease are written anew every two seconds; a successor waits for at most that much longer than what is left.

An incarnation that answered once and fell silent before it had acknowledged the raised token kept all runs of its worker for the longest hold. That is needed only where a run was ordered since the former incarnation was last heard; the others have ended with it.

--- a/jackdawchute-scheduler/src/batch.rs
+++ b/jackdawchute-scheduler/src/batch.rs
@@ -7,12 +7,12 @@
 use spdlog::error;
 
 use crate::{
+    former_leases::FormerLeases,
     job::{Job, JobPhase},
     records::{divided_rows, removal, saved_row, EndedRecord, JobRecord, WorkerRecord},
     row_size::{numbered_key, split_key, JOB_BYTES_MAX},
     tenants::runs_left,
     unsaved::ChangeNumber,
-    worker::FormerLeases,
     worker_rows::{row_index, row_key, RowIndex},
     CommitBatch, RowChange, RowTable, Scheduler,
 };
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -15,6 +15,7 @@
 mod error;
 mod estimates;
 mod extensions;
+mod former_leases;
 mod free_capacity;
 
 mod graph;
--- a/jackdawchute-scheduler/src/messages.rs
+++ b/jackdawchute-scheduler/src/messages.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::{unsaved::ChangeNumber, worker::FormerLeases, StepName, TaskName};
+use crate::{former_leases::FormerLeases, unsaved::ChangeNumber, StepName, TaskName};
 
 /// A worker's entry in the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/jackdawchute-scheduler/src/observe.rs
+++ b/jackdawchute-scheduler/src/observe.rs
@@ -226,20 +226,17 @@
             self.worker_rows.mark_unsaved(worker.row);
         }
         worker.ends_confirmed = worker.ends_confirmed.max(order.ends_saved);
-        // It may have begun since an earlier leader sent its last orders. The row of a worker that was
-        // not listed goes before the last start to it is over.
+        // The row of a worker that was not listed goes before the last start to it is over.
         let has_earlier_orders = worker.recovered || self.late_starts.name_worker(&order.worker);
-        let is_unknown_to_row =
-            has_earlier_orders && worker.acknowledged_start_unix_ms != Some(answer.started_unix_ms);
-        if is_first_acknowledgement && (worker.token(0) > 0 || is_unknown_to_row) {
-            // Orders to a former incarnation may have extended the lease of this one until now. A
-            // successor has to know of it before a task starts here.
-            let hold_until = answer.clock + self.settings.hold_max;
-            worker.former_lease_until = Some(now + hold_time(&self.settings));
-            worker.former_leases += 1;
+        if is_first_acknowledgement
+            && worker.may_have_former_lease(has_earlier_orders, answer.started_unix_ms)
+        {
+            // A successor has to know of it before a task starts here.
+            worker.note_former_lease(hold_time(&self.settings), now);
             worker.row_saved = false;
             self.worker_rows.mark_unsaved(worker.row);
             if worker.incarnations_seen > 0 {
+                let hold_until = answer.clock + self.settings.hold_max;
                 info!("restarted worker may have a lease from an earlier order", kv: {
                     worker = order.worker.as_str(), born_unix_ms = answer.started_unix_ms,
                     clock_ms = whole_ms(answer.clock), lease_until_ms = whole_ms(hold_until),
@@ -471,26 +468,6 @@
         }
     }
 
-    /// Marks the rows of workers as unsaved that name too few or too many of them, or a lease that
-    /// has lapsed.
-    pub(crate) fn update_worker_rows(&mut self) {
-        let view = self.lapse_view();
-        for worker in self.workers.values_mut() {
-            if worker
-                .former_lease_until
-                .is_some_and(|until| view.as_of > until)
-            {
-                worker.former_lease_until = None;
-                self.worker_rows.mark_unsaved(worker.row);
-            }
-            let is_needed = worker.needs_row(view);
-            if is_needed != worker.row_needed {
-                worker.row_needed = is_needed;
-                self.worker_rows.mark_unsaved(worker.row);
-            }
-        }
-    }
-
     /// Stops tasks that cannot end before their worker leaves, so that they run elsewhere.
     pub(crate) fn stop_runs_on_leaving_workers(&mut self, now: Instant) {
         let stop_max = self.settings.task_stop_max;
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -9,8 +9,9 @@
 use jackdawchute_types::{FencingToken, JobId, Resources, RunNumber, WorkerId};
 
 use crate::{
-    authority::LapseView, extensions::UnansweredExtensions, progress::Progress,
-    unsaved::ChangeNumber, worker_rows::RowIndex, StartOrder, TaskName, WorkerEntry,
+    authority::LapseView, extensions::UnansweredExtensions, former_leases::FormerLeases,
+    progress::Progress, unsaved::ChangeNumber, worker_rows::RowIndex, StartOrder, TaskName,
+    WorkerEntry,
 };
 
 /// The lowest rate at which a worker's clock may advance, as a multiple of the leader's.
@@ -18,10 +19,6 @@
 /// How long a worker may take to end its tasks once their lease has lapsed.
 pub(crate) const LAPSE_STOP_MAX: Duration = Duration::from_millis(400);
 
-/// Counts the leases of former incarnations of a worker, so that a committed row is known to name
-/// the latest one.
-pub(crate) type FormerLeases = u64;
-
 /// The phase of a run on a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -243,9 +240,12 @@
 
     /// Forgets what the previous incarnation has reported.
     ///
-    /// The new one may have begun tasks that count for the previous one, under a lease that lasts for
-    /// `hold_time` from now at most.
+    /// Tasks that were ordered since that one was last heard may have begun in the new one, under a
+    /// lease that lasts for `hold_time` from now at most.
     pub(crate) fn begin_incarnation(&mut self, hold_time: Duration, now: Instant) {
+        if self.may_run_since_heard() {
+            self.former_lease_until = Some(now + hold_time);
+        }
         self.incarnations_seen += 1;
         self.incarnation = None;
         self.token_acknowledged = false;
@@ -258,7 +258,6 @@
         self.ends_unsaved.clear();
         self.lease_sent = Duration::ZERO;
         self.lease_confirmed = Duration::ZERO;
-        self.former_lease_until = Some(now + hold_time);
         self.renewal_next_at = now;
         self.health.failed_jobs.clear();
         self.health.speed = WorkerSpeed::default();
@@ -346,15 +345,6 @@
         own_lapsed && view.as_of > earlier_leases_until
     }
 
-    /// Returns whether the platform lists, or listed last, an incarnation that an earlier leader had not
-    /// heard when it saved the worker, and whose lease its orders to the former one may have extended.
-    fn is_listed_as_restarted(&self) -> bool {
-        let known_start = self.acknowledged_start_unix_ms;
-        // The entry of a worker that is cut off from the platform too expires before its lease.
-        let listed_start = Some(self.entry.started_unix_ms).filter(|start| *start > 0);
-        known_start.is_some_and(|known| listed_start.is_some_and(|listed| listed != known))
-    }
-
     /// Returns when this incarnation of the worker last listed its runs and refused earlier tokens.
     pub(crate) fn listed_runs_at(&self) -> Option<Instant> {
         let incarnation = self.incarnation.filter(|_| self.reported);
--- a/jackdawchute-scheduler/src/worker_rows.rs
+++ b/jackdawchute-scheduler/src/worker_rows.rs
@@ -3,7 +3,10 @@
 //! A row holds as many workers as the store takes in one row. A worker stays in the row that it was
 //! first assigned to, so that a change of one worker rewrites few others.
 
-use std::collections::BTreeSet;
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 use smol_str::{format_smolstr, SmolStr};
 
@@ -11,6 +14,8 @@
 
 /// The prefix of all row keys, and the key of the first row, which has no number.
 const KEY_PREFIX: &str = "workers";
+/// How often rows that tell what is left of a lease are written anew.
+const LEASES_PERIOD: Duration = Duration::from_secs(2);
 /// The highest number of workers in a row; a change of one of them rewrites all.
 const WORKERS_PER_ROW: usize = 256;
 
@@ -30,6 +35,8 @@
     sizes: Vec<RowSize>,
     /// The rows to write with the next batch.
     unsaved: BTreeSet<RowIndex>,
+    /// When the rows that tell what is left of a lease were last due.
+    leases_due_at: Option<Instant>,
 }
 
 impl WorkerRows {
@@ -67,6 +74,16 @@
         self.unsaved.insert(row);
     }
 
+    /// Returns whether rows that tell what is left of a lease are due again, and counts from now if so.
+    pub(crate) fn leases_are_due(&mut self, now: Instant) -> bool {
+        let due_at = *self.leases_due_at.get_or_insert(now);
+        let is_due = now.saturating_duration_since(due_at) >= LEASES_PERIOD;
+        if is_due {
+            self.leases_due_at = Some(now);
+        }
+        is_due
+    }
+
     pub(crate) fn has_unsaved(&self) -> bool {
         !self.unsaved.is_empty()
     }
