fix: long scheduling rounds leave a leader half of its time for its calls

Tries were answered with 503 and 504, or met their deadline, for 20 s after the last fault.

Cause: a round was due 6 ms after the beginning of the last one, and each message that the leader handles runs a round that is due. With 750 jobs and more on a quarter of a core a round takes longer than that, so that each message ran one, and all else on the leader's thread waited: a short call to an instance that does not lag took 0.18 to 0.96 s in 42 of 48 cases, and a heartbeat may take 0.6 s. Of 68 takeovers of live leaders 40 were claimed since the leader does not answer, 28 offered for lag.

Ruled out by the logs: that recovery which waits for silent workers brings the changes (those leaders lag least), claimants that can't keep their epoch, the store. An effect, not the cause: a claim from a silent leader resets the count of takeovers for lag, so that its successor may offer its epoch at once.

Change: after a round the next one waits for as long as the last one took, at least. Rounds of up to half of their period come as before.

--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -7,6 +7,7 @@
 mod handover;
 mod overload;
 mod peers;
+mod round_pace;
 mod saving;
 mod work;
 
@@ -43,6 +44,7 @@
 pub use self::{
     handover::{is_outage_of_leader_alone, HandoverPolicy, LeaderFitness, OfferReason},
     overload::Overload,
+    round_pace::RoundPace,
 };
 use crate::{
     advisor::{AdvisorTask, ShortRequestLoad},
@@ -122,8 +124,7 @@
     metrics: Metrics,
     epoch_lost: mpsc::UnboundedSender<EpochLost>,
     epoch_authority: EpochConfirmation,
-    /// When the last scheduling round ran.
-    last_round_at: Instant,
+    round_pace: RoundPace,
     /// Whether a [`RoundDue`] will arrive.
     round_scheduled: bool,
     load_logged_at: Instant,
@@ -176,7 +177,7 @@
         metrics: parts.metrics,
         epoch_lost: parts.epoch_lost,
         epoch_authority,
-        last_round_at: now,
+        round_pace: RoundPace::new(now),
         round_scheduled: false,
         load_logged_at: now,
         work: WorkDone::default(),
@@ -256,11 +257,13 @@
         }
         let now = Instant::now();
         let task = context.mailbox().address();
-        let next_round_at = self.last_round_at + self.scheduler.round_period();
+        let next_round_at = self.round_pace.due_at(self.scheduler.round_period());
         if now >= next_round_at {
-            self.last_round_at = now;
             self.scheduler.run_round(now);
-            self.work.record_round(now.elapsed());
+            let ended_at = Instant::now();
+            self.round_pace.record(now, ended_at);
+            self.work
+                .record_round(ended_at.saturating_duration_since(now));
         } else if self.scheduler.round_needed() && !self.round_scheduled {
             self.round_scheduled = true;
             let task = task.clone();
--- a/jackdawchute-cell/src/lib.rs
+++ b/jackdawchute-cell/src/lib.rs
@@ -32,7 +32,9 @@
 pub use gateway::{Answer, Gateway};
 pub use instance::{Instance, Platform};
 pub use jackdawchute_ports::{Error, Result};
-pub use leader::{is_outage_of_leader_alone, HandoverPolicy, LeaderFitness, OfferReason, Overload};
+pub use leader::{
+    is_outage_of_leader_alone, HandoverPolicy, LeaderFitness, OfferReason, Overload, RoundPace,
+};
 pub use metrics::Metrics;
 pub use ports::{
     read_all, Advisor, ConfigurationUpdate, Directory, Page, RowChanges, Store, StoreRow,
