fix: a task does not start again while its process at a former address has a lease

Cause: where a worker was listed at another address under its id, another boot id in its report, or a stop that it confirmed, ended the attempts that the process at the former address runs until its leases lapse. The next attempt could start beside it, for up to a lease and a margin.

Fix: the rack owner notes until when the former process may hold leases. No confirmed stop and no silence ends an attempt on the worker before. Reports that list the end count as before, as only the process that ran the task can list it. Intents name the address that they are for (optional field `address`), so that a successor, which has not seen the former list, knows of the other process; it counts from when its predecessor may have renewed last.

--- a/jackdawchute-jobs/src/rack/claimed.rs
+++ b/jackdawchute-jobs/src/rack/claimed.rs
@@ -1,7 +1,7 @@
 //! Gain and loss of racks, with recovery of the intents in the journal, and changes of the
 //! membership list.
 
-use std::{collections::BTreeSet, time::Instant};
+use std::{collections::BTreeSet, net::SocketAddr, time::Instant};
 
 use jackdawchute_ownership::EntryKey;
 use jackdawchute_placement::FleetWorker;
@@ -54,7 +54,7 @@
     /// Restores the open attempt of a journaled intent and its charges.
     fn recover_intent(&mut self, group: &GroupId, record: IntentRecord) {
         if !self.workers.contains_key(&record.worker) {
-            self.add_unlisted_worker(group, &record.worker);
+            self.add_unlisted_worker(group, &record.worker, record.address);
         }
         self.fleet
             .charge(&record.worker, &charge_key(&record.id), record.resources);
@@ -65,15 +65,24 @@
             record,
         };
         self.charge_team(group, &intent.record.team, &intent.record.resources);
-        self.add_open_attempt(&intent.record.worker, &intent.record.id);
-        self.intents.insert(intent.record.id.clone(), intent);
+        let (id, worker) = (intent.record.id.clone(), intent.record.worker.clone());
+        let address = intent.record.address;
+        self.add_open_attempt(&worker, &id);
+        self.intents.insert(id, intent);
+        self.note_former_address(&worker, address);
     }
 
     /// Adds a worker that is not in the membership list but may still run journaled attempts.
-    fn add_unlisted_worker(&mut self, group: &GroupId, worker: &WorkerId) {
+    fn add_unlisted_worker(
+        &mut self,
+        group: &GroupId,
+        worker: &WorkerId,
+        address: Option<SocketAddr>,
+    ) {
         let state = WorkerState {
             group: group.clone(),
             leaving: true,
+            address,
             ..WorkerState::default()
         };
         self.workers.insert(worker.clone(), state);
@@ -119,6 +128,7 @@
     pub fn set_members(&mut self, members: &MembershipList, now: Instant) {
         let mut listed = BTreeSet::new();
         for member in &members.members {
+            self.set_address(member);
             if self.set_member(member, now) {
                 listed.insert(member.id.clone());
             }
@@ -146,6 +156,7 @@
         }
         let state = self.workers.entry(member.id.clone()).or_default();
         state.group = group;
+        state.address = Some(member.address);
         state.leaving = member.state == MemberState::Leaving;
         let accepting = state.accepting(&self.settings, now);
         self.fleet.upsert(FleetWorker {
--- a/jackdawchute-jobs/src/rack/lease.rs
+++ b/jackdawchute-jobs/src/rack/lease.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     effect::{AfterAppend, Effect, WorkerCall},
-    rack::state::{IntentPhase, RackGroups, WorkerState},
+    rack::state::{IntentPhase, RackGroups},
     record::{intent_key, put_entry},
     AttemptEnd, TaskAttempt,
 };
@@ -118,18 +118,6 @@
         self.report_events(now)
     }
 
-    /// Returns whether all leases on a worker have lapsed, unless a successor renewed them. They
-    /// lapse at the latest one lease after the last report: no lease goes beyond that report's
-    /// clock plus the lease time, and a fenced predecessor renews none after
-    /// `predecessor_renews_until`.
-    fn is_silent(&self, worker: &WorkerState, now: Instant) -> bool {
-        let rack = self.owned.get(&worker.group);
-        let predecessor = rack.map(|rack| rack.predecessor_renews_until);
-        let counted_from = worker.reported_at.max(predecessor);
-        let lapse_after = self.settings.lease + self.settings.clock_margin;
-        counted_from.is_some_and(|at| now.saturating_duration_since(at) > lapse_after)
-    }
-
     /// Returns whether the start of an open attempt was sent.
     fn may_run(&self, id: &TaskAttempt) -> bool {
         let intent = self.intents.get(id);
--- a/jackdawchute-jobs/src/rack/mod.rs
+++ b/jackdawchute-jobs/src/rack/mod.rs
@@ -4,6 +4,7 @@
 mod claimed;
 mod event_reports;
 mod hold;
+mod lapse;
 mod lease;
 mod quarantine;
 mod report;
--- a/jackdawchute-jobs/src/rack/start.rs
+++ b/jackdawchute-jobs/src/rack/start.rs
@@ -103,7 +103,7 @@
             return Err(NotStartedReason::NotAccepting);
         }
         let lease_until = worker.clock + self.settings.lease;
-        let boot = worker.boot.clone();
+        let (boot, worker_address) = (worker.boot.clone(), worker.address);
         if !self.has_capacity(task) {
             return Err(NotStartedReason::NoRoom);
         }
@@ -116,6 +116,7 @@
             home: home.group.clone(),
             worker: task.worker.clone(),
             boot,
+            address: worker_address,
             lease_until,
             resources: task.resources,
             command: task.command.clone(),
--- a/jackdawchute-jobs/src/rack/state.rs
+++ b/jackdawchute-jobs/src/rack/state.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    net::SocketAddr,
     sync::Arc,
     time::Instant,
 };
@@ -65,6 +66,10 @@
 pub(crate) struct WorkerState {
     /// The group of its rack.
     pub group: GroupId,
+    /// The address that calls go to; `None` for a worker that was never listed.
+    pub address: Option<SocketAddr>,
+    /// When the leases of processes at former addresses have lapsed; `None` without any.
+    pub former_leases_until: Option<Instant>,
     /// Whether the worker is leaving or no longer listed.
     pub leaving: bool,
     /// Whether the last report call succeeded and no start failed since.
--- a/jackdawchute-jobs/src/rack/stop.rs
+++ b/jackdawchute-jobs/src/rack/stop.rs
@@ -64,8 +64,9 @@
         }
     }
 
-    /// Applies a worker's answer to a stop; a stop that failed is repeated after the next report if
-    /// the task may still run.
+    /// Applies a worker's answer to a stop; a stop that failed, or that was answered while a process
+    /// at a former address may run the task, is repeated after the next report if the task may still
+    /// run.
     pub fn stopped(&mut self, worker: &WorkerId, id: &TaskAttempt, confirmed: bool, now: Instant) {
         let Some(intent) = self.intents.get(id) else {
             return;
@@ -76,6 +77,10 @@
         if !confirmed || intent.record.worker != *worker {
             return;
         }
+        // Whoever confirmed it is not known to be the process that runs the task.
+        if self.has_former_leases(worker, now) {
+            return;
+        }
         let end = if lost {
             AttemptEnd::Lost
         } else {
--- a/jackdawchute-jobs/src/record.rs
+++ b/jackdawchute-jobs/src/record.rs
@@ -1,6 +1,6 @@
 //! The records in the journal: jobs and tasks in home groups, intents in rack groups.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use jackdawchute_ownership::{EntryKey, JournalEntry};
 use jackdawchute_ports::WorkerClock;
@@ -82,6 +82,9 @@
     pub worker: WorkerId,
     /// The boot id of the worker incarnation whose clock `lease_until` refers to.
     pub boot: SmolStr,
+    /// The address of the process with that boot id; `None` from instances of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<SocketAddr>,
     /// The time on the worker's clock after which the worker refuses the start.
     #[serde(with = "duration_ms", rename = "until_ms")]
     pub lease_until: WorkerClock,
