--- a/jackdawchute-jobs/src/rack/start.rs
+++ b/jackdawchute-jobs/src/rack/start.rs
@@ -118,6 +118,7 @@
             boot,
             address: worker_address,
             lease_until,
+            lease: self.settings.lease,
             resources: task.resources,
             command: task.command.clone(),
         };
--- a/jackdawchute-jobs/src/record.rs
+++ b/jackdawchute-jobs/src/record.rs
@@ -88,6 +88,9 @@
     /// The time on the worker's clock after which the worker refuses the start.
     #[serde(with = "duration_ms", rename = "until_ms")]
     pub lease_until: WorkerClock,
+    /// The length of the lease; zero from instances of earlier versions.
+    #[serde(default, with = "duration_ms", rename = "lease_ms")]
+    pub lease: Duration,
     /// The resources that the task declares to need.
     pub resources: Resources,
     /// The command that the worker runs.
--- a/jackdawchute-jobs/tests/moved_workers.rs
+++ b/jackdawchute-jobs/tests/moved_workers.rs
@@ -164,6 +164,7 @@
     let mut value: serde_json::Value = serde_json::from_str(&value).unwrap();
     let fields = value.as_object_mut().unwrap();
     fields.remove("address").unwrap();
+    fields.remove("lease_ms");
 
     let mut successor = claimed(2, &[(key, value.to_string())], now);
 
