fix: a rack owner that may have a successor does not say that an attempt never started

Cause: a home owner compares a *not started* with the highest epoch of the rack that it has called. That is not journaled, so a new home owner does not know that its predecessor had called a later rack owner, and believed the replaced one. That one said it while it was cut off, fenced or just resumed, and also when the append of its intent failed because it had been fenced. The next attempt could start beside the running one.

Fix: it is said only under the condition for renewals: the owner lease is Confirmed or StoreDown and the process was not suspended within the last second. No successor existed at that time, so nobody had called one. Otherwise the answer leaves the attempt out, which is in the protocol already for intents that are being journaled, and the home owner asks again.

Not measured: what the wait for an owner that is cut off costs under load.

--- a/jackdawchute-jobs/src/messages.rs
+++ b/jackdawchute-jobs/src/messages.rs
@@ -233,7 +233,8 @@
     /// A rack owner's reply to a hold, start, release, stop or view call.
     Rack {
         /// The state of each attempt of a start or stop, except of one whose intent an earlier call
-        /// is still journaling; empty for other calls.
+        /// is still journaling, or that was not started here and that a successor may have started;
+        /// empty for other calls.
         answers: Vec<TaskAnswer>,
         /// Whether capacity is held for all tasks of a hold call; `false` for other calls.
         held: bool,
--- a/jackdawchute-jobs/src/rack/lease.rs
+++ b/jackdawchute-jobs/src/rack/lease.rs
@@ -147,18 +147,21 @@
         self.last_tick.is_some_and(is_paused) || self.resumed_at.is_some_and(just_resumed)
     }
 
+    /// Returns whether no successor can exist: this incarnation can't have been fenced.
+    pub(crate) fn is_sole_owner(&self, now: Instant) -> bool {
+        let leased = matches!(
+            self.lease_state,
+            LeaseState::Confirmed | LeaseState::StoreDown
+        );
+        leased && !self.was_paused(now)
+    }
+
     /// Renews the leases of the tasks that run on a worker, up to one lease time after the clock
     /// that it just reported.
     ///
     /// Renews nothing while a successor may exist.
     pub(crate) fn renew(&mut self, worker: &WorkerId, now: Instant) -> Option<Effect> {
-        if !matches!(
-            self.lease_state,
-            LeaseState::Confirmed | LeaseState::StoreDown
-        ) {
-            return None;
-        }
-        if self.was_paused(now) {
+        if !self.is_sole_owner(now) {
             return None;
         }
         let state = self.workers.get(worker)?;
--- a/jackdawchute-jobs/src/rack/start.rs
+++ b/jackdawchute-jobs/src/rack/start.rs
@@ -52,7 +52,8 @@
     }
 
     /// Returns the state of one attempt after adding its intent to `entries` if it may start, or
-    /// `None` while an earlier call for the same attempt is still being journaled.
+    /// `None` while an earlier call for the same attempt is still being journaled, or if the attempt
+    /// does not start here and a successor may have started it.
     fn start_task(
         &mut self,
         rack: &GroupEpoch,
@@ -65,7 +66,7 @@
             return attempt_state(intent.phase);
         }
         if self.is_closed(&task.id) {
-            return Some(not_started_state(NotStartedReason::Closed));
+            return self.not_started(NotStartedReason::Closed, now);
         }
         match self.record_intent(rack, home, task, now) {
             Ok(entry) => {
@@ -73,8 +74,9 @@
                 Some(AttemptState::Journaled)
             }
             Err(reason) => {
+                let state = self.not_started(reason, now)?;
                 self.close_attempt(&task.id, now);
-                Some(not_started_state(reason))
+                Some(state)
             }
         }
     }
@@ -137,33 +139,46 @@
         Ok(entry)
     }
 
+    /// Returns that an attempt was not started, which the home owner takes as final; `None` while a
+    /// successor may have started it.
+    pub(crate) fn not_started(
+        &self,
+        reason: NotStartedReason,
+        now: Instant,
+    ) -> Option<AttemptState> {
+        let state = AttemptState::Ended(AttemptEnd::NotStarted(reason));
+        self.is_sole_owner(now).then_some(state)
+    }
+
     /// Sends the starts of a call whose intents are `committed`, or else releases their capacity,
     /// and answers the call.
     pub fn intents_journaled(
         &mut self,
         call: CallId,
         rack: &GroupId,
-        mut answers: Vec<TaskAnswer>,
+        answers: Vec<TaskAnswer>,
         committed: bool,
         now: Instant,
     ) -> Vec<Effect> {
         let mut effects = Vec::new();
-        for answer in &mut answers {
-            if answer.state != AttemptState::Journaled {
-                continue;
-            }
-            if committed {
+        let mut definite = Vec::new();
+        for mut answer in answers {
+            if answer.state == AttemptState::Journaled && committed {
                 effects.extend(self.send_start(&answer.id, now));
-            } else {
+            } else if answer.state == AttemptState::Journaled {
                 self.drop_intent(&answer.id, now);
-                answer.state = not_started_state(NotStartedReason::StoreUnavailable);
+                let Some(state) = self.not_started(NotStartedReason::StoreUnavailable, now) else {
+                    continue;
+                };
+                answer.state = state;
             }
+            definite.push(answer);
         }
         let rack = GroupEpoch {
             group: rack.clone(),
             epoch: self.epoch_of(rack),
         };
-        let result = Ok(self.rack_reply(&rack, answers, false));
+        let result = Ok(self.rack_reply(&rack, definite, false));
         effects.push(Effect::Answer { call, result });
         effects
     }
@@ -266,7 +281,3 @@
         IntentPhase::Ended(end) => Some(AttemptState::Ended(end)),
     }
 }
-
-fn not_started_state(reason: NotStartedReason) -> AttemptState {
-    AttemptState::Ended(AttemptEnd::NotStarted(reason))
-}
--- a/jackdawchute-jobs/src/rack/stop.rs
+++ b/jackdawchute-jobs/src/rack/stop.rs
@@ -39,7 +39,8 @@
     }
 
     /// Stops one attempt and returns its state, or returns `None` while its intent is being
-    /// journaled: the home owner repeats the stop.
+    /// journaled, or without one while a successor may have started it: the home owner repeats the
+    /// stop.
     fn stop_attempt(
         &mut self,
         id: &TaskAttempt,
@@ -49,8 +50,7 @@
         let Some(intent) = self.intents.get_mut(id) else {
             self.release_hold(id);
             self.close_attempt(id, now);
-            let end = AttemptEnd::NotStarted(NotStartedReason::Closed);
-            return Some(AttemptState::Ended(end));
+            return self.not_started(NotStartedReason::Closed, now);
         };
         match intent.phase {
             IntentPhase::Journaling => None,
