fix: a shorter life in the settings gives no slots of running requests away

Cause: a new owner of a group of minions counted the grants of its predecessor by the life in its own settings, and a holder reported a grant without an answer for as long. After grant_life_ms was made shorter while requests ran, their slots were granted again before they had ended.

Evidence: four of the tests of changed_lives failed before: at 10 s after the change from a life of 30 s to one of 1 s a reported grant, a crashed holder and a key with a lost answer used no slot, and an abandoned grant was not reported; each may run for 37 s.

Fix: reported and abandoned grants count by the time that they name. For holders that do not answer and keys with a lost answer, which name none, a new owner waits at least for the end of grants by the settings that it has replaced. The first settings that an instance gets replace none: it owned nothing before.

--- a/jackdawchute-requests/src/group.rs
+++ b/jackdawchute-requests/src/group.rs
@@ -95,6 +95,8 @@
     pub(crate) id: GroupId,
     pub(crate) epoch: Epoch,
     pub(crate) settings: Arc<Settings>,
+    /// Until when grants by replaced settings may run; `None` if settings were not replaced.
+    pub(crate) replaced_grants_until: Option<Instant>,
     pub(crate) admission: Box<dyn AdmissionPolicy>,
     pub(crate) minions: BTreeMap<MinionId, Minion>,
     /// Calls in the admission queue.
@@ -145,6 +147,7 @@
             id,
             epoch,
             settings,
+            replaced_grants_until: None,
             admission,
             minions: BTreeMap::new(),
             queued: HashMap::new(),
@@ -172,6 +175,12 @@
         self.next_id
     }
 
+    /// Returns when the grants that an earlier owner gave until `now` are known to have ended.
+    pub(crate) fn earlier_grants_end_by(&self, now: Instant) -> Instant {
+        let usual = now + self.settings.grants.ended_after();
+        usual.max(self.replaced_grants_until.unwrap_or(usual))
+    }
+
     /// Returns how many slots of each minion are held back for grants that were not reported yet.
     pub(crate) fn held_back(&self) -> u32 {
         let holders = u32::try_from(self.unaccounted.len()).unwrap_or(u32::MAX);
--- a/jackdawchute-requests/src/held_grants.rs
+++ b/jackdawchute-requests/src/held_grants.rs
@@ -53,11 +53,11 @@
         self.held.remove(&key);
     }
 
-    /// Keeps reporting a grant until `ended_at`, when its request is known to have ended.
-    pub fn abandon(&mut self, abandon: &AbandonGrant, ended_at: Instant) {
+    /// Keeps reporting a grant until its request is known to have ended, by what the grant says.
+    pub fn abandon(&mut self, abandon: &AbandonGrant, now: Instant) {
         let key = (abandon.group.clone(), abandon.epoch, abandon.grant);
         if let Some(held) = self.held.get_mut(&key) {
-            held.ended_at = Some(ended_at);
+            held.ended_at = Some(now + held.grant.ended_after);
         }
     }
 
@@ -92,7 +92,6 @@
 
     /// Abandons a grant whose response was lost; its request may still run.
     pub fn abandon_grant(&mut self, abandon: &AbandonGrant, now: Instant) {
-        let ended_at = now + self.settings.grants.ended_after();
-        self.held_grants.abandon(abandon, ended_at);
+        self.held_grants.abandon(abandon, now);
     }
 }
--- a/jackdawchute-requests/src/messages.rs
+++ b/jackdawchute-requests/src/messages.rs
@@ -194,7 +194,7 @@
 /// Abandons a held grant whose response was lost, in place of [`ReleaseGrant`].
 ///
 /// The request may still run, so the grant is reported to a new owner until
-/// [`GrantSettings::ended_after`](crate::GrantSettings::ended_after) has passed.
+/// [`Grant::ended_after`] has passed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AbandonGrant {
     /// The grant's id within its epoch.
--- a/jackdawchute-requests/src/recover.rs
+++ b/jackdawchute-requests/src/recover.rs
@@ -87,7 +87,7 @@
                 self.keys.finish(&key, KeyPhase::OutcomeUnknown, now);
                 if let Some(minion) = minion {
                     let minion = self.ensure_minion(minion, None);
-                    let ends_by = now + self.settings.grants.ended_after();
+                    let ends_by = self.earlier_grants_end_by(now);
                     self.count_recovered(grant, minion, holder, Some(key), ends_by);
                     self.keep_until_end(grant, now);
                 }
@@ -147,7 +147,7 @@
             unlisted: false,
         };
         let unaccounted = UnaccountedHolder {
-            ends_by: now + self.settings.grants.ended_after(),
+            ends_by: self.earlier_grants_end_by(now),
             queried_at: now,
         };
         self.holders.insert(holder.clone(), registration);
@@ -189,8 +189,8 @@
             // The grant was recovered from the journal, or was released before this report.
             return;
         }
+        let ends_by = now + grant.ended_after.max(self.settings.grants.ended_after());
         let minion = self.ensure_minion(grant.minion, Some(grant.address));
-        let ends_by = now + self.settings.grants.ended_after();
         self.count_recovered(reference, minion, holder.clone(), None, ends_by);
     }
 
--- a/jackdawchute-requests/src/state.rs
+++ b/jackdawchute-requests/src/state.rs
@@ -32,6 +32,10 @@
 pub struct State {
     incarnation: IncarnationId,
     pub(crate) settings: Arc<Settings>,
+    /// Until when grants by replaced settings may run; `None` before settings were replaced.
+    replaced_grants_until: Option<Instant>,
+    /// Whether the settings are those of a configuration, by which grants may have been given.
+    is_configured: bool,
     policy: PolicyFactory,
     lease_state: LeaseState,
     /// The live incarnations, to which slots may be granted.
@@ -57,6 +61,8 @@
         Self {
             incarnation,
             settings,
+            replaced_grants_until: None,
+            is_configured: false,
             policy,
             lease_state: LeaseState::Confirmed,
             directory: Arc::default(),
@@ -107,6 +113,7 @@
         let settings = Arc::clone(&self.settings);
         let mut group = Group::new(id.clone(), epoch, settings, (self.policy)(), now);
         group.may_grant = self.may_grant(now);
+        group.replaced_grants_until = self.replaced_grants_until;
         if let Some(listed) = self.listed_minions(&id) {
             group.set_minions(&listed);
         }
@@ -394,7 +401,12 @@
     pub fn change_settings(&mut self, settings: Arc<Settings>, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
         self.update_may_grant(now);
+        if std::mem::replace(&mut self.is_configured, true) {
+            let until = now + self.settings.grants.ended_after();
+            self.replaced_grants_until = self.replaced_grants_until.max(Some(until));
+        }
         for group in self.groups.values_mut() {
+            group.replaced_grants_until = self.replaced_grants_until;
             group.change_settings(Arc::clone(&settings));
             group.grant_waiting(now, &mut effects);
         }
