fix: an owner by handover waits for the fenced owner before its predecessor

Cause: the successor of a fenced rack owner counts its leases from holder_stop_max after the claim, as that one may still renew them. If it hands the rack over within this time the next owner knew only of a release, and counted one lease from its own claim.

Evidence: an_owner_by_handover_waits_for_the_owner_that_was_fenced_before failed before: the task was given up at 31.999 s after the claim of the second owner, before the last possible lease had lapsed at 32 s. Two more tests need the new entry; the fourth shows that a handover without a fenced owner is as before.

Fix: the successor of a fenced owner journals the entry `fenced-owner` in the rack's group, again if the append failed, and deletes it once that owner can renew nothing. An owner that finds it waits as after a fence.

Result: the tests of jackdawchute-jobs pass. Not shown between processes.

--- a/jackdawchute-jobs/examples/costs.rs
+++ b/jackdawchute-jobs/examples/costs.rs
@@ -230,7 +230,7 @@
                 self.racks
                     .lapses_journaled(&rack, &ids, true, Instant::now())
             }
-            AfterAppend::Nothing => Vec::new(),
+            AfterAppend::PredecessorNoted(_) | AfterAppend::Nothing => Vec::new(),
         }
     }
 
--- a/jackdawchute-jobs/src/effect.rs
+++ b/jackdawchute-jobs/src/effect.rs
@@ -106,6 +106,8 @@
     },
     /// Ends the attempts on silent workers of the rack as lost, and reports them to home owners.
     Lapsed(GroupId, Vec<TaskAttempt>),
+    /// Journals again, if it failed, that a fenced owner of the rack may still renew leases.
+    PredecessorNoted(GroupId),
     /// No step: the result is ignored.
     Nothing,
 }
--- a/jackdawchute-jobs/src/outbound.rs
+++ b/jackdawchute-jobs/src/outbound.rs
@@ -166,6 +166,10 @@
             AfterAppend::Lapsed(rack, ids) => {
                 racks.lapses_journaled(&rack, &ids, result.is_ok(), now.instant)
             }
+            AfterAppend::PredecessorNoted(rack) => {
+                racks.predecessor_noted(&rack, result.is_ok());
+                Vec::new()
+            }
             AfterAppend::Nothing => Vec::new(),
         }
     }
--- a/jackdawchute-jobs/src/rack/claimed.rs
+++ b/jackdawchute-jobs/src/rack/claimed.rs
@@ -9,14 +9,18 @@
 use jackdawchute_types::{Epoch, GroupId, Resources, WorkerId};
 
 use crate::{
-    rack::state::{charge_key, Intent, IntentPhase, OwnedRack, RackGroups, WorkerState},
-    record::{parse, IntentRecord},
+    rack::{
+        predecessor::FencedOwnerNote,
+        state::{charge_key, Intent, IntentPhase, OwnedRack, RackGroups, WorkerState},
+    },
+    record::{parse, IntentRecord, FENCED_OWNER_KEY},
     Error,
 };
 
 impl RackGroups {
     /// Starts owning a rack. Each journaled intent counts as possibly running, at its declared
-    /// size; `fenced` tells whether the predecessor was fenced rather than released the rack.
+    /// size; `fenced` tells whether the predecessor was fenced rather than released the rack. The
+    /// journal may tell that an earlier one was fenced.
     ///
     /// Returns an error for each entry that cannot be parsed; the others are recovered.
     pub fn claimed(
@@ -29,7 +33,8 @@
         now: Instant,
     ) -> Vec<Error> {
         self.lost(group);
-        let predecessor_renews_until = if fenced {
+        let is_noted = entries.iter().any(|(key, _)| key == FENCED_OWNER_KEY);
+        let predecessor_renews_until = if fenced || is_noted {
             now + self.settings.holder_stop_max
         } else {
             now
@@ -37,12 +42,14 @@
         let rack = OwnedRack {
             epoch,
             predecessor_renews_until,
+            fenced_owner_note: FencedOwnerNote::at_claim(is_noted, fenced),
             is_journaling_lapses: false,
         };
         self.owned.insert(group.clone(), rack);
         self.set_members(members, now);
         let mut errors = Vec::new();
-        for (key, value) in entries {
+        let intents = entries.iter().filter(|(key, _)| key != FENCED_OWNER_KEY);
+        for (key, value) in intents {
             match parse::<IntentRecord>(group, key, value) {
                 Ok(record) => self.recover_intent(group, record),
                 Err(error) => errors.push(error),
--- a/jackdawchute-jobs/src/rack/lease.rs
+++ b/jackdawchute-jobs/src/rack/lease.rs
@@ -25,14 +25,16 @@
 const LAPSES_PER_APPEND_MAX: usize = 500;
 
 impl RackGroups {
-    /// Requests due reports from workers, journals the lapse of the attempts on silent ones, drops
-    /// lapsed holds and expired closed attempts, and reports to home owners.
+    /// Journals what later owners must know of fenced ones, requests due reports from workers,
+    /// journals the lapse of the attempts on silent ones, drops lapsed holds and expired closed
+    /// attempts, and reports to home owners.
     pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
         self.record_tick(now);
         self.lapse_holds(now);
         self.forget_closed(now);
         self.refresh_accepting(now);
-        let mut effects = self.journal_lapses(now);
+        let mut effects = self.journal_fenced_owners(now);
+        effects.extend(self.journal_lapses(now));
         effects.extend(self.request_reports(now));
         effects.extend(self.report_events(now));
         effects
--- a/jackdawchute-jobs/src/rack/mod.rs
+++ b/jackdawchute-jobs/src/rack/mod.rs
@@ -6,6 +6,7 @@
 mod hold;
 mod lapse;
 mod lease;
+mod predecessor;
 mod quarantine;
 mod report;
 mod start;
--- a/jackdawchute-jobs/src/rack/state.rs
+++ b/jackdawchute-jobs/src/rack/state.rs
@@ -16,7 +16,10 @@
 use smol_str::{format_smolstr, SmolStr};
 
 use crate::{
-    rack::quarantine::{Health, QuarantineSettings},
+    rack::{
+        predecessor::FencedOwnerNote,
+        quarantine::{Health, QuarantineSettings},
+    },
     record::IntentRecord,
     AttemptEnd, GroupEpoch, RackView, Settings, TaskAttempt, WorkerView,
 };
@@ -57,6 +60,8 @@
     pub epoch: Epoch,
     /// The time until which a fenced predecessor may still renew leases.
     pub predecessor_renews_until: Instant,
+    /// Whether the journal tells later owners of that predecessor.
+    pub fenced_owner_note: FencedOwnerNote,
     /// Whether an append for lapsed attempts has no result yet.
     pub is_journaling_lapses: bool,
 }
--- a/jackdawchute-jobs/src/record.rs
+++ b/jackdawchute-jobs/src/record.rs
@@ -97,6 +97,9 @@
     pub command: SmolStr,
 }
 
+/// The key of the entry in a rack's group that says that a fenced owner may still renew leases.
+pub(crate) const FENCED_OWNER_KEY: &str = "fenced-owner";
+
 /// Returns the key of a [`JobRecord`].
 pub(crate) fn job_key(job: &JobId) -> EntryKey {
     format_smolstr!("job/{job}")
