fix: a replaced home owner does not acknowledge the end of its successor's task

A replaced home owner does not know the tasks of its successor; a rack owner whose directory still names it then forgot the end, and the successor waited for it without end, as it asks no more once it was told that the start is journaled.

Evidence: both tests of home_reports failed before: the end of an unknown task was acknowledged in CutOff (the first of the two states that must not), and 10 s after the last tick. That the successor waits without end is by reading; no run of processes shows it.

Fix: such a report is acknowledged only under the condition for renewals by rack owners, which moves to a module of its own (pause.rs) for both. The rack owner repeats the report until its directory names the successor.

Result: the tests of jackdawchute-jobs pass, 2 of 2 of home_reports.

--- a/jackdawchute-jobs/src/home/expire.rs
+++ b/jackdawchute-jobs/src/home/expire.rs
@@ -1,5 +1,7 @@
 //! The periodic work of the home owner: deadlines, retries, repeated calls and retention.
 
+use std::time::Instant;
+
 use jackdawchute_ownership::Error as JournalError;
 use jackdawchute_types::{GroupId, JobId, Refusal, RefusalReason};
 
@@ -13,6 +15,7 @@
 impl HomeGroups {
     /// Does the work that is due at this time.
     pub fn tick(&mut self, now: Now) -> Vec<Effect> {
+        self.ticks.record(now.instant);
         let mut effects = self.journal_waiting_acceptances(now);
         self.expire(now);
         self.resume_delayed(now.instant);
@@ -25,7 +28,7 @@
         self.refresh_shares_if_due(now.instant);
         self.forget_finished(now.instant);
         if !self.append_in_flight {
-            effects.extend(self.journal_pending_entries(None));
+            effects.extend(self.journal_pending_entries(None, now.instant));
         }
         effects
     }
@@ -107,14 +110,21 @@
     }
 
     /// Journals the queued entries and then answers `call`, the report of a rack owner: the rack
-    /// owner may forget the ends that it reported only once they are journaled here.
-    pub(crate) fn journal_pending_entries(&mut self, call: Option<CallId>) -> Vec<Effect> {
+    /// owner may forget the ends that it reported only once they are journaled here. Ends of tasks
+    /// that this owner does not know are journaled nowhere, but may be those of a successor's tasks.
+    pub(crate) fn journal_pending_entries(
+        &mut self,
+        call: Option<CallId>,
+        now: Instant,
+    ) -> Vec<Effect> {
         if self.unjournaled.is_empty() {
-            let acknowledged = |call| Effect::Answer {
-                call,
-                result: Ok(Reply::Acknowledged),
+            let is_sole_owner = self.ticks.is_sole_owner(self.lease_state, now);
+            let result = match is_sole_owner {
+                true => Ok(Reply::Acknowledged),
+                false => Err(not_journaled()),
             };
-            return call.map(acknowledged).into_iter().collect();
+            let answer = call.map(|call| Effect::Answer { call, result });
+            return answer.into_iter().collect();
         }
         if !self.is_confirmed() {
             let refused = |call| Effect::Answer {
--- a/jackdawchute-jobs/src/home/report.rs
+++ b/jackdawchute-jobs/src/home/report.rs
@@ -25,7 +25,7 @@
         for event in events {
             self.apply_attempt_state(&event.id, event.state, now.instant);
         }
-        let mut effects = self.journal_pending_entries(Some(call));
+        let mut effects = self.journal_pending_entries(Some(call), now.instant);
         effects.extend(self.dispatch(now));
         effects
     }
--- a/jackdawchute-jobs/src/home/state.rs
+++ b/jackdawchute-jobs/src/home/state.rs
@@ -16,6 +16,7 @@
 use crate::{
     effect::{Count, Effect},
     home::Job,
+    pause::Ticks,
     Settings,
 };
 
@@ -35,6 +36,7 @@
 pub struct HomeGroups {
     pub(crate) settings: Arc<Settings>,
     pub(crate) lease_state: LeaseState,
+    pub(crate) ticks: Ticks,
     pub(crate) directory: Arc<Directory>,
     pub(crate) members: Option<Arc<MembershipList>>,
     /// The epochs of the owned home groups.
@@ -116,6 +118,7 @@
         Self {
             settings,
             lease_state: LeaseState::CutOff,
+            ticks: Ticks::default(),
             directory: Arc::default(),
             members: None,
             owned: BTreeMap::new(),
--- a/jackdawchute-jobs/src/lib.rs
+++ b/jackdawchute-jobs/src/lib.rs
@@ -10,6 +10,7 @@
 mod messages;
 mod names;
 mod outbound;
+mod pause;
 pub mod rack;
 pub mod record;
 mod settings;
--- a/jackdawchute-jobs/src/rack/lease.rs
+++ b/jackdawchute-jobs/src/rack/lease.rs
@@ -1,9 +1,6 @@
 //! Task leases: renewed by the clock of the worker, and counted as lapsed after its silence.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, time::Instant};
 
 use jackdawchute_ownership::LeaseState;
 use jackdawchute_ports::{Lease, WorkerClock};
@@ -16,9 +13,6 @@
     AttemptEnd, TaskAttempt,
 };
 
-/// The shortest time without a tick that counts as a pause of this process. After a pause the known
-/// lease state may be out of date, so leases are not renewed until this time has passed again.
-const PAUSE_MIN: Duration = Duration::from_secs(1);
 /// The number of renewals within the length of a lease.
 const RENEWALS_PER_LEASE: u32 = 3;
 /// The most lapsed attempts in one append.
@@ -29,7 +23,7 @@
     /// journals the lapse of the attempts on silent ones, drops lapsed holds and expired closed
     /// attempts, and reports to home owners.
     pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
-        self.record_tick(now);
+        self.ticks.record(now);
         self.lapse_holds(now);
         self.forget_closed(now);
         self.refresh_accepting(now);
@@ -132,30 +126,9 @@
         open.into_iter().flatten().cloned().collect()
     }
 
-    /// Records the time of a tick, and of the end of a pause if there was one before it.
-    fn record_tick(&mut self, now: Instant) {
-        let paused = |at: Instant| now.saturating_duration_since(at) >= PAUSE_MIN;
-        if self.last_tick.is_some_and(paused) {
-            self.resumed_at = Some(now);
-        }
-        self.last_tick = Some(now);
-    }
-
-    /// Returns whether this process is or was paused so recently that a change of its lease state
-    /// may not have arrived yet.
-    fn was_paused(&self, now: Instant) -> bool {
-        let is_paused = |at: Instant| now.saturating_duration_since(at) >= PAUSE_MIN;
-        let just_resumed = |at: Instant| now.saturating_duration_since(at) < PAUSE_MIN;
-        self.last_tick.is_some_and(is_paused) || self.resumed_at.is_some_and(just_resumed)
-    }
-
     /// Returns whether no successor can exist: this incarnation can't have been fenced.
     pub(crate) fn is_sole_owner(&self, now: Instant) -> bool {
-        let leased = matches!(
-            self.lease_state,
-            LeaseState::Confirmed | LeaseState::StoreDown
-        );
-        leased && !self.was_paused(now)
+        self.ticks.is_sole_owner(self.lease_state, now)
     }
 
     /// Renews the leases of the tasks that run on a worker, up to one lease time after the clock
--- a/jackdawchute-jobs/src/rack/state.rs
+++ b/jackdawchute-jobs/src/rack/state.rs
@@ -16,6 +16,7 @@
 use smol_str::{format_smolstr, SmolStr};
 
 use crate::{
+    pause::Ticks,
     rack::{
         predecessor::FencedOwnerNote,
         quarantine::{Health, QuarantineSettings},
@@ -130,10 +131,7 @@
     /// The highest epoch seen in calls from the owner of each home group.
     pub(crate) home_epochs: HashMap<GroupId, Epoch>,
     pub(crate) health: Health,
-    /// When the last tick was handled.
-    pub(crate) last_tick: Option<Instant>,
-    /// When the first tick after the last pause of this process was handled.
-    pub(crate) resumed_at: Option<Instant>,
+    pub(crate) ticks: Ticks,
     /// Attempts whose state the home owner has not acknowledged, and when it was last reported.
     pub(crate) unacknowledged: BTreeMap<TaskAttempt, Option<Instant>>,
 }
@@ -163,8 +161,7 @@
             closed_attempts: HashMap::new(),
             closed_order: VecDeque::new(),
             home_epochs: HashMap::new(),
-            last_tick: None,
-            resumed_at: None,
+            ticks: Ticks::default(),
             unacknowledged: BTreeMap::new(),
         }
     }
