fix: a minion listed in another failure domain gets nothing until its requests have ended

Cause: each failure domain of a service is a group with an owner of its own, which counts the slots of its minions. The owner of the group to which a minion is moved knows nothing of the requests that the former one granted.

Fix: an instance marks a minion that its membership list moves to another group at the same address; nothing is granted on it there until grants given before are over.

--- a/jackdawchute-requests/src/fleet.rs
+++ b/jackdawchute-requests/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The minions of each service group, from the membership list.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
 
 use jackdawchute_ports::{MemberRole, MemberState, MembershipList};
 use jackdawchute_types::{GroupId, MinionId};
@@ -32,6 +32,31 @@
     fleet
 }
 
+/// Marks the minions of `fleet` that `former` has in another group at the same address: requests that
+/// the owner of that group granted may run on them until `moved_until`.
+pub(crate) fn mark_moved(
+    fleet: &mut BTreeMap<GroupId, ListedMinions>,
+    former: &BTreeMap<GroupId, ListedMinions>,
+    moved_until: Instant,
+) {
+    let places = former.iter().flat_map(|(group, minions)| {
+        let of_group = move |(id, minion)| (id, (group, minion));
+        minions.iter().map(of_group)
+    });
+    let places: BTreeMap<&MinionId, (&GroupId, &Minion)> = places.collect();
+    for (group, minions) in fleet {
+        for (id, minion) in minions {
+            if let Some((former_group, listed)) = places.get(id) {
+                let is_moved = *former_group != group && listed.address == minion.address;
+                minion.moved_until = match is_moved {
+                    true => Some(moved_until),
+                    false => listed.moved_until,
+                };
+            }
+        }
+    }
+}
+
 /// Returns the stand-in for the minions of a key group, which has no real address.
 pub(crate) fn key_group_minions() -> ListedMinions {
     let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
--- a/jackdawchute-requests/src/minion.rs
+++ b/jackdawchute-requests/src/minion.rs
@@ -17,6 +17,9 @@
     pub(crate) slots: u32,
     /// Whether the membership list names the minion as live.
     pub(crate) live: bool,
+    /// Until when requests granted by the owner of another group may run on it; `None` without a move
+    /// from one.
+    pub(crate) moved_until: Option<Instant>,
     /// The number of grants whose requests may run, of every holder and epoch.
     pub(crate) in_use: u32,
     /// The number of grants without a journaled intent, by holder.
@@ -36,6 +39,7 @@
             address,
             slots,
             live: true,
+            moved_until: None,
             in_use: 0,
             unjournaled_by_holder: BTreeMap::new(),
             ejection: None,
@@ -55,11 +59,12 @@
         self.address = listed.address;
         self.slots = listed.slots;
         self.live = listed.live;
+        self.moved_until = listed.moved_until;
     }
 
     /// Returns how many slots may be granted, with `held_back` slots left for unreported grants.
     pub(crate) fn free_slots(&self, held_back: u32, now: Instant) -> u32 {
-        if !self.live {
+        if !self.live || self.moved_until.is_some_and(|until| now < until) {
             return 0;
         }
         let slots = match self.ejection {
--- a/jackdawchute-requests/src/state.rs
+++ b/jackdawchute-requests/src/state.rs
@@ -13,7 +13,7 @@
 use jackdawchute_types::{Epoch, FailureDomainId, GroupId, IncarnationId, Refusal, RefusalReason};
 
 use crate::{
-    fleet::{key_group_minions, minions_by_group, ListedMinions},
+    fleet::{key_group_minions, mark_moved, minions_by_group, ListedMinions},
     group::Group,
     groups::{is_key_group, key_group, rendezvous_group, service_group},
     recover::is_listed,
@@ -178,7 +178,11 @@
     pub fn set_membership(&mut self, list: &MembershipList, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
         self.update_may_grant(now);
-        self.fleet = minions_by_group(list);
+        let mut fleet = minions_by_group(list);
+        let ended = now + self.settings.grants.ended_after();
+        let moved_until = ended.max(self.replaced_grants_until.unwrap_or(ended));
+        mark_moved(&mut fleet, &self.fleet, moved_until);
+        self.fleet = fleet;
         for (id, group) in &mut self.groups {
             if !is_key_group(id) {
                 group.set_minions(self.fleet.get(id).unwrap_or(&ListedMinions::new()));
