test: a successor gives a task up whose renewals are longer than its start

A successor that has a shorter lease in its settings gives the task up while it runs. Instances that have the longer lease in their settings wait for it, so that it needs one that has not got it yet or that started after it was made shorter again.

--- a/jackdawchute-jobs/tests/changed_leases.rs
+++ b/jackdawchute-jobs/tests/changed_leases.rs
@@ -9,8 +9,8 @@
 
 use fixtures::{
     rack::{
-        attempt_id, finish_append, group_epoch, journaled_entries, racks, racks_with_task, report,
-        reported_lost, running_task, task_start, RACK, WORKER_ID,
+        attempt_id, finish_append, group_epoch, journaled_entries, racks, racks_with_task,
+        renewals, report, reported_lost, running_task, task_start, RACK, WORKER_ID,
     },
     settings,
 };
@@ -111,3 +111,33 @@
 
     assert_eq!(reported_lost(&effects), [attempt_id("j-0", 1)]);
 }
+
+/// The length of a renewal is not journaled.
+#[test]
+fn a_successor_with_a_shorter_lease_waits_for_a_renewal_longer_than_the_start() {
+    let now = Instant::now();
+    let (rack, home) = (group_epoch(RACK, 1), group_epoch("jobs/0", 1));
+    let start = vec![task_start("j-0", 1, 1_000)];
+    let mut predecessor = racks(now);
+    predecessor.set_settings(shorter_lease());
+    let effects = predecessor.start(1, &rack, &home, start, now);
+    let mut entries = journaled_entries(&effects);
+    finish_append(&mut predecessor, effects, true, now);
+
+    predecessor.set_settings(Arc::new(settings()));
+    entries.extend(journaled_entries(&predecessor.tick(now)));
+    let tasks = vec![running_task("j-0", 1, 1_000)];
+    let effects = predecessor.reported(&WORKER_ID.into(), Some(report(100, "b1", tasks)), now);
+    entries.extend(journaled_entries(&effects));
+    let mut successor = RackGroups::new(shorter_lease());
+    successor.set_lease_state(LeaseState::Confirmed);
+    let list = fixtures::members(&["r1"], 1);
+    successor.claimed(&RACK.into(), 2, &entries, true, &list, now);
+
+    let lapse = now + settings().holder_stop_max + LONG + settings().clock_margin;
+    assert_eq!(renewals(&effects), 1);
+    assert!(!is_given_up(
+        &mut successor,
+        lapse - Duration::from_millis(1)
+    ));
+}
