--- a/jackdawchute-jobs/src/rack/claimed.rs
+++ b/jackdawchute-jobs/src/rack/claimed.rs
@@ -1,7 +1,7 @@
 //! Gain and loss of racks, with recovery of the intents in the journal, and changes of the
 //! membership list.
 
-use std::{collections::BTreeSet, time::Instant};
+use std::{collections::BTreeSet, net::SocketAddr, time::Instant};
 
 use jackdawchute_ownership::EntryKey;
 use jackdawchute_placement::FleetWorker;
@@ -9,14 +9,18 @@
 use jackdawchute_types::{Epoch, GroupId, Resources, WorkerId};
 
 use crate::{
-    rack::state::{charge_key, Intent, IntentPhase, OwnedRack, RackGroups, WorkerState},
-    record::{parse, IntentRecord},
+    rack::{
+        predecessor::FencedOwnerNote,
+        state::{charge_key, Intent, IntentPhase, OwnedRack, RackGroups, WorkerState},
+    },
+    record::{parse, IntentRecord, FENCED_OWNER_KEY},
     Error,
 };
 
 impl RackGroups {
     /// Starts owning a rack. Each journaled intent counts as possibly running, at its declared
-    /// size; `fenced` tells whether the predecessor was fenced rather than released the rack.
+    /// size; `fenced` tells whether the predecessor was fenced rather than released the rack. The
+    /// journal may tell that an earlier one was fenced.
     ///
     /// Returns an error for each entry that cannot be parsed; the others are recovered.
     pub fn claimed(
@@ -29,7 +33,8 @@
         now: Instant,
     ) -> Vec<Error> {
         self.lost(group);
-        let predecessor_renews_until = if fenced {
+        let is_noted = entries.iter().any(|(key, _)| key == FENCED_OWNER_KEY);
+        let predecessor_renews_until = if fenced || is_noted {
             now + self.settings.holder_stop_max
         } else {
             now
@@ -37,12 +42,14 @@
         let rack = OwnedRack {
             epoch,
             predecessor_renews_until,
+            fenced_owner_note: FencedOwnerNote::at_claim(is_noted, fenced),
             is_journaling_lapses: false,
         };
         self.owned.insert(group.clone(), rack);
         self.set_members(members, now);
         let mut errors = Vec::new();
-        for (key, value) in entries {
+        let intents = entries.iter().filter(|(key, _)| key != FENCED_OWNER_KEY);
+        for (key, value) in intents {
             match parse::<IntentRecord>(group, key, value) {
                 Ok(record) => self.recover_intent(group, record),
                 Err(error) => errors.push(error),
@@ -54,7 +61,7 @@
     /// Restores the open attempt of a journaled intent and its charges.
     fn recover_intent(&mut self, group: &GroupId, record: IntentRecord) {
         if !self.workers.contains_key(&record.worker) {
-            self.add_unlisted_worker(group, &record.worker);
+            self.add_unlisted_worker(group, &record.worker, record.address);
         }
         self.fleet
             .charge(&record.worker, &charge_key(&record.id), record.resources);
@@ -65,15 +72,24 @@
             record,
         };
         self.charge_team(group, &intent.record.team, &intent.record.resources);
-        self.add_open_attempt(&intent.record.worker, &intent.record.id);
-        self.intents.insert(intent.record.id.clone(), intent);
+        let (id, worker) = (intent.record.id.clone(), intent.record.worker.clone());
+        let address = intent.record.address;
+        self.add_open_attempt(&worker, &id);
+        self.intents.insert(id, intent);
+        self.note_former_address(&worker, address);
     }
 
     /// Adds a worker that is not in the membership list but may still run journaled attempts.
-    fn add_unlisted_worker(&mut self, group: &GroupId, worker: &WorkerId) {
+    fn add_unlisted_worker(
+        &mut self,
+        group: &GroupId,
+        worker: &WorkerId,
+        address: Option<SocketAddr>,
+    ) {
         let state = WorkerState {
             group: group.clone(),
             leaving: true,
+            address,
             ..WorkerState::default()
         };
         self.workers.insert(worker.clone(), state);
@@ -119,6 +135,7 @@
     pub fn set_members(&mut self, members: &MembershipList, now: Instant) {
         let mut listed = BTreeSet::new();
         for member in &members.members {
+            self.set_address(member);
             if self.set_member(member, now) {
                 listed.insert(member.id.clone());
             }
@@ -146,6 +163,7 @@
         }
         let state = self.workers.entry(member.id.clone()).or_default();
         state.group = group;
+        state.address = Some(member.address);
         state.leaving = member.state == MemberState::Leaving;
         let accepting = state.accepting(&self.settings, now);
         self.fleet.upsert(FleetWorker {
--- a/jackdawchute-jobs/src/rack/lease.rs
+++ b/jackdawchute-jobs/src/rack/lease.rs
@@ -1,9 +1,6 @@
 //! Task leases: renewed by the clock of the worker, and counted as lapsed after its silence.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, time::Instant};
 
 use jackdawchute_ownership::LeaseState;
 use jackdawchute_ports::{Lease, WorkerClock};
@@ -11,28 +8,27 @@
 
 use crate::{
     effect::{AfterAppend, Effect, WorkerCall},
-    rack::state::{IntentPhase, RackGroups, WorkerState},
+    rack::state::{IntentPhase, RackGroups},
     record::{intent_key, put_entry},
     AttemptEnd, TaskAttempt,
 };
 
-/// The shortest time without a tick that counts as a pause of this process. After a pause the known
-/// lease state may be out of date, so leases are not renewed until this time has passed again.
-const PAUSE_MIN: Duration = Duration::from_secs(1);
 /// The number of renewals within the length of a lease.
 const RENEWALS_PER_LEASE: u32 = 3;
 /// The most lapsed attempts in one append.
 const LAPSES_PER_APPEND_MAX: usize = 500;
 
 impl RackGroups {
-    /// Requests due reports from workers, journals the lapse of the attempts on silent ones, drops
-    /// lapsed holds and expired closed attempts, and reports to home owners.
+    /// Journals what later owners must know of fenced ones, requests due reports from workers,
+    /// journals the lapse of the attempts on silent ones, drops lapsed holds and expired closed
+    /// attempts, and reports to home owners.
     pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
-        self.record_tick(now);
+        self.ticks.record(now);
         self.lapse_holds(now);
         self.forget_closed(now);
         self.refresh_accepting(now);
-        let mut effects = self.journal_lapses(now);
+        let mut effects = self.journal_fenced_owners(now);
+        effects.extend(self.journal_lapses(now));
         effects.extend(self.request_reports(now));
         effects.extend(self.report_events(now));
         effects
@@ -118,18 +114,6 @@
         self.report_events(now)
     }
 
-    /// Returns whether all leases on a worker have lapsed, unless a successor renewed them. They
-    /// lapse at the latest one lease after the last report: no lease goes beyond that report's
-    /// clock plus the lease time, and a fenced predecessor renews none after
-    /// `predecessor_renews_until`.
-    fn is_silent(&self, worker: &WorkerState, now: Instant) -> bool {
-        let rack = self.owned.get(&worker.group);
-        let predecessor = rack.map(|rack| rack.predecessor_renews_until);
-        let counted_from = worker.reported_at.max(predecessor);
-        let lapse_after = self.settings.lease + self.settings.clock_margin;
-        counted_from.is_some_and(|at| now.saturating_duration_since(at) > lapse_after)
-    }
-
     /// Returns whether the start of an open attempt was sent.
     fn may_run(&self, id: &TaskAttempt) -> bool {
         let intent = self.intents.get(id);
@@ -142,21 +126,9 @@
         open.into_iter().flatten().cloned().collect()
     }
 
-    /// Records the time of a tick, and of the end of a pause if there was one before it.
-    fn record_tick(&mut self, now: Instant) {
-        let paused = |at: Instant| now.saturating_duration_since(at) >= PAUSE_MIN;
-        if self.last_tick.is_some_and(paused) {
-            self.resumed_at = Some(now);
-        }
-        self.last_tick = Some(now);
-    }
-
-    /// Returns whether this process is or was paused so recently that a change of its lease state
-    /// may not have arrived yet.
-    fn was_paused(&self, now: Instant) -> bool {
-        let is_paused = |at: Instant| now.saturating_duration_since(at) >= PAUSE_MIN;
-        let just_resumed = |at: Instant| now.saturating_duration_since(at) < PAUSE_MIN;
-        self.last_tick.is_some_and(is_paused) || self.resumed_at.is_some_and(just_resumed)
+    /// Returns whether no successor can exist: this incarnation can't have been fenced.
+    pub(crate) fn is_sole_owner(&self, now: Instant) -> bool {
+        self.ticks.is_sole_owner(self.lease_state, now)
     }
 
     /// Renews the leases of the tasks that run on a worker, up to one lease time after the clock
@@ -164,13 +136,7 @@
     ///
     /// Renews nothing while a successor may exist.
     pub(crate) fn renew(&mut self, worker: &WorkerId, now: Instant) -> Option<Effect> {
-        if !matches!(
-            self.lease_state,
-            LeaseState::Confirmed | LeaseState::StoreDown
-        ) {
-            return None;
-        }
-        if self.was_paused(now) {
+        if !self.is_sole_owner(now) {
             return None;
         }
         let state = self.workers.get(worker)?;
--- a/jackdawchute-jobs/src/rack/mod.rs
+++ b/jackdawchute-jobs/src/rack/mod.rs
@@ -4,7 +4,9 @@
 mod claimed;
 mod event_reports;
 mod hold;
+mod lapse;
 mod lease;
+mod predecessor;
 mod quarantine;
 mod report;
 mod start;
--- a/jackdawchute-jobs/src/rack/state.rs
+++ b/jackdawchute-jobs/src/rack/state.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    net::SocketAddr,
     sync::Arc,
     time::Instant,
 };
@@ -15,7 +16,11 @@
 use smol_str::{format_smolstr, SmolStr};
 
 use crate::{
-    rack::quarantine::{Health, QuarantineSettings},
+    pause::Ticks,
+    rack::{
+        predecessor::FencedOwnerNote,
+        quarantine::{Health, QuarantineSettings},
+    },
     record::IntentRecord,
     AttemptEnd, GroupEpoch, RackView, Settings, TaskAttempt, WorkerView,
 };
@@ -56,6 +61,8 @@
     pub epoch: Epoch,
     /// The time until which a fenced predecessor may still renew leases.
     pub predecessor_renews_until: Instant,
+    /// Whether the journal tells later owners of that predecessor.
+    pub fenced_owner_note: FencedOwnerNote,
     /// Whether an append for lapsed attempts has no result yet.
     pub is_journaling_lapses: bool,
 }
@@ -65,6 +72,10 @@
 pub(crate) struct WorkerState {
     /// The group of its rack.
     pub group: GroupId,
+    /// The address that calls go to; `None` for a worker that was never listed.
+    pub address: Option<SocketAddr>,
+    /// When the leases of processes at former addresses have lapsed; `None` without any.
+    pub former_leases_until: Option<Instant>,
     /// Whether the worker is leaving or no longer listed.
     pub leaving: bool,
     /// Whether the last report call succeeded and no start failed since.
@@ -120,10 +131,7 @@
     /// The highest epoch seen in calls from the owner of each home group.
     pub(crate) home_epochs: HashMap<GroupId, Epoch>,
     pub(crate) health: Health,
-    /// When the last tick was handled.
-    pub(crate) last_tick: Option<Instant>,
-    /// When the first tick after the last pause of this process was handled.
-    pub(crate) resumed_at: Option<Instant>,
+    pub(crate) ticks: Ticks,
     /// Attempts whose state the home owner has not acknowledged, and when it was last reported.
     pub(crate) unacknowledged: BTreeMap<TaskAttempt, Option<Instant>>,
 }
@@ -153,8 +161,7 @@
             closed_attempts: HashMap::new(),
             closed_order: VecDeque::new(),
             home_epochs: HashMap::new(),
-            last_tick: None,
-            resumed_at: None,
+            ticks: Ticks::default(),
             unacknowledged: BTreeMap::new(),
         }
     }
--- a/jackdawchute-jobs/src/rack/stop.rs
+++ b/jackdawchute-jobs/src/rack/stop.rs
@@ -39,7 +39,8 @@
     }
 
     /// Stops one attempt and returns its state, or returns `None` while its intent is being
-    /// journaled: the home owner repeats the stop.
+    /// journaled, or without one while a successor may have started it: the home owner repeats the
+    /// stop.
     fn stop_attempt(
         &mut self,
         id: &TaskAttempt,
@@ -49,8 +50,7 @@
         let Some(intent) = self.intents.get_mut(id) else {
             self.release_hold(id);
             self.close_attempt(id, now);
-            let end = AttemptEnd::NotStarted(NotStartedReason::Closed);
-            return Some(AttemptState::Ended(end));
+            return self.not_started(NotStartedReason::Closed, now);
         };
         match intent.phase {
             IntentPhase::Journaling => None,
@@ -64,8 +64,9 @@
         }
     }
 
-    /// Applies a worker's answer to a stop; a stop that failed is repeated after the next report if
-    /// the task may still run.
+    /// Applies a worker's answer to a stop; a stop that failed, or that was answered while a process
+    /// at a former address may run the task, is repeated after the next report if the task may still
+    /// run.
     pub fn stopped(&mut self, worker: &WorkerId, id: &TaskAttempt, confirmed: bool, now: Instant) {
         let Some(intent) = self.intents.get(id) else {
             return;
@@ -76,6 +77,10 @@
         if !confirmed || intent.record.worker != *worker {
             return;
         }
+        // Whoever confirmed it is not known to be the process that runs the task.
+        if self.has_former_leases(worker, now) {
+            return;
+        }
         let end = if lost {
             AttemptEnd::Lost
         } else {
--- a/jackdawchute-jobs/src/record.rs
+++ b/jackdawchute-jobs/src/record.rs
@@ -1,6 +1,6 @@
 //! The records in the journal: jobs and tasks in home groups, intents in rack groups.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use jackdawchute_ownership::{EntryKey, JournalEntry};
 use jackdawchute_ports::WorkerClock;
@@ -82,15 +82,24 @@
     pub worker: WorkerId,
     /// The boot id of the worker incarnation whose clock `lease_until` refers to.
     pub boot: SmolStr,
+    /// The address of the process with that boot id; `None` from instances of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<SocketAddr>,
     /// The time on the worker's clock after which the worker refuses the start.
     #[serde(with = "duration_ms", rename = "until_ms")]
     pub lease_until: WorkerClock,
+    /// The length of the lease; zero from instances of earlier versions.
+    #[serde(default, with = "duration_ms", rename = "lease_ms")]
+    pub lease: Duration,
     /// The resources that the task declares to need.
     pub resources: Resources,
     /// The command that the worker runs.
     pub command: SmolStr,
 }
 
+/// The key of the entry in a rack's group that says that a fenced owner may still renew leases.
+pub(crate) const FENCED_OWNER_KEY: &str = "fenced-owner";
+
 /// Returns the key of a [`JobRecord`].
 pub(crate) fn job_key(job: &JobId) -> EntryKey {
     format_smolstr!("job/{job}")
