fix: a start with a ticket waits for the longest hold only where its worker is listed as restarted

Cause: since a start with a ticket that got no answer holds its task while the worker is silent, for the ticket and the longest hold, and for 22 s with an extension without an answer beside it. The ticket was nearly always for the incarnation that the leader had heard.

Change: the wait holds only if the platform lists, or listed last, another incarnation than the one that was heard. Otherwise the task is given up with the lease, as before.

--- a/jackdawchute-scheduler/src/former_leases.rs
+++ b/jackdawchute-scheduler/src/former_leases.rs
@@ -43,6 +43,17 @@
         self.runs.values().any(is_since_heard)
     }
 
+    /// Returns whether the platform lists, or listed last, another incarnation than the one that was
+    /// heard last, or none was heard.
+    pub(crate) fn may_have_restarted_unheard(&self) -> bool {
+        let heard = self.incarnation.map(|it| it.started_unix_ms);
+        let known_start = heard.or(self.acknowledged_start_unix_ms);
+        let listed_start = self.entry.started_unix_ms;
+        let is_unlisted = listed_start == 0;
+        self.restarted_at.is_some()
+            || known_start.is_none_or(|known| !is_unlisted && listed_start != known)
+    }
+
     /// Returns whether the platform lists, or listed last, an incarnation that an earlier leader had not
     /// heard when it saved the worker, and whose lease its orders to the former one may have extended.
     pub(crate) fn is_listed_as_restarted(&self) -> bool {
--- a/jackdawchute-scheduler/src/late_starts.rs
+++ b/jackdawchute-scheduler/src/late_starts.rs
@@ -128,6 +128,14 @@
                 return true;
             }
         }
+        // A ticket is for an incarnation that the platform has listed by then.
+        let is_of_known_incarnation = start.ticket_until.is_some()
+            && worker.is_some_and(|worker| !worker.may_have_restarted_unheard());
+        if is_of_known_incarnation
+            && worker.is_some_and(|worker| worker.lease_lapsed(self.lapse_view()))
+        {
+            return true;
+        }
         self.authority.confirmed_at > orders_until + hold_time(&self.settings)
     }
 
