test: the clocks of stand-in workers start at an arbitrary time in each incarnation

Change: a seed draws what the clock of each incarnation shows at its start: near zero, near the former clock, or anywhere up to 10,000 s. Where a test sets the age, later incarnations start at zero as before, or where the test says. Two test files whose lease ends are absolute set zero.

--- a/jackdawchute-standins/src/cell/fleet.rs
+++ b/jackdawchute-standins/src/cell/fleet.rs
@@ -14,6 +14,7 @@
 
 use super::{
     late_orders::{LateOrders, Order},
+    start_ages::StartAges,
     worker::{Ended, Running, Worker},
     Overload, WorkerRecord,
 };
@@ -33,6 +34,8 @@
     pub(super) stop_time: Duration,
     pub(super) hold_max: Duration,
     pub(super) workers: BTreeMap<WorkerId, Worker>,
+    /// What the clocks of the next incarnations show at their start.
+    pub(super) start_ages: StartAges,
     pub(super) records: Vec<WorkerRecord>,
     pub(super) overloads: Vec<Overload>,
     pub(super) late_orders: LateOrders,
@@ -41,12 +44,17 @@
 }
 
 impl Fleet {
-    pub(super) fn new(workers: BTreeMap<WorkerId, Worker>, task_time: Duration) -> Self {
+    pub(super) fn new(
+        workers: BTreeMap<WorkerId, Worker>,
+        start_ages: StartAges,
+        task_time: Duration,
+    ) -> Self {
         Self {
             task_time,
             stop_time: Duration::ZERO,
             hold_max: HOLD_MAX,
             workers,
+            start_ages,
             records: Vec::new(),
             overloads: Vec::new(),
             late_orders: LateOrders::default(),
@@ -136,7 +144,8 @@
             self.records[running.record].ended_at = Some(now);
         }
         let capacity = millicores.unwrap_or(worker.capacity_millicores);
-        *worker = worker.next_incarnation(capacity, now);
+        let age = self.start_ages.next(worker.clock(now));
+        *worker = worker.next_incarnation(capacity, age, now);
     }
 
     /// Returns the worker if it accepts the fencing token, which becomes its highest.
--- a/jackdawchute-standins/src/cell/mod.rs
+++ b/jackdawchute-standins/src/cell/mod.rs
@@ -8,6 +8,7 @@
 mod directory;
 mod fleet;
 mod late_orders;
+mod start_ages;
 mod store;
 mod worker;
 mod workers;
--- a/jackdawchute-standins/src/cell/worker.rs
+++ b/jackdawchute-standins/src/cell/worker.rs
@@ -73,11 +73,17 @@
 }
 
 impl Worker {
-    pub(super) fn new(started_unix_ms: u64, capacity_millicores: u64, now: Instant) -> Self {
+    /// Creates an incarnation whose clock shows `age` at `now`, its start.
+    pub(super) fn new(
+        started_unix_ms: u64,
+        capacity_millicores: u64,
+        age: Duration,
+        now: Instant,
+    ) -> Self {
         Self {
             started_unix_ms,
             started_at: now,
-            age_at_start: Duration::ZERO,
+            age_at_start: age,
             clock_rate: 1.0,
             capacity_millicores,
             token: 0,
@@ -90,10 +96,15 @@
     }
 
     /// Returns the incarnation that follows this one, without any state but its clock's rate.
-    pub(super) fn next_incarnation(&self, capacity_millicores: u64, now: Instant) -> Self {
+    pub(super) fn next_incarnation(
+        &self,
+        capacity_millicores: u64,
+        age: Duration,
+        now: Instant,
+    ) -> Self {
         Self {
             clock_rate: self.clock_rate,
-            ..Self::new(self.started_unix_ms + 1, capacity_millicores, now)
+            ..Self::new(self.started_unix_ms + 1, capacity_millicores, age, now)
         }
     }
 
@@ -103,7 +114,7 @@
         self.clock_rate = rate;
     }
 
-    /// The worker's clock: the time since its start.
+    /// The worker's clock, which shows an arbitrary time at its start.
     pub(super) fn clock(&self, now: Instant) -> Duration {
         let elapsed = now.saturating_duration_since(self.started_at);
         self.age_at_start + elapsed.mul_f64(self.clock_rate)
--- a/jackdawchute-standins/src/cell/workers.rs
+++ b/jackdawchute-standins/src/cell/workers.rs
@@ -18,6 +18,7 @@
 use super::{
     fleet::Fleet,
     late_orders::{Order, OrderKind},
+    start_ages::StartAges,
     worker::{ticket_for, Worker},
     WorkersHandle,
 };
@@ -27,6 +28,8 @@
 const RENEWAL_POLL_PERIOD: Duration = Duration::from_millis(5);
 /// The processor of a worker, unless a test restarts it with another.
 const CAPACITY_MILLICORES: u64 = 4_000;
+/// The seed of the workers' clocks, unless a test sets another.
+const CLOCKS_SEED: u64 = 0x636c_6f63_6b73;
 
 /// One run of a task on a worker, from its start on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -73,14 +76,16 @@
 }
 
 impl MemoryWorkers {
-    /// Creates `count` workers, named `w0` and so on.
+    /// Creates `count` workers, named `w0` and so on, whose clocks start at an arbitrary time in each
+    /// incarnation.
     pub fn new(count: usize, task_time: Duration) -> Self {
         let names = (0..count).map(|index| smol_str::format_smolstr!("w{index}"));
         let now = Instant::now();
-        let worker = || Worker::new(1, CAPACITY_MILLICORES, now);
+        let mut ages = StartAges::drawn(CLOCKS_SEED);
+        let mut worker = || Worker::new(1, CAPACITY_MILLICORES, ages.first(), now);
         let workers = names.map(|name| (name, worker())).collect();
         Self {
-            fleet: Arc::new(Mutex::new(Fleet::new(workers, task_time))),
+            fleet: Arc::new(Mutex::new(Fleet::new(workers, ages, task_time))),
         }
     }
 
@@ -89,9 +94,27 @@
         WorkersHandle::new(self.clone())
     }
 
-    /// Makes the clocks of the present incarnations show `age` at their start, so that the lease ends
-    /// on them lie ahead of the clocks of later incarnations, and all clocks run at `rate`, a
-    /// multiple of the true time.
+    /// Draws what the clocks show at the start of the present and later incarnations with a seed.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_standins::cell::MemoryWorkers;
+    ///
+    /// let workers = MemoryWorkers::new(1, Duration::from_millis(10));
+    /// workers.draw_clocks(7);
+    /// ```
+    pub fn draw_clocks(&self, seed: u64) {
+        let mut fleet = lock(&self.fleet);
+        let mut ages = StartAges::drawn(seed);
+        for worker in fleet.workers.values_mut() {
+            worker.set_clock(ages.first(), 1.0);
+        }
+        fleet.start_ages = ages;
+    }
+
+    /// Makes the clocks of the present incarnations show `age` at their start and those of later ones
+    /// zero, so that the lease ends on the former lie ahead of the latter, and all clocks run at
+    /// `rate`, a multiple of the true time.
     ///
     /// ```
     /// use std::time::Duration;
@@ -104,6 +127,22 @@
         let mut fleet = lock(&self.fleet);
         let workers = fleet.workers.values_mut();
         workers.for_each(|worker| worker.set_clock(age, rate));
+        fleet.start_ages = StartAges::Set(Duration::ZERO);
+    }
+
+    /// Makes the clocks of the next incarnations show `age` at their start, below or above those of
+    /// the present ones.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_standins::cell::MemoryWorkers;
+    ///
+    /// let workers = MemoryWorkers::new(1, Duration::from_millis(10));
+    /// workers.set_next_clocks(Duration::from_secs(8_030));
+    /// workers.crash(&"w0".into());
+    /// ```
+    pub fn set_next_clocks(&self, age: Duration) {
+        lock(&self.fleet).start_ages = StartAges::Set(age);
     }
 
     /// Makes each run that begins from now on take `task_time`.
--- a/jackdawchute-standins/tests/cell_access.rs
+++ b/jackdawchute-standins/tests/cell_access.rs
@@ -82,6 +82,7 @@
 #[tokio::test]
 async fn an_order_that_is_lost_does_nothing_and_gets_no_answer() {
     let workers = MemoryWorkers::new(2, TASK_TIME);
+    workers.set_clocks(Duration::ZERO, 1.0);
     let entries = workers.entries();
     let (lossy, other) = (workers.handle(), workers.handle());
     lossy.set_faults(&entries[0].worker, REQUEST_LOST);
@@ -107,6 +108,7 @@
 #[tokio::test]
 async fn an_order_whose_answer_is_lost_is_executed() {
     let workers = MemoryWorkers::new(1, TASK_TIME);
+    workers.set_clocks(Duration::ZERO, 1.0);
     let entry = workers.entries().remove(0);
     let lossy = workers.handle();
     lossy.set_faults(&entry.worker, ANSWER_LOST);
--- a/jackdawchute-standins/tests/cell_late_orders.rs
+++ b/jackdawchute-standins/tests/cell_late_orders.rs
@@ -78,6 +78,21 @@
     }
 }
 
+/// Returns what the clock shows before each of `restarts`, and right after it.
+async fn clocks_around(workers: &MemoryWorkers, restarts: usize) -> Vec<(Duration, Duration)> {
+    let read = || async {
+        let answer = workers.renew(&renewal(None, 0)).await;
+        answer.expect("no token is above 0").clock
+    };
+    let mut clocks = Vec::new();
+    for _ in 0..restarts {
+        let former = read().await;
+        workers.crash(&worker());
+        clocks.push((former, read().await));
+    }
+    clocks
+}
+
 fn aged_worker() -> MemoryWorkers {
     let workers = MemoryWorkers::new(1, TASK_TIME);
     workers.set_clocks(AGE, 1.0);
@@ -242,3 +257,36 @@
     );
     assert!(of_ticket, "{refused:?}");
 }
+
+#[tokio::test]
+async fn clocks_start_below_and_above_those_of_former_incarnations_as_the_seed_says() {
+    const RESTARTS: usize = 30;
+    let seeded = || {
+        let workers = MemoryWorkers::new(1, TASK_TIME);
+        workers.draw_clocks(7);
+        workers
+    };
+
+    let clocks = clocks_around(&seeded(), RESTARTS).await;
+    let again = clocks_around(&seeded(), RESTARTS).await;
+
+    let lower = clocks.iter().filter(|(former, clock)| clock < former);
+    let lower = lower.count();
+    assert!((5..=25).contains(&lower), "{clocks:?}");
+    for ((_, clock), (_, clock_again)) in clocks.into_iter().zip(again) {
+        assert!(clock.abs_diff(clock_again) < PAUSE);
+    }
+}
+
+#[tokio::test]
+async fn clocks_start_where_a_test_sets_them() {
+    let later = Duration::from_secs(8_030);
+    let workers = aged_worker();
+
+    let from_zero = clocks_around(&workers, 1).await[0];
+    workers.set_next_clocks(later);
+    let from_later = clocks_around(&workers, 1).await[0];
+
+    assert!(from_zero.0 >= AGE && from_zero.1 < PAUSE, "{from_zero:?}");
+    assert!(from_later.1 >= later && from_later.1 < later + PAUSE);
+}
--- a/jackdawchute-standins/tests/platform_wire.rs
+++ b/jackdawchute-standins/tests/platform_wire.rs
@@ -61,6 +61,7 @@
 
 async fn one_worker() -> OneWorker {
     let memory = MemoryWorkers::new(1, TASK_TIME);
+    memory.set_clocks(Duration::ZERO, 1.0);
     let listening = serve_worker(loopback(), "w0".into(), Arc::new(memory.clone()))
         .await
         .unwrap();
