test: more clocks of next incarnations start below the former ones

Cause: only a lower clock lets an order to the former incarnation give the next one a lease, and about half of the clocks drawn were higher. Change: a quarter of them are drawn below the former clock.

--- a/jackdawchute-standins/src/cell/start_ages.rs
+++ b/jackdawchute-standins/src/cell/start_ages.rs
@@ -39,9 +39,10 @@
             Self::Set(age) => return *age,
             Self::Drawn(random) => random,
         };
-        match random.random_range(0..3) {
+        match random.random_range(0..4) {
             0 => random.random_range(Duration::ZERO..NEAR),
             1 => random.random_range(former.saturating_sub(NEAR)..former + NEAR),
+            2 => random.random_range(Duration::ZERO..=former),
             _ => random.random_range(Duration::ZERO..LATEST),
         }
     }
