--- a/jackdawchute-standins/examples/soak.rs
+++ b/jackdawchute-standins/examples/soak.rs
@@ -4,8 +4,9 @@
 //! [FIRST] [SECONDS] [LOGS]`; COMMAND is `serve`, `cell`, or `cell-partitions` for cells with
 //! partitions by failure domain, `cell-partitions-long` for those under long tasks,
 //! `cell-restarts` for those with workers that restart while they are cut off and late orders to
-//! them, or `cell-late-extensions` for those with workers that are cut off after late extensions of
-//! their leases, or `cell-tenants` for tenants with caps whose keys are replaced. It runs SEEDS seeds from FIRST on, each with faults for SECONDS; the instances' logs of a
+//! them, `cell-late-extensions` for those with workers that are cut off after late extensions of
+//! their leases, `cell-restarted-leases` for those with workers that restart at once and are cut off
+//! when the leader has ended soon after, or `cell-tenants` for tenants with caps whose keys are replaced. It runs SEEDS seeds from FIRST on, each with faults for SECONDS; the instances' logs of a
 //! failed seed are copied to the folder LOGS. It exits with 1 if a seed failed or a signal ended the
 //! run.
 
@@ -28,13 +29,14 @@
 }
 
 /// What can be soaked.
-const COMMANDS: [&str; 7] = [
+const COMMANDS: [&str; 8] = [
     "serve",
     "cell",
     "cell-partitions",
     "cell-partitions-long",
     "cell-restarts",
     "cell-late-extensions",
+    "cell-restarted-leases",
     "cell-tenants",
 ];
 
@@ -93,6 +95,9 @@
                 "cell-late-extensions" => {
                     cell_soak::CellSoakPlan::late_extensions(seed, options.duration)
                 }
+                "cell-restarted-leases" => {
+                    cell_soak::CellSoakPlan::restarted_leases(seed, options.duration)
+                }
                 _ => cell_soak::CellSoakPlan::partitions_under_long_tasks(seed, options.duration),
             };
             let plan = cell_soak::CellSoakPlan {
--- a/jackdawchute-standins/src/cell/late_orders.rs
+++ b/jackdawchute-standins/src/cell/late_orders.rs
@@ -99,6 +99,16 @@
         delay.is_some()
     }
 
+    /// Makes all orders to a worker due now.
+    pub(super) fn make_due(&mut self, worker: &WorkerId, now: Instant) {
+        let of_worker = self.under_way.iter_mut();
+        for late in of_worker.filter(|late| late.order.worker() == worker) {
+            let left = late.due_at.saturating_duration_since(now);
+            late.delay = late.delay.saturating_sub(left);
+            late.due_at = late.due_at.min(now);
+        }
+    }
+
     /// Removes and returns the order that is due first, if that is by `now`.
     pub(super) fn take_due(&mut self, now: Instant) -> Option<LateOrder> {
         let by_time = self.under_way.iter().enumerate();
--- a/jackdawchute-standins/src/cell/workers.rs
+++ b/jackdawchute-standins/src/cell/workers.rs
@@ -193,6 +193,21 @@
         self.advanced(|fleet| fleet.late_orders.set_delay(worker, kinds, delay));
     }
 
+    /// Carries out all late orders to a worker that have arrived.
+    ///
+    /// ```
+    /// use jackdawchute_standins::cell::MemoryWorkers;
+    ///
+    /// let workers = MemoryWorkers::new(1, std::time::Duration::from_millis(10));
+    /// workers.carry_out_late(&"w0".into());
+    /// ```
+    pub fn carry_out_late(&self, worker: &WorkerId) {
+        let now = Instant::now();
+        let mut fleet = lock(&self.fleet);
+        fleet.late_orders.make_due(worker, now);
+        fleet.advance(now);
+    }
+
     /// Returns the worker of each late order of a kind that has arrived and is not carried out yet.
     ///
     /// ```
--- a/jackdawchute-standins/src/cell_soak/callers.rs
+++ b/jackdawchute-standins/src/cell_soak/callers.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
@@ -15,7 +16,9 @@
 use tokio::{task::JoinSet, time::sleep};
 use xtra::Address;
 
-use super::{tenants::SoakTenants, SentJob, TaskLoad};
+use super::{
+    connections::Connections, tenants::SoakTenants, CellSoakPlan, FaultKinds, SentJob, TaskLoad,
+};
 use crate::{
     balancer::{BalancerTask, Pick},
     cell::MemoryWorkers,
@@ -55,19 +58,23 @@
     load: TaskLoad,
     /// The tenants that the callers belong to; `None` in a soak without tenants.
     tenants: Option<SoakTenants>,
+    /// The connections that callers keep using; `None` if each call goes to a ready instance.
+    connections: Option<Connections>,
 }
 
 impl Callers {
     pub(super) fn new(
         balancer: Address<BalancerTask>,
         workers: MemoryWorkers,
-        load: TaskLoad,
+        plan: &CellSoakPlan,
         tenants: Option<SoakTenants>,
     ) -> Self {
+        let keeps_connections = plan.kinds == FaultKinds::RestartedLeases;
         Self {
             workers,
-            load,
+            load: plan.load,
             tenants,
+            connections: keeps_connections.then(Connections::default),
             caller: PlatformCaller::new(DEADLINE),
             balancer,
             observations: Arc::default(),
@@ -87,9 +94,11 @@
         let mut period = tokio::time::interval(self.load.job_period);
         let mut index: u32 = 0;
         while !*end.borrow() {
-            tokio::select! {
-                _ = period.tick() => {}
-                _ = end.changed() => continue,
+            if index == 0 || index >= self.load.jobs_at_start {
+                tokio::select! {
+                    _ = period.tick() => {}
+                    _ = end.changed() => continue,
+                }
             }
             let route = routes.queues[random.random_range(0..routes.queues.len())].clone();
             let graph = draw_job(&mut random, index, self.load.task_time);
@@ -102,6 +111,7 @@
             let caller = JobCaller {
                 callers: self.clone(),
                 job,
+                number: index,
                 route,
                 tenant,
             };
@@ -113,11 +123,6 @@
         let _ = tokio::time::timeout(wait_max, all).await;
     }
 
-    /// Returns the next ready instance in turn.
-    async fn pick(&self) -> Option<std::net::SocketAddr> {
-        self.balancer.send(Pick).await.ok().flatten()
-    }
-
     /// Changes the record of a job.
     fn update(&self, job: &JobId, change: impl FnOnce(&mut SentJob)) {
         if let Some(sent) = lock(&self.observations).jobs.get_mut(job) {
@@ -134,6 +139,8 @@
 struct JobCaller {
     callers: Callers,
     job: JobId,
+    /// The number of the job among all.
+    number: u32,
     route: QueueRoute,
     /// The tenant that the caller belongs to, by its index.
     tenant: Option<usize>,
@@ -153,6 +160,27 @@
         }
     }
 
+    /// Returns the instance of the open connection, if callers keep one, or the next ready instance.
+    async fn pick(&self) -> Option<SocketAddr> {
+        let connections = self.callers.connections.as_ref();
+        if let Some(instance) = connections.and_then(|it| it.instance(self.number)) {
+            return Some(instance);
+        }
+        let picked = self.callers.balancer.send(Pick).await.ok().flatten()?;
+        if let Some(connections) = connections {
+            connections.open(self.number, picked);
+        }
+        Some(picked)
+    }
+
+    /// Returns the answer of an instance, after which the connection is closed if there was none.
+    fn checked(&self, instance: SocketAddr, answer: CallerAnswer) -> CallerAnswer {
+        if let Some(connections) = &self.callers.connections {
+            connections.check(self.number, instance, &answer);
+        }
+        answer
+    }
+
     /// Records that a key was denied, if it must be in force.
     fn denied(&self, key_in_force: bool) {
         if key_in_force {
@@ -189,12 +217,13 @@
         }
         loop {
             sleep(STATUS_PERIOD).await;
-            let Some(instance) = self.callers.pick().await else {
+            let Some(instance) = self.pick().await else {
                 continue;
             };
             let sent_at = Instant::now();
             let (caller, key_in_force) = self.caller();
-            match caller.status(instance, &self.route, job).await {
+            let answer = caller.status(instance, &self.route, job).await;
+            match self.checked(instance, answer) {
                 CallerAnswer::Status(JobStatus::Ended(JobOutcome::Completed)) => {
                     let now = Instant::now();
                     self.callers
@@ -230,8 +259,11 @@
         let mut all_refused = true;
         for _ in 0..=RETRIES {
             let (caller, key_in_force) = self.caller();
-            let answer = match self.callers.pick().await {
-                Some(instance) => caller.submit(instance, &self.route, job, graph).await,
+            let answer = match self.pick().await {
+                Some(instance) => {
+                    let answer = caller.submit(instance, &self.route, job, graph).await;
+                    self.checked(instance, answer)
+                }
                 None => CallerAnswer::Unknown,
             };
             match answer {
@@ -256,9 +288,10 @@
         let job = &self.job;
         self.callers.update(job, |sent| sent.cancel_sent = true);
         for _ in 0..=RETRIES {
-            if let Some(instance) = self.callers.pick().await {
+            if let Some(instance) = self.pick().await {
                 let (caller, _) = self.caller();
-                match caller.cancel(instance, &self.route, job).await {
+                let answer = caller.cancel(instance, &self.route, job).await;
+                match self.checked(instance, answer) {
                     CallerAnswer::Done => {
                         let now = Instant::now();
                         self.callers
--- a/jackdawchute-standins/src/cell_soak/environment/mod.rs
+++ b/jackdawchute-standins/src/cell_soak/environment/mod.rs
@@ -1,5 +1,6 @@
 //! A cell of processes with stand-ins for the platform's services.
 
+mod leader;
 mod worker_faults;
 
 use std::{
@@ -26,7 +27,7 @@
     fault::domain_of,
     instance::{loopback, Instance, Surroundings, TRANSACTION_TIME},
     tenants::SoakTenants,
-    CellFault, CellSoakPlan, FaultKinds,
+    CellFault, CellSoakPlan, FaultKinds, LeaderFault,
 };
 use crate::{
     balancer::{self, BalancerTask, SetTargets, Target},
@@ -86,6 +87,8 @@
     _advisor: Listening,
     /// The indices of the instances that a fault has stopped.
     down: BTreeSet<usize>,
+    /// The faults of leaders, and the index of the instance that each affects.
+    leader_faults: Vec<(LeaderFault, usize)>,
     program: PathBuf,
     directory: TemporaryDirectory,
 }
@@ -141,6 +144,7 @@
             kinds,
             load,
             tenants,
+            seed,
             ..
         } = *plan;
         let rows = MemoryStore::default();
@@ -148,8 +152,11 @@
         let memory = MemoryWorkers::new(workers, load.task_time);
         memory.set_stop_time(STOP_TIME);
         let mut served_advisor: Arc<dyn Advisor> = Arc::new(MemoryAdvisor);
-        if kinds == FaultKinds::Restarts {
-            memory.set_clocks(WORKER_AGE, 1.0);
+        match kinds {
+            FaultKinds::Restarts => memory.set_clocks(WORKER_AGE, 1.0),
+            _ => memory.draw_clocks(seed),
+        }
+        if matches!(kinds, FaultKinds::Restarts | FaultKinds::RestartedLeases) {
             served_advisor = Arc::new(TicketAdvisor::new(memory.clone()));
         }
         let links = memory.handle();
@@ -194,6 +201,7 @@
             advisor_proxy: spawn_proxy(loopback(), Some(advisor.address())).await?,
             _advisor: advisor,
             down: BTreeSet::new(),
+            leader_faults: Vec::new(),
             program: program.to_owned(),
             directory: TemporaryDirectory::new()?,
         };
@@ -340,6 +348,8 @@
                 self.set_late_extensions(worker, Some(delay));
             }
             CellFault::CutOff(index) => self.cut_off_worker(index).await?,
+            CellFault::HeldOrders(index, kind) => self.hold_orders(index, kind, true),
+            CellFault::Leader(fault) => self.begin_leader_fault(fault).await?,
             _ => {}
         }
         if self.cuts.update(fault, true) {
@@ -372,6 +382,8 @@
                 self.reconnect_worker(index).await?;
             }
             CellFault::LateExtensions { worker, .. } => self.set_late_extensions(worker, None),
+            CellFault::HeldOrders(index, kind) => self.hold_orders(index, kind, false),
+            CellFault::Leader(fault) => self.end_leader_fault(fault).await?,
             _ => {}
         }
         if self.cuts.update(fault, false) {
--- a/jackdawchute-standins/src/cell_soak/environment/worker_faults.rs
+++ b/jackdawchute-standins/src/cell_soak/environment/worker_faults.rs
@@ -14,6 +14,8 @@
     Result,
 };
 
+/// A time after which no soak goes on: orders that are held wait for the worker's restart.
+const HELD_MAX: Duration = Duration::from_secs(86_400);
 /// An address without a listener.
 const UNUSED_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9);
 
@@ -33,6 +35,7 @@
         // Orders in transit at the crash may have been applied since; the next incarnation must
         // start empty.
         self.workers.crash(&worker.entry.worker);
+        self.workers.carry_out_late(&worker.entry.worker);
         worker.proxy.set_target(worker.listener.address()).await?;
         self.list_incarnation(index).await
     }
@@ -58,6 +61,14 @@
         self.workers.set_late(id, &[OrderKind::Extension], delay);
     }
 
+    /// Leaves a worker's orders of a kind without an answer until its next incarnation carries them
+    /// out, or makes it answer further ones when the fault ends.
+    pub(super) fn hold_orders(&self, index: usize, kind: OrderKind, begins: bool) {
+        let id = &self.listed_workers[index].entry.worker;
+        let delay = begins.then_some(HELD_MAX);
+        self.workers.set_late(id, &[kind], delay);
+    }
+
     /// Connects a worker that was cut off, and lists its incarnation.
     pub(super) async fn reconnect_worker(&self, index: usize) -> Result<()> {
         let id = &self.listed_workers[index].entry.worker;
--- a/jackdawchute-standins/src/cell_soak/fault.rs
+++ b/jackdawchute-standins/src/cell_soak/fault.rs
@@ -5,6 +5,7 @@
 use rand::{rngs::StdRng, Rng};
 
 use crate::{
+    cell::OrderKind,
     proxy::ProxyFaults,
     soak::schedule::{draw_network_faults, AffectedPart, SoakFault, DELAY_MAX_MS},
 };
@@ -35,6 +36,28 @@
     FromPeers,
 }
 
+/// What happens to the process of the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaderFault {
+    /// As [`CellFault::Kill`].
+    Kill,
+    /// As [`CellFault::Terminate`].
+    Terminate,
+    /// As [`CellFault::Pause`].
+    Pause,
+}
+
+impl LeaderFault {
+    /// Returns the fault of the instance that leads.
+    pub(super) fn of(self, index: usize) -> CellFault {
+        match self {
+            Self::Kill => CellFault::Kill(index),
+            Self::Terminate => CellFault::Terminate(index),
+            Self::Pause => CellFault::Pause(index),
+        }
+    }
+}
+
 /// A fault; instances and workers are given by their index in the cell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CellFault {
@@ -92,6 +115,10 @@
     },
     /// A worker is cut off from the store and all instances, and runs on.
     CutOff(usize),
+    /// A worker answers no order of a kind; its next incarnation carries them out before any other.
+    HeldOrders(usize, OrderKind),
+    /// A fault of the instance that leads when it begins.
+    Leader(LeaderFault),
 }
 
 impl SoakFault for CellFault {
@@ -113,6 +140,8 @@
             Self::LateOrders { worker, .. } | Self::LateExtensions { worker, .. } => {
                 ("worker orders", Some(worker))
             }
+            Self::HeldOrders(worker, _) => ("worker orders", Some(worker)),
+            Self::Leader(_) => ("leader", None),
             Self::AdvisorNetwork(_) => ("advisor network", None),
             Self::Partition { domain, .. } => ("failure domain", Some(domain)),
             Self::Isolate(index, _) => ("peers", Some(index)),
--- a/jackdawchute-standins/src/cell_soak/mod.rs
+++ b/jackdawchute-standins/src/cell_soak/mod.rs
@@ -6,12 +6,14 @@
 
 mod callers;
 mod check;
+mod connections;
 mod cuts;
 mod environment;
 mod fault;
 mod instance;
 mod late_extensions;
 mod plan;
+mod restarted_leases;
 mod restarts;
 mod rounds;
 mod run;
@@ -19,6 +21,6 @@
 mod worker_paths;
 
 pub use check::{find_exceeded_caps, find_overloads, find_violations, SentJob};
-pub use fault::{CellFault, Isolation};
+pub use fault::{CellFault, Isolation, LeaderFault};
 pub use plan::{CellSoakPlan, FaultKinds, TaskLoad};
 pub use run::run;
--- a/jackdawchute-standins/src/cell_soak/plan.rs
+++ b/jackdawchute-standins/src/cell_soak/plan.rs
@@ -7,6 +7,7 @@
 use super::{
     fault::{draw_fault, draw_partition, PARTITION_DURATION_MS},
     late_extensions::draw_late_extensions,
+    restarted_leases::draw_restarted_leases,
     restarts::{draw_restarts, may_begin},
     CellFault,
 };
@@ -30,6 +31,9 @@
     /// Workers that are cut off after late extensions of their leases, with faults of instances'
     /// processes.
     LateExtensions,
+    /// Workers that restart at once, with orders to their former incarnations, and are cut off when
+    /// the leader has ended soon after.
+    RestartedLeases,
 }
 
 /// How long tasks run, and how often callers submit a job of one or two steps.
@@ -37,7 +41,9 @@
 pub struct TaskLoad {
     /// The run time of each task.
     pub task_time: Duration,
-    /// The time between two jobs.
+    /// The number of jobs at the start.
+    pub jobs_at_start: u32,
+    /// The time between two jobs from then on.
     pub job_period: Duration,
 }
 
@@ -45,27 +51,39 @@
     /// Tasks that end long before the lease of a silent worker lapses.
     pub const SHORT: Self = Self {
         task_time: Duration::from_millis(300),
+        jobs_at_start: 1,
         job_period: Duration::from_millis(125),
     };
     /// Tasks that use most of the workers' processors.
     pub const CROWDED: Self = Self {
         task_time: Duration::from_millis(700),
+        jobs_at_start: 1,
         job_period: Duration::from_millis(110),
     };
     /// Tasks that may still run when the lease of a silent worker has lapsed, so many that most of
     /// the workers' processors are in use.
     pub const LONG: Self = Self {
         task_time: Duration::from_millis(6_000),
+        jobs_at_start: 1,
         job_period: Duration::from_millis(1_200),
     };
     /// Tasks that run longer than two leases, so that only a lease ends them behind a cut.
     pub const LONGER: Self = Self {
         task_time: Duration::from_millis(14_000),
+        jobs_at_start: 1,
         job_period: Duration::from_millis(2_400),
     };
+    /// Tasks that run longer than two leases, so many from the start that most of twelve workers have
+    /// some.
+    pub const LONGER_FOR_TWELVE: Self = Self {
+        task_time: Duration::from_millis(12_500),
+        jobs_at_start: 7,
+        job_period: Duration::from_millis(1_600),
+    };
     /// As [`LONG`](Self::LONG), for a cell of nine workers.
     pub const LONG_FOR_NINE: Self = Self {
         task_time: Duration::from_millis(6_000),
+        jobs_at_start: 1,
         job_period: Duration::from_millis(600),
     };
 }
@@ -207,12 +225,35 @@
         }
     }
 
+    /// Creates a plan with twelve workers that restart at once under their ids, of which some carry
+    /// out orders to their former incarnations, and that are cut off when the leader has ended soon
+    /// after, under tasks longer than two leases.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jackdawchute_standins::cell_soak::{CellFault, CellSoakPlan};
+    ///
+    /// let plan = CellSoakPlan::restarted_leases(1, Duration::from_secs(12));
+    /// let is_of_leader = |fault: &CellFault| matches!(fault, CellFault::Leader(_));
+    /// assert!(plan.disturbances().iter().any(|it| is_of_leader(&it.fault)));
+    /// ```
+    pub fn restarted_leases(seed: u64, duration: Duration) -> Self {
+        Self {
+            kinds: FaultKinds::RestartedLeases,
+            workers: 12,
+            load: TaskLoad::LONGER_FOR_TWELVE,
+            ..Self::new(seed, duration)
+        }
+    }
+
     /// Returns the faults in the order in which they begin; those of one part of the cell do not
     /// overlap.
     pub fn disturbances(&self) -> Vec<Disturbance<CellFault>> {
         let mut random = StdRng::seed_from_u64(self.seed);
         let (draw, duration_ms): (DrawFault, _) = match self.kinds {
-            FaultKinds::Single | FaultKinds::LateExtensions => (draw_fault, FAULT_DURATION_MS),
+            FaultKinds::Single | FaultKinds::LateExtensions | FaultKinds::RestartedLeases => {
+                (draw_fault, FAULT_DURATION_MS)
+            }
             FaultKinds::Partitions | FaultKinds::Restarts => {
                 (draw_partition, PARTITION_DURATION_MS)
             }
@@ -229,6 +270,9 @@
             drawn.retain(|it| is_of_process(&it.fault));
             drawn.extend(draw_late_extensions(self.seed, self.duration, self.workers));
         }
+        if self.kinds == FaultKinds::RestartedLeases {
+            drawn = draw_restarted_leases(self.seed, self.duration, self.workers);
+        }
         drawn.sort_by_key(|it| it.at);
         drawn
     }
--- a/jackdawchute-standins/src/cell_soak/run.rs
+++ b/jackdawchute-standins/src/cell_soak/run.rs
@@ -50,7 +50,7 @@
     .await?;
     let (balancer, workers) = (environment.balancer.clone(), environment.workers.clone());
     let tenants = environment.tenants.clone();
-    let callers = Callers::new(balancer, workers, plan.load, tenants.clone());
+    let callers = Callers::new(balancer, workers, plan, tenants.clone());
     let observations = callers.observations.clone();
     let (end, ended) = watch::channel(false);
     let load = tokio::spawn(callers.run(plan.seed, environment.routes.clone(), ended, DEADLINE));
--- a/jackdawchute-standins/tests/cell_late_orders.rs
+++ b/jackdawchute-standins/tests/cell_late_orders.rs
@@ -290,3 +290,21 @@
     assert!(from_zero.0 >= AGE && from_zero.1 < PAUSE, "{from_zero:?}");
     assert!(from_later.1 >= later && from_later.1 < later + PAUSE);
 }
+
+#[tokio::test]
+async fn an_order_to_the_former_incarnation_is_carried_out_by_the_next_one_when_it_is_up() {
+    let workers = aged_worker();
+    workers.set_late(&worker(), &[OrderKind::Start], Some(TASK_TIME));
+    let handle = workers.handle();
+    let order = start(0);
+
+    let answer = handle.start(&order).await;
+    workers.crash(&worker());
+    let before = workers.records();
+    workers.carry_out_late(&worker());
+    let records = workers.records();
+
+    assert_eq!((answer, before), (StartAnswer::Unknown, Vec::new()));
+    assert_eq!(records.len(), 1);
+    assert!(records[0].late && records[0].ended_at.is_none());
+}
--- a/jackdawchute-standins/tests/cell_soak_plan.rs
+++ b/jackdawchute-standins/tests/cell_soak_plan.rs
@@ -6,7 +6,8 @@
 };
 
 use jackdawchute_standins::{
-    cell_soak::{CellFault, CellSoakPlan, Isolation},
+    cell::OrderKind,
+    cell_soak::{CellFault, CellSoakPlan, Isolation, LeaderFault},
     soak::Disturbance,
 };
 
@@ -182,3 +183,68 @@
     assert_eq!(cut_off, (0..6).collect());
     assert!(of_processes >= 20, "{of_processes}");
 }
+
+/// Returns the time between the ends of the crashes of a plan and the leader's fault that follows.
+fn leader_faults_after_crashes(disturbances: &[Disturbance<CellFault>]) -> Vec<Duration> {
+    let is_crash = |fault| matches!(fault, CellFault::WorkerCrash(_));
+    let crashes = disturbances.iter().filter(|it| is_crash(it.fault));
+    let back_at = crashes.map(|it| it.at + it.duration).max();
+    let is_of_leader = |fault| matches!(fault, CellFault::Leader(_));
+    let mut of_leader = disturbances.iter().filter(|it| is_of_leader(it.fault));
+    let first_at = of_leader.next().map(|it| it.at);
+    back_at
+        .zip(first_at)
+        .map(|(back, at)| at - back)
+        .into_iter()
+        .collect()
+}
+
+#[test]
+fn workers_are_back_at_once_before_the_leader_ends_and_some_are_cut_off() {
+    let (mut crashed, mut kinds) = (BTreeSet::new(), BTreeSet::new());
+    let (mut of_leader, mut twice, mut after) = (Vec::new(), 0, Vec::new());
+    for seed in 1..=20 {
+        let disturbances = CellSoakPlan::restarted_leases(seed, FAULT_PERIOD).disturbances();
+
+        let mut back_at = BTreeMap::new();
+        let mut held_until = BTreeMap::new();
+        for it in &disturbances {
+            let ends_at = it.at + it.duration;
+            match it.fault {
+                CellFault::HeldOrders(worker, kind) => {
+                    kinds.insert(kind);
+                    held_until.insert(worker, ends_at);
+                }
+                CellFault::WorkerCrash(worker) => {
+                    assert!((0.2..=0.8).contains(&it.duration.as_secs_f64()), "{it}");
+                    let held = held_until.remove(&worker);
+                    assert!(held.is_none_or(|until| until == it.at), "{it}");
+                    let earlier = back_at.insert(worker, ends_at);
+                    assert!(earlier.is_none_or(|earlier| earlier < it.at), "{it}");
+                    twice += usize::from(earlier.is_some());
+                    crashed.insert(worker);
+                }
+                CellFault::Leader(fault) => of_leader.push(fault),
+                CellFault::CutOff(worker) => {
+                    assert!(back_at[&worker] < it.at, "{it}");
+                    assert!(it.duration <= Duration::from_secs(12), "{it}");
+                }
+                fault => panic!("{fault:?}"),
+            }
+        }
+        assert!(held_until.is_empty(), "{held_until:?}");
+        after.extend(leader_faults_after_crashes(&disturbances));
+    }
+    assert_eq!(crashed, (0..12).collect());
+    assert!(twice >= 5, "{twice}");
+    let held = [OrderKind::Start, OrderKind::Renewal, OrderKind::Extension];
+    assert_eq!(kinds, held.into());
+    for fault in [
+        LeaderFault::Kill,
+        LeaderFault::Terminate,
+        LeaderFault::Pause,
+    ] {
+        assert!(of_leader.contains(&fault), "{of_leader:?}");
+    }
+    assert!(after.iter().all(|it| *it < Duration::from_secs(2)));
+}
--- a/tests/cell_soak.rs
+++ b/tests/cell_soak.rs
@@ -111,6 +111,16 @@
     );
 }
 
+/// Workers are back at once under their ids with a lease from an order to their former incarnation,
+/// the leader is told to stop, and they are cut off. Seed 407 failed before issue 52 was mended
+/// (docs/incidents/lease-from-before-a-restart.md): tasks ran twice under the successor.
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_under_leases_from_before_a_restart_run_in_one_place_after_a_takeover() {
+    let plan = CellSoakPlan::restarted_leases(407, FAULT_PERIOD);
+
+    assert_eq!(violations_of(plan).await, Vec::<String>::new());
+}
+
 /// Keys of tenants are replaced while instances, the store and links fail, and caps bind.
 #[tokio::test(flavor = "multi_thread")]
 async fn tenants_whose_keys_are_replaced_are_served_below_their_caps() {
