--- a/jackdawchute-standins/src/cell_soak/environment.rs
+++ b/jackdawchute-standins/src/cell_soak/environment/mod.rs
@@ -1,8 +1,11 @@
 //! A cell of processes with stand-ins for the platform's services.
 
+mod leader;
+mod worker_faults;
+
 use std::{
     collections::BTreeSet,
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     sync::{
         atomic::{AtomicU8, Ordering},
@@ -24,14 +27,11 @@
     fault::domain_of,
     instance::{loopback, Instance, Surroundings, TRANSACTION_TIME},
     tenants::SoakTenants,
-    CellFault, CellSoakPlan, FaultKinds,
+    CellFault, CellSoakPlan, FaultKinds, LeaderFault,
 };
 use crate::{
     balancer::{self, BalancerTask, SetTargets, Target},
-    cell::{
-        LinkFaults, MemoryAdvisor, MemoryStore, MemoryWorkers, OrderKind, StoreHandle,
-        TicketAdvisor, WorkersHandle,
-    },
+    cell::{MemoryAdvisor, MemoryStore, MemoryWorkers, StoreHandle, TicketAdvisor, WorkersHandle},
     harness::{Signal, TemporaryDirectory},
     proxy::{spawn_proxy, ProxyFaults, RunningProxy},
     soak::schedule::Environment,
@@ -49,8 +49,6 @@
 /// The age of workers that restart: the lease ends on their clocks are far ahead of those of their
 /// next incarnations.
 const WORKER_AGE: Duration = Duration::from_secs(60);
-/// An address without a listener.
-const UNUSED_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 9);
 
 /// The number of cells of a process that have addresses of their own; the tests run fewer at a time.
 const CELLS_AT_A_TIME: u8 = 16;
@@ -89,6 +87,8 @@
     _advisor: Listening,
     /// The indices of the instances that a fault has stopped.
     down: BTreeSet<usize>,
+    /// The faults of leaders, and the index of the instance that each affects.
+    leader_faults: Vec<(LeaderFault, usize)>,
     program: PathBuf,
     directory: TemporaryDirectory,
 }
@@ -144,6 +144,7 @@
             kinds,
             load,
             tenants,
+            seed,
             ..
         } = *plan;
         let rows = MemoryStore::default();
@@ -151,8 +152,11 @@
         let memory = MemoryWorkers::new(workers, load.task_time);
         memory.set_stop_time(STOP_TIME);
         let mut served_advisor: Arc<dyn Advisor> = Arc::new(MemoryAdvisor);
-        if kinds == FaultKinds::Restarts {
-            memory.set_clocks(WORKER_AGE, 1.0);
+        match kinds {
+            FaultKinds::Restarts => memory.set_clocks(WORKER_AGE, 1.0),
+            _ => memory.draw_clocks(seed),
+        }
+        if matches!(kinds, FaultKinds::Restarts | FaultKinds::RestartedLeases) {
             served_advisor = Arc::new(TicketAdvisor::new(memory.clone()));
         }
         let links = memory.handle();
@@ -197,6 +201,7 @@
             advisor_proxy: spawn_proxy(loopback(), Some(advisor.address())).await?,
             _advisor: advisor,
             down: BTreeSet::new(),
+            leader_faults: Vec::new(),
             program: program.to_owned(),
             directory: TemporaryDirectory::new()?,
         };
@@ -307,77 +312,6 @@
             }
         }
     }
-
-    /// Crashes a worker and cuts its connections; new ones are closed without a response.
-    async fn crash_worker(&self, index: usize) -> Result<()> {
-        let worker = &self.listed_workers[index];
-        worker.proxy.set_target(UNUSED_ADDRESS).await?;
-        worker.proxy.cut().await?;
-        self.workers.crash(&worker.entry.worker);
-        Ok(())
-    }
-
-    /// Starts a worker's next incarnation and lists it.
-    async fn restart_worker(&self, index: usize) -> Result<()> {
-        let worker = &self.listed_workers[index];
-        // Orders in transit at the crash may have been applied since; the next incarnation must
-        // start empty.
-        self.workers.crash(&worker.entry.worker);
-        worker.proxy.set_target(worker.listener.address()).await?;
-        self.list_incarnation(index).await
-    }
-
-    /// Cuts a worker off from all instances and starts its next incarnation, which is not listed.
-    async fn restart_cut_off(&self, index: usize) -> Result<()> {
-        let worker = &self.listed_workers[index];
-        self.workers.crash(&worker.entry.worker);
-        self.cut_off_worker(index).await
-    }
-
-    /// Cuts a worker off from all instances.
-    async fn cut_off_worker(&self, index: usize) -> Result<()> {
-        let worker = &self.listed_workers[index];
-        self.links
-            .set_faults(&worker.entry.worker, LinkFaults::cut());
-        worker.proxy.cut().await
-    }
-
-    /// Makes a worker answer extensions of its lease late, or as they arrive when the fault ends.
-    fn set_late_extensions(&self, index: usize, delay: Option<Duration>) {
-        let id = &self.listed_workers[index].entry.worker;
-        self.workers.set_late(id, &[OrderKind::Extension], delay);
-    }
-
-    /// Connects a worker that was cut off, and lists its incarnation.
-    async fn reconnect_worker(&self, index: usize) -> Result<()> {
-        let id = &self.listed_workers[index].entry.worker;
-        self.links.set_faults(id, LinkFaults::default());
-        self.list_incarnation(index).await
-    }
-
-    /// Makes a worker answer orders late, or as they arrive when the fault ends.
-    fn set_late_orders(&self, index: usize, delay: Option<Duration>, renewals: bool) {
-        let id = &self.listed_workers[index].entry.worker;
-        self.workers
-            .set_late(id, &[OrderKind::Start, OrderKind::Stop], delay);
-        if renewals {
-            self.workers.set_late(id, &[OrderKind::Renewal], delay);
-        }
-    }
-
-    /// Lists the present incarnation of a worker.
-    async fn list_incarnation(&self, index: usize) -> Result<()> {
-        let worker = &self.listed_workers[index];
-        let Some(restarted) = self.workers.entries().into_iter().nth(index) else {
-            return Ok(());
-        };
-        let entry = WorkerEntry {
-            started_unix_ms: restarted.started_unix_ms,
-            ..worker.entry.clone()
-        };
-        let listed = list_worker(&self.operator, &entry).await;
-        listed.map(|_| ()).map_err(write_failed)
-    }
 }
 
 #[async_trait]
@@ -414,6 +348,8 @@
                 self.set_late_extensions(worker, Some(delay));
             }
             CellFault::CutOff(index) => self.cut_off_worker(index).await?,
+            CellFault::HeldOrders(index, kind) => self.hold_orders(index, kind, true),
+            CellFault::Leader(fault) => self.begin_leader_fault(fault).await?,
             _ => {}
         }
         if self.cuts.update(fault, true) {
@@ -446,6 +382,8 @@
                 self.reconnect_worker(index).await?;
             }
             CellFault::LateExtensions { worker, .. } => self.set_late_extensions(worker, None),
+            CellFault::HeldOrders(index, kind) => self.hold_orders(index, kind, false),
+            CellFault::Leader(fault) => self.end_leader_fault(fault).await?,
             _ => {}
         }
         if self.cuts.update(fault, false) {
