--- a/jackdawchute-scheduler/src/former_leases.rs
+++ b/jackdawchute-scheduler/src/former_leases.rs
@@ -48,19 +48,21 @@
     pub(crate) fn may_have_restarted_unheard(&self) -> bool {
         let heard = self.incarnation.map(|it| it.started_unix_ms);
         let known_start = heard.or(self.acknowledged_start_unix_ms);
-        let listed_start = self.entry.started_unix_ms;
-        let is_unlisted = listed_start == 0;
-        self.restarted_at.is_some()
-            || known_start.is_none_or(|known| !is_unlisted && listed_start != known)
+        let is_other = |known| self.listed_start().is_some_and(|listed| listed != known);
+        self.restarted_at.is_some() || known_start.is_none_or(is_other)
     }
 
     /// Returns whether the platform lists, or listed last, an incarnation that an earlier leader had not
     /// heard when it saved the worker, and whose lease its orders to the former one may have extended.
     pub(crate) fn is_listed_as_restarted(&self) -> bool {
-        let known_start = self.acknowledged_start_unix_ms;
-        // The entry of a worker that is cut off from the platform too expires before its lease.
-        let listed_start = Some(self.entry.started_unix_ms).filter(|start| *start > 0);
-        known_start.is_some_and(|known| listed_start.is_some_and(|listed| listed != known))
+        let is_other = |known| self.listed_start().is_some_and(|listed| listed != known);
+        self.acknowledged_start_unix_ms.is_some_and(is_other)
+    }
+
+    /// Returns the start of the incarnation that the platform lists, or listed last: the entry of a
+    /// worker that is cut off from the platform too expires before its lease.
+    fn listed_start(&self) -> Option<u64> {
+        Some(self.entry.started_unix_ms).filter(|start| *start > 0)
     }
 }
 
--- a/jackdawchute-scheduler/src/late_starts.rs
+++ b/jackdawchute-scheduler/src/late_starts.rs
@@ -3,8 +3,9 @@
 //! An order to a worker that restarts is carried out by the new incarnation too, until a leader has
 //! raised the token there. A ticket binds a start to the incarnation that the advisor knew, which may
 //! be one that the leader has not heard. So the task starts nowhere else while the worker is silent
-//! and the order may be carried out: as long as orders may be late, or its ticket is valid. The
-//! progress rows name such starts, so that a successor waits for their tasks alone.
+//! and the order may be carried out: as long as orders may be late, or its ticket is valid and the
+//! platform lists an incarnation that was not heard. The progress rows name such starts, so that a
+//! successor waits for their tasks alone.
 
 use std::{collections::BTreeMap, time::Instant};
 
@@ -12,7 +13,8 @@
 use spdlog::info;
 
 use crate::{
-    authority::hold_time, worker::CLOCK_RATE_MIN, AdviceCost, Scheduler, Settings, TaskName,
+    worker::{Worker, CLOCK_RATE_MIN},
+    AdviceCost, Scheduler, Settings, TaskName,
 };
 
 /// A start without an answer that may begin a task.
@@ -128,15 +130,14 @@
                 return true;
             }
         }
-        // A ticket is for an incarnation that the platform has listed by then.
-        let is_of_known_incarnation = start.ticket_until.is_some()
-            && worker.is_some_and(|worker| !worker.may_have_restarted_unheard());
-        if is_of_known_incarnation
-            && worker.is_some_and(|worker| worker.lease_lapsed(self.lapse_view()))
-        {
+        let view = self.lapse_view();
+        // A ticket for an incarnation that was not heard is for one that the platform has listed.
+        let ends_with_lease =
+            |worker: &Worker| !worker.may_have_restarted_unheard() && worker.lease_lapsed(view);
+        if start.ticket_until.is_some() && worker.is_some_and(ends_with_lease) {
             return true;
         }
-        self.authority.confirmed_at > orders_until + hold_time(&self.settings)
+        view.as_of > orders_until + view.hold_time
     }
 
     /// Returns until when a silent worker may carry out a start, or another order that extends the
