--- a/jackdawchute-scheduler/src/former_leases.rs
+++ b/jackdawchute-scheduler/src/former_leases.rs
@@ -68,7 +68,7 @@
 
 impl Scheduler {
     /// Marks the rows of workers as unsaved that name too few or too many of them, or a lease that
-    /// has lapsed, and now and then those that tell what is left of one.
+    /// has lapsed, and once a period those that tell what is left of one.
     pub(crate) fn update_worker_rows(&mut self) {
         let view = self.lapse_view();
         let leases_are_due = self.worker_rows.leases_are_due(view.as_of);
--- a/jackdawchute-standins/src/cell_soak/restarted_leases.rs
+++ b/jackdawchute-standins/src/cell_soak/restarted_leases.rs
@@ -38,8 +38,7 @@
 /// The shortest and the longest time from the last worker's being back until the leader's fault.
 const LEADER_AFTER_MS: (u64, u64) = (300, 900);
 /// The shortest time from the last crash until then, in which the leader saves that orders got no
-/// answer. One that ends before is the cause of entries of KNOWN-RED.txt: of issue 36 for a start
-/// without a ticket, of issue 45 for an extension.
+/// answer: a successor learns of them from what was saved alone.
 const SAVED_AFTER: Duration = Duration::from_millis(900);
 /// The shortest and the longest fault of a leader.
 const LEADER_FAULT_MS: (u64, u64) = (300, 4_000);
