--- /dev/null
+++ b/review/standins-3/platform/src/cases.rs
@@ -0,0 +1,462 @@
+//! The cases: what happens in each, and the check of its rule.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::Path,
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    cell::{configuration, free_address, job, unable, Cell},
+    http::Server,
+    minion::{Minion, RunSeen, RunsSeen},
+    note,
+    store::Store,
+};
+
+/// How long after the end of the traffic jobs are asked for (`finish_s`).
+const FINISH: Duration = Duration::from_secs(14);
+/// How long a job may have nothing running while a task's turn has come.
+const IDLE_MAX: Duration = Duration::from_secs(3);
+/// The processor of a minion, in thousandths of a core.
+const MINION_CPU: u64 = 32_000;
+
+pub fn run(case: &str, trouble: bool, folder: &Path) -> Option<String> {
+    match case {
+        "lost-after-losses" => lost_after_losses(trouble, folder),
+        "start-unanswered" => start_unanswered(trouble, folder),
+        "silent-connections" => silent_connections(trouble, folder),
+        "late-order" => late_order(trouble, folder),
+        _ => unable("no such case"),
+    }
+}
+
+/// The platform of a case, with its minions.
+struct World {
+    store_server: Server,
+    seen: RunsSeen,
+    minions: Vec<Minion>,
+}
+
+impl World {
+    fn start(minions: usize) -> Self {
+        let store = Store::default();
+        store.put("op", "config", Some(&configuration()));
+        let any: SocketAddr = free_address();
+        let store_server = Server::start(any, store.handler());
+        let store_server = store_server.unwrap_or_else(|cause| unable(&cause.to_string()));
+        let seen: RunsSeen = Arc::new(Mutex::new(Vec::new()));
+        let minion = |number: usize| {
+            let id = format!("i-{:02}", number + 1);
+            let rack = format!("r1-{}", number / 4 + 1);
+            let labels = ["a", rack.as_str()];
+            let started = Minion::start(&id, free_address(), &labels, MINION_CPU, &store, &seen);
+            started.unwrap_or_else(|cause| unable(&cause.to_string()))
+        };
+        let minions = (0..minions).map(minion).collect();
+        Self {
+            store_server,
+            seen,
+            minions,
+        }
+    }
+
+    fn runs(&self) -> Vec<RunSeen> {
+        self.seen.lock().expect("no thread panics").clone()
+    }
+
+    fn runs_of(&self, job: &str) -> Vec<RunSeen> {
+        let runs = self.runs().into_iter();
+        runs.filter(|run| run.task.starts_with(job)).collect()
+    }
+
+    /// Waits until a job has `count` runs that go on.
+    fn wait_until_runs(&self, job: &str, count: usize, within: Duration) -> bool {
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            let going_on = self
+                .runs_of(job)
+                .into_iter()
+                .filter(|run| run.ended_s.is_none());
+            if going_on.count() >= count {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        false
+    }
+
+    /// Waits until each task of a job has a run that has ended `done`.
+    fn wait_until_done(&self, job: &str, tasks: usize, within: Duration) -> bool {
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            let runs = self.runs_of(job);
+            let done: std::collections::BTreeSet<_> = runs
+                .iter()
+                .filter(|run| run.how == "done")
+                .map(|run| &run.task)
+                .collect();
+            if done.len() >= tasks {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
+    fn minion(&self, id: &str) -> &Minion {
+        let found = self.minions.iter().find(|minion| minion.id() == id);
+        found.unwrap_or_else(|| unable("no such minion"))
+    }
+}
+
+fn expect(held: bool, what: &str) {
+    if !held {
+        unable(what);
+    }
+}
+
+fn id(number: u32) -> String {
+    format!("5c0e7a21d94b{number:04x}")
+}
+
+/// Returns two runs of one task that went on at the same time on minions that are up.
+fn at_the_same_time(runs: &[RunSeen]) -> Option<String> {
+    let mut by_task: BTreeMap<&str, Vec<&RunSeen>> = BTreeMap::new();
+    for run in runs {
+        by_task.entry(&run.task).or_default().push(run);
+    }
+    for (task, runs) in by_task {
+        for (index, first) in runs.iter().enumerate() {
+            for second in &runs[index + 1..] {
+                let first_end = first.ended_s.unwrap_or(f64::MAX);
+                let second_end = second.ended_s.unwrap_or(f64::MAX);
+                let from = first.began_s.max(second.began_s);
+                let to = first_end.min(second_end).min(crate::record::now());
+                if from < to {
+                    return Some(format!(
+                        "TWICE: {task} run {} on {} and run {} on {} at the same time, from {from:.3} s \
+                         to {to:.3} s",
+                        first.run, first.minion, second.run, second.minion
+                    ));
+                }
+            }
+        }
+    }
+    None
+}
+
+/// Waits until `at` seconds of the record, and returns whether no run of the job went on from `from` to
+/// `at`.
+fn nothing_ran(world: &World, job: &str, from: f64, at: f64) -> bool {
+    while crate::record::now() < at {
+        thread::sleep(Duration::from_millis(20));
+    }
+    let runs = world.runs_of(job);
+    let goes_on = |run: &RunSeen| run.began_s < at && run.ended_s.is_none_or(|end| end > from);
+    !runs.iter().any(goes_on)
+}
+
+/// Checks the end of the day: `finish_s` after the end of the traffic a job has nothing running for 3 s
+/// while a task's turn has come and the minions have room.
+fn stands_still_at_the_end(
+    world: &World,
+    cell: &mut Cell,
+    job: &str,
+    tasks: usize,
+    traffic_ended_s: f64,
+) -> Option<String> {
+    let from = traffic_ended_s + FINISH.as_secs_f64();
+    while crate::record::now() < from {
+        thread::sleep(Duration::from_millis(20));
+    }
+    let state = cell.state(job);
+    let to = crate::record::now() + IDLE_MAX.as_secs_f64();
+    let still = nothing_ran(world, job, to - IDLE_MAX.as_secs_f64(), to);
+    let done = world
+        .runs_of(job)
+        .iter()
+        .filter(|run| run.how == "done")
+        .count();
+    note!("{job}: {done} of {tasks} tasks are done; nothing ran for 3 s: {still}; state {state}");
+    (still && done < tasks).then(|| {
+        format!(
+            "LOST: {job} was accepted, is `{state}`, has {done} of {tasks} tasks done, and nothing of it \
+             ran from {:.3} s to {to:.3} s, 14 s after the end of the traffic",
+            to - IDLE_MAX.as_secs_f64()
+        )
+    })
+}
+
+/// Leaves the case running until a job is done, for the record.
+fn wait_for_the_record(world: &World, job: &str, tasks: usize, within: Duration) {
+    if world.wait_until_done(job, tasks, within) {
+        note!("{job} is done");
+    } else {
+        note!("{job} is not done after {} s more", within.as_secs());
+    }
+}
+
+/// A machine of the system is lost for good while the others lose power and come back, and a minion is
+/// lost for good with them.
+fn lost_after_losses(trouble: bool, folder: &Path) -> Option<String> {
+    let world = World::start(8);
+    let mut cell = Cell::start(3, world.store_server.address, folder);
+    cell.wait_until_ready(Duration::from_secs(15));
+    let wide = vec![("max_per_server", crate::json::Json::number(2))];
+    let warm = id(1);
+    expect(
+        cell.submit(&warm, &job(16, 500, 1_000, wide), Duration::from_secs(5)),
+        "no job is accepted",
+    );
+    expect(
+        world.wait_until_done(&warm, 16, Duration::from_secs(10)),
+        "no job runs",
+    );
+
+    // One task for each minion, so that the lost one has a task too, and a further job after it.
+    let spread = vec![("max_per_server", crate::json::Json::number(1))];
+    let running = id(2);
+    expect(
+        cell.submit(
+            &running,
+            &job(8, 3_000, 2_000, spread),
+            Duration::from_secs(5),
+        ),
+        "not accepted",
+    );
+    expect(
+        world.wait_until_runs(&running, 8, Duration::from_secs(5)),
+        "the job does not run",
+    );
+    thread::sleep(Duration::from_millis(500));
+    let leader = cell.leader();
+    note!("the leader is instance {}", leader + 1);
+    if trouble {
+        world.minion("i-08").power_off();
+        cell.instances[leader].kill();
+        let others: Vec<usize> = (0..3).filter(|index| *index != leader).collect();
+        others
+            .iter()
+            .for_each(|index| cell.instances[*index].kill());
+        thread::sleep(Duration::from_millis(500));
+        others
+            .iter()
+            .for_each(|index| cell.instances[*index].start());
+        cell.wait_until_ready(Duration::from_secs(15));
+    }
+    let last = id(3);
+    expect(
+        cell.submit(
+            &last,
+            &job(1, 500, 1_000, Vec::new()),
+            Duration::from_secs(10),
+        ),
+        "not accepted",
+    );
+    let traffic_ended_s = crate::record::now();
+    if trouble {
+        thread::sleep(Duration::from_millis(3_000));
+        world.minion("i-08").entry_lapses();
+    }
+    let broken = stands_still_at_the_end(&world, &mut cell, &running, 8, traffic_ended_s);
+    if broken.is_some() {
+        wait_for_the_record(&world, &running, 8, Duration::from_secs(20));
+    }
+    broken
+}
+
+/// A minion loses power for good while an order to start a task is on its way to it.
+fn start_unanswered(trouble: bool, folder: &Path) -> Option<String> {
+    let world = World::start(8);
+    let mut cell = Cell::start(3, world.store_server.address, folder);
+    cell.wait_until_ready(Duration::from_secs(15));
+    let warm = id(1);
+    expect(
+        cell.submit(&warm, &job(8, 600, 500, Vec::new()), Duration::from_secs(5)),
+        "no job is accepted",
+    );
+    expect(
+        world.wait_until_done(&warm, 8, Duration::from_secs(10)),
+        "no job runs",
+    );
+    let single = id(2);
+    expect(
+        cell.submit(
+            &single,
+            &job(1, 300, 500, Vec::new()),
+            Duration::from_secs(5),
+        ),
+        "not accepted",
+    );
+    expect(
+        world.wait_until_done(&single, 1, Duration::from_secs(10)),
+        "no job runs",
+    );
+    let runs = world.runs_of(&single);
+    let minion = runs
+        .first()
+        .map(|run| run.minion.clone())
+        .unwrap_or_default();
+    thread::sleep(Duration::from_millis(300));
+    if trouble {
+        world.minion(&minion).power_off();
+        thread::sleep(Duration::from_millis(200));
+    }
+    let last = id(3);
+    expect(
+        cell.submit(&last, &job(1, 500, 500, Vec::new()), Duration::from_secs(5)),
+        "not accepted",
+    );
+    let traffic_ended_s = crate::record::now();
+    if trouble {
+        thread::sleep(Duration::from_millis(4_500));
+        world.minion(&minion).entry_lapses();
+    }
+    let broken = stands_still_at_the_end(&world, &mut cell, &last, 1, traffic_ended_s);
+    if broken.is_some() {
+        wait_for_the_record(&world, &last, 1, Duration::from_secs(20));
+    }
+    broken
+}
+
+/// All open connections to the minions go silent for good, while new ones work.
+fn silent_connections(trouble: bool, folder: &Path) -> Option<String> {
+    let world = World::start(6);
+    let mut cell = Cell::start(3, world.store_server.address, folder);
+    cell.wait_until_ready(Duration::from_secs(15));
+    let ten = vec![("max_per_server", crate::json::Json::number(10))];
+    let warm = id(1);
+    expect(
+        cell.submit(&warm, &job(60, 600, 100, ten), Duration::from_secs(5)),
+        "no job is accepted",
+    );
+    expect(
+        world.wait_until_done(&warm, 60, Duration::from_secs(15)),
+        "no job runs",
+    );
+    let one = vec![("max_per_server", crate::json::Json::number(1))];
+    let long = id(2);
+    expect(
+        cell.submit(&long, &job(6, 30_000, 1_000, one), Duration::from_secs(5)),
+        "not accepted",
+    );
+    expect(
+        world.wait_until_runs(&long, 6, Duration::from_secs(5)),
+        "the job does not run",
+    );
+    thread::sleep(Duration::from_millis(1_000));
+    let silent_s = crate::record::now();
+    if trouble {
+        let open: usize = world.minions.iter().map(Minion::silence_connections).sum();
+        note!("{open} open connections to the minions are silent from now on; new ones work");
+    }
+    thread::sleep(Duration::from_millis(3_000));
+    let new = id(3);
+    expect(
+        cell.submit(
+            &new,
+            &job(1, 2_000, 500, Vec::new()),
+            Duration::from_secs(5),
+        ),
+        "not accepted",
+    );
+    // For 3 s, after 4 s without any disruption.
+    let from = crate::record::now().max(silent_s + 4.0);
+    let still = nothing_ran(&world, &new, from, from + IDLE_MAX.as_secs_f64());
+    let lapsed = world
+        .runs_of(&long)
+        .iter()
+        .filter(|run| run.how == "lapsed")
+        .count();
+    note!("{lapsed} of 6 running tasks have lapsed; nothing of {new} ran for 3 s: {still}");
+    let broken = still.then(|| {
+        format!(
+            "LOST: {new} was accepted, and nothing of it ran from {from:.3} s to {:.3} s, on idle minions; \
+             {lapsed} of 6 running tasks lapsed",
+            from + IDLE_MAX.as_secs_f64()
+        )
+    });
+    if broken.is_some() {
+        wait_for_the_record(&world, &new, 1, Duration::from_secs(20));
+    }
+    broken
+}
+
+/// Orders to start a task get no answer and are carried out late, by a minion that has been cut off and
+/// has crashed and started again meanwhile.
+fn late_order(trouble: bool, folder: &Path) -> Option<String> {
+    let world = World::start(6);
+    let mut cell = Cell::start(3, world.store_server.address, folder);
+    cell.wait_until_ready(Duration::from_secs(15));
+    let warm = id(1);
+    expect(
+        cell.submit(
+            &warm,
+            &job(16, 400, 500, Vec::new()),
+            Duration::from_secs(5),
+        ),
+        "no job is accepted",
+    );
+    expect(
+        world.wait_until_done(&warm, 16, Duration::from_secs(10)),
+        "no job runs",
+    );
+    let doubled = id(2);
+    let chosen: Arc<Mutex<Option<String>>> = Arc::default();
+    if trouble {
+        for minion in &world.minions {
+            let (chosen, own, job) = (chosen.clone(), minion.id().to_owned(), doubled.clone());
+            minion.answer_late(Some(Arc::new(move |task, run| {
+                let mut chosen = chosen.lock().expect("no thread panics");
+                let is_first = task.starts_with(&job) && run == 1;
+                is_first && *chosen.get_or_insert(own.clone()) == own
+            })));
+        }
+    }
+    expect(
+        cell.submit(
+            &doubled,
+            &job(1, 9_000, 500, Vec::new()),
+            Duration::from_secs(5),
+        ),
+        "not accepted",
+    );
+    let other = id(3);
+    expect(
+        cell.submit(
+            &other,
+            &job(6, 400, 500, Vec::new()),
+            Duration::from_secs(5),
+        ),
+        "not accepted",
+    );
+    expect(
+        world.wait_until_runs(&doubled, 1, Duration::from_secs(10)),
+        "the job does not run",
+    );
+    let unanswered = chosen.lock().expect("no thread panics").clone();
+    if let Some(minion) = unanswered.as_deref().map(|id| world.minion(id)) {
+        world
+            .minions
+            .iter()
+            .for_each(|minion| minion.answer_late(None));
+        thread::sleep(Duration::from_millis(300));
+        minion.cut();
+        thread::sleep(Duration::from_millis(500));
+        minion.restart();
+        thread::sleep(Duration::from_millis(5_000));
+        if let Err(cause) = minion.heal() {
+            unable(&cause.to_string());
+        }
+    }
+    world.wait_until_done(&doubled, 1, Duration::from_secs(20));
+    thread::sleep(Duration::from_millis(500));
+    let counts = world.minions.iter().map(Minion::starts);
+    let (all, without) = counts.fold((0, 0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+    note!("{without} of {all} orders to start got no answer");
+    at_the_same_time(&world.runs_of(&doubled))
+}
--- /dev/null
+++ b/review/standins-3/platform/src/cell.rs
@@ -0,0 +1,307 @@
+//! The system's own program, as the deploy file starts it: one process for each machine.
+
+use std::{
+    fs::{self, File},
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc, Mutex,
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{http, json::Json, note};
+
+/// The command of the deploy file, run at the root of the repository.
+const PROGRAM: &str = "target/release/jackdawchute";
+/// How long a client waits for a response.
+const DEADLINE: Duration = Duration::from_millis(3_000);
+/// The route of the only queue.
+pub const HOST: &str = "nony24.example";
+pub const PREFIX: &str = "/lohu930/";
+
+/// The processes that were started and have not been ended.
+static PROCESSES: Mutex<Vec<Arc<Mutex<Child>>>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started.
+pub fn end_all() {
+    let Ok(mut processes) = PROCESSES.lock() else {
+        return;
+    };
+    for process in processes.drain(..) {
+        if let Ok(mut process) = process.lock() {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+}
+
+/// The ports below those that the system gives to outgoing connections.
+const PORTS: std::ops::Range<u32> = 20_000..32_000;
+static PORTS_TRIED: AtomicU32 = AtomicU32::new(0);
+
+/// Returns a loopback address with a free port.
+pub fn free_address() -> SocketAddr {
+    let count = PORTS.end - PORTS.start;
+    loop {
+        let tried = PORTS_TRIED.fetch_add(1, Ordering::SeqCst);
+        let port = PORTS.start + (std::process::id() * 101 + tried) % count;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+        if tried > count {
+            unable("no port is free");
+        }
+    }
+}
+
+pub struct Instance {
+    name: String,
+    settings: PathBuf,
+    log: PathBuf,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    process: Option<Arc<Mutex<Child>>>,
+}
+
+impl Instance {
+    pub fn new(name: &str, store: SocketAddr, folder: &Path) -> Self {
+        let (callers, readiness, peers, metrics) = (
+            free_address(),
+            free_address(),
+            free_address(),
+            free_address(),
+        );
+        // The settings of `deploy/settings.yaml` with the figures of a small deployment.
+        let text = format!(
+            "instance: \"{name}\"\nfailure_domain: \"almaty-a\"\nlisten:\n  callers: \"{callers}\"\n  \
+             readiness: \"{readiness}\"\n  peers: \"{peers}\"\n  metrics: \"{metrics}\"\nplatform:\n  \
+             store: \"{store}\"\nbounds:\n  lease_max_ms: 10000\n  task_stop_ms: 900\n  \
+             shutdown_ms: 6000\n  ended_retention_ms: 120000\n  remote_slowdown: 1.5\nprocessor:\n  \
+             share: 0.25\n  speed: 1\nlog_level: info\n"
+        );
+        let settings = folder.join(format!("{name}.yaml"));
+        fs::write(&settings, text).expect("a temporary file");
+        Self {
+            name: name.to_owned(),
+            settings,
+            log: folder.join(format!("{name}.log")),
+            callers,
+            readiness,
+            process: None,
+        }
+    }
+
+    pub fn start(&mut self) {
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("a log");
+        let process = Command::new(PROGRAM)
+            .arg("cell")
+            .env("JACKDAWCHUTE_NODE_FILE", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::null())
+            .spawn();
+        match process {
+            Ok(process) => {
+                note!("{} started, process {}", self.name, process.id());
+                let process = Arc::new(Mutex::new(process));
+                if let Ok(mut processes) = PROCESSES.lock() {
+                    processes.push(process.clone());
+                }
+                self.process = Some(process);
+            }
+            Err(cause) => unable(&format!("{PROGRAM} does not start: {cause}")),
+        }
+    }
+
+    /// Kills the process, as a machine that loses power or is removed.
+    pub fn kill(&mut self) {
+        let Some(process) = self.process.take() else {
+            return;
+        };
+        let mut process = process.lock().expect("no thread panics");
+        let _ = process.kill();
+        let _ = process.wait();
+        note!("{} killed", self.name);
+    }
+
+    pub fn is_running(&self) -> bool {
+        self.process.is_some()
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let wait = Duration::from_millis(500);
+        let answer = http::call(self.readiness, "GET", "/readyz", &[("Host", "x")], "", wait);
+        answer.is_some_and(|(status, _)| status == 200)
+    }
+
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The machines of the cell; clients come to one of them that is ready.
+pub struct Cell {
+    pub instances: Vec<Instance>,
+    next: usize,
+}
+
+impl Cell {
+    pub fn start(count: usize, store: SocketAddr, folder: &Path) -> Self {
+        let name = |number: usize| format!("frontend-almaty-a-{}", number + 1);
+        let mut instances: Vec<Instance> = (0..count)
+            .map(|number| Instance::new(&name(number), store, folder))
+            .collect();
+        instances.iter_mut().for_each(Instance::start);
+        Self { instances, next: 0 }
+    }
+
+    pub fn wait_until_ready(&self, within: Duration) {
+        let until = Instant::now() + within;
+        let running = || self.instances.iter().filter(|it| it.is_running());
+        while !running().all(Instance::is_ready) {
+            if Instant::now() > until {
+                unable("the instances are not ready in time");
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        note!("all running instances are ready");
+    }
+
+    /// Returns the position of the instance that has claimed the epoch last, by their logs.
+    pub fn leader(&self) -> usize {
+        let claimed = |it: &Instance| {
+            let log = it.log();
+            let lines = log
+                .lines()
+                .filter(|line| line.contains("\"epoch claimed\""));
+            lines.filter_map(epoch_of).max().unwrap_or(0)
+        };
+        let claims = self.instances.iter().map(claimed).enumerate();
+        claims
+            .max_by_key(|(_, epoch)| *epoch)
+            .map_or(0, |(index, _)| index)
+    }
+
+    /// Sends a request to an instance that is ready, or else to one that runs, and returns its answer.
+    pub fn call(&mut self, method: &str, job: &str, body: &str) -> Option<(u16, Json)> {
+        let running: Vec<SocketAddr> = {
+            let running = self.instances.iter().filter(|it| it.is_running());
+            let ready: Vec<_> = running.clone().filter(|it| it.is_ready()).collect();
+            let chosen = if ready.is_empty() {
+                running.collect()
+            } else {
+                ready
+            };
+            chosen.into_iter().map(|it| it.callers).collect()
+        };
+        self.next += 1;
+        let address = *running.get(self.next % running.len().max(1))?;
+        let deadline = DEADLINE.as_millis().to_string();
+        let headers = [
+            ("Host", HOST),
+            ("X-Jackdawchute-Deadline-Ms", deadline.as_str()),
+        ];
+        let path = format!("{PREFIX}{job}");
+        let wait = DEADLINE + Duration::from_millis(200);
+        let answer = http::call(address, method, &path, &headers, body, wait);
+        let text = match &answer {
+            Some((status, body)) => format!("{status} {}", String::from_utf8_lossy(body)),
+            None => "no answer".to_owned(),
+        };
+        note!("client: {method} {job}: {text}");
+        let (status, body) = answer?;
+        Some((status, Json::parse(&body).unwrap_or(Json::Null)))
+    }
+
+    /// Hands a job in, and again after no answer, a 502, 504, 429 or 503; returns whether it was
+    /// accepted.
+    pub fn submit(&mut self, job: &str, body: &Json, within: Duration) -> bool {
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            if let Some((200..=299, _)) = self.call("POST", job, &body.write()) {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(250));
+        }
+        false
+    }
+
+    /// Returns the state that is shown for a job; empty if none is.
+    pub fn state(&mut self, job: &str) -> String {
+        match self.call("GET", job, "") {
+            Some((200, body)) => body.str("state").to_owned(),
+            _ => String::new(),
+        }
+    }
+}
+
+fn epoch_of(line: &str) -> Option<u64> {
+    let (_, rest) = line.split_once("\"epoch\":")?;
+    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().ok()
+}
+
+/// Ends the case, which could not run.
+pub fn unable(cause: &str) -> ! {
+    note!("the case could not run: {cause}");
+    eprintln!("the case could not run: {cause}");
+    end_all();
+    std::process::exit(2);
+}
+
+/// Returns the body of a job with one step of equal tasks.
+pub fn job(tasks: u64, work_ms: u64, cpu: u64, more: Vec<(&str, Json)>) -> Json {
+    let mut step = vec![
+        ("count", Json::number(tasks)),
+        ("cpu", Json::number(cpu)),
+        ("mem_mb", Json::number(256)),
+        ("estimated_ms", Json::number(work_ms)),
+    ];
+    step.extend(more);
+    Json::object(vec![
+        ("spec", Json::text(format!("work={work_ms} cpu={cpu}"))),
+        ("phases", Json::List(vec![Json::object(step)])),
+    ])
+}
+
+/// Returns the configuration: one queue without advice.
+pub fn configuration() -> Json {
+    let route = Json::object(vec![
+        ("name", Json::text("lohu930")),
+        ("host", Json::text(HOST)),
+        ("path_prefix", Json::text(PREFIX)),
+        ("service", Json::text("repair-desk")),
+        ("priority", Json::number(0)),
+        ("max_attempts", Json::number(3)),
+        ("stretch", Json::Number(1.5)),
+        ("target_duration_ms", Json::number(250)),
+    ]);
+    let service = Json::object(vec![
+        ("name", Json::text("repair-desk")),
+        ("rejects_overload", Json::Bool(false)),
+    ]);
+    Json::object(vec![
+        ("version", Json::number(3)),
+        ("routes", Json::List(vec![route])),
+        ("services", Json::List(vec![service])),
+        (
+            "limits",
+            Json::object(vec![("max_body_bytes", Json::number(262_144))]),
+        ),
+    ])
+}
