--- a/review/standins-3/platform/src/cases.rs
+++ b/review/standins-3/platform/src/cases.rs
@@ -26,7 +26,6 @@
 
 pub fn run(case: &str, trouble: bool, folder: &Path) -> Option<String> {
     match case {
-        "lost-after-losses" => lost_after_losses(trouble, folder),
         "start-unanswered" => start_unanswered(trouble, folder),
         "silent-connections" => silent_connections(trouble, folder),
         "late-order" => late_order(trouble, folder),
@@ -200,75 +199,6 @@
     }
 }
 
-/// A machine of the system is lost for good while the others lose power and come back, and a minion is
-/// lost for good with them.
-fn lost_after_losses(trouble: bool, folder: &Path) -> Option<String> {
-    let world = World::start(8);
-    let mut cell = Cell::start(3, world.store_server.address, folder);
-    cell.wait_until_ready(Duration::from_secs(15));
-    let wide = vec![("max_per_server", crate::json::Json::number(2))];
-    let warm = id(1);
-    expect(
-        cell.submit(&warm, &job(16, 500, 1_000, wide), Duration::from_secs(5)),
-        "no job is accepted",
-    );
-    expect(
-        world.wait_until_done(&warm, 16, Duration::from_secs(10)),
-        "no job runs",
-    );
-
-    // One task for each minion, so that the lost one has a task too, and a further job after it.
-    let spread = vec![("max_per_server", crate::json::Json::number(1))];
-    let running = id(2);
-    expect(
-        cell.submit(
-            &running,
-            &job(8, 3_000, 2_000, spread),
-            Duration::from_secs(5),
-        ),
-        "not accepted",
-    );
-    expect(
-        world.wait_until_runs(&running, 8, Duration::from_secs(5)),
-        "the job does not run",
-    );
-    thread::sleep(Duration::from_millis(500));
-    let leader = cell.leader();
-    note!("the leader is instance {}", leader + 1);
-    if trouble {
-        world.minion("i-08").power_off();
-        cell.instances[leader].kill();
-        let others: Vec<usize> = (0..3).filter(|index| *index != leader).collect();
-        others
-            .iter()
-            .for_each(|index| cell.instances[*index].kill());
-        thread::sleep(Duration::from_millis(500));
-        others
-            .iter()
-            .for_each(|index| cell.instances[*index].start());
-        cell.wait_until_ready(Duration::from_secs(15));
-    }
-    let last = id(3);
-    expect(
-        cell.submit(
-            &last,
-            &job(1, 500, 1_000, Vec::new()),
-            Duration::from_secs(10),
-        ),
-        "not accepted",
-    );
-    let traffic_ended_s = crate::record::now();
-    if trouble {
-        thread::sleep(Duration::from_millis(3_000));
-        world.minion("i-08").entry_lapses();
-    }
-    let broken = stands_still_at_the_end(&world, &mut cell, &running, 8, traffic_ended_s);
-    if broken.is_some() {
-        wait_for_the_record(&world, &running, 8, Duration::from_secs(20));
-    }
-    broken
-}
-
 /// A minion loses power for good while an order to start a task is on its way to it.
 fn start_unanswered(trouble: bool, folder: &Path) -> Option<String> {
     let world = World::start(8);
--- a/review/standins-3/platform/src/cell.rs
+++ b/review/standins-3/platform/src/cell.rs
@@ -142,10 +142,6 @@
         let answer = http::call(self.readiness, "GET", "/readyz", &[("Host", "x")], "", wait);
         answer.is_some_and(|(status, _)| status == 200)
     }
-
-    pub fn log(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Instance {
@@ -182,21 +178,6 @@
         note!("all running instances are ready");
     }
 
-    /// Returns the position of the instance that has claimed the epoch last, by their logs.
-    pub fn leader(&self) -> usize {
-        let claimed = |it: &Instance| {
-            let log = it.log();
-            let lines = log
-                .lines()
-                .filter(|line| line.contains("\"epoch claimed\""));
-            lines.filter_map(epoch_of).max().unwrap_or(0)
-        };
-        let claims = self.instances.iter().map(claimed).enumerate();
-        claims
-            .max_by_key(|(_, epoch)| *epoch)
-            .map_or(0, |(index, _)| index)
-    }
-
     /// Sends a request to an instance that is ready, or else to one that runs, and returns its answer.
     pub fn call(&mut self, method: &str, job: &str, body: &str) -> Option<(u16, Json)> {
         let running: Vec<SocketAddr> = {
@@ -250,12 +231,6 @@
     }
 }
 
-fn epoch_of(line: &str) -> Option<u64> {
-    let (_, rest) = line.split_once("\"epoch\":")?;
-    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
-    digits.parse().ok()
-}
-
 /// Ends the case, which could not run.
 pub fn unable(cause: &str) -> ! {
     note!("the case could not run: {cause}");
