--- a/review/standins-3/platform/src/cases.rs
+++ b/review/standins-3/platform/src/cases.rs
@@ -10,9 +10,10 @@
 };
 
 use crate::{
-    cell::{configuration, free_address, job, unable, Cell},
-    http::Server,
-    minion::{Minion, RunSeen, RunsSeen},
+    cell::{configuration, free_address, job, unable, Cell, ADVICE_MS},
+    http::{Reply, Request, Server},
+    json::Json,
+    minion::{Advised, Minion, RunSeen, RunsSeen},
     note,
     store::Store,
 };
@@ -28,6 +29,8 @@
     match case {
         "start-unanswered" => start_unanswered(trouble, folder),
         "silent-connections" => silent_connections(trouble, folder),
+        "failing-services" => failing_services(trouble, folder),
+        "crash-loop" => crash_loop(trouble, folder),
         "late-order" => late_order(trouble, folder),
         _ => unable("no such case"),
     }
@@ -36,6 +39,8 @@
 /// The platform of a case, with its minions.
 struct World {
     store_server: Server,
+    advisors: Vec<Server>,
+    advised: Advised,
     seen: RunsSeen,
     minions: Vec<Minion>,
 }
@@ -48,28 +53,42 @@
         let store_server = Server::start(any, store.handler());
         let store_server = store_server.unwrap_or_else(|cause| unable(&cause.to_string()));
         let seen: RunsSeen = Arc::new(Mutex::new(Vec::new()));
+        let advised: Advised = Arc::default();
         let minion = |number: usize| {
             let id = format!("i-{:02}", number + 1);
             let rack = format!("r1-{}", number / 4 + 1);
             let labels = ["a", rack.as_str()];
-            let started = Minion::start(&id, free_address(), &labels, MINION_CPU, &store, &seen);
+            let started = Minion::start(
+                &id,
+                free_address(),
+                &labels,
+                MINION_CPU,
+                &store,
+                &seen,
+                &advised,
+            );
             started.unwrap_or_else(|cause| unable(&cause.to_string()))
         };
-        let minions = (0..minions).map(minion).collect();
+        let minions: Vec<Minion> = (0..minions).map(minion).collect();
+        let advisors = (0..3).map(|_| advisor(&minions));
         Self {
             store_server,
+            advisors: advisors.collect(),
+            advised: advised.clone(),
             seen,
             minions,
         }
     }
 
-    fn runs(&self) -> Vec<RunSeen> {
-        self.seen.lock().expect("no thread panics").clone()
+    fn runs_of(&self, job: &str) -> Vec<RunSeen> {
+        let runs = self.seen.lock().expect("no thread panics");
+        let of_job = runs.iter().filter(|run| run.task.starts_with(job));
+        of_job.cloned().collect()
     }
 
-    fn runs_of(&self, job: &str) -> Vec<RunSeen> {
-        let runs = self.runs().into_iter();
-        runs.filter(|run| run.task.starts_with(job)).collect()
+    fn note_failing_runs(&self) {
+        let runs: u64 = self.minions.iter().map(Minion::failing_runs).sum();
+        note!("{runs} runs of tasks that fail have begun");
     }
 
     /// Waits until a job has `count` runs that go on.
@@ -202,7 +221,7 @@
 /// A minion loses power for good while an order to start a task is on its way to it.
 fn start_unanswered(trouble: bool, folder: &Path) -> Option<String> {
     let world = World::start(8);
-    let mut cell = Cell::start(3, world.store_server.address, folder);
+    let mut cell = Cell::start(3, world.store_server.address, &[], folder);
     cell.wait_until_ready(Duration::from_secs(15));
     let warm = id(1);
     expect(
@@ -256,9 +275,9 @@
 /// All open connections to the minions go silent for good, while new ones work.
 fn silent_connections(trouble: bool, folder: &Path) -> Option<String> {
     let world = World::start(6);
-    let mut cell = Cell::start(3, world.store_server.address, folder);
+    let mut cell = Cell::start(3, world.store_server.address, &[], folder);
     cell.wait_until_ready(Duration::from_secs(15));
-    let ten = vec![("max_per_server", crate::json::Json::number(10))];
+    let ten = vec![("max_per_server", Json::number(10))];
     let warm = id(1);
     expect(
         cell.submit(&warm, &job(60, 600, 100, ten), Duration::from_secs(5)),
@@ -268,7 +287,7 @@
         world.wait_until_done(&warm, 60, Duration::from_secs(15)),
         "no job runs",
     );
-    let one = vec![("max_per_server", crate::json::Json::number(1))];
+    let one = vec![("max_per_server", Json::number(1))];
     let long = id(2);
     expect(
         cell.submit(&long, &job(6, 30_000, 1_000, one), Duration::from_secs(5)),
@@ -320,7 +339,7 @@
 /// has crashed and started again meanwhile.
 fn late_order(trouble: bool, folder: &Path) -> Option<String> {
     let world = World::start(6);
-    let mut cell = Cell::start(3, world.store_server.address, folder);
+    let mut cell = Cell::start(3, world.store_server.address, &[], folder);
     cell.wait_until_ready(Duration::from_secs(15));
     let warm = id(1);
     expect(
@@ -374,7 +393,8 @@
             .minions
             .iter()
             .for_each(|minion| minion.answer_late(None));
-        thread::sleep(Duration::from_millis(300));
+        // Before the lease of the new run is extended.
+        thread::sleep(Duration::from_millis(100));
         minion.cut();
         thread::sleep(Duration::from_millis(500));
         minion.restart();
@@ -390,3 +410,156 @@
     note!("{without} of {all} orders to start got no answer");
     at_the_same_time(&world.runs_of(&doubled))
 }
+
+/// Starts an advisor: it answers one request at a time and allows every minion.
+fn advisor(minions: &[Minion]) -> Server {
+    let (minions, turn) = (minions.to_vec(), Mutex::new(()));
+    let (decide_ms, each_ms, valid_ms) = ADVICE_MS;
+    let answer = move |request: Request| {
+        let Some(body) = Json::parse(&request.body) else {
+            return Reply::Answer(400, "{}".to_owned());
+        };
+        let _turn = turn.lock().expect("no thread panics");
+        let named = body.list("workers");
+        let took = decide_ms + each_ms * named.len() as f64;
+        thread::sleep(Duration::from_secs_f64(took / 1e3));
+        let step = body.str("phase");
+        let until_s = crate::record::now() + valid_ms as f64 / 1e3;
+        let ticket = |name: &Json| {
+            let Json::Text(id) = name else {
+                return None;
+            };
+            let minion = minions.iter().find(|minion| minion.id() == id)?;
+            let ticket = format!("{step}|{id}|{}|{until_s:.3}", minion.born_ms());
+            Some(Json::List(vec![Json::text(id), Json::text(ticket)]))
+        };
+        let good: Vec<Json> = named.iter().filter_map(ticket).collect();
+        note!(
+            "advice for {step} on {} minions: {} allowed",
+            named.len(),
+            good.len()
+        );
+        Reply::Answer(200, Json::object(vec![("good", Json::List(good))]).write())
+    };
+    let started = Server::start(free_address(), Arc::new(answer));
+    started.unwrap_or_else(|cause| unable(&cause.to_string()))
+}
+
+/// Returns the body of a service whose tasks fail soon after each start.
+fn failing_service(tasks: u64, work_ms: u64, cpu: u64, more: Vec<(&str, Json)>) -> Json {
+    let mut step = vec![
+        ("count", Json::number(tasks)),
+        ("cpu", Json::number(cpu)),
+        ("mem_mb", Json::number(64)),
+        ("long_running", Json::Bool(true)),
+    ];
+    step.extend(more);
+    Json::object(vec![
+        (
+            "spec",
+            Json::text(format!("work={work_ms} fails=1 cpu={cpu}")),
+        ),
+        ("phases", Json::List(vec![Json::object(step)])),
+    ])
+}
+
+/// A service whose tasks fail soon after each start takes all starts from all other jobs.
+fn crash_loop(trouble: bool, folder: &Path) -> Option<String> {
+    let world = World::start(8);
+    let mut cell = Cell::start(3, world.store_server.address, &[], folder);
+    cell.wait_until_ready(Duration::from_secs(15));
+    for number in 0..24 {
+        let body = job(2, 200, 500, Vec::new());
+        let is_accepted = cell.submit(&id(number), &body, Duration::from_secs(5));
+        expect(is_accepted, "no job is accepted");
+    }
+    expect(
+        world.wait_until_done(&id(23), 2, Duration::from_secs(10)),
+        "no job runs",
+    );
+    if trouble {
+        let service = failing_service(800, 10, 50, Vec::new());
+        let is_accepted = cell.submit(&id(24), &service, Duration::from_secs(5));
+        expect(is_accepted, "the service is not accepted");
+        thread::sleep(Duration::from_millis(1_500));
+    }
+    for number in 25..30 {
+        let body = job(2, 200, 500, Vec::new());
+        let is_accepted = cell.submit(&id(number), &body, Duration::from_secs(10));
+        expect(is_accepted, "a later job is not accepted");
+    }
+    let traffic_ended_s = crate::record::now();
+    world.note_failing_runs();
+    let first = id(25);
+    let broken = stands_still_at_the_end(&world, &mut cell, &first, 2, traffic_ended_s);
+    world.note_failing_runs();
+    if broken.is_some() {
+        wait_for_the_record(&world, &first, 2, Duration::from_secs(20));
+        let runs: usize = (25..30)
+            .map(|number| world.runs_of(&id(number)).len())
+            .sum();
+        note!("{runs} runs of the five later jobs have begun");
+        world.note_failing_runs();
+    }
+    broken
+}
+
+/// Services that fail soon after each start keep all minions from jobs of a queue with advice.
+fn failing_services(trouble: bool, folder: &Path) -> Option<String> {
+    let world = World::start(8);
+    let advisors: Vec<SocketAddr> = world.advisors.iter().map(|server| server.address).collect();
+    let mut cell = Cell::start(3, world.store_server.address, &advisors, folder);
+    cell.wait_until_ready(Duration::from_secs(15));
+    let advised = |number: u32| format!("a{}", &id(number)[1..]);
+    let mut all_advised = world.advised.lock().expect("no thread panics");
+    all_advised.extend((0..10).map(advised));
+    drop(all_advised);
+    for number in 0..57 {
+        let name = id(number);
+        let is_accepted = cell.submit(&name, &job(2, 200, 500, Vec::new()), Duration::from_secs(5));
+        expect(is_accepted, "no job is accepted");
+    }
+    expect(
+        world.wait_until_done(&id(56), 2, Duration::from_secs(10)),
+        "no job runs",
+    );
+    let first = advised(0);
+    expect(
+        cell.submit(
+            &first,
+            &job(2, 500, 2_000, Vec::new()),
+            Duration::from_secs(5),
+        ),
+        "not accepted",
+    );
+    expect(
+        world.wait_until_done(&first, 2, Duration::from_secs(10)),
+        "no job with advice runs",
+    );
+    if trouble {
+        for number in 57..60 {
+            let spread = vec![("max_per_server", Json::number(1))];
+            let lasts = failing_service(8, 100, 500, spread);
+            expect(
+                cell.submit(&id(number), &lasts, Duration::from_secs(5)),
+                "no service is accepted",
+            );
+        }
+        thread::sleep(Duration::from_millis(1_500));
+    }
+    let last = advised(1);
+    expect(
+        cell.submit(
+            &last,
+            &job(2, 500, 2_000, Vec::new()),
+            Duration::from_secs(5),
+        ),
+        "not accepted",
+    );
+    let traffic_ended_s = crate::record::now();
+    let broken = stands_still_at_the_end(&world, &mut cell, &last, 2, traffic_ended_s);
+    if broken.is_some() {
+        wait_for_the_record(&world, &last, 2, Duration::from_secs(20));
+    }
+    broken
+}
--- a/review/standins-3/platform/src/cell.rs
+++ b/review/standins-3/platform/src/cell.rs
@@ -19,9 +19,15 @@
 const PROGRAM: &str = "target/release/jackdawchute";
 /// How long a client waits for a response.
 const DEADLINE: Duration = Duration::from_millis(3_000);
-/// The route of the only queue.
-pub const HOST: &str = "nony24.example";
-pub const PREFIX: &str = "/lohu930/";
+/// The host of all routes.
+const HOST: &str = "nony24.example";
+/// The path of the queue without advice.
+const PREFIX: &str = "/lohu930/";
+/// The path of the queue with advice.
+const ADVISED_PREFIX: &str = "/xu328qr/";
+/// The time of an advisor for each request and for each worker of it, and how long its tickets are valid, as
+/// those of the site's restring-order.
+pub const ADVICE_MS: (f64, f64, u64) = (310.0, 4.4, 2_500);
 
 /// The processes that were started and have not been ended.
 static PROCESSES: Mutex<Vec<Arc<Mutex<Child>>>> = Mutex::new(Vec::new());
@@ -69,7 +75,7 @@
 }
 
 impl Instance {
-    pub fn new(name: &str, store: SocketAddr, folder: &Path) -> Self {
+    pub fn new(name: &str, store: SocketAddr, advisor: Option<SocketAddr>, folder: &Path) -> Self {
         let (callers, readiness, peers, metrics) = (
             free_address(),
             free_address(),
@@ -77,10 +83,11 @@
             free_address(),
         );
         // The settings of `deploy/settings.yaml` with the figures of a small deployment.
+        let advisor = advisor.map_or(String::new(), |it| format!("  advisor: \"{it}\"\n"));
         let text = format!(
             "instance: \"{name}\"\nfailure_domain: \"almaty-a\"\nlisten:\n  callers: \"{callers}\"\n  \
              readiness: \"{readiness}\"\n  peers: \"{peers}\"\n  metrics: \"{metrics}\"\nplatform:\n  \
-             store: \"{store}\"\nbounds:\n  lease_max_ms: 10000\n  task_stop_ms: 900\n  \
+             store: \"{store}\"\n{advisor}bounds:\n  lease_max_ms: 10000\n  task_stop_ms: 900\n  \
              shutdown_ms: 6000\n  ended_retention_ms: 120000\n  remote_slowdown: 1.5\nprocessor:\n  \
              share: 0.25\n  speed: 1\nlog_level: info\n"
         );
@@ -157,10 +164,12 @@
 }
 
 impl Cell {
-    pub fn start(count: usize, store: SocketAddr, folder: &Path) -> Self {
+    /// Starts the machines, each with an advisor of its own if there are any.
+    pub fn start(count: usize, store: SocketAddr, advisors: &[SocketAddr], folder: &Path) -> Self {
         let name = |number: usize| format!("frontend-almaty-a-{}", number + 1);
+        let advisor = |number: usize| advisors.get(number).copied();
         let mut instances: Vec<Instance> = (0..count)
-            .map(|number| Instance::new(&name(number), store, folder))
+            .map(|number| Instance::new(&name(number), store, advisor(number), folder))
             .collect();
         instances.iter_mut().for_each(Instance::start);
         Self { instances, next: 0 }
@@ -197,7 +206,12 @@
             ("Host", HOST),
             ("X-Jackdawchute-Deadline-Ms", deadline.as_str()),
         ];
-        let path = format!("{PREFIX}{job}");
+        let prefix = if is_advised(job) {
+            ADVISED_PREFIX
+        } else {
+            PREFIX
+        };
+        let path = format!("{prefix}{job}");
         let wait = DEADLINE + Duration::from_millis(200);
         let answer = http::call(address, method, &path, &headers, body, wait);
         let text = match &answer {
@@ -254,25 +268,44 @@
     ])
 }
 
-/// Returns the configuration: one queue without advice.
+/// Returns whether a job goes to the queue with advice, by its id.
+pub fn is_advised(job: &str) -> bool {
+    job.starts_with('a')
+}
+
+/// Returns the configuration: a queue without advice, and one with it.
 pub fn configuration() -> Json {
-    let route = Json::object(vec![
-        ("name", Json::text("lohu930")),
-        ("host", Json::text(HOST)),
-        ("path_prefix", Json::text(PREFIX)),
-        ("service", Json::text("repair-desk")),
-        ("priority", Json::number(0)),
-        ("max_attempts", Json::number(3)),
-        ("stretch", Json::Number(1.5)),
-        ("target_duration_ms", Json::number(250)),
+    let route = |name: &str, prefix: &str, priority, more: Vec<(&'static str, Json)>| {
+        let mut fields = vec![
+            ("name", Json::text(name)),
+            ("host", Json::text(HOST)),
+            ("path_prefix", Json::text(prefix)),
+            ("service", Json::text("repair-desk")),
+            ("priority", Json::number(priority)),
+            ("max_attempts", Json::number(3)),
+            ("stretch", Json::Number(2.2)),
+            ("target_duration_ms", Json::number(1_000)),
+        ];
+        fields.extend(more);
+        Json::object(fields)
+    };
+    let (decide_ms, each_ms, valid_ms) = ADVICE_MS;
+    let advice = Json::object(vec![
+        ("decide_ms", Json::Number(decide_ms)),
+        ("each_ms", Json::Number(each_ms)),
+        ("valid_ms", Json::number(valid_ms)),
     ]);
+    let routes = vec![
+        route("lohu930", PREFIX, 0, Vec::new()),
+        route("xu328qr", ADVISED_PREFIX, 1, vec![("advice", advice)]),
+    ];
     let service = Json::object(vec![
         ("name", Json::text("repair-desk")),
         ("rejects_overload", Json::Bool(false)),
     ]);
     Json::object(vec![
         ("version", Json::number(3)),
-        ("routes", Json::List(vec![route])),
+        ("routes", Json::List(routes)),
         ("services", Json::List(vec![service])),
         (
             "limits",
--- a/review/standins-3/platform/src/http.rs
+++ b/review/standins-3/platform/src/http.rs
@@ -103,8 +103,13 @@
                 if let (Ok(copy), Ok(mut open)) = (stream.try_clone(), connections.0.lock()) {
                     open.push((silent.clone(), copy));
                 }
-                let handler = handler.clone();
-                thread::spawn(move || serve(stream, &silent, &handler));
+                let (handler, connections) = (handler.clone(), connections.clone());
+                thread::spawn(move || {
+                    serve(stream, &silent, &handler);
+                    if let Ok(mut open) = connections.0.lock() {
+                        open.retain(|(other, _)| !Arc::ptr_eq(other, &silent));
+                    }
+                });
             }
         });
     }
--- a/review/standins-3/platform/src/minion.rs
+++ b/review/standins-3/platform/src/minion.rs
@@ -1,7 +1,7 @@
 //! A minion: it runs what it is told to, under a lease, and lists what runs and what has ended.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::{
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -41,16 +41,21 @@
     pub how: &'static str,
 }
 
+/// The jobs of queues with advice.
+pub type Advised = Arc<Mutex<BTreeSet<String>>>;
+
 /// All runs of all minions, in the order in which they began.
 pub type RunsSeen = Arc<Mutex<Vec<RunSeen>>>;
 
 struct Running {
     run: u64,
-    /// The position in [`RunsSeen`].
-    seen: usize,
+    /// The position in [`RunsSeen`]; runs that are to fail are counted alone.
+    seen: Option<usize>,
     began: Instant,
     /// How long the task works.
     work: Duration,
+    /// How it ends then.
+    outcome: &'static str,
     cpu: u64,
     stop_at: Option<Instant>,
 }
@@ -120,8 +125,12 @@
     late: Mutex<Option<StartFault>>,
     /// The late orders: when each is carried out.
     late_orders: Mutex<Vec<(Instant, Json)>>,
-    pub starts: AtomicU64,
-    pub unanswered: AtomicU64,
+    starts: AtomicU64,
+    unanswered: AtomicU64,
+    /// The runs that were to fail.
+    failing: AtomicU64,
+    /// The jobs whose steps need tickets, of all minions.
+    advised: Advised,
 }
 
 /// A minion with its server.
@@ -139,6 +148,7 @@
         cpu: u64,
         store: &Store,
         seen: &RunsSeen,
+        advised: &Advised,
     ) -> std::io::Result<Self> {
         let shared = Arc::new(Shared {
             id: id.to_owned(),
@@ -154,6 +164,8 @@
             late_orders: Mutex::new(Vec::new()),
             starts: AtomicU64::new(0),
             unanswered: AtomicU64::new(0),
+            failing: AtomicU64::new(0),
+            advised: advised.clone(),
         });
         let handler_shared = shared.clone();
         let server = Server::start(
@@ -178,6 +190,11 @@
         Ok(minion)
     }
 
+    /// Returns when this life of the minion was born.
+    pub fn born_ms(&self) -> u64 {
+        self.shared.life.lock().expect("no thread panics").born_ms
+    }
+
     pub fn id(&self) -> &str {
         &self.shared.id
     }
@@ -193,6 +210,11 @@
         (count(&self.shared.starts), count(&self.shared.unanswered))
     }
 
+    /// Returns how many runs have begun that were to fail.
+    pub fn failing_runs(&self) -> u64 {
+        self.shared.failing.load(Ordering::SeqCst)
+    }
+
     /// The machine loses power: it runs nothing, does not answer, and takes no connection.
     pub fn power_off(&self) {
         self.shared.listed.store(false, Ordering::SeqCst);
@@ -291,11 +313,13 @@
         let Some(running) = life.running.remove(task) else {
             return;
         };
-        let mut seen = self.seen.lock().expect("no thread panics");
-        seen[running.seen].ended_s = Some(crate::record::now());
-        seen[running.seen].how = how;
-        drop(seen);
-        note!("{} {task} run {} has ended: {how}", self.id, running.run);
+        if let Some(position) = running.seen {
+            let mut seen = self.seen.lock().expect("no thread panics");
+            seen[position].ended_s = Some(crate::record::now());
+            seen[position].how = how;
+            drop(seen);
+            note!("{} {task} run {} has ended: {how}", self.id, running.run);
+        }
         let over = life.over.entry(task.to_owned()).or_default();
         *over = (*over).max(running.run);
         life.ends += 1;
@@ -323,7 +347,7 @@
                 } else if running.stop_at.is_some_and(|at| now >= at) {
                     "stopped"
                 } else if now >= running.began + running.work {
-                    "done"
+                    running.outcome
                 } else {
                     return None;
                 };
@@ -379,7 +403,9 @@
                     return Reply::Silence;
                 }
                 let (status, answer) = self.start(&body);
-                note!("{} is told: start {task} run {run}: {status}", self.id);
+                if meaning(body.str("spec")).1 != "failed" || status != 200 {
+                    note!("{} is told: start {task} run {run}: {status}", self.id);
+                }
                 Reply::Answer(status, answer)
             }
             "/run-stop" => self.stop(&body),
@@ -420,30 +446,60 @@
         {
             return (409, refusal(&life, "old"));
         }
-        let (work, cpu) = meaning(body.str("spec"));
-        let mut seen = self.seen.lock().expect("no thread panics");
-        seen.push(RunSeen {
-            task: task.clone(),
-            run,
-            minion: self.id.clone(),
-            began_s: crate::record::now(),
-            ended_s: None,
-            how: "runs",
-        });
+        if !self.advisor_allows(&task, body.str("ticket"), &life) {
+            return (409, refusal(&life, "ticket"));
+        }
+        let (work, outcome, cpu) = meaning(body.str("spec"));
+        let seen = if outcome == "failed" {
+            self.failing.fetch_add(1, Ordering::SeqCst);
+            None
+        } else {
+            note!("{} {task} run {run} begins", self.id);
+            let mut seen = self.seen.lock().expect("no thread panics");
+            seen.push(RunSeen {
+                task: task.clone(),
+                run,
+                minion: self.id.clone(),
+                began_s: crate::record::now(),
+                ended_s: None,
+                how: "runs",
+            });
+            Some(seen.len() - 1)
+        };
         let running = Running {
             run,
-            seen: seen.len() - 1,
+            seen,
             began: Instant::now(),
             work,
+            outcome,
             cpu,
             stop_at: None,
         };
-        drop(seen);
-        note!("{} {task} run {run} begins", self.id);
         life.running.insert(task, running);
         (200, clock(&life))
     }
 
+    /// Returns whether a task may start here: if its queue has advice, its ticket must be for this step and
+    /// this life of the minion, and valid.
+    fn advisor_allows(&self, task: &str, ticket: &str, life: &Life) -> bool {
+        let Some((step, _)) = task.rsplit_once('.') else {
+            return false;
+        };
+        let job = task.split('.').next().unwrap_or_default();
+        if !self.advised.lock().expect("no thread panics").contains(job) {
+            return true;
+        }
+        let parts: Vec<&str> = ticket.split('|').collect();
+        let until_s: f64 = parts
+            .get(3)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0.0);
+        parts.first() == Some(&step)
+            && parts.get(1) == Some(&self.id.as_str())
+            && parts.get(2) == Some(&life.born_ms.to_string().as_str())
+            && crate::record::now() <= until_s
+    }
+
     fn stop(&self, body: &Json) -> Reply {
         let mut life = self.life.lock().expect("no thread panics");
         if let Some(refusal) = self.fenced(&mut life, body) {
@@ -533,13 +589,23 @@
     Json::object(fields).write()
 }
 
-/// Returns how long a task works, and on how much processor: `work=MS cpu=MILLICORES`.
-fn meaning(spec: &str) -> (Duration, u64) {
+/// Returns how long a task works, how it ends, and on how much processor it works:
+/// `work=MS fails=1 cpu=MILLICORES`.
+fn meaning(spec: &str) -> (Duration, &'static str, u64) {
     let number = |name: &str| {
         let words = spec.split_whitespace();
         let mut found = words.filter_map(|word| word.strip_prefix(name)?.strip_prefix('='));
         found.next().and_then(|text| text.parse().ok())
     };
     let work_ms = number("work").unwrap_or(1_000);
-    (Duration::from_millis(work_ms), number("cpu").unwrap_or(0))
+    let outcome = if number("fails") == Some(1) {
+        "failed"
+    } else {
+        "done"
+    };
+    (
+        Duration::from_millis(work_ms),
+        outcome,
+        number("cpu").unwrap_or(0),
+    )
 }
