--- a/review/standins-3/platform/src/cases.rs
+++ b/review/standins-3/platform/src/cases.rs
@@ -86,6 +86,17 @@
         of_job.cloned().collect()
     }
 
+    /// Returns the processor in use and in all on the minions that are up, and how many tasks of this size
+    /// fit into the rest.
+    fn room(&self, size: u64) -> (u64, u64, u64) {
+        let up = self.minions.iter().filter(|minion| minion.is_up());
+        up.fold((0, 0, 0), |(used, all, fitting), minion| {
+            let on_it = minion.cpu_in_use();
+            let fit = MINION_CPU.saturating_sub(on_it) / size;
+            (used + on_it, all + MINION_CPU, fitting + fit)
+        })
+    }
+
     fn note_failing_runs(&self) {
         let runs: u64 = self.minions.iter().map(Minion::failing_runs).sum();
         note!("{runs} runs of tasks that fail have begun");
@@ -167,15 +178,25 @@
     None
 }
 
-/// Waits until `at` seconds of the record, and returns whether no run of the job went on from `from` to
-/// `at`.
-fn nothing_ran(world: &World, job: &str, from: f64, at: f64) -> bool {
-    while crate::record::now() < at {
+/// Tasks that wait: how many, and the processor that each takes.
+type Waiting = (u64, u64);
+
+/// Waits until `to`, and returns whether from `from` on nothing of the job ran although the minions had
+/// capacity for its tasks twice over and less than half of it was in use.
+fn stood_still(world: &World, job: &str, waiting: Waiting, from: f64, to: f64) -> bool {
+    let (mut had_room, mut most_used) = (true, 0);
+    while crate::record::now() < to {
+        if crate::record::now() >= from {
+            let (used, all, fitting) = world.room(waiting.1);
+            most_used = most_used.max(used);
+            had_room &= used * 2 < all && fitting >= waiting.0 * 2;
+        }
         thread::sleep(Duration::from_millis(20));
     }
+    note!("at most {most_used} thousandths of a core were in use; room all the while: {had_room}");
     let runs = world.runs_of(job);
-    let goes_on = |run: &RunSeen| run.began_s < at && run.ended_s.is_none_or(|end| end > from);
-    !runs.iter().any(goes_on)
+    let goes_on = |run: &RunSeen| run.began_s < to && run.ended_s.is_none_or(|end| end > from);
+    had_room && !runs.iter().any(goes_on)
 }
 
 /// Checks the end of the day: `finish_s` after the end of the traffic a job has nothing running for 3 s
@@ -184,7 +205,7 @@
     world: &World,
     cell: &mut Cell,
     job: &str,
-    tasks: usize,
+    waiting: Waiting,
     traffic_ended_s: f64,
 ) -> Option<String> {
     let from = traffic_ended_s + FINISH.as_secs_f64();
@@ -193,7 +214,8 @@
     }
     let state = cell.state(job);
     let to = crate::record::now() + IDLE_MAX.as_secs_f64();
-    let still = nothing_ran(world, job, to - IDLE_MAX.as_secs_f64(), to);
+    let still = stood_still(world, job, waiting, to - IDLE_MAX.as_secs_f64(), to);
+    let tasks = waiting.0 as usize;
     let done = world
         .runs_of(job)
         .iter()
@@ -265,7 +287,7 @@
         thread::sleep(Duration::from_millis(4_500));
         world.minion(&minion).entry_lapses();
     }
-    let broken = stands_still_at_the_end(&world, &mut cell, &last, 1, traffic_ended_s);
+    let broken = stands_still_at_the_end(&world, &mut cell, &last, (1, 500), traffic_ended_s);
     if broken.is_some() {
         wait_for_the_record(&world, &last, 1, Duration::from_secs(20));
     }
@@ -315,7 +337,7 @@
     );
     // For 3 s, after 4 s without any disruption.
     let from = crate::record::now().max(silent_s + 4.0);
-    let still = nothing_ran(&world, &new, from, from + IDLE_MAX.as_secs_f64());
+    let still = stood_still(&world, &new, (1, 500), from, from + IDLE_MAX.as_secs_f64());
     let lapsed = world
         .runs_of(&long)
         .iter()
@@ -398,7 +420,8 @@
         minion.cut();
         thread::sleep(Duration::from_millis(500));
         minion.restart();
-        thread::sleep(Duration::from_millis(5_000));
+        // The cut lasts 5.4 s in all.
+        thread::sleep(Duration::from_millis(4_900));
         if let Err(cause) = minion.heal() {
             unable(&cause.to_string());
         }
@@ -491,10 +514,10 @@
     let traffic_ended_s = crate::record::now();
     world.note_failing_runs();
     let first = id(25);
-    let broken = stands_still_at_the_end(&world, &mut cell, &first, 2, traffic_ended_s);
+    let broken = stands_still_at_the_end(&world, &mut cell, &first, (2, 500), traffic_ended_s);
     world.note_failing_runs();
     if broken.is_some() {
-        wait_for_the_record(&world, &first, 2, Duration::from_secs(20));
+        wait_for_the_record(&world, &first, 2, Duration::from_secs(8));
         let runs: usize = (25..30)
             .map(|number| world.runs_of(&id(number)).len())
             .sum();
@@ -557,9 +580,9 @@
         "not accepted",
     );
     let traffic_ended_s = crate::record::now();
-    let broken = stands_still_at_the_end(&world, &mut cell, &last, 2, traffic_ended_s);
+    let broken = stands_still_at_the_end(&world, &mut cell, &last, (2, 2_000), traffic_ended_s);
     if broken.is_some() {
-        wait_for_the_record(&world, &last, 2, Duration::from_secs(20));
+        wait_for_the_record(&world, &last, 2, Duration::from_secs(8));
     }
     broken
 }
--- a/review/standins-3/platform/src/cell.rs
+++ b/review/standins-3/platform/src/cell.rs
@@ -250,9 +250,15 @@
     note!("the case could not run: {cause}");
     eprintln!("the case could not run: {cause}");
     end_all();
+    let _ = fs::remove_dir_all(folder());
     std::process::exit(2);
 }
 
+/// Returns the temporary folder of this process.
+pub fn folder() -> PathBuf {
+    std::env::temp_dir().join(format!("review-3-{}", std::process::id()))
+}
+
 /// Returns the body of a job with one step of equal tasks.
 pub fn job(tasks: u64, work_ms: u64, cpu: u64, more: Vec<(&str, Json)>) -> Json {
     let mut step = vec![
--- a/review/standins-3/platform/src/main.rs
+++ b/review/standins-3/platform/src/main.rs
@@ -28,7 +28,7 @@
     }
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     note!("case {case}, trouble {trouble}");
-    let folder = std::env::temp_dir().join(format!("review-3-{case}-{}", process::id()));
+    let folder = cell::folder();
     if let Err(cause) = fs::create_dir_all(&folder) {
         cell::unable(&cause.to_string());
     }
--- a/review/standins-3/platform/src/minion.rs
+++ b/review/standins-3/platform/src/minion.rs
@@ -210,6 +210,16 @@
         (count(&self.shared.starts), count(&self.shared.unanswered))
     }
 
+    pub fn is_up(&self) -> bool {
+        self.shared.listed.load(Ordering::SeqCst)
+    }
+
+    /// Returns the processor of all that runs, in thousandths of a core.
+    pub fn cpu_in_use(&self) -> u64 {
+        let life = self.shared.life.lock().expect("no thread panics");
+        life.running.values().map(|running| running.cpu).sum()
+    }
+
     /// Returns how many runs have begun that were to fail.
     pub fn failing_runs(&self) -> u64 {
         self.shared.failing.load(Ordering::SeqCst)
