feat: log and count advice requests that no advisor has room for

The scheduler logged "advice requested" for each request, also where the leader then dropped it for want of an advisor; the step waited for an answer that nobody was asked for, and no line or count told so. Change: "advice requested" is written where the request is sent, with its advisor and the queue there; "advice request not sent: no advisor has room" where it is not (outcome unsent of the calls named advise). "advice load", once a second, has the requests sent, unsent, answered, busy and failed, the advisors' time that the answers took, the advisors with nothing to do, and the tickets received and used (metrics tickets_received, tickets_used). The leader's use of the advisors is a module of its own. No decision changes.

--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -87,6 +87,7 @@
         if now.saturating_duration_since(self.load_logged_at) >= LOAD_LOG_PERIOD {
             self.load_logged_at = now;
             self.scheduler.log_load(now);
+            self.log_advice(now);
             let tenants = self.scheduler.tenant_loads(TENANTS_NAMED_MAX);
             self.metrics.set_tenants(&tenants);
             self.work.log(self.lag, self.scheduler.unsaved_count());
@@ -182,21 +183,7 @@
     type Return = ();
 
     async fn handle(&mut self, message: AdviceAnswered, context: &mut Context<Self>) {
-        let AdviceAnswered {
-            request,
-            peer,
-            advice,
-        } = message;
-        let now = Instant::now();
-        let answer = match advice {
-            AdviceOutcome::Answered(answer) => Some(answer),
-            AdviceOutcome::Busy(busy) => {
-                self.record_busy_advisor(peer, busy, now);
-                None
-            }
-            AdviceOutcome::Unanswered => None,
-        };
-        self.scheduler.advice_answered(&request, answer, now);
+        self.advice_answered(message, Instant::now());
         self.run_due_work(context);
     }
 }
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -1,5 +1,6 @@
 //! The leader task, which schedules while this instance holds the cell's epoch.
 
+mod advisors;
 mod authority;
 mod callers;
 mod cancellers;
@@ -28,6 +29,7 @@
 use xtra::{prelude::*, refcount::Weak};
 
 use self::{
+    advisors::AdviceWork,
     authority::EpochConfirmation,
     cancellers::Cancellers,
     handlers::{
@@ -117,6 +119,7 @@
     /// The instances that have sent heartbeats, and this one.
     peers: BTreeMap<SocketAddr, KnownPeer>,
     short_request_load: ShortRequestLoad,
+    advice_work: AdviceWork,
     own_address: SocketAddr,
     processor_millicores: u64,
     ports: Ports,
@@ -168,6 +171,7 @@
         current_check_replies: Vec::new(),
         peers: BTreeMap::new(),
         short_request_load: ShortRequestLoad::default(),
+        advice_work: AdviceWork::default(),
         handover: HandoverPolicy::new(parts.lag_takeovers, now),
         overload: Overload::default(),
         own_address: parts.own_address,
--- a/jackdawchute-cell/src/leader/peers.rs
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -1,28 +1,19 @@
-//! The leader task's use of other instances: for advice, as successors, to detect a later epoch.
+//! The leader task's use of other instances: as successors, and to detect a later epoch.
 
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
-use jackdawchute_peer::PeerClient;
-use jackdawchute_scheduler::AdviceRequest;
-use spdlog::{info, warn};
-use xtra::{prelude::*, refcount::Weak};
+use spdlog::info;
 
 use super::{
-    handlers::AdviceAnswered,
     handover::{LeaderFitness, OfferReason},
     LeaderTask,
 };
 use crate::{
-    advisor::{self, AdviceOutcome, Busy},
     calls::offer_epoch,
-    messages::{CellAnswer, CellCall, SLICE},
-    settings::{
-        ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, LAG_SMOOTHING, PEERS_LISTED_MAX, PEER_CALL_MARGIN,
-        PEER_HEARTBEAT_AGE_MAX, TICK_PERIOD,
-    },
+    settings::{LAG_SMOOTHING, PEERS_LISTED_MAX, PEER_HEARTBEAT_AGE_MAX, TICK_PERIOD},
 };
 
 /// The state of an instance, as its heartbeat reports it.
@@ -47,7 +38,7 @@
 
 impl KnownPeer {
     /// Returns whether the instance has sent a recent heartbeat and is not leaving.
-    fn is_usable(&self, now: Instant) -> bool {
+    pub(super) fn is_usable(&self, now: Instant) -> bool {
         !self.state.leaving
             && now.saturating_duration_since(self.last_heartbeat_at) < PEER_HEARTBEAT_AGE_MAX
     }
@@ -153,94 +144,4 @@
         self.overload.record_tick(lateness, excused);
         self.lag = self.lag.mul_f64(1.0 - LAG_SMOOTHING) + lateness.mul_f64(LAG_SMOOTHING);
     }
-
-    /// Sends an advice request to the advisor that is free first, of this instance or a peer.
-    pub(super) fn request_advice(
-        &mut self,
-        request: AdviceRequest,
-        task: Address<Self, Weak>,
-        now: Instant,
-    ) {
-        let own_address = self.own_address;
-        // Some advisors answer short requests only, so that these never wait behind long ones.
-        let advisors = self
-            .peers
-            .values()
-            .filter(|known| known.is_usable(now))
-            .count();
-        let reserved_against = self
-            .short_request_load
-            .reserved_against(request.expected, advisors);
-        let first_free = self
-            .peers
-            .iter_mut()
-            .filter(|(address, known)| **address == own_address || known.is_usable(now))
-            .skip(reserved_against)
-            .min_by_key(|(_, known)| known.advisor_free_at);
-        let Some((address, known)) = first_free else {
-            return;
-        };
-        let queued = known.advisor_free_at.saturating_duration_since(now);
-        if queued > ADVISOR_BACKLOG_MAX {
-            // The step requests advice again after its timeout.
-            return;
-        }
-        known.advisor_free_at = known.advisor_free_at.max(now) + request.expected;
-        let peer = *address;
-        let ports = self.ports.clone();
-        let metrics = self.metrics.clone();
-        tokio::spawn(async move {
-            let sent_at = Instant::now();
-            let advice = if peer == own_address {
-                advisor::request_advice(&ports.advisor, request.clone()).await
-            } else {
-                request_advice_from_peer(&ports.peers, peer, &request).await
-            };
-            let outcome = match &advice {
-                AdviceOutcome::Answered(_) => "answered",
-                AdviceOutcome::Busy(_) => "busy",
-                AdviceOutcome::Unanswered => "failed",
-            };
-            metrics.call("advise", outcome, sent_at.elapsed());
-            let answered = AdviceAnswered {
-                request,
-                peer,
-                advice,
-            };
-            let _ = task.send(answered).await;
-        });
-    }
-
-    /// Postpones requests to an advisor until it has answered those of an earlier leader.
-    pub(super) fn record_busy_advisor(&mut self, peer: SocketAddr, busy: Busy, now: Instant) {
-        if let Some(known) = self.peers.get_mut(&peer) {
-            known.advisor_free_at = known.advisor_free_at.max(now + busy.free_in);
-        }
-    }
-}
-
-/// Sends an advice request to a peer's advisor.
-async fn request_advice_from_peer(
-    peers: &PeerClient,
-    peer: SocketAddr,
-    request: &AdviceRequest,
-) -> AdviceOutcome {
-    let call = CellCall::Advise {
-        request: request.clone(),
-    };
-    let timeout = ADVISOR_BACKLOG_MAX + request.expected + ADVICE_MARGIN + PEER_CALL_MARGIN;
-    match peers.call(peer, SLICE, &call, timeout).await {
-        Ok(CellAnswer::Advice { answer }) => AdviceOutcome::Answered(answer),
-        Ok(CellAnswer::AdvisorBusy { free_in_ms }) => AdviceOutcome::Busy(Busy {
-            free_in: Duration::from_millis(free_in_ms),
-        }),
-        // The peer has logged why its advisor did not answer.
-        Ok(_) => AdviceOutcome::Unanswered,
-        Err(error) => {
-            warn!("advice request to a peer failed", kv: {
-                job = request.step.job.as_str(), peer: = peer, cause: = error
-            });
-            AdviceOutcome::Unanswered
-        }
-    }
 }
--- a/jackdawchute-cell/src/metrics.rs
+++ b/jackdawchute-cell/src/metrics.rs
@@ -46,6 +46,8 @@
     ends_new: Counter,
     runs_unknown: Counter,
     worker_restarts: Counter,
+    tickets_received: Counter,
+    tickets_used: Counter,
     jobs: Gauge,
     epoch: Gauge,
     authority: Gauge,
@@ -72,6 +74,8 @@
             ends_new: Counter::default(),
             runs_unknown: Counter::default(),
             worker_restarts: Counter::default(),
+            tickets_received: Counter::default(),
+            tickets_used: Counter::default(),
             jobs: Gauge::default(),
             epoch: Gauge::default(),
             authority: Gauge::default(),
@@ -91,6 +95,10 @@
         registry.register("runs_unknown", help, metrics.runs_unknown.clone());
         let help = "Workers that answered in a later incarnation than the known one";
         registry.register("worker_restarts", help, metrics.worker_restarts.clone());
+        let help = "Tickets in answers of advisors";
+        registry.register("tickets_received", help, metrics.tickets_received.clone());
+        let help = "Tickets with which at least one task was ordered to start";
+        registry.register("tickets_used", help, metrics.tickets_used.clone());
         registry.register("jobs", "Jobs that have not ended", metrics.jobs.clone());
         registry.register("epoch", "The epoch held here, or 0", metrics.epoch.clone());
         let help = "The authority held here: 2 confirmed, 1 promised, 0 none";
@@ -151,6 +159,12 @@
         self.worker_restarts.inc_by(u64::from(outcome.restarted));
     }
 
+    /// Records the tickets that advisors gave, and those that were used.
+    pub(crate) fn tickets(&self, received: usize, used: usize) {
+        self.tickets_received.inc_by(received as u64);
+        self.tickets_used.inc_by(used as u64);
+    }
+
     /// Records a commit attempt that failed or was not answered.
     pub(crate) fn commit_failed(&self) {
         self.call("commit", "failed", Duration::ZERO);
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -9,6 +9,7 @@
 use spdlog::info;
 
 use crate::{
+    advice_counts::AdviceCounts,
     advice_workers::{
         affordable_workers, gang_request_workers, known_advice, single_task_request_workers,
         spread_over, REQUEST_WORKERS_MAX,
@@ -109,11 +110,6 @@
     /// Requests advice for a step that lacks valid tickets, unless an answer is awaited.
     fn request_advice_for(&mut self, name: &StepName, free_capacity: &FreeCapacity, now: Instant) {
         for request in self.advice_requests(name, free_capacity, now) {
-            info!("advice requested", kv: {
-                job = request.step.job.as_str(), step = request.step.step,
-                workers = request.workers.len(),
-                expected_ms = request.expected.as_millis() as u64
-            });
             self.effects.push(Effect::Advise(request));
         }
     }
@@ -216,6 +212,8 @@
     ) {
         self.placement_needed = true;
         let Self { jobs, workers, .. } = self;
+        let received = answer.as_ref().map_or(0, |answer| answer.allowed.len());
+        self.advice_counts.tickets_received += received;
         let Some(job) = jobs.get_mut(&request.step.job) else {
             return;
         };
@@ -249,11 +247,25 @@
                 ticket,
                 usable_until,
                 started_unix_ms,
+                used: false,
             };
             step.advice.insert(worker, advice);
         }
     }
 
+    /// Returns the counts of tickets since the last call.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use jackdawchute_scheduler::{AdviceCounts, Scheduler, Settings};
+    ///
+    /// let mut scheduler = Scheduler::new(Settings::default(), 1, Instant::now());
+    /// assert_eq!(scheduler.take_advice_counts(), AdviceCounts::default());
+    /// ```
+    pub fn take_advice_counts(&mut self) -> AdviceCounts {
+        std::mem::take(&mut self.advice_counts)
+    }
+
     /// Removes the ticket for a worker that refused it, so that advice is requested again.
     pub(crate) fn drop_ticket(&mut self, step: &StepName, worker: &WorkerId) {
         let step_run = self
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -122,6 +122,8 @@
         usable_until: Instant,
         /// The worker incarnation that the ticket is for, by its start time.
         started_unix_ms: u64,
+        /// Whether a task was ordered to start with the ticket.
+        used: bool,
     },
     /// The worker may not run the step.
     Denied,
@@ -135,10 +137,19 @@
                 ticket,
                 usable_until,
                 started_unix_ms,
+                ..
             } if *usable_until > now && *started_unix_ms == worker_started_unix_ms => Some(ticket),
             _ => None,
         }
     }
+
+    /// Records that a task was ordered to start with the ticket; returns whether it was the first.
+    pub(crate) fn mark_used(&mut self) -> bool {
+        match self {
+            Self::Allowed { used, .. } => !std::mem::replace(used, true),
+            Self::Denied => false,
+        }
+    }
 }
 
 /// A gang's reservation: capacity on workers that is kept until the gang can start.
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
 mod admit;
+mod advice_counts;
 mod advice_workers;
 mod advise;
 mod authority;
@@ -47,6 +48,7 @@
 mod worker;
 mod worker_rows;
 
+pub use advice_counts::AdviceCounts;
 pub use authority::EpochAuthority;
 pub use error::{Error, Result};
 pub use graph::{JobGraph, Repeat, StepSpec};
--- a/jackdawchute-scheduler/src/place/starts.rs
+++ b/jackdawchute-scheduler/src/place/starts.rs
@@ -6,6 +6,7 @@
 use spdlog::info;
 
 use crate::{
+    job::Advice,
     worker::{Run, RunPhase},
     Effect, Scheduler, StartOrder, StepName, StepSpec,
 };
@@ -26,7 +27,16 @@
         let (queue, declared) = (job.queue.queue.clone(), spec.estimate);
         let payload = job.graph.payload.clone();
         let earlier_runs_max = job.earlier_runs_max;
-        let Some(unit) = job.step_mut(name).and_then(|step| step.units.get_mut(unit)) else {
+        let Some(step) = job.step_mut(name) else {
+            return;
+        };
+        let with_ticket = assignments.iter().filter(|(_, _, ticket)| ticket.is_some());
+        for (_, worker, _) in with_ticket {
+            let advice = step.advice.get_mut(worker);
+            let is_first_use = advice.is_some_and(Advice::mark_used);
+            self.advice_counts.tickets_used += usize::from(is_first_use);
+        }
+        let Some(unit) = step.units.get_mut(unit) else {
             return;
         };
         // Failures are counted by the numbers of their runs, and an earlier leader may have used and
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -13,6 +13,7 @@
 use smol_str::SmolStr;
 
 use crate::{
+    advice_counts::AdviceCounts,
     authority::EpochAuthority,
     estimates::AllowedShares,
     job::{Job, JobPhase},
@@ -97,6 +98,7 @@
     /// How far the workers differ in speed.
     pub(crate) fleet_speeds: FleetSpeeds,
     pub(crate) allowed_shares: AllowedShares,
+    pub(crate) advice_counts: AdviceCounts,
     /// When advice is next requested for steps behind a great deal of waiting work.
     pub(crate) far_advice_next_at: Instant,
     pub(crate) recovery: Recovery,
@@ -163,6 +165,7 @@
             run_times: RunTimes::default(),
             fleet_speeds: FleetSpeeds::default(),
             allowed_shares: AllowedShares::default(),
+            advice_counts: AdviceCounts::default(),
             far_advice_next_at: now,
             recovery: Recovery::new(now),
             late_starts: LateStarts::default(),
