--- a/jackdawchute-cell/tests/cell/main.rs
+++ b/jackdawchute-cell/tests/cell/main.rs
@@ -1,5 +1,6 @@
 //! Instances in one process, connected over TCP, on an in-memory platform.
 
+mod advice;
 mod busy_leader;
 mod fixtures;
 mod instances;
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -307,7 +307,18 @@
     }
 
     /// Returns whether the runs of all workers are known, or have lapsed.
-    pub(crate) fn recovery_is_complete(&self) -> bool {
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use jackdawchute_scheduler::{Scheduler, Settings};
+    ///
+    /// let now = Instant::now();
+    /// let mut scheduler = Scheduler::new(Settings::default(), 1, now);
+    /// assert!(!scheduler.recovery_is_complete());
+    /// scheduler.tick(now, Duration::ZERO);
+    /// assert!(scheduler.recovery_is_complete());
+    /// ```
+    pub fn recovery_is_complete(&self) -> bool {
         self.recovery.complete
     }
 
--- a/jackdawchute-scheduler/tests/behaviour/advice.rs
+++ b/jackdawchute-scheduler/tests/behaviour/advice.rs
@@ -1,7 +1,10 @@
 //! Advice requests: which workers they name, and what follows from the answers.
 
+use std::collections::BTreeSet;
+
 use jackdawchute_scheduler::{
-    AdviceAnswer, AdviceRequest, QueuePolicy, Settings, StartOrder, StepSpec, WorkerEntry,
+    AdviceAnswer, AdviceCost, AdviceRequest, QueuePolicy, Settings, StartOrder, StepSpec,
+    WorkerEntry,
 };
 use jackdawchute_types::WorkerId;
 
@@ -406,3 +409,43 @@
 
     assert_eq!(starts_once_idle(&mut cell, &runs), 30);
 }
+
+/// A queue whose advice takes half a second and more, with requests of five workers, and whose
+/// tickets are valid for two seconds.
+fn slow_advice_queue() -> QueuePolicy {
+    QueuePolicy {
+        target: ms(60_000),
+        advice: Some(AdviceCost {
+            fixed_ms: 500.0,
+            per_worker_ms: 60.0,
+            valid: ms(2_000),
+        }),
+        ..queue(1)
+    }
+}
+
+/// Issue 58: a gang requested what was missing, and lost the tickets that it had before the answer.
+#[test]
+fn tickets_that_lapse_before_the_answer_are_requested_with_the_missing_ones() {
+    let workers: Vec<_> = (0..6).map(|index| entry(&format!("w{index}"), 4)).collect();
+    let mut cell = ready_cell(1, &workers);
+    cell.accept("gang", vec![gang(6, 4)], slow_advice_queue());
+    let mut requests = std::mem::take(&mut cell.advice);
+    let (answered, lost) = (requests.remove(0), requests.remove(0));
+    cell.tick(800);
+    let named: Vec<&str> = answered.workers.iter().map(WorkerId::as_str).collect();
+    allow(&mut cell, &answered, &named);
+    cell.tick(1_500);
+    cell.scheduler.advice_answered(&lost, None, cell.now);
+    cell.tick(10);
+
+    let requests = std::mem::take(&mut cell.advice);
+    let named: BTreeSet<_> = requests.iter().flat_map(|it| &it.workers).collect();
+    assert_eq!(named.len(), 6, "{requests:?}");
+    cell.tick(800);
+    for request in &requests {
+        let named: Vec<&str> = request.workers.iter().map(WorkerId::as_str).collect();
+        allow(&mut cell, request, &named);
+    }
+    assert_eq!(cell.take_starts().len(), 6);
+}
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -1,6 +1,7 @@
 //! The scheduler's decisions on submissions, worker reports and changes of the platform's list.
 
 mod advice;
+mod advice_after_takeover;
 mod authority;
 mod cut_off_lists;
 mod fixtures;
