fix: requests for advice wait for an advisor in the order of rank, and none is dropped

Cause: the leader dropped a request where the backlog of all advisors was at its limit. Change: each round gets the advisors with the times from which they are free. A request is sent when an advisor is about to be free, to the step with the best rank at that moment; all requests about a step go together, their answers at most half of the tickets' time apart. A step for which no advisor is free asks nothing, keeps its rank and is counted (steps_waiting). An answer that empties an advisor's queue tells that it is free. ShortRequestLoad leaves the choice to the round. The test of the takeover sends to the advisors that the scheduler names; what it asserts is unchanged. Conclusion: one of the causes; the gangs still ask late and for many times what they need.

--- a/jackdawchute-cell/src/advisor/mod.rs
+++ b/jackdawchute-cell/src/advisor/mod.rs
@@ -12,7 +12,7 @@
 
 pub use self::{
     queue::{AdviceRequestId, AdvisorQueue, Busy},
-    reserve::ShortRequestLoad,
+    reserve::{ShortRequestLoad, SHORT_REQUEST_MAX},
 };
 use crate::{settings::ADVICE_MARGIN, Advisor};
 
--- a/jackdawchute-cell/src/advisor/reserve.rs
+++ b/jackdawchute-cell/src/advisor/reserve.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// The longest expected time of a short request; urgent jobs have a second to spare.
-const SHORT_REQUEST_MAX: Duration = Duration::from_millis(120);
+pub const SHORT_REQUEST_MAX: Duration = Duration::from_millis(120);
 /// The weight of a new measurement in the smoothed load; with ticks of 40 ms, about the last half
 /// second counts.
 const SMOOTHING: f64 = 0.1;
@@ -24,7 +24,7 @@
 }
 
 impl ShortRequestLoad {
-    /// Records a short request that is expected to take `expected`.
+    /// Records short requests that are expected to take `expected` together.
     ///
     /// ```
     /// # use std::time::Duration;
@@ -46,24 +46,6 @@
         self.busy += (busy - self.busy) * SMOOTHING;
     }
 
-    /// Returns how many of `advisors` a request must not use: the reserved ones if it is long, none
-    /// if it is short. A short request is also recorded.
-    ///
-    /// ```
-    /// # use std::time::Duration;
-    /// let mut load = jackdawchute_cell::ShortRequestLoad::default();
-    /// assert_eq!(load.reserved_against(Duration::from_millis(20), 10), 0);
-    /// load.tick(Duration::from_millis(40));
-    /// assert_eq!(load.reserved_against(Duration::from_millis(700), 10), 1);
-    /// ```
-    pub fn reserved_against(&mut self, expected: Duration, advisors: usize) -> usize {
-        if expected > SHORT_REQUEST_MAX {
-            return self.reserved(advisors);
-        }
-        self.record(expected);
-        0
-    }
-
     /// Returns how many of `advisors` are reserved for short requests: half of them at most.
     ///
     /// ```
--- a/jackdawchute-cell/src/leader/advisors.rs
+++ b/jackdawchute-cell/src/leader/advisors.rs
@@ -1,19 +1,16 @@
 //! The leader task's use of the advisors, one at each instance.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use jackdawchute_peer::PeerClient;
-use jackdawchute_scheduler::{AdviceCounts, AdviceRequest};
-use jackdawchute_types::whole_ms;
+use jackdawchute_scheduler::{AdviceCounts, AdviceRequest, AdvisorSlot, Advisors};
+use jackdawchute_types::{whole_ms, AdvisorId};
 use spdlog::{info, warn};
 use xtra::{prelude::*, refcount::Weak};
 
 use super::{handlers::AdviceAnswered, LeaderTask};
 use crate::{
-    advisor::{self, AdviceOutcome, Busy},
+    advisor::{request_advice as request_own_advice, AdviceOutcome, Busy, SHORT_REQUEST_MAX},
     messages::{CellAnswer, CellCall, SLICE},
     settings::{ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, PEER_CALL_MARGIN},
 };
@@ -22,8 +19,6 @@
 #[derive(Debug, Default)]
 pub(super) struct AdviceWork {
     sent: usize,
-    /// The requests that no advisor had room for.
-    unsent: usize,
     answered: usize,
     busy: usize,
     failed: usize,
@@ -45,61 +40,56 @@
 }
 
 impl LeaderTask {
-    /// Sends an advice request to the advisor that is free first, of this instance or a peer.
+    /// Returns the advisors that can be asked, this instance's and those of the usable peers.
+    ///
+    /// Some advisors answer short requests only, so that these never wait behind long ones.
+    pub(super) fn advisors(&self, now: Instant) -> Advisors {
+        let usable = self
+            .peers
+            .iter()
+            .filter(|(address, known)| **address == self.own_address || known.is_usable(now));
+        let slots: Vec<AdvisorSlot> = usable
+            .map(|(address, known)| AdvisorSlot {
+                advisor: *address,
+                free_at: known.advisor_free_at,
+            })
+            .collect();
+        let reserved = self.short_request_load.reserved(slots.len());
+        Advisors::new(slots, reserved, SHORT_REQUEST_MAX)
+    }
+
+    /// Sends a request to an instance's advisor, this one's or a peer's.
     pub(super) fn request_advice(
         &mut self,
+        advisor: AdvisorId,
         request: AdviceRequest,
         task: Address<Self, Weak>,
         now: Instant,
     ) {
         let own_address = self.own_address;
-        // Some advisors answer short requests only, so that these never wait behind long ones.
-        let advisors = self
-            .peers
-            .values()
-            .filter(|known| known.is_usable(now))
-            .count();
-        let reserved_against = self
-            .short_request_load
-            .reserved_against(request.expected, advisors);
-        let first_free = self
-            .peers
-            .iter_mut()
-            .filter(|(address, known)| **address == own_address || known.is_usable(now))
-            .skip(reserved_against)
-            .min_by_key(|(_, known)| known.advisor_free_at);
-        let queued = first_free.as_ref().map(|(_, known)| {
-            let free_at = known.advisor_free_at;
-            free_at.saturating_duration_since(now)
-        });
-        let Some((address, known)) = first_free.filter(|_| queued <= Some(ADVISOR_BACKLOG_MAX))
-        else {
-            // The step requests advice again after its timeout.
-            self.advice_work.unsent += 1;
-            self.metrics.call("advise", "unsent", Duration::ZERO);
-            info!("advice request not sent: no advisor has room", kv: {
-                job = request.step.job.as_str(), step = request.step.step,
-                workers = request.workers.len(), expected_ms = whole_ms(request.expected),
-                queued_ms:? = queued.map(whole_ms), reserved = reserved_against
-            });
-            return;
-        };
-        known.advisor_free_at = known.advisor_free_at.max(now) + request.expected;
-        let peer = *address;
+        if request.expected <= SHORT_REQUEST_MAX {
+            self.short_request_load.record(request.expected);
+        }
+        let mut queued = Duration::ZERO;
+        if let Some(known) = self.peers.get_mut(&advisor) {
+            queued = known.advisor_free_at.saturating_duration_since(now);
+            known.advisor_free_at = known.advisor_free_at.max(now) + request.expected;
+            known.advice_under_way += 1;
+        }
         self.advice_work.sent += 1;
         info!("advice requested", kv: {
             job = request.step.job.as_str(), step = request.step.step,
             workers = request.workers.len(), expected_ms = whole_ms(request.expected),
-            queued_ms = queued.map_or(0, whole_ms), advisor: = peer
+            queued_ms = whole_ms(queued), advisor: = advisor
         });
         let ports = self.ports.clone();
         let metrics = self.metrics.clone();
         tokio::spawn(async move {
             let sent_at = Instant::now();
-            let advice = if peer == own_address {
-                advisor::request_advice(&ports.advisor, request.clone()).await
+            let advice = if advisor == own_address {
+                request_own_advice(&ports.advisor, request.clone()).await
             } else {
-                request_advice_from_peer(&ports.peers, peer, &request).await
+                request_advice_from_peer(&ports.peers, advisor, &request).await
             };
             let outcome = match &advice {
                 AdviceOutcome::Answered(_) => "answered",
@@ -109,7 +99,7 @@
             metrics.call("advise", outcome, sent_at.elapsed());
             let answered = AdviceAnswered {
                 request,
-                peer,
+                advisor,
                 advice,
             };
             let _ = task.send(answered).await;
@@ -120,48 +110,48 @@
     pub(super) fn advice_answered(&mut self, message: AdviceAnswered, now: Instant) {
         let AdviceAnswered {
             request,
-            peer,
+            advisor,
             advice,
         } = message;
         self.advice_work.record(&request, &advice);
+        if let Some(known) = self.peers.get_mut(&advisor) {
+            known.advice_under_way = known.advice_under_way.saturating_sub(1);
+            match &advice {
+                AdviceOutcome::Answered(_) if known.advice_under_way == 0 => {
+                    known.advisor_free_at = now;
+                }
+                // The advisor answers those of an earlier leader first.
+                AdviceOutcome::Busy(busy) => {
+                    known.advisor_free_at = known.advisor_free_at.max(now + busy.free_in);
+                }
+                _ => {}
+            }
+        }
         let answer = match advice {
             AdviceOutcome::Answered(answer) => Some(answer),
-            AdviceOutcome::Busy(busy) => {
-                self.record_busy_advisor(peer, busy, now);
-                None
-            }
-            AdviceOutcome::Unanswered => None,
+            AdviceOutcome::Busy(_) | AdviceOutcome::Unanswered => None,
         };
         self.scheduler.advice_answered(&request, answer, now);
     }
 
-    /// Postpones requests to an advisor until it has answered those of an earlier leader.
-    fn record_busy_advisor(&mut self, peer: SocketAddr, busy: Busy, now: Instant) {
-        if let Some(known) = self.peers.get_mut(&peer) {
-            known.advisor_free_at = known.advisor_free_at.max(now + busy.free_in);
-        }
-    }
-
     /// Logs the advice requests since the last call, what came of the tickets, and how many advisors
     /// have nothing to do.
     pub(super) fn log_advice(&mut self, now: Instant) {
         let work = std::mem::take(&mut self.advice_work);
         let AdviceCounts {
+            steps_waiting,
             tickets_received,
             tickets_used,
         } = self.scheduler.take_advice_counts();
         self.metrics.tickets(tickets_received, tickets_used);
-        let usable = self
-            .peers
-            .iter()
-            .filter(|(address, known)| **address == self.own_address || known.is_usable(now));
-        let free_at: Vec<Instant> = usable.map(|(_, known)| known.advisor_free_at).collect();
-        let idle = free_at.iter().filter(|free_at| **free_at <= now).count();
+        let advisors = self.advisors(now);
+        let slots = advisors.slots().iter();
+        let idle = slots.filter(|slot| slot.free_at <= now).count();
         info!("advice load", kv: {
-            sent = work.sent, unsent = work.unsent, answered = work.answered,
+            sent = work.sent, answered = work.answered,
             busy = work.busy, failed = work.failed,
             answered_ms = whole_ms(work.answered_took),
-            advisors = free_at.len(), idle_advisors = idle,
+            advisors = advisors.slots().len(), idle_advisors = idle, steps_waiting = steps_waiting,
             tickets_received = tickets_received, tickets_used = tickets_used
         });
     }
@@ -170,7 +160,7 @@
 /// Sends an advice request to a peer's advisor.
 async fn request_advice_from_peer(
     peers: &PeerClient,
-    peer: SocketAddr,
+    peer: AdvisorId,
     request: &AdviceRequest,
 ) -> AdviceOutcome {
     let call = CellCall::Advise {
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -9,7 +9,7 @@
     AdviceRequest, JobStatus, RenewAnswer, RenewOrder, StartAnswer, StartOrder, StopOrder,
 };
 use jackdawchute_timer::Tick;
-use jackdawchute_types::{whole_ms, IncarnationId, WorkerId};
+use jackdawchute_types::{whole_ms, AdvisorId, IncarnationId, WorkerId};
 use spdlog::{info, warn};
 use xtra::prelude::*;
 
@@ -47,7 +47,7 @@
 pub(super) struct AdviceAnswered {
     pub(super) request: AdviceRequest,
     /// The instance whose advisor was called; this one's own address for the local advisor.
-    pub(super) peer: SocketAddr,
+    pub(super) advisor: AdvisorId,
     pub(super) advice: AdviceOutcome,
 }
 /// The list of workers, or its changes.
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -263,7 +263,7 @@
         let task = context.mailbox().address();
         let next_round_at = self.round_pace.due_at(self.scheduler.round_period());
         if now >= next_round_at {
-            self.scheduler.run_round(now);
+            self.scheduler.run_round(self.advisors(now), now);
             let ended_at = Instant::now();
             self.round_pace.record(now, ended_at);
             self.work
@@ -313,7 +313,9 @@
                     let _ = task.send(RenewAnswered(order, sent_at, answer)).await;
                 });
             }
-            Effect::Advise(request) => self.request_advice(request, task, now),
+            Effect::Advise { advisor, request } => {
+                self.request_advice(advisor, request, task, now);
+            }
             Effect::Fenced { worker } => {
                 info!("worker follows the leader of a later epoch", kv: {
                     worker = worker.as_str(), epoch = self.head.epoch
--- a/jackdawchute-cell/src/lib.rs
+++ b/jackdawchute-cell/src/lib.rs
@@ -28,7 +28,7 @@
 mod settings;
 mod tenant_metrics;
 
-pub use advisor::{AdviceRequestId, AdvisorQueue, Busy, ShortRequestLoad};
+pub use advisor::{AdviceRequestId, AdvisorQueue, Busy, ShortRequestLoad, SHORT_REQUEST_MAX};
 pub use gateway::{Answer, Gateway};
 pub use instance::{Instance, Platform};
 pub use jackdawchute_ports::{Error, Result};
--- a/jackdawchute-scheduler/examples/round.rs
+++ b/jackdawchute-scheduler/examples/round.rs
@@ -5,13 +5,15 @@
 use std::time::{Duration, Instant};
 
 use jackdawchute_scheduler::{
-    AdviceCost, Effect, EpochAuthority, JobGraph, QueuePolicy, RenewAnswer, RenewOrder, Scheduler,
-    Settings, StartAnswer, StepSpec, WorkerEntry,
+    AdviceCost, AdvisorSlot, Advisors, Effect, EpochAuthority, JobGraph, QueuePolicy, RenewAnswer,
+    RenewOrder, Scheduler, Settings, StartAnswer, StepSpec, WorkerEntry,
 };
 use jackdawchute_tenants::TenantPolicy;
 use jackdawchute_types::Resources;
 use smol_str::format_smolstr;
 
+/// Enough that each step gets the advice that it asks for.
+const ADVISORS: u16 = 1_000;
 const WORKERS: u32 = 7_000;
 const CORES_PER_WORKER: u64 = 32;
 const TENANTS: u32 = 200;
@@ -122,7 +124,7 @@
         for _ in 0..3 {
             self.answer_effects();
             self.tick();
-            self.scheduler.run_round(self.now);
+            self.scheduler.run_round(advisors(self.now), self.now);
         }
         self.answer_effects();
     }
@@ -132,7 +134,7 @@
         for _ in 0..rounds {
             self.tick();
             let began_at = Instant::now();
-            self.scheduler.run_round(self.now);
+            self.scheduler.run_round(advisors(self.now), self.now);
             let took = began_at.elapsed();
             total += took;
             longest = longest.max(took);
@@ -142,6 +144,15 @@
     }
 }
 
+/// Advisors that are all idle.
+fn advisors(now: Instant) -> Advisors {
+    let slots = (0..ADVISORS).map(|port| AdvisorSlot {
+        advisor: ([127, 0, 0, 1], port).into(),
+        free_at: now,
+    });
+    Advisors::new(slots.collect(), 0, Duration::ZERO)
+}
+
 fn entry(number: u32) -> WorkerEntry {
     WorkerEntry {
         worker: format_smolstr!("worker-{number:05}"),
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -14,10 +14,11 @@
         affordable_workers, gang_request_workers, known_advice, single_task_request_workers,
         spread_over, REQUEST_WORKERS_MAX,
     },
+    advisors::Advisors,
     free_capacity::{FreeCapacity, WorkerCapacity},
     job::{Advice, StepRun},
     rank::RankedStep,
-    AdviceAnswer, AdviceRequest, Effect, Scheduler, StepName, StepSpec,
+    AdviceAnswer, AdviceCost, AdviceRequest, Effect, Scheduler, StepName, StepSpec,
 };
 
 /// The part of a ticket's validity that is not used, so that a slow order arrives in time.
@@ -46,8 +47,12 @@
         &mut self,
         ranked: &[RankedStep],
         free_capacity: &FreeCapacity,
+        mut advisors: Advisors,
         now: Instant,
     ) {
+        advisors.allow_for_pause(now.saturating_duration_since(self.advice_round_at));
+        self.advice_round_at = now;
+        self.advice_counts.steps_waiting = 0;
         let starts_ahead_max = self
             .settings
             .starts_under_way_max
@@ -69,7 +74,7 @@
         let near_steps = ranked.iter().take_while(is_near).count();
         let (near, far) = ranked.split_at(near_steps);
         for ranked in near {
-            self.request_advice_for(&ranked.name, free_capacity, now);
+            self.request_advice_for(&ranked.name, free_capacity, &mut advisors, now);
         }
         if far.is_empty() || now < self.far_advice_next_at {
             return;
@@ -84,7 +89,7 @@
             if self.has_room(&ranked.name, free_capacity, &by_label, now) {
                 starts_ahead += self.waiting_tasks(&ranked.name);
                 if index >= near_steps {
-                    self.request_advice_for(&ranked.name, free_capacity, now);
+                    self.request_advice_for(&ranked.name, free_capacity, &mut advisors, now);
                 }
             }
         }
@@ -107,38 +112,72 @@
         CHECK_PAUSE_PER_WORKER.saturating_mul(workers)
     }
 
-    /// Requests advice for a step that lacks valid tickets, unless an answer is awaited.
-    fn request_advice_for(&mut self, name: &StepName, free_capacity: &FreeCapacity, now: Instant) {
-        for request in self.advice_requests(name, free_capacity, now) {
-            self.effects.push(Effect::Advise(request));
+    /// Requests advice for a step that lacks valid tickets, unless an answer is awaited or no advisor
+    /// takes its requests now.
+    fn request_advice_for(
+        &mut self,
+        name: &StepName,
+        free_capacity: &FreeCapacity,
+        advisors: &mut Advisors,
+        now: Instant,
+    ) {
+        let Some(cost) = self.advice_cost_if_due(name, now) else {
+            return;
+        };
+        // Whom to ask about takes a look at all workers.
+        if !advisors.takes(cost.duration(1), now) {
+            self.advice_counts.steps_waiting += 1;
+            return;
         }
+        let mut requests = self.advice_requests(name, &cost, free_capacity, now);
+        let expected: Vec<Duration> = requests.iter().map(|request| request.expected).collect();
+        let assigned = advisors.assign(&expected, cost.valid / 2, now);
+        let is_refused = assigned.is_empty() && !requests.is_empty();
+        requests.truncate(assigned.len());
+        self.advice_counts.steps_waiting += usize::from(is_refused);
+        let check_at = now + self.advice_check_pause();
+        let job = self.jobs.get_mut(&name.job);
+        if let Some(step) = job.and_then(|job| job.step_mut(name)) {
+            step.advice_unanswered = requests.len();
+            step.advice_requested_at = (!requests.is_empty()).then_some(now);
+            step.advice_check_at = requests.is_empty().then_some(check_at);
+        }
+        let effects = assigned.into_iter().zip(requests);
+        let effects = effects.map(|(advisor, request)| Effect::Advise { advisor, request });
+        self.effects.extend(effects);
+    }
+
+    /// Returns the cost of a step's advice if the step has tasks to place, no request of it is under
+    /// way, and it has not found a short time ago that there is nobody to ask about.
+    fn advice_cost_if_due(&self, name: &StepName, now: Instant) -> Option<AdviceCost> {
+        let job = self.jobs.get(&name.job)?;
+        let (_, step) = job.step(name)?;
+        let is_pending = |at: Instant| now < at + ANSWER_WAIT_MAX;
+        let is_later = |at: Instant| now < at;
+        let is_due = !job.recovering
+            && step.units.iter().any(|unit| unit.is_waiting())
+            && !step.advice_requested_at.is_some_and(is_pending)
+            && !step.advice_check_at.is_some_and(is_later);
+        job.queue.advice.filter(|_| is_due)
     }
 
     /// Returns the advice requests for a step: at most one for single tasks, and for a gang several
     /// that different advisors answer at the same time, since all its tickets must be valid at
     /// once.
     fn advice_requests(
-        &mut self,
+        &self,
         name: &StepName,
+        cost: &AdviceCost,
         free_capacity: &FreeCapacity,
         now: Instant,
     ) -> Vec<AdviceRequest> {
         let Some(job) = self.jobs.get(&name.job) else {
             return Vec::new();
         };
-        let (Some(cost), Some((spec, step))) = (job.queue.advice, job.step(name)) else {
+        let Some((spec, step)) = job.step(name) else {
             return Vec::new();
         };
-        let is_pending = |at: Instant| now < at + ANSWER_WAIT_MAX;
-        let is_later = |at: Instant| now < at;
         let waiting = step.units.iter().filter(|unit| unit.is_waiting()).count();
-        if job.recovering
-            || waiting == 0
-            || step.advice_requested_at.is_some_and(is_pending)
-            || step.advice_check_at.is_some_and(is_later)
-        {
-            return Vec::new();
-        }
         let estimate = self.estimate(job, spec);
         let expected =
             |worker_capacity: &WorkerCapacity| self.expected_on(spec, &estimate, worker_capacity);
@@ -165,12 +204,12 @@
                 spec,
                 step.gang_reservation.as_ref(),
                 allowed_share,
-                &cost,
+                cost,
                 now,
             );
             (
                 workers,
-                affordable_workers(&cost).clamp(1, REQUEST_WORKERS_MAX),
+                affordable_workers(cost).clamp(1, REQUEST_WORKERS_MAX),
             )
         } else {
             let is_first = step.advice.is_empty();
@@ -182,7 +221,7 @@
             let workers = spread_over(
                 candidates,
                 name,
-                single_task_request_workers(&cost, waiting, is_first),
+                single_task_request_workers(cost, waiting, is_first),
             );
             (workers, REQUEST_WORKERS_MAX)
         };
@@ -192,15 +231,7 @@
             expected: cost.duration(workers.len()),
         };
         let chunks = workers.chunks(per_request).take(GANG_REQUESTS_MAX);
-        let requests: Vec<AdviceRequest> = chunks.map(to_request).collect();
-        let check_at = now + self.advice_check_pause();
-        let step = self.jobs.get_mut(&name.job);
-        if let Some(step) = step.and_then(|job| job.step_mut(name)) {
-            step.advice_unanswered = requests.len();
-            step.advice_requested_at = (!requests.is_empty()).then_some(now);
-            step.advice_check_at = requests.is_empty().then_some(check_at);
-        }
-        requests
+        chunks.map(to_request).collect()
     }
 
     /// Handles an advisor's answer, or `None` if no answer came.
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -9,6 +9,7 @@
 mod advice_counts;
 mod advice_workers;
 mod advise;
+mod advisors;
 mod authority;
 mod batch;
 mod cancel;
@@ -49,6 +50,7 @@
 mod worker_rows;
 
 pub use advice_counts::AdviceCounts;
+pub use advisors::{AdvisorSlot, Advisors};
 pub use authority::EpochAuthority;
 pub use error::{Error, Result};
 pub use graph::{JobGraph, Repeat, StepSpec};
--- a/jackdawchute-scheduler/src/messages.rs
+++ b/jackdawchute-scheduler/src/messages.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use jackdawchute_types::{
-    Checkpoint, FailureDomainId, FencingToken, JobId, Label, RackId, Resources, RunNumber,
-    ServiceId, Ticket, WorkerId,
+    AdvisorId, Checkpoint, FailureDomainId, FencingToken, JobId, Label, RackId, Resources,
+    RunNumber, ServiceId, Ticket, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -311,7 +311,12 @@
     /// Renew a worker's lease and ask for its running and ended runs.
     Renew(RenewOrder),
     /// Ask an advisor which workers may run a step.
-    Advise(AdviceRequest),
+    Advise {
+        /// The instance whose advisor is asked.
+        advisor: AdvisorId,
+        /// What it is asked.
+        request: AdviceRequest,
+    },
     /// Give up the epoch: a later leader controls the workers.
     Fenced {
         /// The worker that has seen a higher token.
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     advice_counts::AdviceCounts,
+    advisors::Advisors,
     authority::EpochAuthority,
     estimates::AllowedShares,
     job::{Job, JobPhase},
@@ -99,6 +100,8 @@
     pub(crate) fleet_speeds: FleetSpeeds,
     pub(crate) allowed_shares: AllowedShares,
     pub(crate) advice_counts: AdviceCounts,
+    /// When advice was last requested, or looked at whether it has to be.
+    pub(crate) advice_round_at: Instant,
     /// When advice is next requested for steps behind a great deal of waiting work.
     pub(crate) far_advice_next_at: Instant,
     pub(crate) recovery: Recovery,
@@ -166,6 +169,7 @@
             fleet_speeds: FleetSpeeds::default(),
             allowed_shares: AllowedShares::default(),
             advice_counts: AdviceCounts::default(),
+            advice_round_at: now,
             far_advice_next_at: now,
             recovery: Recovery::new(now),
             late_starts: LateStarts::default(),
@@ -304,8 +308,19 @@
     }
 
     /// Runs a scheduling round: sends the renewals that are due and, if anything has changed since
-    /// the last round, places tasks and requests advice; without authority only the former.
-    pub fn run_round(&mut self, now: Instant) {
+    /// the last round, places tasks and requests advice of the advisors that are about to be free;
+    /// without authority only the former.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use jackdawchute_scheduler::{Advisors, Scheduler, Settings};
+    ///
+    /// let now = Instant::now();
+    /// let mut scheduler = Scheduler::new(Settings::default(), 1, now);
+    /// scheduler.run_round(Advisors::default(), now);
+    /// assert!(scheduler.take_effects().is_empty());
+    /// ```
+    pub fn run_round(&mut self, advisors: Advisors, now: Instant) {
         self.issue_due_renewals(now);
         self.loads = None;
         if !self.authority.may_act {
@@ -320,7 +335,7 @@
             self.place(&ranked, &mut free_capacity, &mut tenants, now);
             self.note_cap_waits(tenants);
             ranked.retain(|step| !step.waits_for_cap);
-            self.request_advice(&ranked, &free_capacity, now);
+            self.request_advice(&ranked, &free_capacity, advisors, now);
         }
     }
 
--- a/jackdawchute-scheduler/tests/behaviour/advice_after_takeover.rs
+++ b/jackdawchute-scheduler/tests/behaviour/advice_after_takeover.rs
@@ -127,15 +127,14 @@
         }
     }
 
-    /// Sends each request to the advisor that is free first, and drops those that none has room for.
+    /// Queues each request at the advisor that it is sent to.
     fn send_advice_requests(&mut self) {
         let now = self.cell.now;
-        for request in std::mem::take(&mut self.cell.advice) {
-            let first = self.advisors_free_at.iter_mut().min();
-            let free_at = first.expect("there are advisors");
-            if free_at.saturating_duration_since(now) > BACKLOG_MAX {
-                continue;
-            }
+        let asked = std::mem::take(&mut self.cell.asked);
+        let requests = std::mem::take(&mut self.cell.advice);
+        for (advisor, request) in asked.into_iter().zip(requests) {
+            let free_at = &mut self.advisors_free_at[usize::from(advisor.port())];
+            assert!(free_at.saturating_duration_since(now) <= BACKLOG_MAX);
             *free_at = now.max(*free_at) + request.expected;
             self.requests_sent += 1;
             self.workers_named += request.workers.len();
@@ -143,6 +142,7 @@
             self.answers
                 .insert((answered_at, self.requests_sent), request);
         }
+        self.cell.advisors = Some(advisors(self.advisors_free_at.iter().copied()));
     }
 
     fn answer_advice(&mut self) {
--- a/jackdawchute-standins/src/load_model/advisors.rs
+++ b/jackdawchute-standins/src/load_model/advisors.rs
@@ -2,26 +2,25 @@
 
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
-    time::Duration,
+    net::Ipv4Addr,
+    time::{Duration, Instant},
 };
 
-use jackdawchute_cell::ShortRequestLoad;
-use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest, StepName};
-use jackdawchute_types::WorkerId;
+use jackdawchute_cell::{ShortRequestLoad, SHORT_REQUEST_MAX};
+use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest, AdvisorSlot, Advisors, StepName};
+use jackdawchute_types::{AdvisorId, WorkerId};
 
-/// The backlog above which an advisor gets no further requests.
-const BACKLOG_MAX: Duration = Duration::from_millis(1_200);
 /// The round trip to an advisor through another instance.
 const ROUND_TRIP: Duration = Duration::from_millis(4);
 
 /// The advisors' queues; each advisor answers one request at a time.
 #[derive(Debug)]
-pub(super) struct Advisors {
+pub(super) struct SimAdvisors {
     free_at: Vec<Duration>,
     short_load: ShortRequestLoad,
 }
 
-impl Advisors {
+impl SimAdvisors {
     pub(super) fn new(count: usize) -> Self {
         Self {
             free_at: vec![Duration::ZERO; count],
@@ -33,17 +32,31 @@
         self.short_load.tick(elapsed);
     }
 
-    /// Queues a request at the least busy advisor and returns when its answer arrives; `None` if
-    /// the backlogs of all are too long.
-    pub(super) fn enqueue(&mut self, request: &AdviceRequest, now: Duration) -> Option<Duration> {
-        let advisors = self.free_at.len();
-        let reserved = self.short_load.reserved_against(request.expected, advisors);
-        let free_at = self.free_at.iter_mut().skip(reserved).min()?;
-        if free_at.saturating_sub(now) > BACKLOG_MAX {
-            return None;
+    /// Returns the advisors as the leader sees them.
+    pub(super) fn snapshot(&self, origin: Instant) -> Advisors {
+        let slots = (0u16..)
+            .zip(&self.free_at)
+            .map(|(index, free_at)| AdvisorSlot {
+                advisor: (Ipv4Addr::LOCALHOST, index).into(),
+                free_at: origin + *free_at,
+            });
+        let reserved = self.short_load.reserved(self.free_at.len());
+        Advisors::new(slots.collect(), reserved, SHORT_REQUEST_MAX)
+    }
+
+    /// Queues a request at an advisor and returns when its answer arrives.
+    pub(super) fn enqueue(
+        &mut self,
+        advisor: AdvisorId,
+        request: &AdviceRequest,
+        now: Duration,
+    ) -> Duration {
+        if request.expected <= SHORT_REQUEST_MAX {
+            self.short_load.record(request.expected);
         }
+        let free_at = &mut self.free_at[usize::from(advisor.port())];
         *free_at = now.max(*free_at) + request.expected;
-        Some(*free_at + ROUND_TRIP)
+        *free_at + ROUND_TRIP
     }
 }
 
--- a/jackdawchute-standins/src/load_model/run.rs
+++ b/jackdawchute-standins/src/load_model/run.rs
@@ -9,11 +9,11 @@
     AdviceRequest, Effect, EndReason, EpochAuthority, JobOutcome, JobStatus, RenewOrder, Scheduler,
     StartAnswer, StartOrder, Submission, TaskName,
 };
-use jackdawchute_types::{JobId, Resources, WorkerId};
+use jackdawchute_types::{AdvisorId, JobId, Resources, WorkerId};
 use rand::{rngs::StdRng, Rng, SeedableRng};
 
 use super::{
-    advisors::{self, Advisors},
+    advisors::{self, SimAdvisors},
     event::Event,
     plan::Arrival,
     processor::Processor,
@@ -59,7 +59,7 @@
     events_added: u64,
     scheduler: Scheduler,
     workers: BTreeMap<WorkerId, SimWorker>,
-    advisors: Advisors,
+    advisors: SimAdvisors,
     jobs: HashMap<JobId, JobState>,
     random: StdRng,
     last_round_at: Duration,
@@ -115,7 +115,7 @@
             events: BTreeMap::new(),
             events_added: 0,
             scheduler: Scheduler::new(plan.settings(), 1, origin),
-            advisors: Advisors::new(fleet.advisors),
+            advisors: SimAdvisors::new(fleet.advisors),
             jobs: HashMap::new(),
             random: StdRng::seed_from_u64(plan.seed),
             last_round_at: Duration::ZERO,
@@ -464,7 +464,8 @@
         if self.now >= self.last_round_at + self.scheduler.round_period() {
             self.last_round_at = self.now;
             let before = self.report.decision_time;
-            self.decide(|scheduler, now| scheduler.run_round(now));
+            let advisors = self.advisors.snapshot(self.origin);
+            self.decide(|scheduler, now| scheduler.run_round(advisors, now));
             let round = self.report.decision_time - before;
             self.report.round_max = self.report.round_max.max(round);
             self.report.rounds += 1;
@@ -484,21 +485,20 @@
                     self.report.renewals += 1;
                     self.schedule(WORKER_ROUND_TRIP / 2, Event::RenewalArrives(order));
                 }
-                Effect::Advise(request) => self.request_advice(request),
+                Effect::Advise { advisor, request } => self.request_advice(advisor, request),
                 Effect::Fenced { worker } => panic!("{worker} refused the fencing token"),
             }
         }
     }
 
-    fn request_advice(&mut self, request: AdviceRequest) {
+    fn request_advice(&mut self, advisor: AdvisorId, request: AdviceRequest) {
         let job = self.jobs.get(&request.step.job);
         let Some(share) = job.map(|job| self.plan.kinds[job.kind].allowed_share) else {
             return;
         };
         self.report.advice_requests += 1;
-        if let Some(at) = self.advisors.enqueue(&request, self.now) {
-            self.schedule(at - self.now, Event::AdviceAnswered(request, Some(share)));
-        }
+        let at = self.advisors.enqueue(advisor, &request, self.now);
+        self.schedule(at - self.now, Event::AdviceAnswered(request, Some(share)));
     }
 
     /// Samples the share of processors in use while jobs arrive.
--- a/jackdawchute-types/src/ids.rs
+++ b/jackdawchute-types/src/ids.rs
@@ -1,7 +1,11 @@
 //! Type aliases for ids, names and versions.
 
+use std::net::SocketAddr;
+
 use smol_str::SmolStr;
 
+/// The address at which its peers reach the instance whose advisor is meant.
+pub type AdvisorId = SocketAddr;
 /// The name of a class of work in the configuration, such as `counter` or `overnight`.
 pub type ClassId = SmolStr;
 /// The version of a fleet configuration; a higher one replaces a lower one.
