fix: a gang requests advice about the workers that it needs, and about all that it needs at once

Cause, two faults of one decision. A gang named workers until the allowed ones had twelve times its size when idle, also where nearly all room was free: seven requests and 274 workers for a gang that 9 to 14 workers can run. All gangs named the same ones, those with the most free processors; one ticket in nine was used. And a ticket counted as valid if it was so when the request was made: a gang asked for what was missing, and lost the tickets that it had before the answer came. Change: where a gang may fit now, it asks about workers with room, as many as are expected to be needed, and keeps asking about several times its size only where it does not fit. Room that better ranked steps have requested advice for, or have tickets for, counts as taken (planned_room). Tickets are judged at the time when the answer is expected, or the reservation starts; what lapses by then is requested again with the rest. Single tasks are served as before. Test: in recovered_gangs_do_not_stand_still... renewals to silent workers now fail instead of staying under way for good, as the leader tells the scheduler; with that it was red on the commit before (2,630 of 5,600 cores, 2,800 asked for) and is green.

--- a/jackdawchute-scheduler/src/advice_workers.rs
+++ b/jackdawchute-scheduler/src/advice_workers.rs
@@ -20,6 +20,7 @@
 use crate::{
     free_capacity::{can_run, tasks_fitting, FreeCapacity, WorkerCapacity, FITTING_TASKS_MAX},
     job::{Advice, GangReservation, Job, StepRun},
+    planned_room::PlannedRoom,
     worker::Worker,
     AdviceCost, StepName, StepSpec,
 };
@@ -47,31 +48,42 @@
 /// many.
 const FIRST_REQUEST_WORKERS_MIN: usize = 24;
 
+/// What the workers of a round have room for, and when tickets have to be valid.
+pub(crate) struct AdviceView<'a> {
+    pub(crate) workers: &'a BTreeMap<WorkerId, Worker>,
+    pub(crate) free_capacity: &'a FreeCapacity,
+    /// What steps with a better rank are about to use.
+    pub(crate) planned_room: &'a PlannedRoom,
+    pub(crate) now: Instant,
+    /// When the answers are expected, or the step can start if that is later.
+    pub(crate) needed_at: Instant,
+}
+
 /// Groups the workers that could run a step by the advice that is known about them, with the free
 /// capacity that a task of the `expected` time there could use from now on and how well they suit it.
 pub(crate) fn known_advice(
-    workers: &BTreeMap<WorkerId, Worker>,
+    view: &AdviceView<'_>,
     job: &Job,
     spec: &StepSpec,
     step: &StepRun,
-    free_capacity: &FreeCapacity,
-    (now, expected): (Instant, impl Fn(&WorkerCapacity) -> Duration),
+    expected: impl Fn(&WorkerCapacity) -> Duration,
     rank: impl Fn(&WorkerCapacity) -> PlaceRank,
 ) -> KnownAdvice {
     let size = spec.charged_resources();
-    let starts_at = step
-        .gang_reservation
-        .as_ref()
-        .map_or(now, |reservation| reservation.starts_at.max(now));
     let per_worker_max = spec.per_worker_max.unwrap_or(FITTING_TASKS_MAX);
     let per_worker_max = per_worker_max.min(FITTING_TASKS_MAX);
     let mut known = KnownAdvice::default();
-    for (worker, worker_capacity) in free_capacity.workers() {
-        let usable = worker_capacity.usable(now + expected(worker_capacity));
+    for (worker, worker_capacity) in view.free_capacity.workers() {
+        let usable = worker_capacity.usable(view.now + expected(worker_capacity));
+        let usable = match spec.gang {
+            true => view.planned_room.left(worker, usable),
+            // A single task also uses what is too little for a gang.
+            false => usable,
+        };
         let fits = size.fits_in(&usable);
         // Single tasks need no further advice about workers that they do not fit on now.
         let is_useful = fits || spec.gang || step.advice.is_empty();
-        if !is_useful || !can_run(workers, worker, worker_capacity, job, spec) {
+        if !is_useful || !can_run(view.workers, worker, worker_capacity, job, spec) {
             continue;
         }
         let candidate = || AdviceCandidate {
@@ -88,7 +100,7 @@
             Some(advice @ Advice::Allowed { .. }) => {
                 let candidate = candidate();
                 known.allowed_tasks_when_idle += candidate.tasks_when_idle;
-                let ticket = advice.ticket(worker_capacity.started_unix_ms, starts_at);
+                let ticket = advice.ticket(worker_capacity.started_unix_ms, view.needed_at);
                 if ticket.is_none() {
                     known.lapsed.push(candidate);
                 } else {
@@ -140,10 +152,7 @@
 
 /// Returns the workers to name in requests for a gang.
 ///
-/// While the gang has no reservation, these are workers that no advisor was asked about, until the
-/// allowed ones have several times the capacity that the gang needs, or the lapsed ones once enough
-/// of theirs is free. With a reservation, they are the reserved workers, shortly before the gang
-/// can start.
+/// With a reservation, these are the reserved workers, shortly before the gang can start.
 pub(crate) fn gang_request_workers(
     known: KnownAdvice,
     spec: &StepSpec,
@@ -153,16 +162,7 @@
     now: Instant,
 ) -> Vec<WorkerId> {
     let Some(reservation) = reservation else {
-        let workers_min = affordable_workers(cost);
-        let tasks = f64::from(spec.tasks);
-        let tasks_missing = tasks * GANG_FREE_FACTOR - f64::from(known.tasks_now_with_ticket);
-        let lapsed = known.lapsed.iter();
-        let lapsed_tasks_now: u32 = lapsed.map(|candidate| candidate.tasks_now).sum();
-        if tasks_missing > 0.0 && f64::from(lapsed_tasks_now) >= tasks_missing {
-            return with_room_now(known.lapsed, tasks_missing, workers_min);
-        }
-        let tasks_wanted = tasks * GANG_CAPACITY_FACTOR - f64::from(known.allowed_tasks_when_idle);
-        return with_enough_capacity(known.not_asked, tasks_wanted, allowed_share, workers_min);
+        return workers_without_reservation(known, spec, allowed_share, cost);
     };
     let lead = cost.duration(reservation.workers.len()) + REQUEST_LEAD;
     if reservation.starts_at > now + lead {
@@ -188,6 +188,50 @@
         .collect()
 }
 
+/// Returns the workers to name for a gang that has no reservation.
+///
+/// If it may fit now, these are workers with room: allowed ones whose tickets will have lapsed, and
+/// as many others as are expected to be needed. If not, it has to know of the workers that become
+/// free, and asks about several times what it needs.
+fn workers_without_reservation(
+    known: KnownAdvice,
+    spec: &StepSpec,
+    allowed_share: f64,
+    cost: &AdviceCost,
+) -> Vec<WorkerId> {
+    let workers_min = affordable_workers(cost);
+    let tasks = f64::from(spec.tasks);
+    let tasks_missing = tasks * GANG_FREE_FACTOR - f64::from(known.tasks_now_with_ticket);
+    let lapsed_tasks_now = tasks_now(&known.lapsed);
+    let may_fit_now =
+        known.tasks_now_with_ticket + lapsed_tasks_now + tasks_now(&known.not_asked) >= spec.tasks;
+    let mut workers = Vec::new();
+    if tasks_missing > 0.0 && may_fit_now {
+        let others_missing = tasks_missing - f64::from(lapsed_tasks_now);
+        if others_missing <= 0.0 {
+            return with_room_now(known.lapsed, tasks_missing, workers_min);
+        }
+        workers = with_room_now(known.lapsed, tasks_missing, 0);
+        let others_min = workers_min.saturating_sub(workers.len());
+        let not_asked_tasks = f64::from(tasks_now(&known.not_asked)) * allowed_share;
+        if not_asked_tasks >= others_missing {
+            let wanted = others_missing / allowed_share;
+            workers.extend(with_room_now(known.not_asked, wanted, others_min));
+            return workers;
+        }
+    }
+    let tasks_wanted = tasks * GANG_CAPACITY_FACTOR - f64::from(known.allowed_tasks_when_idle);
+    let others = with_enough_capacity(known.not_asked, tasks_wanted, allowed_share, workers_min);
+    workers.extend(others);
+    workers
+}
+
+/// Returns how many tasks fit now on all candidates.
+fn tasks_now(candidates: &[AdviceCandidate]) -> u32 {
+    let tasks = candidates.iter().map(|candidate| candidate.tasks_now);
+    tasks.fold(0, u32::saturating_add)
+}
+
 /// Returns the workers with the most free capacity, until as many tasks as wanted are expected to
 /// fit on those that the advisors allow.
 ///
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -12,11 +12,12 @@
     advice_counts::AdviceCounts,
     advice_workers::{
         affordable_workers, gang_request_workers, known_advice, single_task_request_workers,
-        spread_over, REQUEST_WORKERS_MAX,
+        spread_over, AdviceView, REQUEST_WORKERS_MAX,
     },
     advisors::Advisors,
     free_capacity::{FreeCapacity, WorkerCapacity},
     job::{Advice, StepRun},
+    planned_room::PlannedRoom,
     rank::RankedStep,
     AdviceAnswer, AdviceCost, AdviceRequest, Effect, Scheduler, StepName, StepSpec,
 };
@@ -37,6 +38,15 @@
 /// that may be under way: its tickets would lapse before its turn comes.
 const STARTS_AHEAD_FACTOR: usize = 8;
 
+/// What is left to give out in a round's search for steps that need advice.
+struct AdviceRound<'a> {
+    free_capacity: &'a FreeCapacity,
+    advisors: Advisors,
+    planned_room: PlannedRoom,
+    /// How many of the best ranked steps have their room planned.
+    planned_steps: usize,
+}
+
 impl Scheduler {
     /// Requests advice for each step that has tasks to place and no valid ticket to place them
     /// with, as long as its turn may come before the tickets lapse.
@@ -73,8 +83,15 @@
         };
         let near_steps = ranked.iter().take_while(is_near).count();
         let (near, far) = ranked.split_at(near_steps);
-        for ranked in near {
-            self.request_advice_for(&ranked.name, free_capacity, &mut advisors, now);
+        let mut round = AdviceRound {
+            free_capacity,
+            advisors,
+            planned_room: PlannedRoom::default(),
+            planned_steps: 0,
+        };
+        for (index, step) in near.iter().enumerate() {
+            let better = near.get(round.planned_steps..index).unwrap_or_default();
+            self.request_advice_for(&step.name, better, &mut round, now);
         }
         if far.is_empty() || now < self.far_advice_next_at {
             return;
@@ -89,7 +106,7 @@
             if self.has_room(&ranked.name, free_capacity, &by_label, now) {
                 starts_ahead += self.waiting_tasks(&ranked.name);
                 if index >= near_steps {
-                    self.request_advice_for(&ranked.name, free_capacity, &mut advisors, now);
+                    self.request_advice_for(&ranked.name, &[], &mut round, now);
                 }
             }
         }
@@ -117,36 +134,65 @@
     fn request_advice_for(
         &mut self,
         name: &StepName,
-        free_capacity: &FreeCapacity,
-        advisors: &mut Advisors,
+        better: &[&RankedStep],
+        round: &mut AdviceRound<'_>,
         now: Instant,
     ) {
         let Some(cost) = self.advice_cost_if_due(name, now) else {
             return;
         };
         // Whom to ask about takes a look at all workers.
-        if !advisors.takes(cost.duration(1), now) {
+        if !round.advisors.takes(cost.duration(1), now) {
             self.advice_counts.steps_waiting += 1;
             return;
         }
-        let mut requests = self.advice_requests(name, &cost, free_capacity, now);
+        for step in better {
+            self.plan_room(&step.name, &mut round.planned_room, now);
+        }
+        round.planned_steps += better.len();
+        let mut requests = self.advice_requests(name, &cost, round, now);
         let expected: Vec<Duration> = requests.iter().map(|request| request.expected).collect();
-        let assigned = advisors.assign(&expected, cost.valid / 2, now);
-        let is_refused = assigned.is_empty() && !requests.is_empty();
+        let assigned = round.advisors.assign(&expected, cost.valid / 2, now);
+        let nobody_to_ask = requests.is_empty();
         requests.truncate(assigned.len());
-        self.advice_counts.steps_waiting += usize::from(is_refused);
+        let is_sent = !requests.is_empty();
+        self.advice_counts.steps_waiting += usize::from(!is_sent && !nobody_to_ask);
         let check_at = now + self.advice_check_pause();
         let job = self.jobs.get_mut(&name.job);
         if let Some(step) = job.and_then(|job| job.step_mut(name)) {
             step.advice_unanswered = requests.len();
-            step.advice_requested_at = (!requests.is_empty()).then_some(now);
-            step.advice_check_at = requests.is_empty().then_some(check_at);
+            step.advice_requested_at = is_sent.then_some(now);
+            step.advice_check_at = nobody_to_ask.then_some(check_at);
+            let named = requests.iter().flat_map(|request| &request.workers);
+            step.advice_named = named.cloned().collect();
         }
         let effects = assigned.into_iter().zip(requests);
         let effects = effects.map(|(advisor, request)| Effect::Advise { advisor, request });
         self.effects.extend(effects);
     }
 
+    /// Plans the room of a step that waits for answers, or has tickets and has not started yet.
+    fn plan_room(&self, name: &StepName, planned_room: &mut PlannedRoom, now: Instant) {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return;
+        };
+        let Some((spec, step)) = job.step(name) else {
+            return;
+        };
+        let is_denied = |worker: &WorkerId| matches!(step.advice.get(worker), Some(Advice::Denied));
+        let named = step.advice_named.iter().filter(|it| !is_denied(it));
+        let mut workers: Vec<WorkerId> = named.cloned().collect();
+        if workers.is_empty() {
+            let allowed = step
+                .advice
+                .iter()
+                .filter(|(_, advice)| advice.is_usable(now));
+            workers = allowed.map(|(worker, _)| worker.clone()).collect();
+        }
+        let waiting = u32::try_from(self.waiting_tasks(name)).unwrap_or(u32::MAX);
+        planned_room.plan(&workers, &spec.charged_resources(), waiting);
+    }
+
     /// Returns the cost of a step's advice if the step has tasks to place, no request of it is under
     /// way, and it has not found a short time ago that there is nobody to ask about.
     fn advice_cost_if_due(&self, name: &StepName, now: Instant) -> Option<AdviceCost> {
@@ -168,7 +214,7 @@
         &self,
         name: &StepName,
         cost: &AdviceCost,
-        free_capacity: &FreeCapacity,
+        round: &AdviceRound<'_>,
         now: Instant,
     ) -> Vec<AdviceRequest> {
         let Some(job) = self.jobs.get(&name.job) else {
@@ -181,36 +227,31 @@
         let estimate = self.estimate(job, spec);
         let expected =
             |worker_capacity: &WorkerCapacity| self.expected_on(spec, &estimate, worker_capacity);
-        if !spec.gang && fits_with_ticket(spec, step, free_capacity, now, expected) {
+        if !spec.gang && fits_with_ticket(spec, step, round.free_capacity, now, expected) {
             return Vec::new();
         }
         let time_left = self.time_left(job, spec, now);
-        let known = known_advice(
-            &self.workers,
-            job,
-            spec,
-            step,
-            free_capacity,
-            (now, expected),
-            |worker_capacity| {
-                let far = self.far_slowdown(spec, worker_capacity.rack.as_ref());
-                estimate.rank(worker_capacity.slowness, far, time_left)
-            },
-        );
-        let (workers, per_request) = if spec.gang {
+        let per_request = if spec.gang {
+            affordable_workers(cost).clamp(1, REQUEST_WORKERS_MAX)
+        } else {
+            REQUEST_WORKERS_MAX
+        };
+        let reservation = step.gang_reservation.as_ref();
+        let starts_at = reservation.map_or(now, |reservation| reservation.starts_at);
+        let view = AdviceView {
+            workers: &self.workers,
+            free_capacity: round.free_capacity,
+            planned_room: &round.planned_room,
+            now,
+            needed_at: starts_at.max(now + cost.duration(per_request)),
+        };
+        let known = known_advice(&view, job, spec, step, expected, |worker_capacity| {
+            let far = self.far_slowdown(spec, worker_capacity.rack.as_ref());
+            estimate.rank(worker_capacity.slowness, far, time_left)
+        });
+        let workers = if spec.gang {
             let allowed_share = self.allowed_shares.expected(&job.queue.queue);
-            let workers = gang_request_workers(
-                known,
-                spec,
-                step.gang_reservation.as_ref(),
-                allowed_share,
-                cost,
-                now,
-            );
-            (
-                workers,
-                affordable_workers(cost).clamp(1, REQUEST_WORKERS_MAX),
-            )
+            gang_request_workers(known, spec, reservation, allowed_share, cost, now)
         } else {
             let is_first = step.advice.is_empty();
             let candidates = if is_first {
@@ -218,12 +259,8 @@
             } else {
                 known.fitting_without_ticket()
             };
-            let workers = spread_over(
-                candidates,
-                name,
-                single_task_request_workers(cost, waiting, is_first),
-            );
-            (workers, REQUEST_WORKERS_MAX)
+            let count = single_task_request_workers(cost, waiting, is_first);
+            spread_over(candidates, name, count)
         };
         let to_request = |workers: &[WorkerId]| AdviceRequest {
             step: name.clone(),
@@ -256,6 +293,7 @@
         step.advice_unanswered = step.advice_unanswered.saturating_sub(1);
         if step.advice_unanswered == 0 {
             step.advice_requested_at = None;
+            step.advice_named.clear();
         }
         let Some(answer) = answer else {
             return;
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -143,6 +143,11 @@
         }
     }
 
+    /// Returns whether there is a ticket that is valid at `now`, if its worker has not restarted.
+    pub(crate) fn is_usable(&self, now: Instant) -> bool {
+        matches!(self, Self::Allowed { usable_until, .. } if *usable_until > now)
+    }
+
     /// Records that a task was ordered to start with the ticket; returns whether it was the first.
     pub(crate) fn mark_used(&mut self) -> bool {
         match self {
@@ -176,6 +181,8 @@
     pub(crate) reservation_check_at: Option<Instant>,
     /// When the advice requests under way were made; `None` if there are none.
     pub(crate) advice_requested_at: Option<Instant>,
+    /// The workers that the requests under way name.
+    pub(crate) advice_named: Vec<WorkerId>,
     /// When workers to request advice about are next looked for, after none were found.
     pub(crate) advice_check_at: Option<Instant>,
     /// The number of advice requests that have no answer yet.
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -29,6 +29,7 @@
 mod observe;
 mod orders;
 mod place;
+mod planned_room;
 mod progress;
 mod progress_rows;
 mod queue;
--- a/jackdawchute-scheduler/tests/behaviour/advice_after_takeover.rs
+++ b/jackdawchute-scheduler/tests/behaviour/advice_after_takeover.rs
@@ -165,6 +165,8 @@
     fn answer_renewals(&mut self) {
         for renewal in std::mem::take(&mut self.cell.renewals) {
             if self.silent.contains(&renewal.worker) {
+                let now = self.cell.now;
+                self.cell.scheduler.renew_failed(&renewal, now, now);
                 continue;
             }
             let runs = self.running.get(&renewal.worker);
