fix: recovered steps request advice so that they have tickets when recovery is complete

Cause: recovered jobs requested no advice until recovery was complete. While it waited for silent workers, up to 21 s, all advisors were idle; when it ended all gangs asked at once, and each waited 0.7 s and more for tickets that could have been there. Change: the time by which recovery is complete is known from the leases of the workers that it waits for (recovery_complete_by). A recovered step requests advice as soon as its tickets will be valid half a second beyond that time. Nothing is placed earlier than before.

--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -16,7 +16,7 @@
     },
     advisors::Advisors,
     free_capacity::{FreeCapacity, WorkerCapacity},
-    job::{Advice, StepRun},
+    job::{Advice, Job, StepRun},
     planned_room::PlannedRoom,
     rank::RankedStep,
     AdviceAnswer, AdviceCost, AdviceRequest, Effect, Scheduler, StepName, StepSpec,
@@ -26,6 +26,8 @@
 const TICKET_MARGIN: Duration = Duration::from_millis(250);
 /// How long to wait for an advisor's answers before advice for a step is requested again.
 const ANSWER_WAIT_MAX: Duration = Duration::from_millis(2_500);
+/// How long after the end of recovery the last recovered tasks are expected to be ordered to start.
+const RECOVERED_START_MAX: Duration = Duration::from_millis(500);
 /// The highest number of requests about a gang at a time. An advisor answers one at a time, and
 /// other gangs need answers too.
 const GANG_REQUESTS_MAX: usize = 8;
@@ -45,6 +47,16 @@
     planned_room: PlannedRoom,
     /// How many of the best ranked steps have their room planned.
     planned_steps: usize,
+    /// When recovered jobs may be placed at the latest; `None` once they may.
+    recovered_by: Option<Instant>,
+}
+
+impl AdviceRound<'_> {
+    /// Returns when tasks of a job may start at the latest, as far as recovery delays them.
+    fn may_start_at(&self, job: &Job, now: Instant) -> Instant {
+        let recovered_by = self.recovered_by.filter(|_| job.recovering);
+        recovered_by.map_or(now, |recovered_by| recovered_by.max(now))
+    }
 }
 
 impl Scheduler {
@@ -88,6 +100,7 @@
             advisors,
             planned_room: PlannedRoom::default(),
             planned_steps: 0,
+            recovered_by: self.recovery_complete_by(),
         };
         for (index, step) in near.iter().enumerate() {
             let better = near.get(round.planned_steps..index).unwrap_or_default();
@@ -138,7 +151,7 @@
         round: &mut AdviceRound<'_>,
         now: Instant,
     ) {
-        let Some(cost) = self.advice_cost_if_due(name, now) else {
+        let Some(cost) = self.advice_cost_if_due(name, round, now) else {
             return;
         };
         // Whom to ask about takes a look at all workers.
@@ -195,16 +208,27 @@
 
     /// Returns the cost of a step's advice if the step has tasks to place, no request of it is under
     /// way, and it has not found a short time ago that there is nobody to ask about.
-    fn advice_cost_if_due(&self, name: &StepName, now: Instant) -> Option<AdviceCost> {
+    ///
+    /// A recovered step asks so early that it has valid tickets when it may be placed.
+    fn advice_cost_if_due(
+        &self,
+        name: &StepName,
+        round: &AdviceRound<'_>,
+        now: Instant,
+    ) -> Option<AdviceCost> {
         let job = self.jobs.get(&name.job)?;
         let (_, step) = job.step(name)?;
+        let cost = job.queue.advice?;
         let is_pending = |at: Instant| now < at + ANSWER_WAIT_MAX;
         let is_later = |at: Instant| now < at;
-        let is_due = !job.recovering
+        let usable_until = now + cost.duration(1) + usable_time(&cost);
+        let may_start_at = round.may_start_at(job, now);
+        let is_soon = may_start_at <= now || may_start_at + RECOVERED_START_MAX <= usable_until;
+        let is_due = is_soon
             && step.units.iter().any(|unit| unit.is_waiting())
             && !step.advice_requested_at.is_some_and(is_pending)
             && !step.advice_check_at.is_some_and(is_later);
-        job.queue.advice.filter(|_| is_due)
+        is_due.then_some(cost)
     }
 
     /// Returns the advice requests for a step: at most one for single tasks, and for a gang several
@@ -227,7 +251,15 @@
         let estimate = self.estimate(job, spec);
         let expected =
             |worker_capacity: &WorkerCapacity| self.expected_on(spec, &estimate, worker_capacity);
-        if !spec.gang && fits_with_ticket(spec, step, round.free_capacity, now, expected) {
+        if !spec.gang
+            && fits_with_ticket(
+                spec,
+                step,
+                round.free_capacity,
+                round.may_start_at(job, now),
+                expected,
+            )
+        {
             return Vec::new();
         }
         let time_left = self.time_left(job, spec, now);
@@ -237,7 +269,8 @@
             REQUEST_WORKERS_MAX
         };
         let reservation = step.gang_reservation.as_ref();
-        let starts_at = reservation.map_or(now, |reservation| reservation.starts_at);
+        let may_start_at = round.may_start_at(job, now);
+        let starts_at = reservation.map_or(may_start_at, |reservation| reservation.starts_at);
         let view = AdviceView {
             workers: &self.workers,
             free_capacity: round.free_capacity,
@@ -286,7 +319,8 @@
             return;
         };
         let queue = job.queue.queue.clone();
-        let valid = job.queue.advice.map(|cost| cost.valid).unwrap_or_default();
+        let usable = job.queue.advice.as_ref().map(usable_time);
+        let usable = usable.unwrap_or_default();
         let Some(step) = job.step_mut(&request.step) else {
             return;
         };
@@ -307,7 +341,7 @@
         for worker in &request.workers {
             step.advice.insert(worker.clone(), Advice::Denied);
         }
-        let usable_until = now + valid.saturating_sub(TICKET_MARGIN);
+        let usable_until = now + usable;
         for (worker, ticket) in answer.allowed {
             let started_unix_ms = workers
                 .get(&worker)
@@ -347,6 +381,11 @@
     }
 }
 
+/// Returns how long after the answer a ticket is used.
+fn usable_time(cost: &AdviceCost) -> Duration {
+    cost.valid.saturating_sub(TICKET_MARGIN)
+}
+
 /// Returns whether a task of a step, of the `expected` time there, fits now on a worker with a valid
 /// ticket.
 fn fits_with_ticket(
--- a/jackdawchute-scheduler/src/recover.rs
+++ b/jackdawchute-scheduler/src/recover.rs
@@ -12,6 +12,7 @@
 use spdlog::{info, warn};
 
 use crate::{
+    authority::LapseView,
     job::{Job, JobPhase, StepRun},
     late_starts::LateStart,
     progress_rows::ProgressRecord,
@@ -328,12 +329,8 @@
         if self.recovery.complete {
             return;
         }
-        let view = self.lapse_view();
-        let is_awaited = |worker: &&Worker| {
-            (worker.recovered || !self.recovery.rows_name_all) && !worker.is_accounted_for(view)
-        };
-        let awaited = self.workers.values().filter(is_awaited);
-        let (workers_awaited, former_leases_until) = awaited
+        let (workers_awaited, former_leases_until) = self
+            .awaited_workers(self.lapse_view())
             .fold((0, now), |(count, until), it| {
                 (count + 1, it.former_lease_until.unwrap_or(now).max(until))
             });
@@ -364,6 +361,24 @@
         self.placement_needed = true;
     }
 
+    /// Returns the workers of which neither the runs are known nor the leases have lapsed.
+    fn awaited_workers(&self, view: LapseView) -> impl Iterator<Item = &Worker> {
+        self.workers.values().filter(move |worker| {
+            (worker.recovered || !self.recovery.rows_name_all) && !worker.is_accounted_for(view)
+        })
+    }
+
+    /// Returns when recovery is complete at the latest if no worker answers that has not; `None` once
+    /// it is complete.
+    pub(crate) fn recovery_complete_by(&self) -> Option<Instant> {
+        if self.recovery.complete {
+            return None;
+        }
+        let view = self.lapse_view();
+        let awaited = self.awaited_workers(view);
+        awaited.map(|worker| worker.leases_lapse_by(view)).max()
+    }
+
     /// Logs once what the recovery waits for, if first renewals alone do not explain it.
     fn log_awaited_workers(&mut self, workers: usize, former_until: Instant, now: Instant) {
         let age = now.saturating_duration_since(self.recovery.began_at);
--- a/jackdawchute-scheduler/src/worker.rs
+++ b/jackdawchute-scheduler/src/worker.rs
@@ -333,7 +333,24 @@
         let own_lapsed = clock.is_none_or(|clock| clock > self.lease_sent + LAPSE_STOP_MAX)
             && is_past(self.extensions.runs_until)
             && is_past(self.former_lease_until);
-        let earlier_leases_until = match self.acknowledged_at {
+        own_lapsed && view.as_of > self.earlier_leases_until(view)
+    }
+
+    /// Returns when every lease of the worker has lapsed at the latest if it does not answer before.
+    pub(crate) fn leases_lapse_by(&self, view: LapseView) -> Instant {
+        let own_left = self.clock_earliest(view.as_of).map(|clock| {
+            let left = (self.lease_sent + LAPSE_STOP_MAX).saturating_sub(clock);
+            left.div_f64(CLOCK_RATE_MIN)
+        });
+        let own_until = own_left.map(|left| view.as_of + left);
+        let further = [self.extensions.runs_until, self.former_lease_until];
+        let until = further.into_iter().chain([own_until]).flatten();
+        until.fold(self.earlier_leases_until(view), Instant::max)
+    }
+
+    /// Returns until when runs may last under leases of earlier leaders.
+    fn earlier_leases_until(&self, view: LapseView) -> Instant {
+        match self.acknowledged_at {
             // From its acknowledgement of this leader's token on the worker refuses earlier leaders.
             Some(at) => view.earlier_until.min(at) + view.lease_time,
             None if self.extensions.of_earlier_leader || view.suspects_late_extensions => {
@@ -341,8 +358,7 @@
             }
             None if self.is_listed_as_restarted() => view.earlier_until + view.hold_time,
             None => view.earlier_until + view.lease_time,
-        };
-        own_lapsed && view.as_of > earlier_leases_until
+        }
     }
 
     /// Returns when this incarnation of the worker last listed its runs and refused earlier tokens.
