fix: gangs without room ask ahead for the next reservations only

Callers saw: under load gangs that could start waited for advisors that were busy with gangs that could not. Change: a gang that does not fit now asks ahead only while fewer than twice as many better ranked gangs as may hold a reservation know enough workers or wait for an answer. Those that know of too few workers do not count, so that gangs which nothing can run keep no advice from others. Recovered gangs ask in any case: the workers that recovery waits for may have room. The building of requests is a module of its own (advice_requests).

--- a/jackdawchute-scheduler/src/advice_workers.rs
+++ b/jackdawchute-scheduler/src/advice_workers.rs
@@ -143,6 +143,11 @@
 }
 
 impl KnownAdvice {
+    /// Returns whether a gang fits on the allowed workers when nothing else runs there.
+    pub(crate) fn suffices_for(&self, spec: &StepSpec) -> bool {
+        self.allowed_tasks_when_idle >= spec.tasks
+    }
+
     /// Returns the workers on which a task fits and only the ticket is missing.
     pub(crate) fn fitting_without_ticket(self) -> Vec<AdviceCandidate> {
         let without_ticket = self.lapsed.into_iter().chain(self.not_asked);
@@ -150,20 +155,29 @@
     }
 }
 
+/// A gang that looks for workers to ask about.
+pub(crate) struct GangSearch<'a> {
+    pub(crate) spec: &'a StepSpec,
+    pub(crate) reservation: Option<&'a GangReservation>,
+    pub(crate) cost: &'a AdviceCost,
+    /// The share of the workers that advisors are expected to allow.
+    pub(crate) allowed_share: f64,
+    /// Whether the gang may ask about workers that have no room for it now.
+    pub(crate) asks_ahead: bool,
+}
+
 /// Returns the workers to name in requests for a gang.
 ///
 /// With a reservation, these are the reserved workers, shortly before the gang can start.
 pub(crate) fn gang_request_workers(
     known: KnownAdvice,
-    spec: &StepSpec,
-    reservation: Option<&GangReservation>,
-    allowed_share: f64,
-    cost: &AdviceCost,
+    search: &GangSearch<'_>,
     now: Instant,
 ) -> Vec<WorkerId> {
-    let Some(reservation) = reservation else {
-        return workers_without_reservation(known, spec, allowed_share, cost);
+    let Some(reservation) = search.reservation else {
+        return workers_without_reservation(known, search);
     };
+    let cost = search.cost;
     let lead = cost.duration(reservation.workers.len()) + REQUEST_LEAD;
     if reservation.starts_at > now + lead {
         return Vec::new();
@@ -193,12 +207,13 @@
 /// If it may fit now, these are workers with room: allowed ones whose tickets will have lapsed, and
 /// as many others as are expected to be needed. If not, it has to know of the workers that become
 /// free, and asks about several times what it needs.
-fn workers_without_reservation(
-    known: KnownAdvice,
-    spec: &StepSpec,
-    allowed_share: f64,
-    cost: &AdviceCost,
-) -> Vec<WorkerId> {
+fn workers_without_reservation(known: KnownAdvice, search: &GangSearch<'_>) -> Vec<WorkerId> {
+    let GangSearch {
+        spec,
+        cost,
+        allowed_share,
+        ..
+    } = *search;
     let workers_min = affordable_workers(cost);
     let tasks = f64::from(spec.tasks);
     let tasks_missing = tasks * GANG_FREE_FACTOR - f64::from(known.tasks_now_with_ticket);
@@ -220,6 +235,9 @@
             return workers;
         }
     }
+    if !search.asks_ahead {
+        return Vec::new();
+    }
     let tasks_wanted = tasks * GANG_CAPACITY_FACTOR - f64::from(known.allowed_tasks_when_idle);
     let others = with_enough_capacity(known.not_asked, tasks_wanted, allowed_share, workers_min);
     workers.extend(others);
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -10,16 +10,14 @@
 
 use crate::{
     advice_counts::AdviceCounts,
-    advice_workers::{
-        affordable_workers, gang_request_workers, known_advice, single_task_request_workers,
-        spread_over, AdviceView, REQUEST_WORKERS_MAX,
-    },
+    advice_requests::{AdviceRound, WantedAdvice, AHEAD_PER_RESERVATION},
     advisors::Advisors,
-    free_capacity::{FreeCapacity, WorkerCapacity},
-    job::{Advice, Job, StepRun},
+    free_capacity::FreeCapacity,
+    job::Advice,
+    place::reservations_max,
     planned_room::PlannedRoom,
     rank::RankedStep,
-    AdviceAnswer, AdviceCost, AdviceRequest, Effect, Scheduler, StepName, StepSpec,
+    AdviceAnswer, AdviceCost, AdviceRequest, Effect, Scheduler, StepName,
 };
 
 /// The part of a ticket's validity that is not used, so that a slow order arrives in time.
@@ -28,9 +26,6 @@
 const ANSWER_WAIT_MAX: Duration = Duration::from_millis(2_500);
 /// How long after the end of recovery the last recovered tasks are expected to be ordered to start.
 const RECOVERED_START_MAX: Duration = Duration::from_millis(500);
-/// The highest number of requests about a gang at a time. An advisor answers one at a time, and
-/// other gangs need answers too.
-const GANG_REQUESTS_MAX: usize = 8;
 /// The pause between two searches of a step for workers to request advice about, for each worker
 /// of the cell, if the first finds none: under load hundreds of steps wait, and each search looks
 /// at all workers.
@@ -40,25 +35,6 @@
 /// that may be under way: its tickets would lapse before its turn comes.
 const STARTS_AHEAD_FACTOR: usize = 8;
 
-/// What is left to give out in a round's search for steps that need advice.
-struct AdviceRound<'a> {
-    free_capacity: &'a FreeCapacity,
-    advisors: Advisors,
-    planned_room: PlannedRoom,
-    /// How many of the best ranked steps have their room planned.
-    planned_steps: usize,
-    /// When recovered jobs may be placed at the latest; `None` once they may.
-    recovered_by: Option<Instant>,
-}
-
-impl AdviceRound<'_> {
-    /// Returns when tasks of a job may start at the latest, as far as recovery delays them.
-    fn may_start_at(&self, job: &Job, now: Instant) -> Instant {
-        let recovered_by = self.recovered_by.filter(|_| job.recovering);
-        recovered_by.map_or(now, |recovered_by| recovered_by.max(now))
-    }
-}
-
 impl Scheduler {
     /// Requests advice for each step that has tasks to place and no valid ticket to place them
     /// with, as long as its turn may come before the tickets lapse.
@@ -101,10 +77,13 @@
             planned_room: PlannedRoom::default(),
             planned_steps: 0,
             recovered_by: self.recovery_complete_by(),
+            ahead_left: reservations_max(self.workers.len()) * AHEAD_PER_RESERVATION,
         };
         for (index, step) in near.iter().enumerate() {
             let better = near.get(round.planned_steps..index).unwrap_or_default();
             self.request_advice_for(&step.name, better, &mut round, now);
+            let is_ahead = usize::from(self.is_gang_with_advice(&step.name));
+            round.ahead_left = round.ahead_left.saturating_sub(is_ahead);
         }
         if far.is_empty() || now < self.far_advice_next_at {
             return;
@@ -163,7 +142,10 @@
             self.plan_room(&step.name, &mut round.planned_room, now);
         }
         round.planned_steps += better.len();
-        let mut requests = self.advice_requests(name, &cost, round, now);
+        let WantedAdvice {
+            mut requests,
+            suffices,
+        } = self.wanted_advice(name, &cost, round, now);
         let expected: Vec<Duration> = requests.iter().map(|request| request.expected).collect();
         let assigned = round.advisors.assign(&expected, cost.valid / 2, now);
         let nobody_to_ask = requests.is_empty();
@@ -176,6 +158,7 @@
             step.advice_unanswered = requests.len();
             step.advice_requested_at = is_sent.then_some(now);
             step.advice_check_at = nobody_to_ask.then_some(check_at);
+            step.advice_suffices = suffices;
             let named = requests.iter().flat_map(|request| &request.workers);
             step.advice_named = named.cloned().collect();
         }
@@ -184,6 +167,15 @@
         self.effects.extend(effects);
     }
 
+    /// Returns whether a step is a waiting gang that has asked for advice, and may get or has enough.
+    fn is_gang_with_advice(&self, name: &StepName) -> bool {
+        let job = self.jobs.get(&name.job);
+        let step = job.and_then(|job| job.step(name));
+        step.is_some_and(|(spec, step)| {
+            spec.gang && (step.advice_suffices || step.advice_requested_at.is_some())
+        })
+    }
+
     /// Plans the room of a step that waits for answers, or has tickets and has not started yet.
     fn plan_room(&self, name: &StepName, planned_room: &mut PlannedRoom, now: Instant) {
         let Some(job) = self.jobs.get(&name.job) else {
@@ -231,79 +223,6 @@
         is_due.then_some(cost)
     }
 
-    /// Returns the advice requests for a step: at most one for single tasks, and for a gang several
-    /// that different advisors answer at the same time, since all its tickets must be valid at
-    /// once.
-    fn advice_requests(
-        &self,
-        name: &StepName,
-        cost: &AdviceCost,
-        round: &AdviceRound<'_>,
-        now: Instant,
-    ) -> Vec<AdviceRequest> {
-        let Some(job) = self.jobs.get(&name.job) else {
-            return Vec::new();
-        };
-        let Some((spec, step)) = job.step(name) else {
-            return Vec::new();
-        };
-        let waiting = step.units.iter().filter(|unit| unit.is_waiting()).count();
-        let estimate = self.estimate(job, spec);
-        let expected =
-            |worker_capacity: &WorkerCapacity| self.expected_on(spec, &estimate, worker_capacity);
-        if !spec.gang
-            && fits_with_ticket(
-                spec,
-                step,
-                round.free_capacity,
-                round.may_start_at(job, now),
-                expected,
-            )
-        {
-            return Vec::new();
-        }
-        let time_left = self.time_left(job, spec, now);
-        let per_request = if spec.gang {
-            affordable_workers(cost).clamp(1, REQUEST_WORKERS_MAX)
-        } else {
-            REQUEST_WORKERS_MAX
-        };
-        let reservation = step.gang_reservation.as_ref();
-        let may_start_at = round.may_start_at(job, now);
-        let starts_at = reservation.map_or(may_start_at, |reservation| reservation.starts_at);
-        let view = AdviceView {
-            workers: &self.workers,
-            free_capacity: round.free_capacity,
-            planned_room: &round.planned_room,
-            now,
-            needed_at: starts_at.max(now + cost.duration(per_request)),
-        };
-        let known = known_advice(&view, job, spec, step, expected, |worker_capacity| {
-            let far = self.far_slowdown(spec, worker_capacity.rack.as_ref());
-            estimate.rank(worker_capacity.slowness, far, time_left)
-        });
-        let workers = if spec.gang {
-            let allowed_share = self.allowed_shares.expected(&job.queue.queue);
-            gang_request_workers(known, spec, reservation, allowed_share, cost, now)
-        } else {
-            let is_first = step.advice.is_empty();
-            let candidates = if is_first {
-                known.not_asked
-            } else {
-                known.fitting_without_ticket()
-            };
-            let count = single_task_request_workers(cost, waiting, is_first);
-            spread_over(candidates, name, count)
-        };
-        let to_request = |workers: &[WorkerId]| AdviceRequest {
-            step: name.clone(),
-            workers: workers.to_vec(),
-            expected: cost.duration(workers.len()),
-        };
-        let chunks = workers.chunks(per_request).take(GANG_REQUESTS_MAX);
-        chunks.map(to_request).collect()
-    }
-
     /// Handles an advisor's answer, or `None` if no answer came.
     pub fn advice_answered(
         &mut self,
@@ -385,23 +304,3 @@
 fn usable_time(cost: &AdviceCost) -> Duration {
     cost.valid.saturating_sub(TICKET_MARGIN)
 }
-
-/// Returns whether a task of a step, of the `expected` time there, fits now on a worker with a valid
-/// ticket.
-fn fits_with_ticket(
-    spec: &StepSpec,
-    step: &StepRun,
-    free_capacity: &FreeCapacity,
-    now: Instant,
-    expected: impl Fn(&WorkerCapacity) -> Duration,
-) -> bool {
-    let size = spec.charged_resources();
-    step.advice.iter().any(|(worker, advice)| {
-        let Some(worker_capacity) = free_capacity.worker(worker) else {
-            return false;
-        };
-        let ticket = advice.ticket(worker_capacity.started_unix_ms, now);
-        let usable = worker_capacity.usable(now + expected(worker_capacity));
-        ticket.is_some() && size.fits_in(&usable)
-    })
-}
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -181,6 +181,9 @@
     pub(crate) reservation_check_at: Option<Instant>,
     /// When the advice requests under way were made; `None` if there are none.
     pub(crate) advice_requested_at: Option<Instant>,
+    /// Whether the allowed workers were enough for a gang if nothing else ran there, when last looked
+    /// at.
+    pub(crate) advice_suffices: bool,
     /// The workers that the requests under way name.
     pub(crate) advice_named: Vec<WorkerId>,
     /// When workers to request advice about are next looked for, after none were found.
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admit;
 mod advice_counts;
+mod advice_requests;
 mod advice_workers;
 mod advise;
 mod advisors;
--- a/jackdawchute-scheduler/src/place/mod.rs
+++ b/jackdawchute-scheduler/src/place/mod.rs
@@ -13,8 +13,7 @@
 
 use std::time::{Duration, Instant};
 
-use self::reservations::reservations_max;
-pub(crate) use self::waits::Waits;
+pub(crate) use self::{reservations::reservations_max, waits::Waits};
 use crate::{
     free_capacity::FreeCapacity,
     rank::RankedStep,
--- a/jackdawchute-scheduler/src/place/reservations.rs
+++ b/jackdawchute-scheduler/src/place/reservations.rs
@@ -175,7 +175,7 @@
 }
 
 /// Returns how many gangs may hold a reservation at a time, by the number of workers in the cell.
-pub(super) fn reservations_max(workers: usize) -> usize {
+pub(crate) fn reservations_max(workers: usize) -> usize {
     ((workers as f64).sqrt() * RESERVATIONS_PER_ROOT)
         .round()
         .max(1.0) as usize
--- a/jackdawchute-scheduler/tests/behaviour/advice.rs
+++ b/jackdawchute-scheduler/tests/behaviour/advice.rs
@@ -449,3 +449,35 @@
     }
     assert_eq!(cell.take_starts().len(), 6);
 }
+
+/// Issue 58: gangs that could not start for long took the advisors from those that could.
+#[test]
+fn gangs_without_room_ask_ahead_for_the_next_reservations_only() {
+    let mut cell = wide_cell();
+    let filler = StepSpec {
+        estimate: ms(60_000),
+        ..step(60, 4)
+    };
+    cell.accept("filler", vec![filler], queue(0));
+    for start in cell.take_starts() {
+        cell.confirm_start(&start);
+    }
+    let patient = QueuePolicy {
+        target: ms(600_000),
+        ..advised_queue(1)
+    };
+    for index in 0..12 {
+        let job = format!("gang-{index:02}");
+        cell.accept(&job, vec![gang(4, 4)], patient.clone());
+    }
+
+    let mut asked = BTreeSet::new();
+    for _ in 0..20 {
+        asked.extend(cell.advice.iter().map(|request| request.step.job.clone()));
+        answer_advice(&mut cell);
+        cell.tick(100);
+    }
+
+    // Sixty workers have two reservations.
+    assert_eq!(asked.len(), 4, "{asked:?}");
+}
