fix: planned room that cannot be used keeps no advice from gangs that fit

Cause: room counted as planned for every better ranked step with tickets or requests under way, also for gangs that don't fit, on workers without room, and beside a reservation that already keeps it. And a gang that may fit now, but is not expected to by the share that advisors allow, counted as one that asks ahead. A gang that may fit now asks about all workers with room, however many ask ahead. Measured: gangs_that_do_not_fit_keep_no_room_from_one_that_does failed before and passes.

--- a/jackdawchute-scheduler/src/advice_workers.rs
+++ b/jackdawchute-scheduler/src/advice_workers.rs
@@ -228,9 +228,8 @@
         }
         workers = with_room_now(known.lapsed, tasks_missing, 0);
         let others_min = workers_min.saturating_sub(workers.len());
-        let not_asked_tasks = f64::from(tasks_now(&known.not_asked)) * allowed_share;
-        if not_asked_tasks >= others_missing {
-            let wanted = others_missing / allowed_share;
+        let wanted = others_missing / allowed_share;
+        if f64::from(tasks_now(&known.not_asked)) >= wanted || !search.asks_ahead {
             workers.extend(with_room_now(known.not_asked, wanted, others_min));
             return workers;
         }
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -105,7 +105,7 @@
     }
 
     /// Returns the number of a step's tasks that wait for workers.
-    fn waiting_tasks(&self, name: &StepName) -> usize {
+    pub(crate) fn waiting_tasks(&self, name: &StepName) -> usize {
         let job = self.jobs.get(&name.job);
         job.and_then(|job| job.step(name))
             .map_or(0, |(spec, step)| {
@@ -139,7 +139,7 @@
             return;
         }
         for step in better {
-            self.plan_room(&step.name, &mut round.planned_room, now);
+            self.plan_room(&step.name, round, now);
         }
         round.planned_steps += better.len();
         let WantedAdvice {
@@ -176,28 +176,6 @@
         })
     }
 
-    /// Plans the room of a step that waits for answers, or has tickets and has not started yet.
-    fn plan_room(&self, name: &StepName, planned_room: &mut PlannedRoom, now: Instant) {
-        let Some(job) = self.jobs.get(&name.job) else {
-            return;
-        };
-        let Some((spec, step)) = job.step(name) else {
-            return;
-        };
-        let is_denied = |worker: &WorkerId| matches!(step.advice.get(worker), Some(Advice::Denied));
-        let named = step.advice_named.iter().filter(|it| !is_denied(it));
-        let mut workers: Vec<WorkerId> = named.cloned().collect();
-        if workers.is_empty() {
-            let allowed = step
-                .advice
-                .iter()
-                .filter(|(_, advice)| advice.is_usable(now));
-            workers = allowed.map(|(worker, _)| worker.clone()).collect();
-        }
-        let waiting = u32::try_from(self.waiting_tasks(name)).unwrap_or(u32::MAX);
-        planned_room.plan(&workers, &spec.charged_resources(), waiting);
-    }
-
     /// Returns the cost of a step's advice if the step has tasks to place, no request of it is under
     /// way, and it has not found a short time ago that there is nobody to ask about.
     ///
--- a/jackdawchute-scheduler/tests/behaviour/advice.rs
+++ b/jackdawchute-scheduler/tests/behaviour/advice.rs
@@ -481,3 +481,38 @@
     // Sixty workers have two reservations.
     assert_eq!(asked.len(), 4, "{asked:?}");
 }
+
+/// Issue 58: room that waiting gangs had tickets for and could not use was kept from others.
+#[test]
+fn gangs_that_do_not_fit_keep_no_room_from_one_that_does() {
+    let workers: Vec<_> = (0..4).map(|index| entry(&format!("w{index}"), 4)).collect();
+    let mut cell = ready_cell(1, &workers);
+    let filler = StepSpec {
+        estimate: ms(60_000),
+        per_worker_max: Some(1),
+        ..step(4, 2)
+    };
+    cell.accept("filler", vec![filler], queue(0));
+    for start in cell.take_starts() {
+        cell.confirm_start(&start);
+    }
+    let patient = |queue| QueuePolicy {
+        target: ms(600_000),
+        ..queue
+    };
+    for index in 0..4 {
+        let steps = vec![gang(4, 4)];
+        cell.accept(&format!("large-{index}"), steps, patient(advised_queue(1)));
+        answer_advice(&mut cell);
+    }
+
+    cell.accept("small", vec![gang(4, 2)], patient(advised_queue(2)));
+    for _ in 0..4 {
+        answer_advice(&mut cell);
+        cell.tick(20);
+    }
+
+    let starts = cell.take_starts();
+    let of_small = starts.iter().filter(|start| start.task.step.job == "small");
+    assert_eq!(of_small.count(), 4, "{starts:?}");
+}
