test: a gang with room twice over requests no advice behind gangs without room

A gang counts as fitting only if the room on workers that nobody was asked about, times the expected share of allowed workers, is one and a half times its size. If not, it asks only while gangs with a better rank leave it a place to ask ahead; these may wait for workers of another kind for as long as they like. Measured: 0 of 2 tasks start in 3 s behind four gangs, all behind three; 20 of 60 workers are in use.

--- /dev/null
+++ b/jackdawchute-scheduler/tests/behaviour/advice_review.rs
@@ -0,0 +1,105 @@
+//! Review of issue 58: accepted gangs that stand still beside room because no advice is requested
+//! for them.
+
+use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest, QueuePolicy, StepSpec, WorkerEntry};
+use jackdawchute_types::WorkerId;
+
+use crate::fixtures::*;
+
+/// How long an accepted job may stand still beside room, by the users' rules, in milliseconds.
+const STANDSTILL_MAX_MS: u64 = 3_000;
+const STEP_MS: u64 = 20;
+/// How many gangs without room may know their workers in a cell of sixty workers, which has two
+/// reservations.
+const GANGS_AHEAD: usize = 4;
+
+/// Workers of four cores with a label.
+fn labelled(label: &str, count: usize) -> Vec<WorkerEntry> {
+    let worker = |index| WorkerEntry {
+        labels: vec![label.into(), "r1".into()],
+        ..entry(&format!("{label}{index:02}"), 4)
+    };
+    (0..count).map(worker).collect()
+}
+
+/// A step with a label whose tasks run for longer than a test.
+fn on(label: &str, step: StepSpec) -> StepSpec {
+    StepSpec {
+        required_label: Some(label.into()),
+        estimate: ms(60_000),
+        ..step
+    }
+}
+
+/// A queue whose jobs can wait for this long.
+fn patient(target_ms: u64) -> QueuePolicy {
+    QueuePolicy {
+        target: ms(target_ms),
+        ..advised_queue(1)
+    }
+}
+
+/// Answers an advice request: at most this many of the named workers may run the step.
+fn allow_first(cell: &mut Cell, request: &AdviceRequest, allowed_max: usize) {
+    let allowed = request.workers.iter().take(allowed_max);
+    let answer = AdviceAnswer {
+        allowed: allowed
+            .map(|worker| (worker.clone(), "ticket".into()))
+            .collect(),
+    };
+    cell.scheduler
+        .advice_answered(request, Some(answer), cell.now);
+    cell.run_round();
+}
+
+/// Lets the longest standstill that the users allow pass, with advisors that allow all workers at
+/// once; returns how many tasks of a job start.
+fn starts_within_standstill(cell: &mut Cell, job: &str) -> usize {
+    for _ in 0..STANDSTILL_MAX_MS / STEP_MS {
+        cell.tick(STEP_MS);
+        for request in std::mem::take(&mut cell.advice) {
+            allow_first(cell, &request, usize::MAX);
+        }
+    }
+    let starts = cell.take_starts();
+    starts
+        .iter()
+        .filter(|start| start.task.step.job == job)
+        .count()
+}
+
+/// Fills all workers of a label with tasks that run for longer than a test.
+fn fill(cell: &mut Cell, label: &str, workers: u32) {
+    cell.accept("filler", vec![on(label, step(workers, 4))], queue(0));
+    let starts = cell.take_starts();
+    assert_eq!(starts.len(), workers as usize);
+    for start in starts {
+        cell.confirm_start(&start);
+    }
+}
+
+/// Accepts gangs that know enough workers of a label, all of which are in use.
+fn accept_gangs_ahead(cell: &mut Cell, label: &str) {
+    for index in 0..GANGS_AHEAD {
+        let job = format!("ahead-{index}");
+        cell.accept(&job, vec![on(label, gang(4, 4))], patient(60_000));
+        for request in std::mem::take(&mut cell.advice) {
+            allow_first(cell, &request, 8);
+        }
+    }
+    assert!(cell.take_starts().is_empty());
+}
+
+/// Gangs that wait for workers of another kind are all that may ask ahead, and the expected share of
+/// allowed workers makes the gang's room look too small.
+#[test]
+fn a_gang_with_room_twice_over_requests_advice_behind_gangs_without_room() {
+    let workers = [labelled("a", 20), labelled("b", 4), labelled("idle", 36)];
+    let mut cell = ready_cell(1, &workers.concat());
+    fill(&mut cell, "a", 20);
+    accept_gangs_ahead(&mut cell, "a");
+
+    cell.accept("gang", vec![on("b", gang(2, 4))], patient(600_000));
+
+    assert_eq!(starts_within_standstill(&mut cell, "gang"), 2);
+}
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod advice_after_takeover;
+mod advice_review;
 mod authority;
 mod cut_off_lists;
 mod fixtures;
