test: a gang does not renew lapsed tickets behind gangs without room

Where the allowed workers have room for a gang, but less than one and a half times its size, the requests for their lapsed tickets are built and then left out with those that ask ahead (workers_without_reservation). Measured: 0 of 7 tasks start in 3 s beside room for 14, behind four gangs that wait for other workers; 20 of 60 workers are in use. The queue's advisors have allowed 0.36 of the workers, so that the room on the six that nobody was asked about counts as 2.1 tasks.

--- a/jackdawchute-scheduler/tests/behaviour/advice_review.rs
+++ b/jackdawchute-scheduler/tests/behaviour/advice_review.rs
@@ -1,7 +1,9 @@
 //! Review of issue 58: accepted gangs that stand still beside room because no advice is requested
 //! for them.
 
-use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest, QueuePolicy, StepSpec, WorkerEntry};
+use jackdawchute_scheduler::{
+    AdviceAnswer, AdviceRequest, EndReason, QueuePolicy, StepSpec, WorkerEntry,
+};
 use jackdawchute_types::WorkerId;
 
 use crate::fixtures::*;
@@ -68,9 +70,13 @@
         .count()
 }
 
-/// Fills all workers of a label with tasks that run for longer than a test.
-fn fill(cell: &mut Cell, label: &str, workers: u32) {
-    cell.accept("filler", vec![on(label, step(workers, 4))], queue(0));
+/// Fills all workers of a label with tasks that are declared to run for this long.
+fn fill(cell: &mut Cell, label: &str, workers: u32, estimate_ms: u64) {
+    let filler = StepSpec {
+        estimate: ms(estimate_ms),
+        ..on(label, step(workers, 4))
+    };
+    cell.accept("filler", vec![filler], queue(0));
     let starts = cell.take_starts();
     assert_eq!(starts.len(), workers as usize);
     for start in starts {
@@ -83,8 +89,10 @@
     for index in 0..GANGS_AHEAD {
         let job = format!("ahead-{index}");
         cell.accept(&job, vec![on(label, gang(4, 4))], patient(60_000));
-        for request in std::mem::take(&mut cell.advice) {
-            allow_first(cell, &request, 8);
+        let mut allowed_max = 4;
+        while let Some(request) = cell.advice.pop() {
+            allow_first(cell, &request, allowed_max);
+            allowed_max = 0;
         }
     }
     assert!(cell.take_starts().is_empty());
@@ -96,10 +104,51 @@
 fn a_gang_with_room_twice_over_requests_advice_behind_gangs_without_room() {
     let workers = [labelled("a", 20), labelled("b", 4), labelled("idle", 36)];
     let mut cell = ready_cell(1, &workers.concat());
-    fill(&mut cell, "a", 20);
+    fill(&mut cell, "a", 20, 60_000);
     accept_gangs_ahead(&mut cell, "a");
 
     cell.accept("gang", vec![on("b", gang(2, 4))], patient(600_000));
 
     assert_eq!(starts_within_standstill(&mut cell, "gang"), 2);
 }
+
+/// Lists further workers, which report that they run nothing.
+fn join(cell: &mut Cell, workers: &[WorkerEntry]) {
+    for worker in workers {
+        cell.scheduler.worker_listed(worker.clone(), cell.now);
+    }
+    cell.tick(1);
+    for worker in workers {
+        let renewal = cell.latest_renewal_of(&worker.worker);
+        cell.answer_renewal(&renewal, Vec::new(), Vec::new());
+    }
+    cell.tick(1);
+    cell.commit();
+}
+
+/// The gang has tickets for more workers than it needs, and they have lapsed.
+#[test]
+fn a_gang_with_room_on_allowed_workers_renews_its_tickets_behind_gangs_without_room() {
+    let workers = [labelled("a", 20), labelled("b", 8), labelled("idle", 26)];
+    let mut cell = ready_cell(1, &workers.concat());
+    fill(&mut cell, "a", 20, 7_500);
+    cell.accept("filler-b", vec![on("b", step(8, 4))], queue(0));
+    let runs_on_b = cell.take_starts();
+    for start in &runs_on_b {
+        cell.confirm_start(start);
+    }
+    cell.accept("gang", vec![on("b", gang(7, 4))], patient(600_000));
+    let request = cell.advice.remove(0);
+    allow_first(&mut cell, &request, 8);
+    accept_gangs_ahead(&mut cell, "a");
+    cell.tick(3_000);
+    join(&mut cell, &labelled("b", 14)[8..]);
+
+    for start in &runs_on_b {
+        let renewal = cell.latest_renewal_of(&start.worker);
+        let end = ended(1, start, EndReason::Succeeded);
+        cell.answer_renewal(&renewal, Vec::new(), vec![end]);
+    }
+
+    assert_eq!(starts_within_standstill(&mut cell, "gang"), 7);
+}
