test: a gang with a late reservation asks about no other workers with room

A gang asks about one and a half times what it needs; if others take these workers before the answer, it reserves them for when they become free, up to eight seconds later, and asks about nothing else until shortly before.

--- a/jackdawchute-scheduler/tests/behaviour/advice_review.rs
+++ b/jackdawchute-scheduler/tests/behaviour/advice_review.rs
@@ -152,3 +152,31 @@
 
     assert_eq!(starts_within_standstill(&mut cell, "gang"), 7);
 }
+
+/// The workers that the advisor allowed were taken by others before its answer came.
+#[test]
+fn a_gang_with_a_late_reservation_requests_advice_about_other_workers_with_room() {
+    let workers = [labelled("a", 4), labelled("b", 16)];
+    let mut cell = ready_cell(1, &workers.concat());
+    let unlabelled = StepSpec {
+        estimate: ms(60_000),
+        ..gang(4, 4)
+    };
+    cell.accept("gang", vec![unlabelled], patient(600_000));
+    let request = cell.advice.remove(0);
+    let filler = StepSpec {
+        estimate: ms(7_000),
+        ..on("a", step(4, 4))
+    };
+    cell.accept("filler", vec![filler], queue(0));
+    for start in cell.take_starts() {
+        cell.confirm_start(&start);
+    }
+
+    cell.now += ms(50);
+    allow_first(&mut cell, &request, 4);
+
+    let not_asked = 20 - request.workers.len();
+    assert!(not_asked >= 8, "room twice over: {not_asked}");
+    assert_eq!(starts_within_standstill(&mut cell, "gang"), 4);
+}
