test: room is planned for tasks that do not fit there

The room of steps with a better rank is planned on all workers that they have tickets for or have asked about, also where none of their tasks fits now (plan_room). A gang of smaller tasks then counts no room, and asks only when the others' tickets have lapsed. Measured: behind six gangs of tasks of four cores, a gang of eight tasks of one core does not start within 3 s in a cell with three of the four cores of each worker free.

--- a/jackdawchute-scheduler/tests/behaviour/advice_review.rs
+++ b/jackdawchute-scheduler/tests/behaviour/advice_review.rs
@@ -1,8 +1,10 @@
 //! Review of issue 58: accepted gangs that stand still beside room because no advice is requested
 //! for them.
 
+use std::time::Instant;
+
 use jackdawchute_scheduler::{
-    AdviceAnswer, AdviceRequest, EndReason, QueuePolicy, StepSpec, WorkerEntry,
+    AdviceAnswer, AdviceCost, AdviceRequest, EndReason, QueuePolicy, StepSpec, WorkerEntry,
 };
 use jackdawchute_types::WorkerId;
 
@@ -180,3 +182,61 @@
     assert!(not_asked >= 8, "room twice over: {not_asked}");
     assert_eq!(starts_within_standstill(&mut cell, "gang"), 4);
 }
+
+/// A queue whose advice takes half a second and more, and whose jobs can wait for this long.
+fn dear(target_ms: u64) -> QueuePolicy {
+    QueuePolicy {
+        advice: Some(AdviceCost {
+            fixed_ms: 455.0,
+            per_worker_ms: 6.5,
+            valid: ms(2_000),
+        }),
+        ..patient(target_ms)
+    }
+}
+
+/// Lets the longest standstill pass, with advisors that are never busy and take the expected time.
+fn starts_with_slow_advice(cell: &mut Cell, job: &str) -> usize {
+    let mut answers = Vec::new();
+    for _ in 0..STANDSTILL_MAX_MS / STEP_MS {
+        let now = cell.now;
+        let requests = std::mem::take(&mut cell.advice).into_iter();
+        answers.extend(requests.map(|request| (now + request.expected, request)));
+        cell.tick(STEP_MS);
+        let (due, later) = answers.into_iter().partition(|(at, _)| *at <= cell.now);
+        answers = later;
+        let due: Vec<(Instant, AdviceRequest)> = due;
+        for (_, request) in due {
+            allow_first(cell, &request, usize::MAX);
+        }
+    }
+    let starts = cell.take_starts();
+    starts
+        .iter()
+        .filter(|start| start.task.step.job == job)
+        .count()
+}
+
+/// Three of the four cores of each worker are free, which is too little for the tasks of the gangs
+/// with a better rank.
+#[test]
+fn room_is_not_planned_for_tasks_that_do_not_fit_there() {
+    let mut cell = ready_cell(1, &labelled("a", 84));
+    let one_per_worker = StepSpec {
+        per_worker_max: Some(1),
+        ..on("a", step(84, 1))
+    };
+    cell.accept("filler", vec![one_per_worker], queue(0));
+    for start in cell.take_starts() {
+        cell.confirm_start(&start);
+    }
+    // Cells of 84 workers have three reservations.
+    for index in 0..6 {
+        let job = format!("ahead-{index}");
+        cell.accept(&job, vec![on("a", gang(12, 4))], dear(60_000));
+    }
+
+    cell.accept("gang", vec![on("a", gang(8, 1))], dear(600_000));
+
+    assert_eq!(starts_with_slow_advice(&mut cell, "gang"), 8);
+}
