test: requests are sent that their advisors refuse

Requests about one step may start up to half of the tickets' validity apart (Advisors::assign), and an advisor refuses what would wait for more than 1.2 s (ADVISOR_BACKLOG_MAX). What the backlog allowed was checked by the leader before. Measured: with one idle advisor and tickets that are valid for 5 s, a request is sent that waits for 2.4 s.

--- a/jackdawchute-scheduler/tests/behaviour/advice_review.rs
+++ b/jackdawchute-scheduler/tests/behaviour/advice_review.rs
@@ -1,7 +1,7 @@
 //! Review of issue 58: accepted gangs that stand still beside room because no advice is requested
 //! for them.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use jackdawchute_scheduler::{
     AdviceAnswer, AdviceCost, AdviceRequest, EndReason, QueuePolicy, StepSpec, WorkerEntry,
@@ -240,3 +240,28 @@
 
     assert_eq!(starts_with_slow_advice(&mut cell, "gang"), 8);
 }
+
+/// An advisor refuses a request that would wait for longer.
+const BACKLOG_MAX: Duration = Duration::from_millis(1_200);
+
+/// A refused request is as good as not sent, and its step counts it as under way.
+#[test]
+fn no_request_waits_for_longer_than_its_advisor_allows() {
+    let mut cell = ready_cell(1, &labelled("a", 60));
+    cell.advisors = Some(advisors([cell.now].into_iter()));
+    let slow_advice = AdviceCost {
+        fixed_ms: 500.0,
+        per_worker_ms: 60.0,
+        valid: ms(5_000),
+    };
+    let queue = QueuePolicy {
+        advice: Some(slow_advice),
+        ..patient(60_000)
+    };
+
+    cell.accept("gang", vec![on("a", gang(12, 4))], queue);
+
+    let before_last = cell.advice.iter().rev().skip(1);
+    let waits: Duration = before_last.map(|request| request.expected).sum();
+    assert!(waits <= BACKLOG_MAX, "{waits:?}");
+}
