test: a gang waits for an advisor that answers nothing beside one that is free

When the expected time of its requests has passed, an advisor that has answered none of them counts as free (advisor_free_at) and gets the next ones, and a step asks nobody else until all its requests have ended or 2.5 s have passed; the tickets of the advisor that answers lapse meanwhile. Measured: in a cell of two advisors a gang starts later than 3 s after its acceptance; the log shows the advisor that answers with nothing to do from 1.6 s to 2.5 s.

--- a/jackdawchute-cell/tests/cell/main.rs
+++ b/jackdawchute-cell/tests/cell/main.rs
@@ -1,6 +1,7 @@
 //! Instances in one process, connected over TCP, on an in-memory platform.
 
 mod advice;
+mod advice_review;
 mod busy_leader;
 mod fixtures;
 mod instances;
