test: small gangs that use whole workers stand still in an idle cell

What a gang is about to use is planned in equal parts on all workers that it asks about (PlannedRoom::plan), so that none of them has a whole worker's room for the next gang. After eight gangs the cell looks full, four more may ask ahead, and the rest waits until these have started, with idle advisors.

--- a/jackdawchute-scheduler/tests/behaviour/advice_review.rs
+++ b/jackdawchute-scheduler/tests/behaviour/advice_review.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use jackdawchute_scheduler::{
-    AdviceAnswer, AdviceCost, AdviceRequest, EndReason, QueuePolicy, StepSpec, WorkerEntry,
+    AdviceAnswer, AdviceCost, AdviceRequest, EndReason, QueuePolicy, StartOrder, StepSpec,
+    WorkerEntry,
 };
 use jackdawchute_types::WorkerId;
 
@@ -196,7 +197,7 @@
 }
 
 /// Lets the longest standstill pass, with advisors that are never busy and take the expected time.
-fn starts_with_slow_advice(cell: &mut Cell, job: &str) -> usize {
+fn starts_with_slow_advice(cell: &mut Cell) -> Vec<StartOrder> {
     let mut answers = Vec::new();
     for _ in 0..STANDSTILL_MAX_MS / STEP_MS {
         let now = cell.now;
@@ -210,11 +211,7 @@
             allow_first(cell, &request, usize::MAX);
         }
     }
-    let starts = cell.take_starts();
-    starts
-        .iter()
-        .filter(|start| start.task.step.job == job)
-        .count()
+    cell.take_starts()
 }
 
 /// Three of the four cores of each worker are free, which is too little for the tasks of the gangs
@@ -238,7 +235,10 @@
 
     cell.accept("gang", vec![on("a", gang(8, 1))], dear(600_000));
 
-    assert_eq!(starts_with_slow_advice(&mut cell, "gang"), 8);
+    let starts = starts_with_slow_advice(&mut cell);
+
+    let is_of_gang = |start: &&StartOrder| start.task.step.job == "gang";
+    assert_eq!(starts.iter().filter(is_of_gang).count(), 8);
 }
 
 /// An advisor refuses a request that would wait for longer.
@@ -265,3 +265,18 @@
     let waits: Duration = before_last.map(|request| request.expected).sum();
     assert!(waits <= BACKLOG_MAX, "{waits:?}");
 }
+
+/// The gangs need 160 of 350 idle workers, all of them whole workers. What a gang is about to use is
+/// planned in equal parts on all workers that it asks about, so that no whole worker seems free.
+#[test]
+fn small_gangs_that_use_whole_workers_all_request_advice_in_an_idle_cell() {
+    let mut cell = ready_cell(1, &labelled("a", 350));
+    for index in 0..80 {
+        let job = format!("gang-{index:02}");
+        cell.accept(&job, vec![on("a", gang(2, 4))], dear(60_000));
+    }
+
+    let starts = starts_with_slow_advice(&mut cell);
+
+    assert_eq!(starts.len(), 160);
+}
