--- a/jackdawchute-cell/src/leader/advisors.rs
+++ b/jackdawchute-cell/src/leader/advisors.rs
@@ -55,7 +55,7 @@
             })
             .collect();
         let reserved = self.short_request_load.reserved(slots.len());
-        Advisors::new(slots, reserved, SHORT_REQUEST_MAX)
+        Advisors::new(slots, reserved, SHORT_REQUEST_MAX, ADVISOR_BACKLOG_MAX)
     }
 
     /// Sends a request to an instance's advisor, this one's or a peer's.
--- a/jackdawchute-scheduler/examples/round.rs
+++ b/jackdawchute-scheduler/examples/round.rs
@@ -150,7 +150,7 @@
         advisor: ([127, 0, 0, 1], port).into(),
         free_at: now,
     });
-    Advisors::new(slots.collect(), 0, Duration::ZERO)
+    Advisors::new(slots.collect(), 0, Duration::ZERO, Duration::ZERO)
 }
 
 fn entry(number: u32) -> WorkerEntry {
--- a/jackdawchute-scheduler/src/advice_requests.rs
+++ b/jackdawchute-scheduler/src/advice_requests.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     advice_workers::{
-        affordable_workers, gang_request_workers, known_advice, single_task_request_workers,
-        spread_over, AdviceView, GangSearch, REQUEST_WORKERS_MAX,
+        affordable_workers, gang_request_workers, known_advice, request_lead,
+        single_task_request_workers, spread_over, AdviceView, GangSearch, REQUEST_WORKERS_MAX,
     },
     advisors::Advisors,
     free_capacity::{FreeCapacity, WorkerCapacity},
@@ -81,7 +81,9 @@
             true => affordable_workers(cost).clamp(1, REQUEST_WORKERS_MAX),
             false => REQUEST_WORKERS_MAX,
         };
-        let reservation = step.gang_reservation.as_ref();
+        // A gang may fit elsewhere long before its reservation starts.
+        let reserved = step.gang_reservation.as_ref();
+        let reservation = reserved.filter(|it| it.starts_at <= now + request_lead(it, cost));
         let starts_at = reservation.map_or(may_start_at, |reservation| reservation.starts_at);
         let view = AdviceView {
             workers: &self.workers,
@@ -102,9 +104,9 @@
                 cost,
                 allowed_share: self.allowed_shares.expected(&job.queue.queue),
                 // The workers that recovery waits for may have room when it ends.
-                asks_ahead: round.ahead_left > 0 || job.recovering,
+                asks_ahead: reserved.is_none() && (round.ahead_left > 0 || job.recovering),
             };
-            gang_request_workers(known, &search, now)
+            gang_request_workers(known, &search)
         } else {
             let waiting = step.units.iter().filter(|unit| unit.is_waiting()).count();
             let is_first = step.advice.is_empty();
--- a/jackdawchute-scheduler/src/advice_workers.rs
+++ b/jackdawchute-scheduler/src/advice_workers.rs
@@ -155,9 +155,15 @@
     }
 }
 
+/// Returns how long before its start the tickets of a reservation are requested.
+pub(crate) fn request_lead(reservation: &GangReservation, cost: &AdviceCost) -> Duration {
+    cost.duration(reservation.workers.len()) + REQUEST_LEAD
+}
+
 /// A gang that looks for workers to ask about.
 pub(crate) struct GangSearch<'a> {
     pub(crate) spec: &'a StepSpec,
+    /// The reservation, if it starts soon.
     pub(crate) reservation: Option<&'a GangReservation>,
     pub(crate) cost: &'a AdviceCost,
     /// The share of the workers that advisors are expected to allow.
@@ -168,20 +174,12 @@
 
 /// Returns the workers to name in requests for a gang.
 ///
-/// With a reservation, these are the reserved workers, shortly before the gang can start.
-pub(crate) fn gang_request_workers(
-    known: KnownAdvice,
-    search: &GangSearch<'_>,
-    now: Instant,
-) -> Vec<WorkerId> {
+/// With a reservation that starts soon, these are the reserved workers.
+pub(crate) fn gang_request_workers(known: KnownAdvice, search: &GangSearch<'_>) -> Vec<WorkerId> {
     let Some(reservation) = search.reservation else {
         return workers_without_reservation(known, search);
     };
     let cost = search.cost;
-    let lead = cost.duration(reservation.workers.len()) + REQUEST_LEAD;
-    if reservation.starts_at > now + lead {
-        return Vec::new();
-    }
     let is_reserved = |candidate: &AdviceCandidate| reservation.workers.contains(&candidate.worker);
     if !known.lapsed.iter().any(is_reserved) {
         return Vec::new();
--- a/jackdawchute-scheduler/src/advisors.rs
+++ b/jackdawchute-scheduler/src/advisors.rs
@@ -33,27 +33,35 @@
     reserved: usize,
     /// The longest expected time of a short request.
     short_max: Duration,
+    /// The longest time that a request may wait at its advisor.
+    backlog_max: Duration,
     /// How long before an advisor is free a request may be sent to it.
     send_ahead: Duration,
 }
 
 impl Advisors {
     /// Returns advisors of which the first `reserved` answer only requests that are expected to take
-    /// `short_max` at most.
+    /// `short_max` at most, and all refuse what would wait for more than `backlog_max`.
     ///
     /// ```
     /// use std::time::{Duration, Instant};
     /// use jackdawchute_scheduler::{AdvisorSlot, Advisors};
     ///
     /// let slot = AdvisorSlot { advisor: ([127, 0, 0, 1], 80).into(), free_at: Instant::now() };
-    /// let advisors = Advisors::new(vec![slot], 0, Duration::ZERO);
+    /// let advisors = Advisors::new(vec![slot], 0, Duration::ZERO, Duration::from_secs(1));
     /// assert_eq!(advisors.slots(), [slot]);
     /// ```
-    pub fn new(slots: Vec<AdvisorSlot>, reserved: usize, short_max: Duration) -> Self {
+    pub fn new(
+        slots: Vec<AdvisorSlot>,
+        reserved: usize,
+        short_max: Duration,
+        backlog_max: Duration,
+    ) -> Self {
         Self {
             slots,
             reserved,
             short_max,
+            backlog_max,
             send_ahead: SEND_AHEAD,
         }
     }
@@ -103,7 +111,7 @@
                 Some(first) => first + spread,
                 None => now + self.send_ahead,
             };
-            if starts_at > latest {
+            if starts_at > latest.min(now + self.backlog_max) {
                 break;
             }
             first_starts_at.get_or_insert(starts_at);
--- a/jackdawchute-scheduler/src/planned_room.rs
+++ b/jackdawchute-scheduler/src/planned_room.rs
@@ -22,22 +22,18 @@
 }
 
 impl PlannedRoom {
-    /// Plans room for a number of tasks of a size, spread evenly over workers of which the advisors
-    /// have yet to allow some.
-    fn plan(&mut self, workers: &[WorkerId], size: &Resources, tasks: u32) {
-        let count = workers.len() as u64;
-        let (Some(processor_millicores), Some(memory_mib), Some(accelerators)) = (
-            (size.processor_millicores * u64::from(tasks)).checked_div(count),
-            (size.memory_mib * u64::from(tasks)).checked_div(count),
-            (u64::from(size.accelerators) * u64::from(tasks)).checked_div(count),
-        ) else {
-            return;
-        };
-        let accelerators = u32::try_from(accelerators).unwrap_or(u32::MAX);
-        let each = Resources::new(processor_millicores, memory_mib, accelerators);
-        for worker in workers {
+    /// Plans room for a number of tasks of a size, on the first workers with the number of tasks that
+    /// fit there: advisors have yet to allow some of them, and whole tasks leave the others whole.
+    fn plan(&mut self, workers: &[(WorkerId, u32)], size: &Resources, tasks: u32) {
+        let mut left = tasks;
+        for (worker, fitting) in workers {
+            let here = left.min(*fitting);
+            if here == 0 {
+                break;
+            }
+            left -= here;
             let planned = self.by_worker.entry(worker.clone()).or_default();
-            *planned = planned.saturating_add(&each);
+            *planned = planned.saturating_add(&size.saturating_mul(here));
         }
     }
 
@@ -92,9 +88,6 @@
         if spec.gang && fitting < spec.tasks {
             return;
         }
-        let workers: Vec<WorkerId> = workers.into_iter().map(|(worker, _)| worker).collect();
-        round
-            .planned_room
-            .plan(&workers, &size, waiting.min(fitting));
+        round.planned_room.plan(&workers, &size, waiting);
     }
 }
--- a/jackdawchute-scheduler/tests/behaviour/advice_review.rs
+++ b/jackdawchute-scheduler/tests/behaviour/advice_review.rs
@@ -7,7 +7,6 @@
     AdviceAnswer, AdviceCost, AdviceRequest, EndReason, QueuePolicy, StartOrder, StepSpec,
     WorkerEntry,
 };
-use jackdawchute_types::WorkerId;
 
 use crate::fixtures::*;
 
--- a/jackdawchute-standins/src/load_model/advisors.rs
+++ b/jackdawchute-standins/src/load_model/advisors.rs
@@ -10,6 +10,8 @@
 use jackdawchute_scheduler::{AdviceAnswer, AdviceRequest, AdvisorSlot, Advisors, StepName};
 use jackdawchute_types::{AdvisorId, WorkerId};
 
+/// The backlog above which an advisor gets no further requests.
+const BACKLOG_MAX: Duration = Duration::from_millis(1_200);
 /// The round trip to an advisor through another instance.
 const ROUND_TRIP: Duration = Duration::from_millis(4);
 
@@ -41,7 +43,7 @@
                 free_at: origin + *free_at,
             });
         let reserved = self.short_load.reserved(self.free_at.len());
-        Advisors::new(slots.collect(), reserved, SHORT_REQUEST_MAX)
+        Advisors::new(slots.collect(), reserved, SHORT_REQUEST_MAX, BACKLOG_MAX)
     }
 
     /// Queues a request at an advisor and returns when its answer arrives.
