fix: requests for advice at an instance that has fallen silent are given up and sent to another

Cause: the leader counts an instance as gone 0.9 s after its last heartbeat, and asks it nothing more, but left the requests under way there to the time-out of the call (1.2 + 0.6 + 1.2 + 0.3 s for 0.6 s of advice); their steps wait for ANSWER_WAIT_MAX. Change: the leader task keeps the requests under way by advisor. Each tick gives up those at an instance without a recent heartbeat (log line "advice request given up", given_up of "advice load"); their steps ask again in the next round. An answer that comes all the same brings its tickets, and is not counted as that to a request that followed (Scheduler::late_advice_answered). Ruled out: giving up those at a leaving instance too; it answers what it was asked, and its end closes the connection, which fails the calls at once. A shorter time-out of the call: a busy advisor takes that long.

--- a/jackdawchute-cell/src/leader/advisors.rs
+++ b/jackdawchute-cell/src/leader/advisors.rs
@@ -1,6 +1,9 @@
 //! The leader task's use of the advisors, one at each instance.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_peer::PeerClient;
 use jackdawchute_scheduler::{AdviceCounts, AdviceRequest, AdvisorSlot, Advisors};
@@ -22,6 +25,7 @@
     answered: usize,
     busy: usize,
     failed: usize,
+    given_up: usize,
     /// How long the advisors were expected to take for the answered requests.
     answered_took: Duration,
 }
@@ -39,6 +43,40 @@
     }
 }
 
+/// The number of a request to an advisor, in the order of sending.
+pub(super) type AdviceCallId = u64;
+
+/// The requests whose steps wait for an answer.
+#[derive(Debug, Default)]
+pub(super) struct AdviceUnderWay {
+    last_call: AdviceCallId,
+    requests: BTreeMap<AdviceCallId, (AdvisorId, AdviceRequest)>,
+}
+
+impl AdviceUnderWay {
+    /// Adds a request and returns its number.
+    fn begin(&mut self, advisor: AdvisorId, request: AdviceRequest) -> AdviceCallId {
+        self.last_call += 1;
+        self.requests.insert(self.last_call, (advisor, request));
+        self.last_call
+    }
+
+    /// Removes a request that has an outcome; returns whether its step still waits for one.
+    fn end(&mut self, call: AdviceCallId) -> bool {
+        self.requests.remove(&call).is_some()
+    }
+
+    /// Removes the requests to advisors that are gone.
+    fn take_of(&mut self, is_gone: impl Fn(AdvisorId) -> bool) -> Vec<(AdvisorId, AdviceRequest)> {
+        let (gone, kept) = std::mem::take(&mut self.requests)
+            .into_iter()
+            .partition(|(_, (advisor, _))| is_gone(*advisor));
+        self.requests = kept;
+        let gone: BTreeMap<_, _> = gone;
+        gone.into_values().collect()
+    }
+}
+
 impl LeaderTask {
     /// Returns the advisors that can be asked, this instance's and those of the usable peers.
     ///
@@ -76,6 +114,7 @@
             known.advisor_free_at = known.advisor_free_at.max(now) + request.expected;
             known.advice_under_way += 1;
         }
+        let call = self.advice_under_way.begin(advisor, request.clone());
         self.advice_work.sent += 1;
         info!("advice requested", kv: {
             job = request.step.job.as_str(), step = request.step.step,
@@ -98,6 +137,7 @@
             };
             metrics.call("advise", outcome, sent_at.elapsed());
             let answered = AdviceAnswered {
+                call,
                 request,
                 advisor,
                 advice,
@@ -109,6 +149,7 @@
     /// Handles the outcome of an advice request.
     pub(super) fn advice_answered(&mut self, message: AdviceAnswered, now: Instant) {
         let AdviceAnswered {
+            call,
             request,
             advisor,
             advice,
@@ -131,7 +172,31 @@
             AdviceOutcome::Answered(answer) => Some(answer),
             AdviceOutcome::Busy(_) | AdviceOutcome::Unanswered => None,
         };
-        self.scheduler.advice_answered(&request, answer, now);
+        match (self.advice_under_way.end(call), answer) {
+            (true, answer) => self.scheduler.advice_answered(&request, answer, now),
+            (false, Some(answer)) => self.scheduler.late_advice_answered(&request, answer, now),
+            (false, None) => {}
+        }
+    }
+
+    /// Gives up the requests to advisors whose instances have fallen silent, so that their steps ask
+    /// others before the calls time out.
+    ///
+    /// A leaving instance still answers what it was asked.
+    pub(super) fn give_up_silent_advisors(&mut self, now: Instant) {
+        let (peers, own_address) = (&self.peers, self.own_address);
+        let is_heard = |advisor| peers.get(&advisor).is_some_and(|known| known.is_heard(now));
+        let given_up = self
+            .advice_under_way
+            .take_of(|advisor| advisor != own_address && !is_heard(advisor));
+        self.advice_work.given_up += given_up.len();
+        for (advisor, request) in given_up {
+            info!("advice request given up: its advisor's instance is silent", kv: {
+                job = request.step.job.as_str(), step = request.step.step,
+                workers = request.workers.len(), advisor: = advisor
+            });
+            self.scheduler.advice_answered(&request, None, now);
+        }
     }
 
     /// Logs the advice requests since the last call, what came of the tickets, and how many advisors
@@ -149,7 +214,7 @@
         let idle = slots.filter(|slot| slot.free_at <= now).count();
         info!("advice load", kv: {
             sent = work.sent, answered = work.answered,
-            busy = work.busy, failed = work.failed,
+            busy = work.busy, failed = work.failed, given_up = work.given_up,
             answered_ms = whole_ms(work.answered_took),
             advisors = advisors.slots().len(), idle_advisors = idle, steps_waiting = steps_waiting,
             tickets_received = tickets_received, tickets_used = tickets_used
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -13,7 +13,7 @@
 use spdlog::{info, warn};
 use xtra::prelude::*;
 
-use super::{answer_all, peers::PeerState, LeaderTask};
+use super::{advisors::AdviceCallId, answer_all, peers::PeerState, LeaderTask};
 use crate::{
     advisor::AdviceOutcome,
     calls::SentAt,
@@ -45,6 +45,7 @@
 );
 /// An advice request with its outcome.
 pub(super) struct AdviceAnswered {
+    pub(super) call: AdviceCallId,
     pub(super) request: AdviceRequest,
     /// The instance whose advisor was called; this one's own address for the local advisor.
     pub(super) advisor: AdvisorId,
@@ -80,6 +81,7 @@
         if self.routes.has_changed().unwrap_or(false) {
             self.use_configured_services(now);
         }
+        self.give_up_silent_advisors(now);
         self.scheduler.tick(now, unix_now());
         self.refuse_unsaved(now);
         self.cancellers.answer(&self.scheduler, now);
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -29,7 +29,7 @@
 use xtra::{prelude::*, refcount::Weak};
 
 use self::{
-    advisors::AdviceWork,
+    advisors::{AdviceUnderWay, AdviceWork},
     authority::EpochConfirmation,
     cancellers::Cancellers,
     handlers::{
@@ -120,6 +120,7 @@
     peers: BTreeMap<SocketAddr, KnownPeer>,
     short_request_load: ShortRequestLoad,
     advice_work: AdviceWork,
+    advice_under_way: AdviceUnderWay,
     own_address: SocketAddr,
     processor_millicores: u64,
     ports: Ports,
@@ -172,6 +173,7 @@
         peers: BTreeMap::new(),
         short_request_load: ShortRequestLoad::default(),
         advice_work: AdviceWork::default(),
+        advice_under_way: AdviceUnderWay::default(),
         handover: HandoverPolicy::new(parts.lag_takeovers, now),
         overload: Overload::default(),
         own_address: parts.own_address,
--- a/jackdawchute-cell/src/leader/peers.rs
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -41,8 +41,12 @@
 impl KnownPeer {
     /// Returns whether the instance has sent a recent heartbeat and is not leaving.
     pub(super) fn is_usable(&self, now: Instant) -> bool {
-        !self.state.leaving
-            && now.saturating_duration_since(self.last_heartbeat_at) < PEER_HEARTBEAT_AGE_MAX
+        !self.state.leaving && self.is_heard(now)
+    }
+
+    /// Returns whether the instance has sent a recent heartbeat.
+    pub(super) fn is_heard(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_heartbeat_at) < PEER_HEARTBEAT_AGE_MAX
     }
 }
 
--- a/jackdawchute-cell/tests/cell/advice.rs
+++ b/jackdawchute-cell/tests/cell/advice.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use jackdawchute_cell::QueueRoute;
 use jackdawchute_scheduler::AdviceCost;
 use jackdawchute_standins::cell::SerialAdvisor;
 
@@ -14,6 +15,8 @@
 const STANDSTILL_MAX: Duration = Duration::from_secs(3);
 /// The jobs that wait for advice at once; their requests take the advisor 2.2 s together.
 const JOBS: usize = 11;
+/// The instances of a cell of which one falls silent.
+const INSTANCES: usize = 3;
 
 /// Issue 58: a request that no advisor had room for was dropped, and its job asked again 2.5 s later.
 #[tokio::test]
@@ -40,3 +43,50 @@
     assert!(took < STANDSTILL_MAX, "{took:?}");
     cell.assert_each_task_ran_once();
 }
+
+/// A queue whose requests for advice take as long as those of a large gang.
+fn slowly_advised_route() -> QueueRoute {
+    let mut route = advised_route();
+    route.policy.advice = route.policy.advice.map(|cost| AdviceCost {
+        fixed_ms: 600.0,
+        ..cost
+    });
+    route
+}
+
+/// Submits as many jobs as there are advisors, so that each of these is asked about one, and waits
+/// until all jobs have begun.
+async fn begin_a_job_for_each_advisor(cell: &Cell, leader: usize, name: &str) {
+    let begun = cell.workers.records().len() + INSTANCES;
+    for index in 0..INSTANCES {
+        let job = format!("{name}-{index}");
+        cell.submit_job(leader, &job, &graph(1), &slowly_advised_route())
+            .await;
+    }
+    wait_for("not all jobs have begun", || {
+        cell.workers.records().len() == begun
+    })
+    .await;
+}
+
+/// The leader learns from the heartbeats that an instance is gone, long before its calls to the
+/// instance time out.
+#[tokio::test]
+async fn a_job_whose_advisor_falls_silent_gets_advice_from_another_one() {
+    let cell = cell_with(CellOptions {
+        can_freeze: true,
+        ..CellOptions::of_instances(INSTANCES)
+    })
+    .await;
+    let leader = cell.leader().await;
+    // Opens the connections to all advisors.
+    begin_a_job_for_each_advisor(&cell, leader, "before").await;
+
+    cell.instances[(leader + 1) % INSTANCES].freeze(WAIT_MAX);
+    let accepted_at = Instant::now();
+    begin_a_job_for_each_advisor(&cell, leader, "job").await;
+
+    let took = accepted_at.elapsed();
+    assert!(took < STANDSTILL_MAX, "{took:?}");
+    cell.assert_each_task_ran_once();
+}
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod graph;
 mod job;
+mod late_advice;
 mod late_starts;
 mod lost_workers;
 mod messages;
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -11,6 +11,7 @@
 mod large_cells;
 mod large_jobs;
 mod lasting_tasks;
+mod late_advice;
 mod late_extensions;
 mod late_orders;
 mod late_tickets;
