fix: a task whose start another worker refused is placed elsewhere at once

Cause: the answer 421 says that the order had no effect, but the run was kept: its start was repeated for 2 s, then its stop, and both were answered alike, until the lease of the worker had lapsed that the order itself was to extend. Change: such a first answer counts as an order that found no connection: the run is removed, the task is placed elsewhere, and the worker gets no start until it answers a renewal. Where an earlier copy of the start got no answer all is as before; a test holds that. Ruled out: taking the answer 421 to a stop for the end of the run. That the process before has ended follows from it only if the entry has the worker's true address, and entries may be of another writer: a safety wait.

--- a/jackdawchute-scheduler/src/start_answers.rs
+++ b/jackdawchute-scheduler/src/start_answers.rs
@@ -78,19 +78,19 @@
                     self.stop_rest_of_gang(task);
                 }
             }
-            StartAnswer::OtherIncarnation => {
-                // The next renewal reveals the new incarnation, and the old one's runs have ended.
-                run.retry_at = Some(now + ORDER_RETRY_DELAY);
-            }
-            StartAnswer::NotDelivered if !run.start_outcome_unknown => {
-                info!("start not delivered: no connection to the worker", kv: {
+            StartAnswer::NotDelivered | StartAnswer::OtherIncarnation
+                if !run.start_outcome_unknown =>
+            {
+                info!("start not delivered to the worker", kv: {
                     job = task.step.job.as_str(), task = task.index, run = number,
-                    worker = worker.as_str()
+                    worker = worker.as_str(), answer:? = answer
                 });
                 self.record_no_answer(worker, now);
                 self.remove_run(worker, task, now);
                 self.stop_rest_of_gang(task);
             }
+            // An earlier copy of the order, which got no answer, may have begun the task.
+            StartAnswer::OtherIncarnation => run.retry_at = Some(now + ORDER_RETRY_DELAY),
             StartAnswer::NotSent if !run.start_outcome_unknown => {
                 info!("start not sent: the epoch is not confirmed", kv: {
                     job = task.step.job.as_str(), task = task.index, run = number,
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -17,6 +17,7 @@
 mod late_tickets;
 mod lateness;
 mod lost_workers;
+mod misdirected_starts;
 mod other_kinds;
 mod pending_jobs;
 mod recovery;
