fix: first renewals go to the workers that have waited longest, not to the first ones of the list

Cause: 400 renewals may be under way to workers that do not answer, each for 0.7 s, and each is due again 0.25 s later. They were given out in the order of ids, so that the first 800 took all of them in turn. Change: they are given out in the order of the times from which workers have been due. Ruled out: a higher limit; it protects a new leader from opening more connections than it can.

--- a/jackdawchute-scheduler/src/orders.rs
+++ b/jackdawchute-scheduler/src/orders.rs
@@ -193,17 +193,16 @@
             ..
         } = self;
         let is_first = |worker: &&Worker| worker.renewal_under_way && !worker.is_responsive();
-        let mut first_renewals = workers.values().filter(is_first).count();
-        for worker in workers.values_mut() {
-            if worker.renewal_under_way || worker.renewal_next_at > now {
-                continue;
-            }
-            if !worker.is_responsive() {
-                if first_renewals >= FIRST_RENEWALS_MAX {
-                    continue;
-                }
-                first_renewals += 1;
-            }
+        let first_under_way = workers.values().filter(is_first).count();
+        let (mut renewed, mut first): (Vec<&mut Worker>, Vec<&mut Worker>) = workers
+            .values_mut()
+            .filter(|worker| !worker.renewal_under_way && worker.renewal_next_at <= now)
+            .partition(|worker| worker.is_responsive());
+        // Silent workers are due again and again, and must keep none from its turn.
+        first.sort_by_key(|worker| worker.renewal_next_at);
+        first.truncate(FIRST_RENEWALS_MAX.saturating_sub(first_under_way));
+        renewed.append(&mut first);
+        for worker in renewed {
             let order = begin_renewal(worker, settings, authority.may_act, base, now);
             effects.push(Effect::Renew(order));
         }
--- a/jackdawchute-scheduler/tests/behaviour/large_cells.rs
+++ b/jackdawchute-scheduler/tests/behaviour/large_cells.rs
@@ -1,10 +1,15 @@
 //! The lease renewals of a leader with thousands of workers.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Instant};
 
 use crate::fixtures::*;
 use jackdawchute_scheduler::{RenewOrder, WorkerEntry};
 
+/// How long an order to a silent worker waits for its answer.
+const ORDER_TIMEOUT_MS: u64 = 700;
+/// How long an accepted job may stand still beside room, by the users' rules.
+const STANDSTILL_MAX_MS: u64 = 3_000;
+
 fn entries(workers: usize) -> Vec<WorkerEntry> {
     let names = (0..workers).map(|index| format!("worker-{index:04}"));
     names.map(|name| entry(&name, 4)).collect()
@@ -99,3 +104,30 @@
     assert!(awaited_before);
     assert!(!cell.scheduler.awaits_first_renewals(cell.now));
 }
+
+/// Each renewal to a silent worker takes one of the renewals that may be under way until it times out.
+/// The workers behind more silent ones than that must be asked all the same.
+#[test]
+fn silent_workers_keep_none_from_its_first_renewal() {
+    let mut cell = cell(1, &entries(1_000));
+    let mut under_way: Vec<(Instant, RenewOrder)> = Vec::new();
+    let mut asked = BTreeMap::new();
+
+    for elapsed_ms in (0..STANDSTILL_MAX_MS).step_by(50) {
+        cell.tick(50);
+        for renewal in std::mem::take(&mut cell.renewals) {
+            asked.entry(renewal.worker.clone()).or_insert(elapsed_ms);
+            under_way.push((cell.now, renewal));
+        }
+        let (timed_out, waiting) = under_way
+            .into_iter()
+            .partition(|(sent_at, _)| cell.now >= *sent_at + ms(ORDER_TIMEOUT_MS));
+        under_way = waiting;
+        let timed_out: Vec<(Instant, RenewOrder)> = timed_out;
+        for (sent_at, renewal) in timed_out {
+            cell.scheduler.renew_failed(&renewal, sent_at, cell.now);
+        }
+    }
+
+    assert_eq!(asked.len(), 1_000);
+}
