fix: an advisor that is late with an answer gets no further request until the call has ended

Cause: when an advisor is free was worked out from what was sent alone; neither a late answer nor a call that failed changed it. Change: the calls under way are values of their own (AdviceUnderWay). An advisor that is late with an answer by 150 ms is left out of the round until that call has ended, and one whose call failed for another 400 ms. Steps keep their rank meanwhile. Measured: an_advisor_that_answers_nothing_is_not_asked_again_and_again failed before (4.60 s of 3) and passes in 4 runs (2.4 s from the first request to the last start). all_jobs_complete_after_the_advisor_was_overloaded, whose requests take 11.0 s: 11.8 s, 12.8 before (one run each).

--- a/jackdawchute-cell/src/leader/advisors.rs
+++ b/jackdawchute-cell/src/leader/advisors.rs
@@ -1,9 +1,6 @@
 //! The leader task's use of the advisors, one at each instance.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use jackdawchute_peer::PeerClient;
 use jackdawchute_scheduler::{AdviceCounts, AdviceRequest, AdvisorSlot, Advisors};
@@ -15,7 +12,7 @@
 use crate::{
     advisor::{request_advice as request_own_advice, AdviceOutcome, Busy, SHORT_REQUEST_MAX},
     messages::{CellAnswer, CellCall, SLICE},
-    settings::{ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, PEER_CALL_MARGIN},
+    settings::{ADVICE_MARGIN, ADVICE_RETRY_PAUSE, ADVISOR_BACKLOG_MAX, PEER_CALL_MARGIN},
 };
 
 /// The advice requests since the load was last logged.
@@ -43,50 +40,19 @@
     }
 }
 
-/// The number of a request to an advisor, in the order of sending.
-pub(super) type AdviceCallId = u64;
-
-/// The requests whose steps wait for an answer.
-#[derive(Debug, Default)]
-pub(super) struct AdviceUnderWay {
-    last_call: AdviceCallId,
-    requests: BTreeMap<AdviceCallId, (AdvisorId, AdviceRequest)>,
-}
-
-impl AdviceUnderWay {
-    /// Adds a request and returns its number.
-    fn begin(&mut self, advisor: AdvisorId, request: AdviceRequest) -> AdviceCallId {
-        self.last_call += 1;
-        self.requests.insert(self.last_call, (advisor, request));
-        self.last_call
-    }
-
-    /// Removes a request that has an outcome; returns whether its step still waits for one.
-    fn end(&mut self, call: AdviceCallId) -> bool {
-        self.requests.remove(&call).is_some()
-    }
-
-    /// Removes the requests to advisors that are gone.
-    fn take_of(&mut self, is_gone: impl Fn(AdvisorId) -> bool) -> Vec<(AdvisorId, AdviceRequest)> {
-        let (gone, kept) = std::mem::take(&mut self.requests)
-            .into_iter()
-            .partition(|(_, (advisor, _))| is_gone(*advisor));
-        self.requests = kept;
-        let gone: BTreeMap<_, _> = gone;
-        gone.into_values().collect()
-    }
-}
-
 impl LeaderTask {
-    /// Returns the advisors that can be asked, this instance's and those of the usable peers.
+    /// Returns the advisors that can be asked, this instance's and those of the usable peers, apart from
+    /// those that are late with all their answers.
     ///
     /// Some advisors answer short requests only, so that these never wait behind long ones.
     pub(super) fn advisors(&self, now: Instant) -> Advisors {
+        let late = self.advice_under_way.late(now);
         let usable = self
             .peers
             .iter()
             .filter(|(address, known)| **address == self.own_address || known.is_usable(now));
         let slots: Vec<AdvisorSlot> = usable
+            .filter(|(address, _)| !late.contains(address))
             .map(|(address, known)| AdvisorSlot {
                 advisor: *address,
                 free_at: known.advisor_free_at,
@@ -109,12 +75,15 @@
             self.short_request_load.record(request.expected);
         }
         let mut queued = Duration::ZERO;
+        let mut expected_at = now + request.expected;
         if let Some(known) = self.peers.get_mut(&advisor) {
             queued = known.advisor_free_at.saturating_duration_since(now);
-            known.advisor_free_at = known.advisor_free_at.max(now) + request.expected;
-            known.advice_under_way += 1;
+            expected_at += queued;
+            known.advisor_free_at = expected_at;
         }
-        let call = self.advice_under_way.begin(advisor, request.clone());
+        let call = self
+            .advice_under_way
+            .begin(advisor, request.clone(), expected_at);
         self.advice_work.sent += 1;
         info!("advice requested", kv: {
             job = request.step.job.as_str(), step = request.step.step,
@@ -155,24 +124,28 @@
             advice,
         } = message;
         self.advice_work.record(&request, &advice);
+        let is_awaited = self.advice_under_way.end(call);
+        let is_asked = self.advice_under_way.is_asked(advisor);
         if let Some(known) = self.peers.get_mut(&advisor) {
-            known.advice_under_way = known.advice_under_way.saturating_sub(1);
             match &advice {
-                AdviceOutcome::Answered(_) if known.advice_under_way == 0 => {
+                AdviceOutcome::Answered(_) if !is_asked => {
                     known.advisor_free_at = now;
                 }
                 // The advisor answers those of an earlier leader first.
                 AdviceOutcome::Busy(busy) => {
                     known.advisor_free_at = known.advisor_free_at.max(now + busy.free_in);
                 }
-                _ => {}
+                AdviceOutcome::Unanswered => {
+                    known.advisor_free_at = known.advisor_free_at.max(now + ADVICE_RETRY_PAUSE);
+                }
+                AdviceOutcome::Answered(_) => {}
             }
         }
         let answer = match advice {
             AdviceOutcome::Answered(answer) => Some(answer),
             AdviceOutcome::Busy(_) | AdviceOutcome::Unanswered => None,
         };
-        match (self.advice_under_way.end(call), answer) {
+        match (is_awaited, answer) {
             (true, answer) => self.scheduler.advice_answered(&request, answer, now),
             (false, Some(answer)) => self.scheduler.late_advice_answered(&request, answer, now),
             (false, None) => {}
@@ -188,7 +161,7 @@
         let is_heard = |advisor| peers.get(&advisor).is_some_and(|known| known.is_heard(now));
         let given_up = self
             .advice_under_way
-            .take_of(|advisor| advisor != own_address && !is_heard(advisor));
+            .give_up(|advisor| advisor != own_address && !is_heard(advisor));
         self.advice_work.given_up += given_up.len();
         for (advisor, request) in given_up {
             info!("advice request given up: its advisor's instance is silent", kv: {
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -13,7 +13,7 @@
 use spdlog::{info, warn};
 use xtra::prelude::*;
 
-use super::{advisors::AdviceCallId, answer_all, peers::PeerState, LeaderTask};
+use super::{answer_all, peers::PeerState, AdviceCallId, LeaderTask};
 use crate::{
     advisor::AdviceOutcome,
     calls::SentAt,
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -1,5 +1,6 @@
 //! The leader task, which schedules while this instance holds the cell's epoch.
 
+mod advice_under_way;
 mod advisors;
 mod authority;
 mod callers;
@@ -28,8 +29,14 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use xtra::{prelude::*, refcount::Weak};
 
+pub use self::{
+    advice_under_way::{AdviceCallId, AdviceUnderWay},
+    handover::{is_outage_of_leader_alone, HandoverPolicy, LeaderFitness, OfferReason},
+    overload::Overload,
+    round_pace::RoundPace,
+};
 use self::{
-    advisors::{AdviceUnderWay, AdviceWork},
+    advisors::AdviceWork,
     authority::EpochConfirmation,
     cancellers::Cancellers,
     handlers::{
@@ -43,11 +50,6 @@
     handlers::{Fence, FindSuccessor, PeerHeartbeat},
     peers::PeerState,
 };
-pub use self::{
-    handover::{is_outage_of_leader_alone, HandoverPolicy, LeaderFitness, OfferReason},
-    overload::Overload,
-    round_pace::RoundPace,
-};
 use crate::{
     advisor::{AdvisorTask, ShortRequestLoad},
     authority::{Authority, EarlierLeaders, Permission},
--- a/jackdawchute-cell/src/leader/peers.rs
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -33,8 +33,6 @@
     pub(super) last_heartbeat_at: Instant,
     /// When the instance's advisor is expected to have answered all requests sent to it.
     pub(super) advisor_free_at: Instant,
-    /// How many requests to the advisor have no outcome yet.
-    pub(super) advice_under_way: usize,
     pub(super) state: PeerState,
 }
 
@@ -56,7 +54,6 @@
         let known = self.peers.entry(address).or_insert(KnownPeer {
             last_heartbeat_at: now,
             advisor_free_at: now,
-            advice_under_way: 0,
             state,
         });
         known.last_heartbeat_at = now;
--- a/jackdawchute-cell/src/lib.rs
+++ b/jackdawchute-cell/src/lib.rs
@@ -33,7 +33,8 @@
 pub use instance::{Instance, Platform};
 pub use jackdawchute_ports::{Error, Result};
 pub use leader::{
-    is_outage_of_leader_alone, HandoverPolicy, LeaderFitness, OfferReason, Overload, RoundPace,
+    is_outage_of_leader_alone, AdviceCallId, AdviceUnderWay, HandoverPolicy, LeaderFitness,
+    OfferReason, Overload, RoundPace,
 };
 pub use metrics::Metrics;
 pub use ports::{
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -112,6 +112,8 @@
 pub(crate) const PEER_HEARTBEAT_AGE_MAX: Duration = Duration::from_millis(900);
 /// How much longer than expected an advisor may take before its request times out.
 pub(crate) const ADVICE_MARGIN: Duration = Duration::from_millis(1_200);
+/// The pause before a further request to an advisor that did not answer one; others are asked meanwhile.
+pub(crate) const ADVICE_RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// How much longer a call to a peer may take than the peer's own work; a round trip takes 3 ms.
 pub(crate) const PEER_CALL_MARGIN: Duration = Duration::from_millis(300);
 /// The longest expected time until an advisor has answered its pending requests at which it still
--- a/jackdawchute-cell/tests/cell/advice.rs
+++ b/jackdawchute-cell/tests/cell/advice.rs
@@ -15,6 +15,8 @@
 const STANDSTILL_MAX: Duration = Duration::from_secs(3);
 /// The jobs that wait for advice at once; their requests take the advisor 2.2 s together.
 const JOBS: usize = 11;
+/// The jobs beside an advisor that answers nothing; their requests take the other one 2.4 s together.
+const JOBS_OF_ONE_ADVISOR: usize = 6;
 /// The instances of a cell of which one falls silent.
 const INSTANCES: usize = 3;
 
@@ -90,3 +92,33 @@
     assert!(took < STANDSTILL_MAX, "{took:?}");
     cell.assert_each_task_ran_once();
 }
+
+/// An instance that is cut off from the advisor alone still sends heartbeats. Its advisor is never busy
+/// for long, and would be asked first each time while the others work.
+#[tokio::test]
+async fn an_advisor_that_answers_nothing_is_not_asked_again_and_again() {
+    let answering = Arc::new(SerialAdvisor::busy_for(Duration::ZERO));
+    let mut cell = cell_with_advisor(&[1_000], answering).await;
+    cell.advisor = Arc::new(SerialAdvisor::busy_for(WAIT_MAX));
+    cell.add_instance(1_000).await;
+    cell.wait_until_ready().await;
+    let mut route = advised_route();
+    route.policy.advice = route.policy.advice.map(|cost| AdviceCost {
+        fixed_ms: 400.0,
+        ..cost
+    });
+    let accepted_at = Instant::now();
+    for index in 0..JOBS_OF_ONE_ADVISOR {
+        let job = format!("job-{index}");
+        cell.submit_job(0, &job, &graph(1), &route).await;
+    }
+
+    wait_for("not all jobs have begun", || {
+        cell.workers.records().len() == JOBS_OF_ONE_ADVISOR
+    })
+    .await;
+
+    let took = accepted_at.elapsed();
+    assert!(took < STANDSTILL_MAX, "{took:?}");
+    cell.assert_each_task_ran_once();
+}
