fix: a request for advice that is not answered in time is given up, and its step asks another advisor

Cause: the time-out of the call allows for the longest queue that an advisor may have, also where the leader knows that the queue was empty; the step asks again after ANSWER_WAIT_MAX, 2.5 s. Late answers are used as before.

--- a/jackdawchute-cell/src/leader/advice_under_way.rs
+++ b/jackdawchute-cell/src/leader/advice_under_way.rs
@@ -8,10 +8,16 @@
 use jackdawchute_scheduler::AdviceRequest;
 use jackdawchute_types::AdvisorId;
 
+use crate::settings::ADVICE_MARGIN;
+
 /// How much later than expected an answer is when its advisor gets no further request until the call
 /// has ended.
 const LATE_MIN: Duration = Duration::from_millis(150);
 
+/// How much later than expected an answer is when its request is given up: by then the instance that
+/// was asked has given it up too, unless it did not get the call.
+const LATE_MAX: Duration = ADVICE_MARGIN;
+
 /// The number of a call to an advisor, in the order of sending.
 pub type AdviceCallId = u64;
 
@@ -77,23 +83,29 @@
         self.calls.remove(&call).is_some_and(|call| call.awaited)
     }
 
-    /// Gives up the requests to advisors that are gone, and returns them. The calls go on.
+    /// Gives up the requests to advisors that are gone and those that are not answered in time, and
+    /// returns them. The calls go on.
     ///
     /// ```
+    /// use std::time::Instant;
+    ///
     /// let mut under_way = jackdawchute_cell::AdviceUnderWay::default();
-    /// assert!(under_way.give_up(|_| true).is_empty());
+    /// assert!(under_way.give_up(Instant::now(), |_| true).is_empty());
     /// ```
     pub fn give_up(
         &mut self,
+        now: Instant,
         is_gone: impl Fn(AdvisorId) -> bool,
     ) -> Vec<(AdvisorId, AdviceRequest)> {
         let awaited = self.calls.values_mut().filter(|call| call.awaited);
-        let gone = awaited.filter(|call| is_gone(call.advisor));
-        gone.map(|call| {
-            call.awaited = false;
-            (call.advisor, call.request.clone())
-        })
-        .collect()
+        let given_up =
+            awaited.filter(|call| now > call.expected_at + LATE_MAX || is_gone(call.advisor));
+        given_up
+            .map(|call| {
+                call.awaited = false;
+                (call.advisor, call.request.clone())
+            })
+            .collect()
     }
 
     /// Returns whether an advisor has a call under way.
--- a/jackdawchute-cell/src/leader/advisors.rs
+++ b/jackdawchute-cell/src/leader/advisors.rs
@@ -8,7 +8,7 @@
 use spdlog::{info, warn};
 use xtra::{prelude::*, refcount::Weak};
 
-use super::{handlers::AdviceAnswered, LeaderTask};
+use super::{handlers::AdviceAnswered, peers::KnownPeer, LeaderTask};
 use crate::{
     advisor::{request_advice as request_own_advice, AdviceOutcome, Busy, SHORT_REQUEST_MAX},
     messages::{CellAnswer, CellCall, SLICE},
@@ -152,21 +152,24 @@
         }
     }
 
-    /// Gives up the requests to advisors whose instances have fallen silent, so that their steps ask
-    /// others before the calls time out.
+    /// Gives up the requests to advisors whose instances have fallen silent, and those that are not
+    /// answered in time, so that their steps ask others before the calls time out.
     ///
     /// A leaving instance still answers what it was asked.
-    pub(super) fn give_up_silent_advisors(&mut self, now: Instant) {
+    pub(super) fn give_up_late_advice(&mut self, now: Instant) {
         let (peers, own_address) = (&self.peers, self.own_address);
-        let is_heard = |advisor| peers.get(&advisor).is_some_and(|known| known.is_heard(now));
+        let is_heard = |advisor| {
+            let is_known = |known: &KnownPeer| known.is_heard(now);
+            advisor == own_address || peers.get(&advisor).is_some_and(is_known)
+        };
         let given_up = self
             .advice_under_way
-            .give_up(|advisor| advisor != own_address && !is_heard(advisor));
+            .give_up(now, |advisor| !is_heard(advisor));
         self.advice_work.given_up += given_up.len();
         for (advisor, request) in given_up {
-            info!("advice request given up: its advisor's instance is silent", kv: {
+            info!("advice request given up", kv: {
                 job = request.step.job.as_str(), step = request.step.step,
-                workers = request.workers.len(), advisor: = advisor
+                workers = request.workers.len(), advisor: = advisor, heard = is_heard(advisor)
             });
             self.scheduler.advice_answered(&request, None, now);
         }
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -81,7 +81,7 @@
         if self.routes.has_changed().unwrap_or(false) {
             self.use_configured_services(now);
         }
-        self.give_up_silent_advisors(now);
+        self.give_up_late_advice(now);
         self.scheduler.tick(now, unix_now());
         self.refuse_unsaved(now);
         self.cancellers.answer(&self.scheduler, now);
--- a/jackdawchute-cell/tests/advice_under_way.rs
+++ b/jackdawchute-cell/tests/advice_under_way.rs
@@ -8,6 +8,8 @@
 
 /// The expected time of each request.
 const EXPECTED: Duration = Duration::from_millis(500);
+/// How long a step waits for an outcome.
+const STEP_WAIT_MAX: Duration = Duration::from_millis(2_500);
 
 fn advisor(number: u8) -> AdvisorId {
     ([127, 0, 0, number], 80).into()
@@ -33,8 +35,8 @@
     let to_gone = under_way.begin(advisor(1), request("first"), now + EXPECTED);
     let to_other = under_way.begin(advisor(2), request("second"), now + EXPECTED);
 
-    let given_up = under_way.give_up(|it| it == advisor(1));
-    let again = under_way.give_up(|it| it == advisor(1));
+    let given_up = under_way.give_up(now, |it| it == advisor(1));
+    let again = under_way.give_up(now, |it| it == advisor(1));
 
     assert_eq!(given_up, [(advisor(1), request("first"))]);
     assert!(again.is_empty(), "{again:?}");
@@ -58,3 +60,16 @@
     assert_eq!(late, [advisor(1)]);
     assert!(ended.is_empty(), "{ended:?}");
 }
+
+#[test]
+fn a_request_without_an_answer_in_time_is_given_up_before_its_step_may_ask_again_by_itself() {
+    let now = Instant::now();
+    let mut under_way = AdviceUnderWay::default();
+    under_way.begin(advisor(1), request("first"), now + EXPECTED);
+
+    let at_first = under_way.give_up(now + EXPECTED * 2, |_| false);
+    let later = under_way.give_up(now + STEP_WAIT_MAX, |_| false);
+
+    assert!(at_first.is_empty(), "a busy advisor may take that long");
+    assert_eq!(later, [(advisor(1), request("first"))]);
+}
--- a/jackdawchute-cell/tests/cell/advice.rs
+++ b/jackdawchute-cell/tests/cell/advice.rs
@@ -7,7 +7,7 @@
 
 use jackdawchute_cell::QueueRoute;
 use jackdawchute_scheduler::AdviceCost;
-use jackdawchute_standins::cell::SerialAdvisor;
+use jackdawchute_standins::{cell::SerialAdvisor, proxy::ProxyFaults};
 
 use crate::fixtures::*;
 
@@ -122,3 +122,24 @@
     assert!(took < STANDSTILL_MAX, "{took:?}");
     cell.assert_each_task_ran_once();
 }
+
+/// The open connection to an instance may go silent while the instance's own heartbeats arrive.
+#[tokio::test]
+async fn a_job_whose_advisor_is_not_reached_any_more_gets_advice_from_another_one() {
+    let cell = cell(INSTANCES).await;
+    let leader = cell.leader().await;
+    // Opens the connections to all advisors.
+    begin_a_job_for_each_advisor(&cell, leader, "before").await;
+
+    let asked = &cell.instances[(leader + 1) % INSTANCES].proxy;
+    asked
+        .set_source_faults(cell.host(leader), Some(ProxyFaults::frozen()))
+        .await
+        .expect("the proxy runs as long as its instance");
+    let accepted_at = Instant::now();
+    begin_a_job_for_each_advisor(&cell, leader, "job").await;
+
+    let took = accepted_at.elapsed();
+    assert!(took < STANDSTILL_MAX, "{took:?}");
+    cell.assert_each_task_ran_once();
+}
