fix: the outcome of a former request for advice is not taken for that of the step's next one

Cause: the scheduler counts outcomes by step. Seen in the test of the advisor that answers nothing: 0.24 s after the second request the outcome of the first was counted, and two more were sent within 44 ms. Change: a request about a step ends the wait for those that were sent before; their answers still bring their tickets. Ruled out: numbering the requests in the scheduler; the leader knows which calls are under way. Measured: requests_end_the_wait_for_earlier_ones_about_the_same_step failed before and passes.

--- a/jackdawchute-cell/src/leader/advice_under_way.rs
+++ b/jackdawchute-cell/src/leader/advice_under_way.rs
@@ -26,6 +26,7 @@
 struct AdviceCall {
     advisor: AdvisorId,
     request: AdviceRequest,
+    sent_at: Instant,
     /// When the answer is expected.
     expected_at: Instant,
     /// Whether the step waits for the outcome.
@@ -40,7 +41,10 @@
 }
 
 impl AdviceUnderWay {
-    /// Adds a call, whose answer is expected at a time, and returns its number.
+    /// Adds a call that is sent at `sent_at` and answered at `expected_at` as expected, and returns its
+    /// number.
+    ///
+    /// Its step waits no longer for calls that were sent before.
     ///
     /// ```
     /// use std::time::{Duration, Instant};
@@ -54,19 +58,26 @@
     /// };
     /// let advisor = ([127, 0, 0, 1], 80).into();
     /// let mut under_way = AdviceUnderWay::default();
-    /// let call = under_way.begin(advisor, request, Instant::now());
+    /// let now = Instant::now();
+    /// let call = under_way.begin(advisor, request, now, now + Duration::from_millis(200));
     /// assert!(under_way.end(call));
     /// ```
     pub fn begin(
         &mut self,
         advisor: AdvisorId,
         request: AdviceRequest,
+        sent_at: Instant,
         expected_at: Instant,
     ) -> AdviceCallId {
+        let same_step = |call: &&mut AdviceCall| call.request.step == request.step;
+        for former in self.calls.values_mut().filter(same_step) {
+            former.awaited &= former.sent_at >= sent_at;
+        }
         self.last_call += 1;
         let call = AdviceCall {
             advisor,
             request,
+            sent_at,
             expected_at,
             awaited: true,
         };
--- a/jackdawchute-cell/src/leader/advisors.rs
+++ b/jackdawchute-cell/src/leader/advisors.rs
@@ -83,7 +83,7 @@
         }
         let call = self
             .advice_under_way
-            .begin(advisor, request.clone(), expected_at);
+            .begin(advisor, request.clone(), now, expected_at);
         self.advice_work.sent += 1;
         info!("advice requested", kv: {
             job = request.step.job.as_str(), step = request.step.step,
--- a/jackdawchute-cell/tests/advice_under_way.rs
+++ b/jackdawchute-cell/tests/advice_under_way.rs
@@ -32,8 +32,8 @@
 fn only_the_requests_to_an_advisor_that_is_gone_are_given_up() {
     let now = Instant::now();
     let mut under_way = AdviceUnderWay::default();
-    let to_gone = under_way.begin(advisor(1), request("first"), now + EXPECTED);
-    let to_other = under_way.begin(advisor(2), request("second"), now + EXPECTED);
+    let to_gone = under_way.begin(advisor(1), request("first"), now, now + EXPECTED);
+    let to_other = under_way.begin(advisor(2), request("second"), now, now + EXPECTED);
 
     let given_up = under_way.give_up(now, |it| it == advisor(1));
     let again = under_way.give_up(now, |it| it == advisor(1));
@@ -48,8 +48,8 @@
 fn an_advisor_is_late_until_the_call_that_it_has_not_answered_ends() {
     let now = Instant::now();
     let mut under_way = AdviceUnderWay::default();
-    let call = under_way.begin(advisor(1), request("first"), now + EXPECTED);
-    under_way.begin(advisor(2), request("second"), now + EXPECTED * 4);
+    let call = under_way.begin(advisor(1), request("first"), now, now + EXPECTED);
+    under_way.begin(advisor(2), request("second"), now, now + EXPECTED * 4);
 
     let in_time = under_way.late(now + EXPECTED);
     let late = under_way.late(now + EXPECTED * 2);
@@ -65,7 +65,7 @@
 fn a_request_without_an_answer_in_time_is_given_up_before_its_step_may_ask_again_by_itself() {
     let now = Instant::now();
     let mut under_way = AdviceUnderWay::default();
-    under_way.begin(advisor(1), request("first"), now + EXPECTED);
+    under_way.begin(advisor(1), request("first"), now, now + EXPECTED);
 
     let at_first = under_way.give_up(now + EXPECTED * 2, |_| false);
     let later = under_way.give_up(now + STEP_WAIT_MAX, |_| false);
@@ -73,3 +73,21 @@
     assert!(at_first.is_empty(), "a busy advisor may take that long");
     assert_eq!(later, [(advisor(1), request("first"))]);
 }
+
+/// A step that has waited for too long asks again by itself; what its former requests come to is not
+/// what its new ones do.
+#[test]
+fn requests_end_the_wait_for_earlier_ones_about_the_same_step() {
+    let now = Instant::now();
+    let later = now + STEP_WAIT_MAX;
+    let mut under_way = AdviceUnderWay::default();
+    let former = under_way.begin(advisor(1), request("first"), now, now + EXPECTED);
+    let of_other_step = under_way.begin(advisor(1), request("second"), now, now + EXPECTED);
+
+    let repeated =
+        [2, 3].map(|it| under_way.begin(advisor(it), request("first"), later, later + EXPECTED));
+
+    assert!(!under_way.end(former));
+    assert!(under_way.end(of_other_step));
+    assert!(repeated.into_iter().all(|call| under_way.end(call)));
+}
