fix: a call under way to a leader that was replaced is given up and made to its successor

Cause: the gateway looked at the leader row between two attempts only. Change: a call to a peer ends 0.1 s after a later leader row is known, with an unknown outcome as after its time-out, and is made again. A former leader that still runs answers within that: it replies to all callers when it stops. Ruled out: ending it at once: an acceptance on its way would be asked for again. Measured: a_submission_goes_to_the_new_leader_before_the_call_to_the_former_one_times_out failed before (1.56 s of 1.5) and passes in 3 runs.

--- a/jackdawchute-cell/src/gateway.rs
+++ b/jackdawchute-cell/src/gateway.rs
@@ -6,7 +6,7 @@
 use jackdawchute_scheduler::{JobGraph, JobOutcome, JobStatus};
 use jackdawchute_tenants::{Access, Caller};
 use jackdawchute_timer::boot_time;
-use jackdawchute_types::{CallError, JobId, QueueId};
+use jackdawchute_types::{CallError, Epoch, JobId, QueueId};
 use spdlog::{info, warn};
 use tokio::sync::watch;
 
@@ -25,6 +25,8 @@
 
 /// The pause between two attempts of a call to the leader.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
+/// How long a call still waits for the answer of a leader that is known to be replaced.
+const REPLACED_ANSWER_WAIT: Duration = Duration::from_millis(100);
 /// The least remaining time with which a call is sent; several times the longest delay to a peer.
 const CALL_TIME_MIN: Duration = Duration::from_millis(15);
 /// The longest time since the leader's last answer at which the instance reports ready.
@@ -266,6 +268,21 @@
         }
     }
 
+    /// Waits until a leader is known to be replaced, and a little longer: one that still runs answers
+    /// what it was asked when it learns of it.
+    async fn leader_replaced(&self, epoch: Epoch) {
+        let mut view = self.view.clone();
+        let is_later = |view: &LeaderView| {
+            let row = view.row.as_ref();
+            row.is_some_and(|row| row.record.epoch > epoch)
+        };
+        if view.wait_for(is_later).await.is_err() {
+            // The instance ends; the call has its time-out.
+            std::future::pending::<()>().await;
+        }
+        tokio::time::sleep(REPLACED_ANSWER_WAIT).await;
+    }
+
     /// Calls the leader once; `None` if the call is known to have had no effect.
     async fn call_once(&self, call: &CellCall, remaining: Duration) -> Option<Answer> {
         let (local, row) = {
@@ -281,10 +298,17 @@
                     .unwrap_or(CellAnswer::Unknown)
             }
             (None, Some(row)) => {
-                let answer = self
-                    .peers
-                    .call(row.record.address, SLICE, call, timeout)
-                    .await;
+                let answer = self.peers.call(row.record.address, SLICE, call, timeout);
+                let replaced = self.leader_replaced(row.record.epoch);
+                let answer = tokio::select! {
+                    answer = answer => answer,
+                    () = replaced => {
+                        info!("call given up: its leader was replaced", kv: {
+                            leader: = row.record.address, epoch = row.record.epoch
+                        });
+                        return Some(Answer::Unknown);
+                    }
+                };
                 match answer {
                     Ok(answer) => answer,
                     Err(CallError::Unknown(slice, peer, cause)) => {
--- a/jackdawchute-cell/tests/cell/main.rs
+++ b/jackdawchute-cell/tests/cell/main.rs
@@ -10,6 +10,7 @@
 mod network;
 mod outages;
 mod partitions;
+mod replaced_leader;
 mod restarted_leases;
 mod restarts;
 mod store_rows;
