fix: the check of the epoch behind a query for an unknown job has a time-out below that of the forwarded call

Cause: the read of the head row was given the store client's whole time-out, 1.5 s, as long as the forwarded call; the leader's own reads to confirm the epoch have 0.6 s. Change: this check has the same 0.6 s. Measured: a_query_for_an_unknown_job_is_answered_as_unavailable_while_the_store_is_silent failed before (1.501 s of 1.5) and passes.

--- a/jackdawchute-cell/src/leader/saving.rs
+++ b/jackdawchute-cell/src/leader/saving.rs
@@ -17,7 +17,7 @@
     rows::{HeadRecord, HEAD_TABLE, PART},
     settings::{
         outage_retry_after, COMMIT_BYTES_MAX, COMMIT_OUTAGE_MAX, COMMIT_PERIOD, COMMIT_ROWS_MAX,
-        SLOW_COMMIT_MAX,
+        CONFIRM_TIMEOUT, SLOW_COMMIT_MAX,
     },
     Store,
 };
@@ -146,8 +146,10 @@
         let epoch = self.head.epoch;
         tokio::spawn(async move {
             let sent_at = SentAt::now();
-            let holds_epoch = holds_epoch(store.as_ref(), epoch).await;
-            let _ = task.send(EpochChecked(sent_at, holds_epoch)).await;
+            let read = holds_epoch(store.as_ref(), epoch);
+            let holds_epoch = tokio::time::timeout(CONFIRM_TIMEOUT, read).await;
+            let checked = EpochChecked(sent_at, holds_epoch.ok().flatten());
+            let _ = task.send(checked).await;
         });
     }
 }
--- a/jackdawchute-cell/tests/cell/outages.rs
+++ b/jackdawchute-cell/tests/cell/outages.rs
@@ -1,6 +1,6 @@
 //! Outages of the store while tasks run and end.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jackdawchute_cell::Answer;
 use jackdawchute_tenants::Caller;
@@ -63,3 +63,19 @@
     assert_eq!(cell.leader().await, leader);
     assert_eq!(cell.submit(leader, "job", 1).await, Answer::Accepted);
 }
+
+/// Whether a job exists that the leader does not know can't be told while the store is silent; callers
+/// are to learn that before the call that is forwarded to the leader times out.
+#[tokio::test]
+async fn a_query_for_an_unknown_job_is_answered_as_unavailable_while_the_store_is_silent() {
+    const FORWARDED_CALL_MAX: Duration = Duration::from_millis(1_500);
+    let cell = cell(1).await;
+    cell.instances[0].store.silence(true);
+
+    let asked_at = Instant::now();
+    let answer = cell.status(0, "unknown").await;
+
+    let took = asked_at.elapsed();
+    assert!(matches!(answer, Answer::Unavailable { .. }), "{answer:?}");
+    assert!(took < FORWARDED_CALL_MAX, "{took:?}");
+}
