fix: a leaving leader offers its epoch to the next instance if the best one does not take over

There is no handover: jobs and callers wait for the claim that follows the end of the process, and a process that hangs at its end is waited for. Cause: the instance acknowledges the offer and only then finds that it can't read the store; the leader chose the best one anew each time. Change: after two offers to an instance the next best one gets the offer; when all have had theirs it begins again. Ruled out: one offer each: a claim at a slow store takes longer than the period, and two instances would claim at once.

--- a/jackdawchute-cell/src/election/handlers.rs
+++ b/jackdawchute-cell/src/election/handlers.rs
@@ -1,6 +1,9 @@
 //! The messages that the election task handles.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use jackdawchute_timer::Tick;
 use jackdawchute_types::{CallError, Epoch, WorkerId};
@@ -13,7 +16,7 @@
     claim::LeaderRow,
     leader::{is_outage_of_leader_alone, FindSuccessor},
     messages::{CellAnswer, SLICE},
-    settings::{HANDOVER_OFFER_PERIOD, HEARTBEAT_TIMEOUT, LEADER_TIMEOUT},
+    settings::{HANDOVER_OFFER_PERIOD, HEARTBEAT_TIMEOUT, LEADER_TIMEOUT, OFFERS_TO_A_SUCCESSOR},
 };
 
 /// The leader row, read in the store or received from a peer; `None` if a read found no new one.
@@ -261,11 +264,27 @@
         let peers = self.parts.ports.peers.clone();
         let view = self.parts.view.subscribe();
         tokio::spawn(async move {
+            let mut offered: Vec<SocketAddr> = Vec::new();
             // The view has the local leader task until another instance has claimed the epoch.
             while view.borrow().local.is_some() {
-                match local.send(FindSuccessor).await {
-                    Ok(Some(successor)) => offer_epoch(&peers, successor, epoch, 0).await,
-                    _ => info!("no successor for the epoch", kv: { epoch = epoch }),
+                // An instance that does not reach the store takes the offer and can't claim.
+                let is_passed_over = |address: &&SocketAddr| {
+                    let offers = offered.iter().filter(|it| it == address).count();
+                    offers >= OFFERS_TO_A_SUCCESSOR
+                };
+                let except: Vec<SocketAddr> =
+                    offered.iter().filter(is_passed_over).copied().collect();
+                match local.send(FindSuccessor { except }).await {
+                    Ok(Some(successor)) => {
+                        offered.push(successor);
+                        offer_epoch(&peers, successor, epoch, 0).await;
+                    }
+                    _ => {
+                        info!("no successor for the epoch", kv: {
+                            epoch = epoch, offers = offered.len()
+                        });
+                        offered.clear();
+                    }
                 }
                 tokio::time::sleep(HANDOVER_OFFER_PERIOD).await;
             }
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -67,8 +67,11 @@
 /// Another instance holds the epoch, so that the leader task stops and names the workers to which an
 /// order that extends the lease got no answer.
 pub(crate) struct Fence;
-/// A query for the instance to which a leaving leader should offer its epoch.
-pub(crate) struct FindSuccessor;
+/// A query for the instance to which a leaving leader should offer its epoch, apart from those that had
+/// the offer and have not taken over.
+pub(crate) struct FindSuccessor {
+    pub(crate) except: Vec<SocketAddr>,
+}
 
 impl Handler<Tick> for LeaderTask {
     type Return = ();
@@ -325,11 +328,7 @@
 impl Handler<FindSuccessor> for LeaderTask {
     type Return = Option<SocketAddr>;
 
-    async fn handle(
-        &mut self,
-        _query: FindSuccessor,
-        _context: &mut Context<Self>,
-    ) -> Self::Return {
-        self.successor(Instant::now())
+    async fn handle(&mut self, query: FindSuccessor, _context: &mut Context<Self>) -> Self::Return {
+        self.successor(&query.except, Instant::now())
     }
 }
--- a/jackdawchute-cell/src/leader/peers.rs
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -79,11 +79,11 @@
             .collect()
     }
 
-    /// Returns the best instance to take over: the strongest one, and of equals the one that lags
-    /// least.
-    pub(super) fn successor(&self, now: Instant) -> Option<SocketAddr> {
+    /// Returns the best instance to take over, apart from some: the strongest one, and of equals the
+    /// one that lags least.
+    pub(super) fn successor(&self, except: &[SocketAddr], now: Instant) -> Option<SocketAddr> {
         let is_usable = |(address, known): &(&SocketAddr, &KnownPeer)| {
-            **address != self.own_address && known.is_usable(now)
+            **address != self.own_address && known.is_usable(now) && !except.contains(address)
         };
         let best = self
             .peers
@@ -105,7 +105,7 @@
         let excused = self.scheduler.awaits_first_renewals(now);
         let workers = self.scheduler.workers_count();
         self.handover.record_lag(self.lag, workers, excused, now);
-        let Some(successor) = self.successor(now) else {
+        let Some(successor) = self.successor(&[], now) else {
             return;
         };
         let Some(state) = self.peers.get(&successor).map(|known| known.state) else {
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -161,3 +161,6 @@
 pub(crate) const PROMISE_TIMEOUT: Duration = Duration::from_millis(300);
 /// The period at which a leaving leader offers its epoch until another instance has claimed it.
 pub(crate) const HANDOVER_OFFER_PERIOD: Duration = Duration::from_millis(300);
+/// How often a leaving leader offers its epoch to an instance before it offers it to the next one: a
+/// claim at a slow store takes longer than one period.
+pub(crate) const OFFERS_TO_A_SUCCESSOR: usize = 2;
--- a/jackdawchute-cell/tests/cell/instances.rs
+++ b/jackdawchute-cell/tests/cell/instances.rs
@@ -222,6 +222,22 @@
     assert_eq!(cell.leader().await, 2);
 }
 
+/// An instance that does not reach the store can't claim the epoch, though it still sends heartbeats.
+#[tokio::test]
+async fn a_leaving_leader_hands_over_past_a_stronger_instance_that_is_cut_off_from_the_store() {
+    let cell = cell_with_processors(&[1_000, 900, 800]).await;
+    let leader = cell.leader().await;
+    let stronger = (0..3).find(|index| *index != leader);
+    cell.cut_store(stronger.expect("there are others"), true);
+
+    cell.instances[leader].handle.leave().await;
+    let asked_at = Instant::now();
+    wait_for_other_leader(&cell, leader).await;
+
+    let took = asked_at.elapsed();
+    assert!(took < Duration::from_secs(1), "{took:?}");
+}
+
 #[tokio::test]
 async fn an_instance_cut_off_from_the_store_applies_the_leaders_configuration() {
     let cell = cell(3).await;
