--- a/jackdawchute-cell/src/leader/advisors.rs
+++ b/jackdawchute-cell/src/leader/advisors.rs
@@ -8,11 +8,11 @@
 use spdlog::{info, warn};
 use xtra::{prelude::*, refcount::Weak};
 
-use super::{handlers::AdviceAnswered, LeaderTask};
+use super::{handlers::AdviceAnswered, peers::KnownPeer, LeaderTask};
 use crate::{
     advisor::{request_advice as request_own_advice, AdviceOutcome, Busy, SHORT_REQUEST_MAX},
     messages::{CellAnswer, CellCall, SLICE},
-    settings::{ADVICE_MARGIN, ADVISOR_BACKLOG_MAX, PEER_CALL_MARGIN},
+    settings::{ADVICE_MARGIN, ADVICE_RETRY_PAUSE, ADVISOR_BACKLOG_MAX, PEER_CALL_MARGIN},
 };
 
 /// The advice requests since the load was last logged.
@@ -22,6 +22,7 @@
     answered: usize,
     busy: usize,
     failed: usize,
+    given_up: usize,
     /// How long the advisors were expected to take for the answered requests.
     answered_took: Duration,
 }
@@ -40,15 +41,18 @@
 }
 
 impl LeaderTask {
-    /// Returns the advisors that can be asked, this instance's and those of the usable peers.
+    /// Returns the advisors that can be asked, this instance's and those of the usable peers, apart from
+    /// those that are late with all their answers.
     ///
     /// Some advisors answer short requests only, so that these never wait behind long ones.
     pub(super) fn advisors(&self, now: Instant) -> Advisors {
+        let late = self.advice_under_way.late(now);
         let usable = self
             .peers
             .iter()
             .filter(|(address, known)| **address == self.own_address || known.is_usable(now));
         let slots: Vec<AdvisorSlot> = usable
+            .filter(|(address, _)| !late.contains(address))
             .map(|(address, known)| AdvisorSlot {
                 advisor: *address,
                 free_at: known.advisor_free_at,
@@ -71,11 +75,15 @@
             self.short_request_load.record(request.expected);
         }
         let mut queued = Duration::ZERO;
+        let mut expected_at = now + request.expected;
         if let Some(known) = self.peers.get_mut(&advisor) {
             queued = known.advisor_free_at.saturating_duration_since(now);
-            known.advisor_free_at = known.advisor_free_at.max(now) + request.expected;
-            known.advice_under_way += 1;
+            expected_at += queued;
+            known.advisor_free_at = expected_at;
         }
+        let call = self
+            .advice_under_way
+            .begin(advisor, request.clone(), now, expected_at);
         self.advice_work.sent += 1;
         info!("advice requested", kv: {
             job = request.step.job.as_str(), step = request.step.step,
@@ -98,6 +106,7 @@
             };
             metrics.call("advise", outcome, sent_at.elapsed());
             let answered = AdviceAnswered {
+                call,
                 request,
                 advisor,
                 advice,
@@ -109,29 +118,61 @@
     /// Handles the outcome of an advice request.
     pub(super) fn advice_answered(&mut self, message: AdviceAnswered, now: Instant) {
         let AdviceAnswered {
+            call,
             request,
             advisor,
             advice,
         } = message;
         self.advice_work.record(&request, &advice);
+        let is_awaited = self.advice_under_way.end(call);
+        let is_asked = self.advice_under_way.is_asked(advisor);
         if let Some(known) = self.peers.get_mut(&advisor) {
-            known.advice_under_way = known.advice_under_way.saturating_sub(1);
             match &advice {
-                AdviceOutcome::Answered(_) if known.advice_under_way == 0 => {
+                AdviceOutcome::Answered(_) if !is_asked => {
                     known.advisor_free_at = now;
                 }
                 // The advisor answers those of an earlier leader first.
                 AdviceOutcome::Busy(busy) => {
                     known.advisor_free_at = known.advisor_free_at.max(now + busy.free_in);
                 }
-                _ => {}
+                AdviceOutcome::Unanswered => {
+                    known.advisor_free_at = known.advisor_free_at.max(now + ADVICE_RETRY_PAUSE);
+                }
+                AdviceOutcome::Answered(_) => {}
             }
         }
         let answer = match advice {
             AdviceOutcome::Answered(answer) => Some(answer),
             AdviceOutcome::Busy(_) | AdviceOutcome::Unanswered => None,
         };
-        self.scheduler.advice_answered(&request, answer, now);
+        match (is_awaited, answer) {
+            (true, answer) => self.scheduler.advice_answered(&request, answer, now),
+            (false, Some(answer)) => self.scheduler.late_advice_answered(&request, answer, now),
+            (false, None) => {}
+        }
+    }
+
+    /// Gives up the requests to advisors whose instances have fallen silent, and those that are not
+    /// answered in time, so that their steps ask others before the calls time out.
+    ///
+    /// A leaving instance still answers what it was asked.
+    pub(super) fn give_up_late_advice(&mut self, now: Instant) {
+        let (peers, own_address) = (&self.peers, self.own_address);
+        let is_heard = |advisor| {
+            let is_known = |known: &KnownPeer| known.is_heard(now);
+            advisor == own_address || peers.get(&advisor).is_some_and(is_known)
+        };
+        let given_up = self
+            .advice_under_way
+            .give_up(now, |advisor| !is_heard(advisor));
+        self.advice_work.given_up += given_up.len();
+        for (advisor, request) in given_up {
+            info!("advice request given up", kv: {
+                job = request.step.job.as_str(), step = request.step.step,
+                workers = request.workers.len(), advisor: = advisor, heard = is_heard(advisor)
+            });
+            self.scheduler.advice_answered(&request, None, now);
+        }
     }
 
     /// Logs the advice requests since the last call, what came of the tickets, and how many advisors
@@ -149,7 +190,7 @@
         let idle = slots.filter(|slot| slot.free_at <= now).count();
         info!("advice load", kv: {
             sent = work.sent, answered = work.answered,
-            busy = work.busy, failed = work.failed,
+            busy = work.busy, failed = work.failed, given_up = work.given_up,
             answered_ms = whole_ms(work.answered_took),
             advisors = advisors.slots().len(), idle_advisors = idle, steps_waiting = steps_waiting,
             tickets_received = tickets_received, tickets_used = tickets_used
--- a/jackdawchute-cell/src/leader/handlers.rs
+++ b/jackdawchute-cell/src/leader/handlers.rs
@@ -13,7 +13,7 @@
 use spdlog::{info, warn};
 use xtra::prelude::*;
 
-use super::{answer_all, peers::PeerState, LeaderTask};
+use super::{answer_all, peers::PeerState, AdviceCallId, LeaderTask};
 use crate::{
     advisor::AdviceOutcome,
     calls::SentAt,
@@ -45,6 +45,7 @@
 );
 /// An advice request with its outcome.
 pub(super) struct AdviceAnswered {
+    pub(super) call: AdviceCallId,
     pub(super) request: AdviceRequest,
     /// The instance whose advisor was called; this one's own address for the local advisor.
     pub(super) advisor: AdvisorId,
@@ -66,8 +67,11 @@
 /// Another instance holds the epoch, so that the leader task stops and names the workers to which an
 /// order that extends the lease got no answer.
 pub(crate) struct Fence;
-/// A query for the instance to which a leaving leader should offer its epoch.
-pub(crate) struct FindSuccessor;
+/// A query for the instance to which a leaving leader should offer its epoch, apart from those that had
+/// the offer and have not taken over.
+pub(crate) struct FindSuccessor {
+    pub(crate) except: Vec<SocketAddr>,
+}
 
 impl Handler<Tick> for LeaderTask {
     type Return = ();
@@ -80,6 +84,7 @@
         if self.routes.has_changed().unwrap_or(false) {
             self.use_configured_services(now);
         }
+        self.give_up_late_advice(now);
         self.scheduler.tick(now, unix_now());
         self.refuse_unsaved(now);
         self.cancellers.answer(&self.scheduler, now);
@@ -323,11 +328,7 @@
 impl Handler<FindSuccessor> for LeaderTask {
     type Return = Option<SocketAddr>;
 
-    async fn handle(
-        &mut self,
-        _query: FindSuccessor,
-        _context: &mut Context<Self>,
-    ) -> Self::Return {
-        self.successor(Instant::now())
+    async fn handle(&mut self, query: FindSuccessor, _context: &mut Context<Self>) -> Self::Return {
+        self.successor(&query.except, Instant::now())
     }
 }
--- a/jackdawchute-cell/src/leader/mod.rs
+++ b/jackdawchute-cell/src/leader/mod.rs
@@ -1,5 +1,6 @@
 //! The leader task, which schedules while this instance holds the cell's epoch.
 
+mod advice_under_way;
 mod advisors;
 mod authority;
 mod callers;
@@ -28,6 +29,12 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use xtra::{prelude::*, refcount::Weak};
 
+pub use self::{
+    advice_under_way::{AdviceCallId, AdviceUnderWay},
+    handover::{is_outage_of_leader_alone, HandoverPolicy, LeaderFitness, OfferReason},
+    overload::Overload,
+    round_pace::RoundPace,
+};
 use self::{
     advisors::AdviceWork,
     authority::EpochConfirmation,
@@ -43,11 +50,6 @@
     handlers::{Fence, FindSuccessor, PeerHeartbeat},
     peers::PeerState,
 };
-pub use self::{
-    handover::{is_outage_of_leader_alone, HandoverPolicy, LeaderFitness, OfferReason},
-    overload::Overload,
-    round_pace::RoundPace,
-};
 use crate::{
     advisor::{AdvisorTask, ShortRequestLoad},
     authority::{Authority, EarlierLeaders, Permission},
@@ -120,6 +122,7 @@
     peers: BTreeMap<SocketAddr, KnownPeer>,
     short_request_load: ShortRequestLoad,
     advice_work: AdviceWork,
+    advice_under_way: AdviceUnderWay,
     own_address: SocketAddr,
     processor_millicores: u64,
     ports: Ports,
@@ -172,6 +175,7 @@
         peers: BTreeMap::new(),
         short_request_load: ShortRequestLoad::default(),
         advice_work: AdviceWork::default(),
+        advice_under_way: AdviceUnderWay::default(),
         handover: HandoverPolicy::new(parts.lag_takeovers, now),
         overload: Overload::default(),
         own_address: parts.own_address,
--- a/jackdawchute-cell/src/leader/peers.rs
+++ b/jackdawchute-cell/src/leader/peers.rs
@@ -33,16 +33,18 @@
     pub(super) last_heartbeat_at: Instant,
     /// When the instance's advisor is expected to have answered all requests sent to it.
     pub(super) advisor_free_at: Instant,
-    /// How many requests to the advisor have no outcome yet.
-    pub(super) advice_under_way: usize,
     pub(super) state: PeerState,
 }
 
 impl KnownPeer {
     /// Returns whether the instance has sent a recent heartbeat and is not leaving.
     pub(super) fn is_usable(&self, now: Instant) -> bool {
-        !self.state.leaving
-            && now.saturating_duration_since(self.last_heartbeat_at) < PEER_HEARTBEAT_AGE_MAX
+        !self.state.leaving && self.is_heard(now)
+    }
+
+    /// Returns whether the instance has sent a recent heartbeat.
+    pub(super) fn is_heard(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_heartbeat_at) < PEER_HEARTBEAT_AGE_MAX
     }
 }
 
@@ -52,7 +54,6 @@
         let known = self.peers.entry(address).or_insert(KnownPeer {
             last_heartbeat_at: now,
             advisor_free_at: now,
-            advice_under_way: 0,
             state,
         });
         known.last_heartbeat_at = now;
@@ -78,11 +79,11 @@
             .collect()
     }
 
-    /// Returns the best instance to take over: the strongest one, and of equals the one that lags
-    /// least.
-    pub(super) fn successor(&self, now: Instant) -> Option<SocketAddr> {
+    /// Returns the best instance to take over, apart from some: the strongest one, and of equals the
+    /// one that lags least.
+    pub(super) fn successor(&self, except: &[SocketAddr], now: Instant) -> Option<SocketAddr> {
         let is_usable = |(address, known): &(&SocketAddr, &KnownPeer)| {
-            **address != self.own_address && known.is_usable(now)
+            **address != self.own_address && known.is_usable(now) && !except.contains(address)
         };
         let best = self
             .peers
@@ -104,7 +105,7 @@
         let excused = self.scheduler.awaits_first_renewals(now);
         let workers = self.scheduler.workers_count();
         self.handover.record_lag(self.lag, workers, excused, now);
-        let Some(successor) = self.successor(now) else {
+        let Some(successor) = self.successor(&[], now) else {
             return;
         };
         let Some(state) = self.peers.get(&successor).map(|known| known.state) else {
--- a/jackdawchute-cell/src/settings.rs
+++ b/jackdawchute-cell/src/settings.rs
@@ -112,6 +112,8 @@
 pub(crate) const PEER_HEARTBEAT_AGE_MAX: Duration = Duration::from_millis(900);
 /// How much longer than expected an advisor may take before its request times out.
 pub(crate) const ADVICE_MARGIN: Duration = Duration::from_millis(1_200);
+/// The pause before a further request to an advisor that did not answer one; others are asked meanwhile.
+pub(crate) const ADVICE_RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// How much longer a call to a peer may take than the peer's own work; a round trip takes 3 ms.
 pub(crate) const PEER_CALL_MARGIN: Duration = Duration::from_millis(300);
 /// The longest expected time until an advisor has answered its pending requests at which it still
@@ -159,3 +161,6 @@
 pub(crate) const PROMISE_TIMEOUT: Duration = Duration::from_millis(300);
 /// The period at which a leaving leader offers its epoch until another instance has claimed it.
 pub(crate) const HANDOVER_OFFER_PERIOD: Duration = Duration::from_millis(300);
+/// How often a leaving leader offers its epoch to an instance before it offers it to the next one: a
+/// claim at a slow store takes longer than one period.
+pub(crate) const OFFERS_TO_A_SUCCESSOR: usize = 2;
--- a/jackdawchute-scheduler/src/advice_requests.rs
+++ b/jackdawchute-scheduler/src/advice_requests.rs
@@ -22,12 +22,14 @@
 /// The highest number of requests about a gang at a time. An advisor answers one at a time, and
 /// other gangs need answers too.
 const GANG_REQUESTS_MAX: usize = 8;
+
 /// The requests of a step, and what is known already.
 #[derive(Debug, Default)]
 pub(crate) struct WantedAdvice {
     pub(crate) requests: Vec<AdviceRequest>,
-    /// Whether a gang would fit on the allowed workers if nothing else ran there.
-    pub(crate) suffices: bool,
+    /// Whether a gang has no room now, and knows of enough workers that may become free or asks for
+    /// more.
+    pub(crate) is_ahead: bool,
 }
 
 /// What is left to give out in a round's search for steps that need advice.
@@ -96,7 +98,8 @@
             let far = self.far_slowdown(spec, worker_capacity.rack.as_ref());
             estimate.rank(worker_capacity.slowness, far, time_left)
         });
-        let suffices = spec.gang && known.suffices_for(spec);
+        let may_wait = spec.gang && !known.may_fit_now(spec);
+        let suffices = known.suffices_when_idle(spec);
         let workers = if spec.gang {
             let search = GangSearch {
                 spec,
@@ -126,7 +129,7 @@
         let chunks = workers.chunks(per_request).take(GANG_REQUESTS_MAX);
         WantedAdvice {
             requests: chunks.map(to_request).collect(),
-            suffices,
+            is_ahead: may_wait && (suffices || !workers.is_empty()),
         }
     }
 }
--- a/jackdawchute-scheduler/src/advice_workers.rs
+++ b/jackdawchute-scheduler/src/advice_workers.rs
@@ -4,7 +4,8 @@
 //! within seconds. A request about single tasks names workers with room, other ones for each step;
 //! later requests of a step name only those on which a task fits at that moment. A gang needs all
 //! its tickets at once: it asks several advisors at the same time, about the workers with the most
-//! free capacity, until they have several times what it needs.
+//! free capacity. Where it may fit now, these have room for somewhat more than it needs; where it has
+//! to wait, they have several times that when idle.
 
 use std::{
     cmp::{Ordering, Reverse},
@@ -144,10 +145,16 @@
 
 impl KnownAdvice {
     /// Returns whether a gang fits on the allowed workers when nothing else runs there.
-    pub(crate) fn suffices_for(&self, spec: &StepSpec) -> bool {
+    pub(crate) fn suffices_when_idle(&self, spec: &StepSpec) -> bool {
         self.allowed_tasks_when_idle >= spec.tasks
     }
 
+    /// Returns whether a gang fits now on the workers that no advisor has denied.
+    pub(crate) fn may_fit_now(&self, spec: &StepSpec) -> bool {
+        let without_ticket = tasks_now(&self.lapsed).saturating_add(tasks_now(&self.not_asked));
+        self.tasks_now_with_ticket.saturating_add(without_ticket) >= spec.tasks
+    }
+
     /// Returns the workers on which a task fits and only the ticket is missing.
     pub(crate) fn fitting_without_ticket(self) -> Vec<AdviceCandidate> {
         let without_ticket = self.lapsed.into_iter().chain(self.not_asked);
@@ -216,10 +223,8 @@
     let tasks = f64::from(spec.tasks);
     let tasks_missing = tasks * GANG_FREE_FACTOR - f64::from(known.tasks_now_with_ticket);
     let lapsed_tasks_now = tasks_now(&known.lapsed);
-    let may_fit_now =
-        known.tasks_now_with_ticket + lapsed_tasks_now + tasks_now(&known.not_asked) >= spec.tasks;
     let mut workers = Vec::new();
-    if tasks_missing > 0.0 && may_fit_now {
+    if tasks_missing > 0.0 && known.may_fit_now(spec) {
         let others_missing = tasks_missing - f64::from(lapsed_tasks_now);
         if others_missing <= 0.0 {
             return with_room_now(known.lapsed, tasks_missing, workers_min);
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -82,7 +82,7 @@
         for (index, step) in near.iter().enumerate() {
             let better = near.get(round.planned_steps..index).unwrap_or_default();
             self.request_advice_for(&step.name, better, &mut round, now);
-            let is_ahead = usize::from(self.is_gang_with_advice(&step.name));
+            let is_ahead = usize::from(self.is_ahead(&step.name));
             round.ahead_left = round.ahead_left.saturating_sub(is_ahead);
         }
         if far.is_empty() || now < self.far_advice_next_at {
@@ -144,7 +144,7 @@
         round.planned_steps += better.len();
         let WantedAdvice {
             mut requests,
-            suffices,
+            is_ahead,
         } = self.wanted_advice(name, &cost, round, now);
         let expected: Vec<Duration> = requests.iter().map(|request| request.expected).collect();
         let assigned = round.advisors.assign(&expected, cost.valid / 2, now);
@@ -158,7 +158,7 @@
             step.advice_unanswered = requests.len();
             step.advice_requested_at = is_sent.then_some(now);
             step.advice_check_at = nobody_to_ask.then_some(check_at);
-            step.advice_suffices = suffices;
+            step.advice_is_ahead = is_ahead;
             let named = requests.iter().flat_map(|request| &request.workers);
             step.advice_named = named.cloned().collect();
         }
@@ -167,13 +167,10 @@
         self.effects.extend(effects);
     }
 
-    /// Returns whether a step is a waiting gang that has asked for advice, and may get or has enough.
-    fn is_gang_with_advice(&self, name: &StepName) -> bool {
+    fn is_ahead(&self, name: &StepName) -> bool {
         let job = self.jobs.get(&name.job);
         let step = job.and_then(|job| job.step(name));
-        step.is_some_and(|(spec, step)| {
-            spec.gang && (step.advice_suffices || step.advice_requested_at.is_some())
-        })
+        step.is_some_and(|(_, step)| step.advice_is_ahead)
     }
 
     /// Returns the cost of a step's advice if the step has tasks to place, no request of it is under
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -181,9 +181,9 @@
     pub(crate) reservation_check_at: Option<Instant>,
     /// When the advice requests under way were made; `None` if there are none.
     pub(crate) advice_requested_at: Option<Instant>,
-    /// Whether the allowed workers were enough for a gang if nothing else ran there, when last looked
-    /// at.
-    pub(crate) advice_suffices: bool,
+    /// Whether a gang had no room when last looked at, and knows of enough workers that may become
+    /// free or has asked for more.
+    pub(crate) advice_is_ahead: bool,
     /// The workers that the requests under way name.
     pub(crate) advice_named: Vec<WorkerId>,
     /// When workers to request advice about are next looked for, after none were found.
