test: late failures of requests end those that replaced them

A step counts the answers that it awaits and not whose they are (advice_unanswered), so that failures of requests that it has given up after 2.5 s count for the later ones; it then asks once more while an answer is under way.

--- a/jackdawchute-scheduler/tests/behaviour/advice_review.rs
+++ b/jackdawchute-scheduler/tests/behaviour/advice_review.rs
@@ -280,3 +280,21 @@
 
     assert_eq!(starts.len(), 160);
 }
+
+/// A request fails later than its step asks again, as one to a silent peer does.
+#[test]
+fn late_failures_do_not_end_the_requests_that_replaced_them() {
+    let mut cell = ready_cell(1, &labelled("a", 60));
+    cell.accept("gang", vec![on("a", gang(12, 4))], dear(60_000));
+    let lost = std::mem::take(&mut cell.advice);
+    cell.tick(2_500);
+    let replaced_by = std::mem::take(&mut cell.advice);
+    assert!(!replaced_by.is_empty());
+
+    for request in &lost {
+        cell.scheduler.advice_answered(request, None, cell.now);
+    }
+    cell.tick(100);
+
+    assert!(cell.advice.is_empty(), "{} more", cell.advice.len());
+}
