fix: callers that wait for an owner do not put off the claim of their group

Cause: each request that waits for an owner asks the ownership task of its instance for a scan, every 100 ms. A notice that comes during a scan requests the next one, and claims and fences were dropped from every commit while a scan was requested or in flight. Where a scan takes longer than 100 ms, one of the two holds all the time: the instance that the group is assigned to knows that it has no owner and never claims it, and an owner that ended is never fenced, as long as callers wait for it. Change: claims wait for a scan only at the start and after a commit that conflicted with rows that the view does not have; they depend on the version of the group's row, so that an old view costs a conflict and nothing else. A fence waits for the end of a scan in flight as before, since a failed scan restarts its observations, but not for one that is only requested. Ruled out: starting the requested scan at once instead of with the next tick (the next notice comes during that one too). Open: a fence still needs a moment without a scan and without a commit in flight; on a slow table beside many appends that may take several scans.

--- a/jackdawchute-ownership/src/next_commit.rs
+++ b/jackdawchute-ownership/src/next_commit.rs
@@ -10,7 +10,7 @@
     pending_commit::{CommitStep, PendingCommit},
     plan::{CommitPlan, Fence},
     rows::IncarnationRow,
-    state::State,
+    state::{State, ViewState},
     LeaseState,
 };
 
@@ -32,13 +32,16 @@
 
     /// Adds to the plan all changes that are due besides the renewal.
     fn plan_changes(&mut self, plan: &mut CommitPlan, now: Instant, effects: &mut Vec<Effect>) {
-        if self.lease_state(now) == LeaseState::Confirmed
-            && !self.scan_requested
-            && !self.is_scanning
-        {
-            self.plan_fence(plan, now);
+        if self.lease_state(now) == LeaseState::Confirmed && self.view_state == ViewState::Current {
+            // A scan in flight may fail, which restarts the observations that a fence relies on.
+            if !self.is_scanning {
+                self.plan_fence(plan, now);
+            }
+            // A claim depends on the row's version: from an old view it has no effect.
             self.plan_claims(plan);
-            self.plan_deletions(plan);
+            if !self.is_scanning && !self.scan_requested {
+                self.plan_deletions(plan);
+            }
         }
         self.plan_releases(plan);
         let trim = self.journal.trim();
--- a/jackdawchute-ownership/src/pending_commit.rs
+++ b/jackdawchute-ownership/src/pending_commit.rs
@@ -12,7 +12,7 @@
     effect::Effect,
     plan::{CommitPlan, GroupChange, GroupWrite},
     rows::{incarnation_key, IncarnationRow},
-    state::{ClaimPhase, State},
+    state::{ClaimPhase, State, ViewState},
     view::Versioned,
     Error, GroupEvent,
 };
@@ -250,6 +250,7 @@
     /// out with the next commit.
     fn commit_rejected(&mut self) {
         self.withdraw_pending();
+        self.view_state = ViewState::Outdated;
         self.scan_requested = true;
     }
 
--- a/jackdawchute-ownership/src/state.rs
+++ b/jackdawchute-ownership/src/state.rs
@@ -65,6 +65,19 @@
     pub is_releasing: bool,
 }
 
+/// Whether claims may be decided from the view.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum ViewState {
+    /// A scan has to answer first: there was none, or a commit conflicted with rows that are not in
+    /// the view.
+    #[default]
+    Outdated,
+    /// The scan in flight began after that.
+    Refreshing,
+    /// A scan has answered.
+    Current,
+}
+
 /// All that one incarnation knows.
 #[derive(Debug)]
 pub struct State {
@@ -72,6 +85,8 @@
     pub(crate) timing: Timing,
     /// The rows of incarnations and groups as last read.
     pub(crate) view: View,
+    /// Whether claims may be decided from the view.
+    pub(crate) view_state: ViewState,
     /// Since when other incarnations' rows are unchanged.
     pub(crate) failure_detector: FailureDetector,
     /// How long this incarnation may act as an owner.
@@ -143,6 +158,7 @@
             timing,
             own_row,
             view: View::default(),
+            view_state: ViewState::default(),
             failure_detector: FailureDetector::default(),
             owner_lease: OwnerLease::default(),
             own_row_version: 0,
@@ -195,6 +211,9 @@
         self.is_scanning = true;
         self.scan_requested = false;
         self.last_scan = Some(now);
+        if self.view_state == ViewState::Outdated {
+            self.view_state = ViewState::Refreshing;
+        }
         effects.push(Effect::Scan {
             incarnations_after: self.view.incarnations_version,
             groups_after: self.view.groups_version,
@@ -207,16 +226,26 @@
         self.is_scanning = false;
         match rows {
             _ if self.is_fenced() => return effects,
-            None => self.failure_detector.scan_failed(),
+            None => self.scan_failed(),
             Some(rows) => self.apply_scan(rows, now, &mut effects),
         }
         self.send_next_commit(now, &mut effects);
         effects
     }
 
+    fn scan_failed(&mut self) {
+        self.failure_detector.scan_failed();
+        if self.view_state == ViewState::Refreshing {
+            self.view_state = ViewState::Outdated;
+        }
+    }
+
     /// Applies the rows of a scan, and does what depends on them.
     fn apply_scan(&mut self, rows: ScannedRows, now: Instant, effects: &mut Vec<Effect>) {
         self.view.apply(rows);
+        if self.view_state == ViewState::Refreshing {
+            self.view_state = ViewState::Current;
+        }
         let gap_max = self.timing.scan_period * 3;
         self.failure_detector
             .scan_answered(&self.view, gap_max, now);
