--- a/jackdawchute-requests/src/expire.rs
+++ b/jackdawchute-requests/src/expire.rs
@@ -73,7 +73,7 @@
 
     /// Refuses calls whose intent was not journaled before the deadline; their grants are never
     /// sent.
-    fn expire_journaling(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+    pub(crate) fn expire_journaling(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         for waiting in self.take_journaling_if(|waiting| waiting.deadline <= now) {
             let refusal = Refusal::not_run(
                 RefusalReason::StoreUnavailable,
--- a/jackdawchute-requests/src/state.rs
+++ b/jackdawchute-requests/src/state.rs
@@ -211,6 +211,9 @@
             group.expire(now, &mut effects);
             group.unregister_unlisted(&self.incarnation, &mut effects);
         }
+        for group in &mut self.draining {
+            group.expire_journaling(now, &mut effects);
+        }
         self.draining.retain(|group| !group.is_drained());
         self.query_holdings(now, &mut effects);
         effects
@@ -331,9 +334,20 @@
             }
             AppendStep::Cleanup => {}
         }
+        let is_owned = |group: &Group| group.epoch == purpose.epoch;
+        if !self.groups.get(&purpose.group).is_some_and(is_owned) {
+            self.refuse_calls_of_lost(&mut effects);
+        }
         effects
     }
 
+    /// Refuses the calls that a lost group has queued again, which it never grants.
+    fn refuse_calls_of_lost(&mut self, effects: &mut Vec<Effect>) {
+        for group in &mut self.draining {
+            group.refuse_all(effects);
+        }
+    }
+
     /// Processes the result of an [`Effect::RegisterHolders`].
     pub fn holders_appended(
         &mut self,
