--- a/jackdawchute-jobs/src/outbound.rs
+++ b/jackdawchute-jobs/src/outbound.rs
@@ -110,6 +110,33 @@
         result.await.map_err(|_| no_answer())
     }
 
+    /// Answers a call to a worker whose address is not known, as it will never be sent.
+    pub async fn refuse_worker_call(&self, worker: WorkerId, call: WorkerCall) {
+        if !matches!(call, WorkerCall::Report) {
+            spdlog::warn!("no address of worker {} is known", worker);
+        }
+        let answer = match call {
+            WorkerCall::Start(start) => {
+                let unavailable = PlatformError::Unavailable(
+                    "start task",
+                    worker.to_string(),
+                    "no address is known".into(),
+                );
+                let id = TaskAttempt {
+                    task: start.task,
+                    attempt: start.attempt,
+                };
+                WorkerAnswer::Started(worker, id, Err(unavailable))
+            }
+            WorkerCall::Stop(id) => WorkerAnswer::Stopped(worker, id, false),
+            WorkerCall::Report => WorkerAnswer::Reported(worker, None),
+            WorkerCall::Renew(..) => return,
+        };
+        if let Some(task) = self.task.try_upgrade() {
+            let _ = task.send(answer).await;
+        }
+    }
+
     /// Calls a worker and sends the answer to the jobs task, except for a renewal, whose effect the
     /// next report shows.
     pub async fn call_worker(&self, worker: WorkerId, port: Arc<dyn WorkerPort>, call: WorkerCall) {
--- a/jackdawchute-jobs/src/task.rs
+++ b/jackdawchute-jobs/src/task.rs
@@ -147,10 +147,14 @@
                 tokio::spawn(async move { outbound.call(owner, call, after).await });
             }
             Effect::Worker { worker, call } => {
-                if let Some((_, port)) = self.ports.get(&worker) {
-                    let (outbound, port) = (Arc::clone(&self.outbound), Arc::clone(port));
-                    tokio::spawn(async move { outbound.call_worker(worker, port, call).await });
-                }
+                let outbound = Arc::clone(&self.outbound);
+                let port = self.ports.get(&worker).map(|(_, port)| Arc::clone(port));
+                tokio::spawn(async move {
+                    match port {
+                        Some(port) => outbound.call_worker(worker, port, call).await,
+                        None => outbound.refuse_worker_call(worker, call).await,
+                    }
+                });
             }
             Effect::Answer { call, result } => {
                 if let Some(reply) = self.calls.remove(&call) {
@@ -167,17 +171,27 @@
     fn set_ports(&mut self) {
         let members = Arc::clone(&self.members);
         for member in &members.members {
-            if !matches!(member.role, MemberRole::Worker { .. }) {
-                continue;
-            }
-            let known = self.ports.get(&member.id).map(|(address, _)| *address);
-            if known != Some(member.address) {
-                let port = self.workers.port(&member.id, member.address);
-                self.ports.insert(member.id.clone(), (member.address, port));
+            if matches!(member.role, MemberRole::Worker { .. }) {
+                self.set_port(&member.id, member.address);
             }
         }
     }
 
+    /// Makes a port for each worker that only the journal names: its tasks may still run.
+    fn set_ports_of_unlisted(&mut self) {
+        for (worker, address) in self.racks.unlisted_workers() {
+            self.set_port(&worker, address);
+        }
+    }
+
+    fn set_port(&mut self, worker: &WorkerId, address: SocketAddr) {
+        let known = self.ports.get(worker).map(|(address, _)| *address);
+        if known != Some(address) {
+            let port = self.workers.port(worker, address);
+            self.ports.insert(worker.clone(), (address, port));
+        }
+    }
+
     /// Passes a received call to the home or rack owner that decides it.
     fn handle_call(&mut self, call: CallId, request: Call) -> Vec<Effect> {
         let now = now();
@@ -258,8 +272,11 @@
                 let members = Arc::clone(&self.members);
                 let fenced = fenced_owner.is_some();
                 let at = Instant::now();
-                self.racks
-                    .claimed(&group, epoch, &entries, fenced, &members, at)
+                let errors = self
+                    .racks
+                    .claimed(&group, epoch, &entries, fenced, &members, at);
+                self.set_ports_of_unlisted();
+                errors
             }
         };
         for error in errors {
