fix: a grant that comes too late costs a request no retry

Callers could see: 503, OwnerUnavailable at the third grant in a row that came late, and RetryBudgetExhausted for the requests of the class after it, long before their deadline and with nothing sent to a minion. Cause: an instance releases a grant unsent that was too long on its way, or that is from an owner which a later one has replaced. It took this for a failed attempt: three in a row are final, and each took a retry from the budget of the class, which only answers fill. Nor did it ask for a scan of the owners, which would show the later one. Change: such a grant is an owner that did not answer in time: the group is looked up again, and the call is repeated until the deadline without the budget, as docs/DESIGN.md has it for every call by which nothing was sent. Ruled out: raising the time that a grant may be on its way (the owner frees the slot by it).

--- a/jackdawchute-entry/src/callers/exchange.rs
+++ b/jackdawchute-entry/src/callers/exchange.rs
@@ -46,7 +46,7 @@
 pub(super) enum AttemptOutcome {
     /// There is a response for the caller, new or stored under the key.
     Answered(Box<Response>),
-    /// The group's owner is not known or does not answer, and nothing was sent.
+    /// The group's owner is not known, does not answer or answers too late, and nothing was sent.
     OwnerUnreachable(Refusal),
     /// The attempt failed for a reason that allows another one.
     Failed(RetryReason, Refusal),
--- a/jackdawchute-entry/src/callers/requests.rs
+++ b/jackdawchute-entry/src/callers/requests.rs
@@ -270,7 +270,8 @@
         }
     }
 
-    /// Registers a grant at the local holder. A grant that arrived too late to be used is released.
+    /// Registers a grant at the local holder. A grant that arrived too late to be used is released;
+    /// nothing was sent with it, so that it costs no retry.
     async fn register(&self, grant: Grant, called_at: Instant) -> Result<Acquired, AttemptOutcome> {
         let register = RegisterGrant {
             grant: grant.clone(),
@@ -283,7 +284,7 @@
         }
         completion.finish(NOT_SENT).await;
         let refusal = Refusal::not_run(RefusalReason::OwnerUnavailable, "the grant came late");
-        Err(AttemptOutcome::Failed(RetryReason::OwnerChanged, refusal))
+        Err(AttemptOutcome::OwnerUnreachable(refusal))
     }
 
     /// Sends the request with the grant of a slot, unless the deadline has passed.
