test: a stop while the table is slow fails no request

The process test of: instances of the shipped binary, a table with calls of 250 ms, and one instance that hands its groups over under load.

--- a/tests/planned_stops.rs
+++ b/tests/planned_stops.rs
@@ -118,6 +118,30 @@
     assert_no_request_failed(&cell, &finished).await;
 }
 
+/// The requests that wait for the new owners of the groups ask for them all the time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_while_the_table_is_slow_fails_no_request() {
+    let mut cell = cell(3).await;
+    let load = start_load(&cell).await;
+    let slow = TableFaults {
+        delay: Duration::from_millis(250),
+        ..TableFaults::default()
+    };
+    cell.table.set_faults(None, slow).await.unwrap();
+
+    cell.entries[0]
+        .process
+        .signal(Signal::Terminate)
+        .await
+        .unwrap();
+    let status = cell.entries[0].process.wait().await.unwrap();
+    tokio::time::sleep(2 * PHASE).await;
+    let finished = load.stop().await;
+
+    assert!(status.success(), "{status}");
+    assert_no_request_failed(&cell, &finished).await;
+}
+
 /// Guards against an instance that drops requests in flight because the table is down when it is to
 /// hand over its groups.
 #[tokio::test(flavor = "multi_thread")]
