fix: the successor of an owner that was replaced is called at once

Callers could see: a task that starts, or whose end is known, up to a second late after each hand-over of a rack or a share of the jobs; the target for urgent work is a start within 1.9 s. Cause: a start, a stop or a report that an owner refuses, as it has been replaced, or that finds nobody there, was repeated after the time of a resend, counted from the refused call, though the directory named the successor meanwhile. Change: a new directory makes the calls due whose owner has a later epoch in it than the one that was called; they go out with the next tick. An owner that was not replaced is called again after the time of a resend, as before. Ruled out: repeating a refused call at once (the directory still names the owner that refused it).

--- a/jackdawchute-jobs/src/home/rack_calls.rs
+++ b/jackdawchute-jobs/src/home/rack_calls.rs
@@ -46,6 +46,23 @@
         effects
     }
 
+    /// Makes the calls due again whose rack has a later owner than the one that was called: that one
+    /// refuses them or has ended.
+    pub(crate) fn call_replaced_racks_again(&mut self) {
+        for ((id, index), called_at) in &mut self.pending_rack_calls {
+            let job = self.jobs.get(id);
+            let Some(task) = job.and_then(|job| job.tasks.get(*index as usize)) else {
+                continue;
+            };
+            if let TaskPhase::Assigned { rack, .. } = &task.phase {
+                let owner = self.directory.owners.get(rack);
+                if owner.is_some_and(|owner| owner.epoch > task.rack_epoch) {
+                    *called_at = None;
+                }
+            }
+        }
+    }
+
     /// Adds the pending start or stop of a task to the batch of its rack, if the rack has an owner.
     fn add_to_batch(
         &mut self,
--- a/jackdawchute-jobs/src/home/state.rs
+++ b/jackdawchute-jobs/src/home/state.rs
@@ -161,9 +161,10 @@
         self.lease_state = lease_state;
     }
 
-    /// Replaces the directory of owners.
+    /// Replaces the directory of owners. The next tick calls the successors of rack owners.
     pub fn set_directory(&mut self, directory: Arc<Directory>) {
         self.directory = directory;
+        self.call_replaced_racks_again();
     }
 
     /// Returns whether this instance owns the group.
--- a/jackdawchute-jobs/src/rack/event_reports.rs
+++ b/jackdawchute-jobs/src/rack/event_reports.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Instant};
 
-use jackdawchute_ownership::LeaseState;
+use jackdawchute_ownership::{Directory, LeaseState};
 use jackdawchute_types::GroupId;
 
 use crate::{
@@ -42,6 +42,21 @@
             .collect()
     }
 
+    /// Makes the reports due again whose home group has a later owner than in the `former`
+    /// directory: that one acknowledges nothing any more.
+    pub(crate) fn report_to_replaced_homes_again(&mut self, former: &Directory) {
+        for (id, reported_at) in &mut self.unacknowledged {
+            let Some(intent) = self.intents.get(id) else {
+                continue;
+            };
+            let home = &intent.record.home;
+            let epoch = |directory: &Directory| directory.owners.get(home).map(|o| o.epoch);
+            if epoch(&self.directory) > epoch(former) {
+                *reported_at = None;
+            }
+        }
+    }
+
     /// Returns the report call for a home group, or `None` without an owner or events.
     fn report_to_home(
         &mut self,
--- a/jackdawchute-jobs/src/rack/state.rs
+++ b/jackdawchute-jobs/src/rack/state.rs
@@ -178,9 +178,10 @@
         self.lease_state = lease_state;
     }
 
-    /// Replaces the directory of owners.
+    /// Replaces the directory of owners. The next tick reports to the successors of home owners.
     pub fn set_directory(&mut self, directory: Arc<Directory>) {
-        self.directory = directory;
+        let former = std::mem::replace(&mut self.directory, directory);
+        self.report_to_replaced_homes_again(&former);
     }
 
     /// Returns whether this instance owns the group.
