fix: a start that finds nobody at the rack owner's address goes to another rack

Callers could see: a job that stands still for a takeover (6 s and more), beside idle racks of living owners. Cause: a first call that was not delivered ends its attempt as not started, so that the task is placed again. "Connection refused", by which the peer's process has ended, is an error of its own, made for the configuration; it was taken for a lost answer, so that the start waited for the rack's next owner. Change: any call that is known not to have reached the peer counts as not delivered.

--- a/jackdawchute-jobs/src/home/rack_calls.rs
+++ b/jackdawchute-jobs/src/home/rack_calls.rs
@@ -150,7 +150,7 @@
                 }
                 self.apply_view(&view);
             }
-            Err(CallError::NotDelivered(..)) => {
+            Err(error) if error.is_undelivered() => {
                 for id in ids {
                     self.end_undelivered(id, now.instant);
                 }
@@ -188,15 +188,17 @@
     }
 
     /// Ends an attempt as not started if the call that was not delivered was the first one for it: no
-    /// rack owner has received a start then, from this home owner or a former one.
+    /// rack owner has received a start then, from this home owner or a former one. Its rack gets no
+    /// further task before its owner has answered.
     fn end_undelivered(&mut self, id: &TaskAttempt, now: Instant) {
         let Some((job, index)) = parse_task(&id.task) else {
             return;
         };
         let task = self.jobs.get(&job);
         let task = task.and_then(|job| job.tasks.get(index as usize));
-        let first_call = task.is_some_and(|task| task.rack_calls == 1 && !task.stopping);
-        if first_call {
+        let first_call = task.filter(|task| task.rack_calls == 1 && !task.stopping);
+        if let Some(TaskPhase::Assigned { rack, .. }) = first_call.map(|task| &task.phase) {
+            self.close_rack(&rack.clone());
             let end = AttemptEnd::NotStarted(NotStartedReason::NotDelivered);
             self.apply_attempt_state(id, AttemptState::Ended(end), now);
         }
--- a/jackdawchute-jobs/src/home/state.rs
+++ b/jackdawchute-jobs/src/home/state.rs
@@ -163,8 +163,9 @@
 
     /// Replaces the directory of owners. The next tick calls the successors of rack owners.
     pub fn set_directory(&mut self, directory: Arc<Directory>) {
-        self.directory = directory;
+        let former = std::mem::replace(&mut self.directory, directory);
         self.call_replaced_racks_again();
+        self.request_views_of_replaced_racks(&former);
     }
 
     /// Returns whether this instance owns the group.
--- a/jackdawchute-jobs/src/home/view.rs
+++ b/jackdawchute-jobs/src/home/view.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use jackdawchute_ownership::Directory;
 use jackdawchute_placement::FleetWorker;
 use jackdawchute_ports::{Member, MemberRole, MemberState, MembershipList};
 use jackdawchute_types::{
@@ -149,6 +150,16 @@
         }
     }
 
+    /// Places nothing on the workers of a rack until its owner has answered with its view.
+    pub(crate) fn close_rack(&mut self, rack: &GroupId) {
+        let workers = self.fleet_view.workers();
+        let of_rack = workers.filter(|worker| rack_group(&worker.rack) == *rack);
+        let ids: Vec<WorkerId> = of_rack.map(|worker| worker.id.clone()).collect();
+        for id in ids {
+            self.fleet_view.set_accepting(&id, false);
+        }
+    }
+
     /// Deducts an ended task from the reported charge of its worker, ahead of the rack owner's next
     /// view.
     pub(crate) fn deduct_ended_task(&mut self, worker: &WorkerId, amount: &Resources) {
@@ -192,6 +203,15 @@
         effects
     }
 
+    /// Makes the views due again of the racks that have a later owner than in the `former` directory.
+    pub(crate) fn request_views_of_replaced_racks(&mut self, former: &Directory) {
+        let epoch =
+            |directory: &Directory, rack: &GroupId| directory.owners.get(rack).map(|o| o.epoch);
+        let directory = &self.directory;
+        self.views_requested_at
+            .retain(|rack, _| epoch(directory, rack) <= epoch(former, rack));
+    }
+
     /// Returns a call to the owner of a rack, or `None` if the directory knows no owner.
     pub(crate) fn call_rack(
         &self,
