--- a/jackdawchute-ownership/tests/claims_beside_notices.rs
+++ b/jackdawchute-ownership/tests/claims_beside_notices.rs
@@ -216,3 +216,38 @@
     let fenced = successor.claimed_group("g1").fenced_owner;
     assert_eq!(fenced, Some(ended.incarnation));
 }
+
+/// Appends to a group that an instance owns, one entry after the other, until it also owns `other`.
+async fn append_until_owned(instance: &Instance, group: &str, other: &str) {
+    while !instance.owns(other) {
+        instance.append(group, "k", Some("v")).await.unwrap();
+    }
+}
+
+#[tokio::test]
+async fn an_owner_that_ended_is_fenced_on_a_slow_table_by_an_owner_that_appends_all_the_time() {
+    let cell = Cell::new();
+    let ended = start(&cell, 1, &["g1", "g2"]).await;
+    let successor = start(&cell, 2, &["g1", "g2"]).await;
+    support::eventually("each instance owns one group", || {
+        ended.owned_count() == 1 && successor.owned_count() == 1
+    })
+    .await;
+    let (own, lost) = match successor.owns("g1") {
+        true => ("g1", "g2"),
+        false => ("g2", "g1"),
+    };
+    successor.table.set(Fault::Slow(2 * NOTICE_PERIOD));
+    ended.isolate(&cell);
+
+    support::within("the successor owns both groups", async {
+        tokio::join!(
+            notify_until_owned(&successor, lost),
+            append_until_owned(&successor, own, lost)
+        )
+    })
+    .await;
+
+    let fenced = successor.claimed_group(lost).fenced_owner;
+    assert_eq!(fenced, Some(ended.incarnation));
+}
