--- a/jackdawchute-jobs/src/home/rack_calls.rs
+++ b/jackdawchute-jobs/src/home/rack_calls.rs
@@ -46,6 +46,23 @@
         effects
     }
 
+    /// Makes the calls due again whose rack has a later owner than the one that was called: that one
+    /// refuses them or has ended.
+    pub(crate) fn call_replaced_racks_again(&mut self) {
+        for ((id, index), called_at) in &mut self.pending_rack_calls {
+            let job = self.jobs.get(id);
+            let Some(task) = job.and_then(|job| job.tasks.get(*index as usize)) else {
+                continue;
+            };
+            if let TaskPhase::Assigned { rack, .. } = &task.phase {
+                let owner = self.directory.owners.get(rack);
+                if owner.is_some_and(|owner| owner.epoch > task.rack_epoch) {
+                    *called_at = None;
+                }
+            }
+        }
+    }
+
     /// Adds the pending start or stop of a task to the batch of its rack, if the rack has an owner.
     fn add_to_batch(
         &mut self,
@@ -133,7 +150,7 @@
                 }
                 self.apply_view(&view);
             }
-            Err(CallError::NotDelivered(..)) => {
+            Err(error) if error.is_undelivered() => {
                 for id in ids {
                     self.end_undelivered(id, now.instant);
                 }
@@ -171,15 +188,17 @@
     }
 
     /// Ends an attempt as not started if the call that was not delivered was the first one for it: no
-    /// rack owner has received a start then, from this home owner or a former one.
+    /// rack owner has received a start then, from this home owner or a former one. Its rack gets no
+    /// further task before its owner has answered.
     fn end_undelivered(&mut self, id: &TaskAttempt, now: Instant) {
         let Some((job, index)) = parse_task(&id.task) else {
             return;
         };
         let task = self.jobs.get(&job);
         let task = task.and_then(|job| job.tasks.get(index as usize));
-        let first_call = task.is_some_and(|task| task.rack_calls == 1 && !task.stopping);
-        if first_call {
+        let first_call = task.filter(|task| task.rack_calls == 1 && !task.stopping);
+        if let Some(TaskPhase::Assigned { rack, .. }) = first_call.map(|task| &task.phase) {
+            self.close_rack(&rack.clone());
             let end = AttemptEnd::NotStarted(NotStartedReason::NotDelivered);
             self.apply_attempt_state(id, AttemptState::Ended(end), now);
         }
