fix: outcomes of advice requests are told apart by the numbers of the requests

Change: the leader numbers its requests, and a step knows the numbers of those under way. A late outcome ends no wait and its tickets are of use, which makes the second entry for late answers needless; its tests call advice_answered, with the same assertions. The number stays with the leader and is not on the wire.

--- a/jackdawchute-cell/src/leader/advice_under_way.rs
+++ b/jackdawchute-cell/src/leader/advice_under_way.rs
@@ -52,6 +52,7 @@
     /// use jackdawchute_scheduler::{AdviceRequest, StepName};
     ///
     /// let request = AdviceRequest {
+    ///     number: 1,
     ///     step: StepName { job: "job".into(), occurrence: 0, step: 0 },
     ///     workers: vec!["w0".into()],
     ///     expected: Duration::from_millis(200),
--- a/jackdawchute-cell/src/leader/advisors.rs
+++ b/jackdawchute-cell/src/leader/advisors.rs
@@ -124,7 +124,7 @@
             advice,
         } = message;
         self.advice_work.record(&request, &advice);
-        let is_awaited = self.advice_under_way.end(call);
+        self.advice_under_way.end(call);
         let is_asked = self.advice_under_way.is_asked(advisor);
         if let Some(known) = self.peers.get_mut(&advisor) {
             match &advice {
@@ -145,11 +145,7 @@
             AdviceOutcome::Answered(answer) => Some(answer),
             AdviceOutcome::Busy(_) | AdviceOutcome::Unanswered => None,
         };
-        match (is_awaited, answer) {
-            (true, answer) => self.scheduler.advice_answered(&request, answer, now),
-            (false, Some(answer)) => self.scheduler.late_advice_answered(&request, answer, now),
-            (false, None) => {}
-        }
+        self.scheduler.advice_answered(&request, answer, now);
     }
 
     /// Gives up the requests to advisors whose instances have fallen silent, and those that are not
--- a/jackdawchute-cell/tests/advice_under_way.rs
+++ b/jackdawchute-cell/tests/advice_under_way.rs
@@ -18,6 +18,7 @@
 /// Returns a request about a step of this job.
 fn request(job: &str) -> AdviceRequest {
     AdviceRequest {
+        number: 0,
         step: StepName {
             job: job.into(),
             occurrence: 0,
--- a/jackdawchute-scheduler/src/advice_requests.rs
+++ b/jackdawchute-scheduler/src/advice_requests.rs
@@ -122,6 +122,8 @@
             spread_over(candidates, name, count)
         };
         let to_request = |workers: &[WorkerId]| AdviceRequest {
+            // Given when the request is sent.
+            number: 0,
             step: name.clone(),
             workers: workers.to_vec(),
             expected: cost.duration(workers.len()),
--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -155,12 +155,15 @@
         let check_at = now + self.advice_check_pause();
         let job = self.jobs.get_mut(&name.job);
         if let Some(step) = job.and_then(|job| job.step_mut(name)) {
-            step.advice_unanswered = requests.len();
             step.advice_requested_at = is_sent.then_some(now);
             step.advice_check_at = nobody_to_ask.then_some(check_at);
             step.advice_is_ahead = is_ahead;
-            let named = requests.iter().flat_map(|request| &request.workers);
-            step.advice_named = named.cloned().collect();
+            for request in &mut requests {
+                self.last_advice += 1;
+                request.number = self.last_advice;
+            }
+            let named = requests.iter().map(|it| (it.number, it.workers.clone()));
+            step.advice_under_way = named.collect();
         }
         let effects = assigned.into_iter().zip(requests);
         let effects = effects.map(|(advisor, request)| Effect::Advise { advisor, request });
@@ -199,6 +202,9 @@
     }
 
     /// Handles an advisor's answer, or `None` if no answer came.
+    ///
+    /// The outcome of a request that was given up, or that the step has replaced, ends no wait; its
+    /// tickets are of use as those of any other.
     pub fn advice_answered(
         &mut self,
         request: &AdviceRequest,
@@ -206,26 +212,31 @@
         now: Instant,
     ) {
         self.placement_needed = true;
+        let job = self.jobs.get_mut(&request.step.job);
+        if let Some(step) = job.and_then(|job| job.step_mut(&request.step)) {
+            let is_awaited = step.advice_under_way.remove(&request.number).is_some();
+            if is_awaited && step.advice_under_way.is_empty() {
+                step.advice_requested_at = None;
+            }
+        }
+        if let Some(answer) = answer {
+            self.record_advice(request, answer, now);
+        }
+    }
+
+    /// Records what an advisor has told about a step's workers.
+    fn record_advice(&mut self, request: &AdviceRequest, answer: AdviceAnswer, now: Instant) {
+        self.advice_counts.tickets_received += answer.allowed.len();
         let Self { jobs, workers, .. } = self;
-        let received = answer.as_ref().map_or(0, |answer| answer.allowed.len());
-        self.advice_counts.tickets_received += received;
         let Some(job) = jobs.get_mut(&request.step.job) else {
             return;
         };
         let queue = job.queue.queue.clone();
         let usable = job.queue.advice.as_ref().map(usable_time);
-        let usable = usable.unwrap_or_default();
+        let usable_until = now + usable.unwrap_or_default();
         let Some(step) = job.step_mut(&request.step) else {
             return;
         };
-        step.advice_unanswered = step.advice_unanswered.saturating_sub(1);
-        if step.advice_unanswered == 0 {
-            step.advice_requested_at = None;
-            step.advice_named.clear();
-        }
-        let Some(answer) = answer else {
-            return;
-        };
         info!("advice answered", kv: {
             job = request.step.job.as_str(), step = request.step.step,
             asked = request.workers.len(), allowed = answer.allowed.len()
@@ -235,7 +246,6 @@
         for worker in &request.workers {
             step.advice.insert(worker.clone(), Advice::Denied);
         }
-        let usable_until = now + usable;
         for (worker, ticket) in answer.allowed {
             let started_unix_ms = workers
                 .get(&worker)
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -1,7 +1,7 @@
 //! The state of a job, its occurrences, steps and tasks.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
@@ -11,7 +11,9 @@
 };
 use rustc_hash::FxHashMap;
 
-use crate::{row_size::RowNumber, JobGraph, QueuePolicy, StepName, StepSpec, TaskName};
+use crate::{
+    row_size::RowNumber, AdviceNumber, JobGraph, QueuePolicy, StepName, StepSpec, TaskName,
+};
 
 /// How a job ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -184,12 +186,10 @@
     /// Whether a gang had no room when last looked at, and knows of enough workers that may become
     /// free or has asked for more.
     pub(crate) advice_is_ahead: bool,
-    /// The workers that the requests under way name.
-    pub(crate) advice_named: Vec<WorkerId>,
+    /// The workers that each request under way names.
+    pub(crate) advice_under_way: BTreeMap<AdviceNumber, Vec<WorkerId>>,
     /// When workers to request advice about are next looked for, after none were found.
     pub(crate) advice_check_at: Option<Instant>,
-    /// The number of advice requests that have no answer yet.
-    pub(crate) advice_unanswered: usize,
 }
 
 impl StepRun {
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -23,7 +23,6 @@
 
 mod graph;
 mod job;
-mod late_advice;
 mod late_starts;
 mod lost_workers;
 mod messages;
@@ -59,9 +58,9 @@
 pub use graph::{JobGraph, Repeat, StepSpec};
 pub use job::{JobOutcome, JobPhase, JobStatus};
 pub use messages::{
-    AdviceAnswer, AdviceRequest, CommitBatch, Effect, EndReason, EndedRun, RenewAnswer, RenewOrder,
-    RenewOutcome, RowChange, RowTable, RunningTask, StartAnswer, StartOrder, StartRefusal,
-    StopOrder, Submission, WorkerEntry,
+    AdviceAnswer, AdviceNumber, AdviceRequest, CommitBatch, Effect, EndReason, EndedRun,
+    RenewAnswer, RenewOrder, RenewOutcome, RowChange, RowTable, RunningTask, StartAnswer,
+    StartOrder, StartRefusal, StopOrder, Submission, WorkerEntry,
 };
 pub use names::{StepName, TaskName};
 pub use queue::{AdviceCost, QueuePolicy};
--- a/jackdawchute-scheduler/src/messages.rs
+++ b/jackdawchute-scheduler/src/messages.rs
@@ -211,9 +211,15 @@
     pub restarted: bool,
 }
 
+/// The number of an advice request of a leader, in the order of sending.
+pub type AdviceNumber = u64;
+
 /// A request to an advisor: which of the named workers may run a step?
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdviceRequest {
+    /// The number of the request among those of its leader, which alone uses it.
+    #[serde(skip)]
+    pub number: AdviceNumber,
     /// The step to place.
     pub step: StepName,
     /// The workers that the advisor is asked about.
--- a/jackdawchute-scheduler/src/planned_room.rs
+++ b/jackdawchute-scheduler/src/planned_room.rs
@@ -75,12 +75,13 @@
             counted.filter(|(_, tasks)| *tasks > 0).collect::<Vec<_>>()
         };
         let is_denied = |worker: &WorkerId| matches!(step.advice.get(worker), Some(Advice::Denied));
-        let workers = if step.advice_named.is_empty() {
+        let workers = if step.advice_under_way.is_empty() {
             let advice = step.advice.iter();
             let allowed = advice.filter(|(_, advice)| advice.is_usable(now));
             with_room(&mut allowed.map(|(worker, _)| worker))
         } else {
-            with_room(&mut step.advice_named.iter().filter(|it| !is_denied(it)))
+            let named = step.advice_under_way.values().flatten();
+            with_room(&mut named.filter(|worker| !is_denied(worker)))
         };
         let fitting = workers.iter().map(|(_, tasks)| *tasks);
         let fitting = fitting.fold(0, u32::saturating_add);
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -27,7 +27,7 @@
     unsaved::UnsavedJobs,
     worker::Worker,
     worker_rows::WorkerRows,
-    Effect, JobOutcome, JobStatus, Settings, StepName, WorkerEntry,
+    AdviceNumber, Effect, JobOutcome, JobStatus, Settings, StepName, WorkerEntry,
 };
 
 /// The number of fencing tokens in an epoch: one for each incarnation of a worker that answers the
@@ -100,6 +100,8 @@
     pub(crate) fleet_speeds: FleetSpeeds,
     pub(crate) allowed_shares: AllowedShares,
     pub(crate) advice_counts: AdviceCounts,
+    /// The number of the last advice request.
+    pub(crate) last_advice: AdviceNumber,
     /// When advice was last requested, or looked at whether it has to be.
     pub(crate) advice_round_at: Instant,
     /// When advice is next requested for steps behind a great deal of waiting work.
@@ -169,6 +171,7 @@
             fleet_speeds: FleetSpeeds::default(),
             allowed_shares: AllowedShares::default(),
             advice_counts: AdviceCounts::default(),
+            last_advice: 0,
             advice_round_at: now,
             far_advice_next_at: now,
             recovery: Recovery::new(now),
--- a/jackdawchute-scheduler/tests/behaviour/late_advice.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_advice.rs
@@ -30,7 +30,7 @@
     let (mut cell, given_up, _repeated) = step_with_a_request_given_up();
 
     cell.scheduler
-        .late_advice_answered(&given_up, answer(&[]), cell.now);
+        .advice_answered(&given_up, Some(answer(&[])), cell.now);
     cell.scheduler.worker_listed(entry("w2", 4), cell.now);
     cell.tick(1);
     let renewal = cell.latest_renewal_of("w2");
@@ -47,7 +47,7 @@
     let (mut cell, given_up, _repeated) = step_with_a_request_given_up();
 
     cell.scheduler
-        .late_advice_answered(&given_up, answer(&["w1"]), cell.now);
+        .advice_answered(&given_up, Some(answer(&["w1"])), cell.now);
     cell.tick(50);
 
     let starts = cell.take_starts();
--- a/jackdawchute-standins/tests/cell_late_orders.rs
+++ b/jackdawchute-standins/tests/cell_late_orders.rs
@@ -236,6 +236,7 @@
     let workers = aged_worker();
     let advisor = TicketAdvisor::new(workers.clone());
     let request = AdviceRequest {
+        number: 0,
         step: task(0).step,
         workers: vec![worker()],
         expected: Duration::ZERO,
--- a/jackdawchute-standins/tests/platform_wire.rs
+++ b/jackdawchute-standins/tests/platform_wire.rs
@@ -229,6 +229,7 @@
         .unwrap();
     let advisor = PlatformAdvisor::new(Some(listening.address()));
     let request = AdviceRequest {
+        number: 0,
         step: step(),
         workers: vec!["w0".into(), "w1".into()],
         expected: Duration::ZERO,
