fix: a start that its worker refused keeps its task again once that worker falls silent

A start without an answer and without a ticket was given up when its worker had confirmed the stop; the worker was cut off, restarted behind the cut and carried the start out, while the task, whose second run on that worker had lapsed, started elsewhere. Cause: a start without an answer was forgotten once its worker had listed its runs without it under the current token. Only that incarnation refuses it; a later one knows neither the stop nor the token. Change: without a ticket such a start counts as refused for the rest of late_order_max, and the progress rows go on naming it. It holds nothing up while its worker answers. While the worker is silent or has restarted unheard the task starts nowhere, as for a start whose worker never answered. Starts with a ticket, and those of tasks that need no further run, are dropped as before. Cost: if the worker is lost for good within 12 s of the start that it refused, a task that runs there or nowhere waits for over 22 s instead of about 6 s, the wait of any start without an answer to a silent worker.

--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -68,6 +68,9 @@
     /// The tasks that a start without an answer may begin, in any incarnation of the worker that it
     /// was sent to, whether or not an earlier leader sent it.
     pub(crate) late_starts: Vec<(TaskIndex, WorkerId)>,
+    /// The tasks that such a start may begin in a later incarnation of its worker alone, which answers
+    /// and refuses it.
+    pub(crate) refused_starts: Vec<(TaskIndex, WorkerId)>,
     /// The worker on which a run of the unit failed last.
     pub(crate) failed_on: Option<WorkerId>,
     /// How often tasks of the unit were stopped for lack of progress.
@@ -91,24 +94,40 @@
 
     /// Records that a start without an answer may begin a task; returns whether that is new.
     pub(crate) fn add_late_start(&mut self, index: TaskIndex, worker: &WorkerId) -> bool {
-        let is_new = !self.has_late_start(index, worker);
-        if is_new {
-            self.late_starts.push((index, worker.clone()));
-        }
-        is_new
+        let was_there = self.remove_late_start(index, worker);
+        self.late_starts.push((index, worker.clone()));
+        !was_there
     }
 
     /// Records that no start sent to `worker` may begin a task any more; returns whether one might.
     pub(crate) fn remove_late_start(&mut self, index: TaskIndex, worker: &WorkerId) -> bool {
-        let was_there = self.has_late_start(index, worker);
-        self.late_starts
-            .retain(|(of_task, on)| *of_task != index || on != worker);
-        was_there
+        let is_other = |(of_task, on): &(TaskIndex, WorkerId)| *of_task != index || on != worker;
+        let before = self.saved_late_starts().count();
+        self.late_starts.retain(is_other);
+        self.refused_starts.retain(is_other);
+        self.saved_late_starts().count() < before
     }
 
-    fn has_late_start(&self, index: TaskIndex, worker: &WorkerId) -> bool {
-        let is_same = |(of_task, on): &(TaskIndex, WorkerId)| *of_task == index && on == worker;
-        self.late_starts.iter().any(is_same)
+    /// Records whether `worker` refuses the starts that were sent to it and got no answer.
+    pub(crate) fn set_late_start_refused(
+        &mut self,
+        index: TaskIndex,
+        worker: &WorkerId,
+        refused: bool,
+    ) {
+        if self.remove_late_start(index, worker) {
+            let starts = if refused {
+                &mut self.refused_starts
+            } else {
+                &mut self.late_starts
+            };
+            starts.push((index, worker.clone()));
+        }
+    }
+
+    /// Returns the starts without an answer that a successor has to know of.
+    pub(crate) fn saved_late_starts(&self) -> impl Iterator<Item = &(TaskIndex, WorkerId)> {
+        self.late_starts.iter().chain(&self.refused_starts)
     }
 }
 
@@ -319,6 +338,15 @@
         occurrence.steps.get_mut(name.step as usize)
     }
 
+    /// Returns the unit that a task belongs to.
+    pub(crate) fn unit(&self, step: &StepName, index: TaskIndex) -> Option<&Unit> {
+        let (spec, step_run) = self.step(step)?;
+        if index >= spec.tasks {
+            return None;
+        }
+        step_run.units.get(spec.unit_index(index))
+    }
+
     /// Returns the unit that a task belongs to.
     pub(crate) fn unit_mut(&mut self, step: &StepName, index: TaskIndex) -> Option<&mut Unit> {
         let spec = self.graph.steps.get(step.step as usize)?;
--- a/jackdawchute-scheduler/src/late_starts.rs
+++ b/jackdawchute-scheduler/src/late_starts.rs
@@ -13,6 +13,7 @@
 use spdlog::info;
 
 use crate::{
+    job::JobPhase,
     worker::{Worker, CLOCK_RATE_MIN},
     AdviceCost, Scheduler, Settings, TaskName,
 };
@@ -24,6 +25,19 @@
     since: Instant,
     /// Until when its ticket may be valid; `None` without a ticket.
     ticket_until: Option<Instant>,
+    /// Whether its worker answers and refuses it, so that only a later incarnation may carry it out.
+    refused: bool,
+}
+
+/// What is known of a start without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outlook {
+    /// It may begin its task at any time, so that the task starts nowhere else.
+    MayBegin,
+    /// Its worker answers and refuses it; a later incarnation may carry it out.
+    Refused,
+    /// It can't be carried out any more, and nothing that it may have begun goes on unknown.
+    Over,
 }
 
 impl LateStart {
@@ -34,6 +48,7 @@
         Self {
             since,
             ticket_until,
+            refused: false,
         }
     }
 
@@ -61,10 +76,14 @@
         self.by_worker.contains_key(worker)
     }
 
-    /// Returns the tasks that may begin, each with the worker that its start was sent to.
+    /// Returns the tasks that may begin at any time, each with the worker that its start was sent to.
     pub(crate) fn tasks(&self) -> impl Iterator<Item = (&WorkerId, &TaskName)> {
-        let workers = self.by_worker.iter();
-        workers.flat_map(|(worker, tasks)| tasks.keys().map(move |task| (worker, task)))
+        let starts = self.by_worker.iter().flat_map(|(worker, tasks)| {
+            let of_worker = tasks.iter();
+            of_worker.map(move |(task, start)| (worker, task, start))
+        });
+        let may_begin = starts.filter(|(_, _, start)| !start.refused);
+        may_begin.map(|(worker, task, _)| (worker, task))
     }
 }
 
@@ -89,55 +108,78 @@
     }
 
     /// Drops the starts that can't be carried out any more, once what they may have begun is known or
-    /// has lapsed.
-    pub(crate) fn drop_late_starts(&mut self, now: Instant) {
-        let mut dropped = Vec::new();
+    /// has lapsed, and notes which of the others their workers refuse.
+    pub(crate) fn update_late_starts(&mut self, now: Instant) {
+        let mut changed = Vec::new();
         for (id, tasks) in &self.late_starts.by_worker {
             // Each of them may extend the lease of what the others have begun.
             let all_until = tasks.values().map(|start| self.orders_until(id, start));
             let orders_until = all_until.max().unwrap_or(now);
             for (task, start) in tasks {
-                if self.is_over(id, task, start, orders_until) {
-                    dropped.push((id.clone(), task.clone()));
+                let outlook = self.outlook(id, task, start, orders_until);
+                let known = if start.refused {
+                    Outlook::Refused
+                } else {
+                    Outlook::MayBegin
+                };
+                if outlook != known {
+                    changed.push((id.clone(), task.clone(), outlook));
                 }
             }
         }
-        for (worker, task) in dropped {
-            if let Some(tasks) = self.late_starts.by_worker.get_mut(&worker) {
-                tasks.remove(&task);
-                if tasks.is_empty() {
-                    self.late_starts.by_worker.remove(&worker);
-                }
+        for (worker, task, outlook) in changed {
+            if outlook == Outlook::Over {
+                self.remove_late_start(&worker, &task, now);
+            } else {
+                self.set_late_start_refused(&worker, &task, outlook == Outlook::Refused, now);
             }
-            self.remove_late_start(&worker, &task, now);
         }
     }
 
-    /// Returns whether a start can't be carried out any more and nothing that it may have begun goes
-    /// on unknown, where orders may extend the lease of its worker until `orders_until`.
-    fn is_over(
+    /// Returns what is known of a start, where orders may extend the lease of its worker until
+    /// `orders_until`.
+    fn outlook(
         &self,
         worker: &WorkerId,
         task: &TaskName,
         start: &LateStart,
         orders_until: Instant,
-    ) -> bool {
+    ) -> Outlook {
         let worker = self.workers.get(worker);
         if let Some((worker, listed_at)) = worker.and_then(|it| Some((it, it.listed_runs_at()?))) {
-            // The incarnation that lists its runs does not begin the run any more.
-            let is_gone = worker.is_responsive() && !worker.runs.contains_key(task);
-            if listed_at >= start.until(&self.settings) || (is_gone && listed_at >= start.since) {
-                return true;
+            if listed_at >= start.until(&self.settings) {
+                return Outlook::Over;
+            }
+            // A later run of the task may be there once the start was refused.
+            let is_gone = start.refused || !worker.runs.contains_key(task);
+            if worker.is_responsive() && is_gone && listed_at >= start.since {
+                // A ticket is refused by any later incarnation.
+                let is_over = start.ticket_until.is_some() || !self.may_start_again(task);
+                return if is_over {
+                    Outlook::Over
+                } else {
+                    Outlook::Refused
+                };
             }
         }
         let view = self.lapse_view();
         // A ticket for an incarnation that was not heard is for one that the platform has listed.
         let ends_with_lease =
             |worker: &Worker| !worker.may_have_restarted_unheard() && worker.lease_lapsed(view);
-        if start.ticket_until.is_some() && worker.is_some_and(ends_with_lease) {
-            return true;
+        let is_over = (start.ticket_until.is_some() && worker.is_some_and(ends_with_lease))
+            || view.as_of > orders_until + view.hold_time;
+        if is_over {
+            Outlook::Over
+        } else {
+            Outlook::MayBegin
         }
-        view.as_of > orders_until + view.hold_time
+    }
+
+    fn may_start_again(&self, task: &TaskName) -> bool {
+        let job = self.jobs.get(&task.step.job);
+        let live = job.filter(|job| job.phase == JobPhase::Live);
+        let unit = live.and_then(|job| job.unit(&task.step, task.index));
+        unit.is_some_and(|unit| !unit.done)
     }
 
     /// Returns until when a silent worker may carry out a start, or another order that extends the
@@ -156,7 +198,45 @@
         orders_until.max(self.authority.earlier_until)
     }
 
+    /// Records whether the worker of a start refuses it from now on.
+    fn set_late_start_refused(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskName,
+        refused: bool,
+        now: Instant,
+    ) {
+        let starts = self.late_starts.by_worker.get_mut(worker);
+        if let Some(start) = starts.and_then(|tasks| tasks.get_mut(task)) {
+            start.refused = refused;
+        }
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let waited_ms = whole_ms(job.waited(now));
+        let Some(unit) = job.unit_mut(&task.step, task.index) else {
+            return;
+        };
+        unit.set_late_start_refused(task.index, worker, refused);
+        if !unit.placed.is_empty() {
+            return;
+        }
+        info!("start without an answer", kv: {
+            job = task.step.job.as_str(), step = task.step.step, task = task.index,
+            worker = worker.as_str(), refused = refused, waited_ms = waited_ms
+        });
+        if refused {
+            self.make_placeable(&task.step.job, now);
+        }
+    }
+
     fn remove_late_start(&mut self, worker: &WorkerId, task: &TaskName, now: Instant) {
+        if let Some(tasks) = self.late_starts.by_worker.get_mut(worker) {
+            tasks.remove(task);
+            if tasks.is_empty() {
+                self.late_starts.by_worker.remove(worker);
+            }
+        }
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
--- a/jackdawchute-scheduler/src/progress_rows.rs
+++ b/jackdawchute-scheduler/src/progress_rows.rs
@@ -285,12 +285,14 @@
                 last_run: unit.last_run,
                 failed_runs: unit.failed_runs.clone(),
                 checkpoint: unit.checkpoint.clone(),
-                late_starts: unit.late_starts.clone(),
+                late_starts: unit.saved_late_starts().cloned().collect(),
             });
         }
     }
 }
 
 fn has_progress(unit: &Unit) -> bool {
-    !unit.failed_runs.is_empty() || !unit.checkpoint.is_empty() || !unit.late_starts.is_empty()
+    !unit.failed_runs.is_empty()
+        || !unit.checkpoint.is_empty()
+        || unit.saved_late_starts().next().is_some()
 }
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -287,7 +287,7 @@
         self.begin_due_occurrences(unix_now, now);
         self.retry_orders(now);
         self.drop_lost_workers(now);
-        self.drop_late_starts(now);
+        self.update_late_starts(now);
         self.update_worker_rows();
         self.finish_recovery(now);
         self.stop_runs_on_leaving_workers(now);
--- a/jackdawchute-scheduler/tests/behaviour/late_orders.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_orders.rs
@@ -102,6 +102,12 @@
         }
     }
 
+    /// The starts that were confirmed.
+    pub fn starts(&self) -> Vec<StartOrder> {
+        let started = self.started.iter();
+        started.map(|(_, start)| start.clone()).collect()
+    }
+
     /// Lets time pass until a task of the job has started; returns how long that took.
     pub fn wait_for_start(&mut self, cell: &mut Cell, job: &str) -> Duration {
         loop {
@@ -280,7 +286,7 @@
 }
 
 /// Answers as the second incarnation of w1 until it has acknowledged its token, and lists it.
-fn restart(cell: &mut Cell) {
+pub fn restart(cell: &mut Cell) {
     for _ in 0..2 {
         let renewal = cell.latest_renewal_of("w1");
         cell.answer_renewal_of_incarnation(&renewal, 2, Vec::new(), Vec::new());
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -6,6 +6,7 @@
 mod cut_off_lists;
 mod fixtures;
 mod former_leases;
+mod given_up_starts;
 mod impossible_jobs;
 mod incomplete_lists;
 mod large_cells;
