--- a/jackdawchute-scheduler/tests/behaviour/given_up_starts.rs
+++ b/jackdawchute-scheduler/tests/behaviour/given_up_starts.rs
@@ -5,7 +5,7 @@
 
 use jackdawchute_scheduler::{StartAnswer, StartOrder, StartRefusal};
 
-use crate::{fixtures::*, late_orders::*};
+use crate::{fixtures::*, late_orders::*, late_tickets::allow_w1};
 
 /// The longest time in which a task whose start is given up starts again while its worker answers.
 const RETRY_MAX: Duration = Duration::from_millis(500);
@@ -14,6 +14,14 @@
 /// under the next number; w2 runs nothing. Returns how long the second start took.
 fn cell_with_a_given_up_start() -> (Cell, StartOrder, Duration) {
     let (mut cell, _) = cell_with_an_unanswered_start();
+    let (again, took) = give_start_up(&mut cell);
+    add_worker(&mut cell, "w2");
+    (cell, again, took)
+}
+
+/// Refuses the repeated start of the only task and confirms its stop; returns the next start there and
+/// how long it took.
+fn give_start_up(cell: &mut Cell) -> (StartOrder, Duration) {
     cell.tick(200);
     let repeated = cell.take_starts().remove(0);
     let refused = StartAnswer::Refused {
@@ -22,12 +30,11 @@
     };
     cell.answer_start(&repeated, refused);
     let mut workers = Workers::new(None, &[]);
-    let took = workers.wait_for_start(&mut cell, "job");
+    let took = workers.wait_for_start(cell, "job");
     let again = workers.starts().remove(0);
     assert_eq!(again.worker, "w1");
     assert!(again.run > repeated.run);
-    add_worker(&mut cell, "w2");
-    (cell, again, took)
+    (again, took)
 }
 
 #[test]
@@ -99,3 +106,40 @@
 
     assert!(took <= RETRY_MAX, "{took:?}");
 }
+
+/// A later incarnation refuses the ticket.
+#[test]
+fn a_task_whose_given_up_start_had_a_ticket_starts_elsewhere_with_the_lease() {
+    let mut cell = ready_cell(1, &[entry("w1", 4)]);
+    cell.accept("job", vec![long_step()], advised_queue(0));
+    let start = allow_w1(&mut cell);
+    cell.answer_start(&start, StartAnswer::Unknown);
+    give_start_up(&mut cell);
+    add_worker(&mut cell, "w2");
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(start.ticket.is_some());
+    assert!(took <= LAPSE_MAX, "{took:?}");
+}
+
+#[test]
+fn a_task_that_runs_elsewhere_goes_on_when_the_worker_of_its_given_up_start_falls_silent() {
+    let (mut cell, _) = cell_with_an_unanswered_start();
+    add_worker(&mut cell, "w2");
+    cell.scheduler.worker_unlisted(&"w1".into(), cell.now);
+    let mut workers = Workers::new(None, &[]);
+    workers.wait_for_start(&mut cell, "job");
+    let elsewhere = workers.starts().remove(0);
+    let mut workers = Workers::new(Some("w1"), std::slice::from_ref(&elsewhere));
+    let mut stops = Vec::new();
+
+    while workers.passed < LATE_ORDER_MAX {
+        workers.step(&mut cell);
+        stops.extend(cell.stops.iter().map(|stop| stop.worker.clone()));
+    }
+
+    assert_eq!(elsewhere.worker, "w2");
+    assert!(!stops.contains(&elsewhere.worker), "{stops:?}");
+    assert!(workers.starts().is_empty());
+}
--- a/jackdawchute-scheduler/tests/behaviour/late_tickets.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_tickets.rs
@@ -10,7 +10,7 @@
 const VALID: Duration = Duration::from_millis(2_500);
 
 /// Answers the request for advice about w1, and returns the start there.
-fn allow_w1(cell: &mut Cell) -> StartOrder {
+pub fn allow_w1(cell: &mut Cell) -> StartOrder {
     let request = cell.advice.remove(0);
     let answer = AdviceAnswer {
         allowed: vec![("w1".into(), "ticket".into())],
