test: given-up starts with tickets behind a listed restart, and rows that are written later

A row of progress that is written after a start was given up has to name it still.

Not covered: that a start is forgotten once its task is done.

--- a/jackdawchute-scheduler/tests/behaviour/given_up_starts.rs
+++ b/jackdawchute-scheduler/tests/behaviour/given_up_starts.rs
@@ -3,9 +3,13 @@
 
 use std::time::Duration;
 
-use jackdawchute_scheduler::{StartAnswer, StartOrder, StartRefusal};
+use jackdawchute_scheduler::{EndReason, StartAnswer, StartOrder, StartRefusal, StepSpec};
 
-use crate::{fixtures::*, late_orders::*, late_tickets::allow_w1};
+use crate::{
+    fixtures::*,
+    late_orders::*,
+    late_tickets::{allow_w1, list_w1_as_restarted},
+};
 
 /// The longest time in which a task whose start is given up starts again while its worker answers.
 const RETRY_MAX: Duration = Duration::from_millis(500);
@@ -14,14 +18,14 @@
 /// under the next number; w2 runs nothing. Returns how long the second start took.
 fn cell_with_a_given_up_start() -> (Cell, StartOrder, Duration) {
     let (mut cell, _) = cell_with_an_unanswered_start();
-    let (again, took) = give_start_up(&mut cell);
+    let (again, took) = give_start_up(&mut cell, &[]);
     add_worker(&mut cell, "w2");
     (cell, again, took)
 }
 
-/// Refuses the repeated start of the only task and confirms its stop; returns the next start there and
-/// how long it took.
-fn give_start_up(cell: &mut Cell) -> (StartOrder, Duration) {
+/// Refuses the repeated start of a task on w1, which runs these tasks, and confirms its stop; returns
+/// the next start there and how long it took.
+fn give_start_up(cell: &mut Cell, running: &[StartOrder]) -> (StartOrder, Duration) {
     cell.tick(200);
     let repeated = cell.take_starts().remove(0);
     let refused = StartAnswer::Refused {
@@ -29,7 +33,7 @@
         clock: Some(cell.clock()),
     };
     cell.answer_start(&repeated, refused);
-    let mut workers = Workers::new(None, &[]);
+    let mut workers = Workers::new(None, running);
     let took = workers.wait_for_start(cell, "job");
     let again = workers.starts().remove(0);
     assert_eq!(again.worker, "w1");
@@ -96,6 +100,33 @@
     assert!(took >= LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
 }
 
+/// The end of the other task writes the row of both anew.
+#[test]
+fn a_row_that_is_written_after_a_start_was_given_up_names_it_still() {
+    let mut earlier = ready_cell(1, &[entry("w1", 4)]);
+    let steps = vec![StepSpec {
+        tasks: 2,
+        ..long_step()
+    }];
+    earlier.accept("job", steps, queue(0));
+    let mut starts = earlier.take_starts();
+    let (unanswered, other) = (starts.remove(0), starts.remove(0));
+    earlier.confirm_start(&other);
+    earlier.answer_start(&unanswered, StartAnswer::Unknown);
+    let (again, _) = give_start_up(&mut earlier, std::slice::from_ref(&other));
+    earlier.commit();
+    let renewal = earlier.latest_renewal_of("w1");
+    let ends = vec![ended(1, &other, EndReason::Succeeded)];
+    earlier.answer_renewal(&renewal, vec![running(&again)], ends);
+    let written = earlier.commit().len();
+    let mut cell = successor(2, &earlier.saved, &["w1", "w2"]);
+
+    let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
+
+    assert!(written > 0);
+    assert!(took >= LATE_ORDER_MAX + HOLD_MAX, "{took:?}");
+}
+
 #[test]
 fn a_successor_that_hears_the_worker_of_a_given_up_start_starts_its_task_at_once() {
     let (mut earlier, _, _) = cell_with_a_given_up_start();
@@ -107,15 +138,17 @@
     assert!(took <= RETRY_MAX, "{took:?}");
 }
 
-/// A later incarnation refuses the ticket.
+/// The worker that refused the start was the one that the ticket is for, or a later one, so that the
+/// incarnation that is listed since refuses the ticket.
 #[test]
 fn a_task_whose_given_up_start_had_a_ticket_starts_elsewhere_with_the_lease() {
     let mut cell = ready_cell(1, &[entry("w1", 4)]);
     cell.accept("job", vec![long_step()], advised_queue(0));
     let start = allow_w1(&mut cell);
     cell.answer_start(&start, StartAnswer::Unknown);
-    give_start_up(&mut cell);
+    give_start_up(&mut cell, &[]);
     add_worker(&mut cell, "w2");
+    list_w1_as_restarted(&mut cell);
 
     let took = Workers::new(Some("w1"), &[]).wait_for_start(&mut cell, "job");
 
--- a/jackdawchute-scheduler/tests/behaviour/late_tickets.rs
+++ b/jackdawchute-scheduler/tests/behaviour/late_tickets.rs
@@ -22,7 +22,7 @@
 }
 
 /// The platform lists an incarnation of w1 that no leader has heard.
-fn list_w1_as_restarted(cell: &mut Cell) {
+pub fn list_w1_as_restarted(cell: &mut Cell) {
     let restarted = WorkerEntry {
         started_unix_ms: 2,
         ..entry("w1", 4)
