fix: lasting tasks that end soon after each start pause before the next one

Cause: a lasting task could be placed again as soon as it had ended, lasting tasks have the best rank for good and no limit of attempts, and a round starts a limited number of tasks. Change: a unit whose runs end by themselves within 2 s of their start pauses: not after the first, then 0.1 s, doubling up to 4 s. After short runs a step restarts one task each 2.5 ms, with 4 s as the longest wait. A unit that pauses is not ready; a run of 2 s clears the count. Pauses end with the tick.

--- a/jackdawchute-scheduler/src/ends.rs
+++ b/jackdawchute-scheduler/src/ends.rs
@@ -30,7 +30,7 @@
         worker.ends_unsaved.push_back((change, end.number));
         self.ends_unsaved.insert(id.clone());
         let run = worker.runs.get(&end.task).filter(|run| run.run <= end.run);
-        let is_known = run.is_some();
+        let known_since = run.map(|run| run.known_since);
         // When a run started is known only if this leader ordered it.
         let started = run.filter(|run| run.start_order.is_some());
         let started = started.map(|run| (run.known_since, run.slowdown));
@@ -44,7 +44,9 @@
             }
         }
         self.apply_end(id, end, change, now);
-        if is_known {
+        if let Some(known_since) = known_since {
+            let run_time = now.saturating_duration_since(known_since);
+            self.pause_restart(end, run_time, now);
             self.remove_run(id, &end.task, now);
         }
         true
--- a/jackdawchute-scheduler/src/job.rs
+++ b/jackdawchute-scheduler/src/job.rs
@@ -11,7 +11,9 @@
 };
 use rustc_hash::FxHashMap;
 
-use crate::{row_size::RowNumber, JobGraph, QueuePolicy, StepName, StepSpec, TaskName};
+use crate::{
+    restarts::ShortRuns, row_size::RowNumber, JobGraph, QueuePolicy, StepName, StepSpec, TaskName,
+};
 
 /// How a job ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -70,6 +72,8 @@
     pub(crate) late_starts: Vec<(TaskIndex, WorkerId)>,
     /// The worker on which a run of the unit failed last.
     pub(crate) failed_on: Option<WorkerId>,
+    /// The runs of lasting tasks that ended soon after their start.
+    pub(crate) short_runs: ShortRuns,
     /// How often tasks of the unit were stopped for lack of progress.
     pub(crate) stuck_stops: u32,
     /// Whether the unit is a gang whose tasks have been ordered to stop in the current run.
@@ -84,9 +88,11 @@
         self.placed = placed.collect();
     }
 
-    /// Returns whether the unit is not done, and none of its tasks runs or may begin to.
+    /// Returns whether the unit is not done and does not pause, and none of its tasks runs or may
+    /// begin to.
     pub(crate) fn is_waiting(&self) -> bool {
-        !self.done && self.placed.is_empty() && self.late_starts.is_empty()
+        let is_idle = self.placed.is_empty() && self.late_starts.is_empty();
+        is_idle && !self.done && !self.short_runs.pausing
     }
 
     /// Records that a start without an answer may begin a task; returns whether that is new.
@@ -170,6 +176,8 @@
     pub(crate) units_left: usize,
     /// The latest answer of an advisor about each worker that one was asked about.
     pub(crate) advice: FxHashMap<WorkerId, Advice>,
+    /// When a further task may start again after a short run; `None` before the first such run.
+    pub(crate) restart_next_at: Option<Instant>,
     /// The capacity reserved for a gang in the last scheduling round; `None` if there is none.
     pub(crate) gang_reservation: Option<GangReservation>,
     /// When capacity to reserve for a gang is next looked for, after too little was found.
--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -36,6 +36,7 @@
 mod records;
 mod recover;
 mod report;
+mod restarts;
 mod room;
 mod row_size;
 mod service_load;
--- a/jackdawchute-scheduler/src/state.rs
+++ b/jackdawchute-scheduler/src/state.rs
@@ -27,7 +27,7 @@
     unsaved::UnsavedJobs,
     worker::Worker,
     worker_rows::WorkerRows,
-    Effect, JobOutcome, JobStatus, Settings, StepName, WorkerEntry,
+    Effect, JobOutcome, JobStatus, Settings, StepName, TaskName, WorkerEntry,
 };
 
 /// The number of fencing tokens in an epoch: one for each incarnation of a worker that answers the
@@ -68,6 +68,8 @@
     pub(crate) jobs: HashMap<JobId, Job>,
     /// The jobs that may have something to place, in the order of their ids.
     pub(crate) placeable: BTreeSet<JobId>,
+    /// Until when lasting tasks pause before their next run, soonest first.
+    pub(crate) pauses: BTreeSet<(Instant, TaskName)>,
     /// The ended jobs whose retention has not passed.
     pub(crate) ended: HashMap<JobId, EndedJob>,
     /// When `ended` is next searched for jobs whose retention has passed.
@@ -153,6 +155,7 @@
             token_base: epoch.saturating_mul(TOKENS_PER_EPOCH),
             jobs: HashMap::new(),
             placeable: BTreeSet::new(),
+            pauses: BTreeSet::new(),
             ended: HashMap::new(),
             ended_check_next_at: now,
             ended_rows: VecDeque::new(),
@@ -285,6 +288,7 @@
     /// lapsed leases and leaving workers, and sends due renewals.
     pub fn tick(&mut self, now: Instant, unix_now: Duration) {
         self.begin_due_occurrences(unix_now, now);
+        self.end_pauses(now);
         self.retry_orders(now);
         self.drop_lost_workers(now);
         self.drop_late_starts(now);
--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -4,6 +4,7 @@
 mod advice_after_takeover;
 mod authority;
 mod cut_off_lists;
+mod failing_lasting_tasks;
 mod fixtures;
 mod former_leases;
 mod impossible_jobs;
