--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -5,6 +5,7 @@
 mod advice_review;
 mod authority;
 mod cut_off_lists;
+mod failing_lasting_tasks;
 mod fixtures;
 mod former_leases;
 mod given_up_starts;
