--- a/jackdawchute-jobs/src/rack/claimed.rs
+++ b/jackdawchute-jobs/src/rack/claimed.rs
@@ -105,7 +105,7 @@
 
     /// Returns the workers that were not listed when an intent in the journal named them, with the
     /// addresses that calls to them go to.
-    pub fn unlisted_workers(&self) -> Vec<(WorkerId, SocketAddr)> {
+    pub(crate) fn unlisted_workers(&self) -> Vec<(WorkerId, SocketAddr)> {
         let leaving = self.workers.iter().filter(|(_, worker)| worker.leaving);
         leaving
             .filter_map(|(id, worker)| Some((id.clone(), worker.address?)))
