--- a/jackdawchute-scheduler/tests/behaviour/main.rs
+++ b/jackdawchute-scheduler/tests/behaviour/main.rs
@@ -8,6 +8,7 @@
 mod failing_lasting_tasks;
 mod fixtures;
 mod former_leases;
+mod gang_advice;
 mod given_up_starts;
 mod impossible_jobs;
 mod incomplete_lists;
