--- a/jackdawchute-scheduler/src/advise.rs
+++ b/jackdawchute-scheduler/src/advise.rs
@@ -122,7 +122,8 @@
     }
 
     /// Requests advice for a step that lacks valid tickets, unless an answer is awaited or no advisor
-    /// takes its requests now.
+    /// takes its requests now. The room of the `better` ranked steps that is not planned yet is planned
+    /// first.
     fn request_advice_for(
         &mut self,
         name: &StepName,
@@ -170,6 +171,7 @@
         self.effects.extend(effects);
     }
 
+    /// Returns whether a step is a gang without room that knows of workers to wait for.
     fn is_ahead(&self, name: &StepName) -> bool {
         let job = self.jobs.get(&name.job);
         let step = job.and_then(|job| job.step(name));
