fix: requests to an advisor that is late are given up while the tickets of others are valid

Each request to an advisor that answers nothing was given up 1.2 s after its answer was due, the second one in its queue later still; by then the tickets of the other advisor had lapsed, and the gang began anew. Change: when an answer is 0.4 s late, all requests to its advisor are given up, and their steps ask others. Late answers are used all the same.

--- a/jackdawchute-cell/src/leader/advice_under_way.rs
+++ b/jackdawchute-cell/src/leader/advice_under_way.rs
@@ -8,15 +8,14 @@
 use jackdawchute_scheduler::AdviceRequest;
 use jackdawchute_types::AdvisorId;
 
-use crate::settings::ADVICE_MARGIN;
-
 /// How much later than expected an answer is when its advisor gets no further request until the call
 /// has ended.
 const LATE_MIN: Duration = Duration::from_millis(150);
 
-/// How much later than expected an answer is when its request is given up: by then the instance that
-/// was asked has given it up too, unless it did not get the call.
-const LATE_MAX: Duration = ADVICE_MARGIN;
+/// How much later than expected an answer is when the requests to its advisor are given up, so that
+/// their steps ask others while the tickets that they have are valid. Late answers are used all the
+/// same.
+const LATE_MAX: Duration = Duration::from_millis(400);
 
 /// The number of a call to an advisor, in the order of sending.
 pub type AdviceCallId = u64;
@@ -109,9 +108,14 @@
         now: Instant,
         is_gone: impl Fn(AdvisorId) -> bool,
     ) -> Vec<(AdvisorId, AdviceRequest)> {
+        let overdue = self
+            .calls
+            .values()
+            .filter(|call| now > call.expected_at + LATE_MAX);
+        let overdue: Vec<AdvisorId> = overdue.map(|call| call.advisor).collect();
         let awaited = self.calls.values_mut().filter(|call| call.awaited);
         let given_up =
-            awaited.filter(|call| now > call.expected_at + LATE_MAX || is_gone(call.advisor));
+            awaited.filter(|call| overdue.contains(&call.advisor) || is_gone(call.advisor));
         given_up
             .map(|call| {
                 call.awaited = false;
