--- a/jackdawchute-cell/src/leader/advice_under_way.rs
+++ b/jackdawchute-cell/src/leader/advice_under_way.rs
@@ -15,7 +15,7 @@
 /// How much later than expected an answer is when the requests to its advisor are given up, so that
 /// their steps ask others while the tickets that they have are valid. Late answers are used all the
 /// same.
-const LATE_MAX: Duration = Duration::from_millis(400);
+const LATE_MAX: Duration = Duration::from_millis(500);
 
 /// The number of a call to an advisor, in the order of sending.
 pub type AdviceCallId = u64;
