--- a/jackdawchute-scheduler/src/lib.rs
+++ b/jackdawchute-scheduler/src/lib.rs
@@ -30,6 +30,7 @@
 mod observe;
 mod orders;
 mod place;
+mod plan_room;
 mod planned_room;
 mod progress;
 mod progress_rows;
--- a/jackdawchute-scheduler/src/planned_room.rs
+++ b/jackdawchute-scheduler/src/planned_room.rs
@@ -3,18 +3,9 @@
 //! Were each gang to count all free capacity as its own, all of them would request advice about the
 //! same workers, and most would find these taken when the answers arrive.
 
-use std::time::Instant;
-
 use jackdawchute_types::{Resources, WorkerId};
 use rustc_hash::FxHashMap;
 
-use crate::{
-    advice_requests::AdviceRound,
-    free_capacity::{tasks_fitting, WorkerCapacity},
-    job::Advice,
-    Scheduler, StepName,
-};
-
 /// What steps with a better rank are about to use on each worker.
 #[derive(Debug, Default)]
 pub(crate) struct PlannedRoom {
@@ -24,7 +15,7 @@
 impl PlannedRoom {
     /// Plans room for a number of tasks of a size, on the first workers with the number of tasks that
     /// fit there: advisors have yet to allow some of them, and whole tasks leave the others whole.
-    fn plan(&mut self, workers: &[(WorkerId, u32)], size: &Resources, tasks: u32) {
+    pub(crate) fn plan(&mut self, workers: &[(WorkerId, u32)], size: &Resources, tasks: u32) {
         let mut left = tasks;
         for (worker, fitting) in workers {
             let here = left.min(*fitting);
@@ -43,52 +34,3 @@
         planned.map_or(free, |planned| free.saturating_sub(planned))
     }
 }
-
-impl Scheduler {
-    /// Plans the room of a step that waits for answers, or has tickets and has not started yet.
-    ///
-    /// What does not fit keeps no room from others. A gang with a reservation has its room already.
-    pub(crate) fn plan_room(&self, name: &StepName, round: &mut AdviceRound<'_>, now: Instant) {
-        let Some(job) = self.jobs.get(&name.job) else {
-            return;
-        };
-        let Some((spec, step)) = job.step(name) else {
-            return;
-        };
-        if step.gang_reservation.is_some() {
-            return;
-        }
-        let size = spec.charged_resources();
-        let estimate = self.estimate(job, spec);
-        let room = |worker: &WorkerId, worker_capacity: &WorkerCapacity| {
-            let ends_at = now + self.expected_on(spec, &estimate, worker_capacity);
-            round
-                .planned_room
-                .left(worker, worker_capacity.usable(ends_at))
-        };
-        let tasks_on = |worker: &WorkerId| {
-            let worker_capacity = round.free_capacity.worker(worker);
-            worker_capacity.map_or(0, |it| tasks_fitting(&size, room(worker, it)))
-        };
-        let with_room = |workers: &mut dyn Iterator<Item = &WorkerId>| {
-            let counted = workers.map(|worker| (worker.clone(), tasks_on(worker)));
-            counted.filter(|(_, tasks)| *tasks > 0).collect::<Vec<_>>()
-        };
-        let is_denied = |worker: &WorkerId| matches!(step.advice.get(worker), Some(Advice::Denied));
-        let workers = if step.advice_under_way.is_empty() {
-            let advice = step.advice.iter();
-            let allowed = advice.filter(|(_, advice)| advice.is_usable(now));
-            with_room(&mut allowed.map(|(worker, _)| worker))
-        } else {
-            let named = step.advice_under_way.values().flatten();
-            with_room(&mut named.filter(|worker| !is_denied(worker)))
-        };
-        let fitting = workers.iter().map(|(_, tasks)| *tasks);
-        let fitting = fitting.fold(0, u32::saturating_add);
-        let waiting = u32::try_from(self.waiting_tasks(name)).unwrap_or(u32::MAX);
-        if spec.gang && fitting < spec.tasks {
-            return;
-        }
-        round.planned_room.plan(&workers, &size, waiting);
-    }
-}
